--- /dev/null
+++ b/bench/placeholder.cc
@@ -0,0 +1,1 @@
+namespace catkinford {}
--- /dev/null
+++ b/src/connection/http_client.cc
@@ -0,0 +1,314 @@
+#include "connection/http_client.h"
+
+#include <curl/curl.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/str_cat.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr int kEventsAtOnce = 64;
+constexpr milliseconds kIdleWait{1000};
+constexpr size_t kIdleHandles = 256;           // easy handles kept for the next call
+constexpr milliseconds kConnectTimeout{2000};  // an address that answers nothing at all
+constexpr long kKeptConnections = 8192;        // NOLINT(google-runtime-int): libcurl's type
+
+struct transfer {
+  http_call call;
+  http_client::callback on_done;
+  std::string answer;
+  curl_slist* headers = nullptr;
+};
+
+size_t AppendBody(char* data, size_t size, size_t count, void* closure) {
+  static_cast<transfer*>(closure)->answer.append(data, size * count);
+  return size * count;
+}
+
+// A transfer that failed before a byte of the request went out was surely not seen.
+transfer_status StatusOf(CURL* easy, CURLcode code) {
+  if (code == CURLE_OK) return transfer_status::kDone;
+  long sent = 0;  // NOLINT(google-runtime-int): libcurl's type
+  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
+  return sent == 0 ? transfer_status::kNotSent : transfer_status::kMaybeSent;
+}
+
+}  // namespace
+
+struct http_client::impl {
+  explicit impl(size_t connections) : connections_per_host(connections) {}
+
+  static int OnSocket(CURL* easy, curl_socket_t socket, int what, void* closure, void* known);
+  static int OnTimer(CURLM* multi, long wait_ms, void* closure);  // NOLINT(google-runtime-int)
+
+  void Run();
+  void TakeNew();
+  void Begin(std::unique_ptr<transfer> next);
+  void Act(curl_socket_t socket, int events);
+  void Finish();
+  void Complete(CURL* easy, transfer_status status);
+  int WaitMs() const;
+  CURL* NewHandle();
+
+  size_t connections_per_host;
+  CURLM* multi = nullptr;
+  int epoll = -1;
+  int wake = -1;
+  std::thread thread;
+  std::mutex mutex;  // guards the three below
+  std::deque<std::unique_ptr<transfer>> incoming;
+  bool stopping = false;
+  bool stopped = true;
+  // Only the client's thread:
+  steady_clock::time_point timer = steady_clock::time_point::max();
+  absl::flat_hash_map<CURL*, std::unique_ptr<transfer>> active;
+  std::vector<CURL*> idle;
+};
+
+int http_client::impl::OnSocket(CURL* /*easy*/, curl_socket_t socket, int what, void* closure,
+                                void* known) {
+  auto* self = static_cast<impl*>(closure);
+  if (what == CURL_POLL_REMOVE) {
+    epoll_ctl(self->epoll, EPOLL_CTL_DEL, socket, nullptr);
+    return 0;
+  }
+  epoll_event event{};
+  event.data.fd = socket;
+  if ((what & CURL_POLL_IN) != 0) event.events |= EPOLLIN;
+  if ((what & CURL_POLL_OUT) != 0) event.events |= EPOLLOUT;
+  const int operation = known == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
+  epoll_ctl(self->epoll, operation, socket, &event);
+  if (known == nullptr) curl_multi_assign(self->multi, socket, self);
+  return 0;
+}
+
+// NOLINTNEXTLINE(google-runtime-int): libcurl's type
+int http_client::impl::OnTimer(CURLM* /*multi*/, long wait_ms, void* closure) {
+  auto* self = static_cast<impl*>(closure);
+  self->timer =
+      wait_ms < 0 ? steady_clock::time_point::max() : steady_clock::now() + milliseconds(wait_ms);
+  return 0;
+}
+
+CURL* http_client::impl::NewHandle() {
+  if (!idle.empty()) {
+    CURL* easy = idle.back();
+    idle.pop_back();
+    curl_easy_reset(easy);
+    return easy;
+  }
+  return curl_easy_init();
+}
+
+void http_client::impl::Begin(std::unique_ptr<transfer> next) {
+  CURL* easy = NewHandle();
+  const http_call& call = next->call;
+  curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");  // our peers are addresses, never behind a proxy
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));  // NOLINT
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(kConnectTimeout.count()));  // NOLINT
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &AppendBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, next.get());
+  if (call.fresh_connection) curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+  if (call.method != "GET") {
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(call.body.size()));  // NOLINT
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+  }
+  next->headers = curl_slist_append(next->headers, "Content-Type: application/json");
+  next->headers = curl_slist_append(next->headers, "Expect:");
+  if (!call.bearer.empty()) {
+    const std::string header = absl::StrCat("Authorization: Bearer ", call.bearer);
+    next->headers = curl_slist_append(next->headers, header.c_str());
+  }
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, next->headers);
+  active.emplace(easy, std::move(next));
+  curl_multi_add_handle(multi, easy);
+}
+
+void http_client::impl::Complete(CURL* easy, transfer_status status) {
+  auto node = active.extract(easy);
+  const std::unique_ptr<transfer> done = std::move(node.mapped());
+  http_result result;
+  result.status = status;
+  long code = 0;  // NOLINT(google-runtime-int): libcurl's type
+  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &code);
+  result.code = static_cast<int>(code);
+  result.body = std::move(done->answer);
+  curl_multi_remove_handle(multi, easy);
+  curl_slist_free_all(done->headers);
+  if (idle.size() < kIdleHandles) {
+    idle.push_back(easy);
+  } else {
+    curl_easy_cleanup(easy);
+  }
+  done->on_done(std::move(result));
+}
+
+void http_client::impl::Finish() {
+  int left = 0;
+  while (CURLMsg* message = curl_multi_info_read(multi, &left)) {
+    if (message->msg != CURLMSG_DONE) continue;
+    CURL* easy = message->easy_handle;
+    Complete(easy, StatusOf(easy, message->data.result));
+  }
+}
+
+void http_client::impl::Act(curl_socket_t socket, int events) {
+  int running = 0;
+  curl_multi_socket_action(multi, socket, events, &running);
+}
+
+void http_client::impl::TakeNew() {
+  std::deque<std::unique_ptr<transfer>> taken;
+  {
+    const std::lock_guard lock(mutex);
+    taken.swap(incoming);
+  }
+  for (auto& next : taken) Begin(std::move(next));
+}
+
+int http_client::impl::WaitMs() const {
+  if (timer == steady_clock::time_point::max()) return static_cast<int>(kIdleWait.count());
+  const auto left = std::chrono::ceil<milliseconds>(timer - steady_clock::now());
+  return static_cast<int>(std::clamp(left, milliseconds{0}, kIdleWait).count());
+}
+
+void http_client::impl::Run() {
+  std::array<epoll_event, kEventsAtOnce> events{};
+  while (true) {
+    {
+      const std::lock_guard lock(mutex);
+      if (stopping) break;
+    }
+    TakeNew();
+    const int count = epoll_wait(epoll, events.data(), kEventsAtOnce, WaitMs());
+    for (int i = 0; i < count; ++i) {
+      const epoll_event& event = events[static_cast<size_t>(i)];
+      if (event.data.fd == wake) {
+        uint64_t ignored = 0;
+        [[maybe_unused]] const ssize_t got = read(wake, &ignored, sizeof ignored);
+        continue;
+      }
+      int what = 0;
+      if ((event.events & EPOLLIN) != 0) what |= CURL_CSELECT_IN;
+      if ((event.events & EPOLLOUT) != 0) what |= CURL_CSELECT_OUT;
+      if ((event.events & (EPOLLERR | EPOLLHUP)) != 0) what |= CURL_CSELECT_ERR;
+      Act(event.data.fd, what);
+    }
+    if (steady_clock::now() >= timer) {
+      timer = steady_clock::time_point::max();
+      Act(CURL_SOCKET_TIMEOUT, 0);
+    }
+    Finish();
+  }
+  TakeNew();
+  while (!active.empty()) Complete(active.begin()->first, transfer_status::kMaybeSent);
+}
+
+http_client::http_client(size_t connections_per_host)
+    : impl_(std::make_unique<impl>(connections_per_host)) {}
+
+http_client::~http_client() { Stop(); }
+
+void http_client::Start() {
+  [[maybe_unused]] static const CURLcode global_init = curl_global_init(CURL_GLOBAL_DEFAULT);
+  impl& self = *impl_;
+  self.epoll = epoll_create1(EPOLL_CLOEXEC);
+  self.wake = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.fd = self.wake;
+  epoll_ctl(self.epoll, EPOLL_CTL_ADD, self.wake, &event);
+  self.multi = curl_multi_init();
+  curl_multi_setopt(self.multi, CURLMOPT_SOCKETFUNCTION, &impl::OnSocket);
+  curl_multi_setopt(self.multi, CURLMOPT_SOCKETDATA, &self);
+  curl_multi_setopt(self.multi, CURLMOPT_TIMERFUNCTION, &impl::OnTimer);
+  curl_multi_setopt(self.multi, CURLMOPT_TIMERDATA, &self);
+  curl_multi_setopt(self.multi, CURLMOPT_MAXCONNECTS, kKeptConnections);
+  curl_multi_setopt(self.multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                    static_cast<long>(self.connections_per_host));  // NOLINT(google-runtime-int)
+  self.stopped = false;
+  self.thread = std::thread([&self] { self.Run(); });
+}
+
+void http_client::Send(http_call call, callback on_done) {
+  auto next = std::make_unique<transfer>();
+  next->call = std::move(call);
+  next->on_done = std::move(on_done);
+  bool first = false;
+  bool taken = false;
+  {
+    const std::lock_guard lock(impl_->mutex);
+    taken = !impl_->stopping && !impl_->stopped;
+    if (taken) {
+      first = impl_->incoming.empty();
+      impl_->incoming.push_back(std::move(next));
+    }
+  }
+  if (!taken) {
+    next->on_done({});  // NOLINT(bugprone-use-after-move): moved only when taken
+    return;
+  }
+  if (first) {
+    const uint64_t one = 1;
+    [[maybe_unused]] const ssize_t put = write(impl_->wake, &one, sizeof one);
+  }
+}
+
+http_result http_client::SendAndWait(http_call call) {
+  std::mutex mutex;
+  std::condition_variable ready;
+  bool done = false;
+  http_result result;
+  Send(std::move(call), [&](http_result answer) {
+    const std::lock_guard lock(mutex);
+    result = std::move(answer);
+    done = true;
+    ready.notify_one();
+  });
+  std::unique_lock lock(mutex);
+  ready.wait(lock, [&] { return done; });
+  return result;
+}
+
+void http_client::Stop() {
+  impl& self = *impl_;
+  {
+    const std::lock_guard lock(self.mutex);
+    if (self.stopped) return;
+    self.stopping = true;
+  }
+  const uint64_t one = 1;
+  [[maybe_unused]] const ssize_t put = write(self.wake, &one, sizeof one);
+  self.thread.join();
+  {
+    const std::lock_guard lock(self.mutex);
+    self.stopped = true;
+  }
+  for (CURL* easy : self.idle) curl_easy_cleanup(easy);
+  self.idle.clear();
+  curl_multi_cleanup(self.multi);
+  close(self.epoll);
+  close(self.wake);
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/connection/http_client.h
@@ -0,0 +1,61 @@
+// Outgoing HTTP: one libcurl multi handle in one thread, many transfers at once.
+#ifndef CATKINFORD_CONNECTION_HTTP_CLIENT_H_
+#define CATKINFORD_CONNECTION_HTTP_CLIENT_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace catkinford {
+
+enum class transfer_status : uint8_t {
+  kDone,      // an answer came, with any status code
+  kNotSent,   // no connection: the other side has surely not seen the call
+  kMaybeSent  // a timeout or a broken connection: it may have seen it
+};
+
+struct http_call {
+  std::string method = "GET";
+  std::string url;
+  std::string body;
+  std::string bearer;  // sent as "Authorization: Bearer" when not empty
+  std::chrono::milliseconds timeout{5000};
+  bool fresh_connection = false;  // not on a kept connection, which may have gone silent
+};
+
+struct http_result {
+  transfer_status status = transfer_status::kNotSent;
+  int code = 0;
+  std::string body;
+};
+
+class http_client {
+ public:
+  // Called on the client's thread; must not block.
+  using callback = std::function<void(http_result)>;
+
+  // `connections_per_host` bounds the connections that are open to one address.
+  explicit http_client(size_t connections_per_host);
+  ~http_client();
+  http_client(const http_client&) = delete;
+  http_client& operator=(const http_client&) = delete;
+
+  void Start();
+  // From any thread. After Stop() the callback gets kNotSent.
+  void Send(http_call call, callback on_done);
+  // Sends and waits for the result; for command lines and tests.
+  http_result SendAndWait(http_call call);
+  // Ends all transfers; each callback is called.
+  void Stop();
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_CONNECTION_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/connection/http_server.cc
@@ -0,0 +1,253 @@
+#include "connection/http_server.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <mutex>
+#include <string_view>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace catkinford {
+namespace {
+
+constexpr unsigned kBodyDrainFactor = 4;  // over this many limits, the connection is closed
+
+// What lives for one request inside libmicrohttpd.
+struct exchange {
+  MHD_Connection* connection = nullptr;
+  http_server::token id = 0;
+  http_request request;
+  http_response response;
+  size_t received = 0;
+  bool suspended = false;
+  bool answered = false;
+};
+
+MHD_Result CollectQuery(void* closure, MHD_ValueKind /*kind*/, const char* name,
+                        const char* value) {
+  static_cast<exchange*>(closure)->request.query.emplace_back(name, value == nullptr ? "" : value);
+  return MHD_YES;
+}
+
+std::string BearerOf(MHD_Connection* connection) {
+  const char* header = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Authorization");
+  if (header == nullptr) return {};
+  constexpr std::string_view kScheme = "Bearer ";
+  const std::string_view text = header;
+  if (text.substr(0, kScheme.size()) != kScheme) return {};
+  return std::string(text.substr(kScheme.size()));
+}
+
+size_t DeclaredLength(MHD_Connection* connection) {
+  const char* header = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Content-Length");
+  size_t length = 0;
+  if (header != nullptr && !absl::SimpleAtoi(header, &length)) return 0;
+  return length;
+}
+
+MHD_Result Queue(MHD_Connection* connection, const http_response& answer) {
+  MHD_Response* response = MHD_create_response_from_buffer(
+      answer.body.size(), const_cast<char*>(answer.body.data()), MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header(response, "Content-Type", answer.content_type.c_str());
+  if (answer.retry_after.count() > 0) {
+    MHD_add_response_header(response, "Retry-After",
+                            absl::StrCat(answer.retry_after.count()).c_str());
+  }
+  const MHD_Result queued =
+      MHD_queue_response(connection, static_cast<unsigned>(answer.status), response);
+  MHD_destroy_response(response);
+  return queued;
+}
+
+http_response TooLarge() { return {413, R"({"error":"body_too_large"})", "application/json", {}}; }
+
+}  // namespace
+
+std::string http_request::Query(const std::string& name) const {
+  for (const auto& [key, value] : query) {
+    if (key == name) return value;
+  }
+  return {};
+}
+
+struct http_server::impl {
+  impl(http_server_options server_options, handler handle)
+      : options(std::move(server_options)), on_request(std::move(handle)) {}
+
+  static MHD_Result OnAccess(void* closure, MHD_Connection* connection, const char* url,
+                             const char* method, const char* /*version*/, const char* data,
+                             size_t* size, void** per_request);
+  static void OnCompleted(void* closure, MHD_Connection* connection, void** per_request,
+                          MHD_RequestTerminationCode code);
+
+  MHD_Result Begin(MHD_Connection* connection, const char* url, const char* method,
+                   void** per_request);
+  MHD_Result Receive(exchange& current, const char* data, size_t* size);
+  MHD_Result Dispatch(exchange& current);
+
+  http_server_options options;
+  handler on_request;
+  MHD_Daemon* daemon = nullptr;
+  std::mutex mutex;  // guards `waiting` and the exchanges in it
+  absl::flat_hash_map<token, exchange*> waiting;
+  token next_token = 1;
+  bool stopping = false;
+};
+
+MHD_Result http_server::impl::OnAccess(void* closure, MHD_Connection* connection, const char* url,
+                                       const char* method, const char* /*version*/,
+                                       const char* data, size_t* size, void** per_request) {
+  auto* self = static_cast<impl*>(closure);
+  if (*per_request == nullptr) return self->Begin(connection, url, method, per_request);
+  auto& current = *static_cast<exchange*>(*per_request);
+  if (*size > 0) return self->Receive(current, data, size);
+  return self->Dispatch(current);
+}
+
+void http_server::impl::OnCompleted(void* closure, MHD_Connection* /*connection*/,
+                                    void** per_request, MHD_RequestTerminationCode /*code*/) {
+  auto* self = static_cast<impl*>(closure);
+  auto* current = static_cast<exchange*>(*per_request);
+  if (current == nullptr) return;
+  {
+    const std::lock_guard lock(self->mutex);
+    self->waiting.erase(current->id);
+  }
+  delete current;
+  *per_request = nullptr;
+}
+
+MHD_Result http_server::impl::Begin(MHD_Connection* connection, const char* url, const char* method,
+                                    void** per_request) {
+  // Refused before the body: a caller that announces too much is told so at once.
+  if (DeclaredLength(connection) > options.body_limit) return Queue(connection, TooLarge());
+  auto* current = new exchange;
+  *per_request = current;
+  current->connection = connection;
+  current->request.method = method;
+  current->request.path = url;
+  current->request.bearer = BearerOf(connection);
+  MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &CollectQuery, current);
+  return MHD_YES;
+}
+
+MHD_Result http_server::impl::Receive(exchange& current, const char* data, size_t* size) {
+  current.received += *size;
+  // A chunked body has no announced length. It is drained without being kept, and one that goes
+  // on without end is cut off.
+  if (current.received > options.body_limit * kBodyDrainFactor) return MHD_NO;
+  if (current.received <= options.body_limit) current.request.body.append(data, *size);
+  *size = 0;
+  return MHD_YES;
+}
+
+MHD_Result http_server::impl::Dispatch(exchange& current) {
+  if (current.received > options.body_limit) return Queue(current.connection, TooLarge());
+  if (current.suspended) {
+    if (current.answered) return Queue(current.connection, current.response);
+    return MHD_YES;
+  }
+  token id = 0;
+  {
+    const std::lock_guard lock(mutex);
+    if (stopping) return MHD_NO;
+    id = next_token++;
+    current.id = id;
+    current.suspended = true;
+    waiting.emplace(id, &current);
+    MHD_suspend_connection(current.connection);
+  }
+  // From here on another thread may answer and end the exchange: it is not touched again.
+  http_request request = std::move(current.request);
+  on_request(id, std::move(request));
+  return MHD_YES;
+}
+
+http_server::http_server(http_server_options options, handler on_request)
+    : impl_(std::make_unique<impl>(std::move(options), std::move(on_request))) {}
+
+http_server::~http_server() { Stop(); }
+
+bool http_server::Start() {
+  const http_server_options& options = impl_->options;
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(options.port);
+  if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) return false;
+  const bool tls = !options.tls_certificate.empty();
+  unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+  if (tls) flags |= MHD_USE_TLS;
+  std::vector<MHD_OptionItem> items = {
+      {MHD_OPTION_SOCK_ADDR, 0, &address},
+      {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(options.connection_limit), nullptr},
+      {MHD_OPTION_CONNECTION_TIMEOUT, static_cast<intptr_t>(options.idle_timeout.count()), nullptr},
+      {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, nullptr},
+  };
+  if (options.threads > 1) {
+    items.push_back({MHD_OPTION_THREAD_POOL_SIZE, options.threads, nullptr});
+  }
+  if (tls) {
+    items.push_back(
+        {MHD_OPTION_HTTPS_MEM_CERT, 0, const_cast<char*>(options.tls_certificate.c_str())});
+    items.push_back({MHD_OPTION_HTTPS_MEM_KEY, 0, const_cast<char*>(options.tls_key.c_str())});
+  }
+  items.push_back({MHD_OPTION_END, 0, nullptr});
+  impl_->daemon = MHD_start_daemon(
+      flags, options.port, nullptr, nullptr, &impl::OnAccess, impl_.get(), MHD_OPTION_ARRAY,
+      items.data(), MHD_OPTION_NOTIFY_COMPLETED, &impl::OnCompleted, impl_.get(), MHD_OPTION_END);
+  return impl_->daemon != nullptr;
+}
+
+uint16_t http_server::Port() const {
+  if (impl_->daemon == nullptr) return 0;
+  return MHD_get_daemon_info(impl_->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+void http_server::Respond(token request, http_response response) {
+  const std::lock_guard lock(impl_->mutex);
+  const auto found = impl_->waiting.find(request);
+  if (found == impl_->waiting.end()) return;
+  exchange& current = *found->second;
+  current.response = std::move(response);
+  current.answered = true;
+  impl_->waiting.erase(found);
+  MHD_resume_connection(current.connection);
+}
+
+size_t http_server::Waiting() const {
+  const std::lock_guard lock(impl_->mutex);
+  return impl_->waiting.size();
+}
+
+void http_server::StopAccepting() {
+  if (impl_->daemon != nullptr) {
+    const MHD_socket listener = MHD_quiesce_daemon(impl_->daemon);
+    if (listener != MHD_INVALID_SOCKET) close(listener);
+  }
+}
+
+void http_server::Stop() {
+  if (impl_->daemon == nullptr) return;
+  {
+    // libmicrohttpd waits for ever for a connection that is still suspended when it stops.
+    const std::lock_guard lock(impl_->mutex);
+    impl_->stopping = true;
+    for (auto& [id, current] : impl_->waiting) {
+      current->response = {503, R"({"error":"shutting_down"})", "application/json", {}};
+      current->answered = true;
+      MHD_resume_connection(current->connection);
+    }
+    impl_->waiting.clear();
+  }
+  MHD_stop_daemon(impl_->daemon);
+  impl_->daemon = nullptr;
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/request/outcome.cc
@@ -0,0 +1,37 @@
+#include "request/outcome.h"
+
+#include <array>
+
+namespace catkinford {
+namespace {
+
+constexpr std::array<std::string_view, 5> kOutcomeNames = {"completed", "accepted", "refused",
+                                                           "failed", "unknown"};
+constexpr std::array<std::string_view, 13> kReasonNames = {
+    "none",          "never_fits",  "over_limit",       "queue_full",        "shed",
+    "deadline",      "cancelled",   "kind_not_allowed", "owner_unreachable", "not_durable",
+    "shutting_down", "unknown_key", "endpoint_refused"};
+
+// The value whose name is `text`, by its place in `names`.
+template <typename Enum, size_t N>
+std::optional<Enum> FindByName(const std::array<std::string_view, N>& names,
+                               std::string_view text) {
+  for (size_t i = 0; i < N; ++i) {
+    if (names[i] == text) return static_cast<Enum>(i);
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string_view ToText(outcome_kind kind) { return kOutcomeNames[static_cast<size_t>(kind)]; }
+std::string_view ToText(refusal_reason reason) { return kReasonNames[static_cast<size_t>(reason)]; }
+
+std::optional<outcome_kind> ParseOutcomeKind(std::string_view text) {
+  return FindByName<outcome_kind>(kOutcomeNames, text);
+}
+std::optional<refusal_reason> ParseRefusalReason(std::string_view text) {
+  return FindByName<refusal_reason>(kReasonNames, text);
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/request/outcome.h
@@ -0,0 +1,56 @@
+// The closed set of answers. Nothing else is ever said to a caller about a request.
+#ifndef CATKINFORD_REQUEST_OUTCOME_H_
+#define CATKINFORD_REQUEST_OUTCOME_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "request/identity.h"
+
+namespace catkinford {
+
+enum class outcome_kind : uint8_t {
+  kCompleted,  // ran, the answer is whole
+  kAccepted,   // the job is durable and will run
+  kRefused,    // did not run and will not: proved
+  kFailed,     // ran, and failed
+  kUnknown,    // may have run
+};
+
+enum class refusal_reason : uint8_t {
+  kNone,
+  kNeverFits,         // no endpoint can ever hold it
+  kOverLimit,         // the team's upper limit leaves no room before the deadline
+  kQueueFull,         // the team's bounded queue is full
+  kShed,              // overload: would miss its deadline, or its team is over its share
+  kDeadline,          // the deadline passed in the queue
+  kCancelled,         // cancelled before it started
+  kKindNotAllowed,    // the contract does not let the team submit this kind
+  kOwnerUnreachable,  // no owner of a suitable shard could be reached; nothing was sent
+  kNotDurable,        // the platform's store did not take the job's record
+  kShuttingDown,      // this entry is leaving; ask another
+  kUnknownKey,        // the key is not, or no longer, good
+  kEndpointRefused,   // the endpoint refused the start
+};
+
+// The snake_case word of the protocol for each value.
+std::string_view ToText(outcome_kind kind);
+std::string_view ToText(refusal_reason reason);
+std::optional<outcome_kind> ParseOutcomeKind(std::string_view text);
+std::optional<refusal_reason> ParseRefusalReason(std::string_view text);
+
+struct outcome {
+  request_id id;
+  outcome_kind kind = outcome_kind::kUnknown;
+  refusal_reason reason = refusal_reason::kNone;
+  std::chrono::milliseconds retry_after{0};  // for kRefused: when to come back; 0 = never
+  std::string answer;                        // for kCompleted: what the endpoint returned
+  std::string detail;                        // for people: which resource, which limit, why
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_REQUEST_OUTCOME_H_
--- /dev/null
+++ b/src/version/contract.h
@@ -0,0 +1,69 @@
+// The operators' document: contracts, teams, keys. One version of it is in force at a time.
+#ifndef CATKINFORD_VERSION_CONTRACT_H_
+#define CATKINFORD_VERSION_CONTRACT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "request/job_request.h"
+
+namespace catkinford {
+
+struct key_record {
+  std::string name;  // given by the operator, shown in lists
+  std::string salt;  // hexadecimal
+  std::string hash;  // hexadecimal SHA-256 of salt and secret; the secret is kept nowhere
+  bool withdrawn = false;
+  bool is_operator = false;  // may change the configuration
+};
+
+struct team_contract {
+  std::string name;
+  double share = 1.0;                       // weight when the floor is full
+  resources limit;                          // upper limit across the fleet; slots are not limited
+  uint32_t running_limit = 0;               // running tasks across the fleet
+  uint32_t queue_limit = 1000;              // waiting tasks in one shard
+  std::vector<workload_kind> kinds;         // what it may submit
+  std::vector<workload_kind> urgent_kinds;  // what of it is urgent
+  std::vector<key_record> keys;
+};
+
+struct workspace_contract {
+  std::string name;
+  std::vector<team_contract> teams;
+};
+
+struct configuration {
+  std::vector<workspace_contract> workspaces;
+  std::vector<key_record> operator_keys;
+};
+
+enum class contract_fault : uint8_t {
+  kNotJson,
+  kUnknownField,
+  kMissingField,
+  kWrongType,
+  kOutOfRange,
+  kDuplicateName,
+  kUnknownKind,
+  kSharesOverWhole,
+};
+
+struct contract_error {
+  contract_fault fault = contract_fault::kNotJson;
+  std::string path;   // "workspaces[1].teams[0].share"
+  std::string value;  // what stood there
+};
+
+// Strict: JSON with comments; an unknown name, wrong type or value out of range is an error.
+std::variant<configuration, contract_error> ParseConfiguration(std::string_view text);
+// The canonical text: what is kept in the store.
+std::string ToText(const configuration& config);
+std::string_view ToText(contract_fault fault);
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_VERSION_CONTRACT_H_
--- /dev/null
+++ b/src/version/grant_ledger.h
@@ -0,0 +1,63 @@
+// Upper limits across the fleet without a central counter: each shard holds a part of each team's
+// limit, and the parts never add up to more than the limit.
+//
+// The ledger is one value in the platform's store, moved by compare-and-swap. This pair is pure:
+// it reads a value, says what the next value should be, and never talks to the store itself.
+#ifndef CATKINFORD_VERSION_GRANT_LEDGER_H_
+#define CATKINFORD_VERSION_GRANT_LEDGER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "process/decision_core.h"
+#include "version/contract.h"
+
+namespace catkinford {
+
+// What one shard holds of one team's limit.
+struct grant_entry {
+  std::string team;
+  std::string shard;
+  team_grant grant;
+  bool operator==(const grant_entry& other) const {
+    return team == other.team && shard == other.shard && grant.amount == other.grant.amount &&
+           grant.running == other.grant.running;
+  }
+};
+
+struct ledger_value {
+  std::vector<grant_entry> entries;  // sorted by team, then shard
+};
+
+std::string ToText(const ledger_value& ledger);
+std::optional<ledger_value> ParseLedger(std::string_view text);
+
+// What a shard uses and would like to have for a team.
+struct grant_demand {
+  std::string team;
+  team_grant used;    // running now, and starts under way: cannot be given back
+  team_grant wanted;  // used and waiting
+};
+
+struct ledger_change {
+  ledger_value next;
+  bool changed = false;
+};
+
+// The ledger after `shard` has taken what it needs and returned what it does not. Steps are large
+// enough that a shard with a steady load writes nothing. Never passes a limit in `config`; where a
+// limit was lowered below what is granted, nothing new is granted and unused parts are returned.
+ledger_change PlanGrants(const ledger_value& current, const configuration& config,
+                         std::string_view shard, const std::vector<grant_demand>& demands);
+
+// Grants of `shard`, which the owner may use after the compare-and-swap of a value is confirmed.
+// For a value whose reply was lost: the lower of both, until it was read back.
+std::vector<grant_entry> GrantsOf(const ledger_value& ledger, std::string_view shard);
+team_grant LowerOf(const team_grant& a, const team_grant& b);
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_VERSION_GRANT_LEDGER_H_
--- /dev/null
+++ b/test/http_test.cc
@@ -0,0 +1,82 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "connection/http_client.h"
+#include "connection/http_server.h"
+#include "connection/peer_rpc.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A server that echoes bodies, and a client.
+class http_echo_fixture {
+ public:
+  http_echo_fixture() {
+    http_server_options options;
+    options.body_limit = 1000;
+    server_ = std::make_unique<http_server>(
+        options, [this](http_server::token token, const http_request& request) {
+          if (request.path == "/never") return;
+          server_->Respond(token, {200, request.method + " " + request.path + " " + request.body +
+                                            " " + request.bearer + " " + request.Query("q")});
+        });
+    server_->Start();
+    client_.Start();
+  }
+
+ protected:
+  std::string Url(const std::string& path) const {
+    return "http://127.0.0.1:" + std::to_string(server_->Port()) + path;
+  }
+
+  std::unique_ptr<http_server> server_;
+  http_client client_{0};
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(http_echo_fixture, "http call, answered, gives body, key and query", "[http]") {
+  const http_result result = client_.SendAndWait({"POST", Url("/a?q=7"), "body", "key"});
+  CHECK(result.status == transfer_status::kDone);
+  CHECK(result.code == 200);
+  CHECK(result.body == "POST /a body key 7");
+}
+
+TEST_CASE_METHOD(http_echo_fixture, "http call, body over the limit, is refused with 413",
+                 "[http]") {
+  const http_result result = client_.SendAndWait({"POST", Url("/a"), std::string(2000, 'x')});
+  CHECK(result.code == 413);
+}
+
+// An endpoint that takes a call and then goes silent: the caller must not believe that nothing
+// was done, since the call was sent.
+TEST_CASE_METHOD(http_echo_fixture, "http call, never answered, may have been sent", "[http]") {
+  http_call call{"POST", Url("/never"), "x"};
+  call.timeout = milliseconds{100};
+  CHECK(client_.SendAndWait(call).status == transfer_status::kMaybeSent);
+}
+
+TEST_CASE_METHOD(http_echo_fixture, "http call, nobody listens, was surely not sent", "[http]") {
+  const std::string url = Url("/a");
+  server_->Stop();
+  CHECK(client_.SendAndWait({"POST", url, "x"}).status == transfer_status::kNotSent);
+}
+
+TEST_CASE("peer call, both ends alive, returns the peer's text", "[rpc]") {
+  rpc_server server(18091, 2, [](const std::string& text) { return "<" + text + ">"; });
+  REQUIRE(server.Start());
+  rpc_client client("http://127.0.0.1:18091", milliseconds{2000});
+  std::string answer;
+  CHECK(client.Call("deliver", "a\"b", answer) == rpc_status::kDone);
+  CHECK(answer == "<a\"b>");
+  server.Stop();
+  client.Reconnect();
+  CHECK(client.Call("deliver", "x", answer) == rpc_status::kNotSent);
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/test/main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
