--- /dev/null
+++ b/src/process/events.h
@@ -0,0 +1,63 @@
+// The numbered events of logs and time line. docs/EVENTS.md is the catalogue; a test holds both
+// together.
+#ifndef CATKINFORD_PROCESS_EVENTS_H_
+#define CATKINFORD_PROCESS_EVENTS_H_
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace catkinford {
+
+enum class event_code : uint16_t {
+  // 1xx: the process
+  kProcessStarted = 100,
+  kProcessReady = 101,
+  kShutdownBegun = 102,
+  kShutdownDone = 103,
+  // 2xx: requests
+  kRequestReceived = 200,
+  kRequestForwarded = 201,
+  kRequestQueued = 202,
+  kTaskStartSent = 203,
+  kTaskStarted = 204,
+  kTaskStartFailed = 205,
+  kTaskFinished = 206,
+  kTaskStopSent = 207,
+  kRequestAnswered = 208,
+  // 3xx: shards and owners
+  kShardClaimed = 300,
+  kShardLost = 301,
+  kShardReleased = 302,
+  kEndpointFenced = 303,
+  kEndpointSilent = 304,
+  kEndpointGone = 305,
+  kEndpointLeaving = 306,
+  kFencedOff = 307,
+  // 4xx: peers and the platform
+  kPeerUp = 400,
+  kPeerDown = 401,
+  kStoreDown = 402,
+  kStoreUp = 403,
+  // 5xx: configuration
+  kVersionInForce = 500,
+  kVersionRefused = 501,
+  kGrantsMoved = 502,
+};
+
+enum class event_level : uint8_t { kDebug, kInfo, kWarning, kError };
+
+struct event_info {
+  event_code code;
+  event_level level;
+  std::string_view name;  // snake_case, stable
+  std::string_view text;  // one sentence for people
+};
+
+// All events, by number.
+std::span<const event_info> AllEvents();
+const event_info& InfoOf(event_code code);
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_EVENTS_H_
--- /dev/null
+++ b/src/process/settings.h
@@ -0,0 +1,95 @@
+// What a process is told at its start: addresses, failure domain, platform, bounds.
+#ifndef CATKINFORD_PROCESS_SETTINGS_H_
+#define CATKINFORD_PROCESS_SETTINGS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace catkinford {
+
+struct settings {
+  std::string name;                          // of this entry, unique in the fleet
+  std::string failure_domain;                // of this entry
+  std::vector<std::string> failure_domains;  // all of the fleet, the same on every entry
+
+  struct {
+    std::string address = "127.0.0.1";
+    uint16_t caller_port = 0;
+    uint16_t peer_port = 0;
+    std::string tls_certificate_file;  // empty: plain HTTP
+    std::string tls_key_file;
+  } listen;
+
+  struct {
+    std::string store_url;
+    std::string instances_url;
+    bool endpoints_fence = true;  // false: time alone protects
+  } platform;
+
+  struct {
+    uint32_t per_domain = 1;
+  } shards;
+
+  struct {
+    std::chrono::milliseconds member_lease{1500};
+    std::chrono::milliseconds heartbeat{250};       // inside the failure domain
+    std::chrono::milliseconds far_heartbeat{1000};  // to other failure domains
+    std::chrono::milliseconds instance_poll{1000};
+    std::chrono::milliseconds task_lease{10000};
+    std::chrono::milliseconds sync_wait{2000};  // how long an endpoint may hold a sync
+    std::chrono::milliseconds call_timeout{2000};
+    std::chrono::milliseconds identity_window{30000};  // how long a finished identity is remembered
+    std::chrono::milliseconds default_deadline{10000};
+    std::chrono::milliseconds max_deadline{20000};  // of requests that wait for their answer
+    std::chrono::milliseconds shutdown_limit{20000};
+  } timing;
+
+  struct {
+    uint32_t waiting_requests = 20000;  // in this entry
+    uint32_t body_bytes = 1 << 20;
+    uint32_t batch_jobs = 1000;
+  } bounds;
+
+  struct {
+    std::chrono::milliseconds key_grace{600000};  // cut off from everything: keys trusted this long
+  } isolation;
+
+  struct {
+    std::string level = "info";
+    std::string file;  // empty: standard error
+    uint32_t timeline_events = 65536;
+  } logs;
+};
+
+enum class settings_fault : uint8_t {
+  kMissingFile,
+  kNotJson,
+  kUnknownField,
+  kMissingField,
+  kWrongType,
+  kWrongUnit,  // durations are texts with a unit: "250ms", "10s", "10m"
+  kOutOfRange,
+};
+
+struct settings_error {
+  settings_fault fault = settings_fault::kMissingFile;
+  std::string path;   // "timing.heartbeat"
+  std::string value;  // what stood there
+  std::string want;   // what would be right
+};
+
+// Each fault has an exit code of its own: 10 and up, in the order of the enumeration.
+int ExitCode(settings_fault fault);
+std::string ToText(const settings_error& error);
+
+// Strict: an unknown name, a wrong unit or a value out of range is an error, and nothing starts.
+std::variant<settings, settings_error> ParseSettings(std::string_view text);
+std::variant<settings, settings_error> LoadSettings(const std::string& file);
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SETTINGS_H_
