--- /dev/null
+++ b/bench/commands.h
@@ -0,0 +1,7 @@
+// The commands of catkinford-bench. Each takes its own name as argv[0] and returns an exit code.
+#ifndef CATKINFORD_BENCH_COMMANDS_H_
+#define CATKINFORD_BENCH_COMMANDS_H_
+
+namespace catkinford {}  // namespace catkinford
+
+#endif  // CATKINFORD_BENCH_COMMANDS_H_
--- a/src/main/catkinford-bench.cc
+++ b/src/main/catkinford-bench.cc
@@ -1,6 +1,36 @@
+// Benchmarks, load and failure scenarios. Each command has its code in bench/.
+#include <array>
 #include <cstdio>
+#include <string_view>
 
-int main() {
-  std::puts("catkinford-bench: nothing to run yet");
+#include "bench/commands.h"
+
+namespace {
+
+struct bench_command {
+  std::string_view name;
+  int (*run)(int argc, char** argv);
+  std::string_view help;
+};
+
+constexpr std::array<bench_command, 1> kCommands = {{
+    {"help", [](int, char**) { return 2; }, "this list"},
+}};
+
+int Usage() {
+  std::puts("catkinford-bench COMMAND [--flag value ...]");
+  for (const bench_command& command : kCommands) {
+    std::printf("  %-12s %s\n", command.name.data(), command.help.data());
+  }
   return 2;
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 2) return Usage();
+  for (const bench_command& command : kCommands) {
+    if (command.name == argv[1]) return command.run(argc - 1, argv + 1);
+  }
+  return Usage();
+}
