Add the state of a silent endpoint to the decision core's contract

An endpoint that stops answering gets nothing new, but its tasks are known (only we start there): unlike kUnfenced it is not counted as full against every team.

--- a/src/process/decision_core.h
+++ b/src/process/decision_core.h
@@ -22,6 +22,7 @@
 enum class endpoint_state : uint8_t {
   kUnfenced,  // of this shard, not yet listed under our epoch: full, also against every limit
   kOpen,
+  kSilent,   // does not answer us: gets nothing new; what runs there is known and stays counted
   kLeaving,  // gets nothing new; what runs there is moved
   kGone      // lease waited out: its tasks do not run any more
 };
