--- /dev/null
+++ b/src/process/batch_policy.h
@@ -0,0 +1,25 @@
+// Batch work: best fit by the scarcest amount, so that large work still finds room.
+#ifndef CATKINFORD_PROCESS_BATCH_POLICY_H_
+#define CATKINFORD_PROCESS_BATCH_POLICY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "process/placement_policy.h"
+
+namespace catkinford {
+
+// The number of the amount of which `need` takes the largest part of what is free.
+size_t ScarcestAmount(const resources& need, const resources& free);
+
+struct batch_policy {
+  bool Choose(const shard_floor& floor, const job_record& job, uint32_t count,
+              std::vector<endpoint_index>& out) const;
+};
+
+static_assert(placement_policy<batch_policy>);
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_BATCH_POLICY_H_
--- /dev/null
+++ b/src/process/decision_core.cc
@@ -0,0 +1,147 @@
+#include "process/decision_core.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+#include "process/decision_impl.h"
+
+namespace catkinford {
+namespace {
+
+constexpr uint64_t kMostAmount = UINT32_MAX;
+
+uint32_t Clamp(uint64_t amount) { return static_cast<uint32_t>(std::min(amount, kMostAmount)); }
+
+}  // namespace
+
+decision_core::decision_core(core_options options) : impl_(std::make_unique<impl>(options)) {}
+decision_core::~decision_core() = default;
+
+void decision_core::SetEndpoint(endpoint_index endpoint, const endpoint_shape& shape,
+                                endpoint_state state, monotonic_time now) {
+  impl_->floor.SetEndpoint(endpoint, shape, state);
+  impl_->EndpointChanged(endpoint, state, now);
+}
+
+void decision_core::SetEndpointState(endpoint_index endpoint, endpoint_state state,
+                                     monotonic_time now) {
+  if (!impl_->floor.Knows(endpoint)) return;
+  impl_->floor.SetState(endpoint, state);
+  impl_->EndpointChanged(endpoint, state, now);
+}
+
+// What follows from a new state: tasks lost or moved, limits and shares measured anew.
+void decision_core::impl::EndpointChanged(endpoint_index endpoint, endpoint_state state,
+                                          monotonic_time now) {
+  if (state == endpoint_state::kGone) EndpointGone(endpoint, now);
+  if (state == endpoint_state::kLeaving) EndpointLeaving(endpoint);
+  teams.SetShardCapacity(floor.OpenCapacity());
+  for (team_index team = 0; team < teams.Size(); ++team) TeamChanged(team);
+  if (taken_unchecked && floor.UnfencedEndpoints() == 0) recheck_fits = true;
+}
+
+void decision_core::SetTeam(team_index team, const team_terms& terms, monotonic_time /*now*/) {
+  impl_->teams.SetTerms(team, terms);
+  impl_->TeamChanged(team);
+}
+
+void decision_core::SetGrant(team_index team, const team_grant& grant, monotonic_time /*now*/) {
+  impl_->teams[team].grant = grant;
+  impl_->TeamChanged(team);
+}
+
+void decision_core::SetUsageElsewhere(team_index team, const resources& running,
+                                      monotonic_time /*now*/) {
+  impl_->teams.SetElsewhere(team, running);
+  impl_->TeamChanged(team);
+}
+
+void decision_core::SetCellCapacity(const resources& capacity) {
+  impl_->teams.SetCellCapacity(capacity);
+  for (team_index team = 0; team < impl_->teams.Size(); ++team) impl_->TeamChanged(team);
+}
+
+admission decision_core::Submit(const job_request& request, monotonic_time now) {
+  return impl_->Submit(request, now);
+}
+
+void decision_core::Restore(const job_request& request, std::span<const uint32_t> done,
+                            monotonic_time now) {
+  impl_->Restore(request, done, now);
+}
+
+bool decision_core::Cancel(const request_id& job, monotonic_time /*now*/) {
+  return impl_->Cancel(job);
+}
+
+void decision_core::Adopt(const running_task& task, monotonic_time now) { impl_->Adopt(task, now); }
+
+void decision_core::Started(const task_id& task, monotonic_time now) { impl_->Started(task, now); }
+
+void decision_core::StartFailed(const task_id& task, bool endpoint_fault, monotonic_time now) {
+  impl_->StartFailed(task, endpoint_fault, now);
+}
+
+void decision_core::Finished(const task_id& task, task_end end, std::chrono::milliseconds ran,
+                             monotonic_time now) {
+  impl_->Finished(task, end, ran, now);
+}
+
+void decision_core::Decide(monotonic_time now, std::vector<command>& out) {
+  impl_->Decide(now, out);
+}
+
+monotonic_time decision_core::NextWake() const { return impl_->NextWake(); }
+
+shard_summary decision_core::Summary() const {
+  shard_summary summary;
+  summary.free = impl_->floor.Open().TotalFree();
+  summary.largest_free = impl_->floor.Open().LargestFree();
+  summary.largest_capacity = impl_->floor.LargestCapacity();
+  summary.open_endpoints = impl_->floor.OpenEndpoints();
+  summary.queued_tasks = impl_->teams.QueuedTasks();
+  summary.running_tasks = impl_->teams.RunningTasks();
+  for (team_index team = 0; team < impl_->teams.Size(); ++team) {
+    const lane& l = impl_->lanes.At({lane_class::kInteractive, team});
+    const auto wait = l.meter.TimeToDrain(l.tasks + 1, impl_->last_decide);
+    if (wait) summary.queue_delay = std::max(summary.queue_delay, *wait);
+  }
+  return summary;
+}
+
+team_usage decision_core::Usage(team_index team) const {
+  team_usage usage;
+  const team_record* t = impl_->teams.Find(team);
+  if (t == nullptr) return usage;
+  usage.running = t->running;
+  usage.running_tasks = t->running_tasks;
+  usage.queued_tasks = t->queued_tasks;
+  usage.wanted = {
+      Clamp(t->queued[0] + t->running.cpu_milli), Clamp(t->queued[1] + t->running.memory_mb),
+      Clamp(t->queued[2] + t->running.accelerators), Clamp(t->queued[3] + t->running.slots)};
+  return usage;
+}
+
+std::string decision_core::WaitsFor(const request_id& job) const {
+  const job_handle handle = impl_->jobs.Find(job);
+  if (handle == kNoJob || impl_->jobs[handle].waiting == 0) return {};
+  const job_record& j = impl_->jobs[handle];
+  if (j.backing_off) return "a pause after repeated failures";
+  if (!j.queued) return "its other tasks to end";
+  const uint32_t count = impl_->TasksAtOnce(j);
+  const resources& each = j.request.each;
+  if (!impl_->teams.WithinGrant(j.request.team, each, count, impl_->floor)) {
+    if (impl_->floor.UnfencedEndpoints() > 0) {
+      return absl::StrCat(impl_->floor.UnfencedEndpoints(), " endpoints to be listed");
+    }
+    return "room below the team's upper limit";
+  }
+  if (j.reservation != kNoReservation) return "endpoints held for it to come free";
+  return absl::StrCat("room for ", count, " task(s) of cpu_milli ", each.cpu_milli, ", memory_mb ",
+                      each.memory_mb, ", accelerators ", each.accelerators);
+}
+
+uint64_t decision_core::Signature() const { return impl_->signature; }
+
+}  // namespace catkinford
--- a/src/process/decision_core.h
+++ b/src/process/decision_core.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,14 @@
   kStart,   // send a start for `task` to `endpoint`
   kStop,    // stop `task` at `endpoint`; checkpoint first when `checkpoint`
   kRefuse,  // `task.job` did not run and will not: `reason`, `retry_after`, `detail`
+  kEnded,   // `task.job` had begun and is over: nothing of it runs or will be placed: `end`
+};
+
+enum class job_end : uint8_t {
+  kDone,       // every task ran to its end
+  kFailed,     // a task failed by itself
+  kCancelled,  // cancelled after something of it had been started
+  kUnknown     // not repeatable, and a run was lost: it may have run and is not placed again
 };
 
 struct command {
@@ -65,6 +74,9 @@
   refusal_reason reason = refusal_reason::kNone;
   std::chrono::milliseconds retry_after{0};
   std::string detail;
+  job_end end = job_end::kDone;
+  uint32_t tasks_done = 0;    // for kEnded
+  uint32_t tasks_failed = 0;  // for kEnded
 };
 
 // A task found in a fenced list, or restored from a job's record.
@@ -81,7 +93,7 @@
   kFailed,        // ran and failed by itself
   kStopped,       // stopped on our command
   kCheckpointed,  // stopped, can go on elsewhere
-  kLost           // endpoint gone, lease lapsed, or the start was refused: may be placed again
+  kLost           // endpoint gone or lease lapsed: placed again if repeatable, else kUnknown
 };
 
 struct admission {
@@ -111,6 +123,9 @@
 
 struct core_options {
   uint64_t seed = 1;  // jitter of retry-after, ties
+  // The first attempt number given here. A new owner counts from a higher one than its predecessor
+  // (from its epoch): an endpoint takes a number that it has seen for a start it already made.
+  uint32_t first_attempt = 1;
 };
 
 class decision_core {
@@ -136,19 +151,25 @@
 
   // Work.
   admission Submit(const job_request& request, monotonic_time now);
+  // A job from its durable record after a change of owner: it was accepted before, so no bound of a
+  // queue refuses it. `done` are the tasks that had ended. Comes before Adopt() of its tasks.
+  void Restore(const job_request& request, std::span<const uint32_t> done, monotonic_time now);
   // A cheap mark; running tasks get kStop from the next Decide(). False when the job is not known.
   bool Cancel(const request_id& job, monotonic_time now);
   // From a fenced list: it runs, whatever the limits say.
   void Adopt(const running_task& task, monotonic_time now);
   // The endpoint confirmed the start.
   void Started(const task_id& task, monotonic_time now);
-  // The start did not take: the endpoint's fault counts against the endpoint, not the job.
+  // The start did not take, proved (the endpoint refused it, or it was never sent): the task waits
+  // again, also when it is not repeatable. An endpoint's fault counts against the endpoint.
   void StartFailed(const task_id& task, bool endpoint_fault, monotonic_time now);
-  // Ends a run. Services are placed again after any end but a cancel.
+  // Ends a run. Services are placed again after any end but a cancel. A gang that loses a task is
+  // stopped and placed again as a whole; one whose task fails is stopped and ends.
   void Finished(const task_id& task, task_end end, std::chrono::milliseconds ran,
                 monotonic_time now);
 
-  // Appends what should be done now. Calls that change nothing in between give nothing new.
+  // Appends what should be done now, at most a few hundred commands: NextWake() is then at once.
+  // When nothing is left to do, calls that change nothing in between give nothing new.
   void Decide(monotonic_time now, std::vector<command>& out);
   // When Decide() has to be called next even if nothing happens.
   monotonic_time NextWake() const;
--- /dev/null
+++ b/src/process/decision_jobs.cc
@@ -0,0 +1,430 @@
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "process/decision_impl.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kCoolingTime{250};      // after a refusal for lack of room
+constexpr milliseconds kFirstBackoff{500};     // of a service that failed
+constexpr uint32_t kMostDoublings = 7;         // 64 s
+constexpr std::chrono::minutes kSteadyRun{1};  // a run of that length ends a row of failures
+constexpr uint32_t kStartsBeforeBackoff = 3;   // failed starts before a job waits
+
+bool HasDeadline(const job_request& request) {
+  return request.deadline != monotonic_time{} && request.deadline != monotonic_time::max();
+}
+
+job_end EndOf(const job_record& job) {
+  if (job.may_have_run) return job_end::kUnknown;
+  if (job.cancelled) return job_end::kCancelled;
+  return job.failed > 0 ? job_end::kFailed : job_end::kDone;
+}
+
+}  // namespace
+
+// Why the job cannot be taken, if so. Nothing has been changed for it.
+std::optional<admission> decision_core::impl::Refusal(const job_request& request,
+                                                      monotonic_time now) {
+  // While an endpoint is not listed yet, or none is known, its shape may still be the one.
+  const bool floor_known = floor.UnfencedEndpoints() == 0 && floor.PresentEndpoints() > 0;
+  if (!floor_known) taken_unchecked = true;
+  const uint32_t together = request.kind == workload_kind::kGang ? request.tasks : 1;
+  if (floor_known && !floor.CanEverHold(request.each, together)) {
+    return admission{false, refusal_reason::kNeverFits, milliseconds{0},
+                     floor.WhyNever(request.each)};
+  }
+  const team_record& team = teams[request.team];
+  const resources& limit = team.terms.limit;
+  const bool over =
+      team.known &&
+      (request.each.cpu_milli > limit.cpu_milli || request.each.memory_mb > limit.memory_mb ||
+       request.each.accelerators > limit.accelerators || together > team.terms.running_limit);
+  if (over) {
+    return admission{false, refusal_reason::kOverLimit, milliseconds{0},
+                     "larger than the team's upper limit"};
+  }
+  const lane& l = lanes.At({ClassOf(request), request.team});
+  if (team.queued_tasks + uint64_t{request.tasks} > team.terms.queue_limit) {
+    return admission{false, refusal_reason::kQueueFull,
+                     RetryAfter(l.meter.TimeToDrain(std::max(1U, l.tasks / 4), now), Random()),
+                     absl::StrCat(team.queued_tasks, " tasks of the team wait already")};
+  }
+  if (!HasDeadline(request)) return std::nullopt;
+  const std::optional<milliseconds> wait = l.meter.TimeToDrain(l.tasks + 1, now);
+  if (wait && now + *wait > request.deadline) {
+    const auto late = std::chrono::duration_cast<milliseconds>(now + *wait - request.deadline);
+    return admission{false, refusal_reason::kShed, RetryAfter(late, Random()),
+                     "would not start before its deadline"};
+  }
+  return std::nullopt;
+}
+
+// Makes or completes the record; its tasks wait, but for those that were adopted before.
+job_handle decision_core::impl::Enter(const job_request& request, monotonic_time now) {
+  job_handle handle = jobs.Find(request.id);
+  if (handle == kNoJob) handle = jobs.Add(request.id);
+  job_record& job = jobs[handle];
+  // Tasks adopted before were counted by what their endpoint said of them.
+  for (const task_slot& task : job.tasks) {
+    if (task.Live()) Detach(job, task);
+  }
+  job.request = request;
+  job.request.tasks = std::max(1U, request.tasks);
+  job.known = true;
+  if (job.tasks.size() < job.request.tasks) job.tasks.resize(job.request.tasks);
+  for (uint32_t index = 0; index < job.tasks.size(); ++index) {
+    if (job.tasks[index].Live()) Attach(handle, index);
+    job.waiting += job.tasks[index].state == task_state::kWaiting ? 1 : 0;
+  }
+  if (HasDeadline(request)) {
+    timers.push({request.deadline, timer_kind::kDeadline, handle, job.generation});
+  }
+  if (job.request.submitted == monotonic_time{}) job.request.submitted = now;
+  return handle;
+}
+
+admission decision_core::impl::Submit(const job_request& request, monotonic_time now) {
+  const job_handle present = jobs.Find(request.id);
+  if (present != kNoJob && jobs[present].known) return {true};
+  if (std::optional<admission> refusal = Refusal(request, now)) return *refusal;
+  const job_handle job = Enter(request, now);
+  teams.AddQueued(request.team, request.each, jobs[job].waiting);
+  Enqueue(job, false);
+  return {true};
+}
+
+void decision_core::impl::Restore(const job_request& request, std::span<const uint32_t> done,
+                                  monotonic_time now) {
+  const job_handle present = jobs.Find(request.id);
+  if (present != kNoJob && jobs[present].known) return;
+  const job_handle handle = Enter(request, now);
+  job_record& job = jobs[handle];
+  for (const uint32_t index : done) {
+    if (index >= job.tasks.size() || job.tasks[index].state != task_state::kWaiting) continue;
+    job.tasks[index].state = task_state::kDone;
+    ++job.done;
+    --job.waiting;
+  }
+  // What ran under a former owner cannot be ruled out, so a cancel is not answered as not run.
+  job.unproved_starts = 1;
+  teams.AddQueued(request.team, request.each, job.waiting);
+  if (job.waiting > 0) Enqueue(handle, false);
+  EndIfOver(handle, refusal_reason::kNone);
+}
+
+// Into its lane, unless it has to wait for something else first.
+void decision_core::impl::Enqueue(job_handle handle, bool front) {
+  job_record& job = jobs[handle];
+  if (job.queued || job.waiting == 0 || job.backing_off) return;
+  if (job.request.kind == workload_kind::kGang && job.live > 0) return;
+  lanes.Append(handle, front, teams[job.request.team].ratio);
+  const lane_ref ref{ClassOf(job.request), job.request.team};
+  if (front || lanes.At(ref).jobs <= kLaneDepth) lanes.Unblock(ref);
+}
+
+// Takes all waiting tasks of a job out of its lane.
+void decision_core::impl::DropWaiting(job_handle handle) {
+  job_record& job = jobs[handle];
+  if (job.queued) lanes.Remove(handle);
+  EndSaving(handle);
+  teams.TakeQueued(job.request.team, job.request.each, job.waiting);
+  job.waiting = 0;
+}
+
+bool decision_core::impl::Cancel(const request_id& id) {
+  const job_handle handle = jobs.Find(id);
+  if (handle == kNoJob) return false;
+  job_record& job = jobs[handle];
+  if (job.cancelled) return true;
+  job.cancelled = true;
+  DropWaiting(handle);
+  cancelled.push_back({{}, timer_kind::kDeadline, handle, job.generation});
+  return true;
+}
+
+void decision_core::impl::Adopt(const running_task& task, monotonic_time now) {
+  if (!floor.Knows(task.endpoint)) return;
+  job_handle handle = jobs.Find(task.id.job);
+  if (handle == kNoJob) {
+    handle = jobs.Add(task.id.job);
+    job_request& request = jobs[handle].request;
+    request.team = task.team;
+    request.kind = task.kind;
+    request.each = task.amount;
+    request.tasks = 0;
+    request.repeatable = false;  // nothing is known of it: it is never placed again
+  }
+  job_record& job = jobs[handle];
+  if (job.tasks.size() <= task.id.index) job.tasks.resize(task.id.index + 1);
+  task_slot& slot = job.tasks[task.id.index];
+  if (slot.state != task_state::kWaiting) return;
+  if (job.known) {
+    if (job.queued) lanes.Remove(handle);
+    teams.TakeQueued(job.request.team, job.request.each, 1);
+    --job.waiting;
+  }
+  slot.state = task_state::kRunning;
+  slot.attempt = task.id.attempt;
+  slot.endpoint = task.endpoint;
+  slot.started = now;
+  ++job.live;
+  ++job.unproved_starts;
+  Attach(handle, task.id.index);
+  Enqueue(handle, true);
+}
+
+// A live task by the identity of its present run: news of an earlier run is not news of this one.
+bool decision_core::impl::FindLive(const task_id& task, job_handle& job, uint32_t& index) const {
+  job = jobs.Find(task.job);
+  if (job == kNoJob || task.index >= jobs[job].tasks.size()) return false;
+  index = task.index;
+  const task_slot& slot = jobs[job].tasks[index];
+  return slot.Live() && slot.attempt == task.attempt;
+}
+
+void decision_core::impl::Started(const task_id& task, monotonic_time now) {
+  job_handle job = kNoJob;
+  uint32_t index = 0;
+  if (!FindLive(task, job, index)) return;
+  task_slot& slot = jobs[job].tasks[index];
+  if (slot.state != task_state::kStarting) return;
+  slot.state = task_state::kRunning;
+  slot.started = now;
+  if (jobs[job].request.kind != workload_kind::kService) jobs[job].failures_in_a_row = 0;
+}
+
+// Counts a live task at its endpoint and team.
+void decision_core::impl::Attach(job_handle handle, uint32_t index) {
+  job_record& job = jobs[handle];
+  task_slot& slot = job.tasks[index];
+  slot.position = floor.Add(slot.endpoint, {handle, index}, job.request);
+  teams.AddRunning(job.request.team, job.request.each);
+  TeamChanged(job.request.team);
+}
+
+void decision_core::impl::Detach(const job_record& job, const task_slot& slot) {
+  const task_ref moved = floor.Remove(slot.endpoint, slot.position, job.request);
+  if (moved.job != kNoJob) jobs[moved.job].tasks[moved.index].position = slot.position;
+  teams.TakeRunning(job.request.team, job.request.each);
+  TeamChanged(job.request.team);
+}
+
+// Gives back what a live task holds.
+void decision_core::impl::Release(job_handle handle, uint32_t index, task_state next) {
+  job_record& job = jobs[handle];
+  task_slot& slot = job.tasks[index];
+  Detach(job, slot);
+  if (slot.state == task_state::kStopping && stopping > 0) --stopping;
+  slot.state = next;
+  --job.live;
+}
+
+void decision_core::impl::TeamChanged(team_index team) {
+  lanes.Rekey(team, teams[team].ratio);
+  lanes.GrantChanged(team);
+}
+
+// A task that was placed waits once more, before those that never were.
+void decision_core::impl::WaitAgain(job_handle handle, uint32_t index) {
+  job_record& job = jobs[handle];
+  job.tasks[index].state = task_state::kWaiting;
+  job.first_waiting = std::min(job.first_waiting, index);
+  teams.AddQueued(job.request.team, job.request.each, 1);
+  if (job.queued) lanes.Remove(handle);
+  ++job.waiting;
+  Enqueue(handle, true);
+}
+
+void decision_core::impl::StartFailed(const task_id& task, bool endpoint_fault,
+                                      monotonic_time now) {
+  job_handle handle = kNoJob;
+  uint32_t index = 0;
+  if (!FindLive(task, handle, index)) return;
+  const endpoint_index endpoint = jobs[handle].tasks[index].endpoint;
+  Release(handle, index, task_state::kFailed);
+  if (endpoint_fault) {
+    if (floor.NoteRun(endpoint, true, now)) {
+      timers.push({floor[endpoint].health.EjectedUntil(), timer_kind::kEjectionOver, endpoint, 0});
+    }
+  } else {
+    // The endpoint is fuller than our view of it. Without a pause the same start would be sent and
+    // refused over and over, seen as start failures at the rate of the network.
+    floor.Cool(endpoint, true);
+    timers.push({now + kCoolingTime, timer_kind::kCoolingOver, endpoint, 0});
+  }
+  job_record& job = jobs[handle];
+  --job.unproved_starts;
+  job.avoid = endpoint;
+  if (job.cancelled) {
+    EndIfOver(handle, refusal_reason::kCancelled);
+    return;
+  }
+  if (++job.failures_in_a_row > kStartsBeforeBackoff) BackOff(handle, now);
+  if (job.request.kind == workload_kind::kGang) Regroup(handle);
+  if (job.may_have_run) {
+    EndIfOver(handle, refusal_reason::kNone);
+    return;
+  }
+  WaitAgain(handle, index);
+}
+
+void decision_core::impl::BackOff(job_handle handle, monotonic_time now) {
+  job_record& job = jobs[handle];
+  if (job.backing_off) return;
+  job.backing_off = true;
+  if (job.queued) lanes.Remove(handle);
+  const uint32_t doublings = std::min(job.failures_in_a_row, kMostDoublings);
+  const milliseconds pause = kFirstBackoff * (1U << doublings);
+  timers.push({now + pause, timer_kind::kBackoffOver, handle, job.generation});
+}
+
+// A gang that has lost a task runs on in part, which is of no use to anybody: the rest is stopped,
+// and all of it is placed again once nothing of it runs.
+void decision_core::impl::Regroup(job_handle handle) {
+  job_record& job = jobs[handle];
+  if (!job.request.repeatable && job.unproved_starts > 0) {
+    job.may_have_run = true;
+    DropWaiting(handle);
+  }
+  StopAll(handle, stop_reason::kPreempted, true);
+}
+
+void decision_core::impl::StopTask(job_handle handle, uint32_t index, stop_reason why,
+                                   bool checkpoint) {
+  job_record& job = jobs[handle];
+  task_slot& slot = job.tasks[index];
+  if (!slot.Live() || slot.state == task_state::kStopping) return;
+  slot.state = task_state::kStopping;
+  ++stopping;
+  command stop;
+  stop.kind = command_kind::kStop;
+  stop.task = {job.request.id, index, slot.attempt};
+  stop.endpoint = slot.endpoint;
+  stop.amount = job.request.each;
+  stop.why = why;
+  stop.checkpoint = checkpoint;
+  pending.push_back(std::move(stop));
+}
+
+void decision_core::impl::StopAll(job_handle handle, stop_reason why, bool checkpoint) {
+  if (jobs[handle].live == 0) return;
+  const auto tasks = static_cast<uint32_t>(jobs[handle].tasks.size());
+  for (uint32_t index = 0; index < tasks; ++index) StopTask(handle, index, why, checkpoint);
+}
+
+void decision_core::impl::Finished(const task_id& task, task_end end, milliseconds ran,
+                                   monotonic_time now) {
+  job_handle handle = kNoJob;
+  uint32_t index = 0;
+  if (!FindLive(task, handle, index)) return;
+  const job_request& request = jobs[handle].request;
+  if (end == task_end::kDone) {
+    estimates.Learn(request.team, request.kind, request.declared_run_time, ran);
+  }
+  if (ran >= kSteadyRun) jobs[handle].failures_in_a_row = 0;
+  const endpoint_index endpoint = jobs[handle].tasks[index].endpoint;
+  EndRun(handle, index, end, now);
+  const bool says_something = end == task_end::kDone || end == task_end::kFailed;
+  if (says_something && floor.NoteRun(endpoint, end == task_end::kFailed, now)) {
+    timers.push({floor[endpoint].health.EjectedUntil(), timer_kind::kEjectionOver, endpoint, 0});
+  }
+}
+
+// What the end of a run means for its task and job.
+void decision_core::impl::EndRun(job_handle handle, uint32_t index, task_end end,
+                                 monotonic_time now) {
+  Release(handle, index, end == task_end::kDone ? task_state::kDone : task_state::kFailed);
+  job_record& job = jobs[handle];
+  const bool is_gang = job.request.kind == workload_kind::kGang;
+  const bool is_service = job.request.kind == workload_kind::kService;
+  const bool over = job.cancelled || job.may_have_run;
+  if (!over && is_service && job.known) {
+    if (end == task_end::kFailed) {
+      ++job.failures_in_a_row;
+      BackOff(handle, now);
+    }
+    WaitAgain(handle, index);
+    return;
+  }
+  const bool interrupted = end != task_end::kDone && end != task_end::kFailed;
+  const bool gang_failed = is_gang && job.failed > 0;
+  if (!over && interrupted && job.request.repeatable && !gang_failed) {
+    if (is_gang) Regroup(handle);
+    WaitAgain(handle, index);
+    return;
+  }
+  if (!over && end == task_end::kLost) {
+    // It may have run to its end unseen. Placed again it could run twice, and a salary be charged
+    // twice; the owner answers that nobody knows.
+    job.may_have_run = true;
+    DropWaiting(handle);
+  }
+  (end == task_end::kDone ? job.done : job.failed) += 1;
+  if (is_gang && end != task_end::kDone) {
+    DropWaiting(handle);
+    StopAll(handle, stop_reason::kCancelled, false);
+  }
+  if (is_gang && job.live == 0) Enqueue(handle, true);
+  EndIfOver(handle, refusal_reason::kCancelled);
+}
+
+// A job that was not started whole by its deadline. What had been started and was lost may have
+// run, so only a job of which nothing was started is answered as not run.
+void decision_core::impl::PassDeadline(job_handle handle) {
+  job_record& job = jobs[handle];
+  if (job.waiting == 0) return;
+  const bool single = job.tasks.size() == 1;
+  if (single && job.unproved_starts > 0) job.may_have_run = true;
+  job.failed += job.waiting;
+  DropWaiting(handle);
+  EndIfOver(handle, refusal_reason::kDeadline);
+}
+
+// Tells the end of a job of which nothing runs or waits, and forgets it.
+void decision_core::impl::EndIfOver(job_handle handle, refusal_reason reason, std::string detail) {
+  job_record& job = jobs[handle];
+  if (job.waiting > 0 || job.live > 0) return;
+  command c;
+  c.task.job = job.request.id;
+  if (job.unproved_starts == 0) {
+    c.kind = command_kind::kRefuse;
+    c.reason = reason;
+    c.detail = std::move(detail);
+    if (reason == refusal_reason::kDeadline) {
+      const lane& l = lanes.At({ClassOf(job.request), job.request.team});
+      c.retry_after = RetryAfter(l.meter.TimeToDrain(std::max(1U, l.tasks), last_decide), Random());
+    }
+  } else {
+    c.kind = command_kind::kEnded;
+    c.end = EndOf(job);
+    c.tasks_done = job.done;
+    c.tasks_failed = job.failed;
+  }
+  if (job.known) pending.push_back(std::move(c));
+  if (job.reservation != kNoReservation) DropReservation(job.reservation);
+  jobs.Remove(handle);
+}
+
+void decision_core::impl::EndpointGone(endpoint_index endpoint, monotonic_time now) {
+  while (!floor[endpoint].tasks.empty()) {
+    const task_ref task = floor[endpoint].tasks.back();
+    EndRun(task.job, task.index, task_end::kLost, now);
+  }
+}
+
+// Interactive work ends by itself, and what may run only once is left to finish.
+void decision_core::impl::EndpointLeaving(endpoint_index endpoint) {
+  for (const task_ref& task : floor[endpoint].tasks) {
+    const job_request& request = jobs[task.job].request;
+    const bool moves = request.repeatable && request.kind != workload_kind::kInteractive;
+    if (moves) StopTask(task.job, task.index, stop_reason::kLeaving, true);
+  }
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/drain_meter.cc
@@ -0,0 +1,57 @@
+#include "process/drain_meter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::chrono::duration<double> kWindow{2.0};  // the past fades by 1/e in this time
+constexpr std::chrono::duration<double> kLeastMeasured{0.25};
+constexpr double kSlowestRate = 1e-3;  // tasks a second; below it the rate says nothing
+constexpr double kLongestMs = 1e9;
+constexpr milliseconds kSoonestReturn{50};
+constexpr milliseconds kLatestReturn{30000};
+constexpr milliseconds kUnmeasuredReturn{1000};
+
+}  // namespace
+
+double drain_meter::DecayedCount(monotonic_time now) const {
+  const std::chrono::duration<double> age = now - updated_;
+  return count_ * std::exp(-std::max(0.0, age / kWindow));
+}
+
+void drain_meter::BacklogBegan(monotonic_time now) {
+  if (running_) return;
+  running_ = true;
+  count_ = 0;
+  began_ = now;
+  updated_ = now;
+}
+
+void drain_meter::Drained(uint32_t count, monotonic_time now) {
+  if (!running_) return;
+  count_ = DecayedCount(now) + count;
+  updated_ = now;
+}
+
+std::optional<milliseconds> drain_meter::TimeToDrain(uint32_t queued, monotonic_time now) const {
+  const std::chrono::duration<double> measured = now - began_;
+  if (!running_ || measured < kLeastMeasured) return std::nullopt;
+  // Until a whole window was measured, the count stands for the part that was.
+  const double part = 1.0 - std::exp(-(measured / kWindow));
+  const double per_second = DecayedCount(now) / (kWindow.count() * part);
+  if (per_second < kSlowestRate) return std::nullopt;
+  const double ms = 1000.0 * queued / per_second;
+  return milliseconds{static_cast<int64_t>(std::min(ms, kLongestMs))};
+}
+
+milliseconds RetryAfter(std::optional<milliseconds> drain, uint64_t random) {
+  const milliseconds base =
+      std::clamp(drain.value_or(kUnmeasuredReturn), kSoonestReturn, kLatestReturn);
+  return base + milliseconds{static_cast<int64_t>(random % static_cast<uint64_t>(base.count()))};
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/shard_floor.h
@@ -0,0 +1,128 @@
+// The endpoints of one shard: what each holds, what is free, and which may get new work.
+#ifndef CATKINFORD_PROCESS_SHARD_FLOOR_H_
+#define CATKINFORD_PROCESS_SHARD_FLOOR_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "process/decision_core.h"
+#include "process/endpoint_health.h"
+#include "process/free_index.h"
+#include "process/job_table.h"
+
+namespace catkinford {
+
+constexpr uint32_t kNoReservation = UINT32_MAX;
+
+struct endpoint_record {
+  resources capacity;
+  resources used;
+  resources preemptible;  // the part of `used` that batch work would give back when asked
+  resources passing;      // the part of `used` that ends by itself: all but services and gangs
+  uint32_t rack = 0;
+  uint32_t failure_domain = 0;
+  uint32_t interactive = 0;  // interactive tasks here
+  uint32_t reservation = kNoReservation;
+  endpoint_state state = endpoint_state::kGone;
+  bool known = false;
+  bool cooling = false;  // it refused a start for lack of room: our view is behind
+  endpoint_health health;
+  std::vector<task_ref> tasks;
+
+  resources Free() const { return SubtractOrZero(capacity, used); }
+  // What would be free if all that may be stopped, or passes by itself, were gone.
+  resources FreeWithoutBatch() const {
+    return SubtractOrZero(capacity, SubtractOrZero(used, preemptible));
+  }
+  resources FreeInTime() const { return SubtractOrZero(capacity, SubtractOrZero(used, passing)); }
+};
+
+// A kind of endpoint and the most of them that were there at one time.
+struct shape_count {
+  resources capacity;
+  uint32_t present = 0;
+  uint32_t most = 0;
+};
+
+class shard_floor {
+ public:
+  void SetEndpoint(endpoint_index endpoint, const endpoint_shape& shape, endpoint_state state);
+  void SetState(endpoint_index endpoint, endpoint_state state);
+
+  bool Knows(endpoint_index e) const { return e < endpoints_.size() && endpoints_[e].known; }
+  size_t Size() const { return endpoints_.size(); }
+  const endpoint_record& operator[](endpoint_index endpoint) const { return endpoints_[endpoint]; }
+
+  // Endpoints that may get new work, by what they have free.
+  const free_index& Open() const { return open_; }
+  // The same endpoints, by what they would have free without batch work.
+  const free_index& Preemptible() const { return preemptible_; }
+
+  // Takes the room of one task; returns its position in the endpoint's list.
+  uint32_t Add(endpoint_index endpoint, const task_ref& task, const job_request& job);
+  // Gives it back. Returns the task that moved to `position`, or an empty reference.
+  task_ref Remove(endpoint_index endpoint, uint32_t position, const job_request& job);
+
+  void Reserve(endpoint_index endpoint, uint32_t reservation);
+  void Cool(endpoint_index endpoint, bool cooling);
+
+  // Notes a good or bad run; true when the endpoint was ejected now.
+  bool NoteRun(endpoint_index endpoint, bool fault, monotonic_time now);
+  void EndEjection(endpoint_index endpoint, monotonic_time now);
+
+  // Whether the floor, empty, holds `count` tasks of `each` side by side. Shapes that were here
+  // count as reachable: an endpoint that is down comes back or is replaced.
+  bool CanEverHold(const resources& each, uint32_t count) const;
+  // Which amount is too large for every endpoint, and the largest there is, in words.
+  std::string WhyNever(const resources& each) const;
+
+  // Capacity of the endpoints that are not fenced yet: it counts against every team.
+  const resources& Unfenced() const { return unfenced_; }
+  uint32_t UnfencedEndpoints() const { return unfenced_endpoints_; }
+  bool UnfencedTasksUnbounded() const { return unfenced_without_slots_ > 0; }
+  uint32_t PresentEndpoints() const { return present_; }
+  const resources& OpenCapacity() const { return open_capacity_; }
+  uint32_t OpenEndpoints() const { return open_endpoints_; }
+  const resources& LargestCapacity() const { return largest_; }
+  uint32_t Interactive(uint32_t rack) const { return rack < racks_.size() ? racks_[rack] : 0; }
+
+  // Endpoints that have more room than at the last call of ClearFreed().
+  const std::vector<endpoint_index>& Freed() const { return freed_; }
+  void ClearFreed() { freed_.clear(); }
+
+ private:
+  void CountState(const endpoint_record& e, bool in);
+  void CountShape(const resources& capacity, bool in);
+  // Brings the indexes in line with the record.
+  void Refresh(endpoint_index endpoint);
+
+  std::vector<endpoint_record> endpoints_;
+  std::vector<uint32_t> racks_;  // interactive tasks in each rack
+  std::vector<shape_count> shapes_;
+  free_index open_;
+  free_index preemptible_;
+  std::vector<endpoint_index> freed_;
+  resources unfenced_;
+  resources open_capacity_;
+  resources largest_;
+  failure_ratio all_runs_;
+  uint32_t unfenced_endpoints_ = 0;
+  uint32_t unfenced_without_slots_ = 0;
+  uint32_t open_endpoints_ = 0;
+  uint32_t present_ = 0;
+  uint32_t ejected_ = 0;
+};
+
+// Batch work that may be stopped and started again gives way to urgent work.
+inline bool GivesWay(const job_request& job) {
+  return job.kind == workload_kind::kBatch && job.repeatable && !job.urgent;
+}
+
+inline bool Passes(const job_request& job) {
+  return job.kind == workload_kind::kBatch || job.kind == workload_kind::kInteractive;
+}
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SHARD_FLOOR_H_
--- /dev/null
+++ b/src/process/team_table.cc
@@ -0,0 +1,121 @@
+#include "process/team_table.h"
+
+#include <algorithm>
+
+namespace catkinford {
+namespace {
+
+constexpr double kLeastWeight = 1e-6;  // a share of zero still gets what nobody else wants
+
+bool Active(const team_record& team) { return team.running_tasks + team.queued_tasks > 0; }
+
+double Weight(const team_record& team) { return std::max(team.terms.weight, kLeastWeight); }
+
+}  // namespace
+
+team_record& team_table::operator[](team_index team) {
+  if (team >= teams_.size()) teams_.resize(team + 1);
+  return teams_[team];
+}
+
+void team_table::UpdateRatio(team_record& team) const {
+  const resources& whole = cell_ == resources{} ? shard_ : cell_;
+  team.ratio = DominantPart(team.running + team.elsewhere, whole) / Weight(team);
+}
+
+// Keeps the sum of the weights of teams that run or wait.
+void team_table::NoteActive(const team_record& team, bool was_active) {
+  const bool active = Active(team);
+  if (active == was_active) return;
+  active_weight_ += active ? Weight(team) : -Weight(team);
+  active_teams_ += active ? 1U : UINT32_MAX;
+  if (active_teams_ == 0) active_weight_ = 0;  // no rounding error stays
+}
+
+void team_table::SetTerms(team_index team, const team_terms& terms) {
+  team_record& t = (*this)[team];
+  if (Active(t)) active_weight_ -= Weight(t);
+  t.terms = terms;
+  t.known = true;
+  if (Active(t)) active_weight_ += Weight(t);
+  UpdateRatio(t);
+}
+
+void team_table::SetCellCapacity(const resources& capacity) {
+  cell_ = capacity;
+  for (team_record& team : teams_) UpdateRatio(team);
+}
+
+void team_table::SetShardCapacity(const resources& capacity) {
+  shard_ = capacity;
+  if (cell_ != resources{}) return;
+  for (team_record& team : teams_) UpdateRatio(team);
+}
+
+void team_table::SetElsewhere(team_index team, const resources& running) {
+  team_record& t = (*this)[team];
+  t.elsewhere = running;
+  UpdateRatio(t);
+}
+
+void team_table::AddRunning(team_index team, const resources& amount) {
+  team_record& t = (*this)[team];
+  const bool active = Active(t);
+  t.running += amount;
+  ++t.running_tasks;
+  ++running_tasks_;
+  NoteActive(t, active);
+  UpdateRatio(t);
+}
+
+void team_table::TakeRunning(team_index team, const resources& amount) {
+  team_record& t = (*this)[team];
+  const bool active = Active(t);
+  t.running -= amount;
+  --t.running_tasks;
+  --running_tasks_;
+  NoteActive(t, active);
+  UpdateRatio(t);
+}
+
+void team_table::AddQueued(team_index team, const resources& each, uint32_t tasks) {
+  team_record& t = (*this)[team];
+  const bool active = Active(t);
+  for (size_t a = 0; a < kAmounts; ++a) t.queued[a] += uint64_t{AmountOf(each, a)} * tasks;
+  t.queued_tasks += tasks;
+  queued_tasks_ += tasks;
+  NoteActive(t, active);
+}
+
+void team_table::TakeQueued(team_index team, const resources& each, uint32_t tasks) {
+  team_record& t = (*this)[team];
+  const bool active = Active(t);
+  for (size_t a = 0; a < kAmounts; ++a) t.queued[a] -= uint64_t{AmountOf(each, a)} * tasks;
+  t.queued_tasks -= tasks;
+  queued_tasks_ -= tasks;
+  NoteActive(t, active);
+}
+
+bool team_table::WithinGrant(team_index team, const resources& each, uint32_t count,
+                             const shard_floor& floor) const {
+  const team_record* t = Find(team);
+  if (t == nullptr || floor.UnfencedTasksUnbounded()) return false;
+  const resources& unfenced = floor.Unfenced();
+  const auto within = [count](uint32_t running, uint32_t more, uint32_t hidden, uint32_t most) {
+    return uint64_t{running} + uint64_t{more} * count + hidden <= most;
+  };
+  // Slots are what endpoints count and no contract limits; the running count stands for them.
+  const resources& limit = t->grant.amount;
+  return within(t->running_tasks, 1, unfenced.slots, t->grant.running) &&
+         within(t->running.cpu_milli, each.cpu_milli, unfenced.cpu_milli, limit.cpu_milli) &&
+         within(t->running.memory_mb, each.memory_mb, unfenced.memory_mb, limit.memory_mb) &&
+         within(t->running.accelerators, each.accelerators, unfenced.accelerators,
+                limit.accelerators);
+}
+
+bool team_table::WithinShare(team_index team) const {
+  const team_record* t = Find(team);
+  return t != nullptr && t->ratio * active_weight_ <= 1.0;
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/team_table.h
@@ -0,0 +1,74 @@
+// What each team runs and may run here, and how far it is from its share.
+#ifndef CATKINFORD_PROCESS_TEAM_TABLE_H_
+#define CATKINFORD_PROCESS_TEAM_TABLE_H_
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+#include "process/decision_core.h"
+#include "process/free_index.h"
+#include "process/shard_floor.h"
+
+namespace catkinford {
+
+struct team_record {
+  team_terms terms;
+  team_grant grant;
+  resources running;
+  resources elsewhere;  // running in other shards
+  std::array<uint64_t, kAmounts> queued{};
+  uint32_t running_tasks = 0;
+  uint32_t queued_tasks = 0;
+  bool known = false;
+  double ratio = 0;  // dominant part of the cell over the weight: the lowest goes first
+};
+
+class team_table {
+ public:
+  // The team's record, made when it is not there.
+  team_record& operator[](team_index team);
+  const team_record* Find(team_index team) const {
+    return team < teams_.size() ? &teams_[team] : nullptr;
+  }
+  size_t Size() const { return teams_.size(); }
+
+  void SetTerms(team_index team, const team_terms& terms);
+  void SetCellCapacity(const resources& capacity);
+  // The measure of a share while the size of the cell is not known.
+  void SetShardCapacity(const resources& capacity);
+  void SetElsewhere(team_index team, const resources& running);
+
+  void AddRunning(team_index team, const resources& amount);
+  void TakeRunning(team_index team, const resources& amount);
+  void AddQueued(team_index team, const resources& each, uint32_t tasks);
+  void TakeQueued(team_index team, const resources& each, uint32_t tasks);
+
+  // Whether `count` more tasks of `each` stay within what the team was granted here. What is not
+  // fenced yet counts as if the team ran all of it: a former owner may have started it for anyone,
+  // and the limit would be passed without anybody seeing it.
+  bool WithinGrant(team_index team, const resources& each, uint32_t count,
+                   const shard_floor& floor) const;
+  // Whether the team is at or below the part of the cell that its weight gives it among the teams
+  // that run or wait.
+  bool WithinShare(team_index team) const;
+
+  uint32_t RunningTasks() const { return running_tasks_; }
+  uint32_t QueuedTasks() const { return queued_tasks_; }
+
+ private:
+  void UpdateRatio(team_record& team) const;
+  void NoteActive(const team_record& team, bool was_active);
+
+  std::vector<team_record> teams_;
+  resources cell_;
+  resources shard_;
+  double active_weight_ = 0;
+  uint32_t active_teams_ = 0;
+  uint32_t running_tasks_ = 0;
+  uint32_t queued_tasks_ = 0;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_TEAM_TABLE_H_
--- /dev/null
+++ b/src/process/waiting_lanes.cc
@@ -0,0 +1,130 @@
+#include "process/waiting_lanes.h"
+
+#include <algorithm>
+
+namespace catkinford {
+
+lane_class ClassOf(const job_request& request) {
+  if (request.urgent) return lane_class::kUrgent;
+  switch (request.kind) {
+    case workload_kind::kInteractive:
+      return lane_class::kInteractive;
+    case workload_kind::kService:
+      return lane_class::kService;
+    case workload_kind::kGang:
+      return lane_class::kGang;
+    case workload_kind::kBatch:
+      break;
+  }
+  return lane_class::kBatch;
+}
+
+lane& waiting_lanes::At(const lane_ref& ref) {
+  if (teams_.size() <= ref.team) teams_.resize(ref.team + 1);
+  return teams_[ref.team][static_cast<size_t>(ref.kind)];
+}
+
+void waiting_lanes::MakeReady(const lane_ref& ref, double ratio) {
+  lane& l = At(ref);
+  l.state = lane_state::kReady;
+  l.ratio = ratio;
+  ready_[static_cast<size_t>(ref.kind)].insert({ratio, ref.team});
+}
+
+// Takes the lane out of the order or the list of blocked lanes.
+void waiting_lanes::DropState(const lane_ref& ref) {
+  lane& l = At(ref);
+  if (l.state == lane_state::kReady) {
+    ready_[static_cast<size_t>(ref.kind)].erase({l.ratio, ref.team});
+  }
+  if (l.state == lane_state::kNoRoom) {
+    const auto same = [&ref](const lane_ref& other) {
+      return other.kind == ref.kind && other.team == ref.team;
+    };
+    const auto found = std::find_if(no_room_.begin(), no_room_.end(), same);
+    *found = no_room_.back();
+    no_room_.pop_back();
+  }
+}
+
+void waiting_lanes::Append(job_handle job, bool front, double ratio) {
+  job_record& j = jobs_[job];
+  const lane_ref ref{ClassOf(j.request), j.request.team};
+  lane& l = At(ref);
+  job_handle& end = front ? l.head : l.tail;
+  j.next = front ? l.head : kNoJob;
+  j.previous = front ? kNoJob : l.tail;
+  if (end != kNoJob) (front ? jobs_[end].previous : jobs_[end].next) = job;
+  end = job;
+  if (l.jobs == 0) l.head = l.tail = job;
+  j.queued = true;
+  ++l.jobs;
+  l.tasks += j.waiting;
+  if (l.state == lane_state::kEmpty) MakeReady(ref, ratio);
+}
+
+void waiting_lanes::Remove(job_handle job) {
+  job_record& j = jobs_[job];
+  const lane_ref ref{ClassOf(j.request), j.request.team};
+  lane& l = At(ref);
+  (j.previous == kNoJob ? l.head : jobs_[j.previous].next) = j.next;
+  (j.next == kNoJob ? l.tail : jobs_[j.next].previous) = j.previous;
+  j.queued = false;
+  --l.jobs;
+  l.tasks -= j.waiting;
+  if (l.jobs > 0) return;
+  DropState(ref);
+  l.state = lane_state::kEmpty;
+  l.waits_grant = false;
+  l.meter.BacklogEnded();
+}
+
+void waiting_lanes::Rekey(team_index team, double ratio) {
+  if (team >= teams_.size()) return;
+  for (size_t kind = 0; kind < kLaneClasses; ++kind) {
+    lane& l = teams_[team][kind];
+    if (l.ratio == ratio) continue;
+    if (l.state == lane_state::kReady) {
+      ready_[kind].erase({l.ratio, team});
+      ready_[kind].insert({ratio, team});
+    }
+    l.ratio = ratio;
+  }
+}
+
+std::optional<lane_ref> waiting_lanes::First(lane_class kind) const {
+  const auto& ready = ready_[static_cast<size_t>(kind)];
+  if (ready.empty()) return std::nullopt;
+  return lane_ref{kind, ready.begin()->second};
+}
+
+void waiting_lanes::Block(const lane_ref& ref, lane_state why, const resources& least_need,
+                          bool waits_grant) {
+  DropState(ref);
+  lane& l = At(ref);
+  l.state = why;
+  l.waits_grant = waits_grant;
+  l.least_need = least_need;
+  if (why == lane_state::kNoRoom) no_room_.push_back(ref);
+}
+
+void waiting_lanes::Unblock(const lane_ref& ref) {
+  lane& l = At(ref);
+  if (l.state != lane_state::kNoRoom && l.state != lane_state::kNoGrant) return;
+  l.waits_grant = false;
+  DropState(ref);
+  MakeReady(ref, l.ratio);
+}
+
+void waiting_lanes::GrantChanged(team_index team) {
+  if (team >= teams_.size()) return;
+  for (size_t kind = 0; kind < kLaneClasses; ++kind) {
+    if (teams_[team][kind].waits_grant) Unblock({static_cast<lane_class>(kind), team});
+  }
+}
+
+bool waiting_lanes::AnyReady() const {
+  return std::any_of(ready_.begin(), ready_.end(), [](const auto& set) { return !set.empty(); });
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/waiting_lanes.h
@@ -0,0 +1,100 @@
+// Waiting jobs: a lane for each team and class of work, and the order between lanes.
+//
+// A lane is a list through the jobs themselves, so that a job leaves at the same cost wherever it
+// stands: a wave of cancellations does not slow down placements.
+#ifndef CATKINFORD_PROCESS_WAITING_LANES_H_
+#define CATKINFORD_PROCESS_WAITING_LANES_H_
+
+#include <absl/container/btree_set.h>
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "process/drain_meter.h"
+#include "process/job_table.h"
+
+namespace catkinford {
+
+// In the order in which equal shares are served.
+enum class lane_class : uint8_t { kUrgent, kInteractive, kService, kGang, kBatch };
+constexpr size_t kLaneClasses = 5;
+
+lane_class ClassOf(const job_request& request);
+
+enum class lane_state : uint8_t {
+  kEmpty,
+  kReady,
+  kNoRoom,  // what stands first found no room
+  kNoGrant  // what stands first would pass the team's grant
+};
+
+struct lane_ref {
+  lane_class kind = lane_class::kUrgent;
+  team_index team = 0;
+};
+
+struct lane {
+  job_handle head = kNoJob;
+  job_handle tail = kNoJob;
+  uint32_t jobs = 0;
+  uint32_t tasks = 0;
+  lane_state state = lane_state::kEmpty;
+  bool waits_grant = false;  // while blocked: a higher grant would help something in it
+  bool watched = false;      // a timer looks after what stands first
+  double ratio = 0;          // the key under which it stands in the order
+  resources least_need;      // while kNoRoom: less than this free does not help
+  drain_meter meter;
+};
+
+class waiting_lanes {
+ public:
+  explicit waiting_lanes(job_table& jobs) : jobs_(jobs) {}
+
+  lane& At(const lane_ref& ref);
+
+  // `front`: a job whose tasks have waited before and come back.
+  void Append(job_handle job, bool front, double ratio);
+  void Remove(job_handle job);
+  // The lane's count of tasks when a task of a queued job starts.
+  void TaskLeft(const lane_ref& ref) { --At(ref).tasks; }
+
+  // The team's share changed.
+  void Rekey(team_index team, double ratio);
+
+  // The ready lane of a class with the lowest ratio.
+  std::optional<lane_ref> First(lane_class kind) const;
+  void Block(const lane_ref& ref, lane_state why, const resources& least_need, bool waits_grant);
+  void Unblock(const lane_ref& ref);
+  // Unblocks the team's lanes that wait for its grant.
+  void GrantChanged(team_index team);
+  // Unblocks lanes for which `helps(least_need)` holds.
+  template <typename predicate>
+  void RoomChanged(predicate helps) {
+    for (size_t i = 0; i < no_room_.size();) {
+      const lane_ref ref = no_room_[i];
+      if (helps(At(ref).least_need)) {
+        Unblock(ref);  // takes it out of no_room_
+      } else {
+        ++i;
+      }
+    }
+  }
+  bool AnyReady() const;
+
+ private:
+  using order_key = std::pair<double, team_index>;
+  void MakeReady(const lane_ref& ref, double ratio);
+  void DropState(const lane_ref& ref);
+
+  job_table& jobs_;
+  std::vector<std::array<lane, kLaneClasses>> teams_;
+  std::array<absl::btree_set<order_key>, kLaneClasses> ready_;
+  std::vector<lane_ref> no_room_;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_WAITING_LANES_H_
--- /dev/null
+++ b/test/decision_core_test.cc
@@ -0,0 +1,277 @@
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "test/decision_fixture.h"
+
+namespace catkinford {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE_METHOD(decision_fixture, "interactive work, empty floor, spreads over racks",
+                 "[decisions]") {
+  AddEndpoints(32);
+  std::set<endpoint_index> racks;
+  for (uint64_t n = 0; n < 4; ++n) {
+    const auto starts = Run(Job(n, workload_kind::kInteractive, 1000));
+    REQUIRE(starts.size() == 1);
+    racks.insert(starts[0].endpoint / kEndpointsInRack);
+  }
+  CHECK(racks.size() == 4);
+}
+
+TEST_CASE_METHOD(decision_fixture, "service, as many racks as replicas, shares no rack",
+                 "[decisions]") {
+  AddEndpoints(24);
+  const auto starts = Run(Job(1, workload_kind::kService, 4000, 3));
+  std::set<uint32_t> racks;
+  for (const command& start : starts) racks.insert(start.endpoint / kEndpointsInRack);
+  CHECK(starts.size() == 3);
+  CHECK(racks.size() == 3);
+}
+
+TEST_CASE_METHOD(decision_fixture, "batch work, one endpoint in use, fills it first",
+                 "[decisions]") {
+  AddEndpoints(8);
+  const auto first = Run(Job(1, workload_kind::kBatch, 4000));
+  const auto second = Run(Job(2, workload_kind::kBatch, 4000));
+  REQUIRE(first.size() == 1);
+  REQUIRE(second.size() == 1);
+  CHECK(first[0].endpoint == second[0].endpoint);
+}
+
+TEST_CASE_METHOD(decision_fixture, "gang, not enough room for all, starts nothing", "[decisions]") {
+  AddEndpoints(2);
+  Run(Job(1, workload_kind::kBatch, 16000));
+  CHECK(Run(Job(2, workload_kind::kGang, 16000, 2)).empty());
+}
+
+// Two gangs that each want the whole floor arrive together while small work fills every gap. If
+// each could hold half, neither would ever start, and both teams would see their jobs wait for
+// ever.
+TEST_CASE_METHOD(decision_fixture, "two gangs, each as large as the floor, both run in turn",
+                 "[decisions]") {
+  AddEndpoints(4);
+  const auto small = Run(Job(1, workload_kind::kBatch, 8000, 4));
+  core_.Submit(Job(2, workload_kind::kGang, 16000, 4), now_);
+  core_.Submit(Job(3, workload_kind::kGang, 16000, 4), now_);
+  std::set<uint64_t> ran;
+  for (int round = 0; round < 40 && ran.size() < 2; ++round) {
+    for (const command& c : DecideFor(seconds{5})) {
+      if (c.kind == command_kind::kStop) {
+        core_.Finished(c.task, task_end::kCheckpointed, seconds{1}, now_);
+      }
+      if (c.kind != command_kind::kStart) continue;
+      core_.Started(c.task, now_);
+      if (c.task.job.lo == 1) continue;
+      ran.insert(c.task.job.lo);
+      core_.Finished(c.task, task_end::kDone, seconds{1}, now_);
+    }
+  }
+  CHECK(ran.size() == 2);
+}
+
+TEST_CASE_METHOD(decision_fixture, "gang, one start fails, stops the rest and starts whole again",
+                 "[decisions]") {
+  AddEndpoints(4);
+  const auto starts = Run(Job(1, workload_kind::kGang, 16000, 3));
+  REQUIRE(starts.size() == 3);
+  core_.Finished(starts[0].task, task_end::kLost, milliseconds{10}, now_);
+  const auto stops = Decide();
+  REQUIRE(Only(stops, command_kind::kStop).size() == 2);
+  CHECK(Only(stops, command_kind::kStart).empty());
+  for (const command& stop : stops) {
+    core_.Finished(stop.task, task_end::kCheckpointed, milliseconds{20}, now_);
+  }
+  const auto again = Only(Decide(), command_kind::kStart);
+  REQUIRE(again.size() == 3);
+  CHECK(again[0].task.attempt == 2);
+}
+
+TEST_CASE_METHOD(decision_fixture, "team, at its grant, starts no more until a task ends",
+                 "[decisions]") {
+  AddEndpoints(4);
+  AddTeam(1, 1.0, 2);
+  const auto starts = Run(Job(1, workload_kind::kBatch, 1000, 3, 1));
+  REQUIRE(starts.size() == 2);
+  CHECK_FALSE(core_.WaitsFor({1, 1}).empty());
+  core_.Finished(starts[0].task, task_end::kDone, milliseconds{5}, now_);
+  CHECK(Decide().size() == 1);
+}
+
+// After a change of owner an endpoint is not listed yet. Work that the former owner started there
+// is unseen; a team could get its full limit once more on top of it, and run twice what it may.
+TEST_CASE_METHOD(decision_fixture, "endpoint, not fenced yet, counts against the team's grant",
+                 "[decisions]") {
+  AddTeam(1, 1.0, 8);
+  AddEndpoints(1, endpoint_state::kUnfenced);
+  AddEndpoints(2);
+  CHECK(Run(Job(1, workload_kind::kBatch, 1000, 4, 1)).empty());
+  core_.Adopt({{{9, 9}, 0, 1}, 1, workload_kind::kBatch, {1000, 1024, 0, 1}, 0}, now_);
+  core_.SetEndpointState(0, endpoint_state::kOpen, now_);
+  CHECK(Decide().size() == 4);
+  CHECK(core_.Usage(1).running_tasks == 5);
+}
+
+TEST_CASE_METHOD(decision_fixture, "job, larger than every endpoint, is refused with the largest",
+                 "[decisions]") {
+  AddEndpoints(2);
+  const admission answer = core_.Submit(Job(1, workload_kind::kBatch, 17000), now_);
+  CHECK(answer.reason == refusal_reason::kNeverFits);
+  CHECK(answer.detail.find("16000") != std::string::npos);
+}
+
+TEST_CASE_METHOD(decision_fixture, "job, larger than what is listed so far, waits for the rest",
+                 "[decisions]") {
+  AddEndpoints(1);
+  AddEndpoints(1, endpoint_state::kUnfenced);
+  CHECK(core_.Submit(Job(1, workload_kind::kBatch, 17000), now_).queued);
+  CHECK(Decide().empty());
+  core_.SetEndpointState(1, endpoint_state::kOpen, now_);
+  const auto out = Decide();
+  REQUIRE(out.size() == 1);
+  CHECK(out[0].reason == refusal_reason::kNeverFits);
+}
+
+// An endpoint dies while a task that may run only once is on it. Placed again it could charge a
+// salary twice; the caller has to hear that nobody knows.
+TEST_CASE_METHOD(decision_fixture, "not repeatable job, run lost, ends unknown and starts no more",
+                 "[decisions]") {
+  AddEndpoints(2);
+  job_request job = Job(1, workload_kind::kInteractive, 1000);
+  job.repeatable = false;
+  const auto starts = Run(job);
+  REQUIRE(starts.size() == 1);
+  core_.SetEndpointState(starts[0].endpoint, endpoint_state::kGone, now_);
+  const auto out = DecideFor(seconds{60});
+  REQUIRE(out.size() == 1);
+  CHECK(out[0].kind == command_kind::kEnded);
+  CHECK(out[0].end == job_end::kUnknown);
+}
+
+TEST_CASE_METHOD(decision_fixture, "not repeatable job, start refused, is placed elsewhere",
+                 "[decisions]") {
+  AddEndpoints(2);
+  job_request job = Job(1, workload_kind::kInteractive, 1000);
+  job.repeatable = false;
+  core_.Submit(job, now_);
+  const auto first = Decide();
+  REQUIRE(first.size() == 1);
+  core_.StartFailed(first[0].task, true, now_);
+  const auto second = Decide();
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].endpoint != first[0].endpoint);
+  CHECK(second[0].task.attempt == 2);
+}
+
+TEST_CASE_METHOD(decision_fixture, "task, endpoint gone, starts elsewhere with a new attempt",
+                 "[decisions]") {
+  AddEndpoints(2);
+  const auto starts = Run(Job(1, workload_kind::kBatch, 1000));
+  core_.SetEndpointState(starts[0].endpoint, endpoint_state::kGone, now_);
+  const auto again = Decide();
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].task.attempt == 2);
+  // News of the first run comes late and changes nothing.
+  core_.Finished(starts[0].task, task_end::kDone, milliseconds{5}, now_);
+  CHECK(core_.Usage(0).running_tasks == 1);
+}
+
+TEST_CASE_METHOD(decision_fixture, "cancel, waiting and running tasks, refuses one and stops one",
+                 "[decisions]") {
+  AddEndpoints(1);
+  const auto starts = Run(Job(1, workload_kind::kBatch, 16000));
+  core_.Submit(Job(2, workload_kind::kBatch, 16000), now_);
+  Decide();
+  CHECK(core_.Cancel({1, 1}, now_));
+  CHECK(core_.Cancel({1, 2}, now_));
+  CHECK_FALSE(core_.Cancel({1, 3}, now_));
+  const auto out = Decide();
+  REQUIRE(out.size() == 2);
+  CHECK(out[0].kind == command_kind::kStop);
+  CHECK(out[1].reason == refusal_reason::kCancelled);
+  core_.Finished(starts[0].task, task_end::kStopped, milliseconds{5}, now_);
+  const auto ended = Decide();
+  REQUIRE(ended.size() == 1);
+  CHECK(ended[0].end == job_end::kCancelled);
+}
+
+TEST_CASE_METHOD(decision_fixture, "deadline, passed in the queue, is refused as not run",
+                 "[decisions]") {
+  AddEndpoints(1);
+  Run(Job(1, workload_kind::kBatch, 16000));
+  job_request late = Job(2, workload_kind::kInteractive, 1000);
+  late.deadline = now_ + milliseconds{300};
+  core_.Submit(late, now_);
+  const auto out = DecideFor(milliseconds{400});
+  REQUIRE(out.size() == 1);
+  CHECK(out[0].kind == command_kind::kRefuse);
+  CHECK(out[0].reason == refusal_reason::kDeadline);
+  CHECK(out[0].retry_after > milliseconds{0});
+}
+
+TEST_CASE_METHOD(decision_fixture, "urgent work, full floor, starts after one task was stopped",
+                 "[decisions]") {
+  AddEndpoints(4);
+  REQUIRE(Run(Job(1, workload_kind::kBatch, 8000, 8)).size() == 8);
+  job_request urgent = Job(2, workload_kind::kInteractive, 2000);
+  urgent.urgent = true;
+  core_.Submit(urgent, now_);
+  const auto stops = Decide();
+  REQUIRE(stops.size() == 1);
+  CHECK(stops[0].why == stop_reason::kPreempted);
+  CHECK(stops[0].checkpoint);
+  core_.Finished(stops[0].task, task_end::kCheckpointed, milliseconds{900}, now_);
+  const auto starts = Only(Decide(), command_kind::kStart);
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].task.job.lo == 2);
+}
+
+// A worker that fails at once whatever it starts always looks free, so it would draw all work to
+// itself, and callers would see nearly every request fail.
+TEST_CASE_METHOD(decision_fixture, "endpoint, fails all it starts, is left out and tried again",
+                 "[decisions]") {
+  AddEndpoints(10);
+  uint32_t to_bad = 0;
+  const auto run_all = [&](uint64_t first, uint64_t last) {
+    for (uint64_t n = first; n < last; ++n) {
+      core_.Submit(Job(n, workload_kind::kInteractive, 1000), now_);
+      for (const command& c : Only(Decide(), command_kind::kStart)) {
+        const bool bad = c.endpoint == 3;
+        to_bad += bad ? 1 : 0;
+        core_.Started(c.task, now_);
+        core_.Finished(c.task, bad ? task_end::kFailed : task_end::kDone, milliseconds{1}, now_);
+      }
+    }
+  };
+  run_all(0, 500);
+  CHECK(to_bad > 0);
+  CHECK(to_bad < 10);
+  DecideFor(seconds{11});
+  const uint32_t before = to_bad;
+  run_all(500, 1000);
+  CHECK(to_bad == before + 1);
+}
+
+TEST_CASE_METHOD(decision_fixture, "queue, full, refuses with a time to come back", "[decisions]") {
+  AddEndpoints(1);
+  AddTeam(1, 1.0, 100, 2);
+  CHECK(core_.Submit(Job(1, workload_kind::kBatch, 1000, 2, 1), now_).queued);
+  const admission full = core_.Submit(Job(2, workload_kind::kBatch, 1000, 1, 1), now_);
+  CHECK(full.reason == refusal_reason::kQueueFull);
+  CHECK(full.retry_after > milliseconds{0});
+}
+
+TEST_CASE_METHOD(decision_fixture, "two teams, weights two to one, full floor, run two to one",
+                 "[decisions]") {
+  AddEndpoints(6);
+  AddTeam(1, 2.0);
+  AddTeam(2, 1.0);
+  core_.Submit(Job(1, workload_kind::kBatch, 2000, 100, 1), now_);
+  core_.Submit(Job(2, workload_kind::kBatch, 2000, 100, 2), now_);
+  Decide();
+  CHECK(core_.Usage(1).running_tasks == 32);
+  CHECK(core_.Usage(2).running_tasks == 16);
+}
+
+}  // namespace catkinford
