Speak to store, endpoints and instance list through typed adapters

Cause: owners, shards and versions need the platform's calls as typed replies, in which a lost reply of a write is never taken for either outcome. Change: store_adapter, endpoint_adapter, instance_adapter; json_fields for reading untrusted objects without exceptions. A fenced list with one unreadable task counts as no list, since the task in the hole would pass for not running. Encoding cost not measured yet.

--- /dev/null
+++ b/src/connection/json_fields.h
@@ -0,0 +1,61 @@
+// Reading fields of a JSON object that came over the network: a field that is absent or of
+// another type gives the default instead of an exception.
+#ifndef CATKINFORD_CONNECTION_JSON_FIELDS_H_
+#define CATKINFORD_CONNECTION_JSON_FIELDS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace catkinford {
+
+// The unsigned number of at most `Integer`'s size at `name`, else `otherwise`.
+template <typename Integer = uint64_t>
+Integer NumberAt(const nlohmann::json& object, const char* name, Integer otherwise = 0) {
+  const auto found = object.find(name);
+  if (found == object.end() || !found->is_number_unsigned()) return otherwise;
+  const auto value = found->get<uint64_t>();
+  return value > static_cast<uint64_t>(std::numeric_limits<Integer>::max())
+             ? otherwise
+             : static_cast<Integer>(value);
+}
+
+inline std::chrono::milliseconds MillisecondsAt(const nlohmann::json& object, const char* name) {
+  return std::chrono::milliseconds{NumberAt<int64_t>(object, name)};
+}
+
+inline std::string TextAt(const nlohmann::json& object, const char* name) {
+  const auto found = object.find(name);
+  if (found == object.end() || !found->is_string()) return {};
+  return found->get_ref<const std::string&>();
+}
+
+inline bool FlagAt(const nlohmann::json& object, const char* name) {
+  const auto found = object.find(name);
+  return found != object.end() && found->is_boolean() && found->get<bool>();
+}
+
+// The array at `name`; an empty one when there is none.
+inline const nlohmann::json& ArrayAt(const nlohmann::json& object, const char* name) {
+  static const nlohmann::json kEmpty = nlohmann::json::array();
+  const auto found = object.find(name);
+  return found != object.end() && found->is_array() ? *found : kEmpty;
+}
+
+// A JSON text, quoted and escaped; bytes that are not UTF-8 are replaced.
+inline std::string Quoted(const std::string& text) {
+  return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+// The object in `text`, or a discarded value; never throws.
+inline nlohmann::json ParseObject(const std::string& text) {
+  nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
+  if (!parsed.is_object()) return nlohmann::json(nlohmann::json::value_t::discarded);
+  return parsed;
+}
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_CONNECTION_JSON_FIELDS_H_
--- /dev/null
+++ b/test/adapter_test.cc
@@ -0,0 +1,189 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <future>
+#include <memory>
+#include <string>
+
+#include "connection/endpoint_adapter.h"
+#include "connection/http_client.h"
+#include "connection/http_server.h"
+#include "connection/instance_adapter.h"
+#include "connection/store_adapter.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kId[] = "0123456789abcdef0123456789abcdef/3/2";
+
+// A platform that gives one prepared answer and keeps what it was sent.
+class platform_fixture {
+ public:
+  platform_fixture() {
+    server_ = std::make_unique<http_server>(
+        http_server_options{}, [this](http_server::token token, const http_request& request) {
+          sent_ = request.method + " " + request.path + " " + request.body;
+          query_ = request.Query("key");
+          if (code_ != 0) server_->Respond(token, {code_, body_});
+        });
+    server_->Start();
+    client_.Start();
+    url_ = "http://127.0.0.1:" + std::to_string(server_->Port());
+  }
+
+ protected:
+  template <typename Reply, typename Call>
+  Reply Wait(Call call) {
+    std::promise<Reply> promise;
+    call([&promise](Reply reply) { promise.set_value(std::move(reply)); });
+    return promise.get_future().get();
+  }
+  store_reply Swap() {
+    store_adapter store(client_, url_, milliseconds{200});
+    return Wait<store_reply>(
+        [&](auto done) { store.CompareAndSwap("a/b", 7, "v\"", "w1", "l1", done); });
+  }
+  endpoint_reply Start() {
+    endpoint_adapter adapter(client_, milliseconds{200});
+    start_task task;
+    task.id = *ParseTaskId(kId);
+    task.amount = {100, 200, 0, 1};
+    task.team = "t";
+    task.payload = "p\"";
+    task.not_after = milliseconds{50};
+    return Wait<endpoint_reply>([&](auto done) { adapter.Start({url_, "e1"}, 9, {task}, done); });
+  }
+
+  int code_ = 200;
+  std::string body_ = "{}";
+  std::string sent_;
+  std::string query_;
+  std::string url_;
+  std::unique_ptr<http_server> server_;
+  http_client client_{0};
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(platform_fixture, "store, swap done, gives the new revision", "[adapter]") {
+  body_ = R"({"revision":8})";
+  const store_reply reply = Swap();
+  CHECK(reply.status == store_status::kDone);
+  CHECK(reply.revision == 8);
+  CHECK(sent_ ==
+        "POST /v1/cas "
+        R"({"key":"a/b","expect":7,"value":"v\"","write_id":"w1","lease":"l1"})");
+}
+
+TEST_CASE_METHOD(platform_fixture, "store, swap in conflict, gives the present value",
+                 "[adapter]") {
+  code_ = 409;
+  body_ = R"({"error":"conflict","revision":9,"value":"other"})";
+  const store_reply reply = Swap();
+  CHECK(reply.status == store_status::kConflict);
+  REQUIRE(reply.items.size() == 1);
+  CHECK(reply.items[0].key == "a/b");
+  CHECK(reply.items[0].value == "other");
+  CHECK(reply.items[0].revision == 9);
+}
+
+// The store takes a write and its reply never arrives. A caller that believed either outcome
+// would sooner or later act on a value that is not the store's.
+TEST_CASE_METHOD(platform_fixture, "store, reply of a write lost, is unknown", "[adapter]") {
+  code_ = 0;
+  CHECK(Swap().status == store_status::kUnknown);
+}
+
+TEST_CASE_METHOD(platform_fixture, "store, rate limited or down, is surely not done", "[adapter]") {
+  code_ = GENERATE(429, 503, 413);
+  CHECK(Swap().status == store_status::kUnavailable);
+}
+
+TEST_CASE_METHOD(platform_fixture, "store, reply of a read lost, is unavailable", "[adapter]") {
+  code_ = 0;
+  store_adapter store(client_, url_, milliseconds{100});
+  const auto reply = Wait<store_reply>([&](auto done) { store.Get("a/b", done); });
+  CHECK(reply.status == store_status::kUnavailable);
+  CHECK(query_ == "a/b");
+}
+
+TEST_CASE_METHOD(platform_fixture, "endpoint, start answered, gives a result for each task",
+                 "[adapter]") {
+  body_ = std::string(R"({"results":[{"id":")") + kId + R"(","result":"already"}]})";
+  const endpoint_reply reply = Start();
+  CHECK(reply.status == endpoint_status::kDone);
+  REQUIRE(reply.results.size() == 1);
+  CHECK(ToText(reply.results[0].id) == kId);
+  CHECK(reply.results[0].result == call_result::kAlready);
+  CHECK(sent_ == std::string(R"(POST /v1/endpoints/e1/start {"epoch":9,"tasks":[{"id":")") + kId +
+                     R"(","cpu_milli":100,"memory_mb":200,"accelerators":0,"slots":1,)"
+                     R"("lease_ms":0,"retain_ms":0,"not_after_ms":50,"kind":"interactive",)"
+                     R"("team":"t","payload":"p\""}]})");
+}
+
+// An owner was paused and another took its shard over. The endpoint refuses the old epoch, so the
+// task does not run twice.
+TEST_CASE_METHOD(platform_fixture, "endpoint, start with an old epoch, is fenced off",
+                 "[adapter]") {
+  code_ = 409;
+  body_ = R"({"error":"fenced","epoch":10})";
+  const endpoint_reply reply = Start();
+  CHECK(reply.status == endpoint_status::kFenced);
+  CHECK(reply.epoch == 10);
+}
+
+// Garbage instead of an answer, or a fault in the middle of the work: the task may be running, and
+// a caller told "not run" would start it again elsewhere.
+TEST_CASE_METHOD(platform_fixture, "endpoint, answer unreadable or failed, may have started",
+                 "[adapter]") {
+  code_ = GENERATE(200, 409, 500);
+  body_ = "<html>";
+  CHECK(Start().status == endpoint_status::kMaybeSent);
+}
+
+TEST_CASE_METHOD(platform_fixture, "endpoint, fenced list with an unreadable task, is no list",
+                 "[adapter]") {
+  body_ = R"({"incarnation":1,"epoch":2,"tasks":[{"id":"nonsense","state":"running"}]})";
+  endpoint_adapter adapter(client_, milliseconds{200});
+  const auto reply = Wait<endpoint_reply>([&](auto done) { adapter.Fence({url_, "e1"}, 2, done); });
+  CHECK(reply.status == endpoint_status::kMaybeSent);
+  CHECK(reply.tasks.empty());
+}
+
+TEST_CASE_METHOD(platform_fixture, "endpoint, sync answered, gives what finished", "[adapter]") {
+  body_ = std::string(R"({"incarnation":4,"cursor":6,"finished":[{"id":")") + kId +
+          R"(","seq":6,"result":"checkpointed","ran_ms":12,"answer":"a"}],"running":2,)"
+          R"("usage":{"cpu_milli":5,"memory_mb":6,"age_ms":7},"leaving":true})";
+  endpoint_adapter adapter(client_, milliseconds{200});
+  const auto reply = Wait<endpoint_reply>([&](auto done) {
+    adapter.Sync({url_, "e1"}, {9, 4, 5, milliseconds{10}, milliseconds{100}}, done);
+  });
+  CHECK(sent_ ==
+        "POST /v1/endpoints/e1/sync "
+        R"({"epoch":9,"incarnation":4,"cursor":5,"wait_ms":10,"lease_ms":100})");
+  CHECK(reply.cursor == 6);
+  REQUIRE(reply.finished.size() == 1);
+  CHECK(reply.finished[0].result == task_result::kCheckpointed);
+  CHECK(reply.finished[0].ran == milliseconds{12});
+  CHECK(reply.running == 2);
+  CHECK(reply.usage.age == milliseconds{7});
+  CHECK(reply.leaving);
+}
+
+TEST_CASE_METHOD(platform_fixture, "instance list, answered, gives typed instances", "[adapter]") {
+  body_ = R"({"age_ms":500,"instances":[
+      {"name":"n1","role":"entry","failure_domain":"d","address":"127.0.0.1:1","state":"live"},
+      {"name":"e1","role":"endpoint","failure_domain":"d","rack":"r","address":"http://x",
+       "state":"leaving","shape":{"cpu_milli":1,"memory_mb":2,"accelerators":3,"slots":4}}]})";
+  instance_adapter adapter(client_, url_, milliseconds{200});
+  const auto reply = Wait<instance_reply>([&](auto done) { adapter.List(done); });
+  REQUIRE(reply.ok);
+  CHECK(reply.age == milliseconds{500});
+  REQUIRE(reply.instances.size() == 2);
+  CHECK(reply.instances[0].role == instance_role::kEntry);
+  CHECK(reply.instances[1].leaving);
+  CHECK(reply.instances[1].shape == resources{1, 2, 3, 4});
+}
+
+}  // namespace catkinford
