--- a/src/connection/json_fields.h
+++ b/src/connection/json_fields.h
@@ -39,9 +39,9 @@
 
 // The array at `name`; an empty one when there is none.
 inline const nlohmann::json& ArrayAt(const nlohmann::json& object, const char* name) {
-  static const nlohmann::json kEmpty = nlohmann::json::array();
+  static const nlohmann::json none = nlohmann::json::array();
   const auto found = object.find(name);
-  return found != object.end() && found->is_array() ? *found : kEmpty;
+  return found != object.end() && found->is_array() ? *found : none;
 }
 
 // A JSON text, quoted and escaped; bytes that are not UTF-8 are replaced.
--- /dev/null
+++ b/src/process/registration.cc
@@ -0,0 +1,156 @@
+#include "process/registration.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace catkinford {
+namespace {
+
+constexpr int kKeepalivesPerLease = 3;  // two may be lost before the lease lapses
+
+}  // namespace
+
+registration::registration(member_record self, std::string key, std::chrono::milliseconds ttl)
+    : self_(std::move(self)), key_(std::move(key)), ttl_(ttl) {}
+
+void registration::Tick(monotonic_time now, call_tags& tags, std::vector<store_call>& out) {
+  if (state_ == state::kLeft || open_tag_ != 0 || now < next_call_) return;
+  store_call call = NextCall(tags);
+  open_tag_ = call.tag;
+  sent_ = now;
+  next_call_ = now + ttl_ / kKeepalivesPerLease;
+  out.push_back(std::move(call));
+}
+
+store_call registration::NextCall(call_tags& tags) {
+  store_call call;
+  call.tag = tags.Next();
+  call.key = key_;
+  call.lease = self_.lease;
+  call.expect = revision_;
+  call.write_id = absl::StrCat(self_.name, ":", self_.incarnation, ":", call.tag);
+  call.ttl = ttl_;
+  if (state_ == state::kNoLease) call.kind = store_call_kind::kGrantLease;
+  if (state_ == state::kKept) call.kind = store_call_kind::kKeepLease;
+  if (state_ == state::kUnwritten || state_ == state::kLeaving) {
+    call.kind = store_call_kind::kSwap;
+  }
+  if (state_ == state::kUnwritten) call.value = ToText(self_);
+  if (state_ == state::kLeaving) call.lease.clear();
+  return call;
+}
+
+bool registration::OnReply(uint64_t tag, const store_reply& reply, monotonic_time now) {
+  if (tag == 0 || tag != open_tag_) return false;
+  open_tag_ = 0;
+  const bool definite =
+      reply.status != store_status::kUnavailable && reply.status != store_status::kUnknown;
+  // An outage or a lost reply changes nothing: the same step is tried again at the next period.
+  if (!definite) return true;
+  last_answer_ = now;
+  if (state_ == state::kNoLease) {
+    OnGranted(reply, now);
+  } else if (state_ == state::kUnwritten) {
+    OnWritten(reply, now);
+  } else if (state_ == state::kKept) {
+    OnKept(reply, now);
+  } else if (state_ == state::kLeaving) {
+    OnDeleted(reply, now);
+  }
+  return true;
+}
+
+void registration::OnGranted(const store_reply& reply, monotonic_time now) {
+  if (reply.status != store_status::kDone || reply.lease.empty()) return;
+  self_.lease = reply.lease;
+  valid_until_ = sent_ + ttl_;
+  state_ = state::kUnwritten;
+  next_call_ = now;
+}
+
+void registration::OnKept(const store_reply& reply, monotonic_time now) {
+  if (reply.status == store_status::kDone) {
+    valid_until_ = sent_ + ttl_;
+    return;
+  }
+  if (reply.status != store_status::kAbsent) return;
+  LoseLease();
+  next_call_ = now;
+}
+
+void registration::OnWritten(const store_reply& reply, monotonic_time now) {
+  if (reply.status == store_status::kDone) {
+    revision_ = reply.revision;
+    registered_ = true;
+    replaced_ = false;
+    state_ = state::kKept;
+    return;
+  }
+  if (reply.status == store_status::kAbsent) {  // the lease lapsed before the key was written
+    LoseLease();
+    next_call_ = now;
+    return;
+  }
+  revision_ = reply.revision;
+  next_call_ = now;
+  if (reply.items.empty()) return;
+  const std::optional<member_record> present = ParseMemberRecord(reply.items.front().value);
+  if (!present) return;
+  if (*present == self_) {  // an earlier write of ours, whose reply was lost
+    registered_ = true;
+    state_ = state::kKept;
+    return;
+  }
+  // An instance was replaced by one of the same name while this process was paused. Writing over
+  // the newcomer's key would have two processes drive it out in turns, seen as a shard whose epoch
+  // never rests; the older one waits until the key is free.
+  replaced_ = present->incarnation > self_.incarnation;
+  if (replaced_) next_call_ = now + ttl_;
+}
+
+void registration::OnDeleted(const store_reply& reply, monotonic_time now) {
+  const bool gone = reply.status == store_status::kDone || reply.status == store_status::kAbsent ||
+                    reply.revision == 0;
+  if (gone) {
+    state_ = state::kLeft;
+    return;
+  }
+  revision_ = reply.revision;
+  next_call_ = now;
+}
+
+void registration::LoseLease() {
+  registered_ = false;
+  self_.lease.clear();
+  revision_ = 0;
+  state_ = state::kNoLease;
+}
+
+void registration::OnKeyMissing() {
+  if (state_ != state::kKept) return;
+  state_ = state::kUnwritten;
+  registered_ = false;
+  revision_ = 0;
+  open_tag_ = 0;
+  next_call_ = {};
+}
+
+void registration::MarkLeaving() {
+  if (self_.leaving) return;
+  self_.leaving = true;
+  if (state_ != state::kKept) return;
+  state_ = state::kUnwritten;
+  open_tag_ = 0;  // of a keepalive: its reply would be taken for the write's
+  next_call_ = {};
+}
+
+void registration::Leave() {
+  const bool nothing_written = state_ == state::kNoLease && open_tag_ == 0;
+  state_ = nothing_written ? state::kLeft : state::kLeaving;
+  registered_ = false;
+  open_tag_ = 0;  // a late reply must not put the key back
+  next_call_ = {};
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/registration.h
@@ -0,0 +1,94 @@
+// One entry's place among the members of its failure domain: a lease at the platform's store, kept
+// alive, with the member key attached to it. Pure: replies and time in, store calls out.
+#ifndef CATKINFORD_PROCESS_REGISTRATION_H_
+#define CATKINFORD_PROCESS_REGISTRATION_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "connection/store_adapter.h"
+#include "process/ownership_record.h"
+#include "request/job_request.h"
+
+namespace catkinford {
+
+enum class store_call_kind : uint8_t { kGrantLease, kKeepLease, kSwap, kRange };
+
+// A call for the store adapter. Its reply comes back under the same tag.
+struct store_call {
+  store_call_kind kind = store_call_kind::kRange;
+  uint64_t tag = 0;
+  std::string key;  // for kRange the prefix
+  uint64_t expect = 0;
+  std::optional<std::string> value;
+  std::string write_id;
+  std::string lease;
+  std::chrono::milliseconds ttl{0};
+};
+
+// Numbers for the calls of one process, so that a late reply is never taken for another's.
+class call_tags {
+ public:
+  uint64_t Next() { return ++last_; }
+
+ private:
+  uint64_t last_ = 0;
+};
+
+class registration {
+ public:
+  registration(member_record self, std::string key, std::chrono::milliseconds ttl);
+
+  void Tick(monotonic_time now, call_tags& tags, std::vector<store_call>& out);
+  // False when the tag is not of this object.
+  bool OnReply(uint64_t tag, const store_reply& reply, monotonic_time now);
+  // Tries again at the next Tick() instead of at the next period.
+  void Hurry() { next_call_ = {}; }
+  // A read that began after the registration did not show the key: it is written again.
+  void OnKeyMissing();
+  // Writes into the key that this entry takes no more shards.
+  void MarkLeaving();
+  // Deletes the key; the entry does not come back.
+  void Leave();
+
+  // The member key is in the store, attached to the present lease, as far as is known.
+  bool Registered() const { return registered_; }
+  bool Left() const { return state_ == state::kLeft; }
+  // A later process of the same name is registered; this one has been replaced.
+  bool Replaced() const { return replaced_; }
+  const std::string& Lease() const { return self_.lease; }
+  // Until when the store surely keeps the lease, counted from the time of sending.
+  monotonic_time ValidUntil() const { return valid_until_; }
+  // When the store last answered with anything definite.
+  monotonic_time LastAnswer() const { return last_answer_; }
+
+ private:
+  enum class state : uint8_t { kNoLease, kUnwritten, kKept, kLeaving, kLeft };
+
+  store_call NextCall(call_tags& tags);
+  void OnGranted(const store_reply& reply, monotonic_time now);
+  void OnKept(const store_reply& reply, monotonic_time now);
+  void OnWritten(const store_reply& reply, monotonic_time now);
+  void OnDeleted(const store_reply& reply, monotonic_time now);
+  void LoseLease();
+
+  member_record self_;
+  std::string key_;
+  std::chrono::milliseconds ttl_;
+  state state_ = state::kNoLease;
+  bool registered_ = false;
+  bool replaced_ = false;
+  uint64_t revision_ = 0;  // of the member key, as last seen
+  uint64_t open_tag_ = 0;  // zero: no call is open
+  monotonic_time sent_{};
+  monotonic_time next_call_{};
+  monotonic_time valid_until_{};
+  monotonic_time last_answer_{};
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_REGISTRATION_H_
