--- a/src/process/events.h
+++ b/src/process/events.h
@@ -4,6 +4,7 @@
 #define CATKINFORD_PROCESS_EVENTS_H_
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string_view>
 
@@ -58,6 +59,10 @@
 std::span<const event_info> AllEvents();
 const event_info& InfoOf(event_code code);
 
+// "debug", "info", "warning", "error": the words of settings and logs.
+std::string_view ToText(event_level level);
+std::optional<event_level> ParseEventLevel(std::string_view text);
+
 }  // namespace catkinford
 
 #endif  // CATKINFORD_PROCESS_EVENTS_H_
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -73,6 +73,8 @@
   kWrongType,
   kWrongUnit,  // durations are texts with a unit: "250ms", "10s", "10m"
   kOutOfRange,
+  kDuplicateField,  // which of the two was meant cannot be known
+  kContradiction,   // two settings that cannot both hold
 };
 
 struct settings_error {
--- /dev/null
+++ b/src/process/settings_table.h
@@ -0,0 +1,61 @@
+// The table of settings: name, unit, range, default and meaning of each stand here and nowhere
+// else. The reader walks it, `catkinfordd --settings_table` prints it and docs/OPERATING.md holds
+// the print.
+#ifndef CATKINFORD_PROCESS_SETTINGS_TABLE_H_
+#define CATKINFORD_PROCESS_SETTINGS_TABLE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "process/settings.h"
+
+namespace catkinford {
+
+// Where a setting is kept; the type of the pointer is the type of the setting.
+using setting_slot = std::variant<std::string*, std::vector<std::string>*, bool*, uint16_t*,
+                                  uint32_t*, std::chrono::milliseconds*>;
+
+// What a text must look like.
+enum class text_form : uint8_t {
+  kAny,
+  kName,       // letters, digits, '-', '_' and '.', 1 to 63 of them
+  kIpAddress,  // platform and peers talk by IP numbers
+  kUrl,        // http:// or https://
+  kLogLevel,
+};
+
+struct setting_info {
+  std::string_view path;  // "timing.heartbeat"
+  setting_slot (*slot)(settings& all);
+  bool required = false;
+  text_form form = text_form::kAny;  // of texts
+  int64_t lowest = 0;                // of numbers; of durations in milliseconds
+  int64_t highest = 0;
+  std::string_view meaning;
+};
+
+// All settings, in the order of the documentation.
+std::span<const setting_info> AllSettings();
+
+// A duration text with its unit: "250ms", "10s", "10m" or "2h". Nothing for other texts.
+std::optional<std::chrono::milliseconds> ParseDuration(std::string_view text);
+// The shortest such text.
+std::string DurationText(std::chrono::milliseconds duration);
+
+bool HasForm(text_form form, const std::string& text);
+// For people: what a setting takes, e.g. "a duration from 10ms to 1m".
+std::string WantOf(const setting_info& info);
+// The value in `all` as it would be written in a settings file.
+std::string ValueText(const setting_info& info, settings& all);
+// The table as Markdown, one line for each setting.
+std::string SettingsTableText();
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SETTINGS_TABLE_H_
--- /dev/null
+++ b/test/settings_test.cc
@@ -0,0 +1,119 @@
+#include "process/settings.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+#include <string>
+
+#include "process/settings_table.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+class settings_fixture {
+ protected:
+  // A complete file with `more` as further lines.
+  static std::string File(const std::string& more = "") {
+    return R"({ // of one entry
+      "name": "e1", "failure_domain": "otaru", "failure_domains": ["otaru", "asahikawa"],
+      "platform": {"store_url": "http://127.0.0.1:1", "instances_url": "http://127.0.0.1:2"},
+      )" + more +
+           R"("listen": {"caller_port": 0, "peer_port": 0}})";
+  }
+  static settings Good(const std::string& text) {
+    const auto result = ParseSettings(text);
+    if (const auto* error = std::get_if<settings_error>(&result)) FAIL(ToText(*error));
+    return std::get<settings>(result);
+  }
+  static settings_error Bad(const std::string& text) {
+    const auto result = ParseSettings(text);
+    REQUIRE(std::holds_alternative<settings_error>(result));
+    return std::get<settings_error>(result);
+  }
+  static void CheckBad(const std::string& more, settings_fault fault, const std::string& path) {
+    const settings_error error = Bad(File(more));
+    INFO(more << " gave " << ToText(error));
+    CHECK(error.fault == fault);
+    CHECK(error.path == path);
+  }
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(settings_fixture, "settings, complete file with comments, are read",
+                 "[settings]") {
+  const settings read = Good(File(R"("timing": {"heartbeat": "300ms", "max_deadline": "15s"},)"));
+  CHECK(read.name == "e1");
+  CHECK(read.failure_domains.size() == 2);
+  CHECK(read.timing.heartbeat == milliseconds{300});
+  CHECK(read.timing.max_deadline == milliseconds{15000});
+  CHECK(read.timing.member_lease == settings{}.timing.member_lease);
+}
+
+TEST_CASE_METHOD(settings_fixture, "settings, one wrong field, give its fault and path",
+                 "[settings]") {
+  using enum settings_fault;
+  CheckBad(R"("timming": {},)", kUnknownField, "timming");
+  CheckBad(R"("timing": {"hartbeat": "1s"},)", kUnknownField, "timing.hartbeat");
+  CheckBad(R"("timing": 3,)", kWrongType, "timing");
+  CheckBad(R"("timing": {"heartbeat": 250},)", kWrongUnit, "timing.heartbeat");
+  CheckBad(R"("timing": {"heartbeat": "250"},)", kWrongUnit, "timing.heartbeat");
+  CheckBad(R"("timing": {"heartbeat": "1 s"},)", kWrongUnit, "timing.heartbeat");
+  CheckBad(R"("timing": {"heartbeat": "-1s"},)", kWrongUnit, "timing.heartbeat");
+  CheckBad(R"("timing": {"heartbeat": "99999999999999999h"},)", kWrongUnit, "timing.heartbeat");
+  CheckBad(R"("timing": {"heartbeat": "1h"},)", kOutOfRange, "timing.heartbeat");
+  CheckBad(R"("timing": {"heartbeat": true},)", kWrongType, "timing.heartbeat");
+  CheckBad(R"("shards": {"per_domain": 0},)", kOutOfRange, "shards.per_domain");
+  CheckBad(R"("shards": {"per_domain": 18446744073709551615},)", kOutOfRange, "shards.per_domain");
+  CheckBad(R"("shards": {"per_domain": 1.5},)", kWrongType, "shards.per_domain");
+  CheckBad(R"("logs": {"level": "loud"},)", kOutOfRange, "logs.level");
+  CheckBad(R"("logs": {"level": "info", "level": "debug"},)", kDuplicateField, "level");
+}
+
+TEST_CASE_METHOD(settings_fixture, "settings, two fields that cannot both hold, are refused",
+                 "[settings]") {
+  using enum settings_fault;
+  CheckBad(R"("timing": {"heartbeat": "2s"},)", kContradiction, "timing.heartbeat");
+  CheckBad(R"("timing": {"sync_wait": "10s"},)", kContradiction, "timing.sync_wait");
+  CheckBad(R"("timing": {"default_deadline": "25s"},)", kContradiction, "timing.default_deadline");
+  CheckBad(R"("timing": {"identity_window": "20s"},)", kContradiction, "timing.identity_window");
+}
+
+TEST_CASE_METHOD(settings_fixture, "settings, file without a required field, name the field",
+                 "[settings]") {
+  const settings_error error = Bad(R"({"name": "e1"})");
+  CHECK(error.fault == settings_fault::kMissingField);
+  CHECK(error.path == "failure_domain");
+}
+
+TEST_CASE_METHOD(settings_fixture, "settings, broken or missing file, give a fault of their own",
+                 "[settings]") {
+  CHECK(Bad("{").fault == settings_fault::kNotJson);
+  CHECK(Bad("[]").fault == settings_fault::kNotJson);
+  CHECK(Bad("{\"name\": \"\xff\xfe\"}").fault == settings_fault::kNotJson);
+  for (const std::string file : {"/nonexistent/settings.json", "/"}) {
+    const auto result = LoadSettings(file);
+    REQUIRE(std::holds_alternative<settings_error>(result));
+    CHECK(std::get<settings_error>(result).fault == settings_fault::kMissingFile);
+  }
+}
+
+TEST_CASE_METHOD(settings_fixture, "settings fault, each, has an exit code of its own",
+                 "[settings]") {
+  std::set<int> codes;
+  for (int i = 0; i <= static_cast<int>(settings_fault::kContradiction); ++i) {
+    codes.insert(ExitCode(static_cast<settings_fault>(i)));
+  }
+  CHECK(codes.size() == 9);
+  CHECK(*codes.begin() == 10);
+}
+
+TEST_CASE_METHOD(settings_fixture, "duration, written as text, reads back the same", "[settings]") {
+  for (const int64_t count : {0, 1, 250, 1000, 1500, 60000, 90000, 3600000}) {
+    CHECK(ParseDuration(DurationText(milliseconds{count})) == milliseconds{count});
+  }
+  CHECK(DurationText(milliseconds{600000}) == "10m");
+}
+
+}  // namespace catkinford
