Let the decision core resume a job whose record was read back

A new owner reads the jobs of its shard from the store and the running tasks from the endpoints' lists: only the rest waits. Attempts count from a base of each owner's own, so that a start never meets the retained end of an earlier owner's run under the same id.

--- a/src/process/decision_core.h
+++ b/src/process/decision_core.h
@@ -111,6 +111,9 @@
 
 struct core_options {
   uint64_t seed = 1;  // jitter of retry-after, ties
+  // Attempts of tasks count up from here. Each owner has a base of its own: with the numbers of an
+  // earlier owner a start could meet the retained end of an old run and be taken for it.
+  uint32_t attempt_base = 0;
 };
 
 class decision_core {
@@ -136,9 +139,13 @@
 
   // Work.
   admission Submit(const job_request& request, monotonic_time now);
+  // As Submit, for a job whose record was read back: only the tasks in `waiting` wait, the others are
+  // over or come by Adopt(), before or after. Never refused for a full queue.
+  void Resume(const job_request& request, const std::vector<uint32_t>& waiting, monotonic_time now);
   // A cheap mark; running tasks get kStop from the next Decide(). False when the job is not known.
   bool Cancel(const request_id& job, monotonic_time now);
-  // From a fenced list: it runs, whatever the limits say.
+  // From a fenced list: it runs, whatever the limits say. Its job may be unknown to the core: then
+  // nothing of the job waits, and the task is only counted until it ends.
   void Adopt(const running_task& task, monotonic_time now);
   // The endpoint confirmed the start.
   void Started(const task_id& task, monotonic_time now);
