Hold the pages' tables to the code

Cause: a settings name, event number or metric that is only on a page, or only in the code, sends an operator astray. Change: catkinford-bench tables writes the tables of settings, exit codes, metrics and events into marked sections of the pages; a test compares them, and each name in prose with the code. The metric for endpoints by state has the new state silent.

--- a/bench/commands.h
+++ b/bench/commands.h
@@ -2,6 +2,11 @@
 #ifndef CATKINFORD_BENCH_COMMANDS_H_
 #define CATKINFORD_BENCH_COMMANDS_H_
 
-namespace catkinford {}  // namespace catkinford
+namespace catkinford {
+
+// Writes the tables of the pages from the code: `tables [ROOT]`.
+int TablesMain(int argc, char** argv);
+
+}  // namespace catkinford
 
 #endif  // CATKINFORD_BENCH_COMMANDS_H_
--- a/src/main/catkinford-bench.cc
+++ b/src/main/catkinford-bench.cc
@@ -13,9 +13,10 @@
   std::string_view help;
 };
 
-constexpr std::array<bench_command, 1> kCommands = {{
+constexpr std::array kCommands = std::to_array<bench_command>({
     {"help", [](int, char**) { return 2; }, "this list"},
-}};
+    {"tables", catkinford::TablesMain, "write the tables of docs/ from the code: tables [ROOT]"},
+});
 
 int Usage() {
   std::puts("catkinford-bench COMMAND [--flag value ...]");
--- a/src/process/metrics.cc
+++ b/src/process/metrics.cc
@@ -4,8 +4,10 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
+#include <utility>
 
 namespace catkinford {
 namespace {
@@ -22,8 +24,8 @@
 const Histogram::BucketBoundaries kDecisionBounds = {0.000005, 0.00001, 0.000025, 0.00005,
                                                      0.0001,   0.00025, 0.001,    0.01};
 
-constexpr std::array<std::string_view, kEndpointStates> kEndpointStateNames = {"unfenced", "open",
-                                                                               "leaving", "gone"};
+constexpr std::array<std::string_view, kEndpointStates> kEndpointStateNames = {
+    "unfenced", "open", "silent", "leaving", "gone"};
 constexpr std::array<std::string_view, kPeerDirections> kDirectionNames = {"sent", "received"};
 constexpr std::array<std::string_view, kStoreCallKinds> kStoreCallNames = {"get", "range", "write",
                                                                            "lease", "watch"};
@@ -52,6 +54,17 @@
   for (size_t i = 0; i < N; ++i) out[i] = &family.Add({{label, std::string(names[i])}});
 }
 
+std::string_view TypeText(prometheus::MetricType type) {
+  switch (type) {
+    case prometheus::MetricType::Counter:
+      return "counter";
+    case prometheus::MetricType::Gauge:
+      return "gauge";
+    default:
+      return "histogram";
+  }
+}
+
 double Seconds(std::chrono::microseconds time) {
   return std::chrono::duration<double>(time).count();
 }
@@ -190,6 +203,18 @@
   endpoint_bytes_[1]->Increment(static_cast<double>(bytes_received));
 }
 
+std::vector<metric_info> metrics::List() const {
+  std::vector<metric_info> list;
+  for (const prometheus::MetricFamily& family : registry_.Collect()) {
+    metric_info info{family.name, TypeText(family.type), {}, family.help};
+    for (const auto& label : family.metric.front().label) info.labels.push_back(label.name);
+    list.push_back(std::move(info));
+  }
+  std::sort(list.begin(), list.end(),
+            [](const metric_info& a, const metric_info& b) { return a.name < b.name; });
+  return list;
+}
+
 std::string metrics::Text() {
   resident_bytes_.Set(ResidentBytes());
   cpu_seconds_.Increment(CpuSeconds() - cpu_seconds_.Value());
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "process/decision_core.h"
 #include "request/job_request.h"
@@ -29,11 +30,18 @@
 constexpr size_t kWorkloadKinds = 4;
 constexpr size_t kOutcomeKinds = 5;
 constexpr size_t kRefusalReasons = 13;
-constexpr size_t kEndpointStates = 4;
+constexpr size_t kEndpointStates = 5;
 constexpr size_t kPeerDirections = 2;
 constexpr size_t kStoreCallKinds = 5;
 constexpr size_t kStoreCallEnds = 4;
 
+struct metric_info {
+  std::string name;
+  std::string_view type;            // "counter", "gauge", "histogram"
+  std::vector<std::string> labels;  // their names
+  std::string help;
+};
+
 // All writers may be on any thread.
 class metrics {
  public:
@@ -55,6 +63,8 @@
   void CountStoreCall(store_call_kind kind, store_call_end end);
   void CountEndpointCall(size_t bytes_sent, size_t bytes_received);
 
+  // Name, type, labels and help of each, in order of names: for the docs.
+  std::vector<metric_info> List() const;
   // The Prometheus text format. Reads memory and processor time of the process from the system.
   std::string Text();
 
--- a/src/process/settings.cc
+++ b/src/process/settings.cc
@@ -21,22 +21,17 @@
 
 constexpr int kFirstExitCode = 10;
 
-struct fault_words {
-  settings_fault fault;
-  std::string_view words;
-};
-
-constexpr std::array<fault_words, 9> kFaultWords = {{
-    {settings_fault::kMissingFile, "the settings file cannot be read"},
-    {settings_fault::kNotJson, "not JSON with comments"},
-    {settings_fault::kUnknownField, "unknown setting"},
-    {settings_fault::kMissingField, "required setting is missing"},
-    {settings_fault::kWrongType, "wrong type"},
-    {settings_fault::kWrongUnit, "wrong or missing unit"},
-    {settings_fault::kOutOfRange, "out of range"},
-    {settings_fault::kDuplicateField, "given twice"},
-    {settings_fault::kContradiction, "contradicts another setting"},
-}};
+// In the order of the enumeration.
+constexpr std::array<std::string_view, kSettingsFaults> kFaultWords = {
+    "the settings file cannot be read",
+    "not JSON with comments",
+    "unknown setting",
+    "required setting is missing",
+    "wrong type",
+    "wrong or missing unit",
+    "out of range",
+    "given twice",
+    "contradicts another setting"};
 
 const setting_info* FindSetting(const std::string& path) {
   for (const setting_info& info : AllSettings()) {
@@ -226,10 +221,12 @@
 
 int ExitCode(settings_fault fault) { return kFirstExitCode + static_cast<int>(fault); }
 
+std::string_view ToText(settings_fault fault) { return kFaultWords[static_cast<size_t>(fault)]; }
+
 std::string ToText(const settings_error& error) {
   std::string out = error.path.empty() ? "settings" : error.path;
   out += ": ";
-  out += kFaultWords[static_cast<size_t>(error.fault)].words;
+  out += ToText(error.fault);
   if (!error.value.empty()) out += ": " + error.value;
   if (!error.want.empty()) out += "; wanted: " + error.want;
   return out;
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -3,6 +3,7 @@
 #define CATKINFORD_PROCESS_SETTINGS_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -84,8 +85,11 @@
   std::string want;   // what would be right
 };
 
+constexpr size_t kSettingsFaults = 9;
+
 // Each fault has an exit code of its own: 10 and up, in the order of the enumeration.
 int ExitCode(settings_fault fault);
+std::string_view ToText(settings_fault fault);
 std::string ToText(const settings_error& error);
 
 // Strict: an unknown name, a wrong unit or a value out of range is an error, and nothing starts.
--- /dev/null
+++ b/test/pages_test.cc
@@ -0,0 +1,102 @@
+// The pages against the code: what an operator reads exists, and what exists is on a page.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <iterator>
+#include <regex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "bench/tables.h"
+#include "process/events.h"
+#include "process/metrics.h"
+#include "process/settings.h"
+#include "process/settings_table.h"
+
+namespace catkinford {
+namespace {
+
+class pages_fixture {
+ protected:
+  static std::string Page(const std::string& path) {
+    std::ifstream in(std::string(CATKINFORD_SOURCE_DIR) + "/" + path);
+    REQUIRE(in.good());
+    return {std::istreambuf_iterator<char>(in), {}};
+  }
+  // All matches of the first group of `pattern`.
+  static std::set<std::string> Find(const std::string& text, const std::string& pattern) {
+    const std::regex expression(pattern);
+    std::set<std::string> found;
+    for (std::sregex_iterator it(text.begin(), text.end(), expression), end; it != end; ++it) {
+      found.insert((*it)[1]);
+    }
+    return found;
+  }
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(pages_fixture, "page tables, compared with the code, are the same", "[pages]") {
+  for (const page_table& table : AllPageTables()) {
+    INFO("section " << table.name << " of " << table.page << ": run catkinford-bench tables");
+    const auto section = SectionOf(Page(std::string(table.page)), table.name);
+    REQUIRE(section.has_value());
+    CHECK(*section == table.text());
+  }
+}
+
+// An operator searches a page for a metric that an alert names; a name that is only on the page,
+// or was changed in the code alone, sends the search astray.
+TEST_CASE_METHOD(pages_fixture, "pages, metric named in prose, exists in the code", "[pages]") {
+  std::set<std::string> known;
+  const metrics all;
+  for (const metric_info& info : all.List()) {
+    known.insert(info.name);
+    if (info.type == "histogram") known.insert(info.name + "_bucket");
+  }
+  for (const std::string page : {"docs/OPERATING.md", "docs/EVENTS.md", "docs/PROMISES.md"}) {
+    for (const std::string& name : Find(Page(page), "`(catkinford_[a-z_]+)[`{]")) {
+      INFO(page << " names " << name);
+      CHECK(known.contains(name));
+    }
+  }
+}
+
+TEST_CASE_METHOD(pages_fixture, "pages, setting named in prose, exists in the code", "[pages]") {
+  std::set<std::string> known;
+  for (const setting_info& info : AllSettings()) known.insert(std::string(info.path));
+  for (const std::string page : {"docs/OPERATING.md", "docs/EVENTS.md", "docs/PROMISES.md"}) {
+    const std::string pattern =
+        "`((?:listen|platform|shards|timing|bounds|isolation|logs)\\.[a-z_]+)`";
+    for (const std::string& name : Find(Page(page), pattern)) {
+      INFO(page << " names " << name);
+      CHECK(known.contains(name));
+    }
+  }
+}
+
+TEST_CASE_METHOD(pages_fixture, "pages, event named in prose, exists in the code", "[pages]") {
+  std::set<std::string> known;
+  for (const event_info& info : AllEvents()) {
+    known.insert(std::to_string(static_cast<int>(info.code)) + " " + std::string(info.name));
+  }
+  for (const std::string page : {"docs/OPERATING.md", "docs/EVENTS.md", "docs/PROMISES.md"}) {
+    for (const std::string& name : Find(Page(page), "`([1-5][0-9][0-9] [a-z_]+)`")) {
+      INFO(page << " names " << name);
+      CHECK(known.contains(name));
+    }
+  }
+}
+
+TEST_CASE_METHOD(pages_fixture, "example settings of the pages, read, are accepted", "[pages]") {
+  const std::set<std::string> examples = Find(Page("docs/OPERATING.md"), "```jsonc\n([^`]*)```");
+  REQUIRE(!examples.empty());
+  for (const std::string& example : examples) {
+    const auto result = ParseSettings(example);
+    INFO(example);
+    CHECK(std::holds_alternative<settings>(result));
+  }
+}
+
+}  // namespace catkinford
--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -102,10 +102,11 @@
 TEST_CASE_METHOD(settings_fixture, "settings fault, each, has an exit code of its own",
                  "[settings]") {
   std::set<int> codes;
-  for (int i = 0; i <= static_cast<int>(settings_fault::kContradiction); ++i) {
+  for (size_t i = 0; i < kSettingsFaults; ++i) {
     codes.insert(ExitCode(static_cast<settings_fault>(i)));
   }
-  CHECK(codes.size() == 9);
+  CHECK(codes.size() == kSettingsFaults);
+  CHECK(*codes.rbegin() == ExitCode(settings_fault::kContradiction));
   CHECK(*codes.begin() == 10);
 }
 
