Add stand-ins for the platform's endpoints, store and instance list

Cause: nothing in the repository played the platform, so no path of a request could run. Change: pure models of one endpoint (capacity, leases, fencing, retention, faults), of the store (compare-and-swap, leases, watches, rates, outages) and of the lagging list, each behind our http_server, in one program catkinford-standin.

--- /dev/null
+++ b/standin/command.cc
@@ -0,0 +1,161 @@
+#include "standin/command.h"
+
+#include <csignal>
+#include <cstdio>
+#include <ctime>
+#include <fstream>
+#include <string>
+#include <vector>
+
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/flags/usage.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "standin/endpoint_server.h"
+#include "standin/instance_server.h"
+#include "standin/json_fields.h"
+#include "standin/store_server.h"
+
+ABSL_FLAG(uint32_t, port, 0, "port to listen on; 0: the system picks one");
+ABSL_FLAG(std::string, names, "",
+          "endpoint: names, separated by commas; ep-0..ep-16 stands for ep-0, ep-1 ... ep-16");
+ABSL_FLAG(uint32_t, count, 0, "endpoint: how many, named PREFIX-0, PREFIX-1 ...");
+ABSL_FLAG(std::string, prefix, "ep", "endpoint: prefix of the names");
+ABSL_FLAG(std::string, shape, "16000,32768,0,8",
+          "endpoint: milli-processors, megabytes, accelerators, slots of each");
+ABSL_FLAG(bool, fencing, true, "endpoint: refuses an epoch that is too low");
+ABSL_FLAG(uint64_t, incarnation, 1, "endpoint: number of this life; a restarted one needs another");
+ABSL_FLAG(double, read_rate, 2000, "store: reads a second");
+ABSL_FLAG(double, write_rate, 500, "store: writes a second");
+ABSL_FLAG(bool, freeze_leases, false,
+          "store: time of leases stands still while the store is down; else all may have lapsed");
+ABSL_FLAG(uint64_t, seed, 1, "store: which replies are lost");
+ABSL_FLAG(uint32_t, lag_ms, 500, "instances: age of what readers see");
+ABSL_FLAG(std::string, file, "", "instances: JSON list of the first instances");
+
+namespace catkinford {
+namespace {
+
+constexpr int kBadUse = 2;
+constexpr int kPortTaken = 3;
+constexpr const char* kUsage =
+    "Stand-ins for the platform, each a real process that speaks docs/PROTOCOL.md.\n"
+    "  catkinford-standin endpoint --names ep-0..ep-16 --port 9101\n"
+    "  catkinford-standin store --port 9000 --read_rate 2000 --write_rate 500\n"
+    "  catkinford-standin instances --port 9001 --lag_ms 500 --file list.json\n";
+
+// "ep-0..ep-16" gives 17 names; a text without ".." is a name itself.
+void AppendRange(const std::string& text, std::vector<std::string>& names) {
+  const std::vector<std::string> ends = absl::StrSplit(text, "..");
+  const size_t digits_at = ends[0].find_last_not_of("0123456789") + 1;
+  const std::string prefix = ends[0].substr(0, digits_at);
+  uint32_t first = 0;
+  uint32_t last = 0;
+  const bool is_range = ends.size() == 2 && ends[1].size() > digits_at &&
+                        absl::SimpleAtoi(ends[0].substr(digits_at), &first) &&
+                        absl::SimpleAtoi(ends[1].substr(digits_at), &last);
+  if (!is_range) {
+    names.push_back(text);
+    return;
+  }
+  for (uint32_t i = first; i <= last; ++i) names.push_back(absl::StrCat(prefix, i));
+}
+
+std::vector<std::string> EndpointNames() {
+  std::vector<std::string> names;
+  const std::string given = absl::GetFlag(FLAGS_names);
+  if (!given.empty()) {
+    const std::vector<std::string> parts = absl::StrSplit(given, ',');
+    for (const std::string& part : parts) AppendRange(part, names);
+  }
+  for (uint32_t i = 0; i < absl::GetFlag(FLAGS_count); ++i) {
+    names.push_back(absl::StrCat(absl::GetFlag(FLAGS_prefix), "-", i));
+  }
+  return names;
+}
+
+bool ParseShape(const std::string& text, resources& shape) {
+  const std::vector<std::string> parts = absl::StrSplit(text, ',');
+  return parts.size() == 4 && absl::SimpleAtoi(parts[0], &shape.cpu_milli) &&
+         absl::SimpleAtoi(parts[1], &shape.memory_mb) &&
+         absl::SimpleAtoi(parts[2], &shape.accelerators) &&
+         absl::SimpleAtoi(parts[3], &shape.slots);
+}
+
+template <typename Server>
+int Serve(Server& server, const sigset_t& ending) {
+  if (!server.Start()) {
+    std::fprintf(stderr, "port is taken\n");
+    return kPortTaken;
+  }
+  std::printf("ready %u\n", static_cast<unsigned>(server.Port()));
+  std::fflush(stdout);
+  int signal = 0;
+  sigwait(&ending, &signal);
+  server.Stop();
+  return 0;
+}
+
+int RunEndpoints(uint16_t port, const sigset_t& ending) {
+  endpoint_server_options options;
+  options.port = port;
+  options.names = EndpointNames();
+  options.fencing = absl::GetFlag(FLAGS_fencing);
+  options.incarnation = absl::GetFlag(FLAGS_incarnation);
+  if (options.names.empty() || !ParseShape(absl::GetFlag(FLAGS_shape), options.shape)) {
+    std::fprintf(stderr, "endpoint: --names or --count, and a --shape of four numbers, please\n");
+    return kBadUse;
+  }
+  endpoint_server server(std::move(options));
+  return Serve(server, ending);
+}
+
+int RunStore(uint16_t port, const sigset_t& ending) {
+  store_options options;
+  options.read_rate = absl::GetFlag(FLAGS_read_rate);
+  options.write_rate = absl::GetFlag(FLAGS_write_rate);
+  options.freeze_leases_while_down = absl::GetFlag(FLAGS_freeze_leases);
+  options.seed = absl::GetFlag(FLAGS_seed);
+  store_server server(port, options);
+  return Serve(server, ending);
+}
+
+int RunInstances(uint16_t port, const sigset_t& ending) {
+  nlohmann::json instances = nlohmann::json::array();
+  if (const std::string file = absl::GetFlag(FLAGS_file); !file.empty()) {
+    std::ifstream in(file);
+    const nlohmann::json read = nlohmann::json::parse(in, nullptr, false, true);
+    instances = read.is_object() ? ChildOf(read, "instances") : read;
+    if (!instances.is_array()) {
+      std::fprintf(stderr, "instances: --file does not hold a list\n");
+      return kBadUse;
+    }
+  }
+  instance_server server(port, std::chrono::milliseconds{absl::GetFlag(FLAGS_lag_ms)},
+                         std::move(instances));
+  return Serve(server, ending);
+}
+
+}  // namespace
+
+int RunStandin(int argc, char** argv) {
+  absl::SetProgramUsageMessage(kUsage);
+  const std::vector<char*> words = absl::ParseCommandLine(argc, argv);
+  const std::string kind = words.size() > 1 ? words[1] : "";
+  // Blocked before any thread starts, so that sigwait() alone gets them.
+  sigset_t ending;
+  sigemptyset(&ending);
+  sigaddset(&ending, SIGTERM);
+  sigaddset(&ending, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &ending, nullptr);
+  const auto port = static_cast<uint16_t>(absl::GetFlag(FLAGS_port));
+  if (kind == "endpoint") return RunEndpoints(port, ending);
+  if (kind == "store") return RunStore(port, ending);
+  if (kind == "instances") return RunInstances(port, ending);
+  std::fputs(kUsage, stderr);
+  return kBadUse;
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/standin/store_model.cc
@@ -0,0 +1,260 @@
+#include "standin/store_model.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "standin/json_fields.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr size_t kLargestValue = size_t{1} << 20;
+constexpr milliseconds kLongestWatch{60000};
+constexpr milliseconds kLostHeld{30000};  // how long the connection of a lost reply is kept
+
+bool IsWrite(const store_call& call) { return call.method == "POST"; }
+
+nlohmann::json ItemOf(const std::string& key, const std::string& value, uint64_t revision,
+                      const std::string& lease) {
+  return {{"key", key}, {"value", value}, {"revision", revision}, {"lease", lease}};
+}
+
+}  // namespace
+
+bool token_bucket::Take(monotonic_time now) {
+  if (last_ != monotonic_time{}) {
+    level_ += rate_ * std::chrono::duration<double>(now - last_).count();
+  }
+  last_ = now;
+  level_ = std::min(level_, rate_);
+  if (level_ < 1) return false;
+  level_ -= 1;
+  return true;
+}
+
+store_model::store_model(store_options options)
+    : options_(options),
+      reads_(options.read_rate),
+      writes_(options.write_rate),
+      random_(options.seed) {}
+
+void store_model::Handle(http_server::token token, store_call call, monotonic_time now,
+                         due_replies& replies) {
+  Tick(now, replies);
+  ++counters_[IsWrite(call) ? "writes" : "reads"];
+  ++counters_[absl::StrCat(call.method, " ", call.path)];
+  if (mode_ == store_mode::kDown) {
+    ++counters_["unavailable"];
+    replies.emplace_back(token, ErrorReply(503, "unavailable"));
+    return;
+  }
+  if (!(IsWrite(call) ? writes_ : reads_).Take(now)) {
+    ++counters_["rate_refused"];
+    replies.emplace_back(token, ErrorReply(429, "rate"));
+    return;
+  }
+  if (mode_ == store_mode::kSlow) {
+    delayed_.push_back({now + delay_, token, std::move(call)});
+    return;
+  }
+  Do(token, call, now, replies);
+}
+
+void store_model::Do(http_server::token token, const store_call& call, monotonic_time now,
+                     due_replies& replies) {
+  const bool is_write = IsWrite(call);
+  http_response answer = ErrorReply(404, "no_such_call");
+  if (is_write && call.path == "/v1/cas") answer = CompareAndSwap(call.body);
+  if (is_write && call.path == "/v1/leases") answer = GrantLease(call.body, now);
+  if (is_write && call.path == "/v1/leases/keepalive") answer = KeepLease(call.body, now);
+  if (!is_write && call.path == "/v1/kv") answer = Get(call.key);
+  if (!is_write && call.path == "/v1/range") answer = Range(call.key, 0);
+  if (!is_write && call.path == "/v1/watch") {
+    watches_.push_back({token, call.key, call.after, now + std::min(call.wait, kLongestWatch)});
+    AnswerWatches(now, replies);
+    return;
+  }
+  const bool lost = is_write && mode_ == store_mode::kLoseReplies &&
+                    std::uniform_real_distribution<double>(0, 1)(random_) < ratio_;
+  if (lost) {
+    ++counters_["lost_replies"];
+    held_.push_back({now + kLostHeld, token});
+  } else {
+    replies.emplace_back(token, std::move(answer));
+  }
+  AnswerWatches(now, replies);
+}
+
+http_response store_model::Get(const std::string& key) const {
+  const auto found = values_.find(key);
+  if (found == values_.end()) {
+    return JsonReply(404, {{"error", "absent"}, {"revision", revision_}});
+  }
+  const stored_value& at = found->second;
+  return JsonReply(200, ItemOf(key, at.value, at.revision, at.lease));
+}
+
+http_response store_model::Range(const std::string& prefix, uint64_t after) const {
+  nlohmann::json items = nlohmann::json::array();
+  for (auto at = values_.lower_bound(prefix);
+       at != values_.end() && at->first.compare(0, prefix.size(), prefix) == 0; ++at) {
+    if (at->second.revision <= after) continue;
+    items.push_back(ItemOf(at->first, at->second.value, at->second.revision, at->second.lease));
+  }
+  return JsonReply(200, {{"revision", revision_}, {"items", std::move(items)}});
+}
+
+bool store_model::ChangedBelow(const std::string& prefix, uint64_t after) const {
+  for (auto at = values_.lower_bound(prefix);
+       at != values_.end() && at->first.compare(0, prefix.size(), prefix) == 0; ++at) {
+    if (at->second.revision > after) return true;
+  }
+  for (auto at = deleted_.lower_bound(prefix);
+       at != deleted_.end() && at->first.compare(0, prefix.size(), prefix) == 0; ++at) {
+    if (at->second > after) return true;
+  }
+  return false;
+}
+
+http_response store_model::CompareAndSwap(const nlohmann::json& body) {
+  const std::string key = TextOf(body, "key", "");
+  const nlohmann::json& value = ChildOf(body, "value");
+  const std::string lease = TextOf(body, "lease", "");
+  if (key.empty()) return ErrorReply(422, "bad_field");
+  if (value.is_string() && value.get_ref<const std::string&>().size() > kLargestValue) {
+    return ErrorReply(413, "too_large");
+  }
+  const auto found = values_.find(key);
+  const uint64_t present = found == values_.end() ? 0 : found->second.revision;
+  if (static_cast<uint64_t>(IntOf(body, "expect", 0)) != present) {
+    nlohmann::json conflict = {{"error", "conflict"}, {"revision", present}, {"value", nullptr}};
+    if (found != values_.end()) conflict["value"] = found->second.value;
+    return JsonReply(409, conflict);
+  }
+  if (!lease.empty() && !leases_.contains(lease)) return ErrorReply(404, "no_lease");
+  ++revision_;
+  if (value.is_string()) {
+    values_[key] = {value.get<std::string>(), revision_, lease};
+    deleted_.erase(key);
+  } else {
+    values_.erase(key);
+    deleted_[key] = revision_;
+  }
+  return JsonReply(200, {{"revision", revision_}});
+}
+
+http_response store_model::GrantLease(const nlohmann::json& body, monotonic_time now) {
+  const milliseconds ttl = MillisecondsOf(body, "ttl_ms", milliseconds{0});
+  if (ttl <= milliseconds{0}) return ErrorReply(422, "bad_field");
+  const std::string name = absl::StrCat("lease-", next_lease_++);
+  leases_[name] = {ttl, now + ttl};
+  return JsonReply(200, {{"lease", name}});
+}
+
+http_response store_model::KeepLease(const nlohmann::json& body, monotonic_time now) {
+  const auto found = leases_.find(TextOf(body, "lease", ""));
+  if (found == leases_.end()) return ErrorReply(404, "no_lease");
+  found->second.until = now + found->second.ttl;
+  return JsonReply(200, {{"ttl_ms", found->second.ttl.count()}});
+}
+
+void store_model::Lapse(monotonic_time now) {
+  for (auto lease = leases_.begin(); lease != leases_.end();) {
+    if (lease->second.until > now) {
+      ++lease;
+      continue;
+    }
+    ++counters_["leases_lapsed"];
+    for (auto at = values_.begin(); at != values_.end();) {
+      if (at->second.lease != lease->first) {
+        ++at;
+        continue;
+      }
+      deleted_[at->first] = ++revision_;
+      at = values_.erase(at);
+    }
+    lease = leases_.erase(lease);
+  }
+}
+
+void store_model::AnswerWatches(monotonic_time now, due_replies& replies) {
+  std::erase_if(watches_, [&](const waiting_watch& watch) {
+    if (ChangedBelow(watch.prefix, watch.after)) {
+      replies.emplace_back(watch.token, Range(watch.prefix, watch.after));
+      return true;
+    }
+    if (watch.until > now) return false;
+    replies.emplace_back(
+        watch.token, JsonReply(200, {{"revision", revision_}, {"items", nlohmann::json::array()}}));
+    return true;
+  });
+}
+
+void store_model::SetMode(store_mode mode, milliseconds delay, double ratio, monotonic_time now,
+                          due_replies& replies) {
+  Tick(now, replies);
+  if (mode_ == store_mode::kDown && mode != store_mode::kDown) {
+    if (options_.freeze_leases_while_down) {
+      for (auto& [name, lease] : leases_) lease.until += now - down_since_;
+    }
+  }
+  if (mode == store_mode::kDown && mode_ != store_mode::kDown) {
+    down_since_ = now;
+    for (const waiting_watch& watch : watches_) {
+      replies.emplace_back(watch.token, ErrorReply(503, "unavailable"));
+    }
+    watches_.clear();
+    for (const delayed_call& call : delayed_) {
+      replies.emplace_back(call.token, ErrorReply(503, "unavailable"));
+    }
+    delayed_.clear();
+  }
+  mode_ = mode;
+  delay_ = delay;
+  ratio_ = ratio;
+  Tick(now, replies);
+}
+
+void store_model::Tick(monotonic_time now, due_replies& replies) {
+  std::erase_if(held_, [&](const held_token& held) {
+    if (held.free_at > now) return false;
+    replies.emplace_back(held.token, ErrorReply(504, "lost"));
+    return true;
+  });
+  if (mode_ == store_mode::kDown) return;
+  Lapse(now);
+  std::vector<delayed_call> due;
+  std::erase_if(delayed_, [&](delayed_call& call) {
+    if (call.due > now) return false;
+    due.push_back(std::move(call));
+    return true;
+  });
+  for (const delayed_call& call : due) Do(call.token, call.call, now, replies);
+  AnswerWatches(now, replies);
+}
+
+monotonic_time store_model::NextWake() const {
+  monotonic_time next = monotonic_time::max();
+  for (const held_token& held : held_) next = std::min(next, held.free_at);
+  if (mode_ == store_mode::kDown) return next;
+  for (const auto& [name, lease] : leases_) next = std::min(next, lease.until);
+  for (const waiting_watch& watch : watches_) next = std::min(next, watch.until);
+  for (const delayed_call& call : delayed_) next = std::min(next, call.due);
+  return next;
+}
+
+nlohmann::json store_model::Counters() const {
+  nlohmann::json all = nlohmann::json::object();
+  for (const auto& [name, count] : counters_) all[name] = count;
+  all["revision"] = revision_;
+  all["keys"] = values_.size();
+  all["leases"] = leases_.size();
+  all["watches_waiting"] = watches_.size();
+  return all;
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/standin/store_model.h
@@ -0,0 +1,129 @@
+// The platform's store: compare-and-swap, leases, watches, rates, and its outages.
+//
+// Pure: the present time comes in, answers go out. One lock outside guards it.
+#ifndef CATKINFORD_STANDIN_STORE_MODEL_H_
+#define CATKINFORD_STANDIN_STORE_MODEL_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "connection/http_server.h"
+#include "request/job_request.h"
+
+namespace catkinford {
+
+enum class store_mode : uint8_t {
+  kUp,
+  kDown,        // everything is answered 503
+  kSlow,        // each call is done only after `delay`, also when its caller has long given up
+  kLoseReplies  // a part of the writes is done and never answered
+};
+
+struct store_options {
+  double read_rate = 2000;  // calls a second; a waiting watch is one call
+  double write_rate = 500;
+  // While the store is down, the time of leases goes on and all may have lapsed when it is back;
+  // or it stands still. Platforms differ; the first is the harder one.
+  bool freeze_leases_while_down = false;
+  uint64_t seed = 1;
+};
+
+// Calls a second, with a second's worth in hand.
+class token_bucket {
+ public:
+  explicit token_bucket(double rate) : rate_(rate), level_(rate) {}
+  bool Take(monotonic_time now);
+
+ private:
+  double rate_;
+  double level_;
+  monotonic_time last_{};
+};
+
+struct store_call {
+  std::string method;
+  std::string path;
+  std::string key;     // or prefix
+  uint64_t after = 0;  // of a watch
+  std::chrono::milliseconds wait{0};
+  nlohmann::json body;
+};
+
+class store_model {
+ public:
+  using due_replies = std::vector<std::pair<http_server::token, http_response>>;
+
+  explicit store_model(store_options options);
+
+  void Handle(http_server::token token, store_call call, monotonic_time now, due_replies& replies);
+  void SetMode(store_mode mode, std::chrono::milliseconds delay, double ratio, monotonic_time now,
+               due_replies& replies);
+  void Tick(monotonic_time now, due_replies& replies);
+  monotonic_time NextWake() const;
+  nlohmann::json Counters() const;
+
+ private:
+  struct stored_value {
+    std::string value;
+    uint64_t revision = 0;
+    std::string lease;
+  };
+  struct stored_lease {
+    std::chrono::milliseconds ttl{0};
+    monotonic_time until;
+  };
+  struct waiting_watch {
+    http_server::token token = 0;
+    std::string prefix;
+    uint64_t after = 0;
+    monotonic_time until;
+  };
+  struct delayed_call {
+    monotonic_time due;
+    http_server::token token = 0;
+    store_call call;
+  };
+  struct held_token {
+    monotonic_time free_at;
+    http_server::token token = 0;
+  };
+
+  void Do(http_server::token token, const store_call& call, monotonic_time now,
+          due_replies& replies);
+  http_response Get(const std::string& key) const;
+  http_response Range(const std::string& prefix, uint64_t after) const;
+  bool ChangedBelow(const std::string& prefix, uint64_t after) const;
+  http_response CompareAndSwap(const nlohmann::json& body);
+  http_response GrantLease(const nlohmann::json& body, monotonic_time now);
+  http_response KeepLease(const nlohmann::json& body, monotonic_time now);
+  void Lapse(monotonic_time now);
+  void AnswerWatches(monotonic_time now, due_replies& replies);
+
+  store_options options_;
+  store_mode mode_ = store_mode::kUp;
+  std::chrono::milliseconds delay_{0};
+  double ratio_ = 0;
+  monotonic_time down_since_{};
+  token_bucket reads_;
+  token_bucket writes_;
+  std::mt19937_64 random_;
+  uint64_t revision_ = 0;
+  uint64_t next_lease_ = 1;
+  std::map<std::string, stored_value> values_;
+  std::map<std::string, uint64_t> deleted_;  // revision of each key's latest deletion
+  std::map<std::string, stored_lease> leases_;
+  std::vector<waiting_watch> watches_;
+  std::vector<delayed_call> delayed_;
+  std::vector<held_token> held_;
+  std::map<std::string, uint64_t> counters_;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_STANDIN_STORE_MODEL_H_
--- /dev/null
+++ b/standin/timer_thread.h
@@ -0,0 +1,42 @@
+// One thread that calls back at the earliest time asked for.
+#ifndef CATKINFORD_STANDIN_TIMER_THREAD_H_
+#define CATKINFORD_STANDIN_TIMER_THREAD_H_
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+#include "request/job_request.h"
+
+namespace catkinford {
+
+class timer_thread {
+ public:
+  // Does what is due and returns when it wants to be called next.
+  using callback = std::function<monotonic_time()>;
+
+  explicit timer_thread(callback on_wake);
+  ~timer_thread();
+  timer_thread(const timer_thread&) = delete;
+  timer_thread& operator=(const timer_thread&) = delete;
+
+  void Start();
+  // The callback is wanted at `at` at the latest.
+  void WakeBy(monotonic_time at);
+  void Stop();
+
+ private:
+  void Run();
+
+  callback on_wake_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  monotonic_time next_ = monotonic_time::max();
+  bool stopping_ = false;
+  std::thread thread_;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_STANDIN_TIMER_THREAD_H_
