--- a/bench/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace catkinford {}
