--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -3,6 +3,7 @@
 #define CATKINFORD_PROCESS_SETTINGS_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -73,6 +74,8 @@
   kWrongType,
   kWrongUnit,  // durations are texts with a unit: "250ms", "10s", "10m"
   kOutOfRange,
+  kDuplicateField,  // which of the two was meant cannot be known
+  kContradiction,   // two settings that cannot both hold
 };
 
 struct settings_error {
@@ -82,8 +85,11 @@
   std::string want;   // what would be right
 };
 
+constexpr size_t kSettingsFaults = 9;
+
 // Each fault has an exit code of its own: 10 and up, in the order of the enumeration.
 int ExitCode(settings_fault fault);
+std::string_view ToText(settings_fault fault);
 std::string ToText(const settings_error& error);
 
 // Strict: an unknown name, a wrong unit or a value out of range is an error, and nothing starts.
