--- a/src/process/decision_core.cc
+++ b/src/process/decision_core.cc
@@ -66,9 +66,9 @@
   return impl_->Submit(request, now);
 }
 
-void decision_core::Restore(const job_request& request, std::span<const uint32_t> done,
-                            monotonic_time now) {
-  impl_->Restore(request, done, now);
+void decision_core::Resume(const job_request& request, const std::vector<uint32_t>& waiting,
+                           monotonic_time now) {
+  impl_->Resume(request, waiting, now);
 }
 
 bool decision_core::Cancel(const request_id& job, monotonic_time /*now*/) {
--- a/src/process/decision_impl.h
+++ b/src/process/decision_impl.h
@@ -11,7 +11,6 @@
 #include <deque>
 #include <optional>
 #include <queue>
-#include <span>
 #include <string>
 #include <vector>
 
@@ -71,7 +70,7 @@
 
   // A job's life.
   admission Submit(const job_request& request, monotonic_time now);
-  void Restore(const job_request& request, std::span<const uint32_t> done, monotonic_time now);
+  void Resume(const job_request& request, const std::vector<uint32_t>& waiting, monotonic_time now);
   bool Cancel(const request_id& id);
   void Adopt(const running_task& task, monotonic_time now);
   void Started(const task_id& task, monotonic_time now);
--- a/src/process/decision_jobs.cc
+++ b/src/process/decision_jobs.cc
@@ -99,23 +99,29 @@
   return {true};
 }
 
-void decision_core::impl::Restore(const job_request& request, std::span<const uint32_t> done,
-                                  monotonic_time now) {
+void decision_core::impl::Resume(const job_request& request, const std::vector<uint32_t>& waiting,
+                                 monotonic_time now) {
   const job_handle present = jobs.Find(request.id);
   if (present != kNoJob && jobs[present].known) return;
   const job_handle handle = Enter(request, now);
   job_record& job = jobs[handle];
-  for (const uint32_t index : done) {
-    if (index >= job.tasks.size() || job.tasks[index].state != task_state::kWaiting) continue;
-    job.tasks[index].state = task_state::kDone;
+  // All that do not wait count as over, until Adopt() says that they run.
+  for (task_slot& task : job.tasks) {
+    if (task.state != task_state::kWaiting) continue;
+    task.state = task_state::kDone;
     ++job.done;
-    --job.waiting;
+  }
+  job.waiting = 0;
+  for (const uint32_t index : waiting) {
+    if (index >= job.tasks.size() || job.tasks[index].state != task_state::kDone) continue;
+    job.tasks[index].state = task_state::kWaiting;
+    --job.done;
+    ++job.waiting;
   }
   // What ran under a former owner cannot be ruled out, so a cancel is not answered as not run.
-  job.unproved_starts = 1;
+  ++job.unproved_starts;
   teams.AddQueued(request.team, request.each, job.waiting);
-  if (job.waiting > 0) Enqueue(handle, false);
-  EndIfOver(handle, refusal_reason::kNone);
+  Enqueue(handle, false);
 }
 
 // Into its lane, unless it has to wait for something else first.
@@ -163,8 +169,11 @@
   job_record& job = jobs[handle];
   if (job.tasks.size() <= task.id.index) job.tasks.resize(task.id.index + 1);
   task_slot& slot = job.tasks[task.id.index];
-  if (slot.state != task_state::kWaiting) return;
-  if (job.known) {
+  const bool counted_as_over = slot.state == task_state::kDone && slot.attempt == 0;
+  if (slot.state != task_state::kWaiting && !counted_as_over) return;
+  if (counted_as_over) {
+    --job.done;
+  } else if (job.known) {
     if (job.queued) lanes.Remove(handle);
     teams.TakeQueued(job.request.team, job.request.each, 1);
     --job.waiting;
--- a/src/process/decision_rounds.cc
+++ b/src/process/decision_rounds.cc
@@ -251,7 +251,7 @@
   const lane_ref ref{ClassOf(job.request), job.request.team};
   task_slot& slot = job.tasks[index];
   slot.state = task_state::kStarting;
-  slot.attempt = std::max(slot.attempt + 1, options.first_attempt);
+  slot.attempt = std::max(slot.attempt, options.attempt_base) + 1;
   slot.endpoint = endpoint;
   slot.started = now;
   --job.waiting;
--- a/test/decision_core_test.cc
+++ b/test/decision_core_test.cc
@@ -253,6 +253,35 @@
   CHECK(to_bad == before + 1);
 }
 
+// After a change of owner a job's tasks are partly over, partly running and partly waiting. Started
+// again, a finished task would run twice.
+TEST_CASE_METHOD(decision_fixture, "resumed job, one task over and one running, starts the third",
+                 "[decisions]") {
+  AddEndpoints(2);
+  const job_request job = Job(1, workload_kind::kBatch, 1000, 3);
+  core_.Resume(job, {2}, now_);
+  core_.Adopt({{job.id, 1, 7}, 0, workload_kind::kBatch, job.each, 0}, now_);
+  const auto starts = Only(Decide(), command_kind::kStart);
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].task.index == 2);
+  core_.Finished({job.id, 1, 7}, task_end::kDone, milliseconds{5}, now_);
+  core_.Finished(starts[0].task, task_end::kDone, milliseconds{5}, now_);
+  const auto ended = Decide();
+  REQUIRE(ended.size() == 1);
+  CHECK(ended[0].tasks_done == 3);
+}
+
+// The same after Adopt() came first: the job was only counted until its record was read.
+TEST_CASE_METHOD(decision_fixture, "adopted task, its job resumed later, is counted once",
+                 "[decisions]") {
+  AddEndpoints(2);
+  const job_request job = Job(1, workload_kind::kBatch, 1000, 2);
+  core_.Adopt({{job.id, 1, 7}, 0, workload_kind::kBatch, job.each, 0}, now_);
+  core_.Resume(job, {0}, now_);
+  CHECK(Only(Decide(), command_kind::kStart).size() == 1);
+  CHECK(core_.Usage(0).running_tasks == 2);
+}
+
 TEST_CASE_METHOD(decision_fixture, "queue, full, refuses with a time to come back", "[decisions]") {
   AddEndpoints(1);
   AddTeam(1, 1.0, 100, 2);
