--- a/standin/endpoint_model.cc
+++ b/standin/endpoint_model.cc
@@ -15,6 +15,7 @@
 constexpr milliseconds kLongestWait{60000};  // of one sync
 constexpr milliseconds kDropHeld{30000};  // how long the connection of an unanswered call is kept
 constexpr milliseconds kUsageLag{500};    // usage reports are about this old
+constexpr size_t kWorkLength = 64;        // of the caller's own mark that goes into the record
 constexpr milliseconds kDefaultLease{10000};
 constexpr milliseconds kDefaultRetain{30000};
 
@@ -45,6 +46,7 @@
   line["epoch"] = epoch;
   line["kind"] = TextOf(spec, "kind", "");
   line["team"] = TextOf(spec, "team", "");
+  line["work"] = TextOf(spec, "work", "");
   line["result"] = result;
   record_.Append(now, std::move(line));
 }
@@ -149,6 +151,7 @@
   running_task run;
   run.spec = task;
   run.spec.erase("payload");
+  run.spec["work"] = TextOf(work, "echo", "").substr(0, kWorkLength);
   run.amount = amount;
   run.epoch = epoch;
   run.started = now;
