--- /dev/null
+++ b/bench/checker_runs.h
@@ -0,0 +1,41 @@
+// The runs that an endpoint record tells of: a start and its end.
+#ifndef CATKINFORD_BENCH_CHECKER_RUNS_H_
+#define CATKINFORD_BENCH_CHECKER_RUNS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "bench/history.h"
+
+namespace catkinford {
+
+struct task_run {
+  std::string endpoint;
+  std::string id;
+  std::string place;  // JOB/INDEX: the same for all attempts
+  uint32_t index = 0;
+  uint64_t epoch = 0;
+  std::string team;
+  std::string work;
+  std::string result;  // empty: still running at the end of the record
+  resources amount;
+  wall_time start;
+  wall_time end = wall_time::max();
+};
+
+// In order of start.
+std::vector<task_run> RunsOf(const std::vector<run_event>& events);
+
+// All runs and all calls with one caller's mark.
+struct work_history {
+  std::vector<const task_run*> runs;
+  std::vector<const call_record*> calls;
+};
+using work_index = absl::flat_hash_map<std::string, work_history>;
+work_index IndexByWork(const std::vector<task_run>& runs, const std::vector<call_record>& calls);
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_BENCH_CHECKER_RUNS_H_
