--- /dev/null
+++ b/bench/caller.cc
@@ -0,0 +1,134 @@
+#include "bench/caller.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "nlohmann/json.hpp"
+#include "request/identity.h"
+#include "standin/json_fields.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::system_clock;
+
+// A caller gives up when the answer is this much later than its deadline and run time allow.
+constexpr milliseconds kPatience{5000};
+
+nlohmann::json BodyOf(const call_spec& spec) {
+  const nlohmann::json work = {{"run_ms", spec.run_time.count()}, {"echo", spec.work}};
+  nlohmann::json body = {{"kind", ToText(spec.kind)},
+                         {"tasks", spec.tasks},
+                         {"cpu_milli", spec.each.cpu_milli},
+                         {"memory_mb", spec.each.memory_mb},
+                         {"accelerators", spec.each.accelerators},
+                         {"urgent", spec.urgent},
+                         {"repeatable", spec.repeatable},
+                         {"idempotency_key", spec.work},
+                         {"run_time_ms", spec.run_time.count()},
+                         {"payload", work.dump()}};
+  if (spec.kind == workload_kind::kInteractive) body["deadline_ms"] = spec.deadline.count();
+  return body;
+}
+
+}  // namespace
+
+bool ReadOutcome(const std::string& body, call_record& record) {
+  const nlohmann::json read = nlohmann::json::parse(body, nullptr, false);
+  const std::optional<outcome_kind> kind = ParseOutcomeKind(TextOf(read, "outcome", ""));
+  if (!kind) return false;
+  record.outcome = *kind;
+  record.reason = ParseRefusalReason(TextOf(read, "reason", "")).value_or(refusal_reason::kNone);
+  record.answer = TextOf(read, "answer", "");
+  return true;
+}
+
+caller::caller(size_t clients) {
+  for (size_t i = 0; i < clients; ++i) {
+    clients_.push_back(std::make_unique<http_client>(0));
+    clients_.back()->Start();
+  }
+}
+
+caller::~caller() {
+  for (const auto& client : clients_) client->Stop();
+}
+
+void caller::Submit(const std::string& entry, const std::string& url, const team_access& team,
+                    const call_spec& spec, wall_time scheduled, on_answer then) {
+  http_call call{"POST", url + "/v1/jobs", BodyOf(spec).dump(), team.secret};
+  call.timeout = spec.deadline + spec.run_time + kPatience;
+  pending_call pending;
+  pending.then = std::move(then);
+  call_record& record = pending.record;
+  record.work = spec.work;
+  record.team = team.team;
+  record.key = team.key_name;
+  record.entry = entry;
+  record.kind = spec.kind;
+  record.repeatable = spec.repeatable;
+  record.tasks = spec.tasks;
+  record.run_time = spec.run_time;
+  record.scheduled = scheduled;
+  record.sent = system_clock::now();
+  http_client* client = nullptr;
+  {
+    const std::lock_guard lock(mutex_);
+    ++pending_;
+    client = clients_[next_client_++ % clients_.size()].get();
+  }
+  client->Send(std::move(call), [this, kept = std::move(pending)](const http_result& result) {
+    Finish(kept, result);
+  });
+}
+
+void caller::Finish(pending_call call, const http_result& result) {
+  call_record& record = call.record;
+  record.answered = system_clock::now();
+  record.surely_not_sent = result.status == transfer_status::kNotSent;
+  record.status = result.code;
+  record.has_answer = result.status == transfer_status::kDone && ReadOutcome(result.body, record);
+  if (call.then) call.then(record);
+  const std::lock_guard lock(mutex_);
+  records_.push_back(std::move(record));
+  --pending_;
+  if (pending_ == 0) idle_.notify_all();
+}
+
+void caller::Cancel(const std::string& url, const team_access& team, const std::string& work) {
+  const std::string id = ToHex(DeriveRequestId(team.team, work));
+  {
+    const std::lock_guard lock(mutex_);
+    cancelled_.push_back(work);
+    ++pending_;
+  }
+  http_call call{"POST", url + "/v1/jobs/" + id + "/cancel", "{}", team.secret};
+  clients_.front()->Send(std::move(call), [this](const http_result&) {
+    const std::lock_guard lock(mutex_);
+    --pending_;
+    if (pending_ == 0) idle_.notify_all();
+  });
+}
+
+size_t caller::Pending() const {
+  const std::lock_guard lock(mutex_);
+  return pending_;
+}
+
+bool caller::WaitIdle(milliseconds limit) {
+  std::unique_lock lock(mutex_);
+  return idle_.wait_for(lock, limit, [this] { return pending_ == 0; });
+}
+
+std::vector<call_record> caller::Records() const {
+  const std::lock_guard lock(mutex_);
+  std::vector<call_record> records = records_;
+  for (call_record& record : records) {
+    record.cancelled =
+        std::find(cancelled_.begin(), cancelled_.end(), record.work) != cancelled_.end();
+  }
+  return records;
+}
+
+}  // namespace catkinford
--- a/bench/commands.h
+++ b/bench/commands.h
@@ -7,6 +7,9 @@
 // Writes the tables of the pages from the code: `tables [ROOT]`.
 int TablesMain(int argc, char** argv);
 
+// Load in an open loop over a fleet of real processes: `load --rate R --seconds S`.
+int LoadMain(int argc, char** argv);
+
 }  // namespace catkinford
 
 #endif  // CATKINFORD_BENCH_COMMANDS_H_
