--- a/bench/caller.cc
+++ b/bench/caller.cc
@@ -96,19 +96,24 @@
   if (pending_ == 0) idle_.notify_all();
 }
 
-void caller::Cancel(const std::string& url, const team_access& team, const std::string& work) {
+void caller::Cancel(const std::string& entry, const std::string& url, const team_access& team,
+                    const std::string& work) {
   const std::string id = ToHex(DeriveRequestId(team.team, work));
   {
     const std::lock_guard lock(mutex_);
     cancelled_.push_back(work);
     ++pending_;
   }
+  pending_call pending;
+  pending.record.work = work;
+  pending.record.team = team.team;
+  pending.record.key = team.key_name;
+  pending.record.entry = entry;
+  pending.record.is_cancel = true;
+  pending.record.sent = pending.record.scheduled = system_clock::now();
   http_call call{"POST", url + "/v1/jobs/" + id + "/cancel", "{}", team.secret};
-  clients_.front()->Send(std::move(call), [this](const http_result&) {
-    const std::lock_guard lock(mutex_);
-    --pending_;
-    if (pending_ == 0) idle_.notify_all();
-  });
+  clients_.front()->Send(std::move(call), [this, kept = std::move(pending)](
+                                              const http_result& result) { Finish(kept, result); });
 }
 
 size_t caller::Pending() const {
--- a/bench/caller.h
+++ b/bench/caller.h
@@ -44,7 +44,8 @@
   void Submit(const std::string& entry, const std::string& url, const team_access& team,
               const call_spec& spec, wall_time scheduled, on_answer then = nullptr);
   // Cancels the job that was made of `work`; its calls count as cancelled from now on.
-  void Cancel(const std::string& url, const team_access& team, const std::string& work);
+  void Cancel(const std::string& entry, const std::string& url, const team_access& team,
+              const std::string& work);
 
   size_t Pending() const;
   bool WaitIdle(std::chrono::milliseconds limit);
--- a/bench/checker.cc
+++ b/bench/checker.cc
@@ -103,7 +103,7 @@
 
 bool history_checker::Excused(const std::string& entry, wall_time from, wall_time to) const {
   return std::any_of(seen_.faults.begin(), seen_.faults.end(), [&](const fault_window& fault) {
-    return fault.entry == entry && Overlap(fault.from, fault.to, from, to);
+    return fault.no_answers && fault.entry == entry && Overlap(fault.from, fault.to, from, to);
   });
 }
 
@@ -242,6 +242,14 @@
                           all.runs.front()->id));
     }
   }
+  for (const call_record* call : all.calls) {
+    if (!call->is_cancel || !call->has_answer || call->outcome != outcome_kind::kRefused) continue;
+    if (call->reason != refusal_reason::kCancelled) continue;
+    Count(promise::kNotRun);
+    if (all.runs.empty()) continue;
+    Broken(promise::kNotRun, work, all.runs.front()->start,
+           absl::StrCat("cancelled before it ran, and ran as ", all.runs.front()->id));
+  }
   if (!all.calls.empty() && !all.calls.front()->repeatable) {
     Count(promise::kAtMostOnce);
     std::set<uint32_t> started;
@@ -250,7 +258,9 @@
       Broken(promise::kAtMostOnce, work, run->start, absl::StrCat("started again as ", run->id));
     }
   }
-  for (const call_record* call : all.calls) CheckAnswer(*call, all);
+  for (const call_record* call : all.calls) {
+    if (!call->is_cancel) CheckAnswer(*call, all);
+  }
 }
 
 void history_checker::CheckAnswer(const call_record& call, const work_history& all) {
--- a/bench/commands.h
+++ b/bench/commands.h
@@ -10,6 +10,9 @@
 // Load in an open loop over a fleet of real processes: `load --rate R --seconds S`.
 int LoadMain(int argc, char** argv);
 
+// Failure scenarios: `scenario NAME --seed N`, `scenario --list`.
+int ScenarioMain(int argc, char** argv);
+
 }  // namespace catkinford
 
 #endif  // CATKINFORD_BENCH_COMMANDS_H_
--- a/bench/history.h
+++ b/bench/history.h
@@ -26,6 +26,7 @@
   workload_kind kind = workload_kind::kInteractive;
   bool repeatable = true;
   bool cancelled = false;  // its caller cancelled it
+  bool is_cancel = false;  // this call was the cancel itself
   uint32_t tasks = 1;
   std::chrono::milliseconds run_time{0};
   wall_time scheduled;  // when an open loop meant to send it
@@ -93,12 +94,13 @@
   int exit_code = 0;
 };
 
-// A time in which an entry was killed, paused or cut off by the scenario: callers there may be left
-// without an answer, and it may hear of no new version. Nothing else is excused.
+// A time in which an entry was killed, paused or cut off by the scenario: it may hear of no new
+// version, and with `no_answers` callers there may be left without one. Nothing else is excused.
 struct fault_window {
   std::string entry;
   wall_time from;
   wall_time to;
+  bool no_answers = true;
 };
 
 struct history {
--- a/bench/load.cc
+++ b/bench/load.cc
@@ -111,7 +111,7 @@
 }
 
 void RunLoad(const load_options& options, caller& callers, const std::vector<team_access>& teams,
-             const std::function<std::vector<load_target>()>& targets) {
+             const target_source& targets) {
   load_source source(options);
   const wall_time end = system_clock::now() + options.length;
   wall_time due = system_clock::now();
@@ -119,9 +119,10 @@
     due += std::chrono::duration_cast<system_clock::duration>(source.NextGap());
     if (due >= end) return;
     std::this_thread::sleep_until(due);
-    const std::vector<load_target> all = targets();
-    if (all.empty()) continue;
-    const load_target& target = all[number % all.size()];
+    const std::optional<std::vector<load_target>> all = targets();
+    if (!all) return;
+    if (all->empty()) continue;
+    const load_target& target = (*all)[number % all->size()];
     callers.Submit(target.entry, target.url, teams[number % teams.size()], source.Next(), due);
   }
 }
--- a/bench/load.h
+++ b/bench/load.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -60,9 +61,10 @@
 };
 
 // Sends for `length`, each arrival to the next target in turn as a balancer would, and returns when
-// the last was sent. `targets` is asked anew for each arrival.
+// the last was sent. `targets` is asked anew for each arrival; nullopt ends the load.
+using target_source = std::function<std::optional<std::vector<load_target>>()>;
 void RunLoad(const load_options& options, caller& callers, const std::vector<team_access>& teams,
-             const std::function<std::vector<load_target>()>& targets);
+             const target_source& targets);
 
 // Times over the run time that was asked for, from the time that the arrival was due.
 struct load_figures {
--- a/bench/load_command.cc
+++ b/bench/load_command.cc
@@ -76,7 +76,7 @@
 }
 
 load_figures Measure(const load_options& options, const load_setup& setup) {
-  const auto targets = [&] { return setup.targets; };
+  const target_source targets = [&] { return setup.targets; };
   const size_t clients = absl::GetFlag(FLAGS_clients);
   if (absl::GetFlag(FLAGS_warm_up) > 0) {
     load_options warm_up = options;
--- /dev/null
+++ b/bench/scenario_faults.cc
@@ -0,0 +1,300 @@
+#include "bench/scenario_faults.h"
+
+#include <array>
+#include <optional>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::system_clock;
+
+constexpr milliseconds kShortFault{4000};
+constexpr milliseconds kLongFault{6000};
+constexpr milliseconds kListed{1000};  // until the platform notices that an instance is gone
+constexpr int kSilences = 3;
+constexpr int kRaces = 8;
+constexpr int kWave = 1000;
+constexpr int kAsks = 200;
+constexpr uint32_t kLoweredLimit = 10;
+
+size_t PickDomain(scenario_run& run) {
+  return run.Random()() % run.Fleet().Options().domains.size();
+}
+
+// A partition either loses what is sent or delivers it late; both happen.
+link_rule PickCut(scenario_run& run) {
+  constexpr std::array kStates = {link_state::kSwallow, link_state::kHold, link_state::kCut};
+  link_rule rule;
+  rule.state = kStates[run.Random()() % kStates.size()];
+  return rule;
+}
+
+void OwnerKilled(scenario_run& run) {
+  const size_t domain = PickDomain(run);
+  const size_t owner = run.OwnerSlot(domain);
+  run.TimeNextPlacement(domain);
+  run.KillEntry(owner);
+  run.Sleep(kListed);
+  run.Fleet().Unlist(owner);
+  run.Sleep(kShortFault);
+}
+
+void OwnerPaused(scenario_run& run) {
+  const size_t domain = PickDomain(run);
+  const size_t owner = run.OwnerSlot(domain);
+  run.TimeNextPlacement(domain);
+  run.PauseEntry(owner);
+  run.Sleep(kShortFault);
+  run.ResumeEntry(owner);
+}
+
+void ReplacementWave(scenario_run& run) {
+  for (size_t slot = 0; slot < run.Fleet().Entries(); ++slot) {
+    run.ReplaceEntry(slot);
+    run.Fleet().WaitReady(slot, kLongFault);
+    run.Sleep(milliseconds{500});
+  }
+}
+
+void StoreDown(scenario_run& run) {
+  run.Fleet().SetStore({{"mode", "down"}});
+  for (size_t slot = 0; slot < run.Fleet().Entries(); ++slot) run.CutFromNews(slot);
+  run.Sleep(kLongFault);
+  run.Fleet().SetStore({{"mode", "up"}});
+  for (size_t slot = 0; slot < run.Fleet().Entries(); ++slot) run.Healed(slot);
+}
+
+void StoreSlowLostReplies(scenario_run& run) {
+  run.Fleet().SetStore({{"mode", "slow"}, {"delay_ms", 300}});
+  run.Sleep(kShortFault);
+  run.Fleet().SetStore({{"mode", "lose_replies"}, {"ratio", 0.5}});
+  run.Sleep(kShortFault);
+  run.Fleet().SetStore({{"mode", "up"}});
+}
+
+void SetPlatformLinks(scenario_run& run, size_t domain, const link_rule& rule) {
+  for (const size_t slot : run.SlotsOf(domain)) {
+    run.Fleet().SetStoreLink(slot, rule);
+    run.Fleet().SetInstancesLink(slot, rule);
+  }
+}
+
+void SetOutsideLinks(scenario_run& run, size_t domain, const link_rule& rule) {
+  const size_t domains = run.Fleet().Options().domains.size();
+  for (size_t other = 0; other < domains; ++other) {
+    if (other == domain) continue;
+    for (const size_t inside : run.SlotsOf(domain)) {
+      run.Fleet().SetEndpointLink(inside, other, rule);
+      for (const size_t outside : run.SlotsOf(other)) {
+        run.Fleet().SetPeerLink(inside, outside, rule);
+        run.Fleet().SetPeerLink(outside, inside, rule);
+        run.Fleet().SetEndpointLink(outside, domain, rule);
+      }
+    }
+  }
+}
+
+void DomainCutFromPlatform(scenario_run& run) {
+  const size_t domain = PickDomain(run);
+  for (const size_t slot : run.SlotsOf(domain)) run.CutFromNews(slot);
+  SetPlatformLinks(run, domain, PickCut(run));
+  run.Sleep(kLongFault);
+  SetPlatformLinks(run, domain, {});
+  for (const size_t slot : run.SlotsOf(domain)) run.Healed(slot);
+}
+
+void DomainCutOff(scenario_run& run) {
+  const size_t domain = PickDomain(run);
+  for (const size_t slot : run.SlotsOf(domain)) run.CutFromNews(slot);
+  const link_rule cut = PickCut(run);
+  SetPlatformLinks(run, domain, cut);
+  SetOutsideLinks(run, domain, cut);
+  run.Sleep(kLongFault);
+  SetPlatformLinks(run, domain, {});
+  SetOutsideLinks(run, domain, {});
+  for (const size_t slot : run.SlotsOf(domain)) run.Healed(slot);
+}
+
+void SilentConnections(scenario_run& run) {
+  const size_t domains = run.Fleet().Options().domains.size();
+  for (int round = 0; round < kSilences; ++round) {
+    for (size_t slot = 0; slot < run.Fleet().Entries(); ++slot) {
+      for (size_t domain = 0; domain < domains; ++domain) {
+        run.Fleet().SilenceEndpointConnections(slot, domain);
+      }
+      for (size_t other = 0; other < run.Fleet().Entries(); ++other) {
+        run.Fleet().SilencePeerConnections(slot, other);
+      }
+    }
+    run.Sleep(milliseconds{2000});
+  }
+}
+
+void EndpointDrain(scenario_run& run) {
+  const std::vector<std::string> endpoints = run.Fleet().EndpointsOf(PickDomain(run));
+  run.Fleet().SetEndpointLeaving(endpoints[0]);
+  run.Fleet().SetEndpointLeaving(endpoints[1]);
+  run.Drain(endpoints[2]);
+  run.Sleep(kLongFault);
+}
+
+void EndpointKilled(scenario_run& run) {
+  const std::vector<std::string> endpoints = run.Fleet().EndpointsOf(PickDomain(run));
+  run.Fleet().SetEndpointMode(endpoints[0], "dead");
+  run.Fleet().SetEndpointMode(endpoints[1], "dead");
+  run.Fleet().SetEndpointMode(endpoints[2], "silent");
+  run.Sleep(kShortFault);
+  run.Fleet().SetEndpointMode(endpoints[0], "up");
+  run.Fleet().SetEndpointMode(endpoints[2], "up");
+}
+
+void FailingEndpoint(scenario_run& run) {
+  const std::vector<std::string> endpoints = run.Fleet().EndpointsOf(PickDomain(run));
+  run.Fleet().SetEndpointMode(endpoints[0], "fail_all");
+  run.Fleet().SetEndpointMode(endpoints[1], "broken");
+  run.Sleep(kShortFault);
+  run.Fleet().SetEndpointMode(endpoints[0], "up");
+  run.Fleet().SetEndpointMode(endpoints[1], "up");
+}
+
+void GracefulShutdown(scenario_run& run) {
+  const size_t domain = PickDomain(run);
+  const size_t owner = run.OwnerSlot(domain);
+  run.TimeNextPlacement(domain);
+  run.StopGracefully(owner);
+  run.Sleep(milliseconds{2000});
+}
+
+void KeyWithdrawn(scenario_run& run) {
+  run.WithdrawKey(run.Teams().front());
+  run.Sleep(milliseconds{8000});
+}
+
+void LimitLowered(scenario_run& run) {
+  run.LowerLimit(run.Teams().front().team, kLoweredLimit, milliseconds{5000});
+  run.Sleep(milliseconds{9000});
+}
+
+// Two operators at two entries read the same version and send conflicting changes at once.
+void OperatorsRace(scenario_run& run) {
+  for (int round = 0; round < kRaces; ++round) {
+    std::vector<std::thread> operators;
+    for (uint32_t number = 0; number < 2; ++number) {
+      const size_t slot = (static_cast<size_t>(round) + number * 3) % run.Fleet().Entries();
+      operators.emplace_back([&run, slot, number, round] {
+        auto present = run.ReadConfig(slot);
+        if (!present) return;
+        const auto shift = static_cast<uint32_t>(round) * 2 + number;
+        present->config.workspaces[number].teams[0].queue_limit = 10000 + shift;
+        run.PutConfig(slot, present->version, present->config);
+      });
+    }
+    for (std::thread& one : operators) one.join();
+    run.Sleep(milliseconds{300});
+  }
+  run.Sleep(milliseconds{3000});
+}
+
+void CancelWave(scenario_run& run) {
+  const std::vector<load_target> targets = run.InBalancer();
+  if (targets.empty()) return;
+  std::vector<std::pair<size_t, std::string>> jobs;  // team and mark
+  for (int i = 0; i < kWave; ++i) {
+    call_spec spec;
+    spec.work = absl::StrCat("wave-", i);
+    spec.kind = workload_kind::kBatch;
+    spec.run_time = milliseconds{60000};
+    const size_t team = static_cast<size_t>(i) % run.Teams().size();
+    const load_target& target = targets[static_cast<size_t>(i) % targets.size()];
+    run.Callers().Submit(target.entry, target.url, run.Teams()[team], spec, system_clock::now());
+    jobs.emplace_back(team, spec.work);
+  }
+  run.Sleep(milliseconds{2500});
+  for (size_t i = 0; i < jobs.size(); ++i) {
+    const load_target& target = targets[(i + 1) % targets.size()];
+    run.Callers().Cancel(target.entry, target.url, run.Teams()[jobs[i].first], jobs[i].second);
+  }
+  run.Sleep(milliseconds{2000});
+}
+
+// Callers that got no answer soon enough ask again at another entry, with the same key; one of the
+// entries dies in the middle.
+void CallerAsksAgain(scenario_run& run) {
+  const std::vector<load_target> targets = run.InBalancer();
+  if (targets.empty()) return;
+  const size_t killed = run.OwnerSlot(PickDomain(run));
+  for (int i = 0; i < kAsks; ++i) {
+    call_spec spec;
+    spec.work = absl::StrCat("again-", i);
+    spec.repeatable = false;
+    spec.run_time = milliseconds{50};
+    const team_access& team = run.Teams()[static_cast<size_t>(i) % run.Teams().size()];
+    for (size_t ask = 0; ask < 3; ++ask) {
+      const load_target& target = targets[(static_cast<size_t>(i) + ask) % targets.size()];
+      run.Callers().Submit(target.entry, target.url, team, spec, system_clock::now());
+      run.Sleep(milliseconds{static_cast<int64_t>(run.Random()() % 8)});
+    }
+    if (i == kAsks / 2) run.KillEntry(killed);
+  }
+  run.Sleep(milliseconds{2000});
+}
+
+void NeedLinks(scenario_options& options) { options.fleet.proxied = true; }
+
+void NeedLongBatch(scenario_options& options) {
+  options.fleet.team_running_limit = 60;
+  options.load.rate = 150;
+  options.load.shortest_run = milliseconds{300};
+  options.load.longest_run = milliseconds{600};
+}
+
+constexpr std::array kScenarios = std::to_array<scenario_info>({
+    {"owner_killed", "SIGKILL to the owner of a shard", nullptr, &OwnerKilled},
+    {"owner_paused_past_lease", "SIGSTOP for longer than its lease, then SIGCONT", nullptr,
+     &OwnerPaused},
+    {"entry_replacement_wave", "each entry killed and replaced, one after the other", nullptr,
+     &ReplacementWave},
+    {"store_down", "the store refuses everything, leases lapse meanwhile", nullptr, &StoreDown},
+    {"store_slow_lost_replies", "300 ms a call, then half of the writes' replies lost", nullptr,
+     &StoreSlowLostReplies},
+    {"domain_cut_from_platform", "a failure domain reaches neither store nor instance list",
+     &NeedLinks, &DomainCutFromPlatform},
+    {"domain_cut_off", "a failure domain reaches neither the platform nor the others", &NeedLinks,
+     &DomainCutOff},
+    {"silent_connections", "all open connections go silent for good, three times", &NeedLinks,
+     &SilentConnections},
+    {"endpoint_drain", "two endpoints leave, one is drained by an operator", nullptr,
+     &EndpointDrain},
+    {"endpoint_killed", "two endpoints die, one goes silent; two come back", nullptr,
+     &EndpointKilled},
+    {"failing_endpoint", "an endpoint fails all it starts, another starts nothing", nullptr,
+     &FailingEndpoint},
+    {"graceful_shutdown", "SIGTERM to the owner of a shard", nullptr, &GracefulShutdown},
+    {"key_withdrawn", "an operator withdraws a team's only key", nullptr, &KeyWithdrawn},
+    {"limit_lowered_under_load", "a team's running limit is lowered below what it runs",
+     &NeedLongBatch, &LimitLowered},
+    {"operators_race", "two operators at two entries, conflicting changes at once", nullptr,
+     &OperatorsRace},
+    {"cancel_wave", "1,000 batch jobs, all cancelled at once", nullptr, &CancelWave},
+    {"caller_asks_again", "not repeatable requests, asked at three entries; an owner dies", nullptr,
+     &CallerAsksAgain},
+});
+
+}  // namespace
+
+std::span<const scenario_info> AllScenarios() { return kScenarios; }
+
+const scenario_info* FindScenario(std::string_view name) {
+  for (const scenario_info& scenario : kScenarios) {
+    if (scenario.name == name) return &scenario;
+  }
+  return nullptr;
+}
+
+}  // namespace catkinford
--- a/src/main/catkinford-bench.cc
+++ b/src/main/catkinford-bench.cc
@@ -16,6 +16,7 @@
 constexpr std::array kCommands = std::to_array<bench_command>({
     {"help", [](int, char**) { return 2; }, "this list"},
     {"load", catkinford::LoadMain, "open-loop load: load --rate 3000 --seconds 20 --json F"},
+    {"scenario", catkinford::ScenarioMain, "a failure scenario: scenario NAME --seed N, --list"},
     {"tables", catkinford::TablesMain, "write the tables of docs/ from the code: tables [ROOT]"},
 });
 
--- a/test/checker_test.cc
+++ b/test/checker_test.cc
@@ -182,6 +182,16 @@
   CheckBroken(promise::kNotRun);
 }
 
+TEST_CASE_METHOD(checker_fixture, "checker, cancelled as not run and ran, finds it", "[checker]") {
+  AddCall("w4", "a", 300, 310).outcome = outcome_kind::kAccepted;
+  seen_.calls.back().kind = workload_kind::kBatch;
+  seen_.calls.back().cancelled = true;
+  AddRefused("w4", refusal_reason::kCancelled, 320).is_cancel = true;
+  CheckHeld();
+  AddRun("w4", "a", "ep-1", "j4/0/0", 330, 335, "stopped");
+  CheckBroken(promise::kNotRun);
+}
+
 TEST_CASE_METHOD(checker_fixture, "checker, not repeatable and started twice, finds it",
                  "[checker]") {
   AddRun("w3", "a", "ep-0", "j3/0/1", 400, 450);
