--- a/bench/checker.cc
+++ b/bench/checker.cc
@@ -13,7 +13,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr size_t kShownViolations = 20;
+constexpr size_t kShownViolations = 5;  // of each promise
 constexpr std::array<std::string_view, kPromises> kPromiseNames = {
     "capacity", "one_place",    "own_team", "limit",         "whole_answer",
     "not_run",  "at_most_once", "leaving",  "graceful_stop", "configuration"};
@@ -255,7 +255,8 @@
     std::set<uint32_t> started;
     for (const task_run* run : all.runs) {
       if (started.insert(run->index).second) continue;
-      Broken(promise::kAtMostOnce, work, run->start, absl::StrCat("started again as ", run->id));
+      Broken(promise::kAtMostOnce, work, run->start,
+             absl::StrCat("started again as ", run->id, " at ", run->endpoint));
     }
   }
   for (const call_record* call : all.calls) {
@@ -398,8 +399,9 @@
                                             {"broken", result.Violations(which)}};
   }
   nlohmann::json shown = nlohmann::json::array();
+  std::array<size_t, kPromises> shown_of{};
   for (const violation& found : result.violations) {
-    if (shown.size() == kShownViolations) break;
+    if (++shown_of[static_cast<size_t>(found.broken)] > kShownViolations) continue;
     shown.push_back({{"promise", ToText(found.broken)},
                      {"subject", found.subject},
                      {"at_us", std::chrono::duration_cast<std::chrono::microseconds>(
--- a/bench/history.cc
+++ b/bench/history.cc
@@ -1,5 +1,9 @@
 #include "bench/history.h"
 
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "nlohmann/json.hpp"
 #include "standin/json_fields.h"
@@ -26,4 +30,30 @@
   return true;
 }
 
+std::string ToLines(const history& seen) {
+  std::vector<std::pair<wall_time, std::string>> lines;
+  const auto add = [&](wall_time at, const std::string& line) { lines.emplace_back(at, line); };
+  for (const call_record& call : seen.calls) {
+    const std::string subject = absl::StrCat(call.work, " ", call.team, " by ", call.entry);
+    add(call.sent, absl::StrCat(call.is_cancel ? "cancel " : "ask ", subject));
+    const std::string told = call.has_answer ? absl::StrCat(std::string(ToText(call.outcome)), " ",
+                                                            std::string(ToText(call.reason)))
+                                             : (call.surely_not_sent ? "not sent" : "no answer");
+    add(call.answered, absl::StrCat("told ", subject, " ", told));
+  }
+  for (const run_event& event : seen.events) {
+    add(event.at,
+        absl::StrCat(event.event, " ", event.work, " ", event.team, " at ", event.endpoint, " ",
+                     event.id, " epoch ", event.epoch, " ", event.result));
+  }
+  std::stable_sort(lines.begin(), lines.end(),
+                   [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::string text;
+  for (const auto& [at, line] : lines) {
+    const auto us = std::chrono::duration_cast<std::chrono::microseconds>(at.time_since_epoch());
+    absl::StrAppend(&text, us.count(), " ", line, "\n");
+  }
+  return text;
+}
+
 }  // namespace catkinford
--- a/bench/history.h
+++ b/bench/history.h
@@ -119,6 +119,9 @@
 // Appends the lines of an endpoint process's `GET /record`. False when a line is not understood.
 bool AppendRecord(const std::string& text, std::vector<run_event>& events);
 
+// The history as lines of text for people: each run and each call with its times, in order.
+std::string ToLines(const history& seen);
+
 }  // namespace catkinford
 
 #endif  // CATKINFORD_BENCH_HISTORY_H_
--- a/bench/scenario_run.cc
+++ b/bench/scenario_run.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <fstream>
 #include <utility>
 #include <variant>
 
@@ -324,6 +325,7 @@
   seen.calls = callers_.Records();
   seen.events = fleet_.Events();
   seen.all_work_over = true;
+  std::ofstream(fleet_.Directory() + "/history.txt") << ToLines(seen);
   nlohmann::json result = ToJson(Check(seen, {}));
   result["figures"] = Figures(seen);
   result["figures"]["accepted_all_ran"] = all_ran;
