Measure how costs grow: slopes of keys, contracts, ledger, time line and calls

Change: catkinford-bench slopes runs each question at four sizes or more, three times each, and fits a line (Boost.Math) with its standard error; catkinford-bench rpc runs calls between two processes, JSON-RPC against our HTTP pair. Ruled out: clocks on the wall for costs; processor time of thread or process is what a busy machine disturbs least.

--- a/bench/commands.h
+++ b/bench/commands.h
@@ -6,6 +6,10 @@
 
 // Writes the tables of the pages from the code: `tables [ROOT]`.
 int TablesMain(int argc, char** argv);
+// How state, messages and processor time grow with size: `slopes --json F`.
+int SlopesMain(int argc, char** argv);
+// Calls between two processes, JSON-RPC against our HTTP pair: `rpc --json F`.
+int RpcMain(int argc, char** argv);
 
 }  // namespace catkinford
 
--- /dev/null
+++ b/bench/rpc_cost.h
@@ -0,0 +1,30 @@
+// What one call between two processes costs: JSON-RPC over libjsonrpccpp against our HTTP pair.
+#ifndef CATKINFORD_BENCH_RPC_COST_H_
+#define CATKINFORD_BENCH_RPC_COST_H_
+
+#include <cstddef>
+
+namespace catkinford {
+
+enum class call_way { kJsonRpc, kHttp };
+
+struct call_load {
+  call_way way = call_way::kJsonRpc;
+  int calls = 1000;         // in all
+  int at_once = 1;          // threads for JSON-RPC, calls in flight for HTTP
+  size_t body_bytes = 300;  // of the text that is sent; the answer is two bytes
+};
+
+struct call_cost {
+  double calls_per_second = 0;
+  double client_cpu_us = 0;  // of all calls together
+  double server_cpu_us = 0;
+  int failed = 0;
+};
+
+// Runs the load between this process and a child.
+call_cost RunCalls(const call_load& load);
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_BENCH_RPC_COST_H_
--- /dev/null
+++ b/bench/slopes_process.cc
@@ -0,0 +1,60 @@
+// Slopes of what lives as long as the process: time line, metrics.
+#include <memory>
+
+#include "bench/slope.h"
+#include "process/metrics.h"
+#include "process/timeline.h"
+
+namespace catkinford {
+namespace {
+
+double TimelineMemory(double events) {
+  return HeapOf([&] {
+    auto ring = std::make_unique<timeline>(static_cast<size_t>(events));
+    for (int i = 0; i < static_cast<int>(events); ++i) {
+      ring->Record(event_code::kTaskStarted, {}, {1, 2}, 3, "endpoint-0123",
+                   "interactive of team-012 for entry asahikawa-2");
+    }
+    return ring;
+  });
+}
+
+double TimelineCpu(double events) {
+  timeline ring(65536);
+  return CpuOf([&] {
+    for (int i = 0; i < static_cast<int>(events); ++i) {
+      ring.Record(event_code::kTaskStarted, {}, {1, 2}, 3, "endpoint-0123", "interactive");
+    }
+  });
+}
+
+double MetricsTextCpu(double scrapes) {
+  metrics all;
+  return CpuOf([&] {
+    for (int i = 0; i < static_cast<int>(scrapes); ++i) {
+      if (all.Text().empty()) return;
+    }
+  });
+}
+
+}  // namespace
+
+std::vector<slope_question> ProcessSlopes() {
+  return {
+      {"timeline.memory",
+       "bytes",
+       "event",
+       {4096, 16384, 32768, 65536},
+       TimelineMemory,
+       "timeline, full ring, subject and detail of usual length"},
+      {"timeline.record_cpu",
+       "us",
+       "event",
+       {10000, 50000, 100000, 200000},
+       TimelineCpu,
+       "timeline::Record"},
+      {"metrics.scrape_cpu", "us", "scrape", {10, 20, 40, 80}, MetricsTextCpu, "metrics::Text"},
+  };
+}
+
+}  // namespace catkinford
