Measure what calls to endpoints cost: processor time and bytes

Change: slopes of sync, start and fence-with-list run the real adapter against a stand-in in a process of its own; bytes are those that TCP counts on our own connections, so HTTP heads are in.

--- a/bench/forked_server.cc
+++ b/bench/forked_server.cc
@@ -1,5 +1,6 @@
 #include "bench/forked_server.h"
 
+#include <linux/tcp.h>
 #include <netinet/in.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -13,6 +14,7 @@
 namespace catkinford {
 namespace {
 
+constexpr int kDescriptorLimit = 1024;
 constexpr int kConnectTries = 500;
 constexpr std::chrono::milliseconds kConnectPause{10};
 
@@ -43,13 +45,28 @@
 uint16_t FreePort() {
   const int socket_fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address = Loopback(0);
-  bind(socket_fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+  if (bind(socket_fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) return 0;
   socklen_t size = sizeof address;
   getsockname(socket_fd, reinterpret_cast<sockaddr*>(&address), &size);
   close(socket_fd);
   return ntohs(address.sin_port);
 }
 
+double SocketBytes(uint16_t port) {
+  double bytes = 0;
+  for (int fd = 0; fd < kDescriptorLimit; ++fd) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof peer;
+    if (getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) != 0) continue;
+    if (peer.sin_family != AF_INET || ntohs(peer.sin_port) != port) continue;
+    tcp_info info{};
+    size = sizeof info;
+    if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) continue;
+    bytes += static_cast<double>(info.tcpi_bytes_acked + info.tcpi_bytes_received);
+  }
+  return bytes;
+}
+
 double ProcessCpuMicroseconds() {
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
--- a/bench/rpc_cost.cc
+++ b/bench/rpc_cost.cc
@@ -54,6 +54,7 @@
   const std::string text(load.body_bytes, 'x');
   std::atomic<int> failed{0};
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<size_t>(load.at_once));
   for (int i = 0; i < load.at_once; ++i) {
     threads.emplace_back([&] {
       rpc_client client(Url(port), kCallTimeout);
--- a/bench/slope.h
+++ b/bench/slope.h
@@ -78,6 +78,7 @@
 std::vector<slope_question> VersionSlopes();
 std::vector<slope_question> ProcessSlopes();
 std::vector<slope_question> PeerSlopes();
+std::vector<slope_question> EndpointSlopes();
 
 }  // namespace catkinford
 
