--- a/bench/commands.h
+++ b/bench/commands.h
@@ -11,6 +11,9 @@
 // Calls between two processes, JSON-RPC against our HTTP pair: `rpc --json F`.
 int RpcMain(int argc, char** argv);
 
+// Load in an open loop over a fleet of real processes: `load --rate R --seconds S`.
+int LoadMain(int argc, char** argv);
+
 }  // namespace catkinford
 
 #endif  // CATKINFORD_BENCH_COMMANDS_H_
