Move grants by compare-and-swap alone, whatever happens to replies and owners

Cause: a reply lost after the write, a delayed write that arrives after a read-back, and an owner paused past its lease that returns parts its successor has in use; each lets a team pass its limit. Ruled out: read back and compare, since the lost write may arrive after the read. The same write once more settles it: the revision moves, and whichever of the two is late conflicts. Parts carry their owner's epoch; a new owner uses none that is not stamped with its own.

--- /dev/null
+++ b/src/version/grant_holder.h
@@ -0,0 +1,84 @@
+// One shard's dealings with the grant ledger: which compare-and-swap to send next, and what may be
+// used meanwhile, whatever happens to the replies. Pure: replies come in, writes go out.
+//
+// The ledger is spread over a fixed number of values of the store, by team, so that a change of one
+// team's grants neither conflicts with nor carries those of all others.
+#ifndef CATKINFORD_VERSION_GRANT_HOLDER_H_
+#define CATKINFORD_VERSION_GRANT_HOLDER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "connection/store_adapter.h"
+#include "version/contract.h"
+#include "version/grant_ledger.h"
+
+namespace catkinford {
+
+// Values that the ledger is spread over. At 170 teams in 18 shards one value is about 7 KB.
+constexpr uint32_t kGrantBuckets = 16;
+
+// "grants/NN", where the parts of this team's limit are kept.
+std::string GrantKeyOf(std::string_view team);
+
+struct grant_write {
+  std::string key;
+  uint64_t expect = 0;
+  std::string value;
+  std::string write_id;
+};
+
+// One owner of one shard, for as long as it is the owner. A new owner starts nothing on a part that
+// does not carry its epoch yet; an owner that learns that it was superseded plans no more. Between
+// the two the old owner's books are still an upper bound of what runs, and after them the old
+// owner's writes conflict: at no time is a part returned that somebody uses.
+class grant_holder {
+ public:
+  grant_holder(std::string shard, uint64_t epoch, grant_policy policy = {});
+
+  // Appends the writes that would bring the ledger to what the shard needs; one at a time for each
+  // value. `all_listed`: every endpoint of the shard was listed, so that `used` is the whole.
+  void Plan(const configuration& config, const std::vector<grant_demand>& demands, bool all_listed,
+            std::vector<grant_write>& out);
+  // The reply to a write. No read is ever needed: a conflict brings the present value.
+  void OnReply(const std::string& key, const store_reply& reply);
+  // News of a value from a range read or a watch.
+  void OnRead(const std::string& key, uint64_t revision, const std::string& value);
+
+  // What may be used now, for each team that this shard has ever held a part of.
+  std::vector<grant_entry> Usable(const configuration& config) const;
+  // Another owner of this shard with a higher epoch has written: this one holds nothing any more.
+  bool Superseded() const { return superseded_; }
+
+ private:
+  struct bucket {
+    ledger_value ledger;  // at `revision`
+    uint64_t revision = 0;
+    bool unreadable = false;  // not a ledger: nothing is written over it
+    // The write under way, or one whose reply is lost: it may be in force, or yet come into force.
+    grant_write write;
+    ledger_value sent;
+    bool in_flight = false;
+    bool uncertain = false;
+  };
+
+  void Take(bucket& into, uint64_t revision, const std::string& value);
+  void Send(bucket& from, std::vector<grant_write>& out);
+  bool Stamp(ledger_value& ledger) const;
+  const grant_entry* OwnEntry(const ledger_value& ledger, const std::string& team) const;
+
+  std::string shard_;
+  uint64_t epoch_;
+  grant_policy policy_;
+  bool superseded_ = false;
+  uint64_t writes_ = 0;
+  std::map<std::string, bucket> buckets_;
+  std::map<std::string, std::string> teams_;  // team → key
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_VERSION_GRANT_HOLDER_H_
--- a/src/version/grant_ledger.cc
+++ b/src/version/grant_ledger.cc
@@ -16,6 +16,7 @@
 // A grant as an array, since every amount of it is treated alike: processors, memory,
 // accelerators, running tasks.
 constexpr size_t kAmounts = 4;
+constexpr size_t kEntryFields = kAmounts + 2;
 using amounts = std::array<uint64_t, kAmounts>;
 
 amounts AmountsOf(const team_grant& grant) {
@@ -81,7 +82,7 @@
 };
 
 // What the shard should hold, before the limit is looked at.
-uint64_t AimOf(const amount_plan& plan, uint64_t step) {
+uint64_t AimOf(const amount_plan& plan, uint64_t steps_per_limit) {
   const uint64_t wanted = std::max(plan.wanted, plan.used);
   if (plan.granted > plan.limit) return plan.used;
   if (plan.other_starved) {
@@ -89,16 +90,19 @@
     const uint64_t part = plan.limit / std::max<uint64_t>(plan.holders, 1);
     return std::max(plan.used, std::min(wanted, part));
   }
-  if (wanted > plan.held) return RoundUp(wanted, step) + (wanted > 0 ? step : 0);
+  // A reserve is held also without demand, so that a first task starts without the store. Limits
+  // of a few pieces have none: each piece would lie idle somewhere.
+  const uint64_t reserve = plan.limit / steps_per_limit;
+  const uint64_t step = std::max<uint64_t>(reserve, 1);
+  const uint64_t enough = RoundUp(wanted, step) + reserve;
+  if (wanted > plan.held || plan.held < reserve) return enough;
   // Returned only when two steps lie idle: a demand that swings about a step writes nothing.
-  const uint64_t enough = wanted == 0 ? 0 : RoundUp(wanted, step) + step;
-  if (plan.held > enough + step || wanted == 0) return enough;
-  return plan.held;
+  return plan.held > enough + step ? enough : plan.held;
 }
 
 uint64_t PlanAmount(const amount_plan& plan, const grant_policy& policy) {
-  const uint64_t step = std::max<uint64_t>(plan.limit / policy.steps_per_limit, 1);
-  const uint64_t aim = AimOf(plan, step);
+  uint64_t aim = AimOf(plan, std::max<uint32_t>(policy.steps_per_limit, 1));
+  if (!policy.may_return) aim = std::max(aim, plan.held);
   if (aim <= plan.held) return aim;
   const uint64_t free = plan.limit > plan.granted ? plan.limit - plan.granted : 0;
   return plan.held + std::min(aim - plan.held, free);
@@ -146,24 +150,27 @@
 
 std::optional<grant_entry> ParseEntry(const std::string& team, const std::string& shard,
                                       const json& value) {
-  if (!value.is_array() || value.size() != kAmounts + 1) return std::nullopt;
+  if (!value.is_array() || value.size() != kEntryFields) return std::nullopt;
   amounts parsed{};
   for (size_t i = 0; i < kAmounts; ++i) {
     if (!value[i].is_number_unsigned()) return std::nullopt;
     parsed[i] = value[i].get<uint64_t>();
     if (parsed[i] > std::numeric_limits<uint32_t>::max()) return std::nullopt;
   }
-  if (!value[kAmounts].is_boolean()) return std::nullopt;
-  return grant_entry{team, shard, GrantFrom(parsed), value[kAmounts].get<bool>()};
+  const json& epoch = value[kAmounts];
+  const json& starved = value[kAmounts + 1];
+  if (!epoch.is_number_unsigned() || !starved.is_boolean()) return std::nullopt;
+  return grant_entry{team, shard, GrantFrom(parsed), epoch.get<uint64_t>(), starved.get<bool>()};
 }
 
 }  // namespace
 
-// {"team":{"shard":[cpu_milli, memory_mb, accelerators, running, starved]}}
+// {"team":{"shard":[cpu_milli, memory_mb, accelerators, running, epoch, starved]}}
 std::string ToText(const ledger_value& ledger) {
   json teams = json::object();
   for (const grant_entry& entry : ledger.entries) {
     json value = AmountsOf(entry.grant);
+    value.push_back(entry.epoch);
     value.push_back(entry.starved);
     teams[entry.team][entry.shard] = std::move(value);
   }
@@ -196,7 +203,7 @@
                          const grant_policy& policy) {
   ledger_change change{current, false};
   for (const grant_demand& demand : demands) {
-    grant_entry held{demand.team, std::string(shard), {}, false};
+    grant_entry held{demand.team, std::string(shard), {}, 0, false};
     const auto place = PlaceOf(change.next, held);
     if (place != change.next.entries.end() && IsSame(*place, held)) held = *place;
     const team_total total = TotalOf(change.next, demand.team, shard);
--- a/src/version/grant_ledger.h
+++ b/src/version/grant_ledger.h
@@ -22,10 +22,11 @@
   std::string team;
   std::string shard;
   team_grant grant;
+  uint64_t epoch = 0;    // of the owner that wrote it; no other owner may count on it
   bool starved = false;  // wants more than the limit leaves: others keep no more than their part
   bool operator==(const grant_entry& other) const {
     return team == other.team && shard == other.shard && grant.amount == other.grant.amount &&
-           grant.running == other.grant.running && starved == other.starved;
+           grant.running == other.grant.running && epoch == other.epoch && starved == other.starved;
   }
 };
 
@@ -52,6 +53,9 @@
 // written less often and leaves more lying unused with others.
 struct grant_policy {
   uint32_t steps_per_limit = 64;
+  // False while some endpoint of the shard is not listed yet: what runs there is not in `used`, and
+  // giving its part away would let the team pass its limit elsewhere.
+  bool may_return = true;
 };
 
 // The ledger after `shard` has taken what it needs and returned what it does not. Steps are large
--- /dev/null
+++ b/test/version_order_test.cc
@@ -0,0 +1,151 @@
+#include "version/version_order.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "property.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kGrace{600000};
+
+class version_order_fixture {
+ protected:
+  version_order_fixture() {
+    config_.workspaces.push_back({"w", {}});
+    team_contract& team = config_.workspaces[0].teams.emplace_back();
+    team.name = std::string("t");
+    team.keys.push_back(key_.record);
+  }
+
+  std::string Text() const { return ToText(config_); }
+
+  new_key key_ = MakeKey("desk", false);
+  configuration config_;
+  monotonic_time now_ = monotonic_time{} + std::chrono::hours{1};
+  version_order order_{kGrace};
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(version_order_fixture, "versions, older one offered late, is not taken",
+                 "[versions]") {
+  CHECK(order_.Offer(5, Text(), now_));
+  CHECK_FALSE(order_.Offer(4, R"({"workspaces":[]})", now_));
+  CHECK_FALSE(order_.Offer(5, R"({"workspaces":[]})", now_));
+  CHECK(order_.Version() == 5);
+  CHECK(order_.Ring()->Find(key_.secret).has_value());
+}
+
+TEST_CASE_METHOD(version_order_fixture, "versions, unreadable one, keeps the old one in force",
+                 "[versions]") {
+  CHECK(order_.Offer(5, Text(), now_));
+  CHECK_FALSE(order_.Offer(6, R"({"workspaces":[], "novelty":1})", now_));
+  CHECK(order_.Version() == 5);
+  REQUIRE(order_.Refused().has_value());
+  CHECK(order_.Refused()->version == 6);
+  CHECK(order_.Refused()->error.fault == contract_fault::kUnknownField);
+  CHECK(order_.Offer(7, Text(), now_));
+  CHECK_FALSE(order_.Refused().has_value());
+}
+
+// An operator withdraws a lost key. The word reaches an entry before the whole document does, and
+// after it an older document arrives: the key must work in neither case.
+TEST_CASE_METHOD(version_order_fixture, "versions, key denied ahead of its version, stays refused",
+                 "[versions]") {
+  order_.Offer(5, Text(), now_);
+  CHECK(order_.Deny(8, {key_.record.salt}));
+  CHECK_FALSE(order_.Ring()->Find(key_.secret).has_value());
+  CHECK(order_.Offer(7, Text(), now_));
+  CHECK_FALSE(order_.Ring()->Find(key_.secret).has_value());
+  CHECK(order_.Offer(9, Text(), now_));
+  CHECK(order_.Ring()->Find(key_.secret).has_value());
+  CHECK_FALSE(order_.Deny(8, {key_.record.salt}));
+}
+
+// A domain is cut off from everything. A key may have been withdrawn elsewhere without its knowing,
+// so that after the grace nothing new is taken; one word from outside sets that right.
+TEST_CASE_METHOD(version_order_fixture, "versions, no confirmation for the grace, trust no key",
+                 "[versions]") {
+  CHECK_FALSE(order_.KeysTrusted(now_));
+  order_.Offer(5, Text(), now_);
+  CHECK(order_.KeysTrusted(now_ + kGrace));
+  CHECK_FALSE(order_.KeysTrusted(now_ + kGrace + milliseconds{1}));
+  order_.Confirm(5, now_ + kGrace);
+  CHECK(order_.KeysTrusted(now_ + kGrace * 2));
+  // A newer version than ours is no confirmation of ours.
+  order_.Confirm(6, now_ + kGrace * 2);
+  CHECK_FALSE(order_.KeysTrusted(now_ + kGrace * 2 + milliseconds{1}));
+}
+
+TEST_CASE_METHOD(version_order_fixture, "versions, asked where in force, name domains that lack it",
+                 "[versions]") {
+  order_.Offer(5, Text(), now_);
+  const std::vector<version_member> members = {{"a2", "a"}, {"b1", "b"}, {"b2", "b"}, {"c1", "c"}};
+  order_.OnPeerVersion("a2", 5);
+  order_.OnPeerVersion("b1", 5);
+  order_.OnPeerVersion("b2", 4);
+  in_force_report report = order_.InForce(5, "a", members);
+  CHECK(report.in_force == std::vector<std::string>{"a"});
+  CHECK(report.pending == std::vector<std::string>{"b", "c"});
+  order_.OnPeerVersion("b2", 6);
+  report = order_.InForce(5, "a", members);
+  CHECK(report.in_force == std::vector<std::string>{"a", "b"});
+  CHECK(order_.NewerPeer() == std::string("b2"));
+}
+
+TEST_CASE("versions, one watcher, is the live entry with the lowest name", "[versions]") {
+  CHECK(IsWatcher("a1", {"a2", "a3"}));
+  CHECK_FALSE(IsWatcher("a2", {"a1"}));
+  CHECK(IsWatcher("a2", {}));
+}
+
+// Documents reach the entries by watches, by peers and by late replies, in any order and more than
+// once. A change that was accepted must end up everywhere and never disappear anywhere.
+TEST_CASE("versions, random spread between entries, only rise and end up the same", "[versions]") {
+  CHECK(Holds({11, 300, 200}, [] {
+    const auto choices =
+        *rc::gen::container<std::vector<uint32_t>>(rc::gen::inRange<uint32_t>(0, 10000));
+    constexpr size_t kEntries = 4;
+    std::vector<version_order> entries(kEntries, version_order(kGrace));
+    std::vector<std::pair<uint64_t, std::string>> sent;
+    uint64_t newest = 0;
+    const monotonic_time now{};
+    for (const uint32_t choice : choices) {
+      version_order& entry = entries[choice / 3 % kEntries];
+      const uint64_t before = entry.Version();
+      if (choice % 3 == 0) {  // an operator's change, seen first by this entry
+        newest += 1 + choice % 5;
+        sent.emplace_back(
+            newest, R"({"workspaces":[{"name":"v)" + std::to_string(newest) + R"(","teams":[]}]})");
+        entry.Offer(newest, sent.back().second, now);
+      } else if (!sent.empty()) {  // some document, late or doubled
+        const auto& [version, text] = sent[choice / 12 % sent.size()];
+        entry.Offer(version, text, now);
+      }
+      RC_ASSERT(entry.Version() >= before);
+      if (entry.Version() != 0) {
+        RC_ASSERT(entry.Config()->workspaces[0].name == "v" + std::to_string(entry.Version()));
+      }
+    }
+    // Once entries can reach each other, each asks the peer that has the newest.
+    for (version_order& entry : entries) {
+      for (size_t i = 0; i < kEntries; ++i) {
+        entry.OnPeerVersion(std::to_string(i), entries[i].Version());
+      }
+      if (const auto peer = entry.NewerPeer()) {
+        const version_order& source = entries[static_cast<size_t>(std::stoi(*peer))];
+        entry.Offer(source.Version(), source.Text(), now);
+      }
+      RC_ASSERT(entry.Version() == newest);
+    }
+  }));
+}
+
+}  // namespace catkinford
