--- a/bench/forked_server.cc
+++ b/bench/forked_server.cc
@@ -11,6 +11,8 @@
 #include <chrono>
 #include <thread>
 
+#include "bench/child_process.h"
+
 namespace catkinford {
 namespace {
 
@@ -42,16 +44,6 @@
 
 }  // namespace
 
-uint16_t FreePort() {
-  const int socket_fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address = Loopback(0);
-  if (bind(socket_fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) return 0;
-  socklen_t size = sizeof address;
-  getsockname(socket_fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(socket_fd);
-  return ntohs(address.sin_port);
-}
-
 double SocketBytes(uint16_t port) {
   double bytes = 0;
   for (int fd = 0; fd < kDescriptorLimit; ++fd) {
--- a/bench/forked_server.h
+++ b/bench/forked_server.h
@@ -9,9 +9,6 @@
 
 namespace catkinford {
 
-// A port of this machine's loopback that was free a moment ago.
-uint16_t FreePort();
-
 // Bytes that went both ways over the connections that this process has open to `port`, as TCP
 // counts them: HTTP heads and bodies, without the heads of TCP and IP.
 double SocketBytes(uint16_t port);
