--- a/test/version_order_test.cc
+++ b/test/version_order_test.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "property.h"
 
 namespace catkinford {
@@ -131,7 +132,7 @@
       }
       RC_ASSERT(entry.Version() >= before);
       if (entry.Version() != 0) {
-        RC_ASSERT(entry.Config()->workspaces[0].name == "v" + std::to_string(entry.Version()));
+        RC_ASSERT(entry.Config()->workspaces[0].name == absl::StrCat("v", entry.Version()));
       }
     }
     // Once entries can reach each other, each asks the peer that has the newest.
