--- a/bench/slope.h
+++ b/bench/slope.h
@@ -77,8 +77,10 @@
 // The questions, by the part of the code that they ask about.
 std::vector<slope_question> VersionSlopes();
 std::vector<slope_question> ProcessSlopes();
+std::vector<slope_question> CoreSlopes();
 std::vector<slope_question> PeerSlopes();
 std::vector<slope_question> EndpointSlopes();
+std::vector<slope_question> StoreSlopes();
 
 }  // namespace catkinford
 
