--- a/test/version_order_test.cc
+++ b/test/version_order_test.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "property.h"
 
 namespace catkinford {
@@ -15,6 +16,13 @@
 
 constexpr milliseconds kGrace{600000};
 
+std::string NameOf(uint64_t version) { return absl::StrCat("v", version); }
+
+// A document whose one workspace has this name.
+std::string TextNamed(const std::string& workspace) {
+  return absl::StrCat(R"({"workspaces":[{"name":")", workspace, R"(","teams":[]}]})");
+}
+
 class version_order_fixture {
  protected:
   version_order_fixture() {
@@ -122,8 +130,7 @@
       const uint64_t before = entry.Version();
       if (choice % 3 == 0) {  // an operator's change, seen first by this entry
         newest += 1 + choice % 5;
-        sent.emplace_back(
-            newest, R"({"workspaces":[{"name":"v)" + std::to_string(newest) + R"(","teams":[]}]})");
+        sent.emplace_back(newest, TextNamed(NameOf(newest)));
         entry.Offer(newest, sent.back().second, now);
       } else if (!sent.empty()) {  // some document, late or doubled
         const auto& [version, text] = sent[choice / 12 % sent.size()];
@@ -131,7 +138,7 @@
       }
       RC_ASSERT(entry.Version() >= before);
       if (entry.Version() != 0) {
-        RC_ASSERT(entry.Config()->workspaces[0].name == "v" + std::to_string(entry.Version()));
+        RC_ASSERT(entry.Config()->workspaces[0].name == NameOf(entry.Version()));
       }
     }
     // Once entries can reach each other, each asks the peer that has the newest.
