--- a/bench/slopes_version.cc
+++ b/bench/slopes_version.cc
@@ -131,6 +131,17 @@
   });
 }
 
+// The plan alone, of one shard for every team, when nothing changes.
+double PlanCpu(double entries) {
+  const configuration config = MakeConfiguration(kTargetTeams, kKeysPerTeam);
+  const ledger_value ledger = MakeLedger(entries);
+  std::vector<grant_demand> demands;
+  for (const grant_entry& entry : GrantsOf(ledger, "domain-0/000")) {
+    demands.push_back({entry.team, entry.grant, entry.grant});
+  }
+  return CpuOf([&] { PlanGrants(ledger, config, "domain-0/000", demands); });
+}
+
 }  // namespace
 
 std::vector<slope_question> VersionSlopes() {
@@ -154,6 +165,8 @@
        "key_ring::Find of a good key, 681 keys"},
       {"ledger.text", "bytes", "team in a shard", entries, LedgerBytes,
        "ToText(ledger_value): the value in the store"},
+      {"ledger.plan_alone_cpu", "us", "team in a shard", entries, PlanCpu,
+       "PlanGrants for 170 teams, nothing to change"},
       {"ledger.plan_cpu", "us", "team in a shard", entries, LedgerCpu,
        "ParseLedger, PlanGrants for 170 teams, ToText"},
   };
