--- a/bench/scenario_faults.cc
+++ b/bench/scenario_faults.cc
@@ -186,7 +186,7 @@
   for (int round = 0; round < kRaces; ++round) {
     std::vector<std::thread> operators;
     for (uint32_t number = 0; number < 2; ++number) {
-      const size_t slot = (static_cast<size_t>(round) + number * 3) % run.Fleet().Entries();
+      const size_t slot = (static_cast<size_t>(round) + size_t{number} * 3) % run.Fleet().Entries();
       operators.emplace_back([&run, slot, number, round] {
         auto present = run.ReadConfig(slot);
         if (!present) return;
