Add the command line for callers and operators

Jobs, contracts, keys, endpoints, domains, members, merged time line, settings check; help with examples for each; exit codes in one enumeration. Changes are made against the version that they were read from; a conflict shows both changes, and keys, which commute, are granted again on top. Applying a file never loses a key and never puts a withdrawn one back. A call that got no answer goes to the next entry under the same identity, and without any answer it is said to be unknown. Tested against a fake entry on the project's own HTTP server; not yet against the daemon.

--- /dev/null
+++ b/src/process/command_line.cc
@@ -0,0 +1,176 @@
+#include "process/command_line.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
+#include "process/commands.h"
+
+namespace catkinford {
+namespace {
+
+struct command_entry {
+  const char* name;       // its words
+  const char* arguments;  // as shown in the help
+  size_t least;           // words after the name
+  size_t most;
+  int (*run)(command_context& context, const command_words& words);
+  const char* help;
+  const char* example;
+};
+
+constexpr std::array<command_entry, 19> kCommands = {{
+    {"submit", "KIND | FILE", 1, 1, &RunSubmit,
+     "Submits one job of a kind (interactive, service, batch, gang) with the flags --tasks, "
+     "--cpu_milli,\n"
+     "--memory_mb, --accelerators, --urgent, --repeatable, --idempotency_key, --deadline, "
+     "--run_time,\n"
+     "--payload, --wait; or all jobs of a JSON file {\"jobs\":[...]}. Without --idempotency_key "
+     "one "
+     "is drawn,\n"
+     "so that a call that is repeated at another entry cannot run twice.",
+     "catkinford submit interactive --cpu_milli 500 --memory_mb 256 --payload '{\"run_ms\":20}'\n"
+     "catkinford submit service --tasks 3 --cpu_milli 1000 --memory_mb 1024\n"
+     "catkinford submit jobs.json --output json"},
+    {"status", "ID", 1, 1, &RunStatus, "Shows the state of a job and what it waits for.",
+     "catkinford status 0123456789abcdef0123456789abcdef"},
+    {"cancel", "ID", 1, 1, &RunCancel, "Cancels a job; says whether anything of it ran.",
+     "catkinford cancel 0123456789abcdef0123456789abcdef"},
+    {"wait", "ID", 1, 1, &RunWait,
+     "Waits until a job has ended, --wait_limit at most, and prints its outcome.",
+     "catkinford wait 0123456789abcdef0123456789abcdef --wait_limit 5m"},
+    {"contract check", "FILE", 1, 1, &RunContractCheck,
+     "Checks a file of contracts against the schema. Sends nothing.",
+     "catkinford contract check showrooms.json"},
+    {"contract apply", "FILE", 1, 1, &RunContractApply,
+     "Puts the workspaces of a file in the place of those of the same name. Other workspaces stay, "
+     "and\n"
+     "so do all keys. --dry_run shows the change; --expect VERSION refuses if there is a newer "
+     "one.",
+     "catkinford contract apply showrooms.json --dry_run\n"
+     "catkinford contract apply showrooms.json --expect 41"},
+    {"contract remove", "WORKSPACE", 1, 1, &RunContractRemove,
+     "Removes a workspace: its keys stop, what it has running drains.",
+     "catkinford contract remove showrooms --dry_run"},
+    {"contract get", "[VERSION]", 0, 1, &RunContractGet,
+     "Prints the configuration in force, or an earlier version of it.",
+     "catkinford contract get > all.json"},
+    {"contract diff", "FILE | VERSION VERSION", 1, 2, &RunContractDiff,
+     "Shows what applying a file would change, or what changed between two versions.",
+     "catkinford contract diff showrooms.json\n"
+     "catkinford contract diff 40 41"},
+    {"contract history", "", 0, 0, &RunContractHistory,
+     "Lists the versions that are kept: when and by whose key.",
+     "catkinford contract history --output json"},
+    {"key make", "NAME", 1, 1, &RunKeyMake,
+     "Makes a secret and prints it with its record. Sends nothing: for the first document of all.",
+     "catkinford key make first --operator"},
+    {"key grant", "TEAM NAME | NAME", 1, 2, &RunKeyGrant,
+     "Makes a secret here and grants it to a team, or with --operator to an operator. The secret "
+     "is "
+     "shown\n"
+     "once; only its salt and hash leave this machine.",
+     "catkinford key grant booking front-desk\n"
+     "catkinford key grant --operator night-shift"},
+    {"key withdraw", "TEAM NAME | NAME", 1, 2, &RunKeyWithdraw,
+     "Withdraws a key of a team, or with --operator of an operator, for good.",
+     "catkinford key withdraw booking front-desk"},
+    {"key list", "", 0, 0, &RunKeyList, "Lists all keys, their holders and whether withdrawn.",
+     "catkinford key list"},
+    {"endpoint drain", "NAME", 1, 1, &RunEndpointDrain,
+     "Gives an endpoint nothing new; what runs there is moved. --dry_run counts only.",
+     "catkinford endpoint drain ep-12 --dry_run"},
+    {"domain evacuate", "NAME", 1, 1, &RunDomainEvacuate,
+     "Moves the jobs of a failure domain that is lost for good. Only an operator can know that it "
+     "is:\n"
+     "jobs of a domain that still runs would run twice. --dry_run counts only.",
+     "catkinford domain evacuate otaru --dry_run"},
+    {"members", "", 0, 0, &RunMembers, "Lists the entries and the shards with their owners.",
+     "catkinford members"},
+    {"timeline", "", 0, 0, &RunTimeline,
+     "Merges the events of all entries in --entry into one time line: as text, or with --out FILE "
+     "as a\n"
+     "file in the Chrome trace format. --id keeps the events of one request.",
+     "catkinford timeline --entry http://10.0.0.1:8080,http://10.0.0.2:8080 --out trace.json\n"
+     "catkinford timeline --id 0123456789abcdef0123456789abcdef"},
+    {"check-config", "settings FILE | contracts FILE", 2, 2, &RunCheckConfig,
+     "Checks a settings file of the daemon, or a file of contracts. Each fault of settings has an "
+     "exit\n"
+     "code of its own, from 10 on.",
+     "catkinford check-config settings entry.json"},
+}};
+
+constexpr const char* kExitCodes =
+    "Exit codes: 0 done, 1 ran and failed, 2 wrong command line, 3 refused and not run, 4 may "
+    "have\n"
+    "run, 5 conflict with another change, 6 wrong contract, 7 no entry answered, 8 key not good,\n"
+    "9 not found, 10-20 faults of a settings file, 30 accepted but not yet in force everywhere.\n";
+
+constexpr const char* kCommonFlags =
+    "Common flags: --entry URL[,URL] (or CATKINFORD_ENTRY), --key KEY (or CATKINFORD_KEY, which "
+    "does\n"
+    "not show in the list of processes), --output text|json, --timeout 30s, --ca_file FILE.\n";
+
+// The entry whose words `words` begins with.
+const command_entry* FindCommand(const command_words& words) {
+  const auto begins = [&words](const command_entry& entry) {
+    const std::vector<std::string> name = absl::StrSplit(entry.name, ' ');
+    return name.size() <= words.size() && std::equal(name.begin(), name.end(), words.begin());
+  };
+  const auto found = std::find_if(kCommands.begin(), kCommands.end(), begins);
+  return found == kCommands.end() ? nullptr : &*found;
+}
+
+size_t WordsIn(const char* name) {
+  const std::vector<std::string> words = absl::StrSplit(name, ' ');
+  return words.size();
+}
+
+std::string Usage(const command_entry& entry) {
+  return absl::StrCat("catkinford ", entry.name, entry.arguments[0] == '\0' ? "" : " ",
+                      entry.arguments);
+}
+
+}  // namespace
+
+std::string HelpOn(const std::vector<std::string>& words) {
+  if (const command_entry* entry = FindCommand(words)) {
+    return absl::StrCat(Usage(*entry), "\n\n", entry->help, "\n\nExamples:\n", entry->example,
+                        "\n\n", kCommonFlags, kExitCodes);
+  }
+  std::string text = "catkinford COMMAND [arguments] [--flag value ...]\n\n";
+  for (const command_entry& entry : kCommands) {
+    const std::string help = entry.help;
+    absl::StrAppend(&text, "  ", Usage(entry), "\n      ", help.substr(0, help.find('\n')), "\n");
+  }
+  absl::StrAppend(&text, "\ncatkinford COMMAND --help shows more, with examples.\n\n", kCommonFlags,
+                  kExitCodes);
+  return text;
+}
+
+command_line::command_line(command_options options, entry_client& entries, std::ostream& out,
+                           std::ostream& err)
+    : options_(std::move(options)), entries_(entries), out_(out), err_(err) {}
+
+int command_line::Run(const std::vector<std::string>& words) {
+  const command_entry* entry = FindCommand(words);
+  if (entry == nullptr) {
+    if (!words.empty())
+      err_ << "catkinford: no such command: " << absl::StrJoin(words, " ") << "\n";
+    err_ << HelpOn({});
+    return static_cast<int>(exit_code::kUsage);
+  }
+  const command_words rest(words.begin() + static_cast<std::ptrdiff_t>(WordsIn(entry->name)),
+                           words.end());
+  if (rest.size() < entry->least || rest.size() > entry->most) {
+    err_ << "usage: " << Usage(*entry) << "\n";
+    return static_cast<int>(exit_code::kUsage);
+  }
+  command_context context{options_, entries_, out_, err_};
+  return entry->run(context, rest);
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/commands.h
@@ -0,0 +1,75 @@
+// The commands of the command line, one function each. Each takes the words after its name, prints
+// its result and returns the exit code.
+#ifndef CATKINFORD_PROCESS_COMMANDS_H_
+#define CATKINFORD_PROCESS_COMMANDS_H_
+
+#include <optional>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "nlohmann/json.hpp"
+#include "process/command_line.h"
+#include "process/entry_client.h"
+
+namespace catkinford {
+
+using command_words = std::vector<std::string>;
+
+// What every command works with.
+struct command_context {
+  const command_options& options;
+  entry_client& entries;
+  std::ostream& out;
+  std::ostream& err;
+};
+
+// An answer of an entry, read.
+struct entry_answer {
+  http_result result;
+  nlohmann::json body;  // discarded when it is not JSON
+
+  bool IsGood() const { return result.status == transfer_status::kDone && result.code < 300; }
+};
+
+entry_answer Ask(command_context& context, const std::string& method, const std::string& path,
+                 const std::string& body);
+// Prints why a call came to nothing, and says what the exit code is.
+exit_code Explain(command_context& context, const entry_answer& answer);
+// The file's text; nothing, and a word about it, where it cannot be read. "-" is standard input.
+std::optional<std::string> ReadFile(command_context& context, const std::string& name);
+// A field of an answer, or the fallback where it is missing or of another type.
+std::string TextField(const nlohmann::json& object, std::string_view field);
+uint64_t NumberField(const nlohmann::json& object, std::string_view field);
+
+// Jobs (job_commands.cc).
+int RunSubmit(command_context& context, const command_words& words);
+int RunStatus(command_context& context, const command_words& words);
+int RunCancel(command_context& context, const command_words& words);
+int RunWait(command_context& context, const command_words& words);
+
+// Contracts (contract_commands.cc).
+int RunContractCheck(command_context& context, const command_words& words);
+int RunContractApply(command_context& context, const command_words& words);
+int RunContractRemove(command_context& context, const command_words& words);
+int RunContractGet(command_context& context, const command_words& words);
+int RunContractDiff(command_context& context, const command_words& words);
+int RunContractHistory(command_context& context, const command_words& words);
+
+// Keys (key_commands.cc).
+int RunKeyMake(command_context& context, const command_words& words);
+int RunKeyGrant(command_context& context, const command_words& words);
+int RunKeyWithdraw(command_context& context, const command_words& words);
+int RunKeyList(command_context& context, const command_words& words);
+
+// The fleet (operator_commands.cc).
+int RunEndpointDrain(command_context& context, const command_words& words);
+int RunDomainEvacuate(command_context& context, const command_words& words);
+int RunMembers(command_context& context, const command_words& words);
+int RunTimeline(command_context& context, const command_words& words);
+int RunCheckConfig(command_context& context, const command_words& words);
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_COMMANDS_H_
--- /dev/null
+++ b/src/process/config_change.cc
@@ -0,0 +1,160 @@
+#include "process/config_change.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace catkinford {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kConflictStatus = 409;
+constexpr int kTriesOnConflict = 8;
+constexpr size_t kDiffContext = 2;
+
+void PrintFault(command_context& context, const contract_error& error) {
+  const std::string fault(ToText(error.fault));
+  if (context.options.json) {
+    const json answer = {
+        {"error", "contract"}, {"fault", fault}, {"path", error.path}, {"value", error.value}};
+    context.out << answer.dump(-1, ' ', true, json::error_handler_t::replace) << "\n";
+  }
+  context.err << "catkinford: " << fault;
+  if (!error.path.empty()) context.err << " at " << error.path;
+  if (!error.value.empty()) context.err << ": " << error.value;
+  context.err << "\n";
+}
+
+std::string JoinNames(const json& answer, const char* field) {
+  std::string text;
+  const auto found = answer.find(field);
+  if (found == answer.end() || !found->is_array()) return text;
+  for (const json& name : *found) {
+    if (!name.is_string()) continue;
+    if (!text.empty()) text += ", ";
+    text += name.get<std::string>();
+  }
+  return text;
+}
+
+// Where a change is in force; not yet everywhere is an exit code of its own.
+exit_code ShowChange(command_context& context, const entry_answer& answer) {
+  const std::string pending = JoinNames(answer.body, "pending");
+  if (context.options.json) {
+    context.out << answer.result.body << "\n";
+  } else {
+    context.out << (context.options.dry_run ? "would be made from version " : "version ")
+                << NumberField(answer.body, "version") << "\n";
+    const std::string warnings = JoinNames(answer.body, "warnings");
+    if (!warnings.empty()) context.out << "warnings: " << warnings << "\n";
+    if (!context.options.dry_run) {
+      context.out << "in force: " << JoinNames(answer.body, "in_force") << "\n";
+      if (!pending.empty()) context.out << "not yet confirmed: " << pending << "\n";
+    }
+  }
+  return pending.empty() || context.options.dry_run ? exit_code::kDone : exit_code::kNotYetInForce;
+}
+
+// Both versions: what this change started from and wanted, and what another operator made of it.
+exit_code ShowConflict(command_context& context, const entry_answer& answer,
+                       const fetched_config& base, const std::string& wanted) {
+  const std::string theirs = TextField(answer.body, "text");
+  const uint64_t version = NumberField(answer.body, "version");
+  if (context.options.json) {
+    const json both = {{"error", "conflict"}, {"expected", base.version},
+                       {"version", version},  {"expected_text", base.text},
+                       {"text", theirs},      {"wanted", wanted}};
+    context.out << both.dump(-1, ' ', true, json::error_handler_t::replace) << "\n";
+  } else {
+    context.out << "conflict: made from version " << base.version << ", but version " << version
+                << " is in force. Nothing was changed.\n--- their change\n";
+    PrintDiff(context, base.text, theirs);
+    context.out << "--- your change\n";
+    PrintDiff(context, base.text, wanted);
+  }
+  context.err << "catkinford: conflict with version " << version << "\n";
+  return exit_code::kConflict;
+}
+
+entry_answer Put(command_context& context, uint64_t expect, const std::string& text) {
+  json body = {{"expect", expect}, {"text", text}};
+  if (context.options.dry_run) body["dry_run"] = true;
+  return Ask(context, "PUT", "/v1/config",
+             body.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+// A change whose answer was lost: it was made if what is in force is exactly this text.
+int ReadBack(command_context& context, const std::string& wanted) {
+  const entry_answer now = Ask(context, "GET", "/v1/config", "");
+  if (now.IsGood() && TextField(now.body, "text") == wanted)
+    return static_cast<int>(ShowChange(context, now));
+  context.err << "catkinford: the answer was lost; see `catkinford contract get`\n";
+  return static_cast<int>(exit_code::kUnknown);
+}
+
+}  // namespace
+
+void PrintDiff(command_context& context, const std::string& before, const std::string& after) {
+  for (const diff_line& line : DiffLines(before, after, kDiffContext)) {
+    context.out << line.mark << line.text << "\n";
+  }
+}
+
+std::variant<configuration, exit_code> CheckDocument(command_context& context,
+                                                     const std::string& text) {
+  std::variant<configuration, contract_error> parsed = ParseConfiguration(text);
+  if (auto* config = std::get_if<configuration>(&parsed)) return std::move(*config);
+  PrintFault(context, std::get<contract_error>(parsed));
+  return exit_code::kContract;
+}
+
+std::variant<fetched_config, exit_code> FetchConfig(command_context& context) {
+  const entry_answer answer = Ask(context, "GET", "/v1/config", "");
+  if (!answer.IsGood()) return Explain(context, answer);
+  fetched_config fetched;
+  fetched.version = NumberField(answer.body, "version");
+  fetched.text = TextField(answer.body, "text");
+  if (fetched.text.empty()) return fetched;  // nothing was ever written
+  std::variant<configuration, exit_code> config = CheckDocument(context, fetched.text);
+  if (const auto* code = std::get_if<exit_code>(&config)) return *code;
+  fetched.config = std::move(std::get<configuration>(config));
+  return fetched;
+}
+
+int ChangeConfig(command_context& context, on_conflict conflict,
+                 const std::function<edit_fault(configuration&)>& edit) {
+  for (int attempt = 1;; ++attempt) {
+    std::variant<fetched_config, exit_code> read = FetchConfig(context);
+    if (const auto* code = std::get_if<exit_code>(&read)) return static_cast<int>(*code);
+    auto& base = std::get<fetched_config>(read);
+    configuration next = base.config;
+    const edit_fault fault = edit(next);
+    if (fault != edit_fault::kNone) {
+      context.err << "catkinford: " << ToText(fault) << "\n";
+      return static_cast<int>(fault == edit_fault::kNameTaken ? exit_code::kUsage
+                                                              : exit_code::kNotFound);
+    }
+    const std::string wanted = ToText(next);
+    // The merged whole can be wrong where each part is right, as shares over the whole.
+    const std::variant<configuration, exit_code> checked = CheckDocument(context, wanted);
+    if (const auto* code = std::get_if<exit_code>(&checked)) return static_cast<int>(*code);
+    if (context.options.dry_run && !context.options.json) PrintDiff(context, base.text, wanted);
+    const entry_answer answer = Put(context, context.options.expect.value_or(base.version), wanted);
+    if (answer.IsGood()) return static_cast<int>(ShowChange(context, answer));
+    if (answer.result.status == transfer_status::kMaybeSent) return ReadBack(context, wanted);
+    if (answer.result.status != transfer_status::kDone || answer.result.code != kConflictStatus) {
+      return static_cast<int>(Explain(context, answer));
+    }
+    // The first entry made it and its answer was lost; the second finds it made already.
+    if (TextField(answer.body, "text") == wanted) {
+      return static_cast<int>(ShowChange(context, answer));
+    }
+    if (conflict == on_conflict::kShowBoth || attempt == kTriesOnConflict) {
+      return static_cast<int>(ShowConflict(context, answer, base, wanted));
+    }
+  }
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/entry_client.cc
@@ -0,0 +1,61 @@
+#include "process/entry_client.h"
+
+#include <utility>
+
+#include "nlohmann/json.hpp"
+#include "request/outcome.h"
+
+namespace catkinford {
+namespace {
+
+constexpr int kUnavailable = 503;
+
+// An entry that leaves says so; another takes the call.
+bool IsLeaving(const http_result& result) {
+  if (result.code != kUnavailable) return false;
+  const auto body = nlohmann::json::parse(result.body, nullptr, false);
+  if (!body.is_object()) return false;
+  const std::string word(ToText(refusal_reason::kShuttingDown));
+  return body.value("reason", nlohmann::json()) == word ||
+         body.value("error", nlohmann::json()) == word;
+}
+
+}  // namespace
+
+entry_client::entry_client(http_client& http, entry_client_options options)
+    : http_(http), options_(std::move(options)) {}
+
+http_call entry_client::CallTo(const std::string& entry, const std::string& method,
+                               const std::string& path, const std::string& body) const {
+  http_call call;
+  call.method = method;
+  call.url = entry + path;
+  call.body = body;
+  call.bearer = options_.key;
+  call.timeout = options_.timeout;
+  return call;
+}
+
+http_result entry_client::Call(const std::string& method, const std::string& path,
+                               const std::string& body) {
+  http_result last;
+  bool maybe_sent = false;
+  for (const std::string& entry : options_.entries) {
+    http_result result = http_.SendAndWait(CallTo(entry, method, path, body));
+    if (result.status == transfer_status::kDone) {
+      last = std::move(result);
+      if (!IsLeaving(last)) return last;
+    } else if (result.status == transfer_status::kMaybeSent) {
+      maybe_sent = true;
+    }
+  }
+  // A refusal by one that leaves says nothing of another that took the call and went silent.
+  if (maybe_sent) return {transfer_status::kMaybeSent, 0, ""};
+  return last;
+}
+
+http_result entry_client::CallAt(size_t entry, const std::string& method, const std::string& path) {
+  return http_.SendAndWait(CallTo(options_.entries[entry], method, path, ""));
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/operator_commands.cc
@@ -0,0 +1,163 @@
+#include <fstream>
+#include <string>
+
+#include "absl/strings/str_cat.h"
+#include "process/config_change.h"
+#include "process/settings.h"
+#include "process/timeline_merge.h"
+
+namespace catkinford {
+namespace {
+
+using nlohmann::json;
+
+// Pages of one entry's time line: a bound, since events may come in as fast as they are read.
+constexpr int kTimelinePages = 200;
+
+// An action on one endpoint or domain; `counted` is what the answer counts.
+int Act(command_context& context, const std::string& path, const char* counted) {
+  const json body = {{"dry_run", context.options.dry_run}};
+  const entry_answer answer = Ask(context, "POST", path, body.dump());
+  if (!answer.IsGood()) return static_cast<int>(Explain(context, answer));
+  if (context.options.json) {
+    context.out << answer.result.body << "\n";
+  } else {
+    context.out << (context.options.dry_run ? "would move " : "moving ")
+                << NumberField(answer.body, counted) << " " << counted << "\n";
+  }
+  return static_cast<int>(exit_code::kDone);
+}
+
+std::string JoinTexts(const json& object, const char* field) {
+  std::string text;
+  const auto found = object.find(field);
+  if (found == object.end() || !found->is_array()) return text;
+  for (const json& each : *found) {
+    if (each.is_string()) absl::StrAppend(&text, text.empty() ? "" : ",", each.get<std::string>());
+  }
+  return text;
+}
+
+void PrintEntries(command_context& context, const json& entries) {
+  for (const json& entry : entries) {
+    context.out << "entry " << TextField(entry, "name") << " " << TextField(entry, "failure_domain")
+                << " " << TextField(entry, "address") << " " << TextField(entry, "state")
+                << " version " << NumberField(entry, "config_version") << " owns "
+                << JoinTexts(entry, "owns") << "\n";
+  }
+}
+
+void PrintShards(command_context& context, const json& shards) {
+  for (const json& shard : shards) {
+    context.out << "shard " << TextField(shard, "name") << " owner " << TextField(shard, "owner")
+                << " epoch " << NumberField(shard, "epoch");
+    for (const char* count : {"endpoints", "running", "queued"}) {
+      context.out << " " << count << " " << NumberField(shard, count);
+    }
+    context.out << "\n";
+  }
+}
+
+// All that one entry still remembers.
+bool ReadEntry(command_context& context, size_t entry, merged_timeline& merged) {
+  uint64_t since = 0;
+  for (int page = 0; page < kTimelinePages; ++page) {
+    const http_result result =
+        context.entries.CallAt(entry, "GET", absl::StrCat("/v1/timeline?since=", since));
+    if (result.status != transfer_status::kDone || result.code != 200) return page > 0;
+    const size_t before = merged.events.size();
+    merged_timeline one;
+    if (!AddProcess(result.body, one)) return page > 0;
+    if (page == 0) merged.processes.push_back(one.processes[0]);
+    for (merged_event& event : one.events) {
+      event.process = merged.processes.size() - 1;
+      merged.events.push_back(std::move(event));
+    }
+    if (merged.events.size() == before || one.processes[0].next <= since) return true;
+    since = one.processes[0].next;
+  }
+  return true;
+}
+
+}  // namespace
+
+int RunEndpointDrain(command_context& context, const command_words& words) {
+  return Act(context, absl::StrCat("/v1/endpoints/", words[0], "/drain"), "running");
+}
+
+int RunDomainEvacuate(command_context& context, const command_words& words) {
+  return Act(context, absl::StrCat("/v1/domains/", words[0], "/evacuate"), "jobs");
+}
+
+int RunMembers(command_context& context, const command_words& /*words*/) {
+  const entry_answer answer = Ask(context, "GET", "/v1/members", "");
+  if (!answer.IsGood()) return static_cast<int>(Explain(context, answer));
+  if (context.options.json) {
+    context.out << answer.result.body << "\n";
+    return static_cast<int>(exit_code::kDone);
+  }
+  if (answer.body.contains("entries")) PrintEntries(context, answer.body["entries"]);
+  if (answer.body.contains("shards")) PrintShards(context, answer.body["shards"]);
+  return static_cast<int>(exit_code::kDone);
+}
+
+int RunTimeline(command_context& context, const command_words& /*words*/) {
+  merged_timeline merged;
+  size_t answered = 0;
+  for (size_t i = 0; i < context.entries.Entries().size(); ++i) {
+    if (context.options.terminal) {
+      context.err << "\rreading " << context.entries.Entries()[i] << "   " << std::flush;
+    }
+    if (ReadEntry(context, i, merged)) {
+      ++answered;
+    } else {
+      context.err << "catkinford: no time line from " << context.entries.Entries()[i] << "\n";
+    }
+  }
+  if (context.options.terminal) context.err << "\n";
+  if (answered == 0) return static_cast<int>(exit_code::kUnreachable);
+  if (!context.options.id.empty()) KeepOnly(context.options.id, merged);
+  SortByTime(merged);
+  if (context.options.out_file.empty()) {
+    context.out << (context.options.json ? ToChromeTrace(merged) + "\n" : ToText(merged));
+    return static_cast<int>(exit_code::kDone);
+  }
+  std::ofstream file(context.options.out_file, std::ios::binary);
+  file << ToChromeTrace(merged);
+  file.close();
+  if (!file) {
+    context.err << "catkinford: cannot write " << context.options.out_file << "\n";
+    return static_cast<int>(exit_code::kUsage);
+  }
+  context.err << merged.events.size() << " events of " << merged.processes.size()
+              << " processes in " << context.options.out_file << "\n";
+  return static_cast<int>(exit_code::kDone);
+}
+
+int RunCheckConfig(command_context& context, const command_words& words) {
+  if (words[0] == "contracts") return RunContractCheck(context, {words[1]});
+  if (words[0] != "settings") {
+    context.err << "catkinford: give settings FILE or contracts FILE\n";
+    return static_cast<int>(exit_code::kUsage);
+  }
+  const std::variant<settings, settings_error> read = LoadSettings(words[1]);
+  if (const auto* error = std::get_if<settings_error>(&read)) {
+    if (context.options.json) {
+      const json answer = {{"error", "settings"},
+                           {"path", error->path},
+                           {"value", error->value},
+                           {"want", error->want}};
+      context.out << answer.dump(-1, ' ', true, json::error_handler_t::replace) << "\n";
+    }
+    context.err << "catkinford: " << ToText(*error) << "\n";
+    return ExitCode(error->fault);
+  }
+  if (context.options.json) {
+    context.out << json{{"settings", "good"}}.dump() << "\n";
+  } else {
+    context.out << "good: " << std::get<settings>(read).name << "\n";
+  }
+  return static_cast<int>(exit_code::kDone);
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/test/command_line_test.cc
@@ -0,0 +1,311 @@
+#include "process/command_line.h"
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "connection/http_server.h"
+#include "nlohmann/json.hpp"
+#include "process/timeline_merge.h"
+#include "request/identity.h"
+#include "version/contract.h"
+#include "version/key_ring.h"
+
+namespace catkinford {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kContracts = R"({"workspaces": [{"name": "showrooms", "teams": [
+  {"name": "booking", "share": 60, "kinds": ["interactive"],
+   "limit": {"cpu_milli": 64000, "memory_mb": 131072, "running": 400}}]}]})";
+
+// The configuration and jobs as an entry would answer for them, and the ways in which it may fail.
+class fake_entry {
+ public:
+  fake_entry() {
+    server_ = std::make_unique<http_server>(
+        http_server_options{}, [this](http_server::token token, const http_request& request) {
+          const std::lock_guard lock(mutex_);
+          const http_response response = Answer(request);
+          if (!silent) server_->Respond(token, response);
+        });
+    server_->Start();
+  }
+
+  std::string Url() const { return absl::StrCat("http://127.0.0.1:", server_->Port()); }
+  void Stop() { server_->Stop(); }
+
+  uint64_t version = 0;
+  std::string text;
+  bool silent = false;               // does what it is asked, and answers nothing
+  std::string race;                  // another operator's document, written before the next change
+  std::vector<std::string> pending;  // domains that have not confirmed
+  std::vector<std::string> submitted_keys;
+  http_response job_answer{200, R"({"id":"1","outcome":"completed","answer":"whole"})"};
+
+ private:
+  http_response Answer(const http_request& request) {
+    if (request.bearer != "ck_operator") return {401, R"({"error":"unknown_key"})"};
+    if (request.path == "/v1/config" && request.method == "PUT") return Change(request);
+    if (request.path == "/v1/config") return {200, Present().dump()};
+    if (request.path == "/v1/jobs") {
+      submitted_keys.push_back(json::parse(request.body)["idempotency_key"]);
+      return job_answer;
+    }
+    if (request.path == "/v1/timeline") return {200, Timeline(request.Query("since"))};
+    return {404, R"({"error":"not_found"})"};
+  }
+
+  json Present() const { return {{"version", version}, {"text", text}}; }
+
+  http_response Change(const http_request& request) {
+    if (!race.empty()) {
+      text = race;
+      version += 1;
+      race.clear();
+    }
+    const json body = json::parse(request.body);
+    if (body["expect"] != version) {
+      json conflict = Present();
+      conflict["error"] = "conflict";
+      return {409, conflict.dump()};
+    }
+    if (!body.contains("dry_run")) {
+      version += 10;
+      text = body["text"];
+    }
+    return {200, json{{"version", version}, {"in_force", {"a"}}, {"pending", pending}}.dump()};
+  }
+
+  static std::string Timeline(const std::string& since) {
+    if (since != "0") return R"({"process":"e1","failure_domain":"a","next":3,"events":[]})";
+    return R"({"process":"e1","failure_domain":"a","mono_us":100,"wall_us":1000100,"next":3,
+      "events":[{"seq":1,"mono_us":50,"code":200,"name":"request_received","id":"ab"},
+                {"seq":2,"mono_us":90,"code":208,"name":"request_answered","id":"ab"}]})";
+  }
+
+  std::mutex mutex_;
+  std::unique_ptr<http_server> server_;
+};
+
+class command_line_fixture {
+ public:
+  command_line_fixture() {
+    http_.Start();
+    client_.entries = {entry_.Url()};
+    client_.key = "ck_operator";
+    client_.timeout = std::chrono::milliseconds{2000};
+  }
+  ~command_line_fixture() { std::remove(file_.c_str()); }
+
+ protected:
+  int Run(const std::vector<std::string>& words) {
+    out_.str("");
+    err_.str("");
+    entry_client calls(http_, client_);
+    return command_line(options_, calls, out_, err_).Run(words);
+  }
+
+  static int Code(exit_code code) { return static_cast<int>(code); }
+
+  std::string FileWith(const std::string& text) const {
+    std::ofstream(file_) << text;
+    return file_;
+  }
+
+  configuration InForce() const { return std::get<configuration>(ParseConfiguration(entry_.text)); }
+
+  std::string file_ =
+      absl::StrCat(CATKINFORD_BIN_DIR, "/contracts_", ToHex(NewRequestId()), ".json");
+  http_client http_{0};
+  fake_entry entry_;
+  entry_client_options client_;
+  command_options options_;
+  std::ostringstream out_;
+  std::ostringstream err_;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(command_line_fixture, "command line, contract applied, is in force", "[cli]") {
+  CHECK(Run({"contract", "apply", FileWith(kContracts)}) == Code(exit_code::kDone));
+  CHECK(entry_.version == 10);
+  CHECK(InForce().workspaces[0].teams[0].name == "booking");
+  CHECK(out_.str() == "version 10\nin force: a\n");
+}
+
+TEST_CASE_METHOD(command_line_fixture, "command line, domain not confirmed, says so by exit code",
+                 "[cli]") {
+  entry_.pending = {"b"};
+  CHECK(Run({"contract", "apply", FileWith(kContracts)}) == Code(exit_code::kNotYetInForce));
+  CHECK(out_.str().find("not yet confirmed: b") != std::string::npos);
+}
+
+TEST_CASE_METHOD(command_line_fixture, "command line, dry run, changes nothing", "[cli]") {
+  options_.dry_run = true;
+  CHECK(Run({"contract", "apply", FileWith(kContracts)}) == Code(exit_code::kDone));
+  CHECK(entry_.version == 0);
+  CHECK_THAT(out_.str(), Catch::Contains("+   \"name\": \"showrooms\","));
+}
+
+TEST_CASE_METHOD(command_line_fixture, "command line, wrong contract, names the field", "[cli]") {
+  CHECK(Run({"contract", "check", FileWith(R"({"workspaces":[{"name":"w"}]})")}) ==
+        Code(exit_code::kContract));
+  CHECK(err_.str().find("missing_field at workspaces[0].teams") != std::string::npos);
+}
+
+// Two operators change the contracts at the same time. The second must see what the first made of
+// it and what its own change would have been, and must not undo the first.
+TEST_CASE_METHOD(command_line_fixture, "command line, operators race, shows both versions",
+                 "[cli]") {
+  Run({"contract", "apply", FileWith(kContracts)});
+  configuration theirs = InForce();
+  theirs.workspaces[0].teams[0].share = 50;
+  entry_.race = ToText(theirs);
+  std::string mine = kContracts;
+  mine.replace(mine.find("400}"), 3, "300");
+  CHECK(Run({"contract", "apply", FileWith(mine)}) == Code(exit_code::kConflict));
+  CHECK(InForce().workspaces[0].teams[0].share == 50);
+  CHECK(InForce().workspaces[0].teams[0].running_limit == 400);
+  CHECK_THAT(out_.str(), Catch::Contains("+     \"share\": 50"));
+  CHECK_THAT(out_.str(), Catch::Contains("+      \"running\": 300"));
+}
+
+// A key is granted while another operator changes a contract: both must hold in the end.
+TEST_CASE_METHOD(command_line_fixture, "command line, key granted in a race, keeps both changes",
+                 "[cli]") {
+  Run({"contract", "apply", FileWith(kContracts)});
+  configuration theirs = InForce();
+  theirs.workspaces[0].teams[0].share = 50;
+  entry_.race = ToText(theirs);
+  CHECK(Run({"key", "grant", "booking", "desk"}) == Code(exit_code::kDone));
+  CHECK(InForce().workspaces[0].teams[0].share == 50);
+  const size_t place = out_.str().find("ck_");
+  REQUIRE(place != std::string::npos);
+  const std::string secret = out_.str().substr(place, 46);
+  CHECK(key_ring(InForce()).Find(secret).has_value());
+  CHECK(entry_.text.find(secret) == std::string::npos);
+  CHECK(Run({"key", "withdraw", "booking", "desk"}) == Code(exit_code::kDone));
+  CHECK_FALSE(key_ring(InForce()).Find(secret).has_value());
+  // A file from before the withdrawal does not put it back.
+  std::string stale = entry_.text;
+  stale.replace(stale.find("\"withdrawn\": true"), 17, "\"withdrawn\": false");
+  CHECK(Run({"contract", "apply", FileWith(stale)}) == Code(exit_code::kDone));
+  CHECK_FALSE(key_ring(InForce()).Find(secret).has_value());
+  CHECK(Run({"key", "grant", "booking", "desk"}) == Code(exit_code::kUsage));
+  CHECK(Run({"key", "withdraw", "nobody", "desk"}) == Code(exit_code::kNotFound));
+}
+
+// An entry takes a job and goes silent. The command line asks the next one, with the same identity,
+// so that the job cannot run twice; without any answer it must not claim that nothing ran.
+TEST_CASE_METHOD(command_line_fixture,
+                 "command line, entry silent, asks the next with one identity", "[cli]") {
+  fake_entry second;
+  client_.entries.push_back(second.Url());
+  client_.timeout = std::chrono::milliseconds{150};
+  entry_.silent = true;
+  CHECK(Run({"submit", "interactive"}) == Code(exit_code::kDone));
+  CHECK(out_.str() == "1 completed whole\n");
+  REQUIRE(entry_.submitted_keys.size() == 1);
+  CHECK(entry_.submitted_keys == second.submitted_keys);
+  second.silent = true;
+  CHECK(Run({"submit", "interactive"}) == Code(exit_code::kUnknown));
+  second.Stop();
+  entry_.Stop();
+  CHECK(Run({"submit", "interactive"}) == Code(exit_code::kUnreachable));
+}
+
+// The first entry makes the change and its answer is lost. The second finds it made: the operator
+// is told so, and not that somebody else was faster.
+TEST_CASE_METHOD(command_line_fixture, "command line, answer to a change lost, finds it made",
+                 "[cli]") {
+  client_.timeout = std::chrono::milliseconds{150};
+  fake_entry second;
+  configuration made = std::get<configuration>(ParseConfiguration(kContracts));
+  second.race = ToText(made);
+  client_.entries = {second.Url()};
+  CHECK(Run({"contract", "apply", FileWith(kContracts)}) == Code(exit_code::kDone));
+  CHECK(second.version == 1);
+}
+
+TEST_CASE_METHOD(command_line_fixture, "command line, outcomes, each have an exit code", "[cli]") {
+  entry_.job_answer = {503,
+                       R"({"id":"1","outcome":"refused","reason":"shed","retry_after_ms":70})"};
+  CHECK(Run({"submit", "batch"}) == Code(exit_code::kRefused));
+  CHECK(out_.str() == "1 refused shed retry_after=70ms\n");
+  entry_.job_answer = {502, R"({"id":"1","outcome":"failed"})"};
+  CHECK(Run({"submit", "batch"}) == Code(exit_code::kFailed));
+  entry_.job_answer = {504, R"({"id":"1","outcome":"unknown"})"};
+  CHECK(Run({"submit", "batch"}) == Code(exit_code::kUnknown));
+  client_.key = "ck_other";
+  CHECK(Run({"submit", "batch"}) == Code(exit_code::kUnauthorized));
+  CHECK(Run({"submit"}) == Code(exit_code::kUsage));
+  CHECK(Run({"nonsense"}) == Code(exit_code::kUsage));
+}
+
+TEST_CASE_METHOD(command_line_fixture, "command line, time line, is merged by wall time", "[cli]") {
+  CHECK(Run({"timeline"}) == Code(exit_code::kDone));
+  CHECK(out_.str() ==
+        "1970-01-01 00:00:01.000050 e1 (a) 200 request_received id=ab\n"
+        "1970-01-01 00:00:01.000090 e1 (a) 208 request_answered id=ab\n");
+}
+
+TEST_CASE("time line, several processes, becomes one Chrome trace", "[cli]") {
+  merged_timeline merged;
+  // The second process's monotonic clock began elsewhere; only wall time joins the two.
+  CHECK(AddProcess(R"({"process":"e1","failure_domain":"a","mono_us":100,"wall_us":1100,"events":[
+    {"seq":1,"mono_us":50,"code":200,"name":"request_received","id":"ab"},
+    {"seq":2,"mono_us":95,"code":208,"name":"request_answered","id":"ab"}]})",
+                   merged));
+  CHECK(AddProcess(R"({"process":"e2","failure_domain":"b","mono_us":7000,"wall_us":1100,"events":[
+    {"seq":1,"mono_us":6970,"code":202,"name":"request_queued","id":"ab","subject":"b/0"},
+    {"seq":2,"mono_us":6975,"code":300,"name":"shard_claimed","id":"00","subject":"b/0"}]})",
+                   merged));
+  CHECK_FALSE(AddProcess("[]", merged));
+  SortByTime(merged);
+  const std::vector<std::string> names = {"request_received", "request_queued", "shard_claimed",
+                                          "request_answered"};
+  REQUIRE(merged.events.size() == names.size());
+  for (size_t i = 0; i < names.size(); ++i) CHECK(merged.events[i].name == names[i]);
+  const json trace = json::parse(ToChromeTrace(merged));
+  REQUIRE(trace["traceEvents"].size() == 6);
+  CHECK(trace["traceEvents"][2]["ph"] == "b");
+  CHECK(trace["traceEvents"][4]["ph"] == "i");
+  CHECK(trace["traceEvents"][5]["ph"] == "e");
+  KeepOnly("ab", merged);
+  CHECK(merged.events.size() == 3);
+}
+
+TEST_CASE("command line, each command, has help with an example", "[cli]") {
+  const std::vector<std::vector<std::string>> commands = {{"submit"},
+                                                          {"status"},
+                                                          {"cancel"},
+                                                          {"wait"},
+                                                          {"contract", "check"},
+                                                          {"contract", "apply"},
+                                                          {"contract", "get"},
+                                                          {"contract", "diff"},
+                                                          {"contract", "history"},
+                                                          {"key", "grant"},
+                                                          {"key", "withdraw"},
+                                                          {"key", "list"},
+                                                          {"endpoint", "drain"},
+                                                          {"domain", "evacuate"},
+                                                          {"members"},
+                                                          {"timeline"},
+                                                          {"check-config"}};
+  for (const auto& words : commands) {
+    INFO(words[0]);
+    CHECK(HelpOn(words).find("Examples:\ncatkinford " + words[0]) != std::string::npos);
+  }
+}
+
+}  // namespace catkinford
