Work docs/CAPACITY.md out from the slopes

Change: catkinford-bench capacity reads bench/slopes.json and writes a marked section: each figure is a sum of counts times slopes, with the spread, extrapolated sizes marked, each sum against its limit; a test works the section out again and compares.

--- a/bench/commands.h
+++ b/bench/commands.h
@@ -8,6 +8,8 @@
 int TablesMain(int argc, char** argv);
 // How state, messages and processor time grow with size: `slopes --json F`.
 int SlopesMain(int argc, char** argv);
+// docs/CAPACITY.md from measured slopes: `capacity --slopes F --page docs/CAPACITY.md`.
+int CapacityMain(int argc, char** argv);
 // Calls between two processes, JSON-RPC against our HTTP pair: `rpc --json F`.
 int RpcMain(int argc, char** argv);
 
--- a/src/main/catkinford-bench.cc
+++ b/src/main/catkinford-bench.cc
@@ -16,6 +16,8 @@
 constexpr std::array kCommands = std::to_array<bench_command>({
     {"help", [](int, char**) { return 2; }, "this list"},
     {"slopes", catkinford::SlopesMain, "how each cost grows with size: slopes --json F"},
+    {"capacity", catkinford::CapacityMain,
+     "write docs/CAPACITY.md from slopes: capacity --slopes F"},
     {"rpc", catkinford::RpcMain, "calls between two processes: rpc --json F"},
     {"load", catkinford::LoadMain, "open-loop load: load --rate 3000 --seconds 20 --json F"},
     {"tables", catkinford::TablesMain, "write the tables of docs/ from the code: tables [ROOT]"},
--- a/test/pages_test.cc
+++ b/test/pages_test.cc
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "bench/capacity.h"
+#include "bench/slope.h"
 #include "bench/tables.h"
 #include "process/events.h"
 #include "process/metrics.h"
@@ -46,6 +48,15 @@
   }
 }
 
+TEST_CASE_METHOD(pages_fixture, "capacity page, worked out again from its slopes, is the same",
+                 "[pages]") {
+  const auto report = ParseSlopes(Page("bench/slopes.json"));
+  REQUIRE(report.has_value());
+  const auto section = SectionOf(Page("docs/CAPACITY.md"), kCapacitySection);
+  REQUIRE(section.has_value());
+  CHECK(*section == CapacityPage(*report));
+}
+
 // An operator searches a page for a metric that an alert names; a name that is only on the page,
 // or was changed in the code alone, sends the search astray.
 TEST_CASE_METHOD(pages_fixture, "pages, metric named in prose, exists in the code", "[pages]") {
--- a/test/slope_test.cc
+++ b/test/slope_test.cc
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <vector>
 
+#include "bench/capacity.h"
+
 namespace catkinford {
 namespace {
 
@@ -49,4 +51,19 @@
   CHECK(read->Find("c") == nullptr);
 }
 
+TEST_CASE_METHOD(slope_fixture, "capacity line, size over the largest run, is extrapolated",
+                 "[slope]") {
+  slope_report report;
+  report.slopes.push_back(Line({{10, 130}, {20, 230}, {40, 430}}));
+  capacity_line line{
+      "state", "", {{"a.b", 41, term_part::kEach, true, 2}, {"a.b", 3, term_part::kFixed}}};
+  const capacity_figure figure = WorkOut(line, report);
+  CHECK(figure.amount == Approx(2 * 41 * 10 + 3 * 30));
+  CHECK(figure.extrapolated);
+  CHECK(figure.complete);
+  line.terms = {{"a.b", 40, term_part::kEach, true}, {"not.there", 1}};
+  CHECK_FALSE(WorkOut(line, report).extrapolated);
+  CHECK_FALSE(WorkOut(line, report).complete);
+}
+
 }  // namespace catkinford
