--- a/bench/checker.cc
+++ b/bench/checker.cc
@@ -13,7 +13,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr size_t kShownViolations = 20;
+constexpr size_t kShownViolations = 5;  // of each promise
 constexpr std::array<std::string_view, kPromises> kPromiseNames = {
     "capacity", "one_place",    "own_team", "limit",         "whole_answer",
     "not_run",  "at_most_once", "leaving",  "graceful_stop", "configuration"};
@@ -103,7 +103,7 @@
 
 bool history_checker::Excused(const std::string& entry, wall_time from, wall_time to) const {
   return std::any_of(seen_.faults.begin(), seen_.faults.end(), [&](const fault_window& fault) {
-    return fault.entry == entry && Overlap(fault.from, fault.to, from, to);
+    return fault.no_answers && fault.entry == entry && Overlap(fault.from, fault.to, from, to);
   });
 }
 
@@ -242,15 +242,26 @@
                           all.runs.front()->id));
     }
   }
+  for (const call_record* call : all.calls) {
+    if (!call->is_cancel || !call->has_answer || call->outcome != outcome_kind::kRefused) continue;
+    if (call->reason != refusal_reason::kCancelled) continue;
+    Count(promise::kNotRun);
+    if (all.runs.empty()) continue;
+    Broken(promise::kNotRun, work, all.runs.front()->start,
+           absl::StrCat("cancelled before it ran, and ran as ", all.runs.front()->id));
+  }
   if (!all.calls.empty() && !all.calls.front()->repeatable) {
     Count(promise::kAtMostOnce);
     std::set<uint32_t> started;
     for (const task_run* run : all.runs) {
       if (started.insert(run->index).second) continue;
-      Broken(promise::kAtMostOnce, work, run->start, absl::StrCat("started again as ", run->id));
+      Broken(promise::kAtMostOnce, work, run->start,
+             absl::StrCat("started again as ", run->id, " at ", run->endpoint));
     }
   }
-  for (const call_record* call : all.calls) CheckAnswer(*call, all);
+  for (const call_record* call : all.calls) {
+    if (!call->is_cancel) CheckAnswer(*call, all);
+  }
 }
 
 void history_checker::CheckAnswer(const call_record& call, const work_history& all) {
@@ -388,8 +399,9 @@
                                             {"broken", result.Violations(which)}};
   }
   nlohmann::json shown = nlohmann::json::array();
+  std::array<size_t, kPromises> shown_of{};
   for (const violation& found : result.violations) {
-    if (shown.size() == kShownViolations) break;
+    if (++shown_of[static_cast<size_t>(found.broken)] > kShownViolations) continue;
     shown.push_back({{"promise", ToText(found.broken)},
                      {"subject", found.subject},
                      {"at_us", std::chrono::duration_cast<std::chrono::microseconds>(
