--- /dev/null
+++ b/src/connection/endpoint_link.cc
@@ -0,0 +1,92 @@
+#include "connection/endpoint_link.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr uint8_t kFailuresToSilence = 2;
+// How long ends that are not durable yet keep the next sync back: the endpoint would only tell the
+// same again.
+constexpr milliseconds kHold{20};
+
+}  // namespace
+
+endpoint_link::endpoint_link(link_options options, uint64_t owner_epoch, monotonic_time now)
+    : options_(options), token_(TokenOf(owner_epoch)), next_call_(now), last_renewal_(now) {}
+
+link_call endpoint_link::Next(monotonic_time now) {
+  if (in_flight_ || now < next_call_) return link_call::kNone;
+  in_flight_ = true;
+  if (state_ != link_state::kOpen) return link_call::kFence;
+  last_renewal_ = now;
+  return link_call::kSync;
+}
+
+monotonic_time endpoint_link::NextWake() const {
+  return in_flight_ ? monotonic_time::max() : next_call_;
+}
+
+sync_call endpoint_link::Sync() const {
+  // After a failure the endpoint is asked to answer at once: the question is whether it lives.
+  const milliseconds wait = failures_ > 0 ? milliseconds{0} : options_.sync_wait;
+  return {token_, incarnation_, acked_, wait, options_.task_lease};
+}
+
+void endpoint_link::OnFenced(uint64_t incarnation, monotonic_time now) {
+  in_flight_ = false;
+  failures_ = 0;
+  state_ = link_state::kOpen;
+  if (incarnation != incarnation_) {
+    incarnation_ = incarnation;
+    acked_ = 0;
+    seen_ = 0;
+  }
+  next_call_ = now;
+}
+
+void endpoint_link::OnFenceFailed(monotonic_time now) {
+  in_flight_ = false;
+  next_call_ = now + options_.probe_interval;
+}
+
+void endpoint_link::OnSynced(uint64_t cursor, bool hold, monotonic_time now) {
+  in_flight_ = false;
+  failures_ = 0;
+  seen_ = cursor;
+  next_call_ = hold ? now + kHold : now;
+}
+
+bool endpoint_link::OnSyncFailed(monotonic_time now) {
+  in_flight_ = false;
+  next_call_ = now;
+  if (++failures_ < kFailuresToSilence || state_ != link_state::kOpen) return false;
+  RaiseToken();
+  state_ = link_state::kSilent;
+  return true;
+}
+
+void endpoint_link::Refence(monotonic_time now) {
+  RaiseToken();
+  if (state_ == link_state::kOpen) state_ = link_state::kSilent;
+  // A sync may be under way; its answer is not waited for.
+  in_flight_ = false;
+  next_call_ = now;
+}
+
+void endpoint_link::Restarted(monotonic_time now) {
+  state_ = link_state::kSilent;
+  in_flight_ = false;
+  next_call_ = now;
+}
+
+bool endpoint_link::BecomesGone(monotonic_time now) {
+  if (state_ != link_state::kSilent && state_ != link_state::kFencing) return false;
+  if (now < last_renewal_ + options_.task_lease + options_.drift_margin) return false;
+  state_ = link_state::kGone;
+  return true;
+}
+
+void endpoint_link::RaiseToken() { ++token_; }
+
+}  // namespace catkinford
--- a/src/process/decision_core.h
+++ b/src/process/decision_core.h
@@ -139,8 +139,8 @@
 
   // Work.
   admission Submit(const job_request& request, monotonic_time now);
-  // As Submit, for a job whose record was read back: only the tasks in `waiting` wait, the others are
-  // over or come by Adopt(), before or after. Never refused for a full queue.
+  // As Submit, for a job whose record was read back: only the tasks in `waiting` wait, the others
+  // are over or come by Adopt(), before or after. Never refused for a full queue.
   void Resume(const job_request& request, const std::vector<uint32_t>& waiting, monotonic_time now);
   // A cheap mark; running tasks get kStop from the next Decide(). False when the job is not known.
   bool Cancel(const request_id& job, monotonic_time now);
--- /dev/null
+++ b/src/process/message.cc
@@ -0,0 +1,266 @@
+#include "process/message.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace catkinford {
+namespace {
+
+using json = nlohmann::json;
+using std::chrono::milliseconds;
+
+// Fields are read with a default: a peer of another version may leave one out.
+template <typename T>
+T Read(const json& from, const char* name, T otherwise = {}) {
+  const auto found = from.find(name);
+  if (found == from.end()) return otherwise;
+  if constexpr (std::is_same_v<T, std::string>) {
+    return found->is_string() ? found->get<std::string>() : otherwise;
+  } else if constexpr (std::is_same_v<T, bool>) {
+    return found->is_boolean() ? found->get<bool>() : otherwise;
+  } else {
+    return found->is_number() ? found->get<T>() : otherwise;
+  }
+}
+
+milliseconds ReadMs(const json& from, const char* name) {
+  return milliseconds(Read<int64_t>(from, name));
+}
+
+request_id ReadId(const json& from, const char* name) {
+  return ParseRequestId(Read<std::string>(from, name)).value_or(request_id{});
+}
+
+json Encode(const resources& amount) {
+  return json::array({amount.cpu_milli, amount.memory_mb, amount.accelerators, amount.slots});
+}
+
+resources DecodeResources(const json& from, const char* name) {
+  const auto found = from.find(name);
+  if (found == from.end() || !found->is_array() || found->size() != 4) return {};
+  const auto amount = [&](size_t i) {
+    return (*found)[i].is_number_unsigned() ? (*found)[i].get<uint32_t>() : 0U;
+  };
+  return {amount(0), amount(1), amount(2), amount(3)};
+}
+
+json Encode(const outcome& result) {
+  return {{"id", ToHex(result.id)},          {"kind", ToText(result.kind)},
+          {"reason", ToText(result.reason)}, {"retry", result.retry_after.count()},
+          {"answer", result.answer},         {"detail", result.detail}};
+}
+
+outcome DecodeOutcome(const json& from) {
+  outcome result;
+  result.id = ReadId(from, "id");
+  result.kind = ParseOutcomeKind(Read<std::string>(from, "kind")).value_or(outcome_kind::kUnknown);
+  result.reason =
+      ParseRefusalReason(Read<std::string>(from, "reason")).value_or(refusal_reason::kNone);
+  result.retry_after = ReadMs(from, "retry");
+  result.answer = Read<std::string>(from, "answer");
+  result.detail = Read<std::string>(from, "detail");
+  return result;
+}
+
+json Encode(const shard_report& report) {
+  const shard_summary& summary = report.summary;
+  return {{"shard", report.shard},
+          {"epoch", report.epoch},
+          {"endpoints", report.endpoints},
+          {"free", Encode(summary.free)},
+          {"largest_free", Encode(summary.largest_free)},
+          {"largest", Encode(summary.largest_capacity)},
+          {"open", summary.open_endpoints},
+          {"queued", summary.queued_tasks},
+          {"running", summary.running_tasks},
+          {"delay", summary.queue_delay.count()}};
+}
+
+shard_report DecodeReport(const json& from) {
+  shard_report report;
+  report.shard = Read<std::string>(from, "shard");
+  report.epoch = Read<uint64_t>(from, "epoch");
+  report.endpoints = Read<uint32_t>(from, "endpoints");
+  report.summary.free = DecodeResources(from, "free");
+  report.summary.largest_free = DecodeResources(from, "largest_free");
+  report.summary.largest_capacity = DecodeResources(from, "largest");
+  report.summary.open_endpoints = Read<uint32_t>(from, "open");
+  report.summary.queued_tasks = Read<uint32_t>(from, "queued");
+  report.summary.running_tasks = Read<uint32_t>(from, "running");
+  report.summary.queue_delay = ReadMs(from, "delay");
+  return report;
+}
+
+json EncodeBody(const place_message& place) {
+  return {{"type", "place"},
+          {"id", ToHex(place.id)},
+          {"shard", place.shard},
+          {"team", place.team},
+          {"kind", ToText(place.kind)},
+          {"urgent", place.urgent},
+          {"repeatable", place.repeatable},
+          {"wait", place.wait},
+          {"tasks", place.tasks},
+          {"each", Encode(place.each)},
+          {"run", place.run_time.count()},
+          {"left", place.deadline_left.count()},
+          {"payload", place.payload}};
+}
+
+place_message DecodePlace(const json& from) {
+  place_message place;
+  place.id = ReadId(from, "id");
+  place.shard = Read<std::string>(from, "shard");
+  place.team = Read<std::string>(from, "team");
+  place.kind = ParseWorkloadKind(Read<std::string>(from, "kind")).value_or(place.kind);
+  place.urgent = Read<bool>(from, "urgent");
+  place.repeatable = Read<bool>(from, "repeatable");
+  place.wait = Read<bool>(from, "wait");
+  place.tasks = Read<uint32_t>(from, "tasks", 1);
+  place.each = DecodeResources(from, "each");
+  place.run_time = ReadMs(from, "run");
+  place.deadline_left = ReadMs(from, "left");
+  place.payload = Read<std::string>(from, "payload");
+  return place;
+}
+
+json EncodeBody(const outcome_message& message) {
+  return {{"type", "outcome"}, {"result", Encode(message.result)}};
+}
+
+json EncodeBody(const cancel_message& cancel) {
+  return {{"type", "cancel"}, {"id", ToHex(cancel.id)}, {"shard", cancel.shard}};
+}
+
+json EncodeBody(const status_query& query) {
+  return {
+      {"type", "status"}, {"id", ToHex(query.id)}, {"shard", query.shard}, {"query", query.query}};
+}
+
+json EncodeBody(const status_answer& answer) {
+  json body = {{"type", "status_answer"},
+               {"query", answer.query},
+               {"known", answer.known},
+               {"waiting", answer.progress.waiting},
+               {"running", answer.progress.running},
+               {"done", answer.progress.done},
+               {"failed", answer.progress.failed},
+               {"waits_for", answer.waits_for}};
+  if (answer.ended) body["ended"] = Encode(*answer.ended);
+  return body;
+}
+
+status_answer DecodeStatusAnswer(const json& from) {
+  status_answer answer;
+  answer.query = Read<uint64_t>(from, "query");
+  answer.known = Read<bool>(from, "known");
+  answer.progress.waiting = Read<uint32_t>(from, "waiting");
+  answer.progress.running = Read<uint32_t>(from, "running");
+  answer.progress.done = Read<uint32_t>(from, "done");
+  answer.progress.failed = Read<uint32_t>(from, "failed");
+  answer.waits_for = Read<std::string>(from, "waits_for");
+  if (from.contains("ended")) answer.ended = DecodeOutcome(from["ended"]);
+  return answer;
+}
+
+json EncodeBody(const heartbeat_message& beat) {
+  json shards = json::array();
+  for (const shard_report& report : beat.shards) shards.push_back(Encode(report));
+  json teams = json::array();
+  for (const team_report& team : beat.teams) {
+    teams.push_back(json::array({team.team, Encode(team.running)}));
+  }
+  return {{"type", "heartbeat"},
+          {"domain", beat.failure_domain},
+          {"address", beat.address},
+          {"incarnation", beat.incarnation},
+          {"version", beat.config_version},
+          {"leaving", beat.leaving},
+          {"shards", std::move(shards)},
+          {"teams", std::move(teams)}};
+}
+
+heartbeat_message DecodeHeartbeat(const json& from) {
+  heartbeat_message beat;
+  beat.failure_domain = Read<std::string>(from, "domain");
+  beat.address = Read<std::string>(from, "address");
+  beat.incarnation = Read<uint64_t>(from, "incarnation");
+  beat.config_version = Read<uint64_t>(from, "version");
+  beat.leaving = Read<bool>(from, "leaving");
+  for (const json& report : from.value("shards", json::array())) {
+    beat.shards.push_back(DecodeReport(report));
+  }
+  for (const json& team : from.value("teams", json::array())) {
+    if (!team.is_array() || team.size() != 2 || !team[0].is_string()) continue;
+    const json running = {{"running", team[1]}};
+    beat.teams.push_back({team[0].get<std::string>(), DecodeResources(running, "running")});
+  }
+  return beat;
+}
+
+json EncodeBody(const config_message& config) {
+  return {{"type", "config"}, {"version", config.version}, {"text", config.text}};
+}
+
+json EncodeBody(const ask_owner_message& ask) {
+  return {{"type", "ask_owner"}, {"shard", ask.shard}};
+}
+
+json EncodeBody(const owner_alive_message& alive) {
+  return {{"type", "owner_alive"}, {"shard", alive.shard}, {"epoch", alive.epoch}};
+}
+
+json EncodeBody(const release_message& release) {
+  return {{"type", "release"}, {"shard", release.shard}, {"epoch", release.epoch}};
+}
+
+std::optional<message_body> DecodeBody(const json& from) {
+  const std::string type = Read<std::string>(from, "type");
+  const std::string shard = Read<std::string>(from, "shard");
+  if (type == "place") return DecodePlace(from);
+  if (type == "outcome")
+    return outcome_message{DecodeOutcome(from.value("result", json::object()))};
+  if (type == "cancel") return cancel_message{ReadId(from, "id"), shard};
+  if (type == "status") {
+    return status_query{ReadId(from, "id"), shard, Read<uint64_t>(from, "query")};
+  }
+  if (type == "status_answer") return DecodeStatusAnswer(from);
+  if (type == "heartbeat") return DecodeHeartbeat(from);
+  if (type == "config") {
+    return config_message{Read<uint64_t>(from, "version"), Read<std::string>(from, "text")};
+  }
+  if (type == "ask_owner") return ask_owner_message{shard};
+  if (type == "owner_alive") return owner_alive_message{shard, Read<uint64_t>(from, "epoch")};
+  if (type == "release") return release_message{shard, Read<uint64_t>(from, "epoch")};
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string EncodeBatch(const std::string& from, const std::vector<message_body>& batch) {
+  json list = json::array();
+  for (const message_body& body : batch) {
+    list.push_back(std::visit([](const auto& message) { return EncodeBody(message); }, body));
+  }
+  // Answers of endpoints may hold any bytes; what is no UTF-8 is replaced and not thrown over.
+  return json{{"from", from}, {"messages", std::move(list)}}.dump(-1, ' ', false,
+                                                                  json::error_handler_t::replace);
+}
+
+std::vector<peer_message> DecodeBatch(const std::string& text) {
+  std::vector<peer_message> messages;
+  const json batch = json::parse(text, nullptr, false);
+  if (!batch.is_object()) return messages;
+  const std::string from = Read<std::string>(batch, "from");
+  const auto list = batch.find("messages");
+  if (list == batch.end() || !list->is_array()) return messages;
+  for (const json& item : *list) {
+    if (!item.is_object()) continue;
+    if (std::optional<message_body> body = DecodeBody(item)) {
+      messages.push_back({from, *std::move(body)});
+    }
+  }
+  return messages;
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/message.h
@@ -0,0 +1,129 @@
+// The messages between entries. Each is idempotent: lost or doubled ones are mended end to end, by
+// the entry that waits for the outcome, so that the mailbox promises nothing but speed.
+#ifndef CATKINFORD_PROCESS_MESSAGE_H_
+#define CATKINFORD_PROCESS_MESSAGE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "process/decision_core.h"
+#include "request/job_request.h"
+#include "request/outcome.h"
+
+namespace catkinford {
+
+// Entry to owner: run this. Sent again until an outcome comes.
+struct place_message {
+  request_id id;
+  std::string shard;
+  std::string team;
+  workload_kind kind = workload_kind::kInteractive;
+  bool urgent = false;
+  bool repeatable = true;
+  bool wait = false;  // the caller waits for the end, also of durable work
+  uint32_t tasks = 1;
+  resources each;
+  std::chrono::milliseconds run_time{0};
+  std::chrono::milliseconds deadline_left{0};  // at the time of sending
+  std::string payload;
+};
+
+// Owner to entry. kAccepted may be followed by the end of the job.
+struct outcome_message {
+  outcome result;
+};
+
+// Entry to owner.
+struct cancel_message {
+  request_id id;
+  std::string shard;
+};
+
+struct job_progress {
+  uint32_t waiting = 0;
+  uint32_t running = 0;
+  uint32_t done = 0;
+  uint32_t failed = 0;
+};
+
+// Entry to owner: how is this job?
+struct status_query {
+  request_id id;
+  std::string shard;
+  uint64_t query = 0;  // names the question at the entry that asks
+};
+
+struct status_answer {
+  uint64_t query = 0;
+  bool known = false;
+  job_progress progress;
+  std::string waits_for;
+  std::optional<outcome> ended;
+};
+
+// What an owner says of one of its shards.
+struct shard_report {
+  std::string shard;
+  uint64_t epoch = 0;
+  uint32_t endpoints = 0;
+  shard_summary summary;
+};
+
+// Running work of one team in the sender's shards, for shares over the whole cell.
+struct team_report {
+  std::string team;
+  resources running;
+};
+
+struct heartbeat_message {
+  std::string failure_domain;
+  std::string address;       // of the peer port
+  uint64_t incarnation = 0;  // grows with each start of the process
+  uint64_t config_version = 0;
+  bool leaving = false;
+  std::vector<shard_report> shards;
+  std::vector<team_report> teams;
+};
+
+struct config_message {
+  uint64_t version = 0;
+  std::string text;
+};
+
+// To an owner that looks lapsed, before its shard is taken over.
+struct ask_owner_message {
+  std::string shard;
+};
+
+struct owner_alive_message {
+  std::string shard;
+  uint64_t epoch = 0;
+};
+
+// Leaving owner to its heir: the shard is free, take it now.
+struct release_message {
+  std::string shard;
+  uint64_t epoch = 0;
+};
+
+using message_body = std::variant<place_message, outcome_message, cancel_message, status_query,
+                                  status_answer, heartbeat_message, config_message,
+                                  ask_owner_message, owner_alive_message, release_message>;
+
+struct peer_message {
+  std::string from;  // entry
+  message_body body;
+};
+
+// One text for a batch from one sender.
+std::string EncodeBatch(const std::string& from, const std::vector<message_body>& batch);
+// Messages that cannot be read are left out; a text that is no batch gives none.
+std::vector<peer_message> DecodeBatch(const std::string& text);
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_MESSAGE_H_
--- /dev/null
+++ b/src/process/shard.h
@@ -0,0 +1,230 @@
+// The owner's side of one shard: the path from a request's arrival to its outcome.
+//
+// Pure: messages, answers of endpoints and the present time come in, actions go out. It joins the
+// decision core, the links to the endpoints and the table of jobs; it talks to nobody itself.
+#ifndef CATKINFORD_PROCESS_SHARD_H_
+#define CATKINFORD_PROCESS_SHARD_H_
+
+#include <chrono>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "connection/endpoint_adapter.h"
+#include "connection/endpoint_link.h"
+#include "connection/instance_adapter.h"
+#include "process/decision_core.h"
+#include "process/events.h"
+#include "process/message.h"
+#include "process/team_table.h"
+#include "request/job_state.h"
+#include "version/contract.h"
+#include "version/grant_ledger.h"
+
+namespace catkinford {
+
+struct fence_action {
+  endpoint_index endpoint = 0;
+  uint64_t token = 0;
+};
+struct sync_action {
+  endpoint_index endpoint = 0;
+  sync_call call;
+  bool fresh_connection = false;
+};
+struct start_action {
+  endpoint_index endpoint = 0;
+  uint64_t token = 0;
+  std::vector<start_task> tasks;
+};
+struct stop_action {
+  endpoint_index endpoint = 0;
+  uint64_t token = 0;
+  std::vector<task_id> ids;
+  bool checkpoint = false;
+};
+struct answer_action {
+  std::string entry;
+  outcome result;
+};
+struct status_action {
+  std::string entry;
+  status_answer answer;
+};
+// A durable job to be recorded before it is accepted, or a change to one.
+struct record_action {
+  request_id job;
+};
+// The end of a task of a durable job, to be recorded before the endpoint may forget it.
+struct complete_action {
+  task_id task;
+  bool well = false;
+  bool job_ended = false;
+};
+// An endpoint has seen a higher epoch: the shard is another's.
+struct superseded_action {
+  uint64_t epoch = 0;
+};
+struct event_action {
+  event_code code;
+  request_id id;
+  std::string subject;
+  std::string detail;
+};
+
+using shard_action =
+    std::variant<fence_action, sync_action, start_action, stop_action, answer_action, status_action,
+                 record_action, complete_action, superseded_action, event_action>;
+
+struct shard_options {
+  std::string name;
+  uint64_t epoch = 0;
+  link_options link;
+  std::chrono::milliseconds identity_window{30000};
+  std::chrono::milliseconds start_bound{2000};  // not-after of a start
+  bool endpoints_fence = true;
+};
+
+// A job as its durable record tells it.
+struct restored_job {
+  place_message spec;
+  std::vector<uint32_t> done;  // task indices
+  std::vector<uint32_t> failed;
+};
+
+class shard {
+ public:
+  shard(shard_options options, team_table& teams);
+
+  // The durable part, before the first list of an endpoint is taken in: the other order could take
+  // a job whose last task just ended for one that never started.
+  void Restore(std::vector<restored_job> jobs, monotonic_time now);
+
+  // The endpoints of this shard, from the instance list.
+  void SetEndpoints(const std::vector<instance>& endpoints, monotonic_time now);
+  void SetConfiguration(const configuration& config, monotonic_time now);
+  void SetGrants(const std::vector<grant_entry>& grants, monotonic_time now);
+  void SetUsageElsewhere(const std::string& team, const resources& running, monotonic_time now);
+  void SetCellCapacity(const resources& capacity) { core_.SetCellCapacity(capacity); }
+  // An operator's word: gets nothing new, what runs there is moved.
+  bool Drain(const std::string& endpoint, monotonic_time now);
+
+  // From entries. `fresh`: the entry surely never sent this identity to any owner before.
+  void Place(const std::string& entry, place_message place, bool fresh, monotonic_time now);
+  void Cancel(const std::string& entry, const request_id& id, monotonic_time now);
+  void Status(const std::string& entry, const status_query& query, monotonic_time now);
+
+  // Answers of endpoints; `token` is that of the call.
+  void OnFence(endpoint_index endpoint, uint64_t token, const endpoint_reply& reply,
+               monotonic_time now);
+  void OnSync(endpoint_index endpoint, uint64_t token, const endpoint_reply& reply,
+              monotonic_time now);
+  void OnStart(endpoint_index endpoint, uint64_t token, const std::vector<start_task>& sent,
+               const endpoint_reply& reply, monotonic_time now);
+  // The store has the job's record, or surely will not have it.
+  void OnRecorded(const request_id& job, bool durable, monotonic_time now);
+  void OnCompletionRecorded(const task_id& task, monotonic_time now);
+
+  // Decides, and appends what is to be done now. Starts are in their own right: the caller checks
+  // its ownership immediately before sending each.
+  void Act(monotonic_time now, std::vector<shard_action>& out);
+  monotonic_time NextWake() const;
+
+  // A start was not sent after all, because ownership ran out next to the send.
+  void OnStartNotSent(const start_action& start, monotonic_time now);
+
+  shard_report Report() const;
+  std::vector<grant_demand> Demands() const;
+  std::vector<team_report> TeamReports() const;
+  const std::string& Name() const { return options_.name; }
+  uint64_t Epoch() const { return options_.epoch; }
+  const endpoint_address& Address(endpoint_index endpoint) const {
+    return endpoints_[endpoint].address;
+  }
+  // Whether every endpoint was listed under this epoch, so that an identity that is not known has
+  // surely not started.
+  bool AllListed() const { return unlisted_ == 0 && has_endpoints_; }
+  const place_message* SpecOf(const request_id& job) const;
+  uint64_t Signature() const { return core_.Signature(); }
+  size_t Jobs() const { return jobs_.size(); }
+  // Requests that were taken and have no outcome yet.
+  size_t Unanswered() const { return unanswered_; }
+
+ private:
+  struct endpoint_record {
+    endpoint_address address;
+    endpoint_shape shape;
+    endpoint_link link;
+    bool listed = false;  // under this owner
+    bool present = true;  // in the instance list
+    bool leaving = false;
+    bool drained = false;     // by an operator
+    uint32_t unrecorded = 0;  // ends told by it that are not durable yet
+  };
+  // A place that has to wait until it is known what runs.
+  struct held_place {
+    std::string entry;
+    place_message place;
+    monotonic_time until;
+  };
+
+  void AddEndpoint(const instance& from, monotonic_time now);
+  void Listed(endpoint_record& at, monotonic_time now);
+  void SetCoreState(endpoint_index index, monotonic_time now);
+  void TakeList(endpoint_index index, uint64_t token, const endpoint_reply& reply,
+                monotonic_time now);
+  void TakeListed(endpoint_index index, const task_status& status, monotonic_time now);
+  void DropUnlisted(endpoint_index index, const endpoint_reply& reply, bool restarted,
+                    monotonic_time now);
+  void LoseTask(const task_id& id, monotonic_time now);
+  void LoseAllAt(endpoint_index index, monotonic_time now);
+  bool IsSuperseded(const endpoint_reply& reply);
+
+  job_state& Admit(const std::string& entry, place_message place, monotonic_time now);
+  void Submit(const request_id& id, job_state& job, monotonic_time now);
+  void TaskEnded(const task_id& id, task_result result, const std::string& answer,
+                 std::chrono::milliseconds ran, monotonic_time now);
+  void StartDidNotTake(const task_id& id, bool endpoint_fault, monotonic_time now);
+  void Refuse(const request_id& id, refusal_reason reason, std::chrono::milliseconds retry_after,
+              std::string detail, monotonic_time now);
+  void End(const request_id& id, job_state& job, outcome result, monotonic_time now);
+  void EndIfOver(const request_id& id, job_state& job, monotonic_time now);
+  void Answer(const job_state& job, const outcome& result);
+  void ReleaseHeld(monotonic_time now);
+  void ResumeRestored(monotonic_time now);
+  job_request RequestOf(const job_state& job, monotonic_time now) const;
+  void ForgetOld(monotonic_time now);
+  void StopLate(monotonic_time now);
+  void TakeCommands(monotonic_time now);
+  void TakeStart(const command& next, start_action& start);
+  void CallEndpoints(monotonic_time now);
+  job_state* Find(const request_id& id);
+  task_state* FindTask(const task_id& id, job_state*& job);
+  void Note(event_code code, const request_id& id, std::string subject, std::string detail = {});
+
+  shard_options options_;
+  team_table& teams_;
+  decision_core core_;
+  std::vector<endpoint_record> endpoints_;
+  absl::flat_hash_map<std::string, endpoint_index> endpoint_by_name_;
+  absl::flat_hash_map<std::string, uint32_t> racks_;
+  uint32_t unlisted_ = 0;
+  bool has_endpoints_ = false;
+  absl::flat_hash_map<request_id, job_state> jobs_;
+  size_t unanswered_ = 0;
+  std::vector<held_place> held_;
+  std::vector<request_id> restored_;  // not resumed yet: some endpoint is not listed
+  std::set<std::pair<monotonic_time, request_id>> deadlines_;  // of work that runs for a caller
+  std::set<std::pair<monotonic_time, request_id>> ended_;      // when each may be forgotten
+  absl::flat_hash_map<task_id, endpoint_index> unrecorded_;
+  std::vector<shard_action> actions_;
+  std::vector<command> commands_;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SHARD_H_
--- /dev/null
+++ b/src/process/shard_endpoints.cc
@@ -0,0 +1,301 @@
+// The part of a shard that speaks with its endpoints: lists, syncs, silence, loss.
+#include <algorithm>
+#include <utility>
+
+#include "absl/container/flat_hash_set.h"
+#include "process/shard.h"
+
+namespace catkinford {
+
+void shard::SetEndpoints(const std::vector<instance>& endpoints, monotonic_time now) {
+  for (endpoint_record& at : endpoints_) at.present = false;
+  for (const instance& from : endpoints) {
+    const auto found = endpoint_by_name_.find(from.name);
+    if (found == endpoint_by_name_.end()) {
+      AddEndpoint(from, now);
+      continue;
+    }
+    endpoint_record& at = endpoints_[found->second];
+    at.present = true;
+    if (at.address.base_url != from.address) {
+      // Replaced under the same name: what the old one ran is asked of the new one.
+      at.address.base_url = from.address;
+      at.link.Refence(now);
+    }
+    if (at.leaving != from.leaving) {
+      at.leaving = from.leaving;
+      SetCoreState(found->second, now);
+      if (at.leaving) Note(event_code::kEndpointLeaving, {}, at.address.name);
+    }
+  }
+  has_endpoints_ = true;
+}
+
+void shard::AddEndpoint(const instance& from, monotonic_time now) {
+  const auto index = static_cast<endpoint_index>(endpoints_.size());
+  const auto rack = racks_.try_emplace(from.rack, static_cast<uint32_t>(racks_.size())).first;
+  endpoint_shape shape;
+  shape.capacity = from.shape;
+  shape.rack = rack->second;
+  endpoint_link link(options_.link, options_.epoch, now);
+  endpoints_.push_back({{from.address, from.name}, shape, link});
+  endpoints_.back().leaving = from.leaving;
+  endpoint_by_name_.emplace(from.name, index);
+  ++unlisted_;
+  core_.SetEndpoint(index, shape, endpoint_state::kUnfenced, now);
+}
+
+bool shard::Drain(const std::string& name, monotonic_time now) {
+  const auto found = endpoint_by_name_.find(name);
+  if (found == endpoint_by_name_.end()) return false;
+  endpoints_[found->second].drained = true;
+  SetCoreState(found->second, now);
+  Note(event_code::kEndpointLeaving, {}, name, "drained by an operator");
+  return true;
+}
+
+// What the core may do with an endpoint follows from its link and from who wants it to leave.
+void shard::SetCoreState(endpoint_index index, monotonic_time now) {
+  const endpoint_record& at = endpoints_[index];
+  endpoint_state state = endpoint_state::kOpen;
+  if (at.leaving || at.drained) state = endpoint_state::kLeaving;
+  if (at.link.State() == link_state::kSilent) state = endpoint_state::kSilent;
+  if (at.link.State() == link_state::kGone) state = endpoint_state::kGone;
+  if (!at.listed && at.link.State() != link_state::kGone) state = endpoint_state::kUnfenced;
+  core_.SetEndpointState(index, state, now);
+}
+
+void shard::CallEndpoints(monotonic_time now) {
+  for (endpoint_index index = 0; index < endpoints_.size(); ++index) {
+    endpoint_record& at = endpoints_[index];
+    if (at.link.BecomesGone(now)) {
+      Note(event_code::kEndpointGone, {}, at.address.name);
+      LoseAllAt(index, now);
+      Listed(at, now);
+      SetCoreState(index, now);
+    }
+    if (at.link.State() == link_state::kGone && !at.present) continue;
+    switch (at.link.Next(now)) {
+      case link_call::kNone:
+        break;
+      case link_call::kFence:
+        actions_.push_back(fence_action{index, at.link.Token()});
+        break;
+      case link_call::kSync:
+        actions_.push_back(sync_action{index, at.link.Sync(), at.link.FreshConnection()});
+        break;
+    }
+  }
+}
+
+monotonic_time shard::NextWake() const {
+  monotonic_time wake = core_.NextWake();
+  if (!deadlines_.empty()) wake = std::min(wake, deadlines_.begin()->first);
+  if (!ended_.empty()) wake = std::min(wake, ended_.begin()->first);
+  for (const endpoint_record& at : endpoints_) wake = std::min(wake, at.link.NextWake());
+  return wake;
+}
+
+void shard::Listed(endpoint_record& at, monotonic_time /*now*/) {
+  if (at.listed) return;
+  at.listed = true;
+  --unlisted_;
+}
+
+// Another owner has been here with a higher epoch.
+bool shard::IsSuperseded(const endpoint_reply& reply) {
+  if (reply.status != endpoint_status::kFenced) return false;
+  const uint64_t epoch = OwnerEpochOf(reply.epoch);
+  if (epoch <= options_.epoch) return false;
+  actions_.push_back(superseded_action{epoch});
+  Note(event_code::kFencedOff, {}, options_.name);
+  return true;
+}
+
+void shard::OnFence(endpoint_index index, uint64_t token, const endpoint_reply& reply,
+                    monotonic_time now) {
+  endpoint_record& at = endpoints_[index];
+  if (token != at.link.Token() || IsSuperseded(reply)) return;
+  if (reply.status != endpoint_status::kDone) {
+    at.link.OnFenceFailed(now);
+    return;
+  }
+  const uint64_t before = at.link.Incarnation();
+  const bool restarted = before != 0 && before != reply.incarnation;
+  at.link.OnFenced(reply.incarnation, now);
+  TakeList(index, token, reply, now);
+  if (at.listed) DropUnlisted(index, reply, restarted, now);
+  Listed(at, now);
+  SetCoreState(index, now);
+  Note(event_code::kEndpointFenced, {}, at.address.name);
+}
+
+void shard::TakeList(endpoint_index index, uint64_t token, const endpoint_reply& reply,
+                     monotonic_time now) {
+  stop_action strays;
+  strays.endpoint = index;
+  strays.token = token;
+  for (const task_status& status : reply.tasks) {
+    const job_state* job = Find(status.id.job);
+    // A durable job that the store does not know any more has ended: nothing of it may go on.
+    const bool stray = job == nullptr && IsDurable(status.kind);
+    if (!stray) {
+      TakeListed(index, status, now);
+    } else if (!status.finished) {
+      strays.ids.push_back(status.id);
+    }
+  }
+  if (!strays.ids.empty()) actions_.push_back(std::move(strays));
+}
+
+void shard::TakeListed(endpoint_index index, const task_status& status, monotonic_time now) {
+  const task_id& id = status.id;
+  auto [found, unknown] = jobs_.try_emplace(id.job);
+  job_state& job = found->second;
+  if (unknown) {
+    job.spec.id = id.job;
+    job.spec.kind = status.kind;
+    job.spec.team = status.team;
+    job.spec.each = status.amount;
+    ++unanswered_;
+  }
+  if (id.index >= job.tasks.size()) job.tasks.resize(id.index + 1);
+  task_state& task = job.tasks[id.index];
+  const bool is_later = id.attempt > task.attempt;
+  const bool is_present = id.attempt == task.attempt && task.phase != task_phase::kWaiting;
+  if (!is_later && !is_present) return;
+  if (is_present && (task.phase == task_phase::kDone || task.phase == task_phase::kFailed)) return;
+  if (is_later) {
+    running_task adopted{id, teams_.IndexOf(status.team), status.kind, status.amount, index};
+    core_.Adopt(adopted, now);
+    task.attempt = id.attempt;
+    task.endpoint = index;
+  } else if (task.phase != task_phase::kRunning) {
+    core_.Started(id, now);
+  }
+  task.phase = task_phase::kRunning;
+  job.ever_ran = true;
+  if (status.finished) TaskEnded(id, status.result, status.answer, status.ran, now);
+}
+
+// What we believed to be at the endpoint and is not in its list. A restarted endpoint has lost all
+// that ran. Else only a start whose reply is lost can be missing: it did not take, and with the
+// token raised since it never will.
+void shard::DropUnlisted(endpoint_index index, const endpoint_reply& reply, bool restarted,
+                         monotonic_time now) {
+  absl::flat_hash_set<task_id> listed;
+  for (const task_status& status : reply.tasks) listed.insert(status.id);
+  std::vector<std::pair<task_id, task_phase>> missing;
+  for (const auto& [id, job] : jobs_) {
+    for (uint32_t i = 0; i < job.tasks.size(); ++i) {
+      const task_state& task = job.tasks[i];
+      if (task.endpoint != index || task.phase == task_phase::kWaiting) continue;
+      if (task.phase == task_phase::kDone || task.phase == task_phase::kFailed) continue;
+      const task_id at{id, i, task.attempt};
+      if (!listed.contains(at)) missing.emplace_back(at, task.phase);
+    }
+  }
+  for (const auto& [id, phase] : missing) {
+    if (phase == task_phase::kMaybe && !restarted) {
+      StartDidNotTake(id, false, now);
+    } else if (phase != task_phase::kSent) {
+      LoseTask(id, now);
+    }
+  }
+}
+
+void shard::LoseAllAt(endpoint_index index, monotonic_time now) {
+  std::vector<task_id> lost;
+  for (const auto& [id, job] : jobs_) {
+    for (uint32_t i = 0; i < job.tasks.size(); ++i) {
+      const task_state& task = job.tasks[i];
+      if (task.endpoint != index || task.phase == task_phase::kWaiting) continue;
+      if (task.phase != task_phase::kDone && task.phase != task_phase::kFailed) {
+        lost.push_back({id, i, task.attempt});
+      }
+    }
+  }
+  for (const task_id& id : lost) LoseTask(id, now);
+}
+
+void shard::OnSync(endpoint_index index, uint64_t token, const endpoint_reply& reply,
+                   monotonic_time now) {
+  endpoint_record& at = endpoints_[index];
+  if (token != at.link.Token() || at.link.State() != link_state::kOpen) return;
+  if (IsSuperseded(reply)) return;
+  if (reply.status != endpoint_status::kDone) {
+    if (at.link.OnSyncFailed(now)) {
+      Note(event_code::kEndpointSilent, {}, at.address.name);
+      SetCoreState(index, now);
+    }
+    return;
+  }
+  if (reply.incarnation != at.link.Incarnation()) {
+    at.link.Restarted(now);
+    SetCoreState(index, now);
+    return;
+  }
+  for (const finished_task& ended : reply.finished) {
+    if (ended.seq <= at.link.Seen()) continue;
+    TaskEnded(ended.id, ended.result, ended.answer, ended.ran, now);
+  }
+  at.link.OnSynced(reply.cursor, at.unrecorded > 0, now);
+  // Ends that are not in the store yet must stay at the endpoint: a new owner would find neither
+  // their record nor their list entry, and would run a finished task again.
+  if (at.unrecorded == 0) at.link.AckUpTo(reply.cursor);
+  if (reply.leaving && !at.leaving) {
+    at.leaving = true;
+    SetCoreState(index, now);
+    Note(event_code::kEndpointLeaving, {}, at.address.name);
+  }
+}
+
+void shard::OnStart(endpoint_index index, uint64_t token, const std::vector<start_task>& sent,
+                    const endpoint_reply& reply, monotonic_time now) {
+  endpoint_record& at = endpoints_[index];
+  const bool not_started = reply.status == endpoint_status::kNotSent ||
+                           reply.status == endpoint_status::kRefused ||
+                           reply.status == endpoint_status::kFenced;
+  if (not_started) {
+    const bool fault = reply.status == endpoint_status::kNotSent;
+    for (const start_task& task : sent) StartDidNotTake(task.id, fault, now);
+    IsSuperseded(reply);
+    return;
+  }
+  absl::flat_hash_set<task_id> decided;
+  for (const task_call_result& result : reply.results) {
+    if (reply.status != endpoint_status::kDone || result.result == call_result::kUnknown) continue;
+    decided.insert(result.id);
+    const bool took =
+        result.result == call_result::kStarted || result.result == call_result::kAlready;
+    if (!took) {
+      StartDidNotTake(result.id, result.result == call_result::kBroken, now);
+      continue;
+    }
+    job_state* job = nullptr;
+    task_state* task = FindTask(result.id, job);
+    if (task == nullptr || task->phase != task_phase::kSent) continue;
+    task->phase = task_phase::kRunning;
+    job->ever_ran = true;
+    core_.Started(result.id, now);
+    Note(event_code::kTaskStarted, result.id.job, at.address.name);
+  }
+  bool unsure = false;
+  for (const start_task& sent_task : sent) {
+    job_state* job = nullptr;
+    task_state* task = FindTask(sent_task.id, job);
+    if (decided.contains(sent_task.id) || task == nullptr) continue;
+    if (task->phase != task_phase::kSent) continue;
+    task->phase = task_phase::kMaybe;
+    unsure = true;
+  }
+  if (!unsure || token != at.link.Token()) {
+    // Fenced again since the start was sent: that list may be older than this reply.
+    if (unsure) at.link.Refence(now);
+    return;
+  }
+  at.link.Refence(now);
+  SetCoreState(index, now);
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/request/job_state.cc
@@ -0,0 +1,46 @@
+#include "request/job_state.h"
+
+namespace catkinford {
+
+job_progress ProgressOf(const job_state& job) {
+  job_progress progress;
+  for (const task_state& task : job.tasks) {
+    switch (task.phase) {
+      case task_phase::kWaiting:
+        ++progress.waiting;
+        break;
+      case task_phase::kSent:
+      case task_phase::kMaybe:
+      case task_phase::kRunning:
+        ++progress.running;
+        break;
+      case task_phase::kDone:
+        ++progress.done;
+        break;
+      case task_phase::kFailed:
+        ++progress.failed;
+        break;
+    }
+  }
+  return progress;
+}
+
+std::optional<outcome> EndOf(const job_state& job) {
+  const job_progress progress = ProgressOf(job);
+  if (progress.running > 0) return std::nullopt;
+  if (progress.waiting > 0 && !job.cancelled) return std::nullopt;
+  outcome end;
+  end.id = job.spec.id;
+  if (job.cancelled && !job.ever_ran) {
+    end.kind = outcome_kind::kRefused;
+    end.reason = refusal_reason::kCancelled;
+    return end;
+  }
+  const bool whole = progress.failed == 0 && progress.waiting == 0;
+  end.kind = whole ? outcome_kind::kCompleted : outcome_kind::kFailed;
+  end.answer = whole ? job.answer : "";
+  end.detail = job.cancelled ? "cancelled" : job.fault;
+  return end;
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/request/job_state.h
@@ -0,0 +1,54 @@
+// What the owner of a shard keeps of one job, from its arrival until its identity is forgotten.
+#ifndef CATKINFORD_REQUEST_JOB_STATE_H_
+#define CATKINFORD_REQUEST_JOB_STATE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "process/message.h"
+#include "request/job_request.h"
+#include "request/outcome.h"
+
+namespace catkinford {
+
+enum class task_phase : uint8_t {
+  kWaiting,
+  kSent,   // a start is under way
+  kMaybe,  // the reply to its start is lost; the next list of the endpoint decides
+  kRunning,
+  kDone,
+  kFailed,
+};
+
+struct task_state {
+  uint32_t attempt = 0;
+  uint32_t endpoint = 0;
+  task_phase phase = task_phase::kWaiting;
+};
+
+struct job_state {
+  place_message spec;
+  bool has_spec = false;  // false: known from a list only, its caller has not asked us yet
+  bool durable = false;   // its record is in the store
+  bool accepted = false;  // the core has it
+  bool cancelled = false;
+  bool ever_ran = false;
+  std::vector<std::string> entries;  // which wait for an outcome
+  std::vector<task_state> tasks;
+  std::string answer;  // of the last task that ended well
+  std::string fault;   // of the first task that failed
+  monotonic_time deadline = monotonic_time::max();
+  std::optional<outcome> ended;
+};
+
+job_progress ProgressOf(const job_state& job);
+// The job's end, once no task waits or runs; a service ends only when it is cancelled.
+std::optional<outcome> EndOf(const job_state& job);
+// Kinds whose acceptance means that their record is in the store.
+inline bool IsDurable(workload_kind kind) { return kind != workload_kind::kInteractive; }
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_REQUEST_JOB_STATE_H_
