--- a/src/process/message.cc
+++ b/src/process/message.cc
@@ -100,6 +100,7 @@
           {"urgent", place.urgent},
           {"repeatable", place.repeatable},
           {"wait", place.wait},
+          {"fresh", place.fresh},
           {"tasks", place.tasks},
           {"each", Encode(place.each)},
           {"run", place.run_time.count()},
@@ -116,6 +117,7 @@
   place.urgent = Read<bool>(from, "urgent");
   place.repeatable = Read<bool>(from, "repeatable");
   place.wait = Read<bool>(from, "wait");
+  place.fresh = Read<bool>(from, "fresh");
   place.tasks = Read<uint32_t>(from, "tasks", 1);
   place.each = DecodeResources(from, "each");
   place.run_time = ReadMs(from, "run");
--- a/src/process/message.h
+++ b/src/process/message.h
@@ -24,7 +24,8 @@
   workload_kind kind = workload_kind::kInteractive;
   bool urgent = false;
   bool repeatable = true;
-  bool wait = false;  // the caller waits for the end, also of durable work
+  bool wait = false;   // the caller waits for the end, also of durable work
+  bool fresh = false;  // surely never sent to any owner before, by any entry
   uint32_t tasks = 1;
   resources each;
   std::chrono::milliseconds run_time{0};
--- /dev/null
+++ b/src/process/router.cc
@@ -0,0 +1,109 @@
+#include "process/router.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace catkinford {
+
+using std::chrono::milliseconds;
+
+std::string ShardName(const std::string& failure_domain, uint32_t number) {
+  return absl::StrCat(failure_domain, "/", number);
+}
+
+router::router(router_options options) : options_(std::move(options)) {
+  for (const std::string& domain : options_.failure_domains) {
+    for (uint32_t i = 0; i < options_.shards_per_domain; ++i) {
+      shard_route route;
+      route.failure_domain = domain;
+      names_.push_back(ShardName(domain, i));
+      routes_.emplace(names_.back(), std::move(route));
+    }
+  }
+}
+
+void router::OnReport(const std::string& owner, const shard_report& report, monotonic_time now) {
+  const auto found = routes_.find(report.shard);
+  if (found == routes_.end()) return;
+  shard_route& route = found->second;
+  if (report.epoch < route.epoch) return;
+  route.owner = owner;
+  route.epoch = report.epoch;
+  route.summary = report.summary;
+  route.endpoints = report.endpoints;
+  route.heard = now;
+}
+
+void router::OnOwnerDown(const std::string& owner) {
+  for (auto& [name, route] : routes_) {
+    if (route.owner == owner) route.owner.clear();
+  }
+}
+
+const std::string& router::Home(const request_id& id) const {
+  size_t best = 0;
+  request_id highest;
+  const std::string text = ToHex(id);
+  for (size_t i = 0; i < names_.size(); ++i) {
+    const request_id weight = DeriveRequestId(names_[i], text);
+    if (i > 0 && weight < highest) continue;
+    highest = weight;
+    best = i;
+  }
+  return names_[best];
+}
+
+bool router::IsLive(const shard_route& route, monotonic_time now) const {
+  return !route.owner.empty() && now - route.heard <= options_.report_age_limit;
+}
+
+milliseconds router::Cost(const shard_route& route) const {
+  milliseconds cost = route.summary.queue_delay;
+  if (route.failure_domain != options_.failure_domain) cost += options_.far_penalty;
+  return cost;
+}
+
+const std::string* router::Choose(const resources& each, uint64_t seed, monotonic_time now) const {
+  std::vector<const std::string*> able;
+  std::vector<const std::string*> live;
+  for (const std::string& name : names_) {
+    const shard_route& route = routes_.at(name);
+    if (!IsLive(route, now)) continue;
+    live.push_back(&name);
+    if (Fits(each, route.summary.largest_capacity)) able.push_back(&name);
+  }
+  // Where none is known to hold it, an owner says so with the reason.
+  const std::vector<const std::string*>& from = able.empty() ? live : able;
+  if (from.empty()) return nullptr;
+  const std::string* best = from[seed % from.size()];
+  const std::string* second = from[(seed / from.size()) % from.size()];
+  if (Cost(routes_.at(*second)) < Cost(routes_.at(*best))) best = second;
+  for (const std::string* name : from) {
+    const shard_route& route = routes_.at(*name);
+    if (route.failure_domain != options_.failure_domain) continue;
+    if (Cost(route) < Cost(routes_.at(*best))) best = name;
+  }
+  return best;
+}
+
+const shard_route* router::Route(const std::string& shard) const {
+  const auto found = routes_.find(shard);
+  return found == routes_.end() ? nullptr : &found->second;
+}
+
+std::optional<std::string> router::OwnerOf(const std::string& shard, monotonic_time now) const {
+  const shard_route* route = Route(shard);
+  if (route == nullptr || !IsLive(*route, now)) return std::nullopt;
+  return route->owner;
+}
+
+std::vector<std::string> router::ShardsOfDomain(const std::string& failure_domain) const {
+  std::vector<std::string> shards;
+  for (const auto& [name, route] : routes_) {
+    if (route.failure_domain == failure_domain) shards.push_back(name);
+  }
+  return shards;
+}
+
+}  // namespace catkinford
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -80,7 +80,7 @@
 
 // ---- Requests ------------------------------------------------------------------------------
 
-void shard::Place(const std::string& entry, place_message place, bool fresh, monotonic_time now) {
+void shard::Place(const std::string& entry, place_message place, monotonic_time now) {
   const request_id id = place.id;
   if (job_state* job = Find(id)) {
     if (!job->has_spec) {
@@ -102,7 +102,7 @@
   // An identity that another owner may have started must not start again while an endpoint that
   // could be running it has not been listed: it would run in two places, seen as two start records
   // of one task. It waits for the lists, or is answered as unknown.
-  if (!fresh && !AllListed()) {
+  if (!place.fresh && !AllListed()) {
     held_.push_back({entry, std::move(place), now + place.deadline_left});
     return;
   }
@@ -208,7 +208,7 @@
     if (AllListed()) {
       held.place.deadline_left = std::chrono::ceil<milliseconds>(held.until - now);
       if (held.until > now) {
-        Place(held.entry, std::move(held.place), true, now);
+        Place(held.entry, std::move(held.place), now);
         continue;
       }
     }
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -113,8 +113,8 @@
   // An operator's word: gets nothing new, what runs there is moved.
   bool Drain(const std::string& endpoint, monotonic_time now);
 
-  // From entries. `fresh`: the entry surely never sent this identity to any owner before.
-  void Place(const std::string& entry, place_message place, bool fresh, monotonic_time now);
+  // From entries.
+  void Place(const std::string& entry, place_message place, monotonic_time now);
   void Cancel(const std::string& entry, const request_id& id, monotonic_time now);
   void Status(const std::string& entry, const status_query& query, monotonic_time now);
 
--- /dev/null
+++ b/src/request/caller_call.cc
@@ -0,0 +1,275 @@
+#include "request/caller_call.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+#include <string_view>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace catkinford {
+namespace {
+
+using json = nlohmann::json;
+using std::chrono::milliseconds;
+
+// Bounds on what one job may say; over them the field is refused by name.
+constexpr uint64_t kMostTasks = 10000;
+constexpr uint64_t kMostAmount = 1U << 30;
+constexpr uint64_t kMostMs = 366ULL * 24 * 3600 * 1000;
+constexpr size_t kLongestKey = 256;
+constexpr std::array<std::string_view, 12> kJobFields = {
+    "kind",       "tasks",           "cpu_milli",   "memory_mb",   "accelerators", "urgent",
+    "repeatable", "idempotency_key", "deadline_ms", "run_time_ms", "payload",      "wait"};
+constexpr std::string_view kFirstAskField = "first_ask";
+
+// Reads the fields of one object and keeps the first thing that is wrong.
+class field_reader {
+ public:
+  field_reader(const json& from, std::string prefix) : from_(from), prefix_(std::move(prefix)) {}
+
+  void Fail(const std::string& name, std::string want) {
+    if (!error_) error_ = call_error{422, "bad_field", prefix_ + name, std::move(want)};
+  }
+  bool Bool(const std::string& name, bool otherwise) {
+    const json* field = Field(name);
+    if (field == nullptr) return otherwise;
+    if (!field->is_boolean()) Fail(name, "true or false");
+    return field->is_boolean() ? field->get<bool>() : otherwise;
+  }
+  uint64_t Number(const std::string& name, uint64_t otherwise, uint64_t least, uint64_t most) {
+    const json* field = Field(name);
+    if (field == nullptr) return otherwise;
+    const bool good = field->is_number_unsigned() && field->get<uint64_t>() >= least &&
+                      field->get<uint64_t>() <= most;
+    if (!good) Fail(name, absl::StrCat("a whole number from ", least, " to ", most));
+    return good ? field->get<uint64_t>() : otherwise;
+  }
+  milliseconds Ms(const std::string& name) {
+    return milliseconds(static_cast<int64_t>(Number(name, 0, 1, kMostMs)));
+  }
+  std::string Text(const std::string& name, size_t longest) {
+    const json* field = Field(name);
+    if (field == nullptr) return {};
+    const bool good = field->is_string() && field->get_ref<const std::string&>().size() <= longest;
+    if (!good) Fail(name, absl::StrCat("a text of at most ", longest, " bytes"));
+    return good ? field->get<std::string>() : std::string();
+  }
+  const std::optional<call_error>& Error() const { return error_; }
+
+ private:
+  const json* Field(const std::string& name) const {
+    const auto found = from_.find(name);
+    return found == from_.end() ? nullptr : &*found;
+  }
+
+  const json& from_;
+  std::string prefix_;
+  std::optional<call_error> error_;
+};
+
+bool IsJobField(const std::string& name) {
+  if (name == kFirstAskField) return true;
+  for (const std::string_view known : kJobFields) {
+    if (known == name) return true;
+  }
+  return false;
+}
+
+std::variant<job_spec, call_error> ReadJob(const json& from, const std::string& prefix,
+                                           size_t longest_payload) {
+  if (!from.is_object()) return call_error{422, "bad_field", prefix, "an object"};
+  field_reader read(from, prefix);
+  for (const auto& [name, value] : from.items()) {
+    if (!IsJobField(name)) read.Fail(name, "no such field");
+  }
+  job_spec spec;
+  const std::string kind = read.Text("kind", 32);
+  const std::optional<workload_kind> parsed = ParseWorkloadKind(kind);
+  if (!parsed) read.Fail("kind", "interactive, service, batch or gang");
+  spec.kind = parsed.value_or(workload_kind::kInteractive);
+  spec.tasks = static_cast<uint32_t>(read.Number("tasks", 1, 1, kMostTasks));
+  if (spec.kind == workload_kind::kInteractive && spec.tasks != 1) {
+    read.Fail("tasks", "1 for interactive work");
+  }
+  if (!from.contains("cpu_milli")) read.Fail("cpu_milli", "is needed");
+  if (!from.contains("memory_mb")) read.Fail("memory_mb", "is needed");
+  spec.each.cpu_milli = static_cast<uint32_t>(read.Number("cpu_milli", 0, 1, kMostAmount));
+  spec.each.memory_mb = static_cast<uint32_t>(read.Number("memory_mb", 0, 1, kMostAmount));
+  spec.each.accelerators = static_cast<uint32_t>(read.Number("accelerators", 0, 0, kMostAmount));
+  spec.each.slots = 1;
+  spec.urgent = read.Bool("urgent", false);
+  spec.repeatable = read.Bool("repeatable", true);
+  spec.wait = read.Bool("wait", false);
+  spec.first_ask = read.Bool(std::string(kFirstAskField), false);
+  spec.idempotency_key = read.Text("idempotency_key", kLongestKey);
+  spec.deadline = read.Ms("deadline_ms");
+  spec.run_time = read.Ms("run_time_ms");
+  spec.payload = read.Text("payload", longest_payload);
+  if (read.Error()) return *read.Error();
+  return spec;
+}
+
+std::variant<caller_call, call_error> ReadSubmit(const json& body, const call_limits& limits,
+                                                 bool is_batch) {
+  submit_call call;
+  call.is_batch = is_batch;
+  if (!is_batch) {
+    auto spec = ReadJob(body, "", std::string::npos);
+    if (auto* error = std::get_if<call_error>(&spec)) return *std::move(error);
+    call.jobs.push_back(std::get<job_spec>(std::move(spec)));
+    return call;
+  }
+  const auto list = body.find("jobs");
+  if (list == body.end() || !list->is_array() || list->empty()) {
+    return call_error{422, "bad_field", "jobs", "a list of jobs"};
+  }
+  if (list->size() > limits.batch_jobs) {
+    return call_error{422, "too_many", "jobs", absl::StrCat("at most ", limits.batch_jobs)};
+  }
+  for (size_t i = 0; i < list->size(); ++i) {
+    auto spec = ReadJob((*list)[i], absl::StrCat("jobs[", i, "]."), std::string::npos);
+    if (auto* error = std::get_if<call_error>(&spec)) return *std::move(error);
+    call.jobs.push_back(std::get<job_spec>(std::move(spec)));
+  }
+  return call;
+}
+
+std::variant<caller_call, call_error> ReadPutConfig(const json& body) {
+  field_reader read(body, "");
+  put_config_call call;
+  if (!body.contains("expect")) read.Fail("expect", "the version that was read, 0 for none");
+  if (!body.contains("text")) read.Fail("text", "the document");
+  call.expect = read.Number("expect", 0, 0, UINT64_MAX);
+  call.text = read.Text("text", std::string::npos);
+  call.dry_run = read.Bool("dry_run", false);
+  if (read.Error()) return *read.Error();
+  return call;
+}
+
+// The part of `path` between `prefix` and `suffix`, empty when it is not so built.
+std::string Between(const std::string& path, std::string_view prefix, std::string_view suffix) {
+  if (path.size() <= prefix.size() + suffix.size()) return {};
+  if (path.compare(0, prefix.size(), prefix) != 0) return {};
+  const size_t middle = path.size() - prefix.size() - suffix.size();
+  if (path.compare(prefix.size() + middle, suffix.size(), suffix) != 0) return {};
+  return path.substr(prefix.size(), middle);
+}
+
+uint64_t QueryNumber(const http_request& request, const std::string& name) {
+  uint64_t value = 0;
+  return absl::SimpleAtoi(request.Query(name), &value) ? value : 0;
+}
+
+std::variant<caller_call, call_error> ReadGet(const http_request& request) {
+  const std::string& path = request.path;
+  if (path == "/healthz") return health_call{};
+  if (path == "/readyz") return ready_call{};
+  if (path == "/metrics") return metrics_call{};
+  if (path == "/v1/config") return get_config_call{};
+  if (path == "/v1/config/history") return config_history_call{};
+  if (path == "/v1/members") return members_call{};
+  if (path == "/v1/timeline") return timeline_call{QueryNumber(request, "since")};
+  const std::string job = Between(path, "/v1/jobs/", "");
+  if (job.empty()) return call_error{404, "unknown_path", "", path};
+  const std::optional<request_id> id = ParseRequestId(job);
+  if (!id) return call_error{422, "bad_field", "id", "32 hexadecimal digits"};
+  const auto wait = static_cast<int64_t>(std::min(QueryNumber(request, "wait_ms"), kMostMs));
+  return status_call{*id, milliseconds(wait)};
+}
+
+std::variant<caller_call, call_error> ReadPost(const http_request& request, const json& body,
+                                               const call_limits& limits) {
+  const std::string& path = request.path;
+  if (path == "/v1/jobs") return ReadSubmit(body, limits, false);
+  if (path == "/v1/batch") return ReadSubmit(body, limits, true);
+  field_reader read(body, "");
+  const bool dry_run = read.Bool("dry_run", false);
+  if (read.Error()) return *read.Error();
+  const std::string endpoint = Between(path, "/v1/endpoints/", "/drain");
+  if (!endpoint.empty()) return drain_call{endpoint, dry_run};
+  const std::string domain = Between(path, "/v1/domains/", "/evacuate");
+  if (!domain.empty()) return evacuate_call{domain, dry_run};
+  const std::string job = Between(path, "/v1/jobs/", "/cancel");
+  if (job.empty()) return call_error{404, "unknown_path", "", path};
+  const std::optional<request_id> id = ParseRequestId(job);
+  if (!id) return call_error{422, "bad_field", "id", "32 hexadecimal digits"};
+  return cancel_call{*id};
+}
+
+int StatusOf(const outcome& result) {
+  switch (result.kind) {
+    case outcome_kind::kCompleted:
+      return 200;
+    case outcome_kind::kAccepted:
+      return 202;
+    case outcome_kind::kFailed:
+      return 502;
+    case outcome_kind::kUnknown:
+      return 504;
+    case outcome_kind::kRefused:
+      break;
+  }
+  if (result.reason == refusal_reason::kUnknownKey) return 401;
+  if (result.reason == refusal_reason::kKindNotAllowed) return 403;
+  if (result.reason == refusal_reason::kCancelled) return 409;
+  if (result.reason == refusal_reason::kNeverFits) return 422;
+  return 503;
+}
+
+json ToJson(const outcome& result) {
+  json body = {{"id", ToHex(result.id)}, {"outcome", ToText(result.kind)}};
+  if (result.reason != refusal_reason::kNone) body["reason"] = ToText(result.reason);
+  if (result.retry_after.count() > 0) body["retry_after_ms"] = result.retry_after.count();
+  if (result.kind == outcome_kind::kCompleted) body["answer"] = result.answer;
+  if (!result.detail.empty()) body["detail"] = result.detail;
+  return body;
+}
+
+std::string Dump(const json& body) {
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+}  // namespace
+
+std::variant<caller_call, call_error> ReadCall(const http_request& request,
+                                               const call_limits& limits) {
+  if (request.method == "GET") return ReadGet(request);
+  if (request.method != "POST" && request.method != "PUT") {
+    return call_error{405, "wrong_method", "", request.method};
+  }
+  const json body = json::parse(request.body.empty() ? "{}" : request.body, nullptr, false);
+  if (!body.is_object()) return call_error{400, "bad_json", "", "the body must be a JSON object"};
+  if (request.method == "POST") return ReadPost(request, body, limits);
+  if (request.path != "/v1/config") return call_error{404, "unknown_path", "", request.path};
+  return ReadPutConfig(body);
+}
+
+http_response ToResponse(const call_error& error) {
+  json body = {{"error", error.error}};
+  if (!error.path.empty()) body["path"] = error.path;
+  if (!error.detail.empty()) body["detail"] = error.detail;
+  return {error.status, Dump(body)};
+}
+
+http_response ToResponse(const outcome& result) {
+  http_response response{StatusOf(result), Dump(ToJson(result))};
+  if (result.kind == outcome_kind::kRefused && result.retry_after.count() > 0) {
+    response.retry_after = std::chrono::ceil<std::chrono::seconds>(result.retry_after);
+  }
+  return response;
+}
+
+http_response ToResponse(const std::vector<outcome>& results) {
+  json list = json::array();
+  for (const outcome& result : results) list.push_back(ToJson(result));
+  return {200, Dump({{"outcomes", std::move(list)}})};
+}
+
+http_response ErrorResponse(int status, const std::string& word, const std::string& detail) {
+  return ToResponse(call_error{status, word, "", detail});
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/request/caller_call.h
@@ -0,0 +1,97 @@
+// What callers and operators may ask of an entry: read from HTTP into types, strictly, before the
+// core sees any of it. docs/PROTOCOL.md has the calls.
+#ifndef CATKINFORD_REQUEST_CALLER_CALL_H_
+#define CATKINFORD_REQUEST_CALLER_CALL_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "connection/http_server.h"
+#include "request/job_request.h"
+#include "request/outcome.h"
+
+namespace catkinford {
+
+// One job as its caller wrote it.
+struct job_spec {
+  workload_kind kind = workload_kind::kInteractive;
+  bool urgent = false;
+  bool repeatable = true;
+  bool wait = false;
+  bool first_ask = false;  // the caller says that it never sent this idempotency key before
+  uint32_t tasks = 1;
+  resources each;
+  std::string idempotency_key;            // empty: none
+  std::chrono::milliseconds deadline{0};  // 0: not said
+  std::chrono::milliseconds run_time{0};  // 0: not said
+  std::string payload;
+};
+
+struct submit_call {
+  std::vector<job_spec> jobs;
+  bool is_batch = false;
+};
+struct status_call {
+  request_id id;
+  std::chrono::milliseconds wait{0};
+};
+struct cancel_call {
+  request_id id;
+};
+struct get_config_call {};
+struct put_config_call {
+  uint64_t expect = 0;
+  std::string text;
+  bool dry_run = false;
+};
+struct config_history_call {};
+struct drain_call {
+  std::string endpoint;
+  bool dry_run = false;
+};
+struct evacuate_call {
+  std::string failure_domain;
+  bool dry_run = false;
+};
+struct members_call {};
+struct timeline_call {
+  uint64_t since = 0;
+};
+struct health_call {};
+struct ready_call {};
+struct metrics_call {};
+
+using caller_call =
+    std::variant<submit_call, status_call, cancel_call, get_config_call, put_config_call,
+                 config_history_call, drain_call, evacuate_call, members_call, timeline_call,
+                 health_call, ready_call, metrics_call>;
+
+// Malformed input; nothing was done.
+struct call_error {
+  int status = 400;
+  std::string error;   // typed word: bad_json, bad_field, unknown_path, wrong_method, too_many
+  std::string path;    // of the field, "jobs[3].cpu_milli"
+  std::string detail;  // what would be right
+};
+
+struct call_limits {
+  size_t batch_jobs = 1000;
+};
+
+std::variant<caller_call, call_error> ReadCall(const http_request& request,
+                                               const call_limits& limits);
+
+http_response ToResponse(const call_error& error);
+http_response ToResponse(const outcome& result);
+http_response ToResponse(const std::vector<outcome>& results);
+// `{"error": word, ...}` with a status, for what has no further fields.
+http_response ErrorResponse(int status, const std::string& word, const std::string& detail = {});
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_REQUEST_CALLER_CALL_H_
