--- a/src/process/message.cc
+++ b/src/process/message.cc
@@ -209,7 +209,7 @@
 }
 
 json EncodeBody(const owner_alive_message& alive) {
-  return {{"type", "owner_alive"}, {"shard", alive.shard}, {"epoch", alive.epoch}};
+  return {{"type", "owner_alive"}, {"shard", alive.shard}, {"holds", alive.holds}};
 }
 
 json EncodeBody(const release_message& release) {
@@ -232,7 +232,7 @@
     return config_message{Read<uint64_t>(from, "version"), Read<std::string>(from, "text")};
   }
   if (type == "ask_owner") return ask_owner_message{shard};
-  if (type == "owner_alive") return owner_alive_message{shard, Read<uint64_t>(from, "epoch")};
+  if (type == "owner_alive") return owner_alive_message{shard, Read<bool>(from, "holds")};
   if (type == "release") return release_message{shard, Read<uint64_t>(from, "epoch")};
   return std::nullopt;
 }
--- a/src/process/message.h
+++ b/src/process/message.h
@@ -102,7 +102,7 @@
 
 struct owner_alive_message {
   std::string shard;
-  uint64_t epoch = 0;
+  bool holds = false;
 };
 
 // Leaving owner to its heir: the shard is free, take it now.
--- /dev/null
+++ b/src/process/request_table.h
@@ -0,0 +1,116 @@
+// The requests that callers of this entry wait for: sent to the owner of their shard, sent again
+// when the owner changes or keeps silent, and answered at their time whatever happens. Pure.
+#ifndef CATKINFORD_PROCESS_REQUEST_TABLE_H_
+#define CATKINFORD_PROCESS_REQUEST_TABLE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "connection/http_server.h"
+#include "process/message.h"
+#include "process/router.h"
+#include "request/outcome.h"
+
+namespace catkinford {
+
+struct table_options {
+  std::chrono::milliseconds resend{1000};           // while no outcome comes
+  std::chrono::milliseconds resend_accepted{5000};  // while a caller waits for a durable job's end
+  std::chrono::milliseconds retry_send{50};         // after a send that surely failed
+  std::chrono::milliseconds owner_wait{5000};       // how long a shard may be without an owner
+  std::chrono::milliseconds answer_grace{250};      // for the owner's word after the deadline
+  uint32_t most_hops = 3;                           // shards that one request may try
+};
+
+// What has become ready: places to send, and calls whose outcomes are all there.
+struct place_to_send {
+  std::string owner;
+  place_message place;
+};
+struct answered_call {
+  http_server::token token = 0;
+  bool is_batch = false;
+  std::vector<outcome> outcomes;  // in the order of the jobs
+};
+struct table_actions {
+  std::vector<place_to_send> sends;
+  std::vector<answered_call> answers;
+};
+
+// One job of a call, with its team found and its identity given.
+struct table_entry {
+  place_message place;  // `shard` is chosen here
+  bool keyed = false;   // its caller may present the same identity at another entry
+  bool first_ask = false;
+  std::chrono::milliseconds patience{0};  // when the caller is answered at the latest
+};
+
+class request_table {
+ public:
+  request_table(table_options options, router& routes);
+
+  void BeginCall(http_server::token token, bool is_batch, size_t jobs);
+  // One job of the call; several callers may wait for one identity.
+  void Add(http_server::token token, size_t slot, table_entry entry, monotonic_time now,
+           table_actions& out);
+  // One job that is answered without being sent.
+  void Settle(http_server::token token, size_t slot, outcome result, table_actions& out);
+
+  void OnOutcome(const outcome& result, monotonic_time now, table_actions& out);
+  // A place did not get through. `surely_not`: the owner has not seen it.
+  void OnSendFailed(const request_id& id, bool surely_not, monotonic_time now);
+  // A shard has a new owner: what waits for it is sent again at once.
+  void OnNewOwner(const std::string& shard, monotonic_time now);
+  void Tick(monotonic_time now, table_actions& out);
+  monotonic_time NextWake() const;
+
+  size_t Pending() const { return pending_.size(); }
+  // The shard that a waiting request was sent to; null when it is not known here.
+  const std::string* ShardOf(const request_id& id) const;
+
+ private:
+  struct waiter {
+    http_server::token token = 0;
+    size_t slot = 0;
+  };
+  struct pending_request {
+    table_entry entry;
+    std::vector<waiter> waiters;
+    monotonic_time answer_by{};
+    monotonic_time deadline{};   // for the owner; epoch of the clock: none
+    monotonic_time ownerless{};  // since when its shard has no owner; epoch of the clock: it has
+    monotonic_time next{};
+    uint32_t sends = 0;  // that the owner may have seen
+    uint32_t hops = 0;
+    bool accepted = false;
+    std::vector<std::string> tried;
+  };
+  struct call_state {
+    bool is_batch = false;
+    size_t open = 0;
+    std::vector<outcome> outcomes;
+  };
+
+  void Step(const request_id& id, pending_request& request, monotonic_time now, table_actions& out);
+  void Send(pending_request& request, const std::string& owner, monotonic_time now,
+            table_actions& out);
+  bool MoveOn(pending_request& request, monotonic_time now);
+  void Schedule(const request_id& id, pending_request& request, monotonic_time when);
+  void Resolve(const request_id& id, const outcome& result, table_actions& out);
+  outcome GiveUp(const pending_request& request) const;
+
+  table_options options_;
+  router& routes_;
+  absl::flat_hash_map<request_id, pending_request> pending_;
+  std::set<std::pair<monotonic_time, request_id>> schedule_;
+  absl::flat_hash_map<http_server::token, call_state> calls_;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_REQUEST_TABLE_H_
