--- /dev/null
+++ b/src/process/node.cc
@@ -0,0 +1,464 @@
+#include "process/node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr size_t kRingSize = 65536;
+constexpr milliseconds kLongestSleep{50};
+constexpr milliseconds kOwnershipTick{25};
+constexpr milliseconds kGaugeInterval{1000};
+constexpr milliseconds kConfigResend{500};  // the same version to the same peer again
+// A peer counts as down after this many of its heartbeats were missed. With the heartbeat of
+// 250 ms inside a domain that is 1 s: short against the member lease, long against a pause.
+constexpr int kMissedBeats = 4;
+constexpr milliseconds kPeerCallTimeout{500};
+
+uint64_t WallMicros() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since).count());
+}
+
+http_server_options FrontOptions(const settings& config) {
+  http_server_options options;
+  options.port = config.listen.caller_port;
+  options.address = config.listen.address;
+  options.body_limit = config.bounds.body_bytes;
+  options.connection_limit = config.bounds.waiting_requests + 256;
+  return options;
+}
+
+router_options RouterOptions(const settings& config) {
+  router_options options;
+  options.failure_domain = config.failure_domain;
+  options.failure_domains = config.failure_domains;
+  options.shards_per_domain = config.shards.per_domain;
+  return options;
+}
+
+ownership_options OwnershipOptions(const settings& config, uint64_t incarnation) {
+  ownership_options options;
+  options.name = config.name;
+  options.incarnation = incarnation;
+  options.failure_domain = config.failure_domain;
+  options.address = absl::StrCat("http://", config.listen.address, ":", config.listen.peer_port);
+  options.caller_address =
+      absl::StrCat("http://", config.listen.address, ":", config.listen.caller_port);
+  options.shards = config.shards.per_domain;
+  options.member_lease = config.timing.member_lease;
+  options.endpoints_fence = config.platform.endpoints_fence;
+  return options;
+}
+
+event_log_options LogOptions(const settings& config) {
+  event_log_options options;
+  options.file = config.logs.file;
+  if (config.logs.level == "debug") options.level = event_level::kDebug;
+  if (config.logs.level == "warning") options.level = event_level::kWarning;
+  if (config.logs.level == "error") options.level = event_level::kError;
+  return options;
+}
+
+}  // namespace
+
+node::node(settings config)
+    : config_(std::move(config)),
+      incarnation_(WallMicros()),
+      timeline_(config_.logs.timeline_events),
+      log_(LogOptions(config_), timeline_),
+      ring_(kRingSize),
+      endpoint_http_(0),
+      platform_http_(0),
+      store_(platform_http_, config_.platform.store_url, config_.timing.call_timeout),
+      endpoints_(endpoint_http_, config_.timing.call_timeout),
+      instances_(platform_http_, config_.platform.instances_url, config_.timing.call_timeout),
+      mailbox_(
+          config_.name, config_.listen.peer_port, kPeerCallTimeout,
+          [this](std::vector<peer_message> messages) { OnMessages(std::move(messages)); },
+          [this](const std::string& peer, rpc_status status, std::vector<message_body> lost) {
+            OnSendFailed(peer, status, std::move(lost));
+          }),
+      front_(FrontOptions(config_),
+             [this](http_server::token token, http_request request) {
+               OnHttp(token, std::move(request));
+             }),
+      routes_(RouterOptions(config_)),
+      table_({}, routes_),
+      ownership_(OwnershipOptions(config_, incarnation_)),
+      versions_(
+          store_, config_.isolation.key_grace, [this](core_task task) { Post(std::move(task)); },
+          [this](monotonic_time now) { OnVersion(now); }),
+      grants_(store_, [this](core_task task) { Post(std::move(task)); }) {}
+
+node::~node() {
+  if (core_.joinable()) {
+    ring_.Close();
+    core_.join();
+  }
+  front_.Stop();
+  mailbox_.Stop();
+  endpoint_http_.Stop();
+  platform_http_.Stop();
+}
+
+start_fault node::Start() {
+  endpoint_http_.Start();
+  platform_http_.Start();
+  if (!mailbox_.Start()) return start_fault::kPeerPort;
+  core_ = std::thread([this] { Run(); });
+  if (!front_.Start()) return start_fault::kCallerPort;
+  log_.Emit(event_code::kProcessStarted, steady_clock::now(), {}, 0, config_.name);
+  return start_fault::kNone;
+}
+
+void node::BeginShutdown() {
+  Post([this](monotonic_time now) {
+    if (shutting_down_) return;
+    shutting_down_ = true;
+    shutdown_deadline_ = now + config_.timing.shutdown_limit;
+    log_.Emit(event_code::kShutdownBegun, now, {}, 0, config_.name);
+    for (auto& [name, peer] : peers_) peer.next_beat = now;  // tells that we leave
+    ownership_actions actions;
+    ownership_.Release(now, actions);
+    TakeOwnership(std::move(actions), now);
+  });
+}
+
+void node::Wait() {
+  if (core_.joinable()) core_.join();
+}
+
+// Waits for room: the producers are I/O threads, and what they bring must not be lost. The core
+// never waits for them, so this cannot lock up.
+void node::Post(core_task task) { ring_.Push(std::move(task)); }
+
+void node::Run() {
+  std::vector<core_task> tasks;
+  while (!done_) {
+    const monotonic_time before = steady_clock::now();
+    const auto wait = std::chrono::ceil<milliseconds>(NextWake(before) - before);
+    tasks.clear();
+    if (!ring_.PopAll(tasks, std::clamp(wait, milliseconds{0}, kLongestSleep))) break;
+    const monotonic_time now = steady_clock::now();
+    for (core_task& task : tasks) task(now);
+    Tick(now);
+    metrics_.ObserveDecision(
+        std::chrono::duration_cast<std::chrono::microseconds>(steady_clock::now() - now));
+  }
+}
+
+monotonic_time node::NextWake(monotonic_time now) const {
+  monotonic_time wake = std::min(now + kLongestSleep, table_.NextWake());
+  for (const auto& [number, held] : shards_) wake = std::min(wake, held->NextWake());
+  return wake;
+}
+
+void node::Tick(monotonic_time now) {
+  if (now >= next_ownership_tick_) {
+    next_ownership_tick_ = now + kOwnershipTick;
+    ownership_actions actions;
+    ownership_.Tick(now, actions);
+    TakeOwnership(std::move(actions), now);
+    versions_.Tick(IsWatcher(config_.name, LiveDomainPeers()), now);
+    CheckPeers(now);
+    PollInstances(now);
+    SendHeartbeats(now);
+    TickStatus(now);
+  }
+  std::vector<shard*> owned;
+  for (auto& [number, held] : shards_) owned.push_back(held.get());
+  grants_.Tick(owned, versions_.Order().Config(), now);
+  table_actions due;
+  table_.Tick(now, due);
+  TakeTable(std::move(due), now);
+  // Messages to ourselves and what the shards make of them, until nothing new comes.
+  do {
+    DeliverLocal(now);
+    ActShards(now);
+  } while (!local_.empty());
+  if (now >= next_gauges_) UpdateGauges(now);
+  if (shutting_down_) CheckShutdown(now);
+}
+
+// ---- Messages ------------------------------------------------------------------------------
+
+void node::OnMessages(std::vector<peer_message> messages) {
+  Post([this, messages = std::move(messages)](monotonic_time now) mutable {
+    for (peer_message& message : messages) OnMessage(message.from, std::move(message.body), now);
+  });
+}
+
+void node::Send(const std::string& entry, message_body body, monotonic_time now) {
+  if (entry == config_.name) {
+    local_.push_back(std::move(body));
+    return;
+  }
+  const place_message* place = std::get_if<place_message>(&body);
+  const request_id id = place != nullptr ? place->id : request_id{};
+  const bool is_place = place != nullptr;
+  if (!mailbox_.Send(entry, std::move(body)) && is_place) table_.OnSendFailed(id, true, now);
+}
+
+void node::DeliverLocal(monotonic_time now) {
+  std::vector<message_body> messages = std::exchange(local_, {});
+  for (message_body& body : messages) OnMessage(config_.name, std::move(body), now);
+}
+
+void node::OnSendFailed(const std::string& peer, rpc_status status,
+                        std::vector<message_body> lost) {
+  Post([this, peer, status, lost = std::move(lost)](monotonic_time now) {
+    for (const message_body& body : lost) {
+      if (const auto* place = std::get_if<place_message>(&body)) {
+        table_.OnSendFailed(place->id, status == rpc_status::kNotSent, now);
+      }
+    }
+    // Refused outright: the process is gone, which its domain's members should know before its
+    // heartbeats are missed.
+    const auto found = peers_.find(peer);
+    if (found != peers_.end() && status == rpc_status::kNotSent) {
+      SetPeerUp(peer, found->second, false, now);
+    }
+  });
+}
+
+void node::OnMessage(const std::string& from, message_body body, monotonic_time now) {
+  if (auto* place = std::get_if<place_message>(&body)) {
+    if (shard* to = FindShard(place->shard)) {
+      to->Place(from, std::move(*place), now);
+    } else {
+      // Not ours (any more): this owner has not started it and will not, but an earlier send may
+      // have reached another owner, so nothing is said of the request itself.
+      Send(from, not_owner_message{place->id, place->shard}, now);
+    }
+  } else if (auto* result = std::get_if<outcome_message>(&body)) {
+    OnOutcome(result->result, now);
+  } else if (const auto* cancel = std::get_if<cancel_message>(&body)) {
+    if (shard* to = FindShard(cancel->shard)) to->Cancel(from, cancel->id, now);
+  } else if (const auto* query = std::get_if<status_query>(&body)) {
+    shard* to = FindShard(query->shard);
+    if (to != nullptr) to->Status(from, *query, now);
+  } else if (const auto* answer = std::get_if<status_answer>(&body)) {
+    OnStatusAnswer(from, *answer, now);
+  } else if (const auto* beat = std::get_if<heartbeat_message>(&body)) {
+    OnHeartbeat(from, *beat, now);
+  } else if (const auto* config = std::get_if<config_message>(&body)) {
+    versions_.Offer(config->version, config->text, now);
+  } else if (const auto* ask = std::get_if<ask_owner_message>(&body)) {
+    const owner_answer holds = ownership_.OnAsked(ask->shard, now);
+    Send(from, owner_alive_message{ask->shard, holds.holds}, now);
+  } else if (const auto* alive = std::get_if<owner_alive_message>(&body)) {
+    ownership_.OnOwnerAnswer(from, alive->shard, alive->holds, now);
+  } else if (std::holds_alternative<release_message>(body)) {
+    ownership_.OnHandedOver(now);
+    next_ownership_tick_ = now;
+  } else if (const auto* wrong = std::get_if<not_owner_message>(&body)) {
+    routes_.OnNotOwner(from, wrong->shard);
+    table_.OnSendFailed(wrong->id, true, now);
+  }
+}
+
+// ---- Peers ---------------------------------------------------------------------------------
+
+void node::OnHeartbeat(const std::string& from, const heartbeat_message& beat,
+                       monotonic_time now) {
+  if (from == config_.name) return;
+  peer_state& peer = peers_[from];
+  // Two processes may send under one name for a moment while one replaces the other.
+  if (beat.incarnation < peer.incarnation) return;
+  peer.failure_domain = beat.failure_domain;
+  peer.incarnation = beat.incarnation;
+  peer.config_version = beat.config_version;
+  peer.leaving = beat.leaving;
+  peer.heard = now;
+  peer.teams = beat.teams;
+  if (peer.address != beat.address) {
+    peer.address = beat.address;
+    mailbox_.SetPeer(from, beat.address);
+  }
+  SetPeerUp(from, peer, true, now);
+  for (const shard_report& report : beat.shards) {
+    const shard_route* route = routes_.Route(report.shard);
+    const bool is_new = route != nullptr && route->owner != from && report.epoch >= route->epoch;
+    routes_.OnReport(from, report, now);
+    if (is_new) table_.OnNewOwner(report.shard, now);
+  }
+  version_order& order = versions_.Order();
+  order.OnPeerVersion(from, beat.config_version);
+  if (beat.failure_domain != config_.failure_domain && beat.config_version == order.Version()) {
+    order.Confirm(beat.config_version, now);
+  }
+  if (beat.config_version < order.Version() && now >= peer.next_config) {
+    peer.next_config = now + kConfigResend;
+    Send(from, config_message{order.Version(), order.Text()}, now);
+  }
+  CheckChanges(now);
+}
+
+void node::SetPeerUp(const std::string& name, peer_state& peer, bool up, monotonic_time now) {
+  if (peer.up == up) return;
+  peer.up = up;
+  log_.Emit(up ? event_code::kPeerUp : event_code::kPeerDown, now, {}, 0, name);
+  if (up) {
+    ownership_.OnPeerAlive(name, now);
+  } else {
+    ownership_.OnPeerSilent(name, now);
+    routes_.OnOwnerDown(name);
+    next_ownership_tick_ = now;
+  }
+}
+
+void node::CheckPeers(monotonic_time now) {
+  for (auto& [name, peer] : peers_) {
+    const bool is_near = peer.failure_domain == config_.failure_domain;
+    const milliseconds beat = is_near ? config_.timing.heartbeat : config_.timing.far_heartbeat;
+    if (peer.up && now - peer.heard > kMissedBeats * beat) SetPeerUp(name, peer, false, now);
+  }
+}
+
+heartbeat_message node::Heartbeat() const {
+  heartbeat_message beat;
+  beat.failure_domain = config_.failure_domain;
+  beat.address = absl::StrCat("http://", config_.listen.address, ":", config_.listen.peer_port);
+  beat.incarnation = incarnation_;
+  beat.config_version = versions_.Order().Version();
+  beat.leaving = shutting_down_;
+  for (const auto& [number, held] : shards_) {
+    beat.shards.push_back(held->Report());
+    for (team_report& team : held->TeamReports()) beat.teams.push_back(std::move(team));
+  }
+  return beat;
+}
+
+void node::SendHeartbeats(monotonic_time now) {
+  for (const auto& [number, held] : shards_) {
+    routes_.OnReport(config_.name, held->Report(), now);
+  }
+  std::optional<heartbeat_message> beat;
+  for (auto& [name, peer] : peers_) {
+    if (now < peer.next_beat) continue;
+    const bool is_near = peer.failure_domain == config_.failure_domain;
+    peer.next_beat = now + (is_near ? config_.timing.heartbeat : config_.timing.far_heartbeat);
+    if (!beat) beat = Heartbeat();
+    Send(name, *beat, now);
+  }
+  if (beat) ShareUsage(now);
+}
+
+std::vector<std::string> node::LiveDomainPeers() const {
+  std::vector<std::string> live;
+  for (const auto& [name, peer] : peers_) {
+    if (peer.up && !peer.leaving && peer.failure_domain == config_.failure_domain) {
+      live.push_back(name);
+    }
+  }
+  return live;
+}
+
+std::vector<version_member> node::VersionMembers() const {
+  std::vector<version_member> members;
+  for (const auto& [name, peer] : peers_) {
+    if (peer.listed && !peer.leaving) members.push_back({name, peer.failure_domain});
+  }
+  return members;
+}
+
+void node::PollInstances(monotonic_time now) {
+  if (now < next_instance_poll_) return;
+  next_instance_poll_ = now + config_.timing.instance_poll;
+  instances_.List([this](instance_reply reply) {
+    Post([this, reply = std::move(reply)](monotonic_time at) { OnInstances(reply, at); });
+  });
+}
+
+void node::OnInstances(const instance_reply& reply, monotonic_time now) {
+  if (!reply.ok) return;
+  has_instances_ = true;
+  own_endpoints_.clear();
+  cell_capacity_ = {};
+  for (auto& [name, peer] : peers_) peer.listed = false;
+  for (const instance& from : reply.instances) {
+    if (from.role == instance_role::kEndpoint) {
+      cell_capacity_ += from.shape;
+      if (from.failure_domain == config_.failure_domain) own_endpoints_.push_back(from);
+      continue;
+    }
+    if (from.name == config_.name) continue;
+    peer_state& peer = peers_[from.name];
+    peer.listed = true;
+    // What the peer says of itself goes before the list, which lags.
+    if (!peer.address.empty()) continue;
+    peer.failure_domain = from.failure_domain;
+    peer.address = from.address;
+    mailbox_.SetPeer(from.name, from.address);
+  }
+  // Gone from the list and silent: replaced. A new process joins under its own name.
+  for (auto at = peers_.begin(); at != peers_.end();) {
+    const bool is_gone = !at->second.listed && !at->second.up;
+    if (is_gone) {
+      mailbox_.RemovePeer(at->first);
+      versions_.Order().ForgetPeer(at->first);
+    }
+    at = is_gone ? peers_.erase(at) : std::next(at);
+  }
+  for (auto& [number, held] : shards_) {
+    held->SetCellCapacity(cell_capacity_);
+    GiveEndpoints(*held, now);
+  }
+}
+
+// ---- State ---------------------------------------------------------------------------------
+
+void node::UpdateGauges(monotonic_time now) {
+  next_gauges_ = now + kGaugeInterval;
+  uint32_t queued = 0;
+  uint32_t running = 0;
+  uint64_t epoch = 0;
+  for (const auto& [number, held] : shards_) {
+    const shard_summary summary = held->Report().summary;
+    queued += summary.queued_tasks;
+    running += summary.running_tasks;
+    epoch = std::max(epoch, held->Epoch());
+  }
+  size_t up = 0;
+  for (const auto& [name, peer] : peers_) up += peer.up ? 1 : 0;
+  metrics_.waiting_requests.Set(static_cast<double>(table_.Pending()));
+  metrics_.queued_tasks.Set(queued);
+  metrics_.running_tasks.Set(running);
+  metrics_.owned_shards.Set(static_cast<double>(shards_.size()));
+  metrics_.highest_epoch.Set(static_cast<double>(epoch));
+  metrics_.config_version.Set(static_cast<double>(versions_.Order().Version()));
+  metrics_.peers_up.Set(static_cast<double>(up));
+  metrics_.peers_down.Set(static_cast<double>(peers_.size() - up));
+  const bool store_up = versions_.StoreAnswers();
+  metrics_.store_up.Set(store_up ? 1 : 0);
+  metrics_.keys_trusted.Set(versions_.Order().KeysTrusted(now) ? 1 : 0);
+  metrics_.ready.Set(IsReady() ? 1 : 0);
+  if (store_up != store_was_up_) {
+    store_was_up_ = store_up;
+    log_.Emit(store_up ? event_code::kStoreUp : event_code::kStoreDown, now);
+  }
+}
+
+bool node::IsReady() const {
+  return !shutting_down_ && has_instances_ && versions_.Order().Version() > 0;
+}
+
+// A request in flight is one whose caller still waits: it keeps the process alive until its answer
+// has gone out, or until the limit.
+void node::CheckShutdown(monotonic_time now) {
+  const bool is_free = ownership_.Released() && shards_.empty() && table_.Pending() == 0 &&
+                       front_.Waiting() == 0;
+  if (!is_free && now < shutdown_deadline_) return;
+  log_.Emit(event_code::kShutdownDone, now, {}, 0, config_.name,
+            is_free ? "nothing was cut off" : "the limit passed");
+  done_ = true;
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/node.h
@@ -0,0 +1,221 @@
+// One entry: its threads, its parts, and the loop that joins them.
+//
+// A thread for each duty: HTTP front, core, calls to endpoints, calls to the platform, one sender
+// for each peer, log. Everything that decides runs on the core thread; the others hand it closures
+// through one bounded ring.
+#ifndef CATKINFORD_PROCESS_NODE_H_
+#define CATKINFORD_PROCESS_NODE_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "connection/bounded_ring.h"
+#include "connection/endpoint_adapter.h"
+#include "connection/http_client.h"
+#include "connection/http_server.h"
+#include "connection/instance_adapter.h"
+#include "connection/store_adapter.h"
+#include "process/config_keeper.h"
+#include "process/event_log.h"
+#include "process/grant_keeper.h"
+#include "process/metrics.h"
+#include "process/ownership.h"
+#include "process/peer_mailbox.h"
+#include "process/request_table.h"
+#include "process/router.h"
+#include "process/settings.h"
+#include "process/shard.h"
+#include "process/team_table.h"
+#include "process/timeline.h"
+#include "request/caller_call.h"
+
+namespace catkinford {
+
+enum class start_fault : uint8_t { kNone, kCallerPort, kPeerPort };
+
+class node {
+ public:
+  explicit node(settings config);
+  ~node();
+  node(const node&) = delete;
+  node& operator=(const node&) = delete;
+
+  start_fault Start();
+  // Graceful: not ready, refuses new work, hands its shards over, finishes what is in flight.
+  void BeginShutdown();
+  // Until the shutdown is done.
+  void Wait();
+  uint16_t CallerPort() const { return front_.Port(); }
+
+ private:
+  using core_task = std::function<void(monotonic_time)>;
+
+  // An entry that this one knows of.
+  struct peer_state {
+    std::string failure_domain;
+    std::string address;
+    uint64_t incarnation = 0;
+    uint64_t config_version = 0;
+    bool leaving = false;
+    bool up = false;
+    bool listed = false;  // in the instance list
+    monotonic_time heard{};
+    monotonic_time next_beat{};
+    monotonic_time next_config{};  // when it may be sent the configuration again
+    std::vector<team_report> teams;
+  };
+  // A status question that waits for answers of owners.
+  struct open_status {
+    http_server::token token = 0;
+    request_id id;
+    size_t answers_left = 0;
+    monotonic_time give_up{};
+    monotonic_time wait_until{};
+    monotonic_time next_ask{};
+    bool cancel = false;  // cancel it once it is found
+  };
+  // A cancel whose outcome comes from the owner.
+  struct open_cancel {
+    http_server::token token = 0;
+    monotonic_time give_up{};
+  };
+
+  // node.cc: the loop, ticks, peers.
+  void Run();
+  void Post(core_task task);
+  void Tick(monotonic_time now);
+  monotonic_time NextWake(monotonic_time now) const;
+  void OnMessages(std::vector<peer_message> messages);
+  void OnMessage(const std::string& from, message_body body, monotonic_time now);
+  void OnSendFailed(const std::string& peer, rpc_status status, std::vector<message_body> lost);
+  void Send(const std::string& entry, message_body body, monotonic_time now);
+  void DeliverLocal(monotonic_time now);
+  void OnHeartbeat(const std::string& from, const heartbeat_message& beat, monotonic_time now);
+  void SendHeartbeats(monotonic_time now);
+  heartbeat_message Heartbeat() const;
+  void CheckPeers(monotonic_time now);
+  void SetPeerUp(const std::string& name, peer_state& peer, bool up, monotonic_time now);
+  void PollInstances(monotonic_time now);
+  void OnInstances(const instance_reply& reply, monotonic_time now);
+  void UpdateGauges(monotonic_time now);
+  void CheckShutdown(monotonic_time now);
+  std::vector<std::string> LiveDomainPeers() const;
+  std::vector<version_member> VersionMembers() const;
+
+  // node_shards.cc: ownership, shards, their actions.
+  void TakeOwnership(ownership_actions actions, monotonic_time now);
+  void SendStoreCall(const store_call& call);
+  void OnOwnershipEvent(const ownership_event& event, monotonic_time now);
+  void GainShard(uint32_t number, uint64_t epoch, monotonic_time now);
+  void LoseShard(uint32_t number, monotonic_time now);
+  void GiveEndpoints(shard& to, monotonic_time now);
+  void ShareUsage(monotonic_time now);
+  void ActShards(monotonic_time now);
+  void TakeShardActions(uint32_t number, shard& from, std::vector<shard_action> actions,
+                        monotonic_time now);
+  void Do(uint32_t number, shard& from, fence_action action, monotonic_time now);
+  void Do(uint32_t number, shard& from, sync_action action, monotonic_time now);
+  void Do(uint32_t number, shard& from, start_action action, monotonic_time now);
+  void Do(uint32_t number, shard& from, stop_action action, monotonic_time now);
+  void Do(uint32_t number, shard& from, answer_action action, monotonic_time now);
+  void Do(uint32_t number, shard& from, status_action action, monotonic_time now);
+  void Do(uint32_t number, shard& from, record_action action, monotonic_time now);
+  void Do(uint32_t number, shard& from, complete_action action, monotonic_time now);
+  void Do(uint32_t number, shard& from, superseded_action action, monotonic_time now);
+  void Do(uint32_t number, shard& from, event_action action, monotonic_time now);
+  // The shard under this number if we still own it under this epoch, else null: a late answer for
+  // an earlier ownership must not reach the present one.
+  shard* Held(uint32_t number, uint64_t epoch);
+  shard* FindShard(const std::string& name);
+
+  // node_calls.cc: callers and operators.
+  void OnHttp(http_server::token token, http_request request);
+  void OnCall(http_server::token token, const std::string& key, caller_call call,
+              monotonic_time now);
+  void Handle(http_server::token token, const std::string& key, submit_call call,
+              monotonic_time now);
+  void Handle(http_server::token token, const std::string& key, status_call call,
+              monotonic_time now);
+  void Handle(http_server::token token, const std::string& key, cancel_call call,
+              monotonic_time now);
+  void Handle(http_server::token token, const std::string& key, get_config_call call,
+              monotonic_time now);
+  void Handle(http_server::token token, const std::string& key, put_config_call call,
+              monotonic_time now);
+  void Handle(http_server::token token, const std::string& key, config_history_call call,
+              monotonic_time now);
+  void Handle(http_server::token token, const std::string& key, drain_call call,
+              monotonic_time now);
+  void Handle(http_server::token token, const std::string& key, evacuate_call call,
+              monotonic_time now);
+  void Handle(http_server::token token, const std::string& key, members_call call,
+              monotonic_time now);
+  void Handle(http_server::token token, const std::string& key, timeline_call call,
+              monotonic_time now);
+  void Handle(http_server::token token, const std::string& key, health_call call,
+              monotonic_time now);
+  void Handle(http_server::token token, const std::string& key, ready_call call,
+              monotonic_time now);
+  void Handle(http_server::token token, const std::string& key, metrics_call call,
+              monotonic_time now);
+  bool IsOperator(http_server::token token, const std::string& key, monotonic_time now);
+  std::optional<key_holder> HolderOf(const std::string& key, monotonic_time now) const;
+  void SubmitJob(http_server::token token, size_t slot, const key_holder& holder, job_spec spec,
+                 monotonic_time now);
+  void TakeTable(table_actions actions, monotonic_time now);
+  void AskStatus(uint64_t query, open_status& open, monotonic_time now);
+  void OnStatusAnswer(const std::string& from, const status_answer& answer, monotonic_time now);
+  void TickStatus(monotonic_time now);
+  void OnOutcome(const outcome& result, monotonic_time now);
+
+  settings config_;
+  uint64_t incarnation_;
+  timeline timeline_;
+  event_log log_;
+  metrics metrics_;
+  bounded_ring<core_task> ring_;
+  http_client endpoint_http_;
+  http_client platform_http_;
+  store_adapter store_;
+  endpoint_adapter endpoints_;
+  instance_adapter instances_;
+  peer_mailbox mailbox_;
+  http_server front_;
+
+  // The core thread's.
+  team_table teams_;
+  router routes_;
+  request_table table_;
+  ownership ownership_;
+  config_keeper versions_;
+  grant_keeper grants_;
+  std::map<uint32_t, std::unique_ptr<shard>> shards_;
+  std::map<std::string, peer_state> peers_;
+  std::vector<instance> own_endpoints_;  // of this failure domain
+  resources cell_capacity_;
+  std::vector<message_body> local_;  // messages to ourselves
+  absl::flat_hash_map<uint64_t, open_status> statuses_;
+  absl::flat_hash_map<request_id, std::vector<open_cancel>> cancels_;
+  uint64_t next_query_ = 1;
+  monotonic_time next_ownership_tick_{};
+  monotonic_time next_instance_poll_{};
+  monotonic_time next_gauges_{};
+  monotonic_time shutdown_deadline_{};
+  bool has_instances_ = false;
+  bool store_was_up_ = true;
+  bool shutting_down_ = false;
+  bool done_ = false;
+  std::thread core_;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_NODE_H_
--- /dev/null
+++ b/src/process/node_shards.cc
@@ -0,0 +1,243 @@
+// The part of an entry that owns shards: gains and loses them, and carries out what they ask for.
+#include <algorithm>
+#include <utility>
+
+#include "process/node.h"
+
+namespace catkinford {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// ---- Ownership -----------------------------------------------------------------------------
+
+void node::TakeOwnership(ownership_actions actions, monotonic_time now) {
+  for (const store_call& call : actions.calls) SendStoreCall(call);
+  for (const ownership_event& event : actions.events) OnOwnershipEvent(event, now);
+}
+
+void node::SendStoreCall(const store_call& call) {
+  auto on_reply = [this, tag = call.tag](store_reply reply) {
+    Post([this, tag, reply = std::move(reply)](monotonic_time now) {
+      ownership_actions actions;
+      ownership_.OnStoreReply(tag, reply, now, actions);
+      TakeOwnership(std::move(actions), now);
+    });
+  };
+  switch (call.kind) {
+    case ownership_call_kind::kGrantLease:
+      store_.GrantLease(call.ttl, std::move(on_reply));
+      break;
+    case ownership_call_kind::kKeepLease:
+      store_.KeepLease(call.lease, std::move(on_reply));
+      break;
+    case ownership_call_kind::kSwap:
+      store_.CompareAndSwap(call.key, call.expect, call.value, call.write_id, call.lease,
+                            std::move(on_reply));
+      break;
+    case ownership_call_kind::kRange:
+      store_.Range(call.key, std::move(on_reply));
+      break;
+  }
+}
+
+void node::OnOwnershipEvent(const ownership_event& event, monotonic_time now) {
+  switch (event.kind) {
+    case ownership_event_kind::kGained:
+      GainShard(event.shard, event.epoch, now);
+      break;
+    case ownership_event_kind::kLost:
+      LoseShard(event.shard, now);
+      break;
+    case ownership_event_kind::kAskOwner:
+      Send(event.peer, ask_owner_message{event.shard}, now);
+      break;
+    case ownership_event_kind::kTellHeir:
+      Send(event.peer, release_message{}, now);
+      break;
+  }
+}
+
+void node::GainShard(uint32_t number, uint64_t epoch, monotonic_time now) {
+  shard_options options;
+  options.name = ShardName(config_.failure_domain, number);
+  options.epoch = epoch;
+  options.link.sync_wait = config_.timing.sync_wait;
+  options.link.task_lease = config_.timing.task_lease;
+  options.identity_window = config_.timing.identity_window;
+  options.start_bound = config_.timing.call_timeout;
+  options.endpoints_fence = config_.platform.endpoints_fence;
+  auto gained = std::make_unique<shard>(options, teams_);
+  gained->SetCellCapacity(cell_capacity_);
+  if (const auto config = versions_.Order().Config()) gained->SetConfiguration(*config, now);
+  GiveEndpoints(*gained, now);
+  grants_.OnGained(options.name);
+  routes_.OnReport(config_.name, gained->Report(), now);
+  shards_[number] = std::move(gained);
+  for (auto& [name, peer] : peers_) peer.next_beat = now;  // tells all who owns it
+  table_.OnNewOwner(options.name, now);
+  metrics_.takeovers.Increment();
+  log_.Emit(event_code::kShardClaimed, now, {}, epoch, options.name);
+}
+
+void node::LoseShard(uint32_t number, monotonic_time now) {
+  const auto found = shards_.find(number);
+  if (found == shards_.end()) return;
+  const std::string name = found->second->Name();
+  log_.Emit(shutting_down_ ? event_code::kShardReleased : event_code::kShardLost, now, {},
+            found->second->Epoch(), name);
+  shards_.erase(found);
+  grants_.OnLost(name);
+  routes_.OnNotOwner(config_.name, name);
+  table_.OnNewOwner(name, now);
+}
+
+// Whole racks belong to one shard, by rendezvous hash, so that racks that come and go move no
+// others.
+void node::GiveEndpoints(shard& to, monotonic_time now) {
+  if (!has_instances_) return;
+  std::vector<instance> given;
+  const std::vector<std::string> names = routes_.ShardsOfDomain(config_.failure_domain);
+  for (const instance& from : own_endpoints_) {
+    const auto weight = [&](const std::string& name) { return DeriveRequestId(name, from.rack); };
+    const auto home = std::max_element(
+        names.begin(), names.end(),
+        [&](const std::string& a, const std::string& b) { return weight(a) < weight(b); });
+    if (home != names.end() && *home == to.Name()) given.push_back(from);
+  }
+  to.SetEndpoints(given, now);
+}
+
+// What each team runs elsewhere, for shares over the whole cell.
+void node::ShareUsage(monotonic_time now) {
+  if (shards_.empty()) return;
+  absl::flat_hash_map<std::string, resources> others;
+  for (const auto& [name, peer] : peers_) {
+    if (!peer.up) continue;
+    for (const team_report& team : peer.teams) others[team.team] += team.running;
+  }
+  for (auto& [number, held] : shards_) {
+    absl::flat_hash_map<std::string, resources> elsewhere = others;
+    for (const auto& [other_number, other] : shards_) {
+      if (other_number == number) continue;
+      for (const team_report& team : other->TeamReports()) elsewhere[team.team] += team.running;
+    }
+    for (team_index team = 0; team < teams_.Size(); ++team) {
+      const std::string& name = teams_.NameOf(team);
+      const auto found = elsewhere.find(name);
+      held->SetUsageElsewhere(name, found == elsewhere.end() ? resources{} : found->second, now);
+    }
+  }
+}
+
+shard* node::Held(uint32_t number, uint64_t epoch) {
+  const auto found = shards_.find(number);
+  if (found == shards_.end() || found->second->Epoch() != epoch) return nullptr;
+  return found->second.get();
+}
+
+shard* node::FindShard(const std::string& name) {
+  for (auto& [number, held] : shards_) {
+    if (held->Name() == name) return held.get();
+  }
+  return nullptr;
+}
+
+// ---- Actions of shards ---------------------------------------------------------------------
+
+void node::ActShards(monotonic_time now) {
+  std::vector<std::pair<uint32_t, uint64_t>> held;
+  for (const auto& [number, at] : shards_) held.emplace_back(number, at->Epoch());
+  for (const auto& [number, epoch] : held) {
+    shard* from = Held(number, epoch);
+    if (from == nullptr) continue;
+    std::vector<shard_action> actions;
+    from->Act(now, actions);
+    for (shard_action& action : actions) {
+      // An action may end the ownership of its own shard.
+      from = Held(number, epoch);
+      if (from == nullptr) break;
+      std::visit([&](auto& what) { Do(number, *from, std::move(what), now); }, action);
+    }
+  }
+}
+
+void node::Do(uint32_t number, shard& from, fence_action action, monotonic_time /*now*/) {
+  endpoints_.Fence(from.Address(action.endpoint), action.token,
+                   [this, number, epoch = from.Epoch(), action](endpoint_reply reply) {
+                     Post([this, number, epoch, action,
+                           reply = std::move(reply)](monotonic_time at) {
+                       shard* to = Held(number, epoch);
+                       if (to != nullptr) to->OnFence(action.endpoint, action.token, reply, at);
+                     });
+                   });
+}
+
+void node::Do(uint32_t number, shard& from, sync_action action, monotonic_time /*now*/) {
+  endpoints_.Sync(
+      from.Address(action.endpoint), action.call,
+      [this, number, epoch = from.Epoch(), endpoint = action.endpoint,
+       token = action.call.epoch](endpoint_reply reply) {
+        Post([this, number, epoch, endpoint, token, reply = std::move(reply)](monotonic_time at) {
+          shard* to = Held(number, epoch);
+          if (to != nullptr) to->OnSync(endpoint, token, reply, at);
+        });
+      },
+      action.fresh_connection);
+}
+
+// The ownership is asked again here, next to the send: the process may have been paused since the
+// core decided, for longer than its lease. Without this check a start goes out that the successor
+// has also sent, seen as two start events of one task in the time line; the endpoint's refusal of
+// our lower epoch closes what remains between this line and the wire.
+void node::Do(uint32_t number, shard& from, start_action action, monotonic_time now) {
+  if (!ownership_.MayStart(number, steady_clock::now())) {
+    from.OnStartNotSent(action, now);
+    return;
+  }
+  endpoints_.Start(from.Address(action.endpoint), action.token, action.tasks,
+                   [this, number, epoch = from.Epoch(), action](endpoint_reply reply) {
+                     Post([this, number, epoch, action,
+                           reply = std::move(reply)](monotonic_time at) {
+                       shard* to = Held(number, epoch);
+                       if (to == nullptr) return;
+                       to->OnStart(action.endpoint, action.token, action.tasks, reply, at);
+                     });
+                   });
+}
+
+void node::Do(uint32_t /*number*/, shard& from, stop_action action, monotonic_time /*now*/) {
+  // Its end comes by the next sync; a stop that is lost is sent again by the core's next decision.
+  endpoints_.Stop(from.Address(action.endpoint), action.token, action.ids, action.checkpoint,
+                  [](const endpoint_reply&) {});
+}
+
+void node::Do(uint32_t /*number*/, shard& /*from*/, answer_action action, monotonic_time now) {
+  Send(action.entry, outcome_message{std::move(action.result)}, now);
+}
+
+void node::Do(uint32_t /*number*/, shard& /*from*/, status_action action, monotonic_time now) {
+  Send(action.entry, std::move(action.answer), now);
+}
+
+void node::Do(uint32_t /*number*/, shard& from, record_action action, monotonic_time now) {
+  from.OnRecorded(action.job, true, now);
+}
+
+void node::Do(uint32_t /*number*/, shard& from, complete_action action, monotonic_time now) {
+  if (!action.job_ended) from.OnCompletionRecorded(action.task, now);
+}
+
+void node::Do(uint32_t number, shard& /*from*/, superseded_action action, monotonic_time now) {
+  metrics_.fenced_off.Increment();
+  ownership_actions actions;
+  ownership_.OnFenced(number, action.epoch, now, actions);
+  TakeOwnership(std::move(actions), now);
+}
+
+void node::Do(uint32_t /*number*/, shard& from, event_action action, monotonic_time now) {
+  log_.Emit(action.code, now, action.id, from.Epoch(), std::move(action.subject),
+            std::move(action.detail));
+}
+
+}  // namespace catkinford
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -478,8 +478,12 @@
 }
 
 void shard::SetGrants(const std::vector<grant_entry>& grants, monotonic_time now) {
-  for (const grant_entry& entry : grants) {
-    core_.SetGrant(teams_.IndexOf(entry.team), entry.grant, now);
+  for (const grant_entry& entry : grants) teams_.IndexOf(entry.team);
+  // A team without an entry has returned all of its grant.
+  std::vector<team_grant> by_team(teams_.Size());
+  for (const grant_entry& entry : grants) by_team[teams_.IndexOf(entry.team)] = entry.grant;
+  for (team_index team = 0; team < by_team.size(); ++team) {
+    core_.SetGrant(team, by_team[team], now);
   }
 }
 
