--- a/src/process/grant_keeper.cc
+++ b/src/process/grant_keeper.cc
@@ -50,8 +50,8 @@
         next_ = at + kRetry;
         return;
       }
-      ledger_ = absent ? ledger_value{}
-                       : ParseLedger(reply.items.front().value).value_or(ledger_value{});
+      ledger_ =
+          absent ? ledger_value{} : ParseLedger(reply.items.front().value).value_or(ledger_value{});
       revision_ = absent ? 0 : reply.items.front().revision;
       known_ = true;
       changed_ = true;
@@ -118,12 +118,10 @@
   busy_ = true;
   Apply(owned, now);
   const std::string write_id = absl::StrCat("grants-", ++writes_);
-  store_.CompareAndSwap(kLedgerKey, revision_, ToText(pending_), write_id, "",
-                        [this](store_reply reply) {
-                          post_([this, reply = std::move(reply)](monotonic_time at) {
-                            OnReply(reply, at);
-                          });
-                        });
+  store_.CompareAndSwap(
+      kLedgerKey, revision_, ToText(pending_), write_id, "", [this](store_reply reply) {
+        post_([this, reply = std::move(reply)](monotonic_time at) { OnReply(reply, at); });
+      });
 }
 
 void grant_keeper::OnReply(const store_reply& reply, monotonic_time now) {
--- a/src/process/grant_keeper.h
+++ b/src/process/grant_keeper.h
@@ -27,8 +27,8 @@
   // `owned`: the shards of this entry. Usable grants are set on them.
   void Tick(const std::vector<shard*>& owned, const std::shared_ptr<const configuration>& config,
             monotonic_time now);
-  // A shard was gained or lost. The grants of a gained shard count once the ledger was written by us:
-  // a swap that its earlier owner has still under way could otherwise return parts that we use,
+  // A shard was gained or lost. The grants of a gained shard count once the ledger was written by
+  // us: a swap that its earlier owner has still under way could otherwise return parts that we use,
   // and the sum of all grants would pass the limit. Our write makes that swap fail.
   void OnGained(const std::string& shard_name);
   void OnLost(const std::string& shard_name);
@@ -48,9 +48,9 @@
   // since either may stand in the store.
   ledger_value pending_;
   bool has_pending_ = false;
-  bool known_ = false;     // the ledger was read
-  bool busy_ = false;      // a call is under way
-  bool changed_ = true;    // usable grants must be set again
+  bool known_ = false;       // the ledger was read
+  bool busy_ = false;        // a call is under way
+  bool changed_ = true;      // usable grants must be set again
   bool reply_lost_ = false;  // of some try of the pending swap
   // Shards whose grants stand in a ledger that we wrote after we gained them, and those that the
   // swap under way will add.
--- a/src/process/message.cc
+++ b/src/process/message.cc
@@ -142,6 +142,8 @@
 json EncodeBody(const status_answer& answer) {
   json body = {{"type", "status_answer"},
                {"query", answer.query},
+               {"owner", answer.owner},
+               {"shard", answer.shard},
                {"known", answer.known},
                {"waiting", answer.progress.waiting},
                {"running", answer.progress.running},
@@ -155,6 +157,8 @@
 status_answer DecodeStatusAnswer(const json& from) {
   status_answer answer;
   answer.query = Read<uint64_t>(from, "query");
+  answer.owner = Read<std::string>(from, "owner");
+  answer.shard = Read<std::string>(from, "shard");
   answer.known = Read<bool>(from, "known");
   answer.progress.waiting = Read<uint32_t>(from, "waiting");
   answer.progress.running = Read<uint32_t>(from, "running");
@@ -212,10 +216,12 @@
   return {{"type", "owner_alive"}, {"shard", alive.shard}, {"holds", alive.holds}};
 }
 
-json EncodeBody(const release_message& release) {
-  return {{"type", "release"}, {"shard", release.shard}, {"epoch", release.epoch}};
+json EncodeBody(const not_owner_message& wrong) {
+  return {{"type", "not_owner"}, {"id", ToHex(wrong.id)}, {"shard", wrong.shard}};
 }
 
+json EncodeBody(const release_message& /*release*/) { return {{"type", "release"}}; }
+
 std::optional<message_body> DecodeBody(const json& from) {
   const std::string type = Read<std::string>(from, "type");
   const std::string shard = Read<std::string>(from, "shard");
@@ -231,9 +237,11 @@
   if (type == "config") {
     return config_message{Read<uint64_t>(from, "version"), Read<std::string>(from, "text")};
   }
-  if (type == "ask_owner") return ask_owner_message{shard};
-  if (type == "owner_alive") return owner_alive_message{shard, Read<bool>(from, "holds")};
-  if (type == "release") return release_message{shard, Read<uint64_t>(from, "epoch")};
+  const auto number = Read<uint32_t>(from, "shard");
+  if (type == "ask_owner") return ask_owner_message{number};
+  if (type == "owner_alive") return owner_alive_message{number, Read<bool>(from, "holds")};
+  if (type == "not_owner") return not_owner_message{ReadId(from, "id"), shard};
+  if (type == "release") return release_message{};
   return std::nullopt;
 }
 
--- a/src/process/message.h
+++ b/src/process/message.h
@@ -60,6 +60,8 @@
 
 struct status_answer {
   uint64_t query = 0;
+  std::string owner;  // who answers
+  std::string shard;
   bool known = false;
   job_progress progress;
   std::string waits_for;
@@ -97,23 +99,27 @@
 
 // To an owner that looks lapsed, before its shard is taken over.
 struct ask_owner_message {
-  std::string shard;
+  uint32_t shard = 0;  // number within the failure domain
 };
 
 struct owner_alive_message {
-  std::string shard;
+  uint32_t shard = 0;
   bool holds = false;
 };
 
-// Leaving owner to its heir: the shard is free, take it now.
-struct release_message {
+// To the entry that sent a place here: this entry does not own the shard, and has not started it.
+struct not_owner_message {
+  request_id id;
   std::string shard;
-  uint64_t epoch = 0;
 };
 
-using message_body = std::variant<place_message, outcome_message, cancel_message, status_query,
-                                  status_answer, heartbeat_message, config_message,
-                                  ask_owner_message, owner_alive_message, release_message>;
+// Leaving owner to its heir: the shard is free, take it now.
+struct release_message {};
+
+using message_body =
+    std::variant<place_message, outcome_message, cancel_message, status_query, status_answer,
+                 heartbeat_message, config_message, ask_owner_message, owner_alive_message,
+                 not_owner_message, release_message>;
 
 struct peer_message {
   std::string from;  // entry
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -23,7 +23,8 @@
 
 uint64_t WallMicros() {
   const auto since = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since).count());
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(since).count());
 }
 
 http_server_options FrontOptions(const settings& config) {
@@ -266,8 +267,7 @@
 
 // ---- Peers ---------------------------------------------------------------------------------
 
-void node::OnHeartbeat(const std::string& from, const heartbeat_message& beat,
-                       monotonic_time now) {
+void node::OnHeartbeat(const std::string& from, const heartbeat_message& beat, monotonic_time now) {
   if (from == config_.name) return;
   peer_state& peer = peers_[from];
   // Two processes may send under one name for a moment while one replaces the other.
@@ -453,8 +453,8 @@
 // A request in flight is one whose caller still waits: it keeps the process alive until its answer
 // has gone out, or until the limit.
 void node::CheckShutdown(monotonic_time now) {
-  const bool is_free = ownership_.Released() && shards_.empty() && table_.Pending() == 0 &&
-                       front_.Waiting() == 0;
+  const bool is_free =
+      ownership_.Released() && shards_.empty() && table_.Pending() == 0 && front_.Waiting() == 0;
   if (!is_free && now < shutdown_deadline_) return;
   log_.Emit(event_code::kShutdownDone, now, {}, 0, config_.name,
             is_free ? "nothing was cut off" : "the limit passed");
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -82,6 +82,12 @@
     monotonic_time next_ask{};
     bool cancel = false;  // cancel it once it is found
   };
+  // A change of the configuration whose operator waits to hear where it is in force.
+  struct open_change {
+    http_server::token token = 0;
+    uint64_t version = 0;  // zero until the store has taken it
+    monotonic_time give_up{};
+  };
   // A cancel whose outcome comes from the owner.
   struct open_cancel {
     http_server::token token = 0;
@@ -110,6 +116,13 @@
   std::vector<std::string> LiveDomainPeers() const;
   std::vector<version_member> VersionMembers() const;
 
+  bool IsReady() const;
+
+  // node_config.cc: versions and their spread.
+  void OnVersion(monotonic_time now);
+  void CheckChanges(monotonic_time now);
+  void OnChanged(uint64_t change, const change_result& result, monotonic_time now);
+
   // node_shards.cc: ownership, shards, their actions.
   void TakeOwnership(ownership_actions actions, monotonic_time now);
   void SendStoreCall(const store_call& call);
@@ -204,6 +217,7 @@
   std::vector<message_body> local_;  // messages to ourselves
   absl::flat_hash_map<uint64_t, open_status> statuses_;
   absl::flat_hash_map<request_id, std::vector<open_cancel>> cancels_;
+  std::map<uint64_t, open_change> changes_;
   uint64_t next_query_ = 1;
   monotonic_time next_ownership_tick_{};
   monotonic_time next_instance_poll_{};
--- /dev/null
+++ b/src/process/node_calls.cc
@@ -0,0 +1,409 @@
+// The part of an entry that callers and operators see.
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "process/node.h"
+
+namespace catkinford {
+namespace {
+
+using json = nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kOwnersAnswer{1000};   // for a status question to all owners
+constexpr milliseconds kStatusInterval{100};  // between questions of one that waits
+constexpr milliseconds kCancelAnswer{10000};
+constexpr milliseconds kComeBack{1000};
+constexpr milliseconds kDurablePatience{10000};  // to hear that a durable job was accepted
+constexpr milliseconds kEndless{std::chrono::hours{24 * 366}};
+constexpr size_t kTimelinePage = 10000;
+
+std::string Dump(const json& body) {
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+outcome Refused(const request_id& id, refusal_reason reason, milliseconds retry_after,
+                std::string detail) {
+  outcome result;
+  result.id = id;
+  result.kind = outcome_kind::kRefused;
+  result.reason = reason;
+  result.retry_after = retry_after;
+  result.detail = std::move(detail);
+  return result;
+}
+
+// The team's contract, found by name; null when the version in force has none.
+const team_contract* FindTeam(const configuration& config, const key_holder& holder) {
+  for (const workspace_contract& workspace : config.workspaces) {
+    if (workspace.name != holder.workspace) continue;
+    for (const team_contract& team : workspace.teams) {
+      if (team.name == holder.team) return &team;
+    }
+  }
+  return nullptr;
+}
+
+bool Holds(const std::vector<workload_kind>& kinds, workload_kind kind) {
+  return std::find(kinds.begin(), kinds.end(), kind) != kinds.end();
+}
+
+}  // namespace
+
+// On the HTTP thread: reads the call, so that the core never sees a malformed one.
+void node::OnHttp(http_server::token token, http_request request) {
+  auto call = ReadCall(request, {config_.bounds.batch_jobs});
+  if (const auto* error = std::get_if<call_error>(&call)) {
+    front_.Respond(token, ToResponse(*error));
+    return;
+  }
+  core_task task = [this, token, key = std::move(request.bearer),
+                    call = std::get<caller_call>(std::move(call))](monotonic_time now) mutable {
+    OnCall(token, key, std::move(call), now);
+  };
+  // The one producer that must not wait: a full ring is overload, and is said at once.
+  if (!ring_.TryPush(task)) {
+    http_response busy = ErrorResponse(503, "busy", "nothing was done");
+    busy.retry_after = std::chrono::seconds{1};
+    front_.Respond(token, std::move(busy));
+  }
+}
+
+void node::OnCall(http_server::token token, const std::string& key, caller_call call,
+                  monotonic_time now) {
+  std::visit([&](auto& what) { Handle(token, key, std::move(what), now); }, call);
+}
+
+std::optional<key_holder> node::HolderOf(const std::string& key, monotonic_time now) const {
+  const auto ring = versions_.Order().Ring();
+  if (ring == nullptr || !versions_.Order().KeysTrusted(now)) return std::nullopt;
+  return ring->Find(key);
+}
+
+bool node::IsOperator(http_server::token token, const std::string& key, monotonic_time now) {
+  const std::optional<key_holder> holder = HolderOf(key, now);
+  if (holder && holder->is_operator) return true;
+  front_.Respond(token, ErrorResponse(401, "unknown_key", "an operator's key is needed"));
+  return false;
+}
+
+// ---- Work ----------------------------------------------------------------------------------
+
+void node::Handle(http_server::token token, const std::string& key, submit_call call,
+                  monotonic_time now) {
+  const std::optional<key_holder> holder = HolderOf(key, now);
+  if (!holder || holder->is_operator) {
+    front_.Respond(token, ErrorResponse(401, "unknown_key", "nothing was run"));
+    return;
+  }
+  table_actions actions;
+  table_.BeginCall(token, call.is_batch, call.jobs.size());
+  for (size_t slot = 0; slot < call.jobs.size(); ++slot) {
+    SubmitJob(token, slot, *holder, std::move(call.jobs[slot]), now);
+  }
+}
+
+void node::SubmitJob(http_server::token token, size_t slot, const key_holder& holder, job_spec spec,
+                     monotonic_time now) {
+  table_entry entry;
+  place_message& place = entry.place;
+  const std::string team_name = absl::StrCat(holder.workspace, "/", holder.team);
+  entry.keyed = !spec.idempotency_key.empty();
+  entry.first_ask = spec.first_ask;
+  place.id = entry.keyed ? DeriveRequestId(team_name, spec.idempotency_key) : NewRequestId();
+  table_actions actions;
+  const auto refuse = [&](refusal_reason reason, milliseconds retry, std::string detail) {
+    table_.Settle(token, slot, Refused(place.id, reason, retry, std::move(detail)), actions);
+    TakeTable(std::move(actions), now);
+  };
+  const team_contract* team = FindTeam(*versions_.Order().Config(), holder);
+  if (team == nullptr || !Holds(team->kinds, spec.kind)) {
+    refuse(refusal_reason::kKindNotAllowed, {}, std::string(ToText(spec.kind)));
+    return;
+  }
+  // A keyed job may already run: its caller gets its outcome from the shard that knows it.
+  if (shutting_down_ && !entry.keyed) {
+    refuse(refusal_reason::kShuttingDown, kComeBack, "ask another entry");
+    return;
+  }
+  if (table_.Pending() >= config_.bounds.waiting_requests) {
+    refuse(refusal_reason::kQueueFull, kComeBack, "too many requests wait in this entry");
+    return;
+  }
+  const bool waits = spec.kind == workload_kind::kInteractive;
+  milliseconds deadline = spec.deadline;
+  if (waits && deadline.count() == 0) deadline = config_.timing.default_deadline;
+  if (waits) deadline = std::min(deadline, config_.timing.max_deadline);
+  place.team = holder.team;
+  place.kind = spec.kind;
+  place.urgent = spec.urgent && Holds(team->urgent_kinds, spec.kind);
+  place.repeatable = spec.repeatable;
+  place.wait = waits || spec.wait;
+  place.tasks = spec.tasks;
+  place.each = spec.each;
+  place.run_time = spec.run_time;
+  place.deadline_left = deadline;
+  place.payload = std::move(spec.payload);
+  entry.patience = waits ? deadline : kDurablePatience;
+  if (!waits && spec.wait) entry.patience = deadline.count() > 0 ? deadline : kEndless;
+  log_.Emit(event_code::kRequestReceived, now, place.id, 0, team_name);
+  table_.Add(token, slot, std::move(entry), now, actions);
+  TakeTable(std::move(actions), now);
+}
+
+void node::TakeTable(table_actions actions, monotonic_time now) {
+  for (place_to_send& send : actions.sends) {
+    log_.Emit(event_code::kRequestForwarded, now, send.place.id, 0, send.owner);
+    Send(send.owner, std::move(send.place), now);
+  }
+  for (answered_call& answer : actions.answers) {
+    for (const outcome& result : answer.outcomes) {
+      log_.Emit(event_code::kRequestAnswered, now, result.id, 0, std::string(ToText(result.kind)),
+                std::string(ToText(result.reason)));
+    }
+    front_.Respond(answer.token, answer.is_batch ? ToResponse(answer.outcomes)
+                                                 : ToResponse(answer.outcomes.front()));
+  }
+}
+
+void node::OnOutcome(const outcome& result, monotonic_time now) {
+  table_actions actions;
+  table_.OnOutcome(result, now, actions);
+  TakeTable(std::move(actions), now);
+  const auto found = cancels_.find(result.id);
+  if (found == cancels_.end() || result.kind == outcome_kind::kAccepted) return;
+  for (const open_cancel& open : found->second) front_.Respond(open.token, ToResponse(result));
+  cancels_.erase(found);
+}
+
+// ---- Status and cancel ---------------------------------------------------------------------
+
+void node::Handle(http_server::token token, const std::string& key, status_call call,
+                  monotonic_time now) {
+  if (!HolderOf(key, now)) {
+    front_.Respond(token, ErrorResponse(401, "unknown_key"));
+    return;
+  }
+  const uint64_t query = next_query_++;
+  open_status& open = statuses_[query];
+  open.token = token;
+  open.id = call.id;
+  open.wait_until = now + std::min(call.wait, config_.timing.max_deadline);
+  AskStatus(query, open, now);
+}
+
+void node::Handle(http_server::token token, const std::string& key, cancel_call call,
+                  monotonic_time now) {
+  if (!HolderOf(key, now)) {
+    front_.Respond(token, ErrorResponse(401, "unknown_key"));
+    return;
+  }
+  const uint64_t query = next_query_++;
+  open_status& open = statuses_[query];
+  open.token = token;
+  open.id = call.id;
+  open.cancel = true;
+  AskStatus(query, open, now);
+}
+
+// Asks the owner of each shard: an identity does not tell where it lives when it was placed by
+// load. The first that knows the job answers for it.
+void node::AskStatus(uint64_t query, open_status& open, monotonic_time now) {
+  open.give_up = now + kOwnersAnswer;
+  open.next_ask = monotonic_time::max();
+  open.answers_left = 0;
+  for (const auto& [name, route] : routes_.Routes()) {
+    const std::optional<std::string> owner = routes_.OwnerOf(name, now);
+    if (!owner) continue;
+    ++open.answers_left;
+    Send(*owner, status_query{open.id, name, query}, now);
+  }
+}
+
+namespace {
+
+http_response StatusResponse(const request_id& id, const status_answer& answer) {
+  std::string state = "unknown";
+  if (answer.known) state = answer.progress.running > 0 ? "running" : "waiting";
+  if (answer.ended) state = "finished";
+  json body = {{"id", ToHex(id)},
+               {"state", state},
+               {"waits_for", answer.waits_for},
+               {"tasks",
+                {{"waiting", answer.progress.waiting},
+                 {"running", answer.progress.running},
+                 {"done", answer.progress.done},
+                 {"failed", answer.progress.failed}}}};
+  if (answer.ended) body["outcome"] = json::parse(ToResponse(*answer.ended).body, nullptr, false);
+  return {answer.known ? 200 : 404, Dump(body)};
+}
+
+}  // namespace
+
+void node::OnStatusAnswer(const std::string& /*from*/, const status_answer& answer,
+                          monotonic_time now) {
+  const auto found = statuses_.find(answer.query);
+  if (found == statuses_.end()) return;
+  open_status& open = found->second;
+  if (!answer.known) {
+    if (open.answers_left > 0 && --open.answers_left > 0) return;
+    front_.Respond(open.token, StatusResponse(open.id, answer));
+    statuses_.erase(found);
+    return;
+  }
+  if (open.cancel) {
+    cancels_[open.id].push_back({open.token, now + kCancelAnswer});
+    Send(answer.owner, cancel_message{open.id, answer.shard}, now);
+    statuses_.erase(found);
+    return;
+  }
+  if (!answer.ended && now < open.wait_until) {
+    open.next_ask = now + kStatusInterval;
+    open.give_up = monotonic_time::max();
+    return;
+  }
+  front_.Respond(open.token, StatusResponse(open.id, answer));
+  statuses_.erase(found);
+}
+
+void node::TickStatus(monotonic_time now) {
+  std::vector<uint64_t> over;
+  for (auto& [query, open] : statuses_) {
+    if (now >= open.next_ask) AskStatus(query, open, now);
+    if (now >= open.give_up) over.push_back(query);
+  }
+  for (const uint64_t query : over) {
+    const auto found = statuses_.find(query);
+    front_.Respond(found->second.token,
+                   ErrorResponse(504, "unknown", "not every owner could be asked"));
+    statuses_.erase(found);
+  }
+  std::vector<request_id> late;
+  for (const auto& [id, waiting] : cancels_) {
+    if (now >= waiting.front().give_up) late.push_back(id);
+  }
+  for (const request_id& id : late) {
+    outcome result;
+    result.id = id;
+    result.detail = "cancelled, its end is not known yet";
+    OnOutcome(result, now);
+  }
+  CheckChanges(now);
+}
+
+// ---- Operators -----------------------------------------------------------------------------
+
+void node::Handle(http_server::token token, const std::string& key, drain_call call,
+                  monotonic_time now) {
+  if (!IsOperator(token, key, now)) return;
+  const auto known = [&](const instance& at) { return at.name == call.endpoint; };
+  if (std::none_of(own_endpoints_.begin(), own_endpoints_.end(), known)) {
+    front_.Respond(token, ErrorResponse(404, "unknown_endpoint", "ask an entry of its domain"));
+    return;
+  }
+  bool is_ours = false;
+  for (auto& [number, held] : shards_) {
+    is_ours |= call.dry_run ? held->Has(call.endpoint) : held->Drain(call.endpoint, now);
+  }
+  if (is_ours) {
+    front_.Respond(token, {200, Dump({{"endpoint", call.endpoint}, {"dry_run", call.dry_run}})});
+  } else {
+    front_.Respond(token, ErrorResponse(409, "not_owner", "ask the other entry of its domain"));
+  }
+}
+
+void node::Handle(http_server::token token, const std::string& key, evacuate_call /*call*/,
+                  monotonic_time now) {
+  if (!IsOperator(token, key, now)) return;
+  front_.Respond(token, ErrorResponse(501, "not_built", "jobs of a lost domain are not moved yet"));
+}
+
+void node::Handle(http_server::token token, const std::string& key, members_call /*call*/,
+                  monotonic_time now) {
+  if (!IsOperator(token, key, now)) return;
+  json entries = json::array();
+  json shards = json::array();
+  const auto owned = [&](const std::string& entry) {
+    json names = json::array();
+    for (const auto& [name, route] : routes_.Routes()) {
+      if (route.owner == entry) names.push_back(name);
+    }
+    return names;
+  };
+  entries.push_back({{"name", config_.name},
+                     {"failure_domain", config_.failure_domain},
+                     {"address", Heartbeat().address},
+                     {"state", shutting_down_ ? "leaving" : "up"},
+                     {"config_version", versions_.Order().Version()},
+                     {"owns", owned(config_.name)}});
+  for (const auto& [name, peer] : peers_) {
+    const char* state = peer.up ? "up" : "down";
+    entries.push_back({{"name", name},
+                       {"failure_domain", peer.failure_domain},
+                       {"address", peer.address},
+                       {"state", peer.leaving ? "leaving" : state},
+                       {"config_version", peer.config_version},
+                       {"owns", owned(name)}});
+  }
+  for (const auto& [name, route] : routes_.Routes()) {
+    shards.push_back({{"name", name},
+                      {"owner", route.owner},
+                      {"epoch", route.epoch},
+                      {"endpoints", route.endpoints},
+                      {"open", route.summary.open_endpoints},
+                      {"running", route.summary.running_tasks},
+                      {"queued", route.summary.queued_tasks}});
+  }
+  front_.Respond(token,
+                 {200, Dump({{"entries", std::move(entries)}, {"shards", std::move(shards)}})});
+}
+
+void node::Handle(http_server::token token, const std::string& key, timeline_call call,
+                  monotonic_time now) {
+  if (!IsOperator(token, key, now)) return;
+  const auto micros = [](auto since) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(since).count();
+  };
+  json events = json::array();
+  uint64_t next = call.since;
+  for (const timeline_event& event : timeline_.Since(call.since, kTimelinePage)) {
+    next = event.seq + 1;
+    events.push_back({{"seq", event.seq},
+                      {"mono_us", micros(event.at.time_since_epoch())},
+                      {"code", static_cast<int>(event.code)},
+                      {"name", InfoOf(event.code).name},
+                      {"id", event.id == request_id{} ? "" : ToHex(event.id)},
+                      {"epoch", event.epoch},
+                      {"subject", event.subject},
+                      {"detail", event.detail}});
+  }
+  front_.Respond(
+      token, {200, Dump({{"process", config_.name},
+                         {"failure_domain", config_.failure_domain},
+                         {"mono_us", micros(now.time_since_epoch())},
+                         {"wall_us", micros(std::chrono::system_clock::now().time_since_epoch())},
+                         {"next", next},
+                         {"events", std::move(events)}})});
+}
+
+void node::Handle(http_server::token token, const std::string& /*key*/, health_call /*call*/,
+                  monotonic_time /*now*/) {
+  front_.Respond(token, {200, R"({"healthy":true})"});
+}
+
+void node::Handle(http_server::token token, const std::string& /*key*/, ready_call /*call*/,
+                  monotonic_time /*now*/) {
+  const bool ready = IsReady();
+  front_.Respond(token, {ready ? 200 : 503, Dump({{"ready", ready}})});
+}
+
+void node::Handle(http_server::token token, const std::string& /*key*/, metrics_call /*call*/,
+                  monotonic_time now) {
+  UpdateGauges(now);
+  front_.Respond(token, {200, metrics_.Text(), "text/plain; version=0.0.4"});
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/node_config.cc
@@ -0,0 +1,137 @@
+// The part of an entry that changes the configuration and says where a version is in force.
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "process/node.h"
+
+namespace catkinford {
+namespace {
+
+using json = nlohmann::json;
+using std::chrono::milliseconds;
+
+// How long an operator waits for the last failure domain before it is named as pending.
+constexpr milliseconds kInForceWait{2000};
+
+std::string Dump(const json& body) {
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+http_response ContractResponse(const contract_error& error) {
+  return {422, Dump({{"error", "contract"},
+                     {"fault", ToText(error.fault)},
+                     {"path", error.path},
+                     {"value", error.value}})};
+}
+
+}  // namespace
+
+// A new version is in force here: shards decide by it at once, peers hear of it at once.
+void node::OnVersion(monotonic_time now) {
+  const version_order& order = versions_.Order();
+  for (auto& [number, held] : shards_) held->SetConfiguration(*order.Config(), now);
+  for (auto& [name, peer] : peers_) {
+    if (peer.config_version >= order.Version()) continue;
+    peer.next_config = now + milliseconds{500};
+    peer.next_beat = now;  // says that it is in force here
+    Send(name, config_message{order.Version(), order.Text()}, now);
+  }
+  log_.Emit(event_code::kVersionInForce, now, {}, 0, absl::StrCat(order.Version()));
+}
+
+void node::Handle(http_server::token token, const std::string& key, get_config_call /*call*/,
+                  monotonic_time now) {
+  if (!IsOperator(token, key, now)) return;
+  const version_order& order = versions_.Order();
+  front_.Respond(token, {200, Dump({{"version", order.Version()}, {"text", order.Text()}})});
+}
+
+void node::Handle(http_server::token token, const std::string& key, put_config_call call,
+                  monotonic_time now) {
+  if (!IsOperator(token, key, now)) return;
+  const auto parsed = ParseConfiguration(call.text);
+  if (const auto* error = std::get_if<contract_error>(&parsed)) {
+    front_.Respond(token, ContractResponse(*error));
+    return;
+  }
+  const version_order& order = versions_.Order();
+  if (call.dry_run) {
+    const in_force_report report =
+        order.InForce(order.Version(), config_.failure_domain, VersionMembers());
+    front_.Respond(token, {200, Dump({{"version", order.Version()},
+                                      {"dry_run", true},
+                                      {"in_force", report.in_force},
+                                      {"pending", report.pending},
+                                      {"warnings", json::array()}})});
+    return;
+  }
+  const uint64_t change = next_query_++;
+  changes_[change] = {token, 0, now + kInForceWait + config_.timing.call_timeout * 4};
+  const std::string write_id = ToHex(NewRequestId());
+  versions_.Change(call.expect, call.text, write_id,
+                   [this, change](const change_result& result, monotonic_time at) {
+                     OnChanged(change, result, at);
+                   });
+}
+
+void node::OnChanged(uint64_t change, const change_result& result, monotonic_time now) {
+  const auto found = changes_.find(change);
+  if (found == changes_.end()) return;
+  open_change& open = found->second;
+  if (result.end == change_end::kDone) {
+    open.version = result.version;
+    open.give_up = now + kInForceWait;
+    CheckChanges(now);
+    return;
+  }
+  http_response response;
+  if (result.end == change_end::kConflict) {
+    response = {409,
+                Dump({{"error", "conflict"}, {"version", result.version}, {"text", result.text}})};
+  } else if (result.end == change_end::kUnavailable) {
+    response = ErrorResponse(503, "store_unavailable", "nothing was changed");
+  } else {
+    response = ErrorResponse(504, "unknown", "the change may have been accepted: read it back");
+  }
+  front_.Respond(open.token, std::move(response));
+  changes_.erase(found);
+}
+
+void node::CheckChanges(monotonic_time now) {
+  for (auto at = changes_.begin(); at != changes_.end();) {
+    const open_change& open = at->second;
+    bool done = now >= open.give_up;
+    in_force_report report;
+    if (open.version > 0) {
+      report = versions_.Order().InForce(open.version, config_.failure_domain, VersionMembers());
+      done |= report.pending.empty();
+    }
+    if (!done) {
+      ++at;
+      continue;
+    }
+    if (open.version > 0) {
+      front_.Respond(open.token, {200, Dump({{"version", open.version},
+                                             {"in_force", report.in_force},
+                                             {"pending", report.pending},
+                                             {"warnings", json::array()}})});
+    } else {
+      front_.Respond(open.token, ErrorResponse(504, "unknown", "the store gave no answer"));
+    }
+    at = changes_.erase(at);
+  }
+}
+
+void node::Handle(http_server::token token, const std::string& key, config_history_call /*call*/,
+                  monotonic_time now) {
+  if (!IsOperator(token, key, now)) return;
+  json versions = json::array();
+  for (const past_version& past : versions_.History()) {
+    versions.push_back(
+        {{"version", past.version}, {"at_ms", past.wall_ms}, {"by", ""}, {"text", past.text}});
+  }
+  front_.Respond(token, {200, Dump({{"versions", std::move(versions)}})});
+}
+
+}  // namespace catkinford
--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -163,14 +163,14 @@
 }
 
 void node::Do(uint32_t number, shard& from, fence_action action, monotonic_time /*now*/) {
-  endpoints_.Fence(from.Address(action.endpoint), action.token,
-                   [this, number, epoch = from.Epoch(), action](endpoint_reply reply) {
-                     Post([this, number, epoch, action,
-                           reply = std::move(reply)](monotonic_time at) {
-                       shard* to = Held(number, epoch);
-                       if (to != nullptr) to->OnFence(action.endpoint, action.token, reply, at);
-                     });
-                   });
+  endpoints_.Fence(
+      from.Address(action.endpoint), action.token,
+      [this, number, epoch = from.Epoch(), action](endpoint_reply reply) {
+        Post([this, number, epoch, action, reply = std::move(reply)](monotonic_time at) {
+          shard* to = Held(number, epoch);
+          if (to != nullptr) to->OnFence(action.endpoint, action.token, reply, at);
+        });
+      });
 }
 
 void node::Do(uint32_t number, shard& from, sync_action action, monotonic_time /*now*/) {
@@ -195,15 +195,15 @@
     from.OnStartNotSent(action, now);
     return;
   }
-  endpoints_.Start(from.Address(action.endpoint), action.token, action.tasks,
-                   [this, number, epoch = from.Epoch(), action](endpoint_reply reply) {
-                     Post([this, number, epoch, action,
-                           reply = std::move(reply)](monotonic_time at) {
-                       shard* to = Held(number, epoch);
-                       if (to == nullptr) return;
-                       to->OnStart(action.endpoint, action.token, action.tasks, reply, at);
-                     });
-                   });
+  endpoints_.Start(
+      from.Address(action.endpoint), action.token, action.tasks,
+      [this, number, epoch = from.Epoch(), action](endpoint_reply reply) {
+        Post([this, number, epoch, action, reply = std::move(reply)](monotonic_time at) {
+          shard* to = Held(number, epoch);
+          if (to == nullptr) return;
+          to->OnStart(action.endpoint, action.token, action.tasks, reply, at);
+        });
+      });
 }
 
 void node::Do(uint32_t /*number*/, shard& from, stop_action action, monotonic_time /*now*/) {
@@ -217,6 +217,7 @@
 }
 
 void node::Do(uint32_t /*number*/, shard& /*from*/, status_action action, monotonic_time now) {
+  action.answer.owner = config_.name;
   Send(action.entry, std::move(action.answer), now);
 }
 
--- a/src/process/router.cc
+++ b/src/process/router.cc
@@ -41,6 +41,11 @@
   }
 }
 
+void router::OnNotOwner(const std::string& owner, const std::string& shard) {
+  const auto found = routes_.find(shard);
+  if (found != routes_.end() && found->second.owner == owner) found->second.owner.clear();
+}
+
 const std::string& router::Home(const request_id& id) const {
   size_t best = 0;
   request_id highest;
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -41,6 +41,9 @@
   // The owner left or cannot be reached.
   void OnOwnerDown(const std::string& owner);
 
+  // `owner` says that the shard is not its own (any more).
+  void OnNotOwner(const std::string& owner, const std::string& shard);
+
   // The one shard for an identity that its caller may present again anywhere: the same at every
   // entry, whatever the load, or the same work could start on two shards.
   const std::string& Home(const request_id& id) const;
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -241,6 +241,7 @@
 void shard::Status(const std::string& entry, const status_query& query, monotonic_time /*now*/) {
   status_answer answer;
   answer.query = query.query;
+  answer.shard = options_.name;
   if (const job_state* job = Find(query.id)) {
     answer.known = true;
     answer.progress = ProgressOf(*job);
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -112,6 +112,7 @@
   void SetCellCapacity(const resources& capacity) { core_.SetCellCapacity(capacity); }
   // An operator's word: gets nothing new, what runs there is moved.
   bool Drain(const std::string& endpoint, monotonic_time now);
+  bool Has(const std::string& endpoint) const { return endpoint_by_name_.contains(endpoint); }
 
   // From entries.
   void Place(const std::string& entry, place_message place, monotonic_time now);
@@ -142,9 +143,7 @@
   std::vector<team_report> TeamReports() const;
   const std::string& Name() const { return options_.name; }
   uint64_t Epoch() const { return options_.epoch; }
-  const endpoint_address& Address(endpoint_index endpoint) const {
-    return endpoints_[endpoint].address;
-  }
+  const endpoint_address& Address(endpoint_index index) const { return endpoints_[index].address; }
   // Whether every endpoint was listed under this epoch, so that an identity that is not known has
   // surely not started.
   bool AllListed() const { return unlisted_ == 0 && has_endpoints_; }
