--- a/src/process/node.h
+++ b/src/process/node.h
@@ -33,7 +33,7 @@
 #include "process/router.h"
 #include "process/settings.h"
 #include "process/shard.h"
-#include "process/team_table.h"
+#include "process/team_names.h"
 #include "process/timeline.h"
 #include "request/caller_call.h"
 
@@ -204,7 +204,7 @@
   http_server front_;
 
   // The core thread's.
-  team_table teams_;
+  team_names teams_;
   router routes_;
   request_table table_;
   ownership ownership_;
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -53,7 +53,7 @@
 
 }  // namespace
 
-shard::shard(shard_options options, team_table& teams)
+shard::shard(shard_options options, team_names& teams)
     : options_(std::move(options)), teams_(teams), core_(CoreOptions(options_)) {}
 
 void shard::Note(event_code code, const request_id& id, std::string subject, std::string detail) {
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -20,7 +20,7 @@
 #include "process/decision_core.h"
 #include "process/events.h"
 #include "process/message.h"
-#include "process/team_table.h"
+#include "process/team_names.h"
 #include "request/job_state.h"
 #include "version/contract.h"
 #include "version/grant_ledger.h"
@@ -98,7 +98,7 @@
 
 class shard {
  public:
-  shard(shard_options options, team_table& teams);
+  shard(shard_options options, team_names& teams);
 
   // The durable part, before the first list of an endpoint is taken in: the other order could take
   // a job whose last task just ended for one that never started.
@@ -206,7 +206,7 @@
   void Note(event_code code, const request_id& id, std::string subject, std::string detail = {});
 
   shard_options options_;
-  team_table& teams_;
+  team_names& teams_;
   decision_core core_;
   std::vector<endpoint_record> endpoints_;
   absl::flat_hash_map<std::string, endpoint_index> endpoint_by_name_;
--- a/src/process/team_table.h
+++ b/src/process/team_names.h
@@ -1,7 +1,7 @@
 // Dense numbers for teams. Numbers are never used again, so a late report about a team that left
 // the contract cannot be taken for another's.
-#ifndef CATKINFORD_PROCESS_TEAM_TABLE_H_
-#define CATKINFORD_PROCESS_TEAM_TABLE_H_
+#ifndef CATKINFORD_PROCESS_TEAM_NAMES_H_
+#define CATKINFORD_PROCESS_TEAM_NAMES_H_
 
 #include <string>
 #include <vector>
@@ -11,7 +11,7 @@
 
 namespace catkinford {
 
-class team_table {
+class team_names {
  public:
   team_index IndexOf(const std::string& name) {
     const auto [found, added] = index_.try_emplace(name, static_cast<team_index>(names_.size()));
@@ -28,4 +28,4 @@
 
 }  // namespace catkinford
 
-#endif  // CATKINFORD_PROCESS_TEAM_TABLE_H_
+#endif  // CATKINFORD_PROCESS_TEAM_NAMES_H_
