--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -128,7 +128,7 @@
     for (auto& [name, peer] : peers_) peer.next_beat = now;  // tells that we leave
     ownership_actions actions;
     ownership_.Release(now, actions);
-    TakeOwnership(std::move(actions), now);
+    TakeOwnership(actions, now);
   });
 }
 
@@ -166,7 +166,7 @@
     next_ownership_tick_ = now + kOwnershipTick;
     ownership_actions actions;
     ownership_.Tick(now, actions);
-    TakeOwnership(std::move(actions), now);
+    TakeOwnership(actions, now);
     versions_.Tick(IsWatcher(config_.name, LiveDomainPeers()), now);
     CheckPeers(now);
     PollInstances(now);
@@ -174,6 +174,7 @@
     TickStatus(now);
   }
   std::vector<shard*> owned;
+  owned.reserve(shards_.size());
   for (auto& [number, held] : shards_) owned.push_back(held.get());
   grants_.Tick(owned, versions_.Order().Config(), now);
   table_actions due;
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -124,7 +124,7 @@
   void OnChanged(uint64_t change, const change_result& result, monotonic_time now);
 
   // node_shards.cc: ownership, shards, their actions.
-  void TakeOwnership(ownership_actions actions, monotonic_time now);
+  void TakeOwnership(const ownership_actions& actions, monotonic_time now);
   void SendStoreCall(const store_call& call);
   void OnOwnershipEvent(const ownership_event& event, monotonic_time now);
   void GainShard(uint32_t number, uint64_t epoch, monotonic_time now);
@@ -134,15 +134,15 @@
   void ActShards(monotonic_time now);
   void TakeShardActions(uint32_t number, shard& from, std::vector<shard_action> actions,
                         monotonic_time now);
-  void Do(uint32_t number, shard& from, fence_action action, monotonic_time now);
-  void Do(uint32_t number, shard& from, sync_action action, monotonic_time now);
-  void Do(uint32_t number, shard& from, start_action action, monotonic_time now);
-  void Do(uint32_t number, shard& from, stop_action action, monotonic_time now);
+  void Do(uint32_t number, shard& from, const fence_action& action, monotonic_time now);
+  void Do(uint32_t number, shard& from, const sync_action& action, monotonic_time now);
+  void Do(uint32_t number, shard& from, const start_action& action, monotonic_time now);
+  void Do(uint32_t number, shard& from, const stop_action& action, monotonic_time now);
   void Do(uint32_t number, shard& from, answer_action action, monotonic_time now);
   void Do(uint32_t number, shard& from, status_action action, monotonic_time now);
-  void Do(uint32_t number, shard& from, record_action action, monotonic_time now);
-  void Do(uint32_t number, shard& from, complete_action action, monotonic_time now);
-  void Do(uint32_t number, shard& from, superseded_action action, monotonic_time now);
+  void Do(uint32_t number, shard& from, const record_action& action, monotonic_time now);
+  void Do(uint32_t number, shard& from, const complete_action& action, monotonic_time now);
+  void Do(uint32_t number, shard& from, const superseded_action& action, monotonic_time now);
   void Do(uint32_t number, shard& from, event_action action, monotonic_time now);
   // The shard under this number if we still own it under this epoch, else null: a late answer for
   // an earlier ownership must not reach the present one.
@@ -155,29 +155,29 @@
               monotonic_time now);
   void Handle(http_server::token token, const std::string& key, submit_call call,
               monotonic_time now);
-  void Handle(http_server::token token, const std::string& key, status_call call,
+  void Handle(http_server::token token, const std::string& key, const status_call& call,
               monotonic_time now);
-  void Handle(http_server::token token, const std::string& key, cancel_call call,
+  void Handle(http_server::token token, const std::string& key, const cancel_call& call,
               monotonic_time now);
-  void Handle(http_server::token token, const std::string& key, get_config_call call,
+  void Handle(http_server::token token, const std::string& key, const get_config_call& call,
               monotonic_time now);
-  void Handle(http_server::token token, const std::string& key, put_config_call call,
+  void Handle(http_server::token token, const std::string& key, const put_config_call& call,
               monotonic_time now);
-  void Handle(http_server::token token, const std::string& key, config_history_call call,
+  void Handle(http_server::token token, const std::string& key, const config_history_call& call,
               monotonic_time now);
-  void Handle(http_server::token token, const std::string& key, drain_call call,
+  void Handle(http_server::token token, const std::string& key, const drain_call& call,
               monotonic_time now);
-  void Handle(http_server::token token, const std::string& key, evacuate_call call,
+  void Handle(http_server::token token, const std::string& key, const evacuate_call& call,
               monotonic_time now);
-  void Handle(http_server::token token, const std::string& key, members_call call,
+  void Handle(http_server::token token, const std::string& key, const members_call& call,
               monotonic_time now);
-  void Handle(http_server::token token, const std::string& key, timeline_call call,
+  void Handle(http_server::token token, const std::string& key, const timeline_call& call,
               monotonic_time now);
-  void Handle(http_server::token token, const std::string& key, health_call call,
+  void Handle(http_server::token token, const std::string& key, const health_call& call,
               monotonic_time now);
-  void Handle(http_server::token token, const std::string& key, ready_call call,
+  void Handle(http_server::token token, const std::string& key, const ready_call& call,
               monotonic_time now);
-  void Handle(http_server::token token, const std::string& key, metrics_call call,
+  void Handle(http_server::token token, const std::string& key, const metrics_call& call,
               monotonic_time now);
   bool IsOperator(http_server::token token, const std::string& key, monotonic_time now);
   std::optional<key_holder> HolderOf(const std::string& key, monotonic_time now) const;
--- a/src/process/node_calls.cc
+++ b/src/process/node_calls.cc
@@ -181,7 +181,7 @@
 
 // ---- Status and cancel ---------------------------------------------------------------------
 
-void node::Handle(http_server::token token, const std::string& key, status_call call,
+void node::Handle(http_server::token token, const std::string& key, const status_call& call,
                   monotonic_time now) {
   if (!HolderOf(key, now)) {
     front_.Respond(token, ErrorResponse(401, "unknown_key"));
@@ -195,7 +195,7 @@
   AskStatus(query, open, now);
 }
 
-void node::Handle(http_server::token token, const std::string& key, cancel_call call,
+void node::Handle(http_server::token token, const std::string& key, const cancel_call& call,
                   monotonic_time now) {
   if (!HolderOf(key, now)) {
     front_.Respond(token, ErrorResponse(401, "unknown_key"));
@@ -296,7 +296,7 @@
 
 // ---- Operators -----------------------------------------------------------------------------
 
-void node::Handle(http_server::token token, const std::string& key, drain_call call,
+void node::Handle(http_server::token token, const std::string& key, const drain_call& call,
                   monotonic_time now) {
   if (!IsOperator(token, key, now)) return;
   const auto known = [&](const instance& at) { return at.name == call.endpoint; };
@@ -315,13 +315,13 @@
   }
 }
 
-void node::Handle(http_server::token token, const std::string& key, evacuate_call /*call*/,
+void node::Handle(http_server::token token, const std::string& key, const evacuate_call& /*call*/,
                   monotonic_time now) {
   if (!IsOperator(token, key, now)) return;
   front_.Respond(token, ErrorResponse(501, "not_built", "jobs of a lost domain are not moved yet"));
 }
 
-void node::Handle(http_server::token token, const std::string& key, members_call /*call*/,
+void node::Handle(http_server::token token, const std::string& key, const members_call& /*call*/,
                   monotonic_time now) {
   if (!IsOperator(token, key, now)) return;
   json entries = json::array();
@@ -361,7 +361,7 @@
                  {200, Dump({{"entries", std::move(entries)}, {"shards", std::move(shards)}})});
 }
 
-void node::Handle(http_server::token token, const std::string& key, timeline_call call,
+void node::Handle(http_server::token token, const std::string& key, const timeline_call& call,
                   monotonic_time now) {
   if (!IsOperator(token, key, now)) return;
   const auto micros = [](auto since) {
@@ -389,19 +389,19 @@
                          {"events", std::move(events)}})});
 }
 
-void node::Handle(http_server::token token, const std::string& /*key*/, health_call /*call*/,
+void node::Handle(http_server::token token, const std::string& /*key*/, const health_call& /*call*/,
                   monotonic_time /*now*/) {
   front_.Respond(token, {200, R"({"healthy":true})"});
 }
 
-void node::Handle(http_server::token token, const std::string& /*key*/, ready_call /*call*/,
+void node::Handle(http_server::token token, const std::string& /*key*/, const ready_call& /*call*/,
                   monotonic_time /*now*/) {
   const bool ready = IsReady();
   front_.Respond(token, {ready ? 200 : 503, Dump({{"ready", ready}})});
 }
 
-void node::Handle(http_server::token token, const std::string& /*key*/, metrics_call /*call*/,
-                  monotonic_time now) {
+void node::Handle(http_server::token token, const std::string& /*key*/,
+                  const metrics_call& /*call*/, monotonic_time now) {
   UpdateGauges(now);
   front_.Respond(token, {200, metrics_.Text(), "text/plain; version=0.0.4"});
 }
--- a/src/process/node_config.cc
+++ b/src/process/node_config.cc
@@ -40,14 +40,14 @@
   log_.Emit(event_code::kVersionInForce, now, {}, 0, absl::StrCat(order.Version()));
 }
 
-void node::Handle(http_server::token token, const std::string& key, get_config_call /*call*/,
+void node::Handle(http_server::token token, const std::string& key, const get_config_call& /*call*/,
                   monotonic_time now) {
   if (!IsOperator(token, key, now)) return;
   const version_order& order = versions_.Order();
   front_.Respond(token, {200, Dump({{"version", order.Version()}, {"text", order.Text()}})});
 }
 
-void node::Handle(http_server::token token, const std::string& key, put_config_call call,
+void node::Handle(http_server::token token, const std::string& key, const put_config_call& call,
                   monotonic_time now) {
   if (!IsOperator(token, key, now)) return;
   const auto parsed = ParseConfiguration(call.text);
@@ -123,8 +123,8 @@
   }
 }
 
-void node::Handle(http_server::token token, const std::string& key, config_history_call /*call*/,
-                  monotonic_time now) {
+void node::Handle(http_server::token token, const std::string& key,
+                  const config_history_call& /*call*/, monotonic_time now) {
   if (!IsOperator(token, key, now)) return;
   json versions = json::array();
   for (const past_version& past : versions_.History()) {
--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -11,7 +11,7 @@
 
 // ---- Ownership -----------------------------------------------------------------------------
 
-void node::TakeOwnership(ownership_actions actions, monotonic_time now) {
+void node::TakeOwnership(const ownership_actions& actions, monotonic_time now) {
   for (const store_call& call : actions.calls) SendStoreCall(call);
   for (const ownership_event& event : actions.events) OnOwnershipEvent(event, now);
 }
@@ -21,7 +21,7 @@
     Post([this, tag, reply = std::move(reply)](monotonic_time now) {
       ownership_actions actions;
       ownership_.OnStoreReply(tag, reply, now, actions);
-      TakeOwnership(std::move(actions), now);
+      TakeOwnership(actions, now);
     });
   };
   switch (call.kind) {
@@ -147,6 +147,7 @@
 
 void node::ActShards(monotonic_time now) {
   std::vector<std::pair<uint32_t, uint64_t>> held;
+  held.reserve(shards_.size());
   for (const auto& [number, at] : shards_) held.emplace_back(number, at->Epoch());
   for (const auto& [number, epoch] : held) {
     shard* from = Held(number, epoch);
@@ -162,7 +163,7 @@
   }
 }
 
-void node::Do(uint32_t number, shard& from, fence_action action, monotonic_time /*now*/) {
+void node::Do(uint32_t number, shard& from, const fence_action& action, monotonic_time /*now*/) {
   endpoints_.Fence(
       from.Address(action.endpoint), action.token,
       [this, number, epoch = from.Epoch(), action](endpoint_reply reply) {
@@ -173,7 +174,7 @@
       });
 }
 
-void node::Do(uint32_t number, shard& from, sync_action action, monotonic_time /*now*/) {
+void node::Do(uint32_t number, shard& from, const sync_action& action, monotonic_time /*now*/) {
   endpoints_.Sync(
       from.Address(action.endpoint), action.call,
       [this, number, epoch = from.Epoch(), endpoint = action.endpoint,
@@ -190,7 +191,7 @@
 // core decided, for longer than its lease. Without this check a start goes out that the successor
 // has also sent, seen as two start events of one task in the time line; the endpoint's refusal of
 // our lower epoch closes what remains between this line and the wire.
-void node::Do(uint32_t number, shard& from, start_action action, monotonic_time now) {
+void node::Do(uint32_t number, shard& from, const start_action& action, monotonic_time now) {
   if (!ownership_.MayStart(number, steady_clock::now())) {
     from.OnStartNotSent(action, now);
     return;
@@ -206,7 +207,7 @@
       });
 }
 
-void node::Do(uint32_t /*number*/, shard& from, stop_action action, monotonic_time /*now*/) {
+void node::Do(uint32_t /*number*/, shard& from, const stop_action& action, monotonic_time /*now*/) {
   // Its end comes by the next sync; a stop that is lost is sent again by the core's next decision.
   endpoints_.Stop(from.Address(action.endpoint), action.token, action.ids, action.checkpoint,
                   [](const endpoint_reply&) {});
@@ -221,19 +222,20 @@
   Send(action.entry, std::move(action.answer), now);
 }
 
-void node::Do(uint32_t /*number*/, shard& from, record_action action, monotonic_time now) {
+void node::Do(uint32_t /*number*/, shard& from, const record_action& action, monotonic_time now) {
   from.OnRecorded(action.job, true, now);
 }
 
-void node::Do(uint32_t /*number*/, shard& from, complete_action action, monotonic_time now) {
+void node::Do(uint32_t /*number*/, shard& from, const complete_action& action, monotonic_time now) {
   if (!action.job_ended) from.OnCompletionRecorded(action.task, now);
 }
 
-void node::Do(uint32_t number, shard& /*from*/, superseded_action action, monotonic_time now) {
+void node::Do(uint32_t number, shard& /*from*/, const superseded_action& action,
+              monotonic_time now) {
   metrics_.fenced_off.Increment();
   ownership_actions actions;
   ownership_.OnFenced(number, action.epoch, now, actions);
-  TakeOwnership(std::move(actions), now);
+  TakeOwnership(actions, now);
 }
 
 void node::Do(uint32_t /*number*/, shard& from, event_action action, monotonic_time now) {
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -103,7 +103,8 @@
   // could be running it has not been listed: it would run in two places, seen as two start records
   // of one task. It waits for the lists, or is answered as unknown.
   if (!place.fresh && !AllListed()) {
-    held_.push_back({entry, std::move(place), now + place.deadline_left});
+    const monotonic_time until = now + place.deadline_left;
+    held_.push_back({entry, std::move(place), until});
     return;
   }
   job_state& job = Admit(entry, std::move(place), now);
--- a/src/request/caller_call.cc
+++ b/src/request/caller_call.cc
@@ -118,7 +118,7 @@
   call.is_batch = is_batch;
   if (!is_batch) {
     auto spec = ReadJob(body, "", std::string::npos);
-    if (auto* error = std::get_if<call_error>(&spec)) return *std::move(error);
+    if (auto* error = std::get_if<call_error>(&spec)) return std::move(*error);
     call.jobs.push_back(std::get<job_spec>(std::move(spec)));
     return call;
   }
@@ -131,7 +131,7 @@
   }
   for (size_t i = 0; i < list->size(); ++i) {
     auto spec = ReadJob((*list)[i], absl::StrCat("jobs[", i, "]."), std::string::npos);
-    if (auto* error = std::get_if<call_error>(&spec)) return *std::move(error);
+    if (auto* error = std::get_if<call_error>(&spec)) return std::move(*error);
     call.jobs.push_back(std::get<job_spec>(std::move(spec)));
   }
   return call;
