Serve TLS with a certificate that can be replaced while running

libmicrohttpd takes a certificate once, at its start; GnuTLS can ask for it at each handshake instead, by a function that is told only the session: its socket's port leads to the server's store. Each handshake works on a copy that GnuTLS frees, so that a reload cannot free what another thread reads. An unusable pair is refused with a typed fault and the old one stays. The HTTP client and catkinford --ca_file take the authorities to trust.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -52,7 +52,8 @@
 }  // namespace
 
 struct http_client::impl {
-  explicit impl(size_t connections) : connections_per_host(connections) {}
+  impl(size_t connections, std::string authorities)
+      : connections_per_host(connections), ca_file(std::move(authorities)) {}
 
   static int OnSocket(CURL* easy, curl_socket_t socket, int what, void* closure, void* known);
   static int OnTimer(CURLM* multi, long wait_ms, void* closure);  // NOLINT(google-runtime-int)
@@ -67,6 +68,7 @@
   CURL* NewHandle();
 
   size_t connections_per_host;
+  std::string ca_file;
   CURLM* multi = nullptr;
   int epoll = -1;
   int wake = -1;
@@ -127,6 +129,7 @@
                    static_cast<long>(kConnectTimeout.count()));  // NOLINT
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &AppendBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, next.get());
+  if (!ca_file.empty()) curl_easy_setopt(easy, CURLOPT_CAINFO, ca_file.c_str());
   if (call.fresh_connection) curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
   if (call.method != "GET") {
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
@@ -224,8 +227,8 @@
   while (!active.empty()) Complete(active.begin()->first, transfer_status::kMaybeSent);
 }
 
-http_client::http_client(size_t connections_per_host)
-    : impl_(std::make_unique<impl>(connections_per_host)) {}
+http_client::http_client(size_t connections_per_host, std::string ca_file)
+    : impl_(std::make_unique<impl>(connections_per_host, std::move(ca_file))) {}
 
 http_client::~http_client() { Stop(); }
 
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -37,8 +37,9 @@
   // Called on the client's thread; must not block.
   using callback = std::function<void(http_result)>;
 
-  // `connections_per_host` bounds the connections that are open to one address.
-  explicit http_client(size_t connections_per_host);
+  // `connections_per_host` bounds the connections that are open to one address. `ca_file`: PEM file
+  // of the authorities to trust for https; empty: those of the system.
+  explicit http_client(size_t connections_per_host, std::string ca_file = {});
   ~http_client();
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -93,6 +93,7 @@
   MHD_Result Dispatch(exchange& current);
 
   http_server_options options;
+  tls_certificate_store certificates;
   handler on_request;
   MHD_Daemon* daemon = nullptr;
   std::mutex mutex;  // guards `waiting` and the exchanges in it
@@ -182,6 +183,9 @@
   address.sin_port = htons(options.port);
   if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) return false;
   const bool tls = !options.tls_certificate.empty();
+  if (tls && SetCertificate(options.tls_certificate, options.tls_key) != tls_fault::kNone) {
+    return false;
+  }
   unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
   if (tls) flags |= MHD_USE_TLS;
   std::vector<MHD_OptionItem> items = {
@@ -194,15 +198,21 @@
     items.push_back({MHD_OPTION_THREAD_POOL_SIZE, options.threads, nullptr});
   }
   if (tls) {
-    items.push_back(
-        {MHD_OPTION_HTTPS_MEM_CERT, 0, const_cast<char*>(options.tls_certificate.c_str())});
-    items.push_back({MHD_OPTION_HTTPS_MEM_KEY, 0, const_cast<char*>(options.tls_key.c_str())});
+    // Asked for at each handshake, and not given once, so that it can be replaced.
+    items.push_back({MHD_OPTION_HTTPS_CERT_CALLBACK2, 0,
+                     reinterpret_cast<void*>(tls_certificate_store::Callback())});
   }
   items.push_back({MHD_OPTION_END, 0, nullptr});
   impl_->daemon = MHD_start_daemon(
       flags, options.port, nullptr, nullptr, &impl::OnAccess, impl_.get(), MHD_OPTION_ARRAY,
       items.data(), MHD_OPTION_NOTIFY_COMPLETED, &impl::OnCompleted, impl_.get(), MHD_OPTION_END);
-  return impl_->daemon != nullptr;
+  if (impl_->daemon == nullptr) return false;
+  if (tls) impl_->certificates.ServePort(Port());
+  return true;
+}
+
+tls_fault http_server::SetCertificate(const std::string& certificate, const std::string& key) {
+  return impl_->certificates.Set(certificate, key);
 }
 
 uint16_t http_server::Port() const {
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -12,6 +12,8 @@
 #include <utility>
 #include <vector>
 
+#include "connection/tls_certificate.h"
+
 namespace catkinford {
 
 struct http_request {
@@ -55,8 +57,11 @@
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
 
-  // False when the port cannot be had.
+  // False when the port cannot be had, or the certificate cannot be used.
   bool Start();
+  // Replaces the certificate without a restart: new connections get the new one, open ones go on.
+  // Only for a server that was started with one; on a fault the old one stays.
+  tls_fault SetCertificate(const std::string& certificate, const std::string& key);
   // The port in use.
   uint16_t Port() const;
   void Respond(token request, http_response response);
--- /dev/null
+++ b/src/connection/tls_certificate.h
@@ -0,0 +1,48 @@
+// A server's certificate that can be replaced while the server runs.
+#ifndef CATKINFORD_CONNECTION_TLS_CERTIFICATE_H_
+#define CATKINFORD_CONNECTION_TLS_CERTIFICATE_H_
+
+#include <gnutls/abstract.h>
+#include <gnutls/gnutls.h>
+
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace catkinford {
+
+enum class tls_fault : uint8_t { kNone, kBadCertificate, kBadKey, kKeyDoesNotMatch };
+
+// The certificate in use. Handshakes read it on the HTTP library's threads while an operator
+// replaces it; each handshake works on a copy, so that none sees half of one and half of the other.
+class tls_certificate_store {
+ public:
+  tls_certificate_store();
+  ~tls_certificate_store();
+  tls_certificate_store(const tls_certificate_store&) = delete;
+  tls_certificate_store& operator=(const tls_certificate_store&) = delete;
+
+  // PEM texts: the certificate with its chain, and its key. On a fault the old one stays.
+  tls_fault Set(const std::string& certificate, const std::string& key);
+
+  // Offered to sessions of the server on this port. GnuTLS asks by a plain function that is told
+  // nothing but the session, whose socket leads to the port, and the port to the store.
+  void ServePort(uint16_t port);
+  static gnutls_certificate_retrieve_function3* Callback();
+
+ private:
+  struct certificate;
+
+  static int Retrieve(gnutls_session_t session, const gnutls_cert_retr_st* info,
+                      gnutls_pcert_st** certificates, unsigned* count, gnutls_ocsp_data_st** ocsp,
+                      unsigned* ocsp_count, gnutls_privkey_t* key, unsigned* flags);
+
+  std::mutex mutex_;
+  std::shared_ptr<const certificate> current_;
+  uint16_t port_ = 0;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_CONNECTION_TLS_CERTIFICATE_H_
--- a/src/main/catkinford.cc
+++ b/src/main/catkinford.cc
@@ -17,6 +17,7 @@
 ABSL_FLAG(std::string, key, "", "the key to present");
 ABSL_FLAG(std::string, output, "text", "text or json");
 ABSL_FLAG(absl::Duration, timeout, absl::Seconds(30), "of one call to one entry");
+ABSL_FLAG(std::string, ca_file, "", "PEM file of the authorities to trust for https");
 ABSL_FLAG(bool, dry_run, false, "show what would change, and change nothing");
 ABSL_FLAG(uint64_t, expect, 0,
           "contract: the version that the change is made from; 0: the present");
@@ -111,7 +112,7 @@
   client.entries = absl::StrSplit(entries, ',', absl::SkipEmpty());
   client.key = FlagOrEnvironment(absl::GetFlag(FLAGS_key), "CATKINFORD_KEY");
   client.timeout = absl::ToChronoMilliseconds(absl::GetFlag(FLAGS_timeout));
-  catkinford::http_client http(0);
+  catkinford::http_client http(0, absl::GetFlag(FLAGS_ca_file));
   http.Start();
   catkinford::entry_client calls(http, std::move(client));
   catkinford::command_line commands(OptionsFromFlags(), calls, std::cout, std::cerr);
