--- a/src/connection/endpoint_link.cc
+++ b/src/connection/endpoint_link.cc
@@ -18,7 +18,7 @@
 link_call endpoint_link::Next(monotonic_time now) {
   if (in_flight_ || now < next_call_) return link_call::kNone;
   in_flight_ = true;
-  if (state_ != link_state::kOpen) return link_call::kFence;
+  if (state_ != endpoint_link_state::kOpen) return link_call::kFence;
   last_renewal_ = now;
   return link_call::kSync;
 }
@@ -36,7 +36,7 @@
 void endpoint_link::OnFenced(uint64_t incarnation, monotonic_time now) {
   in_flight_ = false;
   failures_ = 0;
-  state_ = link_state::kOpen;
+  state_ = endpoint_link_state::kOpen;
   if (incarnation != incarnation_) {
     incarnation_ = incarnation;
     acked_ = 0;
@@ -60,30 +60,31 @@
 bool endpoint_link::OnSyncFailed(monotonic_time now) {
   in_flight_ = false;
   next_call_ = now;
-  if (++failures_ < kFailuresToSilence || state_ != link_state::kOpen) return false;
+  if (++failures_ < kFailuresToSilence || state_ != endpoint_link_state::kOpen) return false;
   RaiseToken();
-  state_ = link_state::kSilent;
+  state_ = endpoint_link_state::kSilent;
   return true;
 }
 
 void endpoint_link::Refence(monotonic_time now) {
   RaiseToken();
-  if (state_ == link_state::kOpen) state_ = link_state::kSilent;
+  if (state_ == endpoint_link_state::kOpen) state_ = endpoint_link_state::kSilent;
   // A sync may be under way; its answer is not waited for.
   in_flight_ = false;
   next_call_ = now;
 }
 
 void endpoint_link::Restarted(monotonic_time now) {
-  state_ = link_state::kSilent;
+  state_ = endpoint_link_state::kSilent;
   in_flight_ = false;
   next_call_ = now;
 }
 
 bool endpoint_link::BecomesGone(monotonic_time now) {
-  if (state_ != link_state::kSilent && state_ != link_state::kFencing) return false;
+  if (state_ != endpoint_link_state::kSilent && state_ != endpoint_link_state::kFencing)
+    return false;
   if (now < last_renewal_ + options_.task_lease + options_.drift_margin) return false;
-  state_ = link_state::kGone;
+  state_ = endpoint_link_state::kGone;
   return true;
 }
 
--- a/src/connection/endpoint_link.h
+++ b/src/connection/endpoint_link.h
@@ -18,7 +18,7 @@
   std::chrono::milliseconds probe_interval{300};
 };
 
-enum class link_state : uint8_t {
+enum class endpoint_link_state : uint8_t {
   kFencing,  // not yet listed under this owner's epoch
   kOpen,
   kSilent,  // two calls in a row failed; probed by a fence, which renews nothing
@@ -60,7 +60,7 @@
   void OnStartSent(monotonic_time now) { last_renewal_ = now; }
   void AckUpTo(uint64_t cursor) { acked_ = cursor; }
 
-  link_state State() const { return state_; }
+  endpoint_link_state State() const { return state_; }
   uint64_t Token() const { return token_; }
   uint64_t Incarnation() const { return incarnation_; }
   uint64_t Seen() const { return seen_; }
@@ -70,7 +70,7 @@
 
   link_options options_;
   uint64_t token_;
-  link_state state_ = link_state::kFencing;
+  endpoint_link_state state_ = endpoint_link_state::kFencing;
   bool in_flight_ = false;
   uint8_t failures_ = 0;
   uint64_t incarnation_ = 0;
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -71,10 +71,10 @@
 }
 
 // The task that `id` names, when that attempt is the present one; else a late report.
-task_state* shard::FindTask(const task_id& id, job_state*& job) {
+task_progress* shard::FindTask(const task_id& id, job_state*& job) {
   job = Find(id.job);
   if (job == nullptr || id.index >= job->tasks.size()) return nullptr;
-  task_state& task = job->tasks[id.index];
+  task_progress& task = job->tasks[id.index];
   return task.attempt == id.attempt ? &task : nullptr;
 }
 
@@ -410,7 +410,7 @@
 
 void shard::StartDidNotTake(const task_id& id, bool endpoint_fault, monotonic_time now) {
   job_state* job = nullptr;
-  task_state* task = FindTask(id, job);
+  task_progress* task = FindTask(id, job);
   if (task == nullptr || IsOver(task->phase)) return;
   task->phase = task_phase::kWaiting;
   core_.StartFailed(id, endpoint_fault, now);
@@ -421,7 +421,7 @@
 void shard::TaskEnded(const task_id& id, task_result result, const std::string& answer,
                       milliseconds ran, monotonic_time now) {
   job_state* job = nullptr;
-  task_state* task = FindTask(id, job);
+  task_progress* task = FindTask(id, job);
   if (task == nullptr || IsOver(task->phase) || task->phase == task_phase::kWaiting) return;
   if (result == task_result::kLeaseLapsed) {
     LoseTask(id, now);
@@ -463,7 +463,7 @@
 // A run whose end nobody saw, and that surely does not run any more.
 void shard::LoseTask(const task_id& id, monotonic_time now) {
   job_state* job = nullptr;
-  task_state* task = FindTask(id, job);
+  task_progress* task = FindTask(id, job);
   if (task == nullptr || !IsUnderWay(task->phase)) return;
   const bool again = job->has_spec && job->spec.repeatable && !job->cancelled && !job->ended;
   if (again) {
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -203,7 +203,7 @@
   void TakeEnd(const command& end, monotonic_time now);
   void CallEndpoints(monotonic_time now);
   job_state* Find(const request_id& id);
-  task_state* FindTask(const task_id& id, job_state*& job);
+  task_progress* FindTask(const task_id& id, job_state*& job);
   void Note(event_code code, const request_id& id, std::string subject, std::string detail = {});
 
   shard_options options_;
--- a/src/process/shard_endpoints.cc
+++ b/src/process/shard_endpoints.cc
@@ -59,9 +59,10 @@
   const endpoint_record& at = endpoints_[index];
   endpoint_state state = endpoint_state::kOpen;
   if (at.leaving || at.drained) state = endpoint_state::kLeaving;
-  if (at.link.State() == link_state::kSilent) state = endpoint_state::kSilent;
-  if (at.link.State() == link_state::kGone) state = endpoint_state::kGone;
-  if (!at.listed && at.link.State() != link_state::kGone) state = endpoint_state::kUnfenced;
+  if (at.link.State() == endpoint_link_state::kSilent) state = endpoint_state::kSilent;
+  if (at.link.State() == endpoint_link_state::kGone) state = endpoint_state::kGone;
+  if (!at.listed && at.link.State() != endpoint_link_state::kGone)
+    state = endpoint_state::kUnfenced;
   core_.SetEndpointState(index, state, now);
 }
 
@@ -74,7 +75,7 @@
       Listed(at, now);
       SetCoreState(index, now);
     }
-    if (at.link.State() == link_state::kGone && !at.present) continue;
+    if (at.link.State() == endpoint_link_state::kGone && !at.present) continue;
     switch (at.link.Next(now)) {
       case link_call::kNone:
         break;
@@ -160,7 +161,7 @@
     ++unanswered_;
   }
   if (id.index >= job.tasks.size()) job.tasks.resize(id.index + 1);
-  task_state& task = job.tasks[id.index];
+  task_progress& task = job.tasks[id.index];
   const bool is_later = id.attempt > task.attempt;
   const bool is_present = id.attempt == task.attempt && task.phase != task_phase::kWaiting;
   if (!is_later && !is_present) return;
@@ -188,7 +189,7 @@
   std::vector<std::pair<task_id, task_phase>> missing;
   for (const auto& [id, job] : jobs_) {
     for (uint32_t i = 0; i < job.tasks.size(); ++i) {
-      const task_state& task = job.tasks[i];
+      const task_progress& task = job.tasks[i];
       if (task.endpoint != index || task.phase == task_phase::kWaiting) continue;
       if (task.phase == task_phase::kDone || task.phase == task_phase::kFailed) continue;
       const task_id at{id, i, task.attempt};
@@ -208,7 +209,7 @@
   std::vector<task_id> lost;
   for (const auto& [id, job] : jobs_) {
     for (uint32_t i = 0; i < job.tasks.size(); ++i) {
-      const task_state& task = job.tasks[i];
+      const task_progress& task = job.tasks[i];
       if (task.endpoint != index || task.phase == task_phase::kWaiting) continue;
       if (task.phase != task_phase::kDone && task.phase != task_phase::kFailed) {
         lost.push_back({id, i, task.attempt});
@@ -221,7 +222,7 @@
 void shard::OnSync(endpoint_index index, uint64_t token, const endpoint_reply& reply,
                    monotonic_time now) {
   endpoint_record& at = endpoints_[index];
-  if (token != at.link.Token() || at.link.State() != link_state::kOpen) return;
+  if (token != at.link.Token() || at.link.State() != endpoint_link_state::kOpen) return;
   if (IsSuperseded(reply)) return;
   if (reply.status != endpoint_status::kDone) {
     if (at.link.OnSyncFailed(now)) {
@@ -273,7 +274,7 @@
       continue;
     }
     job_state* job = nullptr;
-    task_state* task = FindTask(result.id, job);
+    task_progress* task = FindTask(result.id, job);
     if (task == nullptr || task->phase != task_phase::kSent) continue;
     task->phase = task_phase::kRunning;
     job->ever_ran = true;
@@ -283,7 +284,7 @@
   bool unsure = false;
   for (const start_task& sent_task : sent) {
     job_state* job = nullptr;
-    task_state* task = FindTask(sent_task.id, job);
+    task_progress* task = FindTask(sent_task.id, job);
     if (decided.contains(sent_task.id) || task == nullptr) continue;
     if (task->phase != task_phase::kSent) continue;
     task->phase = task_phase::kMaybe;
--- a/src/request/job_state.cc
+++ b/src/request/job_state.cc
@@ -4,7 +4,7 @@
 
 job_progress ProgressOf(const job_state& job) {
   job_progress progress;
-  for (const task_state& task : job.tasks) {
+  for (const task_progress& task : job.tasks) {
     switch (task.phase) {
       case task_phase::kWaiting:
         ++progress.waiting;
--- a/src/request/job_state.h
+++ b/src/request/job_state.h
@@ -22,7 +22,7 @@
   kFailed,
 };
 
-struct task_state {
+struct task_progress {
   uint32_t attempt = 0;
   uint32_t endpoint = 0;
   task_phase phase = task_phase::kWaiting;
@@ -36,7 +36,7 @@
   bool cancelled = false;
   bool ever_ran = false;
   std::vector<std::string> entries;  // which wait for an outcome
-  std::vector<task_state> tasks;
+  std::vector<task_progress> tasks;
   std::string answer;  // of the last task that ended well
   std::string fault;   // of the first task that failed
   monotonic_time deadline = monotonic_time::max();
