--- /dev/null
+++ b/src/process/grant_keeper.h
@@ -0,0 +1,62 @@
+// Moves parts of the teams' limits to the shards owned here: one grant_holder for each shard, fed
+// with the shard's demands, its writes sent to the store.
+#ifndef CATKINFORD_PROCESS_GRANT_KEEPER_H_
+#define CATKINFORD_PROCESS_GRANT_KEEPER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "connection/store_adapter.h"
+#include "process/shard.h"
+#include "version/contract.h"
+#include "version/grant_holder.h"
+
+namespace catkinford {
+
+class grant_keeper {
+ public:
+  using poster = std::function<void(std::function<void(monotonic_time)>)>;
+
+  grant_keeper(store_adapter& store, poster post);
+
+  void OnGained(const std::string& shard_name, uint64_t epoch);
+  void OnLost(const std::string& shard_name);
+  // Plans for the shards owned here and sets on them what they may use.
+  void Tick(const std::vector<shard*>& owned, const std::shared_ptr<const configuration>& config,
+            monotonic_time now);
+  uint64_t Moves() const { return moves_; }
+
+ private:
+  struct held_shard {
+    explicit held_shard(grant_holder of_shard) : holder(std::move(of_shard)) {}
+
+    grant_holder holder;
+    std::vector<grant_demand> planned;  // the demands of the last plan
+    std::shared_ptr<const configuration> config;
+    monotonic_time next_plan{};
+    bool changed = true;  // usable grants must be set again
+    bool starved = false;
+  };
+
+  void Plan(shard& of, held_shard& held, const std::shared_ptr<const configuration>& config,
+            monotonic_time now);
+  void Send(const std::string& shard_name, uint64_t generation, const grant_write& write);
+  void Read(monotonic_time now);
+
+  store_adapter& store_;
+  poster post_;
+  std::map<std::string, held_shard> held_;
+  std::map<std::string, uint64_t> generations_;
+  uint64_t moves_ = 0;
+  bool reading_ = false;
+  monotonic_time next_read_{};
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_GRANT_KEEPER_H_
