Keep the entries of the fleet with a budget of bytes

Cause: if 54 entries all sent each other heartbeats at the rates of the settings, each would have 68 exchanges a second out and as many in; at 472 bytes and both texts each, that is several times the 13 KB/s that a node may spend on control (arithmetic, not a run). Ruled out: full mesh (above); asking the store for liveness of other domains (its calls grow with the fleet squared); UDP datagrams of our own (another transport to secure and test). Change: membership. Each entry sends to its successor on a ring of its domain and to the other domains in turn, as often as half of 7.8 KB/s allows; heartbeats pass on ages of what was heard.

--- /dev/null
+++ b/src/process/membership.h
@@ -0,0 +1,139 @@
+// The entries of the whole fleet: from the platform's lagging list, from the store's members of
+// the own failure domain, and from heartbeats. Pure: sightings and time in, due heartbeats out.
+//
+// Every entry cannot tell every other one four times a second that it is alive: at the size we aim
+// for that alone would cost many times what a node may spend. So each entry sends to a few
+// successors on a ring inside its domain and to the other domains in turn, as many as a budget of
+// bytes allows, and heartbeats pass on what their sender has heard.
+#ifndef CATKINFORD_PROCESS_MEMBERSHIP_H_
+#define CATKINFORD_PROCESS_MEMBERSHIP_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/container/btree_map.h"
+#include "connection/instance_adapter.h"
+#include "process/ownership_record.h"
+#include "request/job_request.h"
+
+namespace catkinford {
+
+struct membership_options {
+  std::string name;
+  std::string failure_domain;
+  std::string address;
+  uint64_t incarnation = 0;
+  std::chrono::milliseconds heartbeat{250};       // inside the failure domain
+  std::chrono::milliseconds far_heartbeat{1000};  // to an entry of another one, at the fastest
+  uint32_t payload_bytes = 150;                   // what else a heartbeat and its reply carry
+  uint32_t bytes_per_second = 7800;               // for heartbeats sent and received together
+};
+
+enum class member_state : uint8_t {
+  kUp,
+  kSuspect,  // overdue, or a call to it has failed
+  kDown,     // long overdue, or never heard of but in the list
+};
+
+struct member {
+  std::string name;
+  std::string failure_domain;
+  std::string address;
+  uint64_t incarnation = 0;  // zero: not heard of yet
+  member_state state = member_state::kDown;
+  monotonic_time heard{};  // the last sign of life, first or second hand
+  bool listed = false;     // in the platform's list
+  bool leaving = false;    // as the platform's list says
+};
+
+// A sign of life, second hand. Ages are durations, so that clocks need not agree.
+struct sighting {
+  std::string name;
+  std::string failure_domain;
+  std::string address;  // empty where the platform's list has it
+  uint64_t incarnation = 0;
+  std::chrono::milliseconds age{0};
+};
+
+struct member_change {
+  std::string name;
+  std::string failure_domain;
+  member_state state = member_state::kDown;
+};
+
+struct heartbeat_target {
+  std::string name;
+  std::string address;
+  bool near = false;  // of the own failure domain
+};
+
+class membership {
+ public:
+  explicit membership(membership_options options);
+
+  void OnInstances(const std::vector<instance>& instances, monotonic_time now);
+  void OnStoreMembers(const absl::btree_map<std::string, member_record>& members,
+                      monotonic_time now);
+  // A heartbeat or the reply to one; any other message from a peer counts as well.
+  void OnHeartbeat(const std::string& name, const std::string& failure_domain,
+                   const std::string& address, uint64_t incarnation, monotonic_time now);
+  void OnSightings(const std::vector<sighting>& sightings, monotonic_time now);
+  // A call to it could not be sent or got no answer.
+  void OnSilent(const std::string& name, monotonic_time now);
+
+  // Changes of state since the last call.
+  void Tick(monotonic_time now, std::vector<member_change>& out);
+  // Whom to send a heartbeat to now.
+  std::vector<heartbeat_target> DueHeartbeats(monotonic_time now);
+  // What a heartbeat passes on. To a neighbour: the own domain and the freshest news of others; to
+  // another domain, also in the reply: the own domain.
+  std::vector<sighting> News(monotonic_time now, bool near) const;
+
+  // All but this entry, by name.
+  const absl::btree_map<std::string, member>& Members() const { return members_; }
+  // Up, or suspect for no longer than a heartbeat or two.
+  bool IsUp(const std::string& name) const;
+
+  // How the budget is spent at the present size.
+  size_t NearTargets() const;
+  std::chrono::milliseconds NearPeriod() const;
+  uint32_t NearBytes() const;  // of one exchange
+  uint32_t FarBytes() const;
+  std::chrono::milliseconds FarPeriod() const;  // between heartbeats to any far entry
+  std::chrono::milliseconds NearSilence() const;
+  std::chrono::milliseconds FarSilence() const;
+
+ private:
+  member& Find(const std::string& name, const std::string& failure_domain,
+               const std::string& address);
+  void Heard(const std::string& name, const std::string& failure_domain, const std::string& address,
+             uint64_t incarnation, monotonic_time at);
+  member_state StateOf(const member& one, bool sends_to_us, monotonic_time now) const;
+  const member* Predecessor() const;
+  std::vector<const member*> Ring() const;
+  bool IsNear(const member& one) const { return one.failure_domain == options_.failure_domain; }
+  size_t CountNear() const;
+  size_t CountFarDomains() const;
+  void AddNear(std::vector<heartbeat_target>& out) const;
+  void AddNextFar(std::vector<heartbeat_target>& out);
+  void Forget(monotonic_time now);
+
+  membership_options options_;
+  absl::btree_map<std::string, member> members_;
+  absl::btree_map<std::string, monotonic_time> silent_;  // since when calls fail
+  monotonic_time next_near_{};
+  monotonic_time next_far_{};
+  std::string last_far_domain_;
+  absl::btree_map<std::string, std::string> last_far_entry_;  // by domain
+};
+
+// The codec of sightings inside a heartbeat: one text, as short as JSON allows.
+std::string EncodeSightings(const std::vector<sighting>& sightings);
+std::optional<std::vector<sighting>> DecodeSightings(const std::string& text);
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_MEMBERSHIP_H_
--- a/src/process/ownership_record.cc
+++ b/src/process/ownership_record.cc
@@ -14,7 +14,9 @@
 constexpr uint64_t kHashOffset = 14695981039346656037ULL;
 constexpr uint64_t kHashPrime = 1099511628211ULL;
 
-// FNV-1a with a final mix: the same on every machine, which absl::Hash is not.
+}  // namespace
+
+// FNV-1a with a final mix.
 uint64_t StableHash(const std::string& text) {
   uint64_t hash = kHashOffset;
   for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * kHashPrime;
@@ -23,8 +25,6 @@
   return hash ^ (hash >> 33);
 }
 
-}  // namespace
-
 std::string ToText(const member_record& record) {
   return absl::StrCat("{\"name\":", Quoted(record.name), ",\"incarnation\":", record.incarnation,
                       ",\"address\":", Quoted(record.address),
--- a/src/process/ownership_record.h
+++ b/src/process/ownership_record.h
@@ -43,6 +43,9 @@
 // The number at the end of a shard's key.
 std::optional<uint32_t> ShardOfKey(const std::string& key);
 
+// The same number on every machine, which absl::Hash does not promise.
+uint64_t StableHash(const std::string& text);
+
 // How many shards a member has, for ChooseOwner().
 struct member_load {
   std::string name;
--- /dev/null
+++ b/test/membership_test.cc
@@ -0,0 +1,209 @@
+#include "process/membership.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kTick{50};
+constexpr size_t kExchangeBytes = 472;  // of the JSON-RPC library's call and reply without texts
+constexpr size_t kHeaderBytes = 115;    // the sender and what else a heartbeat carries
+constexpr uint64_t kIncarnation = 1764716400123456;  // as long as a real one
+
+// A fleet whose entries send each other heartbeats without delay.
+class fleet_fixture {
+ public:
+  fleet_fixture() : fleet_fixture(3, 2) {}
+  fleet_fixture(int domains, int entries) {
+    for (int domain = 0; domain < domains; ++domain) {
+      for (int entry = 0; entry < entries; ++entry) {
+        Add(Name(domain, entry), absl::StrCat("d", domain), kIncarnation);
+      }
+    }
+    Run(seconds{10});
+  }
+
+ protected:
+  struct node {
+    std::string domain;
+    uint64_t incarnation = 1;
+    std::unique_ptr<membership> members;
+    std::vector<member_change> changes;
+  };
+
+  static std::string Name(int domain, int entry) { return absl::StrCat("d", domain, "-e", entry); }
+
+  void Add(const std::string& name, const std::string& domain, uint64_t incarnation) {
+    membership_options options;
+    options.name = name;
+    options.failure_domain = domain;
+    options.address = absl::StrCat(name, ":1");
+    options.incarnation = incarnation;
+    nodes_[name] = {domain, incarnation, std::make_unique<membership>(options), {}};
+    list_.push_back({name, instance_role::kEntry, domain, "", absl::StrCat(name, ":1")});
+  }
+
+  void Send(const std::string& from, const std::string& to) {
+    bytes_[from] += kExchangeBytes;
+    bytes_[to] += kExchangeBytes;
+    const auto target = nodes_.find(to);
+    const bool reachable =
+        target != nodes_.end() && cut_ != nodes_[from].domain && cut_ != target->second.domain;
+    if (!reachable) {
+      nodes_[from].members->OnSilent(to, now_);
+      return;
+    }
+    const bool near = nodes_[from].domain == target->second.domain;
+    size_t texts = Deliver(from, *target->second.members, near, true);
+    texts += Deliver(to, *nodes_[from].members, near, !near);
+    bytes_[from] += texts;
+    bytes_[to] += texts;
+  }
+
+  // Returns the size of the text.
+  size_t Deliver(const std::string& from, membership& to, bool near, bool with_news) {
+    const node& sender = nodes_[from];
+    to.OnHeartbeat(from, sender.domain, absl::StrCat(from, ":1"), sender.incarnation, now_);
+    if (!with_news) return kHeaderBytes;
+    const std::string text = EncodeSightings(sender.members->News(now_, near));
+    const auto news = DecodeSightings(text);
+    REQUIRE(news);
+    to.OnSightings(*news, now_);
+    return kHeaderBytes + text.size();
+  }
+
+  void Run(milliseconds duration) {
+    for (const monotonic_time end = now_ + duration; now_ < end; now_ += kTick) {
+      for (auto& [name, one] : nodes_) {
+        if (now_.time_since_epoch() % seconds{1} == seconds{0}) {
+          one.members->OnInstances(list_, now_);
+        }
+        one.members->Tick(now_, one.changes);
+        for (const heartbeat_target& target : one.members->DueHeartbeats(now_)) {
+          Send(name, target.name);
+        }
+      }
+    }
+  }
+
+  // Entries that count `name` as up.
+  int Believers(const std::string& name) const {
+    return static_cast<int>(std::count_if(nodes_.begin(), nodes_.end(), [&](const auto& item) {
+      return item.second.members->IsUp(name);
+    }));
+  }
+
+  monotonic_time now_{std::chrono::hours{1}};
+  std::map<std::string, node> nodes_;
+  std::vector<instance> list_;
+  std::map<std::string, size_t> bytes_;
+  std::string cut_;  // a domain that reaches no other one
+};
+
+class target_size_fixture : public fleet_fixture {
+ public:
+  target_size_fixture() : fleet_fixture(9, 6) {}
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(fleet_fixture, "membership, six entries, all know all", "[membership]") {
+  for (const auto& [name, one] : nodes_) CHECK(Believers(name) == 5);
+}
+
+TEST_CASE_METHOD(target_size_fixture, "membership, 54 entries, all know all within the budget",
+                 "[membership]") {
+  for (const auto& [name, one] : nodes_) CHECK(Believers(name) == 53);
+  bytes_.clear();
+  for (auto& [name, one] : nodes_) one.changes.clear();
+  Run(seconds{30});
+  const membership_options defaults;
+  size_t most = 0;
+  for (const auto& [name, bytes] : bytes_) most = std::max(most, bytes / 30);
+  INFO("most bytes a second: " << most);
+  CHECK(most <= defaults.bytes_per_second);
+  for (const auto& [name, one] : nodes_) CHECK(one.changes.empty());
+}
+
+// An entry dies. Its neighbours must hear of it soon, since one of them takes its shards over and
+// their callers wait; the others only stop sending it requests.
+TEST_CASE_METHOD(target_size_fixture, "membership, entry killed, neighbours notice first",
+                 "[membership]") {
+  nodes_.erase("d4-e2");
+  // Its successor on the ring first, then the others by hearsay.
+  Run(milliseconds{1700});
+  CHECK_FALSE(nodes_.at("d4-e3").members->IsUp("d4-e2"));
+  Run(milliseconds{2300});
+  for (int entry = 0; entry < 6; ++entry) {
+    if (entry != 2) CHECK_FALSE(nodes_.at(Name(4, entry)).members->IsUp("d4-e2"));
+  }
+  Run(seconds{20});
+  CHECK(Believers("d4-e2") == 0);
+  CHECK(Believers("d4-e3") == 52);
+}
+
+// Entries pass on what they have heard. If news got younger on its way, a dead entry would be kept
+// alive by those who tell each other of it.
+TEST_CASE_METHOD(fleet_fixture, "membership, dead entry, is not kept alive by hearsay",
+                 "[membership]") {
+  nodes_.erase("d1-e0");
+  Run(seconds{25});
+  CHECK(Believers("d1-e0") == 0);
+  for (const auto& [name, one] : nodes_) {
+    CHECK(one.members->Members().at("d1-e0").state == member_state::kDown);
+  }
+}
+
+// An instance is replaced by a new one of the same name. Late news of the old process must not
+// count for the new one.
+TEST_CASE_METHOD(fleet_fixture, "membership, instance replaced, joins by itself", "[membership]") {
+  nodes_.erase("d1-e0");
+  Run(seconds{2});
+  Add("d1-e0", "d1", kIncarnation + 7);
+  Run(seconds{5});
+  CHECK(Believers("d1-e0") == 5);
+  membership& other = *nodes_.at("d1-e1").members;
+  other.OnSightings({{"d1-e0", "d1", "elsewhere:1", 1, milliseconds{0}}}, now_);
+  CHECK(other.Members().at("d1-e0").incarnation == kIncarnation + 7);
+  CHECK(other.Members().at("d1-e0").address == "d1-e0:1");
+}
+
+TEST_CASE_METHOD(fleet_fixture, "membership, new entry not in the lagging list yet, joins",
+                 "[membership]") {
+  Add("d2-e9", "d2", kIncarnation);
+  list_.pop_back();
+  Run(seconds{4});
+  CHECK(Believers("d2-e9") == 6);
+}
+
+TEST_CASE_METHOD(fleet_fixture, "membership, entry gone from the list and silent, is forgotten",
+                 "[membership]") {
+  nodes_.erase("d1-e0");
+  std::erase_if(list_, [](const instance& one) { return one.name == "d1-e0"; });
+  Run(seconds{70});
+  for (const auto& [name, one] : nodes_) CHECK_FALSE(one.members->Members().contains("d1-e0"));
+}
+
+TEST_CASE_METHOD(fleet_fixture, "membership, domain cut off and back, heals by itself",
+                 "[membership]") {
+  cut_ = "d0";
+  Run(seconds{30});
+  CHECK(Believers("d0-e0") == 0);  // a cut domain's entries do not reach each other here either
+  CHECK(Believers("d1-e0") == 3);
+  cut_.clear();
+  Run(seconds{10});
+  for (const auto& [name, one] : nodes_) CHECK(Believers(name) == 5);
+}
+
+}  // namespace catkinford
