Reach peers at the addresses of the platform's list

Cause: the list says how an entry is reached from here (in tests through a fault proxy); the address that an entry gives itself would go round that. Change: a listed entry is called at its listed address, one that is not listed yet at its own. Members without an address get no heartbeats.

--- a/src/process/membership.cc
+++ b/src/process/membership.cc
@@ -39,8 +39,9 @@
   return one;
 }
 
-// A later process of the same name counts from its first sign of life; news of an earlier one is
-// no news.
+// The platform's list says how an entry is reached from here, so its address goes before the one
+// that the entry gives itself. A later process of the same name counts from its first sign of life;
+// news of an earlier one is no news.
 void membership::Heard(const std::string& name, const std::string& failure_domain,
                        const std::string& address, uint64_t incarnation, monotonic_time at) {
   if (name == options_.name || name.empty()) return;
@@ -50,7 +51,8 @@
   const bool later = known != members_.end() && at <= known->second.heard &&
                      incarnation == known->second.incarnation;
   if (later) return;
-  member& one = Find(name, failure_domain, address);
+  const bool listed = known != members_.end() && known->second.listed;
+  member& one = Find(name, failure_domain, listed ? "" : address);
   one.incarnation = incarnation;
   one.heard = at;
   const auto silent = silent_.find(name);
@@ -61,10 +63,7 @@
   for (auto& [name, one] : members_) one.listed = false;
   for (const instance& listed : instances) {
     if (listed.role != instance_role::kEntry || listed.name == options_.name) continue;
-    // The list lags: of an entry that we hear, the address is known better.
-    const auto known = members_.find(listed.name);
-    const bool heard = known != members_.end() && known->second.state == member_state::kUp;
-    member& one = Find(listed.name, listed.failure_domain, heard ? "" : listed.address);
+    member& one = Find(listed.name, listed.failure_domain, listed.address);
     one.listed = true;
     one.leaving = listed.leaving;
   }
@@ -221,10 +220,10 @@
   std::vector<const member*> ring;
   const auto start = members_.lower_bound(options_.name);
   for (auto at = start; at != members_.end(); ++at) {
-    if (IsNear(at->second)) ring.push_back(&at->second);
+    if (IsNear(at->second) && !at->second.address.empty()) ring.push_back(&at->second);
   }
   for (auto at = members_.begin(); at != start; ++at) {
-    if (IsNear(at->second)) ring.push_back(&at->second);
+    if (IsNear(at->second) && !at->second.address.empty()) ring.push_back(&at->second);
   }
   return ring;
 }
@@ -254,7 +253,7 @@
 void membership::AddNextFar(std::vector<heartbeat_target>& out) {
   absl::btree_map<std::string, std::vector<const member*>> domains;
   for (const auto& [name, one] : members_) {
-    if (!IsNear(one)) domains[one.failure_domain].push_back(&one);
+    if (!IsNear(one) && !one.address.empty()) domains[one.failure_domain].push_back(&one);
   }
   if (domains.empty()) return;
   auto domain = domains.upper_bound(last_far_domain_);
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -41,7 +41,7 @@
 struct member {
   std::string name;
   std::string failure_domain;
-  std::string address;
+  std::string address;       // as the platform's list says, else as the entry itself says
   uint64_t incarnation = 0;  // zero: not heard of yet
   member_state state = member_state::kDown;
   monotonic_time heard{};  // the last sign of life, first or second hand
--- a/src/process/registration.cc
+++ b/src/process/registration.cc
@@ -31,10 +31,10 @@
   call.expect = revision_;
   call.write_id = absl::StrCat(self_.name, ":", self_.incarnation, ":", call.tag);
   call.ttl = ttl_;
-  if (state_ == state::kNoLease) call.kind = store_call_kind::kGrantLease;
-  if (state_ == state::kKept) call.kind = store_call_kind::kKeepLease;
+  if (state_ == state::kNoLease) call.kind = ownership_call_kind::kGrantLease;
+  if (state_ == state::kKept) call.kind = ownership_call_kind::kKeepLease;
   if (state_ == state::kUnwritten || state_ == state::kLeaving) {
-    call.kind = store_call_kind::kSwap;
+    call.kind = ownership_call_kind::kSwap;
   }
   if (state_ == state::kUnwritten) call.value = ToText(self_);
   if (state_ == state::kLeaving) call.lease.clear();
--- a/src/process/registration.h
+++ b/src/process/registration.h
@@ -15,11 +15,11 @@
 
 namespace catkinford {
 
-enum class store_call_kind : uint8_t { kGrantLease, kKeepLease, kSwap, kRange };
+enum class ownership_call_kind : uint8_t { kGrantLease, kKeepLease, kSwap, kRange };
 
 // A call for the store adapter. Its reply comes back under the same tag.
 struct store_call {
-  store_call_kind kind = store_call_kind::kRange;
+  ownership_call_kind kind = ownership_call_kind::kRange;
   uint64_t tag = 0;
   std::string key;  // for kRange the prefix
   uint64_t expect = 0;
--- a/test/ownership_world.cc
+++ b/test/ownership_world.cc
@@ -18,17 +18,17 @@
   Lapse(now);
   store_reply reply;
   reply.status = store_status::kDone;
-  if (call.kind == store_call_kind::kGrantLease) {
+  if (call.kind == ownership_call_kind::kGrantLease) {
     reply.lease = absl::StrCat("L", next_lease_++);
     leases_[reply.lease] = {now + call.ttl, call.ttl};
-  } else if (call.kind == store_call_kind::kKeepLease) {
+  } else if (call.kind == ownership_call_kind::kKeepLease) {
     const auto lease = leases_.find(call.lease);
     if (lease == leases_.end()) {
       reply.status = store_status::kAbsent;
     } else {
       lease->second.first = now + lease->second.second;
     }
-  } else if (call.kind == store_call_kind::kSwap) {
+  } else if (call.kind == ownership_call_kind::kSwap) {
     return Swap(call);
   } else {
     for (const auto& [key, item] : items_) {
@@ -181,7 +181,7 @@
   Later([this, name, incarnation = from.incarnation, call, reachable] {
     store_reply reply;
     if (reachable && !store_down_) reply = store_.Apply(call, now_);
-    const bool writes = call.kind != store_call_kind::kRange;
+    const bool writes = call.kind != ownership_call_kind::kRange;
     if (writes && replies_to_lose_ > 0) {
       --replies_to_lose_;
       reply = {};
