Keep durable jobs in a log of segments in the store

Cause: a job that was accepted must survive the replacement of every entry at once, and a finished task must not run again, at several hundred store writes a second for the whole fleet. Change: job_log, a chain of segment values written by group commit, one call under way at a time; a new owner rewrites the last two segments and so shuts out every earlier owner's late commits; a lost reply is followed by the very same call until the answer is definite; compaction copies the oldest segment's living jobs to the end and deletes it. Ruled out: one key for each job (a write for each, and a range read that grows with all of them); changing records in place (random completions would make every segment dirty). Measured: 500 random histories of owners that die, wake up and lose replies: what was said to be durable was there.

--- /dev/null
+++ b/src/process/job_log_upkeep.cc
@@ -0,0 +1,156 @@
+// The other half of job_log: taking over what earlier owners wrote, and compaction.
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "process/job_log.h"
+
+namespace catkinford {
+namespace {
+
+constexpr uint64_t kFirstSegment = 1;
+constexpr size_t kDeadFactor = 2;      // a log this many times its live records is compacted
+constexpr size_t kSlackSegments = 2;   // and this many segments more
+constexpr size_t kFewestSegments = 3;  // a full one, the open one, the empty one
+
+}  // namespace
+
+// Taking the log over.
+
+void job_log::Read(std::vector<store_call>& out) {
+  call_ = {};
+  call_.kind = ownership_call_kind::kRange;
+  call_.tag = tags_.Next();
+  call_.key = options_.prefix;
+  purpose_ = call_purpose::kRead;
+  open_tag_ = call_.tag;
+  out.push_back(call_);
+}
+
+void job_log::OnRead(const store_reply& reply) {
+  jobs_.clear();
+  segments_.clear();
+  total_bytes_ = 0;
+  total_live_ = 0;
+  std::map<uint64_t, const store_item*> items;
+  for (const store_item& item : reply.items) {
+    const std::optional<uint64_t> number = NumberOf(item.key);
+    if (number) items[*number] = &item;
+  }
+  for (const auto& [number, item] : items) {
+    const std::optional<log_segment> content = DecodeSegment(item->value);
+    const bool later_owner = content && content->epoch > options_.epoch;
+    if (!content) state_ = job_log_state::kDamaged;
+    if (later_owner) state_ = job_log_state::kSuperseded;
+    if (!content || later_owner) return;
+    Replay(number, *content, *item);
+  }
+  for (auto& [id, job] : jobs_) job.durable = true;
+  state_ = job_log_state::kShuttingOut;
+}
+
+void job_log::Replay(uint64_t number, const log_segment& content, const store_item& item) {
+  const std::string entries = EntriesOf(item.value).value_or("");
+  segments_[number] = {item.revision, entries.size()};
+  total_bytes_ += entries.size();
+  open_entries_ = std::exchange(last_entries_, entries);
+  const size_t count = std::max<size_t>(content.entries.size(), 1);
+  for (const log_entry& entry : content.entries) Apply(number, entry, entries.size() / count);
+}
+
+// `bytes`: about what the entry takes; only compaction uses it.
+void job_log::Apply(uint64_t number, const log_entry& entry, size_t bytes) {
+  if (entry.kind == log_entry_kind::kJobDone) {
+    RemoveJob(entry.id);
+    return;
+  }
+  if (entry.kind == log_entry_kind::kJob) {
+    known_job& known = jobs_[entry.job.id];
+    known.record = entry.job;
+    AddJobBytes(known, number, bytes);
+    return;
+  }
+  const auto found = jobs_.find(entry.id);
+  if (found == jobs_.end()) return;
+  job_record& job = found->second.record;
+  if (entry.index >= job.done.size() || job.done[entry.index]) return;
+  job.done[entry.index] = true;
+  if (entry.failed) ++job.failed;
+}
+
+// An earlier owner may have been paused with a commit in its hands, for as long as it likes. It can
+// only write where it knows the revision: the open segment or the empty one behind it. Rewriting
+// first the one and then the other makes every such commit conflict; had it come between our read
+// and the rewriting, the rewriting would conflict, and everything is read again.
+void job_log::Rewrite(std::vector<store_call>& out) {
+  if (segments_.size() < 2 || !last_entries_.empty()) {  // a new log
+    const uint64_t number = segments_.empty() ? kFirstSegment : LastNumber() + 1;
+    segments_[number] = {};
+    open_entries_ = std::exchange(last_entries_, {});
+    Swap(call_purpose::kRewrite, number, 0, EncodeSegment(options_.epoch, {}), out);
+    return;
+  }
+  const bool open_done = rewritten_ == OpenNumber();
+  const uint64_t number = open_done ? LastNumber() : OpenNumber();
+  const std::string& entries = open_done ? last_entries_ : open_entries_;
+  Swap(call_purpose::kRewrite, number, segments_[number].revision,
+       EncodeSegment(options_.epoch, entries), out);
+}
+
+void job_log::OnRewritten(const store_reply& reply) {
+  const uint64_t number = NumberOf(call_.key).value_or(0);
+  if (reply.status != store_status::kDone) {
+    state_ = job_log_state::kReading;
+    rewritten_ = 0;
+    return;
+  }
+  segments_[number].revision = reply.revision;
+  const bool both = segments_.size() >= 2 && number == LastNumber() && rewritten_ == OpenNumber();
+  const bool created = call_.expect == 0;
+  rewritten_ = created ? 0 : number;
+  if (both && !created) state_ = job_log_state::kReady;
+}
+
+// Compaction. The oldest segment's jobs that are not over are written again at the end, as they are
+// now; then the segment is deleted. Nothing that it says is needed after that: records of jobs that
+// are over, and the ends of tasks, are either older than a copy or of jobs that no segment has.
+
+void job_log::StartRetiring() {
+  const size_t allowed = kDeadFactor * total_live_ + kSlackSegments * options_.segment_bytes;
+  if (segments_.size() < kFewestSegments || total_bytes_ <= allowed) return;
+  retiring_ = segments_.begin()->first;
+  for (const auto& [id, job] : jobs_) {
+    if (job.segment != retiring_) continue;
+    ++copies_left_;
+    Push(EncodeJob(job.record), {log_entry_kind::kJob, id, 0}, false);
+  }
+}
+
+void job_log::DeleteOldest(std::vector<store_call>& out) {
+  Swap(call_purpose::kDelete, retiring_, segments_[retiring_].revision, std::nullopt, out);
+}
+
+void job_log::OnDeleted(const store_reply& /*reply*/) {
+  // Done, gone already, or changed by another owner that will delete it: it is not ours to keep.
+  total_bytes_ -= segments_[retiring_].bytes;
+  segments_.erase(retiring_);
+  retiring_ = 0;
+}
+
+void job_log::AddJobBytes(known_job& job, uint64_t number, size_t bytes) {
+  total_live_ -= job.bytes;
+  job.segment = number;
+  job.bytes = bytes;
+  total_live_ += bytes;
+}
+
+void job_log::RemoveJob(const request_id& id) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  total_live_ -= found->second.bytes;
+  jobs_.erase(found);
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/job_record.cc
@@ -0,0 +1,149 @@
+#include "process/job_record.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "connection/json_fields.h"
+
+namespace catkinford {
+namespace {
+
+using nlohmann::json;
+
+constexpr uint32_t kMaxTasks = 1000000;  // bounds what a damaged record can make us keep
+constexpr char kEntriesField[] = ",\"entries\":[";
+
+// Runs of finished tasks as [from, length, from, length, ...]: jobs of many tasks end mostly in
+// order.
+std::string EncodeDone(const std::vector<bool>& done) {
+  std::string runs;
+  const char* separator = "";
+  for (size_t i = 0; i < done.size();) {
+    if (!done[i]) {
+      ++i;
+      continue;
+    }
+    const size_t from = i;
+    while (i < done.size() && done[i]) ++i;
+    absl::StrAppend(&runs, separator, from, ",", i - from);
+    separator = ",";
+  }
+  return runs;
+}
+
+bool DecodeDone(const json& runs, std::vector<bool>& done) {
+  for (size_t i = 0; i + 1 < runs.size(); i += 2) {
+    if (!runs[i].is_number_unsigned() || !runs[i + 1].is_number_unsigned()) return false;
+    const auto from = runs[i].get<size_t>();
+    const auto length = runs[i + 1].get<size_t>();
+    if (from > done.size() || length > done.size() - from) return false;
+    std::fill_n(done.begin() + static_cast<std::ptrdiff_t>(from), length, true);
+  }
+  return true;
+}
+
+bool DecodeAmount(const json& amount, resources& out) {
+  if (amount.size() != 4) return false;
+  for (const json& item : amount) {
+    if (!item.is_number_unsigned()) return false;
+  }
+  out = {amount[0], amount[1], amount[2], amount[3]};
+  return true;
+}
+
+std::optional<job_record> DecodeJob(const request_id& id, const json& object) {
+  job_record job;
+  job.id = id;
+  job.team = TextAt(object, "team");
+  const std::optional<workload_kind> kind = ParseWorkloadKind(TextAt(object, "kind"));
+  if (!kind) return std::nullopt;
+  job.kind = *kind;
+  job.urgent = FlagAt(object, "urgent");
+  job.repeatable = FlagAt(object, "repeatable");
+  job.tasks = NumberAt<uint32_t>(object, "tasks");
+  if (job.tasks == 0 || job.tasks > kMaxTasks) return std::nullopt;
+  job.declared_run_time = MillisecondsAt(object, "run_ms");
+  job.submitted = std::chrono::system_clock::time_point{MillisecondsAt(object, "at_ms")};
+  job.payload = TextAt(object, "payload");
+  job.failed = NumberAt<uint32_t>(object, "failed");
+  job.done.resize(job.tasks);
+  const bool whole = DecodeAmount(ArrayAt(object, "each"), job.each) &&
+                     DecodeDone(ArrayAt(object, "done"), job.done);
+  if (!whole) return std::nullopt;
+  return job;
+}
+
+std::optional<log_entry> DecodeEntry(const json& object) {
+  if (!object.is_object()) return std::nullopt;
+  const std::optional<request_id> id = ParseRequestId(TextAt(object, "id"));
+  if (!id) return std::nullopt;
+  log_entry entry;
+  entry.id = *id;
+  if (object.contains("over")) {
+    entry.kind = log_entry_kind::kJobDone;
+    return entry;
+  }
+  if (object.contains("index")) {
+    entry.kind = log_entry_kind::kTaskDone;
+    entry.index = NumberAt<uint32_t>(object, "index");
+    entry.failed = FlagAt(object, "failed");
+    return entry;
+  }
+  std::optional<job_record> job = DecodeJob(*id, object);
+  if (!job) return std::nullopt;
+  entry.job = std::move(*job);
+  return entry;
+}
+
+}  // namespace
+
+std::string EncodeJob(const job_record& job) {
+  const auto submitted = std::chrono::floor<std::chrono::milliseconds>(job.submitted);
+  std::string text = absl::StrCat("{\"id\":\"", ToHex(job.id), "\",\"team\":", Quoted(job.team));
+  absl::StrAppend(&text, ",\"kind\":\"", std::string(ToText(job.kind)), "\"");
+  if (job.urgent) absl::StrAppend(&text, ",\"urgent\":true");
+  if (job.repeatable) absl::StrAppend(&text, ",\"repeatable\":true");
+  absl::StrAppend(&text, ",\"tasks\":", job.tasks, ",\"each\":[", job.each.cpu_milli, ",",
+                  job.each.memory_mb, ",", job.each.accelerators, ",");
+  absl::StrAppend(&text, job.each.slots, "],\"run_ms\":", job.declared_run_time.count(),
+                  ",\"at_ms\":", submitted.time_since_epoch().count());
+  if (job.failed != 0) absl::StrAppend(&text, ",\"failed\":", job.failed);
+  absl::StrAppend(&text, ",\"payload\":", Quoted(job.payload), ",\"done\":[", EncodeDone(job.done),
+                  "]}");
+  return text;
+}
+
+std::string EncodeTaskDone(const request_id& id, uint32_t index, bool failed) {
+  return absl::StrCat("{\"id\":\"", ToHex(id), "\",\"index\":", index,
+                      failed ? ",\"failed\":true}" : "}");
+}
+
+std::string EncodeJobDone(const request_id& id) {
+  return absl::StrCat("{\"id\":\"", ToHex(id), "\",\"over\":true}");
+}
+
+std::string EncodeSegment(uint64_t epoch, const std::string& entries) {
+  return absl::StrCat("{\"epoch\":", epoch, kEntriesField, entries, "]}");
+}
+
+std::optional<log_segment> DecodeSegment(const std::string& text) {
+  const json object = ParseObject(text);
+  if (object.is_discarded() || !object.contains("entries")) return std::nullopt;
+  log_segment segment;
+  segment.epoch = NumberAt(object, "epoch");
+  for (const json& item : ArrayAt(object, "entries")) {
+    std::optional<log_entry> entry = DecodeEntry(item);
+    if (!entry) return std::nullopt;
+    segment.entries.push_back(std::move(*entry));
+  }
+  return segment;
+}
+
+std::optional<std::string> EntriesOf(const std::string& text) {
+  const size_t start = text.find(kEntriesField);
+  const size_t length = sizeof(kEntriesField) - 1;
+  if (start == std::string::npos || text.size() < start + length + 2) return std::nullopt;
+  return text.substr(start + length, text.size() - start - length - 2);
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/job_record.h
@@ -0,0 +1,67 @@
+// A durable job (service, batch or gang) and its codec inside a segment of the job log. Pure.
+#ifndef CATKINFORD_PROCESS_JOB_RECORD_H_
+#define CATKINFORD_PROCESS_JOB_RECORD_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "request/identity.h"
+#include "request/job_request.h"
+
+namespace catkinford {
+
+// What of a job has to survive the replacement of every entry.
+struct job_record {
+  request_id id;
+  std::string team;
+  workload_kind kind = workload_kind::kBatch;
+  bool urgent = false;
+  bool repeatable = true;
+  uint32_t tasks = 1;
+  resources each;
+  std::chrono::milliseconds declared_run_time{0};
+  std::chrono::system_clock::time_point submitted{};  // wall time: it outlives processes
+  std::string payload;
+  std::vector<bool> done;  // by task: it ended for good, well or not, and never runs again
+  uint32_t failed = 0;     // how many of the done ones failed
+};
+
+// One line of the log.
+enum class log_entry_kind : uint8_t {
+  kJob,       // the whole record as it is now; a later one replaces an earlier one
+  kTaskDone,  // one task ended for good
+  kJobDone,   // the job is over or cancelled: nothing of it runs again
+};
+
+struct log_entry {
+  log_entry_kind kind = log_entry_kind::kJob;
+  job_record job;      // kJob
+  request_id id;       // the others
+  uint32_t index = 0;  // kTaskDone
+  bool failed = false;
+};
+
+std::string EncodeJob(const job_record& job);
+std::string EncodeTaskDone(const request_id& id, uint32_t index, bool failed);
+std::string EncodeJobDone(const request_id& id);
+
+// The value of one segment: the epoch of the owner that wrote it last, and its entries.
+struct log_segment {
+  uint64_t epoch = 0;
+  std::vector<log_entry> entries;
+};
+
+// `entries`: encoded, joined by commas.
+std::string EncodeSegment(uint64_t epoch, const std::string& entries);
+// Absent when any entry is not readable: a log with a hole must not pass for a whole one.
+std::optional<log_segment> DecodeSegment(const std::string& text);
+// The encoded entries inside a segment's value, as EncodeSegment() took them.
+std::optional<std::string> EntriesOf(const std::string& text);
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_JOB_RECORD_H_
--- /dev/null
+++ b/test/job_log_test.cc
@@ -0,0 +1,322 @@
+#include "process/job_log.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "ownership_world.h"
+#include "property.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr uint64_t kSeed = 20261202;
+constexpr size_t kSegmentBytes = 4096;
+
+// One owner's log and the calls that it has under way.
+class log_writer {
+ public:
+  log_writer(fake_store& store, uint64_t epoch, size_t segment_bytes) : store_(store) {
+    job_log_options options;
+    options.prefix = "jobs/d/0/";
+    options.writer = "w";
+    options.epoch = epoch;
+    options.segment_bytes = segment_bytes;
+    log = std::make_unique<job_log>(options, tags_);
+  }
+
+  // Time goes on and calls are made; they reach the store with Arrive().
+  void Tick() {
+    now_ += milliseconds{300};
+    log->Tick(now_, under_way_);
+  }
+  // The store does the oldest call; `lost`: its reply does not come.
+  void Arrive(bool lost) {
+    if (under_way_.empty()) return;
+    const store_call call = under_way_.front();
+    under_way_.erase(under_way_.begin());
+    store_reply reply = store_.Apply(call, now_);
+    ++calls;
+    if (lost) reply = {store_status::kUnknown};
+    log->OnReply(call.tag, reply, now_);
+    for (const job_notice& notice : log->TakeNotices()) notices.push_back(notice);
+  }
+  void Run(int steps) {
+    for (int i = 0; i < steps; ++i) {
+      Tick();
+      Arrive(false);
+    }
+  }
+  bool RunUntilReady() {
+    for (int i = 0; i < 50 && log->State() != job_log_state::kReady; ++i) Run(1);
+    return log->State() == job_log_state::kReady;
+  }
+
+  std::unique_ptr<job_log> log;
+  std::vector<job_notice> notices;
+  int calls = 0;
+
+ private:
+  fake_store& store_;
+  call_tags tags_;
+  monotonic_time now_{std::chrono::hours{1}};
+  std::vector<store_call> under_way_;
+};
+
+job_record Job(uint64_t number, uint32_t tasks = 2) {
+  job_record job;
+  job.id = {7, number};
+  job.team = "audit";
+  job.tasks = tasks;
+  job.each = {1000, 512, 0, 1};
+  job.payload = "{\"run_ms\":5}";
+  job.submitted = std::chrono::system_clock::time_point{std::chrono::hours{500000}};
+  job.done.resize(tasks);
+  return job;
+}
+
+class job_log_fixture {
+ protected:
+  job_log_fixture() { REQUIRE(first_.RunUntilReady()); }
+
+  std::unique_ptr<log_writer> TakeOver(uint64_t epoch, size_t segment_bytes = kSegmentBytes) {
+    auto next = std::make_unique<log_writer>(store_, epoch, segment_bytes);
+    REQUIRE(next->RunUntilReady());
+    return next;
+  }
+
+  fake_store store_;
+  log_writer first_{store_, 1, kSegmentBytes};
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(job_log_fixture, "job log, record written and read back, is the same",
+                 "[job_log]") {
+  job_record job = Job(1, 5);
+  job.urgent = true;
+  job.repeatable = false;
+  job.kind = workload_kind::kGang;
+  job.payload = "quote \" and \\ and ],\"entries\":[ in it";
+  CHECK(first_.log->Append(job) == append_result::kTaken);
+  CHECK_FALSE(first_.log->Durable(job.id));
+  first_.Run(2);
+  CHECK(first_.log->Durable(job.id));
+  first_.log->Complete(job.id, 3, true);
+  first_.Run(2);
+  const auto next = TakeOver(2);
+  const job_record& read = next->log->Jobs().at(job.id).record;
+  CHECK(read.team == job.team);
+  CHECK(read.kind == job.kind);
+  CHECK(read.urgent);
+  CHECK_FALSE(read.repeatable);
+  CHECK(read.payload == job.payload);
+  CHECK(read.each == job.each);
+  CHECK(read.submitted == job.submitted);
+  CHECK(read.done == std::vector<bool>{false, false, false, true, false});
+  CHECK(read.failed == 1);
+}
+
+TEST_CASE_METHOD(job_log_fixture, "job log, many jobs at once, are one call", "[job_log]") {
+  const int before = first_.calls;
+  for (uint64_t i = 0; i < 10; ++i) first_.log->Append(Job(i));
+  first_.Run(3);
+  CHECK(first_.notices.size() == 10);
+  CHECK(first_.calls - before == 1);
+}
+
+// The store takes the record of a job and its reply is lost. Told "not durable", the caller would
+// submit the job once more and it would run twice.
+TEST_CASE_METHOD(job_log_fixture, "job log, reply lost, job is durable once", "[job_log]") {
+  first_.log->Append(Job(1));
+  first_.Tick();
+  first_.Arrive(true);
+  CHECK(first_.notices.empty());
+  CHECK(first_.log->Append(Job(1)) == append_result::kPending);
+  first_.log->Append(Job(2));
+  first_.Run(4);
+  CHECK(first_.notices.size() == 2);
+  CHECK(first_.log->Append(Job(1)) == append_result::kKnown);
+  CHECK(TakeOver(2)->log->Jobs().size() == 2);
+}
+
+// An owner is paused with a job's record on its way to the store, and another entry takes over.
+// If the record got in behind the new owner's back, the caller would hear "accepted" for a job that
+// nobody runs.
+TEST_CASE_METHOD(job_log_fixture, "job log, old owner writes after the takeover, is shut out",
+                 "[job_log]") {
+  first_.log->Append(Job(1));
+  first_.Tick();
+  const auto next = TakeOver(2);
+  first_.Arrive(false);
+  first_.Run(3);
+  CHECK(first_.notices.empty());
+  CHECK(first_.log->State() == job_log_state::kSuperseded);
+  CHECK(next->log->Jobs().empty());
+}
+
+// The other order: the old owner's record gets in while the new owner is reading.
+TEST_CASE_METHOD(job_log_fixture, "job log, old owner writes during the takeover, is not lost",
+                 "[job_log]") {
+  log_writer next{store_, 2, kSegmentBytes};
+  next.Run(1);
+  first_.log->Append(Job(1));
+  first_.Run(1);
+  CHECK(first_.notices.size() == 1);
+  REQUIRE(next.RunUntilReady());
+  CHECK(next.log->Jobs().contains(Job(1).id));
+}
+
+TEST_CASE_METHOD(job_log_fixture, "job log, jobs over, segments go away", "[job_log]") {
+  first_.log->Append(Job(100000));
+  for (uint64_t i = 0; i < 500; ++i) {
+    first_.log->Append(Job(i));
+    first_.Run(1);
+    first_.log->FinishJob(Job(i).id);
+    first_.Run(1);
+  }
+  first_.Run(20);
+  CHECK(first_.log->Segments() <= 6);
+  CHECK(first_.log->Bytes() <= 5 * kSegmentBytes);
+  const auto next = TakeOver(2);
+  CHECK(next->log->Jobs().size() == 1);
+  CHECK(next->log->Segments() == first_.log->Segments());
+}
+
+TEST_CASE_METHOD(job_log_fixture, "job log, record longer than a segment, has one of its own",
+                 "[job_log]") {
+  job_record large = Job(1);
+  large.payload.assign(20000, 'x');
+  first_.log->Append(Job(2));
+  first_.log->Append(large);
+  first_.log->Append(Job(3));
+  first_.Run(10);
+  CHECK(first_.notices.size() == 3);
+  CHECK(TakeOver(2)->log->Jobs().size() == 3);
+  large.id = {7, 9};
+  large.payload.assign(800000, 'x');
+  CHECK(first_.log->Append(large) == append_result::kTooLarge);
+}
+
+TEST_CASE_METHOD(job_log_fixture, "job log, segment not readable, is damaged and not empty",
+                 "[job_log]") {
+  store_.Put("jobs/d/0/000000000001", R"({"epoch":1,"entries":[{"id":"zz"}]})");
+  log_writer next{store_, 2, kSegmentBytes};
+  next.Run(5);
+  CHECK(next.log->State() == job_log_state::kDamaged);
+}
+
+namespace {
+
+// A random history of owners, each with a higher epoch, of which only the newest should be heard.
+class log_history {
+ public:
+  void NewOwner() { writers_.push_back(std::make_unique<log_writer>(store_, ++epoch_, 600)); }
+  bool Empty() const { return writers_.empty(); }
+  size_t Count() const { return writers_.size(); }
+  log_writer& Writer(size_t who) { return *writers_[who]; }
+
+  void Append(log_writer& writer) { writer.log->Append(Job(next_job_++, kTasks)); }
+  void CompleteOne(log_writer& writer, uint32_t task) {
+    const std::optional<request_id> id = First(writer);
+    if (id) writer.log->Complete(*id, task, false);
+  }
+  void FinishOne(log_writer& writer) {
+    const std::optional<request_id> id = First(writer);
+    if (id && writer.log->FinishJob(*id) == append_result::kTaken) asked_over_.insert(*id);
+  }
+  void TakeNotices(log_writer& writer) {
+    for (const job_notice& notice : writer.notices) {
+      if (notice.kind == log_entry_kind::kJob) promised_[notice.id] |= 0;
+      if (notice.kind == log_entry_kind::kTaskDone) promised_[notice.id] |= 1U << notice.index;
+      if (notice.kind == log_entry_kind::kJobDone) over_.insert(notice.id);
+    }
+    writer.notices.clear();
+  }
+  // Whether the newest owner that got ready knows all that anybody was told. Once that one is
+  // shut out by a newcomer which is not ready yet, nobody has to know anything.
+  bool NewestKnowsAll() const {
+    for (auto writer = writers_.rbegin(); writer != writers_.rend(); ++writer) {
+      const job_log_state state = (*writer)->log->State();
+      if (state == job_log_state::kReady) return Knows(*(*writer)->log);
+      if (state == job_log_state::kSuperseded) return true;
+    }
+    return true;
+  }
+
+ private:
+  static constexpr uint32_t kTasks = 3;
+
+  // The lowest identity; the map's own order differs from run to run.
+  static std::optional<request_id> First(const log_writer& writer) {
+    std::optional<request_id> first;
+    for (const auto& [id, job] : writer.log->Jobs()) {
+      if (!first || id < *first) first = id;
+    }
+    return first;
+  }
+
+  bool Knows(const job_log& log) const {
+    for (const request_id& id : over_) {
+      if (log.Jobs().contains(id)) return false;
+    }
+    for (const auto& [id, tasks] : promised_) {
+      const auto found = log.Jobs().find(id);
+      const bool gone = found == log.Jobs().end();
+      if (gone && !asked_over_.contains(id)) return false;
+      for (uint32_t task = 0; task < kTasks && !gone; ++task) {
+        if ((tasks >> task & 1U) != 0 && !found->second.record.done[task]) return false;
+      }
+    }
+    return true;
+  }
+
+  fake_store store_;
+  std::vector<std::unique_ptr<log_writer>> writers_;
+  uint64_t next_job_ = 1;
+  uint64_t epoch_ = 0;
+  std::map<request_id, uint32_t> promised_;  // bits of finished tasks
+  std::set<request_id> over_;
+  std::set<request_id> asked_over_;  // its end may be in the log, though nobody was told so
+};
+
+// A number below `limit`, of whatever size the case is.
+size_t Below(size_t limit) {
+  return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<size_t>(0, limit));
+}
+
+}  // namespace
+
+// Owners die or are paused at any point, wake up again, and lose replies, in any order. Whatever
+// one of them was told to be durable must be known to the newest one, or a caller was told
+// "accepted" for a job that nobody runs, or a finished task runs again.
+TEST_CASE("job log, any interleaving of owners and lost replies, keeps what it said", "[job_log]") {
+  const bool held = Holds({kSeed, 500}, [] {
+    log_history history;
+    history.NewOwner();
+    const size_t steps = 100 + Below(400);
+    for (size_t i = 0; i < steps; ++i) {
+      const size_t action = Below(40);
+      if (action == 0) history.NewOwner();
+      const size_t newest = history.Count() - 1;
+      log_writer& writer = history.Writer(action % 4 == 0 ? Below(newest + 1) : newest);
+      if (action >= 1 && action < 6) history.Append(writer);
+      if (action >= 6 && action < 9) history.CompleteOne(writer, static_cast<uint32_t>(Below(3)));
+      if (action >= 9 && action < 11) history.FinishOne(writer);
+      if (action >= 11 && action < 25) writer.Tick();
+      if (action >= 25) writer.Arrive(Below(8) == 0);
+      history.TakeNotices(writer);
+      RC_ASSERT(history.NewestKnowsAll());
+    }
+  });
+  CHECK(held);
+}
+
+}  // namespace catkinford
