--- a/bench/commands.h
+++ b/bench/commands.h
@@ -8,12 +8,17 @@
 int TablesMain(int argc, char** argv);
 // How state, messages and processor time grow with size: `slopes --json F`.
 int SlopesMain(int argc, char** argv);
+// docs/CAPACITY.md from measured slopes: `capacity --slopes F --page docs/CAPACITY.md`.
+int CapacityMain(int argc, char** argv);
 // Calls between two processes, JSON-RPC against our HTTP pair: `rpc --json F`.
 int RpcMain(int argc, char** argv);
 
 // Load in an open loop over a fleet of real processes: `load --rate R --seconds S`.
 int LoadMain(int argc, char** argv);
 
+// Failure scenarios: `scenario NAME --seed N`, `scenario --list`.
+int ScenarioMain(int argc, char** argv);
+
 }  // namespace catkinford
 
 #endif  // CATKINFORD_BENCH_COMMANDS_H_
