--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -71,10 +71,10 @@
 }
 
 // The task that `id` names, when that attempt is the present one; else a late report.
-task_state* shard::FindTask(const task_id& id, job_state*& job) {
+task_progress* shard::FindTask(const task_id& id, job_state*& job) {
   job = Find(id.job);
   if (job == nullptr || id.index >= job->tasks.size()) return nullptr;
-  task_state& task = job->tasks[id.index];
+  task_progress& task = job->tasks[id.index];
   return task.attempt == id.attempt ? &task : nullptr;
 }
 
@@ -357,6 +357,8 @@
       stop.checkpoint = next.checkpoint;
       stop.ids.push_back(next.task);
       Note(event_code::kTaskStopSent, next.task.job, endpoints_[next.endpoint].address.name);
+    } else if (next.kind == command_kind::kEnded) {
+      TakeEnd(next, now);
     } else {
       TakeStart(next, starts[next.endpoint]);
     }
@@ -369,6 +371,19 @@
   for (auto& [key, stop] : stops) actions_.push_back(std::move(stop));
 }
 
+// The core's word that nothing more of a job will be started. Mostly the tasks' ends have told so.
+void shard::TakeEnd(const command& end, monotonic_time now) {
+  job_state* job = Find(end.task.job);
+  if (job == nullptr || job->ended) return;
+  EndIfOver(end.task.job, *job, now);
+  if (job->ended || ProgressOf(*job).running > 0) return;
+  const bool may_have_run = end.end == job_end::kUnknown;
+  const std::string detail = job->fault.empty() ? end.detail : job->fault;
+  End(end.task.job, *job,
+      may_have_run ? Unknown(end.task.job, "a run of it was lost") : Failed(end.task.job, detail),
+      now);
+}
+
 void shard::TakeStart(const command& next, start_action& start) {
   job_state* job = Find(next.task.job);
   if (job == nullptr || next.task.index >= job->tasks.size()) return;
@@ -395,7 +410,7 @@
 
 void shard::StartDidNotTake(const task_id& id, bool endpoint_fault, monotonic_time now) {
   job_state* job = nullptr;
-  task_state* task = FindTask(id, job);
+  task_progress* task = FindTask(id, job);
   if (task == nullptr || IsOver(task->phase)) return;
   task->phase = task_phase::kWaiting;
   core_.StartFailed(id, endpoint_fault, now);
@@ -406,7 +421,7 @@
 void shard::TaskEnded(const task_id& id, task_result result, const std::string& answer,
                       milliseconds ran, monotonic_time now) {
   job_state* job = nullptr;
-  task_state* task = FindTask(id, job);
+  task_progress* task = FindTask(id, job);
   if (task == nullptr || IsOver(task->phase) || task->phase == task_phase::kWaiting) return;
   if (result == task_result::kLeaseLapsed) {
     LoseTask(id, now);
@@ -448,7 +463,7 @@
 // A run whose end nobody saw, and that surely does not run any more.
 void shard::LoseTask(const task_id& id, monotonic_time now) {
   job_state* job = nullptr;
-  task_state* task = FindTask(id, job);
+  task_progress* task = FindTask(id, job);
   if (task == nullptr || !IsUnderWay(task->phase)) return;
   const bool again = job->has_spec && job->spec.repeatable && !job->cancelled && !job->ended;
   if (again) {
