Work out the fleet's silences once for each tick

Cause: the state of each of 53 members asked for three silences, each of which counts the members: the two membership tests of the target size took 15 s each. Change: they are worked out once a tick. Measured: catkinford-tests [membership] -d yes: 14.7 s -> 0.7 s and 15.5 s -> 0.6 s.

--- a/src/process/membership.cc
+++ b/src/process/membership.cc
@@ -97,10 +97,11 @@
   if (members_.contains(name)) silent_.emplace(name, now);
 }
 
-member_state membership::StateOf(const member& one, bool sends_to_us, monotonic_time now) const {
+member_state membership::StateOf(const member& one, bool sends_to_us, const patience& silences,
+                                 monotonic_time now) const {
   if (one.incarnation == 0) return member_state::kDown;
-  const milliseconds near = sends_to_us ? NearPeriod() * kMissedBeats : NearSilence();
-  const milliseconds silence = IsNear(one) ? near : FarSilence();
+  const milliseconds near = sends_to_us ? silences.predecessor : silences.near;
+  const milliseconds silence = IsNear(one) ? near : silences.far;
   const auto overdue = now - one.heard;
   if (overdue >= silence * kDownFactor) return member_state::kDown;
   if (overdue >= silence || silent_.contains(one.name)) return member_state::kSuspect;
@@ -109,8 +110,9 @@
 
 void membership::Tick(monotonic_time now, std::vector<member_change>& out) {
   const member* predecessor = Predecessor();
+  const patience silences{NearPeriod() * kMissedBeats, NearSilence(), FarSilence()};
   for (auto& [name, one] : members_) {
-    const member_state state = StateOf(one, &one == predecessor, now);
+    const member_state state = StateOf(one, &one == predecessor, silences, now);
     if (state == one.state) continue;
     one.state = state;
     out.push_back({name, one.failure_domain, state});
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -111,7 +111,14 @@
                const std::string& address);
   void Heard(const std::string& name, const std::string& failure_domain, const std::string& address,
              uint64_t incarnation, monotonic_time at);
-  member_state StateOf(const member& one, bool sends_to_us, monotonic_time now) const;
+  // How long a sign of life may be overdue, worked out once for all members.
+  struct patience {
+    std::chrono::milliseconds predecessor;  // sends to us itself
+    std::chrono::milliseconds near;
+    std::chrono::milliseconds far;
+  };
+  member_state StateOf(const member& one, bool sends_to_us, const patience& silences,
+                       monotonic_time now) const;
   const member* Predecessor() const;
   std::vector<const member*> Ring() const;
   bool IsNear(const member& one) const { return one.failure_domain == options_.failure_domain; }
