Measure messages between entries and whole entries at rest

Change: slopes of heartbeat, place and outcome over the real codec and call, of the peers' rings, and of real fleets at rest as endpoints and entries grow.

--- a/bench/slope.h
+++ b/bench/slope.h
@@ -81,6 +81,8 @@
 std::vector<slope_question> PeerSlopes();
 std::vector<slope_question> EndpointSlopes();
 std::vector<slope_question> StoreSlopes();
+std::vector<slope_question> MessageSlopes();
+std::vector<slope_question> FleetSlopes();
 std::vector<slope_question> InstanceSlopes();
 
 }  // namespace catkinford
--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -19,7 +19,7 @@
 std::vector<slope_question> AllQuestions() {
   std::vector<slope_question> all;
   for (const auto part : {VersionSlopes, ProcessSlopes, CoreSlopes, PeerSlopes, EndpointSlopes,
-                          StoreSlopes, InstanceSlopes}) {
+                          StoreSlopes, MessageSlopes, InstanceSlopes, FleetSlopes}) {
     for (slope_question& question : part()) all.push_back(std::move(question));
   }
   return all;
--- /dev/null
+++ b/bench/slopes_message.cc
@@ -0,0 +1,164 @@
+// Slopes of the messages between entries: the real codec over the real JSON-RPC call.
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bench/forked_server.h"
+#include "bench/slope.h"
+#include "connection/peer_rpc.h"
+#include "process/message.h"
+#include "process/peer_mailbox.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTimeout{5000};
+constexpr size_t kPayload = 200;
+constexpr resources kAmount{1000, 4000, 0, 1};
+const char* const kSender = "asahikawa-2";
+
+void ServeRpc(uint16_t port, const std::function<void()>& wait) {
+  rpc_server server(port, 1, [](const std::string& /*text*/) { return "ok"; });
+  server.Start();
+  wait();
+  server.Stop();
+}
+
+// Both ways, over a connection that is open already.
+double CallBytes(const std::string& text) {
+  forked_server server(ServeRpc);
+  rpc_client client("http://127.0.0.1:" + std::to_string(server.Port()), kTimeout);
+  std::string answer;
+  client.Call("deliver", text, answer);
+  const double before = SocketBytes(server.Port());
+  client.Call("deliver", text, answer);
+  return SocketBytes(server.Port()) - before;
+}
+
+double RpcBytes(double body_bytes) {
+  return CallBytes(std::string(static_cast<size_t>(body_bytes), 'x'));
+}
+
+// A heartbeat of an owner of one shard, with a report of each team.
+message_body MakeHeartbeat(double teams) {
+  heartbeat_message beat;
+  beat.failure_domain = "asahikawa";
+  beat.address = "http://127.0.0.1:12345";
+  beat.incarnation = 1764716400000;
+  beat.config_version = 123456;
+  shard_report report;
+  report.shard = "asahikawa/0";
+  report.epoch = 12;
+  report.endpoints = 78;
+  report.summary.free = {1200000, 4800000, 0, 1200};
+  report.summary.largest_free = {64000, 256000, 0, 40};
+  report.summary.largest_capacity = {64000, 256000, 0, 40};
+  report.summary.open_endpoints = 78;
+  report.summary.queued_tasks = 123;
+  report.summary.running_tasks = 2222;
+  beat.shards.push_back(report);
+  for (int i = 0; i < static_cast<int>(teams); ++i) {
+    beat.teams.push_back({"team-" + std::to_string(100 + i), {123000, 456000, 0, 78}});
+  }
+  return beat;
+}
+
+message_body MakePlace() {
+  place_message place;
+  place.id = {0x123456789abcdef0, 0x0fedcba987654321};
+  place.shard = "asahikawa/0";
+  place.team = "team-123";
+  place.each = kAmount;
+  place.run_time = milliseconds{50};
+  place.deadline_left = milliseconds{5000};
+  place.payload = std::string(kPayload, 'x');
+  return place;
+}
+
+message_body MakeOutcome() {
+  outcome_message message;
+  message.result.id = {0x123456789abcdef0, 0x0fedcba987654321};
+  message.result.kind = outcome_kind::kCompleted;
+  message.result.answer = std::string(kPayload, 'x');
+  return message;
+}
+
+std::string Batch(const message_body& message, double count) {
+  return EncodeBatch(kSender, std::vector<message_body>(static_cast<size_t>(count), message));
+}
+
+double HeartbeatBytes(double teams) { return CallBytes(Batch(MakeHeartbeat(teams), 1)); }
+double PlaceBytes(double messages) { return CallBytes(Batch(MakePlace(), messages)); }
+double OutcomeBytes(double messages) { return CallBytes(Batch(MakeOutcome(), messages)); }
+
+// Writing and reading: what both sides together spend.
+double CodecCpu(const message_body& message, double count) {
+  const std::vector<message_body> batch(static_cast<size_t>(count), message);
+  return CpuOf([&] { DecodeBatch(EncodeBatch(kSender, batch)); });
+}
+
+double PlaceCpu(double messages) { return CodecCpu(MakePlace(), messages); }
+double OutcomeCpu(double messages) { return CodecCpu(MakeOutcome(), messages); }
+
+// One heartbeat, as its teams grow.
+double HeartbeatCpu(double teams) {
+  constexpr int kBeats = 100;
+  const std::vector<message_body> batch = {MakeHeartbeat(teams)};
+  const double cpu = CpuOf([&] {
+    for (int i = 0; i < kBeats; ++i) DecodeBatch(EncodeBatch(kSender, batch));
+  });
+  return cpu / kBeats;
+}
+
+// Peers that do not answer: their rings and senders.
+double PeerMemory(double peers) {
+  return HeapOf([&] {
+    auto mailbox = std::make_unique<peer_mailbox>(
+        kSender, 0, milliseconds{100}, [](const std::vector<peer_message>& /*messages*/) {},
+        [](const std::string& /*peer*/, rpc_status /*status*/,
+           const std::vector<message_body>& /*lost*/) {});
+    for (int i = 0; i < static_cast<int>(peers); ++i) {
+      mailbox->SetPeer("entry-" + std::to_string(i), "http://127.0.0.1:1");
+    }
+    return mailbox;
+  });
+}
+
+}  // namespace
+
+std::vector<slope_question> MessageSlopes() {
+  const std::vector<double> teams = {0, 40, 80, 170};
+  const std::vector<double> messages = {1, 10, 50, 200};
+  return {
+      {"rpc.bytes",
+       "bytes",
+       "byte of the text",
+       {150, 1500, 7500, 30000},
+       RpcBytes,
+       "JSON-RPC call between entries, plain text, both ways"},
+      {"heartbeat.bytes", "bytes", "team", teams, HeartbeatBytes,
+       "heartbeat of an owner of one shard over JSON-RPC, both ways"},
+      {"heartbeat.codec_cpu", "us", "team", teams, HeartbeatCpu,
+       "the same, EncodeBatch and DecodeBatch"},
+      {"place.bytes", "bytes", "message", messages, PlaceBytes,
+       "place_message with 200 bytes of payload over JSON-RPC, both ways"},
+      {"place.codec_cpu", "us", "message", messages, PlaceCpu,
+       "the same, EncodeBatch and DecodeBatch"},
+      {"outcome.bytes", "bytes", "message", messages, OutcomeBytes,
+       "outcome_message with 200 bytes of answer over JSON-RPC, both ways"},
+      {"outcome.codec_cpu", "us", "message", messages, OutcomeCpu,
+       "the same, EncodeBatch and DecodeBatch"},
+      {"peer.memory",
+       "bytes",
+       "peer",
+       {5, 15, 30, 53},
+       PeerMemory,
+       "peer_mailbox: ring and sender of each peer, without stacks"},
+  };
+}
+
+}  // namespace catkinford
--- a/bench/slopes_store.cc
+++ b/bench/slopes_store.cc
@@ -1,4 +1,4 @@
-// Slopes of calls to the platform's store and between entries: bytes on the wire.
+// Slopes of calls to the platform's store: bytes on the wire.
 #include <chrono>
 #include <condition_variable>
 #include <functional>
@@ -8,7 +8,6 @@
 #include "bench/forked_server.h"
 #include "bench/slope.h"
 #include "connection/http_client.h"
-#include "connection/peer_rpc.h"
 #include "connection/store_adapter.h"
 #include "standin/store_server.h"
 
@@ -110,26 +109,6 @@
   return bench.Bytes() - before;
 }
 
-void ServeRpc(uint16_t port, const std::function<void()>& wait) {
-  rpc_server server(port, 1, [](const std::string& /*text*/) { return "ok"; });
-  server.Start();
-  wait();
-  server.Stop();
-}
-
-// One call between entries with a body of this many bytes of JSON text.
-double RpcBytes(double body_bytes) {
-  forked_server server(ServeRpc);
-  rpc_client client("http://127.0.0.1:" + std::to_string(server.Port()), kTimeout);
-  std::string text;
-  while (text.size() < static_cast<size_t>(body_bytes)) text += "{\"field\":1234},";
-  std::string answer;
-  client.Call("deliver", text, answer);
-  const double before = SocketBytes(server.Port());
-  client.Call("deliver", text, answer);
-  return SocketBytes(server.Port()) - before;
-}
-
 }  // namespace
 
 std::vector<slope_question> StoreSlopes() {
@@ -152,12 +131,6 @@
        {100, 1000, 10000, 100000},
        WriteBytes,
        "store_adapter::CompareAndSwap, both ways"},
-      {"rpc.bytes",
-       "bytes",
-       "byte of the text",
-       {150, 1500, 7500, 30000},
-       RpcBytes,
-       "JSON-RPC call between entries, both ways"},
   };
 }
 
