Show the product on one machine: make demo

Change: catkinford-bench demo brings up three failure domains with two entries each and the stand-ins, sends 100 requests a second of all four workloads with real keys, kills the owner of a shard with SIGKILL, prints what each caller was told, the survivors' time line and the way of one request, and ends with the checker's verdict.

--- a/bench/commands.h
+++ b/bench/commands.h
@@ -4,6 +4,8 @@
 
 namespace catkinford {
 
+// The product on one machine, with a fault: `demo --seed N`.
+int DemoMain(int argc, char** argv);
 // Writes the tables of the pages from the code: `tables [ROOT]`.
 int TablesMain(int argc, char** argv);
 // How state, messages and processor time grow with size: `slopes --json F`.
