Give the ownership's store calls and the job log's records names of their own

Cause: standin/store_model.h has a store_call too, and process/job_table.h a job_record. Two types of one name in one program are undefined behaviour; the linker kept one destructor for both, and the stand-in's test died with 'munmap_chunk(): invalid pointer'. Ruled out: heap corruption by the new code (the failing test passes by itself in a build without ownership_world). Change: store_request and durable_job.

--- a/src/process/job_record.cc
+++ b/src/process/durable_job.cc
@@ -1,4 +1,4 @@
-#include "process/job_record.h"
+#include "process/durable_job.h"
 
 #include <algorithm>
 
@@ -51,8 +51,8 @@
   return true;
 }
 
-std::optional<job_record> DecodeJob(const request_id& id, const json& object) {
-  job_record job;
+std::optional<durable_job> DecodeJob(const request_id& id, const json& object) {
+  durable_job job;
   job.id = id;
   job.team = TextAt(object, "team");
   const std::optional<workload_kind> kind = ParseWorkloadKind(TextAt(object, "kind"));
@@ -89,7 +89,7 @@
     entry.failed = FlagAt(object, "failed");
     return entry;
   }
-  std::optional<job_record> job = DecodeJob(*id, object);
+  std::optional<durable_job> job = DecodeJob(*id, object);
   if (!job) return std::nullopt;
   entry.job = std::move(*job);
   return entry;
@@ -97,7 +97,7 @@
 
 }  // namespace
 
-std::string EncodeJob(const job_record& job) {
+std::string EncodeJob(const durable_job& job) {
   const auto submitted = std::chrono::floor<std::chrono::milliseconds>(job.submitted);
   std::string text = absl::StrCat("{\"id\":\"", ToHex(job.id), "\",\"team\":", Quoted(job.team));
   absl::StrAppend(&text, ",\"kind\":\"", std::string(ToText(job.kind)), "\"");
--- a/src/process/job_record.h
+++ b/src/process/durable_job.h
@@ -1,6 +1,6 @@
 // A durable job (service, batch or gang) and its codec inside a segment of the job log. Pure.
-#ifndef CATKINFORD_PROCESS_JOB_RECORD_H_
-#define CATKINFORD_PROCESS_JOB_RECORD_H_
+#ifndef CATKINFORD_PROCESS_DURABLE_JOB_H_
+#define CATKINFORD_PROCESS_DURABLE_JOB_H_
 
 #include <chrono>
 #include <cstddef>
@@ -15,7 +15,7 @@
 namespace catkinford {
 
 // What of a job has to survive the replacement of every entry.
-struct job_record {
+struct durable_job {
   request_id id;
   std::string team;
   workload_kind kind = workload_kind::kBatch;
@@ -39,13 +39,13 @@
 
 struct log_entry {
   log_entry_kind kind = log_entry_kind::kJob;
-  job_record job;      // kJob
+  durable_job job;     // kJob
   request_id id;       // the others
   uint32_t index = 0;  // kTaskDone
   bool failed = false;
 };
 
-std::string EncodeJob(const job_record& job);
+std::string EncodeJob(const durable_job& job);
 std::string EncodeTaskDone(const request_id& id, uint32_t index, bool failed);
 std::string EncodeJobDone(const request_id& id);
 
@@ -64,4 +64,4 @@
 
 }  // namespace catkinford
 
-#endif  // CATKINFORD_PROCESS_JOB_RECORD_H_
+#endif  // CATKINFORD_PROCESS_DURABLE_JOB_H_
--- a/src/process/job_log.cc
+++ b/src/process/job_log.cc
@@ -22,7 +22,7 @@
   return number;
 }
 
-void job_log::Tick(monotonic_time now, std::vector<store_call>& out) {
+void job_log::Tick(monotonic_time now, std::vector<store_request>& out) {
   const bool over = state_ == job_log_state::kSuperseded || state_ == job_log_state::kDamaged;
   if (over || open_tag_ != 0 || now < next_try_) return;
   if (repeat_) {
@@ -64,7 +64,7 @@
 }
 
 void job_log::Swap(call_purpose purpose, uint64_t number, uint64_t expect,
-                   std::optional<std::string> value, std::vector<store_call>& out) {
+                   std::optional<std::string> value, std::vector<store_request>& out) {
   call_ = {};
   call_.kind = ownership_call_kind::kSwap;
   call_.tag = tags_.Next();
@@ -77,7 +77,7 @@
   out.push_back(call_);
 }
 
-append_result job_log::Append(const job_record& job) {
+append_result job_log::Append(const durable_job& job) {
   if (state_ != job_log_state::kReady) return append_result::kNotReady;
   if (jobs_.contains(job.id)) return Repeated(job.id);
   std::string text = EncodeJob(job);
@@ -93,7 +93,7 @@
   if (state_ != job_log_state::kReady) return append_result::kNotReady;
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return Repeated(id);
-  job_record& job = found->second.record;
+  durable_job& job = found->second.record;
   if (index >= job.done.size() || job.done[index]) return Repeated(id);
   job.done[index] = true;
   if (failed) ++job.failed;
@@ -127,7 +127,7 @@
 
 // Writing.
 
-void job_log::Commit(monotonic_time now, std::vector<store_call>& out) {
+void job_log::Commit(monotonic_time now, std::vector<store_request>& out) {
   if (now < next_commit_) return;
   if (retiring_ == 0) StartRetiring();
   if (retiring_ != 0 && copies_left_ == 0) {
@@ -160,7 +160,7 @@
 
 // The open segment is full. The empty one behind it becomes the open one, once it has an empty one
 // behind itself.
-void job_log::CreateNext(std::vector<store_call>& out) {
+void job_log::CreateNext(std::vector<store_request>& out) {
   Swap(call_purpose::kCreateNext, LastNumber() + 1, 0, EncodeSegment(options_.epoch, {}), out);
 }
 
--- a/src/process/job_log.h
+++ b/src/process/job_log.h
@@ -20,7 +20,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "connection/store_adapter.h"
-#include "process/job_record.h"
+#include "process/durable_job.h"
 #include "process/registration.h"
 #include "request/job_request.h"
 
@@ -66,12 +66,12 @@
  public:
   job_log(job_log_options options, call_tags& tags);
 
-  void Tick(monotonic_time now, std::vector<store_call>& out);
+  void Tick(monotonic_time now, std::vector<store_request>& out);
   // False when the tag is not of this object.
   bool OnReply(uint64_t tag, const store_reply& reply, monotonic_time now);
 
   // The job may be answered "accepted" once its notice has come.
-  append_result Append(const job_record& job);
+  append_result Append(const durable_job& job);
   // Before the endpoint's cursor is acknowledged: otherwise a finished task could be forgotten by
   // everybody, and a new owner would run it again.
   append_result Complete(const request_id& id, uint32_t index, bool failed);
@@ -81,7 +81,7 @@
   std::vector<job_notice> TakeNotices();
   // Jobs that are not over, as recorded or about to be.
   struct known_job {
-    job_record record;
+    durable_job record;
     uint64_t segment = 0;  // where its whole record stands
     size_t bytes = 0;      // of that record
     bool durable = false;
@@ -105,17 +105,17 @@
   enum class call_purpose : uint8_t { kNone, kRead, kRewrite, kCommit, kCreateNext, kDelete };
 
   // Taking the log over.
-  void Read(std::vector<store_call>& out);
+  void Read(std::vector<store_request>& out);
   void OnRead(const store_reply& reply);
   void Replay(uint64_t number, const log_segment& content, const store_item& item);
   void Apply(uint64_t number, const log_entry& entry, size_t bytes);
-  void Rewrite(std::vector<store_call>& out);
+  void Rewrite(std::vector<store_request>& out);
   void OnRewritten(const store_reply& reply);
 
   // Writing.
-  void Commit(monotonic_time now, std::vector<store_call>& out);
+  void Commit(monotonic_time now, std::vector<store_request>& out);
   bool PrepareValue();
-  void CreateNext(std::vector<store_call>& out);
+  void CreateNext(std::vector<store_request>& out);
   void OnCommitted(const store_reply& reply);
   void OnCreated(const store_reply& reply);
   void Settle(const pending_entry& entry);
@@ -124,13 +124,13 @@
 
   // Compaction.
   void StartRetiring();
-  void DeleteOldest(std::vector<store_call>& out);
+  void DeleteOldest(std::vector<store_request>& out);
   void OnDeleted(const store_reply& reply);
   void AddJobBytes(known_job& job, uint64_t number, size_t bytes);
   void RemoveJob(const request_id& id);
 
   void Swap(call_purpose purpose, uint64_t number, uint64_t expect,
-            std::optional<std::string> value, std::vector<store_call>& out);
+            std::optional<std::string> value, std::vector<store_request>& out);
   std::string KeyOf(uint64_t number) const;
   std::optional<uint64_t> NumberOf(const std::string& key) const;
   uint64_t LastNumber() const { return segments_.rbegin()->first; }
@@ -153,7 +153,7 @@
   // new revision, or by a conflict that shows our own value, or by one that shows another's.
   call_purpose purpose_ = call_purpose::kNone;
   uint64_t open_tag_ = 0;
-  store_call call_;
+  store_request call_;
   size_t in_commit_ = 0;           // entries of pending_ that the call writes
   std::string committed_entries_;  // what the open segment holds once it is done
   bool repeat_ = false;            // the call is to be sent again
--- a/src/process/job_log_upkeep.cc
+++ b/src/process/job_log_upkeep.cc
@@ -19,7 +19,7 @@
 
 // Taking the log over.
 
-void job_log::Read(std::vector<store_call>& out) {
+void job_log::Read(std::vector<store_request>& out) {
   call_ = {};
   call_.kind = ownership_call_kind::kRange;
   call_.tag = tags_.Next();
@@ -74,7 +74,7 @@
   }
   const auto found = jobs_.find(entry.id);
   if (found == jobs_.end()) return;
-  job_record& job = found->second.record;
+  durable_job& job = found->second.record;
   if (entry.index >= job.done.size() || job.done[entry.index]) return;
   job.done[entry.index] = true;
   if (entry.failed) ++job.failed;
@@ -84,7 +84,7 @@
 // only write where it knows the revision: the open segment or the empty one behind it. Rewriting
 // first the one and then the other makes every such commit conflict; had it come between our read
 // and the rewriting, the rewriting would conflict, and everything is read again.
-void job_log::Rewrite(std::vector<store_call>& out) {
+void job_log::Rewrite(std::vector<store_request>& out) {
   if (segments_.size() < 2 || !last_entries_.empty()) {  // a new log
     const uint64_t number = segments_.empty() ? kFirstSegment : LastNumber() + 1;
     segments_[number] = {};
@@ -128,7 +128,7 @@
   }
 }
 
-void job_log::DeleteOldest(std::vector<store_call>& out) {
+void job_log::DeleteOldest(std::vector<store_request>& out) {
   Swap(call_purpose::kDelete, retiring_, segments_[retiring_].revision, std::nullopt, out);
 }
 
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -125,7 +125,7 @@
 
   // node_shards.cc: ownership, shards, their actions.
   void TakeOwnership(const ownership_actions& actions, monotonic_time now);
-  void SendStoreCall(const store_call& call);
+  void SendStoreCall(const store_request& call);
   void OnOwnershipEvent(const ownership_event& event, monotonic_time now);
   void GainShard(uint32_t number, uint64_t epoch, monotonic_time now);
   void LoseShard(uint32_t number, monotonic_time now);
--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -12,11 +12,11 @@
 // ---- Ownership -----------------------------------------------------------------------------
 
 void node::TakeOwnership(const ownership_actions& actions, monotonic_time now) {
-  for (const store_call& call : actions.calls) SendStoreCall(call);
+  for (const store_request& call : actions.calls) SendStoreCall(call);
   for (const ownership_event& event : actions.events) OnOwnershipEvent(event, now);
 }
 
-void node::SendStoreCall(const store_call& call) {
+void node::SendStoreCall(const store_request& call) {
   auto on_reply = [this, tag = call.tag](store_reply reply) {
     Post([this, tag, reply = std::move(reply)](monotonic_time now) {
       ownership_actions actions;
--- a/src/process/ownership.cc
+++ b/src/process/ownership.cc
@@ -160,7 +160,7 @@
   poll_ = {};
   poll_.sent = now;
   poll_.shards_tag = tags_.Next();
-  store_call call;
+  store_request call;
   call.tag = poll_.shards_tag;
   call.key = ShardPrefix(options_.failure_domain);
   out.calls.push_back(std::move(call));
@@ -179,7 +179,7 @@
   if (of_shards) {
     poll_.shards = reply.items;
     poll_.members_tag = tags_.Next();
-    store_call call;
+    store_request call;
     call.tag = poll_.members_tag;
     call.key = MemberPrefix(options_.failure_domain);
     out.calls.push_back(std::move(call));
--- a/src/process/ownership.h
+++ b/src/process/ownership.h
@@ -53,7 +53,7 @@
 };
 
 struct ownership_actions {
-  std::vector<store_call> calls;
+  std::vector<store_request> calls;
   std::vector<ownership_event> events;
 };
 
--- a/src/process/ownership_decisions.cc
+++ b/src/process/ownership_decisions.cc
@@ -148,7 +148,7 @@
 
 void ownership::Swap(uint32_t shard, const shard_record& record, ownership_actions& out) {
   shard_state& state = shards_[shard];
-  store_call call;
+  store_request call;
   call.kind = ownership_call_kind::kSwap;
   call.tag = tags_.Next();
   call.key = ShardKey(options_.failure_domain, shard);
--- a/src/process/registration.cc
+++ b/src/process/registration.cc
@@ -14,17 +14,17 @@
 registration::registration(member_record self, std::string key, std::chrono::milliseconds ttl)
     : self_(std::move(self)), key_(std::move(key)), ttl_(ttl) {}
 
-void registration::Tick(monotonic_time now, call_tags& tags, std::vector<store_call>& out) {
+void registration::Tick(monotonic_time now, call_tags& tags, std::vector<store_request>& out) {
   if (state_ == state::kLeft || open_tag_ != 0 || now < next_call_) return;
-  store_call call = NextCall(tags);
+  store_request call = NextCall(tags);
   open_tag_ = call.tag;
   sent_ = now;
   next_call_ = now + ttl_ / kKeepalivesPerLease;
   out.push_back(std::move(call));
 }
 
-store_call registration::NextCall(call_tags& tags) {
-  store_call call;
+store_request registration::NextCall(call_tags& tags) {
+  store_request call;
   call.tag = tags.Next();
   call.key = key_;
   call.lease = self_.lease;
--- a/src/process/registration.h
+++ b/src/process/registration.h
@@ -18,7 +18,7 @@
 enum class ownership_call_kind : uint8_t { kGrantLease, kKeepLease, kSwap, kRange };
 
 // A call for the store adapter. Its reply comes back under the same tag.
-struct store_call {
+struct store_request {
   ownership_call_kind kind = ownership_call_kind::kRange;
   uint64_t tag = 0;
   std::string key;  // for kRange the prefix
@@ -42,7 +42,7 @@
  public:
   registration(member_record self, std::string key, std::chrono::milliseconds ttl);
 
-  void Tick(monotonic_time now, call_tags& tags, std::vector<store_call>& out);
+  void Tick(monotonic_time now, call_tags& tags, std::vector<store_request>& out);
   // False when the tag is not of this object.
   bool OnReply(uint64_t tag, const store_reply& reply, monotonic_time now);
   // Tries again at the next Tick() instead of at the next period.
@@ -68,7 +68,7 @@
  private:
   enum class state : uint8_t { kNoLease, kUnwritten, kKept, kLeaving, kLeft };
 
-  store_call NextCall(call_tags& tags);
+  store_request NextCall(call_tags& tags);
   void OnGranted(const store_reply& reply, monotonic_time now);
   void OnKept(const store_reply& reply, monotonic_time now);
   void OnWritten(const store_reply& reply, monotonic_time now);
--- a/test/job_log_test.cc
+++ b/test/job_log_test.cc
@@ -40,7 +40,7 @@
   // The store does the oldest call; `lost`: its reply does not come.
   void Arrive(bool lost) {
     if (under_way_.empty()) return;
-    const store_call call = under_way_.front();
+    const store_request call = under_way_.front();
     under_way_.erase(under_way_.begin());
     store_reply reply = store_.Apply(call, now_);
     ++calls;
@@ -67,11 +67,11 @@
   fake_store& store_;
   call_tags tags_;
   monotonic_time now_{std::chrono::hours{1}};
-  std::vector<store_call> under_way_;
+  std::vector<store_request> under_way_;
 };
 
-job_record Job(uint64_t number, uint32_t tasks = 2) {
-  job_record job;
+durable_job Job(uint64_t number, uint32_t tasks = 2) {
+  durable_job job;
   job.id = {7, number};
   job.team = "audit";
   job.tasks = tasks;
@@ -100,7 +100,7 @@
 
 TEST_CASE_METHOD(job_log_fixture, "job log, record written and read back, is the same",
                  "[job_log]") {
-  job_record job = Job(1, 5);
+  durable_job job = Job(1, 5);
   job.urgent = true;
   job.repeatable = false;
   job.kind = workload_kind::kGang;
@@ -112,7 +112,7 @@
   first_.log->Complete(job.id, 3, true);
   first_.Run(2);
   const auto next = TakeOver(2);
-  const job_record& read = next->log->Jobs().at(job.id).record;
+  const durable_job& read = next->log->Jobs().at(job.id).record;
   CHECK(read.team == job.team);
   CHECK(read.kind == job.kind);
   CHECK(read.urgent);
@@ -192,7 +192,7 @@
 
 TEST_CASE_METHOD(job_log_fixture, "job log, record longer than a segment, has one of its own",
                  "[job_log]") {
-  job_record large = Job(1);
+  durable_job large = Job(1);
   large.payload.assign(20000, 'x');
   first_.log->Append(Job(2));
   first_.log->Append(large);
--- a/test/ownership_world.cc
+++ b/test/ownership_world.cc
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-store_reply fake_store::Apply(const store_call& call, monotonic_time now) {
+store_reply fake_store::Apply(const store_request& call, monotonic_time now) {
   Lapse(now);
   store_reply reply;
   reply.status = store_status::kDone;
@@ -39,7 +39,7 @@
   return reply;
 }
 
-store_reply fake_store::Swap(const store_call& call) {
+store_reply fake_store::Swap(const store_request& call) {
   store_reply reply;
   if (!call.lease.empty() && !leases_.contains(call.lease)) {
     reply.status = store_status::kAbsent;
@@ -170,12 +170,12 @@
 }
 
 void ownership_world::Act(const std::string& name, entry& from, const ownership_actions& actions) {
-  for (const store_call& call : actions.calls) CallStore(name, from, call);
+  for (const store_request& call : actions.calls) CallStore(name, from, call);
   for (const ownership_event& event : actions.events) OnEvent(name, from, event);
 }
 
 void ownership_world::CallStore(const std::string& name, const entry& from,
-                                const store_call& call) {
+                                const store_request& call) {
   ++store_calls_;
   const bool reachable = !store_down_ && !from.cut_from_store;
   Later([this, name, incarnation = from.incarnation, call, reachable] {
--- a/test/ownership_world.h
+++ b/test/ownership_world.h
@@ -22,13 +22,13 @@
 // Keys, revisions and leases as docs/PROTOCOL.md describes them.
 class fake_store {
  public:
-  store_reply Apply(const store_call& call, monotonic_time now);
+  store_reply Apply(const store_request& call, monotonic_time now);
   void LapseAll() { leases_.clear(); }
   const std::map<std::string, store_item>& Items(monotonic_time now);
   void Put(const std::string& key, const std::string& value);
 
  private:
-  store_reply Swap(const store_call& call);
+  store_reply Swap(const store_request& call);
   void Lapse(monotonic_time now);
 
   uint64_t revision_ = 0;
@@ -108,7 +108,7 @@
                  const std::function<void(entry&)>& action);
   void Heartbeats(const std::string& name, entry& receiver);
   void Act(const std::string& name, entry& from, const ownership_actions& actions);
-  void CallStore(const std::string& name, const entry& from, const store_call& call);
+  void CallStore(const std::string& name, const entry& from, const store_request& call);
   void OnEvent(const std::string& name, const entry& from, const ownership_event& event);
   void Ask(const std::string& name, const entry& from, const ownership_event& event);
   void Fence(const std::string& name, const entry& from, const ownership_event& event);
