--- /dev/null
+++ b/src/process/job_keeper.cc
@@ -0,0 +1,133 @@
+#include "process/job_keeper.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace catkinford {
+namespace {
+
+durable_job RecordOf(const place_message& place) {
+  durable_job job;
+  job.id = place.id;
+  job.team = place.team;
+  job.kind = place.kind;
+  job.urgent = place.urgent;
+  job.repeatable = place.repeatable;
+  job.tasks = place.tasks;
+  job.each = place.each;
+  job.declared_run_time = place.run_time;
+  job.submitted = std::chrono::system_clock::now();
+  job.payload = place.payload;
+  job.done.resize(place.tasks);
+  return job;
+}
+
+restored_job RestoredFrom(const durable_job& job) {
+  restored_job restored;
+  place_message& place = restored.spec;
+  place.id = job.id;
+  place.team = job.team;
+  place.kind = job.kind;
+  place.urgent = job.urgent;
+  place.repeatable = job.repeatable;
+  place.tasks = job.tasks;
+  place.each = job.each;
+  place.run_time = job.declared_run_time;
+  place.payload = job.payload;
+  // The record counts the failed tasks and does not name them.
+  uint32_t failed = job.failed;
+  for (uint32_t i = 0; i < job.done.size(); ++i) {
+    if (!job.done[i]) continue;
+    if (failed > 0) {
+      --failed;
+      restored.failed.push_back(i);
+    } else {
+      restored.done.push_back(i);
+    }
+  }
+  return restored;
+}
+
+}  // namespace
+
+job_keeper::job_keeper(std::string writer, sender send)
+    : writer_(std::move(writer)), send_(std::move(send)) {}
+
+void job_keeper::OnGained(uint32_t number, const std::string& shard_name, uint64_t epoch) {
+  job_log_options options;
+  options.prefix = absl::StrCat("jobs/", shard_name, "/");
+  options.writer = writer_;
+  options.epoch = epoch;
+  held_log held;
+  held.epoch = epoch;
+  held.generation = ++generation_;
+  held.log = std::make_unique<job_log>(options, tags_);
+  logs_[number] = std::move(held);
+}
+
+void job_keeper::OnLost(uint32_t number) { logs_.erase(number); }
+
+std::vector<opened_log> job_keeper::Tick(monotonic_time now) {
+  std::vector<opened_log> opened;
+  for (auto& [number, held] : logs_) {
+    std::vector<store_request> calls;
+    held.log->Tick(now, calls);
+    for (const store_request& call : calls) {
+      send_(call, [this, of = number, generation = held.generation, tag = call.tag](
+                      const store_reply& reply, monotonic_time at) {
+        const auto found = logs_.find(of);
+        if (found == logs_.end() || found->second.generation != generation) return;
+        found->second.log->OnReply(tag, reply, at);
+      });
+    }
+    if (held.opened || held.log->State() != job_log_state::kReady) continue;
+    held.opened = true;
+    opened_log log{number, held.epoch, {}};
+    for (const auto& [id, known] : held.log->Jobs()) log.jobs.push_back(RestoredFrom(known.record));
+    opened.push_back(std::move(log));
+  }
+  return opened;
+}
+
+bool job_keeper::TakeNotices(uint32_t number, shard& to, monotonic_time now) {
+  const auto found = logs_.find(number);
+  if (found == logs_.end()) return false;
+  const std::vector<job_notice> notices = found->second.log->TakeNotices();
+  for (const job_notice& notice : notices) {
+    if (notice.kind == log_entry_kind::kJob) to.OnRecorded(notice.id, true, now);
+    if (notice.kind == log_entry_kind::kTaskDone) {
+      to.OnCompletionRecorded(notice.id, notice.index, now);
+    }
+  }
+  return !notices.empty();
+}
+
+void job_keeper::Record(uint32_t number, const request_id& id, shard& from, monotonic_time now) {
+  const auto found = logs_.find(number);
+  const place_message* place = from.SpecOf(id);
+  append_result result = append_result::kNotReady;
+  if (found != logs_.end() && place != nullptr)
+    result = found->second.log->Append(RecordOf(*place));
+  if (result == append_result::kKnown) from.OnRecorded(id, true, now);
+  if (result == append_result::kTooLarge || result == append_result::kNotReady) {
+    from.OnRecorded(id, false, now);
+  }
+}
+
+void job_keeper::Complete(uint32_t number, const complete_action& what, shard& from,
+                          monotonic_time now) {
+  const auto found = logs_.find(number);
+  if (found == logs_.end()) return;
+  job_log& log = *found->second.log;
+  if (what.job_ended) {
+    log.FinishJob(what.task.job);
+    return;
+  }
+  const append_result result = log.Complete(what.task.job, what.task.index, !what.well);
+  if (result == append_result::kKnown) {
+    from.OnCompletionRecorded(what.task.job, what.task.index, now);
+  }
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/job_keeper.h
@@ -0,0 +1,70 @@
+// The durable jobs of the shards owned here: one job log for each shard, read before the shard
+// opens, and its notices handed to the shard.
+//
+// The order on taking over is the log first and the endpoints' lists after it. In the other order a
+// task could end, be recorded and be forgotten by its endpoint between the two reads: it would be
+// in neither, and run again. The order of token and queue in "From 6 Hours to 1 Minute:
+// Checkpointing Kubernetes-style Controllers" follows from the same thought: what is read second
+// may only be ahead of what is read first.
+#ifndef CATKINFORD_PROCESS_JOB_KEEPER_H_
+#define CATKINFORD_PROCESS_JOB_KEEPER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "connection/store_adapter.h"
+#include "process/job_log.h"
+#include "process/message.h"
+#include "process/registration.h"
+#include "process/shard.h"
+
+namespace catkinford {
+
+// A log that has been read: the shard may open.
+struct opened_log {
+  uint32_t number = 0;
+  uint64_t epoch = 0;
+  std::vector<restored_job> jobs;
+};
+
+class job_keeper {
+ public:
+  // Sends a call to the store; the reply comes on the core thread.
+  using sender =
+      std::function<void(const store_request&, std::function<void(store_reply, monotonic_time)>)>;
+
+  job_keeper(std::string writer, sender send);
+
+  void OnGained(uint32_t number, const std::string& shard_name, uint64_t epoch);
+  void OnLost(uint32_t number);
+  // Sends what the logs want sent; returns the logs that became ready.
+  std::vector<opened_log> Tick(monotonic_time now);
+  // Hands the shard what became durable. True when something did.
+  bool TakeNotices(uint32_t number, shard& to, monotonic_time now);
+
+  // Requests of a shard. What the log does not take now is answered at once as not durable.
+  void Record(uint32_t number, const request_id& job, shard& from, monotonic_time now);
+  void Complete(uint32_t number, const complete_action& what, shard& from, monotonic_time now);
+
+ private:
+  struct held_log {
+    uint64_t epoch = 0;
+    uint64_t generation = 0;
+    bool opened = false;
+    std::unique_ptr<job_log> log;
+  };
+
+  std::string writer_;
+  sender send_;
+  call_tags tags_;
+  uint64_t generation_ = 0;
+  std::map<uint32_t, held_log> logs_;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_JOB_KEEPER_H_
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -96,7 +96,11 @@
       versions_(
           store_, config_.isolation.key_grace, [this](core_task task) { Post(std::move(task)); },
           [this](monotonic_time now) { OnVersion(now); }),
-      grants_(store_, [this](core_task task) { Post(std::move(task)); }) {}
+      grants_(store_, [this](core_task task) { Post(std::move(task)); }),
+      jobs_(config_.name, [this](const store_request& call,
+                                 std::function<void(store_reply, monotonic_time)> done) {
+        SendStoreRequest(call, std::move(done));
+      }) {}
 
 node::~node() {
   if (core_.joinable()) {
@@ -173,6 +177,8 @@
     SendHeartbeats(now);
     TickStatus(now);
   }
+  for (opened_log& log : jobs_.Tick(now)) GainShard(std::move(log), now);
+  for (auto& [number, held] : shards_) jobs_.TakeNotices(number, *held, now);
   std::vector<shard*> owned;
   owned.reserve(shards_.size());
   for (auto& [number, held] : shards_) owned.push_back(held.get());
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -26,6 +26,7 @@
 #include "process/config_keeper.h"
 #include "process/event_log.h"
 #include "process/grant_keeper.h"
+#include "process/job_keeper.h"
 #include "process/metrics.h"
 #include "process/ownership.h"
 #include "process/peer_mailbox.h"
@@ -125,9 +126,10 @@
 
   // node_shards.cc: ownership, shards, their actions.
   void TakeOwnership(const ownership_actions& actions, monotonic_time now);
-  void SendStoreCall(const store_request& call);
+  void SendStoreRequest(const store_request& call,
+                        std::function<void(store_reply, monotonic_time)> done);
   void OnOwnershipEvent(const ownership_event& event, monotonic_time now);
-  void GainShard(uint32_t number, uint64_t epoch, monotonic_time now);
+  void GainShard(opened_log log, monotonic_time now);
   void LoseShard(uint32_t number, monotonic_time now);
   void GiveEndpoints(shard& to, monotonic_time now);
   void ShareUsage(monotonic_time now);
@@ -210,6 +212,7 @@
   ownership ownership_;
   config_keeper versions_;
   grant_keeper grants_;
+  job_keeper jobs_;
   std::map<uint32_t, std::unique_ptr<shard>> shards_;
   std::map<std::string, peer_state> peers_;
   std::vector<instance> own_endpoints_;  // of this failure domain
--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -12,16 +12,21 @@
 // ---- Ownership -----------------------------------------------------------------------------
 
 void node::TakeOwnership(const ownership_actions& actions, monotonic_time now) {
-  for (const store_request& call : actions.calls) SendStoreCall(call);
+  for (const store_request& call : actions.calls) {
+    SendStoreRequest(call, [this, tag = call.tag](const store_reply& reply, monotonic_time at) {
+      ownership_actions next;
+      ownership_.OnStoreReply(tag, reply, at, next);
+      TakeOwnership(next, at);
+    });
+  }
   for (const ownership_event& event : actions.events) OnOwnershipEvent(event, now);
 }
 
-void node::SendStoreCall(const store_request& call) {
-  auto on_reply = [this, tag = call.tag](store_reply reply) {
-    Post([this, tag, reply = std::move(reply)](monotonic_time now) {
-      ownership_actions actions;
-      ownership_.OnStoreReply(tag, reply, now, actions);
-      TakeOwnership(actions, now);
+void node::SendStoreRequest(const store_request& call,
+                            std::function<void(store_reply, monotonic_time)> done) {
+  auto on_reply = [this, done = std::move(done)](store_reply reply) mutable {
+    Post([done = std::move(done), reply = std::move(reply)](monotonic_time now) mutable {
+      done(std::move(reply), now);
     });
   };
   switch (call.kind) {
@@ -44,7 +49,8 @@
 void node::OnOwnershipEvent(const ownership_event& event, monotonic_time now) {
   switch (event.kind) {
     case ownership_event_kind::kGained:
-      GainShard(event.shard, event.epoch, now);
+      LoseShard(event.shard, now);  // held under a lower epoch
+      jobs_.OnGained(event.shard, ShardName(config_.failure_domain, event.shard), event.epoch);
       break;
     case ownership_event_kind::kLost:
       LoseShard(event.shard, now);
@@ -58,7 +64,10 @@
   }
 }
 
-void node::GainShard(uint32_t number, uint64_t epoch, monotonic_time now) {
+// Opens a shard whose log was read.
+void node::GainShard(opened_log log, monotonic_time now) {
+  const uint32_t number = log.number;
+  const uint64_t epoch = log.epoch;
   shard_options options;
   options.name = ShardName(config_.failure_domain, number);
   options.epoch = epoch;
@@ -70,6 +79,7 @@
   auto gained = std::make_unique<shard>(options, teams_);
   gained->SetCellCapacity(cell_capacity_);
   if (const auto config = versions_.Order().Config()) gained->SetConfiguration(*config, now);
+  gained->Restore(std::move(log.jobs), now);
   GiveEndpoints(*gained, now);
   grants_.OnGained(options.name, epoch);
   routes_.OnReport(config_.name, gained->Report(), now);
@@ -81,6 +91,7 @@
 }
 
 void node::LoseShard(uint32_t number, monotonic_time now) {
+  jobs_.OnLost(number);
   const auto found = shards_.find(number);
   if (found == shards_.end()) return;
   const std::string name = found->second->Name();
@@ -222,12 +233,12 @@
   Send(action.entry, std::move(action.answer), now);
 }
 
-void node::Do(uint32_t /*number*/, shard& from, const record_action& action, monotonic_time now) {
-  from.OnRecorded(action.job, true, now);
+void node::Do(uint32_t number, shard& from, const record_action& action, monotonic_time now) {
+  jobs_.Record(number, action.job, from, now);
 }
 
-void node::Do(uint32_t /*number*/, shard& from, const complete_action& action, monotonic_time now) {
-  if (!action.job_ended) from.OnCompletionRecorded(action.task, now);
+void node::Do(uint32_t number, shard& from, const complete_action& action, monotonic_time now) {
+  jobs_.Complete(number, action, from, now);
 }
 
 void node::Do(uint32_t number, shard& /*from*/, const superseded_action& action,
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -447,14 +447,14 @@
   if (result == task_result::kFailed && job->fault.empty()) job->fault = answer;
   if (job->durable && !job->ended) {
     actions_.push_back(complete_action{id, task->phase == task_phase::kDone, false});
-    unrecorded_.emplace(id, task->endpoint);
-    ++endpoints_[task->endpoint].unrecorded;
+    const bool is_new = unrecorded_.try_emplace({id.job, id.index}, task->endpoint).second;
+    if (is_new) ++endpoints_[task->endpoint].unrecorded;
   }
   EndIfOver(id.job, *job, now);
 }
 
-void shard::OnCompletionRecorded(const task_id& id, monotonic_time /*now*/) {
-  const auto found = unrecorded_.find(id);
+void shard::OnCompletionRecorded(const request_id& id, uint32_t index, monotonic_time /*now*/) {
+  const auto found = unrecorded_.find({id, index});
   if (found == unrecorded_.end()) return;
   --endpoints_[found->second].unrecorded;
   unrecorded_.erase(found);
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -128,7 +128,7 @@
                const endpoint_reply& reply, monotonic_time now);
   // The store has the job's record, or surely will not have it.
   void OnRecorded(const request_id& job, bool durable, monotonic_time now);
-  void OnCompletionRecorded(const task_id& task, monotonic_time now);
+  void OnCompletionRecorded(const request_id& job, uint32_t index, monotonic_time now);
 
   // Decides, and appends what is to be done now. Starts are in their own right: the caller checks
   // its ownership immediately before sending each.
@@ -176,6 +176,7 @@
   void SetCoreState(endpoint_index index, monotonic_time now);
   void TakeList(endpoint_index index, uint64_t token, const endpoint_reply& reply,
                 monotonic_time now);
+  void RememberEnded(const task_status& status, monotonic_time now);
   void TakeListed(endpoint_index index, const task_status& status, monotonic_time now);
   void DropUnlisted(endpoint_index index, const endpoint_reply& reply, bool restarted,
                     monotonic_time now);
@@ -220,7 +221,8 @@
   std::vector<request_id> restored_;  // not resumed yet: some endpoint is not listed
   std::set<std::pair<monotonic_time, request_id>> deadlines_;  // of work that runs for a caller
   std::set<std::pair<monotonic_time, request_id>> ended_;      // when each may be forgotten
-  absl::flat_hash_map<task_id, endpoint_index> unrecorded_;
+  // By job and index: where an end was told that is not in the store yet.
+  absl::flat_hash_map<std::pair<request_id, uint32_t>, endpoint_index> unrecorded_;
   std::vector<shard_action> actions_;
   std::vector<command> commands_;
 };
--- a/src/process/shard_endpoints.cc
+++ b/src/process/shard_endpoints.cc
@@ -138,17 +138,32 @@
   strays.token = token;
   for (const task_status& status : reply.tasks) {
     const job_state* job = Find(status.id.job);
-    // A durable job that the store does not know any more has ended: nothing of it may go on.
+    // A durable job that the store does not know any more has ended: nothing of it may go on, and
+    // a caller that asks for it again must not start it anew.
     const bool stray = job == nullptr && IsDurable(status.kind);
     if (!stray) {
       TakeListed(index, status, now);
-    } else if (!status.finished) {
-      strays.ids.push_back(status.id);
+      continue;
     }
+    if (!status.finished) strays.ids.push_back(status.id);
+    RememberEnded(status, now);
   }
   if (!strays.ids.empty()) actions_.push_back(std::move(strays));
 }
 
+void shard::RememberEnded(const task_status& status, monotonic_time now) {
+  job_state& job = jobs_[status.id.job];
+  job.spec.id = status.id.job;
+  job.spec.kind = status.kind;
+  job.spec.team = status.team;
+  outcome end;
+  end.id = status.id.job;
+  end.kind = outcome_kind::kUnknown;
+  end.detail = "ended under an earlier owner";
+  job.ended = std::move(end);
+  ended_.emplace(now + options_.identity_window, status.id.job);
+}
+
 void shard::TakeListed(endpoint_index index, const task_status& status, monotonic_time now) {
   const task_id& id = status.id;
   auto [found, unknown] = jobs_.try_emplace(id.job);
