Cancel by the identity that the entry gave; hold cancels to their answers

Change: the identity comes from the accepting answer. A cancel without an answer is now held against whole_answer.

--- a/bench/caller.cc
+++ b/bench/caller.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "nlohmann/json.hpp"
-#include "request/identity.h"
 #include "standin/json_fields.h"
 
 namespace catkinford {
@@ -49,6 +48,7 @@
   record.outcome = *kind;
   record.reason = ParseRefusalReason(TextOf(read, "reason", "")).value_or(refusal_reason::kNone);
   record.answer = TextOf(read, "answer", "");
+  record.id = TextOf(read, "id", "");
   return true;
 }
 
@@ -106,9 +106,13 @@
 
 void caller::Cancel(const std::string& entry, const std::string& url, const team_access& team,
                     const std::string& work) {
-  const std::string id = ToHex(DeriveRequestId(team.team, work));
+  std::string id;
   {
     const std::lock_guard lock(mutex_);
+    for (const call_record& record : records_) {
+      if (record.work == work) id = record.id;
+    }
+    if (id.empty()) return;
     cancelled_.push_back(work);
     ++pending_;
   }
--- a/bench/checker.cc
+++ b/bench/checker.cc
@@ -260,7 +260,7 @@
     }
   }
   for (const call_record* call : all.calls) {
-    if (!call->is_cancel) CheckAnswer(*call, all);
+    CheckAnswer(*call, all);
   }
 }
 
@@ -269,9 +269,10 @@
   if (!call.has_answer) {
     if (call.surely_not_sent || Excused(call.entry, call.sent, call.answered)) return;
     Broken(promise::kWholeAnswer, call.work, call.sent,
-           absl::StrCat("no answer from ", call.entry));
+           absl::StrCat(call.is_cancel ? "cancel: " : "", "no answer from ", call.entry));
     return;
   }
+  if (call.is_cancel) return;
   const auto ended_as = [&](const char* result) {
     return std::any_of(all.runs.begin(), all.runs.end(),
                        [&](const task_run* run) { return run->result == result; });
--- a/bench/history.cc
+++ b/bench/history.cc
@@ -38,9 +38,10 @@
   for (const call_record& call : seen.calls) {
     const std::string subject = absl::StrCat(call.work, " ", call.team, " by ", call.entry);
     add(call.sent, absl::StrCat(call.is_cancel ? "cancel " : "ask ", subject));
-    const std::string told = call.has_answer ? absl::StrCat(std::string(ToText(call.outcome)), " ",
-                                                            std::string(ToText(call.reason)))
-                                             : (call.surely_not_sent ? "not sent" : "no answer");
+    const std::string told =
+        call.has_answer
+            ? absl::StrCat(std::string(ToText(call.outcome)), " ", std::string(ToText(call.reason)))
+            : (call.surely_not_sent ? "not sent" : absl::StrCat("no answer, status ", call.status));
     add(call.answered, absl::StrCat("told ", subject, " ", told));
   }
   for (const run_event& event : seen.events) {
--- a/bench/history.h
+++ b/bench/history.h
@@ -38,6 +38,7 @@
   outcome_kind outcome = outcome_kind::kUnknown;
   refusal_reason reason = refusal_reason::kNone;
   std::string answer;
+  std::string id;  // as the entry named it in its answer
 };
 
 // One line of an endpoint's record.
