--- a/test/pages_test.cc
+++ b/test/pages_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "bench/capacity.h"
+#include "bench/scenario_faults.h"
 #include "bench/slope.h"
 #include "bench/tables.h"
 #include "process/events.h"
@@ -100,6 +101,20 @@
   }
 }
 
+// An engineer follows a promise to its test and its command; a name that is gone proves nothing.
+TEST_CASE_METHOD(pages_fixture, "promises, test or scenario named, exists", "[pages]") {
+  const std::string page = Page("docs/PROMISES.md");
+  const auto tests = Find(page, "`(test/[a-z_]+\\.cc)`");
+  const auto scenarios = Find(page, "catkinford-bench scenario ([a-z_]+)");
+  CHECK(!tests.empty());
+  CHECK(!scenarios.empty());
+  for (const std::string& file : tests) Page(file);
+  for (const std::string& name : scenarios) {
+    INFO(name);
+    CHECK((name == "two_faults" || FindScenario(name) != nullptr));
+  }
+}
+
 TEST_CASE_METHOD(pages_fixture, "example settings of the pages, read, are accepted", "[pages]") {
   const std::set<std::string> examples = Find(Page("docs/OPERATING.md"), "```jsonc\n([^`]*)```");
   REQUIRE(!examples.empty());
