Use the TLS settings in the daemon, reload the certificate on SIGHUP

Cause: listen.tls_certificate_file was read and checked, but the daemon served plain HTTP all the same: keys would have crossed the network in the clear and nobody would have noticed. An unusable pair at the start ends the process with exit code 4; at a reload the old one stays and event 105 says why. Tested with a real entry: certificate replaced, same process, new callers only. Seen on the way: SIGTERM with the store unreachable waits out the whole shutdown_limit.

--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -182,10 +182,12 @@
   address.sin_family = AF_INET;
   address.sin_port = htons(options.port);
   if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) return false;
-  const bool tls = !options.tls_certificate.empty();
-  if (tls && SetCertificate(options.tls_certificate, options.tls_key) != tls_fault::kNone) {
+  const bool given = !options.tls_certificate.empty();
+  if (given && SetCertificate(options.tls_certificate, options.tls_key) != tls_fault::kNone) {
     return false;
   }
+  const bool tls = options.tls || given;
+  if (tls && !impl_->certificates.HasCertificate()) return false;
   unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
   if (tls) flags |= MHD_USE_TLS;
   std::vector<MHD_OptionItem> items = {
@@ -215,6 +217,10 @@
   return impl_->certificates.Set(certificate, key);
 }
 
+tls_fault http_server::SetCertificateFiles(const std::string& certificate, const std::string& key) {
+  return impl_->certificates.SetFromFiles(certificate, key);
+}
+
 uint16_t http_server::Port() const {
   if (impl_->daemon == nullptr) return 0;
   return MHD_get_daemon_info(impl_->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -41,7 +41,8 @@
   size_t body_limit = size_t{1} << 20;
   std::chrono::seconds idle_timeout{30};  // a slow sender or a half-closed connection ends here
   unsigned connection_limit = 4096;
-  std::string tls_certificate;  // PEM text; empty: plain HTTP
+  bool tls = false;             // needs a certificate: here, or by SetCertificate() before Start()
+  std::string tls_certificate;  // PEM text
   std::string tls_key;
 };
 
@@ -62,6 +63,7 @@
   // Replaces the certificate without a restart: new connections get the new one, open ones go on.
   // Only for a server that was started with one; on a fault the old one stays.
   tls_fault SetCertificate(const std::string& certificate, const std::string& key);
+  tls_fault SetCertificateFiles(const std::string& certificate, const std::string& key);
   // The port in use.
   uint16_t Port() const;
   void Respond(token request, http_response response);
--- a/src/connection/tls_certificate.cc
+++ b/src/connection/tls_certificate.cc
@@ -7,7 +7,10 @@
 
 #include <algorithm>
 #include <array>
+#include <fstream>
 #include <map>
+#include <optional>
+#include <sstream>
 #include <utility>
 
 namespace catkinford {
@@ -33,6 +36,14 @@
   return registry;
 }
 
+std::optional<std::string> ReadWhole(const std::string& name) {
+  std::ifstream file(name, std::ios::binary);
+  if (!file) return std::nullopt;
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
 uint16_t LocalPort(gnutls_session_t session) {
   sockaddr_storage address{};
   socklen_t size = sizeof address;
@@ -44,8 +55,13 @@
   return ntohs(reinterpret_cast<const sockaddr_in&>(address).sin_port);
 }
 
+constexpr std::array<std::string_view, 5> kFaultNames = {"none", "missing_file", "bad_certificate",
+                                                         "bad_key", "key_does_not_match"};
+
 }  // namespace
 
+std::string_view ToText(tls_fault fault) { return kFaultNames[static_cast<size_t>(fault)]; }
+
 struct tls_certificate_store::certificate {
   certificate() = default;
   certificate(const certificate&) = delete;
@@ -108,6 +124,19 @@
   return tls_fault::kNone;
 }
 
+tls_fault tls_certificate_store::SetFromFiles(const std::string& certificate_file,
+                                              const std::string& key_file) {
+  const std::optional<std::string> certificate_text = ReadWhole(certificate_file);
+  const std::optional<std::string> key_text = ReadWhole(key_file);
+  if (!certificate_text || !key_text) return tls_fault::kMissingFile;
+  return Set(*certificate_text, *key_text);
+}
+
+bool tls_certificate_store::HasCertificate() const {
+  const std::lock_guard lock(mutex_);
+  return current_ != nullptr;
+}
+
 void tls_certificate_store::ServePort(uint16_t port) {
   port_registry& registry = Registry();
   const std::lock_guard lock(registry.mutex);
--- a/src/connection/tls_certificate.h
+++ b/src/connection/tls_certificate.h
@@ -9,10 +9,12 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 
 namespace catkinford {
 
-enum class tls_fault : uint8_t { kNone, kBadCertificate, kBadKey, kKeyDoesNotMatch };
+enum class tls_fault : uint8_t { kNone, kMissingFile, kBadCertificate, kBadKey, kKeyDoesNotMatch };
+std::string_view ToText(tls_fault fault);
 
 // The certificate in use. Handshakes read it on the HTTP library's threads while an operator
 // replaces it; each handshake works on a copy, so that none sees half of one and half of the other.
@@ -23,9 +25,13 @@
   tls_certificate_store(const tls_certificate_store&) = delete;
   tls_certificate_store& operator=(const tls_certificate_store&) = delete;
 
+  // The same, from files.
+  tls_fault SetFromFiles(const std::string& certificate_file, const std::string& key_file);
   // PEM texts: the certificate with its chain, and its key. On a fault the old one stays.
   tls_fault Set(const std::string& certificate, const std::string& key);
 
+  bool HasCertificate() const;
+
   // Offered to sessions of the server on this port. GnuTLS asks by a plain function that is told
   // nothing but the session, whose socket leads to the port, and the port to the store.
   void ServePort(uint16_t port);
@@ -38,7 +44,7 @@
                       gnutls_pcert_st** certificates, unsigned* count, gnutls_ocsp_data_st** ocsp,
                       unsigned* ocsp_count, gnutls_privkey_t* key, unsigned* flags);
 
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   std::shared_ptr<const certificate> current_;
   uint16_t port_ = 0;
 };
--- a/src/main/catkinfordd.cc
+++ b/src/main/catkinfordd.cc
@@ -23,10 +23,33 @@
 constexpr int kNoSettings = 2;
 constexpr int kPortTaken = 3;
 
-// Waits for SIGTERM or SIGINT, which all threads have blocked.
-void WaitForSignal(const sigset_t& signals) {
-  int signal = 0;
-  sigwait(&signals, &signal);
+constexpr int kNoCertificate = 4;
+
+// Waits for SIGTERM or SIGINT, which all threads have blocked. SIGHUP: the certificate's files were
+// replaced.
+void WaitForSignal(const sigset_t& signals, catkinford::node& entry) {
+  int signal = SIGHUP;
+  while (signal == SIGHUP) {
+    sigwait(&signals, &signal);
+    if (signal == SIGHUP) entry.ReloadCertificate();
+  }
+}
+
+int Explain(catkinford::start_fault fault) {
+  switch (fault) {
+    case catkinford::start_fault::kNone:
+      return 0;
+    case catkinford::start_fault::kCertificate:
+      std::fputs("catkinfordd: the certificate or its key cannot be used; see the log\n", stderr);
+      return kNoCertificate;
+    case catkinford::start_fault::kPeerPort:
+      std::fputs("catkinfordd: the peer port cannot be had\n", stderr);
+      return kPortTaken;
+    case catkinford::start_fault::kCallerPort:
+      std::fputs("catkinfordd: the caller port cannot be had\n", stderr);
+      return kPortTaken;
+  }
+  return kPortTaken;
 }
 
 }  // namespace
@@ -54,18 +77,15 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   curl_global_init(CURL_GLOBAL_DEFAULT);
 
   catkinford::node entry(std::get<catkinford::settings>(std::move(loaded)));
   const catkinford::start_fault fault = entry.Start();
-  if (fault != catkinford::start_fault::kNone) {
-    std::fprintf(stderr, "catkinfordd: the %s port cannot be had\n",
-                 fault == catkinford::start_fault::kPeerPort ? "peer" : "caller");
-    return kPortTaken;
-  }
-  WaitForSignal(signals);
+  if (fault != catkinford::start_fault::kNone) return Explain(fault);
+  WaitForSignal(signals, entry);
   entry.BeginShutdown();
   entry.Wait();
   return 0;
--- a/src/process/events.cc
+++ b/src/process/events.cc
@@ -25,6 +25,12 @@
               "A graceful shutdown began: no new work, what is in flight goes on."};
     case kShutdownDone:
       return {code, kInfo, "shutdown_done", "Nothing is in flight any more; the process ends."};
+    case kCertificateTaken:
+      return {code, kInfo, "certificate_taken",
+              "The certificate for callers was read; new connections get it."};
+    case kCertificateRefused:
+      return {code, kError, "certificate_refused",
+              "The certificate or its key cannot be used; the one before, if any, stays."};
     case kRequestReceived:
       return {code, kDebug, "request_received", "A caller's request passed its key check."};
     case kRequestForwarded:
--- a/src/process/events.h
+++ b/src/process/events.h
@@ -16,6 +16,8 @@
   kProcessReady = 101,
   kShutdownBegun = 102,
   kShutdownDone = 103,
+  kCertificateTaken = 104,
+  kCertificateRefused = 105,
   // 2xx: requests
   kRequestReceived = 200,
   kRequestForwarded = 201,
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -31,6 +31,7 @@
   http_server_options options;
   options.port = config.listen.caller_port;
   options.address = config.listen.address;
+  options.tls = !config.listen.tls_certificate_file.empty();
   options.body_limit = config.bounds.body_bytes;
   options.connection_limit = config.bounds.waiting_requests + 256;
   return options;
@@ -113,7 +114,19 @@
   platform_http_.Stop();
 }
 
+tls_fault node::ReloadCertificate() {
+  if (config_.listen.tls_certificate_file.empty()) return tls_fault::kNone;
+  const tls_fault fault =
+      front_.SetCertificateFiles(config_.listen.tls_certificate_file, config_.listen.tls_key_file);
+  const bool good = fault == tls_fault::kNone;
+  log_.Emit(good ? event_code::kCertificateTaken : event_code::kCertificateRefused,
+            steady_clock::now(), {}, 0, config_.listen.tls_certificate_file,
+            good ? "" : std::string(ToText(fault)));
+  return fault;
+}
+
 start_fault node::Start() {
+  if (ReloadCertificate() != tls_fault::kNone) return start_fault::kCertificate;
   endpoint_http_.Start();
   platform_http_.Start();
   if (!mailbox_.Start()) return start_fault::kPeerPort;
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -40,7 +40,7 @@
 
 namespace catkinford {
 
-enum class start_fault : uint8_t { kNone, kCallerPort, kPeerPort };
+enum class start_fault : uint8_t { kNone, kCallerPort, kPeerPort, kCertificate };
 
 class node {
  public:
@@ -50,6 +50,9 @@
   node& operator=(const node&) = delete;
 
   start_fault Start();
+  // Reads the certificate's files again; new connections of callers get it, open ones go on. On a
+  // fault the old one stays in use.
+  tls_fault ReloadCertificate();
   // Graceful: not ready, refuses new work, hands its shards over, finishes what is in flight.
   void BeginShutdown();
   // Until the shutdown is done.
--- a/test/tls_test.cc
+++ b/test/tls_test.cc
@@ -4,15 +4,20 @@
 
 #include <array>
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <ctime>
 #include <fstream>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include "absl/strings/str_cat.h"
+#include "bench/child_process.h"
 #include "connection/http_client.h"
 #include "connection/http_server.h"
+#include "nlohmann/json.hpp"
 #include "request/identity.h"
 
 namespace catkinford {
@@ -82,18 +87,22 @@
 
  protected:
   // A fresh caller that trusts only this certificate.
-  http_result CallTrusting(const pem_pair& pair, const std::string& scheme = "https") const {
+  static http_result CallPort(uint16_t port, const pem_pair& pair, const std::string& path,
+                              const std::string& scheme = "https") {
     const std::string file =
         absl::StrCat(CATKINFORD_BIN_DIR, "/ca_", ToHex(NewRequestId()), ".pem");
     std::ofstream(file) << pair.certificate;
     http_client client(0, file);
     client.Start();
     http_result result = client.SendAndWait(
-        {"POST", absl::StrCat(scheme, "://127.0.0.1:", server_->Port()), "hello"});
+        {path == "/" ? "POST" : "GET", absl::StrCat(scheme, "://127.0.0.1:", port, path), "hello"});
     client.Stop();
     std::remove(file.c_str());
     return result;
   }
+  http_result CallTrusting(const pem_pair& pair, const std::string& scheme = "https") const {
+    return CallPort(server_->Port(), pair, "/", scheme);
+  }
 
   pem_pair first_ = MakeCertificate();
   pem_pair second_ = MakeCertificate();
@@ -131,4 +140,84 @@
   CHECK(CallTrusting(first_).body == "hello");
 }
 
+namespace {
+
+// A real entry that serves callers by TLS, with its files in a directory of the build.
+class tls_daemon_fixture : public tls_fixture {
+ public:
+  tls_daemon_fixture() {
+    Write("cert.pem", first_.certificate);
+    Write("key.pem", first_.key);
+    port_ = FreePort();
+    const nlohmann::json settings = {
+        {"name", "a1"},
+        {"failure_domain", "a"},
+        {"failure_domains", {"a"}},
+        {"listen",
+         {{"caller_port", port_},
+          {"peer_port", FreePort()},
+          {"tls_certificate_file", File("cert.pem")},
+          {"tls_key_file", File("key.pem")}}},
+        {"platform",
+         {{"store_url", "http://127.0.0.1:9"}, {"instances_url", "http://127.0.0.1:9"}}},
+        {"timing", {{"shutdown_limit", "1s"}}}};
+    Write("settings.json", settings.dump());
+  }
+  ~tls_daemon_fixture() {
+    for (const char* name : {"cert.pem", "key.pem", "settings.json", "log"}) {
+      std::remove(File(name).c_str());
+    }
+  }
+
+ protected:
+  std::string File(const std::string& name) const { return absl::StrCat(prefix_, name); }
+  void Write(const std::string& name, const std::string& text) const {
+    std::ofstream(File(name)) << text;
+  }
+  bool Start() {
+    return daemon_.Start(
+        {absl::StrCat(CATKINFORD_BIN_DIR, "/catkinfordd"), "--settings", File("settings.json")},
+        File("log"));
+  }
+  // Asks until the entry answers callers that trust this certificate.
+  bool EventuallyAnswers(const pem_pair& trusted) const {
+    const auto give_up = std::chrono::steady_clock::now() + std::chrono::seconds{30};
+    while (std::chrono::steady_clock::now() < give_up) {
+      if (CallPort(port_, trusted, "/healthz").code == 200) return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds{50});
+    }
+    return false;
+  }
+
+  std::string prefix_ = absl::StrCat(CATKINFORD_BIN_DIR, "/tls_", ToHex(NewRequestId()), "_");
+  uint16_t port_ = 0;
+  child_process daemon_;
+};
+
+}  // namespace
+
+// The certificate's files of a running entry are replaced and it is told by SIGHUP. Callers that
+// trust only the new one must be answered, by the same process.
+TEST_CASE_METHOD(tls_daemon_fixture, "tls, entry told by SIGHUP, takes the new files", "[tls]") {
+  REQUIRE(Start());
+  REQUIRE(EventuallyAnswers(first_));
+  Write("cert.pem", second_.certificate);
+  daemon_.Signal(SIGHUP);  // certificate and key do not belong together: the old one stays
+  REQUIRE(EventuallyAnswers(first_));
+  Write("key.pem", second_.key);
+  daemon_.Signal(SIGHUP);
+  CHECK(EventuallyAnswers(second_));
+  CHECK(daemon_.Alive());
+  daemon_.Signal(SIGTERM);
+  CHECK(daemon_.WaitFor(std::chrono::seconds{30}) == 0);
+}
+
+// An entry that fell back to plain HTTP would send keys in the clear, and nobody would notice.
+TEST_CASE_METHOD(tls_daemon_fixture, "tls, entry without a usable certificate, does not start",
+                 "[tls]") {
+  Write("key.pem", "no key");
+  REQUIRE(Start());
+  CHECK(daemon_.WaitFor(std::chrono::seconds{30}) == 4);
+}
+
 }  // namespace catkinford
