--- a/bench/fleet.cc
+++ b/bench/fleet.cc
@@ -174,7 +174,9 @@
       {"failure_domains", options_.domains},
       {"listen", {{"caller_port", entry.caller_port}, {"peer_port", entry.peer_port}}},
       {"platform",
-       {{"store_url", store}, {"instances_url", instances}, {"endpoints_fence", options_.fencing}}},
+       {{"store_url", store},
+        {"instances_url", instances},
+        {"endpoints_fence", options_.entries_trust_fencing}}},
       {"shards", {{"per_domain", options_.shards_per_domain}}},
       {"timing", options_.timing}};
   std::string file = absl::StrCat(directory_, "/", entry.name, ".json");
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -28,8 +28,9 @@
   resources shape{16000, 32768, 0, 8};
   size_t teams = 6;
   std::optional<uint32_t> team_running_limit;  // absent: as many as the fleet holds
-  bool fencing = true;
-  bool proxied = false;  // every link of an entry goes through a fault proxy
+  bool fencing = true;                         // endpoints refuse a lower epoch
+  bool entries_trust_fencing = true;  // and entries are told so; if not, time alone protects
+  bool proxied = false;               // every link of an entry goes through a fault proxy
   bool freeze_leases = false;
   uint32_t shards_per_domain = 1;
   std::chrono::milliseconds instance_lag{500};
--- a/bench/scenario_command.cc
+++ b/bench/scenario_command.cc
@@ -16,7 +16,11 @@
 
 ABSL_FLAG(bool, list, false, "scenario: print all names");
 ABSL_FLAG(bool, fencing, true,
-          "scenario: endpoints refuse a lower epoch; else time alone protects");
+          "scenario: endpoints refuse a lower epoch, and entries are told so; else time protects");
+ABSL_FLAG(
+    bool, break_fencing, false,
+    "scenario: endpoints take any epoch and entries believe that they do not: the scenario is "
+    "expected to fail");
 ABSL_FLAG(bool, freeze_leases, false, "scenario: leases stand still while the store is down");
 ABSL_FLAG(double, scenario_rate, 200, "scenario: requests a second");
 ABSL_FLAG(std::string, daemon_flags, "", "scenario: flags for each entry, separated by blanks");
@@ -50,7 +54,8 @@
   scenario_options options;
   options.seed = absl::GetFlag(FLAGS_seed);
   options.fleet.seed = options.seed;
-  options.fleet.fencing = absl::GetFlag(FLAGS_fencing);
+  options.fleet.entries_trust_fencing = absl::GetFlag(FLAGS_fencing);
+  options.fleet.fencing = absl::GetFlag(FLAGS_fencing) && !absl::GetFlag(FLAGS_break_fencing);
   options.fleet.freeze_leases = absl::GetFlag(FLAGS_freeze_leases);
   options.fleet.daemon_flags =
       absl::StrSplit(absl::GetFlag(FLAGS_daemon_flags), ' ', absl::SkipEmpty());
--- a/bench/scenario_run.cc
+++ b/bench/scenario_run.cc
@@ -385,6 +385,38 @@
   return std::chrono::duration<double, std::milli>(first - timed_from_).count();
 }
 
+// The longest time from the acceptance of a version until the last of the entries showed it; only
+// as fine as the readings are frequent.
+std::optional<double> scenario_run::InForce(const history& seen) const {
+  std::optional<double> longest;
+  for (const config_acceptance& accepted : seen.acceptances) {
+    std::map<std::string, wall_time> first;
+    for (const config_reading& reading : seen.readings) {
+      if (reading.version >= accepted.version) first.emplace(reading.entry, reading.at);
+    }
+    for (const auto& [entry, at] : first) {
+      const double took = std::chrono::duration<double, std::milli>(at - accepted.accepted).count();
+      longest = std::max(longest.value_or(0), took);
+    }
+  }
+  return longest;
+}
+
+// From the answer to the operator to the last call with the key that was not refused.
+std::optional<double> scenario_run::LastUseOfWithdrawnKey(const history& seen) const {
+  std::optional<double> last;
+  for (const key_withdrawal& withdrawal : seen.withdrawals) {
+    last = last.value_or(0);
+    for (const call_record& call : seen.calls) {
+      if (call.team != withdrawal.team || call.key != withdrawal.key || !call.has_answer) continue;
+      if (call.outcome == outcome_kind::kRefused || call.sent < withdrawal.accepted) continue;
+      const std::chrono::duration<double, std::milli> after = call.sent - withdrawal.accepted;
+      last = std::max(*last, after.count());
+    }
+  }
+  return last;
+}
+
 nlohmann::json scenario_run::Figures(const history& seen) const {
   std::vector<call_record> before;
   std::vector<call_record> during;
@@ -406,6 +438,12 @@
   if (const std::optional<double> next = NextPlacement(seen.events)) {
     figures["next_placement_ms"] = *next;
   }
+  if (const std::optional<double> in_force = InForce(seen)) {
+    figures["config_in_force_ms"] = *in_force;
+  }
+  if (const std::optional<double> last = LastUseOfWithdrawnKey(seen)) {
+    figures["withdrawn_key_last_use_ms"] = *last;
+  }
   return figures;
 }
 
--- a/bench/scenario_run.h
+++ b/bench/scenario_run.h
@@ -89,6 +89,8 @@
   void AddLimits();
   nlohmann::json Figures(const history& seen) const;
   std::optional<double> NextPlacement(const std::vector<run_event>& events) const;
+  std::optional<double> InForce(const history& seen) const;
+  std::optional<double> LastUseOfWithdrawnKey(const history& seen) const;
   double GoodputBetween(const std::vector<call_record>& calls, wall_time from, wall_time to) const;
 
   scenario_options options_;
