--- a/src/process/config_keeper.cc
+++ b/src/process/config_keeper.cc
@@ -22,14 +22,18 @@
   return std::chrono::duration_cast<milliseconds>(since).count();
 }
 
+constexpr char kMark[] = "\n// write ";
+
 // The write's identity stands behind the document, as a comment, so that a lost reply can be told
 // from another operator's equal text.
-std::string Signed(const std::string& text, const std::string& write_id) {
-  return text + "\n// write " + write_id + "\n";
+std::string Marked(const std::string& text, const std::string& write_id) {
+  return text + kMark + write_id + "\n";
 }
 
 }  // namespace
 
+std::string DocumentOf(const std::string& stored) { return stored.substr(0, stored.rfind(kMark)); }
+
 config_keeper::config_keeper(store_adapter& store, milliseconds key_grace, poster post,
                              on_version changed)
     : store_(store), post_(std::move(post)), changed_(std::move(changed)), order_(key_grace) {}
@@ -82,14 +86,14 @@
 
 void config_keeper::Offer(uint64_t version, const std::string& text, monotonic_time now) {
   if (!order_.Offer(version, text, now)) return;
-  history_.push_back({version, WallMs(), text});
+  history_.push_back({version, WallMs(), DocumentOf(text)});
   if (history_.size() > kHistory) history_.pop_front();
   changed_(now);
 }
 
 void config_keeper::Change(uint64_t expect, const std::string& text, const std::string& write_id,
                            std::function<void(change_result, monotonic_time)> done) {
-  SendChange(expect, Signed(text, write_id), write_id, kChangeTries, std::move(done));
+  SendChange(expect, Marked(text, write_id), write_id, kChangeTries, std::move(done));
 }
 
 void config_keeper::SendChange(uint64_t expect, const std::string& text,
@@ -126,7 +130,7 @@
     }
     // After a lost reply the standing value may have been written over ours.
     done({was_lost ? change_end::kUnknown : change_end::kConflict, standing.revision,
-          standing.value},
+          DocumentOf(standing.value)},
          now);
     return;
   }
--- a/src/process/config_keeper.h
+++ b/src/process/config_keeper.h
@@ -33,6 +33,9 @@
   std::string text;
 };
 
+// The operator's document without the mark of the write that brought it into the store.
+std::string DocumentOf(const std::string& stored);
+
 class config_keeper {
  public:
   // Hands a reply over to the core thread; see node::Post.
--- a/src/process/node_calls.cc
+++ b/src/process/node_calls.cc
@@ -95,12 +95,15 @@
 void node::Handle(http_server::token token, const std::string& key, submit_call call,
                   monotonic_time now) {
   const std::optional<key_holder> holder = HolderOf(key, now);
+  table_.BeginCall(token, call.is_batch, call.jobs.size());
   if (!holder || holder->is_operator) {
-    front_.Respond(token, ErrorResponse(401, "unknown_key", "nothing was run"));
+    table_actions refused;
+    for (size_t slot = 0; slot < call.jobs.size(); ++slot) {
+      table_.Settle(token, slot, Refused({}, refusal_reason::kUnknownKey, {}, ""), refused);
+    }
+    TakeTable(std::move(refused), now);
     return;
   }
-  table_actions actions;
-  table_.BeginCall(token, call.is_batch, call.jobs.size());
   for (size_t slot = 0; slot < call.jobs.size(); ++slot) {
     SubmitJob(token, slot, *holder, std::move(call.jobs[slot]), now);
   }
--- a/src/process/node_config.cc
+++ b/src/process/node_config.cc
@@ -44,7 +44,8 @@
                   monotonic_time now) {
   if (!IsOperator(token, key, now)) return;
   const version_order& order = versions_.Order();
-  front_.Respond(token, {200, Dump({{"version", order.Version()}, {"text", order.Text()}})});
+  front_.Respond(token,
+                 {200, Dump({{"version", order.Version()}, {"text", DocumentOf(order.Text())}})});
 }
 
 void node::Handle(http_server::token token, const std::string& key, const put_config_call& call,
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -321,11 +321,8 @@
       Refuse(id, refusal_reason::kDeadline, kAskAgain, "the deadline passed in the queue", now);
       continue;
     }
-    const bool surely_ran = job->ever_ran;
-    End(id, *job,
-        surely_ran ? Failed(id, "the deadline passed while it ran")
-                   : Unknown(id, "the deadline passed while its start was under way"),
-        now);
+    // Its end may already stand at the endpoint and be on its way: "failed" could be untrue.
+    End(id, *job, Unknown(id, "the deadline passed while it ran"), now);
   }
 }
 
