--- a/src/process/message.cc
+++ b/src/process/message.cc
@@ -145,6 +145,7 @@
                {"owner", answer.owner},
                {"shard", answer.shard},
                {"known", answer.known},
+               {"team", answer.team},
                {"waiting", answer.progress.waiting},
                {"running", answer.progress.running},
                {"done", answer.progress.done},
@@ -160,6 +161,7 @@
   answer.owner = Read<std::string>(from, "owner");
   answer.shard = Read<std::string>(from, "shard");
   answer.known = Read<bool>(from, "known");
+  answer.team = Read<std::string>(from, "team");
   answer.progress.waiting = Read<uint32_t>(from, "waiting");
   answer.progress.running = Read<uint32_t>(from, "running");
   answer.progress.done = Read<uint32_t>(from, "done");
--- a/src/process/message.h
+++ b/src/process/message.h
@@ -63,6 +63,7 @@
   std::string owner;  // who answers
   std::string shard;
   bool known = false;
+  std::string team;  // whose job it is
   job_progress progress;
   std::string waits_for;
   std::optional<outcome> ended;
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -253,7 +253,7 @@
     shard* to = FindShard(query->shard);
     if (to != nullptr) to->Status(from, *query, now);
   } else if (const auto* answer = std::get_if<status_answer>(&body)) {
-    OnStatusAnswer(from, *answer, now);
+    OnStatusAnswer(*answer, now);
   } else if (const auto* beat = std::get_if<heartbeat_message>(&body)) {
     OnHeartbeat(from, *beat, now);
   } else if (const auto* config = std::get_if<config_message>(&body)) {
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -76,6 +76,7 @@
   // A status question that waits for answers of owners.
   struct open_status {
     http_server::token token = 0;
+    std::string team;  // of the caller; empty for an operator
     request_id id;
     size_t answers_left = 0;
     monotonic_time give_up{};
@@ -187,7 +188,7 @@
                  monotonic_time now);
   void TakeTable(table_actions actions, monotonic_time now);
   void AskStatus(uint64_t query, open_status& open, monotonic_time now);
-  void OnStatusAnswer(const std::string& from, const status_answer& answer, monotonic_time now);
+  void OnStatusAnswer(const status_answer& answer, monotonic_time now);
   void TickStatus(monotonic_time now);
   void OnOutcome(const outcome& result, monotonic_time now);
 
--- a/src/process/node_calls.cc
+++ b/src/process/node_calls.cc
@@ -113,10 +113,9 @@
                      monotonic_time now) {
   table_entry entry;
   place_message& place = entry.place;
-  const std::string team_name = absl::StrCat(holder.workspace, "/", holder.team);
   entry.keyed = !spec.idempotency_key.empty();
   entry.first_ask = spec.first_ask;
-  place.id = entry.keyed ? DeriveRequestId(team_name, spec.idempotency_key) : NewRequestId();
+  place.id = entry.keyed ? DeriveRequestId(holder.team, spec.idempotency_key) : NewRequestId();
   table_actions actions;
   const auto refuse = [&](refusal_reason reason, milliseconds retry, std::string detail) {
     table_.Settle(token, slot, Refused(place.id, reason, retry, std::move(detail)), actions);
@@ -152,7 +151,7 @@
   place.payload = std::move(spec.payload);
   entry.patience = waits ? deadline : kDurablePatience;
   if (!waits && spec.wait) entry.patience = deadline.count() > 0 ? deadline : kEndless;
-  log_.Emit(event_code::kRequestReceived, now, place.id, 0, team_name);
+  log_.Emit(event_code::kRequestReceived, now, place.id, 0, holder.team);
   table_.Add(token, slot, std::move(entry), now, actions);
   TakeTable(std::move(actions), now);
 }
@@ -186,13 +185,15 @@
 
 void node::Handle(http_server::token token, const std::string& key, const status_call& call,
                   monotonic_time now) {
-  if (!HolderOf(key, now)) {
+  const std::optional<key_holder> holder = HolderOf(key, now);
+  if (!holder) {
     front_.Respond(token, ErrorResponse(401, "unknown_key"));
     return;
   }
   const uint64_t query = next_query_++;
   open_status& open = statuses_[query];
   open.token = token;
+  open.team = holder->team;
   open.id = call.id;
   open.wait_until = now + std::min(call.wait, config_.timing.max_deadline);
   AskStatus(query, open, now);
@@ -200,13 +201,15 @@
 
 void node::Handle(http_server::token token, const std::string& key, const cancel_call& call,
                   monotonic_time now) {
-  if (!HolderOf(key, now)) {
+  const std::optional<key_holder> holder = HolderOf(key, now);
+  if (!holder) {
     front_.Respond(token, ErrorResponse(401, "unknown_key"));
     return;
   }
   const uint64_t query = next_query_++;
   open_status& open = statuses_[query];
   open.token = token;
+  open.team = holder->team;
   open.id = call.id;
   open.cancel = true;
   AskStatus(query, open, now);
@@ -228,6 +231,13 @@
 
 namespace {
 
+outcome NoSuchJob(const request_id& id) {
+  outcome result;
+  result.id = id;
+  result.detail = "no owner that answered knows this job";
+  return result;
+}
+
 http_response StatusResponse(const request_id& id, const status_answer& answer) {
   std::string state = "unknown";
   if (answer.known) state = answer.progress.running > 0 ? "running" : "waiting";
@@ -246,14 +256,16 @@
 
 }  // namespace
 
-void node::OnStatusAnswer(const std::string& /*from*/, const status_answer& answer,
-                          monotonic_time now) {
+void node::OnStatusAnswer(const status_answer& answer, monotonic_time now) {
   const auto found = statuses_.find(answer.query);
   if (found == statuses_.end()) return;
   open_status& open = found->second;
-  if (!answer.known) {
+  // Another team's job is as unknown to this caller as one that never was.
+  const bool may_see = open.team.empty() || open.team == answer.team;
+  if (!answer.known || !may_see) {
     if (open.answers_left > 0 && --open.answers_left > 0) return;
-    front_.Respond(open.token, StatusResponse(open.id, answer));
+    front_.Respond(open.token, open.cancel ? ToResponse(NoSuchJob(open.id))
+                                           : StatusResponse(open.id, status_answer{}));
     statuses_.erase(found);
     return;
   }
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -245,6 +245,7 @@
   answer.shard = options_.name;
   if (const job_state* job = Find(query.id)) {
     answer.known = true;
+    answer.team = job->spec.team;
     answer.progress = ProgressOf(*job);
     answer.ended = job->ended;
     answer.waits_for = core_.WaitsFor(query.id);
