Say warnings, conflicts of dry runs, and who changed the configuration

Cause: a change was answered with an empty list of warnings, a dry run from an old version found no conflict, and the history named nobody. The document is signed with write, key's name and time; the signature travels with the version, so that each entry's history agrees. Partial: limits below a running service's use are not warned of yet (the entry does not know the use of other shards), and the history lives in memory: an entry that restarts begins a new one.

--- a/src/process/config_keeper.cc
+++ b/src/process/config_keeper.cc
@@ -17,17 +17,6 @@
 constexpr int kChangeTries = 4;
 constexpr size_t kHistory = 20;
 
-int64_t WallMs() {
-  const auto since = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<milliseconds>(since).count();
-}
-
-// The write's identity stands behind the document, as a comment, so that a lost reply can be told
-// from another operator's equal text.
-std::string Signed(const std::string& text, const std::string& write_id) {
-  return text + "\n// write " + write_id + "\n";
-}
-
 }  // namespace
 
 config_keeper::config_keeper(store_adapter& store, milliseconds key_grace, poster post,
@@ -82,14 +71,17 @@
 
 void config_keeper::Offer(uint64_t version, const std::string& text, monotonic_time now) {
   if (!order_.Offer(version, text, now)) return;
-  history_.push_back({version, WallMs(), text});
+  history_.push_back({version, text});
   if (history_.size() > kHistory) history_.pop_front();
   changed_(now);
 }
 
-void config_keeper::Change(uint64_t expect, const std::string& text, const std::string& write_id,
+void config_keeper::Change(uint64_t expect, const std::string& text,
+                           const config_signature& signature,
                            std::function<void(change_result, monotonic_time)> done) {
-  SendChange(expect, Signed(text, write_id), write_id, kChangeTries, std::move(done));
+  // What was read from an entry still carries the signature of its last writer.
+  const std::string signed_text = SignConfiguration(WithoutSignature(text), signature);
+  SendChange(expect, signed_text, signature.write_id, kChangeTries, std::move(done));
 }
 
 void config_keeper::SendChange(uint64_t expect, const std::string& text,
--- a/src/process/config_keeper.h
+++ b/src/process/config_keeper.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "connection/store_adapter.h"
+#include "version/config_signature.h"
 #include "version/version_order.h"
 
 namespace catkinford {
@@ -26,10 +27,9 @@
   std::string text;      // what stands there, for a conflict
 };
 
-// One version that was in force here.
+// One version that was in force here; its text says who made it and when.
 struct past_version {
   uint64_t version = 0;
-  int64_t wall_ms = 0;  // since 1970, by this entry's clock
   std::string text;
 };
 
@@ -47,7 +47,7 @@
   // From a peer.
   void Offer(uint64_t version, const std::string& text, monotonic_time now);
   // The version that the operator read must still stand. The result comes on the core thread.
-  void Change(uint64_t expect, const std::string& text, const std::string& write_id,
+  void Change(uint64_t expect, const std::string& text, const config_signature& signature,
               std::function<void(change_result, monotonic_time)> done);
 
   const version_order& Order() const { return order_; }
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -91,6 +91,7 @@
     http_server::token token = 0;
     uint64_t version = 0;  // zero until the store has taken it
     monotonic_time give_up{};
+    std::vector<std::string> warnings;
   };
   // A cancel whose outcome comes from the owner.
   struct open_cancel {
--- a/src/process/node_config.cc
+++ b/src/process/node_config.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "process/node.h"
+#include "version/contract_edit.h"
 
 namespace catkinford {
 namespace {
@@ -25,6 +26,23 @@
                      {"value", error.value}})};
 }
 
+int64_t WallMs() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<milliseconds>(since).count();
+}
+
+std::vector<std::string> WarningTexts(const configuration& current, const configuration& next) {
+  std::vector<std::string> texts;
+  for (const contract_warning& warning : WarningsOf(current, next, {})) {
+    texts.push_back(ToText(warning));
+  }
+  return texts;
+}
+
+http_response ConflictResponse(uint64_t version, const std::string& text) {
+  return {409, Dump({{"error", "conflict"}, {"version", version}, {"text", text}})};
+}
+
 }  // namespace
 
 // A new version is in force here: shards decide by it at once, peers hear of it at once.
@@ -56,20 +74,29 @@
     return;
   }
   const version_order& order = versions_.Order();
+  std::vector<std::string> warnings =
+      WarningTexts(*order.Config(), std::get<configuration>(parsed));
   if (call.dry_run) {
+    if (call.expect != order.Version()) {
+      front_.Respond(token, ConflictResponse(order.Version(), order.Text()));
+      return;
+    }
     const in_force_report report =
         order.InForce(order.Version(), config_.failure_domain, VersionMembers());
     front_.Respond(token, {200, Dump({{"version", order.Version()},
                                       {"dry_run", true},
                                       {"in_force", report.in_force},
                                       {"pending", report.pending},
-                                      {"warnings", json::array()}})});
+                                      {"warnings", warnings}})});
     return;
   }
   const uint64_t change = next_query_++;
-  changes_[change] = {token, 0, now + kInForceWait + config_.timing.call_timeout * 4};
-  const std::string write_id = ToHex(NewRequestId());
-  versions_.Change(call.expect, call.text, write_id,
+  open_change& open = changes_[change];
+  open = {token, 0, now + kInForceWait + config_.timing.call_timeout * 4, std::move(warnings)};
+  const config_signature signature{ToHex(NewRequestId()),
+                                   HolderOf(key, now).value_or(key_holder{}).key_name,
+                                   milliseconds(WallMs())};
+  versions_.Change(call.expect, call.text, signature,
                    [this, change](const change_result& result, monotonic_time at) {
                      OnChanged(change, result, at);
                    });
@@ -87,8 +114,7 @@
   }
   http_response response;
   if (result.end == change_end::kConflict) {
-    response = {409,
-                Dump({{"error", "conflict"}, {"version", result.version}, {"text", result.text}})};
+    response = ConflictResponse(result.version, result.text);
   } else if (result.end == change_end::kUnavailable) {
     response = ErrorResponse(503, "store_unavailable", "nothing was changed");
   } else {
@@ -115,7 +141,7 @@
       front_.Respond(open.token, {200, Dump({{"version", open.version},
                                              {"in_force", report.in_force},
                                              {"pending", report.pending},
-                                             {"warnings", json::array()}})});
+                                             {"warnings", open.warnings}})});
     } else {
       front_.Respond(open.token, ErrorResponse(504, "unknown", "the store gave no answer"));
     }
@@ -128,8 +154,11 @@
   if (!IsOperator(token, key, now)) return;
   json versions = json::array();
   for (const past_version& past : versions_.History()) {
-    versions.push_back(
-        {{"version", past.version}, {"at_ms", past.wall_ms}, {"by", ""}, {"text", past.text}});
+    const config_signature signature = SignatureOf(past.text);
+    versions.push_back({{"version", past.version},
+                        {"at_ms", signature.wall.count()},
+                        {"by", signature.by},
+                        {"text", past.text}});
   }
   front_.Respond(token, {200, Dump({{"versions", std::move(versions)}})});
 }
--- a/src/version/key_ring.cc
+++ b/src/version/key_ring.cc
@@ -97,6 +97,7 @@
     entry& added = entries[*salt];
     std::memcpy(added.hash.data(), bytes.data(), kDigestBytes);
     added.holder = holder;
+    added.holder.key_name = key.name;
   }
 
   absl::flat_hash_map<uint64_t, entry> entries;
@@ -106,10 +107,11 @@
 
 key_ring::key_ring(const configuration& config, const std::vector<std::string>& denied_salts) {
   auto ring = std::make_shared<impl>();
-  for (const key_record& key : config.operator_keys) ring->Add(key, {"", "", true}, denied_salts);
+  for (const key_record& key : config.operator_keys)
+    ring->Add(key, {"", "", true, {}}, denied_salts);
   for (const workspace_contract& workspace : config.workspaces) {
     for (const team_contract& team : workspace.teams) {
-      const key_holder holder{workspace.name, team.name, false};
+      const key_holder holder{workspace.name, team.name, false, {}};
       for (const key_record& key : team.keys) ring->Add(key, holder, denied_salts);
     }
   }
--- a/src/version/key_ring.h
+++ b/src/version/key_ring.h
@@ -17,6 +17,7 @@
   std::string workspace;
   std::string team;  // empty for an operator's key
   bool is_operator = false;
+  std::string key_name;  // for records of who changed what
 };
 
 // A new secret from the system's random source, "ck_" and 43 characters, with its record.
--- a/test/command_line_fleet_test.cc
+++ b/test/command_line_fleet_test.cc
@@ -128,6 +128,8 @@
   CHECK(EventuallyEverywhere(secret, ask, exit_code::kUnauthorized));
   CHECK(EventuallyEverywhere(fleet_.Contract().teams[0].secret, ask, exit_code::kDone));
   REQUIRE(Run({"contract", "history"}) == Code(exit_code::kDone));
+  CHECK_THAT(out_.str(),
+             Catch::Contains(" UTC by " + fleet_.Contract().config.operator_keys[0].name));
 }
 
 TEST_CASE_METHOD(command_line_fleet_fixture, "command line, change from an old version, conflicts",
@@ -150,7 +152,15 @@
   std::ofstream(file) << ToText(config);
   options_.expect = 1;  // the version that the fleet began with
   CHECK(Run({"contract", "apply", file}) == Code(exit_code::kConflict));
+  options_.dry_run = true;
+  CHECK(Run({"contract", "apply", file}) == Code(exit_code::kConflict));
+  options_.dry_run = false;
   options_.expect.reset();
+  // A limit that is lowered is said to be so; it drains and is not in force at once.
+  config.workspaces[0].teams[0].running_limit -= 1;
+  std::ofstream(file) << ToText(config);
+  CHECK(Run({"contract", "apply", file}) == Code(exit_code::kDone));
+  CHECK_THAT(out_.str(), Catch::Contains("is lowered: running"));
   std::remove(file.c_str());
   options_.dry_run = true;
   CHECK(Run({"endpoint", "drain", fleet_.EndpointsOf(0)[0]}) == Code(exit_code::kDone));
--- a/test/version_order_test.cc
+++ b/test/version_order_test.cc
@@ -4,10 +4,12 @@
 #include <chrono>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "property.h"
+#include "version/config_signature.h"
 
 namespace catkinford {
 namespace {
@@ -101,6 +103,18 @@
   CHECK(order_.NewerPeer() == std::string("b2"));
 }
 
+TEST_CASE("configuration, signed, tells who changed it and is read as before", "[versions]") {
+  const std::string text = R"({"workspaces":[]})";
+  const std::string signed_text = SignConfiguration(text, {"7f", "night", milliseconds{1234}});
+  const config_signature signature = SignatureOf(signed_text);
+  CHECK(signature.write_id == "7f");
+  CHECK(signature.by == "night");
+  CHECK(signature.wall == milliseconds{1234});
+  CHECK(WithoutSignature(signed_text) == text);
+  CHECK(SignatureOf(text).write_id.empty());
+  CHECK(std::holds_alternative<configuration>(ParseConfiguration(signed_text)));
+}
+
 TEST_CASE("versions, one watcher, is the live entry with the lowest name", "[versions]") {
   CHECK(IsWatcher("a1", {"a2", "a3"}));
   CHECK_FALSE(IsWatcher("a2", {"a1"}));
