--- a/bench/caller.cc
+++ b/bench/caller.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "nlohmann/json.hpp"
-#include "request/identity.h"
 #include "standin/json_fields.h"
 
 namespace catkinford {
@@ -37,10 +36,19 @@
 bool ReadOutcome(const std::string& body, call_record& record) {
   const nlohmann::json read = nlohmann::json::parse(body, nullptr, false);
   const std::optional<outcome_kind> kind = ParseOutcomeKind(TextOf(read, "outcome", ""));
+  const std::string error = TextOf(read, "error", "");
+  const bool refused = (record.status >= 400 && record.status < 500) || record.status == 503;
+  if (!kind && refused && !error.empty()) {
+    // Turned away before it became a request; a caller takes that, too, as "did not run".
+    record.outcome = outcome_kind::kRefused;
+    record.reason = ParseRefusalReason(error).value_or(refusal_reason::kNone);
+    return true;
+  }
   if (!kind) return false;
   record.outcome = *kind;
   record.reason = ParseRefusalReason(TextOf(read, "reason", "")).value_or(refusal_reason::kNone);
   record.answer = TextOf(read, "answer", "");
+  record.id = TextOf(read, "id", "");
   return true;
 }
 
@@ -98,9 +106,13 @@
 
 void caller::Cancel(const std::string& entry, const std::string& url, const team_access& team,
                     const std::string& work) {
-  const std::string id = ToHex(DeriveRequestId(team.team, work));
+  std::string id;
   {
     const std::lock_guard lock(mutex_);
+    for (const call_record& record : records_) {
+      if (record.work == work) id = record.id;
+    }
+    if (id.empty()) return;
     cancelled_.push_back(work);
     ++pending_;
   }
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -279,6 +279,8 @@
   } else if (std::holds_alternative<release_message>(body)) {
     ownership_.OnHandedOver(now);
     next_ownership_tick_ = now;
+  } else if (const auto* drain = std::get_if<drain_message>(&body)) {
+    DrainEndpoint(drain->endpoint, now);
   } else if (const auto* wrong = std::get_if<not_owner_message>(&body)) {
     routes_.OnNotOwner(from, wrong->shard);
     table_.OnSendFailed(wrong->id, true, now);
@@ -402,11 +404,13 @@
   if (!reply.ok) return;
   has_instances_ = true;
   own_endpoints_.clear();
+  endpoint_names_.clear();
   cell_capacity_ = {};
   for (auto& [name, peer] : peers_) peer.listed = false;
   for (const instance& from : reply.instances) {
     if (from.role == instance_role::kEndpoint) {
       cell_capacity_ += from.shape;
+      endpoint_names_.insert(from.name);
       if (from.failure_domain == config_.failure_domain) own_endpoints_.push_back(from);
       continue;
     }
@@ -427,6 +431,7 @@
     }
     at = is_gone ? peers_.erase(at) : std::next(at);
   }
+  std::erase_if(drained_, [&](const auto& name) { return !endpoint_names_.contains(name); });
   for (auto& [number, held] : shards_) {
     held->SetCellCapacity(cell_capacity_);
     GiveEndpoints(*held, now);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -92,6 +93,7 @@
     http_server::token token = 0;
     uint64_t version = 0;  // zero until the store has taken it
     monotonic_time give_up{};
+    std::vector<std::string> warnings;
   };
   // A cancel whose outcome comes from the owner.
   struct open_cancel {
@@ -135,6 +137,7 @@
   void OnOwnershipEvent(const ownership_event& event, monotonic_time now);
   void GainShard(opened_log log, monotonic_time now);
   void LoseShard(uint32_t number, monotonic_time now);
+  void DrainEndpoint(const std::string& endpoint, monotonic_time now);
   void GiveEndpoints(shard& to, monotonic_time now);
   void ShareUsage(monotonic_time now);
   void ActShards(monotonic_time now);
@@ -219,7 +222,9 @@
   job_keeper jobs_;
   std::map<uint32_t, std::unique_ptr<shard>> shards_;
   std::map<std::string, peer_state> peers_;
-  std::vector<instance> own_endpoints_;  // of this failure domain
+  std::set<std::string> endpoint_names_;  // of the whole fleet, as last listed
+  std::set<std::string> drained_;         // by operators; forgotten with the endpoint
+  std::vector<instance> own_endpoints_;   // of this failure domain
   resources cell_capacity_;
   std::vector<message_body> local_;  // messages to ourselves
   absl::flat_hash_map<uint64_t, open_status> statuses_;
--- a/src/process/node_calls.cc
+++ b/src/process/node_calls.cc
@@ -314,20 +314,15 @@
 void node::Handle(http_server::token token, const std::string& key, const drain_call& call,
                   monotonic_time now) {
   if (!IsOperator(token, key, now)) return;
-  const auto known = [&](const instance& at) { return at.name == call.endpoint; };
-  if (std::none_of(own_endpoints_.begin(), own_endpoints_.end(), known)) {
-    front_.Respond(token, ErrorResponse(404, "unknown_endpoint", "ask an entry of its domain"));
+  if (!endpoint_names_.contains(call.endpoint)) {
+    front_.Respond(token, ErrorResponse(404, "unknown_endpoint", "it is not in the instance list"));
     return;
   }
-  bool is_ours = false;
-  for (auto& [number, held] : shards_) {
-    is_ours |= call.dry_run ? held->Has(call.endpoint) : held->Drain(call.endpoint, now);
-  }
-  if (is_ours) {
-    front_.Respond(token, {200, Dump({{"endpoint", call.endpoint}, {"dry_run", call.dry_run}})});
-  } else {
-    front_.Respond(token, ErrorResponse(409, "not_owner", "ask the other entry of its domain"));
+  if (!call.dry_run) {
+    DrainEndpoint(call.endpoint, now);
+    for (const auto& [name, peer] : peers_) Send(name, drain_message{call.endpoint}, now);
   }
+  front_.Respond(token, {200, Dump({{"endpoint", call.endpoint}, {"dry_run", call.dry_run}})});
 }
 
 void node::Handle(http_server::token token, const std::string& key, const evacuate_call& /*call*/,
--- a/src/process/operator_commands.cc
+++ b/src/process/operator_commands.cc
@@ -27,8 +27,11 @@
   if (context.options.json) {
     context.out << answer.result.body << "\n";
   } else {
-    context.out << (context.options.dry_run ? "would move " : "moving ")
-                << NumberField(answer.body, counted) << " " << counted << "\n";
+    context.out << (context.options.dry_run ? "would be taken" : "taken");
+    if (answer.body.contains(counted)) {
+      context.out << ": " << NumberField(answer.body, counted) << " " << counted;
+    }
+    context.out << "\n";
   }
   return static_cast<int>(exit_code::kDone);
 }
