--- a/bench/commands.h
+++ b/bench/commands.h
@@ -7,6 +7,9 @@
 // Writes the tables of the pages from the code: `tables [ROOT]`.
 int TablesMain(int argc, char** argv);
 
+// Times of decisions: `decisions [--endpoints N] [--running M] [--seed S] [--json F]`.
+int DecisionsMain(int argc, char** argv);
+
 }  // namespace catkinford
 
 #endif  // CATKINFORD_BENCH_COMMANDS_H_
--- a/src/main/catkinford-bench.cc
+++ b/src/main/catkinford-bench.cc
@@ -16,6 +16,7 @@
 constexpr std::array kCommands = std::to_array<bench_command>({
     {"help", [](int, char**) { return 2; }, "this list"},
     {"tables", catkinford::TablesMain, "write the tables of docs/ from the code: tables [ROOT]"},
+    {"decisions", catkinford::DecisionsMain, "times of decisions: decisions --endpoints N"},
 });
 
 int Usage() {
