Try blocked lanes one at a time, and only for needs that freed room can hold

Cause: on a full floor each end of a task woke all blocked lanes, and each searched the floor for 16 jobs. Ruled out: the searches themselves (interactive p99 1.9 us with room).

--- a/src/process/decision_impl.h
+++ b/src/process/decision_impl.h
@@ -63,8 +63,6 @@
   bool cleared = false;  // batch work in the way was asked to stop
 };
 
-constexpr uint32_t kLaneDepth = 16;  // jobs of a lane that are tried before it counts as blocked
-
 struct decision_core::impl {
   explicit impl(core_options core) : options(core), random_state(core.seed), lanes(jobs) {}
 
@@ -105,7 +103,12 @@
   void Fire(const timer& due, monotonic_time now);
   void StopCancelled();
   void RefuseNeverFitting();
-  void WakeLanes();
+  void RoomFreed();
+  void WakeBest();
+  bool FreedRoomHelps(const lane& blocked) const;
+  bool KnownNotToFit(const resources& need) const;
+  void NoteNotFitting(const resources& need);
+  bool GoesBefore(const lane_ref& a, const lane_ref& b) const;
   std::optional<lane_ref> Pick() const;
   void PlaceReady(monotonic_time now, std::vector<command>& out);
   bool TryLane(const lane_ref& ref, monotonic_time now, std::vector<command>& out);
@@ -153,7 +156,9 @@
   std::deque<timer> cancelled;            // jobs to stop: `subject` and `generation`
   std::vector<reservation> reservations;  // few; places are used again
   std::vector<endpoint_index> chosen;     // scratch of a placement
-  std::vector<job_handle> saving;         // by team: the job that its grant is saved for
+  std::vector<resources> not_fitting;     // needs that fit no endpoint now, the smallest ones
+  uint64_t round = 0;
+  std::vector<job_handle> saving;  // by team: the job that its grant is saved for
   monotonic_time last_decide{};
   uint32_t stopping = 0;         // preempted tasks that have not ended yet
   bool taken_unchecked = false;  // some work was taken in before all shapes were known
--- a/src/process/decision_rounds.cc
+++ b/src/process/decision_rounds.cc
@@ -11,6 +11,7 @@
 constexpr size_t kMostCancelled = 128;
 constexpr size_t kMostPending = 256;
 constexpr size_t kMostTimers = 256;
+constexpr size_t kMostNotFitting = 32;
 // More freed endpoints than this and all blocked lanes are tried again.
 constexpr size_t kMostFreedLookedAt = 64;
 
@@ -37,7 +38,8 @@
   StopCancelled();
   if (recheck_fits) RefuseNeverFitting();
   ServeReservations(now, out);
-  WakeLanes();
+  ++round;
+  RoomFreed();
   PlaceReady(now, out);
   for (size_t i = 0; i < kMostPending && !pending.empty(); ++i) {
     out.push_back(std::move(pending.front()));
@@ -120,31 +122,77 @@
   });
 }
 
-// Blocked lanes are tried again only when an endpoint has room for the least that they need: on a
-// full floor a round then costs little, however many teams wait.
-void decision_core::impl::WakeLanes() {
+// What fitted nowhere may fit now, where an endpoint has more room than before.
+void decision_core::impl::RoomFreed() {
+  if (floor.Freed().size() > kMostFreedLookedAt) {
+    not_fitting.clear();
+    return;
+  }
+  for (const endpoint_index endpoint : floor.Freed()) {
+    const resources free = floor[endpoint].Free();
+    std::erase_if(not_fitting, [&free](const resources& need) { return Fits(need, free); });
+  }
+}
+
+// Whether the need, or a smaller one, was found to fit nowhere and nothing has come free for it. On
+// a full floor nearly all waiting work is answered here, without a search.
+bool decision_core::impl::KnownNotToFit(const resources& need) const {
+  return std::any_of(not_fitting.begin(), not_fitting.end(),
+                     [&need](const resources& failed) { return Fits(failed, need); });
+}
+
+void decision_core::impl::NoteNotFitting(const resources& need) {
+  std::erase_if(not_fitting, [&need](const resources& larger) { return Fits(need, larger); });
+  if (not_fitting.size() >= kMostNotFitting) not_fitting.erase(not_fitting.begin());
+  not_fitting.push_back(need);
+}
+
+bool decision_core::impl::FreedRoomHelps(const lane& blocked) const {
   const std::vector<endpoint_index>& freed = floor.Freed();
-  if (freed.empty()) return;
-  const bool all = freed.size() > kMostFreedLookedAt;
-  lanes.RoomChanged([&](const resources& need) {
-    return all || std::any_of(freed.begin(), freed.end(), [&](endpoint_index endpoint) {
-             return Fits(need, floor[endpoint].Free());
-           });
+  if (freed.size() > kMostFreedLookedAt) return true;
+  return std::any_of(freed.begin(), freed.end(), [&](endpoint_index endpoint) {
+    const resources free = floor[endpoint].Free();
+    return std::any_of(blocked.needs.begin(), blocked.needs.end(),
+                       [&free](const resources& need) { return Fits(need, free); });
   });
-  floor.ClearFreed();
+}
+
+// Makes ready the first of the blocked lanes that freed room can help. One at a time: most often it
+// takes the room, and all others would be tried for nothing.
+void decision_core::impl::WakeBest() {
+  if (floor.Freed().empty()) return;
+  std::optional<lane_ref> best;
+  for (const lane_ref& ref : lanes.NoRoom()) {
+    const lane& blocked = lanes.Peek(ref);
+    if (blocked.tried == round) continue;
+    if (best && !GoesBefore(ref, *best)) continue;
+    if (FreedRoomHelps(blocked)) best = ref;
+  }
+  if (best) lanes.Unblock(*best);
 }
 
 // The lane to serve next. Urgent work first, then callers who wait for an answer and whose team is
 // within its share; all other work goes by share alone, so that a flood of one team's interactive
 // work does not take away the share of another's batch work.
+bool decision_core::impl::GoesBefore(const lane_ref& a, const lane_ref& b) const {
+  const auto rank = [this](const lane_ref& ref) {
+    if (ref.kind == lane_class::kUrgent) return 0;
+    return ref.kind == lane_class::kInteractive && teams.WithinShare(ref.team) ? 1 : 2;
+  };
+  const int rank_a = rank(a);
+  const int rank_b = rank(b);
+  if (rank_a != rank_b) return rank_a < rank_b;
+  const double ratio_a = teams.Find(a.team)->ratio;
+  const double ratio_b = teams.Find(b.team)->ratio;
+  if (ratio_a != ratio_b) return ratio_a < ratio_b;
+  return a.kind != b.kind ? a.kind < b.kind : a.team < b.team;
+}
+
 std::optional<lane_ref> decision_core::impl::Pick() const {
-  if (std::optional<lane_ref> urgent = lanes.First(lane_class::kUrgent)) return urgent;
-  std::optional<lane_ref> best = lanes.First(lane_class::kInteractive);
-  if (best && teams.WithinShare(best->team)) return best;
-  for (const lane_class kind : {lane_class::kService, lane_class::kGang, lane_class::kBatch}) {
-    const std::optional<lane_ref> other = lanes.First(kind);
-    if (!other) continue;
-    if (!best || teams.Find(other->team)->ratio < teams.Find(best->team)->ratio) best = other;
+  std::optional<lane_ref> best;
+  for (size_t kind = 0; kind < kLaneClasses; ++kind) {
+    const std::optional<lane_ref> first = lanes.First(static_cast<lane_class>(kind));
+    if (first && (!best || GoesBefore(*first, *best))) best = first;
   }
   return best;
 }
@@ -152,8 +200,12 @@
 void decision_core::impl::PlaceReady(monotonic_time now, std::vector<command>& out) {
   const size_t first = out.size();
   while (out.size() - first < kMostStarts) {
+    WakeBest();
     const std::optional<lane_ref> ref = Pick();
-    if (!ref) return;
+    if (!ref) {
+      floor.ClearFreed();
+      return;
+    }
     TryLane(*ref, now, out);
   }
 }
@@ -161,9 +213,8 @@
 // Starts the first of the lane's jobs that can start now, or blocks the lane.
 bool decision_core::impl::TryLane(const lane_ref& ref, monotonic_time now,
                                   std::vector<command>& out) {
-  bool no_room = false;
   bool no_grant = false;
-  resources least{UINT32_MAX, UINT32_MAX, UINT32_MAX, UINT32_MAX};
+  lane_needs needs;
   uint32_t depth = 0;
   for (job_handle handle = lanes.At(ref).head; handle != kNoJob && depth < kLaneDepth; ++depth) {
     const job_record& job = jobs[handle];
@@ -172,14 +223,12 @@
     } else if (TryJob(handle, now, out)) {
       return true;
     } else {
-      no_room = true;
-      const resources& each = job.request.each;
-      least = {std::min(least.cpu_milli, each.cpu_milli), std::min(least.memory_mb, each.memory_mb),
-               std::min(least.accelerators, each.accelerators), std::min(least.slots, each.slots)};
+      needs.push_back(job.request.each);
     }
     handle = job.next;
   }
-  lanes.Block(ref, no_room ? lane_state::kNoRoom : lane_state::kNoGrant, least, no_grant);
+  lanes.Block(ref, needs.empty() ? lane_state::kNoGrant : lane_state::kNoRoom, needs, no_grant);
+  lanes.At(ref).tried = round;
   lanes.At(ref).meter.BacklogBegan(now);
   WatchLane(ref, now);
   return false;
@@ -216,9 +265,12 @@
 
 bool decision_core::impl::TryJob(job_handle handle, monotonic_time now, std::vector<command>& out) {
   const job_record& job = jobs[handle];
-  if (!Choose(job, TasksAtOnce(job)) && !Backfill(job, now)) return false;
-  StartChosen(handle, now, out);
-  return true;
+  const uint32_t count = TasksAtOnce(job);
+  bool found = !KnownNotToFit(job.request.each) && Choose(job, count);
+  if (!found && count == 1) NoteNotFitting(job.request.each);
+  if (!found) found = Backfill(job, now);
+  if (found) StartChosen(handle, now, out);
+  return found;
 }
 
 // Starts as many waiting tasks as there are chosen endpoints.
--- a/src/process/waiting_lanes.cc
+++ b/src/process/waiting_lanes.cc
@@ -98,13 +98,13 @@
   return lane_ref{kind, ready.begin()->second};
 }
 
-void waiting_lanes::Block(const lane_ref& ref, lane_state why, const resources& least_need,
+void waiting_lanes::Block(const lane_ref& ref, lane_state why, const lane_needs& needs,
                           bool waits_grant) {
   DropState(ref);
   lane& l = At(ref);
   l.state = why;
   l.waits_grant = waits_grant;
-  l.least_need = least_need;
+  l.needs = needs;
   if (why == lane_state::kNoRoom) no_room_.push_back(ref);
 }
 
--- a/src/process/waiting_lanes.h
+++ b/src/process/waiting_lanes.h
@@ -6,6 +6,7 @@
 #define CATKINFORD_PROCESS_WAITING_LANES_H_
 
 #include <absl/container/btree_set.h>
+#include <absl/container/inlined_vector.h>
 
 #include <array>
 #include <cstdint>
@@ -36,6 +37,10 @@
   team_index team = 0;
 };
 
+constexpr uint32_t kLaneDepth = 16;  // jobs of a lane that are tried before it counts as blocked
+
+using lane_needs = absl::InlinedVector<resources, kLaneDepth>;
+
 struct lane {
   job_handle head = kNoJob;
   job_handle tail = kNoJob;
@@ -45,7 +50,8 @@
   bool waits_grant = false;  // while blocked: a higher grant would help something in it
   bool watched = false;      // a timer looks after what stands first
   double ratio = 0;          // the key under which it stands in the order
-  resources least_need;      // while kNoRoom: less than this free does not help
+  uint64_t tried = 0;        // the round in which it last found no room
+  lane_needs needs;          // while kNoRoom: one of these has to fit somewhere
   drain_meter meter;
 };
 
@@ -54,6 +60,10 @@
   explicit waiting_lanes(job_table& jobs) : jobs_(jobs) {}
 
   lane& At(const lane_ref& ref);
+  // The same for a lane that is known to exist.
+  const lane& Peek(const lane_ref& ref) const {
+    return teams_[ref.team][static_cast<size_t>(ref.kind)];
+  }
 
   // `front`: a job whose tasks have waited before and come back.
   void Append(job_handle job, bool front, double ratio);
@@ -66,22 +76,12 @@
 
   // The ready lane of a class with the lowest ratio.
   std::optional<lane_ref> First(lane_class kind) const;
-  void Block(const lane_ref& ref, lane_state why, const resources& least_need, bool waits_grant);
+  void Block(const lane_ref& ref, lane_state why, const lane_needs& needs, bool waits_grant);
   void Unblock(const lane_ref& ref);
   // Unblocks the team's lanes that wait for its grant.
   void GrantChanged(team_index team);
-  // Unblocks lanes for which `helps(least_need)` holds.
-  template <typename predicate>
-  void RoomChanged(predicate helps) {
-    for (size_t i = 0; i < no_room_.size();) {
-      const lane_ref ref = no_room_[i];
-      if (helps(At(ref).least_need)) {
-        Unblock(ref);  // takes it out of no_room_
-      } else {
-        ++i;
-      }
-    }
-  }
+  // Lanes that wait for room, in no order.
+  const std::vector<lane_ref>& NoRoom() const { return no_room_; }
   bool AnyReady() const;
 
  private:
