--- a/src/process/decision_impl.h
+++ b/src/process/decision_impl.h
@@ -159,6 +159,7 @@
   std::vector<endpoint_index> chosen;     // scratch of a placement
   std::vector<resources> not_fitting;     // needs that fit no endpoint now, the smallest ones
   std::vector<resources> freed_room;      // scratch of a look through blocked lanes
+  size_t freed_seen = 0;                  // freed endpoints that not_fitting reflects
   uint64_t round = 0;
   std::vector<job_handle> saving;  // by team: the job that its grant is saved for
   monotonic_time last_decide{};
--- a/src/process/decision_rounds.cc
+++ b/src/process/decision_rounds.cc
@@ -39,7 +39,6 @@
   if (recheck_fits) RefuseNeverFitting();
   ServeReservations(now, out);
   ++round;
-  RoomFreed();
   PlaceReady(now, out);
   for (size_t i = 0; i < kMostPending && !pending.empty(); ++i) {
     out.push_back(std::move(pending.front()));
@@ -122,14 +121,17 @@
   });
 }
 
-// What fitted nowhere may fit now, where an endpoint has more room than before.
+// What fitted nowhere may fit now, where an endpoint has more room than before. Also within a
+// round: a start may give up a reservation, and work would be told that it fits nowhere while there
+// is room.
 void decision_core::impl::RoomFreed() {
-  if (floor.Freed().size() > kMostFreedLookedAt) {
+  const std::vector<endpoint_index>& freed = floor.Freed();
+  if (freed.size() - freed_seen > kMostFreedLookedAt) {
     not_fitting.clear();
-    return;
+    freed_seen = freed.size();
   }
-  for (const endpoint_index endpoint : floor.Freed()) {
-    const resources free = floor[endpoint].Free();
+  for (; freed_seen < freed.size(); ++freed_seen) {
+    const resources free = floor[freed[freed_seen]].Free();
     std::erase_if(not_fitting, [&free](const resources& need) { return Fits(need, free); });
   }
 }
@@ -173,6 +175,7 @@
 // Makes ready the first of the blocked lanes that freed room can help. One at a time: most often it
 // takes the room, and all others would be tried for nothing.
 void decision_core::impl::WakeBest() {
+  RoomFreed();
   ListFreedRoom();
   if (freed_room.empty()) return;
   std::optional<lane_rank> best;
@@ -217,6 +220,7 @@
     const std::optional<lane_ref> ref = Pick();
     if (!ref) {
       floor.ClearFreed();
+      freed_seen = 0;
       return;
     }
     TryLane(*ref, now, out);
