--- a/bench/commands.h
+++ b/bench/commands.h
@@ -22,6 +22,9 @@
 // Times of decisions: `decisions [--endpoints N] [--running M] [--seed S] [--json F]`.
 int DecisionsMain(int argc, char** argv);
 
+// Policies in virtual time: `policy --mix kitamura|altynsay|both [--seed S] [--json F]`.
+int PolicyMain(int argc, char** argv);
+
 }  // namespace catkinford
 
 #endif  // CATKINFORD_BENCH_COMMANDS_H_
--- a/bench/decisions.cc
+++ b/bench/decisions.cc
@@ -1,6 +1,5 @@
 #include "bench/decisions.h"
 
-#include <absl/flags/declare.h>
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 
@@ -11,12 +10,11 @@
 #include <nlohmann/json.hpp>
 
 #include "bench/commands.h"
+#include "bench/flags.h"
 #include "bench/latency.h"
 #include "bench/random_source.h"
 #include "process/decision_core.h"
 
-ABSL_DECLARE_FLAG(std::string, json);
-ABSL_DECLARE_FLAG(uint64_t, seed);
 ABSL_FLAG(uint32_t, endpoints, 467, "endpoints of the shard; 0: 50, 467 and 4,200 in turn");
 ABSL_FLAG(uint32_t, running, 0, "tasks running at the start; 0: 28 for each endpoint");
 ABSL_FLAG(uint32_t, steps, 20000, "measured decisions for each phase");
--- a/bench/latency.h
+++ b/bench/latency.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstddef>
 #include <vector>
 
@@ -19,7 +20,8 @@
   // The sample that `part` of all do not pass; zero without samples.
   duration Percentile(double part) const {
     if (samples_.empty()) return duration{0};
-    const auto rank = static_cast<size_t>(part * static_cast<double>(samples_.size() - 1) + 0.5);
+    const auto rank =
+        static_cast<size_t>(std::lround(part * static_cast<double>(samples_.size() - 1)));
     std::vector<duration> sorted = samples_;
     std::nth_element(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(rank),
                      sorted.end());
--- /dev/null
+++ b/bench/policy.cc
@@ -0,0 +1,133 @@
+#include "bench/policy.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <string>
+#include <vector>
+
+#include "bench/baselines.h"
+#include "bench/commands.h"
+#include "bench/flags.h"
+#include "bench/simulation.h"
+#include "bench/workload.h"
+
+ABSL_FLAG(std::string, mix, "both", "kitamura, altynsay or both");
+
+namespace catkinford {
+namespace {
+
+constexpr std::array<double, 5> kLoads = {0.5, 0.9, 1.2, 2.0, 3.0};
+
+nlohmann::json WaitsToJson(const wait_samples& waits) {
+  const double mean = waits.Count() == 0 ? 0
+                                         : static_cast<double>(waits.Sum().count()) /
+                                               static_cast<double>(waits.Count());
+  return {{"count", waits.Count()},
+          {"mean_ms", mean},
+          {"p50_ms", waits.Percentile(0.5).count()},
+          {"p99_ms", waits.Percentile(0.99).count()}};
+}
+
+nlohmann::json ToJson(const simulation_result& result) {
+  nlohmann::json waits;
+  for (size_t kind = 0; kind < result.waits.size(); ++kind) {
+    if (result.waits[kind].Count() == 0) continue;
+    waits[std::string(ToText(static_cast<workload_kind>(kind)))] = WaitsToJson(result.waits[kind]);
+  }
+  if (result.urgent_waits.Count() > 0) waits["urgent"] = WaitsToJson(result.urgent_waits);
+  return {{"waits", waits},
+          {"started", result.started},
+          {"in_time", result.in_time},
+          {"refused", result.refused},
+          {"preempted", result.preempted},
+          {"never_started", result.never_started},
+          {"over_capacity", result.over_capacity},
+          {"packing", result.packing},
+          {"signature", result.signature}};
+}
+
+template <simulated_scheduler scheduler>
+nlohmann::json RunOne(const workload& work, uint64_t seed) {
+  simulation_options options;
+  options.seed = seed;
+  return ToJson(Simulate<scheduler>(work, options));
+}
+
+double ShareError(const workload& work, uint64_t seed) {
+  simulation_options options;
+  options.seed = seed;
+  options.measure_share = true;
+  return Simulate<decision_core>(work, options).share_error;
+}
+
+// Interactive work that ended by its deadline, in a second, at each load.
+nlohmann::json Goodput(uint64_t seed) {
+  nlohmann::json curve = nlohmann::json::array();
+  for (const double load : kLoads) {
+    const workload work = OverloadWorkload(load, seed);
+    const simulation_result core = Simulate<decision_core>(work, {seed});
+    const simulation_result first = Simulate<baseline_scheduler<first_fit>>(work, {seed});
+    const double length = std::chrono::duration<double>(work.length).count();
+    curve.push_back({{"load", load},
+                     {"core", static_cast<double>(core.in_time) / length},
+                     {"core_refused", core.refused},
+                     {"first_fit", static_cast<double>(first.in_time) / length}});
+  }
+  return curve;
+}
+
+void PrintMix(const nlohmann::json& figures) {
+  for (const auto& [scheduler, result] : figures.items()) {
+    std::printf("%-14s started %7d refused %6d preempted %4d never started %4d packing %.3f\n",
+                scheduler.c_str(), result["started"].get<int>(), result["refused"].get<int>(),
+                result["preempted"].get<int>(), result["never_started"].get<int>(),
+                result["packing"].get<double>());
+    for (const auto& [kind, waits] : result["waits"].items()) {
+      std::printf("    %-12s %7d waits  mean %9.1f ms  p50 %7d  p99 %7d\n", kind.c_str(),
+                  waits["count"].get<int>(), waits["mean_ms"].get<double>(),
+                  waits["p50_ms"].get<int>(), waits["p99_ms"].get<int>());
+    }
+  }
+}
+
+}  // namespace
+
+nlohmann::json RunMix(std::string_view mix, uint64_t seed) {
+  const workload work = MixedWorkload(mix, seed);
+  return {{"core", RunOne<decision_core>(work, seed)},
+          {"first_fit", RunOne<baseline_scheduler<first_fit>>(work, seed)},
+          {"random_of_two", RunOne<baseline_scheduler<random_of_two>>(work, seed)}};
+}
+
+nlohmann::json RunFocused(uint64_t seed) {
+  const workload packing = PackingWorkload(seed);
+  return {
+      {"packing",
+       {{"core", Simulate<decision_core>(packing, {seed}).packing},
+        {"first_fit", Simulate<baseline_scheduler<first_fit>>(packing, {seed}).packing},
+        {"random_of_two", Simulate<baseline_scheduler<random_of_two>>(packing, {seed}).packing}}},
+      {"share_error", ShareError(ShareWorkload(seed), seed)},
+      {"goodput", Goodput(seed)}};
+}
+
+int PolicyMain(int argc, char** argv) {
+  absl::ParseCommandLine(argc, argv);
+  const std::string mix = absl::GetFlag(FLAGS_mix);
+  const uint64_t seed = absl::GetFlag(FLAGS_seed);
+  nlohmann::json figures = {{"mix", mix}, {"seed", seed}};
+  figures["schedulers"] = RunMix(mix, seed);
+  figures["focused"] = RunFocused(seed);
+  std::printf("mix %s, seed %llu\n", mix.c_str(), static_cast<unsigned long long>(seed));
+  PrintMix(figures["schedulers"]);
+  std::printf("focused %s\n", figures["focused"].dump(1).c_str());
+  if (const std::string file = absl::GetFlag(FLAGS_json); !file.empty()) {
+    std::ofstream(file) << figures.dump(2) << "\n";
+  }
+  return 0;
+}
+
+}  // namespace catkinford
--- a/src/main/catkinford-bench.cc
+++ b/src/main/catkinford-bench.cc
@@ -23,6 +23,7 @@
     {"scenario", catkinford::ScenarioMain, "a failure scenario: scenario NAME --seed N, --list"},
     {"tables", catkinford::TablesMain, "write the tables of docs/ from the code: tables [ROOT]"},
     {"decisions", catkinford::DecisionsMain, "times of decisions: decisions --endpoints N"},
+    {"policy", catkinford::PolicyMain, "policies in virtual time: policy --mix both"},
 });
 
 int Usage() {
