--- a/bench/decisions.cc
+++ b/bench/decisions.cc
@@ -15,7 +15,6 @@
 #include "bench/random_source.h"
 #include "process/decision_core.h"
 
-ABSL_FLAG(uint32_t, endpoints, 467, "endpoints of the shard; 0: 50, 467 and 4,200 in turn");
 ABSL_FLAG(uint32_t, running, 0, "tasks running at the start; 0: 28 for each endpoint");
 ABSL_FLAG(uint32_t, steps, 20000, "measured decisions for each phase");
 
--- a/bench/flags.h
+++ b/bench/flags.h
@@ -11,5 +11,7 @@
 ABSL_DECLARE_FLAG(std::string, json);
 ABSL_DECLARE_FLAG(uint64_t, seed);
 ABSL_DECLARE_FLAG(std::string, commit);
+ABSL_DECLARE_FLAG(uint32_t, endpoints);  // 0: the command's own default
+ABSL_DECLARE_FLAG(std::string, mix);     // empty: the command's own default
 
 #endif  // CATKINFORD_BENCH_FLAGS_H_
--- a/bench/load_command.cc
+++ b/bench/load_command.cc
@@ -15,14 +15,11 @@
 
 ABSL_FLAG(double, rate, 3000, "load: arrivals a second");
 ABSL_FLAG(double, seconds, 20, "load: how long");
-ABSL_FLAG(std::string, mix, "interactive=1",
-          "load: parts, such as interactive=0.9,batch=0.08,gang=0.02,not_repeatable=0.5");
 ABSL_FLAG(std::string, entries, "",
           "load: URLs of entries that run already, separated by commas; empty: a fleet is started");
 ABSL_FLAG(std::string, keys, "", "load: TEAM:SECRET[,TEAM:SECRET...] for --entries");
 ABSL_FLAG(double, warm_up, 2, "load: seconds of load before the figures are taken");
 ABSL_FLAG(uint32_t, clients, 3, "load: threads that send");
-ABSL_FLAG(uint32_t, endpoints, 17, "load: endpoints in each failure domain");
 ABSL_FLAG(uint32_t, run_ms, 20, "load: usual run time; each takes from half of it to half more");
 
 namespace catkinford {
@@ -32,6 +29,14 @@
 
 constexpr milliseconds kStartLimit{30000};
 constexpr milliseconds kDrainLimit{15000};
+constexpr uint32_t kEndpointsInDomain = 17;
+constexpr char kMix[] = "interactive=1";
+
+// The mix asked for, or all interactive work.
+std::string MixFromFlags() {
+  const std::string mix = absl::GetFlag(FLAGS_mix);
+  return mix.empty() ? kMix : mix;
+}
 
 struct load_setup {
   std::vector<load_target> targets;
@@ -135,7 +140,7 @@
   if (file.empty()) return;
   all["rate"] = absl::GetFlag(FLAGS_rate);
   all["seconds"] = absl::GetFlag(FLAGS_seconds);
-  all["mix"] = absl::GetFlag(FLAGS_mix);
+  all["mix"] = MixFromFlags();
   all["run_ms"] = absl::GetFlag(FLAGS_run_ms);
   all["seed"] = absl::GetFlag(FLAGS_seed);
   all["commit"] = absl::GetFlag(FLAGS_commit);
@@ -144,7 +149,8 @@
 
 int MeasureFleet(const load_options& options) {
   fleet_options fleet_options;
-  fleet_options.endpoints_per_domain = absl::GetFlag(FLAGS_endpoints);
+  const uint32_t endpoints = absl::GetFlag(FLAGS_endpoints);
+  fleet_options.endpoints_per_domain = endpoints == 0 ? kEndpointsInDomain : endpoints;
   fleet_options.seed = options.seed;
   fleet running(fleet_options);
   if (!running.Start(kStartLimit)) return 1;
@@ -168,7 +174,7 @@
 int LoadMain(int argc, char** argv) {
   absl::ParseCommandLine(argc, argv);
   load_options options = OptionsFromFlags();
-  if (!ParseMix(absl::GetFlag(FLAGS_mix), options.mix) || options.rate <= 0) {
+  if (!ParseMix(MixFromFlags(), options.mix) || options.rate <= 0) {
     std::fputs("load: a --rate over 0 and a --mix such as interactive=0.9,batch=0.1, please\n",
                stderr);
     return 2;
--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -15,8 +15,6 @@
 #include "bench/simulation.h"
 #include "bench/workload.h"
 
-ABSL_FLAG(std::string, mix, "both", "kitamura, altynsay or both");
-
 namespace catkinford {
 namespace {
 
@@ -116,7 +114,8 @@
 
 int PolicyMain(int argc, char** argv) {
   absl::ParseCommandLine(argc, argv);
-  const std::string mix = absl::GetFlag(FLAGS_mix);
+  const std::string asked = absl::GetFlag(FLAGS_mix);
+  const std::string mix = asked.empty() ? "both" : asked;
   const uint64_t seed = absl::GetFlag(FLAGS_seed);
   nlohmann::json figures = {{"mix", mix}, {"seed", seed}};
   figures["schedulers"] = RunMix(mix, seed);
