Shed work that would wait longer than half of the time to its deadline

Cause: at 3x load goodput fell to 63 % of its peak: a queue as long as the deadline starts everything just before it, and all ends too late. Ruled out: the drain rate (measured right: the queue stood at the deadline). Change: kWaitPart. Conclusion: 0.5 kept, 99.6 % of the peak at 3x.

--- a/src/process/decision_jobs.cc
+++ b/src/process/decision_jobs.cc
@@ -16,6 +16,11 @@
 constexpr std::chrono::minutes kSteadyRun{1};  // a run of that length ends a row of failures
 constexpr uint32_t kStartsBeforeBackoff = 3;   // failed starts before a job waits
 
+// The part of the time to its deadline that a request may wait. Measured at 3x load, goodput of a
+// peak of 1,726/s: 1.0 gave 1,078/s, 0.8 1,719, 0.5 1,719, 0.3 1,719. The middle leaves the
+// longest run time and a wrong rate the most room without refusing at lower loads.
+constexpr double kWaitPart = 0.5;
+
 bool HasDeadline(const job_request& request) {
   return request.deadline != monotonic_time{} && request.deadline != monotonic_time::max();
 }
@@ -56,11 +61,14 @@
                      absl::StrCat(team.queued_tasks, " tasks of the team wait already")};
   }
   if (!HasDeadline(request)) return std::nullopt;
+  // Work admitted up to its deadline would start just before it and end after it: the floor would
+  // be busy with answers that nobody waits for any more.
+  const auto budget =
+      std::chrono::duration_cast<milliseconds>((request.deadline - now) * kWaitPart);
   const std::optional<milliseconds> wait = l.meter.TimeToDrain(l.tasks + 1, now);
-  if (wait && now + *wait > request.deadline) {
-    const auto late = std::chrono::duration_cast<milliseconds>(now + *wait - request.deadline);
-    return admission{false, refusal_reason::kShed, RetryAfter(late, Random()),
-                     "would not start before its deadline"};
+  if (wait && *wait > budget) {
+    return admission{false, refusal_reason::kShed, RetryAfter(*wait - budget, Random()),
+                     "would start too late for its deadline"};
   }
   return std::nullopt;
 }
