Let a job with held endpoints go before the one its team's grant is saved for

Cause: a property test over random events found two gangs of one team that never started: endpoints were held for the first, the team's grant was saved for the second, and each waited for the other. Change: what endpoints are held for does not wait behind the saving.

--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -59,22 +59,22 @@
     free_.reserve(work.endpoints.size());
     for (const endpoint_shape& shape : work.endpoints) {
       scheduler_.SetEndpoint(static_cast<endpoint_index>(free_.size()), shape,
-                             endpoint_state::kOpen, start_);
+                             endpoint_state::kOpen, kStart);
       free_.push_back(shape.capacity);
       capacity_ += shape.capacity;
     }
     constexpr resources kUnlimited{UINT32_MAX / 2, UINT32_MAX / 2, UINT32_MAX / 2, 0};
     for (team_index t = 0; t < work.teams.size(); ++t) {
       const generated_team& team = work.teams[t];
-      scheduler_.SetTeam(t, {team.weight, kUnlimited, team.running_limit, 1000000}, start_);
-      scheduler_.SetGrant(t, {kUnlimited, team.running_limit}, start_);
+      scheduler_.SetTeam(t, {team.weight, kUnlimited, team.running_limit, 1000000}, kStart);
+      scheduler_.SetGrant(t, {kUnlimited, team.running_limit}, kStart);
       weights_ += team.weight;
     }
     team_used_.resize(work.teams.size());
   }
 
   simulation_result Run() {
-    const monotonic_time end = start_ + work_.length;
+    const monotonic_time end = kStart + work_.length;
     size_t next = 0;
     while (now_ < end) {
       while (next < work_.jobs.size() && Arrival(next) <= now_) Submit(next++);
@@ -111,10 +111,10 @@
     std::vector<std::chrono::milliseconds> left;
   };
 
-  static constexpr monotonic_time start_{std::chrono::hours{1}};
+  static constexpr monotonic_time kStart{std::chrono::hours{1}};
 
   monotonic_time Arrival(size_t job) const {
-    return start_ + work_.jobs[job].request.submitted.time_since_epoch();
+    return kStart + work_.jobs[job].request.submitted.time_since_epoch();
   }
 
   void Submit(size_t number) {
@@ -122,7 +122,7 @@
     job_request request = job.request;
     request.submitted = Arrival(number);
     if (request.deadline != monotonic_time{}) {
-      request.deadline = start_ + request.deadline.time_since_epoch();
+      request.deadline = kStart + request.deadline.time_since_epoch();
     }
     if (!scheduler_.Submit(request, now_).queued) {
       ++result_.refused;
@@ -198,7 +198,7 @@
       state.left[end.task.index] -= std::min(ran, state.left[end.task.index]);
       ++waiting_;
     } else if (request.kind == workload_kind::kInteractive) {
-      const monotonic_time due = start_ + request.deadline.time_since_epoch();
+      const monotonic_time due = kStart + request.deadline.time_since_epoch();
       result_.in_time += now_ <= due ? 1 : 0;
     }
     scheduler_.Finished(end.task, end.how, ran, now_);
@@ -208,9 +208,10 @@
   void Account() {
     if (!options_.measure_share || now_ < next_account_) return;
     next_account_ = now_ + std::chrono::seconds{1};
-    if (now_ - start_ < options_.share_from) return;
+    if (now_ - kStart < options_.share_from) return;
     double total = 0;
     std::vector<double> parts;
+    parts.reserve(team_used_.size());
     for (const resources& used : team_used_) parts.push_back(DominantPart(used, capacity_));
     for (const double part : parts) total += part;
     double worst = 0;
@@ -232,13 +233,13 @@
   }
 
   void Close() {
-    const std::chrono::duration<double> span = waited_until_ - start_;
+    const std::chrono::duration<double> span = waited_until_ - kStart;
     for (size_t a = 0; a < kAmounts; ++a) {
       const double whole = AmountOf(capacity_, a) * span.count();
       if (whole > 0) result_.packing = std::max(result_.packing, waited_volume_[a] / whole);
     }
     if (share_count_ > 0) result_.share_error = share_sum_ / share_count_;
-    const monotonic_time half = start_ + work_.length / 2;
+    const monotonic_time half = kStart + work_.length / 2;
     for (const auto& [id, state] : states_) {
       const bool early = Arrival(state.job) < half;
       result_.never_started += early && state.started == 0 ? 1 : 0;
@@ -250,7 +251,7 @@
   simulation_options options_;
   scheduler scheduler_;
   simulation_result result_;
-  monotonic_time now_ = start_;
+  monotonic_time now_ = kStart;
   std::vector<command> commands_;
   std::vector<resources> free_;
   std::vector<resources> team_used_;
@@ -264,8 +265,8 @@
   int64_t waiting_ = 0;
   std::array<double, kAmounts> volume_{};
   std::array<double, kAmounts> waited_volume_{};
-  monotonic_time waited_until_ = start_;
-  monotonic_time next_account_ = start_;
+  monotonic_time waited_until_ = kStart;
+  monotonic_time next_account_ = kStart;
   double share_sum_ = 0;
   uint32_t share_count_ = 0;
 };
--- a/src/process/decision_rounds.cc
+++ b/src/process/decision_rounds.cc
@@ -273,13 +273,16 @@
   return job.request.kind == workload_kind::kGang ? job.waiting : 1;
 }
 
-// Within the grant, and not taking what is saved for an older job of the same team.
+// Within the grant, and not taking what is saved for an older job of the same team. A job for which
+// endpoints are held goes ahead: the older one may itself be waiting for these endpoints, and
+// neither would ever start.
 bool decision_core::impl::MayStart(const job_record& job, uint32_t count) const {
   const team_index team = job.request.team;
   if (!teams.WithinGrant(team, job.request.each, count, floor)) return false;
   const job_handle saved_for = team < saving.size() ? saving[team] : kNoJob;
   const bool waits_behind = saved_for != kNoJob && &jobs[saved_for] != &job &&
-                            !job.request.urgent && job.request.kind != workload_kind::kInteractive;
+                            job.reservation == kNoReservation && !job.request.urgent &&
+                            job.request.kind != workload_kind::kInteractive;
   return !waits_behind;
 }
 
--- a/test/decision_core_test.cc
+++ b/test/decision_core_test.cc
@@ -71,6 +71,51 @@
   CHECK(ran.size() == 2);
 }
 
+// Small tasks that run for long fill every gap, and each that ends is followed by another. Without
+// a reservation the large job would wait for ever, while its team sees younger work start.
+TEST_CASE_METHOD(decision_fixture, "large job, small work in every gap, starts after its bound",
+                 "[decisions]") {
+  AddEndpoints(2);
+  AddTeam(1, 1.0);
+  uint64_t next = 100;
+  for (int i = 0; i < 4; ++i) Run(Job(next++, workload_kind::kBatch, 8000));
+  core_.Submit(Job(1, workload_kind::kBatch, 16000, 1, 1), now_);
+  bool started = false;
+  for (int second = 0; second < 60 && !started; ++second) {
+    core_.Submit(Job(next++, workload_kind::kBatch, 8000), now_);
+    for (const command& c : DecideFor(seconds{1})) {
+      started = started || (c.kind == command_kind::kStart && c.task.job.lo == 1);
+      if (c.kind == command_kind::kStart) core_.Started(c.task, now_);
+      if (c.kind == command_kind::kStop) {
+        core_.Finished(c.task, task_end::kCheckpointed, seconds{1}, now_);
+      }
+    }
+  }
+  CHECK(started);
+}
+
+// The estimate says that a small job ends before the held endpoint is needed, and it is wrong. The
+// job that the endpoint is held for must not wait for it.
+TEST_CASE_METHOD(decision_fixture, "backfill, runs longer than declared, is stopped at the bound",
+                 "[decisions]") {
+  AddEndpoints(1);
+  const auto first = Run(Job(1, workload_kind::kBatch, 8000));
+  core_.Submit(Job(2, workload_kind::kGang, 8000, 2), now_);
+  DecideFor(seconds{6});
+  job_request small = Job(3, workload_kind::kBatch, 8000);
+  small.declared_run_time = seconds{1};
+  REQUIRE(Run(small).size() == 1);
+  core_.Finished(first[0].task, task_end::kDone, seconds{6}, now_);
+  CHECK(Only(Decide(), command_kind::kStart).empty());
+  const auto stops = DecideFor(seconds{40});
+  REQUIRE(stops.size() == 1);
+  CHECK(stops[0].task.job.lo == 3);
+  core_.Finished(stops[0].task, task_end::kCheckpointed, seconds{30}, now_);
+  const auto starts = Only(Decide(), command_kind::kStart);
+  REQUIRE(starts.size() == 2);
+  CHECK(starts[0].task.job.lo == 2);
+}
+
 TEST_CASE_METHOD(decision_fixture, "gang, one start fails, stops the rest and starts whole again",
                  "[decisions]") {
   AddEndpoints(4);
