--- a/bench/caller.h
+++ b/bench/caller.h
@@ -43,7 +43,8 @@
   // Sends at once and writes down the answer; `then` is called on a client's thread.
   void Submit(const std::string& entry, const std::string& url, const team_access& team,
               const call_spec& spec, wall_time scheduled, on_answer then = nullptr);
-  // Cancels the job that was made of `work`; its calls count as cancelled from now on.
+  // Cancels the job that an entry answered `work` with, if any did; its calls count as cancelled
+  // from now on.
   void Cancel(const std::string& entry, const std::string& url, const team_access& team,
               const std::string& work);
 
@@ -68,7 +69,7 @@
   std::vector<std::string> cancelled_;  // marks
 };
 
-// Fills in what the entry said. False for an answer that is no outcome.
+// Fills in what the entry said, after its status. False for an answer that is no outcome.
 bool ReadOutcome(const std::string& body, call_record& record);
 
 }  // namespace catkinford
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -31,6 +31,7 @@
   http_server_options options;
   options.port = config.listen.caller_port;
   options.address = config.listen.address;
+  options.tls = !config.listen.tls_certificate_file.empty();
   options.body_limit = config.bounds.body_bytes;
   options.connection_limit = config.bounds.waiting_requests + 256;
   return options;
@@ -96,7 +97,11 @@
       versions_(
           store_, config_.isolation.key_grace, [this](core_task task) { Post(std::move(task)); },
           [this](monotonic_time now) { OnVersion(now); }),
-      grants_(store_, [this](core_task task) { Post(std::move(task)); }) {}
+      grants_(store_, [this](core_task task) { Post(std::move(task)); }),
+      jobs_(config_.name, [this](const store_request& call,
+                                 std::function<void(store_reply, monotonic_time)> done) {
+        SendStoreRequest(call, std::move(done));
+      }) {}
 
 node::~node() {
   if (core_.joinable()) {
@@ -109,7 +114,19 @@
   platform_http_.Stop();
 }
 
+tls_fault node::ReloadCertificate() {
+  if (config_.listen.tls_certificate_file.empty()) return tls_fault::kNone;
+  const tls_fault fault =
+      front_.SetCertificateFiles(config_.listen.tls_certificate_file, config_.listen.tls_key_file);
+  const bool good = fault == tls_fault::kNone;
+  log_.Emit(good ? event_code::kCertificateTaken : event_code::kCertificateRefused,
+            steady_clock::now(), {}, 0, config_.listen.tls_certificate_file,
+            good ? "" : std::string(ToText(fault)));
+  return fault;
+}
+
 start_fault node::Start() {
+  if (ReloadCertificate() != tls_fault::kNone) return start_fault::kCertificate;
   endpoint_http_.Start();
   platform_http_.Start();
   if (!mailbox_.Start()) return start_fault::kPeerPort;
@@ -173,6 +190,8 @@
     SendHeartbeats(now);
     TickStatus(now);
   }
+  for (opened_log& log : jobs_.Tick(now)) GainShard(std::move(log), now);
+  for (auto& [number, held] : shards_) jobs_.TakeNotices(number, *held, now);
   std::vector<shard*> owned;
   owned.reserve(shards_.size());
   for (auto& [number, held] : shards_) owned.push_back(held.get());
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -26,6 +26,7 @@
 #include "process/config_keeper.h"
 #include "process/event_log.h"
 #include "process/grant_keeper.h"
+#include "process/job_keeper.h"
 #include "process/metrics.h"
 #include "process/ownership.h"
 #include "process/peer_mailbox.h"
@@ -39,7 +40,7 @@
 
 namespace catkinford {
 
-enum class start_fault : uint8_t { kNone, kCallerPort, kPeerPort };
+enum class start_fault : uint8_t { kNone, kCallerPort, kPeerPort, kCertificate };
 
 class node {
  public:
@@ -49,6 +50,9 @@
   node& operator=(const node&) = delete;
 
   start_fault Start();
+  // Reads the certificate's files again; new connections of callers get it, open ones go on. On a
+  // fault the old one stays in use.
+  tls_fault ReloadCertificate();
   // Graceful: not ready, refuses new work, hands its shards over, finishes what is in flight.
   void BeginShutdown();
   // Until the shutdown is done.
@@ -125,9 +129,10 @@
 
   // node_shards.cc: ownership, shards, their actions.
   void TakeOwnership(const ownership_actions& actions, monotonic_time now);
-  void SendStoreCall(const store_request& call);
+  void SendStoreRequest(const store_request& call,
+                        std::function<void(store_reply, monotonic_time)> done);
   void OnOwnershipEvent(const ownership_event& event, monotonic_time now);
-  void GainShard(uint32_t number, uint64_t epoch, monotonic_time now);
+  void GainShard(opened_log log, monotonic_time now);
   void LoseShard(uint32_t number, monotonic_time now);
   void GiveEndpoints(shard& to, monotonic_time now);
   void ShareUsage(monotonic_time now);
@@ -210,6 +215,7 @@
   ownership ownership_;
   config_keeper versions_;
   grant_keeper grants_;
+  job_keeper jobs_;
   std::map<uint32_t, std::unique_ptr<shard>> shards_;
   std::map<std::string, peer_state> peers_;
   std::vector<instance> own_endpoints_;  // of this failure domain
