--- a/bench/commands.h
+++ b/bench/commands.h
@@ -21,6 +21,12 @@
 // Failure scenarios: `scenario NAME --seed N`, `scenario --list`.
 int ScenarioMain(int argc, char** argv);
 
+// Times of decisions: `decisions [--endpoints N] [--running M] [--seed S] [--json F]`.
+int DecisionsMain(int argc, char** argv);
+
+// Policies in virtual time: `policy --mix kitamura|altynsay|both [--seed S] [--json F]`.
+int PolicyMain(int argc, char** argv);
+
 }  // namespace catkinford
 
 #endif  // CATKINFORD_BENCH_COMMANDS_H_
--- a/src/process/decision_impl.h
+++ b/src/process/decision_impl.h
@@ -32,6 +32,7 @@
   kBackoffOver,   // of job `subject`
   kCoolingOver,   // of endpoint `subject`
   kEjectionOver,  // of endpoint `subject`
+  kPauseOver,     // of lane `subject`
   kLaneWatch,     // of lane `subject`, numbered team * kLaneClasses + class
   kRoomDue        // of reservation `subject`: its bound, or its end
 };
@@ -63,7 +64,14 @@
   bool cleared = false;  // batch work in the way was asked to stop
 };
 
-constexpr uint32_t kLaneDepth = 16;  // jobs of a lane that are tried before it counts as blocked
+// Lanes by number, for timers.
+inline uint32_t NumberOf(const lane_ref& ref) {
+  return static_cast<uint32_t>(ref.team * kLaneClasses + static_cast<size_t>(ref.kind));
+}
+inline lane_ref LaneOf(uint32_t number) {
+  return {static_cast<lane_class>(number % kLaneClasses),
+          static_cast<team_index>(number / kLaneClasses)};
+}
 
 struct decision_core::impl {
   explicit impl(core_options core) : options(core), random_state(core.seed), lanes(jobs) {}
@@ -105,7 +113,13 @@
   void Fire(const timer& due, monotonic_time now);
   void StopCancelled();
   void RefuseNeverFitting();
-  void WakeLanes();
+  void RoomFreed();
+  void WakeBest();
+  void ListFreedRoom();
+  bool FreedRoomHolds(const resources& need) const;
+  bool KnownNotToFit(const resources& need) const;
+  void NoteNotFitting(const resources& need);
+  lane_rank RankOf(const lane_ref& ref) const;
   std::optional<lane_ref> Pick() const;
   void PlaceReady(monotonic_time now, std::vector<command>& out);
   bool TryLane(const lane_ref& ref, monotonic_time now, std::vector<command>& out);
@@ -116,6 +130,7 @@
   void StartChosen(job_handle job, monotonic_time now, std::vector<command>& out);
   void EndSaving(job_handle job);
   bool MayStart(const job_record& job, uint32_t count) const;
+  void Pause(const lane_ref& ref, monotonic_time now);
   uint32_t TasksAtOnce(const job_record& job) const;
   void Sign(const std::vector<command>& out, size_t first);
   monotonic_time NextWake() const;
@@ -153,7 +168,11 @@
   std::deque<timer> cancelled;            // jobs to stop: `subject` and `generation`
   std::vector<reservation> reservations;  // few; places are used again
   std::vector<endpoint_index> chosen;     // scratch of a placement
-  std::vector<job_handle> saving;         // by team: the job that its grant is saved for
+  std::vector<resources> not_fitting;     // needs that fit no endpoint now, the smallest ones
+  std::vector<resources> freed_room;      // scratch of a look through blocked lanes
+  size_t freed_seen = 0;                  // freed endpoints that not_fitting reflects
+  uint64_t round = 0;
+  std::vector<job_handle> saving;  // by team: the job that its grant is saved for
   monotonic_time last_decide{};
   uint32_t stopping = 0;         // preempted tasks that have not ended yet
   bool taken_unchecked = false;  // some work was taken in before all shapes were known
