--- a/bench/child_process.cc
+++ b/bench/child_process.cc
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <fstream>
 #include <random>
+#include <set>
 #include <sstream>
 #include <thread>
 #include <utility>
@@ -131,10 +132,13 @@
 
 uint16_t FreePort() {
   static std::mt19937 random(static_cast<unsigned>(getpid()));
+  static std::set<uint16_t> given;
   std::uniform_int_distribution<int> pick(kFirstPort, kLastPort);
   for (;;) {
     const auto port = static_cast<uint16_t>(pick(random));
-    if (CanListen(port)) return port;
+    // Given once only: one that was given may not be listened on yet, and a second process that got
+    // it would end with its port taken.
+    if (CanListen(port) && given.insert(port).second) return port;
   }
 }
 
--- a/bench/child_process.h
+++ b/bench/child_process.h
@@ -47,7 +47,7 @@
 };
 
 // A port on the loopback address that nobody listens on, outside the range from which the system
-// takes the ports of outgoing connections.
+// takes the ports of outgoing connections. Each port is given once. For one thread.
 uint16_t FreePort();
 
 }  // namespace catkinford
