--- /dev/null
+++ b/test/shard_test.cc
@@ -0,0 +1,344 @@
+#include "process/shard.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kEntry[] = "entry-a";
+
+// One shard with two endpoints, whose calls the test answers by hand.
+class shard_fixture {
+ public:
+  shard_fixture() : shard_(Options(), teams_) {
+    configuration config;
+    config.workspaces.resize(1);
+    config.workspaces[0].name = "showrooms";
+    team_contract team;
+    team.name = "booking";
+    team.limit = {100000, 100000, 0, 0};
+    team.running_limit = 100;
+    config.workspaces[0].teams.push_back(team);
+    shard_.SetConfiguration(config, now_);
+    grant_entry grant;
+    grant.team = "booking";
+    grant.shard = "sapporo-ch/0";
+    grant.grant = {{100000, 100000, 0, 100}, 100};
+    shard_.SetGrants({grant}, now_);
+    shard_.SetEndpoints({Endpoint("ep-0"), Endpoint("ep-1")}, now_);
+  }
+
+ protected:
+  static shard_options Options() {
+    shard_options options;
+    options.name = "sapporo-ch/0";
+    options.epoch = 7;
+    return options;
+  }
+
+  static instance Endpoint(const std::string& name) {
+    instance from;
+    from.name = name;
+    from.rack = "rack-" + name;
+    from.address = "http://127.0.0.1:1";
+    from.shape = {16000, 32768, 0, 8};
+    return from;
+  }
+
+  static place_message Place(uint64_t number, bool fresh = true) {
+    place_message place;
+    place.id = {number, number};
+    place.shard = "sapporo-ch/0";
+    place.team = "booking";
+    place.each = {100, 100, 0, 1};
+    place.deadline_left = milliseconds{5000};
+    place.fresh = fresh;
+    return place;
+  }
+
+  void Advance(milliseconds by) { now_ += by; }
+
+  // Lets the shard act and keeps what it wants done.
+  void Act() {
+    actions_.clear();
+    shard_.Act(now_, actions_);
+  }
+
+  template <typename Action>
+  std::vector<Action> Taken() const {
+    std::vector<Action> taken;
+    for (const shard_action& action : actions_) {
+      if (const auto* one = std::get_if<Action>(&action)) taken.push_back(*one);
+    }
+    return taken;
+  }
+
+  static endpoint_reply Done() {
+    endpoint_reply reply;
+    reply.status = endpoint_status::kDone;
+    reply.incarnation = 1;
+    return reply;
+  }
+
+  // Answers every fence under way with `tasks` on ep-0 and nothing on ep-1.
+  void AnswerFences(const std::vector<task_status>& tasks = {}) {
+    Act();
+    for (const fence_action& fence : Taken<fence_action>()) {
+      endpoint_reply reply = Done();
+      if (fence.endpoint == 0) reply.tasks = tasks;
+      shard_.OnFence(fence.endpoint, fence.token, reply, now_);
+    }
+  }
+
+  // The only start that is asked for.
+  start_action OneStart() {
+    Act();
+    const auto starts = Taken<start_action>();
+    REQUIRE(starts.size() == 1);
+    return starts[0];
+  }
+
+  void AnswerStart(const start_action& start, call_result result) {
+    endpoint_reply reply = Done();
+    for (const start_task& task : start.tasks) reply.results.push_back({task.id, result});
+    shard_.OnStart(start.endpoint, start.token, start.tasks, reply, now_);
+  }
+
+  void LoseStartReply(const start_action& start) {
+    endpoint_reply reply;
+    reply.status = endpoint_status::kMaybeSent;
+    shard_.OnStart(start.endpoint, start.token, start.tasks, reply, now_);
+  }
+
+  // The sync that is under way at `endpoint` since the last Act().
+  std::optional<sync_action> SyncAt(endpoint_index endpoint) const {
+    for (const sync_action& sync : Taken<sync_action>()) {
+      if (sync.endpoint == endpoint) return sync;
+    }
+    return std::nullopt;
+  }
+
+  monotonic_time now_ = monotonic_time{} + std::chrono::hours{1};
+  team_names teams_;
+  shard shard_;
+  std::vector<shard_action> actions_;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(shard_fixture, "shard, fresh request, starts once and answers its own entry",
+                 "[shard]") {
+  AnswerFences();
+  shard_.Place(kEntry, Place(1), now_);
+  const start_action start = OneStart();
+  AnswerStart(start, call_result::kStarted);
+  const std::optional<sync_action> sync = SyncAt(start.endpoint);
+  REQUIRE(sync);
+  endpoint_reply reply = Done();
+  reply.cursor = 1;
+  reply.finished.push_back({start.tasks[0].id, 1, task_result::kOk, milliseconds{5}, "booked"});
+  shard_.OnSync(start.endpoint, sync->call.epoch, reply, now_);
+  Act();
+  const auto answers = Taken<answer_action>();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].entry == kEntry);
+  CHECK(answers[0].result.kind == outcome_kind::kCompleted);
+  CHECK(answers[0].result.answer == "booked");
+}
+
+// A caller asks twice for the same booking, through two entries. If both were started, the room
+// would be booked twice.
+TEST_CASE_METHOD(shard_fixture, "shard, identity placed twice, starts once and answers both",
+                 "[shard]") {
+  AnswerFences();
+  shard_.Place(kEntry, Place(1), now_);
+  const start_action start = OneStart();
+  shard_.Place("entry-b", Place(1), now_);
+  Act();
+  CHECK(Taken<start_action>().empty());
+  AnswerStart(start, call_result::kStarted);
+  Act();
+  CHECK(Taken<start_action>().empty());
+}
+
+// A new owner gets a request that the old owner may have started on an endpoint that does not
+// answer yet. Starting it elsewhere would run it in two places.
+TEST_CASE_METHOD(shard_fixture, "shard, endpoint not listed, holds an identity that may run there",
+                 "[shard]") {
+  shard_.Place(kEntry, Place(1, false), now_);
+  Act();
+  CHECK(Taken<start_action>().empty());
+  for (const fence_action& fence : Taken<fence_action>()) {
+    if (fence.endpoint == 1) shard_.OnFence(1, fence.token, Done(), now_);
+  }
+  Act();
+  CHECK(Taken<start_action>().empty());
+  Advance(milliseconds{5001});
+  Act();
+  const auto answers = Taken<answer_action>();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].result.kind == outcome_kind::kUnknown);
+}
+
+// The old owner had started the request and died. Its caller's entry asks the new owner, which
+// finds it in the endpoint's list: the caller gets the answer of that run, not of a second one.
+TEST_CASE_METHOD(shard_fixture, "shard, identity found in a list, answers from that run",
+                 "[shard]") {
+  task_status listed;
+  listed.id = {{1, 1}, 0, 3};
+  listed.finished = true;
+  listed.amount = {100, 100, 0, 1};
+  listed.team = "booking";
+  listed.result = task_result::kOk;
+  listed.answer = "booked before";
+  AnswerFences({listed});
+  shard_.Place(kEntry, Place(1, false), now_);
+  Act();
+  CHECK(Taken<start_action>().empty());
+  const auto answers = Taken<answer_action>();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].result.answer == "booked before");
+}
+
+// The reply to a start is lost. The start may still lie in a buffer of a paused endpoint, so it is
+// neither repeated nor given up before the endpoint has been fenced with a raised token and listed.
+TEST_CASE_METHOD(shard_fixture, "shard, start reply lost, decides by a list under a raised token",
+                 "[shard]") {
+  AnswerFences();
+  shard_.Place(kEntry, Place(1), now_);
+  const start_action start = OneStart();
+  LoseStartReply(start);
+  Act();
+  CHECK(Taken<start_action>().empty());
+  const auto fences = Taken<fence_action>();
+  REQUIRE(fences.size() == 1);
+  CHECK(fences[0].token > start.token);
+  CHECK(OwnerEpochOf(fences[0].token) == 7);
+  SECTION("not listed: it never started and never will, and is started anew") {
+    shard_.OnFence(start.endpoint, fences[0].token, Done(), now_);
+    const start_action again = OneStart();
+    CHECK(again.tasks[0].id.attempt > start.tasks[0].id.attempt);
+  }
+  SECTION("listed: it runs, and is not started again") {
+    endpoint_reply reply = Done();
+    task_status running;
+    running.id = start.tasks[0].id;
+    running.amount = {100, 100, 0, 1};
+    running.team = "booking";
+    reply.tasks.push_back(running);
+    shard_.OnFence(start.endpoint, fences[0].token, reply, now_);
+    Act();
+    CHECK(Taken<start_action>().empty());
+  }
+}
+
+// The endpoint dies with a payment in it that must not be made twice. It may have been made.
+TEST_CASE_METHOD(shard_fixture, "shard, endpoint lost with non-repeatable work, answers unknown",
+                 "[shard]") {
+  AnswerFences();
+  place_message place = Place(1);
+  place.repeatable = false;
+  place.deadline_left = milliseconds{60000};
+  shard_.Place(kEntry, std::move(place), now_);
+  const start_action start = OneStart();
+  AnswerStart(start, call_result::kStarted);
+  const endpoint_reply lost;
+  for (int i = 0; i < 2; ++i) {
+    const std::optional<sync_action> sync = SyncAt(start.endpoint);
+    REQUIRE(sync);
+    shard_.OnSync(start.endpoint, sync->call.epoch, lost, now_);
+    Act();
+  }
+  Advance(milliseconds{11001});
+  Act();
+  CHECK(Taken<start_action>().empty());
+  const auto answers = Taken<answer_action>();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].result.kind == outcome_kind::kUnknown);
+}
+
+// Another entry has taken the shard over while this one was paused. The endpoint refuses our
+// epoch, and that refusal is proof that nothing was started by us.
+TEST_CASE_METHOD(shard_fixture, "shard, fenced off, gives the shard up", "[shard]") {
+  AnswerFences();
+  shard_.Place(kEntry, Place(1), now_);
+  const start_action start = OneStart();
+  endpoint_reply reply;
+  reply.status = endpoint_status::kFenced;
+  reply.epoch = TokenOf(8);
+  shard_.OnStart(start.endpoint, start.token, start.tasks, reply, now_);
+  Act();
+  const auto superseded = Taken<superseded_action>();
+  REQUIRE(superseded.size() == 1);
+  CHECK(superseded[0].epoch == 8);
+}
+
+// A batch job is accepted. If it were answered before its record stands in the store, the death of
+// this entry would lose work that a team was told is safe.
+TEST_CASE_METHOD(shard_fixture, "shard, durable job, is accepted only once recorded", "[shard]") {
+  AnswerFences();
+  place_message place = Place(1);
+  place.kind = workload_kind::kBatch;
+  place.deadline_left = {};
+  shard_.Place(kEntry, std::move(place), now_);
+  Act();
+  CHECK(Taken<record_action>().size() == 1);
+  CHECK(Taken<answer_action>().empty());
+  CHECK(Taken<start_action>().empty());
+  SECTION("recorded: accepted and started") {
+    shard_.OnRecorded({1, 1}, true, now_);
+    Act();
+    const auto answers = Taken<answer_action>();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].result.kind == outcome_kind::kAccepted);
+    CHECK(Taken<start_action>().size() == 1);
+  }
+  SECTION("not recorded: refused, and never started") {
+    shard_.OnRecorded({1, 1}, false, now_);
+    Act();
+    const auto answers = Taken<answer_action>();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].result.reason == refusal_reason::kNotDurable);
+    CHECK(Taken<start_action>().empty());
+  }
+}
+
+// A batch task ends while the store is down. Its endpoint must keep the end: else a new owner would
+// find neither a record nor a list entry, and the reconciliation would run a second time.
+TEST_CASE_METHOD(shard_fixture, "shard, end not recorded, is not acknowledged to the endpoint",
+                 "[shard]") {
+  AnswerFences();
+  place_message place = Place(1);
+  place.kind = workload_kind::kBatch;
+  place.tasks = 2;
+  place.deadline_left = {};
+  shard_.Place(kEntry, std::move(place), now_);
+  Act();
+  shard_.OnRecorded({1, 1}, true, now_);
+  Act();
+  const start_action start = Taken<start_action>().at(0);
+  AnswerStart(start, call_result::kStarted);
+  Act();
+  endpoint_reply reply = Done();
+  reply.cursor = 1;
+  reply.finished.push_back({start.tasks[0].id, 1, task_result::kOk, milliseconds{5}, ""});
+  shard_.OnSync(start.endpoint, start.token, reply, now_);
+  Advance(milliseconds{100});
+  Act();
+  REQUIRE(SyncAt(start.endpoint));
+  CHECK(SyncAt(start.endpoint)->call.cursor == 0);
+  shard_.OnCompletionRecorded({1, 1}, start.tasks[0].id.index, now_);
+  reply.finished.clear();
+  shard_.OnSync(start.endpoint, start.token, reply, now_);
+  Advance(milliseconds{100});
+  Act();
+  REQUIRE(SyncAt(start.endpoint));
+  CHECK(SyncAt(start.endpoint)->call.cursor == 1);
+}
+
+}  // namespace catkinford
