Move a request that surely was not sent to another shard at once

Cause, found by the new test: after a refused connection the shard was chosen anew, but the send waited for the next 50 ms retry. Before: second send at 100 ms; after: at 50 ms, the retry interval itself.

--- a/src/process/request_table.cc
+++ b/src/process/request_table.cc
@@ -81,10 +81,13 @@
     Resolve(id, GiveUp(request), out);
     return;
   }
-  const std::optional<std::string> owner = routes_.OwnerOf(request.entry.place.shard, now);
+  std::optional<std::string> owner = routes_.OwnerOf(request.entry.place.shard, now);
+  const bool may_move = request.sends == 0 && !request.entry.keyed;
+  if (!owner && may_move && MoveOn(request, now)) {
+    owner = routes_.OwnerOf(request.entry.place.shard, now);
+  }
   if (!owner) {
     if (request.ownerless == monotonic_time{}) request.ownerless = now;
-    if (request.sends == 0 && !request.entry.keyed) MoveOn(request, now);
     Schedule(id, request, now + options_.retry_send);
     return;
   }
