--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -11,6 +11,8 @@
 
 // How long the end of a durable job is remembered for its callers.
 constexpr milliseconds kDurableMemory{600000};
+// How long a task may outlast its request before its job's state is looked at again.
+constexpr milliseconds kLinger{1000};
 // The attempts of one owner for one task; see core_options::attempt_base.
 constexpr int kAttemptBits = 12;
 // What a caller of an unknown end is told about coming back to ask for it.
@@ -23,6 +25,12 @@
   return core;
 }
 
+identity_options IdentityOptions(const shard_options& options) {
+  identity_options identities;
+  identities.window = options.identity_window;
+  return identities;
+}
+
 outcome Unknown(const request_id& id, std::string detail) {
   outcome result;
   result.id = id;
@@ -54,7 +62,10 @@
 }  // namespace
 
 shard::shard(shard_options options, team_names& teams)
-    : options_(std::move(options)), teams_(teams), core_(CoreOptions(options_)) {}
+    : options_(std::move(options)),
+      teams_(teams),
+      core_(CoreOptions(options_)),
+      identities_(IdentityOptions(options_)) {}
 
 void shard::Note(event_code code, const request_id& id, std::string subject, std::string detail) {
   actions_.push_back(event_action{code, id, std::move(subject), std::move(detail)});
@@ -107,6 +118,7 @@
     held_.push_back({entry, std::move(place), until});
     return;
   }
+  if (!IsDurable(place.kind) && AnswerFromMemory(entry, place, now)) return;
   job_state& job = Admit(entry, std::move(place), now);
   if (IsDurable(job.spec.kind)) {
     actions_.push_back(record_action{id});
@@ -115,6 +127,45 @@
   Submit(id, job, now);
 }
 
+// Answers an identity that has ended, or that may not start; else notes that it begins.
+bool shard::AnswerFromMemory(const std::string& entry, const place_message& place,
+                             monotonic_time now) {
+  identities_.SetUnlisted(unlisted_);
+  // What may be repeated waits for the lists only: what an endpoint ran that was lost before it was
+  // listed has ended with its lease.
+  const bool fresh = place.fresh || (place.repeatable && AllListed());
+  switch (identities_.Begin(place.id, fresh, now)) {
+    case identity_verdict::kNew:
+      return false;
+    case identity_verdict::kKnown:
+      break;
+    case identity_verdict::kUncertain:
+      actions_.push_back(
+          answer_action{entry, Unknown(place.id, "it may have run where it is lost")});
+      return true;
+    case identity_verdict::kFull: {
+      outcome full = Unknown(place.id, "no room to remember it");
+      full.kind = outcome_kind::kRefused;
+      full.reason = refusal_reason::kQueueFull;
+      actions_.push_back(answer_action{entry, std::move(full)});
+      return true;
+    }
+  }
+  const std::optional<known_identity> known = identities_.Find(place.id);
+  if (!known || !known->finished) return false;
+  // Nobody knows how it ended, it does not run any more, and it may run again.
+  if (known->kind == outcome_kind::kUnknown && place.repeatable) return false;
+  outcome answer = Unknown(place.id, "its answer is kept no longer");
+  const bool whole = known->kind != outcome_kind::kCompleted || known->has_answer;
+  if (whole) {
+    answer.kind = known->kind;
+    answer.answer = known->answer;
+    answer.detail.clear();
+  }
+  actions_.push_back(answer_action{entry, std::move(answer)});
+  return true;
+}
+
 job_state& shard::Admit(const std::string& entry, place_message place, monotonic_time now) {
   job_state& job = jobs_[place.id];
   job.spec = std::move(place);
@@ -270,7 +321,8 @@
   if (job.durable) actions_.push_back(complete_action{{id, 0, 0}, false, true});
   job.ended = std::move(result);
   --unanswered_;
-  ended_.emplace(now + (job.durable ? kDurableMemory : options_.identity_window), id);
+  if (!IsDurable(job.spec.kind)) identities_.Finish(id, *job.ended, now);
+  ended_.emplace(job.durable ? now + kDurableMemory : now, id);
 }
 
 void shard::EndIfOver(const request_id& id, job_state& job, monotonic_time now) {
@@ -294,15 +346,16 @@
   End(id, *job, std::move(refused), now);
 }
 
-// Forgets identities after their window, but not while one of their tasks still runs.
+// Drops the state of jobs that have ended, but not while one of their tasks still runs.
 void shard::ForgetOld(monotonic_time now) {
+  identities_.Expire(now);
   while (!ended_.empty() && ended_.begin()->first <= now) {
     const request_id id = ended_.begin()->second;
     ended_.erase(ended_.begin());
     const job_state* job = Find(id);
     if (job == nullptr) continue;
     if (ProgressOf(*job).running > 0) {
-      ended_.emplace(now + options_.identity_window, id);
+      ended_.emplace(now + kLinger, id);
       continue;
     }
     jobs_.erase(id);
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -19,6 +19,7 @@
 #include "connection/instance_adapter.h"
 #include "process/decision_core.h"
 #include "process/events.h"
+#include "process/identity_memory.h"
 #include "process/message.h"
 #include "process/team_names.h"
 #include "request/job_state.h"
@@ -150,6 +151,7 @@
   const place_message* SpecOf(const request_id& job) const;
   uint64_t Signature() const { return core_.Signature(); }
   size_t Jobs() const { return jobs_.size(); }
+  size_t Identities() const { return identities_.Size(); }
   // Requests that were taken and have no outcome yet.
   size_t Unanswered() const { return unanswered_; }
 
@@ -184,6 +186,7 @@
   void LoseAllAt(endpoint_index index, monotonic_time now);
   bool IsSuperseded(const endpoint_reply& reply);
 
+  bool AnswerFromMemory(const std::string& entry, const place_message& place, monotonic_time now);
   job_state& Admit(const std::string& entry, place_message place, monotonic_time now);
   void Submit(const request_id& id, job_state& job, monotonic_time now);
   void TaskEnded(const task_id& id, task_result result, const std::string& answer,
@@ -217,6 +220,7 @@
   bool has_endpoints_ = false;
   absl::flat_hash_map<request_id, job_state> jobs_;
   size_t unanswered_ = 0;
+  identity_memory identities_;  // of work that a caller waits for, beyond its job_state
   std::vector<held_place> held_;
   std::vector<request_id> restored_;  // not resumed yet: some endpoint is not listed
   std::set<std::pair<monotonic_time, request_id>> deadlines_;  // of work that runs for a caller
--- a/src/process/shard_endpoints.cc
+++ b/src/process/shard_endpoints.cc
@@ -72,6 +72,7 @@
     endpoint_record& at = endpoints_[index];
     if (at.link.BecomesGone(now)) {
       Note(event_code::kEndpointGone, {}, at.address.name);
+      if (!at.listed) identities_.OnListLost(now);
       LoseAllAt(index, now);
       Listed(at, now);
       SetCoreState(index, now);
@@ -167,6 +168,14 @@
 
 void shard::TakeListed(endpoint_index index, const task_status& status, monotonic_time now) {
   const task_id& id = status.id;
+  const bool has_ended = status.finished && Find(id.job) == nullptr;
+  if (has_ended) {
+    const bool well = status.result == task_result::kOk;
+    const outcome_kind kind = well ? outcome_kind::kCompleted : outcome_kind::kFailed;
+    const bool lapsed = status.result == task_result::kLeaseLapsed;
+    identities_.LearnFinished(id.job, lapsed ? outcome_kind::kUnknown : kind, status.answer, now);
+    return;
+  }
   auto [found, unknown] = jobs_.try_emplace(id.job);
   job_state& job = found->second;
   if (unknown) {
@@ -174,6 +183,7 @@
     job.spec.kind = status.kind;
     job.spec.team = status.team;
     job.spec.each = status.amount;
+    identities_.LearnRunning(id.job, now);
     ++unanswered_;
   }
   if (id.index >= job.tasks.size()) job.tasks.resize(id.index + 1);
