--- a/bench/checker.cc
+++ b/bench/checker.cc
@@ -18,27 +18,6 @@
     "capacity", "one_place",    "own_team", "limit",         "whole_answer",
     "not_run",  "at_most_once", "leaving",  "graceful_stop", "configuration"};
 
-// A change of what runs at one time: ends come before starts of the same instant.
-struct load_step {
-  wall_time at;
-  bool is_start = false;
-  const task_run* run = nullptr;
-
-  bool operator<(const load_step& other) const {
-    return at != other.at ? at < other.at : is_start < other.is_start;
-  }
-};
-
-std::vector<load_step> StepsOf(const std::vector<const task_run*>& runs) {
-  std::vector<load_step> steps;
-  for (const task_run* run : runs) {
-    steps.push_back({run->start, true, run});
-    if (run->end != wall_time::max()) steps.push_back({run->end, false, run});
-  }
-  std::stable_sort(steps.begin(), steps.end());
-  return steps;
-}
-
 // Debian's absl::StrCat does not take std::string_view.
 template <typename Enum>
 std::string Words(Enum value) {
--- a/bench/checker_runs.cc
+++ b/bench/checker_runs.cc
@@ -55,4 +55,14 @@
   return index;
 }
 
+std::vector<load_step> StepsOf(const std::vector<const task_run*>& runs) {
+  std::vector<load_step> steps;
+  for (const task_run* run : runs) {
+    steps.push_back({run->start, true, run});
+    if (run->end != wall_time::max()) steps.push_back({run->end, false, run});
+  }
+  std::stable_sort(steps.begin(), steps.end());
+  return steps;
+}
+
 }  // namespace catkinford
--- a/bench/checker_runs.h
+++ b/bench/checker_runs.h
@@ -36,6 +36,20 @@
 using work_index = absl::flat_hash_map<std::string, work_history>;
 work_index IndexByWork(const std::vector<task_run>& runs, const std::vector<call_record>& calls);
 
+// A change of what runs at one time: ends come before starts of the same instant.
+struct load_step {
+  wall_time at;
+  bool is_start = false;
+  const task_run* run = nullptr;
+
+  bool operator<(const load_step& other) const {
+    return at != other.at ? at < other.at : is_start < other.is_start;
+  }
+};
+
+// In order of time.
+std::vector<load_step> StepsOf(const std::vector<const task_run*>& runs);
+
 }  // namespace catkinford
 
 #endif  // CATKINFORD_BENCH_CHECKER_RUNS_H_
--- a/bench/scenario_run.cc
+++ b/bench/scenario_run.cc
@@ -69,7 +69,7 @@
   }
   seen_.endpoints = fleet_.Capacities();
   AddLimits();
-  begun_ = fault_begin_ = fault_end_ = system_clock::now();
+  times_.begun = times_.fault_begin = times_.fault_end = system_clock::now();
   watcher_ = std::thread([this] { RunWatcher(); });
   SubmitServices();
   load_ = std::thread([this] {
@@ -294,13 +294,13 @@
 }
 
 void scenario_run::TimeNextPlacement(size_t domain) {
-  timed_domain_ = domain;
-  timed_from_ = system_clock::now();
+  times_.domain = options_.fleet.domains[domain];
+  times_.struck = system_clock::now();
 }
 
-void scenario_run::MarkFaultBegin() { fault_begin_ = system_clock::now(); }
+void scenario_run::MarkFaultBegin() { times_.fault_begin = system_clock::now(); }
 
-void scenario_run::MarkFaultEnd() { fault_end_ = system_clock::now(); }
+void scenario_run::MarkFaultEnd() { times_.fault_end = system_clock::now(); }
 
 // Until each accepted job that nobody cancelled has run as many tasks as it has; services run on.
 bool scenario_run::WaitForAccepted(milliseconds limit) {
@@ -334,9 +334,11 @@
   if (watcher_.joinable()) watcher_.join();
   http_.Stop();
   history seen;
+  scenario_times times;
   {
     const std::lock_guard lock(mutex_);
     seen = seen_;
+    times = times_;
   }
   Canonicalize(seen.readings);
   seen.calls = callers_.Records();
@@ -344,7 +346,7 @@
   seen.all_work_over = true;
   std::ofstream(fleet_.Directory() + "/history.txt") << ToLines(seen);
   nlohmann::json result = ToJson(Check(seen, {}));
-  result["figures"] = Figures(seen);
+  result["figures"] = FiguresOf(seen, times);
   result["figures"]["accepted_all_ran"] = all_ran;
   result["figures"]["store"] = fleet_.StoreCounters();
   // A run in which hardly anything worked before the fault proves nothing.
@@ -355,96 +357,4 @@
   return result;
 }
 
-double scenario_run::GoodputBetween(const std::vector<call_record>& calls, wall_time from,
-                                    wall_time to) const {
-  const double seconds = std::chrono::duration<double>(to - from).count();
-  const auto good = std::count_if(calls.begin(), calls.end(), [&](const call_record& call) {
-    return call.has_answer && !call.is_cancel && call.answered >= from && call.answered < to &&
-           (call.outcome == outcome_kind::kCompleted || call.outcome == outcome_kind::kAccepted);
-  });
-  return seconds > 0 ? static_cast<double>(good) / seconds : 0;
-}
-
-// From the fault to the first start in the domain under an epoch that was not there before it.
-std::optional<double> scenario_run::NextPlacement(const std::vector<run_event>& events) const {
-  if (!timed_domain_) return std::nullopt;
-  const std::string& domain = options_.fleet.domains[*timed_domain_];
-  uint64_t epoch = 0;
-  wall_time first = wall_time::max();
-  const auto in_domain = [&](const run_event& event) {
-    return event.event == "start" && event.endpoint.compare(0, domain.size(), domain) == 0;
-  };
-  for (const run_event& event : events) {
-    if (in_domain(event) && event.at <= timed_from_) epoch = std::max(epoch, event.epoch);
-  }
-  for (const run_event& event : events) {
-    if (!in_domain(event) || event.at <= timed_from_ || event.epoch <= epoch) continue;
-    first = std::min(first, event.at);
-  }
-  if (first == wall_time::max()) return std::nullopt;
-  return std::chrono::duration<double, std::milli>(first - timed_from_).count();
-}
-
-// The longest time from the acceptance of a version until the last of the entries showed it; only
-// as fine as the readings are frequent.
-std::optional<double> scenario_run::InForce(const history& seen) const {
-  std::optional<double> longest;
-  for (const config_acceptance& accepted : seen.acceptances) {
-    std::map<std::string, wall_time> first;
-    for (const config_reading& reading : seen.readings) {
-      if (reading.version >= accepted.version) first.emplace(reading.entry, reading.at);
-    }
-    for (const auto& [entry, at] : first) {
-      const double took = std::chrono::duration<double, std::milli>(at - accepted.accepted).count();
-      longest = std::max(longest.value_or(0), took);
-    }
-  }
-  return longest;
-}
-
-// From the answer to the operator to the last call with the key that was not refused.
-std::optional<double> scenario_run::LastUseOfWithdrawnKey(const history& seen) const {
-  std::optional<double> last;
-  for (const key_withdrawal& withdrawal : seen.withdrawals) {
-    last = last.value_or(0);
-    for (const call_record& call : seen.calls) {
-      if (call.team != withdrawal.team || call.key != withdrawal.key || !call.has_answer) continue;
-      if (call.outcome == outcome_kind::kRefused || call.sent < withdrawal.accepted) continue;
-      const std::chrono::duration<double, std::milli> after = call.sent - withdrawal.accepted;
-      last = std::max(*last, after.count());
-    }
-  }
-  return last;
-}
-
-nlohmann::json scenario_run::Figures(const history& seen) const {
-  std::vector<call_record> before;
-  std::vector<call_record> during;
-  std::vector<call_record> interactive;
-  for (const call_record& call : seen.calls) {
-    if (call.is_cancel || call.kind == workload_kind::kService) continue;
-    if (call.sent < fault_begin_) before.push_back(call);
-    if (call.sent >= fault_begin_ && call.sent < fault_end_) during.push_back(call);
-    interactive.push_back(call);
-  }
-  const double good_before = GoodputBetween(seen.calls, begun_ + milliseconds{500}, fault_begin_);
-  const double good_during = GoodputBetween(seen.calls, fault_begin_, fault_end_);
-  nlohmann::json figures = ToJson(FiguresOf(interactive));
-  figures["goodput_before"] = good_before;
-  figures["goodput_during"] = good_during;
-  figures["goodput_ratio"] = good_before > 0 ? good_during / good_before : 0;
-  figures["p99_before_ms"] = FiguresOf(before).p99_ms;
-  figures["p99_during_ms"] = FiguresOf(during).p99_ms;
-  if (const std::optional<double> next = NextPlacement(seen.events)) {
-    figures["next_placement_ms"] = *next;
-  }
-  if (const std::optional<double> in_force = InForce(seen)) {
-    figures["config_in_force_ms"] = *in_force;
-  }
-  if (const std::optional<double> last = LastUseOfWithdrawnKey(seen)) {
-    figures["withdrawn_key_last_use_ms"] = *last;
-  }
-  return figures;
-}
-
 }  // namespace catkinford
--- a/bench/scenario_run.h
+++ b/bench/scenario_run.h
@@ -20,6 +20,7 @@
 #include "bench/checker.h"
 #include "bench/fleet.h"
 #include "bench/load.h"
+#include "bench/scenario_figures.h"
 
 namespace catkinford {
 
@@ -87,11 +88,6 @@
   void SubmitServices();
   bool WaitForAccepted(std::chrono::milliseconds limit);
   void AddLimits();
-  nlohmann::json Figures(const history& seen) const;
-  std::optional<double> NextPlacement(const std::vector<run_event>& events) const;
-  std::optional<double> InForce(const history& seen) const;
-  std::optional<double> LastUseOfWithdrawnKey(const history& seen) const;
-  double GoodputBetween(const std::vector<call_record>& calls, wall_time from, wall_time to) const;
 
   scenario_options options_;
   fleet fleet_;
@@ -107,11 +103,7 @@
   std::map<size_t, std::pair<std::string, std::string>> watched_;  // slot to name and URL
   std::set<size_t> ready_;
   std::map<size_t, wall_time> cut_since_;
-  wall_time begun_;
-  wall_time fault_begin_;
-  wall_time fault_end_;
-  std::optional<size_t> timed_domain_;
-  wall_time timed_from_;
+  scenario_times times_;
   bool came_up_ = false;
 };
 
