Measure a takeover against reading a checkpoint

Cause: a new owner could list its endpoints or read a checkpoint of what ran; the choice needs figures at 467 endpoints and 13,000 tasks. Change: catkinford-bench takeover: raise, read the job log, fence and list, adopt; beside it fencing with nothing to list, and reading the same statuses from values of the store. No checkpoint.

--- a/bench/commands.h
+++ b/bench/commands.h
@@ -15,6 +15,9 @@
 // Calls between two processes, JSON-RPC against our HTTP pair: `rpc --json F`.
 int RpcMain(int argc, char** argv);
 
+// Raise, read the jobs, fence and list: `takeover --shard_endpoints 467 --shard_tasks 13000`.
+int TakeoverMain(int argc, char** argv);
+
 // Load in an open loop over a fleet of real processes: `load --rate R --seconds S`.
 int LoadMain(int argc, char** argv);
 
--- a/src/main/catkinford-bench.cc
+++ b/src/main/catkinford-bench.cc
@@ -19,6 +19,7 @@
     {"capacity", catkinford::CapacityMain,
      "write docs/CAPACITY.md from slopes: capacity --slopes F"},
     {"rpc", catkinford::RpcMain, "calls between two processes: rpc --json F"},
+    {"takeover", catkinford::TakeoverMain, "an owner's first moments: takeover --json F"},
     {"load", catkinford::LoadMain, "open-loop load: load --rate 3000 --seconds 20 --json F"},
     {"scenario", catkinford::ScenarioMain, "a failure scenario: scenario NAME --seed N, --list"},
     {"demo", catkinford::DemoMain, "a fleet, all workloads, one entry killed: what make demo runs"},
