--- a/src/process/ownership.cc
+++ b/src/process/ownership.cc
@@ -242,7 +242,8 @@
   shard_state& state = shards_[shard];
   state.held_epoch = state.record.epoch;
   state.held_lease = lease;
-  state.start_after = from_self ? now : now + options_.flight_margin;
+  // Writing our own record again must not cut short the wait for the last owner's starts.
+  if (!from_self) state.start_after = now + options_.flight_margin;
   state.first_asked_of_us = {};
   out.events.push_back({ownership_event_kind::kGained, shard, state.held_epoch, options_.name});
 }
--- a/src/process/ownership.h
+++ b/src/process/ownership.h
@@ -89,6 +89,7 @@
 
   // Hands every shard to another member and leaves. Goes on owning what nobody can take.
   void Release(monotonic_time now, ownership_actions& out);
+  bool Releasing() const { return releasing_; }
   bool Released() const { return registration_.Left(); }
 
   // Whether a start may be sent now. Asked immediately before the send, not when the request came.
--- a/test/ownership_world.cc
+++ b/test/ownership_world.cc
@@ -139,8 +139,14 @@
   }
 }
 
-void ownership_world::Later(message action) {
-  messages_.emplace(now_ + options_.delay, std::move(action));
+void ownership_world::After(milliseconds delay, message action) {
+  messages_.emplace(now_ + delay, std::move(action));
+}
+
+milliseconds ownership_world::StartDelay() {
+  constexpr uint64_t kStride = 7919;  // spreads the starts over the jitter
+  const auto jitter = static_cast<uint64_t>(options_.jitter.count());
+  return options_.delay + milliseconds{++sent_ * kStride % (jitter + 1)};
 }
 
 void ownership_world::DeliverTo(const std::string& name, uint64_t incarnation,
@@ -251,7 +257,7 @@
     const auto listed = from.listed.find(shard);
     const bool ready = listed != from.listed.end() && listed->second == epoch;
     if (!ready || !from.machine->MayStart(shard, now_)) continue;
-    Later([=, this, incarnation = from.incarnation, label = from.label] {
+    After(StartDelay(), [=, this, incarnation = from.incarnation, label = from.label] {
       const uint64_t highest = endpoint_epoch_[shard];
       if (!options_.endpoints_fence || epoch >= highest) {
         starts_.push_back({now_, label, shard, epoch});
--- a/test/ownership_world.h
+++ b/test/ownership_world.h
@@ -48,7 +48,8 @@
 struct world_options {
   uint32_t shards = 1;
   bool endpoints_fence = true;
-  std::chrono::milliseconds delay{1};  // of every message, one way
+  std::chrono::milliseconds delay{1};   // of every message, one way
+  std::chrono::milliseconds jitter{0};  // of a start on its way to the endpoint: up to this more
 };
 
 class ownership_world {
@@ -102,7 +103,9 @@
 
   entry& At(const std::string& name) { return *entries_.at(name); }
   void Step();
-  void Later(message action);
+  void Later(message action) { After(options_.delay, std::move(action)); }
+  void After(std::chrono::milliseconds delay, message action);
+  std::chrono::milliseconds StartDelay();
   // Delivers to the process with this incarnation, now or when it wakes up; else drops.
   void DeliverTo(const std::string& name, uint64_t incarnation,
                  const std::function<void(entry&)>& action);
@@ -127,6 +130,7 @@
   int replies_to_lose_ = 0;
   int gained_ = 0;
   uint64_t store_calls_ = 0;
+  uint64_t sent_ = 0;
 };
 
 }  // namespace catkinford
