--- a/src/process/decision_rounds.cc
+++ b/src/process/decision_rounds.cc
@@ -11,6 +11,9 @@
 constexpr size_t kMostCancelled = 128;
 constexpr size_t kMostPending = 256;
 constexpr size_t kMostTimers = 256;
+constexpr size_t kMostNotFitting = 32;
+constexpr uint32_t kGangDepth = 2;  // gangs of a lane that are tried
+constexpr std::chrono::milliseconds kGangPause{50};
 // More freed endpoints than this and all blocked lanes are tried again.
 constexpr size_t kMostFreedLookedAt = 64;
 
@@ -37,7 +40,7 @@
   StopCancelled();
   if (recheck_fits) RefuseNeverFitting();
   ServeReservations(now, out);
-  WakeLanes();
+  ++round;
   PlaceReady(now, out);
   for (size_t i = 0; i < kMostPending && !pending.empty(); ++i) {
     out.push_back(std::move(pending.front()));
@@ -82,13 +85,14 @@
     case timer_kind::kEjectionOver:
       floor.EndEjection(due.subject, now);
       break;
-    case timer_kind::kLaneWatch: {
-      const lane_ref ref{static_cast<lane_class>(due.subject % kLaneClasses),
-                         static_cast<team_index>(due.subject / kLaneClasses)};
-      lanes.At(ref).watched = false;
-      WatchLane(ref, now);
+    case timer_kind::kPauseOver:
+      lanes.At(LaneOf(due.subject)).pausing = false;
+      lanes.Unblock(LaneOf(due.subject));
+      break;
+    case timer_kind::kLaneWatch:
+      lanes.At(LaneOf(due.subject)).watched = false;
+      WatchLane(LaneOf(due.subject), now);
       break;
-    }
     case timer_kind::kRoomDue:
       break;  // it wakes the round, which looks after all reservations
   }
@@ -120,40 +124,108 @@
   });
 }
 
-// Blocked lanes are tried again only when an endpoint has room for the least that they need: on a
-// full floor a round then costs little, however many teams wait.
-void decision_core::impl::WakeLanes() {
+// What fitted nowhere may fit now, where an endpoint has more room than before. Also within a
+// round: a start may give up a reservation, and work would be told that it fits nowhere while there
+// is room.
+void decision_core::impl::RoomFreed() {
   const std::vector<endpoint_index>& freed = floor.Freed();
-  if (freed.empty()) return;
-  const bool all = freed.size() > kMostFreedLookedAt;
-  lanes.RoomChanged([&](const resources& need) {
-    return all || std::any_of(freed.begin(), freed.end(), [&](endpoint_index endpoint) {
-             return Fits(need, floor[endpoint].Free());
-           });
-  });
-  floor.ClearFreed();
+  if (freed.size() - freed_seen > kMostFreedLookedAt) {
+    not_fitting.clear();
+    freed_seen = freed.size();
+  }
+  for (; freed_seen < freed.size(); ++freed_seen) {
+    const resources free = floor[freed[freed_seen]].Free();
+    std::erase_if(not_fitting, [&free](const resources& need) { return Fits(need, free); });
+  }
+}
+
+// Whether the need, or a smaller one, was found to fit nowhere and nothing has come free for it. On
+// a full floor nearly all waiting work is answered here, without a search.
+bool decision_core::impl::KnownNotToFit(const resources& need) const {
+  return std::any_of(not_fitting.begin(), not_fitting.end(),
+                     [&need](const resources& failed) { return Fits(failed, need); });
+}
+
+void decision_core::impl::NoteNotFitting(const resources& need) {
+  std::erase_if(not_fitting, [&need](const resources& larger) { return Fits(need, larger); });
+  if (not_fitting.size() >= kMostNotFitting) not_fitting.erase(not_fitting.begin());
+  not_fitting.push_back(need);
+}
+
+// What the freed endpoints have now, for the look through the blocked lanes: only those that can
+// hold the least that any lane needs. Many are joined into one that has the most of each amount.
+void decision_core::impl::ListFreedRoom() {
+  freed_room.clear();
+  if (floor.Freed().empty() || lanes.NoRoom().empty()) return;
+  const bool join = floor.Freed().size() > kMostFreedLookedAt;
+  for (const endpoint_index endpoint : floor.Freed()) {
+    if (!floor.Open().Contains(endpoint)) continue;
+    const resources free = floor[endpoint].Free();
+    if (!Fits(lanes.LeastNeed(), free)) continue;
+    if (join && !freed_room.empty()) {
+      freed_room[0] = LargestOf(freed_room[0], free);
+    } else {
+      freed_room.push_back(free);
+    }
+  }
+}
+
+bool decision_core::impl::FreedRoomHolds(const resources& need) const {
+  return std::any_of(freed_room.begin(), freed_room.end(),
+                     [&need](const resources& free) { return Fits(need, free); });
+}
+
+// Makes ready the first of the blocked lanes that freed room can help. One at a time: most often it
+// takes the room, and all others would be tried for nothing.
+void decision_core::impl::WakeBest() {
+  RoomFreed();
+  ListFreedRoom();
+  if (freed_room.empty()) return;
+  std::optional<lane_rank> best;
+  for (const blocked_lane& blocked : lanes.NoRoom()) {
+    if (!FreedRoomHolds(blocked.least) || blocked.tried == round) continue;
+    const lane_rank rank = RankOf(blocked.ref);
+    if (best && *best < rank) continue;
+    const lane_needs& needs = lanes.Peek(blocked.ref).needs;
+    const bool helps = std::any_of(needs.begin(), needs.end(),
+                                   [this](const resources& need) { return FreedRoomHolds(need); });
+    if (helps) best = rank;
+  }
+  if (best) lanes.Unblock(best->ref);
 }
 
 // The lane to serve next. Urgent work first, then callers who wait for an answer and whose team is
 // within its share; all other work goes by share alone, so that a flood of one team's interactive
 // work does not take away the share of another's batch work.
+lane_rank decision_core::impl::RankOf(const lane_ref& ref) const {
+  lane_rank rank{2, teams.Find(ref.team)->ratio, ref};
+  if (ref.kind == lane_class::kUrgent) rank.first = 0;
+  if (ref.kind == lane_class::kInteractive && teams.WithinShare(ref.team)) rank.first = 1;
+  return rank;
+}
+
 std::optional<lane_ref> decision_core::impl::Pick() const {
-  if (std::optional<lane_ref> urgent = lanes.First(lane_class::kUrgent)) return urgent;
-  std::optional<lane_ref> best = lanes.First(lane_class::kInteractive);
-  if (best && teams.WithinShare(best->team)) return best;
-  for (const lane_class kind : {lane_class::kService, lane_class::kGang, lane_class::kBatch}) {
-    const std::optional<lane_ref> other = lanes.First(kind);
-    if (!other) continue;
-    if (!best || teams.Find(other->team)->ratio < teams.Find(best->team)->ratio) best = other;
+  std::optional<lane_rank> best;
+  for (size_t kind = 0; kind < kLaneClasses; ++kind) {
+    const std::optional<lane_ref> first = lanes.First(static_cast<lane_class>(kind));
+    if (!first) continue;
+    const lane_rank rank = RankOf(*first);
+    if (!best || rank < *best) best = rank;
   }
-  return best;
+  if (!best) return std::nullopt;
+  return best->ref;
 }
 
 void decision_core::impl::PlaceReady(monotonic_time now, std::vector<command>& out) {
   const size_t first = out.size();
   while (out.size() - first < kMostStarts) {
+    WakeBest();
     const std::optional<lane_ref> ref = Pick();
-    if (!ref) return;
+    if (!ref) {
+      floor.ClearFreed();
+      freed_seen = 0;
+      return;
+    }
     TryLane(*ref, now, out);
   }
 }
@@ -161,41 +233,56 @@
 // Starts the first of the lane's jobs that can start now, or blocks the lane.
 bool decision_core::impl::TryLane(const lane_ref& ref, monotonic_time now,
                                   std::vector<command>& out) {
-  bool no_room = false;
   bool no_grant = false;
-  resources least{UINT32_MAX, UINT32_MAX, UINT32_MAX, UINT32_MAX};
+  bool no_room_for_gang = false;
+  lane_needs needs;
+  const uint32_t most = ref.kind == lane_class::kGang ? kGangDepth : kLaneDepth;
   uint32_t depth = 0;
-  for (job_handle handle = lanes.At(ref).head; handle != kNoJob && depth < kLaneDepth; ++depth) {
+  for (job_handle handle = lanes.At(ref).head; handle != kNoJob && depth < most; ++depth) {
     const job_record& job = jobs[handle];
     if (!MayStart(job, TasksAtOnce(job))) {
       no_grant = true;
     } else if (TryJob(handle, now, out)) {
       return true;
+    } else if (job.request.kind == workload_kind::kGang) {
+      no_room_for_gang = true;
     } else {
-      no_room = true;
-      const resources& each = job.request.each;
-      least = {std::min(least.cpu_milli, each.cpu_milli), std::min(least.memory_mb, each.memory_mb),
-               std::min(least.accelerators, each.accelerators), std::min(least.slots, each.slots)};
+      needs.push_back(job.request.each);
     }
     handle = job.next;
   }
-  lanes.Block(ref, no_room ? lane_state::kNoRoom : lane_state::kNoGrant, least, no_grant);
+  lane_state why = no_room_for_gang ? lane_state::kPaused : lane_state::kNoGrant;
+  if (!needs.empty()) why = lane_state::kNoRoom;
+  lanes.Block(ref, why, needs, no_grant, round);
+  if (no_room_for_gang) Pause(ref, now);
   lanes.At(ref).meter.BacklogBegan(now);
   WatchLane(ref, now);
   return false;
 }
 
+// Room that comes free at one endpoint is seldom what a gang lacks: tried with each of them, the
+// gangs of all teams would cost more than all other work together.
+void decision_core::impl::Pause(const lane_ref& ref, monotonic_time now) {
+  lane& l = lanes.At(ref);
+  if (l.pausing) return;
+  l.pausing = true;
+  timers.push({now + kGangPause, timer_kind::kPauseOver, NumberOf(ref), 0});
+}
+
 uint32_t decision_core::impl::TasksAtOnce(const job_record& job) const {
   return job.request.kind == workload_kind::kGang ? job.waiting : 1;
 }
 
-// Within the grant, and not taking what is saved for an older job of the same team.
+// Within the grant, and not taking what is saved for an older job of the same team. A job for which
+// endpoints are held goes ahead: the older one may itself be waiting for these endpoints, and
+// neither would ever start.
 bool decision_core::impl::MayStart(const job_record& job, uint32_t count) const {
   const team_index team = job.request.team;
   if (!teams.WithinGrant(team, job.request.each, count, floor)) return false;
   const job_handle saved_for = team < saving.size() ? saving[team] : kNoJob;
   const bool waits_behind = saved_for != kNoJob && &jobs[saved_for] != &job &&
-                            !job.request.urgent && job.request.kind != workload_kind::kInteractive;
+                            job.reservation == kNoReservation && !job.request.urgent &&
+                            job.request.kind != workload_kind::kInteractive;
   return !waits_behind;
 }
 
@@ -216,9 +303,12 @@
 
 bool decision_core::impl::TryJob(job_handle handle, monotonic_time now, std::vector<command>& out) {
   const job_record& job = jobs[handle];
-  if (!Choose(job, TasksAtOnce(job)) && !Backfill(job, now)) return false;
-  StartChosen(handle, now, out);
-  return true;
+  const uint32_t count = TasksAtOnce(job);
+  bool found = !KnownNotToFit(job.request.each) && Choose(job, count);
+  if (!found && count == 1) NoteNotFitting(job.request.each);
+  if (!found) found = Backfill(job, now);
+  if (found) StartChosen(handle, now, out);
+  return found;
 }
 
 // Starts as many waiting tasks as there are chosen endpoints.
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -26,6 +27,7 @@
 #include "process/config_keeper.h"
 #include "process/event_log.h"
 #include "process/grant_keeper.h"
+#include "process/job_keeper.h"
 #include "process/metrics.h"
 #include "process/ownership.h"
 #include "process/peer_mailbox.h"
@@ -39,7 +41,7 @@
 
 namespace catkinford {
 
-enum class start_fault : uint8_t { kNone, kCallerPort, kPeerPort };
+enum class start_fault : uint8_t { kNone, kCallerPort, kPeerPort, kCertificate };
 
 class node {
  public:
@@ -49,6 +51,9 @@
   node& operator=(const node&) = delete;
 
   start_fault Start();
+  // Reads the certificate's files again; new connections of callers get it, open ones go on. On a
+  // fault the old one stays in use.
+  tls_fault ReloadCertificate();
   // Graceful: not ready, refuses new work, hands its shards over, finishes what is in flight.
   void BeginShutdown();
   // Until the shutdown is done.
@@ -75,6 +80,7 @@
   // A status question that waits for answers of owners.
   struct open_status {
     http_server::token token = 0;
+    std::string team;  // of the caller; empty for an operator
     request_id id;
     size_t answers_left = 0;
     monotonic_time give_up{};
@@ -87,6 +93,7 @@
     http_server::token token = 0;
     uint64_t version = 0;  // zero until the store has taken it
     monotonic_time give_up{};
+    std::vector<std::string> warnings;
   };
   // A cancel whose outcome comes from the owner.
   struct open_cancel {
@@ -125,10 +132,12 @@
 
   // node_shards.cc: ownership, shards, their actions.
   void TakeOwnership(const ownership_actions& actions, monotonic_time now);
-  void SendStoreCall(const store_request& call);
+  void SendStoreRequest(const store_request& call,
+                        std::function<void(store_reply, monotonic_time)> done);
   void OnOwnershipEvent(const ownership_event& event, monotonic_time now);
-  void GainShard(uint32_t number, uint64_t epoch, monotonic_time now);
+  void GainShard(opened_log log, monotonic_time now);
   void LoseShard(uint32_t number, monotonic_time now);
+  void DrainEndpoint(const std::string& endpoint, monotonic_time now);
   void GiveEndpoints(shard& to, monotonic_time now);
   void ShareUsage(monotonic_time now);
   void ActShards(monotonic_time now);
@@ -185,7 +194,7 @@
                  monotonic_time now);
   void TakeTable(table_actions actions, monotonic_time now);
   void AskStatus(uint64_t query, open_status& open, monotonic_time now);
-  void OnStatusAnswer(const std::string& from, const status_answer& answer, monotonic_time now);
+  void OnStatusAnswer(const status_answer& answer, monotonic_time now);
   void TickStatus(monotonic_time now);
   void OnOutcome(const outcome& result, monotonic_time now);
 
@@ -210,9 +219,12 @@
   ownership ownership_;
   config_keeper versions_;
   grant_keeper grants_;
+  job_keeper jobs_;
   std::map<uint32_t, std::unique_ptr<shard>> shards_;
   std::map<std::string, peer_state> peers_;
-  std::vector<instance> own_endpoints_;  // of this failure domain
+  std::set<std::string> endpoint_names_;  // of the whole fleet, as last listed
+  std::set<std::string> drained_;         // by operators; forgotten with the endpoint
+  std::vector<instance> own_endpoints_;   // of this failure domain
   resources cell_capacity_;
   std::vector<message_body> local_;  // messages to ourselves
   absl::flat_hash_map<uint64_t, open_status> statuses_;
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -245,6 +245,7 @@
   answer.shard = options_.name;
   if (const job_state* job = Find(query.id)) {
     answer.known = true;
+    answer.team = job->spec.team;
     answer.progress = ProgressOf(*job);
     answer.ended = job->ended;
     answer.waits_for = core_.WaitsFor(query.id);
@@ -321,11 +322,8 @@
       Refuse(id, refusal_reason::kDeadline, kAskAgain, "the deadline passed in the queue", now);
       continue;
     }
-    const bool surely_ran = job->ever_ran;
-    End(id, *job,
-        surely_ran ? Failed(id, "the deadline passed while it ran")
-                   : Unknown(id, "the deadline passed while its start was under way"),
-        now);
+    // Its end may already stand at the endpoint and be on its way: "failed" could be untrue.
+    End(id, *job, Unknown(id, "the deadline passed while it ran"), now);
   }
 }
 
@@ -447,14 +445,14 @@
   if (result == task_result::kFailed && job->fault.empty()) job->fault = answer;
   if (job->durable && !job->ended) {
     actions_.push_back(complete_action{id, task->phase == task_phase::kDone, false});
-    unrecorded_.emplace(id, task->endpoint);
-    ++endpoints_[task->endpoint].unrecorded;
+    const bool is_new = unrecorded_.try_emplace({id.job, id.index}, task->endpoint).second;
+    if (is_new) ++endpoints_[task->endpoint].unrecorded;
   }
   EndIfOver(id.job, *job, now);
 }
 
-void shard::OnCompletionRecorded(const task_id& id, monotonic_time /*now*/) {
-  const auto found = unrecorded_.find(id);
+void shard::OnCompletionRecorded(const request_id& id, uint32_t index, monotonic_time /*now*/) {
+  const auto found = unrecorded_.find({id, index});
   if (found == unrecorded_.end()) return;
   --endpoints_[found->second].unrecorded;
   unrecorded_.erase(found);
--- a/src/process/waiting_lanes.h
+++ b/src/process/waiting_lanes.h
@@ -6,6 +6,7 @@
 #define CATKINFORD_PROCESS_WAITING_LANES_H_
 
 #include <absl/container/btree_set.h>
+#include <absl/container/inlined_vector.h>
 
 #include <array>
 #include <cstdint>
@@ -24,17 +25,36 @@
 
 lane_class ClassOf(const job_request& request);
 
+struct lane_ref {
+  lane_class kind = lane_class::kUrgent;
+  team_index team = 0;
+};
+
+// The order in which lanes are served: the lowest goes first, and no two are equal.
+struct lane_rank {
+  int first = 0;     // urgent work, then callers within their share, then all other work
+  double ratio = 0;  // of the team to its share
+  lane_ref ref;
+
+  bool operator<(const lane_rank& other) const {
+    if (first != other.first) return first < other.first;
+    if (ratio != other.ratio) return ratio < other.ratio;
+    if (ref.kind != other.ref.kind) return ref.kind < other.ref.kind;
+    return ref.team < other.ref.team;
+  }
+};
+
 enum class lane_state : uint8_t {
   kEmpty,
   kReady,
-  kNoRoom,  // what stands first found no room
-  kNoGrant  // what stands first would pass the team's grant
+  kNoRoom,   // what stands first found no room
+  kNoGrant,  // what stands first would pass the team's grant
+  kPaused    // what stands first needs room on many endpoints: tried again after a time
 };
 
-struct lane_ref {
-  lane_class kind = lane_class::kUrgent;
-  team_index team = 0;
-};
+constexpr uint32_t kLaneDepth = 16;  // jobs of a lane that are tried before it counts as blocked
+
+using lane_needs = absl::InlinedVector<resources, kLaneDepth>;
 
 struct lane {
   job_handle head = kNoJob;
@@ -43,17 +63,30 @@
   uint32_t tasks = 0;
   lane_state state = lane_state::kEmpty;
   bool waits_grant = false;  // while blocked: a higher grant would help something in it
+  bool pausing = false;      // a timer ends the pause
   bool watched = false;      // a timer looks after what stands first
   double ratio = 0;          // the key under which it stands in the order
-  resources least_need;      // while kNoRoom: less than this free does not help
+  lane_needs needs;          // while kNoRoom: one of these has to fit somewhere
+  uint32_t position = 0;     // while kNoRoom: in the list of such lanes
   drain_meter meter;
 };
 
+// A lane that waits for room. Flat and small: each round on a full floor looks through all of them.
+struct blocked_lane {
+  resources least;     // less than this in any amount helps nothing in the lane
+  uint64_t tried = 0;  // the round in which it last found no room
+  lane_ref ref;
+};
+
 class waiting_lanes {
  public:
   explicit waiting_lanes(job_table& jobs) : jobs_(jobs) {}
 
   lane& At(const lane_ref& ref);
+  // The same for a lane that is known to exist.
+  const lane& Peek(const lane_ref& ref) const {
+    return teams_[ref.team][static_cast<size_t>(ref.kind)];
+  }
 
   // `front`: a job whose tasks have waited before and come back.
   void Append(job_handle job, bool front, double ratio);
@@ -66,33 +99,29 @@
 
   // The ready lane of a class with the lowest ratio.
   std::optional<lane_ref> First(lane_class kind) const;
-  void Block(const lane_ref& ref, lane_state why, const resources& least_need, bool waits_grant);
+  void Block(const lane_ref& ref, lane_state why, const lane_needs& needs, bool waits_grant,
+             uint64_t round);
   void Unblock(const lane_ref& ref);
   // Unblocks the team's lanes that wait for its grant.
   void GrantChanged(team_index team);
-  // Unblocks lanes for which `helps(least_need)` holds.
-  template <typename predicate>
-  void RoomChanged(predicate helps) {
-    for (size_t i = 0; i < no_room_.size();) {
-      const lane_ref ref = no_room_[i];
-      if (helps(At(ref).least_need)) {
-        Unblock(ref);  // takes it out of no_room_
-      } else {
-        ++i;
-      }
-    }
-  }
+  // Lanes that wait for room, in no order.
+  const std::vector<blocked_lane>& NoRoom() const { return no_room_; }
+  // No lane that waits for room needs less than this in any amount; it may be too low for a while.
+  const resources& LeastNeed() const { return least_need_; }
   bool AnyReady() const;
 
  private:
   using order_key = std::pair<double, team_index>;
   void MakeReady(const lane_ref& ref, double ratio);
   void DropState(const lane_ref& ref);
+  void LowerLeastNeed(const resources& need);
 
   job_table& jobs_;
   std::vector<std::array<lane, kLaneClasses>> teams_;
   std::array<absl::btree_set<order_key>, kLaneClasses> ready_;
-  std::vector<lane_ref> no_room_;
+  std::vector<blocked_lane> no_room_;
+  resources least_need_;
+  uint32_t blocks_ = 0;  // since least_need_ was worked out anew
 };
 
 }  // namespace catkinford
