Count what the node does: every metric on the page has a writer

Cause: requests, answers, placements, peers, grants and dropped lines stood at zero for ever, and three events were never emitted. 402 store_down was logged at each start before the first answer. Change: the request table keeps kind and begin of each call; a job's first start carries its arrival; node_metrics.cc copies the totals of mailbox, log and grant keeper once a second and emits 101, 501 and 502. Taken out, since nobody writes them yet: store calls by kind, endpoint calls and bytes, retries, endpoints by state (now all and open).

--- a/src/process/events.cc
+++ b/src/process/events.cc
@@ -80,7 +80,7 @@
       return {code, kWarning, "version_refused",
               "A configuration was not taken: lower than the one in force, or not readable."};
     case kGrantsMoved:
-      return {code, kInfo, "grants_moved", "The shard's parts of the teams' limits changed."};
+      return {code, kDebug, "grants_moved", "The shard's parts of the teams' limits changed."};
   }
   return {};
 }
--- a/src/process/metrics.cc
+++ b/src/process/metrics.cc
@@ -24,14 +24,6 @@
 const Histogram::BucketBoundaries kDecisionBounds = {0.000005, 0.00001, 0.000025, 0.00005,
                                                      0.0001,   0.00025, 0.001,    0.01};
 
-constexpr std::array<std::string_view, kEndpointStates> kEndpointStateNames = {
-    "unfenced", "open", "silent", "leaving", "gone"};
-constexpr std::array<std::string_view, kPeerDirections> kDirectionNames = {"sent", "received"};
-constexpr std::array<std::string_view, kStoreCallKinds> kStoreCallNames = {"get", "range", "write",
-                                                                           "lease", "watch"};
-constexpr std::array<std::string_view, kStoreCallEnds> kStoreEndNames = {"done", "conflict",
-                                                                         "unavailable", "unknown"};
-
 Gauge& MakeGauge(Registry& registry, const std::string& name, const std::string& help) {
   return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
 }
@@ -45,13 +37,9 @@
   return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add({}, bounds);
 }
 
-// One member of a family for each name, under one label.
-template <typename Builder, typename Metric, size_t N>
-void MakeEach(Builder builder, Registry& registry, const std::string& name, const std::string& help,
-              const std::string& label, const std::array<std::string_view, N>& names,
-              std::array<Metric*, N>& out) {
-  auto& family = builder.Name(name).Help(help).Register(registry);
-  for (size_t i = 0; i < N; ++i) out[i] = &family.Add({{label, std::string(names[i])}});
+// `total` only grows; the counter follows it.
+void Follow(Counter& counter, uint64_t total) {
+  counter.Increment(static_cast<double>(total) - counter.Value());
 }
 
 std::string_view TypeText(prometheus::MetricType type) {
@@ -88,16 +76,26 @@
 }  // namespace
 
 metrics::metrics()
-    : endpoint_calls_(MakeCounter(registry_, "catkinford_endpoint_calls_total",
-                                  "Calls to endpoints: fences, starts, syncs and stops.")),
+    : peer_calls_(MakeCounter(registry_, "catkinford_peer_calls_total",
+                              "Calls to other entries; each carries a batch of messages.")),
+      peer_messages_(MakeCounter(registry_, "catkinford_peer_messages_total",
+                                 "Messages sent to other entries.")),
+      peer_bytes_sent_(MakeCounter(registry_, "catkinford_peer_bytes_sent_total",
+                                   "Bytes of the texts sent to other entries.")),
+      peer_bytes_received_(MakeCounter(registry_, "catkinford_peer_bytes_received_total",
+                                       "Bytes of the texts received from other entries.")),
+      grant_moves_(MakeCounter(registry_, "catkinford_grant_moves_total",
+                               "Changes of the grant ledger by shards owned here.")),
+      log_lines_dropped_(MakeCounter(registry_, "catkinford_log_lines_dropped_total",
+                                     "Log lines that found the log thread's ring full.")),
       placement_(MakeHistogram(registry_, "catkinford_placement_seconds",
-                               "Time from a task's arrival at its owner to its start.",
+                               "Time from a job's arrival at its owner to its first start.",
                                kLatencyBounds)),
       answer_(MakeHistogram(registry_, "catkinford_answer_seconds",
                             "Time from a request's arrival at this entry to its answer.",
                             kLatencyBounds)),
       decision_(MakeHistogram(registry_, "catkinford_decision_seconds",
-                              "Time of one run of the decision core.", kDecisionBounds)),
+                              "Time of one round of the core thread.", kDecisionBounds)),
       resident_bytes_(MakeGauge(registry_, "process_resident_memory_bytes",
                                 "Resident memory of this process.")),
       cpu_seconds_(MakeCounter(registry_, "process_cpu_seconds_total",
@@ -108,6 +106,10 @@
                              "Tasks that wait in the shards owned here.")),
       running_tasks(MakeGauge(registry_, "catkinford_running_tasks",
                               "Tasks that run in the shards owned here.")),
+      endpoints(
+          MakeGauge(registry_, "catkinford_endpoints", "Endpoints of the shards owned here.")),
+      open_endpoints(MakeGauge(registry_, "catkinford_open_endpoints",
+                               "Endpoints of the shards owned here that can be given work.")),
       owned_shards(MakeGauge(registry_, "catkinford_owned_shards", "Shards owned here.")),
       highest_epoch(MakeGauge(registry_, "catkinford_highest_epoch",
                               "Highest epoch of the shards owned here.")),
@@ -120,15 +122,9 @@
       keys_trusted(MakeGauge(registry_, "catkinford_keys_trusted",
                              "0 once cut off for longer than isolation.key_grace, else 1.")),
       ready(MakeGauge(registry_, "catkinford_ready", "1 while this entry takes requests.")),
-      grant_moves(MakeCounter(registry_, "catkinford_grant_moves_total",
-                              "Changes of the grant ledger by shards owned here.")),
       takeovers(MakeCounter(registry_, "catkinford_takeovers_total", "Shards claimed here.")),
       fenced_off(MakeCounter(registry_, "catkinford_fenced_off_total",
-                             "Calls that an endpoint refused for their epoch.")),
-      retries(MakeCounter(registry_, "catkinford_retries_total",
-                          "Starts that were tried again on another endpoint.")),
-      log_lines_dropped(MakeCounter(registry_, "catkinford_log_lines_dropped_total",
-                                    "Log lines that found the log thread's ring full.")) {
+                             "Calls that an endpoint refused for their epoch.")) {
   auto& requests = prometheus::BuildCounter()
                        .Name("catkinford_requests_total")
                        .Help("Requests answered here, by workload kind and outcome.")
@@ -148,27 +144,6 @@
     refusals_[reason] =
         &refusals.Add({{"reason", std::string(ToText(static_cast<refusal_reason>(reason)))}});
   }
-  auto& store_calls = prometheus::BuildCounter()
-                          .Name("catkinford_store_calls_total")
-                          .Help("Calls to the platform's store, by kind and end.")
-                          .Register(registry_);
-  for (size_t kind = 0; kind < kStoreCallKinds; ++kind) {
-    for (size_t end = 0; end < kStoreCallEnds; ++end) {
-      store_calls_[kind][end] = &store_calls.Add({{"kind", std::string(kStoreCallNames[kind])},
-                                                  {"end", std::string(kStoreEndNames[end])}});
-    }
-  }
-  MakeEach(prometheus::BuildCounter(), registry_, "catkinford_peer_messages_total",
-           "Messages between entries.", "direction", kDirectionNames, peer_messages_);
-  MakeEach(prometheus::BuildCounter(), registry_, "catkinford_peer_bytes_total",
-           "Bytes of the bodies of messages between entries.", "direction", kDirectionNames,
-           peer_bytes_);
-  MakeEach(prometheus::BuildCounter(), registry_, "catkinford_endpoint_bytes_total",
-           "Bytes of the bodies of calls to endpoints.", "direction", kDirectionNames,
-           endpoint_bytes_);
-  MakeEach(prometheus::BuildGauge(), registry_, "catkinford_endpoints",
-           "Endpoints of the shards owned here, by state.", "state", kEndpointStateNames,
-           endpoints);
 }
 
 void metrics::CountOutcome(workload_kind kind, const outcome& result) {
@@ -188,20 +163,16 @@
   decision_.Observe(Seconds(spent));
 }
 
-void metrics::CountPeerMessage(peer_direction direction, size_t bytes) {
-  peer_messages_[static_cast<size_t>(direction)]->Increment();
-  peer_bytes_[static_cast<size_t>(direction)]->Increment(static_cast<double>(bytes));
+void metrics::SetPeerTotals(const peer_totals& totals) {
+  Follow(peer_calls_, totals.calls_sent);
+  Follow(peer_messages_, totals.messages_sent);
+  Follow(peer_bytes_sent_, totals.bytes_sent);
+  Follow(peer_bytes_received_, totals.bytes_received);
 }
 
-void metrics::CountStoreCall(store_call_kind kind, store_call_end end) {
-  store_calls_[static_cast<size_t>(kind)][static_cast<size_t>(end)]->Increment();
-}
+void metrics::SetLogLinesDropped(uint64_t lines) { Follow(log_lines_dropped_, lines); }
 
-void metrics::CountEndpointCall(size_t bytes_sent, size_t bytes_received) {
-  endpoint_calls_.Increment();
-  endpoint_bytes_[0]->Increment(static_cast<double>(bytes_sent));
-  endpoint_bytes_[1]->Increment(static_cast<double>(bytes_received));
-}
+void metrics::SetGrantMoves(uint64_t moves) { Follow(grant_moves_, moves); }
 
 std::vector<metric_info> metrics::List() const {
   std::vector<metric_info> list;
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -23,17 +23,17 @@
 
 namespace catkinford {
 
-enum class peer_direction : uint8_t { kSent, kReceived };
-enum class store_call_kind : uint8_t { kGet, kRange, kWrite, kLease, kWatch };
-enum class store_call_end : uint8_t { kDone, kConflict, kUnavailable, kUnknown };
+// Counts since the start of the process.
+struct peer_totals {
+  uint64_t calls_sent = 0;
+  uint64_t messages_sent = 0;
+  uint64_t bytes_sent = 0;
+  uint64_t bytes_received = 0;
+};
 
 constexpr size_t kWorkloadKinds = 4;
 constexpr size_t kOutcomeKinds = 5;
 constexpr size_t kRefusalReasons = 13;
-constexpr size_t kEndpointStates = 5;
-constexpr size_t kPeerDirections = 2;
-constexpr size_t kStoreCallKinds = 5;
-constexpr size_t kStoreCallEnds = 4;
 
 struct metric_info {
   std::string name;
@@ -51,17 +51,18 @@
 
   // Requests.
   void CountOutcome(workload_kind kind, const outcome& result);
-  // From a request's arrival at the owner to its start at an endpoint.
+  // From a job's arrival at the owner to its first start.
   void ObservePlacement(std::chrono::microseconds waited);
   // From a request's arrival at this entry to its answer.
   void ObserveAnswer(std::chrono::microseconds waited);
-  // One run of the decision core over its inputs.
+  // One round of the core thread: its inputs, the decisions and what follows from them.
   void ObserveDecision(std::chrono::microseconds spent);
 
-  // Peers, store, logs.
-  void CountPeerMessage(peer_direction direction, size_t bytes);
-  void CountStoreCall(store_call_kind kind, store_call_end end);
-  void CountEndpointCall(size_t bytes_sent, size_t bytes_received);
+  // Totals that others count; called from one thread.
+  void SetPeerTotals(const peer_totals& totals);
+  void SetLogLinesDropped(uint64_t lines);
+  // Changes of the ledger by the shards owned here.
+  void SetGrantMoves(uint64_t moves);
 
   // Name, type, labels and help of each, in order of names: for the docs.
   std::vector<metric_info> List() const;
@@ -72,11 +73,12 @@
   prometheus::Registry registry_;
   std::array<std::array<prometheus::Counter*, kOutcomeKinds>, kWorkloadKinds> requests_{};
   std::array<prometheus::Counter*, kRefusalReasons> refusals_{};
-  std::array<prometheus::Counter*, kPeerDirections> peer_messages_{};
-  std::array<prometheus::Counter*, kPeerDirections> peer_bytes_{};
-  std::array<std::array<prometheus::Counter*, kStoreCallEnds>, kStoreCallKinds> store_calls_{};
-  std::array<prometheus::Counter*, kPeerDirections> endpoint_bytes_{};
-  prometheus::Counter& endpoint_calls_;
+  prometheus::Counter& peer_calls_;
+  prometheus::Counter& peer_messages_;
+  prometheus::Counter& peer_bytes_sent_;
+  prometheus::Counter& peer_bytes_received_;
+  prometheus::Counter& grant_moves_;
+  prometheus::Counter& log_lines_dropped_;
   prometheus::Histogram& placement_;
   prometheus::Histogram& answer_;
   prometheus::Histogram& decision_;
@@ -88,20 +90,18 @@
   prometheus::Gauge& waiting_requests;  // requests in this entry that wait for their answer
   prometheus::Gauge& queued_tasks;      // in the shards owned here
   prometheus::Gauge& running_tasks;     // in the shards owned here
-  std::array<prometheus::Gauge*, kEndpointStates> endpoints{};  // by endpoint_state
+  prometheus::Gauge& endpoints;         // of the shards owned here
+  prometheus::Gauge& open_endpoints;    // those that can be given work
   prometheus::Gauge& owned_shards;
   prometheus::Gauge& highest_epoch;  // of the shards owned here
   prometheus::Gauge& config_version;
   prometheus::Gauge& peers_up;
   prometheus::Gauge& peers_down;
-  prometheus::Gauge& store_up;       // 1 or 0
-  prometheus::Gauge& keys_trusted;   // 0 once cut off for longer than isolation.key_grace
-  prometheus::Gauge& ready;          // 1 or 0
-  prometheus::Counter& grant_moves;  // changes of the ledger by the shards owned here
-  prometheus::Counter& takeovers;    // shards claimed
-  prometheus::Counter& fenced_off;   // calls that an endpoint refused for their epoch
-  prometheus::Counter& retries;      // starts that were tried again on another endpoint
-  prometheus::Counter& log_lines_dropped;
+  prometheus::Gauge& store_up;      // 1 or 0
+  prometheus::Gauge& keys_trusted;  // 0 once cut off for longer than isolation.key_grace
+  prometheus::Gauge& ready;         // 1 or 0
+  prometheus::Counter& takeovers;   // shards claimed
+  prometheus::Counter& fenced_off;  // calls that an endpoint refused for their epoch
 };
 
 }  // namespace catkinford
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -451,6 +451,7 @@
     store_was_up_ = store_up;
     log_.Emit(store_up ? event_code::kStoreUp : event_code::kStoreDown, now);
   }
+  UpdateCounters(now);
 }
 
 bool node::IsReady() const {
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -113,6 +113,9 @@
   void PollInstances(monotonic_time now);
   void OnInstances(const instance_reply& reply, monotonic_time now);
   void UpdateGauges(monotonic_time now);
+  // node_metrics.cc: what is counted, and events about it.
+  void UpdateCounters(monotonic_time now);
+  void CountAnswer(const answered_call& answer, monotonic_time now);
   void CheckShutdown(monotonic_time now);
   std::vector<std::string> LiveDomainPeers() const;
   std::vector<version_member> VersionMembers() const;
@@ -227,7 +230,10 @@
   monotonic_time next_gauges_{};
   monotonic_time shutdown_deadline_{};
   bool has_instances_ = false;
-  bool store_was_up_ = true;
+  bool store_was_up_ = false;  // nothing is said before the first answer
+  bool was_ready_ = false;
+  uint64_t grant_moves_ = 0;      // that were told
+  uint64_t refused_version_ = 0;  // that was told
   bool shutting_down_ = false;
   bool done_ = false;
   std::thread core_;
--- a/src/process/node_calls.cc
+++ b/src/process/node_calls.cc
@@ -100,7 +100,9 @@
     return;
   }
   table_actions actions;
-  table_.BeginCall(token, call.is_batch, call.jobs.size());
+  std::vector<workload_kind> kinds;
+  for (const job_spec& job : call.jobs) kinds.push_back(job.kind);
+  table_.BeginCall(token, call.is_batch, std::move(kinds), now);
   for (size_t slot = 0; slot < call.jobs.size(); ++slot) {
     SubmitJob(token, slot, *holder, std::move(call.jobs[slot]), now);
   }
@@ -160,6 +162,7 @@
     Send(send.owner, std::move(send.place), now);
   }
   for (answered_call& answer : actions.answers) {
+    CountAnswer(answer, now);
     for (const outcome& result : answer.outcomes) {
       log_.Emit(event_code::kRequestAnswered, now, result.id, 0, std::string(ToText(result.kind)),
                 std::string(ToText(result.reason)));
--- /dev/null
+++ b/src/process/node_metrics.cc
@@ -0,0 +1,46 @@
+// What a node counts, beside its gauges, and the events that come of it.
+#include "process/node.h"
+
+namespace catkinford {
+
+void node::CountAnswer(const answered_call& answer, monotonic_time now) {
+  for (size_t i = 0; i < answer.outcomes.size(); ++i) {
+    metrics_.CountOutcome(answer.kinds[i], answer.outcomes[i]);
+  }
+  metrics_.ObserveAnswer(std::chrono::duration_cast<std::chrono::microseconds>(now - answer.begun));
+}
+
+void node::UpdateCounters(monotonic_time now) {
+  uint32_t endpoints = 0;
+  uint32_t open = 0;
+  for (const auto& [number, held] : shards_) {
+    const shard_report report = held->Report();
+    endpoints += report.endpoints;
+    open += report.summary.open_endpoints;
+  }
+  metrics_.endpoints.Set(endpoints);
+  metrics_.open_endpoints.Set(open);
+
+  const mailbox_counters& mail = mailbox_.Counters();
+  metrics_.SetPeerTotals(
+      {mail.batches_sent, mail.messages_sent, mail.bytes_sent, mail.bytes_received});
+  metrics_.SetLogLinesDropped(log_.DroppedLines());
+  metrics_.SetGrantMoves(grants_.Moves());
+
+  if (grants_.Moves() != grant_moves_) {
+    grant_moves_ = grants_.Moves();
+    log_.Emit(event_code::kGrantsMoved, now, {}, 0, config_.name);
+  }
+  if (IsReady() != was_ready_) {
+    was_ready_ = IsReady();
+    if (was_ready_) log_.Emit(event_code::kProcessReady, now, {}, 0, config_.name);
+  }
+  const std::optional<refused_version>& refused = versions_.Order().Refused();
+  if (refused && refused->version != refused_version_) {
+    refused_version_ = refused->version;
+    log_.Emit(event_code::kVersionRefused, now, {}, 0, std::to_string(refused->version),
+              refused->error.path);
+  }
+}
+
+}  // namespace catkinford
--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -207,6 +207,10 @@
     from.OnStartNotSent(action, now);
     return;
   }
+  if (action.arrived != monotonic_time{}) {
+    metrics_.ObservePlacement(
+        std::chrono::duration_cast<std::chrono::microseconds>(now - action.arrived));
+  }
   endpoints_.Start(
       from.Address(action.endpoint), action.token, action.tasks,
       [this, number, epoch = from.Epoch(), action](endpoint_reply reply) {
--- a/src/process/request_table.cc
+++ b/src/process/request_table.cc
@@ -1,6 +1,7 @@
 #include "process/request_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace catkinford {
 namespace {
@@ -31,8 +32,10 @@
 request_table::request_table(table_options options, router& routes)
     : options_(options), routes_(routes) {}
 
-void request_table::BeginCall(http_server::token token, bool is_batch, size_t jobs) {
-  calls_[token] = {is_batch, jobs, std::vector<outcome>(jobs)};
+void request_table::BeginCall(http_server::token token, bool is_batch,
+                              std::vector<workload_kind> kinds, monotonic_time now) {
+  const size_t jobs = kinds.size();
+  calls_[token] = {is_batch, jobs, std::vector<outcome>(jobs), std::move(kinds), now};
 }
 
 void request_table::Settle(http_server::token token, size_t slot, outcome result,
@@ -42,7 +45,8 @@
   call_state& call = found->second;
   call.outcomes[slot] = std::move(result);
   if (--call.open > 0) return;
-  out.answers.push_back({token, call.is_batch, std::move(call.outcomes)});
+  out.answers.push_back(
+      {token, call.is_batch, std::move(call.outcomes), std::move(call.kinds), call.begun});
   calls_.erase(found);
 }
 
--- a/src/process/request_table.h
+++ b/src/process/request_table.h
@@ -36,6 +36,8 @@
   http_server::token token = 0;
   bool is_batch = false;
   std::vector<outcome> outcomes;  // in the order of the jobs
+  std::vector<workload_kind> kinds;
+  monotonic_time begun{};
 };
 struct table_actions {
   std::vector<place_to_send> sends;
@@ -54,7 +56,8 @@
  public:
   request_table(table_options options, router& routes);
 
-  void BeginCall(http_server::token token, bool is_batch, size_t jobs);
+  void BeginCall(http_server::token token, bool is_batch, std::vector<workload_kind> kinds,
+                 monotonic_time now);
   // One job of the call; several callers may wait for one identity.
   void Add(http_server::token token, size_t slot, table_entry entry, monotonic_time now,
            table_actions& out);
@@ -94,6 +97,8 @@
     bool is_batch = false;
     size_t open = 0;
     std::vector<outcome> outcomes;
+    std::vector<workload_kind> kinds;
+    monotonic_time begun{};
   };
 
   void Step(const request_id& id, pending_request& request, monotonic_time now, table_actions& out);
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -119,6 +119,7 @@
   job_state& job = jobs_[place.id];
   job.spec = std::move(place);
   job.has_spec = true;
+  job.arrived = now;
   job.entries.push_back(entry);
   job.tasks.resize(job.spec.tasks);
   if (job.spec.deadline_left.count() > 0) job.deadline = now + job.spec.deadline_left;
@@ -390,6 +391,7 @@
   endpoint_record& at = endpoints_[next.endpoint];
   job->tasks[next.task.index] = {next.task.attempt, next.endpoint, task_phase::kSent};
   start.endpoint = next.endpoint;
+  start.arrived = std::exchange(job->arrived, monotonic_time{});
   start.token = at.link.Token();
   start_task task;
   task.id = next.task;
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -40,6 +40,7 @@
   endpoint_index endpoint = 0;
   uint64_t token = 0;
   std::vector<start_task> tasks;
+  monotonic_time arrived{};  // of the job, with its first start only
 };
 struct stop_action {
   endpoint_index endpoint = 0;
--- a/src/request/job_state.h
+++ b/src/request/job_state.h
@@ -40,6 +40,7 @@
   std::string answer;  // of the last task that ended well
   std::string fault;   // of the first task that failed
   monotonic_time deadline = monotonic_time::max();
+  monotonic_time arrived{};  // until its first start
   std::optional<outcome> ended;
 };
 
--- a/test/event_log_test.cc
+++ b/test/event_log_test.cc
@@ -101,13 +101,14 @@
 TEST_CASE("metrics, counted, appear in the text with their labels", "[metrics]") {
   metrics all;
   all.CountOutcome(workload_kind::kGang, {kId, outcome_kind::kRefused, refusal_reason::kShed});
-  all.CountPeerMessage(peer_direction::kSent, 100);
+  all.SetPeerTotals({1, 2, 50, 0});
+  all.SetPeerTotals({2, 3, 100, 0});
   all.config_version.Set(12);
   const std::string text = all.Text();
   const auto has = [&](const std::string& line) { return text.find(line) != std::string::npos; };
   CHECK(has("catkinford_requests_total{kind=\"gang\",outcome=\"refused\"} 1\n"));
   CHECK(has("catkinford_refusals_total{reason=\"shed\"} 1\n"));
-  CHECK(has("catkinford_peer_bytes_total{direction=\"sent\"} 100\n"));
+  CHECK(has("catkinford_peer_bytes_sent_total 100\n"));
   CHECK(has("catkinford_config_version 12\n"));
   CHECK(has("process_resident_memory_bytes"));
 }
