--- a/src/process/node_calls.cc
+++ b/src/process/node_calls.cc
@@ -101,6 +101,7 @@
   }
   table_actions actions;
   std::vector<workload_kind> kinds;
+  kinds.reserve(call.jobs.size());
   for (const job_spec& job : call.jobs) kinds.push_back(job.kind);
   table_.BeginCall(token, call.is_batch, std::move(kinds), now);
   for (size_t slot = 0; slot < call.jobs.size(); ++slot) {
