--- a/src/process/node_calls.cc
+++ b/src/process/node_calls.cc
@@ -95,15 +95,18 @@
 void node::Handle(http_server::token token, const std::string& key, submit_call call,
                   monotonic_time now) {
   const std::optional<key_holder> holder = HolderOf(key, now);
-  if (!holder || holder->is_operator) {
-    front_.Respond(token, ErrorResponse(401, "unknown_key", "nothing was run"));
-    return;
-  }
-  table_actions actions;
   std::vector<workload_kind> kinds;
   kinds.reserve(call.jobs.size());
   for (const job_spec& job : call.jobs) kinds.push_back(job.kind);
   table_.BeginCall(token, call.is_batch, std::move(kinds), now);
+  if (!holder || holder->is_operator) {
+    table_actions refused;
+    for (size_t slot = 0; slot < call.jobs.size(); ++slot) {
+      table_.Settle(token, slot, Refused({}, refusal_reason::kUnknownKey, {}, ""), refused);
+    }
+    TakeTable(std::move(refused), now);
+    return;
+  }
   for (size_t slot = 0; slot < call.jobs.size(); ++slot) {
     SubmitJob(token, slot, *holder, std::move(call.jobs[slot]), now);
   }
@@ -113,10 +116,9 @@
                      monotonic_time now) {
   table_entry entry;
   place_message& place = entry.place;
-  const std::string team_name = absl::StrCat(holder.workspace, "/", holder.team);
   entry.keyed = !spec.idempotency_key.empty();
   entry.first_ask = spec.first_ask;
-  place.id = entry.keyed ? DeriveRequestId(team_name, spec.idempotency_key) : NewRequestId();
+  place.id = entry.keyed ? DeriveRequestId(holder.team, spec.idempotency_key) : NewRequestId();
   table_actions actions;
   const auto refuse = [&](refusal_reason reason, milliseconds retry, std::string detail) {
     table_.Settle(token, slot, Refused(place.id, reason, retry, std::move(detail)), actions);
@@ -152,7 +154,7 @@
   place.payload = std::move(spec.payload);
   entry.patience = waits ? deadline : kDurablePatience;
   if (!waits && spec.wait) entry.patience = deadline.count() > 0 ? deadline : kEndless;
-  log_.Emit(event_code::kRequestReceived, now, place.id, 0, team_name);
+  log_.Emit(event_code::kRequestReceived, now, place.id, 0, holder.team);
   table_.Add(token, slot, std::move(entry), now, actions);
   TakeTable(std::move(actions), now);
 }
@@ -187,13 +189,15 @@
 
 void node::Handle(http_server::token token, const std::string& key, const status_call& call,
                   monotonic_time now) {
-  if (!HolderOf(key, now)) {
+  const std::optional<key_holder> holder = HolderOf(key, now);
+  if (!holder) {
     front_.Respond(token, ErrorResponse(401, "unknown_key"));
     return;
   }
   const uint64_t query = next_query_++;
   open_status& open = statuses_[query];
   open.token = token;
+  open.team = holder->team;
   open.id = call.id;
   open.wait_until = now + std::min(call.wait, config_.timing.max_deadline);
   AskStatus(query, open, now);
@@ -201,13 +205,15 @@
 
 void node::Handle(http_server::token token, const std::string& key, const cancel_call& call,
                   monotonic_time now) {
-  if (!HolderOf(key, now)) {
+  const std::optional<key_holder> holder = HolderOf(key, now);
+  if (!holder) {
     front_.Respond(token, ErrorResponse(401, "unknown_key"));
     return;
   }
   const uint64_t query = next_query_++;
   open_status& open = statuses_[query];
   open.token = token;
+  open.team = holder->team;
   open.id = call.id;
   open.cancel = true;
   AskStatus(query, open, now);
@@ -229,6 +235,13 @@
 
 namespace {
 
+outcome NoSuchJob(const request_id& id) {
+  outcome result;
+  result.id = id;
+  result.detail = "no owner that answered knows this job";
+  return result;
+}
+
 http_response StatusResponse(const request_id& id, const status_answer& answer) {
   std::string state = "unknown";
   if (answer.known) state = answer.progress.running > 0 ? "running" : "waiting";
@@ -247,14 +260,16 @@
 
 }  // namespace
 
-void node::OnStatusAnswer(const std::string& /*from*/, const status_answer& answer,
-                          monotonic_time now) {
+void node::OnStatusAnswer(const status_answer& answer, monotonic_time now) {
   const auto found = statuses_.find(answer.query);
   if (found == statuses_.end()) return;
   open_status& open = found->second;
-  if (!answer.known) {
+  // Another team's job is as unknown to this caller as one that never was.
+  const bool may_see = open.team.empty() || open.team == answer.team;
+  if (!answer.known || !may_see) {
     if (open.answers_left > 0 && --open.answers_left > 0) return;
-    front_.Respond(open.token, StatusResponse(open.id, answer));
+    front_.Respond(open.token, open.cancel ? ToResponse(NoSuchJob(open.id))
+                                           : StatusResponse(open.id, status_answer{}));
     statuses_.erase(found);
     return;
   }
@@ -303,20 +318,15 @@
 void node::Handle(http_server::token token, const std::string& key, const drain_call& call,
                   monotonic_time now) {
   if (!IsOperator(token, key, now)) return;
-  const auto known = [&](const instance& at) { return at.name == call.endpoint; };
-  if (std::none_of(own_endpoints_.begin(), own_endpoints_.end(), known)) {
-    front_.Respond(token, ErrorResponse(404, "unknown_endpoint", "ask an entry of its domain"));
+  if (!endpoint_names_.contains(call.endpoint)) {
+    front_.Respond(token, ErrorResponse(404, "unknown_endpoint", "it is not in the instance list"));
     return;
   }
-  bool is_ours = false;
-  for (auto& [number, held] : shards_) {
-    is_ours |= call.dry_run ? held->Has(call.endpoint) : held->Drain(call.endpoint, now);
-  }
-  if (is_ours) {
-    front_.Respond(token, {200, Dump({{"endpoint", call.endpoint}, {"dry_run", call.dry_run}})});
-  } else {
-    front_.Respond(token, ErrorResponse(409, "not_owner", "ask the other entry of its domain"));
+  if (!call.dry_run) {
+    DrainEndpoint(call.endpoint, now);
+    for (const auto& [name, peer] : peers_) Send(name, drain_message{call.endpoint}, now);
   }
+  front_.Respond(token, {200, Dump({{"endpoint", call.endpoint}, {"dry_run", call.dry_run}})});
 }
 
 void node::Handle(http_server::token token, const std::string& key, const evacuate_call& /*call*/,
--- a/src/process/shard_endpoints.cc
+++ b/src/process/shard_endpoints.cc
@@ -48,6 +48,7 @@
 bool shard::Drain(const std::string& name, monotonic_time now) {
   const auto found = endpoint_by_name_.find(name);
   if (found == endpoint_by_name_.end()) return false;
+  if (endpoints_[found->second].drained) return true;
   endpoints_[found->second].drained = true;
   SetCoreState(found->second, now);
   Note(event_code::kEndpointLeaving, {}, name, "drained by an operator");
