--- a/test/request_table_test.cc
+++ b/test/request_table_test.cc
@@ -48,7 +48,7 @@
   }
 
   void Add(http_server::token token, table_entry entry) {
-    table_.BeginCall(token, false, 1);
+    table_.BeginCall(token, false, {entry.place.kind}, now_);
     table_.Add(token, 0, std::move(entry), now_, out_);
   }
 
