--- a/src/process/grant_keeper.cc
+++ b/src/process/grant_keeper.cc
@@ -12,7 +12,17 @@
 // changed, at most this often, and once a second for what a lost reply or a lowered limit left.
 constexpr milliseconds kPlanInterval{50};
 constexpr milliseconds kIdlePlanInterval{1000};
-constexpr milliseconds kReadInterval{1000};  // while starved: others may have returned something
+constexpr milliseconds kStoreRetry{300};
+constexpr milliseconds kWatchWait{20000};
+constexpr milliseconds kWatchInterval{200};  // between two watches, however much changes
+
+// How long after a reply the next plan waits. At once would be a storm: two shards that want the
+// same part answer each other's writes, and a store that refuses for its rate is asked again as
+// fast as it refuses (461,000 writes in 40 s, seen in limit_lowered_under_load, seed 2).
+milliseconds RetryAfter(store_status status) {
+  const bool refused = status == store_status::kUnavailable || status == store_status::kUnknown;
+  return refused ? kStoreRetry : kPlanInterval;
+}
 
 bool IsSame(const std::vector<grant_demand>& a, const std::vector<grant_demand>& b) {
   if (a.size() != b.size()) return false;
@@ -20,25 +30,11 @@
     if (a[i].wanted.running != b[i].wanted.running) return false;
     if (!(a[i].wanted.amount == b[i].wanted.amount)) return false;
     if (a[i].used.running != b[i].used.running) return false;
+    if (a[i].piece.running != b[i].piece.running) return false;
   }
   return true;
 }
 
-// Whether some team waits for more than the shard may use.
-bool IsStarved(const std::vector<grant_demand>& demands, const std::vector<grant_entry>& usable) {
-  for (const grant_demand& demand : demands) {
-    if (demand.wanted.running == 0) continue;
-    bool met = false;
-    for (const grant_entry& entry : usable) {
-      if (entry.team != demand.team) continue;
-      met = entry.grant.running >= demand.wanted.running &&
-            Fits(demand.wanted.amount, entry.grant.amount);
-    }
-    if (!met) return true;
-  }
-  return false;
-}
-
 }  // namespace
 
 grant_keeper::grant_keeper(store_adapter& store, poster post)
@@ -47,6 +43,7 @@
 void grant_keeper::OnGained(const std::string& shard_name, uint64_t epoch) {
   OnLost(shard_name);
   held_.emplace(shard_name, held_shard(grant_holder(shard_name, epoch)));
+  watched_ = 0;  // the new holder has seen nothing yet
 }
 
 void grant_keeper::OnLost(const std::string& shard_name) {
@@ -57,7 +54,6 @@
 void grant_keeper::Tick(const std::vector<shard*>& owned,
                         const std::shared_ptr<const configuration>& config, monotonic_time now) {
   if (config == nullptr) return;
-  bool starved = false;
   for (shard* of : owned) {
     const auto found = held_.find(of->Name());
     if (found == held_.end()) continue;
@@ -66,12 +62,10 @@
     if (held.changed) {
       held.changed = false;
       const std::vector<grant_entry> usable = held.holder.Usable(*config);
-      held.starved = IsStarved(held.planned, usable);
       of->SetGrants(usable, now);
     }
-    starved |= held.starved;
   }
-  if (starved && !reading_ && now >= next_read_) Read(now);
+  if (!owned.empty() && !watching_ && now >= next_watch_) Watch(now);
 }
 
 void grant_keeper::Plan(shard& of, held_shard& held,
@@ -98,24 +92,32 @@
           held_shard& held = held_.at(shard_name);
           held.holder.OnReply(key, reply);
           held.changed = true;
-          held.next_plan = now;
+          held.next_plan = now + RetryAfter(reply.status);
         });
       });
 }
 
-void grant_keeper::Read(monotonic_time now) {
-  reading_ = true;
-  next_read_ = now + kReadInterval;
-  store_.Range(kGrantPrefix, [this](store_reply reply) {
+// A shard that holds an unused part learns only here that another is starved: its own plan, made on
+// what it last saw, would change nothing and so meet no conflict. Without the watch the part lay
+// idle beside waiting work (limit_lowered_under_load, seed 2). A steady load changes nothing and
+// the watch waits.
+void grant_keeper::Watch(monotonic_time now) {
+  watching_ = true;
+  next_watch_ = now + kWatchInterval;
+  store_.Watch(kGrantPrefix, watched_, kWatchWait, [this](store_reply reply) {
     post_([this, reply = std::move(reply)](monotonic_time at) {
-      reading_ = false;
-      if (reply.status != store_status::kDone) return;
-      for (auto& [name, held] : held_) {
-        for (const store_item& item : reply.items) {
+      watching_ = false;
+      if (reply.status != store_status::kDone) {
+        next_watch_ = at + kStoreRetry;
+        return;
+      }
+      for (const store_item& item : reply.items) {
+        watched_ = std::max(watched_, item.revision);
+        for (auto& [name, held] : held_) {
           held.holder.OnRead(item.key, item.revision, item.value);
+          held.changed = true;
+          held.next_plan = std::min(held.next_plan, at + kPlanInterval);
         }
-        held.changed = true;
-        held.next_plan = at;
       }
     });
   });
--- a/src/process/grant_keeper.h
+++ b/src/process/grant_keeper.h
@@ -40,21 +40,21 @@
     std::shared_ptr<const configuration> config;
     monotonic_time next_plan{};
     bool changed = true;  // usable grants must be set again
-    bool starved = false;
   };
 
   void Plan(shard& of, held_shard& held, const std::shared_ptr<const configuration>& config,
             monotonic_time now);
   void Send(const std::string& shard_name, uint64_t generation, const grant_write& write);
-  void Read(monotonic_time now);
+  void Watch(monotonic_time now);
 
   store_adapter& store_;
   poster post_;
   std::map<std::string, held_shard> held_;
   std::map<std::string, uint64_t> generations_;
   uint64_t moves_ = 0;
-  bool reading_ = false;
-  monotonic_time next_read_{};
+  bool watching_ = false;
+  uint64_t watched_ = 0;  // the highest revision seen
+  monotonic_time next_watch_{};
 };
 
 }  // namespace catkinford
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -202,6 +202,7 @@
     return;
   }
   job.accepted = true;
+  if (job.spec.kind == workload_kind::kGang) gangs_.insert(id);
   if (!job.durable) return;
   for (const std::string& entry : job.entries) {
     actions_.push_back(answer_action{entry, Accepted(id)});
@@ -251,6 +252,7 @@
     for (uint32_t i = 0; i < job->tasks.size(); ++i) {
       if (job->tasks[i].phase == task_phase::kWaiting) waiting.push_back(i);
     }
+    if (job->spec.kind == workload_kind::kGang) gangs_.insert(id);
     core_.Resume(RequestOf(*job, now), waiting, now);
   }
 }
@@ -318,6 +320,7 @@
   if (job.ended) return;
   Answer(job, result);
   job.entries.clear();
+  gangs_.erase(id);
   deadlines_.erase({job.deadline, id});
   if (job.durable) actions_.push_back(complete_action{{id, 0, 0}, false, true});
   job.ended = std::move(result);
@@ -570,11 +573,25 @@
     demand.team = teams_.NameOf(team);
     demand.used = {usage.running, usage.running_tasks};
     demand.wanted = {usage.wanted, usage.running_tasks + usage.queued_tasks};
+    if (!gangs_.empty()) demand.piece = LargestGang(demand.team);
     demands.push_back(std::move(demand));
   }
   return demands;
 }
 
+team_grant shard::LargestGang(const std::string& team) const {
+  team_grant largest;
+  for (const request_id& id : gangs_) {
+    const job_state& job = jobs_.at(id);
+    if (job.spec.team != team || ProgressOf(job).waiting < job.tasks.size()) continue;
+    if (job.spec.tasks <= largest.running) continue;
+    largest = {};
+    largest.running = job.spec.tasks;
+    for (uint32_t i = 0; i < job.spec.tasks; ++i) largest.amount += job.spec.each;
+  }
+  return largest;
+}
+
 std::vector<team_report> shard::TeamReports() const {
   std::vector<team_report> reports;
   for (team_index team = 0; team < teams_.Size(); ++team) {
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -142,6 +142,8 @@
 
   shard_report Report() const;
   std::vector<grant_demand> Demands() const;
+  // The largest gang of the team that waits: it starts only as a whole.
+  team_grant LargestGang(const std::string& team) const;
   std::vector<team_report> TeamReports() const;
   const std::string& Name() const { return options_.name; }
   uint64_t Epoch() const { return options_.epoch; }
@@ -221,6 +223,7 @@
   bool has_endpoints_ = false;
   absl::flat_hash_map<request_id, job_state> jobs_;
   size_t unanswered_ = 0;
+  std::set<request_id> gangs_;  // that have not ended
   identity_memory identities_;  // of work that a caller waits for, beyond its job_state
   std::vector<held_place> held_;
   std::vector<request_id> restored_;  // not resumed yet: some endpoint is not listed
--- a/src/version/grant_ledger.cc
+++ b/src/version/grant_ledger.cc
@@ -49,6 +49,7 @@
   amounts granted{};
   uint64_t holders = 0;  // shards that hold a part or want one
   bool other_starved = false;
+  const grant_entry* piece_holder = nullptr;  // the first other shard with a piece
 };
 
 bool ByTeamThenShard(const grant_entry& a, const grant_entry& b) {
@@ -63,7 +64,9 @@
     const amounts part = AmountsOf(entry.grant);
     for (size_t i = 0; i < kAmounts; ++i) total.granted[i] += part[i];
     ++total.holders;
-    if (entry.starved && entry.shard != shard) total.other_starved = true;
+    if (entry.shard == shard) continue;
+    if (entry.starved) total.other_starved = true;
+    if (total.piece_holder == nullptr && !IsZero(entry.piece)) total.piece_holder = &entry;
   }
   return total;
 }
@@ -79,6 +82,8 @@
   uint64_t granted;  // by all shards, this one included
   uint64_t holders;
   bool other_starved;
+  uint64_t own_piece;    // zero: none, or another shard's goes first
+  uint64_t other_piece;  // zero: none that goes before ours
 };
 
 // What the shard should hold, before the limit is looked at.
@@ -87,7 +92,11 @@
   if (plan.granted > plan.limit) return plan.used;
   if (plan.other_starved) {
     // Nothing is kept in reserve, and nothing above an equal part that is not running already.
-    const uint64_t part = plan.limit / std::max<uint64_t>(plan.holders, 1);
+    if (plan.own_piece > 0) return std::max(plan.used, plan.own_piece);
+    const uint64_t others = plan.other_piece > 0 ? 1 : 0;
+    const uint64_t rest = plan.limit - std::min(plan.limit, plan.other_piece);
+    const uint64_t part =
+        rest / std::max<uint64_t>(plan.holders - std::min(plan.holders, others), 1);
     return std::max(plan.used, std::min(wanted, part));
   }
   // A reserve is held also without demand, so that a first task starts without the store. Limits
@@ -108,6 +117,18 @@
   return plan.held + std::min(aim - plan.held, free);
 }
 
+// The demand's piece, if it does not go into an equal part of the limit but into the whole.
+team_grant PieceOf(const grant_demand& demand, const team_total& total, const amounts& limit) {
+  const amounts piece = AmountsOf(demand.piece);
+  const uint64_t holders = std::max<uint64_t>(total.holders, 1);
+  bool too_large_for_part = false;
+  for (size_t i = 0; i < kAmounts; ++i) {
+    if (piece[i] > limit[i]) return {};
+    too_large_for_part |= piece[i] > limit[i] / holders;
+  }
+  return too_large_for_part ? demand.piece : team_grant{};
+}
+
 grant_entry PlanTeam(const grant_entry& held, const team_total& total, const amounts& limit,
                      const grant_demand& demand, const grant_policy& policy) {
   grant_entry next = held;
@@ -116,9 +137,15 @@
   const amounts now = AmountsOf(held.grant);
   amounts planned{};
   next.starved = false;
+  next.piece = PieceOf(demand, total, limit);
+  const bool ours_first = total.piece_holder == nullptr || held.shard < total.piece_holder->shard;
+  const amounts own_piece = ours_first ? AmountsOf(next.piece) : amounts{};
+  const bool yields = total.piece_holder != nullptr && !(ours_first && !IsZero(next.piece));
+  const amounts other_piece = yields ? AmountsOf(total.piece_holder->piece) : amounts{};
   for (size_t i = 0; i < kAmounts; ++i) {
-    const amount_plan plan{used[i],       wanted[i],          now[i], limit[i], total.granted[i],
-                           total.holders, total.other_starved};
+    const amount_plan plan{
+        used[i],       wanted[i],           now[i],       limit[i],      total.granted[i],
+        total.holders, total.other_starved, own_piece[i], other_piece[i]};
     planned[i] = PlanAmount(plan, policy);
     if (planned[i] < std::min(wanted[i], limit[i])) next.starved = true;
   }
@@ -138,7 +165,7 @@
 void Put(ledger_value& ledger, grant_entry entry) {
   const auto place = PlaceOf(ledger, entry);
   const bool exists = place != ledger.entries.end() && IsSame(*place, entry);
-  const bool empty = IsZero(entry.grant) && !entry.starved;
+  const bool empty = IsZero(entry.grant) && !entry.starved && IsZero(entry.piece);
   if (exists && empty) {
     ledger.entries.erase(place);
   } else if (exists) {
@@ -148,30 +175,47 @@
   }
 }
 
-std::optional<grant_entry> ParseEntry(const std::string& team, const std::string& shard,
-                                      const json& value) {
-  if (!value.is_array() || value.size() != kEntryFields) return std::nullopt;
+std::optional<amounts> ParseAmounts(const json& value) {
   amounts parsed{};
+  if (!value.is_array() || value.size() < kAmounts) return std::nullopt;
   for (size_t i = 0; i < kAmounts; ++i) {
     if (!value[i].is_number_unsigned()) return std::nullopt;
     parsed[i] = value[i].get<uint64_t>();
     if (parsed[i] > std::numeric_limits<uint32_t>::max()) return std::nullopt;
   }
+  return parsed;
+}
+
+std::optional<grant_entry> ParseEntry(const std::string& team, const std::string& shard,
+                                      const json& value) {
+  if (!value.is_array() || value.size() < kEntryFields) return std::nullopt;
+  const std::optional<amounts> parsed = ParseAmounts(value);
+  if (!parsed) return std::nullopt;
+  std::optional<amounts> piece = amounts{};
+  if (value.size() > kEntryFields) piece = ParseAmounts(value[kEntryFields]);
+  if (!piece) return std::nullopt;
   const json& epoch = value[kAmounts];
   const json& starved = value[kAmounts + 1];
   if (!epoch.is_number_unsigned() || !starved.is_boolean()) return std::nullopt;
-  return grant_entry{team, shard, GrantFrom(parsed), epoch.get<uint64_t>(), starved.get<bool>()};
+  return grant_entry{team,
+                     shard,
+                     GrantFrom(*parsed),
+                     epoch.get<uint64_t>(),
+                     starved.get<bool>(),
+                     GrantFrom(*piece)};
 }
 
 }  // namespace
 
-// {"team":{"shard":[cpu_milli, memory_mb, accelerators, running, epoch, starved]}}
+// {"team":{"shard":[cpu_milli, memory_mb, accelerators, running, epoch, starved, piece?]}}, where a
+// piece is the same four amounts.
 std::string ToText(const ledger_value& ledger) {
   json teams = json::object();
   for (const grant_entry& entry : ledger.entries) {
     json value = AmountsOf(entry.grant);
     value.push_back(entry.epoch);
     value.push_back(entry.starved);
+    if (!IsZero(entry.piece)) value.push_back(AmountsOf(entry.piece));
     teams[entry.team][entry.shard] = std::move(value);
   }
   return teams.dump(-1, ' ', false, json::error_handler_t::replace);
--- a/src/version/grant_ledger.h
+++ b/src/version/grant_ledger.h
@@ -24,9 +24,16 @@
   team_grant grant;
   uint64_t epoch = 0;    // of the owner that wrote it; no other owner may count on it
   bool starved = false;  // wants more than the limit leaves: others keep no more than their part
+  // A piece that waits here, starts only as a whole, and is larger than an equal part of the limit;
+  // zero: none. Of the shards with such a piece the first by name gets it and the others share the
+  // rest: with equal parts every shard could hold a little of the limit and none of them start.
+  team_grant piece;
   bool operator==(const grant_entry& other) const {
-    return team == other.team && shard == other.shard && grant.amount == other.grant.amount &&
-           grant.running == other.grant.running && epoch == other.epoch && starved == other.starved;
+    const auto same = [](const team_grant& a, const team_grant& b) {
+      return a.amount == b.amount && a.running == b.running;
+    };
+    return team == other.team && shard == other.shard && same(grant, other.grant) &&
+           epoch == other.epoch && starved == other.starved && same(piece, other.piece);
   }
 };
 
@@ -42,6 +49,7 @@
   std::string team;
   team_grant used;    // running now, and starts under way: cannot be given back
   team_grant wanted;  // used and waiting
+  team_grant piece;   // the largest that waits and starts only as a whole; zero: none
 };
 
 struct ledger_change {
