Measure what each team gets of a full floor

catkinford-bench shares: six real entries, 18 endpoints, every team keeps enough requests open to fill the floor; parts by the endpoints' own records.

--- a/bench/commands.h
+++ b/bench/commands.h
@@ -18,6 +18,9 @@
 // Load in an open loop over a fleet of real processes: `load --rate R --seconds S`.
 int LoadMain(int argc, char** argv);
 
+// What each team gets of a full floor, beside its share: `shares --teams 6 --seconds 30`.
+int SharesMain(int argc, char** argv);
+
 // Failure scenarios: `scenario NAME --seed N`, `scenario --list`.
 int ScenarioMain(int argc, char** argv);
 
--- /dev/null
+++ b/bench/shares.cc
@@ -0,0 +1,244 @@
+// `catkinford-bench shares`: what each team gets of a full floor, beside its share.
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/flags/declare.h"
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/strings/str_cat.h"
+#include "bench/caller.h"
+#include "bench/commands.h"
+#include "bench/flags.h"
+#include "bench/fleet.h"
+#include "nlohmann/json.hpp"
+#include "version/contract.h"
+
+ABSL_FLAG(uint32_t, teams, 6, "shares: how many teams");
+ABSL_FLAG(double, settle, 10, "shares: seconds before the figures are taken");
+ABSL_FLAG(uint32_t, outstanding, 144, "shares: requests that each team keeps open");
+ABSL_FLAG(std::string, absent, "", "shares: a team that goes away for --seconds and comes back");
+ABSL_DECLARE_FLAG(double, seconds);
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::system_clock;
+
+constexpr milliseconds kStartLimit{30000};
+constexpr milliseconds kConfigLimit{15000};
+constexpr milliseconds kRunTime{200};
+constexpr milliseconds kDeadline{15000};
+constexpr size_t kEndpointsPerDomain = 6;
+constexpr size_t kClients = 3;
+// Eight of these fill an endpoint in processors, memory and slots alike.
+constexpr resources kEach{2000, 4096, 0, 0};
+// Parts of the floor; a team over the list's end gets the last.
+constexpr std::array<double, 6> kParts = {30, 25, 20, 10, 10, 5};
+
+struct team_load {
+  team_access access;
+  double share = 0;
+  std::atomic<bool> present = true;
+};
+
+// Every team keeps its requests open: each answer is followed by the next request.
+class closed_loop {
+ public:
+  closed_loop(fleet& running, std::vector<std::unique_ptr<team_load>>& teams)
+      : running_(running), teams_(teams) {}
+
+  void Begin(size_t team, uint32_t outstanding) {
+    for (uint32_t i = 0; i < outstanding; ++i) Next(team);
+  }
+  void Stop() {
+    stopped_ = true;
+    callers_.WaitIdle(kDeadline + kDeadline);
+  }
+  std::vector<call_record> Records() const { return callers_.Records(); }
+
+ private:
+  void Next(size_t team) {
+    if (stopped_ || !teams_[team]->present) return;
+    const uint64_t number = next_++;
+    call_spec spec;
+    spec.work = absl::StrCat("share-", team, "-", number);
+    spec.each = kEach;
+    spec.run_time = kRunTime;
+    spec.deadline = kDeadline;
+    const size_t slot = number % running_.Entries();
+    callers_.Submit(running_.Entry(slot).name, running_.UrlOf(slot), teams_[team]->access, spec,
+                    system_clock::now(),
+                    [this, team](const call_record& /*record*/) { Next(team); });
+  }
+
+  fleet& running_;
+  std::vector<std::unique_ptr<team_load>>& teams_;
+  std::atomic<bool> stopped_ = false;
+  std::atomic<uint64_t> next_ = 0;
+  caller callers_{kClients};
+};
+
+// Processor time that each team had in the window, by the endpoints' own records.
+std::map<std::string, double> ReceivedIn(const std::vector<run_event>& events, wall_time from,
+                                         wall_time to) {
+  absl::flat_hash_map<std::string, const run_event*> starts;
+  std::map<std::string, double> received;
+  const auto add = [&](const run_event& start, wall_time end) {
+    const std::chrono::duration<double> overlap = std::min(end, to) - std::max(start.at, from);
+    if (overlap.count() > 0) received[start.team] += overlap.count() * start.amount.cpu_milli;
+  };
+  for (const run_event& event : events) {
+    if (event.event == "start") starts[event.id] = &event;
+    if (event.event != "end") continue;
+    const auto found = starts.find(event.id);
+    if (found == starts.end()) continue;
+    add(*found->second, event.at);
+    starts.erase(found);
+  }
+  for (const auto& [id, start] : starts) add(*start, to);
+  return received;
+}
+
+// Processor time that the endpoints had in the window.
+double CapacityIn(const fleet& running, wall_time from, wall_time to) {
+  double cpu = 0;
+  for (const endpoint_capacity& each : running.Capacities()) cpu += each.capacity.cpu_milli;
+  return cpu * std::chrono::duration<double>(to - from).count();
+}
+
+struct share_window {
+  std::string name;
+  wall_time from;
+  wall_time to;
+  std::string absent;  // a team that wants nothing in it
+};
+
+// Prints one window; returns it with the largest distance between a part and its share.
+nlohmann::json Judge(fleet& running, const std::vector<std::unique_ptr<team_load>>& teams,
+                     const std::vector<run_event>& events, const share_window& window) {
+  const std::map<std::string, double> received = ReceivedIn(events, window.from, window.to);
+  double all = 0;
+  for (const auto& [team, amount] : received) all += amount;
+  double shares = 0;
+  for (const auto& team : teams) {
+    if (team->access.team != window.absent) shares += team->share;
+  }
+  nlohmann::json lines = nlohmann::json::array();
+  double worst = 0;
+  const double full = all / CapacityIn(running, window.from, window.to);
+  std::printf("%s: floor %.1f %% in use\n", window.name.c_str(), full * 100);
+  for (const auto& team : teams) {
+    if (team->access.team == window.absent) continue;
+    const auto found = received.find(team->access.team);
+    const double part = found == received.end() ? 0 : found->second / all * 100;
+    const double due = team->share / shares * 100;
+    worst = std::max(worst, std::abs(part - due));
+    std::printf("  %-8s share %5.1f %%  received %5.1f %%\n", team->access.team.c_str(), due, part);
+    lines.push_back({{"team", team->access.team}, {"share", due}, {"received", part}});
+  }
+  std::printf("  largest distance %.2f percentage points\n", worst);
+  return {{"window", window.name}, {"in_use", full}, {"worst_points", worst}, {"teams", lines}};
+}
+
+// Gives the teams their different shares, through an entry as an operator would.
+bool SetShares(fleet& running, std::vector<std::unique_ptr<team_load>>& teams) {
+  configuration config = running.Contract().config;
+  double sum = 0;
+  for (size_t i = 0; i < teams.size(); ++i) sum += kParts[std::min(i, kParts.size() - 1)];
+  for (size_t i = 0; i < teams.size(); ++i) {
+    teams[i]->share = kParts[std::min(i, kParts.size() - 1)] * 100 / sum;
+    FindTeam(config, teams[i]->access.team)->share = teams[i]->share;
+  }
+  http_client http(0);
+  http.Start();
+  http_call read{"GET", running.UrlOf(0) + "/v1/config", "", running.Contract().operator_secret};
+  const nlohmann::json present = nlohmann::json::parse(http.SendAndWait(read).body, nullptr, false);
+  if (!present.is_object()) return false;
+  const nlohmann::json change = {{"expect", present["version"]}, {"text", ToText(config)}};
+  http_call write{"PUT", read.url, change.dump(), read.bearer, kConfigLimit};
+  const http_result result = http.SendAndWait(write);
+  http.Stop();
+  if (result.code == 200) return true;
+  std::fprintf(stderr, "shares: the contract was not taken: %s\n", result.body.c_str());
+  return false;
+}
+
+void SleepUntil(wall_time at) { std::this_thread::sleep_until(at); }
+
+}  // namespace
+
+int SharesMain(int argc, char** argv) {
+  absl::ParseCommandLine(argc, argv);
+  fleet_options options;
+  options.endpoints_per_domain = kEndpointsPerDomain;
+  options.teams = absl::GetFlag(FLAGS_teams);
+  options.seed = absl::GetFlag(FLAGS_seed);
+  fleet running(options);
+  if (!running.Start(kStartLimit)) return 1;
+  std::vector<std::unique_ptr<team_load>> teams;
+  for (const team_access& access : running.Contract().teams) {
+    teams.push_back(std::make_unique<team_load>());
+    teams.back()->access = access;
+  }
+  if (!SetShares(running, teams)) return 1;
+
+  const auto seconds = [](double count) {
+    return std::chrono::duration_cast<system_clock::duration>(std::chrono::duration<double>(count));
+  };
+  const auto length = seconds(absl::GetFlag(FLAGS_seconds));
+  const auto settle = seconds(absl::GetFlag(FLAGS_settle));
+  const uint32_t outstanding = absl::GetFlag(FLAGS_outstanding);
+  const std::string absent = absl::GetFlag(FLAGS_absent);
+  closed_loop load(running, teams);
+  const wall_time begun = system_clock::now();
+  for (size_t i = 0; i < teams.size(); ++i) load.Begin(i, outstanding);
+  std::vector<share_window> windows;
+  wall_time end = begun + length;
+  SleepUntil(end);
+  windows.push_back({"all present", begun + settle, end, ""});
+  const auto away = std::find_if(teams.begin(), teams.end(),
+                                 [&](const auto& team) { return team->access.team == absent; });
+  if (away != teams.end()) {
+    (*away)->present = false;
+    SleepUntil(end + length);
+    windows.push_back({absent + " away", end + settle, end + length, absent});
+    (*away)->present = true;
+    load.Begin(static_cast<size_t>(away - teams.begin()), outstanding);
+    end += length;
+    SleepUntil(end + length);
+    windows.push_back({absent + " back", end + settle, end + length, ""});
+  }
+  load.Stop();
+  const std::vector<run_event> events = running.Events();
+  nlohmann::json report = {{"seed", options.seed},
+                           {"commit", absl::GetFlag(FLAGS_commit)},
+                           {"windows", nlohmann::json::array()}};
+  for (const share_window& window : windows) {
+    report["windows"].push_back(Judge(running, teams, events, window));
+  }
+  std::map<std::string, int> ends;
+  for (const call_record& record : load.Records()) {
+    const std::string_view kind = record.has_answer ? ToText(record.outcome) : "no_answer";
+    ++ends[std::string(kind)];
+  }
+  for (const auto& [kind, count] : ends) std::printf("%s %d  ", kind.c_str(), count);
+  std::puts("");
+  report["outcomes"] = ends;
+  if (!absl::GetFlag(FLAGS_json).empty()) {
+    std::ofstream(absl::GetFlag(FLAGS_json)) << report.dump(1) << '\n';
+  }
+  return 0;
+}
+
+}  // namespace catkinford
