Let grants run ahead by a part of the demand, too

What lies idle is returned as soon as another shard is starved, so that writes were weighed higher. Large teams get too little.

--- a/bench/shares.cc
+++ b/bench/shares.cc
@@ -27,6 +27,8 @@
 ABSL_FLAG(double, settle, 10, "shares: seconds before the figures are taken");
 ABSL_FLAG(uint32_t, outstanding, 144, "shares: requests that each team keeps open");
 ABSL_FLAG(std::string, absent, "", "shares: a team that goes away for --seconds and comes back");
+ABSL_FLAG(std::string, far_heartbeat, "",
+          "shares: the setting timing.far_heartbeat; empty: default");
 ABSL_DECLARE_FLAG(double, seconds);
 
 namespace catkinford {
@@ -184,6 +186,8 @@
   options.endpoints_per_domain = kEndpointsPerDomain;
   options.teams = absl::GetFlag(FLAGS_teams);
   options.seed = absl::GetFlag(FLAGS_seed);
+  const std::string far_heartbeat = absl::GetFlag(FLAGS_far_heartbeat);
+  if (!far_heartbeat.empty()) options.timing["far_heartbeat"] = far_heartbeat;
   fleet running(options);
   if (!running.Start(kStartLimit)) return 1;
   std::vector<std::unique_ptr<team_load>> teams;
--- a/src/version/grant_ledger.cc
+++ b/src/version/grant_ledger.cc
@@ -82,7 +82,7 @@
 };
 
 // What the shard should hold, before the limit is looked at.
-uint64_t AimOf(const amount_plan& plan, uint64_t steps_per_limit) {
+uint64_t AimOf(const amount_plan& plan, const grant_policy& policy) {
   const uint64_t wanted = std::max(plan.wanted, plan.used);
   if (plan.granted > plan.limit) return plan.used;
   if (plan.other_starved) {
@@ -92,16 +92,18 @@
   }
   // A reserve is held also without demand, so that a first task starts without the store. Limits
   // of a few pieces have none: each piece would lie idle somewhere.
-  const uint64_t reserve = plan.limit / steps_per_limit;
+  const uint64_t reserve = plan.limit / policy.steps_per_limit;
   const uint64_t step = std::max<uint64_t>(reserve, 1);
-  const uint64_t enough = RoundUp(wanted, step) + reserve;
+  // A large demand swings by more than a step: the grant runs ahead by a part of it, too.
+  const uint64_t slack = std::max(reserve, wanted / policy.slack_part);
+  const uint64_t enough = RoundUp(wanted, step) + slack;
   if (wanted > plan.held || plan.held < reserve) return enough;
-  // Returned only when two steps lie idle: a demand that swings about a step writes nothing.
-  return plan.held > enough + step ? enough : plan.held;
+  // Returned only when twice the slack lies idle: a demand that swings writes nothing.
+  return plan.held > enough + slack + step ? enough : plan.held;
 }
 
 uint64_t PlanAmount(const amount_plan& plan, const grant_policy& policy) {
-  uint64_t aim = AimOf(plan, std::max<uint32_t>(policy.steps_per_limit, 1));
+  uint64_t aim = AimOf(plan, policy);
   if (!policy.may_return) aim = std::max(aim, plan.held);
   if (aim <= plan.held) return aim;
   const uint64_t free = plan.limit > plan.granted ? plan.limit - plan.granted : 0;
--- a/src/version/grant_ledger.h
+++ b/src/version/grant_ledger.h
@@ -49,10 +49,11 @@
   bool changed = false;
 };
 
-// How far grants run ahead of demand. A part of the team's limit is one step: a larger one is
-// written less often and leaves more lying unused with others.
+// How far grants run ahead of demand: more is written less often and leaves more lying unused with
+// others. Both are over zero. `catkinford-bench grants` sweeps them.
 struct grant_policy {
-  uint32_t steps_per_limit = 64;
+  uint32_t steps_per_limit = 64;  // a step, and the reserve without demand, is this part of a limit
+  uint32_t slack_part = 4;        // and what runs ahead is at least this part of the demand
   // False while some endpoint of the shard is not listed yet: what runs there is not in `used`, and
   // giving its part away would let the team pass its limit elsewhere.
   bool may_return = true;
