--- a/bench/commands.h
+++ b/bench/commands.h
@@ -15,6 +15,9 @@
 // Calls between two processes, JSON-RPC against our HTTP pair: `rpc --json F`.
 int RpcMain(int argc, char** argv);
 
+// Raise, read the jobs, fence and list: `takeover --shard_endpoints 467 --shard_tasks 13000`.
+int TakeoverMain(int argc, char** argv);
+
 // Load in an open loop over a fleet of real processes: `load --rate R --seconds S`.
 int LoadMain(int argc, char** argv);
 
@@ -27,6 +30,12 @@
 // Failure scenarios: `scenario NAME --seed N`, `scenario --list`.
 int ScenarioMain(int argc, char** argv);
 
+// Times of decisions: `decisions [--endpoints N] [--running M] [--seed S] [--json F]`.
+int DecisionsMain(int argc, char** argv);
+
+// Policies in virtual time: `policy --mix kitamura|altynsay|both [--seed S] [--json F]`.
+int PolicyMain(int argc, char** argv);
+
 }  // namespace catkinford
 
 #endif  // CATKINFORD_BENCH_COMMANDS_H_
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -79,6 +80,7 @@
   // A status question that waits for answers of owners.
   struct open_status {
     http_server::token token = 0;
+    std::string team;  // of the caller; empty for an operator
     request_id id;
     size_t answers_left = 0;
     monotonic_time give_up{};
@@ -135,6 +137,7 @@
   void OnOwnershipEvent(const ownership_event& event, monotonic_time now);
   void GainShard(opened_log log, monotonic_time now);
   void LoseShard(uint32_t number, monotonic_time now);
+  void DrainEndpoint(const std::string& endpoint, monotonic_time now);
   void GiveEndpoints(shard& to, monotonic_time now);
   void ShareUsage(monotonic_time now);
   void ActShards(monotonic_time now);
@@ -191,7 +194,7 @@
                  monotonic_time now);
   void TakeTable(table_actions actions, monotonic_time now);
   void AskStatus(uint64_t query, open_status& open, monotonic_time now);
-  void OnStatusAnswer(const std::string& from, const status_answer& answer, monotonic_time now);
+  void OnStatusAnswer(const status_answer& answer, monotonic_time now);
   void TickStatus(monotonic_time now);
   void OnOutcome(const outcome& result, monotonic_time now);
 
@@ -219,7 +222,9 @@
   job_keeper jobs_;
   std::map<uint32_t, std::unique_ptr<shard>> shards_;
   std::map<std::string, peer_state> peers_;
-  std::vector<instance> own_endpoints_;  // of this failure domain
+  std::set<std::string> endpoint_names_;  // of the whole fleet, as last listed
+  std::set<std::string> drained_;         // by operators; forgotten with the endpoint
+  std::vector<instance> own_endpoints_;   // of this failure domain
   resources cell_capacity_;
   std::vector<message_body> local_;  // messages to ourselves
   absl::flat_hash_map<uint64_t, open_status> statuses_;
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -245,6 +245,7 @@
   answer.shard = options_.name;
   if (const job_state* job = Find(query.id)) {
     answer.known = true;
+    answer.team = job->spec.team;
     answer.progress = ProgressOf(*job);
     answer.ended = job->ended;
     answer.waits_for = core_.WaitsFor(query.id);
@@ -321,11 +322,8 @@
       Refuse(id, refusal_reason::kDeadline, kAskAgain, "the deadline passed in the queue", now);
       continue;
     }
-    const bool surely_ran = job->ever_ran;
-    End(id, *job,
-        surely_ran ? Failed(id, "the deadline passed while it ran")
-                   : Unknown(id, "the deadline passed while its start was under way"),
-        now);
+    // Its end may already stand at the endpoint and be on its way: "failed" could be untrue.
+    End(id, *job, Unknown(id, "the deadline passed while it ran"), now);
   }
 }
 
--- a/src/process/waiting_lanes.cc
+++ b/src/process/waiting_lanes.cc
@@ -2,7 +2,14 @@
 
 #include <algorithm>
 
+#include "process/free_index.h"
+
 namespace catkinford {
+namespace {
+
+constexpr uint32_t kBlocksBeforeUpdate = 1024;
+
+}  // namespace
 
 lane_class ClassOf(const job_request& request) {
   if (request.urgent) return lane_class::kUrgent;
@@ -38,11 +45,8 @@
     ready_[static_cast<size_t>(ref.kind)].erase({l.ratio, ref.team});
   }
   if (l.state == lane_state::kNoRoom) {
-    const auto same = [&ref](const lane_ref& other) {
-      return other.kind == ref.kind && other.team == ref.team;
-    };
-    const auto found = std::find_if(no_room_.begin(), no_room_.end(), same);
-    *found = no_room_.back();
+    no_room_[l.position] = no_room_.back();
+    At(no_room_[l.position].ref).position = l.position;
     no_room_.pop_back();
   }
 }
@@ -98,19 +102,35 @@
   return lane_ref{kind, ready.begin()->second};
 }
 
-void waiting_lanes::Block(const lane_ref& ref, lane_state why, const resources& least_need,
-                          bool waits_grant) {
+void waiting_lanes::Block(const lane_ref& ref, lane_state why, const lane_needs& needs,
+                          bool waits_grant, uint64_t round) {
   DropState(ref);
   lane& l = At(ref);
   l.state = why;
   l.waits_grant = waits_grant;
-  l.least_need = least_need;
-  if (why == lane_state::kNoRoom) no_room_.push_back(ref);
+  l.needs = needs;
+  if (why != lane_state::kNoRoom) return;
+  resources least = needs.front();
+  for (const resources& need : needs) least = SmallestOf(least, need);
+  l.position = static_cast<uint32_t>(no_room_.size());
+  no_room_.push_back({least, round, ref});
+  LowerLeastNeed(least);
+}
+
+// Lanes that leave do not raise it at once; now and then it is worked out anew.
+void waiting_lanes::LowerLeastNeed(const resources& need) {
+  least_need_ = no_room_.size() == 1 ? need : SmallestOf(least_need_, need);
+  if (++blocks_ < kBlocksBeforeUpdate) return;
+  blocks_ = 0;
+  least_need_ = need;
+  for (const blocked_lane& blocked : no_room_) {
+    least_need_ = SmallestOf(least_need_, blocked.least);
+  }
 }
 
 void waiting_lanes::Unblock(const lane_ref& ref) {
   lane& l = At(ref);
-  if (l.state != lane_state::kNoRoom && l.state != lane_state::kNoGrant) return;
+  if (l.state == lane_state::kEmpty || l.state == lane_state::kReady) return;
   l.waits_grant = false;
   DropState(ref);
   MakeReady(ref, l.ratio);
