Average the use of other shards before acting on it

Cause: large teams got less than their share of a full floor. Each shard made up for all that a team lacked a heartbeat ago, so that all together made up for it several times over and took it back in the next round; a team that wants little can swing up further than down, and gained by it.

--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -143,7 +143,8 @@
     for (team_index team = 0; team < teams_.Size(); ++team) {
       const std::string& name = teams_.NameOf(team);
       const auto found = elsewhere.find(name);
-      held->SetUsageElsewhere(name, found == elsewhere.end() ? resources{} : found->second, now);
+      const resources latest = found == elsewhere.end() ? resources{} : found->second;
+      held->SetUsageElsewhere(name, usage_elsewhere_.Update(number, name, latest, now), now);
     }
   }
 }
