--- a/src/process/node_calls.cc
+++ b/src/process/node_calls.cc
@@ -95,7 +95,10 @@
 void node::Handle(http_server::token token, const std::string& key, submit_call call,
                   monotonic_time now) {
   const std::optional<key_holder> holder = HolderOf(key, now);
-  table_.BeginCall(token, call.is_batch, call.jobs.size());
+  std::vector<workload_kind> kinds;
+  kinds.reserve(call.jobs.size());
+  for (const job_spec& job : call.jobs) kinds.push_back(job.kind);
+  table_.BeginCall(token, call.is_batch, std::move(kinds), now);
   if (!holder || holder->is_operator) {
     table_actions refused;
     for (size_t slot = 0; slot < call.jobs.size(); ++slot) {
@@ -162,6 +165,7 @@
     Send(send.owner, std::move(send.place), now);
   }
   for (answered_call& answer : actions.answers) {
+    CountAnswer(answer, now);
     for (const outcome& result : answer.outcomes) {
       log_.Emit(event_code::kRequestAnswered, now, result.id, 0, std::string(ToText(result.kind)),
                 std::string(ToText(result.reason)));
@@ -379,6 +383,11 @@
   };
   json events = json::array();
   uint64_t next = call.since;
+  // Both clocks next to each other: with `now`, which is as old as this round of the loop, every
+  // event of this process would stand some milliseconds late in the merged time line, and an answer
+  // would come before the end of its task.
+  const auto wall = std::chrono::system_clock::now();
+  const monotonic_time mono = steady_clock::now();
   for (const timeline_event& event : timeline_.Since(call.since, kTimelinePage)) {
     next = event.seq + 1;
     events.push_back({{"seq", event.seq},
@@ -390,13 +399,12 @@
                       {"subject", event.subject},
                       {"detail", event.detail}});
   }
-  front_.Respond(
-      token, {200, Dump({{"process", config_.name},
-                         {"failure_domain", config_.failure_domain},
-                         {"mono_us", micros(now.time_since_epoch())},
-                         {"wall_us", micros(std::chrono::system_clock::now().time_since_epoch())},
-                         {"next", next},
-                         {"events", std::move(events)}})});
+  front_.Respond(token, {200, Dump({{"process", config_.name},
+                                    {"failure_domain", config_.failure_domain},
+                                    {"mono_us", micros(mono.time_since_epoch())},
+                                    {"wall_us", micros(wall.time_since_epoch())},
+                                    {"next", next},
+                                    {"events", std::move(events)}})});
 }
 
 void node::Handle(http_server::token token, const std::string& /*key*/, const health_call& /*call*/,
