--- a/bench/slope.h
+++ b/bench/slope.h
@@ -17,7 +17,8 @@
   std::string per;   // of the size: "key", "call"
   std::vector<double> sizes;
   double (*measure)(double size);
-  std::string what;  // for people: module and method
+  std::string what;         // for people: module and method
+  int most_repeats = 1000;  // fewer for what takes long
 };
 
 struct slope_point {
--- a/bench/slopes_process.cc
+++ b/bench/slopes_process.cc
@@ -1,7 +1,9 @@
 // Slopes of what lives as long as the process: time line, metrics.
 #include <memory>
+#include <string>
 
 #include "bench/slope.h"
+#include "process/identity_memory.h"
 #include "process/metrics.h"
 #include "process/timeline.h"
 
@@ -37,6 +39,24 @@
   });
 }
 
+// Identities that have ended, with an answer of 200 bytes each.
+double IdentityMemory(double identities) {
+  return HeapOf([&] {
+    identity_options options;
+    options.capacity = static_cast<size_t>(identities) + 1;
+    options.answer_bytes = size_t{1} << 30;
+    auto memory = std::make_unique<identity_memory>(options);
+    outcome result;
+    result.kind = outcome_kind::kCompleted;
+    result.answer = std::string(200, 'x');
+    for (uint64_t i = 1; i <= static_cast<uint64_t>(identities); ++i) {
+      memory->Begin({i, i}, true, {});
+      memory->Finish({i, i}, result, {});
+    }
+    return memory;
+  });
+}
+
 }  // namespace
 
 std::vector<slope_question> ProcessSlopes() {
@@ -53,6 +73,12 @@
        {10000, 50000, 100000, 200000},
        TimelineCpu,
        "timeline::Record"},
+      {"identity.memory",
+       "bytes",
+       "identity",
+       {1000, 5000, 10000, 40000},
+       IdentityMemory,
+       "identity_memory, ended, answers of 200 bytes; the shard of today keeps whole job_state"},
       {"metrics.scrape_cpu", "us", "scrape", {10, 20, 40, 80}, MetricsTextCpu, "metrics::Text"},
   };
 }
