--- /dev/null
+++ b/test/mutation_test.cc
@@ -0,0 +1,160 @@
+// Texts that operators and callers send, damaged at random: whatever comes, the readers answer with
+// a value or a typed fault. The seed is fixed, so a text that fails here fails again.
+#include <array>
+#include <catch2/catch.hpp>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <variant>
+
+#include "process/message.h"
+#include "process/settings.h"
+#include "process/settings_table.h"
+#include "request/caller_call.h"
+#include "version/contract.h"
+#include "version/grant_ledger.h"
+
+namespace catkinford {
+namespace {
+
+constexpr int kRounds = 20000;
+constexpr uint64_t kSeed = 20261202;
+
+class mutation_fixture {
+ protected:
+  // Between one and eight damages: a byte changed, cut out or doubled, or a piece of JSON put in.
+  std::string Damage(std::string text) {
+    static const std::array<const char*, 10> kPieces = {
+        "{", "}", "[", "\"", "null", "-1", "1e999", "\\ud800", "18446744073709551616", "\xff"};
+    for (uint64_t left = 1 + random_() % 8; left > 0 && !text.empty(); --left) {
+      const size_t at = random_() % text.size();
+      switch (random_() % 4) {
+        case 0:
+          text[at] = static_cast<char>(random_());
+          break;
+        case 1:
+          text.erase(at, 1 + random_() % 8);
+          break;
+        case 2:
+          text.insert(at, text.substr(at, random_() % 16));
+          break;
+        default:
+          text.insert(at, kPieces[random_() % kPieces.size()]);
+      }
+    }
+    return text;
+  }
+
+  std::mt19937_64 random_{kSeed};
+};
+
+}  // namespace
+
+// A half-written or damaged settings file must stop the start with a fault that an operator can
+// read, and a file that is taken must hold only values that the table allows.
+TEST_CASE_METHOD(mutation_fixture, "settings, damaged at random, are refused or within the table",
+                 "[mutation]") {
+  const std::string whole =
+      R"({"name":"e1","failure_domain":"a","failure_domains":["a","b"],"listen":{"caller_port":1,)"
+      R"("peer_port":2},"platform":{"store_url":"http://127.0.0.1:1","instances_url":)"
+      R"("http://127.0.0.1:2"},"timing":{"heartbeat":"250ms"},"shards":{"per_domain":3}})";
+  REQUIRE(std::holds_alternative<settings>(ParseSettings(whole)));
+  int taken = 0;
+  for (int i = 0; i < kRounds; ++i) {
+    auto result = ParseSettings(Damage(whole));
+    if (const auto* error = std::get_if<settings_error>(&result)) {
+      CHECK(!ToText(*error).empty());
+      continue;
+    }
+    ++taken;
+    auto& read = std::get<settings>(result);
+    CHECK(read.shards.per_domain >= 1);
+    CHECK(read.timing.heartbeat < read.timing.member_lease);
+    CHECK(HasForm(text_form::kName, read.name));
+    CHECK(HasForm(text_form::kUrl, read.platform.store_url));
+  }
+  CHECK(taken > 0);
+}
+
+// What is taken as a contract must print and read back as the same; else two entries would hold
+// different terms for one version.
+TEST_CASE_METHOD(mutation_fixture, "contract, damaged at random, is refused or reads back the same",
+                 "[mutation]") {
+  configuration config;
+  team_contract team;
+  team.name = "booking";
+  team.limit = {1000, 1000, 0, 0};
+  team.running_limit = 10;
+  team.kinds = {workload_kind::kInteractive};
+  config.workspaces.push_back({"showrooms", {team}});
+  const std::string whole = ToText(config);
+  int taken = 0;
+  for (int i = 0; i < kRounds; ++i) {
+    const auto result = ParseConfiguration(Damage(whole));
+    const auto* read = std::get_if<configuration>(&result);
+    if (read == nullptr) continue;
+    ++taken;
+    const std::string text = ToText(*read);
+    const auto again = ParseConfiguration(text);
+    REQUIRE(std::holds_alternative<configuration>(again));
+    CHECK(ToText(std::get<configuration>(again)) == text);
+  }
+  CHECK(taken > 0);
+}
+
+// A caller's broken body must be answered with a 4xx and a typed word, and what is taken must ask
+// for something: a negative size read as a huge one would wait for ever.
+TEST_CASE_METHOD(mutation_fixture, "caller's bodies, damaged at random, are refused or make sense",
+                 "[mutation]") {
+  http_request request;
+  request.method = "POST";
+  const std::string job =
+      R"({"kind":"batch","tasks":3,"cpu_milli":1000,"memory_mb":256,"deadline_ms":5000,"payload":"x"})";
+  int taken = 0;
+  for (int i = 0; i < kRounds; ++i) {
+    const bool is_batch = i % 2 == 1;
+    request.path = is_batch ? "/v1/batch" : "/v1/jobs";
+    request.body = Damage(is_batch ? R"({"jobs":[)" + job + "," + job + "]}" : job);
+    const auto result = ReadCall(request, {});
+    if (const auto* error = std::get_if<call_error>(&result)) {
+      CHECK(error->status >= 400);
+      CHECK(error->status < 500);
+      CHECK(!error->error.empty());
+      continue;
+    }
+    const auto* call = std::get_if<submit_call>(&std::get<caller_call>(result));
+    REQUIRE(call != nullptr);
+    ++taken;
+    for (const job_spec& spec : call->jobs) {
+      CHECK(spec.tasks > 0);
+      CHECK(spec.deadline.count() >= 0);
+      CHECK(spec.run_time.count() >= 0);
+    }
+  }
+  CHECK(taken > 0);
+}
+
+// Two versions of the program run side by side while a fleet is rolled; a batch that one of them
+// cannot read must cost nothing but that batch.
+TEST_CASE_METHOD(mutation_fixture, "peers' batches and ledgers, damaged at random, end nothing",
+                 "[mutation]") {
+  place_message place;
+  place.shard = "otaru/0";
+  place.payload = "{\"run_ms\":1}";
+  heartbeat_message beat;
+  beat.shards.push_back({"otaru/0", 3, 17, {}});
+  beat.teams.push_back({"booking", {1, 2, 3, 4}});
+  const std::string batch = EncodeBatch("otaru-1", {place, beat, outcome_message{}});
+  ledger_value ledger;
+  ledger.entries.push_back({"booking", "otaru/0", {{1000, 1000, 0, 0}, 5}});
+  const std::string ledger_text = ToText(ledger);
+  REQUIRE(DecodeBatch(batch).size() == 3);
+  size_t read = 0;
+  for (int i = 0; i < kRounds; ++i) {
+    read += DecodeBatch(Damage(batch)).size();
+    ParseLedger(Damage(ledger_text));
+  }
+  CHECK(read > 0);
+}
+
+}  // namespace catkinford
