--- a/bench/commands.h
+++ b/bench/commands.h
@@ -27,6 +27,9 @@
 // Policies in virtual time: `policy --mix kitamura|altynsay|both [--seed S] [--json F]`.
 int PolicyMain(int argc, char** argv);
 
+// Regression bounds: `bounds [--file F] [--out DIR]`.
+int BoundsMain(int argc, char** argv);
+
 }  // namespace catkinford
 
 #endif  // CATKINFORD_BENCH_COMMANDS_H_
