--- a/src/process/job_commands.cc
+++ b/src/process/job_commands.cc
@@ -17,8 +17,11 @@
 // How long one call waits at the entry; many of these make up a long wait.
 constexpr milliseconds kWaitAtEntry{10000};
 
-exit_code CodeOf(const std::string& outcome) {
-  const std::optional<outcome_kind> kind = ParseOutcomeKind(outcome);
+exit_code CodeOf(const json& outcome) {
+  if (TextField(outcome, "reason") == ToText(refusal_reason::kUnknownKey)) {
+    return exit_code::kUnauthorized;
+  }
+  const std::optional<outcome_kind> kind = ParseOutcomeKind(TextField(outcome, "outcome"));
   if (!kind) return exit_code::kUnknown;
   switch (*kind) {
     case outcome_kind::kCompleted:
@@ -39,7 +42,7 @@
   const std::string kind = TextField(outcome, "outcome");
   if (context.options.json) {
     context.out << outcome.dump() << "\n";
-    return CodeOf(kind);
+    return CodeOf(outcome);
   }
   context.out << TextField(outcome, "id") << " " << kind;
   const std::string reason = TextField(outcome, "reason");
@@ -51,7 +54,7 @@
     if (!text.empty()) context.out << " " << text;
   }
   context.out << "\n";
-  return CodeOf(kind);
+  return CodeOf(outcome);
 }
 
 json JobBody(workload_kind kind, const job_options& job) {
--- a/src/process/message.cc
+++ b/src/process/message.cc
@@ -145,6 +145,7 @@
                {"owner", answer.owner},
                {"shard", answer.shard},
                {"known", answer.known},
+               {"team", answer.team},
                {"waiting", answer.progress.waiting},
                {"running", answer.progress.running},
                {"done", answer.progress.done},
@@ -160,6 +161,7 @@
   answer.owner = Read<std::string>(from, "owner");
   answer.shard = Read<std::string>(from, "shard");
   answer.known = Read<bool>(from, "known");
+  answer.team = Read<std::string>(from, "team");
   answer.progress.waiting = Read<uint32_t>(from, "waiting");
   answer.progress.running = Read<uint32_t>(from, "running");
   answer.progress.done = Read<uint32_t>(from, "done");
@@ -220,6 +222,10 @@
   return {{"type", "not_owner"}, {"id", ToHex(wrong.id)}, {"shard", wrong.shard}};
 }
 
+json EncodeBody(const drain_message& drain) {
+  return {{"type", "drain"}, {"endpoint", drain.endpoint}};
+}
+
 json EncodeBody(const release_message& /*release*/) { return {{"type", "release"}}; }
 
 std::optional<message_body> DecodeBody(const json& from) {
@@ -241,6 +247,7 @@
   if (type == "ask_owner") return ask_owner_message{number};
   if (type == "owner_alive") return owner_alive_message{number, Read<bool>(from, "holds")};
   if (type == "not_owner") return not_owner_message{ReadId(from, "id"), shard};
+  if (type == "drain") return drain_message{Read<std::string>(from, "endpoint")};
   if (type == "release") return release_message{};
   return std::nullopt;
 }
--- a/src/process/node_config.cc
+++ b/src/process/node_config.cc
@@ -40,7 +40,8 @@
 }
 
 http_response ConflictResponse(uint64_t version, const std::string& text) {
-  return {409, Dump({{"error", "conflict"}, {"version", version}, {"text", text}})};
+  return {409,
+          Dump({{"error", "conflict"}, {"version", version}, {"text", WithoutSignature(text)}})};
 }
 
 }  // namespace
@@ -62,7 +63,8 @@
                   monotonic_time now) {
   if (!IsOperator(token, key, now)) return;
   const version_order& order = versions_.Order();
-  front_.Respond(token, {200, Dump({{"version", order.Version()}, {"text", order.Text()}})});
+  front_.Respond(
+      token, {200, Dump({{"version", order.Version()}, {"text", WithoutSignature(order.Text())}})});
 }
 
 void node::Handle(http_server::token token, const std::string& key, const put_config_call& call,
@@ -158,7 +160,7 @@
     versions.push_back({{"version", past.version},
                         {"at_ms", signature.wall.count()},
                         {"by", signature.by},
-                        {"text", past.text}});
+                        {"text", WithoutSignature(past.text)}});
   }
   front_.Respond(token, {200, Dump({{"versions", std::move(versions)}})});
 }
--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -117,6 +117,13 @@
     if (home != names.end() && *home == to.Name()) given.push_back(from);
   }
   to.SetEndpoints(given, now);
+  for (const std::string& name : drained_) to.Drain(name, now);
+}
+
+// Every entry keeps the operator's word, so that it outlives a change of owner.
+void node::DrainEndpoint(const std::string& endpoint, monotonic_time now) {
+  if (!drained_.insert(endpoint).second) return;
+  for (auto& [number, held] : shards_) held->Drain(endpoint, now);
 }
 
 // What each team runs elsewhere, for shares over the whole cell.
@@ -207,6 +214,10 @@
     from.OnStartNotSent(action, now);
     return;
   }
+  if (action.arrived != monotonic_time{}) {
+    metrics_.ObservePlacement(
+        std::chrono::duration_cast<std::chrono::microseconds>(now - action.arrived));
+  }
   endpoints_.Start(
       from.Address(action.endpoint), action.token, action.tasks,
       [this, number, epoch = from.Epoch(), action](endpoint_reply reply) {
