--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Thin over the CMake presets. `make test` and `make demo` also set up a fresh Debian machine.
 BIN := build/release/bin
 
-.PHONY: all setup build test demo bench lint format clean
+.PHONY: capacity all setup build test demo bench lint format clean
 all: build
 setup:
 	@tools/setup
@@ -14,6 +14,9 @@
 	@tools/demo
 bench: build
 	@$(BIN)/catkinford-bench bounds --file bench/bounds.json --out out
+capacity: build
+	@$(BIN)/catkinford-bench slopes --commit $$(git rev-parse --short HEAD) --json bench/slopes.json
+	@$(BIN)/catkinford-bench capacity --slopes bench/slopes.json
 lint: build
 	@tools/lint
 format:
--- a/test/mutation_test.cc
+++ b/test/mutation_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <variant>
 
+#include "absl/strings/str_cat.h"
 #include "process/message.h"
 #include "process/settings.h"
 #include "process/settings_table.h"
@@ -24,7 +25,7 @@
  protected:
   // Between one and eight damages: a byte changed, cut out or doubled, or a piece of JSON put in.
   std::string Damage(std::string text) {
-    static const std::array<const char*, 10> kPieces = {
+    static constexpr std::array<const char*, 10> kPieces = {
         "{", "}", "[", "\"", "null", "-1", "1e999", "\\ud800", "18446744073709551616", "\xff"};
     for (uint64_t left = 1 + random_() % 8; left > 0 && !text.empty(); --left) {
       const size_t at = random_() % text.size();
@@ -114,7 +115,7 @@
   for (int i = 0; i < kRounds; ++i) {
     const bool is_batch = i % 2 == 1;
     request.path = is_batch ? "/v1/batch" : "/v1/jobs";
-    request.body = Damage(is_batch ? R"({"jobs":[)" + job + "," + job + "]}" : job);
+    request.body = Damage(is_batch ? absl::StrCat(R"({"jobs":[)", job, ",", job, "]}") : job);
     const auto result = ReadCall(request, {});
     if (const auto* error = std::get_if<call_error>(&result)) {
       CHECK(error->status >= 400);
