--- a/bench/shares.cc
+++ b/bench/shares.cc
@@ -233,8 +233,11 @@
   }
   std::map<std::string, int> ends;
   for (const call_record& record : load.Records()) {
-    const std::string_view kind = record.has_answer ? ToText(record.outcome) : "no_answer";
-    ++ends[std::string(kind)];
+    std::string kind(record.has_answer ? ToText(record.outcome) : "no_answer");
+    if (record.reason != refusal_reason::kNone) {
+      absl::StrAppend(&kind, ":", std::string(ToText(record.reason)));
+    }
+    ++ends[kind];
   }
   for (const auto& [kind, count] : ends) std::printf("%s %d  ", kind.c_str(), count);
   std::puts("");
