--- a/bench/caller.cc
+++ b/bench/caller.cc
@@ -14,6 +14,8 @@
 
 // A caller gives up when the answer is this much later than its deadline and run time allow.
 constexpr milliseconds kPatience{5000};
+// An entry may take long to learn how a cancelled job ended, and answers `unknown` then.
+constexpr milliseconds kCancelPatience{15000};
 
 nlohmann::json BodyOf(const call_spec& spec) {
   const nlohmann::json work = {{"run_ms", spec.run_time.count()}, {"echo", spec.work}};
@@ -124,6 +126,7 @@
   pending.record.is_cancel = true;
   pending.record.sent = pending.record.scheduled = system_clock::now();
   http_call call{"POST", url + "/v1/jobs/" + id + "/cancel", "{}", team.secret};
+  call.timeout = kCancelPatience;
   clients_.front()->Send(std::move(call), [this, kept = std::move(pending)](
                                               const http_result& result) { Finish(kept, result); });
 }
--- a/bench/scenario_command.cc
+++ b/bench/scenario_command.cc
@@ -23,6 +23,8 @@
     "expected to fail");
 ABSL_FLAG(bool, freeze_leases, false, "scenario: leases stand still while the store is down");
 ABSL_FLAG(double, scenario_rate, 200, "scenario: requests a second");
+ABSL_FLAG(std::string, scenario_mix, "interactive=0.85,batch=0.1,gang=0.05,not_repeatable=0.5",
+          "scenario: parts of the requests by kind");
 ABSL_FLAG(std::string, daemon_flags, "", "scenario: flags for each entry, separated by blanks");
 
 namespace catkinford {
@@ -61,15 +63,16 @@
       absl::StrSplit(absl::GetFlag(FLAGS_daemon_flags), ' ', absl::SkipEmpty());
   options.load.rate = absl::GetFlag(FLAGS_scenario_rate);
   options.load.length = kLongestRun;
-  options.load.mix = {0.85, 0, 0.1, 0.05, 0.5};
   for (const scenario_info* fault : faults) {
     if (fault->prepare != nullptr) fault->prepare(options);
   }
   return options;
 }
 
-nlohmann::json RunFaults(const std::vector<const scenario_info*>& faults) {
-  scenario_run run(OptionsFor(faults));
+nlohmann::json RunFaults(const std::vector<const scenario_info*>& faults, const load_mix& mix) {
+  scenario_options options = OptionsFor(faults);
+  options.load.mix = mix;
+  scenario_run run(std::move(options));
   if (!run.Begin()) return {{"held", false}, {"error", "fleet_not_ready"}};
   run.MarkFaultBegin();
   // One after the other: the second strikes before the fleet has healed from the first.
@@ -88,8 +91,13 @@
     std::fputs("scenario NAME --seed N [--json F]; scenario --list names them\n", stderr);
     return 2;
   }
+  load_mix mix;
+  if (!ParseMix(absl::GetFlag(FLAGS_scenario_mix), mix)) {
+    std::fputs("scenario: --scenario_mix is not understood\n", stderr);
+    return 2;
+  }
   const std::vector<const scenario_info*> faults = FaultsOf(name, absl::GetFlag(FLAGS_seed));
-  nlohmann::json result = RunFaults(faults);
+  nlohmann::json result = RunFaults(faults, mix);
   result["scenario"] = name;
   for (const scenario_info* fault : faults) result["faults"].push_back(fault->name);
   result["seed"] = absl::GetFlag(FLAGS_seed);
