Take only the word of all other domains for a confirmed version

Cause: one peer of another failure domain confirmed the version, so that two domains that are cut off together confirmed each other for ever: a key withdrawn in the third would have gone on working in both, against the promise that a withdrawn key stops. Now all other domains have to be reached and have the same version; else the grace runs. Tested as a pure decision; not yet by a scenario with real processes.

--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -321,8 +321,8 @@
   }
   version_order& order = versions_.Order();
   order.OnPeerVersion(from, beat.config_version);
-  if (beat.failure_domain != config_.failure_domain && beat.config_version == order.Version()) {
-    order.Confirm(beat.config_version, now);
+  if (beat.failure_domain != config_.failure_domain && DomainsConfirm()) {
+    order.Confirm(order.Version(), now);
   }
   if (beat.config_version < order.Version() && now >= peer.next_config) {
     peer.next_config = now + kConfigResend;
@@ -391,6 +391,19 @@
   return live;
 }
 
+// Whether all other failure domains can be reached and have the version that is in force here.
+bool node::DomainsConfirm() const {
+  std::vector<std::string> others;
+  for (const std::string& domain : config_.failure_domains) {
+    if (domain != config_.failure_domain) others.push_back(domain);
+  }
+  std::vector<version_member> reachable;
+  for (const auto& [name, peer] : peers_) {
+    if (peer.up) reachable.push_back({name, peer.failure_domain});
+  }
+  return versions_.Order().ConfirmedByAll(others, reachable);
+}
+
 std::vector<version_member> node::VersionMembers() const {
   std::vector<version_member> members;
   for (const auto& [name, peer] : peers_) {
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -126,6 +126,7 @@
   void CheckShutdown(monotonic_time now);
   std::vector<std::string> LiveDomainPeers() const;
   std::vector<version_member> VersionMembers() const;
+  bool DomainsConfirm() const;
 
   bool IsReady() const;
 
--- a/src/version/version_order.cc
+++ b/src/version/version_order.cc
@@ -80,6 +80,18 @@
   return report;
 }
 
+bool version_order::ConfirmedByAll(const std::vector<std::string>& other_domains,
+                                   const std::vector<version_member>& reachable) const {
+  return std::all_of(
+      other_domains.begin(), other_domains.end(), [&](const std::string& other_domain) {
+        return std::any_of(reachable.begin(), reachable.end(), [&](const version_member& member) {
+          const auto peer = peers_.find(member.name);
+          return member.failure_domain == other_domain && peer != peers_.end() &&
+                 peer->second == version_;
+        });
+      });
+}
+
 bool version_order::KeysTrusted(monotonic_time now) const {
   return confirmed_ && now - *confirmed_ <= key_grace_;
 }
--- a/src/version/version_order.h
+++ b/src/version/version_order.h
@@ -44,7 +44,7 @@
   // True when `version` is newer and readable; then it is in force here. A version that cannot be
   // read is kept as Refused(), and the old one stays in force.
   bool Offer(uint64_t version, std::string text, monotonic_time now);
-  // A store read, or a peer of another failure domain, has said that `version` is the newest.
+  // A store read, or peers of all other failure domains, have said that `version` is the newest.
   void Confirm(uint64_t version, monotonic_time now);
   // Keys that were withdrawn, ahead of the version that says so: refused from now on, until a
   // version of at least `version` is in force.
@@ -66,6 +66,12 @@
   in_force_report InForce(uint64_t version, std::string_view own_domain,
                           const std::vector<version_member>& members) const;
 
+  // Whether every one of `other_domains` has a member in `reachable` with exactly our version. Only
+  // all of them together tell that nothing newer was accepted: two domains that are cut off from
+  // the rest would otherwise confirm each other for ever, and a withdrawn key go on working there.
+  bool ConfirmedByAll(const std::vector<std::string>& other_domains,
+                      const std::vector<version_member>& reachable) const;
+
   // Cut off from everything for longer than the grace: a key may have been withdrawn meanwhile.
   bool KeysTrusted(monotonic_time now) const;
 
--- a/test/version_order_test.cc
+++ b/test/version_order_test.cc
@@ -103,6 +103,19 @@
   CHECK(order_.NewerPeer() == std::string("b2"));
 }
 
+// Two domains are cut off together, from the store and from the third, where a key is withdrawn. If
+// each took the other's word, the key would go on working in both for ever.
+TEST_CASE_METHOD(version_order_fixture, "versions, two domains cut off together, confirm nothing",
+                 "[versions]") {
+  order_.Offer(5, Text(), now_);
+  order_.OnPeerVersion("b1", 5);
+  order_.OnPeerVersion("c1", 5);
+  CHECK(order_.ConfirmedByAll({"b", "c"}, {{"b1", "b"}, {"c1", "c"}}));
+  CHECK_FALSE(order_.ConfirmedByAll({"b", "c"}, {{"b1", "b"}}));
+  order_.OnPeerVersion("c1", 6);
+  CHECK_FALSE(order_.ConfirmedByAll({"b", "c"}, {{"b1", "b"}, {"c1", "c"}}));
+}
+
 TEST_CASE("configuration, signed, tells who changed it and is read as before", "[versions]") {
   const std::string text = R"({"workspaces":[]})";
   const std::string signed_text = SignConfiguration(text, {"7f", "night", milliseconds{1234}});
