Show a request whose owner's events are there in the demo

The entries are asked for their time lines one after the other, so the last request may lack its owner's part.

--- a/bench/demo.cc
+++ b/bench/demo.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdio>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -102,15 +103,18 @@
 // The way of the last requests that more than one entry had a hand in.
 void PrintRequests(const merged_timeline& all) {
   std::map<std::string, size_t> first_process;
+  std::set<std::string> started;  // as the owner told: the entries are asked one after the other
   std::vector<std::string> crossed;
   for (const merged_event& event : all.events) {
     if (event.id.empty()) continue;
     const auto [known, is_new] = first_process.try_emplace(event.id, event.process);
-    const bool answered = event.name == "request_answered";
-    if (!is_new && answered && known->second == event.process) crossed.push_back(event.id);
+    if (event.name == "task_started" && known->second != event.process) started.insert(event.id);
+    const bool answered = event.name == "request_answered" && known->second == event.process;
+    if (!is_new && answered) crossed.push_back(event.id);
   }
   size_t shown = 0;
   for (auto id = crossed.rbegin(); id != crossed.rend() && shown < kRequestsShown; ++id) {
+    if (!started.contains(*id)) continue;
     merged_timeline part = all;
     KeepOnly(*id, part);
     std::printf("the way of request %s:\n", id->c_str());
