--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -68,6 +68,12 @@
   return options;
 }
 
+// Two heartbeats for each shard of the fleet: see usage_average.
+milliseconds UsageTimeConstant(const settings& config) {
+  const size_t shards = config.failure_domains.size() * config.shards.per_domain;
+  return config.timing.far_heartbeat * (2 * static_cast<int64_t>(shards));
+}
+
 }  // namespace
 
 node::node(settings config)
@@ -98,6 +104,7 @@
           store_, config_.isolation.key_grace, [this](core_task task) { Post(std::move(task)); },
           [this](monotonic_time now) { OnVersion(now); }),
       grants_(store_, [this](core_task task) { Post(std::move(task)); }),
+      usage_elsewhere_(UsageTimeConstant(config_)),
       jobs_(config_.name, [this](const store_request& call,
                                  std::function<void(store_reply, monotonic_time)> done) {
         SendStoreRequest(call, std::move(done));
@@ -314,8 +321,8 @@
   }
   version_order& order = versions_.Order();
   order.OnPeerVersion(from, beat.config_version);
-  if (beat.failure_domain != config_.failure_domain && beat.config_version == order.Version()) {
-    order.Confirm(beat.config_version, now);
+  if (beat.failure_domain != config_.failure_domain && DomainsConfirm()) {
+    order.Confirm(order.Version(), now);
   }
   if (beat.config_version < order.Version() && now >= peer.next_config) {
     peer.next_config = now + kConfigResend;
@@ -384,6 +391,19 @@
   return live;
 }
 
+// Whether all other failure domains can be reached and have the version that is in force here.
+bool node::DomainsConfirm() const {
+  std::vector<std::string> others;
+  for (const std::string& domain : config_.failure_domains) {
+    if (domain != config_.failure_domain) others.push_back(domain);
+  }
+  std::vector<version_member> reachable;
+  for (const auto& [name, peer] : peers_) {
+    if (peer.up) reachable.push_back({name, peer.failure_domain});
+  }
+  return versions_.Order().ConfirmedByAll(others, reachable);
+}
+
 std::vector<version_member> node::VersionMembers() const {
   std::vector<version_member> members;
   for (const auto& [name, peer] : peers_) {
