--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -202,7 +202,7 @@
     return;
   }
   job.accepted = true;
-  if (job.spec.kind == workload_kind::kGang) gangs_.insert(id);
+  Track(id, job);
   if (!job.durable) return;
   for (const std::string& entry : job.entries) {
     actions_.push_back(answer_action{entry, Accepted(id)});
@@ -252,7 +252,7 @@
     for (uint32_t i = 0; i < job->tasks.size(); ++i) {
       if (job->tasks[i].phase == task_phase::kWaiting) waiting.push_back(i);
     }
-    if (job->spec.kind == workload_kind::kGang) gangs_.insert(id);
+    Track(id, *job);
     core_.Resume(RequestOf(*job, now), waiting, now);
   }
 }
@@ -321,6 +321,7 @@
   Answer(job, result);
   job.entries.clear();
   gangs_.erase(id);
+  services_.erase(id);
   deadlines_.erase({job.deadline, id});
   if (job.durable) actions_.push_back(complete_action{{id, 0, 0}, false, true});
   job.ended = std::move(result);
@@ -579,16 +580,34 @@
   return demands;
 }
 
+void shard::Track(const request_id& id, const job_state& job) {
+  if (job.spec.kind == workload_kind::kGang) gangs_.insert(id);
+  if (job.spec.kind == workload_kind::kService) services_.insert(id);
+}
+
 team_grant shard::LargestGang(const std::string& team) const {
   team_grant largest;
   for (const request_id& id : gangs_) {
     const job_state& job = jobs_.at(id);
     if (job.spec.team != team || ProgressOf(job).waiting < job.tasks.size()) continue;
-    if (job.spec.tasks <= largest.running) continue;
-    largest = {};
-    largest.running = job.spec.tasks;
-    for (uint32_t i = 0; i < job.spec.tasks; ++i) largest.amount += job.spec.each;
+    resources whole;
+    for (uint32_t i = 0; i < job.spec.tasks; ++i) whole += job.spec.each;
+    // Amount by amount: the grant must hold whichever of them is next.
+    largest.running = std::max(largest.running, job.spec.tasks);
+    largest.amount.cpu_milli = std::max(largest.amount.cpu_milli, whole.cpu_milli);
+    largest.amount.memory_mb = std::max(largest.amount.memory_mb, whole.memory_mb);
+    largest.amount.accelerators = std::max(largest.amount.accelerators, whole.accelerators);
+  }
+  if (largest.running == 0) return largest;
+  // What the team's services hold here is not given back, so the gang needs its room beside it.
+  for (const request_id& id : services_) {
+    const job_state& job = jobs_.at(id);
+    if (job.spec.team != team) continue;
+    const uint32_t running = ProgressOf(job).running;
+    largest.running += running;
+    for (uint32_t i = 0; i < running; ++i) largest.amount += job.spec.each;
   }
+  largest.amount.slots = 0;
   return largest;
 }
 
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -142,7 +142,8 @@
 
   shard_report Report() const;
   std::vector<grant_demand> Demands() const;
-  // The largest gang of the team that waits: it starts only as a whole.
+  // The largest gang of the team that waits and starts only as a whole, with what the team's
+  // services hold here.
   team_grant LargestGang(const std::string& team) const;
   std::vector<team_report> TeamReports() const;
   const std::string& Name() const { return options_.name; }
@@ -200,6 +201,7 @@
   void End(const request_id& id, job_state& job, outcome result, monotonic_time now);
   void EndIfOver(const request_id& id, job_state& job, monotonic_time now);
   void Answer(const job_state& job, const outcome& result);
+  void Track(const request_id& id, const job_state& job);
   void ReleaseHeld(monotonic_time now);
   void ResumeRestored(monotonic_time now);
   job_request RequestOf(const job_state& job, monotonic_time now) const;
@@ -223,8 +225,9 @@
   bool has_endpoints_ = false;
   absl::flat_hash_map<request_id, job_state> jobs_;
   size_t unanswered_ = 0;
-  std::set<request_id> gangs_;  // that have not ended
-  identity_memory identities_;  // of work that a caller waits for, beyond its job_state
+  std::set<request_id> gangs_;     // that have not ended
+  std::set<request_id> services_;  // that have not ended
+  identity_memory identities_;     // of work that a caller waits for, beyond its job_state
   std::vector<held_place> held_;
   std::vector<request_id> restored_;  // not resumed yet: some endpoint is not listed
   std::set<std::pair<monotonic_time, request_id>> deadlines_;  // of work that runs for a caller
--- a/src/version/grant_ledger.cc
+++ b/src/version/grant_ledger.cc
@@ -92,12 +92,12 @@
   if (plan.granted > plan.limit) return plan.used;
   if (plan.other_starved) {
     // Nothing is kept in reserve, and nothing above an equal part that is not running already.
-    if (plan.own_piece > 0) return std::max(plan.used, plan.own_piece);
     const uint64_t others = plan.other_piece > 0 ? 1 : 0;
     const uint64_t rest = plan.limit - std::min(plan.limit, plan.other_piece);
     const uint64_t part =
         rest / std::max<uint64_t>(plan.holders - std::min(plan.holders, others), 1);
-    return std::max(plan.used, std::min(wanted, part));
+    // An amount of which the piece needs little is shared as ever: only the scarce one is gathered.
+    return std::max({plan.used, plan.own_piece, std::min(wanted, part)});
   }
   // A reserve is held also without demand, so that a first task starts without the store. Limits
   // of a few pieces have none: each piece would lie idle somewhere.
