--- a/src/process/node.h
+++ b/src/process/node.h
@@ -198,6 +198,7 @@
   void SubmitJob(http_server::token token, size_t slot, const key_holder& holder, job_spec spec,
                  monotonic_time now);
   void TakeTable(table_actions actions, monotonic_time now);
+  void OpenStatus(const std::string& key, open_status question, monotonic_time now);
   void AskStatus(uint64_t query, open_status& open, monotonic_time now);
   void OnStatusAnswer(const status_answer& answer, monotonic_time now);
   void TickStatus(monotonic_time now);
--- a/src/process/node_calls.cc
+++ b/src/process/node_calls.cc
@@ -19,23 +19,13 @@
 constexpr milliseconds kComeBack{1000};
 constexpr milliseconds kDurablePatience{10000};  // to hear that a durable job was accepted
 constexpr milliseconds kEndless{std::chrono::hours{24 * 366}};
+constexpr char kNoSuchJob[] = "no owner that answered knows this job";
 constexpr size_t kTimelinePage = 10000;
 
 std::string Dump(const json& body) {
   return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-outcome Refused(const request_id& id, refusal_reason reason, milliseconds retry_after,
-                std::string detail) {
-  outcome result;
-  result.id = id;
-  result.kind = outcome_kind::kRefused;
-  result.reason = reason;
-  result.retry_after = retry_after;
-  result.detail = std::move(detail);
-  return result;
-}
-
 // The team's contract, found by name; null when the version in force has none.
 const team_contract* FindTeam(const configuration& config, const key_holder& holder) {
   for (const workspace_contract& workspace : config.workspaces) {
@@ -102,7 +92,7 @@
   if (!holder || holder->is_operator) {
     table_actions refused;
     for (size_t slot = 0; slot < call.jobs.size(); ++slot) {
-      table_.Settle(token, slot, Refused({}, refusal_reason::kUnknownKey, {}, ""), refused);
+      table_.Settle(token, slot, RefusedOutcome({}, refusal_reason::kUnknownKey, {}, ""), refused);
     }
     TakeTable(std::move(refused), now);
     return;
@@ -121,7 +111,7 @@
   place.id = entry.keyed ? DeriveRequestId(holder.team, spec.idempotency_key) : NewRequestId();
   table_actions actions;
   const auto refuse = [&](refusal_reason reason, milliseconds retry, std::string detail) {
-    table_.Settle(token, slot, Refused(place.id, reason, retry, std::move(detail)), actions);
+    table_.Settle(token, slot, RefusedOutcome(place.id, reason, retry, std::move(detail)), actions);
     TakeTable(std::move(actions), now);
   };
   const team_contract* team = FindTeam(*versions_.Order().Config(), holder);
@@ -189,33 +179,31 @@
 
 void node::Handle(http_server::token token, const std::string& key, const status_call& call,
                   monotonic_time now) {
-  const std::optional<key_holder> holder = HolderOf(key, now);
-  if (!holder) {
-    front_.Respond(token, ErrorResponse(401, "unknown_key"));
-    return;
-  }
-  const uint64_t query = next_query_++;
-  open_status& open = statuses_[query];
-  open.token = token;
-  open.team = holder->team;
-  open.id = call.id;
-  open.wait_until = now + std::min(call.wait, config_.timing.max_deadline);
-  AskStatus(query, open, now);
+  open_status question;
+  question.token = token;
+  question.id = call.id;
+  question.wait_until = now + std::min(call.wait, config_.timing.max_deadline);
+  OpenStatus(key, std::move(question), now);
 }
 
 void node::Handle(http_server::token token, const std::string& key, const cancel_call& call,
                   monotonic_time now) {
+  open_status question;
+  question.token = token;
+  question.id = call.id;
+  question.cancel = true;
+  OpenStatus(key, std::move(question), now);
+}
+
+void node::OpenStatus(const std::string& key, open_status question, monotonic_time now) {
   const std::optional<key_holder> holder = HolderOf(key, now);
   if (!holder) {
-    front_.Respond(token, ErrorResponse(401, "unknown_key"));
+    front_.Respond(question.token, ErrorResponse(401, "unknown_key"));
     return;
   }
+  question.team = holder->team;
   const uint64_t query = next_query_++;
-  open_status& open = statuses_[query];
-  open.token = token;
-  open.team = holder->team;
-  open.id = call.id;
-  open.cancel = true;
+  open_status& open = statuses_[query] = std::move(question);
   AskStatus(query, open, now);
 }
 
@@ -235,13 +223,6 @@
 
 namespace {
 
-outcome NoSuchJob(const request_id& id) {
-  outcome result;
-  result.id = id;
-  result.detail = "no owner that answered knows this job";
-  return result;
-}
-
 http_response StatusResponse(const request_id& id, const status_answer& answer) {
   std::string state = "unknown";
   if (answer.known) state = answer.progress.running > 0 ? "running" : "waiting";
@@ -268,7 +249,7 @@
   const bool may_see = open.team.empty() || open.team == answer.team;
   if (!answer.known || !may_see) {
     if (open.answers_left > 0 && --open.answers_left > 0) return;
-    front_.Respond(open.token, open.cancel ? ToResponse(NoSuchJob(open.id))
+    front_.Respond(open.token, open.cancel ? ToResponse(UnknownOutcome(open.id, kNoSuchJob))
                                            : StatusResponse(open.id, status_answer{}));
     statuses_.erase(found);
     return;
@@ -305,10 +286,7 @@
     if (now >= waiting.front().give_up) late.push_back(id);
   }
   for (const request_id& id : late) {
-    outcome result;
-    result.id = id;
-    result.detail = "cancelled, its end is not known yet";
-    OnOutcome(result, now);
+    OnOutcome(UnknownOutcome(id, "cancelled, its end is not known yet"), now);
   }
   CheckChanges(now);
 }
--- a/src/process/request_table.cc
+++ b/src/process/request_table.cc
@@ -127,23 +127,14 @@
 }
 
 outcome request_table::GiveUp(const pending_request& request) const {
-  outcome result;
-  result.id = request.entry.place.id;
-  result.retry_after = kComeBack;
-  const bool asked_elsewhere = request.entry.keyed && !request.entry.first_ask;
-  if (request.sends > 0) {
-    result.kind = outcome_kind::kUnknown;
-    result.detail = "its owner gave no outcome in time";
-  } else if (asked_elsewhere) {
-    // The same key may have been presented at another entry and have run there.
-    result.kind = outcome_kind::kUnknown;
-    result.detail = "the shard that remembers this key cannot be reached";
-  } else {
-    result.kind = outcome_kind::kRefused;
-    result.reason = refusal_reason::kOwnerUnreachable;
-    result.detail = "no owner of a suitable shard could be reached";
+  const request_id& id = request.entry.place.id;
+  if (request.sends > 0) return UnknownOutcome(id, "its owner gave no outcome in time");
+  // The same key may have been presented at another entry and have run there.
+  if (request.entry.keyed && !request.entry.first_ask) {
+    return UnknownOutcome(id, "the shard that remembers this key cannot be reached");
   }
-  return result;
+  return RefusedOutcome(id, refusal_reason::kOwnerUnreachable, kComeBack,
+                        "no owner of a suitable shard could be reached");
 }
 
 void request_table::OnOutcome(const outcome& result, monotonic_time now, table_actions& out) {
--- a/src/process/shard_endpoints.cc
+++ b/src/process/shard_endpoints.cc
@@ -158,11 +158,7 @@
   job.spec.id = status.id.job;
   job.spec.kind = status.kind;
   job.spec.team = status.team;
-  outcome end;
-  end.id = status.id.job;
-  end.kind = outcome_kind::kUnknown;
-  end.detail = "ended under an earlier owner";
-  job.ended = std::move(end);
+  job.ended = UnknownOutcome(status.id.job, "ended under an earlier owner");
   ended_.emplace(now + options_.identity_window, status.id.job);
 }
 
@@ -191,7 +187,7 @@
   const bool is_later = id.attempt > task.attempt;
   const bool is_present = id.attempt == task.attempt && task.phase != task_phase::kWaiting;
   if (!is_later && !is_present) return;
-  if (is_present && (task.phase == task_phase::kDone || task.phase == task_phase::kFailed)) return;
+  if (is_present && IsOver(task.phase)) return;
   if (is_later) {
     running_task adopted{id, teams_.IndexOf(status.team), status.kind, status.amount, index};
     core_.Adopt(adopted, now);
@@ -216,8 +212,7 @@
   for (const auto& [id, job] : jobs_) {
     for (uint32_t i = 0; i < job.tasks.size(); ++i) {
       const task_progress& task = job.tasks[i];
-      if (task.endpoint != index || task.phase == task_phase::kWaiting) continue;
-      if (task.phase == task_phase::kDone || task.phase == task_phase::kFailed) continue;
+      if (task.endpoint != index || !IsUnderWay(task.phase)) continue;
       const task_id at{id, i, task.attempt};
       if (!listed.contains(at)) missing.emplace_back(at, task.phase);
     }
@@ -236,10 +231,8 @@
   for (const auto& [id, job] : jobs_) {
     for (uint32_t i = 0; i < job.tasks.size(); ++i) {
       const task_progress& task = job.tasks[i];
-      if (task.endpoint != index || task.phase == task_phase::kWaiting) continue;
-      if (task.phase != task_phase::kDone && task.phase != task_phase::kFailed) {
-        lost.push_back({id, i, task.attempt});
-      }
+      const bool is_there = task.endpoint == index && IsUnderWay(task.phase);
+      if (is_there) lost.push_back({id, i, task.attempt});
     }
   }
   for (const task_id& id : lost) LoseTask(id, now);
--- /dev/null
+++ b/src/process/shard_tasks.cc
@@ -0,0 +1,243 @@
+// The part of a shard that follows its tasks: the core's commands, starts, ends, outcomes.
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <utility>
+
+#include "process/shard.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+// How long the end of a durable job is remembered for its callers.
+constexpr milliseconds kDurableMemory{600000};
+// How long a task may outlast its request before its job's state is looked at again.
+constexpr milliseconds kLinger{1000};
+// When a caller whose deadline passed in the queue may come back.
+constexpr milliseconds kComeBack{1000};
+
+}  // namespace
+
+void shard::Act(monotonic_time now, std::vector<shard_action>& out) {
+  ForgetOld(now);
+  StopLate(now);
+  ReleaseHeld(now);
+  ResumeRestored(now);
+  TakeCommands(now);
+  CallEndpoints(now);
+  std::move(actions_.begin(), actions_.end(), std::back_inserter(out));
+  actions_.clear();
+}
+
+void shard::TakeCommands(monotonic_time now) {
+  commands_.clear();
+  core_.Decide(now, commands_);
+  std::map<endpoint_index, start_action> starts;
+  std::map<std::pair<endpoint_index, bool>, stop_action> stops;
+  for (const command& next : commands_) {
+    if (next.kind == command_kind::kRefuse) {
+      Refuse(next.task.job, next.reason, next.retry_after, next.detail, now);
+    } else if (next.kind == command_kind::kStop) {
+      stop_action& stop = stops[{next.endpoint, next.checkpoint}];
+      stop.endpoint = next.endpoint;
+      stop.token = endpoints_[next.endpoint].link.Token();
+      stop.checkpoint = next.checkpoint;
+      stop.ids.push_back(next.task);
+      Note(event_code::kTaskStopSent, next.task.job, endpoints_[next.endpoint].address.name);
+    } else if (next.kind == command_kind::kEnded) {
+      TakeEnd(next, now);
+    } else {
+      TakeStart(next, starts[next.endpoint]);
+    }
+  }
+  for (auto& [index, start] : starts) {
+    if (start.tasks.empty()) continue;
+    endpoints_[index].link.OnStartSent(now);
+    actions_.push_back(std::move(start));
+  }
+  for (auto& [key, stop] : stops) actions_.push_back(std::move(stop));
+}
+
+// The core's word that nothing more of a job will be started. Mostly the tasks' ends have told so.
+void shard::TakeEnd(const command& end, monotonic_time now) {
+  job_state* job = Find(end.task.job);
+  if (job == nullptr || job->ended) return;
+  EndIfOver(end.task.job, *job, now);
+  if (job->ended || ProgressOf(*job).running > 0) return;
+  const bool may_have_run = end.end == job_end::kUnknown;
+  const std::string detail = job->fault.empty() ? end.detail : job->fault;
+  End(end.task.job, *job,
+      may_have_run ? UnknownOutcome(end.task.job, "a run of it was lost")
+                   : FailedOutcome(end.task.job, detail),
+      now);
+}
+
+void shard::TakeStart(const command& next, start_action& start) {
+  job_state* job = Find(next.task.job);
+  if (job == nullptr || next.task.index >= job->tasks.size()) return;
+  endpoint_record& at = endpoints_[next.endpoint];
+  job->tasks[next.task.index] = {next.task.attempt, next.endpoint, task_phase::kSent};
+  start.endpoint = next.endpoint;
+  start.arrived = std::exchange(job->arrived, monotonic_time{});
+  start.token = at.link.Token();
+  start_task task;
+  task.id = next.task;
+  task.amount = next.amount;
+  task.kind = job->spec.kind;
+  task.team = job->spec.team;
+  task.payload = job->spec.payload;
+  task.lease = options_.link.task_lease;
+  task.retain = options_.identity_window;
+  if (!options_.endpoints_fence) task.not_after = options_.start_bound;
+  start.tasks.push_back(std::move(task));
+  Note(event_code::kTaskStartSent, next.task.job, at.address.name);
+}
+
+void shard::OnStartNotSent(const start_action& start, monotonic_time now) {
+  for (const start_task& task : start.tasks) StartDidNotTake(task.id, false, now);
+}
+
+void shard::StartDidNotTake(const task_id& id, bool endpoint_fault, monotonic_time now) {
+  job_state* job = nullptr;
+  task_progress* task = FindTask(id, job);
+  if (task == nullptr || IsOver(task->phase)) return;
+  task->phase = task_phase::kWaiting;
+  core_.StartFailed(id, endpoint_fault, now);
+  Note(event_code::kTaskStartFailed, id.job, endpoints_[task->endpoint].address.name);
+  if (job->cancelled) EndIfOver(id.job, *job, now);
+}
+
+void shard::TaskEnded(const task_id& id, task_result result, const std::string& answer,
+                      milliseconds ran, monotonic_time now) {
+  job_state* job = nullptr;
+  task_progress* task = FindTask(id, job);
+  if (task == nullptr || IsOver(task->phase) || task->phase == task_phase::kWaiting) return;
+  if (result == task_result::kLeaseLapsed) {
+    LoseTask(id, now);
+    return;
+  }
+  const std::string& where = endpoints_[task->endpoint].address.name;
+  Note(event_code::kTaskFinished, id.job, where, answer.substr(0, 64));
+  job->ever_ran = true;
+  const bool stopped = result == task_result::kStopped || result == task_result::kCheckpointed;
+  const bool restarts =
+      !job->cancelled && !job->ended && (stopped || job->spec.kind == workload_kind::kService);
+  task_end end = task_end::kDone;
+  if (result == task_result::kFailed) end = task_end::kFailed;
+  if (result == task_result::kStopped) end = task_end::kStopped;
+  if (result == task_result::kCheckpointed) end = task_end::kCheckpointed;
+  core_.Finished(id, end, ran, now);
+  if (restarts) {
+    task->phase = task_phase::kWaiting;
+    return;
+  }
+  task->phase = result == task_result::kOk ? task_phase::kDone : task_phase::kFailed;
+  if (result == task_result::kOk) job->answer = answer;
+  if (result == task_result::kFailed && job->fault.empty()) job->fault = answer;
+  if (job->durable && !job->ended) {
+    actions_.push_back(complete_action{id, task->phase == task_phase::kDone, false});
+    const bool is_new = unrecorded_.try_emplace({id.job, id.index}, task->endpoint).second;
+    if (is_new) ++endpoints_[task->endpoint].unrecorded;
+  }
+  EndIfOver(id.job, *job, now);
+}
+
+void shard::OnCompletionRecorded(const request_id& id, uint32_t index, monotonic_time /*now*/) {
+  const auto found = unrecorded_.find({id, index});
+  if (found == unrecorded_.end()) return;
+  --endpoints_[found->second].unrecorded;
+  unrecorded_.erase(found);
+}
+
+// A run whose end nobody saw, and that surely does not run any more.
+void shard::LoseTask(const task_id& id, monotonic_time now) {
+  job_state* job = nullptr;
+  task_progress* task = FindTask(id, job);
+  if (task == nullptr || !IsUnderWay(task->phase)) return;
+  const bool again = job->has_spec && job->spec.repeatable && !job->cancelled && !job->ended;
+  if (again) {
+    task->phase = task_phase::kWaiting;
+    job->ever_ran = true;
+    core_.Finished(id, task_end::kLost, {}, now);
+    return;
+  }
+  // Not to be repeated, or not known whether it may be: it may have run, and is not run again.
+  task->phase = task_phase::kFailed;
+  core_.Finished(id, task_end::kFailed, {}, now);
+  if (job->ended) return;
+  End(id.job, *job, UnknownOutcome(id.job, "its endpoint was lost while it ran"), now);
+}
+
+void shard::Answer(const job_state& job, const outcome& result) {
+  for (const std::string& entry : job.entries) {
+    actions_.push_back(answer_action{entry, result});
+  }
+}
+
+void shard::End(const request_id& id, job_state& job, outcome result, monotonic_time now) {
+  if (job.ended) return;
+  Answer(job, result);
+  job.entries.clear();
+  gangs_.erase(id);
+  services_.erase(id);
+  deadlines_.erase({job.deadline, id});
+  if (job.durable) actions_.push_back(complete_action{{id, 0, 0}, false, true});
+  job.ended = std::move(result);
+  --unanswered_;
+  if (!IsDurable(job.spec.kind)) identities_.Finish(id, *job.ended, now);
+  ended_.emplace(job.durable ? now + kDurableMemory : now, id);
+}
+
+void shard::EndIfOver(const request_id& id, job_state& job, monotonic_time now) {
+  if (job.ended) return;
+  if (std::optional<outcome> end = EndOf(job)) End(id, job, *std::move(end), now);
+}
+
+void shard::Refuse(const request_id& id, refusal_reason reason, milliseconds retry_after,
+                   std::string detail, monotonic_time now) {
+  job_state* job = Find(id);
+  if (job == nullptr || job->ended) return;
+  outcome refused = RefusedOutcome(id, reason, retry_after, std::move(detail));
+  // The core refuses what it has not started; for a job of which some task ran, "not run" would be
+  // untrue of the whole.
+  if (job->ever_ran) refused = FailedOutcome(id, "ended early: " + refused.detail);
+  End(id, *job, std::move(refused), now);
+}
+
+// Drops the state of jobs that have ended, but not while one of their tasks still runs.
+void shard::ForgetOld(monotonic_time now) {
+  identities_.Expire(now);
+  while (!ended_.empty() && ended_.begin()->first <= now) {
+    const request_id id = ended_.begin()->second;
+    ended_.erase(ended_.begin());
+    const job_state* job = Find(id);
+    if (job == nullptr) continue;
+    if (ProgressOf(*job).running > 0) {
+      ended_.emplace(now + kLinger, id);
+      continue;
+    }
+    jobs_.erase(id);
+  }
+}
+
+// A caller that waits is answered at its deadline, whatever still runs.
+void shard::StopLate(monotonic_time now) {
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+    const request_id id = deadlines_.begin()->second;
+    deadlines_.erase(deadlines_.begin());
+    job_state* job = Find(id);
+    if (job == nullptr || job->ended) continue;
+    core_.Cancel(id, now);
+    const job_progress progress = ProgressOf(*job);
+    if (progress.running == 0) {
+      Refuse(id, refusal_reason::kDeadline, kComeBack, "the deadline passed in the queue", now);
+      continue;
+    }
+    // Its end may already stand at the endpoint and be on its way: "failed" could be untrue.
+    End(id, *job, UnknownOutcome(id, "the deadline passed while it ran"), now);
+  }
+}
+
+}  // namespace catkinford
--- a/src/request/job_state.h
+++ b/src/request/job_state.h
@@ -22,6 +22,12 @@
   kFailed,
 };
 
+inline bool IsOver(task_phase phase) {
+  return phase == task_phase::kDone || phase == task_phase::kFailed;
+}
+// Started, or perhaps started, and not over.
+inline bool IsUnderWay(task_phase phase) { return phase != task_phase::kWaiting && !IsOver(phase); }
+
 struct task_progress {
   uint32_t attempt = 0;
   uint32_t endpoint = 0;
--- a/src/request/outcome.cc
+++ b/src/request/outcome.cc
@@ -1,6 +1,7 @@
 #include "request/outcome.h"
 
 #include <array>
+#include <utility>
 
 namespace catkinford {
 namespace {
@@ -12,6 +13,9 @@
     "deadline",      "cancelled",   "kind_not_allowed", "owner_unreachable", "not_durable",
     "shutting_down", "unknown_key", "endpoint_refused"};
 
+// When a caller of an unknown end may ask for it again.
+constexpr std::chrono::milliseconds kAskAgain{1000};
+
 // The value whose name is `text`, by its place in `names`.
 template <typename Enum, size_t N>
 std::optional<Enum> FindByName(const std::array<std::string_view, N>& names,
@@ -34,4 +38,39 @@
   return FindByName<refusal_reason>(kReasonNames, text);
 }
 
+outcome AcceptedOutcome(const request_id& id) {
+  outcome result;
+  result.id = id;
+  result.kind = outcome_kind::kAccepted;
+  return result;
+}
+
+outcome RefusedOutcome(const request_id& id, refusal_reason reason,
+                       std::chrono::milliseconds retry_after, std::string detail) {
+  outcome result;
+  result.id = id;
+  result.kind = outcome_kind::kRefused;
+  result.reason = reason;
+  result.retry_after = retry_after;
+  result.detail = std::move(detail);
+  return result;
+}
+
+outcome FailedOutcome(const request_id& id, std::string detail) {
+  outcome result;
+  result.id = id;
+  result.kind = outcome_kind::kFailed;
+  result.detail = std::move(detail);
+  return result;
+}
+
+outcome UnknownOutcome(const request_id& id, std::string detail) {
+  outcome result;
+  result.id = id;
+  result.kind = outcome_kind::kUnknown;
+  result.retry_after = kAskAgain;
+  result.detail = std::move(detail);
+  return result;
+}
+
 }  // namespace catkinford
--- a/src/request/outcome.h
+++ b/src/request/outcome.h
@@ -51,6 +51,14 @@
   std::string detail;                        // for people: which resource, which limit, why
 };
 
+// The usual forms. What was refused comes with the time to come back, zero for never.
+outcome AcceptedOutcome(const request_id& id);
+outcome RefusedOutcome(const request_id& id, refusal_reason reason,
+                       std::chrono::milliseconds retry_after, std::string detail);
+outcome FailedOutcome(const request_id& id, std::string detail);
+// May have run; its caller may ask again a little later.
+outcome UnknownOutcome(const request_id& id, std::string detail);
+
 }  // namespace catkinford
 
 #endif  // CATKINFORD_REQUEST_OUTCOME_H_
