--- a/bench/bounds.cc
+++ b/bench/bounds.cc
@@ -139,10 +139,10 @@
 
 }  // namespace
 
-std::vector<passed_bound> PassedBounds(const nlohmann::json& bounds, const figure_map& figures) {
-  std::vector<passed_bound> passed;
+std::vector<broken_bound> BrokenBounds(const nlohmann::json& bounds, const figure_map& figures) {
+  std::vector<broken_bound> broken;
   for (const nlohmann::json& bound : bounds) {
-    passed_bound b;
+    broken_bound b;
     b.figure = bound.value("figure", "");
     b.is_least = bound.contains("least");
     b.bound = bound.value(b.is_least ? "least" : "most", 0.0);
@@ -150,9 +150,9 @@
     b.missing = found == figures.end();
     if (!b.missing) b.value = found->second;
     const bool holds = !b.missing && (b.is_least ? b.value >= b.bound : b.value <= b.bound);
-    if (!holds) passed.push_back(b);
+    if (!holds) broken.push_back(b);
   }
-  return passed;
+  return broken;
 }
 
 int BoundsMain(int argc, char** argv) {
@@ -174,13 +174,13 @@
   for (const auto& [name, value] : figures) std::printf("%-50s %10.4f\n", name.c_str(), value);
   std::ofstream(out + "/figures.json") << nlohmann::json(figures).dump(2) << '\n';
   Draw(out);
-  const std::vector<passed_bound> passed = PassedBounds(document["bounds"], figures);
-  for (const passed_bound& b : passed) {
+  const std::vector<broken_bound> broken = BrokenBounds(document["bounds"], figures);
+  for (const broken_bound& b : broken) {
     std::printf("BOUND PASSED %s: %.4f, %s %.4f%s\n", b.figure.c_str(), b.value,
                 b.is_least ? "least" : "most", b.bound, b.missing ? " (no such figure)" : "");
   }
-  std::printf("%zu bounds, %zu passed\n", document["bounds"].size(), passed.size());
-  return passed.empty() ? 0 : 1;
+  std::printf("%zu bounds, %zu broken\n", document["bounds"].size(), broken.size());
+  return broken.empty() ? 0 : 1;
 }
 
 }  // namespace catkinford
--- a/bench/bounds.h
+++ b/bench/bounds.h
@@ -13,7 +13,7 @@
 using figure_map = std::map<std::string, double>;
 
 // A figure that passed its bound, or that a bound names and no run gave.
-struct passed_bound {
+struct broken_bound {
   std::string figure;
   double value = 0;
   double bound = 0;
@@ -22,7 +22,7 @@
 };
 
 // `bounds` is the list of bounds.json: [{"figure": NAME, "most": X}] or with "least".
-std::vector<passed_bound> PassedBounds(const nlohmann::json& bounds, const figure_map& figures);
+std::vector<broken_bound> BrokenBounds(const nlohmann::json& bounds, const figure_map& figures);
 
 }  // namespace catkinford
 
--- a/test/bounds_test.cc
+++ b/test/bounds_test.cc
@@ -10,12 +10,12 @@
                                  {{"figure", "b"}, {"least", 0.5}},
                                  {{"figure", "c"}, {"most", 1.0}},
                                  {{"figure", "d"}, {"most", 1.0}}};
-  const std::vector<passed_bound> passed =
-      PassedBounds(bounds, {{"a", 2.1}, {"b", 0.4}, {"c", 1.0}});
-  REQUIRE(passed.size() == 3);
-  CHECK(passed[0].figure == "a");
-  CHECK(passed[1].figure == "b");
-  CHECK(passed[2].missing);
+  const std::vector<broken_bound> broken =
+      BrokenBounds(bounds, {{"a", 2.1}, {"b", 0.4}, {"c", 1.0}});
+  REQUIRE(broken.size() == 3);
+  CHECK(broken[0].figure == "a");
+  CHECK(broken[1].figure == "b");
+  CHECK(broken[2].missing);
 }
 
 }  // namespace catkinford
