Drop state of the shard that nothing reads, and keep one wait for passing a version on

Found in the last read: a count of unanswered requests and four accessors without a caller, and two constants of 500 ms for the same wait, one in node_config and one in node_peers.

--- a/src/process/node.h
+++ b/src/process/node.h
@@ -42,6 +42,9 @@
 
 namespace catkinford {
 
+// How long a peer may still be on an older version before it is sent the new one again.
+constexpr std::chrono::milliseconds kConfigResend{500};
+
 enum class start_fault : uint8_t { kNone, kCallerPort, kPeerPort, kCertificate };
 
 class node {
--- a/src/process/node_config.cc
+++ b/src/process/node_config.cc
@@ -14,8 +14,6 @@
 
 // How long an operator waits for the last failure domain before it is named as pending.
 constexpr milliseconds kInForceWait{2000};
-// How long a peer may still be on an older version before it is sent the new one again.
-constexpr milliseconds kPassOnWait{500};
 
 std::string Dump(const json& body) {
   return body.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -56,7 +54,7 @@
   for (auto& [number, held] : shards_) held->SetConfiguration(*order.Config(), now);
   for (auto& [name, peer] : peers_) {
     if (peer.config_version >= order.Version()) continue;
-    peer.next_config = now + kPassOnWait;
+    peer.next_config = now + kConfigResend;
     peer.next_beat = now;  // says that it is in force here
     if (!version_from_peer_) Send(name, config_message{order.Version(), order.Text()}, now);
   }
--- a/src/process/node_peers.cc
+++ b/src/process/node_peers.cc
@@ -11,7 +11,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kConfigResend{500};  // the same version to the same peer again
 // A peer counts as down after this many of its heartbeats were missed. With the heartbeat of
 // 250 ms inside a domain that is 1 s: short against the member lease, long against a pause.
 constexpr int kMissedBeats = 4;
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -139,7 +139,6 @@
   job.tasks.resize(job.spec.tasks);
   if (job.spec.deadline_left.count() > 0) job.deadline = now + job.spec.deadline_left;
   if (!IsDurable(job.spec.kind)) deadlines_.emplace(job.deadline, job.spec.id);
-  ++unanswered_;
   Note(event_code::kRequestQueued, job.spec.id, job.spec.team);
   return job;
 }
@@ -200,7 +199,6 @@
     for (const uint32_t index : from.failed) {
       if (index < job.tasks.size()) job.tasks[index].phase = task_phase::kFailed;
     }
-    ++unanswered_;
     restored_.push_back(id);
     EndIfOver(id, job, now);
   }
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -153,11 +153,6 @@
   // surely not started.
   bool AllListed() const { return unlisted_ == 0 && has_endpoints_; }
   const place_message* SpecOf(const request_id& job) const;
-  uint64_t Signature() const { return core_.Signature(); }
-  size_t Jobs() const { return jobs_.size(); }
-  size_t Identities() const { return identities_.Size(); }
-  // Requests that were taken and have no outcome yet.
-  size_t Unanswered() const { return unanswered_; }
 
  private:
   struct endpoint_record {
@@ -224,7 +219,6 @@
   uint32_t unlisted_ = 0;
   bool has_endpoints_ = false;
   absl::flat_hash_map<request_id, job_state> jobs_;
-  size_t unanswered_ = 0;
   std::set<request_id> gangs_;     // that have not ended
   std::set<request_id> services_;  // that have not ended
   identity_memory identities_;     // of work that a caller waits for, beyond its job_state
--- a/src/process/shard_endpoints.cc
+++ b/src/process/shard_endpoints.cc
@@ -180,7 +180,6 @@
     job.spec.team = status.team;
     job.spec.each = status.amount;
     identities_.LearnRunning(id.job, now);
-    ++unanswered_;
   }
   if (id.index >= job.tasks.size()) job.tasks.resize(id.index + 1);
   task_progress& task = job.tasks[id.index];
--- a/src/process/shard_tasks.cc
+++ b/src/process/shard_tasks.cc
@@ -185,7 +185,6 @@
   deadlines_.erase({job.deadline, id});
   if (job.durable) actions_.push_back(complete_action{{id, 0, 0}, false, true});
   job.ended = std::move(result);
-  --unanswered_;
   if (!IsDurable(job.spec.kind)) identities_.Finish(id, *job.ended, now);
   ended_.emplace(job.durable ? now + kDurableMemory : now, id);
 }
