Measure the bytes on the wire of real processes at any size

`catkinford-bench control` counted the texts of messages and knew one size. It now takes domains, entries, endpoints and teams, and reads what TCP has carried over the entries' ports from the kernel (sock_diag).

--- a/bench/control.cc
+++ b/bench/control.cc
@@ -12,38 +12,36 @@
 
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
+#include "absl/strings/str_cat.h"
 #include "bench/commands.h"
 #include "bench/flags.h"
 #include "bench/fleet.h"
+#include "bench/wire_bytes.h"
 #include "connection/http_client.h"
 
+ABSL_FLAG(uint32_t, domains, 3, "control: failure domains");
+ABSL_FLAG(uint32_t, domain_entries, 2, "control: entries in each, a shard for each above two");
+ABSL_FLAG(uint32_t, domain_endpoints, 17, "control: endpoints in each");
+ABSL_FLAG(uint32_t, control_teams, 6, "control: teams");
+ABSL_FLAG(bool, changes, true, "control: also with 24 changes of configuration a minute");
+ABSL_FLAG(std::string, timing, "{}", "control: settings below \"timing\", as JSON");
+
 namespace catkinford {
 namespace {
 
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kStartLimit{30000};
-constexpr milliseconds kSettle{4000};
+constexpr milliseconds kStartLimit{60000};
+constexpr milliseconds kSettle{8000};
 constexpr milliseconds kWatch{15000};
 constexpr milliseconds kChangeEvery{2500};  // 24 changes a minute
 
-// The sum of a counter over its labels, in the Prometheus text format.
-double CounterIn(const std::string& metrics, const std::string& name) {
-  double sum = 0;
-  for (size_t at = metrics.find("\n" + name); at != std::string::npos;
-       at = metrics.find("\n" + name, at + 1)) {
-    const size_t end = metrics.find('\n', at + 1);
-    const std::string line = metrics.substr(at + 1, end - at - 1);
-    sum += std::strtod(line.c_str() + line.rfind(' '), nullptr);
-  }
-  return sum;
-}
-
 struct readings {
   double cpu_ms = 0;
   double resident_kb = 0;  // of the largest entry
-  double peer_bytes = 0;
+  double peer_bytes = 0;  // on the wire, of all entries, as both ends see them
+  double all_bytes = 0;   // the same, with store, instance list and endpoints
   double store_reads = 0;
   double store_writes = 0;
 };
@@ -67,6 +65,7 @@
             {"cpu_percent", (after.cpu_ms - before.cpu_ms) / 10 / seconds / entries},
             {"resident_mb", after.resident_kb / 1024},
             {"peer_kb_s", (after.peer_bytes - before.peer_bytes) / 1000 / seconds / entries},
+            {"wire_kb_s", (after.all_bytes - before.all_bytes) / 1000 / seconds / entries},
             {"store_reads_s", (after.store_reads - before.store_reads) / seconds},
             {"store_writes_s", (after.store_writes - before.store_writes) / seconds}};
   }
@@ -78,9 +77,9 @@
       const process_usage usage = running_.Entry(slot).process.Usage();
       now.cpu_ms += static_cast<double>(usage.cpu.count());
       now.resident_kb = std::max(now.resident_kb, static_cast<double>(usage.resident_kb));
-      const http_result metrics = http_.SendAndWait({"GET", running_.UrlOf(slot) + "/metrics"});
-      now.peer_bytes += CounterIn(metrics.body, "catkinford_peer_bytes");
     }
+    now.peer_bytes = 2 * running_.PeerBytes();
+    now.all_bytes = now.peer_bytes + running_.PlatformBytes();
     const json counters = running_.StoreCounters();
     now.store_reads = counters.value("reads", 0.0);
     now.store_writes = counters.value("writes", 0.0);
@@ -109,23 +108,43 @@
 
 void Print(const char* when, const json& figures) {
   std::printf(
-      "%-22s cpu %.2f %%  memory %.0f MB  peers %.1f KB/s  store %.1f reads/s %.1f writes/s\n",
+      "%-22s cpu %.2f %%  memory %.0f MB  on the wire: peers %.1f KB/s, all %.1f KB/s  store %.1f "
+      "reads/s %.1f writes/s\n",
       when, figures["cpu_percent"].get<double>(), figures["resident_mb"].get<double>(),
-      figures["peer_kb_s"].get<double>(), figures["store_reads_s"].get<double>(),
-      figures["store_writes_s"].get<double>());
+      figures["peer_kb_s"].get<double>(), figures["wire_kb_s"].get<double>(),
+      figures["store_reads_s"].get<double>(), figures["store_writes_s"].get<double>());
+  std::fflush(stdout);
+}
+
+fleet_options Options() {
+  fleet_options options;
+  options.entries_per_domain = absl::GetFlag(FLAGS_domain_entries);
+  options.endpoints_per_domain = absl::GetFlag(FLAGS_domain_endpoints);
+  options.teams = absl::GetFlag(FLAGS_control_teams);
+  options.timing = json::parse(absl::GetFlag(FLAGS_timing));
+  if (options.entries_per_domain > 2) {
+    options.shards_per_domain = static_cast<uint32_t>(options.entries_per_domain);
+  }
+  for (size_t i = options.domains.size(); i < absl::GetFlag(FLAGS_domains); ++i) {
+    options.domains.push_back(absl::StrCat("domain-", i));
+  }
+  return options;
 }
 
 }  // namespace
 
 int ControlMain(int argc, char** argv) {
   absl::ParseCommandLine(argc, argv);
-  fleet running(fleet_options{});
+  fleet running(Options());
   if (!running.Start(kStartLimit)) return 1;
   std::this_thread::sleep_for(kSettle);
   control_run run(running);
-  const json result = {{"at_rest", run.Watch(false)}, {"24_changes_a_minute", run.Watch(true)}};
+  json result = {{"at_rest", run.Watch(false)}};
   Print("at rest, an entry", result["at_rest"]);
-  Print("24 changes a minute", result["24_changes_a_minute"]);
+  if (absl::GetFlag(FLAGS_changes)) {
+    result["24_changes_a_minute"] = run.Watch(true);
+    Print("24 changes a minute", result["24_changes_a_minute"]);
+  }
   const std::string file = absl::GetFlag(FLAGS_json);
   if (!file.empty()) std::ofstream(file) << result.dump(2) << "\n";
   return 0;
--- a/bench/fleet.cc
+++ b/bench/fleet.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "bench/wire_bytes.h"
 
 namespace catkinford {
 namespace {
@@ -341,6 +342,23 @@
   Silence(absl::StrCat("peer/", from, "/", to));
 }
 
+double fleet::PeerBytes() const {
+  const std::map<uint16_t, double> bytes = WireBytesByPort();
+  const auto at = [&bytes](uint16_t port) { return bytes.contains(port) ? bytes.at(port) : 0; };
+  double sum = 0;
+  for (const fleet_entry& entry : entries_) sum += at(entry.peer_port);
+  return sum;
+}
+
+double fleet::PlatformBytes() const {
+  const std::map<uint16_t, double> bytes = WireBytesByPort();
+  const auto at = [&bytes](uint16_t port) { return bytes.contains(port) ? bytes.at(port) : 0; };
+  double sum = at(store_port_);
+  for (const endpoint_process& process : endpoints_) sum += at(process.port);
+  for (const fleet_entry& entry : entries_) sum += at(entry.instances->Port());
+  return sum;
+}
+
 std::vector<run_event> fleet::Events() {
   std::vector<run_event> events;
   for (const endpoint_process& process : endpoints_) {
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -88,6 +88,11 @@
   void SilenceEndpointConnections(size_t slot, size_t domain);
   void SilencePeerConnections(size_t from, size_t to);
 
+  // Bytes on the wire so far, both ways: over the entries' peer ports, and between the entries and
+  // the platform's stand-ins with the endpoints. Not behind proxies.
+  double PeerBytes() const;
+  double PlatformBytes() const;
+
   // What the endpoints wrote down.
   std::vector<run_event> Events();
   nlohmann::json StoreCounters();
