--- a/src/process/membership.cc
+++ b/src/process/membership.cc
@@ -1,7 +1,6 @@
 #include "process/membership.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
 
@@ -13,24 +12,25 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr int kMissedBeats = 3;             // overdue by this many: suspect
-constexpr int kDownFactor = 3;              // overdue by this many times that: down
-constexpr milliseconds kHopAllowance{5};    // age that a sighting gains on its way
+constexpr int kMissedBeats = 4;             // overdue by this many: suspect
+constexpr int kMissedTurns = 2;             // of another domain, both ways: suspect
+constexpr int kDownFactor = 2;              // overdue by this many times that: down
+constexpr milliseconds kHopAllowance{5};    // age that a word gains on its way
 constexpr seconds kForgetAfter{60};         // silent and not in the list
 constexpr size_t kMaxMembers = 1024;        // bounds what a faulty peer can make us keep
 constexpr uint32_t kNearShareOfBudget = 2;  // near heartbeats take at most one part in two
-constexpr size_t kFarNews = 3;              // sightings of other domains in a near heartbeat
+constexpr uint32_t kLeastFarShare = 8;      // and far ones get at least one part in eight
 constexpr int64_t kMillisPerSecond = 1000;
-// Bytes on the wire, measured on an otherwise silent loopback device: a call and its reply over the
-// JSON-RPC library without their texts, the sender's name in both, and one sighting.
-constexpr uint32_t kExchangeBytes = 472 + 80;
-constexpr uint32_t kSightingBytes = 34;
+// Bytes on the wire, measured with real processes: a call and its reply over the JSON-RPC library
+// with the heads of our texts, and the word of an owner of one shard.
+constexpr uint32_t kExchangeBytes = 472 + 120;
+constexpr uint32_t kWordBytes = 125;
 
 }  // namespace
 
 membership::membership(membership_options options) : options_(std::move(options)) {}
 
-member& membership::Find(const std::string& name, const std::string& failure_domain,
+member& membership::Have(const std::string& name, const std::string& failure_domain,
                          const std::string& address) {
   member& one = members_[name];
   one.name = name;
@@ -40,66 +40,84 @@
 }
 
 // The platform's list says how an entry is reached from here, so its address goes before the one
-// that the entry gives itself. A later process of the same name counts from its first sign of life;
-// news of an earlier one is no news.
-void membership::Heard(const std::string& name, const std::string& failure_domain,
-                       const std::string& address, uint64_t incarnation, monotonic_time at) {
-  if (name == options_.name || name.empty()) return;
-  const auto known = members_.find(name);
-  if (known == members_.end() && members_.size() >= kMaxMembers) return;
-  if (known != members_.end() && incarnation < known->second.incarnation) return;
-  const bool later = known != members_.end() && at <= known->second.heard &&
-                     incarnation == known->second.incarnation;
-  if (later) return;
+// that the entry gives itself.
+bool membership::Heard(const entry_word& word, const std::string& failure_domain,
+                       monotonic_time now) {
+  if (word.name == options_.name || word.name.empty() || word.incarnation == 0) return false;
+  const auto known = members_.find(word.name);
+  if (known == members_.end() && members_.size() >= kMaxMembers) return false;
+  if (known != members_.end()) {
+    const entry_word& last = known->second.word;
+    const auto number = [](const entry_word& one) { return std::pair(one.incarnation, one.beat); };
+    if (number(word) <= number(last)) return false;
+  }
   const bool listed = known != members_.end() && known->second.listed;
-  member& one = Find(name, failure_domain, listed ? "" : address);
-  one.incarnation = incarnation;
-  one.heard = at;
-  const auto silent = silent_.find(name);
-  if (silent != silent_.end() && at > silent->second) silent_.erase(silent);
+  member& one = Have(word.name, failure_domain, listed ? "" : word.address);
+  const bool is_new_process = one.word.incarnation != word.incarnation;
+  const monotonic_time at = word.age.count() == 0 ? now : now - word.age - kHopAllowance;
+  one.heard = is_new_process ? at : std::max(one.heard, at);
+  one.word = word;
+  const auto silent = silent_.find(word.name);
+  if (silent != silent_.end() && (at > silent->second || is_new_process)) silent_.erase(silent);
+  return true;
 }
 
 void membership::OnInstances(const std::vector<instance>& instances, monotonic_time now) {
   for (auto& [name, one] : members_) one.listed = false;
   for (const instance& listed : instances) {
     if (listed.role != instance_role::kEntry || listed.name == options_.name) continue;
-    member& one = Find(listed.name, listed.failure_domain, listed.address);
+    member& one = Have(listed.name, listed.failure_domain, listed.address);
     one.listed = true;
-    one.leaving = listed.leaving;
+    one.withdrawn = listed.leaving;
   }
   Forget(now);
 }
 
 void membership::OnStoreMembers(const absl::btree_map<std::string, member_record>& members,
-                                monotonic_time /*now*/) {
+                                monotonic_time now) {
   for (const auto& [name, record] : members) {
-    const auto known = members_.find(name);
-    const bool news = known == members_.end() || known->second.incarnation < record.incarnation;
-    if (name != options_.name && news) Find(name, options_.failure_domain, record.address);
+    if (name == options_.name) continue;
+    const member* known = Find(name);
+    const bool is_unheard = known == nullptr || known->word.incarnation == 0;
+    if (!is_unheard || (known != nullptr && known->listed)) continue;
+    Have(name, options_.failure_domain, record.address).heard = now;  // not forgotten meanwhile
   }
+  Forget(now);
 }
 
-void membership::OnHeartbeat(const std::string& name, const std::string& failure_domain,
-                             const std::string& address, uint64_t incarnation, monotonic_time now) {
-  Heard(name, failure_domain, address, incarnation, now);
-}
-
-// Two entries could keep a dead third alive for each other by passing on each other's news. A
-// sighting therefore keeps the age that it has, and grows a little older with each hop.
-void membership::OnSightings(const std::vector<sighting>& sightings, monotonic_time now) {
-  for (const sighting& seen : sightings) {
-    const monotonic_time at = now - seen.age - kHopAllowance;
-    Heard(seen.name, seen.failure_domain, seen.address, seen.incarnation, at);
+std::vector<std::string> membership::OnHeartbeat(const heartbeat_message& beat,
+                                                 monotonic_time now) {
+  std::vector<std::string> news;
+  for (const entry_word& word : beat.words) {
+    if (Heard(word, beat.failure_domain, now)) news.push_back(word.name);
+    // The sender itself has said something later: the network held this back, and the ages in it
+    // are too low. A neighbour that died meanwhile would seem to be alive.
+    if (news.empty()) break;
   }
+  return news;
 }
 
 void membership::OnSilent(const std::string& name, monotonic_time now) {
-  if (members_.contains(name)) silent_.emplace(name, now);
+  if (members_.contains(name)) silent_.insert_or_assign(name, now);
+}
+
+bool membership::OnSilent(const silent_message& silent, monotonic_time now) {
+  const member* one = Find(silent.name);
+  if (one == nullptr) return false;
+  const auto number = std::pair(one->word.incarnation, one->word.beat);
+  if (number > std::pair(silent.incarnation, silent.beat)) return false;
+  OnSilent(silent.name, now);
+  return true;
+}
+
+const member* membership::Find(const std::string& name) const {
+  const auto found = members_.find(name);
+  return found == members_.end() ? nullptr : &found->second;
 }
 
 member_state membership::StateOf(const member& one, bool sends_to_us, const patience& silences,
                                  monotonic_time now) const {
-  if (one.incarnation == 0) return member_state::kDown;
+  if (one.word.incarnation == 0) return member_state::kDown;
   const milliseconds near = sends_to_us ? silences.predecessor : silences.near;
   const milliseconds silence = IsNear(one) ? near : silences.far;
   const auto overdue = now - one.heard;
@@ -114,14 +132,31 @@
   for (auto& [name, one] : members_) {
     const member_state state = StateOf(one, &one == predecessor, silences, now);
     if (state == one.state) continue;
+    out.push_back({name, one.failure_domain, state, one.state});
     one.state = state;
-    out.push_back({name, one.failure_domain, state});
   }
 }
 
 bool membership::IsUp(const std::string& name) const {
-  const auto found = members_.find(name);
-  return found != members_.end() && found->second.state == member_state::kUp;
+  const member* one = Find(name);
+  return one != nullptr && one->state == member_state::kUp;
+}
+
+std::vector<std::string> membership::LiveNeighbours() const {
+  std::vector<std::string> live;
+  for (const auto& [name, one] : members_) {
+    if (IsNear(one) && one.state == member_state::kUp && !one.Leaving()) live.push_back(name);
+  }
+  return live;
+}
+
+absl::btree_map<std::string, std::vector<std::string>> membership::LiveFar() const {
+  absl::btree_map<std::string, std::vector<std::string>> live;
+  for (const auto& [name, one] : members_) {
+    const bool is_live = one.state == member_state::kUp && !one.Leaving();
+    if (!IsNear(one) && is_live) live[one.failure_domain].push_back(name);
+  }
+  return live;
 }
 
 void membership::Forget(monotonic_time now) {
@@ -149,15 +184,11 @@
 }
 
 uint32_t membership::NearBytes() const {
-  const size_t far = members_.size() - CountNear();
-  const size_t sightings = CountNear() + std::min(far, kFarNews);
-  return kExchangeBytes + options_.payload_bytes +
-         static_cast<uint32_t>(sightings) * kSightingBytes;
+  return kExchangeBytes + static_cast<uint32_t>(CountNear() + 1) * kWordBytes;
 }
 
 uint32_t membership::FarBytes() const {
-  const auto sightings = static_cast<uint32_t>(2 * CountNear());
-  return kExchangeBytes + options_.payload_bytes + sightings * kSightingBytes;
+  return kExchangeBytes + 2 * static_cast<uint32_t>(CountNear() + 1) * kWordBytes;
 }
 
 // Successors on the ring of the domain that get each heartbeat: at least one, all in a small
@@ -178,15 +209,17 @@
   return std::max(affordable, options_.heartbeat);
 }
 
-// The rest of the budget goes to the other domains, one entry at a time, the domains in turn.
+// The rest of the budget goes to the other domains, one entry at a time, the domains in turn. A
+// domain of two keeps the full rate inside even where little is left: the others still hear of it.
 milliseconds membership::FarPeriod() const {
   const auto far = static_cast<int64_t>(members_.size() - CountNear());
   if (far == 0) return options_.far_heartbeat;
   const int64_t near =
       static_cast<int64_t>(NearTargets()) * NearBytes() * kMillisPerSecond / NearPeriod().count();
-  const int64_t left = std::max<int64_t>(options_.bytes_per_second / 2 - near, 1);
+  const int64_t half = options_.bytes_per_second / 2;
+  const int64_t left = std::max<int64_t>(half - near, half / kLeastFarShare);
   const milliseconds affordable{FarBytes() * kMillisPerSecond / left};
-  return std::clamp(affordable, options_.far_heartbeat / far, options_.far_heartbeat);
+  return std::max(affordable, options_.far_heartbeat / far);
 }
 
 // News of a neighbour that does not send to us comes round the ring.
@@ -201,7 +234,7 @@
 milliseconds membership::FarSilence() const {
   const auto domains = static_cast<int>(std::max<size_t>(CountFarDomains(), 1));
   const milliseconds turn = std::max(options_.far_heartbeat, FarPeriod() * domains);
-  return turn * kMissedBeats + NearSilence();
+  return turn * kMissedTurns + NearSilence();
 }
 
 std::vector<heartbeat_target> membership::DueHeartbeats(monotonic_time now) {
@@ -246,7 +279,7 @@
   size_t wanted = NearTargets();
   for (size_t i = 0; i < ring.size() && wanted > 0; ++i) {
     const bool down = ring[i]->state == member_state::kDown;
-    if (down && i != 0 && ring[i]->incarnation != 0) continue;
+    if (down && i != 0 && ring[i]->word.incarnation != 0) continue;
     out.push_back({ring[i]->name, ring[i]->address, true});
     if (!down) --wanted;
   }
@@ -271,58 +304,20 @@
   out.push_back({(*next)->name, (*next)->address, false});
 }
 
-std::vector<sighting> membership::News(monotonic_time now, bool near) const {
-  std::vector<const member*> chosen;
-  std::vector<const member*> far;
+// To a neighbour, and to another domain: all that has been heard of the own domain. What others
+// have said of theirs is not passed on: each exchange with a domain brings all of its entries.
+heartbeat_message membership::Heartbeat(entry_word own, monotonic_time now) const {
+  heartbeat_message beat;
+  beat.failure_domain = options_.failure_domain;
+  beat.words.push_back(std::move(own));
   for (const auto& [name, one] : members_) {
-    if (one.incarnation == 0 || one.state != member_state::kUp) continue;
-    (IsNear(one) ? chosen : far).push_back(&one);
-  }
-  if (near) {
-    const size_t count = std::min(kFarNews, far.size());
-    const auto end = far.begin() + static_cast<std::ptrdiff_t>(count);
-    std::partial_sort(far.begin(), end, far.end(),
-                      [](const member* a, const member* b) { return a->heard > b->heard; });
-    chosen.insert(chosen.end(), far.begin(), end);
-  }
-  std::vector<sighting> news;
-  for (const member* one : chosen) {
-    const auto age = std::chrono::ceil<milliseconds>(now - one->heard);
-    news.push_back(
-        {one->name, one->failure_domain, one->listed ? "" : one->address, one->incarnation, age});
-  }
-  return news;
-}
-
-// {"domain":[["name",incarnation,age in ms,"address"?],...]}: these texts are most of what a node
-// sends for control.
-std::string EncodeSightings(const std::vector<sighting>& sightings) {
-  nlohmann::json domains = nlohmann::json::object();
-  for (const sighting& seen : sightings) {
-    nlohmann::json item = {seen.name, seen.incarnation, std::max<int64_t>(seen.age.count(), 0)};
-    if (!seen.address.empty()) item.push_back(seen.address);
-    domains[seen.failure_domain].push_back(std::move(item));
-  }
-  return domains.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
-std::optional<std::vector<sighting>> DecodeSightings(const std::string& text) {
-  const nlohmann::json domains = nlohmann::json::parse(text, nullptr, false);
-  if (!domains.is_object()) return std::nullopt;
-  std::vector<sighting> result;
-  for (const auto& [domain, items] : domains.items()) {
-    for (const nlohmann::json& item : items) {
-      const bool whole = item.is_array() && (item.size() == 3 || item.size() == 4) &&
-                         item[0].is_string() && item[1].is_number_unsigned() &&
-                         item[2].is_number_integer() &&
-                         item.back().is_string() == (item.size() == 4);
-      if (!whole) return std::nullopt;
-      const std::string address = item.size() == 4 ? item[3].get<std::string>() : std::string{};
-      const milliseconds age{std::max<int64_t>(item[2].get<int64_t>(), 0)};
-      result.push_back({item[0], domain, address, item[1], age});
-    }
+    if (!IsNear(one) || one.state != member_state::kUp) continue;
+    entry_word word = one.word;
+    word.age = std::chrono::ceil<milliseconds>(now - one.heard);
+    word.address = one.listed ? "" : one.address;
+    beat.words.push_back(std::move(word));
   }
-  return result;
+  return beat;
 }
 
 }  // namespace catkinford
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -1,21 +1,24 @@
 // The entries of the whole fleet: from the platform's lagging list, from the store's members of
-// the own failure domain, and from heartbeats. Pure: sightings and time in, due heartbeats out.
+// the own failure domain, and from heartbeats. Pure: words and time in, due heartbeats out.
 //
 // Every entry cannot tell every other one four times a second that it is alive: at the size we aim
 // for that alone would cost many times what a node may spend. So each entry sends to a few
 // successors on a ring inside its domain and to the other domains in turn, as many as a budget of
-// bytes allows, and heartbeats pass on what their sender has heard.
+// bytes allows, and passes on what it has heard of its domain.
+//
+// Each word of an entry is numbered by its incarnation and beat. What comes late or by a second way
+// is no news, so entries cannot keep a dead one alive by telling each other of it.
 #ifndef CATKINFORD_PROCESS_MEMBERSHIP_H_
 #define CATKINFORD_PROCESS_MEMBERSHIP_H_
 
 #include <chrono>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
 #include "absl/container/btree_map.h"
 #include "connection/instance_adapter.h"
+#include "process/message.h"
 #include "process/ownership_record.h"
 #include "request/job_request.h"
 
@@ -28,7 +31,6 @@
   uint64_t incarnation = 0;
   std::chrono::milliseconds heartbeat{250};       // inside the failure domain
   std::chrono::milliseconds far_heartbeat{1000};  // to an entry of another one, at the fastest
-  uint32_t payload_bytes = 150;                   // what else a heartbeat and its reply carry
   uint32_t bytes_per_second = 7800;               // for heartbeats sent and received together
 };
 
@@ -41,27 +43,21 @@
 struct member {
   std::string name;
   std::string failure_domain;
-  std::string address;       // as the platform's list says, else as the entry itself says
-  uint64_t incarnation = 0;  // zero: not heard of yet
+  std::string address;  // as the platform's list says, else as the entry itself says
+  entry_word word;      // its last; incarnation zero: not heard of yet
   member_state state = member_state::kDown;
-  monotonic_time heard{};  // the last sign of life, first or second hand
+  monotonic_time heard{};  // when it said its last word, first or second hand
   bool listed = false;     // in the platform's list
-  bool leaving = false;    // as the platform's list says
-};
+  bool withdrawn = false;  // the platform's list says that it is leaving
 
-// A sign of life, second hand. Ages are durations, so that clocks need not agree.
-struct sighting {
-  std::string name;
-  std::string failure_domain;
-  std::string address;  // empty where the platform's list has it
-  uint64_t incarnation = 0;
-  std::chrono::milliseconds age{0};
+  bool Leaving() const { return word.leaving || withdrawn; }
 };
 
 struct member_change {
   std::string name;
   std::string failure_domain;
   member_state state = member_state::kDown;
+  member_state before = member_state::kDown;
 };
 
 struct heartbeat_target {
@@ -77,25 +73,28 @@
   void OnInstances(const std::vector<instance>& instances, monotonic_time now);
   void OnStoreMembers(const absl::btree_map<std::string, member_record>& members,
                       monotonic_time now);
-  // A heartbeat or the reply to one; any other message from a peer counts as well.
-  void OnHeartbeat(const std::string& name, const std::string& failure_domain,
-                   const std::string& address, uint64_t incarnation, monotonic_time now);
-  void OnSightings(const std::vector<sighting>& sightings, monotonic_time now);
-  // A call to it could not be sent or got no answer.
+  // A heartbeat, or the reply to one. Returns the names of those whose words are news.
+  std::vector<std::string> OnHeartbeat(const heartbeat_message& beat, monotonic_time now);
+  // A call to it could not be sent, or a heartbeat got no answer.
   void OnSilent(const std::string& name, monotonic_time now);
+  // Another entry says so. False when we have heard of it since.
+  bool OnSilent(const silent_message& silent, monotonic_time now);
 
   // Changes of state since the last call.
   void Tick(monotonic_time now, std::vector<member_change>& out);
   // Whom to send a heartbeat to now.
   std::vector<heartbeat_target> DueHeartbeats(monotonic_time now);
-  // What a heartbeat passes on. To a neighbour: the own domain and the freshest news of others; to
-  // another domain, also in the reply: the own domain.
-  std::vector<sighting> News(monotonic_time now, bool near) const;
+  // This entry's own word with what it has heard of its domain.
+  heartbeat_message Heartbeat(entry_word own, monotonic_time now) const;
 
   // All but this entry, by name.
   const absl::btree_map<std::string, member>& Members() const { return members_; }
-  // Up, or suspect for no longer than a heartbeat or two.
+  const member* Find(const std::string& name) const;
   bool IsUp(const std::string& name) const;
+  // Those that are up and stay, by name.
+  std::vector<std::string> LiveNeighbours() const;
+  // By failure domain, those of other ones.
+  absl::btree_map<std::string, std::vector<std::string>> LiveFar() const;
 
   // How the budget is spent at the present size.
   size_t NearTargets() const;
@@ -107,10 +106,9 @@
   std::chrono::milliseconds FarSilence() const;
 
  private:
-  member& Find(const std::string& name, const std::string& failure_domain,
+  member& Have(const std::string& name, const std::string& failure_domain,
                const std::string& address);
-  void Heard(const std::string& name, const std::string& failure_domain, const std::string& address,
-             uint64_t incarnation, monotonic_time at);
+  bool Heard(const entry_word& word, const std::string& failure_domain, monotonic_time now);
   // How long a sign of life may be overdue, worked out once for all members.
   struct patience {
     std::chrono::milliseconds predecessor;  // sends to us itself
@@ -137,10 +135,6 @@
   absl::btree_map<std::string, std::string> last_far_entry_;  // by domain
 };
 
-// The codec of sightings inside a heartbeat: one text, as short as JSON allows.
-std::string EncodeSightings(const std::vector<sighting>& sightings);
-std::optional<std::vector<sighting>> DecodeSightings(const std::string& text);
-
 }  // namespace catkinford
 
 #endif  // CATKINFORD_PROCESS_MEMBERSHIP_H_
--- a/src/process/message.cc
+++ b/src/process/message.cc
@@ -1,5 +1,6 @@
 #include "process/message.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -62,35 +63,65 @@
   return result;
 }
 
+// Arrays without names, and the amounts that another entry uses: with 54 entries these texts are
+// most of what a node sends for control.
 json Encode(const shard_report& report) {
   const shard_summary& summary = report.summary;
-  return {{"shard", report.shard},
-          {"epoch", report.epoch},
-          {"endpoints", report.endpoints},
-          {"free", Encode(summary.free)},
-          {"largest_free", Encode(summary.largest_free)},
-          {"largest", Encode(summary.largest_capacity)},
-          {"open", summary.open_endpoints},
-          {"queued", summary.queued_tasks},
-          {"running", summary.running_tasks},
-          {"delay", summary.queue_delay.count()}};
-}
-
-shard_report DecodeReport(const json& from) {
+  const resources& largest = summary.largest_capacity;
+  const size_t slash = report.shard.rfind('/');
+  return json::array({report.shard.substr(slash == std::string::npos ? 0 : slash + 1), report.epoch,
+                      report.endpoints, largest.cpu_milli, largest.memory_mb, largest.accelerators,
+                      largest.slots, summary.open_endpoints, summary.queued_tasks,
+                      summary.running_tasks, summary.queue_delay.count()});
+}
+
+std::optional<shard_report> DecodeReport(const json& from, const std::string& failure_domain) {
+  constexpr size_t kFields = 11;
+  if (!from.is_array() || from.size() != kFields || !from[0].is_string()) return std::nullopt;
+  for (size_t i = 1; i < kFields; ++i) {
+    if (!from[i].is_number_integer()) return std::nullopt;
+  }
   shard_report report;
-  report.shard = Read<std::string>(from, "shard");
-  report.epoch = Read<uint64_t>(from, "epoch");
-  report.endpoints = Read<uint32_t>(from, "endpoints");
-  report.summary.free = DecodeResources(from, "free");
-  report.summary.largest_free = DecodeResources(from, "largest_free");
-  report.summary.largest_capacity = DecodeResources(from, "largest");
-  report.summary.open_endpoints = Read<uint32_t>(from, "open");
-  report.summary.queued_tasks = Read<uint32_t>(from, "queued");
-  report.summary.running_tasks = Read<uint32_t>(from, "running");
-  report.summary.queue_delay = ReadMs(from, "delay");
+  report.shard = failure_domain + "/" + from[0].get<std::string>();
+  report.epoch = from[1];
+  report.endpoints = from[2];
+  report.summary.largest_capacity = {from[3], from[4], from[5], from[6]};
+  report.summary.open_endpoints = from[7];
+  report.summary.queued_tasks = from[8];
+  report.summary.running_tasks = from[9];
+  report.summary.queue_delay = milliseconds(from[10].get<int64_t>());
   return report;
 }
 
+json Encode(const entry_word& word) {
+  json shards = json::array();
+  for (const shard_report& report : word.shards) shards.push_back(Encode(report));
+  const int64_t age = std::max<int64_t>(word.age.count(), 0);
+  json item = json::array({word.name, word.incarnation, word.beat, age, word.config_version,
+                           word.leaving ? 1 : 0, std::move(shards)});
+  if (!word.address.empty()) item.push_back(word.address);
+  return item;
+}
+
+std::optional<entry_word> DecodeWord(const json& from, const std::string& failure_domain) {
+  constexpr size_t kFields = 7;
+  const bool has_address =
+      from.is_array() && from.size() == kFields + 1 && from[kFields].is_string();
+  const bool whole = from.is_array() && (from.size() == kFields || has_address) &&
+                     from[0].is_string() && from[1].is_number_unsigned() &&
+                     from[2].is_number_unsigned() && from[3].is_number_unsigned() &&
+                     from[4].is_number_unsigned() && from[5].is_number_unsigned() &&
+                     from[6].is_array();
+  if (!whole) return std::nullopt;
+  entry_word word{from[0], "",           from[1], from[2], milliseconds(from[3].get<int64_t>()),
+                  from[4], from[5] != 0, {}};
+  if (has_address) word.address = from[kFields];
+  for (const json& item : from[6]) {
+    if (auto report = DecodeReport(item, failure_domain)) word.shards.push_back(*std::move(report));
+  }
+  return word;
+}
+
 json EncodeBody(const place_message& place) {
   return {{"type", "place"},
           {"id", ToHex(place.id)},
@@ -172,38 +203,96 @@
 }
 
 json EncodeBody(const heartbeat_message& beat) {
-  json shards = json::array();
-  for (const shard_report& report : beat.shards) shards.push_back(Encode(report));
-  json teams = json::array();
-  for (const team_report& team : beat.teams) {
-    teams.push_back(json::array({team.team, Encode(team.running)}));
-  }
-  return {{"type", "heartbeat"},
-          {"domain", beat.failure_domain},
-          {"address", beat.address},
-          {"incarnation", beat.incarnation},
-          {"version", beat.config_version},
-          {"leaving", beat.leaving},
-          {"shards", std::move(shards)},
-          {"teams", std::move(teams)}};
+  json words = json::array();
+  for (const entry_word& word : beat.words) words.push_back(Encode(word));
+  json body = {{"type", "beat"}, {"domain", beat.failure_domain}, {"words", std::move(words)}};
+  if (beat.wants_reply) body["reply"] = true;
+  return body;
 }
 
 heartbeat_message DecodeHeartbeat(const json& from) {
   heartbeat_message beat;
   beat.failure_domain = Read<std::string>(from, "domain");
-  beat.address = Read<std::string>(from, "address");
-  beat.incarnation = Read<uint64_t>(from, "incarnation");
-  beat.config_version = Read<uint64_t>(from, "version");
-  beat.leaving = Read<bool>(from, "leaving");
-  for (const json& report : from.value("shards", json::array())) {
-    beat.shards.push_back(DecodeReport(report));
+  beat.wants_reply = Read<bool>(from, "reply");
+  for (const json& item : from.value("words", json::array())) {
+    if (auto word = DecodeWord(item, beat.failure_domain)) beat.words.push_back(*std::move(word));
   }
+  return beat;
+}
+
+json EncodeBody(const usage_message& usage) {
+  json teams = json::array();
+  for (const team_report& team : usage.teams) {
+    const resources& running = team.running;
+    teams.push_back(json::array(
+        {team.team, running.cpu_milli, running.memory_mb, running.accelerators, running.slots}));
+  }
+  return {{"type", "usage"},
+          {"incarnation", usage.incarnation},
+          {"sequence", usage.sequence},
+          {"whole", usage.whole},
+          {"teams", std::move(teams)}};
+}
+
+usage_message DecodeUsage(const json& from) {
+  usage_message usage{Read<uint64_t>(from, "incarnation"),
+                      Read<uint64_t>(from, "sequence"),
+                      Read<bool>(from, "whole"),
+                      {}};
   for (const json& team : from.value("teams", json::array())) {
-    if (!team.is_array() || team.size() != 2 || !team[0].is_string()) continue;
-    const json running = {{"running", team[1]}};
-    beat.teams.push_back({team[0].get<std::string>(), DecodeResources(running, "running")});
+    const bool whole = team.is_array() && team.size() == 5 && team[0].is_string() &&
+                       team[1].is_number_unsigned() && team[2].is_number_unsigned() &&
+                       team[3].is_number_unsigned() && team[4].is_number_unsigned();
+    if (whole) usage.teams.push_back({team[0], {team[1], team[2], team[3], team[4]}});
   }
-  return beat;
+  return usage;
+}
+
+json EncodeBody(const instances_message& instances) {
+  json changed = json::array();
+  for (const instance& one : instances.changed) {
+    changed.push_back(json::array({one.name, one.role == instance_role::kEntry, one.failure_domain,
+                                   one.rack, one.address, one.leaving, Encode(one.shape)}));
+  }
+  return {{"type", "instances"},
+          {"digest", instances.digest},
+          {"changed", std::move(changed)},
+          {"gone", instances.gone}};
+}
+
+std::optional<instance> DecodeInstance(const json& from) {
+  constexpr size_t kFields = 7;
+  const bool whole = from.is_array() && from.size() == kFields && from[0].is_string() &&
+                     from[1].is_boolean() && from[2].is_string() && from[3].is_string() &&
+                     from[4].is_string() && from[5].is_boolean();
+  if (!whole) return std::nullopt;
+  const json shape = {{"shape", from[6]}};
+  return instance{from[0],
+                  from[1] ? instance_role::kEntry : instance_role::kEndpoint,
+                  from[2],
+                  from[3],
+                  from[4],
+                  from[5],
+                  DecodeResources(shape, "shape")};
+}
+
+instances_message DecodeInstancesMessage(const json& from) {
+  instances_message instances;
+  instances.digest = Read<uint64_t>(from, "digest");
+  for (const json& item : from.value("changed", json::array())) {
+    if (auto one = DecodeInstance(item)) instances.changed.push_back(*std::move(one));
+  }
+  for (const json& name : from.value("gone", json::array())) {
+    if (name.is_string()) instances.gone.push_back(name);
+  }
+  return instances;
+}
+
+json EncodeBody(const silent_message& silent) {
+  return {{"type", "silent"},
+          {"name", silent.name},
+          {"incarnation", silent.incarnation},
+          {"beat", silent.beat}};
 }
 
 json EncodeBody(const config_message& config) {
@@ -239,7 +328,13 @@
     return status_query{ReadId(from, "id"), shard, Read<uint64_t>(from, "query")};
   }
   if (type == "status_answer") return DecodeStatusAnswer(from);
-  if (type == "heartbeat") return DecodeHeartbeat(from);
+  if (type == "beat") return DecodeHeartbeat(from);
+  if (type == "usage") return DecodeUsage(from);
+  if (type == "instances") return DecodeInstancesMessage(from);
+  if (type == "silent") {
+    return silent_message{Read<std::string>(from, "name"), Read<uint64_t>(from, "incarnation"),
+                          Read<uint64_t>(from, "beat")};
+  }
   if (type == "config") {
     return config_message{Read<uint64_t>(from, "version"), Read<std::string>(from, "text")};
   }
--- a/src/process/message.h
+++ b/src/process/message.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "connection/instance_adapter.h"
 #include "process/decision_core.h"
 #include "request/job_request.h"
 #include "request/outcome.h"
@@ -77,22 +78,52 @@
   shard_summary summary;
 };
 
-// Running work of one team in the sender's shards, for shares over the whole cell.
+// What an entry says of itself: by itself, or passed on by another entry of its failure domain.
+struct entry_word {
+  std::string name;
+  std::string address;               // of the peer port; empty where the platform's list has it
+  uint64_t incarnation = 0;          // grows with each start of the process
+  uint64_t beat = 0;                 // grows with each word of one process
+  std::chrono::milliseconds age{0};  // a duration, so that clocks need not agree
+  uint64_t config_version = 0;
+  bool leaving = false;
+  std::vector<shard_report> shards;
+};
+
+struct heartbeat_message {
+  std::string failure_domain;     // of all that it tells of
+  bool wants_reply = false;       // the call's answer brings the other failure domain's words
+  std::vector<entry_word> words;  // the sender's own first
+};
+
+// Running work of one team, for shares over the whole cell.
 struct team_report {
   std::string team;
   resources running;
 };
 
-struct heartbeat_message {
-  std::string failure_domain;
-  std::string address;       // of the peer port
-  uint64_t incarnation = 0;  // grows with each start of the process
-  uint64_t config_version = 0;
-  bool leaving = false;
-  std::vector<shard_report> shards;
+// What has changed of the teams' use since the sender's last message of the kind.
+struct usage_message {
+  uint64_t incarnation = 0;  // of the sender
+  uint64_t sequence = 0;     // older ones are ignored
+  bool whole = false;        // forget what was said before
   std::vector<team_report> teams;
 };
 
+// Reader of the instance list to its neighbours: what has changed since it read last.
+struct instances_message {
+  uint64_t digest = 0;            // of the whole list as read
+  std::vector<instance> changed;  // without address where that is as before
+  std::vector<std::string> gone;
+};
+
+// A call to this process of a neighbour was refused: others need not wait for its next heartbeat.
+struct silent_message {
+  std::string name;
+  uint64_t incarnation = 0;
+  uint64_t beat = 0;  // its last word that the sender has heard
+};
+
 struct config_message {
   uint64_t version = 0;
   std::string text;
@@ -125,7 +156,8 @@
 using message_body =
     std::variant<place_message, outcome_message, cancel_message, status_query, status_answer,
                  heartbeat_message, config_message, ask_owner_message, owner_alive_message,
-                 not_owner_message, drain_message, release_message>;
+                 not_owner_message, drain_message, release_message, usage_message, silent_message,
+                 instances_message>;
 
 struct peer_message {
   std::string from;  // entry
--- a/src/process/metrics.cc
+++ b/src/process/metrics.cc
@@ -123,6 +123,8 @@
                              "0 once cut off for longer than isolation.key_grace, else 1.")),
       ready(MakeGauge(registry_, "catkinford_ready", "1 while this entry takes requests.")),
       takeovers(MakeCounter(registry_, "catkinford_takeovers_total", "Shards claimed here.")),
+      instance_reads(MakeCounter(registry_, "catkinford_instance_reads_total",
+                                 "Reads of the platform's instance list by this entry.")),
       fenced_off(MakeCounter(registry_, "catkinford_fenced_off_total",
                              "Calls that an endpoint refused for their epoch.")) {
   auto& requests = prometheus::BuildCounter()
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -101,6 +101,7 @@
   prometheus::Gauge& keys_trusted;  // 0 once cut off for longer than isolation.key_grace
   prometheus::Gauge& ready;         // 1 or 0
   prometheus::Counter& takeovers;   // shards claimed
+  prometheus::Counter& instance_reads;
   prometheus::Counter& fenced_off;  // calls that an endpoint refused for their epoch
 };
 
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -64,10 +64,24 @@
   return options;
 }
 
-// Two heartbeats for each shard of the fleet: see usage_average.
-milliseconds UsageTimeConstant(const settings& config) {
-  const size_t shards = config.failure_domains.size() * config.shards.per_domain;
-  return config.timing.far_heartbeat * (2 * static_cast<int64_t>(shards));
+membership_options MembershipOptions(const settings& config, uint64_t incarnation) {
+  membership_options options;
+  options.name = config.name;
+  options.failure_domain = config.failure_domain;
+  options.address = absl::StrCat("http://", config.listen.address, ":", config.listen.peer_port);
+  options.incarnation = incarnation;
+  options.heartbeat = config.timing.heartbeat;
+  options.far_heartbeat = config.timing.far_heartbeat;
+  options.bytes_per_second = config.bounds.peer_bytes;
+  return options;
+}
+
+usage_spread_options UsageOptions(const settings& config, uint64_t incarnation) {
+  usage_spread_options options;
+  options.name = config.name;
+  options.incarnation = incarnation;
+  options.bytes_per_second = config.bounds.peer_bytes / 2;
+  return options;
 }
 
 }  // namespace
@@ -88,7 +102,8 @@
           [this](std::vector<peer_message> messages) { OnMessages(std::move(messages)); },
           [this](const std::string& peer, rpc_status status, std::vector<message_body> lost) {
             OnSendFailed(peer, status, std::move(lost));
-          }),
+          },
+          [this] { return Reply(); }),
       front_(FrontOptions(config_),
              [this](http_server::token token, http_request request) {
                OnHttp(token, std::move(request));
@@ -100,7 +115,10 @@
           store_, config_.isolation.key_grace, [this](core_task task) { Post(std::move(task)); },
           [this](monotonic_time now) { OnVersion(now); }),
       grants_(store_, [this](core_task task) { Post(std::move(task)); }),
-      usage_elsewhere_(UsageTimeConstant(config_)),
+      members_(MembershipOptions(config_, incarnation_)),
+      usage_(UsageOptions(config_, incarnation_)),
+      turns_(config_.name, config_.timing.instance_poll),
+      usage_elsewhere_(config_.timing.far_heartbeat),
       jobs_(config_.name, [this](const store_request& call,
                                  std::function<void(store_reply, monotonic_time)> done) {
         SendStoreRequest(call, std::move(done));
@@ -145,7 +163,7 @@
     shutting_down_ = true;
     shutdown_deadline_ = now + config_.timing.shutdown_limit;
     log_.Emit(event_code::kShutdownBegun, now, {}, 0, config_.name);
-    for (auto& [name, peer] : peers_) peer.next_beat = now;  // tells that we leave
+    Announce(false, now);
     ownership_actions actions;
     ownership_.Release(now, actions);
     TakeOwnership(actions, now);
@@ -187,10 +205,9 @@
     ownership_actions actions;
     ownership_.Tick(now, actions);
     TakeOwnership(actions, now);
-    versions_.Tick(IsWatcher(config_.name, LiveDomainPeers()), now);
-    CheckPeers(now);
+    versions_.Tick(IsWatcher(config_.name, members_.LiveNeighbours()), now);
     PollInstances(now);
-    SendHeartbeats(now);
+    TickMembers(now);
     TickStatus(now);
   }
   for (opened_log& log : jobs_.Tick(now)) GainShard(std::move(log), now);
@@ -243,12 +260,14 @@
         table_.OnSendFailed(place->id, status == rpc_status::kNotSent, now);
       }
     }
+    const bool is_beat = std::any_of(lost.begin(), lost.end(), [](const message_body& body) {
+      return std::holds_alternative<heartbeat_message>(body);
+    });
+    usage_.OnLost(peer);
     // Refused outright: the process is gone, which its domain's members should know before its
-    // heartbeats are missed.
-    const auto found = peers_.find(peer);
-    if (found != peers_.end() && status == rpc_status::kNotSent) {
-      SetPeerUp(peer, found->second, false, now);
-    }
+    // heartbeats are missed. A heartbeat without an answer on a fresh connection says nearly as
+    // much.
+    if (is_beat || status == rpc_status::kNotSent) OnSilent(peer, now);
   });
 }
 
@@ -276,6 +295,8 @@
     version_from_peer_ = true;
     versions_.Offer(config->version, config->text, now);
     version_from_peer_ = false;
+    // Whoever sends a version waits to hear that it is in force here.
+    Send(from, heartbeat_message{config_.failure_domain, false, {OwnWord()}}, now);
   } else if (const auto* ask = std::get_if<ask_owner_message>(&body)) {
     const owner_answer holds = ownership_.OnAsked(ask->shard, now);
     Send(from, owner_alive_message{ask->shard, holds.holds}, now);
@@ -284,10 +305,16 @@
   } else if (std::holds_alternative<release_message>(body)) {
     ownership_.OnHandedOver(now);
     next_ownership_tick_ = now;
+  } else if (const auto* usage = std::get_if<usage_message>(&body)) {
+    usage_.OnUsage(from, *usage, now);
+  } else if (const auto* instances = std::get_if<instances_message>(&body)) {
+    if (turns_.OnMessage(from, *instances, now)) TakeInstances(now);
+  } else if (const auto* silent = std::get_if<silent_message>(&body)) {
+    OnSilent(*silent, now);
   } else if (const auto* drain = std::get_if<drain_message>(&body)) {
     DrainEndpoint(drain->endpoint, now);
   } else if (const auto* wrong = std::get_if<not_owner_message>(&body)) {
-    routes_.OnNotOwner(from, wrong->shard);
+    routes_.OnNotOwner(from, wrong->shard, now);
     table_.OnSendFailed(wrong->id, true, now);
   }
 }
@@ -306,7 +333,7 @@
     epoch = std::max(epoch, held->Epoch());
   }
   size_t up = 0;
-  for (const auto& [name, peer] : peers_) up += peer.up ? 1 : 0;
+  for (const auto& [name, one] : members_.Members()) up += members_.IsUp(name) ? 1 : 0;
   metrics_.waiting_requests.Set(static_cast<double>(table_.Pending()));
   metrics_.queued_tasks.Set(queued);
   metrics_.running_tasks.Set(running);
@@ -314,7 +341,7 @@
   metrics_.highest_epoch.Set(static_cast<double>(epoch));
   metrics_.config_version.Set(static_cast<double>(versions_.Order().Version()));
   metrics_.peers_up.Set(static_cast<double>(up));
-  metrics_.peers_down.Set(static_cast<double>(peers_.size() - up));
+  metrics_.peers_down.Set(static_cast<double>(members_.Members().size() - up));
   const bool store_up = versions_.StoreAnswers();
   metrics_.store_up.Set(store_up ? 1 : 0);
   metrics_.keys_trusted.Set(versions_.Order().KeysTrusted(now) ? 1 : 0);
@@ -327,7 +354,7 @@
 }
 
 bool node::IsReady() const {
-  return !shutting_down_ && has_instances_ && versions_.Order().Version() > 0;
+  return !shutting_down_ && turns_.HasList() && versions_.Order().Version() > 0;
 }
 
 // A request in flight is one whose caller still waits: it keeps the process alive until its answer
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -12,6 +12,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -27,7 +29,9 @@
 #include "process/config_keeper.h"
 #include "process/event_log.h"
 #include "process/grant_keeper.h"
+#include "process/instance_turns.h"
 #include "process/job_keeper.h"
+#include "process/membership.h"
 #include "process/metrics.h"
 #include "process/ownership.h"
 #include "process/peer_mailbox.h"
@@ -38,6 +42,7 @@
 #include "process/team_names.h"
 #include "process/timeline.h"
 #include "process/usage_average.h"
+#include "process/usage_spread.h"
 #include "request/caller_call.h"
 
 namespace catkinford {
@@ -67,19 +72,10 @@
  private:
   using core_task = std::function<void(monotonic_time)>;
 
-  // An entry that this one knows of.
-  struct peer_state {
-    std::string failure_domain;
-    std::string address;
+  // What this entry remembers of another one besides what the membership knows.
+  struct peer_notes {
     uint64_t incarnation = 0;
-    uint64_t config_version = 0;
-    bool leaving = false;
-    bool up = false;
-    bool listed = false;  // in the instance list
-    monotonic_time heard{};
-    monotonic_time next_beat{};
     monotonic_time next_config{};  // when it may be sent the configuration again
-    std::vector<team_report> teams;
   };
   // A status question that waits for answers of owners.
   struct open_status {
@@ -116,20 +112,31 @@
   void Send(const std::string& entry, message_body body, monotonic_time now);
   void DeliverLocal(monotonic_time now);
   void OnHeartbeat(const std::string& from, const heartbeat_message& beat, monotonic_time now);
+  void OnWord(const member& of, monotonic_time now);
+  void OnSilent(const std::string& peer, monotonic_time now);
+  void OnSilent(const silent_message& silent, monotonic_time now);
   void SendHeartbeats(monotonic_time now);
-  heartbeat_message Heartbeat() const;
-  void CheckPeers(monotonic_time now);
-  void SetPeerUp(const std::string& name, peer_state& peer, bool up, monotonic_time now);
+  // To every other entry, at once: who owns what, that we are new or leave. By their turns they
+  // would hear of it many seconds later, and we of them.
+  void Announce(bool wants_reply, monotonic_time now);
+  entry_word OwnWord();
+  void PrepareReply(monotonic_time now);
+  std::optional<heartbeat_message> Reply();
+  void FollowMembers();
+  void TickMembers(monotonic_time now);
+  void TakeChanges(monotonic_time now);
+  usage_view UsageView() const;
   void PollInstances(monotonic_time now);
   void OnInstances(const instance_reply& reply, monotonic_time now);
+  void TakeInstances(monotonic_time now);
   void UpdateGauges(monotonic_time now);
   // node_metrics.cc: what is counted, and events about it.
   void UpdateCounters(monotonic_time now);
   void CountAnswer(const answered_call& answer, monotonic_time now);
   void CheckShutdown(monotonic_time now);
-  std::vector<std::string> LiveDomainPeers() const;
   std::vector<version_member> VersionMembers() const;
-  bool DomainsConfirm() const;
+  // The latest time at which every other failure domain was known to have our version.
+  std::optional<monotonic_time> DomainsConfirmed() const;
 
   bool IsReady() const;
 
@@ -228,10 +235,13 @@
   ownership ownership_;
   config_keeper versions_;
   grant_keeper grants_;
+  membership members_;
+  usage_spread usage_;
+  instance_turns turns_;
   usage_average usage_elsewhere_;
   job_keeper jobs_;
   std::map<uint32_t, std::unique_ptr<shard>> shards_;
-  std::map<std::string, peer_state> peers_;
+  std::map<std::string, peer_notes> notes_;
   std::set<std::string> endpoint_names_;  // of the whole fleet, as last listed
   std::set<std::string> drained_;         // by operators; forgotten with the endpoint
   std::vector<instance> own_endpoints_;   // of this failure domain
@@ -242,10 +252,12 @@
   std::map<uint64_t, open_change> changes_;
   uint64_t next_query_ = 1;
   monotonic_time next_ownership_tick_{};
-  monotonic_time next_instance_poll_{};
+  monotonic_time next_store_members_{};
+  monotonic_time next_reply_{};
+  monotonic_time next_usage_{};
+  uint64_t beat_ = 0;
   monotonic_time next_gauges_{};
   monotonic_time shutdown_deadline_{};
-  bool has_instances_ = false;
   bool store_was_up_ = false;  // nothing is said before the first answer
   bool was_ready_ = false;
   uint64_t grant_moves_ = 0;        // that were told
@@ -254,6 +266,12 @@
   bool shutting_down_ = false;
   bool done_ = false;
   std::thread core_;
+
+  // What calls of other domains' entries are answered with; made by the core, read by the mailbox's
+  // threads.
+  std::mutex reply_mutex_;
+  heartbeat_message reply_;
+  monotonic_time reply_made_{};
 };
 
 }  // namespace catkinford
--- a/src/process/node_calls.cc
+++ b/src/process/node_calls.cc
@@ -302,7 +302,9 @@
   }
   if (!call.dry_run) {
     DrainEndpoint(call.endpoint, now);
-    for (const auto& [name, peer] : peers_) Send(name, drain_message{call.endpoint}, now);
+    for (const auto& [name, one] : members_.Members()) {
+      Send(name, drain_message{call.endpoint}, now);
+    }
   }
   front_.Respond(token, {200, Dump({{"endpoint", call.endpoint}, {"dry_run", call.dry_run}})});
 }
@@ -327,17 +329,17 @@
   };
   entries.push_back({{"name", config_.name},
                      {"failure_domain", config_.failure_domain},
-                     {"address", Heartbeat().address},
+                     {"address", OwnWord().address},
                      {"state", shutting_down_ ? "leaving" : "up"},
                      {"config_version", versions_.Order().Version()},
                      {"owns", owned(config_.name)}});
-  for (const auto& [name, peer] : peers_) {
-    const char* state = peer.up ? "up" : "down";
+  for (const auto& [name, one] : members_.Members()) {
+    const char* state = members_.IsUp(name) ? "up" : "down";
     entries.push_back({{"name", name},
-                       {"failure_domain", peer.failure_domain},
-                       {"address", peer.address},
-                       {"state", peer.leaving ? "leaving" : state},
-                       {"config_version", peer.config_version},
+                       {"failure_domain", one.failure_domain},
+                       {"address", one.address},
+                       {"state", one.Leaving() ? "leaving" : state},
+                       {"config_version", one.word.config_version},
                        {"owns", owned(name)}});
   }
   for (const auto& [name, route] : routes_.Routes()) {
--- a/src/process/node_config.cc
+++ b/src/process/node_config.cc
@@ -52,11 +52,10 @@
 void node::OnVersion(monotonic_time now) {
   const version_order& order = versions_.Order();
   for (auto& [number, held] : shards_) held->SetConfiguration(*order.Config(), now);
-  for (auto& [name, peer] : peers_) {
-    if (peer.config_version >= order.Version()) continue;
-    peer.next_config = now + kConfigResend;
-    peer.next_beat = now;  // says that it is in force here
-    if (!version_from_peer_) Send(name, config_message{order.Version(), order.Text()}, now);
+  for (const auto& [name, one] : members_.Members()) {
+    if (one.word.config_version >= order.Version() || version_from_peer_) continue;
+    notes_[name].next_config = now + kConfigResend;
+    Send(name, config_message{order.Version(), order.Text()}, now);
   }
   log_.Emit(event_code::kVersionInForce, now, {}, 0, absl::StrCat(order.Version()));
 }
--- /dev/null
+++ b/src/process/node_instances.cc
@@ -0,0 +1,47 @@
+// The part of an entry that follows the platform's list of instances.
+#include <utility>
+
+#include "process/node.h"
+
+namespace catkinford {
+
+void node::PollInstances(monotonic_time now) {
+  if (!turns_.DueRead(members_.LiveNeighbours(), now)) return;
+  turns_.OnReadBegun(now);
+  instances_.List([this](instance_reply reply) {
+    Post([this, reply = std::move(reply)](monotonic_time at) { OnInstances(reply, at); });
+  });
+}
+
+void node::OnInstances(const instance_reply& reply, monotonic_time now) {
+  if (!reply.ok) return turns_.OnReadFailed();
+  const bool is_first = !turns_.HasList();
+  const instances_message news = turns_.OnRead(reply.instances, now);
+  const bool is_same = !is_first && news.changed.empty() && news.gone.empty();
+  if (!is_same) TakeInstances(now);
+  metrics_.instance_reads.Increment();
+  for (const std::string& name : members_.LiveNeighbours()) Send(name, news, now);
+  if (is_first) Announce(true, now);
+}
+
+void node::TakeInstances(monotonic_time now) {
+  const std::vector<instance> list = turns_.List();
+  own_endpoints_.clear();
+  endpoint_names_.clear();
+  cell_capacity_ = {};
+  for (const instance& from : list) {
+    if (from.role != instance_role::kEndpoint) continue;
+    cell_capacity_ += from.shape;
+    endpoint_names_.insert(from.name);
+    if (from.failure_domain == config_.failure_domain) own_endpoints_.push_back(from);
+  }
+  members_.OnInstances(list, now);
+  FollowMembers();
+  std::erase_if(drained_, [&](const auto& name) { return !endpoint_names_.contains(name); });
+  for (auto& [number, held] : shards_) {
+    held->SetCellCapacity(cell_capacity_);
+    GiveEndpoints(*held, now);
+  }
+}
+
+}  // namespace catkinford
--- a/src/process/node_peers.cc
+++ b/src/process/node_peers.cc
@@ -1,6 +1,5 @@
-// The part of an entry that knows its peers: heartbeats, the instance list, who is up.
+// The part of an entry that knows its peers: heartbeats, who is up, the teams' use elsewhere.
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -11,171 +10,228 @@
 
 using std::chrono::milliseconds;
 
-// A peer counts as down after this many of its heartbeats were missed. With the heartbeat of
-// 250 ms inside a domain that is 1 s: short against the member lease, long against a pause.
-constexpr int kMissedBeats = 4;
+constexpr milliseconds kStoreMembersInterval{1000};
+constexpr milliseconds kReplyInterval{250};
+constexpr milliseconds kUsageInterval{250};
+constexpr milliseconds kLeastAgeLimit{3000};  // of what an owner says of its shards
+// Rounds of news for each shard of the fleet over which use elsewhere is averaged.
+constexpr int64_t kUsageRounds = 2;
 
 }  // namespace
 
+// ---- Heartbeats ----------------------------------------------------------------------------
+
 void node::OnHeartbeat(const std::string& from, const heartbeat_message& beat, monotonic_time now) {
   if (from == config_.name) return;
-  peer_state& peer = peers_[from];
-  // Two processes may send under one name for a moment while one replaces the other.
-  if (beat.incarnation < peer.incarnation) return;
-  peer.failure_domain = beat.failure_domain;
-  peer.incarnation = beat.incarnation;
-  peer.config_version = beat.config_version;
-  peer.leaving = beat.leaving;
-  peer.heard = now;
-  peer.teams = beat.teams;
-  // The platform's list says how a peer is reached from here; its own word serves until then.
-  if (peer.address.empty()) {
-    peer.address = beat.address;
-    mailbox_.SetPeer(from, beat.address);
-  }
-  SetPeerUp(from, peer, true, now);
-  for (const shard_report& report : beat.shards) {
-    const shard_route* route = routes_.Route(report.shard);
-    const bool is_new = route != nullptr && route->owner != from && report.epoch >= route->epoch;
-    routes_.OnReport(from, report, now);
-    if (is_new) table_.OnNewOwner(report.shard, now);
-  }
+  const std::vector<std::string> news = members_.OnHeartbeat(beat, now);
+  if (news.empty()) return;
+  FollowMembers();
+  TakeChanges(now);
+  for (const std::string& name : news) OnWord(*members_.Find(name), now);
   version_order& order = versions_.Order();
-  order.OnPeerVersion(from, beat.config_version);
-  if (beat.failure_domain != config_.failure_domain && DomainsConfirm()) {
-    order.Confirm(order.Version(), now);
-  }
-  if (beat.config_version < order.Version() && now >= peer.next_config) {
-    peer.next_config = now + kConfigResend;
+  if (const auto confirmed = DomainsConfirmed()) order.Confirm(order.Version(), *confirmed);
+  const member* sender = members_.Find(from);
+  peer_notes& notes = notes_[from];
+  const bool is_behind = sender != nullptr && sender->word.config_version < order.Version();
+  if (is_behind && now >= notes.next_config) {
+    notes.next_config = now + kConfigResend;
     Send(from, config_message{order.Version(), order.Text()}, now);
   }
   CheckChanges(now);
 }
 
-void node::SetPeerUp(const std::string& name, peer_state& peer, bool up, monotonic_time now) {
-  if (peer.up == up) return;
-  peer.up = up;
-  log_.Emit(up ? event_code::kPeerUp : event_code::kPeerDown, now, {}, 0, name);
-  if (up) {
-    ownership_.OnPeerAlive(name, now);
-  } else {
-    ownership_.OnPeerSilent(name, now);
-    routes_.OnOwnerDown(name);
-    next_ownership_tick_ = now;
+// First or second hand.
+void node::OnWord(const member& of, monotonic_time now) {
+  if (std::exchange(notes_[of.name].incarnation, of.word.incarnation) != of.word.incarnation) {
+    usage_.OnLost(of.name);  // a new process, which knows nothing
+  }
+  for (const shard_report& report : of.word.shards) {
+    const shard_route* route = routes_.Route(report.shard);
+    const std::string before = route == nullptr ? "" : route->owner;
+    routes_.OnReport(of.name, report, of.heard);
+    if (route != nullptr && route->owner != before) table_.OnNewOwner(report.shard, now);
   }
+  versions_.Order().OnPeerVersion(of.name, of.word.config_version);
 }
 
-void node::CheckPeers(monotonic_time now) {
-  for (auto& [name, peer] : peers_) {
-    const bool is_near = peer.failure_domain == config_.failure_domain;
-    const milliseconds beat = is_near ? config_.timing.heartbeat : config_.timing.far_heartbeat;
-    if (peer.up && now - peer.heard > kMissedBeats * beat) SetPeerUp(name, peer, false, now);
-  }
+void node::OnSilent(const std::string& peer, monotonic_time now) {
+  const member* one = members_.Find(peer);
+  if (one == nullptr) return;
+  const bool was_up = members_.IsUp(peer);
+  members_.OnSilent(peer, now);
+  TakeChanges(now);
+  if (!was_up || one->failure_domain != config_.failure_domain) return;
+  const silent_message silent{peer, one->word.incarnation, one->word.beat};
+  for (const std::string& name : members_.LiveNeighbours()) Send(name, silent, now);
 }
 
-heartbeat_message node::Heartbeat() const {
-  heartbeat_message beat;
-  beat.failure_domain = config_.failure_domain;
-  beat.address = absl::StrCat("http://", config_.listen.address, ":", config_.listen.peer_port);
-  beat.incarnation = incarnation_;
-  beat.config_version = versions_.Order().Version();
-  beat.leaving = shutting_down_;
-  for (const auto& [number, held] : shards_) {
-    beat.shards.push_back(held->Report());
-    for (team_report& team : held->TeamReports()) beat.teams.push_back(std::move(team));
+void node::OnSilent(const silent_message& silent, monotonic_time now) {
+  if (members_.OnSilent(silent, now)) TakeChanges(now);
+}
+
+// What the membership has changed its mind of.
+void node::TakeChanges(monotonic_time now) {
+  std::vector<member_change> changes;
+  members_.Tick(now, changes);
+  for (const member_change& change : changes) {
+    const bool up = change.state == member_state::kUp;
+    if (!up && change.before != member_state::kUp) continue;  // suspect, now down
+    log_.Emit(up ? event_code::kPeerUp : event_code::kPeerDown, now, {}, 0, change.name);
+    usage_.OnLost(change.name);
+    if (up) {
+      ownership_.OnPeerAlive(change.name, now);
+    } else {
+      ownership_.OnPeerSilent(change.name, now);
+      routes_.OnOwnerDown(change.name);
+      next_ownership_tick_ = now;
+    }
   }
-  return beat;
+}
+
+entry_word node::OwnWord() {
+  entry_word word;
+  word.name = config_.name;
+  word.address = absl::StrCat("http://", config_.listen.address, ":", config_.listen.peer_port);
+  word.incarnation = incarnation_;
+  word.beat = ++beat_;
+  word.config_version = versions_.Order().Version();
+  word.leaving = shutting_down_;
+  for (const auto& [number, held] : shards_) word.shards.push_back(held->Report());
+  return word;
+}
+
+void node::Announce(bool wants_reply, monotonic_time now) {
+  const heartbeat_message beat{config_.failure_domain, wants_reply, {OwnWord()}};
+  for (const auto& [name, one] : members_.Members()) Send(name, beat, now);
 }
 
 void node::SendHeartbeats(monotonic_time now) {
+  const std::vector<heartbeat_target> targets = members_.DueHeartbeats(now);
+  if (targets.empty()) return;
+  heartbeat_message beat = members_.Heartbeat(OwnWord(), now);
+  for (const heartbeat_target& target : targets) {
+    beat.wants_reply = !target.near;
+    Send(target.name, beat, now);
+  }
+}
+
+void node::PrepareReply(monotonic_time now) {
+  heartbeat_message made = members_.Heartbeat(OwnWord(), now);
+  const std::lock_guard lock(reply_mutex_);
+  reply_ = std::move(made);
+  reply_made_ = now;
+}
+
+// On a thread of the mailbox. The words have grown older since they were put together.
+std::optional<heartbeat_message> node::Reply() {
+  const monotonic_time now = std::chrono::steady_clock::now();
+  const std::lock_guard lock(reply_mutex_);
+  if (reply_.words.empty()) return std::nullopt;
+  heartbeat_message reply = reply_;
+  const auto since = std::chrono::ceil<milliseconds>(now - reply_made_);
+  for (entry_word& word : reply.words) word.age += since;
+  return reply;
+}
+
+// ---- Members -------------------------------------------------------------------------------
+
+void node::TickMembers(monotonic_time now) {
   for (const auto& [number, held] : shards_) {
     routes_.OnReport(config_.name, held->Report(), now);
   }
-  std::optional<heartbeat_message> beat;
-  for (auto& [name, peer] : peers_) {
-    if (now < peer.next_beat) continue;
-    const bool is_near = peer.failure_domain == config_.failure_domain;
-    peer.next_beat = now + (is_near ? config_.timing.heartbeat : config_.timing.far_heartbeat);
-    if (!beat) beat = Heartbeat();
-    Send(name, *beat, now);
+  if (now >= next_store_members_) {
+    next_store_members_ = now + kStoreMembersInterval;
+    members_.OnStoreMembers(ownership_.Members(), now);
+    FollowMembers();
+    routes_.SetAgeLimits(std::max(kLeastAgeLimit, members_.NearSilence()),
+                         std::max(kLeastAgeLimit, members_.FarSilence()));
   }
-  if (beat) ShareUsage(now);
-}
-
-std::vector<std::string> node::LiveDomainPeers() const {
-  std::vector<std::string> live;
-  for (const auto& [name, peer] : peers_) {
-    if (peer.up && !peer.leaving && peer.failure_domain == config_.failure_domain) {
-      live.push_back(name);
-    }
+  TakeChanges(now);
+  SendHeartbeats(now);
+  if (now >= next_reply_) {
+    next_reply_ = now + kReplyInterval;
+    PrepareReply(now);
+  }
+  if (now >= next_usage_) {
+    next_usage_ = now + kUsageInterval;
+    ShareUsage(now);
   }
-  return live;
 }
 
-// Whether all other failure domains can be reached and have the version that is in force here.
-bool node::DomainsConfirm() const {
-  std::vector<std::string> others;
-  for (const std::string& domain : config_.failure_domains) {
-    if (domain != config_.failure_domain) others.push_back(domain);
-  }
-  std::vector<version_member> reachable;
-  for (const auto& [name, peer] : peers_) {
-    if (peer.up) reachable.push_back({name, peer.failure_domain});
+// A sender for each member that has an address, none for those that were forgotten.
+void node::FollowMembers() {
+  for (const auto& [name, one] : members_.Members()) {
+    if (!one.address.empty()) mailbox_.SetPeer(name, one.address);
+    notes_.try_emplace(name);
   }
-  return versions_.Order().ConfirmedByAll(others, reachable);
+  std::erase_if(notes_, [this](const auto& item) {
+    const bool is_gone = members_.Find(item.first) == nullptr;
+    if (is_gone) {
+      mailbox_.RemovePeer(item.first);
+      versions_.Order().ForgetPeer(item.first);
+    }
+    return is_gone;
+  });
 }
 
 std::vector<version_member> node::VersionMembers() const {
   std::vector<version_member> members;
-  for (const auto& [name, peer] : peers_) {
-    if (peer.listed && !peer.leaving) members.push_back({name, peer.failure_domain});
+  for (const auto& [name, one] : members_.Members()) {
+    if (one.listed && !one.Leaving()) members.push_back({name, one.failure_domain});
   }
   return members;
 }
 
-void node::PollInstances(monotonic_time now) {
-  if (now < next_instance_poll_) return;
-  next_instance_poll_ = now + config_.timing.instance_poll;
-  instances_.List([this](instance_reply reply) {
-    Post([this, reply = std::move(reply)](monotonic_time at) { OnInstances(reply, at); });
-  });
-}
-
-void node::OnInstances(const instance_reply& reply, monotonic_time now) {
-  if (!reply.ok) return;
-  has_instances_ = true;
-  own_endpoints_.clear();
-  endpoint_names_.clear();
-  cell_capacity_ = {};
-  for (auto& [name, peer] : peers_) peer.listed = false;
-  for (const instance& from : reply.instances) {
-    if (from.role == instance_role::kEndpoint) {
-      cell_capacity_ += from.shape;
-      endpoint_names_.insert(from.name);
-      if (from.failure_domain == config_.failure_domain) own_endpoints_.push_back(from);
-      continue;
-    }
-    if (from.name == config_.name) continue;
-    peer_state& peer = peers_[from.name];
-    peer.listed = true;
-    peer.failure_domain = from.failure_domain;
-    if (peer.address == from.address) continue;
-    peer.address = from.address;
-    mailbox_.SetPeer(from.name, from.address);
-  }
-  // Gone from the list and silent: replaced. A new process joins under its own name.
-  for (auto at = peers_.begin(); at != peers_.end();) {
-    const bool is_gone = !at->second.listed && !at->second.up;
-    if (is_gone) {
-      mailbox_.RemovePeer(at->first);
-      versions_.Order().ForgetPeer(at->first);
+// As old as the oldest of the domains' latest words: a domain that was cut off since then cannot
+// vouch for the time after.
+std::optional<monotonic_time> node::DomainsConfirmed() const {
+  std::optional<monotonic_time> confirmed;
+  for (const std::string& domain : config_.failure_domains) {
+    if (domain == config_.failure_domain) continue;
+    std::optional<monotonic_time> latest;
+    for (const auto& [name, one] : members_.Members()) {
+      const bool has_it = one.failure_domain == domain && members_.IsUp(name) &&
+                          one.word.config_version == versions_.Order().Version();
+      if (has_it) latest = std::max(latest.value_or(one.heard), one.heard);
     }
-    at = is_gone ? peers_.erase(at) : std::next(at);
+    if (!latest) return std::nullopt;
+    confirmed = std::min(confirmed.value_or(*latest), *latest);
   }
-  std::erase_if(drained_, [&](const auto& name) { return !endpoint_names_.contains(name); });
+  return confirmed;
+}
+
+// ---- Use of teams --------------------------------------------------------------------------
+
+usage_view node::UsageView() const {
+  return {members_.LiveNeighbours(), members_.LiveFar(), cell_capacity_};
+}
+
+// What each team runs elsewhere, for shares over the whole cell.
+void node::ShareUsage(monotonic_time now) {
+  team_uses own;
+  for (const auto& [number, held] : shards_) {
+    for (const team_report& team : held->TeamReports()) own[team.team] += team.running;
+  }
+  const usage_view view = UsageView();
+  usage_.SetOwn(own);
+  std::vector<due_usage> due;
+  usage_.Due(view, now, due);
+  for (due_usage& one : due) Send(one.to, std::move(one.message), now);
+  if (shards_.empty()) return;
+  const auto shards =
+      static_cast<int64_t>(config_.failure_domains.size()) * config_.shards.per_domain;
+  usage_elsewhere_.SetTimeConstant(usage_.NewsPeriod(view) * (kUsageRounds * shards));
+  const team_uses others = usage_.Elsewhere(view);
   for (auto& [number, held] : shards_) {
-    held->SetCellCapacity(cell_capacity_);
-    GiveEndpoints(*held, now);
+    team_uses elsewhere = others;
+    for (const auto& [team, running] : own) elsewhere[team] += running;
+    for (const team_report& team : held->TeamReports()) elsewhere[team.team] -= team.running;
+    for (team_index team = 0; team < teams_.Size(); ++team) {
+      const std::string& name = teams_.NameOf(team);
+      const auto found = elsewhere.find(name);
+      const resources latest = found == elsewhere.end() ? resources{} : found->second;
+      held->SetUsageElsewhere(name, usage_elsewhere_.Update(number, name, latest, now), now);
+    }
   }
 }
 
--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -84,7 +84,7 @@
   grants_.OnGained(options.name, epoch);
   routes_.OnReport(config_.name, gained->Report(), now);
   shards_[number] = std::move(gained);
-  for (auto& [name, peer] : peers_) peer.next_beat = now;  // tells all who owns it
+  Announce(false, now);
   table_.OnNewOwner(options.name, now);
   metrics_.takeovers.Increment();
   log_.Emit(event_code::kShardClaimed, now, {}, epoch, options.name);
@@ -99,14 +99,14 @@
             found->second->Epoch(), name);
   shards_.erase(found);
   grants_.OnLost(name);
-  routes_.OnNotOwner(config_.name, name);
+  routes_.OnNotOwner(config_.name, name, now);
   table_.OnNewOwner(name, now);
 }
 
 // Whole racks belong to one shard, by rendezvous hash, so that racks that come and go move no
 // others.
 void node::GiveEndpoints(shard& to, monotonic_time now) {
-  if (!has_instances_) return;
+  if (!turns_.HasList()) return;
   std::vector<instance> given;
   const std::vector<std::string> names = routes_.ShardsOfDomain(config_.failure_domain);
   for (const instance& from : own_endpoints_) {
@@ -126,29 +126,6 @@
   for (auto& [number, held] : shards_) held->Drain(endpoint, now);
 }
 
-// What each team runs elsewhere, for shares over the whole cell.
-void node::ShareUsage(monotonic_time now) {
-  if (shards_.empty()) return;
-  absl::flat_hash_map<std::string, resources> others;
-  for (const auto& [name, peer] : peers_) {
-    if (!peer.up) continue;
-    for (const team_report& team : peer.teams) others[team.team] += team.running;
-  }
-  for (auto& [number, held] : shards_) {
-    absl::flat_hash_map<std::string, resources> elsewhere = others;
-    for (const auto& [other_number, other] : shards_) {
-      if (other_number == number) continue;
-      for (const team_report& team : other->TeamReports()) elsewhere[team.team] += team.running;
-    }
-    for (team_index team = 0; team < teams_.Size(); ++team) {
-      const std::string& name = teams_.NameOf(team);
-      const auto found = elsewhere.find(name);
-      const resources latest = found == elsewhere.end() ? resources{} : found->second;
-      held->SetUsageElsewhere(name, usage_elsewhere_.Update(number, name, latest, now), now);
-    }
-  }
-}
-
 shard* node::Held(uint32_t number, uint64_t epoch) {
   const auto found = shards_.find(number);
   if (found == shards_.end() || found->second->Epoch() != epoch) return nullptr;
--- a/src/process/peer_mailbox.h
+++ b/src/process/peer_mailbox.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -30,14 +31,17 @@
 
 class peer_mailbox {
  public:
-  // Both are called on threads of the mailbox and must not block.
+  // All are called on threads of the mailbox and must not block.
   using on_messages = std::function<void(std::vector<peer_message>)>;
   // These messages got no confirmation, `status` says whether the peer may have seen them.
   using on_failure =
       std::function<void(const std::string& peer, rpc_status status, std::vector<message_body>)>;
 
+  // What the call that brought a heartbeat which wants a reply is answered with; none: nothing.
+  using reply_maker = std::function<std::optional<heartbeat_message>()>;
+
   peer_mailbox(std::string own_name, int port, std::chrono::milliseconds call_timeout,
-               on_messages received, on_failure failed);
+               on_messages received, on_failure failed, reply_maker reply);
   ~peer_mailbox();
   peer_mailbox(const peer_mailbox&) = delete;
   peer_mailbox& operator=(const peer_mailbox&) = delete;
@@ -59,10 +63,12 @@
     std::string address;
     bounded_ring<message_body> outgoing;
     std::thread thread;
+    std::atomic<bool> done = false;  // the thread has ended
     explicit peer(std::string peer_address);
   };
 
   std::string Receive(const std::string& text);
+  void TakeAnswer(const std::string& answer);
   void Run(const std::string& name, peer& to);
   void Deliver(const std::string& name, rpc_client& client, std::vector<message_body> batch);
   void End(peer& to);
@@ -71,6 +77,7 @@
   std::chrono::milliseconds call_timeout_;
   on_messages received_;
   on_failure failed_;
+  reply_maker reply_;
   rpc_server server_;
   std::map<std::string, std::unique_ptr<peer>> peers_;
   std::vector<std::unique_ptr<peer>> ended_;
--- a/src/process/router.cc
+++ b/src/process/router.cc
@@ -1,5 +1,6 @@
 #include "process/router.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -23,16 +24,22 @@
   }
 }
 
-void router::OnReport(const std::string& owner, const shard_report& report, monotonic_time now) {
+void router::OnReport(const std::string& owner, const shard_report& report, monotonic_time at) {
   const auto found = routes_.find(report.shard);
   if (found == routes_.end()) return;
   shard_route& route = found->second;
-  if (report.epoch < route.epoch) return;
+  const bool is_refused = report.epoch <= route.refused_epoch && at <= route.refused;
+  if (report.epoch < route.epoch || is_refused) return;
   route.owner = owner;
   route.epoch = report.epoch;
   route.summary = report.summary;
   route.endpoints = report.endpoints;
-  route.heard = now;
+  route.heard = std::max(route.heard, at);
+}
+
+void router::SetAgeLimits(milliseconds near, milliseconds far) {
+  options_.near_age_limit = near;
+  options_.far_age_limit = far;
 }
 
 void router::OnOwnerDown(const std::string& owner) {
@@ -41,9 +48,12 @@
   }
 }
 
-void router::OnNotOwner(const std::string& owner, const std::string& shard) {
+void router::OnNotOwner(const std::string& owner, const std::string& shard, monotonic_time now) {
   const auto found = routes_.find(shard);
-  if (found != routes_.end() && found->second.owner == owner) found->second.owner.clear();
+  if (found == routes_.end() || found->second.owner != owner) return;
+  found->second.owner.clear();
+  found->second.refused_epoch = found->second.epoch;
+  found->second.refused = now;
 }
 
 const std::string& router::Home(const request_id& id) const {
@@ -60,7 +70,9 @@
 }
 
 bool router::IsLive(const shard_route& route, monotonic_time now) const {
-  return !route.owner.empty() && now - route.heard <= options_.report_age_limit;
+  const bool is_near = route.failure_domain == options_.failure_domain;
+  const milliseconds limit = is_near ? options_.near_age_limit : options_.far_age_limit;
+  return !route.owner.empty() && now - route.heard <= limit;
 }
 
 milliseconds router::Cost(const shard_route& route) const {
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -18,7 +18,9 @@
   std::string failure_domain;                // of this entry
   std::vector<std::string> failure_domains;  // all
   uint32_t shards_per_domain = 1;
-  std::chrono::milliseconds report_age_limit{3000};  // an owner not heard for longer is unknown
+  // An owner not heard for longer is unknown. The node sets both to how long news takes.
+  std::chrono::milliseconds near_age_limit{3000};
+  std::chrono::milliseconds far_age_limit{3000};
   // What the way to another failure domain costs, against waiting in the own one.
   std::chrono::milliseconds far_penalty{6};
 };
@@ -26,6 +28,8 @@
 struct shard_route {
   std::string owner;  // entry; empty: not known
   uint64_t epoch = 0;
+  uint64_t refused_epoch = 0;  // its owner said that it no longer has it
+  monotonic_time refused{};    // when
   std::string failure_domain;
   shard_summary summary;
   uint32_t endpoints = 0;
@@ -36,13 +40,16 @@
  public:
   explicit router(router_options options);
 
-  // An owner's word on its shard. A lower epoch than the highest heard is old news and ignored.
-  void OnReport(const std::string& owner, const shard_report& report, monotonic_time now);
+  // An owner's word on its shard, said at `at`. A lower epoch than the highest heard is old news
+  // and ignored; so is an earlier word of an owner that has said since that it has the shard no
+  // more: it may have been passed on slowly, and would send requests back to the old owner.
+  void OnReport(const std::string& owner, const shard_report& report, monotonic_time at);
+  void SetAgeLimits(std::chrono::milliseconds near, std::chrono::milliseconds far);
   // The owner left or cannot be reached.
   void OnOwnerDown(const std::string& owner);
 
   // `owner` says that the shard is not its own (any more).
-  void OnNotOwner(const std::string& owner, const std::string& shard);
+  void OnNotOwner(const std::string& owner, const std::string& shard, monotonic_time now);
 
   // The one shard for an identity that its caller may present again anywhere: the same at every
   // entry, whatever the load, or the same work could start on two shards.
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -38,7 +38,7 @@
   struct {
     std::chrono::milliseconds member_lease{1500};
     std::chrono::milliseconds heartbeat{250};       // inside the failure domain
-    std::chrono::milliseconds far_heartbeat{1000};  // to other failure domains
+    std::chrono::milliseconds far_heartbeat{1000};  // between a domain's turns, at the fastest
     std::chrono::milliseconds instance_poll{1000};
     std::chrono::milliseconds task_lease{10000};
     std::chrono::milliseconds sync_wait{2000};  // how long an endpoint may hold a sync
@@ -53,6 +53,7 @@
     uint32_t waiting_requests = 20000;  // in this entry
     uint32_t body_bytes = 1 << 20;
     uint32_t batch_jobs = 1000;
+    uint32_t peer_bytes = 7800;  // a second, for heartbeats sent and received
   } bounds;
 
   struct {
--- /dev/null
+++ b/test/instance_turns_test.cc
@@ -0,0 +1,158 @@
+#include "process/instance_turns.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kPoll{1000};
+constexpr milliseconds kTick{50};
+
+// Three neighbours whose messages arrive at once, and a platform that answers at once.
+class turns_fixture {
+ public:
+  turns_fixture() {
+    for (int i = 0; i < 20; ++i) List(absl::StrCat("ep-", i));
+    for (const char* name : {"a", "b", "c"}) entries_.emplace(name, instance_turns(name, kPoll));
+    Run(seconds{2});
+  }
+
+ protected:
+  void List(const std::string& name) {
+    list_.push_back({name,
+                     instance_role::kEndpoint,
+                     "otaru",
+                     "rack-1",
+                     absl::StrCat("http://", name, ":1"),
+                     false,
+                     {1000, 1000, 0, 4}});
+  }
+
+  std::vector<std::string> Neighbours(const std::string& of) const {
+    std::vector<std::string> names;
+    for (const auto& [name, one] : entries_) {
+      if (name != of) names.push_back(name);
+    }
+    return names;
+  }
+
+  void Read(const std::string& name, instance_turns& entry) {
+    entry.OnReadBegun(now_);
+    ++reads_[name];
+    if (cut_ == name) return entry.OnReadFailed();
+    std::vector<instance> list = list_;
+    for (instance& one : list) absl::StrAppend(&one.address, "/for-", name);
+    const instances_message news = entry.OnRead(list, now_);
+    if (std::exchange(lose_next_, false)) return;
+    for (auto& [other, one] : entries_) {
+      if (other != name) one.OnMessage(name, news, now_);
+    }
+  }
+
+  void Run(milliseconds duration) {
+    for (const monotonic_time end = now_ + duration; now_ < end; now_ += kTick) {
+      for (auto& [name, one] : entries_) {
+        if (one.DueRead(Neighbours(name), now_)) Read(name, one);
+      }
+    }
+  }
+
+  bool Leaves(const std::string& entry, const std::string& endpoint) const {
+    const std::vector<instance> list = entries_.at(entry).List();
+    return std::any_of(list.begin(), list.end(),
+                       [&](const instance& one) { return one.name == endpoint && one.leaving; });
+  }
+
+  monotonic_time now_{std::chrono::hours{1}};
+  std::vector<instance> list_;
+  std::map<std::string, instance_turns> entries_;
+  std::map<std::string, int> reads_;
+  std::string cut_;  // an entry that the platform does not answer
+  bool lose_next_ = false;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(turns_fixture, "instance turns, at rest, one entry reads at a time",
+                 "[instance_turns]") {
+  reads_.clear();
+  Run(seconds{30});
+  for (const char* name : {"a", "b", "c"}) {
+    CHECK(reads_[name] >= 9);
+    CHECK(reads_[name] <= 10);
+  }
+}
+
+TEST_CASE_METHOD(turns_fixture, "instance turns, endpoint leaves and another is new, all hear",
+                 "[instance_turns]") {
+  list_[3].leaving = true;
+  list_.erase(list_.begin() + 7);
+  List("ep-new");
+  Run(kPoll + kPoll / 10);
+  for (const auto& [name, one] : entries_) {
+    CHECK(Leaves(name, "ep-3"));
+    CHECK(one.Digest() == entries_.at("a").Digest());
+    CHECK(one.List().size() == 20);
+  }
+}
+
+// An address may depend on who reads the list. What an entry has read itself goes on being used
+// where a neighbour's news tells of something else.
+TEST_CASE_METHOD(turns_fixture, "instance turns, known endpoint changes, keeps its own address",
+                 "[instance_turns]") {
+  list_[3].leaving = true;
+  Run(seconds{2});
+  for (const auto& [name, one] : entries_) {
+    for (const instance& each : one.List()) {
+      if (each.name == "ep-3") CHECK(each.address.ends_with(absl::StrCat("/for-", name)));
+    }
+  }
+}
+
+// The entry whose turn it is dies, or is cut off from the platform alone. If the others waited for
+// it, a leaving endpoint would get new work until it comes back.
+TEST_CASE_METHOD(turns_fixture, "instance turns, next reader is cut off or dies, is passed over",
+                 "[instance_turns]") {
+  cut_ = "b";
+  list_[3].leaving = true;
+  Run(2 * kPoll);
+  for (const char* name : {"a", "b", "c"}) CHECK(Leaves(name, "ep-3"));
+  cut_.clear();
+  entries_.erase("b");
+  list_[4].leaving = true;
+  Run(2 * kPoll);
+  for (const char* name : {"a", "c"}) CHECK(Leaves(name, "ep-4"));
+}
+
+// The message with a change is lost. The next reader sees no change any more, and without a check
+// of the whole the others would never hear of it.
+TEST_CASE_METHOD(turns_fixture, "instance turns, message lost, list is read again",
+                 "[instance_turns]") {
+  lose_next_ = true;
+  list_[3].leaving = true;
+  Run(seconds{4});
+  for (const char* name : {"a", "b", "c"}) CHECK(Leaves(name, "ep-3"));
+}
+
+TEST_CASE_METHOD(turns_fixture, "instance turns, new entry, reads at once and disturbs nobody",
+                 "[instance_turns]") {
+  reads_.clear();
+  entries_.emplace("d", instance_turns("d", kPoll));
+  Run(milliseconds{100});
+  CHECK(entries_.at("d").HasList());
+  CHECK(reads_["d"] == 1);
+  CHECK(entries_.at("d").Digest() == entries_.at("a").Digest());
+}
+
+}  // namespace catkinford
