--- a/bench/fleet.cc
+++ b/bench/fleet.cc
@@ -155,19 +155,28 @@
   return false;
 }
 
-uint16_t fleet::PortThrough(const std::string& link, uint16_t target) {
+uint16_t fleet::PortThrough(const std::string& link, uint16_t target, bool far) {
   if (!options_.proxied) return target;
   const std::string key = absl::StrCat(link, ":", target);
   auto found = links_.find(key);
-  if (found == links_.end()) found = links_.emplace(key, proxy_.AddLink(target)).first;
-  return proxy_.PortOf(found->second);
+  if (found == links_.end()) {
+    const milliseconds delay = far ? options_.region_delay : milliseconds{0};
+    found = links_.emplace(key, fleet_link{proxy_.AddLink(target), delay}).first;
+    SetRule(link, {});
+  }
+  return proxy_.PortOf(found->second.index);
+}
+
+bool fleet::IsFar(size_t slot, const std::string& domain) const {
+  return entries_[slot].domain != domain;
 }
 
 std::string fleet::WriteSettings(size_t slot) {
   const fleet_entry& entry = entries_[slot];
-  const std::string store = UrlAt(PortThrough(absl::StrCat("store/", slot), store_port_));
+  const bool far = IsFar(slot, options_.domains.front());
+  const std::string store = UrlAt(PortThrough(absl::StrCat("store/", slot), store_port_, far));
   const std::string instances =
-      UrlAt(PortThrough(absl::StrCat("instances/", slot), entry.instances->Port()));
+      UrlAt(PortThrough(absl::StrCat("instances/", slot), entry.instances->Port(), far));
   const nlohmann::json settings = {
       {"name", entry.name},
       {"failure_domain", entry.domain},
@@ -195,7 +204,8 @@
   nlohmann::json list = nlohmann::json::array();
   for (size_t domain = 0; domain < options_.domains.size(); ++domain) {
     const uint16_t port =
-        PortThrough(absl::StrCat("endpoints/", slot, "/", domain), endpoints_[domain].port);
+        PortThrough(absl::StrCat("endpoints/", slot, "/", domain), endpoints_[domain].port,
+                    IsFar(slot, options_.domains[domain]));
     for (size_t i = 0; i < options_.endpoints_per_domain; ++i) {
       const std::string name = EndpointName(options_.domains[domain], i);
       const auto state = endpoint_states_.find(name);
@@ -211,9 +221,9 @@
   for (size_t other = 0; other < entries_.size(); ++other) {
     const fleet_entry& entry = entries_[other];
     if (!entry.listed) continue;
-    const uint16_t port =
-        other == slot ? entry.peer_port
-                      : PortThrough(absl::StrCat("peer/", slot, "/", other), entry.peer_port);
+    const uint16_t port = other == slot ? entry.peer_port
+                                        : PortThrough(absl::StrCat("peer/", slot, "/", other),
+                                                      entry.peer_port, IsFar(slot, entry.domain));
     list.push_back({{"name", entry.name},
                     {"role", "entry"},
                     {"failure_domain", entry.domain},
@@ -305,15 +315,18 @@
 // All links of that name, also those to an earlier instance in the slot.
 void fleet::SetRule(const std::string& link, const link_rule& rule) {
   const std::string prefix = link + ":";
-  for (const auto& [name, index] : links_) {
-    if (name.compare(0, prefix.size(), prefix) == 0) proxy_.SetRule(index, rule);
+  for (const auto& [name, known] : links_) {
+    if (name.compare(0, prefix.size(), prefix) != 0) continue;
+    link_rule with_distance = rule;
+    with_distance.delay += known.delay;
+    proxy_.SetRule(known.index, with_distance);
   }
 }
 
 void fleet::Silence(const std::string& link) {
   const std::string prefix = link + ":";
-  for (const auto& [name, index] : links_) {
-    if (name.compare(0, prefix.size(), prefix) == 0) proxy_.SilenceOpenConnections(index);
+  for (const auto& [name, known] : links_) {
+    if (name.compare(0, prefix.size(), prefix) == 0) proxy_.SilenceOpenConnections(known.index);
   }
 }
 
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -31,6 +31,9 @@
   bool fencing = true;                         // endpoints refuse a lower epoch
   bool entries_trust_fencing = true;  // and entries are told so; if not, time alone protects
   bool proxied = false;               // every link of an entry goes through a fault proxy
+  // Each failure domain is a region of its own: links between entries of two domains take so long
+  // each way, and so do the links to the platform from all domains but the first. Needs `proxied`.
+  std::chrono::milliseconds region_delay{0};
   bool freeze_leases = false;
   uint32_t shards_per_domain = 1;
   std::chrono::milliseconds instance_lag{500};
@@ -104,8 +107,10 @@
   std::string WriteSettings(size_t slot);
   nlohmann::json ListFor(size_t slot);
   void UpdateLists();
-  // The port through which `slot` reaches a target: a proxy's, or the target's own.
-  uint16_t PortThrough(const std::string& link, uint16_t target);
+  // The port through which an entry reaches a target: a proxy's, or the target's own. `far`: the
+  // target is in another region.
+  uint16_t PortThrough(const std::string& link, uint16_t target, bool far);
+  bool IsFar(size_t slot, const std::string& domain) const;
   void SetRule(const std::string& link, const link_rule& rule);
   void Silence(const std::string& link);
   http_result Post(const std::string& url, const nlohmann::json& body);
@@ -116,7 +121,11 @@
   made_contract contract_;
   http_client http_{0};
   fault_proxy proxy_;
-  std::map<std::string, link_index> links_;
+  struct fleet_link {
+    link_index index = 0;
+    std::chrono::milliseconds delay{0};  // each way, also when nothing is wrong
+  };
+  std::map<std::string, fleet_link> links_;
   uint16_t store_port_ = 0;
   child_process store_;
   std::vector<endpoint_process> endpoints_;  // one for each failure domain
--- a/bench/load_command.cc
+++ b/bench/load_command.cc
@@ -20,6 +20,8 @@
 ABSL_FLAG(std::string, keys, "", "load: TEAM:SECRET[,TEAM:SECRET...] for --entries");
 ABSL_FLAG(double, warm_up, 2, "load: seconds of load before the figures are taken");
 ABSL_FLAG(uint32_t, clients, 3, "load: threads that send");
+ABSL_FLAG(uint32_t, region_delay_ms, 0,
+          "load: each failure domain is a region, so far from the others each way");
 ABSL_FLAG(uint32_t, run_ms, 20, "load: usual run time; each takes from half of it to half more");
 
 namespace catkinford {
@@ -152,6 +154,8 @@
   const uint32_t endpoints = absl::GetFlag(FLAGS_endpoints);
   fleet_options.endpoints_per_domain = endpoints == 0 ? kEndpointsInDomain : endpoints;
   fleet_options.seed = options.seed;
+  fleet_options.region_delay = milliseconds{absl::GetFlag(FLAGS_region_delay_ms)};
+  fleet_options.proxied = fleet_options.region_delay.count() > 0;
   fleet running(fleet_options);
   if (!running.Start(kStartLimit)) return 1;
   const std::vector<process_usage> before = UsageOf(running);
