End a stopped entry that can hand its shards to nobody once its requests are answered

Cause: node::CheckShutdown waited for ownership to be released. With the store unreachable no poll comes back, so nothing is handed over and not even an entry without shards leaves; with no other member in the domain Balance() finds no heir. Either way SIGTERM waited out timing.shutdown_limit.

Ruled out: waiting for running tasks as well. Their leases lapse without an owner whatever the old one does, and a service never ends.

Change: ownership::CannotHandOver(): leaving, and for 2 s (one call's timeout) the store did not answer or there was no heir. The node then closes its shards to requests that they do not know (refused as shutting_down, which is proof that nothing ran) and ends once no caller waits, here or at another entry.

catkinford-tests "[shutdown]" (real processes, shutdown_limit 300 s): before: 2 of 3 cases failed, '{?} == 0': no exit within 30 s after: 3 of 3 pass, 6.6 s together

--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -330,14 +330,23 @@
   return !shutting_down_ && has_instances_ && versions_.Order().Version() > 0;
 }
 
-// A request in flight is one whose caller still waits: it keeps the process alive until its answer
-// has gone out, or until the limit.
+// A request in flight is one whose caller still waits, here or at another entry: it keeps the
+// process alive until its answer has gone out, or until the limit. Shards that nobody can be given
+// do not: a store that stays out would hold up every stop until the limit. Their endpoints' work
+// goes on under its leases, until those lapse or a later owner lists it.
 void node::CheckShutdown(monotonic_time now) {
-  const bool is_free =
-      ownership_.Released() && shards_.empty() && table_.Pending() == 0 && front_.Waiting() == 0;
+  const bool stranded = ownership_.CannotHandOver(now);
+  bool have_callers = table_.Pending() > 0 || front_.Waiting() > 0;
+  for (const auto& [number, held] : shards_) {
+    if (stranded) held->Close();
+    have_callers = have_callers || (stranded && held->HasCallers());
+  }
+  const bool handed_over = ownership_.Released() && shards_.empty();
+  const bool is_free = !have_callers && (handed_over || stranded);
   if (!is_free && now < shutdown_deadline_) return;
-  log_.Emit(event_code::kShutdownDone, now, {}, 0, config_.name,
-            is_free ? "nothing was cut off" : "the limit passed");
+  const char* how = "the limit passed";
+  if (is_free) how = handed_over ? "nothing was cut off" : "no request was cut off; no heir";
+  log_.Emit(event_code::kShutdownDone, now, {}, 0, config_.name, how);
   done_ = true;
 }
 
--- a/src/process/ownership.cc
+++ b/src/process/ownership.cc
@@ -101,12 +101,21 @@
 }
 
 void ownership::Release(monotonic_time now, ownership_actions& out) {
+  if (!releasing_) release_begun_ = now;
   releasing_ = true;
   registration_.MarkLeaving();
   next_poll_ = now;
   Tick(now, out);
 }
 
+bool ownership::CannotHandOver(monotonic_time now) const {
+  if (!releasing_ || Released()) return false;
+  const bool heirless =
+      heirless_since_ != monotonic_time{} && now - heirless_since_ >= options_.hand_over_patience;
+  return heirless ||
+         now - std::max(release_begun_, LastStoreAnswer()) >= options_.hand_over_patience;
+}
+
 bool ownership::MayStart(uint32_t shard, monotonic_time now) const {
   if (!Owns(shard)) return false;
   if (options_.endpoints_fence) return true;
--- a/src/process/ownership.h
+++ b/src/process/ownership.h
@@ -36,6 +36,9 @@
   // long a new owner waits for the starts that the old one had under way.
   std::chrono::milliseconds clock_margin{150};
   std::chrono::milliseconds flight_margin{500};
+  // A leaving owner that for this long had no answer of the store, or no member to hand a shard to,
+  // stops waiting for one. As long as a call to the store may take: one more would time out, too.
+  std::chrono::milliseconds hand_over_patience{2000};
 };
 
 enum class ownership_event_kind : uint8_t {
@@ -91,6 +94,9 @@
   void Release(monotonic_time now, ownership_actions& out);
   bool Releasing() const { return releasing_; }
   bool Released() const { return registration_.Left(); }
+  // Leaving, and nobody can be given the shards: the store does not answer, or has no other member
+  // of the domain.
+  bool CannotHandOver(monotonic_time now) const;
 
   // Whether a start may be sent now. Asked immediately before the send, not when the request came.
   bool MayStart(uint32_t shard, monotonic_time now) const;
@@ -179,6 +185,8 @@
   monotonic_time next_poll_{};
   monotonic_time members_changed_{};
   monotonic_time last_poll_done_{};
+  monotonic_time release_begun_{};
+  monotonic_time heirless_since_{};  // epoch of the clock: there is an heir, or none was looked for
   bool releasing_ = false;
 };
 
--- a/src/process/ownership_decisions.cc
+++ b/src/process/ownership_decisions.cc
@@ -135,7 +135,11 @@
     shard_state& state = shards_[shard];
     if (state.held_epoch == 0 || state.open_tag != 0) continue;
     member_load* heir = ChooseOwner(loads, ShardKey(options_.failure_domain, shard));
-    if (heir == nullptr) return;
+    if (heir == nullptr) {
+      if (heirless_since_ == monotonic_time{}) heirless_since_ = now;
+      return;
+    }
+    heirless_since_ = {};
     if (!releasing_ && held < heir->shards + kImbalance) return;
     ++heir->shards;
     const member_record& member = members_.at(heir->name);
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -84,6 +84,13 @@
     return;
   }
   if (!IsDurable(place.kind) && AnswerFromMemory(entry, place, now)) return;
+  if (closed_) {
+    outcome refused =
+        RefusedOutcome(id, refusal_reason::kShuttingDown, kAskAgain, "its owner is being stopped");
+    identities_.Finish(id, refused, now);
+    actions_.push_back(answer_action{entry, std::move(refused)});
+    return;
+  }
   job_state& job = Admit(entry, std::move(place), now);
   if (IsDurable(job.spec.kind)) {
     actions_.push_back(record_action{id});
@@ -92,6 +99,14 @@
   Submit(id, job, now);
 }
 
+bool shard::HasCallers() const {
+  return !held_.empty() || std::any_of(jobs_.begin(), jobs_.end(), [](const auto& at) {
+    const job_state& job = at.second;
+    const bool told = job.accepted && IsDurable(job.spec.kind);
+    return !job.ended && !told && !job.entries.empty();
+  });
+}
+
 // Answers an identity that has ended, or that may not start; else notes that it begins.
 bool shard::AnswerFromMemory(const std::string& entry, const place_message& place,
                              monotonic_time now) {
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -116,6 +116,12 @@
   bool Drain(const std::string& endpoint, monotonic_time now);
   bool Has(const std::string& endpoint) const { return endpoint_by_name_.contains(endpoint); }
 
+  // Takes no request from now on that it does not know yet: this owner ends and nobody can be given
+  // the shard.
+  void Close() { closed_ = true; }
+  // Whether some entry waits for the outcome of a request, or for the word that a job is accepted.
+  bool HasCallers() const;
+
   // From entries.
   void Place(const std::string& entry, place_message place, monotonic_time now);
   void Cancel(const std::string& entry, const request_id& id, monotonic_time now);
@@ -218,6 +224,7 @@
   absl::flat_hash_map<std::string, uint32_t> racks_;
   uint32_t unlisted_ = 0;
   bool has_endpoints_ = false;
+  bool closed_ = false;
   absl::flat_hash_map<request_id, job_state> jobs_;
   std::set<request_id> gangs_;     // that have not ended
   std::set<request_id> services_;  // that have not ended
