Refuse a durable job that the store will not record, instead of leaving its caller without word

Cause: a job's record waits in the log for as long as the store is out. Its caller heard nothing until the entry gave up after 10 s with 'unknown', and a stopped entry waited for those callers until the limit. Found by the new scenario shutdown_store_down (SIGTERM to an owner while the store is out); docs/design/042 had it that such jobs are refused.

Ruled out: refusing at the first failed commit (an outage of a second would refuse what 50 ms later is accepted); refusing while a call that holds the record may have been done, since a later owner runs what it finds.

Change: after 5 s without its record a job is withdrawn, if it is in no call or the store refused each sending of the call (job_log::Withdraw); the caller hears not_durable. A shard that is closed withdraws at once.

--- a/bench/scenario_faults.cc
+++ b/bench/scenario_faults.cc
@@ -171,6 +171,16 @@
   run.Sleep(milliseconds{2000});
 }
 
+void ShutdownStoreDown(scenario_run& run) {
+  run.Fleet().SetStore({{"mode", "down"}});
+  for (size_t slot = 0; slot < run.Fleet().Entries(); ++slot) run.CutFromNews(slot);
+  run.Sleep(milliseconds{1000});
+  run.StopGracefully(run.OwnerSlot(PickDomain(run)));
+  run.Sleep(milliseconds{1000});
+  run.Fleet().SetStore({{"mode", "up"}});
+  for (size_t slot = 0; slot < run.Fleet().Entries(); ++slot) run.Healed(slot);
+}
+
 void KeyWithdrawn(scenario_run& run) {
   run.WithdrawKey(run.Teams().front());
   run.Sleep(milliseconds{8000});
@@ -247,6 +257,9 @@
 
 void NeedLinks(scenario_options& options) { options.fleet.proxied = true; }
 
+// Longer than the run waits for an exit: an entry that only ends at its limit counts as stuck.
+void NeedLateLimit(scenario_options& options) { options.fleet.timing["shutdown_limit"] = "120s"; }
+
 void NeedLongBatch(scenario_options& options) {
   options.fleet.team_running_limit = 60;
   options.load.rate = 150;
@@ -276,6 +289,8 @@
     {"failing_endpoint", "an endpoint fails all it starts, another starts nothing", nullptr,
      &FailingEndpoint},
     {"graceful_shutdown", "SIGTERM to the owner of a shard", nullptr, &GracefulShutdown},
+    {"shutdown_store_down", "SIGTERM to the owner of a shard while the store is out",
+     &NeedLateLimit, &ShutdownStoreDown},
     {"key_withdrawn", "an operator withdraws a team's only key", nullptr, &KeyWithdrawn},
     {"limit_lowered_under_load", "a team's running limit is lowered below what it runs",
      &NeedLongBatch, &LimitLowered},
--- a/src/process/job_keeper.cc
+++ b/src/process/job_keeper.cc
@@ -115,6 +115,11 @@
   }
 }
 
+void job_keeper::Withdraw(uint32_t number, const request_id& id, shard& from, monotonic_time now) {
+  const auto found = logs_.find(number);
+  if (found != logs_.end() && found->second.log->Withdraw(id)) from.OnRecorded(id, false, now);
+}
+
 void job_keeper::Complete(uint32_t number, const complete_action& what, shard& from,
                           monotonic_time now) {
   const auto found = logs_.find(number);
--- a/src/process/job_keeper.h
+++ b/src/process/job_keeper.h
@@ -48,6 +48,8 @@
 
   // Requests of a shard. What the log does not take now is answered at once as not durable.
   void Record(uint32_t number, const request_id& job, shard& from, monotonic_time now);
+  // Answers the job as not durable if its record can still be given up.
+  void Withdraw(uint32_t number, const request_id& job, shard& from, monotonic_time now);
   void Complete(uint32_t number, const complete_action& what, shard& from, monotonic_time now);
 
  private:
--- a/src/process/job_log.cc
+++ b/src/process/job_log.cc
@@ -1,5 +1,6 @@
 #include "process/job_log.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -46,6 +47,7 @@
       reply.status != store_status::kUnavailable && reply.status != store_status::kUnknown;
   if (!definite) {
     repeat_ = true;
+    maybe_done_ = maybe_done_ || reply.status == store_status::kUnknown;
     next_try_ = now + options_.retry_after;
     return true;
   }
@@ -74,6 +76,7 @@
   call_.write_id = absl::StrCat(options_.writer, ":", call_.tag);
   purpose_ = purpose;
   open_tag_ = call_.tag;
+  maybe_done_ = false;
   out.push_back(call_);
 }
 
@@ -109,6 +112,26 @@
   return append_result::kTaken;
 }
 
+bool job_log::Withdraw(const request_id& id) {
+  const auto found =
+      std::find_if(pending_.begin(), pending_.end(), [&](const pending_entry& entry) {
+        return entry.tells && entry.notice.kind == log_entry_kind::kJob && entry.notice.id == id;
+      });
+  if (found == pending_.end()) return false;
+  const bool in_call = static_cast<size_t>(found - pending_.begin()) < in_commit_;
+  if (in_call) {
+    if (open_tag_ != 0 || maybe_done_) return false;
+    // The store refused the commit each time it was sent; the next one is put together anew.
+    repeat_ = false;
+    purpose_ = call_purpose::kNone;
+    in_commit_ = 0;
+  }
+  if (--unsettled_[id] == 0) unsettled_.erase(id);
+  RemoveJob(id);
+  pending_.erase(found);
+  return true;
+}
+
 append_result job_log::Repeated(const request_id& id) const {
   return unsettled_.contains(id) ? append_result::kPending : append_result::kKnown;
 }
--- a/src/process/job_log.h
+++ b/src/process/job_log.h
@@ -76,6 +76,9 @@
   // everybody, and a new owner would run it again.
   append_result Complete(const request_id& id, uint32_t index, bool failed);
   append_result FinishJob(const request_id& id);
+  // Gives up the record of a job, if surely neither the store nor a call under way has it. False:
+  // it may be there, and then a later owner would run the job.
+  bool Withdraw(const request_id& id);
 
   job_log_state State() const { return state_; }
   std::vector<job_notice> TakeNotices();
@@ -157,6 +160,7 @@
   size_t in_commit_ = 0;           // entries of pending_ that the call writes
   std::string committed_entries_;  // what the open segment holds once it is done
   bool repeat_ = false;            // the call is to be sent again
+  bool maybe_done_ = false;        // a reply to the call is lost
   uint64_t rewritten_ = 0;         // the last segment that was rewritten on taking over
   uint64_t retiring_ = 0;          // the segment that is being compacted away
   size_t copies_left_ = 0;         // of its jobs, not durable yet
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -158,6 +158,7 @@
   void Do(uint32_t number, shard& from, answer_action action, monotonic_time now);
   void Do(uint32_t number, shard& from, status_action action, monotonic_time now);
   void Do(uint32_t number, shard& from, const record_action& action, monotonic_time now);
+  void Do(uint32_t number, shard& from, const withdraw_action& action, monotonic_time now);
   void Do(uint32_t number, shard& from, const complete_action& action, monotonic_time now);
   void Do(uint32_t number, shard& from, const superseded_action& action, monotonic_time now);
   void Do(uint32_t number, shard& from, event_action action, monotonic_time now);
--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -249,6 +249,10 @@
   jobs_.Record(number, action.job, from, now);
 }
 
+void node::Do(uint32_t number, shard& from, const withdraw_action& action, monotonic_time now) {
+  jobs_.Withdraw(number, action.job, from, now);
+}
+
 void node::Do(uint32_t number, shard& from, const complete_action& action, monotonic_time now) {
   jobs_.Complete(number, action, from, now);
 }
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -10,6 +10,10 @@
 
 // The attempts of one owner for one task; see core_options::attempt_base.
 constexpr int kAttemptBits = 12;
+// How long a record may wait for the store before its caller is told. Longer than a change of the
+// store's leader; shorter than the time after which an entry would tell its caller `unknown`.
+constexpr milliseconds kRecordWait{5000};
+constexpr milliseconds kWithdrawAgain{20};  // while a call to the store was under way
 // When a caller whose job was not recorded may come back.
 constexpr milliseconds kAskAgain{1000};
 
@@ -94,11 +98,20 @@
   job_state& job = Admit(entry, std::move(place), now);
   if (IsDurable(job.spec.kind)) {
     actions_.push_back(record_action{id});
+    unrecorded_jobs_.emplace(now + kRecordWait, id);
     return;
   }
   Submit(id, job, now);
 }
 
+void shard::Close() {
+  if (closed_) return;
+  closed_ = true;
+  std::set<std::pair<monotonic_time, request_id>> at_once;
+  for (const auto& [when, id] : unrecorded_jobs_) at_once.emplace(monotonic_time{}, id);
+  unrecorded_jobs_ = std::move(at_once);
+}
+
 bool shard::HasCallers() const {
   return !held_.empty() || std::any_of(jobs_.begin(), jobs_.end(), [](const auto& at) {
     const job_state& job = at.second;
@@ -187,6 +200,19 @@
   }
 }
 
+// A caller must not wait as long as the store is out. Only a record that surely is nowhere can be
+// given up: a later owner would run a job that its caller was told did not run.
+void shard::WithdrawUnrecorded(monotonic_time now) {
+  while (!unrecorded_jobs_.empty() && unrecorded_jobs_.begin()->first <= now) {
+    const request_id id = unrecorded_jobs_.begin()->second;
+    unrecorded_jobs_.erase(unrecorded_jobs_.begin());
+    const job_state* job = Find(id);
+    if (job == nullptr || job->ended || job->durable) continue;
+    actions_.push_back(withdraw_action{id});
+    unrecorded_jobs_.emplace(now + kWithdrawAgain, id);
+  }
+}
+
 void shard::OnRecorded(const request_id& id, bool durable, monotonic_time now) {
   job_state* job = Find(id);
   if (job == nullptr || job->ended) return;
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -61,6 +61,10 @@
 struct record_action {
   request_id job;
 };
+// A job whose record the store has not taken for long: to be given up if that is still possible.
+struct withdraw_action {
+  request_id job;
+};
 // The end of a task of a durable job, to be recorded before the endpoint may forget it.
 struct complete_action {
   task_id task;
@@ -80,7 +84,7 @@
 
 using shard_action =
     std::variant<fence_action, sync_action, start_action, stop_action, answer_action, status_action,
-                 record_action, complete_action, superseded_action, event_action>;
+                 record_action, withdraw_action, complete_action, superseded_action, event_action>;
 
 struct shard_options {
   std::string name;
@@ -118,7 +122,7 @@
 
   // Takes no request from now on that it does not know yet: this owner ends and nobody can be given
   // the shard.
-  void Close() { closed_ = true; }
+  void Close();
   // Whether some entry waits for the outcome of a request, or for the word that a job is accepted.
   bool HasCallers() const;
 
@@ -205,6 +209,7 @@
   void Track(const request_id& id, const job_state& job);
   void ReleaseHeld(monotonic_time now);
   void ResumeRestored(monotonic_time now);
+  void WithdrawUnrecorded(monotonic_time now);
   job_request RequestOf(const job_state& job, monotonic_time now) const;
   void ForgetOld(monotonic_time now);
   void StopLate(monotonic_time now);
@@ -233,6 +238,7 @@
   std::vector<request_id> restored_;  // not resumed yet: some endpoint is not listed
   std::set<std::pair<monotonic_time, request_id>> deadlines_;  // of work that runs for a caller
   std::set<std::pair<monotonic_time, request_id>> ended_;      // when each may be forgotten
+  std::set<std::pair<monotonic_time, request_id>> unrecorded_jobs_;  // when to give each up
   // By job and index: where an end was told that is not in the store yet.
   absl::flat_hash_map<std::pair<request_id, uint32_t>, endpoint_index> unrecorded_;
   std::vector<shard_action> actions_;
--- a/src/process/shard_endpoints.cc
+++ b/src/process/shard_endpoints.cc
@@ -95,6 +95,7 @@
   monotonic_time wake = core_.NextWake();
   if (!deadlines_.empty()) wake = std::min(wake, deadlines_.begin()->first);
   if (!ended_.empty()) wake = std::min(wake, ended_.begin()->first);
+  if (!unrecorded_jobs_.empty()) wake = std::min(wake, unrecorded_jobs_.begin()->first);
   for (const endpoint_record& at : endpoints_) wake = std::min(wake, at.link.NextWake());
   return wake;
 }
--- a/src/process/shard_tasks.cc
+++ b/src/process/shard_tasks.cc
@@ -25,6 +25,7 @@
   StopLate(now);
   ReleaseHeld(now);
   ResumeRestored(now);
+  WithdrawUnrecorded(now);
   TakeCommands(now);
   CallEndpoints(now);
   std::move(actions_.begin(), actions_.end(), std::back_inserter(out));
--- a/test/job_log_test.cc
+++ b/test/job_log_test.cc
@@ -48,6 +48,12 @@
     log->OnReply(call.tag, reply, now_);
     for (const job_notice& notice : log->TakeNotices()) notices.push_back(notice);
   }
+  // The store refuses the oldest call.
+  void Refuse() {
+    const uint64_t tag = under_way_.front().tag;
+    under_way_.erase(under_way_.begin());
+    log->OnReply(tag, {store_status::kUnavailable}, now_);
+  }
   void Run(int steps) {
     for (int i = 0; i < steps; ++i) {
       Tick();
@@ -147,6 +153,34 @@
   CHECK(TakeOver(2)->log->Jobs().size() == 2);
 }
 
+// The store is out for long and a caller wants an answer. "Not run" may be said only while the
+// record is surely nowhere: a later owner runs whatever it finds.
+TEST_CASE_METHOD(job_log_fixture, "job log, store out, gives up only what was never written",
+                 "[job_log]") {
+  first_.log->Append(Job(1));
+  first_.Tick();
+  CHECK_FALSE(first_.log->Withdraw(Job(1).id));  // its call is under way
+  first_.log->Append(Job(2));
+  SECTION("refused: nothing was written") {
+    first_.Refuse();
+    CHECK(first_.log->Withdraw(Job(1).id));
+    CHECK_FALSE(first_.log->Withdraw(Job(1).id));
+    first_.Run(4);
+    CHECK(first_.notices.size() == 1);
+    CHECK_FALSE(TakeOver(2)->log->Jobs().contains(Job(1).id));
+  }
+  SECTION("reply lost: only what was not in the call") {
+    first_.Arrive(true);
+    CHECK_FALSE(first_.log->Withdraw(Job(1).id));
+    CHECK(first_.log->Withdraw(Job(2).id));
+    first_.Run(4);
+    CHECK(first_.notices.size() == 1);
+    const auto next = TakeOver(2);
+    CHECK(next->log->Jobs().contains(Job(1).id));
+    CHECK_FALSE(next->log->Jobs().contains(Job(2).id));
+  }
+}
+
 // An owner is paused with a job's record on its way to the store, and another entry takes over.
 // If the record got in behind the new owner's back, the caller would hear "accepted" for a job that
 // nobody runs.
--- a/test/shard_test.cc
+++ b/test/shard_test.cc
@@ -9,6 +9,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 constexpr char kEntry[] = "entry-a";
 
@@ -308,6 +309,47 @@
   }
 }
 
+// The store is out for minutes. A caller that submits batch work is told so while it still waits,
+// and the work is not started later all the same.
+TEST_CASE_METHOD(shard_fixture, "shard, record not taken for long, gives the job up", "[shard]") {
+  AnswerFences();
+  place_message place = Place(1);
+  place.kind = workload_kind::kBatch;
+  place.deadline_left = {};
+  shard_.Place(kEntry, std::move(place), now_);
+  Act();
+  CHECK(Taken<withdraw_action>().empty());
+  now_ += seconds{6};
+  Act();
+  REQUIRE(Taken<withdraw_action>().size() == 1);
+  shard_.OnRecorded({1, 1}, false, now_);
+  Act();
+  REQUIRE(Taken<answer_action>().size() == 1);
+  CHECK(Taken<answer_action>()[0].result.reason == refusal_reason::kNotDurable);
+  now_ += seconds{6};
+  Act();
+  CHECK(Taken<withdraw_action>().empty());
+}
+
+// An entry is being stopped and its shard can be handed to nobody. What it has begun is finished;
+// what comes now would keep it from ending and is refused, which is true as nothing was started.
+TEST_CASE_METHOD(shard_fixture, "shard, closed, finishes what it knows and refuses the rest",
+                 "[shard]") {
+  AnswerFences();
+  shard_.Place(kEntry, Place(1), now_);
+  Act();
+  CHECK(shard_.HasCallers());
+  shard_.Close();
+  shard_.Place("entry-b", Place(1, false), now_);
+  shard_.Place(kEntry, Place(2), now_);
+  Act();
+  const auto answers = Taken<answer_action>();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].result.id == request_id{2, 2});
+  CHECK(answers[0].result.reason == refusal_reason::kShuttingDown);
+  CHECK(shard_.HasCallers());
+}
+
 // A batch task ends while the store is down. Its endpoint must keep the end: else a new owner would
 // find neither a record nor a list entry, and the reconciliation would run a second time.
 TEST_CASE_METHOD(shard_fixture, "shard, end not recorded, is not acknowledged to the endpoint",
