Send the last answers before the server of a stopped entry is taken down

Cause: http_server::Waiting() forgot a request when its answer was given, not when it was sent. A stopped entry that answered its last caller saw nothing in flight, stopped libmicrohttpd, and the caller found its connection closed: a graceful shutdown that cuts off a request.

Change: Waiting() counts until libmicrohttpd says that the request is over. The peer call's test takes a free port; with the fixed 18091 two suites at one time failed each other.

--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -98,6 +98,7 @@
   MHD_Daemon* daemon = nullptr;
   std::mutex mutex;  // guards `waiting` and the exchanges in it
   absl::flat_hash_map<token, exchange*> waiting;
+  size_t unfinished = 0;  // given to `on_request` and not completed
   token next_token = 1;
   bool stopping = false;
 };
@@ -120,6 +121,7 @@
   {
     const std::lock_guard lock(self->mutex);
     self->waiting.erase(current->id);
+    if (current->suspended) --self->unfinished;
   }
   delete current;
   *per_request = nullptr;
@@ -162,6 +164,7 @@
     id = next_token++;
     current.id = id;
     current.suspended = true;
+    ++unfinished;
     waiting.emplace(id, &current);
     MHD_suspend_connection(current.connection);
   }
@@ -239,7 +242,7 @@
 
 size_t http_server::Waiting() const {
   const std::lock_guard lock(impl_->mutex);
-  return impl_->waiting.size();
+  return impl_->unfinished;
 }
 
 void http_server::StopAccepting() {
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -67,7 +67,7 @@
   // The port in use.
   uint16_t Port() const;
   void Respond(token request, http_response response);
-  // Requests that wait for an answer.
+  // Requests whose answer is not yet given, or not yet sent whole: Stop() would cut them off.
   size_t Waiting() const;
   // Takes no new connections; those that are open go on.
   void StopAccepting();
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -1,9 +1,11 @@
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <memory>
 #include <string>
 #include <thread>
 
+#include "bench/child_process.h"
 #include "connection/http_client.h"
 #include "connection/http_server.h"
 #include "connection/peer_rpc.h"
@@ -61,6 +63,30 @@
   CHECK(client_.SendAndWait(call).status == transfer_status::kMaybeSent);
 }
 
+// An entry that ends answers its last caller and stops its server. An answer that is given is not
+// yet sent: stopped too soon, the caller finds its connection closed and knows nothing.
+TEST_CASE("http server, stopped when nothing waits, has sent its last answer", "[http]") {
+  constexpr int kRounds = 100;
+  int answered = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    std::atomic<http_server::token> asked{0};
+    http_server server({}, [&](http_server::token token, const http_request&) { asked = token; });
+    REQUIRE(server.Start());
+    std::thread caller([&] {
+      http_client client(0);
+      client.Start();
+      const std::string url = "http://127.0.0.1:" + std::to_string(server.Port()) + "/";
+      answered += client.SendAndWait({"GET", url}).code == 200 ? 1 : 0;
+    });
+    while (asked == 0) std::this_thread::yield();
+    server.Respond(asked, {200, std::string(100000, 'x')});
+    while (server.Waiting() > 0) std::this_thread::yield();
+    server.Stop();
+    caller.join();
+  }
+  CHECK(answered == kRounds);
+}
+
 TEST_CASE_METHOD(http_echo_fixture, "http call, nobody listens, was surely not sent", "[http]") {
   const std::string url = Url("/a");
   server_->Stop();
@@ -68,9 +94,10 @@
 }
 
 TEST_CASE("peer call, both ends alive, returns the peer's text", "[rpc]") {
-  rpc_server server(18091, 2, [](const std::string& text) { return "<" + text + ">"; });
+  const uint16_t port = FreePort();
+  rpc_server server(port, 2, [](const std::string& text) { return "<" + text + ">"; });
   REQUIRE(server.Start());
-  rpc_client client("http://127.0.0.1:18091", milliseconds{2000});
+  rpc_client client("http://127.0.0.1:" + std::to_string(port), milliseconds{2000});
   std::string answer;
   CHECK(client.Call("deliver", "a\"b", answer) == rpc_status::kDone);
   CHECK(answer == "<a\"b>");
