--- a/bench/scenario_faults.cc
+++ b/bench/scenario_faults.cc
@@ -180,6 +180,16 @@
   run.Sleep(milliseconds{2000});
 }
 
+void ShutdownStoreDown(scenario_run& run) {
+  run.Fleet().SetStore({{"mode", "down"}});
+  for (size_t slot = 0; slot < run.Fleet().Entries(); ++slot) run.CutFromNews(slot);
+  run.Sleep(milliseconds{1000});
+  run.StopGracefully(run.OwnerSlot(PickDomain(run)));
+  run.Sleep(milliseconds{1000});
+  run.Fleet().SetStore({{"mode", "up"}});
+  for (size_t slot = 0; slot < run.Fleet().Entries(); ++slot) run.Healed(slot);
+}
+
 void KeyWithdrawn(scenario_run& run) {
   run.WithdrawKey(run.Teams().front());
   run.Sleep(milliseconds{8000});
@@ -261,6 +271,9 @@
   options.fleet.region_delay = milliseconds{40};
 }
 
+// Longer than the run waits for an exit: an entry that only ends at its limit counts as stuck.
+void NeedLateLimit(scenario_options& options) { options.fleet.timing["shutdown_limit"] = "120s"; }
+
 void NeedLongBatch(scenario_options& options) {
   options.fleet.team_running_limit = 60;
   options.load.rate = 150;
@@ -302,6 +315,8 @@
      &CallerAsksAgain},
     {"regions_apart", "three regions, 40 ms each way, lose each other but not the platform",
      &NeedRegions, &RegionsApart},
+    {"shutdown_store_down", "SIGTERM to the owner of a shard while the store is out",
+     &NeedLateLimit, &ShutdownStoreDown},
 });
 
 }  // namespace
