Keep past versions of the configuration in the store

Cause: the history lived in each entry's memory.

Ruled out (docs/design/053): writing the old version after its swap (lost when the entry dies in between), storing the new text before its swap (losers would have to be told from winners), one value for all texts (1 MB holds five documents of the target size).

Change: the version in force is stored as history/VERSION and listed under history before the swap that supersedes it; the list carries who, when and what. Bounded by bounds.history_versions and bounds.history_bytes; dropped texts are deleted by the next change before they are forgotten. New: contract restore VERSION, contract diff VERSION, GET /v1/config?version=V; the list has no texts any more.

Partial: whole texts are kept, 97 of the target size in the default 16 MB.

--- a/bench/capacity_entry.cc
+++ b/bench/capacity_entry.cc
@@ -14,7 +14,7 @@
 constexpr double kOwnerPolls = 1;          // process/ownership: a second, each of two ranges
 constexpr double kGrantPlans = 1;          // process/grant_keeper: of all teams, a second and shard
 constexpr double kConfigReads = 0.2;       // process/config_keeper: a second
-constexpr double kConfigHistory = 20;      // process/config_keeper: documents kept
+constexpr double kConfigHistory = 2;       // process/history_keeper: on the way to the store
 constexpr double kLedgerCopies = 3;        // process/grant_keeper: in force, pending, text
 constexpr double kEventsPerTask = 8;       // docs/EVENTS.md: a request's way
 
@@ -77,7 +77,7 @@
        "version_order: one version in force",
        {State("config.memory", fleet.Keys()), State("key_ring.memory", fleet.Keys())}},
       {"earlier configurations",
-       "config_keeper: the last 20 texts",
+       "history_keeper: texts on their way to the store; it keeps the rest",
        {State("config.text_per_key", fleet.Keys(), kConfigHistory),
         Fixed("config.text_per_key", kConfigHistory)}},
       {"grant ledger",
--- a/src/process/command_line.cc
+++ b/src/process/command_line.cc
@@ -22,7 +22,7 @@
   const char* example;
 };
 
-constexpr std::array<command_entry, 19> kCommands = {{
+constexpr std::array<command_entry, 20> kCommands = {{
     {"submit", "KIND | FILE", 1, 1, &RunSubmit,
      "Submits one job of a kind (interactive, service, batch, gang) with the flags --tasks, "
      "--cpu_milli,\n"
@@ -52,18 +52,29 @@
      "one.",
      "catkinford contract apply showrooms.json --dry_run\n"
      "catkinford contract apply showrooms.json --expect 41"},
+    {"contract restore", "VERSION", 1, 1, &RunContractRestore,
+     "Makes a new version whose workspaces are those of an earlier one that is kept. Workspaces "
+     "added\n"
+     "since are removed. No key works again by it: keys that are not in force now come back "
+     "withdrawn.\n"
+     "--dry_run shows the change.",
+     "catkinford contract history\n"
+     "catkinford contract restore 40 --dry_run"},
     {"contract remove", "WORKSPACE", 1, 1, &RunContractRemove,
      "Removes a workspace: its keys stop, what it has running drains.",
      "catkinford contract remove showrooms --dry_run"},
     {"contract get", "[VERSION]", 0, 1, &RunContractGet,
      "Prints the configuration in force, or an earlier version of it.",
      "catkinford contract get > all.json"},
-    {"contract diff", "FILE | VERSION VERSION", 1, 2, &RunContractDiff,
-     "Shows what applying a file would change, or what changed between two versions.",
+    {"contract diff", "FILE | VERSION [VERSION]", 1, 2, &RunContractDiff,
+     "Shows what applying a file would change, what changed between two versions that are kept, "
+     "or\n"
+     "what changed since one.",
      "catkinford contract diff showrooms.json\n"
+     "catkinford contract diff 40\n"
      "catkinford contract diff 40 41"},
     {"contract history", "", 0, 0, &RunContractHistory,
-     "Lists the versions that are kept: when and by whose key.",
+     "Lists the versions that are kept, oldest first: when, by whose key and what was changed.",
      "catkinford contract history --output json"},
     {"key make", "NAME", 1, 1, &RunKeyMake,
      "Makes a secret and prints it with its record. Sends nothing: for the first document of all.",
--- a/src/process/commands.h
+++ b/src/process/commands.h
@@ -52,6 +52,7 @@
 // Contracts (contract_commands.cc).
 int RunContractCheck(command_context& context, const command_words& words);
 int RunContractApply(command_context& context, const command_words& words);
+int RunContractRestore(command_context& context, const command_words& words);
 int RunContractRemove(command_context& context, const command_words& words);
 int RunContractGet(command_context& context, const command_words& words);
 int RunContractDiff(command_context& context, const command_words& words);
--- a/src/process/config_change.cc
+++ b/src/process/config_change.cc
@@ -118,8 +118,9 @@
   return exit_code::kContract;
 }
 
-std::variant<fetched_config, exit_code> FetchConfig(command_context& context) {
-  const entry_answer answer = Ask(context, "GET", "/v1/config", "");
+std::variant<fetched_config, exit_code> FetchConfig(command_context& context,
+                                                    const std::string& query) {
+  const entry_answer answer = Ask(context, "GET", "/v1/config" + query, "");
   if (!answer.IsGood()) return Explain(context, answer);
   fetched_config fetched;
   fetched.version = NumberField(answer.body, "version");
--- a/src/process/config_change.h
+++ b/src/process/config_change.h
@@ -20,8 +20,9 @@
   configuration config;
 };
 
-// The configuration in force, as an entry knows it.
-std::variant<fetched_config, exit_code> FetchConfig(command_context& context);
+// The configuration in force, as an entry knows it; `query` asks for another version.
+std::variant<fetched_config, exit_code> FetchConfig(command_context& context,
+                                                    const std::string& query = {});
 
 // A document in words: its fault, or nothing where it is good.
 std::variant<configuration, exit_code> CheckDocument(command_context& context,
--- a/src/process/config_keeper.cc
+++ b/src/process/config_keeper.cc
@@ -15,13 +15,16 @@
 constexpr milliseconds kFirstReadInterval{200};  // until a first version is known
 constexpr milliseconds kRetry{500};
 constexpr int kChangeTries = 4;
-constexpr size_t kHistory = 20;
 
 }  // namespace
 
-config_keeper::config_keeper(store_adapter& store, milliseconds key_grace, poster post,
-                             on_version changed)
-    : store_(store), post_(std::move(post)), changed_(std::move(changed)), order_(key_grace) {}
+config_keeper::config_keeper(store_adapter& store, milliseconds key_grace, history_bounds bounds,
+                             poster post, on_version changed)
+    : store_(store),
+      post_(std::move(post)),
+      changed_(std::move(changed)),
+      order_(key_grace),
+      history_(store, bounds, post_) {}
 
 void config_keeper::Tick(bool is_watcher, monotonic_time now) {
   if (!reading_ && now >= next_read_) Read(now);
@@ -31,20 +34,27 @@
 void config_keeper::Read(monotonic_time now) {
   reading_ = true;
   next_read_ = now + (order_.Version() == 0 ? kFirstReadInterval : kReadInterval);
-  // A watch that does not wait: the whole document comes only when it is newer than ours.
-  store_.Watch(kConfigKey, order_.Version(), milliseconds{0}, [this](store_reply reply) {
-    post_([this, reply = std::move(reply)](monotonic_time at) {
-      reading_ = false;
-      store_answers_ = reply.status == store_status::kDone;
-      if (!store_answers_) return;
-      for (const store_item& item : reply.items) {
-        if (item.key == kConfigKey) OnItem(item, at);
-      }
-      order_.Confirm(order_.Version(), at);
-    });
+  Refresh([this](bool answered, monotonic_time) {
+    reading_ = false;
+    store_answers_ = answered;
   });
 }
 
+void config_keeper::Refresh(std::function<void(bool, monotonic_time)> done) {
+  // A watch that does not wait: the whole document comes only when it is newer than ours.
+  store_.Watch(kConfigKey, order_.Version(), milliseconds{0},
+               [this, done = std::move(done)](store_reply reply) mutable {
+                 post_([this, done = std::move(done), reply = std::move(reply)](monotonic_time at) {
+                   const bool answered = reply.status == store_status::kDone;
+                   for (const store_item& item : reply.items) {
+                     if (answered && item.key == kConfigKey) OnItem(item, at);
+                   }
+                   if (answered) order_.Confirm(order_.Version(), at);
+                   done(answered, at);
+                 });
+               });
+}
+
 void config_keeper::Watch(monotonic_time now) {
   watching_ = true;
   next_watch_ = now + milliseconds{20};
@@ -70,10 +80,7 @@
 }
 
 void config_keeper::Offer(uint64_t version, const std::string& text, monotonic_time now) {
-  if (!order_.Offer(version, text, now)) return;
-  history_.push_back({version, text});
-  if (history_.size() > kHistory) history_.pop_front();
-  changed_(now);
+  if (order_.Offer(version, text, now)) changed_(now);
 }
 
 void config_keeper::Change(uint64_t expect, const std::string& text,
@@ -81,7 +88,72 @@
                            std::function<void(change_result, monotonic_time)> done) {
   // What was read from an entry still carries the signature of its last writer.
   const std::string signed_text = SignConfiguration(WithoutSignature(text), signature);
-  SendChange(expect, signed_text, signature.write_id, kChangeTries, std::move(done));
+  if (expect <= order_.Version()) {
+    KeepAndSend(expect, signed_text, signature.write_id, std::move(done));
+    return;
+  }
+  // The operator read it from another entry, which is ahead of this one.
+  Refresh([this, expect, signed_text, write_id = signature.write_id, done = std::move(done)](
+              bool answered, monotonic_time now) mutable {
+    if (!answered) {
+      done({change_end::kUnavailable, 0, {}}, now);
+      return;
+    }
+    KeepAndSend(expect, signed_text, write_id, std::move(done));
+  });
+}
+
+// An expected version that is not the one in force loses its swap, and there is nothing to keep.
+void config_keeper::KeepAndSend(uint64_t expect, const std::string& text,
+                                const std::string& write_id,
+                                std::function<void(change_result, monotonic_time)> done) {
+  if (expect == 0 || expect != order_.Version()) {
+    SendChange(expect, text, write_id, kChangeTries, std::move(done));
+    return;
+  }
+  history_.Keep(expect, order_.Text(),
+                [this, expect, text, write_id, done = std::move(done)](keep_end end,
+                                                                       monotonic_time now) mutable {
+                  if (end == keep_end::kUnavailable) {
+                    done({change_end::kUnavailable, 0, {}}, now);
+                    return;
+                  }
+                  // A superseded version loses its swap, whose answer tells what stands there.
+                  SendChange(expect, text, write_id, kChangeTries, std::move(done));
+                });
+}
+
+void config_keeper::History(
+    std::function<void(std::optional<std::vector<past_version>>, monotonic_time)> done) {
+  // First the version in force, then the list: one that is superseded in between is in the list.
+  Refresh([this, done = std::move(done)](bool answered, monotonic_time now) mutable {
+    if (!answered) {
+      done(std::nullopt, now);
+      return;
+    }
+    const config_signature signature = SignatureOf(order_.Text());
+    past_version newest{order_.Version(), 0, order_.Text().size(), signature.wall, signature.by,
+                        signature.what};
+    history_.List([newest = std::move(newest), done = std::move(done)](
+                      std::optional<config_history> history, monotonic_time at) {
+      if (!history) {
+        done(std::nullopt, at);
+        return;
+      }
+      std::vector<past_version> versions = history->Versions();
+      const bool is_listed = !versions.empty() && versions.back().version >= newest.version;
+      if (!is_listed && newest.version != 0) versions.push_back(newest);
+      done(std::move(versions), at);
+    });
+  });
+}
+
+void config_keeper::TextOf(uint64_t version, history_keeper::on_text done, monotonic_time now) {
+  if (version == order_.Version() && version != 0) {
+    done(store_status::kDone, order_.Text(), now);
+    return;
+  }
+  history_.Text(version, std::move(done));
 }
 
 void config_keeper::SendChange(uint64_t expect, const std::string& text,
--- a/src/process/config_keeper.h
+++ b/src/process/config_keeper.h
@@ -5,7 +5,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -13,6 +12,7 @@
 #include <vector>
 
 #include "connection/store_adapter.h"
+#include "process/history_keeper.h"
 #include "version/config_signature.h"
 #include "version/version_order.h"
 
@@ -27,41 +27,43 @@
   std::string text;      // what stands there, for a conflict
 };
 
-// One version that was in force here; its text says who made it and when.
-struct past_version {
-  uint64_t version = 0;
-  std::string text;
-};
-
 class config_keeper {
  public:
   // Hands a reply over to the core thread; see node::Post.
   using poster = std::function<void(std::function<void(monotonic_time)>)>;
   using on_version = std::function<void(monotonic_time)>;  // a new version is in force here
 
-  config_keeper(store_adapter& store, std::chrono::milliseconds key_grace, poster post,
-                on_version changed);
+  config_keeper(store_adapter& store, std::chrono::milliseconds key_grace, history_bounds bounds,
+                poster post, on_version changed);
 
   // `is_watcher`: this entry holds the watch of its failure domain.
   void Tick(bool is_watcher, monotonic_time now);
   // From a peer.
   void Offer(uint64_t version, const std::string& text, monotonic_time now);
-  // The version that the operator read must still stand. The result comes on the core thread.
+  // The version that the operator read must still stand; it is kept as a past version before it is
+  // superseded. The result comes on the core thread.
   void Change(uint64_t expect, const std::string& text, const config_signature& signature,
               std::function<void(change_result, monotonic_time)> done);
 
   const version_order& Order() const { return order_; }
   version_order& Order() { return order_; }
-  const std::deque<past_version>& History() const { return history_; }
+  // What is kept and what is in force, oldest first, as the store has it now; absent: no answer.
+  void History(std::function<void(std::optional<std::vector<past_version>>, monotonic_time)> done);
+  // The text of a version that is in force or kept.
+  void TextOf(uint64_t version, history_keeper::on_text done, monotonic_time now);
   bool StoreAnswers() const { return store_answers_; }
 
  private:
+  // Asks the store for what is newer than our version; `done` hears whether it answered.
+  void Refresh(std::function<void(bool, monotonic_time)> done);
   void Read(monotonic_time now);
   void Watch(monotonic_time now);
   void OnItem(const store_item& item, monotonic_time now);
   void OnChangeReply(const store_reply& reply, uint64_t expect, const std::string& text,
                      const std::string& write_id, int tries,
                      std::function<void(change_result, monotonic_time)> done, monotonic_time now);
+  void KeepAndSend(uint64_t expect, const std::string& text, const std::string& write_id,
+                   std::function<void(change_result, monotonic_time)> done);
   void SendChange(uint64_t expect, const std::string& text, const std::string& write_id, int tries,
                   std::function<void(change_result, monotonic_time)> done);
 
@@ -69,7 +71,7 @@
   poster post_;
   on_version changed_;
   version_order order_;
-  std::deque<past_version> history_;
+  history_keeper history_;
   bool reading_ = false;
   bool watching_ = false;
   bool store_answers_ = false;
--- a/src/process/contract_commands.cc
+++ b/src/process/contract_commands.cc
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
 #include "absl/time/time.h"
 #include "process/config_change.h"
 
@@ -25,25 +26,39 @@
   return std::move(answer.body["versions"]);
 }
 
-std::optional<std::string> TextOfVersion(command_context& context, const json& versions,
-                                         const std::string& wanted) {
+std::optional<uint64_t> VersionNumber(const std::string& word) {
   uint64_t number = 0;
-  const bool is_number = absl::SimpleAtoi(wanted, &number);
-  for (const json& version : versions) {
-    if (is_number && NumberField(version, "version") == number) return TextField(version, "text");
+  if (!absl::SimpleAtoi(word, &number) || number == 0) return std::nullopt;
+  return number;
+}
+
+// One version that is kept, or the one in force, in its canonical text.
+std::variant<fetched_config, exit_code> FetchVersion(command_context& context,
+                                                     const std::string& word) {
+  if (!VersionNumber(word)) {
+    context.err << "catkinford: " << word << " is not the number of a version\n";
+    return exit_code::kUsage;
   }
-  context.err << "catkinford: version " << wanted << " is not kept\n";
-  return std::nullopt;
+  return FetchConfig(context, absl::StrCat("?version=", word));
 }
 
 int DiffVersions(command_context& context, const std::string& before, const std::string& after) {
-  const std::variant<json, exit_code> history = FetchHistory(context);
-  if (const auto* code = std::get_if<exit_code>(&history)) return static_cast<int>(*code);
-  const json& versions = std::get<json>(history);
-  const std::optional<std::string> old_text = TextOfVersion(context, versions, before);
-  const std::optional<std::string> new_text = TextOfVersion(context, versions, after);
-  if (!old_text || !new_text) return static_cast<int>(exit_code::kNotFound);
-  PrintDiff(context, *old_text, *new_text);
+  const auto old_version = FetchVersion(context, before);
+  if (const auto* code = std::get_if<exit_code>(&old_version)) return static_cast<int>(*code);
+  const auto new_version = FetchVersion(context, after);
+  if (const auto* code = std::get_if<exit_code>(&new_version)) return static_cast<int>(*code);
+  PrintDiff(context, std::get<fetched_config>(old_version).text,
+            std::get<fetched_config>(new_version).text);
+  return static_cast<int>(exit_code::kDone);
+}
+
+int DiffWithPresent(command_context& context, const std::string& before) {
+  const auto old_version = FetchVersion(context, before);
+  if (const auto* code = std::get_if<exit_code>(&old_version)) return static_cast<int>(*code);
+  const auto present = FetchConfig(context);
+  if (const auto* code = std::get_if<exit_code>(&present)) return static_cast<int>(*code);
+  PrintDiff(context, std::get<fetched_config>(old_version).text,
+            std::get<fetched_config>(present).text);
   return static_cast<int>(exit_code::kDone);
 }
 
@@ -73,6 +88,16 @@
   });
 }
 
+int RunContractRestore(command_context& context, const command_words& words) {
+  const auto read = FetchVersion(context, words[0]);
+  if (const auto* code = std::get_if<exit_code>(&read)) return static_cast<int>(*code);
+  const configuration& past = std::get<fetched_config>(read).config;
+  return ChangeConfig(context, on_conflict::kShowBoth, [&past](configuration& config) {
+    config = RestoreContracts(config, past);
+    return edit_fault::kNone;
+  });
+}
+
 int RunContractRemove(command_context& context, const command_words& words) {
   return ChangeConfig(context, on_conflict::kShowBoth, [&words](configuration& config) {
     return RemoveWorkspace(config, words[0]);
@@ -80,16 +105,12 @@
 }
 
 int RunContractGet(command_context& context, const command_words& words) {
-  if (!words.empty()) {
-    const std::variant<json, exit_code> history = FetchHistory(context);
-    if (const auto* code = std::get_if<exit_code>(&history)) return static_cast<int>(*code);
-    const std::optional<std::string> text =
-        TextOfVersion(context, std::get<json>(history), words[0]);
-    if (!text) return static_cast<int>(exit_code::kNotFound);
-    context.out << *text << "\n";
-    return static_cast<int>(exit_code::kDone);
+  if (!words.empty() && !VersionNumber(words[0])) {
+    context.err << "catkinford: " << words[0] << " is not the number of a version\n";
+    return static_cast<int>(exit_code::kUsage);
   }
-  const entry_answer answer = Ask(context, "GET", "/v1/config", "");
+  const std::string query = words.empty() ? "" : absl::StrCat("?version=", words[0]);
+  const entry_answer answer = Ask(context, "GET", absl::StrCat("/v1/config", query), "");
   if (!answer.IsGood()) return static_cast<int>(Explain(context, answer));
   if (context.options.json) {
     context.out << answer.result.body << "\n";
@@ -102,6 +123,7 @@
 
 int RunContractDiff(command_context& context, const command_words& words) {
   if (words.size() == 2) return DiffVersions(context, words[0], words[1]);
+  if (VersionNumber(words[0])) return DiffWithPresent(context, words[0]);
   const std::variant<configuration, exit_code> read = ReadContracts(context, words[0]);
   if (const auto* code = std::get_if<exit_code>(&read)) return static_cast<int>(*code);
   const std::variant<fetched_config, exit_code> fetched = FetchConfig(context);
@@ -125,10 +147,13 @@
   }
   for (const json& version : versions) {
     const auto at = static_cast<int64_t>(NumberField(version, "at_ms"));
+    const std::string by = TextField(version, "by");
+    const std::string what = TextField(version, "what");
     context.out << NumberField(version, "version") << " "
                 << absl::FormatTime("%Y-%m-%d %H:%M:%S", absl::FromUnixMillis(at),
                                     absl::UTCTimeZone())
-                << " UTC by " << TextField(version, "by") << "\n";
+                << " UTC by " << (by.empty() ? "-" : by) << (what.empty() ? "" : ": ") << what
+                << "\n";
   }
   return static_cast<int>(exit_code::kDone);
 }
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -97,7 +97,9 @@
       table_({}, routes_),
       ownership_(OwnershipOptions(config_, incarnation_)),
       versions_(
-          store_, config_.isolation.key_grace, [this](core_task task) { Post(std::move(task)); },
+          store_, config_.isolation.key_grace,
+          history_bounds{config_.bounds.history_versions, config_.bounds.history_bytes},
+          [this](core_task task) { Post(std::move(task)); },
           [this](monotonic_time now) { OnVersion(now); }),
       grants_(store_, [this](core_task task) { Post(std::move(task)); }),
       usage_elsewhere_(UsageTimeConstant(config_)),
--- a/src/process/node_config.cc
+++ b/src/process/node_config.cc
@@ -44,6 +44,10 @@
           Dump({{"error", "conflict"}, {"version", version}, {"text", WithoutSignature(text)}})};
 }
 
+http_response ConfigResponse(uint64_t version, const std::string& text) {
+  return {200, Dump({{"version", version}, {"text", WithoutSignature(text)}})};
+}
+
 }  // namespace
 
 // A new version is in force here: shards decide by it at once, peers hear of it at once. One that a
@@ -61,12 +65,27 @@
   log_.Emit(event_code::kVersionInForce, now, {}, 0, absl::StrCat(order.Version()));
 }
 
-void node::Handle(http_server::token token, const std::string& key, const get_config_call& /*call*/,
+void node::Handle(http_server::token token, const std::string& key, const get_config_call& call,
                   monotonic_time now) {
   if (!IsOperator(token, key, now)) return;
   const version_order& order = versions_.Order();
-  front_.Respond(
-      token, {200, Dump({{"version", order.Version()}, {"text", WithoutSignature(order.Text())}})});
+  if (call.version == 0) {
+    front_.Respond(token, ConfigResponse(order.Version(), order.Text()));
+    return;
+  }
+  versions_.TextOf(
+      call.version,
+      [this, token, version = call.version](store_status status, const std::string& text,
+                                            monotonic_time /*at*/) {
+        if (status == store_status::kDone) {
+          front_.Respond(token, ConfigResponse(version, text));
+        } else if (status == store_status::kAbsent) {
+          front_.Respond(token, ErrorResponse(404, "unknown_version", "it is not kept"));
+        } else {
+          front_.Respond(token, ErrorResponse(503, "store_unavailable"));
+        }
+      },
+      now);
 }
 
 void node::Handle(http_server::token token, const std::string& key, const put_config_call& call,
@@ -97,9 +116,9 @@
   const uint64_t change = next_query_++;
   open_change& open = changes_[change];
   open = {token, 0, now + kInForceWait + config_.timing.call_timeout * 4, std::move(warnings)};
-  const config_signature signature{ToHex(NewRequestId()),
-                                   HolderOf(key, now).value_or(key_holder{}).key_name,
-                                   milliseconds(WallMs())};
+  const config_signature signature{
+      ToHex(NewRequestId()), HolderOf(key, now).value_or(key_holder{}).key_name,
+      milliseconds(WallMs()), SummaryOf(*order.Config(), std::get<configuration>(parsed))};
   versions_.Change(call.expect, call.text, signature,
                    [this, change](const change_result& result, monotonic_time at) {
                      OnChanged(change, result, at);
@@ -156,15 +175,21 @@
 void node::Handle(http_server::token token, const std::string& key,
                   const config_history_call& /*call*/, monotonic_time now) {
   if (!IsOperator(token, key, now)) return;
-  json versions = json::array();
-  for (const past_version& past : versions_.History()) {
-    const config_signature signature = SignatureOf(past.text);
-    versions.push_back({{"version", past.version},
-                        {"at_ms", signature.wall.count()},
-                        {"by", signature.by},
-                        {"text", WithoutSignature(past.text)}});
-  }
-  front_.Respond(token, {200, Dump({{"versions", std::move(versions)}})});
+  versions_.History(
+      [this, token](std::optional<std::vector<past_version>> versions, monotonic_time /*at*/) {
+        if (!versions) {
+          front_.Respond(token, ErrorResponse(503, "store_unavailable"));
+          return;
+        }
+        json list = json::array();
+        for (const past_version& past : *versions) {
+          list.push_back({{"version", past.version},
+                          {"at_ms", past.wall.count()},
+                          {"by", past.by},
+                          {"what", past.what}});
+        }
+        front_.Respond(token, {200, Dump({{"versions", std::move(list)}})});
+      });
 }
 
 }  // namespace catkinford
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -53,6 +53,8 @@
     uint32_t waiting_requests = 20000;  // in this entry
     uint32_t body_bytes = 1 << 20;
     uint32_t batch_jobs = 1000;
+    uint32_t history_versions = 200;  // past configurations kept in the store
+    uint32_t history_bytes = 16 << 20;
   } bounds;
 
   struct {
--- a/src/process/settings_table.cc
+++ b/src/process/settings_table.cc
@@ -95,6 +95,11 @@
      text_form::kAny, 1024, 64 << 20, "Largest body of a caller's request, in bytes."},
     {"bounds.batch_jobs", [](settings& s) { return setting_slot(&s.bounds.batch_jobs); }, false,
      text_form::kAny, 1, 100000, "Most jobs in one call of /v1/batch."},
+    {"bounds.history_versions",
+     [](settings& s) { return setting_slot(&s.bounds.history_versions); }, false, text_form::kAny,
+     1, 2000, "Past versions of the configuration that are kept in the store."},
+    {"bounds.history_bytes", [](settings& s) { return setting_slot(&s.bounds.history_bytes); },
+     false, text_form::kAny, 1 << 20, 1 << 30, "Bytes of their texts; the oldest give way."},
 
     {"isolation.key_grace", [](settings& s) { return setting_slot(&s.isolation.key_grace); }, false,
      text_form::kAny, 0, 24 * kHour,
--- a/src/request/caller_call.cc
+++ b/src/request/caller_call.cc
@@ -168,7 +168,12 @@
   if (path == "/healthz") return health_call{};
   if (path == "/readyz") return ready_call{};
   if (path == "/metrics") return metrics_call{};
-  if (path == "/v1/config") return get_config_call{};
+  if (path == "/v1/config") {
+    if (request.Query("version").empty()) return get_config_call{};
+    const uint64_t version = QueryNumber(request, "version");
+    if (version == 0) return call_error{422, "bad_field", "version", "a whole number from 1"};
+    return get_config_call{version};
+  }
   if (path == "/v1/config/history") return config_history_call{};
   if (path == "/v1/members") return members_call{};
   if (path == "/v1/timeline") return timeline_call{QueryNumber(request, "since")};
--- a/src/request/caller_call.h
+++ b/src/request/caller_call.h
@@ -43,7 +43,9 @@
 struct cancel_call {
   request_id id;
 };
-struct get_config_call {};
+struct get_config_call {
+  uint64_t version = 0;  // 0: the one in force
+};
 struct put_config_call {
   uint64_t expect = 0;
   std::string text;
--- /dev/null
+++ b/src/version/config_history.cc
@@ -0,0 +1,86 @@
+#include "version/config_history.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+#include "connection/json_fields.h"
+
+namespace catkinford {
+namespace {
+
+using nlohmann::json;
+
+json ToJson(const std::vector<past_version>& list) {
+  json array = json::array();
+  for (const past_version& past : list) {
+    array.push_back({{"version", past.version},
+                     {"stored", past.stored},
+                     {"bytes", past.bytes},
+                     {"at_ms", past.wall.count()},
+                     {"by", past.by},
+                     {"what", past.what}});
+  }
+  return array;
+}
+
+std::vector<past_version> ReadList(const json& from, const char* field) {
+  std::vector<past_version> list;
+  for (const json& item : ArrayAt(from, field)) {
+    past_version past;
+    past.version = NumberAt(item, "version");
+    past.stored = NumberAt(item, "stored");
+    past.bytes = NumberAt(item, "bytes");
+    past.wall = std::chrono::milliseconds(static_cast<int64_t>(NumberAt(item, "at_ms")));
+    past.by = TextAt(item, "by");
+    past.what = TextAt(item, "what");
+    if (past.version != 0) list.push_back(std::move(past));
+  }
+  return list;
+}
+
+}  // namespace
+
+history_add config_history::Add(past_version past, const history_bounds& bounds) {
+  if (!versions_.empty() && versions_.back().version == past.version) return history_add::kListed;
+  // A writer that was paused comes back with a version that has long been superseded: listed
+  // again after it was dropped, it would stand behind later ones and its text never be deleted.
+  if (!versions_.empty() && versions_.back().version > past.version) {
+    return history_add::kSuperseded;
+  }
+  versions_.push_back(std::move(past));
+  uint64_t bytes =
+      std::accumulate(versions_.begin(), versions_.end(), uint64_t{0},
+                      [](uint64_t sum, const past_version& each) { return sum + each.bytes; });
+  // The newest stays even when it alone is over the bound: it is the way back from a bad change.
+  while (versions_.size() > 1 && (versions_.size() > bounds.versions || bytes > bounds.bytes)) {
+    bytes -= versions_.front().bytes;
+    dropped_.push_back(std::move(versions_.front()));
+    versions_.erase(versions_.begin());
+  }
+  return history_add::kAdded;
+}
+
+void config_history::Forget(uint64_t version) {
+  std::erase_if(dropped_, [version](const past_version& each) { return each.version == version; });
+}
+
+std::optional<config_history> config_history::Parse(std::string_view text) {
+  const json body = json::parse(text, nullptr, false);
+  if (!body.is_object() || !body.contains("versions")) return std::nullopt;
+  config_history history;
+  history.versions_ = ReadList(body, "versions");
+  history.dropped_ = ReadList(body, "dropped");
+  const bool rises = std::is_sorted(
+      history.versions_.begin(), history.versions_.end(),
+      [](const past_version& a, const past_version& b) { return a.version < b.version; });
+  if (!rises) return std::nullopt;
+  return history;
+}
+
+std::string config_history::ToText() const {
+  const json body = {{"versions", ToJson(versions_)}, {"dropped", ToJson(dropped_)}};
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/version/config_history.h
@@ -0,0 +1,57 @@
+// The list of past versions of the configuration, as it is kept in the store beside their texts:
+// which are kept, who made them, and which texts are still to be deleted. Pure.
+#ifndef CATKINFORD_VERSION_CONFIG_HISTORY_H_
+#define CATKINFORD_VERSION_CONFIG_HISTORY_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace catkinford {
+
+struct past_version {
+  uint64_t version = 0;
+  uint64_t stored = 0;  // revision of the key that holds its text; deleting it needs this
+  uint64_t bytes = 0;   // of its text
+  std::chrono::milliseconds wall{0};  // since 1970
+  std::string by;                     // name of the operator's key
+  std::string what;                   // what it changed, in short
+};
+
+// How much is kept; the oldest gives way first.
+struct history_bounds {
+  size_t versions = 200;
+  uint64_t bytes = 16U << 20;
+};
+
+enum class history_add : uint8_t {
+  kAdded,
+  kListed,      // it stands there already
+  kSuperseded,  // a later version was in force, so this one no longer is
+};
+
+class config_history {
+ public:
+  history_add Add(past_version past, const history_bounds& bounds);
+  // The text of a dropped version has been deleted.
+  void Forget(uint64_t version);
+
+  const std::vector<past_version>& Versions() const { return versions_; }  // oldest first
+  // Out of the list; their texts may still be in the store.
+  const std::vector<past_version>& Dropped() const { return dropped_; }
+
+  static std::optional<config_history> Parse(std::string_view text);
+  std::string ToText() const;
+
+ private:
+  std::vector<past_version> versions_;
+  std::vector<past_version> dropped_;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_VERSION_CONFIG_HISTORY_H_
--- a/src/version/contract_edit.cc
+++ b/src/version/contract_edit.cc
@@ -70,6 +70,25 @@
   return merged;
 }
 
+configuration RestoreContracts(const configuration& current, const configuration& past) {
+  configuration restored = current;
+  restored.workspaces = past.workspaces;
+  configuration known = current;
+  for (workspace_contract& workspace : restored.workspaces) {
+    for (team_contract& team : workspace.teams) {
+      for (key_record& key : team.keys) key.withdrawn = true;
+      const team_contract* present = FindTeam(known, team.name);
+      if (present == nullptr) continue;
+      std::vector<key_record> keys = present->keys;
+      for (const key_record& key : team.keys) {
+        if (FindNamed(keys, key.name) == nullptr) keys.push_back(key);
+      }
+      team.keys = std::move(keys);
+    }
+  }
+  return restored;
+}
+
 edit_fault RemoveWorkspace(configuration& config, std::string_view workspace) {
   const auto removed =
       std::erase_if(config.workspaces,
--- a/src/version/contract_edit.h
+++ b/src/version/contract_edit.h
@@ -25,12 +25,20 @@
 // that was read before a withdrawal would otherwise put the key back into force, unnoticed.
 configuration MergeContracts(const configuration& current, const configuration& file);
 
+// `current` with exactly the workspaces of `past`. Operators' keys stay; teams' keys are merged as
+// above, and one that does not work now does not work after it: whether it was withdrawn before its
+// team was removed cannot be told from the two alone.
+configuration RestoreContracts(const configuration& current, const configuration& past);
+
 edit_fault RemoveWorkspace(configuration& config, std::string_view workspace);
 
 // `team` empty: an operator's key.
 edit_fault AddKey(configuration& config, std::string_view team, const key_record& key);
 edit_fault WithdrawKey(configuration& config, std::string_view team, std::string_view name);
 
+// What `next` changes, in one short line for the list of versions.
+std::string SummaryOf(const configuration& current, const configuration& next);
+
 enum class contract_warning_kind : uint8_t {
   kNoOperatorKey,      // nobody could change it any more
   kTeamWithoutKeys,    // cannot submit anything
--- a/test/command_line_fleet_test.cc
+++ b/test/command_line_fleet_test.cc
@@ -9,6 +9,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "bench/fleet.h"
+#include "nlohmann/json.hpp"
 #include "process/command_line.h"
 #include "request/identity.h"
 
@@ -132,6 +133,40 @@
              Catch::Contains(" UTC by " + fleet_.Contract().config.operator_keys[0].name));
 }
 
+// A change turns out to be wrong a day later, when every entry has been replaced. The operator
+// looks it up, sees what it did and goes back; a key that was withdrawn in between stays withdrawn.
+TEST_CASE_METHOD(command_line_fleet_fixture,
+                 "command line, all entries replaced, finds and restores an earlier version",
+                 "[cli][fleet]") {
+  REQUIRE(started_);
+  const std::string team = fleet_.Contract().teams[0].team;
+  const std::string secret = fleet_.Contract().teams[0].secret;
+  const std::string key = fleet_.Contract().config.workspaces[0].teams[0].keys[0].name;
+  const std::string workspace = fleet_.Contract().config.workspaces[0].name;
+  options_.json = true;
+  REQUIRE(Run({"contract", "get"}) == Code(exit_code::kDone));
+  const std::string good = nlohmann::json::parse(out_.str())["version"].dump();
+  options_.json = false;
+  REQUIRE(Run({"key", "withdraw", team, key}) == Code(exit_code::kDone));
+  REQUIRE(Run({"contract", "remove", workspace}) == Code(exit_code::kDone));
+  for (size_t i = 0; i < fleet_.Entries(); ++i) {
+    REQUIRE(fleet_.ReplaceEntry(i));
+    REQUIRE(fleet_.WaitReady(i, std::chrono::duration_cast<milliseconds>(kGenerousLimit)));
+    client_.entries[i] = fleet_.UrlOf(i);
+  }
+  REQUIRE(Run({"contract", "history"}) == Code(exit_code::kDone));
+  CHECK_THAT(out_.str(), Catch::Contains("key " + key + " of " + team + " withdrawn"));
+  CHECK_THAT(out_.str(), Catch::Contains("workspace " + workspace + " removed"));
+  REQUIRE(Run({"contract", "diff", good}) == Code(exit_code::kDone));
+  CHECK_THAT(out_.str(), Catch::Contains("\"name\": \"" + workspace + "\""));
+  REQUIRE(Run({"contract", "restore", good}) == Code(exit_code::kDone));
+  REQUIRE(Run({"contract", "get"}) == Code(exit_code::kDone));
+  CHECK_THAT(out_.str(), Catch::Contains("\"name\": \"" + workspace + "\""));
+  CHECK(RunWith(secret, {"submit", "interactive"}) == Code(exit_code::kUnauthorized));
+  CHECK(Run({"contract", "get", "999999"}) == Code(exit_code::kNotFound));
+  CHECK(Run({"contract", "restore", "yesterday"}) == Code(exit_code::kUsage));
+}
+
 TEST_CASE_METHOD(command_line_fleet_fixture, "command line, change from an old version, conflicts",
                  "[cli][fleet]") {
   REQUIRE(started_);
