Keep an operator's drain in the configuration

Cause: `endpoint drain` was kept in each entry's memory and told by one message. Once all entries were replaced nobody knew of it, and an entry that missed the message never did. There was no undo, no list, no record of who drained what.

Ruled out (docs/design/054): a store key of its own (a second watch or read for each entry, and an order between two things to know before giving work), the platform's list (operators cannot write there).

Change: `drained_endpoints` in the operators' document. The entry that takes the call edits whatever version is in force and tries again on a conflict; the answer says where it is in force, as for any change.

Conclusion: a drain lasts as long as the configuration does. Price: it needs the store, and a fleet must be rolled whole before its first drain.

--- a/src/process/command_line.cc
+++ b/src/process/command_line.cc
@@ -22,7 +22,7 @@
   const char* example;
 };
 
-constexpr std::array<command_entry, 20> kCommands = {{
+constexpr std::array<command_entry, 21> kCommands = {{
     {"submit", "KIND | FILE", 1, 1, &RunSubmit,
      "Submits one job of a kind (interactive, service, batch, gang) with the flags --tasks, "
      "--cpu_milli,\n"
@@ -92,8 +92,15 @@
     {"key list", "", 0, 0, &RunKeyList, "Lists all keys, their holders and whether withdrawn.",
      "catkinford key list"},
     {"endpoint drain", "NAME", 1, 1, &RunEndpointDrain,
-     "Gives an endpoint nothing new; what runs there is moved. --dry_run counts only.",
+     "Gives an endpoint nothing new; what runs there is moved. It stays drained until it is "
+     "undrained "
+     "or\n"
+     "is gone from the platform's list, also when entries are replaced. --dry_run counts what runs "
+     "there.",
      "catkinford endpoint drain ep-12 --dry_run"},
+    {"endpoint undrain", "NAME", 1, 1, &RunEndpointUndrain,
+     "Gives an endpoint work again. `members` lists those that are drained.",
+     "catkinford endpoint undrain ep-12"},
     {"domain evacuate", "NAME", 1, 1, &RunDomainEvacuate,
      "Moves the jobs of a failure domain that is lost for good. Only an operator can know that it "
      "is:\n"
--- a/src/process/commands.h
+++ b/src/process/commands.h
@@ -66,6 +66,7 @@
 
 // The fleet (operator_commands.cc).
 int RunEndpointDrain(command_context& context, const command_words& words);
+int RunEndpointUndrain(command_context& context, const command_words& words);
 int RunDomainEvacuate(command_context& context, const command_words& words);
 int RunMembers(command_context& context, const command_words& words);
 int RunTimeline(command_context& context, const command_words& words);
--- a/src/process/config_change.cc
+++ b/src/process/config_change.cc
@@ -39,24 +39,6 @@
   return text;
 }
 
-// Where a change is in force; not yet everywhere is an exit code of its own.
-exit_code ShowChange(command_context& context, const entry_answer& answer) {
-  const std::string pending = JoinNames(answer.body, "pending");
-  if (context.options.json) {
-    context.out << answer.result.body << "\n";
-  } else {
-    context.out << (context.options.dry_run ? "would be made from version " : "version ")
-                << NumberField(answer.body, "version") << "\n";
-    const std::string warnings = JoinNames(answer.body, "warnings");
-    if (!warnings.empty()) context.out << "warnings: " << warnings << "\n";
-    if (!context.options.dry_run) {
-      context.out << "in force: " << JoinNames(answer.body, "in_force") << "\n";
-      if (!pending.empty()) context.out << "not yet confirmed: " << pending << "\n";
-    }
-  }
-  return pending.empty() || context.options.dry_run ? exit_code::kDone : exit_code::kNotYetInForce;
-}
-
 // Both versions: what this change started from and wanted, and what another operator made of it.
 exit_code ShowConflict(command_context& context, const entry_answer& answer,
                        const fetched_config& base, const std::string& wanted) {
@@ -104,6 +86,24 @@
 
 }  // namespace
 
+// Where a change is in force; not yet everywhere is an exit code of its own.
+exit_code ShowChange(command_context& context, const entry_answer& answer) {
+  const std::string pending = JoinNames(answer.body, "pending");
+  if (context.options.json) {
+    context.out << answer.result.body << "\n";
+  } else {
+    context.out << (context.options.dry_run ? "would be made from version " : "version ")
+                << NumberField(answer.body, "version") << "\n";
+    const std::string warnings = JoinNames(answer.body, "warnings");
+    if (!warnings.empty()) context.out << "warnings: " << warnings << "\n";
+    if (!context.options.dry_run) {
+      context.out << "in force: " << JoinNames(answer.body, "in_force") << "\n";
+      if (!pending.empty()) context.out << "not yet confirmed: " << pending << "\n";
+    }
+  }
+  return pending.empty() || context.options.dry_run ? exit_code::kDone : exit_code::kNotYetInForce;
+}
+
 void PrintDiff(command_context& context, const std::string& before, const std::string& after) {
   for (const diff_line& line : DiffLines(before, after, kDiffContext)) {
     context.out << line.mark << line.text << "\n";
--- a/src/process/config_change.h
+++ b/src/process/config_change.h
@@ -36,6 +36,9 @@
 int ChangeConfig(command_context& context, on_conflict conflict,
                  const std::function<edit_fault(configuration&)>& edit);
 
+// Prints where a change is in force, as an entry answered it.
+exit_code ShowChange(command_context& context, const entry_answer& answer);
+
 void PrintDiff(command_context& context, const std::string& before, const std::string& after);
 
 }  // namespace catkinford
--- a/src/process/message.cc
+++ b/src/process/message.cc
@@ -222,10 +222,6 @@
   return {{"type", "not_owner"}, {"id", ToHex(wrong.id)}, {"shard", wrong.shard}};
 }
 
-json EncodeBody(const drain_message& drain) {
-  return {{"type", "drain"}, {"endpoint", drain.endpoint}};
-}
-
 json EncodeBody(const release_message& /*release*/) { return {{"type", "release"}}; }
 
 std::optional<message_body> DecodeBody(const json& from) {
@@ -247,7 +243,6 @@
   if (type == "ask_owner") return ask_owner_message{number};
   if (type == "owner_alive") return owner_alive_message{number, Read<bool>(from, "holds")};
   if (type == "not_owner") return not_owner_message{ReadId(from, "id"), shard};
-  if (type == "drain") return drain_message{Read<std::string>(from, "endpoint")};
   if (type == "release") return release_message{};
   return std::nullopt;
 }
--- a/src/process/message.h
+++ b/src/process/message.h
@@ -108,11 +108,6 @@
   bool holds = false;
 };
 
-// An operator's word, to all entries: this endpoint gets nothing new and is emptied.
-struct drain_message {
-  std::string endpoint;
-};
-
 // To the entry that sent a place here: this entry does not own the shard, and has not started it.
 struct not_owner_message {
   request_id id;
@@ -125,7 +120,7 @@
 using message_body =
     std::variant<place_message, outcome_message, cancel_message, status_query, status_answer,
                  heartbeat_message, config_message, ask_owner_message, owner_alive_message,
-                 not_owner_message, drain_message, release_message>;
+                 not_owner_message, release_message>;
 
 struct peer_message {
   std::string from;  // entry
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -286,8 +286,6 @@
   } else if (std::holds_alternative<release_message>(body)) {
     ownership_.OnHandedOver(now);
     next_ownership_tick_ = now;
-  } else if (const auto* drain = std::get_if<drain_message>(&body)) {
-    DrainEndpoint(drain->endpoint, now);
   } else if (const auto* wrong = std::get_if<not_owner_message>(&body)) {
     routes_.OnNotOwner(from, wrong->shard);
     table_.OnSendFailed(wrong->id, true, now);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -26,6 +26,7 @@
 #include "connection/store_adapter.h"
 #include "process/config_keeper.h"
 #include "process/event_log.h"
+#include "process/gone_endpoints.h"
 #include "process/grant_keeper.h"
 #include "process/job_keeper.h"
 #include "process/metrics.h"
@@ -94,10 +95,15 @@
   };
   // A change of the configuration whose operator waits to hear where it is in force.
   struct open_change {
-    http_server::token token = 0;
-    uint64_t version = 0;  // zero until the store has taken it
+    std::optional<http_server::token> token;  // absent: made by the entry itself
+    uint64_t version = 0;                     // zero until the store has taken it
     monotonic_time give_up{};
     std::vector<std::string> warnings;
+    // What the entry does to whatever version is in force; false when nothing is left to do. Absent
+    // where the operator sent a whole document.
+    std::function<bool(configuration&)> edit;
+    std::string by;
+    int tries = 0;
   };
   // A cancel whose outcome comes from the owner.
   struct open_cancel {
@@ -137,6 +143,18 @@
   void OnVersion(monotonic_time now);
   void CheckChanges(monotonic_time now);
   void OnChanged(uint64_t change, const change_result& result, monotonic_time now);
+  void Respond(const open_change& open, http_response response);
+  std::chrono::milliseconds GiveUpOfChange() const;
+  // `next` is what `text` says.
+  void MakeChange(uint64_t change, uint64_t expect, const std::string& text,
+                  const configuration& next);
+
+  // node_drains.cc: endpoints that operators drain.
+  void SetDrained(http_server::token token, const std::string& key, const drain_call& call,
+                  monotonic_time now);
+  void ForgetDrains(monotonic_time now);
+  void EditConfig(open_change open, monotonic_time now);
+  void MakeEdit(uint64_t change, monotonic_time now);
 
   // node_shards.cc: ownership, shards, their actions.
   void TakeOwnership(const ownership_actions& actions, monotonic_time now);
@@ -145,7 +163,6 @@
   void OnOwnershipEvent(const ownership_event& event, monotonic_time now);
   void GainShard(opened_log log, monotonic_time now);
   void LoseShard(uint32_t number, monotonic_time now);
-  void DrainEndpoint(const std::string& endpoint, monotonic_time now);
   void GiveEndpoints(shard& to, monotonic_time now);
   void ShareUsage(monotonic_time now);
   void ActShards(monotonic_time now);
@@ -233,7 +250,7 @@
   std::map<uint32_t, std::unique_ptr<shard>> shards_;
   std::map<std::string, peer_state> peers_;
   std::set<std::string> endpoint_names_;  // of the whole fleet, as last listed
-  std::set<std::string> drained_;         // by operators; forgotten with the endpoint
+  gone_endpoints gone_;                   // drained ones that left the list
   std::vector<instance> own_endpoints_;   // of this failure domain
   resources cell_capacity_;
   std::vector<message_body> local_;  // messages to ourselves
--- a/src/process/node_calls.cc
+++ b/src/process/node_calls.cc
@@ -293,20 +293,6 @@
 
 // ---- Operators -----------------------------------------------------------------------------
 
-void node::Handle(http_server::token token, const std::string& key, const drain_call& call,
-                  monotonic_time now) {
-  if (!IsOperator(token, key, now)) return;
-  if (!endpoint_names_.contains(call.endpoint)) {
-    front_.Respond(token, ErrorResponse(404, "unknown_endpoint", "it is not in the instance list"));
-    return;
-  }
-  if (!call.dry_run) {
-    DrainEndpoint(call.endpoint, now);
-    for (const auto& [name, peer] : peers_) Send(name, drain_message{call.endpoint}, now);
-  }
-  front_.Respond(token, {200, Dump({{"endpoint", call.endpoint}, {"dry_run", call.dry_run}})});
-}
-
 void node::Handle(http_server::token token, const std::string& key, const evacuate_call& /*call*/,
                   monotonic_time now) {
   if (!IsOperator(token, key, now)) return;
@@ -349,8 +335,9 @@
                       {"running", route.summary.running_tasks},
                       {"queued", route.summary.queued_tasks}});
   }
-  front_.Respond(token,
-                 {200, Dump({{"entries", std::move(entries)}, {"shards", std::move(shards)}})});
+  front_.Respond(token, {200, Dump({{"entries", std::move(entries)},
+                                    {"shards", std::move(shards)},
+                                    {"drained", versions_.Order().Config()->drained_endpoints}})});
 }
 
 void node::Handle(http_server::token token, const std::string& key, const timeline_call& call,
--- a/src/process/node_config.cc
+++ b/src/process/node_config.cc
@@ -15,6 +15,9 @@
 // How long an operator waits for the last failure domain before it is named as pending.
 constexpr milliseconds kInForceWait{2000};
 
+// Calls of the store for one change, the past version's and a lost reply's among them.
+constexpr int kCallsOfChange = 8;
+
 std::string Dump(const json& body) {
   return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -115,11 +118,23 @@
   }
   const uint64_t change = next_query_++;
   open_change& open = changes_[change];
-  open = {token, 0, now + kInForceWait + config_.timing.call_timeout * 4, std::move(warnings)};
-  const config_signature signature{
-      ToHex(NewRequestId()), HolderOf(key, now).value_or(key_holder{}).key_name,
-      milliseconds(WallMs()), SummaryOf(*order.Config(), std::get<configuration>(parsed))};
-  versions_.Change(call.expect, call.text, signature,
+  open.token = token;
+  open.give_up = now + GiveUpOfChange();
+  open.warnings = std::move(warnings);
+  open.by = HolderOf(key, now).value_or(key_holder{}).key_name;
+  MakeChange(change, call.expect, call.text, std::get<configuration>(parsed));
+}
+
+milliseconds node::GiveUpOfChange() const {
+  return kInForceWait + config_.timing.call_timeout * kCallsOfChange;
+}
+
+void node::MakeChange(uint64_t change, uint64_t expect, const std::string& text,
+                      const configuration& next) {
+  const config_signature signature{ToHex(NewRequestId()), changes_[change].by,
+                                   milliseconds(WallMs()),
+                                   SummaryOf(*versions_.Order().Config(), next)};
+  versions_.Change(expect, text, signature,
                    [this, change](const change_result& result, monotonic_time at) {
                      OnChanged(change, result, at);
                    });
@@ -135,6 +150,14 @@
     CheckChanges(now);
     return;
   }
+  // What an entry changes by itself commutes with whatever another operator did, and does no harm
+  // when it is done twice.
+  const bool may_be_lost =
+      result.end == change_end::kConflict || result.end == change_end::kUnknown;
+  if (open.edit && may_be_lost && --open.tries > 0) {
+    MakeEdit(change, now);
+    return;
+  }
   http_response response;
   if (result.end == change_end::kConflict) {
     response = ConflictResponse(result.version, result.text);
@@ -143,10 +166,14 @@
   } else {
     response = ErrorResponse(504, "unknown", "the change may have been accepted: read it back");
   }
-  front_.Respond(open.token, std::move(response));
+  Respond(open, std::move(response));
   changes_.erase(found);
 }
 
+void node::Respond(const open_change& open, http_response response) {
+  if (open.token) front_.Respond(*open.token, std::move(response));
+}
+
 void node::CheckChanges(monotonic_time now) {
   for (auto at = changes_.begin(); at != changes_.end();) {
     const open_change& open = at->second;
@@ -161,12 +188,12 @@
       continue;
     }
     if (open.version > 0) {
-      front_.Respond(open.token, {200, Dump({{"version", open.version},
-                                             {"in_force", report.in_force},
-                                             {"pending", report.pending},
-                                             {"warnings", open.warnings}})});
+      Respond(open, {200, Dump({{"version", open.version},
+                                {"in_force", report.in_force},
+                                {"pending", report.pending},
+                                {"warnings", open.warnings}})});
     } else {
-      front_.Respond(open.token, ErrorResponse(504, "unknown", "the store gave no answer"));
+      Respond(open, ErrorResponse(504, "unknown", "the store gave no answer"));
     }
     at = changes_.erase(at);
   }
--- a/src/process/node_peers.cc
+++ b/src/process/node_peers.cc
@@ -172,7 +172,7 @@
     }
     at = is_gone ? peers_.erase(at) : std::next(at);
   }
-  std::erase_if(drained_, [&](const auto& name) { return !endpoint_names_.contains(name); });
+  ForgetDrains(now);
   for (auto& [number, held] : shards_) {
     held->SetCellCapacity(cell_capacity_);
     GiveEndpoints(*held, now);
--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -117,13 +117,6 @@
     if (home != names.end() && *home == to.Name()) given.push_back(from);
   }
   to.SetEndpoints(given, now);
-  for (const std::string& name : drained_) to.Drain(name, now);
-}
-
-// Every entry keeps the operator's word, so that it outlives a change of owner.
-void node::DrainEndpoint(const std::string& endpoint, monotonic_time now) {
-  if (!drained_.insert(endpoint).second) return;
-  for (auto& [number, held] : shards_) held->Drain(endpoint, now);
 }
 
 // What each team runs elsewhere, for shares over the whole cell.
--- a/src/process/operator_commands.cc
+++ b/src/process/operator_commands.cc
@@ -14,8 +14,8 @@
 // Pages of one entry's time line: a bound, since events may come in as fast as they are read.
 constexpr int kTimelinePages = 200;
 
-// An action on one endpoint or domain; `counted` is what the answer counts. Only the owner can do
-// it, so that each entry is asked until one did; what the last one says is the reason if none did.
+// An action on one domain; `counted` is what the answer counts. Each entry is asked until one did
+// it; what the last one says is the reason if none did.
 int Act(command_context& context, const std::string& path, const char* counted) {
   const std::string body = json{{"dry_run", context.options.dry_run}}.dump();
   entry_answer answer;
@@ -36,6 +36,39 @@
   return static_cast<int>(exit_code::kDone);
 }
 
+// Draining twice is as good as once, so that the next entry may be asked when one gives no answer.
+int SetDrained(command_context& context, const std::string& path) {
+  const entry_answer answer = Ask(context, "POST", path, "{}");
+  return static_cast<int>(answer.IsGood() ? ShowChange(context, answer) : Explain(context, answer));
+}
+
+// Only the owner of the endpoint's shard knows what runs there; the others say all else.
+int CountDrain(command_context& context, const std::string& path) {
+  entry_answer answer;
+  entry_answer good;
+  for (size_t i = 0; i < context.entries.Entries().size(); ++i) {
+    answer.result = context.entries.CallAt(i, "POST", path, R"({"dry_run":true})");
+    answer.body = json::parse(answer.result.body, nullptr, false);
+    if (answer.IsGood()) good = answer;
+    if (answer.IsGood() && answer.body.contains("running")) break;
+  }
+  if (!good.IsGood()) return static_cast<int>(Explain(context, answer));
+  if (context.options.json) {
+    context.out << good.result.body << "\n";
+    return static_cast<int>(exit_code::kDone);
+  }
+  const auto drained = good.body.find("drained");
+  const bool is_drained = drained != good.body.end() && *drained == true;
+  context.out << TextField(good.body, "endpoint") << (is_drained ? ": drained" : ": not drained");
+  if (good.body.contains("running")) {
+    context.out << ", " << NumberField(good.body, "running") << " tasks run there";
+  } else {
+    context.out << "; its owner is not among the entries asked, so what runs there is not known";
+  }
+  context.out << "\n";
+  return static_cast<int>(exit_code::kDone);
+}
+
 std::string JoinTexts(const json& object, const char* field) {
   std::string text;
   const auto found = object.find(field);
@@ -90,7 +123,13 @@
 }  // namespace
 
 int RunEndpointDrain(command_context& context, const command_words& words) {
-  return Act(context, absl::StrCat("/v1/endpoints/", words[0], "/drain"), "running");
+  const std::string path = absl::StrCat("/v1/endpoints/", words[0], "/drain");
+  return context.options.dry_run ? CountDrain(context, path) : SetDrained(context, path);
+}
+
+int RunEndpointUndrain(command_context& context, const command_words& words) {
+  const std::string path = absl::StrCat("/v1/endpoints/", words[0], "/undrain");
+  return context.options.dry_run ? CountDrain(context, path) : SetDrained(context, path);
 }
 
 int RunDomainEvacuate(command_context& context, const command_words& words) {
@@ -106,6 +145,8 @@
   }
   if (answer.body.contains("entries")) PrintEntries(context, answer.body["entries"]);
   if (answer.body.contains("shards")) PrintShards(context, answer.body["shards"]);
+  const std::string drained = JoinTexts(answer.body, "drained");
+  if (!drained.empty()) context.out << "drained " << drained << "\n";
   return static_cast<int>(exit_code::kDone);
 }
 
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -47,6 +47,7 @@
     std::chrono::milliseconds default_deadline{10000};
     std::chrono::milliseconds max_deadline{20000};  // of requests that wait for their answer
     std::chrono::milliseconds shutdown_limit{20000};
+    std::chrono::milliseconds forget_drain{600000};  // of an endpoint that left the list
   } timing;
 
   struct {
--- a/src/process/settings_table.cc
+++ b/src/process/settings_table.cc
@@ -87,6 +87,9 @@
      text_form::kAny, 10, kHour, "Longest deadline that a caller who waits may ask for."},
     {"timing.shutdown_limit", [](settings& s) { return setting_slot(&s.timing.shutdown_limit); },
      false, text_form::kAny, 0, kHour, "How long a graceful shutdown waits for what is in flight."},
+    {"timing.forget_drain", [](settings& s) { return setting_slot(&s.timing.forget_drain); }, false,
+     text_form::kAny, 1000, 24 * kHour,
+     "How long an endpoint must be off the instance list before its drain is forgotten."},
 
     {"bounds.waiting_requests",
      [](settings& s) { return setting_slot(&s.bounds.waiting_requests); }, false, text_form::kAny,
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -271,6 +271,7 @@
 }
 
 void shard::SetConfiguration(const configuration& config, monotonic_time now) {
+  SetDrained(config.drained_endpoints, now);
   for (const workspace_contract& workspace : config.workspaces) {
     for (const team_contract& team : workspace.teams) {
       team_terms terms;
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -112,9 +112,9 @@
   void SetGrants(const std::vector<grant_entry>& grants, monotonic_time now);
   void SetUsageElsewhere(const std::string& team, const resources& running, monotonic_time now);
   void SetCellCapacity(const resources& capacity) { core_.SetCellCapacity(capacity); }
-  // An operator's word: gets nothing new, what runs there is moved.
-  bool Drain(const std::string& endpoint, monotonic_time now);
   bool Has(const std::string& endpoint) const { return endpoint_by_name_.contains(endpoint); }
+  // Tasks under way at an endpoint of this shard.
+  size_t RunningAt(const std::string& endpoint) const;
 
   // From entries.
   void Place(const std::string& entry, place_message place, monotonic_time now);
@@ -183,6 +183,9 @@
                     monotonic_time now);
   void LoseTask(const task_id& id, monotonic_time now);
   void LoseAllAt(endpoint_index index, monotonic_time now);
+  std::vector<task_id> TasksAt(endpoint_index index) const;
+  // On an operator's word: get nothing new, what runs there is moved.
+  void SetDrained(const std::vector<std::string>& names, monotonic_time now);
   bool IsSuperseded(const endpoint_reply& reply);
 
   bool AnswerFromMemory(const std::string& entry, const place_message& place, monotonic_time now);
@@ -217,6 +220,7 @@
   absl::flat_hash_map<std::string, endpoint_index> endpoint_by_name_;
   absl::flat_hash_map<std::string, uint32_t> racks_;
   uint32_t unlisted_ = 0;
+  std::set<std::string> drained_;  // by operators; also endpoints that are not here yet
   bool has_endpoints_ = false;
   absl::flat_hash_map<request_id, job_state> jobs_;
   std::set<request_id> gangs_;     // that have not ended
--- a/src/process/shard_endpoints.cc
+++ b/src/process/shard_endpoints.cc
@@ -40,19 +40,27 @@
   endpoint_link link(options_.link, options_.epoch, now);
   endpoints_.push_back({{from.address, from.name}, shape, link});
   endpoints_.back().leaving = from.leaving;
+  endpoints_.back().drained = drained_.contains(from.name);
   endpoint_by_name_.emplace(from.name, index);
   ++unlisted_;
   core_.SetEndpoint(index, shape, endpoint_state::kUnfenced, now);
 }
 
-bool shard::Drain(const std::string& name, monotonic_time now) {
-  const auto found = endpoint_by_name_.find(name);
-  if (found == endpoint_by_name_.end()) return false;
-  if (endpoints_[found->second].drained) return true;
-  endpoints_[found->second].drained = true;
-  SetCoreState(found->second, now);
-  Note(event_code::kEndpointLeaving, {}, name, "drained by an operator");
-  return true;
+void shard::SetDrained(const std::vector<std::string>& names, monotonic_time now) {
+  drained_ = {names.begin(), names.end()};
+  for (endpoint_index index = 0; index < endpoints_.size(); ++index) {
+    endpoint_record& at = endpoints_[index];
+    const bool drained = drained_.contains(at.address.name);
+    if (at.drained == drained) continue;
+    at.drained = drained;
+    SetCoreState(index, now);
+    if (drained) Note(event_code::kEndpointLeaving, {}, at.address.name, "drained by an operator");
+  }
+}
+
+size_t shard::RunningAt(const std::string& endpoint) const {
+  const auto found = endpoint_by_name_.find(endpoint);
+  return found == endpoint_by_name_.end() ? 0 : TasksAt(found->second).size();
 }
 
 // What the core may do with an endpoint follows from its link and from who wants it to leave.
@@ -225,16 +233,20 @@
   }
 }
 
-void shard::LoseAllAt(endpoint_index index, monotonic_time now) {
-  std::vector<task_id> lost;
+std::vector<task_id> shard::TasksAt(endpoint_index index) const {
+  std::vector<task_id> tasks;
   for (const auto& [id, job] : jobs_) {
     for (uint32_t i = 0; i < job.tasks.size(); ++i) {
       const task_progress& task = job.tasks[i];
       const bool is_there = task.endpoint == index && IsUnderWay(task.phase);
-      if (is_there) lost.push_back({id, i, task.attempt});
+      if (is_there) tasks.push_back({id, i, task.attempt});
     }
   }
-  for (const task_id& id : lost) LoseTask(id, now);
+  return tasks;
+}
+
+void shard::LoseAllAt(endpoint_index index, monotonic_time now) {
+  for (const task_id& id : TasksAt(index)) LoseTask(id, now);
 }
 
 void shard::OnSync(endpoint_index index, uint64_t token, const endpoint_reply& reply,
--- a/src/request/caller_call.cc
+++ b/src/request/caller_call.cc
@@ -194,7 +194,9 @@
   const bool dry_run = read.Bool("dry_run", false);
   if (read.Error()) return *read.Error();
   const std::string endpoint = Between(path, "/v1/endpoints/", "/drain");
-  if (!endpoint.empty()) return drain_call{endpoint, dry_run};
+  if (!endpoint.empty()) return drain_call{endpoint, false, dry_run};
+  const std::string undrained = Between(path, "/v1/endpoints/", "/undrain");
+  if (!undrained.empty()) return drain_call{undrained, true, dry_run};
   const std::string domain = Between(path, "/v1/domains/", "/evacuate");
   if (!domain.empty()) return evacuate_call{domain, dry_run};
   const std::string job = Between(path, "/v1/jobs/", "/cancel");
--- a/src/request/caller_call.h
+++ b/src/request/caller_call.h
@@ -54,6 +54,7 @@
 struct config_history_call {};
 struct drain_call {
   std::string endpoint;
+  bool undo = false;
   bool dry_run = false;
 };
 struct evacuate_call {
--- a/src/version/contract.cc
+++ b/src/version/contract.cc
@@ -25,6 +25,8 @@
 constexpr uint32_t kLargestQueue = 1000000;      // waiting tasks of a team in one shard
 constexpr uint32_t kDefaultQueue = 1000;
 
+constexpr size_t kLongestEndpointName = 128;
+
 constexpr std::array<std::string_view, 8> kFaultNames = {
     "not_json",     "unknown_field",  "missing_field", "wrong_type",
     "out_of_range", "duplicate_name", "unknown_kind",  "shares_over_whole"};
@@ -32,6 +34,11 @@
 // Names that have to be unique, each within its own scope.
 using name_set = absl::flat_hash_set<std::string>;
 
+bool IsEndpointName(const std::string& name) {
+  return !name.empty() && name.size() <= kLongestEndpointName &&
+         std::all_of(name.begin(), name.end(), [](char c) { return c > ' ' && c < '\x7f'; });
+}
+
 // Reads one document.
 class configuration_reader {
  public:
@@ -45,6 +52,7 @@
   void ReadKeys(const json* values, const std::string& path, bool is_operator,
                 std::vector<key_record>& keys);
   std::vector<workload_kind> ReadKinds(const json* values, const std::string& path);
+  void ReadDrained(const json* values, const std::string& path, std::vector<std::string>& names);
   void CheckUrgentKinds(const team_contract& team, const std::string& path);
   void CheckUnique(name_set& names, const std::string& name, const std::string& path);
 
@@ -161,6 +169,27 @@
   reader.End();
 }
 
+// Names are the platform's, whose rules need not be ours.
+void configuration_reader::ReadDrained(const json* values, const std::string& path,
+                                       std::vector<std::string>& names) {
+  if (values == nullptr) return;
+  name_set seen;
+  for (size_t i = 0; i < values->size(); ++i) {
+    const json& value = (*values)[i];
+    const std::string name_path = absl::StrCat(path, "[", i, "]");
+    if (!value.is_string()) {
+      faults_.Add(contract_fault::kWrongType, name_path, Excerpt(value));
+      continue;
+    }
+    names.push_back(value.get<std::string>());
+    if (!IsEndpointName(names.back())) {
+      faults_.Add(contract_fault::kOutOfRange, name_path, Excerpt(value));
+    }
+    CheckUnique(seen, names.back(), name_path);
+  }
+  std::sort(names.begin(), names.end());
+}
+
 configuration configuration_reader::Read(const json& document) {
   configuration config;
   json_object_reader reader(document, "", faults_);
@@ -170,6 +199,8 @@
     ReadWorkspace((*workspaces)[i], absl::StrCat("workspaces[", i, "]"),
                   config.workspaces.emplace_back());
   }
+  ReadDrained(reader.Array("drained_endpoints", false), "drained_endpoints",
+              config.drained_endpoints);
   reader.End();
   return config;
 }
@@ -225,8 +256,9 @@
     for (const team_contract& team : workspace.teams) teams.push_back(TeamToJson(team));
     workspaces.push_back({{"name", workspace.name}, {"teams", std::move(teams)}});
   }
-  const ordered_json document = {{"operator_keys", KeysToJson(config.operator_keys)},
-                                 {"workspaces", std::move(workspaces)}};
+  ordered_json document = {{"operator_keys", KeysToJson(config.operator_keys)},
+                           {"workspaces", std::move(workspaces)}};
+  if (!config.drained_endpoints.empty()) document["drained_endpoints"] = config.drained_endpoints;
   // One field a line, so that operators can compare versions line by line.
   return document.dump(1, ' ', false, ordered_json::error_handler_t::replace);
 }
--- a/src/version/contract.h
+++ b/src/version/contract.h
@@ -39,6 +39,9 @@
 struct configuration {
   std::vector<workspace_contract> workspaces;
   std::vector<key_record> operator_keys;
+  // Get nothing new and are emptied, on an operator's word; sorted. They are in this document
+  // because it is what every entry has to know before it gives work, and what outlives all entries.
+  std::vector<std::string> drained_endpoints;
 };
 
 enum class contract_fault : uint8_t {
--- a/src/version/contract_edit.cc
+++ b/src/version/contract_edit.cc
@@ -114,4 +114,16 @@
   return edit_fault::kNone;
 }
 
+bool DrainEndpoint(configuration& config, const std::string& endpoint) {
+  std::vector<std::string>& names = config.drained_endpoints;
+  const auto place = std::lower_bound(names.begin(), names.end(), endpoint);
+  if (place != names.end() && *place == endpoint) return false;
+  names.insert(place, endpoint);
+  return true;
+}
+
+bool UndrainEndpoint(configuration& config, const std::string& endpoint) {
+  return std::erase(config.drained_endpoints, endpoint) > 0;
+}
+
 }  // namespace catkinford
--- a/src/version/contract_edit.h
+++ b/src/version/contract_edit.h
@@ -21,8 +21,9 @@
 std::string_view ToText(edit_fault fault);
 
 // `current` with the workspaces of `file` in the place of those of the same name; others stay.
-// Keys are never lost by it, and a withdrawn key stays withdrawn: an operator who applies a file
-// that was read before a withdrawal would otherwise put the key back into force, unnoticed.
+// Endpoints that are drained stay so. Keys are never lost by it, and a withdrawn key stays
+// withdrawn: an operator who applies a file that was read before a withdrawal would otherwise put
+// the key back into force, unnoticed.
 configuration MergeContracts(const configuration& current, const configuration& file);
 
 // `current` with exactly the workspaces of `past`. Operators' keys stay; teams' keys are merged as
@@ -39,6 +40,10 @@
 // What `next` changes, in one short line for the list of versions.
 std::string SummaryOf(const configuration& current, const configuration& next);
 
+// False where it was so already.
+bool DrainEndpoint(configuration& config, const std::string& endpoint);
+bool UndrainEndpoint(configuration& config, const std::string& endpoint);
+
 enum class contract_warning_kind : uint8_t {
   kNoOperatorKey,      // nobody could change it any more
   kTeamWithoutKeys,    // cannot submit anything
--- a/src/version/contract_summary.cc
+++ b/src/version/contract_summary.cc
@@ -68,6 +68,20 @@
   }
 }
 
+void SumUpDrains(const std::vector<std::string>& before, const std::vector<std::string>& after,
+                 std::vector<std::string>& parts) {
+  for (const std::string& name : after) {
+    if (std::find(before.begin(), before.end(), name) == before.end()) {
+      parts.push_back(absl::StrCat("endpoint ", name, " drained"));
+    }
+  }
+  for (const std::string& name : before) {
+    if (std::find(after.begin(), after.end(), name) == after.end()) {
+      parts.push_back(absl::StrCat("endpoint ", name, " no longer drained"));
+    }
+  }
+}
+
 }  // namespace
 
 std::string SummaryOf(const configuration& current, const configuration& next) {
@@ -85,6 +99,7 @@
       parts.push_back(absl::StrCat("workspace ", workspace.name, " removed"));
     }
   }
+  SumUpDrains(current.drained_endpoints, next.drained_endpoints, parts);
   const size_t more = parts.size() > kMostParts ? parts.size() - kMostParts : 0;
   parts.resize(parts.size() - more);
   const std::string text = absl::StrJoin(parts, ", ");
--- a/test/command_line_fleet_test.cc
+++ b/test/command_line_fleet_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <cstdio>
@@ -27,6 +28,7 @@
   options.entries_per_domain = 1;
   options.endpoints_per_domain = 2;
   options.teams = 2;
+  options.timing = {{"forget_drain", "1s"}};
   return options;
 }
 
@@ -79,6 +81,31 @@
     return agreeing == all.size();
   }
 
+  bool ReplaceAllEntries() {
+    const auto limit = std::chrono::duration_cast<milliseconds>(kGenerousLimit);
+    for (size_t i = 0; i < fleet_.Entries(); ++i) {
+      if (!fleet_.ReplaceEntry(i) || !fleet_.WaitReady(i, limit)) return false;
+      client_.entries[i] = fleet_.UrlOf(i);
+    }
+    return true;
+  }
+
+  // Starts at the endpoint, by its own record.
+  size_t StartsAt(const std::string& endpoint) {
+    const std::vector<run_event> events = fleet_.Events();
+    return static_cast<size_t>(
+        std::count_if(events.begin(), events.end(), [&endpoint](const run_event& each) {
+          return each.endpoint == endpoint && each.event == "start";
+        }));
+  }
+
+  void SubmitMany(int count) {
+    for (int i = 0; i < count; ++i) {
+      REQUIRE(RunWith(fleet_.Contract().teams[0].secret, {"submit", "interactive"}) ==
+              Code(exit_code::kDone));
+    }
+  }
+
   static int Code(exit_code code) { return static_cast<int>(code); }
 
   fleet fleet_{SmallFleet()};
@@ -149,11 +176,7 @@
   options_.json = false;
   REQUIRE(Run({"key", "withdraw", team, key}) == Code(exit_code::kDone));
   REQUIRE(Run({"contract", "remove", workspace}) == Code(exit_code::kDone));
-  for (size_t i = 0; i < fleet_.Entries(); ++i) {
-    REQUIRE(fleet_.ReplaceEntry(i));
-    REQUIRE(fleet_.WaitReady(i, std::chrono::duration_cast<milliseconds>(kGenerousLimit)));
-    client_.entries[i] = fleet_.UrlOf(i);
-  }
+  REQUIRE(ReplaceAllEntries());
   REQUIRE(Run({"contract", "history"}) == Code(exit_code::kDone));
   CHECK_THAT(out_.str(), Catch::Contains("key " + key + " of " + team + " withdrawn"));
   CHECK_THAT(out_.str(), Catch::Contains("workspace " + workspace + " removed"));
@@ -167,6 +190,87 @@
   CHECK(Run({"contract", "restore", "yesterday"}) == Code(exit_code::kUsage));
 }
 
+// An operator empties an endpoint for repair, and over the next hours all entries are replaced.
+// Forgotten by then, the drain would let new work start on it while it is being taken apart.
+TEST_CASE_METHOD(command_line_fleet_fixture,
+                 "command line, endpoint drained and all entries replaced, gets nothing new",
+                 "[cli][fleet]") {
+  REQUIRE(started_);
+  const std::string endpoint = fleet_.EndpointsOf(0)[0];
+  REQUIRE(Run({"endpoint", "drain", endpoint}) == Code(exit_code::kDone));
+  REQUIRE(ReplaceAllEntries());
+  const size_t before = StartsAt(endpoint);
+  SubmitMany(90);
+  CHECK(StartsAt(endpoint) == before);
+  REQUIRE(Run({"members"}) == Code(exit_code::kDone));
+  CHECK_THAT(out_.str(), Catch::Contains("drained " + endpoint + "\n"));
+  CHECK(Run({"endpoint", "drain", endpoint}) == Code(exit_code::kDone));  // once more does no harm
+  REQUIRE(Run({"endpoint", "undrain", endpoint}) == Code(exit_code::kDone));
+  CHECK(Run({"endpoint", "undrain", endpoint}) == Code(exit_code::kDone));
+  SubmitMany(90);
+  CHECK(StartsAt(endpoint) > before);
+  CHECK(Run({"endpoint", "undrain", "nowhere"}) == Code(exit_code::kNotFound));
+  REQUIRE(Run({"contract", "history"}) == Code(exit_code::kDone));
+  CHECK_THAT(out_.str(), Catch::Contains(": endpoint " + endpoint + " drained"));
+}
+
+// Two operators drain different endpoints at two entries in the same moment. Neither asked for a
+// version, so neither may be told of a conflict or lose the word of the other.
+TEST_CASE_METHOD(command_line_fleet_fixture,
+                 "command line, endpoints drained in a race, are all drained", "[cli][fleet]") {
+  REQUIRE(started_);
+  std::vector<std::string> names;
+  for (size_t domain = 0; domain < 3; ++domain) {
+    for (const std::string& name : fleet_.EndpointsOf(domain)) names.push_back(name);
+  }
+  std::vector<int> codes(names.size(), -1);
+  std::vector<std::thread> operators;
+  operators.reserve(names.size());
+  for (size_t i = 0; i < names.size(); ++i) {
+    operators.emplace_back([this, i, &names, &codes] {
+      entry_client_options client = client_;
+      client.entries = {fleet_.UrlOf(i % fleet_.Entries())};
+      entry_client calls(http_, client);
+      std::ostringstream out;
+      std::ostringstream err;
+      codes[i] = command_line(options_, calls, out, err).Run({"endpoint", "drain", names[i]});
+    });
+  }
+  for (std::thread& each : operators) each.join();
+  CHECK(codes == std::vector<int>(names.size(), Code(exit_code::kDone)));
+  options_.json = true;
+  REQUIRE(Run({"members"}) == Code(exit_code::kDone));
+  std::sort(names.begin(), names.end());
+  CHECK(nlohmann::json::parse(out_.str())["drained"] == nlohmann::json(names));
+}
+
+// An endpoint is drained and then taken away for good. A new one may come under its name after
+// weeks, and must get work without anybody remembering the drain.
+TEST_CASE_METHOD(command_line_fleet_fixture,
+                 "command line, drained endpoint gone from the list, is forgotten",
+                 "[cli][fleet]") {
+  REQUIRE(started_);
+  const std::string endpoint = fleet_.EndpointsOf(0)[0];
+  REQUIRE(Run({"endpoint", "drain", endpoint}) == Code(exit_code::kDone));
+  for (size_t i = 0; i < fleet_.Entries(); ++i) {
+    http_call call;
+    call.method = "POST";
+    call.url = absl::StrCat("http://127.0.0.1:", fleet_.Entry(i).instances->Port(), "/control");
+    call.body = R"({"remove":")" + endpoint + R"("})";
+    REQUIRE(http_.SendAndWait(call).code == 200);
+  }
+  const auto give_up = steady_clock::now() + kGenerousLimit;
+  bool forgotten = false;
+  while (!forgotten && steady_clock::now() < give_up) {
+    REQUIRE(Run({"members"}) == Code(exit_code::kDone));
+    forgotten = out_.str().find("drained ") == std::string::npos;
+    if (!forgotten) std::this_thread::sleep_for(milliseconds{50});
+  }
+  CHECK(forgotten);
+  REQUIRE(Run({"contract", "history"}) == Code(exit_code::kDone));
+  CHECK_THAT(out_.str(), Catch::Contains("by entry:"));
+}
+
 TEST_CASE_METHOD(command_line_fleet_fixture, "command line, change from an old version, conflicts",
                  "[cli][fleet]") {
   REQUIRE(started_);
--- a/test/contract_test.cc
+++ b/test/contract_test.cc
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "version/contract_edit.h"
 #include "version/key_ring.h"
 
 namespace catkinford {
@@ -68,6 +69,27 @@
   CHECK(ToText(std::get<configuration>(again)) == text);
 }
 
+TEST_CASE_METHOD(contract_fixture, "contract, drained endpoints, are read, kept and checked",
+                 "[contract]") {
+  const std::string list = R"("drained_endpoints": ["ep-2", "Ep-1"], "workspaces")";
+  std::string text = kGood;
+  text.replace(text.find("\"workspaces\""), 12, list);
+  const auto read = ParseConfiguration(text);
+  REQUIRE(std::holds_alternative<configuration>(read));
+  const auto& config = std::get<configuration>(read);
+  CHECK(config.drained_endpoints == std::vector<std::string>{"Ep-1", "ep-2"});
+  CHECK(ToText(std::get<configuration>(ParseConfiguration(ToText(config)))) == ToText(config));
+  // A file from before the drain does not undo it, and neither does a way back.
+  CHECK(MergeContracts(config, Good()).drained_endpoints == config.drained_endpoints);
+  CHECK(RestoreContracts(config, Good()).drained_endpoints == config.drained_endpoints);
+  CheckFault("\"workspaces\"", R"("drained_endpoints": ["a", "a"], "workspaces")",
+             contract_fault::kDuplicateName, "drained_endpoints[1]");
+  CheckFault("\"workspaces\"", R"("drained_endpoints": ["a b"], "workspaces")",
+             contract_fault::kOutOfRange, "drained_endpoints[0]");
+  CheckFault("\"workspaces\"", R"("drained_endpoints": [7], "workspaces")",
+             contract_fault::kWrongType, "drained_endpoints[0]");
+}
+
 // An operator mistypes one field. Without a typed fault and its path the change would either be
 // taken in part, or the operator would have to find the slip by eye in a document of 170 teams.
 TEST_CASE_METHOD(contract_fixture, "contract, one slip, is refused with the path of the field",
