--- a/src/process/commands.h
+++ b/src/process/commands.h
@@ -52,6 +52,7 @@
 // Contracts (contract_commands.cc).
 int RunContractCheck(command_context& context, const command_words& words);
 int RunContractApply(command_context& context, const command_words& words);
+int RunContractRestore(command_context& context, const command_words& words);
 int RunContractRemove(command_context& context, const command_words& words);
 int RunContractGet(command_context& context, const command_words& words);
 int RunContractDiff(command_context& context, const command_words& words);
@@ -65,6 +66,7 @@
 
 // The fleet (operator_commands.cc).
 int RunEndpointDrain(command_context& context, const command_words& words);
+int RunEndpointUndrain(command_context& context, const command_words& words);
 int RunDomainEvacuate(command_context& context, const command_words& words);
 int RunMembers(command_context& context, const command_words& words);
 int RunTimeline(command_context& context, const command_words& words);
