--- a/bench/caller.cc
+++ b/bench/caller.cc
@@ -49,6 +49,7 @@
   if (!kind) return false;
   record.outcome = *kind;
   record.reason = ParseRefusalReason(TextOf(read, "reason", "")).value_or(refusal_reason::kNone);
+  record.retry_after = MillisecondsOf(read, "retry_after_ms", milliseconds{0});
   record.answer = TextOf(read, "answer", "");
   record.id = TextOf(read, "id", "");
   return true;
