Bench storms of returning callers and a greedy team in virtual time

Change: `policy` also runs three times a small floor for 10 s and half of it for 50 s, callers coming back when told to, and six teams of which one asks for three times the floor; waits under each load.

--- a/bench/latency.h
+++ b/bench/latency.h
@@ -15,6 +15,9 @@
 class latency_samples {
  public:
   void Add(duration sample) { samples_.push_back(sample); }
+  void AddAll(const latency_samples& others) {
+    samples_.insert(samples_.end(), others.samples_.begin(), others.samples_.end());
+  }
   size_t Count() const { return samples_.size(); }
 
   // The sample that `part` of all do not pass; zero without samples.
--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -3,6 +3,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <fstream>
@@ -18,6 +19,7 @@
 namespace catkinford {
 namespace {
 
+constexpr uint32_t kMostReturns = 30;
 constexpr std::array<double, 5> kLoads = {0.5, 0.9, 1.2, 2.0, 3.0};
 
 nlohmann::json WaitsToJson(const wait_samples& waits) {
@@ -73,11 +75,40 @@
     curve.push_back({{"load", load},
                      {"core", static_cast<double>(core.in_time) / length},
                      {"core_refused", core.refused},
+                     {"core_waits", WaitsToJson(core.waits[0])},
                      {"first_fit", static_cast<double>(first.in_time) / length}});
   }
   return curve;
 }
 
+// Three times the floor for a while, callers coming back when they were told to.
+nlohmann::json Storm(uint64_t seed) {
+  simulation_options options;
+  options.seed = seed;
+  options.most_returns = kMostReturns;
+  const workload work = StormWorkload(seed);
+  const simulation_result core = Simulate<decision_core>(work, options);
+  const auto jobs = static_cast<double>(work.jobs.size());
+  return {{"served_in_time", static_cast<double>(core.in_time) / jobs},
+          {"tries_each", 1 + static_cast<double>(core.refused) / jobs},
+          {"served_at_first_return", static_cast<double>(core.served_at_first_return) /
+                                         std::max(1.0, static_cast<double>(core.first_returns))},
+          {"waits", WaitsToJson(core.waits[0])}};
+}
+
+// The p99 wait of the teams within their shares, without and with a team far beyond its own.
+nlohmann::json Greedy(uint64_t seed) {
+  const auto others = [seed](bool greedy) {
+    const simulation_result run = Simulate<decision_core>(GreedyWorkload(greedy, seed), {seed});
+    wait_samples waits;
+    for (size_t team = 1; team < run.caller_waits.size(); ++team) {
+      waits.AddAll(run.caller_waits[team]);
+    }
+    return WaitsToJson(waits);
+  };
+  return {{"modest", others(false)}, {"greedy", others(true)}};
+}
+
 void PrintMix(const nlohmann::json& figures) {
   for (const auto& [scheduler, result] : figures.items()) {
     std::printf("%-14s started %7d refused %6d preempted %4d never started %4d packing %.3f\n",
@@ -109,7 +140,9 @@
         {"first_fit", Simulate<baseline_scheduler<first_fit>>(packing, {seed}).packing},
         {"random_of_two", Simulate<baseline_scheduler<random_of_two>>(packing, {seed}).packing}}},
       {"share_error", ShareError(ShareWorkload(seed), seed)},
-      {"goodput", Goodput(seed)}};
+      {"goodput", Goodput(seed)},
+      {"storm", Storm(seed)},
+      {"greedy", Greedy(seed)}};
 }
 
 int PolicyMain(int argc, char** argv) {
--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <queue>
+#include <utility>
 #include <vector>
 
 #include "bench/latency.h"
@@ -33,9 +34,12 @@
 struct simulation_result {
   std::array<wait_samples, 4> waits;  // by kind: from submission to the start of a task
   wait_samples urgent_waits;
+  std::vector<wait_samples> caller_waits;  // by team: of interactive work, from its last try
   uint64_t started = 0;
-  uint64_t in_time = 0;  // interactive work that ended by its deadline
-  uint64_t refused = 0;
+  uint64_t in_time = 0;                 // interactive work that ended by its deadline
+  uint64_t refused = 0;                 // each try counts
+  uint64_t first_returns = 0;           // refused callers who came back for the first time
+  uint64_t served_at_first_return = 0;  // of them, those whose work then started
   uint64_t preempted = 0;
   uint64_t never_started = 0;  // jobs submitted in the first half of which no task started
   uint64_t over_capacity = 0;  // starts that did not fit: a fault of the scheduler
@@ -49,6 +53,7 @@
   bool measure_share = false;
   std::chrono::milliseconds checkpoint_time{300};  // from a stop to the end of the run
   std::chrono::milliseconds share_from{10000};     // shares count from then on
+  uint32_t most_returns = 0;  // how often a refused caller comes back when it was told to
 };
 
 template <simulated_scheduler scheduler>
@@ -71,6 +76,8 @@
       weights_ += team.weight;
     }
     team_used_.resize(work.teams.size());
+    result_.caller_waits.resize(work.teams.size());
+    tries_.resize(work.jobs.size());
   }
 
   simulation_result Run() {
@@ -78,12 +85,14 @@
     size_t next = 0;
     while (now_ < end) {
       while (next < work_.jobs.size() && Arrival(next) <= now_) Submit(next++);
+      while (!returns_.empty() && returns_.top().first <= now_) SubmitReturned();
       while (!ends_.empty() && ends_.top().at <= now_) EndTop();
       Round();
       Account();
       monotonic_time wake = std::min(end, scheduler_.NextWake());
       if (next < work_.jobs.size()) wake = std::min(wake, Arrival(next));
       if (!ends_.empty()) wake = std::min(wake, ends_.top().at);
+      if (!returns_.empty()) wake = std::min(wake, returns_.top().first);
       Advance(std::max(wake, now_));
     }
     Close();
@@ -107,6 +116,7 @@
   };
   struct job_state {
     size_t job = 0;
+    monotonic_time submitted{};
     uint32_t started = 0;
     std::vector<std::chrono::milliseconds> left;
   };
@@ -120,16 +130,31 @@
   void Submit(size_t number) {
     const generated_job& job = work_.jobs[number];
     job_request request = job.request;
-    request.submitted = Arrival(number);
+    request.submitted = now_;
     if (request.deadline != monotonic_time{}) {
-      request.deadline = kStart + request.deadline.time_since_epoch();
+      request.deadline = now_ + (job.request.deadline - job.request.submitted);
     }
-    if (!scheduler_.Submit(request, now_).queued) {
-      ++result_.refused;
+    const uint32_t attempt = ++tries_[number];
+    result_.first_returns += attempt == 2 ? 1 : 0;
+    const admission admitted = scheduler_.Submit(request, now_);
+    if (!admitted.queued) {
+      Refused(number, admitted.retry_after);
       return;
     }
     waiting_ += request.tasks;
-    states_[request.id] = {number, 0, job.run_times};
+    states_[request.id] = {number, now_, 0, job.run_times};
+  }
+
+  void Refused(size_t number, std::chrono::milliseconds retry_after) {
+    ++result_.refused;
+    if (retry_after.count() == 0 || tries_[number] > options_.most_returns) return;
+    returns_.push({now_ + retry_after, number});
+  }
+
+  void SubmitReturned() {
+    const size_t number = returns_.top().second;
+    returns_.pop();
+    Submit(number);
   }
 
   void Round() {
@@ -155,10 +180,14 @@
     scheduler_.Started(c.task, now_);
     if (c.task.attempt == 1) {
       const auto wait =
-          std::chrono::duration_cast<std::chrono::milliseconds>(now_ - Arrival(state.job));
+          std::chrono::duration_cast<std::chrono::milliseconds>(now_ - state.submitted);
       (request.urgent ? result_.urgent_waits : result_.waits[static_cast<size_t>(request.kind)])
           .Add(wait);
+      if (request.kind == workload_kind::kInteractive) {
+        result_.caller_waits[request.team].Add(wait);
+      }
       ++result_.started;
+      result_.served_at_first_return += tries_[state.job] == 2 ? 1 : 0;
     }
     ++state.started;
     --waiting_;
@@ -176,9 +205,10 @@
   void Refuse(const command& c) {
     const auto found = states_.find(c.task.job);
     if (found == states_.end()) return;
-    waiting_ -= work_.jobs[found->second.job].request.tasks;
-    ++result_.refused;
+    const size_t number = found->second.job;
+    waiting_ -= work_.jobs[number].request.tasks;
     states_.erase(found);
+    Refused(number, c.retry_after);
   }
 
   void EndTop() {
@@ -198,7 +228,7 @@
       state.left[end.task.index] -= std::min(ran, state.left[end.task.index]);
       ++waiting_;
     } else if (request.kind == workload_kind::kInteractive) {
-      const monotonic_time due = kStart + request.deadline.time_since_epoch();
+      const monotonic_time due = state.submitted + (request.deadline - request.submitted);
       result_.in_time += now_ <= due ? 1 : 0;
     }
     scheduler_.Finished(end.task, end.how, ran, now_);
@@ -261,6 +291,9 @@
   absl::flat_hash_map<request_id, job_state> states_;
   absl::flat_hash_map<task_id, running> runs_;
   std::priority_queue<ending, std::vector<ending>, std::greater<>> ends_;
+  using returning = std::pair<monotonic_time, size_t>;  // when, and number of the job
+  std::priority_queue<returning, std::vector<returning>, std::greater<>> returns_;
+  std::vector<uint32_t> tries_;  // by number of the job
   uint64_t order_ = 0;
   int64_t waiting_ = 0;
   std::array<double, kAmounts> volume_{};
--- a/bench/workload.cc
+++ b/bench/workload.cc
@@ -18,6 +18,15 @@
 constexpr milliseconds kDeadline{10000};
 constexpr double kWrongDeclaration = 0.8;  // sigma of the logarithm of declared over real
 
+// One shard of a small site, for loads beyond it.
+constexpr uint32_t kSmallFloor = 17;
+constexpr milliseconds kShortDeadline{2000};
+constexpr milliseconds kStormEnd{10000};
+
+// Requests a second that the small floor can run: run times of 200 ms and sigma 0.5 last 227 ms on
+// average, and slots are scarcest.
+constexpr double SmallCapacity() { return kSmallFloor * 8 / 0.227; }
+
 // How one stream of jobs arrives and what its jobs are like.
 struct stream {
   workload_kind kind = workload_kind::kInteractive;
@@ -33,6 +42,7 @@
   uint32_t memory_steps = 4;  // of 512
   uint32_t most_tasks = 1;
   bool urgent = false;
+  milliseconds deadline = kDeadline;
 };
 
 class workload_builder {
@@ -54,8 +64,11 @@
     for (const double weight : weights) work_.teams.push_back({weight});
   }
 
-  void Add(const stream& s) {
-    for (double at = Gap(s); at < static_cast<double>(work_.length.count()); at += Gap(s)) {
+  void Add(const stream& s) { Add(s, milliseconds{0}, work_.length); }
+
+  void Add(const stream& s, milliseconds from, milliseconds to) {
+    for (double at = static_cast<double>(from.count()) + Gap(s);
+         at < static_cast<double>(to.count()); at += Gap(s)) {
       const auto together = static_cast<uint32_t>(1 + random_.Exponential(s.burst - 1.0 + 1e-9));
       for (uint32_t i = 0; i < together; ++i) AddJob(s, milliseconds{static_cast<int64_t>(at)});
     }
@@ -72,7 +85,7 @@
     r.each = {s.least_cpu + 500 * random_.Below(s.cpu_steps),
               s.least_memory + 512 * random_.Below(s.memory_steps), 0, 1};
     r.submitted = monotonic_time{at};
-    if (s.kind == workload_kind::kInteractive) r.deadline = monotonic_time{at + kDeadline};
+    if (s.kind == workload_kind::kInteractive) r.deadline = monotonic_time{at + s.deadline};
     const double usual = random_.LogNormal(s.run_median_ms, s.run_sigma);
     for (uint32_t t = 0; t < r.tasks; ++t) {
       const double run = std::max(1.0, random_.LogNormal(usual, 0.2));
@@ -166,4 +179,31 @@
   return build.Build();
 }
 
+workload StormWorkload(uint64_t seed) {
+  workload_builder build("storm", seed, seconds{60});
+  build.AddWorkers(kSmallFloor, kKitamuraWorker);
+  build.AddTeams({1, 1, 1});
+  stream s{workload_kind::kInteractive, 0, 3, 3 * SmallCapacity(), 1, 200, 0.5, 500, 3, 512, 4};
+  s.deadline = kShortDeadline;
+  build.Add(s, milliseconds{0}, kStormEnd);
+  s.per_second = SmallCapacity() / 2;
+  build.Add(s, kStormEnd, seconds{60});
+  return build.Build();
+}
+
+workload GreedyWorkload(bool greedy, uint64_t seed) {
+  workload_builder build("greedy", seed, seconds{60});
+  build.AddWorkers(kSmallFloor, kKitamuraWorker);
+  build.AddTeams({1, 1, 1, 1, 1, 1});
+  const double modest = 0.7 * SmallCapacity() / 6;
+  stream s{workload_kind::kInteractive, 1, 5, 5 * modest, 1, 200, 0.5, 500, 3, 512, 4};
+  s.deadline = kShortDeadline;
+  build.Add(s);
+  s.first_team = 0;
+  s.teams = 1;
+  s.per_second = greedy ? 3 * SmallCapacity() : modest;
+  build.Add(s);
+  return build.Build();
+}
+
 }  // namespace catkinford
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -44,6 +44,13 @@
 // Interactive work with deadlines at `load` times what the floor can do.
 workload OverloadWorkload(double load, uint64_t seed);
 
+// Three times what a small floor can do for 10 s, then half of it for 50 s.
+workload StormWorkload(uint64_t seed);
+
+// Six teams of equal shares that together ask for 0.7 of a small floor; or the same with team 0
+// asking for three times the floor.
+workload GreedyWorkload(bool greedy, uint64_t seed);
+
 }  // namespace catkinford
 
 #endif  // CATKINFORD_BENCH_WORKLOAD_H_
