Weigh the way to another region by its measured round trip

Cause: another failure domain cost 6 ms against a queue of the own one, also when it is 80 ms away, so work left its region for a queue that was shorter than the way.

--- a/bench/caller.cc
+++ b/bench/caller.cc
@@ -26,9 +26,9 @@
                          {"accelerators", spec.each.accelerators},
                          {"urgent", spec.urgent},
                          {"repeatable", spec.repeatable},
-                         {"idempotency_key", spec.work},
                          {"run_time_ms", spec.run_time.count()},
                          {"payload", work.dump()}};
+  if (spec.keyed) body["idempotency_key"] = spec.work;
   if (spec.kind == workload_kind::kInteractive) body["deadline_ms"] = spec.deadline.count();
   return body;
 }
--- a/bench/caller.h
+++ b/bench/caller.h
@@ -20,7 +20,8 @@
 
 // One request as a caller wants it.
 struct call_spec {
-  std::string work;  // the caller's own mark, also its idempotency key
+  std::string work;   // the caller's own mark, also its idempotency key
+  bool keyed = true;  // if not, the entry draws the request's identity
   workload_kind kind = workload_kind::kInteractive;
   bool repeatable = true;
   bool urgent = false;
--- a/bench/load.cc
+++ b/bench/load.cc
@@ -91,6 +91,7 @@
 call_spec load_source::Next() {
   call_spec spec;
   spec.work = absl::StrCat(options_.prefix, "-", options_.seed, "-", next_++);
+  spec.keyed = options_.keyed;
   spec.kind = PickKind();
   spec.each = options_.each;
   spec.deadline = options_.deadline;
--- a/bench/load.h
+++ b/bench/load.h
@@ -42,6 +42,7 @@
   std::chrono::milliseconds deadline{5000};
   uint64_t seed = 1;
   std::string prefix = "w";  // of the marks
+  bool keyed = true;         // each request has an idempotency key
 };
 
 // The requests of one load, in order; the same seed gives the same ones.
--- a/bench/load_command.cc
+++ b/bench/load_command.cc
@@ -22,6 +22,10 @@
 ABSL_FLAG(uint32_t, clients, 3, "load: threads that send");
 ABSL_FLAG(uint32_t, region_delay_ms, 0,
           "load: each failure domain is a region, so far from the others each way");
+ABSL_FLAG(bool, idempotency_keys, true,
+          "load: each request has one; if not, load chooses its shard");
+ABSL_FLAG(int32_t, at_domain, -1,
+          "load: all callers ask at the entries of this failure domain; -1: at all");
 ABSL_FLAG(uint32_t, run_ms, 20, "load: usual run time; each takes from half of it to half more");
 
 namespace catkinford {
@@ -54,6 +58,7 @@
   options.rate = absl::GetFlag(FLAGS_rate);
   options.length = MillisecondsFrom(absl::GetFlag(FLAGS_seconds));
   options.seed = absl::GetFlag(FLAGS_seed);
+  options.keyed = absl::GetFlag(FLAGS_idempotency_keys);
   options.shortest_run = milliseconds{absl::GetFlag(FLAGS_run_ms) / 2};
   options.longest_run = milliseconds{absl::GetFlag(FLAGS_run_ms) * 3 / 2};
   return options;
@@ -75,8 +80,12 @@
 
 load_setup SetupOf(fleet& running) {
   load_setup setup;
+  const int domain = absl::GetFlag(FLAGS_at_domain);
+  const std::vector<std::string>& domains = running.Options().domains;
   for (size_t slot = 0; slot < running.Entries(); ++slot) {
-    setup.targets.push_back({running.Entry(slot).name, running.UrlOf(slot)});
+    const bool asked =
+        domain < 0 || running.Entry(slot).domain == domains[static_cast<size_t>(domain)];
+    if (asked) setup.targets.push_back({running.Entry(slot).name, running.UrlOf(slot)});
   }
   setup.teams = running.Contract().teams;
   return setup;
@@ -183,6 +192,10 @@
                stderr);
     return 2;
   }
+  if (absl::GetFlag(FLAGS_at_domain) >= static_cast<int>(fleet_options{}.domains.size())) {
+    std::fputs("load: there is no such --at_domain\n", stderr);
+    return 2;
+  }
   if (absl::GetFlag(FLAGS_entries).empty()) return MeasureFleet(options);
   const load_setup setup = SetupFromFlags();
   if (setup.teams.empty()) {
--- a/src/process/node_peers.cc
+++ b/src/process/node_peers.cc
@@ -38,6 +38,7 @@
     const shard_route* route = routes_.Route(report.shard);
     const bool is_new = route != nullptr && route->owner != from && report.epoch >= route->epoch;
     routes_.OnReport(from, report, now);
+    routes_.OnRoundTrip(from, mailbox_.RoundTrip(from));
     if (is_new) table_.OnNewOwner(report.shard, now);
   }
   version_order& order = versions_.Order();
--- a/src/process/router.cc
+++ b/src/process/router.cc
@@ -1,5 +1,6 @@
 #include "process/router.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -35,6 +36,12 @@
   route.heard = now;
 }
 
+void router::OnRoundTrip(const std::string& owner, std::chrono::microseconds round_trip) {
+  for (auto& [name, route] : routes_) {
+    if (route.owner == owner) route.round_trip = std::chrono::ceil<milliseconds>(round_trip);
+  }
+}
+
 void router::OnOwnerDown(const std::string& owner) {
   for (auto& [name, route] : routes_) {
     if (route.owner == owner) route.owner.clear();
@@ -64,9 +71,9 @@
 }
 
 milliseconds router::Cost(const shard_route& route) const {
-  milliseconds cost = route.summary.queue_delay;
-  if (route.failure_domain != options_.failure_domain) cost += options_.far_penalty;
-  return cost;
+  const milliseconds wait = route.summary.queue_delay;
+  if (route.failure_domain == options_.failure_domain) return wait;
+  return wait + std::max(options_.far_penalty, route.round_trip);
 }
 
 const std::string* router::Choose(const resources& each, uint64_t seed, monotonic_time now) const {
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -19,7 +19,7 @@
   std::vector<std::string> failure_domains;  // all
   uint32_t shards_per_domain = 1;
   std::chrono::milliseconds report_age_limit{3000};  // an owner not heard for longer is unknown
-  // What the way to another failure domain costs, against waiting in the own one.
+  // What the way to another failure domain costs at the least, against waiting in the own one.
   std::chrono::milliseconds far_penalty{6};
 };
 
@@ -29,6 +29,7 @@
   std::string failure_domain;
   shard_summary summary;
   uint32_t endpoints = 0;
+  std::chrono::milliseconds round_trip{0};  // to its owner and back, as measured
   monotonic_time heard{};
 };
 
@@ -38,6 +39,9 @@
 
   // An owner's word on its shard. A lower epoch than the highest heard is old news and ignored.
   void OnReport(const std::string& owner, const shard_report& report, monotonic_time now);
+  // How long a call to this owner takes. Between regions that is more than most queues, and work
+  // must not leave its region for a queue that is shorter than the way there.
+  void OnRoundTrip(const std::string& owner, std::chrono::microseconds round_trip);
   // The owner left or cannot be reached.
   void OnOwnerDown(const std::string& owner);
 
