--- a/bench/load.cc
+++ b/bench/load.cc
@@ -15,6 +15,7 @@
 using std::chrono::steady_clock;
 
 constexpr uint32_t kGangTasks = 4;
+constexpr uint32_t kReplicas = 3;
 
 double QuantileOf(std::vector<double>& values, double quantile) {
   if (values.empty()) return 0;
@@ -102,6 +103,7 @@
     spec.repeatable = draw >= options_.mix.not_repeatable;
   }
   if (spec.kind == workload_kind::kGang) spec.tasks = kGangTasks;
+  if (spec.kind == workload_kind::kService) spec.tasks = kReplicas;
   return spec;
 }
 
@@ -130,6 +132,7 @@
 load_figures FiguresOf(const std::vector<call_record>& records) {
   load_figures figures;
   std::vector<double> over_run_time;
+  std::vector<double> until_accepted;
   std::vector<double> until_refused;
   monotonic_time first = monotonic_time::max();
   monotonic_time last = monotonic_time::min();
@@ -143,6 +146,8 @@
       over_run_time.push_back(MillisecondsIn(took - record.run_time));
     } else if (record.outcome == outcome_kind::kRefused) {
       until_refused.push_back(MillisecondsIn(took));
+    } else if (record.outcome == outcome_kind::kAccepted) {
+      until_accepted.push_back(MillisecondsIn(took));
     }
   }
   const double seconds = std::chrono::duration<double>(last - first).count();
@@ -152,17 +157,27 @@
   figures.p50_ms = QuantileOf(over_run_time, 0.5);
   figures.p99_ms = QuantileOf(over_run_time, 0.99);
   figures.p999_ms = QuantileOf(over_run_time, 0.999);
+  figures.accepted_p50_ms = QuantileOf(until_accepted, 0.5);
+  figures.accepted_p99_ms = QuantileOf(until_accepted, 0.99);
   figures.refused_p99_ms = QuantileOf(until_refused, 0.99);
   return figures;
 }
 
 nlohmann::json ToJson(const load_figures& figures) {
-  return {{"sent", figures.sent},           {"completed", figures.completed},
-          {"accepted", figures.accepted},   {"refused", figures.refused},
-          {"failed", figures.failed},       {"unknown", figures.unknown},
-          {"no_answer", figures.no_answer}, {"achieved_rate", figures.achieved_rate},
-          {"p50_ms", figures.p50_ms},       {"p99_ms", figures.p99_ms},
-          {"p999_ms", figures.p999_ms},     {"refused_p99_ms", figures.refused_p99_ms}};
+  return {{"sent", figures.sent},
+          {"completed", figures.completed},
+          {"accepted", figures.accepted},
+          {"refused", figures.refused},
+          {"failed", figures.failed},
+          {"unknown", figures.unknown},
+          {"no_answer", figures.no_answer},
+          {"achieved_rate", figures.achieved_rate},
+          {"p50_ms", figures.p50_ms},
+          {"p99_ms", figures.p99_ms},
+          {"p999_ms", figures.p999_ms},
+          {"accepted_p50_ms", figures.accepted_p50_ms},
+          {"accepted_p99_ms", figures.accepted_p99_ms},
+          {"refused_p99_ms", figures.refused_p99_ms}};
 }
 
 }  // namespace catkinford
--- a/bench/load.h
+++ b/bench/load.h
@@ -79,6 +79,8 @@
   double p50_ms = 0;
   double p99_ms = 0;
   double p999_ms = 0;
+  double accepted_p50_ms = 0;  // until a job that nobody waits for is accepted
+  double accepted_p99_ms = 0;
   double refused_p99_ms = 0;
 };
 load_figures FiguresOf(const std::vector<call_record>& records);
--- a/bench/load_command.cc
+++ b/bench/load_command.cc
@@ -12,6 +12,7 @@
 #include "bench/flags.h"
 #include "bench/fleet.h"
 #include "bench/load.h"
+#include "standin/json_fields.h"
 
 ABSL_FLAG(double, rate, 3000, "load: arrivals a second");
 ABSL_FLAG(double, seconds, 20, "load: how long");
@@ -121,6 +122,8 @@
       stdout);
   std::printf("achieved %.0f/s  over run time p50 %.2f ms  p99 %.2f ms  p99.9 %.2f ms\n",
               figures.achieved_rate, figures.p50_ms, figures.p99_ms, figures.p999_ms);
+  std::printf("accepted after p50 %.2f ms  p99 %.2f ms\n", figures.accepted_p50_ms,
+              figures.accepted_p99_ms);
   nlohmann::json all = ToJson(figures);
   all["entries"] = nlohmann::json::array();
   for (const entry_usage& entry : entries) {
@@ -155,6 +158,7 @@
   fleet running(fleet_options);
   if (!running.Start(kStartLimit)) return 1;
   const std::vector<process_usage> before = UsageOf(running);
+  const int64_t writes_before = IntOf(running.StoreCounters(), "writes", 0);
   const auto begun = std::chrono::steady_clock::now();
   const load_figures figures = Measure(options, SetupOf(running));
   const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begun;
@@ -165,7 +169,11 @@
     entries.push_back({running.Entry(slot).name, cpu / took, after[slot].resident_kb,
                        after[slot].peak_resident_kb});
   }
-  Write(Print(figures, entries));
+  nlohmann::json all = Print(figures, entries);
+  const int64_t writes = IntOf(running.StoreCounters(), "writes", 0) - writes_before;
+  std::printf("store: %.1f writes a second\n", static_cast<double>(writes) / took.count());
+  all["store_writes"] = writes;
+  Write(std::move(all));
   return 0;
 }
 
--- a/bench/scenario_faults.cc
+++ b/bench/scenario_faults.cc
@@ -121,6 +121,23 @@
   for (const size_t slot : run.SlotsOf(domain)) run.Healed(slot);
 }
 
+// All that a domain has is gone at once: entries, endpoints and what runs there. It comes back with
+// new entries, and endpoints that know nothing.
+void DomainLost(scenario_run& run) {
+  const size_t domain = PickDomain(run);
+  for (const size_t slot : run.SlotsOf(domain)) run.KillEntry(slot);
+  for (const std::string& endpoint : run.Fleet().EndpointsOf(domain)) {
+    run.Fleet().SetEndpointMode(endpoint, "dead");
+  }
+  run.Sleep(kLongFault);
+  run.MarkFaultEnd();
+  for (const std::string& endpoint : run.Fleet().EndpointsOf(domain)) {
+    run.Fleet().SetEndpointMode(endpoint, "up");
+  }
+  for (const size_t slot : run.SlotsOf(domain)) run.ReplaceEntry(slot);
+  for (const size_t slot : run.SlotsOf(domain)) run.Fleet().WaitReady(slot, kLongFault);
+}
+
 void SilentConnections(scenario_run& run) {
   const size_t domains = run.Fleet().Options().domains.size();
   for (int round = 0; round < kSilences; ++round) {
@@ -247,6 +264,11 @@
 
 void NeedLinks(scenario_options& options) { options.fleet.proxied = true; }
 
+void NeedServices(scenario_options& options) {
+  options.services = 24;
+  options.replicas = 6;
+}
+
 void NeedLongBatch(scenario_options& options) {
   options.fleet.team_running_limit = 60;
   options.load.rate = 150;
@@ -267,6 +289,8 @@
      &NeedLinks, &DomainCutFromPlatform},
     {"domain_cut_off", "a failure domain reaches neither the platform nor the others", &NeedLinks,
      &DomainCutOff},
+    {"domain_lost", "entries and endpoints of a failure domain die, and come back new",
+     &NeedServices, &DomainLost},
     {"silent_connections", "all open connections go silent for good, three times", &NeedLinks,
      &SilentConnections},
     {"endpoint_drain", "two endpoints leave, one is drained by an operator", nullptr,
--- a/bench/scenario_figures.cc
+++ b/bench/scenario_figures.cc
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "bench/checker_runs.h"
@@ -105,6 +107,70 @@
   return FiguresOf(within).p99_ms;
 }
 
+// Replicas of each service that run at `at`, by failure domain: endpoints are named after theirs.
+std::map<std::string, std::map<std::string, uint32_t>> ReplicasAt(const history& seen,
+                                                                  monotonic_time at) {
+  std::set<std::string> services;
+  for (const call_record& call : seen.calls) {
+    if (call.kind == workload_kind::kService && !call.is_cancel) services.insert(call.work);
+  }
+  std::map<std::string, std::map<std::string, uint32_t>> replicas;
+  for (const std::string& service : services) replicas[service];
+  for (const task_run& run : RunsOf(seen.events)) {
+    const bool runs = run.start <= at && run.end > at && services.contains(run.work);
+    if (runs) ++replicas[run.work][run.endpoint.substr(0, run.endpoint.rfind("-ep"))];
+  }
+  return replicas;
+}
+
+// What of a service would go on after the loss of any one domain, at worst: the mean over services,
+// and the service that would keep the least.
+nlohmann::json ServiceFigures(const history& seen, const scenario_times& times) {
+  uint32_t running_before = 0;
+  uint32_t running_during = 0;
+  double kept_sum = 0;
+  double kept_least = 1;
+  const auto before = ReplicasAt(seen, times.fault_begin);
+  const auto during = ReplicasAt(seen, times.fault_end);
+  for (const auto& [service, domains] : before) {
+    uint32_t all = 0;
+    uint32_t most = 0;
+    for (const auto& [domain, count] : domains) {
+      all += count;
+      most = std::max(most, count);
+    }
+    const double kept = all > 0 ? 1 - static_cast<double>(most) / all : 0;
+    kept_sum += kept;
+    kept_least = std::min(kept_least, kept);
+    running_before += all;
+  }
+  uint32_t services_down = 0;
+  for (const auto& [service, domains] : during) {
+    services_down += domains.empty() ? 1 : 0;
+    for (const auto& [domain, count] : domains) running_during += count;
+  }
+  std::vector<call_record> asked;
+  std::copy_if(seen.calls.begin(), seen.calls.end(), std::back_inserter(asked),
+               [](const call_record& call) {
+                 return call.kind == workload_kind::kService && !call.is_cancel;
+               });
+  nlohmann::json figures = {{"running_before", running_before},
+                            {"running_at_fault_end", running_during},
+                            {"without_replica_at_fault_end", services_down}};
+  if (before.empty()) return figures;
+  figures["kept_at_worst_loss_mean"] = kept_sum / static_cast<double>(before.size());
+  figures["kept_at_worst_loss_least"] = kept_least;
+  std::vector<double> times_ms;
+  for (const call_record& call : asked) {
+    if (call.has_answer) times_ms.push_back(MillisecondsBetween(call.sent, call.answered));
+  }
+  std::sort(times_ms.begin(), times_ms.end());
+  if (times_ms.empty()) return figures;
+  figures["answer_p50_ms"] = times_ms[times_ms.size() / 2];
+  figures["answer_longest_ms"] = times_ms.back();
+  return figures;
+}
+
 void Put(nlohmann::json& figures, const char* name, const std::optional<double>& value) {
   if (value) figures[name] = *value;
 }
@@ -131,6 +197,7 @@
     figures["others_p99_before_ms"] = P99Between(elsewhere, settled, times.fault_begin);
     figures["others_p99_during_ms"] = P99Between(elsewhere, times.fault_begin, times.fault_end);
   }
+  figures["services"] = ServiceFigures(seen, times);
   Put(figures, "next_placement_ms", NextPlacement(seen, times));
   Put(figures, "config_in_force_ms", InForce(seen));
   Put(figures, "withdrawn_key_last_use_ms", LastUseOfWithdrawnKey(seen));
--- a/bench/scenario_run.cc
+++ b/bench/scenario_run.cc
@@ -23,7 +23,6 @@
 constexpr milliseconds kWatchStep{150};  // of the balancer's health check and the config readings
 constexpr milliseconds kPollLimit{400};  // an entry that takes longer is out of the balancer
 constexpr milliseconds kOperateLimit{5000};
-constexpr size_t kServices = 4;
 constexpr milliseconds kServiceTime{600000};  // longer than any scenario
 // The document without its comments: an entry may sign what it keeps with a comment of its own.
 std::string Canonical(const std::string& text) {
@@ -95,11 +94,11 @@
 }
 
 void scenario_run::SubmitServices() {
-  for (size_t i = 0; i < kServices; ++i) {
+  for (size_t i = 0; i < options_.services; ++i) {
     call_spec spec;
     spec.work = absl::StrCat("service-", options_.seed, "-", i);
     spec.kind = workload_kind::kService;
-    spec.tasks = 2;
+    spec.tasks = options_.replicas;
     spec.run_time = kServiceTime;
     const size_t slot = i % fleet_.Entries();
     callers_.Submit(fleet_.Entry(slot).name, fleet_.UrlOf(slot), Teams()[i % Teams().size()], spec,
@@ -300,7 +299,9 @@
 
 void scenario_run::MarkFaultBegin() { times_.fault_begin = steady_clock::now(); }
 
-void scenario_run::MarkFaultEnd() { times_.fault_end = steady_clock::now(); }
+void scenario_run::MarkFaultEnd() {
+  if (times_.fault_end <= times_.fault_begin) times_.fault_end = steady_clock::now();
+}
 
 // Until each accepted job that nobody cancelled has run as many tasks as it has; services run on.
 bool scenario_run::WaitForAccepted(milliseconds limit) {
--- a/bench/scenario_run.h
+++ b/bench/scenario_run.h
@@ -29,6 +29,8 @@
   load_options load;
   std::chrono::milliseconds before{3000};  // undisturbed
   std::chrono::milliseconds after{3000};   // healed
+  size_t services = 4;                     // that run from the beginning to the end
+  uint32_t replicas = 2;                   // of each
   uint64_t seed = 1;
 };
 
@@ -79,6 +81,7 @@
   // Marks the domain whose next placement under a new owner is timed from now.
   void TimeNextPlacement(size_t domain);
   void MarkFaultBegin();
+  // The first mark counts: a fault that heals itself before it returns marks its own end.
   void MarkFaultEnd();
 
  private:
--- a/src/process/decision_admission.cc
+++ b/src/process/decision_admission.cc
@@ -94,13 +94,33 @@
   return {true};
 }
 
+admission decision_core::impl::SubmitPart(const job_request& request,
+                                          const std::vector<uint32_t>& here, monotonic_time now) {
+  const job_handle present = jobs.Find(request.id);
+  if (present != kNoJob && jobs[present].known) return {true};
+  job_request part = request;
+  part.tasks = static_cast<uint32_t>(here.size());
+  if (std::optional<admission> refusal = here.empty() ? std::nullopt : Refusal(part, now)) {
+    return *refusal;
+  }
+  EnterOnly(request, here, now);
+  return {true};
+}
+
 void decision_core::impl::Resume(const job_request& request, const std::vector<uint32_t>& waiting,
                                  monotonic_time now) {
   const job_handle present = jobs.Find(request.id);
   if (present != kNoJob && jobs[present].known) return;
+  // What ran under a former owner cannot be ruled out, so a cancel is not answered as not run.
+  ++jobs[EnterOnly(request, waiting, now)].unproved_starts;
+}
+
+// All tasks that do not wait count as over, until Adopt() says that they run.
+job_handle decision_core::impl::EnterOnly(const job_request& request,
+                                          const std::vector<uint32_t>& waiting,
+                                          monotonic_time now) {
   const job_handle handle = Enter(request, now);
   job_record& job = jobs[handle];
-  // All that do not wait count as over, until Adopt() says that they run.
   for (task_slot& task : job.tasks) {
     if (task.state != task_state::kWaiting) continue;
     task.state = task_state::kDone;
@@ -113,10 +133,17 @@
     --job.done;
     ++job.waiting;
   }
-  // What ran under a former owner cannot be ruled out, so a cancel is not answered as not run.
-  ++job.unproved_starts;
   teams.AddQueued(request.team, request.each, job.waiting);
   Enqueue(handle, false);
+  return handle;
+}
+
+void decision_core::impl::TakeIn(const request_id& id, uint32_t index) {
+  const job_handle handle = jobs.Find(id);
+  if (handle == kNoJob || index >= jobs[handle].tasks.size() || jobs[handle].cancelled) return;
+  if (jobs[handle].tasks[index].state != task_state::kDone) return;
+  --jobs[handle].done;
+  WaitAgain(handle, index);
 }
 
 }  // namespace catkinford
--- a/src/process/decision_core.cc
+++ b/src/process/decision_core.cc
@@ -66,6 +66,13 @@
   return impl_->Submit(request, now);
 }
 
+admission decision_core::SubmitPart(const job_request& request, const std::vector<uint32_t>& here,
+                                    monotonic_time now) {
+  return impl_->SubmitPart(request, here, now);
+}
+
+void decision_core::TakeIn(const request_id& job, uint32_t index) { impl_->TakeIn(job, index); }
+
 void decision_core::Resume(const job_request& request, const std::vector<uint32_t>& waiting,
                            monotonic_time now) {
   impl_->Resume(request, waiting, now);
--- a/src/process/decision_core.h
+++ b/src/process/decision_core.h
@@ -150,6 +150,11 @@
 
   // Work.
   admission Submit(const job_request& request, monotonic_time now);
+  // As Submit, for a job of which only the tasks in `here` are this shard's.
+  admission SubmitPart(const job_request& request, const std::vector<uint32_t>& here,
+                       monotonic_time now);
+  // A task of a known job that was another shard's is this one's now, and waits.
+  void TakeIn(const request_id& job, uint32_t index);
   // As Submit, for a job whose record was read back: only the tasks in `waiting` wait, the others
   // are over or come by Adopt(), before or after. Never refused for a full queue.
   void Resume(const job_request& request, const std::vector<uint32_t>& waiting, monotonic_time now);
--- a/src/process/decision_impl.h
+++ b/src/process/decision_impl.h
@@ -80,6 +80,9 @@
 
   // A job's life.
   admission Submit(const job_request& request, monotonic_time now);
+  admission SubmitPart(const job_request& request, const std::vector<uint32_t>& here,
+                       monotonic_time now);
+  void TakeIn(const request_id& id, uint32_t index);
   void Resume(const job_request& request, const std::vector<uint32_t>& waiting, monotonic_time now);
   bool Cancel(const request_id& id);
   void Adopt(const running_task& task, monotonic_time now);
@@ -94,6 +97,8 @@
 
   std::optional<admission> Refusal(const job_request& request, monotonic_time now);
   job_handle Enter(const job_request& request, monotonic_time now);
+  job_handle EnterOnly(const job_request& request, const std::vector<uint32_t>& waiting,
+                       monotonic_time now);
   bool FindLive(const task_id& task, job_handle& job, uint32_t& index) const;
   void Attach(job_handle job, uint32_t index);
   void Detach(const job_record& job, const task_slot& slot);
--- a/src/process/durable_job.cc
+++ b/src/process/durable_job.cc
@@ -51,6 +51,30 @@
   return true;
 }
 
+std::string EncodeParts(const std::vector<job_part>& parts) {
+  std::string text;
+  const char* separator = "";
+  for (const job_part& part : parts) {
+    absl::StrAppend(&text, separator, "[", Quoted(part.shard), ",", part.first, ",", part.tasks,
+                    "]");
+    separator = ",";
+  }
+  return text;
+}
+
+// False when a part names tasks that the job does not have.
+bool DecodeParts(const json& list, durable_job& job) {
+  for (const json& item : list) {
+    const bool whole = item.is_array() && item.size() == 3 && item[0].is_string() &&
+                       item[1].is_number_unsigned() && item[2].is_number_unsigned();
+    if (!whole) return false;
+    job_part part{item[0].get<std::string>(), item[1].get<uint32_t>(), item[2].get<uint32_t>()};
+    if (part.first > job.tasks || part.tasks > job.tasks - part.first) return false;
+    job.parts.push_back(std::move(part));
+  }
+  return true;
+}
+
 std::optional<durable_job> DecodeJob(const request_id& id, const json& object) {
   durable_job job;
   job.id = id;
@@ -67,8 +91,10 @@
   job.payload = TextAt(object, "payload");
   job.failed = NumberAt<uint32_t>(object, "failed");
   job.done.resize(job.tasks);
+  job.home = TextAt(object, "home");
   const bool whole = DecodeAmount(ArrayAt(object, "each"), job.each) &&
-                     DecodeDone(ArrayAt(object, "done"), job.done);
+                     DecodeDone(ArrayAt(object, "done"), job.done) &&
+                     DecodeParts(ArrayAt(object, "parts"), job);
   if (!whole) return std::nullopt;
   return job;
 }
@@ -108,6 +134,8 @@
   absl::StrAppend(&text, job.each.slots, "],\"run_ms\":", job.declared_run_time.count(),
                   ",\"at_ms\":", submitted.time_since_epoch().count());
   if (job.failed != 0) absl::StrAppend(&text, ",\"failed\":", job.failed);
+  if (!job.parts.empty()) absl::StrAppend(&text, ",\"parts\":[", EncodeParts(job.parts), "]");
+  if (!job.home.empty()) absl::StrAppend(&text, ",\"home\":", Quoted(job.home));
   absl::StrAppend(&text, ",\"payload\":", Quoted(job.payload), ",\"done\":[", EncodeDone(job.done),
                   "]}");
   return text;
--- a/src/process/durable_job.h
+++ b/src/process/durable_job.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "request/identity.h"
+#include "request/job_part.h"
 #include "request/job_request.h"
 
 namespace catkinford {
@@ -28,6 +29,10 @@
   std::string payload;
   std::vector<bool> done;  // by task: it ended for good, well or not, and never runs again
   uint32_t failed = 0;     // how many of the done ones failed
+  // Of a job that is spread over shards: where each task lives, and, unless it is the writer of
+  // this record, the shard that answers for the whole.
+  std::vector<job_part> parts;
+  std::string home;
 };
 
 // One line of the log.
--- a/src/process/events.cc
+++ b/src/process/events.cc
@@ -49,6 +49,12 @@
       return {code, kDebug, "task_stop_sent", "The owner told the endpoint to stop the task."};
     case kRequestAnswered:
       return {code, kDebug, "request_answered", "The caller has the outcome."};
+    case kPartPlaced:
+      return {code, kDebug, "part_placed",
+              "Another shard has recorded its part of a job whose home this is."};
+    case kPartTakenHome:
+      return {code, kInfo, "part_taken_home",
+              "Another shard turned its part of a job away; the job's home takes it."};
     case kShardClaimed:
       return {code, kInfo, "shard_claimed",
               "This entry owns the shard under a new epoch and begins to fence its endpoints."};
--- a/src/process/events.h
+++ b/src/process/events.h
@@ -28,6 +28,8 @@
   kTaskFinished = 206,
   kTaskStopSent = 207,
   kRequestAnswered = 208,
+  kPartPlaced = 209,
+  kPartTakenHome = 210,
   // 3xx: shards and owners
   kShardClaimed = 300,
   kShardLost = 301,
--- a/src/process/job_keeper.cc
+++ b/src/process/job_keeper.cc
@@ -19,6 +19,8 @@
   job.declared_run_time = place.run_time;
   job.submitted = std::chrono::system_clock::now();
   job.payload = place.payload;
+  job.parts = place.parts;
+  job.home = place.home;
   job.done.resize(place.tasks);
   return job;
 }
@@ -35,6 +37,8 @@
   place.each = job.each;
   place.run_time = job.declared_run_time;
   place.payload = job.payload;
+  place.parts = job.parts;
+  place.home = job.home;
   // The record counts the failed tasks and does not name them.
   uint32_t failed = job.failed;
   for (uint32_t i = 0; i < job.done.size(); ++i) {
@@ -99,19 +103,24 @@
     if (notice.kind == log_entry_kind::kTaskDone) {
       to.OnCompletionRecorded(notice.id, notice.index, now);
     }
+    if (notice.kind == log_entry_kind::kJobDone) to.OnEndRecorded(notice.id);
   }
   return !notices.empty();
 }
 
-void job_keeper::Record(uint32_t number, const request_id& id, shard& from, monotonic_time now) {
+void job_keeper::Record(uint32_t number, const record_action& what, shard& from,
+                        monotonic_time now) {
   const auto found = logs_.find(number);
-  const place_message* place = from.SpecOf(id);
+  const place_message* place = from.SpecOf(what.job);
   append_result result = append_result::kNotReady;
-  if (found != logs_.end() && place != nullptr)
-    result = found->second.log->Append(RecordOf(*place));
-  if (result == append_result::kKnown) from.OnRecorded(id, true, now);
+  if (found != logs_.end() && place != nullptr) {
+    job_log& log = *found->second.log;
+    result = what.is_change ? log.Replace(RecordOf(*place)) : log.Append(RecordOf(*place));
+  }
+  if (what.is_change) return;  // not taken: the shard is lost, and its next owner reads the old one
+  if (result == append_result::kKnown) from.OnRecorded(what.job, true, now);
   if (result == append_result::kTooLarge || result == append_result::kNotReady) {
-    from.OnRecorded(id, false, now);
+    from.OnRecorded(what.job, false, now);
   }
 }
 
@@ -121,7 +130,7 @@
   if (found == logs_.end()) return;
   job_log& log = *found->second.log;
   if (what.job_ended) {
-    log.FinishJob(what.task.job);
+    if (log.FinishJob(what.task.job) == append_result::kKnown) from.OnEndRecorded(what.task.job);
     return;
   }
   const append_result result = log.Complete(what.task.job, what.task.index, !what.well);
--- a/src/process/job_keeper.h
+++ b/src/process/job_keeper.h
@@ -47,7 +47,7 @@
   bool TakeNotices(uint32_t number, shard& to, monotonic_time now);
 
   // Requests of a shard. What the log does not take now is answered at once as not durable.
-  void Record(uint32_t number, const request_id& job, shard& from, monotonic_time now);
+  void Record(uint32_t number, const record_action& what, shard& from, monotonic_time now);
   void Complete(uint32_t number, const complete_action& what, shard& from, monotonic_time now);
 
  private:
--- a/src/process/job_log.cc
+++ b/src/process/job_log.cc
@@ -89,6 +89,18 @@
   return append_result::kTaken;
 }
 
+append_result job_log::Replace(const durable_job& job) {
+  if (state_ != job_log_state::kReady) return append_result::kNotReady;
+  const auto found = jobs_.find(job.id);
+  if (found == jobs_.end()) return Repeated(job.id);
+  durable_job& record = found->second.record;
+  record.parts = job.parts;
+  std::string text = EncodeJob(record);
+  if (text.size() > options_.record_bytes) return append_result::kTooLarge;
+  Push(std::move(text), {log_entry_kind::kJob, job.id, 0}, true);
+  return append_result::kTaken;
+}
+
 append_result job_log::Complete(const request_id& id, uint32_t index, bool failed) {
   if (state_ != job_log_state::kReady) return append_result::kNotReady;
   const auto found = jobs_.find(id);
--- a/src/process/job_log.h
+++ b/src/process/job_log.h
@@ -72,6 +72,9 @@
 
   // The job may be answered "accepted" once its notice has come.
   append_result Append(const durable_job& job);
+  // What the record of a known job says of its parts is no longer so. A notice comes as for a new
+  // one.
+  append_result Replace(const durable_job& job);
   // Before the endpoint's cursor is acknowledged: otherwise a finished task could be forgotten by
   // everybody, and a new owner would run it again.
   append_result Complete(const request_id& id, uint32_t index, bool failed);
--- a/src/process/message.cc
+++ b/src/process/message.cc
@@ -62,6 +62,25 @@
   return result;
 }
 
+json Encode(const std::vector<job_part>& parts) {
+  json list = json::array();
+  for (const job_part& part : parts) {
+    list.push_back(json::array({part.shard, part.first, part.tasks}));
+  }
+  return list;
+}
+
+std::vector<job_part> DecodeParts(const json& from) {
+  std::vector<job_part> parts;
+  for (const json& part : from.value("parts", json::array())) {
+    const bool whole = part.is_array() && part.size() == 3 && part[0].is_string() &&
+                       part[1].is_number_unsigned() && part[2].is_number_unsigned();
+    if (!whole) continue;
+    parts.push_back({part[0].get<std::string>(), part[1].get<uint32_t>(), part[2].get<uint32_t>()});
+  }
+  return parts;
+}
+
 json Encode(const shard_report& report) {
   const shard_summary& summary = report.summary;
   return {{"shard", report.shard},
@@ -92,20 +111,24 @@
 }
 
 json EncodeBody(const place_message& place) {
-  return {{"type", "place"},
-          {"id", ToHex(place.id)},
-          {"shard", place.shard},
-          {"team", place.team},
-          {"kind", ToText(place.kind)},
-          {"urgent", place.urgent},
-          {"repeatable", place.repeatable},
-          {"wait", place.wait},
-          {"fresh", place.fresh},
-          {"tasks", place.tasks},
-          {"each", Encode(place.each)},
-          {"run", place.run_time.count()},
-          {"left", place.deadline_left.count()},
-          {"payload", place.payload}};
+  json body = {{"type", "place"},
+               {"id", ToHex(place.id)},
+               {"shard", place.shard},
+               {"team", place.team},
+               {"kind", ToText(place.kind)},
+               {"urgent", place.urgent},
+               {"repeatable", place.repeatable},
+               {"wait", place.wait},
+               {"fresh", place.fresh},
+               {"tasks", place.tasks},
+               {"each", Encode(place.each)},
+               {"run", place.run_time.count()},
+               {"left", place.deadline_left.count()},
+               {"payload", place.payload}};
+  if (!place.parts.empty()) body["parts"] = Encode(place.parts);
+  if (!place.home.empty()) body["home"] = place.home;
+  if (place.send != 0) body["send"] = place.send;
+  return body;
 }
 
 place_message DecodePlace(const json& from) {
@@ -123,6 +146,9 @@
   place.run_time = ReadMs(from, "run");
   place.deadline_left = ReadMs(from, "left");
   place.payload = Read<std::string>(from, "payload");
+  place.parts = DecodeParts(from);
+  place.home = Read<std::string>(from, "home");
+  place.send = Read<uint64_t>(from, "send");
   return place;
 }
 
@@ -131,7 +157,34 @@
 }
 
 json EncodeBody(const cancel_message& cancel) {
-  return {{"type", "cancel"}, {"id", ToHex(cancel.id)}, {"shard", cancel.shard}};
+  json body = {{"type", "cancel"}, {"id", ToHex(cancel.id)}, {"shard", cancel.shard}};
+  if (!cancel.home.empty()) body["home"] = cancel.home;
+  if (cancel.send != 0) body["send"] = cancel.send;
+  return body;
+}
+
+cancel_message DecodeCancel(const json& from) {
+  return {ReadId(from, "id"), Read<std::string>(from, "shard"), Read<std::string>(from, "home"),
+          Read<uint64_t>(from, "send")};
+}
+
+json EncodeBody(const part_answer_message& answer) {
+  return {{"type", "part_answer"}, {"id", ToHex(answer.id)},
+          {"home", answer.home},   {"shard", answer.shard},
+          {"send", answer.send},   {"cancelled", answer.cancelled},
+          {"ran", answer.ran},     {"result", Encode(answer.result)}};
+}
+
+part_answer_message DecodePartAnswer(const json& from) {
+  part_answer_message answer;
+  answer.id = ReadId(from, "id");
+  answer.home = Read<std::string>(from, "home");
+  answer.shard = Read<std::string>(from, "shard");
+  answer.send = Read<uint64_t>(from, "send");
+  answer.cancelled = Read<bool>(from, "cancelled");
+  answer.ran = Read<bool>(from, "ran");
+  answer.result = DecodeOutcome(from.value("result", json::object()));
+  return answer;
 }
 
 json EncodeBody(const status_query& query) {
@@ -151,6 +204,8 @@
                {"done", answer.progress.done},
                {"failed", answer.progress.failed},
                {"waits_for", answer.waits_for}};
+  if (!answer.home.empty()) body["home"] = answer.home;
+  if (!answer.parts.empty()) body["parts"] = Encode(answer.parts);
   if (answer.ended) body["ended"] = Encode(*answer.ended);
   return body;
 }
@@ -160,6 +215,8 @@
   answer.query = Read<uint64_t>(from, "query");
   answer.owner = Read<std::string>(from, "owner");
   answer.shard = Read<std::string>(from, "shard");
+  answer.home = Read<std::string>(from, "home");
+  answer.parts = DecodeParts(from);
   answer.known = Read<bool>(from, "known");
   answer.team = Read<std::string>(from, "team");
   answer.progress.waiting = Read<uint32_t>(from, "waiting");
@@ -234,7 +291,8 @@
   if (type == "place") return DecodePlace(from);
   if (type == "outcome")
     return outcome_message{DecodeOutcome(from.value("result", json::object()))};
-  if (type == "cancel") return cancel_message{ReadId(from, "id"), shard};
+  if (type == "cancel") return DecodeCancel(from);
+  if (type == "part_answer") return DecodePartAnswer(from);
   if (type == "status") {
     return status_query{ReadId(from, "id"), shard, Read<uint64_t>(from, "query")};
   }
--- a/src/process/message.h
+++ b/src/process/message.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "process/decision_core.h"
+#include "request/job_part.h"
 #include "request/job_request.h"
 #include "request/outcome.h"
 
@@ -31,6 +32,10 @@
   std::chrono::milliseconds run_time{0};
   std::chrono::milliseconds deadline_left{0};  // at the time of sending
   std::string payload;
+  // Of a job that is spread over shards: where each task lives, empty when all are in `shard`.
+  std::vector<job_part> parts;
+  std::string home;   // the shard that answers for the whole; empty when that is `shard`
+  uint64_t send = 0;  // from a home to the owner of a part: which sending this is
 };
 
 // Owner to entry. kAccepted may be followed by the end of the job.
@@ -38,10 +43,23 @@
   outcome result;
 };
 
-// Entry to owner.
+// Entry to owner, or home to the owner of a part.
 struct cancel_message {
   request_id id;
   std::string shard;
+  std::string home;   // empty: from an entry
+  uint64_t send = 0;  // from a home: which sending this is
+};
+
+// The owner of a part to the home of its job.
+struct part_answer_message {
+  request_id id;
+  std::string home;
+  std::string shard;       // the part's
+  uint64_t send = 0;       // the last message about the part that this answer has seen
+  bool cancelled = false;  // it was told to end
+  bool ran = false;        // something of it has run
+  outcome result;          // accepted: its record is durable
 };
 
 struct job_progress {
@@ -62,6 +80,8 @@
   uint64_t query = 0;
   std::string owner;  // who answers
   std::string shard;
+  std::string home;             // of a part: the shard that answers for the whole
+  std::vector<job_part> parts;  // of a spread job
   bool known = false;
   std::string team;  // whose job it is
   job_progress progress;
@@ -123,9 +143,9 @@
 struct release_message {};
 
 using message_body =
-    std::variant<place_message, outcome_message, cancel_message, status_query, status_answer,
-                 heartbeat_message, config_message, ask_owner_message, owner_alive_message,
-                 not_owner_message, drain_message, release_message>;
+    std::variant<place_message, outcome_message, cancel_message, part_answer_message, status_query,
+                 status_answer, heartbeat_message, config_message, ask_owner_message,
+                 owner_alive_message, not_owner_message, drain_message, release_message>;
 
 struct peer_message {
   std::string from;  // entry
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -162,6 +162,7 @@
 
 void node::Run() {
   std::vector<core_task> tasks;
+  started_ = steady_clock::now();
   while (!done_) {
     const monotonic_time before = steady_clock::now();
     const auto wait = std::chrono::ceil<milliseconds>(NextWake(before) - before);
@@ -202,6 +203,7 @@
   table_actions due;
   table_.Tick(now, due);
   TakeTable(std::move(due), now);
+  RetryEarlyServices(now);
   // Messages to ourselves and what the shards make of them, until nothing new comes.
   do {
     DeliverLocal(now);
@@ -226,7 +228,8 @@
   }
   const place_message* place = std::get_if<place_message>(&body);
   const request_id id = place != nullptr ? place->id : request_id{};
-  const bool is_place = place != nullptr;
+  // A part has the identity of its job, whose caller may wait here; it is sent again by its home.
+  const bool is_place = place != nullptr && place->home.empty();
   if (!mailbox_.Send(entry, std::move(body)) && is_place) table_.OnSendFailed(id, true, now);
 }
 
@@ -239,7 +242,8 @@
                         std::vector<message_body> lost) {
   Post([this, peer, status, lost = std::move(lost)](monotonic_time now) {
     for (const message_body& body : lost) {
-      if (const auto* place = std::get_if<place_message>(&body)) {
+      const auto* place = std::get_if<place_message>(&body);
+      if (place != nullptr && place->home.empty()) {
         table_.OnSendFailed(place->id, status == rpc_status::kNotSent, now);
       }
     }
@@ -255,7 +259,7 @@
 void node::OnMessage(const std::string& from, message_body body, monotonic_time now) {
   if (auto* place = std::get_if<place_message>(&body)) {
     if (shard* to = FindShard(place->shard)) {
-      to->Place(from, std::move(*place), now);
+      TakePlace(from, *to, std::move(*place), now);
     } else {
       // Not ours (any more): this owner has not started it and will not, but an earlier send may
       // have reached another owner, so nothing is said of the request itself.
@@ -264,7 +268,9 @@
   } else if (auto* result = std::get_if<outcome_message>(&body)) {
     OnOutcome(result->result, now);
   } else if (const auto* cancel = std::get_if<cancel_message>(&body)) {
-    if (shard* to = FindShard(cancel->shard)) to->Cancel(from, cancel->id, now);
+    if (shard* to = FindShard(cancel->shard)) to->Cancel(from, *cancel, now);
+  } else if (const auto* part = std::get_if<part_answer_message>(&body)) {
+    if (shard* to = FindShard(part->home)) to->OnPartAnswer(*part, now);
   } else if (const auto* query = std::get_if<status_query>(&body)) {
     shard* to = FindShard(query->shard);
     if (to != nullptr) to->Status(from, *query, now);
@@ -288,7 +294,9 @@
     DrainEndpoint(drain->endpoint, now);
   } else if (const auto* wrong = std::get_if<not_owner_message>(&body)) {
     routes_.OnNotOwner(from, wrong->shard);
-    table_.OnSendFailed(wrong->id, true, now);
+    // The place may have been that of a part of a job that a caller waits for here.
+    const std::string* sent_to = table_.ShardOf(wrong->id);
+    if (sent_to != nullptr && *sent_to == wrong->shard) table_.OnSendFailed(wrong->id, true, now);
   }
 }
 
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -28,6 +28,7 @@
 #include "process/event_log.h"
 #include "process/grant_keeper.h"
 #include "process/job_keeper.h"
+#include "process/job_status.h"
 #include "process/metrics.h"
 #include "process/ownership.h"
 #include "process/peer_mailbox.h"
@@ -86,12 +87,17 @@
     http_server::token token = 0;
     std::string team;  // of the caller; empty for an operator
     request_id id;
-    size_t answers_left = 0;
+    job_status heard;
     monotonic_time give_up{};
     monotonic_time wait_until{};
     monotonic_time next_ask{};
     bool cancel = false;  // cancel it once it is found
   };
+  // A service that came before this entry had heard of every failure domain.
+  struct early_service {
+    std::string from;
+    place_message place;
+  };
   // A change of the configuration whose operator waits to hear where it is in force.
   struct open_change {
     http_server::token token = 0;
@@ -158,6 +164,8 @@
   void Do(uint32_t number, shard& from, answer_action action, monotonic_time now);
   void Do(uint32_t number, shard& from, status_action action, monotonic_time now);
   void Do(uint32_t number, shard& from, const record_action& action, monotonic_time now);
+  void Do(uint32_t number, shard& from, const part_action& action, monotonic_time now);
+  void Do(uint32_t number, shard& from, part_answer_action action, monotonic_time now);
   void Do(uint32_t number, shard& from, const complete_action& action, monotonic_time now);
   void Do(uint32_t number, shard& from, const superseded_action& action, monotonic_time now);
   void Do(uint32_t number, shard& from, event_action action, monotonic_time now);
@@ -166,6 +174,11 @@
   shard* Held(uint32_t number, uint64_t epoch);
   shard* FindShard(const std::string& name);
 
+  // node_services.cc: services that are spread over failure domains.
+  void TakePlace(const std::string& from, shard& to, place_message place, monotonic_time now);
+  void RetryEarlyServices(monotonic_time now);
+  void PlacePart(uint32_t number, shard& from, const part_call& call, monotonic_time now);
+
   // node_calls.cc: callers and operators.
   void OnHttp(http_server::token token, http_request request);
   void OnCall(http_server::token token, const std::string& key, caller_call call,
@@ -201,10 +214,13 @@
   void SubmitJob(http_server::token token, size_t slot, const key_holder& holder, job_spec spec,
                  monotonic_time now);
   void TakeTable(table_actions actions, monotonic_time now);
+  // node_status.cc: status and cancel.
   void OpenStatus(const std::string& key, open_status question, monotonic_time now);
   void AskStatus(uint64_t query, open_status& open, monotonic_time now);
   void OnStatusAnswer(const status_answer& answer, monotonic_time now);
   void TickStatus(monotonic_time now);
+  void AnswerStatus(uint64_t query, monotonic_time now);
+  void SendCancel(const open_status& open, const status_answer& home, monotonic_time now);
   void OnOutcome(const outcome& result, monotonic_time now);
 
   settings config_;
@@ -237,10 +253,12 @@
   std::vector<instance> own_endpoints_;   // of this failure domain
   resources cell_capacity_;
   std::vector<message_body> local_;  // messages to ourselves
+  std::vector<early_service> early_services_;
   absl::flat_hash_map<uint64_t, open_status> statuses_;
   absl::flat_hash_map<request_id, std::vector<open_cancel>> cancels_;
   std::map<uint64_t, open_change> changes_;
   uint64_t next_query_ = 1;
+  monotonic_time started_{};
   monotonic_time next_ownership_tick_{};
   monotonic_time next_instance_poll_{};
   monotonic_time next_gauges_{};
--- a/src/process/node_calls.cc
+++ b/src/process/node_calls.cc
@@ -13,13 +13,9 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr milliseconds kOwnersAnswer{1000};   // for a status question to all owners
-constexpr milliseconds kStatusInterval{100};  // between questions of one that waits
-constexpr milliseconds kCancelAnswer{10000};
 constexpr milliseconds kComeBack{1000};
 constexpr milliseconds kDurablePatience{10000};  // to hear that a durable job was accepted
 constexpr milliseconds kEndless{std::chrono::hours{24 * 366}};
-constexpr char kNoSuchJob[] = "no owner that answered knows this job";
 constexpr size_t kTimelinePage = 10000;
 
 std::string Dump(const json& body) {
@@ -175,122 +171,6 @@
   cancels_.erase(found);
 }
 
-// ---- Status and cancel ---------------------------------------------------------------------
-
-void node::Handle(http_server::token token, const std::string& key, const status_call& call,
-                  monotonic_time now) {
-  open_status question;
-  question.token = token;
-  question.id = call.id;
-  question.wait_until = now + std::min(call.wait, config_.timing.max_deadline);
-  OpenStatus(key, std::move(question), now);
-}
-
-void node::Handle(http_server::token token, const std::string& key, const cancel_call& call,
-                  monotonic_time now) {
-  open_status question;
-  question.token = token;
-  question.id = call.id;
-  question.cancel = true;
-  OpenStatus(key, std::move(question), now);
-}
-
-void node::OpenStatus(const std::string& key, open_status question, monotonic_time now) {
-  const std::optional<key_holder> holder = HolderOf(key, now);
-  if (!holder) {
-    front_.Respond(question.token, ErrorResponse(401, "unknown_key"));
-    return;
-  }
-  question.team = holder->team;
-  const uint64_t query = next_query_++;
-  open_status& open = statuses_[query] = std::move(question);
-  AskStatus(query, open, now);
-}
-
-// Asks the owner of each shard: an identity does not tell where it lives when it was placed by
-// load. The first that knows the job answers for it.
-void node::AskStatus(uint64_t query, open_status& open, monotonic_time now) {
-  open.give_up = now + kOwnersAnswer;
-  open.next_ask = monotonic_time::max();
-  open.answers_left = 0;
-  for (const auto& [name, route] : routes_.Routes()) {
-    const std::optional<std::string> owner = routes_.OwnerOf(name, now);
-    if (!owner) continue;
-    ++open.answers_left;
-    Send(*owner, status_query{open.id, name, query}, now);
-  }
-}
-
-namespace {
-
-http_response StatusResponse(const request_id& id, const status_answer& answer) {
-  std::string state = "unknown";
-  if (answer.known) state = answer.progress.running > 0 ? "running" : "waiting";
-  if (answer.ended) state = "finished";
-  json body = {{"id", ToHex(id)},
-               {"state", state},
-               {"waits_for", answer.waits_for},
-               {"tasks",
-                {{"waiting", answer.progress.waiting},
-                 {"running", answer.progress.running},
-                 {"done", answer.progress.done},
-                 {"failed", answer.progress.failed}}}};
-  if (answer.ended) body["outcome"] = json::parse(ToResponse(*answer.ended).body, nullptr, false);
-  return {answer.known ? 200 : 404, Dump(body)};
-}
-
-}  // namespace
-
-void node::OnStatusAnswer(const status_answer& answer, monotonic_time now) {
-  const auto found = statuses_.find(answer.query);
-  if (found == statuses_.end()) return;
-  open_status& open = found->second;
-  // Another team's job is as unknown to this caller as one that never was.
-  const bool may_see = open.team.empty() || open.team == answer.team;
-  if (!answer.known || !may_see) {
-    if (open.answers_left > 0 && --open.answers_left > 0) return;
-    front_.Respond(open.token, open.cancel ? ToResponse(UnknownOutcome(open.id, kNoSuchJob))
-                                           : StatusResponse(open.id, status_answer{}));
-    statuses_.erase(found);
-    return;
-  }
-  if (open.cancel) {
-    cancels_[open.id].push_back({open.token, now + kCancelAnswer});
-    Send(answer.owner, cancel_message{open.id, answer.shard}, now);
-    statuses_.erase(found);
-    return;
-  }
-  if (!answer.ended && now < open.wait_until) {
-    open.next_ask = now + kStatusInterval;
-    open.give_up = monotonic_time::max();
-    return;
-  }
-  front_.Respond(open.token, StatusResponse(open.id, answer));
-  statuses_.erase(found);
-}
-
-void node::TickStatus(monotonic_time now) {
-  std::vector<uint64_t> over;
-  for (auto& [query, open] : statuses_) {
-    if (now >= open.next_ask) AskStatus(query, open, now);
-    if (now >= open.give_up) over.push_back(query);
-  }
-  for (const uint64_t query : over) {
-    const auto found = statuses_.find(query);
-    front_.Respond(found->second.token,
-                   ErrorResponse(504, "unknown", "not every owner could be asked"));
-    statuses_.erase(found);
-  }
-  std::vector<request_id> late;
-  for (const auto& [id, waiting] : cancels_) {
-    if (now >= waiting.front().give_up) late.push_back(id);
-  }
-  for (const request_id& id : late) {
-    OnOutcome(UnknownOutcome(id, "cancelled, its end is not known yet"), now);
-  }
-  CheckChanges(now);
-}
-
 // ---- Operators -----------------------------------------------------------------------------
 
 void node::Handle(http_server::token token, const std::string& key, const drain_call& call,
--- /dev/null
+++ b/src/process/node_services.cc
@@ -0,0 +1,62 @@
+// The part of an entry that spreads services: the split when one arrives at its home, and the
+// messages between its home and the owners of its parts.
+#include <optional>
+#include <utility>
+
+#include "process/node.h"
+#include "process/service_split.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// How long after its start an entry waits to hear of every failure domain before it splits. Split
+// at once, services that come right after the start of a fleet, or to an entry that has just
+// replaced another, would stand in the one domain that is known.
+constexpr milliseconds kFirstReports{2000};
+
+}  // namespace
+
+void node::TakePlace(const std::string& from, shard& to, place_message place, monotonic_time now) {
+  const bool is_new = to.SpecOf(place.id) == nullptr;
+  const bool is_whole = place.home.empty() && place.parts.empty();
+  if (is_new && is_whole && MaySpread(place)) {
+    if (now < started_ + kFirstReports && !routes_.HeardOfAllDomains()) {
+      early_services_.push_back({from, std::move(place)});
+      return;
+    }
+    place.parts = SplitService(place, place.shard, routes_, now);
+  }
+  to.Place(from, std::move(place), now);
+}
+
+void node::RetryEarlyServices(monotonic_time now) {
+  if (early_services_.empty()) return;
+  for (early_service& early : std::exchange(early_services_, {})) {
+    shard* to = FindShard(early.place.shard);
+    if (to != nullptr) TakePlace(early.from, *to, std::move(early.place), now);
+  }
+}
+
+// Ownership is asked here too: an owner that was paused for long must not place a part by a plan
+// that its successor has changed since.
+void node::PlacePart(uint32_t number, shard& from, const part_call& call, monotonic_time now) {
+  const place_message* job = from.SpecOf(call.id);
+  const std::optional<std::string> owner = routes_.OwnerOf(call.shard, now);
+  if (job == nullptr || !owner || !ownership_.MayStart(number, steady_clock::now())) return;
+  if (call.is_cancel) {
+    Send(*owner, cancel_message{call.id, call.shard, from.Name(), call.send}, now);
+    return;
+  }
+  place_message part = *job;
+  part.shard = call.shard;
+  part.home = from.Name();
+  part.send = call.send;
+  part.wait = false;
+  part.fresh = true;  // the log of its shard tells whether it is known there
+  Send(*owner, std::move(part), now);
+}
+
+}  // namespace catkinford
--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -246,7 +246,15 @@
 }
 
 void node::Do(uint32_t number, shard& from, const record_action& action, monotonic_time now) {
-  jobs_.Record(number, action.job, from, now);
+  jobs_.Record(number, action, from, now);
+}
+
+void node::Do(uint32_t number, shard& from, const part_action& action, monotonic_time now) {
+  PlacePart(number, from, action.call, now);
+}
+
+void node::Do(uint32_t /*number*/, shard& /*from*/, part_answer_action action, monotonic_time now) {
+  Send(action.entry, std::move(action.answer), now);
 }
 
 void node::Do(uint32_t number, shard& from, const complete_action& action, monotonic_time now) {
--- a/src/process/router.cc
+++ b/src/process/router.cc
@@ -1,5 +1,6 @@
 #include "process/router.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -92,6 +93,16 @@
   return best;
 }
 
+bool router::HeardOfAllDomains() const {
+  return std::all_of(options_.failure_domains.begin(), options_.failure_domains.end(),
+                     [&](const std::string& domain) {
+                       return std::any_of(routes_.begin(), routes_.end(), [&](const auto& route) {
+                         return route.second.failure_domain == domain &&
+                                route.second.heard != monotonic_time{};
+                       });
+                     });
+}
+
 const shard_route* router::Route(const std::string& shard) const {
   const auto found = routes_.find(shard);
   return found == routes_.end() ? nullptr : &found->second;
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -51,6 +51,8 @@
   // endpoints can hold `each`. Two picks and not the best of all: summaries lag, and all entries
   // would choose the same emptiest shard. Null when no owner is known.
   const std::string* Choose(const resources& each, uint64_t seed, monotonic_time now) const;
+  // Whether an owner in every failure domain was heard of at some time.
+  bool HeardOfAllDomains() const;
   const shard_route* Route(const std::string& shard) const;
   // The owner of a shard, if it was heard of lately.
   std::optional<std::string> OwnerOf(const std::string& shard, monotonic_time now) const;
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -10,6 +10,11 @@
 
 // The attempts of one owner for one task; see core_options::attempt_base.
 constexpr int kAttemptBits = 12;
+// How long a job without a deadline is held back while an endpoint is not listed: not longer than
+// its caller waits to hear that it is accepted.
+constexpr milliseconds kLongestHold{8000};
+// How long the word of another shard on a part is waited for before it is asked for again.
+constexpr milliseconds kPartResend{500};
 // When a caller whose job was not recorded may come back.
 constexpr milliseconds kAskAgain{1000};
 
@@ -32,7 +37,8 @@
     : options_(std::move(options)),
       teams_(teams),
       core_(CoreOptions(options_)),
-      identities_(IdentityOptions(options_)) {}
+      identities_(IdentityOptions(options_)),
+      parts_(kPartResend) {}
 
 void shard::Note(event_code code, const request_id& id, std::string subject, std::string detail) {
   actions_.push_back(event_action{code, id, std::move(subject), std::move(detail)});
@@ -58,28 +64,29 @@
 
 void shard::Place(const std::string& entry, place_message place, monotonic_time now) {
   const request_id id = place.id;
+  const uint64_t send = place.send;
   if (job_state* job = Find(id)) {
     if (!job->has_spec) {
       job->spec = std::move(place);
       job->has_spec = true;
     }
-    if (job->ended) {
-      actions_.push_back(answer_action{entry, *job->ended});
+    job->spec.send = std::max(job->spec.send, send);
+    if (job->ended && !job->end_untold) {
+      Reply(entry, *job, *job->ended);
       return;
     }
     if (std::find(job->entries.begin(), job->entries.end(), entry) == job->entries.end()) {
       job->entries.push_back(entry);
     }
-    if (job->accepted && IsDurable(job->spec.kind)) {
-      actions_.push_back(answer_action{entry, AcceptedOutcome(id)});
-    }
+    if (MayTellAccepted(id, *job, now)) Reply(entry, *job, Accepted(id));
     return;
   }
   // An identity that another owner may have started must not start again while an endpoint that
   // could be running it has not been listed: it would run in two places, seen as two start records
   // of one task. It waits for the lists, or is answered as unknown.
   if (!place.fresh && !AllListed()) {
-    const monotonic_time until = now + place.deadline_left;
+    const bool has_deadline = place.deadline_left.count() > 0;
+    const monotonic_time until = now + (has_deadline ? place.deadline_left : kLongestHold);
     held_.push_back({entry, std::move(place), until});
     return;
   }
@@ -137,6 +144,7 @@
   job.arrived = now;
   job.entries.push_back(entry);
   job.tasks.resize(job.spec.tasks);
+  MarkElsewhere(job);
   if (job.spec.deadline_left.count() > 0) job.deadline = now + job.spec.deadline_left;
   if (!IsDurable(job.spec.kind)) deadlines_.emplace(job.deadline, job.spec.id);
   Note(event_code::kRequestQueued, job.spec.id, job.spec.team);
@@ -159,7 +167,9 @@
 }
 
 void shard::Submit(const request_id& id, job_state& job, monotonic_time now) {
-  const admission admitted = core_.Submit(RequestOf(job, now), now);
+  const bool is_spread = !job.spec.parts.empty();
+  const admission admitted = is_spread ? core_.SubmitPart(RequestOf(job, now), WaitingOf(job), now)
+                                       : core_.Submit(RequestOf(job, now), now);
   if (!admitted.queued) {
     Refuse(id, admitted.reason, admitted.retry_after, admitted.detail, now);
     return;
@@ -167,14 +177,17 @@
   job.accepted = true;
   Track(id, job);
   if (!job.durable) return;
-  for (const std::string& entry : job.entries) {
-    actions_.push_back(answer_action{entry, AcceptedOutcome(id)});
-  }
+  OpenParts(id, job, now);
+  TellAccepted(id, job, now);
 }
 
 void shard::OnRecorded(const request_id& id, bool durable, monotonic_time now) {
   job_state* job = Find(id);
   if (job == nullptr || job->ended) return;
+  if (job->durable) {
+    OnPartsRecorded(id, *job);
+    return;
+  }
   if (!durable) {
     Refuse(id, refusal_reason::kNotDurable, kAskAgain, "the store did not take the record", now);
     return;
@@ -193,6 +206,7 @@
     job.accepted = true;
     job.ever_ran = !from.done.empty() || !from.failed.empty();
     job.tasks.resize(job.spec.tasks);
+    MarkElsewhere(job);
     for (const uint32_t index : from.done) {
       if (index < job.tasks.size()) job.tasks[index].phase = task_phase::kDone;
     }
@@ -200,6 +214,7 @@
       if (index < job.tasks.size()) job.tasks[index].phase = task_phase::kFailed;
     }
     restored_.push_back(id);
+    OpenParts(id, job, now);
     EndIfOver(id, job, now);
   }
 }
@@ -210,12 +225,10 @@
   for (const request_id& id : std::exchange(restored_, {})) {
     job_state* job = Find(id);
     if (job == nullptr || job->ended) continue;
-    std::vector<uint32_t> waiting;
-    for (uint32_t i = 0; i < job->tasks.size(); ++i) {
-      if (job->tasks[i].phase == task_phase::kWaiting) waiting.push_back(i);
-    }
     Track(id, *job);
-    core_.Resume(RequestOf(*job, now), waiting, now);
+    core_.Resume(RequestOf(*job, now), WaitingOf(*job), now);
+    // Cancelled before the core knew it: it would run on, and its caller wait for ever.
+    if (job->cancelled) core_.Cancel(id, now);
   }
 }
 
@@ -223,7 +236,9 @@
   if (held_.empty()) return;
   for (held_place& held : std::exchange(held_, {})) {
     if (AllListed()) {
-      held.place.deadline_left = std::chrono::ceil<milliseconds>(held.until - now);
+      if (held.place.deadline_left.count() > 0) {
+        held.place.deadline_left = std::chrono::ceil<milliseconds>(held.until - now);
+      }
       if (held.until > now) {
         Place(held.entry, std::move(held.place), now);
         continue;
@@ -239,20 +254,33 @@
   }
 }
 
-void shard::Cancel(const std::string& entry, const request_id& id, monotonic_time now) {
+void shard::Cancel(const std::string& entry, const cancel_message& what, monotonic_time now) {
+  const request_id& id = what.id;
   job_state* job = Find(id);
+  if (job == nullptr && !what.home.empty()) {
+    CancelUnknownPart(entry, what, now);
+    return;
+  }
   if (job == nullptr) {
     actions_.push_back(answer_action{entry, UnknownOutcome(id, "no such job here")});
     return;
   }
-  if (job->ended) {
-    actions_.push_back(answer_action{entry, *job->ended});
+  job->spec.send = std::max(job->spec.send, what.send);
+  if (job->ended && !job->end_untold) {
+    Reply(entry, *job, *job->ended);
     return;
   }
-  job->entries.push_back(entry);
-  job->cancelled = true;
+  if (std::find(job->entries.begin(), job->entries.end(), entry) == job->entries.end()) {
+    job->entries.push_back(entry);
+  }
+  CancelJob(id, *job, now);
+}
+
+void shard::CancelJob(const request_id& id, job_state& job, monotonic_time now) {
+  job.cancelled = true;
   core_.Cancel(id, now);
-  EndIfOver(id, *job, now);
+  parts_.Cancel(id, now);
+  EndIfOver(id, job, now);
 }
 
 void shard::Status(const std::string& entry, const status_query& query, monotonic_time /*now*/) {
@@ -262,8 +290,10 @@
   if (const job_state* job = Find(query.id)) {
     answer.known = true;
     answer.team = job->spec.team;
+    answer.home = job->spec.home;
+    answer.parts = job->spec.parts;
     answer.progress = ProgressOf(*job);
-    answer.ended = job->ended;
+    if (!job->end_untold) answer.ended = job->ended;
     answer.waits_for = core_.WaitsFor(query.id);
     if (!job->accepted && answer.waits_for.empty() && !job->ended) answer.waits_for = "its record";
   }
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -21,6 +21,7 @@
 #include "process/events.h"
 #include "process/identity_memory.h"
 #include "process/message.h"
+#include "process/part_keeper.h"
 #include "process/team_names.h"
 #include "request/job_state.h"
 #include "version/contract.h"
@@ -57,9 +58,19 @@
   std::string entry;
   status_answer answer;
 };
-// A durable job to be recorded before it is accepted, or a change to one.
+// A durable job to be recorded before it is accepted, or a change to its parts.
 struct record_action {
   request_id job;
+  bool is_change = false;
+};
+// A message about a part of a spread job whose home this is, to the owner of the part's shard.
+struct part_action {
+  part_call call;
+};
+// An answer to the home of a spread job, through the entry that owns it.
+struct part_answer_action {
+  std::string entry;
+  part_answer_message answer;
 };
 // The end of a task of a durable job, to be recorded before the endpoint may forget it.
 struct complete_action {
@@ -80,7 +91,8 @@
 
 using shard_action =
     std::variant<fence_action, sync_action, start_action, stop_action, answer_action, status_action,
-                 record_action, complete_action, superseded_action, event_action>;
+                 record_action, part_action, part_answer_action, complete_action, superseded_action,
+                 event_action>;
 
 struct shard_options {
   std::string name;
@@ -118,7 +130,8 @@
 
   // From entries.
   void Place(const std::string& entry, place_message place, monotonic_time now);
-  void Cancel(const std::string& entry, const request_id& id, monotonic_time now);
+  void Cancel(const std::string& entry, const cancel_message& what, monotonic_time now);
+  void OnPartAnswer(const part_answer_message& answer, monotonic_time now);
   void Status(const std::string& entry, const status_query& query, monotonic_time now);
 
   // Answers of endpoints; `token` is that of the call.
@@ -131,6 +144,8 @@
   // The store has the job's record, or surely will not have it.
   void OnRecorded(const request_id& job, bool durable, monotonic_time now);
   void OnCompletionRecorded(const request_id& job, uint32_t index, monotonic_time now);
+  // The store knows that the job is over.
+  void OnEndRecorded(const request_id& job);
 
   // Decides, and appends what is to be done now. Starts are in their own right: the caller checks
   // its ownership immediately before sending each.
@@ -196,6 +211,18 @@
   void End(const request_id& id, job_state& job, outcome result, monotonic_time now);
   void EndIfOver(const request_id& id, job_state& job, monotonic_time now);
   void Answer(const job_state& job, const outcome& result);
+  void Reply(const std::string& entry, const job_state& job, const outcome& result);
+  // shard_parts.cc: jobs that are spread over shards.
+  void MarkElsewhere(job_state& job);
+  void OpenParts(const request_id& id, job_state& job, monotonic_time now);
+  void TellAccepted(const request_id& id, job_state& job, monotonic_time now);
+  bool MayTellAccepted(const request_id& id, const job_state& job, monotonic_time now) const;
+  outcome Accepted(const request_id& id) const;
+  void TakeHome(const request_id& id, job_state& job, const std::string& from);
+  void OnPartsRecorded(const request_id& id, job_state& job);
+  void CancelJob(const request_id& id, job_state& job, monotonic_time now);
+  void CancelUnknownPart(const std::string& entry, const cancel_message& what, monotonic_time now);
+  void ActParts(monotonic_time now);
   void Track(const request_id& id, const job_state& job);
   void ReleaseHeld(monotonic_time now);
   void ResumeRestored(monotonic_time now);
@@ -222,6 +249,8 @@
   std::set<request_id> gangs_;     // that have not ended
   std::set<request_id> services_;  // that have not ended
   identity_memory identities_;     // of work that a caller waits for, beyond its job_state
+  part_keeper parts_;              // of the jobs whose home this is
+  std::set<std::pair<monotonic_time, request_id>> untold_;  // when each is told accepted at last
   std::vector<held_place> held_;
   std::vector<request_id> restored_;  // not resumed yet: some endpoint is not listed
   std::set<std::pair<monotonic_time, request_id>> deadlines_;  // of work that runs for a caller
--- a/src/process/shard_endpoints.cc
+++ b/src/process/shard_endpoints.cc
@@ -95,6 +95,8 @@
   monotonic_time wake = core_.NextWake();
   if (!deadlines_.empty()) wake = std::min(wake, deadlines_.begin()->first);
   if (!ended_.empty()) wake = std::min(wake, ended_.begin()->first);
+  if (!untold_.empty()) wake = std::min(wake, untold_.begin()->first);
+  wake = std::min(wake, parts_.NextWake());
   for (const endpoint_record& at : endpoints_) wake = std::min(wake, at.link.NextWake());
   return wake;
 }
--- /dev/null
+++ b/src/process/shard_parts.cc
@@ -0,0 +1,133 @@
+// The part of a shard that deals with jobs spread over several: as their home, and as the place of
+// one of their parts.
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "process/shard.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+// How long an accepted job's caller waits for the records of its parts. Its home has recorded which
+// replicas it owes to whom, so it is durable before; the wait serves the answer alone, which names
+// the shards that have not confirmed.
+constexpr milliseconds kPartsAnswer{1500};
+constexpr milliseconds kPartMemory{600000};
+// Sendings of one owner; the next owner's numbers are higher.
+constexpr int kSendBits = 24;
+
+}  // namespace
+
+void shard::MarkElsewhere(job_state& job) {
+  for (const job_part& part : job.spec.parts) {
+    if (part.shard == options_.name) continue;
+    for (uint32_t i = part.first; i < part.first + part.tasks && i < job.tasks.size(); ++i) {
+      job.tasks[i].phase = task_phase::kElsewhere;
+    }
+  }
+}
+
+// Begins to place the parts of a job whose home this is; again after a change of owner, since
+// nobody wrote down which of them were confirmed.
+void shard::OpenParts(const request_id& id, job_state& job, monotonic_time now) {
+  if (!job.spec.home.empty()) return;
+  std::vector<std::string> shards;
+  for (const job_part& part : job.spec.parts) {
+    const bool is_new = std::find(shards.begin(), shards.end(), part.shard) == shards.end();
+    if (part.shard != options_.name && is_new) shards.push_back(part.shard);
+  }
+  if (shards.empty()) return;
+  parts_.Open(id, shards, options_.epoch << kSendBits, now);
+  job.tell_accepted = now + kPartsAnswer;
+  untold_.emplace(job.tell_accepted, id);
+}
+
+bool shard::MayTellAccepted(const request_id& id, const job_state& job, monotonic_time now) const {
+  if (!job.accepted || !job.durable || job.ended) return false;
+  return parts_.Unplaced(id).empty() || now >= job.tell_accepted;
+}
+
+outcome shard::Accepted(const request_id& id) const {
+  outcome accepted = AcceptedOutcome(id);
+  for (const std::string& name : parts_.Unplaced(id)) {
+    absl::StrAppend(&accepted.detail, accepted.detail.empty() ? "not confirmed yet by " : ", ",
+                    name);
+  }
+  return accepted;
+}
+
+void shard::TellAccepted(const request_id& id, job_state& job, monotonic_time now) {
+  if (!MayTellAccepted(id, job, now)) return;
+  untold_.erase({job.tell_accepted, id});
+  Answer(job, Accepted(id));
+}
+
+void shard::OnPartAnswer(const part_answer_message& answer, monotonic_time now) {
+  job_state* job = Find(answer.id);
+  if (job == nullptr || job->ended) return;
+  const part_news news = parts_.OnAnswer(answer);
+  job->ever_ran = job->ever_ran || answer.ran;
+  if (news == part_news::kNone) return;
+  if (news == part_news::kPlaced) Note(event_code::kPartPlaced, answer.id, answer.shard);
+  if (news == part_news::kRefused) TakeHome(answer.id, *job, answer.shard);
+  // Only a home cancels parts: an earlier owner of this shard has begun to cancel the job and did
+  // not live to write that down. Part of it is gone, so the rest follows.
+  if (news == part_news::kOver && answer.cancelled && !job->cancelled) {
+    CancelJob(answer.id, *job, now);
+  }
+  TellAccepted(answer.id, *job, now);
+  EndIfOver(answer.id, *job, now);
+}
+
+// What another shard turned away waits here. Not before that is recorded: an owner that read the
+// old record would place the same replicas elsewhere once more.
+void shard::TakeHome(const request_id& id, job_state& job, const std::string& from) {
+  for (job_part& part : job.spec.parts) {
+    if (part.shard == from) part.shard = options_.name;
+  }
+  Note(event_code::kPartTakenHome, id, from);
+  actions_.push_back(record_action{id, true});
+}
+
+void shard::OnPartsRecorded(const request_id& id, job_state& job) {
+  for (const job_part& part : job.spec.parts) {
+    if (part.shard != options_.name) continue;
+    for (uint32_t i = part.first; i < part.first + part.tasks && i < job.tasks.size(); ++i) {
+      if (job.tasks[i].phase != task_phase::kElsewhere) continue;
+      job.tasks[i].phase = task_phase::kWaiting;
+      core_.TakeIn(id, i);
+    }
+  }
+}
+
+// A part that never came, or is forgotten. It is remembered as cancelled: its placement may still
+// be on the way here, and would start what its caller hears is over.
+void shard::CancelUnknownPart(const std::string& entry, const cancel_message& what,
+                              monotonic_time now) {
+  job_state& job = jobs_[what.id];
+  job.spec.id = what.id;
+  job.spec.kind = workload_kind::kService;
+  job.spec.home = what.home;
+  job.spec.send = what.send;
+  job.cancelled = true;
+  job.ended = RefusedOutcome(what.id, refusal_reason::kCancelled, {}, "");
+  ended_.emplace(now + kPartMemory, what.id);
+  Reply(entry, job, *job.ended);
+}
+
+void shard::ActParts(monotonic_time now) {
+  while (!untold_.empty() && untold_.begin()->first <= now) {
+    const request_id id = untold_.begin()->second;
+    untold_.erase(untold_.begin());
+    job_state* job = Find(id);
+    if (job != nullptr) TellAccepted(id, *job, now);
+  }
+  std::vector<part_call> calls;
+  parts_.Tick(now, calls);
+  for (part_call& call : calls) actions_.push_back(part_action{std::move(call)});
+}
+
+}  // namespace catkinford
--- a/src/process/shard_tasks.cc
+++ b/src/process/shard_tasks.cc
@@ -25,6 +25,7 @@
   StopLate(now);
   ReleaseHeld(now);
   ResumeRestored(now);
+  ActParts(now);
   TakeCommands(now);
   CallEndpoints(now);
   std::move(actions_.begin(), actions_.end(), std::back_inserter(out));
@@ -38,7 +39,9 @@
   std::map<std::pair<endpoint_index, bool>, stop_action> stops;
   for (const command& next : commands_) {
     if (next.kind == command_kind::kRefuse) {
-      Refuse(next.task.job, next.reason, next.retry_after, next.detail, now);
+      // Only its part here: the others are told on their own.
+      if (parts_.AllOver(next.task.job))
+        Refuse(next.task.job, next.reason, next.retry_after, next.detail, now);
     } else if (next.kind == command_kind::kStop) {
       stop_action& stop = stops[{next.endpoint, next.checkpoint}];
       stop.endpoint = next.endpoint;
@@ -65,7 +68,7 @@
   job_state* job = Find(end.task.job);
   if (job == nullptr || job->ended) return;
   EndIfOver(end.task.job, *job, now);
-  if (job->ended || ProgressOf(*job).running > 0) return;
+  if (job->ended || ProgressOf(*job).running > 0 || !parts_.AllOver(end.task.job)) return;
   const bool may_have_run = end.end == job_end::kUnknown;
   const std::string detail = job->fault.empty() ? end.detail : job->fault;
   End(end.task.job, *job,
@@ -170,27 +173,66 @@
   End(id.job, *job, UnknownOutcome(id.job, "its endpoint was lost while it ran"), now);
 }
 
-void shard::Answer(const job_state& job, const outcome& result) {
-  for (const std::string& entry : job.entries) {
+void shard::Reply(const std::string& entry, const job_state& job, const outcome& result) {
+  if (job.spec.home.empty()) {
     actions_.push_back(answer_action{entry, result});
+    return;
   }
+  part_answer_message answer;
+  answer.id = result.id;
+  answer.home = job.spec.home;
+  answer.shard = options_.name;
+  answer.send = job.spec.send;
+  answer.cancelled = job.cancelled;
+  answer.ran = job.ever_ran;
+  answer.result = result;
+  actions_.push_back(part_answer_action{entry, std::move(answer)});
+}
+
+void shard::Answer(const job_state& job, const outcome& result) {
+  for (const std::string& entry : job.entries) Reply(entry, job, result);
 }
 
+// The end of a durable job that did not run, or not to its end, is told once the store has it. Told
+// at once, and the owner dying before the write, the next owner would find the job unfinished and
+// run it: its caller had heard "cancelled" or "not run".
 void shard::End(const request_id& id, job_state& job, outcome result, monotonic_time now) {
   if (job.ended) return;
-  Answer(job, result);
-  job.entries.clear();
+  const bool never_recorded = result.reason == refusal_reason::kNotDurable;
+  const bool is_durable = IsDurable(job.spec.kind);
+  const bool has_record = is_durable && job.has_spec && !never_recorded;
   gangs_.erase(id);
   services_.erase(id);
   deadlines_.erase({job.deadline, id});
-  if (job.durable) actions_.push_back(complete_action{{id, 0, 0}, false, true});
+  untold_.erase({job.tell_accepted, id});
+  parts_.Close(id);
+  job.end_untold = has_record && (job.cancelled || result.kind == outcome_kind::kRefused);
   job.ended = std::move(result);
-  if (!IsDurable(job.spec.kind)) identities_.Finish(id, *job.ended, now);
-  ended_.emplace(job.durable ? now + kDurableMemory : now, id);
+  if (!job.end_untold) {
+    Answer(job, *job.ended);
+    job.entries.clear();
+  }
+  if (has_record) actions_.push_back(complete_action{{id, 0, 0}, false, true});
+  if (!is_durable) identities_.Finish(id, *job.ended, now);
+  // A part that was turned away is remembered too: a placement that was sent before and comes late
+  // must not start what its home has taken elsewhere since.
+  const bool remembered = has_record || !job.spec.home.empty();
+  ended_.emplace(remembered ? now + kDurableMemory : now, id);
+}
+
+void shard::OnEndRecorded(const request_id& id) {
+  job_state* job = Find(id);
+  if (job == nullptr || !job->end_untold) return;
+  job->end_untold = false;
+  Answer(*job, *job->ended);
+  job->entries.clear();
 }
 
 void shard::EndIfOver(const request_id& id, job_state& job, monotonic_time now) {
-  if (job.ended) return;
+  if (job.ended || !parts_.AllOver(id)) return;
+  // Its tasks may all be elsewhere, or on their way here: that none waits or runs here says
+  // nothing.
+  if (!job.spec.parts.empty() && !job.cancelled) return;
   if (std::optional<outcome> end = EndOf(job)) End(id, job, *std::move(end), now);
 }
 
--- a/src/request/job_state.cc
+++ b/src/request/job_state.cc
@@ -20,11 +20,21 @@
       case task_phase::kFailed:
         ++progress.failed;
         break;
+      case task_phase::kElsewhere:
+        break;
     }
   }
   return progress;
 }
 
+std::vector<uint32_t> WaitingOf(const job_state& job) {
+  std::vector<uint32_t> waiting;
+  for (uint32_t i = 0; i < job.tasks.size(); ++i) {
+    if (job.tasks[i].phase == task_phase::kWaiting) waiting.push_back(i);
+  }
+  return waiting;
+}
+
 std::optional<outcome> EndOf(const job_state& job) {
   const job_progress progress = ProgressOf(job);
   if (progress.running > 0) return std::nullopt;
--- a/src/request/job_state.h
+++ b/src/request/job_state.h
@@ -20,6 +20,7 @@
   kRunning,
   kDone,
   kFailed,
+  kElsewhere,  // of a spread job: it lives in another shard
 };
 
 inline bool IsOver(task_phase phase) {
@@ -47,10 +48,15 @@
   std::string fault;   // of the first task that failed
   monotonic_time deadline = monotonic_time::max();
   monotonic_time arrived{};  // until its first start
+  // Of a spread job that waits for its parts' records: when its caller is told all the same.
+  monotonic_time tell_accepted = monotonic_time::max();
   std::optional<outcome> ended;
+  bool end_untold = false;  // its end is told once the store has it
 };
 
 job_progress ProgressOf(const job_state& job);
+// Tasks that wait here.
+std::vector<uint32_t> WaitingOf(const job_state& job);
 // The job's end, once no task waits or runs; a service ends only when it is cancelled.
 std::optional<outcome> EndOf(const job_state& job);
 // Kinds whose acceptance means that their record is in the store.
--- /dev/null
+++ b/test/parts_world.h
@@ -0,0 +1,125 @@
+// Three shards, one in each failure domain, with a log and one endpoint each, and messages between
+// them that are lost, doubled and late: for tests of jobs that are spread over shards.
+#ifndef CATKINFORD_TEST_PARTS_WORLD_H_
+#define CATKINFORD_TEST_PARTS_WORLD_H_
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "process/shard.h"
+
+namespace catkinford {
+
+constexpr size_t kSites = 3;
+
+class parts_world {
+ public:
+  explicit parts_world(uint64_t seed);
+
+  // A service of `replicas`, spread evenly, whose home is the first site. As often as a caller
+  // asks.
+  void Ask(uint32_t replicas);
+  void Cancel();
+  // Lets all shards act, and carries out what they want.
+  void Step(std::chrono::milliseconds time);
+  // A new owner under a higher epoch reads the log; the endpoint runs on. Of the writes under way
+  // some may still have come through.
+  void ReplaceOwner(size_t site);
+  void CutOff(size_t site, bool cut) { cut_[site] = cut; }
+  // How the world treats messages and records from now on, in percent.
+  struct odds {
+    int lost = 0;
+    int doubled = 0;
+    int late = 0;
+    int not_recorded = 0;
+    int slow_store = 0;
+  };
+  void SetOdds(const odds& to) { odds_ = to; }
+  // Teams may have this many tasks waiting in a site.
+  void SetQueueLimit(size_t site, uint32_t tasks);
+
+  // For each replica, at how many endpoints it runs now.
+  std::map<uint32_t, int> Running() const;
+  std::set<uint32_t> RunningAt(size_t site) const;
+  // Whether a replica ever ran at two endpoints at once.
+  bool RanTwice() const { return ran_twice_; }
+  const std::vector<outcome>& Outcomes() const { return outcomes_; }
+  bool Told(outcome_kind kind) const;
+  // Its caller heard that it was cancelled.
+  bool ToldOver() const;
+  monotonic_time Now() const { return now_; }
+  shard& At(size_t site) { return *sites_[site].owner; }
+  int Below(int limit) { return static_cast<int>(random_() % static_cast<uint64_t>(limit)); }
+
+ private:
+  struct site_state {
+    std::string name;
+    uint64_t epoch = 1;
+    uint64_t next_seq = 1;
+    uint32_t queue_limit = 1000;
+    std::unique_ptr<shard> owner;
+    std::map<request_id, place_message> log;
+    std::set<task_id> running;
+  };
+  // A write to a log that is under way.
+  struct log_write {
+    size_t site = 0;
+    request_id job;
+    std::optional<place_message> record;  // absent: the job is over
+  };
+  using letter = std::variant<place_message, cancel_message, part_answer_message>;
+  struct sent_letter {
+    size_t from = 0;
+    size_t to = 0;
+    uint64_t to_epoch = 0;  // the process that it is addressed to
+    letter body;
+  };
+
+  void Open(size_t site);
+  void Configure(size_t site);
+  size_t SiteOf(const std::string& shard) const;
+  std::string EntryOf(size_t site) const;
+  void Post(size_t from, size_t to, uint64_t to_epoch, letter body);
+  void Deliver();
+  void Commit(size_t site);
+  void Tell(const log_write& done);
+  void Hand(const sent_letter& sent);
+  endpoint_reply ReplyOf(size_t site) const;
+  void Do(size_t site, const fence_action& action);
+  void Do(size_t site, const start_action& action);
+  void Do(size_t site, const stop_action& action);
+  void Do(size_t site, const record_action& action);
+  void Do(size_t site, const complete_action& action);
+  void Do(size_t site, const part_action& action);
+  void Do(size_t site, const part_answer_action& action);
+  void Do(size_t site, const answer_action& action);
+  template <typename Other>
+  void Do(size_t /*site*/, const Other& /*action*/) {}
+
+  std::mt19937_64 random_;
+  odds odds_;
+  team_names teams_;
+  std::array<site_state, kSites> sites_;
+  std::array<bool, kSites> cut_{};
+  std::vector<sent_letter> post_;
+  std::deque<log_write> writes_;
+  std::vector<outcome> outcomes_;
+  place_message service_;
+  bool ran_twice_ = false;
+  monotonic_time now_ = monotonic_time{} + std::chrono::hours{1};
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_TEST_PARTS_WORLD_H_
