Send a job's record in the round in which it is asked for

Cause: the log was asked for its calls before the shards acted, so a record waited for the next round of the loop, up to its longest sleep of 50 ms; a spread service waited twice.

--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -209,6 +209,9 @@
     DeliverLocal(now);
     ActShards(now);
   } while (!local_.empty());
+  // Records that the shards asked for just now. Left to the next round of the loop, each would wait
+  // for up to its longest sleep.
+  for (opened_log& log : jobs_.Tick(now)) GainShard(std::move(log), now);
   if (now >= next_gauges_) UpdateGauges(now);
   if (shutting_down_) CheckShutdown(now);
 }
