Tell a new owner which endpoints have forgotten what they ran

Cause: a new owner takes the fenced lists of its endpoints for the whole memory of what was started. An endpoint that restarted between the old owner's start and that list has an empty list that looks whole, and a request that is not repeatable was started again when its caller asked again (docs/design/041, 'Left'). The same held for accepted jobs that are not to be repeated.

Weighed: heartbeats, the ownership record, a digest, a value of its own in the store (chosen); docs/design/041 has the table. Nothing waits for a write: an old value differs from what the endpoint shows and so errs to the careful side.

Change: incarnation_keeper keeps {endpoint: incarnation} for each shard. A first list with another incarnation makes unknown identities uncertain for a window, and ends waiting non-repeatable jobs as unknown. New incarnations are recorded only after a window.

--- a/bench/scenario_faults.cc
+++ b/bench/scenario_faults.cc
@@ -21,6 +21,7 @@
 constexpr int kRaces = 8;
 constexpr int kWave = 1000;
 constexpr int kAsks = 200;
+constexpr int kAskRounds = 3;
 constexpr uint32_t kLoweredLimit = 10;
 
 size_t PickDomain(scenario_run& run) {
@@ -255,6 +256,36 @@
   run.Sleep(milliseconds{2000});
 }
 
+// An owner dies, and before the next one has listed the endpoints they restart and forget what they
+// ran. Callers that wait, or that lost their answer with the owner, ask again with the same keys.
+void EndpointsRestartInTakeover(scenario_run& run) {
+  const std::vector<load_target> targets = run.InBalancer();
+  if (targets.empty()) return;
+  const size_t domain = PickDomain(run);
+  const auto ask = [&](int i, size_t target) {
+    call_spec spec;
+    spec.work = absl::StrCat("lost-", i);
+    spec.repeatable = false;
+    spec.run_time = milliseconds{50};
+    const load_target& at = targets[target % targets.size()];
+    run.Callers().Submit(at.entry, at.url, run.Teams()[static_cast<size_t>(i) % run.Teams().size()],
+                         spec, steady_clock::now());
+  };
+  for (int i = 0; i < kAsks; ++i) {
+    ask(i, static_cast<size_t>(i));
+    run.Sleep(milliseconds{1});
+  }
+  run.KillEntry(run.OwnerSlot(domain));
+  for (const std::string& endpoint : run.Fleet().EndpointsOf(domain)) {
+    run.Fleet().SetEndpointMode(endpoint, "dead");
+    run.Fleet().SetEndpointMode(endpoint, "up");
+  }
+  for (int round = 0; round < kAskRounds; ++round) {
+    run.Sleep(kShortFault / kAskRounds);
+    for (int i = 0; i < kAsks; ++i) ask(i, static_cast<size_t>(i + round) + 1);
+  }
+}
+
 void NeedLinks(scenario_options& options) { options.fleet.proxied = true; }
 
 // Longer than the run waits for an exit: an entry that only ends at its limit counts as stuck.
@@ -297,6 +328,8 @@
     {"operators_race", "two operators at two entries, conflicting changes at once", nullptr,
      &OperatorsRace},
     {"cancel_wave", "1,000 batch jobs, all cancelled at once", nullptr, &CancelWave},
+    {"endpoints_restart_in_takeover", "an owner dies, its endpoints restart, callers ask again",
+     nullptr, &EndpointsRestartInTakeover},
     {"caller_asks_again", "not repeatable requests, asked at three entries; an owner dies", nullptr,
      &CallerAsksAgain},
 });
--- /dev/null
+++ b/src/process/incarnation_keeper.h
@@ -0,0 +1,61 @@
+// The incarnations of a shard's endpoints, as one value in the platform's store.
+//
+// What an endpoint retains of finished work is the durable part of the memory that keeps a request
+// from running twice, and an endpoint that restarts loses it. A new owner sees only the present
+// incarnation; this value tells it the one under which earlier owners may have started work. An old
+// value does no harm: it differs from the endpoint's incarnation, and then what may have run there
+// counts as unknown. See docs/design/041-at-most-once.md.
+#ifndef CATKINFORD_PROCESS_INCARNATION_KEEPER_H_
+#define CATKINFORD_PROCESS_INCARNATION_KEEPER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "connection/store_adapter.h"
+#include "process/registration.h"
+#include "process/shard.h"
+
+namespace catkinford {
+
+class incarnation_keeper {
+ public:
+  // Sends a call to the store; the reply comes on the core thread.
+  using sender =
+      std::function<void(const store_request&, std::function<void(store_reply, monotonic_time)>)>;
+
+  incarnation_keeper(std::string writer, sender send);
+
+  // Reads the shard's value.
+  void OnGained(const shard& of, monotonic_time now);
+  void OnLost(const std::string& shard_name) { held_.erase(shard_name); }
+  // Gives the shard what was read, and writes what it wants recorded.
+  void Tick(shard& of, monotonic_time now);
+
+ private:
+  struct held_value {
+    uint64_t generation = 0;
+    uint64_t revision = 0;
+    incarnations known;
+    incarnations written;  // by the call under way
+    bool read = false;
+    bool in_flight = false;
+    bool given = false;  // the shard has `known`
+    monotonic_time next_call{};
+  };
+
+  void Call(const std::string& shard_name, held_value& held, store_request call);
+  void OnReply(const std::string& shard_name, held_value& held, const store_reply& reply,
+               monotonic_time now);
+
+  std::string writer_;
+  sender send_;
+  call_tags tags_;
+  uint64_t generation_ = 0;
+  std::map<std::string, held_value> held_;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_INCARNATION_KEEPER_H_
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -101,8 +101,13 @@
           [this](monotonic_time now) { OnVersion(now); }),
       grants_(store_, [this](core_task task) { Post(std::move(task)); }),
       usage_elsewhere_(UsageTimeConstant(config_)),
-      jobs_(config_.name, [this](const store_request& call,
-                                 std::function<void(store_reply, monotonic_time)> done) {
+      jobs_(
+          config_.name,
+          [this](const store_request& call, std::function<void(store_reply, monotonic_time)> done) {
+            SendStoreRequest(call, std::move(done));
+          }),
+      lives_(config_.name, [this](const store_request& call,
+                                  std::function<void(store_reply, monotonic_time)> done) {
         SendStoreRequest(call, std::move(done));
       }) {}
 
@@ -194,7 +199,10 @@
     TickStatus(now);
   }
   for (opened_log& log : jobs_.Tick(now)) GainShard(std::move(log), now);
-  for (auto& [number, held] : shards_) jobs_.TakeNotices(number, *held, now);
+  for (auto& [number, held] : shards_) {
+    jobs_.TakeNotices(number, *held, now);
+    lives_.Tick(*held, now);
+  }
   std::vector<shard*> owned;
   owned.reserve(shards_.size());
   for (auto& [number, held] : shards_) owned.push_back(held.get());
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -27,6 +27,7 @@
 #include "process/config_keeper.h"
 #include "process/event_log.h"
 #include "process/grant_keeper.h"
+#include "process/incarnation_keeper.h"
 #include "process/job_keeper.h"
 #include "process/metrics.h"
 #include "process/ownership.h"
@@ -231,6 +232,7 @@
   grant_keeper grants_;
   usage_average usage_elsewhere_;
   job_keeper jobs_;
+  incarnation_keeper lives_;
   std::map<uint32_t, std::unique_ptr<shard>> shards_;
   std::map<std::string, peer_state> peers_;
   std::set<std::string> endpoint_names_;  // of the whole fleet, as last listed
--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -82,6 +82,7 @@
   gained->Restore(std::move(log.jobs), now);
   GiveEndpoints(*gained, now);
   grants_.OnGained(options.name, epoch);
+  lives_.OnGained(*gained, now);
   routes_.OnReport(config_.name, gained->Report(), now);
   shards_[number] = std::move(gained);
   for (auto& [name, peer] : peers_) peer.next_beat = now;  // tells all who owns it
@@ -99,6 +100,7 @@
             found->second->Epoch(), name);
   shards_.erase(found);
   grants_.OnLost(name);
+  lives_.OnLost(name);
   routes_.OnNotOwner(config_.name, name);
   table_.OnNewOwner(name, now);
 }
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -88,6 +88,13 @@
     return;
   }
   if (!IsDurable(place.kind) && AnswerFromMemory(entry, place, now)) return;
+  const bool may_have_run =
+      IsDurable(place.kind) && !place.fresh && !place.repeatable && !identities_.Certain(now);
+  if (may_have_run) {
+    actions_.push_back(
+        answer_action{entry, UnknownOutcome(id, "it may have run where it is lost")});
+    return;
+  }
   if (closed_) {
     outcome refused =
         RefusedOutcome(id, refusal_reason::kShuttingDown, kAskAgain, "its owner is being stopped");
@@ -248,6 +255,7 @@
 // Once every endpoint was listed, what neither ended nor runs is known to wait.
 void shard::ResumeRestored(monotonic_time now) {
   if (restored_.empty() || !AllListed()) return;
+  identities_.SetUnlisted(0);
   for (const request_id& id : std::exchange(restored_, {})) {
     job_state* job = Find(id);
     if (job == nullptr || job->ended) continue;
@@ -255,6 +263,11 @@
     for (uint32_t i = 0; i < job->tasks.size(); ++i) {
       if (job->tasks[i].phase == task_phase::kWaiting) waiting.push_back(i);
     }
+    // In no list, and one of the lists is not whole: an earlier owner may have started it.
+    if (!waiting.empty() && !job->spec.repeatable && !identities_.Certain(now)) {
+      End(id, *job, UnknownOutcome(id, "it may have run where it is lost"), now);
+      continue;
+    }
     Track(id, *job);
     core_.Resume(RequestOf(*job, now), waiting, now);
   }
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -102,6 +103,9 @@
   std::vector<uint32_t> failed;
 };
 
+// Of endpoints, by name: the number of the life in which each was last known to keep its memory.
+using incarnations = std::map<std::string, uint64_t>;
+
 class shard {
  public:
   shard(shard_options options, team_names& teams);
@@ -110,6 +114,13 @@
   // a job whose last task just ended for one that never started.
   void Restore(std::vector<restored_job> jobs, monotonic_time now);
 
+  // As the store has them. An endpoint in another life than the recorded one has forgotten what it
+  // ran for earlier owners.
+  void SetIncarnations(incarnations recorded, monotonic_time now);
+  // What the store should have: of an endpoint that has forgotten something, the former life until
+  // every identity that it may have run is out of its window.
+  incarnations Incarnations(monotonic_time now) const;
+
   // The endpoints of this shard, from the instance list.
   void SetEndpoints(const std::vector<instance>& endpoints, monotonic_time now);
   void SetConfiguration(const configuration& config, monotonic_time now);
@@ -161,7 +172,7 @@
   const endpoint_address& Address(endpoint_index index) const { return endpoints_[index].address; }
   // Whether every endpoint was listed under this epoch, so that an identity that is not known has
   // surely not started.
-  bool AllListed() const { return unlisted_ == 0 && has_endpoints_; }
+  bool AllListed() const { return unlisted_ == 0 && has_endpoints_ && has_incarnations_; }
   const place_message* SpecOf(const request_id& job) const;
 
  private:
@@ -174,6 +185,9 @@
     bool leaving = false;
     bool drained = false;     // by an operator
     uint32_t unrecorded = 0;  // ends told by it that are not durable yet
+    monotonic_time added{};
+    monotonic_time forgot{};    // when it was last seen to have forgotten what it ran
+    uint64_t checked_life = 0;  // its incarnation, once compared with the recorded one
   };
   // A place that has to wait until it is known what runs.
   struct held_place {
@@ -194,6 +208,7 @@
   void LoseTask(const task_id& id, monotonic_time now);
   void LoseAllAt(endpoint_index index, monotonic_time now);
   bool IsSuperseded(const endpoint_reply& reply);
+  void CheckMemory(endpoint_record& at, monotonic_time now);
 
   bool AnswerFromMemory(const std::string& entry, const place_message& place, monotonic_time now);
   job_state& Admit(const std::string& entry, place_message place, monotonic_time now);
@@ -229,6 +244,9 @@
   absl::flat_hash_map<std::string, uint32_t> racks_;
   uint32_t unlisted_ = 0;
   bool has_endpoints_ = false;
+  bool has_incarnations_ = false;
+  incarnations recorded_;
+  monotonic_time opened_{};  // when it got its first endpoints
   bool closed_ = false;
   absl::flat_hash_map<request_id, job_state> jobs_;
   std::set<request_id> gangs_;     // that have not ended
--- a/src/process/shard_endpoints.cc
+++ b/src/process/shard_endpoints.cc
@@ -8,6 +8,7 @@
 namespace catkinford {
 
 void shard::SetEndpoints(const std::vector<instance>& endpoints, monotonic_time now) {
+  if (!has_endpoints_) opened_ = now;
   for (endpoint_record& at : endpoints_) at.present = false;
   for (const instance& from : endpoints) {
     const auto found = endpoint_by_name_.find(from.name);
@@ -40,6 +41,7 @@
   endpoint_link link(options_.link, options_.epoch, now);
   endpoints_.push_back({{from.address, from.name}, shape, link});
   endpoints_.back().leaving = from.leaving;
+  endpoints_.back().added = now;
   endpoint_by_name_.emplace(from.name, index);
   ++unlisted_;
   core_.SetEndpoint(index, shape, endpoint_state::kUnfenced, now);
@@ -106,6 +108,47 @@
   --unlisted_;
 }
 
+void shard::SetIncarnations(incarnations recorded, monotonic_time now) {
+  recorded_ = std::move(recorded);
+  if (has_incarnations_) return;
+  has_incarnations_ = true;
+  for (endpoint_record& at : endpoints_) {
+    if (at.link.Incarnation() != 0) CheckMemory(at, now);
+  }
+}
+
+incarnations shard::Incarnations(monotonic_time now) const {
+  incarnations wanted;
+  for (const endpoint_record& at : endpoints_) {
+    if (!at.present) continue;
+    const bool whole = at.checked_life != 0 && (at.forgot == monotonic_time{} ||
+                                                now - at.forgot >= options_.identity_window);
+    const auto before = recorded_.find(at.address.name);
+    if (whole) wanted[at.address.name] = at.checked_life;
+    if (!whole && before != recorded_.end()) wanted[at.address.name] = before->second;
+  }
+  return wanted;
+}
+
+// An endpoint that restarted between an earlier owner's start and our list has forgotten the task,
+// and its list looks complete. Taken for complete, work that is not to be repeated would run a
+// second time when its caller asks again, seen as two starts of one request in the endpoints'
+// records. An endpoint that joins an owner that has been at work for a window was in nobody's list.
+void shard::CheckMemory(endpoint_record& at, monotonic_time now) {
+  const uint64_t life = at.link.Incarnation();
+  if (!has_incarnations_ || life == at.checked_life) return;
+  const bool is_first = at.checked_life == 0;
+  at.checked_life = life;
+  const auto before = recorded_.find(at.address.name);
+  const bool same = before != recorded_.end() && before->second == life;
+  const bool no_earlier_owner = options_.epoch == 1 && recorded_.empty();
+  const bool is_new = before == recorded_.end() && at.added - opened_ >= options_.identity_window;
+  if (is_first && (same || no_earlier_owner || is_new)) return;
+  at.forgot = now;
+  // What we ourselves had started there is known, and lost.
+  if (is_first) identities_.OnListLost(now);
+}
+
 // Another owner has been here with a higher epoch.
 bool shard::IsSuperseded(const endpoint_reply& reply) {
   if (reply.status != endpoint_status::kFenced) return false;
@@ -127,6 +170,7 @@
   const uint64_t before = at.link.Incarnation();
   const bool restarted = before != 0 && before != reply.incarnation;
   at.link.OnFenced(reply.incarnation, now);
+  CheckMemory(at, now);
   TakeList(index, token, reply, now);
   if (at.listed) DropUnlisted(index, reply, restarted, now);
   Listed(at, now);
--- a/test/shard_test.cc
+++ b/test/shard_test.cc
@@ -32,6 +32,7 @@
     grant.grant = {{100000, 100000, 0, 100}, 100};
     shard_.SetGrants({grant}, now_);
     shard_.SetEndpoints({Endpoint("ep-0"), Endpoint("ep-1")}, now_);
+    shard_.SetIncarnations({{"ep-0", 1}, {"ep-1", 1}}, now_);
   }
 
  protected:
