Settle a start whose reply is lost by the list that was taken since; count one that an endpoint's former life may have run

Causes, all in the same corner of the shard (OnStart, DropUnlisted, SetEndpoints): - A reply lost after the token had been raised fenced the endpoint again and did not tell the core, which went on placing there while the link was silent. - That second fence proves nothing that the first did not: the list under the raised token shows the task or keeps it out. - An endpoint that restarted was listed under the same token, and a start whose reply was lost then counted as not taken: it was started again, although the former life may have run it. A request that is not repeatable ran twice. - An endpoint replaced under the same name was fenced without telling the core.

Change: SettleUnsure() decides by the list under the raised token, or waits for the one under way; Restarted() raises the token; a restart loses what was sent, too. Without fencing a list proves less, and the endpoint is fenced anew.

--- a/src/connection/endpoint_link.cc
+++ b/src/connection/endpoint_link.cc
@@ -75,6 +75,7 @@
 }
 
 void endpoint_link::Restarted(monotonic_time now) {
+  RaiseToken();
   state_ = endpoint_link_state::kSilent;
   in_flight_ = false;
   next_call_ = now;
--- a/src/connection/endpoint_link.h
+++ b/src/connection/endpoint_link.h
@@ -52,7 +52,8 @@
   // endpoint fenced again before anything is believed about it: what then is not listed has not
   // started and cannot start any more, since its token is refused. Works without the store.
   void Refence(monotonic_time now);
-  // The endpoint restarted: list it again.
+  // The endpoint restarted: list it again, under a raised token, which keeps out of its new life
+  // what was sent to the former one.
   void Restarted(monotonic_time now);
   // True once, when the last lease at an endpoint that does not answer has lapsed.
   bool BecomesGone(monotonic_time now);
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -207,6 +207,8 @@
                     monotonic_time now);
   void LoseTask(const task_id& id, monotonic_time now);
   void LoseAllAt(endpoint_index index, monotonic_time now);
+  void SettleUnsure(endpoint_index index, uint64_t token, const std::vector<task_id>& unsure,
+                    monotonic_time now);
   bool IsSuperseded(const endpoint_reply& reply);
   void CheckMemory(endpoint_record& at, monotonic_time now);
 
--- a/src/process/shard_endpoints.cc
+++ b/src/process/shard_endpoints.cc
@@ -22,6 +22,7 @@
       // Replaced under the same name: what the old one ran is asked of the new one.
       at.address.base_url = from.address;
       at.link.Refence(now);
+      SetCoreState(found->second, now);
     }
     if (at.leaving != from.leaving) {
       at.leaving = from.leaving;
@@ -246,8 +247,8 @@
 }
 
 // What we believed to be at the endpoint and is not in its list. A restarted endpoint has lost all
-// that ran. Else only a start whose reply is lost can be missing: it did not take, and with the
-// token raised since it never will.
+// that ran, and what was sent to it may have run in its former life. Else only a start whose reply
+// is lost can be missing: it did not take, and with the token raised since it never will.
 void shard::DropUnlisted(endpoint_index index, const endpoint_reply& reply, bool restarted,
                          monotonic_time now) {
   absl::flat_hash_set<task_id> listed;
@@ -264,7 +265,7 @@
   for (const auto& [id, phase] : missing) {
     if (phase == task_phase::kMaybe && !restarted) {
       StartDidNotTake(id, false, now);
-    } else if (phase != task_phase::kSent) {
+    } else if (restarted || phase != task_phase::kSent) {
       LoseTask(id, now);
     }
   }
@@ -344,22 +345,32 @@
     core_.Started(result.id, now);
     Note(event_code::kTaskStarted, result.id.job, at.address.name);
   }
-  bool unsure = false;
+  std::vector<task_id> unsure;
   for (const start_task& sent_task : sent) {
     job_state* job = nullptr;
     task_progress* task = FindTask(sent_task.id, job);
     if (decided.contains(sent_task.id) || task == nullptr) continue;
     if (task->phase != task_phase::kSent) continue;
     task->phase = task_phase::kMaybe;
-    unsure = true;
+    unsure.push_back(sent_task.id);
   }
-  if (!unsure || token != at.link.Token()) {
-    // Fenced again since the start was sent: that list may be older than this reply.
-    if (unsure) at.link.Refence(now);
+  if (!unsure.empty()) SettleUnsure(index, token, unsure, now);
+}
+
+// Only a list under a token that is higher than the start's tells whether the start took.
+void shard::SettleUnsure(endpoint_index index, uint64_t token, const std::vector<task_id>& unsure,
+                         monotonic_time now) {
+  endpoint_record& at = endpoints_[index];
+  const bool raised_since = token != at.link.Token() && options_.endpoints_fence;
+  if (!raised_since) {
+    at.link.Refence(now);
+    SetCoreState(index, now);
     return;
   }
-  at.link.Refence(now);
-  SetCoreState(index, now);
+  // That list has come: it would have shown the task as running or ended, and the token keeps the
+  // start out from now on. Else it is under way, and settles the task when it comes.
+  if (at.link.State() != endpoint_link_state::kOpen) return;
+  for (const task_id& id : unsure) StartDidNotTake(id, false, now);
 }
 
 }  // namespace catkinford
--- /dev/null
+++ b/test/shard_restart_test.cc
@@ -0,0 +1,99 @@
+#include <catch2/catch.hpp>
+#include <optional>
+#include <vector>
+
+#include "shard_fixture.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A request that is not to be repeated, sent to an endpoint, and nothing heard of it yet.
+class sent_start_fixture : public shard_fixture {
+ public:
+  sent_start_fixture() {
+    AnswerFences();
+    place_message place = Place(1);
+    place.repeatable = false;
+    place.deadline_left = milliseconds{60000};
+    shard_.Place(kEntry, std::move(place), now_);
+    start_ = OneStart();
+    sync_ = SyncAt(start_.endpoint);
+  }
+
+ protected:
+  // Two syncs fail: the endpoint is silent, and is fenced again under a raised token.
+  fence_action FailSyncs() {
+    shard_.OnSync(start_.endpoint, sync_->call.epoch, endpoint_reply{}, now_);
+    Act();
+    shard_.OnSync(start_.endpoint, sync_->call.epoch, endpoint_reply{}, now_);
+    return OneFence();
+  }
+  fence_action OneFence() {
+    Act();
+    const auto fences = Taken<fence_action>();
+    REQUIRE(fences.size() == 1);
+    return fences[0];
+  }
+  endpoint_reply ListOfLife(uint64_t life) const {
+    endpoint_reply reply = Done();
+    reply.incarnation = life;
+    return reply;
+  }
+
+  start_action start_;
+  std::optional<sync_action> sync_;
+};
+
+}  // namespace
+
+// The reply to a start is lost, and before that is known the endpoint was listed under a raised
+// token without the task. It did not run and never will: it starts at once, without another round
+// of fencing in which the endpoint gets no work.
+TEST_CASE_METHOD(sent_start_fixture, "shard, reply lost after a newer list, starts again at once",
+                 "[shard]") {
+  const fence_action fence = FailSyncs();
+  shard_.OnFence(fence.endpoint, fence.token, Done(), now_);
+  LoseStartReply(start_);
+  const start_action again = OneStart();
+  CHECK(Taken<fence_action>().empty());
+  CHECK(again.tasks[0].id.attempt > start_.tasks[0].id.attempt);
+}
+
+// The same, with that list still on its way: it decides, and until it comes nothing new is sent to
+// an endpoint of which nothing is known.
+TEST_CASE_METHOD(sent_start_fixture, "shard, reply lost before a newer list, waits for the list",
+                 "[shard]") {
+  const fence_action fence = FailSyncs();
+  LoseStartReply(start_);
+  Act();
+  CHECK(Taken<fence_action>().empty());
+  CHECK(Taken<start_action>().empty());
+  shard_.OnFence(fence.endpoint, fence.token, Done(), now_);
+  CHECK(OneStart().tasks[0].id.attempt > start_.tasks[0].id.attempt);
+}
+
+// The endpoint runs a payment and restarts before its reply is out. The list of its next life does
+// not show the payment; started again, it would be made twice.
+TEST_CASE_METHOD(sent_start_fixture, "shard, endpoint restarted with a start under way, is unknown",
+                 "[shard]") {
+  shard_.OnSync(start_.endpoint, sync_->call.epoch, ListOfLife(2), now_);
+  const fence_action fence = OneFence();
+  CHECK(fence.token > start_.token);  // else the start could still arrive in the new life
+  shard_.OnFence(fence.endpoint, fence.token, ListOfLife(2), now_);
+  LoseStartReply(start_);
+  std::vector<answer_action> answers;
+  for (int i = 0; i < 3; ++i) {
+    Act();
+    for (const answer_action& answer : Taken<answer_action>()) answers.push_back(answer);
+    CHECK(Taken<start_action>().empty());
+    for (const fence_action& next : Taken<fence_action>()) {
+      shard_.OnFence(next.endpoint, next.token, ListOfLife(2), now_);
+    }
+  }
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].result.kind == outcome_kind::kUnknown);
+}
+
+}  // namespace catkinford
