Stamp the parts of a shard before its new owner speaks to an endpoint

Cause (docs/design/050, 'not closed by this code'): an old owner that takes tasks for lost by their lease returns their part of the limit, while its successor has renewed the tasks and has not yet written its epoch on the part. Another shard takes the part, and the team has more running than its limit.

Ruled out: a fresh read of the ownership record before each return (not atomic with the write); waiting a lease before returning (idle parts for 11 s).

Change: the holder is made when ownership is gained, reads grants/ and stamps (PlanStamps, Stamped); the shard opens when its log is read and all its parts are stamped.

--- a/src/process/grant_keeper.cc
+++ b/src/process/grant_keeper.cc
@@ -48,6 +48,42 @@
   ++generations_[shard_name];
 }
 
+bool grant_keeper::Ready(const std::string& shard_name) const {
+  const auto found = held_.find(shard_name);
+  return found != held_.end() && found->second.read && found->second.holder.Stamped();
+}
+
+void grant_keeper::Prepare(monotonic_time now) {
+  for (auto& [name, held] : held_) {
+    if (Ready(name) || held.reading || now < held.next_prepare) continue;
+    if (!held.read) {
+      Read(name, held);
+      continue;
+    }
+    held.next_prepare = now + kPlanInterval;
+    std::vector<grant_write> writes;
+    held.holder.PlanStamps(writes);
+    for (const grant_write& write : writes) Send(name, generations_[name], write);
+  }
+}
+
+void grant_keeper::Read(const std::string& shard_name, held_shard& held) {
+  held.reading = true;
+  const uint64_t generation = generations_[shard_name];
+  store_.Range(kGrantPrefix, [this, shard_name, generation](store_reply reply) {
+    post_([this, shard_name, generation, reply = std::move(reply)](monotonic_time now) {
+      if (generation != generations_[shard_name]) return;
+      held_shard& of = held_.at(shard_name);
+      of.reading = false;
+      of.read = reply.status == store_status::kDone;
+      of.next_prepare = of.read ? now : now + kStoreRetry;
+      for (const store_item& item : reply.items) {
+        of.holder.OnRead(item.key, item.revision, item.value);
+      }
+    });
+  });
+}
+
 void grant_keeper::Tick(const std::vector<shard*>& owned,
                         const std::shared_ptr<const configuration>& config, monotonic_time now) {
   if (config == nullptr) return;
@@ -118,6 +154,7 @@
           held.changed = true;
           // Demands that changed while the write was under way were not planned.
           held.news[key] = now + RetryAfter(reply.status);
+          held.next_prepare = held.news[key];
         });
       });
 }
--- a/src/process/grant_keeper.h
+++ b/src/process/grant_keeper.h
@@ -26,6 +26,10 @@
 
   void OnGained(const std::string& shard_name, uint64_t epoch);
   void OnLost(const std::string& shard_name);
+  // Reads and stamps the parts of shards that are not open yet.
+  void Prepare(monotonic_time now);
+  // The shard may open: no earlier owner can change its parts any more.
+  bool Ready(const std::string& shard_name) const;
   // Plans for the shards owned here and sets on them what they may use.
   void Tick(const std::vector<shard*>& owned, const std::shared_ptr<const configuration>& config,
             monotonic_time now);
@@ -44,6 +48,9 @@
     monotonic_time next_plan{};
     monotonic_time next_full_plan{};
     bool changed = true;  // usable grants must be set again
+    bool read = false;
+    bool reading = false;
+    monotonic_time next_prepare{};
   };
 
   // Of these demands, those for which something has changed since the last plan.
@@ -53,6 +60,7 @@
   void Plan(shard& of, held_shard& held, const std::shared_ptr<const configuration>& config,
             monotonic_time now);
   void Send(const std::string& shard_name, uint64_t generation, const grant_write& write);
+  void Read(const std::string& shard_name, held_shard& held);
   void Watch(monotonic_time now);
 
   store_adapter& store_;
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -198,7 +198,7 @@
     SendHeartbeats(now);
     TickStatus(now);
   }
-  for (opened_log& log : jobs_.Tick(now)) GainShard(std::move(log), now);
+  OpenShards(now);
   for (auto& [number, held] : shards_) {
     jobs_.TakeNotices(number, *held, now);
     lives_.Tick(*held, now);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -145,6 +145,7 @@
   void SendStoreRequest(const store_request& call,
                         std::function<void(store_reply, monotonic_time)> done);
   void OnOwnershipEvent(const ownership_event& event, monotonic_time now);
+  void OpenShards(monotonic_time now);
   void GainShard(opened_log log, monotonic_time now);
   void LoseShard(uint32_t number, monotonic_time now);
   void DrainEndpoint(const std::string& endpoint, monotonic_time now);
@@ -234,6 +235,7 @@
   usage_average usage_elsewhere_;
   job_keeper jobs_;
   incarnation_keeper lives_;
+  std::vector<opened_log> opened_;  // of shards that wait for their parts of the limits
   std::map<uint32_t, std::unique_ptr<shard>> shards_;
   std::map<std::string, peer_state> peers_;
   std::set<std::string> endpoint_names_;  // of the whole fleet, as last listed
--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -50,6 +50,7 @@
   switch (event.kind) {
     case ownership_event_kind::kGained:
       LoseShard(event.shard, now);  // held under a lower epoch
+      grants_.OnGained(ShardName(config_.failure_domain, event.shard), event.epoch);
       jobs_.OnGained(event.shard, ShardName(config_.failure_domain, event.shard), event.epoch);
       break;
     case ownership_event_kind::kLost:
@@ -64,7 +65,20 @@
   }
 }
 
-// Opens a shard whose log was read.
+// Opens the shards whose logs were read and whose parts of the limits are ours.
+void node::OpenShards(monotonic_time now) {
+  for (opened_log& log : jobs_.Tick(now)) opened_.push_back(std::move(log));
+  grants_.Prepare(now);
+  for (opened_log& log : std::exchange(opened_, {})) {
+    if (ownership_.Epoch(log.number) != log.epoch) continue;
+    if (grants_.Ready(ShardName(config_.failure_domain, log.number))) {
+      GainShard(std::move(log), now);
+    } else {
+      opened_.push_back(std::move(log));
+    }
+  }
+}
+
 void node::GainShard(opened_log log, monotonic_time now) {
   const uint32_t number = log.number;
   const uint64_t epoch = log.epoch;
@@ -81,7 +95,6 @@
   if (const auto config = versions_.Order().Config()) gained->SetConfiguration(*config, now);
   gained->Restore(std::move(log.jobs), now);
   GiveEndpoints(*gained, now);
-  grants_.OnGained(options.name, epoch);
   lives_.OnGained(*gained, now);
   routes_.OnReport(config_.name, gained->Report(), now);
   shards_[number] = std::move(gained);
@@ -93,13 +106,13 @@
 
 void node::LoseShard(uint32_t number, monotonic_time now) {
   jobs_.OnLost(number);
+  grants_.OnLost(ShardName(config_.failure_domain, number));
   const auto found = shards_.find(number);
   if (found == shards_.end()) return;
   const std::string name = found->second->Name();
   log_.Emit(shutting_down_ ? event_code::kShardReleased : event_code::kShardLost, now, {},
             found->second->Epoch(), name);
   shards_.erase(found);
-  grants_.OnLost(name);
   lives_.OnLost(name);
   routes_.OnNotOwner(config_.name, name);
   table_.OnNewOwner(name, now);
--- a/src/version/grant_holder.cc
+++ b/src/version/grant_holder.cc
@@ -1,5 +1,6 @@
 #include "version/grant_holder.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -46,6 +47,29 @@
   out.push_back(from.write);
 }
 
+bool grant_holder::Stamped() const {
+  return std::all_of(buckets_.begin(), buckets_.end(), [this](const auto& at) {
+    const std::vector<grant_entry>& entries = at.second.ledger.entries;
+    return std::none_of(entries.begin(), entries.end(), [this](const grant_entry& entry) {
+      return entry.shard == shard_ && entry.epoch < epoch_;
+    });
+  });
+}
+
+void grant_holder::PlanStamps(std::vector<grant_write>& out) {
+  if (superseded_) return;
+  for (auto& [key, current] : buckets_) {
+    if (current.in_flight || current.unreadable) continue;
+    if (!current.uncertain) {
+      ledger_value next = current.ledger;
+      if (!Stamp(next)) continue;
+      current.sent = std::move(next);
+      current.write = {key, current.revision, ToText(current.sent), ""};
+    }
+    Send(current, out);
+  }
+}
+
 void grant_holder::Plan(const configuration& config, const std::vector<grant_demand>& demands,
                         bool all_listed, std::vector<grant_write>& out) {
   if (superseded_) return;
--- a/src/version/grant_holder.h
+++ b/src/version/grant_holder.h
@@ -31,14 +31,20 @@
   std::string write_id;
 };
 
-// One owner of one shard, for as long as it is the owner. A new owner starts nothing on a part that
-// does not carry its epoch yet; an owner that learns that it was superseded plans no more. Between
-// the two the old owner's books are still an upper bound of what runs, and after them the old
-// owner's writes conflict: at no time is a part returned that somebody uses.
+// One owner of one shard, for as long as it is the owner. A new owner speaks to no endpoint before
+// each part carries its epoch; an owner that learns that it was superseded plans no more. Before
+// the stamp the old owner alone renews leases, so its books are an upper bound of what runs, and
+// after it the old owner's writes conflict: at no time is a part returned that somebody uses.
 class grant_holder {
  public:
   grant_holder(std::string shard, uint64_t epoch, grant_policy policy = {});
 
+  // Appends the writes that put our epoch on each part of this shard that was read.
+  void PlanStamps(std::vector<grant_write>& out);
+  // No part that was read carries an earlier owner's epoch. Until then the successor must not renew
+  // what runs: the earlier owner, counting on leases that lapse, would return parts that are in use.
+  bool Stamped() const;
+
   // Appends the writes that would bring the ledger to what the shard needs; one at a time for each
   // value. `all_listed`: every endpoint of the shard was listed, so that `used` is the whole.
   void Plan(const configuration& config, const std::vector<grant_demand>& demands, bool all_listed,
--- a/test/grant_model_test.cc
+++ b/test/grant_model_test.cc
@@ -39,6 +39,7 @@
   grant_holder holder;
   uint32_t used = 0;
   uint32_t wanted = 0;
+  bool open = false;  // has spoken to the endpoints: renews what runs there, and starts work
 };
 
 struct sent_write {
@@ -61,7 +62,7 @@
     const std::map<std::string, uint32_t> before = Stored();
     last_limit_.reset();
     if (what == 0) Want(own, amount);
-    if (what == 1 || what == 2) Plan(own);
+    if (what == 1 || what == 2) PlanOwn(own);
     if (what >= 3 && what <= 5) Deliver(value, false);
     if (what == 6) Deliver(value, true);
     if (what == 7) TakeOver(own);
@@ -74,14 +75,26 @@
  private:
   static constexpr size_t kShards = 3;
 
+  // A new owner reads and stamps the parts first, and opens the shard when all are its own.
+  void PlanOwn(model_owner& own) {
+    if (own.open) {
+      Plan(own);
+      return;
+    }
+    own.holder.OnRead(GrantKeyOf("t"), revision_, stored_.empty() ? "{}" : stored_);
+    own.open = own.holder.Stamped();
+    std::vector<grant_write> writes;
+    own.holder.PlanStamps(writes);
+    Send(own, std::move(writes));
+  }
+
+  // Once its successor speaks to the endpoints, what the ghost believes of leases that lapse is
+  // wrong: it may count anything less than what runs.
   void PlanGhost(model_owner& ghost) {
-    const auto ledger = ParseLedger(stored_);
-    const bool stamped =
-        ledger && std::any_of(ledger->entries.begin(), ledger->entries.end(),
-                              [&ghost](const grant_entry& entry) {
-                                return entry.shard == ghost.shard && entry.epoch > ghost.epoch;
-                              });
-    if (stamped) ghost.used = ghost.wanted = 0;
+    const bool renewed = std::any_of(owners_.begin(), owners_.end(), [&](const model_owner& own) {
+      return own.shard == ghost.shard && own.open;
+    });
+    if (renewed) ghost.used = ghost.wanted = 0;
     Plan(ghost);
   }
 
@@ -100,12 +113,17 @@
 
   // Starts as much as may be started.
   void Run(model_owner& own) const {
+    if (!own.open) return;
     own.used = std::max(own.used, std::min(own.wanted, UsableOf(own)));
   }
 
   void Plan(model_owner& own) {
     std::vector<grant_write> writes;
     own.holder.Plan(ConfigWith(limit_), {{"t", Tasks(own.used), Tasks(own.wanted)}}, true, writes);
+    Send(own, std::move(writes));
+  }
+
+  void Send(const model_owner& own, std::vector<grant_write> writes) {
     for (grant_write& write : writes) {
       const auto planned = planned_.try_emplace({write.expect, write.value}, limit_);
       network_.push_back({own.shard, own.epoch, planned.first->second, std::move(write)});
@@ -153,9 +171,7 @@
   }
 
   // What ran goes on running. The new owner knows nothing of what the old one has under way, and
-  // the old one, paused, nothing of the new one: until the new one has stamped the ledger it starts
-  // nothing, so that the old one's count is no less than what runs; from then on it may be
-  // anything.
+  // the old one, paused, nothing of the new one.
   void TakeOver(model_owner& own) {
     model_owner successor(own.shard, own.epoch + 1);
     successor.used = own.used;
