Judge runs of no length, and accepted jobs whose end is not a run of every task

Ends came before starts of the same instant, so their room was given back before it was taken, and the sum wrapped. A run's own end now comes after its start; the three together still count. - 'accepted gang, 3 of 4 tasks ran': one had failed, so the gang was over. Instead of asking for a run of each task, the run asks for the state of each job whose end the endpoints' records do not show, as its caller would, and the checker holds the answer against them: 'failed' needs a run that failed, 'unknown' is right only of a job that must not run again, and no answer is a lost job. This is stricter than before, as told ends are checked, too.

--- a/bench/checker_runs.cc
+++ b/bench/checker_runs.cc
@@ -1,6 +1,7 @@
 #include "bench/checker_runs.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "absl/strings/numbers.h"
@@ -55,6 +56,20 @@
   return index;
 }
 
+bool IsOver(const call_record& accepted, const work_history& all) {
+  std::set<uint32_t> over;
+  for (const task_run* run : all.runs) {
+    const bool ended = run->end != monotonic_time::max();
+    const bool failed = run->result == "failed";
+    if (failed && accepted.kind == workload_kind::kGang) return true;
+    const bool serves = accepted.kind == workload_kind::kService && !ended;
+    const bool lost = run->result == "killed" || run->result == "lease_lapsed";
+    const bool was_only_run = lost && !accepted.repeatable;
+    if (run->result == "ok" || failed || serves || was_only_run) over.insert(run->index);
+  }
+  return over.size() >= accepted.tasks;
+}
+
 std::vector<load_step> StepsOf(const std::vector<const task_run*>& runs) {
   std::vector<load_step> steps;
   for (const task_run* run : runs) {
--- a/bench/checker_runs.h
+++ b/bench/checker_runs.h
@@ -36,14 +36,24 @@
 using work_index = absl::flat_hash_map<std::string, work_history>;
 work_index IndexByWork(const std::vector<task_run>& runs, const std::vector<call_record>& calls);
 
-// A change of what runs at one time: ends come before starts of the same instant.
+// Whether the endpoints' records show that an accepted job is over: each of its tasks ran to an
+// end, or must not start again, or is a service and serves; or the job is a gang of which one
+// failed.
+bool IsOver(const call_record& accepted, const work_history& all);
+
+// A change of what runs at one time: ends come before starts of the same instant, but for the end
+// of a run that began in it, which would otherwise give back room that it has not taken.
 struct load_step {
   monotonic_time at;
   bool is_start = false;
   const task_run* run = nullptr;
 
+  int Rank() const {
+    if (is_start) return 1;
+    return run->start == at ? 2 : 0;
+  }
   bool operator<(const load_step& other) const {
-    return at != other.at ? at < other.at : is_start < other.is_start;
+    return at != other.at ? at < other.at : Rank() < other.Rank();
   }
 };
 
--- a/bench/history.h
+++ b/bench/history.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,8 @@
   refusal_reason reason = refusal_reason::kNone;
   std::string answer;
   std::string id;  // as the entry named it in its answer
+  // Of an accepted job, what its caller was told when it asked for the job's state in the end.
+  std::optional<outcome_kind> ended;
 };
 
 // One line of an endpoint's record.
--- a/bench/scenario_run.h
+++ b/bench/scenario_run.h
@@ -87,6 +87,7 @@
   http_result Operate(const std::string& method, const std::string& url, const std::string& body);
   void SubmitServices();
   bool WaitForAccepted(std::chrono::milliseconds limit);
+  void AskForEnds(history& seen);
   void AddLimits();
 
   scenario_options options_;
--- a/src/version/grant_holder.h
+++ b/src/version/grant_holder.h
@@ -42,7 +42,8 @@
   // Appends the writes that put our epoch on each part of this shard that was read.
   void PlanStamps(std::vector<grant_write>& out);
   // No part that was read carries an earlier owner's epoch. Until then the successor must not renew
-  // what runs: the earlier owner, counting on leases that lapse, would return parts that are in use.
+  // what runs: the earlier owner, counting on leases that lapse, would return parts that are in
+  // use.
   bool Stamped() const;
 
   // Appends the writes that would bring the ledger to what the shard needs; one at a time for each
--- a/test/checker_test.cc
+++ b/test/checker_test.cc
@@ -180,6 +180,52 @@
   CheckBroken(promise::kWholeAnswer);
 }
 
+// A gang of which one task failed is over, though another never started; told to be over without a
+// failed run, it is lost all the same.
+TEST_CASE_METHOD(checker_fixture, "checker, job told to have failed, wants a run that failed",
+                 "[checker]") {
+  call_record& call = AddCall("w4", "a", 300, 310);
+  call.kind = workload_kind::kBatch;
+  call.outcome = outcome_kind::kAccepted;
+  call.ended = outcome_kind::kFailed;
+  call.tasks = 2;
+  SECTION("failed") {
+    AddRun("w4", "a", "ep-1", "j4/0/0", 310, 390, "failed");
+    CheckHeld();
+  }
+  SECTION("ran well") {
+    AddRun("w4", "a", "ep-1", "j4/0/0", 310, 390);
+    CheckBroken(promise::kWholeAnswer);
+  }
+}
+
+// Nobody knows whether a job ran that its endpoint forgot. To say so is right only of a job that
+// must not run twice; any other has to be run.
+TEST_CASE_METHOD(checker_fixture, "checker, job told to be unknown, may not be repeatable",
+                 "[checker]") {
+  call_record& call = AddCall("w4", "a", 300, 310);
+  call.kind = workload_kind::kBatch;
+  call.outcome = outcome_kind::kAccepted;
+  call.ended = outcome_kind::kUnknown;
+  CheckBroken(promise::kWholeAnswer);
+  call.repeatable = false;
+  CheckHeld();
+}
+
+// An endpoint that fails what it starts takes and gives back room in one instant, three times over.
+TEST_CASE_METHOD(checker_fixture, "checker, runs of no length, count while they last",
+                 "[checker]") {
+  for (int task = 0; task < 2; ++task) {
+    AddCall(absl::StrCat("f", task), "a", 300, 400).outcome = outcome_kind::kFailed;
+    AddRun(absl::StrCat("f", task), "a", "ep-1", absl::StrCat("f", task, "/0/0"), 310, 310,
+           "failed");
+  }
+  CheckHeld();
+  AddCall("f2", "b", 300, 400).outcome = outcome_kind::kFailed;
+  AddRun("f2", "b", "ep-1", "f2/0/0", 310, 310, "failed");
+  CheckBroken(promise::kCapacity);
+}
+
 TEST_CASE_METHOD(checker_fixture, "checker, told not run and ran, finds it", "[checker]") {
   AddRefused("w4", refusal_reason::kDeadline, 300);
   CheckHeld();
