--- a/bench/history.h
+++ b/bench/history.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,8 @@
   std::chrono::milliseconds retry_after{0};  // when to come back, as the entry said
   std::string answer;
   std::string id;  // as the entry named it in its answer
+  // Of an accepted job, what its caller was told when it asked for the job's state in the end.
+  std::optional<outcome_kind> ended;
 };
 
 // One line of an endpoint's record.
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -28,6 +28,7 @@
 #include "process/event_log.h"
 #include "process/gone_endpoints.h"
 #include "process/grant_keeper.h"
+#include "process/incarnation_keeper.h"
 #include "process/job_keeper.h"
 #include "process/job_status.h"
 #include "process/metrics.h"
@@ -168,6 +169,7 @@
   void SendStoreRequest(const store_request& call,
                         std::function<void(store_reply, monotonic_time)> done);
   void OnOwnershipEvent(const ownership_event& event, monotonic_time now);
+  void OpenShards(monotonic_time now);
   void GainShard(opened_log log, monotonic_time now);
   void LoseShard(uint32_t number, monotonic_time now);
   void GiveEndpoints(shard& to, monotonic_time now);
@@ -265,6 +267,8 @@
   grant_keeper grants_;
   usage_average usage_elsewhere_;
   job_keeper jobs_;
+  incarnation_keeper lives_;
+  std::vector<opened_log> opened_;  // of shards that wait for their parts of the limits
   std::map<uint32_t, std::unique_ptr<shard>> shards_;
   std::map<std::string, peer_state> peers_;
   std::set<std::string> endpoint_names_;  // of the whole fleet, as last listed
