Bench closeness to share over many shards in virtual time

Cause: at 18 shards use elsewhere is averaged over 36 s; whether shares settle in 10 s was not known. Change: `catkinford-bench cell`: several decision cores, six teams with shares of 30 to 5, work spread by hash, news of the others' use as old as the interval between them; the largest team goes and comes back.

--- a/bench/shares.cc
+++ b/bench/shares.cc
@@ -176,6 +176,32 @@
   return false;
 }
 
+// Requests that were shed, by team, with the first and the last time from the begin: whether one
+// team or one moment stands out.
+nlohmann::json ShedByTeam(const std::vector<call_record>& records, monotonic_time begun) {
+  struct shed_span {
+    int count = 0;
+    double first = 0;
+    double last = 0;
+  };
+  std::map<std::string, shed_span> teams;
+  for (const call_record& record : records) {
+    if (!record.has_answer || record.reason != refusal_reason::kShed) continue;
+    const double at = std::chrono::duration<double>(record.answered - begun).count();
+    shed_span& span = teams[record.team];
+    span.first = span.count == 0 ? at : std::min(span.first, at);
+    span.last = std::max(span.last, at);
+    ++span.count;
+  }
+  nlohmann::json all = nlohmann::json::object();
+  for (const auto& [team, span] : teams) {
+    std::printf("  %-8s shed %d between %.1f and %.1f s\n", team.c_str(), span.count, span.first,
+                span.last);
+    all[team] = {{"count", span.count}, {"first_s", span.first}, {"last_s", span.last}};
+  }
+  return all;
+}
+
 void SleepUntil(monotonic_time at) { std::this_thread::sleep_until(at); }
 
 }  // namespace
@@ -242,6 +268,7 @@
   for (const auto& [kind, count] : ends) std::printf("%s %d  ", kind.c_str(), count);
   std::puts("");
   report["outcomes"] = ends;
+  report["shed"] = ShedByTeam(load.Records(), begun);
   if (!absl::GetFlag(FLAGS_json).empty()) {
     std::ofstream(absl::GetFlag(FLAGS_json)) << report.dump(1) << '\n';
   }
--- a/src/main/catkinford-bench.cc
+++ b/src/main/catkinford-bench.cc
@@ -30,6 +30,7 @@
     {"demo", catkinford::DemoMain, "a fleet, all workloads, one entry killed: what make demo runs"},
     {"tables", catkinford::TablesMain, "write the tables of docs/ from the code: tables [ROOT]"},
     {"decisions", catkinford::DecisionsMain, "times of decisions: decisions --endpoints N"},
+    {"cell", catkinford::CellMain, "shares over many shards: cell --cell_shards 18"},
     {"bounds", catkinford::BoundsMain, "hold figures to bench/bounds.json: bounds --out DIR"},
     {"policy", catkinford::PolicyMain, "policies in virtual time: policy --mix both"},
 });
