--- a/src/process/node.h
+++ b/src/process/node.h
@@ -40,7 +40,6 @@
 #include "process/shard.h"
 #include "process/team_names.h"
 #include "process/timeline.h"
-#include "process/usage_average.h"
 #include "request/caller_call.h"
 
 namespace catkinford {
@@ -265,7 +264,6 @@
   ownership ownership_;
   config_keeper versions_;
   grant_keeper grants_;
-  usage_average usage_elsewhere_;
   job_keeper jobs_;
   incarnation_keeper lives_;
   std::vector<opened_log> opened_;  // of shards that wait for their parts of the limits
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -137,7 +137,9 @@
   void SetEndpoints(const std::vector<instance>& endpoints, monotonic_time now);
   void SetConfiguration(const configuration& config, monotonic_time now);
   void SetGrants(const std::vector<grant_entry>& grants, monotonic_time now);
-  void SetUsageElsewhere(const std::string& team, const resources& running, monotonic_time now);
+  // News of a team in all other shards, `age` old on average.
+  void SetUsageElsewhere(const std::string& team, const resources& running,
+                         std::chrono::milliseconds age, monotonic_time now);
   void SetCellCapacity(const resources& capacity) { core_.SetCellCapacity(capacity); }
   bool Has(const std::string& endpoint) const { return endpoint_by_name_.contains(endpoint); }
   // Tasks under way at an endpoint of this shard.
