--- a/bench/capacity_entry.cc
+++ b/bench/capacity_entry.cc
@@ -3,8 +3,11 @@
 // The intervals that stand here as constants are those of the code that spends them; where a
 // setting gives the interval, the setting is used.
 #include <chrono>
+#include <string>
+#include <vector>
 
 #include "bench/capacity.h"
+#include "process/membership.h"
 
 namespace catkinford {
 namespace {
@@ -12,7 +15,7 @@
 constexpr double kDay = 86400;
 constexpr double kKeepalivesPerLease = 3;  // process/registration
 constexpr double kOwnerPolls = 1;          // process/ownership: a second, each of two ranges
-constexpr double kGrantPlans = 1;          // process/grant_keeper: of all teams, a second and shard
+constexpr double kGrantPlans = 1.0 / 60;   // process/grant_keeper: of all teams, a second and shard
 constexpr double kConfigReads = 0.2;       // process/config_keeper: a second
 constexpr double kConfigHistory = 2;       // process/history_keeper: on the way to the store
 constexpr double kLedgerCopies = 3;        // process/grant_keeper: in force, pending, text
@@ -32,13 +35,39 @@
   return {slope, count, term_part::kFixed, false};
 }
 
-double PeersNear(const target_fleet& fleet) { return fleet.entries_per_domain - 1; }
-double PeersFar(const target_fleet& fleet) { return fleet.Entries() - fleet.entries_per_domain; }
-
-// Heartbeats that one entry sends a second; it receives as many.
-double Heartbeats(const target_fleet& fleet, const settings& config) {
-  return PeersNear(fleet) / Seconds(config.timing.heartbeat) +
-         PeersFar(fleet) / Seconds(config.timing.far_heartbeat);
+// Heartbeats that one entry sends a second, as process/membership spends its budget at that size;
+// it receives as many. Each carries a word of each entry of the domain, and so does the answer to
+// one for another domain.
+struct beat_rates {
+  double near = 0;
+  double far = 0;
+
+  double Calls() const { return near + far; }
+  double Messages() const { return near + 2 * far; }
+};
+
+beat_rates BeatsOf(const target_fleet& fleet, const settings& config) {
+  membership_options options;
+  options.name = "d0-e0";
+  options.failure_domain = "d0";
+  options.heartbeat = config.timing.heartbeat;
+  options.far_heartbeat = config.timing.far_heartbeat;
+  options.bytes_per_second = config.bounds.peer_bytes;
+  std::vector<instance> list;
+  for (int domain = 0; domain < static_cast<int>(fleet.failure_domains); ++domain) {
+    for (int entry = 0; entry < static_cast<int>(fleet.entries_per_domain); ++entry) {
+      instance one;
+      one.failure_domain = "d" + std::to_string(domain);
+      one.name = one.failure_domain + "-e" + std::to_string(entry);
+      one.role = instance_role::kEntry;
+      one.address = "http://127.0.0.1:1";
+      list.push_back(one);
+    }
+  }
+  membership members(options);
+  members.OnInstances(list, {});
+  return {static_cast<double>(members.NearTargets()) / Seconds(members.NearPeriod()),
+          1 / Seconds(members.FarPeriod())};
 }
 
 double Syncs(const target_fleet& fleet, const settings& config) {
@@ -53,7 +82,13 @@
 
 double Instances(const target_fleet& fleet) { return fleet.endpoints + fleet.Entries(); }
 
-double ListReads(const settings& config) { return 1 / Seconds(config.timing.instance_poll); }
+// The entries of a domain read the list in turns; each tells its neighbours.
+double ListReads(const target_fleet& fleet, const settings& config) {
+  return 1 / Seconds(config.timing.instance_poll) / fleet.entries_per_domain;
+}
+double ListCalls(const target_fleet& fleet, const settings& config) {
+  return (fleet.entries_per_domain - 1) * ListReads(fleet, config);
+}
 
 capacity_sum Memory(const target_fleet& fleet, const settings& config) {
   // An entry that has taken a dead peer's shard over holds two.
@@ -100,7 +135,7 @@
 }
 
 capacity_sum CpuAtRest(const target_fleet& fleet, const settings& config) {
-  const double beats = Heartbeats(fleet, config);
+  const beat_rates beats = BeatsOf(fleet, config);
   const double changes = fleet.changes_per_day / kDay;
   capacity_sum sum{"processor time of an entry at rest, us a second", capacity_limit::kCpu, {}};
   sum.lines = {
@@ -108,17 +143,20 @@
        "endpoint_link: one long poll for each endpoint",
        {Rate("sync.cpu", Syncs(fleet, config))}},
       {"heartbeats, sent and received",
-       "peer_mailbox over JSON-RPC",
-       {Rate("rpc.caller_cpu", beats), Rate("rpc.server_cpu", beats),
-        Rate("heartbeat.codec_cpu", beats * fleet.teams), Fixed("heartbeat.codec_cpu", beats)}},
+       "membership: a ring in the domain, other domains in turn",
+       {Rate("rpc.caller_cpu", beats.Calls()), Rate("rpc.server_cpu", beats.Calls()),
+        Rate("heartbeat.codec_cpu", beats.Messages() * fleet.entries_per_domain),
+        Fixed("heartbeat.codec_cpu", beats.Messages())}},
       {"own lease, owners and members",
        "registration, ownership: one lease for any number of shards",
        {Rate("http.caller_cpu", Keepalives(config) + 2 * kOwnerPolls)}},
       {"instance list",
-       "instance_adapter: the whole list at each read",
-       {Rate("instances.cpu", Instances(fleet) * ListReads(config))}},
+       "instance_turns: the whole list at each read, one entry of the domain at a time",
+       {Rate("instances.cpu", Instances(fleet) * ListReads(fleet, config)),
+        Rate("rpc.caller_cpu", ListCalls(fleet, config)),
+        Rate("rpc.server_cpu", ListCalls(fleet, config))}},
       {"plans of grants",
-       "grant_keeper: all teams once a second, between them those whose demand changed",
+       "grant_keeper: all teams once a minute, between that what has news",
        {Rate("ledger.plan_alone_cpu",
              LedgerEntries(fleet) * kGrantPlans * fleet.ShardsPerEntry())}},
       {"new configuration versions",
@@ -133,23 +171,25 @@
 }
 
 capacity_sum BytesAtRest(const target_fleet& fleet, const settings& config) {
-  const double beats = 2 * Heartbeats(fleet, config);
+  const beat_rates beats = BeatsOf(fleet, config);
   const double changes = fleet.changes_per_day / kDay;
   const double records = fleet.entries_per_domain + fleet.shards_per_domain;
   capacity_sum sum{"bytes of an entry at rest, both ways, a second", capacity_limit::kBytes, {}};
   sum.lines = {
       {"syncs", "endpoint_link", {Rate("sync.bytes", Syncs(fleet, config))}},
-      {"heartbeats, sent and received, with a report of each team",
-       "peer_mailbox over JSON-RPC",
-       {Fixed("heartbeat.bytes", beats), Rate("heartbeat.bytes", beats * fleet.teams)}},
+      {"heartbeats, sent and received",
+       "membership: a ring in the domain, other domains in turn",
+       {Fixed("heartbeat.bytes", 2 * beats.Calls()),
+        Rate("heartbeat.bytes", 2 * beats.Messages() * fleet.entries_per_domain)}},
       {"own lease", "registration", {Rate("store.keep_bytes", Keepalives(config))}},
       {"owners and members",
        "ownership: two ranges of the own failure domain a second",
        {Rate("store.range_bytes", kOwnerPolls * records),
         Fixed("store.range_bytes", 2 * kOwnerPolls)}},
       {"instance list",
-       "instance_adapter: the whole list at each read",
-       {Rate("instances.bytes", Instances(fleet) * ListReads(config))}},
+       "instance_turns: the whole list at each read, one entry of the domain at a time",
+       {Rate("instances.bytes", Instances(fleet) * ListReads(fleet, config)),
+        Fixed("rpc.bytes", 2 * ListCalls(fleet, config))}},
       {"reads that confirm the configuration",
        "config_keeper: a watch that does not wait; the document comes only when it is newer",
        {Fixed("store.range_bytes", kConfigReads)}},
--- a/bench/shares.cc
+++ b/bench/shares.cc
@@ -32,6 +32,9 @@
 ABSL_FLAG(std::string, absent, "", "shares: a team that goes away for --seconds and comes back");
 ABSL_FLAG(std::string, far_heartbeat, "",
           "shares: the setting timing.far_heartbeat; empty: default");
+ABSL_FLAG(uint32_t, domain_shards, 1,
+          "shares: of each domain; above one, as many entries and racks of 8");
+ABSL_FLAG(uint32_t, share_run_ms, 200, "shares: run time of each request");
 ABSL_DECLARE_FLAG(double, seconds);
 
 namespace catkinford {
@@ -42,9 +45,9 @@
 
 constexpr milliseconds kStartLimit{30000};
 constexpr milliseconds kConfigLimit{15000};
-constexpr milliseconds kRunTime{200};
 constexpr milliseconds kDeadline{15000};
 constexpr size_t kEndpointsPerDomain = 6;
+constexpr size_t kRackSize = 8;  // whole racks belong to one shard
 constexpr size_t kClients = 3;
 // Eight of these fill an endpoint in processors, memory and slots alike.
 constexpr resources kEach{2000, 4096, 0, 0};
@@ -101,7 +104,7 @@
     call_spec spec;
     spec.work = absl::StrCat("share-", request.team, "-", request.number);
     spec.each = kEach;
-    spec.run_time = kRunTime;
+    spec.run_time = milliseconds{absl::GetFlag(FLAGS_share_run_ms)};
     spec.deadline = kDeadline;
     const size_t slot = request.number % running_.Entries();
     callers_.Submit(running_.Entry(slot).name, running_.UrlOf(slot), teams_[request.team]->access,
@@ -266,6 +269,12 @@
   absl::ParseCommandLine(argc, argv);
   fleet_options options;
   options.endpoints_per_domain = kEndpointsPerDomain;
+  const uint32_t shards = absl::GetFlag(FLAGS_domain_shards);
+  if (shards > 1) {
+    options.shards_per_domain = shards;
+    options.entries_per_domain = shards;
+    options.endpoints_per_domain = kRackSize * shards;
+  }
   options.teams = absl::GetFlag(FLAGS_teams);
   options.seed = absl::GetFlag(FLAGS_seed);
   const std::string far_heartbeat = absl::GetFlag(FLAGS_far_heartbeat);
--- a/bench/slopes_fleet.cc
+++ b/bench/slopes_fleet.cc
@@ -26,6 +26,8 @@
 struct rest_figures {
   double cpu_us = 0;          // of one entry, a second
   double resident_bytes = 0;  // of one entry
+  double peer_bytes = 0;      // on the wire to and from other entries, of one entry, a second
+  double wire_bytes = 0;      // the same with store, instance list and endpoints
 };
 
 double CpuMicroseconds(fleet& running) {
@@ -53,10 +55,15 @@
   fleet& running = *kept;
   std::this_thread::sleep_for(kSettle);
   const double before = CpuMicroseconds(running);
+  const double peers_before = running.PeerBytes();
+  const double platform_before = running.PlatformBytes();
   std::this_thread::sleep_for(kWatch);
   const double spent = CpuMicroseconds(running) - before;
   rest_figures figures;
   const auto entries = static_cast<double>(running.Entries());
+  const double rate = 1 / std::chrono::duration<double>(kWatch).count() / entries;
+  figures.peer_bytes = 2 * (running.PeerBytes() - peers_before) * rate;
+  figures.wire_bytes = figures.peer_bytes + (running.PlatformBytes() - platform_before) * rate;
   figures.cpu_us = spent / std::chrono::duration<double>(kWatch).count() / entries;
   for (size_t slot = 0; slot < running.Entries(); ++slot) {
     const auto kilobytes = static_cast<double>(running.Entry(slot).process.Usage().resident_kb);
@@ -96,6 +103,9 @@
 double CpuOfEntries(double entries) { return AtRest(WithEntries(entries)).cpu_us; }
 double MemoryOfEntries(double entries) { return AtRest(WithEntries(entries)).resident_bytes; }
 
+double PeerBytesOfEntries(double entries) { return AtRest(WithEntries(entries)).peer_bytes; }
+double WireBytesOfEntries(double entries) { return AtRest(WithEntries(entries)).wire_bytes; }
+
 }  // namespace
 
 std::vector<slope_question> FleetSlopes() {
@@ -110,6 +120,10 @@
        "catkinfordd at rest, 51 endpoints, resident memory", 1},
       {"entry.cpu_by_entries", "us a second", "entry", entries, CpuOfEntries,
        "catkinfordd at rest, 51 endpoints, default settings", 1},
+      {"entry.peer_bytes_by_entries", "bytes a second", "entry", entries, PeerBytesOfEntries,
+       "on the wire between catkinfordd at rest, 51 endpoints, default settings", 1},
+      {"entry.wire_bytes_by_entries", "bytes a second", "entry", entries, WireBytesOfEntries,
+       "the same with store, instance list and endpoints", 1},
   };
 }
 
