--- a/src/process/peer_mailbox.cc
+++ b/src/process/peer_mailbox.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <utility>
+#include <variant>
 
 namespace catkinford {
 namespace {
@@ -19,14 +20,22 @@
 constexpr size_t kMostBatches = 32;  // under way to one peer
 constexpr int kRoundTripWeight = 8;  // of the past against the last call
 
+constexpr char kTaken[] = "ok";  // the answer of a call that has no other
+
+bool WantsReply(const peer_message& message) {
+  const auto* beat = std::get_if<heartbeat_message>(&message.body);
+  return beat != nullptr && beat->wants_reply;
+}
+
 }  // namespace
 
 peer_mailbox::peer_mailbox(std::string own_name, int port, std::chrono::milliseconds call_timeout,
-                           on_messages received, on_failure failed)
+                           on_messages received, on_failure failed, reply_maker reply)
     : own_name_(std::move(own_name)),
       call_timeout_(call_timeout),
       received_(std::move(received)),
       failed_(std::move(failed)),
+      reply_(std::move(reply)),
       server_(port, kServerThreads, [this](const std::string& text) { return Receive(text); }),
       client_(kMostBatches) {}
 
@@ -49,8 +58,21 @@
 
 std::string peer_mailbox::Receive(const std::string& text) {
   counters_.bytes_received += text.size();
-  received_(DecodeBatch(text));
-  return "ok";
+  std::vector<peer_message> messages = DecodeBatch(text);
+  const bool wants_reply = std::any_of(messages.begin(), messages.end(), WantsReply);
+  received_(std::move(messages));
+  std::optional<heartbeat_message> reply;
+  if (wants_reply) reply = reply_();
+  if (!reply) return kTaken;
+  std::string answer = EncodeBatch(own_name_, {*std::move(reply)});
+  counters_.bytes_sent += answer.size();
+  return answer;
+}
+
+void peer_mailbox::TakeAnswer(const std::string& answer) {
+  if (answer == kTaken) return;
+  counters_.bytes_received += answer.size();
+  received_(DecodeBatch(answer));
 }
 
 void peer_mailbox::SetPeer(const std::string& name, const std::string& address) {
@@ -143,8 +165,9 @@
 
 void peer_mailbox::OnResult(const delivery_ptr& done, const http_result& result) {
   std::string answer;
-  const bool answered = result.status == transfer_status::kDone &&
-                        ReadRpcResponse(result.body, answer) && answer == "ok";
+  const bool answered =
+      result.status == transfer_status::kDone && ReadRpcResponse(result.body, answer);
+  if (answered) TakeAnswer(answer);
   if (answered || done->again) {
     const bool surely_not =
         done->first == transfer_status::kNotSent && result.status == transfer_status::kNotSent;
--- a/test/peer_mailbox_test.cc
+++ b/test/peer_mailbox_test.cc
@@ -28,7 +28,8 @@
       : from_(
             "from", 0, call_timeout, [](const std::vector<peer_message>&) {},
             [this](const std::string&, transfer_status status,
-                   const std::vector<message_body>& lost) { Lose(status, lost.size()); }) {
+                   const std::vector<message_body>& lost) { Lose(status, lost.size()); },
+            [] { return std::optional<heartbeat_message>(); }) {
     REQUIRE(from_.Start());
   }
   ~mailbox_fixture() {
