--- a/bench/scenario_faults.cc
+++ b/bench/scenario_faults.cc
@@ -16,7 +16,10 @@
 
 constexpr milliseconds kShortFault{4000};
 constexpr milliseconds kLongFault{6000};
-constexpr milliseconds kListed{1000};  // until the platform notices that an instance is gone
+constexpr milliseconds kListed{1000};      // until the platform notices that an instance is gone
+constexpr milliseconds kNoticed{3000};     // until members' leases have lapsed and peers are missed
+constexpr milliseconds kEvacuated{18000};  // until task leases are waited out and jobs run again
+constexpr int kLongJobs = 40;
 constexpr int kSilences = 3;
 constexpr int kRaces = 8;
 constexpr int kWave = 1000;
@@ -121,16 +124,15 @@
   for (const size_t slot : run.SlotsOf(domain)) run.Healed(slot);
 }
 
-// All that a domain has is gone at once: entries, endpoints and what runs there. It comes back with
-// new entries, and endpoints that know nothing.
-void DomainLost(scenario_run& run) {
-  const size_t domain = PickDomain(run);
+void LoseDomain(scenario_run& run, size_t domain) {
   for (const size_t slot : run.SlotsOf(domain)) run.KillEntry(slot);
   for (const std::string& endpoint : run.Fleet().EndpointsOf(domain)) {
     run.Fleet().SetEndpointMode(endpoint, "dead");
   }
-  run.Sleep(kLongFault);
-  run.MarkFaultEnd();
+}
+
+// New entries, and endpoints that know nothing.
+void BringBack(scenario_run& run, size_t domain) {
   for (const std::string& endpoint : run.Fleet().EndpointsOf(domain)) {
     run.Fleet().SetEndpointMode(endpoint, "up");
   }
@@ -138,6 +140,46 @@
   for (const size_t slot : run.SlotsOf(domain)) run.Fleet().WaitReady(slot, kLongFault);
 }
 
+// All that a domain has is gone at once: entries, endpoints and what runs there.
+void DomainLost(scenario_run& run) {
+  const size_t domain = PickDomain(run);
+  LoseDomain(run, domain);
+  run.Sleep(kLongFault);
+  run.MarkFaultEnd();
+  BringBack(run, domain);
+}
+
+// Jobs that still run when the domain is lost, and may run again.
+void SubmitLongBatch(scenario_run& run) {
+  const std::vector<load_target> targets = run.InBalancer();
+  for (int i = 0; i < kLongJobs && !targets.empty(); ++i) {
+    call_spec spec;
+    spec.work = absl::StrCat("long-", i);
+    spec.kind = workload_kind::kBatch;
+    spec.tasks = 3;
+    spec.run_time = kLongFault;
+    const load_target& target = targets[static_cast<size_t>(i) % targets.size()];
+    const team_access& team = run.Teams()[static_cast<size_t>(i) % run.Teams().size()];
+    run.Callers().Submit(target.entry, target.url, team, spec, steady_clock::now());
+  }
+  run.Sleep(milliseconds{2000});
+}
+
+// The same, but an operator gives the domain up. It comes back all the same, in the end.
+void DomainEvacuated(scenario_run& run) {
+  const size_t domain = PickDomain(run);
+  const size_t elsewhere = run.SlotsOf((domain + 1) % run.Fleet().Options().domains.size()).front();
+  SubmitLongBatch(run);
+  LoseDomain(run, domain);
+  run.Sleep(kNoticed);
+  run.Evacuate(elsewhere, domain);
+  run.Sleep(kEvacuated);
+  run.MarkFaultEnd();
+  run.Evacuate(elsewhere, domain);  // how far it is
+  BringBack(run, domain);
+  run.Sleep(kShortFault);
+}
+
 // Every link between regions is lost, while each region still reaches the platform.
 void RegionsApart(scenario_run& run) {
   const link_rule cut = PickCut(run);
@@ -320,6 +362,8 @@
      &DomainCutOff},
     {"domain_lost", "entries and endpoints of a failure domain die, and come back new",
      &NeedServices, &DomainLost},
+    {"domain_evacuated", "a failure domain dies, an operator moves its jobs; it comes back new",
+     &NeedServices, &DomainEvacuated},
     {"silent_connections", "all open connections go silent for good, three times", &NeedLinks,
      &SilentConnections},
     {"endpoint_drain", "two endpoints leave, one is drained by an operator", nullptr,
--- a/bench/scenario_run.cc
+++ b/bench/scenario_run.cc
@@ -292,6 +292,13 @@
   Operate("POST", fleet_.UrlOf(0) + "/v1/endpoints/" + endpoint + "/drain", "{}");
 }
 
+void scenario_run::Evacuate(size_t slot, size_t domain) {
+  const std::string& name = options_.fleet.domains[domain];
+  const http_result result =
+      Operate("POST", fleet_.UrlOf(slot) + "/v1/domains/" + name + "/evacuate", "{}");
+  evacuations_.push_back(nlohmann::json::parse(result.body, nullptr, false));
+}
+
 void scenario_run::TimeNextPlacement(size_t domain) {
   times_.domain = options_.fleet.domains[domain];
   times_.struck = steady_clock::now();
@@ -350,6 +357,7 @@
   nlohmann::json result = ToJson(Check(seen, {}));
   result["figures"] = FiguresOf(seen, times);
   result["figures"]["accepted_all_ran"] = all_ran;
+  if (!evacuations_.empty()) result["figures"]["evacuations"] = evacuations_;
   result["figures"]["store"] = fleet_.StoreCounters();
   // A run in which hardly anything worked before the fault proves nothing.
   const bool worked = result["figures"]["goodput_before"].get<double>() > options_.load.rate / 2;
--- a/bench/scenario_run.h
+++ b/bench/scenario_run.h
@@ -78,6 +78,8 @@
   void WithdrawKey(const team_access& team);
   void LowerLimit(const std::string& team, uint32_t running, std::chrono::milliseconds settled);
   void Drain(const std::string& endpoint);
+  // Asks an entry to move the jobs of a domain, and keeps what it says for the figures.
+  void Evacuate(size_t slot, size_t domain);
   // Marks the domain whose next placement under a new owner is timed from now.
   void TimeNextPlacement(size_t domain);
   void MarkFaultBegin();
@@ -107,6 +109,7 @@
   std::set<size_t> ready_;
   std::map<size_t, monotonic_time> cut_since_;
   scenario_times times_;
+  nlohmann::json evacuations_ = nlohmann::json::array();
   bool came_up_ = false;
 };
 
--- a/src/process/durable_job.cc
+++ b/src/process/durable_job.cc
@@ -92,6 +92,7 @@
   job.failed = NumberAt<uint32_t>(object, "failed");
   job.done.resize(job.tasks);
   job.home = TextAt(object, "home");
+  job.plan = NumberAt(object, "plan");
   const bool whole = DecodeAmount(ArrayAt(object, "each"), job.each) &&
                      DecodeDone(ArrayAt(object, "done"), job.done) &&
                      DecodeParts(ArrayAt(object, "parts"), job);
@@ -135,6 +136,7 @@
                   ",\"at_ms\":", submitted.time_since_epoch().count());
   if (job.failed != 0) absl::StrAppend(&text, ",\"failed\":", job.failed);
   if (!job.parts.empty()) absl::StrAppend(&text, ",\"parts\":[", EncodeParts(job.parts), "]");
+  if (job.plan != 0) absl::StrAppend(&text, ",\"plan\":", job.plan);
   if (!job.home.empty()) absl::StrAppend(&text, ",\"home\":", Quoted(job.home));
   absl::StrAppend(&text, ",\"payload\":", Quoted(job.payload), ",\"done\":[", EncodeDone(job.done),
                   "]}");
--- a/src/process/durable_job.h
+++ b/src/process/durable_job.h
@@ -33,6 +33,7 @@
   // this record, the shard that answers for the whole.
   std::vector<job_part> parts;
   std::string home;
+  uint64_t plan = 0;  // how often `parts` has changed
 };
 
 // One line of the log.
--- /dev/null
+++ b/src/process/evacuation.cc
@@ -0,0 +1,173 @@
+#include "process/evacuation.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "process/durable_job.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+// In front of the entry's name in the shards' records. No peer has such a name, so an entry of the
+// domain that comes back finds no owner to ask, and takes its shards.
+constexpr char kOwnerPrefix[] = "evacuation:";
+
+}  // namespace
+
+evacuation_size CountJobs(const std::vector<store_item>& items) {
+  std::set<request_id> jobs;
+  std::set<request_id> once;
+  for (const store_item& item : items) {
+    const std::optional<log_segment> segment = DecodeSegment(item.value);
+    if (!segment) continue;
+    for (const log_entry& entry : segment->entries) {
+      if (entry.kind == log_entry_kind::kJob) {
+        jobs.insert(entry.job.id);
+        if (!entry.job.repeatable) once.insert(entry.job.id);
+      } else if (entry.kind == log_entry_kind::kJobDone) {
+        jobs.erase(entry.id);
+        once.erase(entry.id);
+      }
+    }
+  }
+  return {static_cast<uint32_t>(jobs.size()), static_cast<uint32_t>(once.size())};
+}
+
+evacuation::evacuation(evacuation_options options, call_tags& tags)
+    : options_(std::move(options)), tags_(tags), shards_(options_.shards) {}
+
+void evacuation::Stop(std::string why) {
+  if (IsOver()) return;
+  why_ = std::move(why);
+  state_ = evacuation_state::kStopped;
+}
+
+milliseconds evacuation::TimeLeft(monotonic_time now) const {
+  if (state_ == evacuation_state::kReady) return milliseconds{0};
+  if (state_ != evacuation_state::kWaiting) return options_.lease_wait;
+  return std::max(milliseconds{0}, std::chrono::ceil<milliseconds>(ready_at_ - now));
+}
+
+void evacuation::Tick(monotonic_time now, std::vector<store_request>& out) {
+  if (open_tag_ != 0 || now < next_try_) return;
+  if (repeat_) {
+    repeat_ = false;
+    call_.tag = tags_.Next();
+    open_tag_ = call_.tag;
+    out.push_back(call_);
+    return;
+  }
+  switch (state_) {
+    case evacuation_state::kReadingMembers:
+      Range(MemberPrefix(options_.failure_domain), out);
+      return;
+    case evacuation_state::kReadingJobs:
+      Range(absl::StrCat("jobs/", options_.failure_domain, "/"), out);
+      return;
+    case evacuation_state::kReadingShards:
+      Range(ShardPrefix(options_.failure_domain), out);
+      return;
+    case evacuation_state::kRaising:
+      Raise(out);
+      return;
+    case evacuation_state::kWaiting:
+      if (now >= ready_at_) state_ = evacuation_state::kReady;
+      return;
+    default:
+      return;
+  }
+}
+
+void evacuation::Range(const std::string& prefix, std::vector<store_request>& out) {
+  call_ = {};
+  call_.kind = ownership_call_kind::kRange;
+  call_.tag = tags_.Next();
+  call_.key = prefix;
+  open_tag_ = call_.tag;
+  out.push_back(call_);
+}
+
+void evacuation::Raise(std::vector<store_request>& out) {
+  const shard_state& shard = shards_[raising_];
+  call_ = {};
+  call_.kind = ownership_call_kind::kSwap;
+  call_.tag = tags_.Next();
+  call_.key = ShardKey(options_.failure_domain, raising_);
+  call_.expect = shard.revision;
+  call_.value =
+      ToText(shard_record{kOwnerPrefix + options_.entry, options_.incarnation, shard.epoch});
+  call_.write_id = absl::StrCat(options_.entry, ":", options_.incarnation, ":evacuate:", call_.tag);
+  open_tag_ = call_.tag;
+  out.push_back(call_);
+}
+
+bool evacuation::OnReply(uint64_t tag, const store_reply& reply, monotonic_time now) {
+  if (tag == 0 || tag != open_tag_) return false;
+  open_tag_ = 0;
+  if (IsOver()) return true;
+  const bool definite =
+      reply.status != store_status::kUnavailable && reply.status != store_status::kUnknown;
+  if (!definite) {
+    repeat_ = true;
+    next_try_ = now + options_.retry_after;
+    return true;
+  }
+  switch (state_) {
+    case evacuation_state::kReadingMembers:
+      OnMembers(reply);
+      break;
+    case evacuation_state::kReadingJobs:
+      size_ = CountJobs(reply.items);
+      state_ = options_.dry_run ? evacuation_state::kCounted : evacuation_state::kReadingShards;
+      break;
+    case evacuation_state::kReadingShards:
+      OnShards(reply);
+      break;
+    case evacuation_state::kRaising:
+      OnRaised(reply, now);
+      break;
+    default:
+      break;
+  }
+  return true;
+}
+
+void evacuation::OnMembers(const store_reply& reply) {
+  for (const store_item& item : reply.items) {
+    const std::optional<member_record> member = ParseMemberRecord(item.value);
+    if (!member) continue;
+    Stop(absl::StrCat(member->name, " of it holds a lease in the store"));
+    return;
+  }
+  state_ = evacuation_state::kReadingJobs;
+}
+
+void evacuation::OnShards(const store_reply& reply) {
+  for (const store_item& item : reply.items) {
+    const std::optional<uint32_t> number = ShardOfKey(item.key);
+    const std::optional<shard_record> record = ParseShardRecord(item.value);
+    if (!number || *number >= shards_.size() || !record) continue;
+    shards_[*number] = {item.revision, record->epoch};
+  }
+  for (shard_state& shard : shards_) ++shard.epoch;
+  state_ = evacuation_state::kRaising;
+}
+
+void evacuation::OnRaised(const store_reply& reply, monotonic_time now) {
+  const bool ours = reply.status == store_status::kConflict && !reply.items.empty() &&
+                    call_.value == reply.items.front().value;
+  if (reply.status != store_status::kDone && !ours) {
+    Stop("another entry has taken one of its shards meanwhile");
+    return;
+  }
+  if (++raising_ < shards_.size()) return;
+  state_ = evacuation_state::kWaiting;
+  ready_at_ = now + options_.lease_wait;
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/evacuation.h
@@ -0,0 +1,104 @@
+// An operator's word that a failure domain is lost: how another entry comes to answer for its
+// shards.
+//
+// First it makes sure that nobody else does: no member of the domain holds a lease in the store.
+// Then each shard's epoch is raised, so that nothing is written under the old one, and the leases
+// of all tasks that an owner may have renewed until that moment are waited out. Only then are the
+// logs taken over and the jobs moved. What neither the store nor a clock can show is an owner that
+// is cut off from everything but its endpoints: it goes on, and renews. That is what the operator's
+// word stands for. Pure: replies and time come in, store calls go out.
+#ifndef CATKINFORD_PROCESS_EVACUATION_H_
+#define CATKINFORD_PROCESS_EVACUATION_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "connection/store_adapter.h"
+#include "process/ownership_record.h"
+#include "process/registration.h"
+#include "request/job_request.h"
+
+namespace catkinford {
+
+struct evacuation_options {
+  std::string failure_domain;
+  std::string entry;  // that does it
+  uint64_t incarnation = 0;
+  uint32_t shards = 1;  // of the domain
+  bool dry_run = false;
+  // From raising the epochs until no task of the domain can run any more.
+  std::chrono::milliseconds lease_wait{13000};
+  std::chrono::milliseconds retry_after{250};
+};
+
+enum class evacuation_state : uint8_t {
+  kReadingMembers,
+  kReadingJobs,
+  kReadingShards,
+  kRaising,
+  kWaiting,  // for the tasks' leases to lapse
+  kReady,    // the logs may be taken over
+  kCounted,  // a dry run is over
+  kStopped,  // the domain is not lost: `Why()`
+};
+
+// What the domain's logs hold.
+struct evacuation_size {
+  uint32_t jobs = 0;     // that are not over
+  uint32_t unknown = 0;  // of them: may have run, and may not run again
+};
+// `items`: the segments of all logs of the domain, in order of their keys.
+evacuation_size CountJobs(const std::vector<store_item>& items);
+
+class evacuation {
+ public:
+  evacuation(evacuation_options options, call_tags& tags);
+
+  void Tick(monotonic_time now, std::vector<store_request>& out);
+  // False when the tag is not of this object.
+  bool OnReply(uint64_t tag, const store_reply& reply, monotonic_time now);
+  // An entry of the domain is heard, or owns a shard of it.
+  void Stop(std::string why);
+
+  evacuation_state State() const { return state_; }
+  bool IsOver() const {
+    return state_ == evacuation_state::kCounted || state_ == evacuation_state::kStopped;
+  }
+  const std::string& Why() const { return why_; }
+  const evacuation_size& Size() const { return size_; }
+  std::chrono::milliseconds TimeLeft(monotonic_time now) const;
+  // Ours, of the shard with that number; from kWaiting on.
+  uint64_t Epoch(uint32_t shard) const { return shards_[shard].epoch; }
+  const evacuation_options& Options() const { return options_; }
+
+ private:
+  struct shard_state {
+    uint64_t revision = 0;
+    uint64_t epoch = 0;  // to be written, then ours
+  };
+
+  void Range(const std::string& prefix, std::vector<store_request>& out);
+  void Raise(std::vector<store_request>& out);
+  void OnMembers(const store_reply& reply);
+  void OnShards(const store_reply& reply);
+  void OnRaised(const store_reply& reply, monotonic_time now);
+
+  evacuation_options options_;
+  call_tags& tags_;
+  evacuation_state state_ = evacuation_state::kReadingMembers;
+  std::string why_;
+  evacuation_size size_;
+  std::vector<shard_state> shards_;
+  uint32_t raising_ = 0;  // the shard whose record is written now
+  store_request call_;    // the last one: sent again as it is when its reply is lost
+  uint64_t open_tag_ = 0;
+  bool repeat_ = false;
+  monotonic_time next_try_{};
+  monotonic_time ready_at_{};
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_EVACUATION_H_
--- a/src/process/events.cc
+++ b/src/process/events.cc
@@ -55,6 +55,13 @@
     case kPartTakenHome:
       return {code, kInfo, "part_taken_home",
               "Another shard turned its part of a job away; the job's home takes it."};
+    case kJobMoved:
+      return {code, kInfo, "job_moved",
+              "What was left of the job goes from an evacuated failure domain to another."};
+    case kJobGivenUp:
+      return {
+          code, kWarning, "job_given_up",
+          "The job may have run in a failure domain that was evacuated, and may not run again."};
     case kShardClaimed:
       return {code, kInfo, "shard_claimed",
               "This entry owns the shard under a new epoch and begins to fence its endpoints."};
@@ -77,6 +84,16 @@
     case kFencedOff:
       return {code, kWarning, "fenced_off",
               "An endpoint refused our epoch: another owner has taken the shard over."};
+    case kEvacuationBegun:
+      return {code, kWarning, "evacuation_begun",
+              "The epochs of a lost failure domain are raised; the leases of its tasks are waited "
+              "out before its jobs move."};
+    case kEvacuationReady:
+      return {code, kWarning, "evacuation_ready",
+              "The job log of a lost failure domain is taken over; its jobs move."};
+    case kEvacuationStopped:
+      return {code, kWarning, "evacuation_stopped",
+              "The failure domain is back, or was not lost: nothing more of it moves."};
     case kPeerUp:
       return {code, kInfo, "peer_up", "A peer answers heartbeats."};
     case kPeerDown:
--- a/src/process/events.h
+++ b/src/process/events.h
@@ -30,6 +30,8 @@
   kRequestAnswered = 208,
   kPartPlaced = 209,
   kPartTakenHome = 210,
+  kJobMoved = 211,
+  kJobGivenUp = 212,
   // 3xx: shards and owners
   kShardClaimed = 300,
   kShardLost = 301,
@@ -39,6 +41,9 @@
   kEndpointGone = 305,
   kEndpointLeaving = 306,
   kFencedOff = 307,
+  kEvacuationBegun = 308,
+  kEvacuationReady = 309,
+  kEvacuationStopped = 310,
   // 4xx: peers and the platform
   kPeerUp = 400,
   kPeerDown = 401,
--- a/src/process/job_keeper.cc
+++ b/src/process/job_keeper.cc
@@ -21,6 +21,7 @@
   job.payload = place.payload;
   job.parts = place.parts;
   job.home = place.home;
+  job.plan = place.plan;
   job.done.resize(place.tasks);
   return job;
 }
@@ -39,6 +40,7 @@
   place.payload = job.payload;
   place.parts = job.parts;
   place.home = job.home;
+  place.plan = job.plan;
   // The record counts the failed tasks and does not name them.
   uint32_t failed = job.failed;
   for (uint32_t i = 0; i < job.done.size(); ++i) {
--- a/src/process/job_log.cc
+++ b/src/process/job_log.cc
@@ -98,6 +98,7 @@
   if (found == jobs_.end()) return Repeated(job.id);
   durable_job& record = found->second.record;
   record.parts = job.parts;
+  record.plan = job.plan;
   std::string text = EncodeJob(record);
   if (text.size() > options_.record_bytes) return append_result::kTooLarge;
   Push(std::move(text), {log_entry_kind::kJob, job.id, 0}, true);
--- a/src/process/message.cc
+++ b/src/process/message.cc
@@ -128,6 +128,7 @@
   if (!place.parts.empty()) body["parts"] = Encode(place.parts);
   if (!place.home.empty()) body["home"] = place.home;
   if (place.send != 0) body["send"] = place.send;
+  if (place.plan != 0) body["plan"] = place.plan;
   return body;
 }
 
@@ -149,6 +150,7 @@
   place.parts = DecodeParts(from);
   place.home = Read<std::string>(from, "home");
   place.send = Read<uint64_t>(from, "send");
+  place.plan = Read<uint64_t>(from, "plan");
   return place;
 }
 
@@ -169,10 +171,9 @@
 }
 
 json EncodeBody(const part_answer_message& answer) {
-  return {{"type", "part_answer"}, {"id", ToHex(answer.id)},
-          {"home", answer.home},   {"shard", answer.shard},
-          {"send", answer.send},   {"cancelled", answer.cancelled},
-          {"ran", answer.ran},     {"result", Encode(answer.result)}};
+  return {{"type", "part_answer"}, {"id", ToHex(answer.id)},  {"home", answer.home},
+          {"shard", answer.shard}, {"send", answer.send},     {"cancelled", answer.cancelled},
+          {"ran", answer.ran},     {"failed", answer.failed}, {"result", Encode(answer.result)}};
 }
 
 part_answer_message DecodePartAnswer(const json& from) {
@@ -183,6 +184,9 @@
   answer.send = Read<uint64_t>(from, "send");
   answer.cancelled = Read<bool>(from, "cancelled");
   answer.ran = Read<bool>(from, "ran");
+  for (const json& index : from.value("failed", json::array())) {
+    if (index.is_number_unsigned()) answer.failed.push_back(index.get<uint32_t>());
+  }
   answer.result = DecodeOutcome(from.value("result", json::object()));
   return answer;
 }
--- a/src/process/message.h
+++ b/src/process/message.h
@@ -36,6 +36,7 @@
   std::vector<job_part> parts;
   std::string home;   // the shard that answers for the whole; empty when that is `shard`
   uint64_t send = 0;  // from a home to the owner of a part: which sending this is
+  uint64_t plan = 0;  // how often `parts` has changed
 };
 
 // Owner to entry. kAccepted may be followed by the end of the job.
@@ -55,11 +56,12 @@
 struct part_answer_message {
   request_id id;
   std::string home;
-  std::string shard;       // the part's
-  uint64_t send = 0;       // the last message about the part that this answer has seen
-  bool cancelled = false;  // it was told to end
-  bool ran = false;        // something of it has run
-  outcome result;          // accepted: its record is durable
+  std::string shard;             // the part's
+  uint64_t send = 0;             // the last message about the part that this answer has seen
+  bool cancelled = false;        // it was told to end
+  bool ran = false;              // something of it has run
+  std::vector<uint32_t> failed;  // of a part that is over: its tasks that failed
+  outcome result;                // accepted: its record is durable
 };
 
 struct job_progress {
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -148,6 +148,10 @@
     shutdown_deadline_ = now + config_.timing.shutdown_limit;
     log_.Emit(event_code::kShutdownBegun, now, {}, 0, config_.name);
     for (auto& [name, peer] : peers_) peer.next_beat = now;  // tells that we leave
+    for (auto& [domain, open] : evacuations_) {
+      open.work.Stop("this entry is leaving");
+      LoseEvacuated(open, now);
+    }
     ownership_actions actions;
     ownership_.Release(now, actions);
     TakeOwnership(actions, now);
@@ -195,6 +199,7 @@
     PollInstances(now);
     SendHeartbeats(now);
     TickStatus(now);
+    TickEvacuations(now);
   }
   for (opened_log& log : jobs_.Tick(now)) GainShard(std::move(log), now);
   for (auto& [number, held] : shards_) jobs_.TakeNotices(number, *held, now);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -25,6 +25,7 @@
 #include "connection/instance_adapter.h"
 #include "connection/store_adapter.h"
 #include "process/config_keeper.h"
+#include "process/evacuation.h"
 #include "process/event_log.h"
 #include "process/gone_endpoints.h"
 #include "process/grant_keeper.h"
@@ -116,6 +117,14 @@
     http_server::token token = 0;
     monotonic_time give_up{};
   };
+  // A failure domain that an operator has given up.
+  struct open_evacuation {
+    evacuation work;
+    std::vector<open_cancel> waiting;  // operators
+    monotonic_time next_move{};
+    std::vector<uint32_t> numbers;  // of its shards here
+    bool told = false;
+  };
 
   // node.cc: the loop, ticks, peers.
   void Run();
@@ -198,6 +207,17 @@
   void RetryEarlyServices(monotonic_time now);
   void PlacePart(uint32_t number, shard& from, const part_call& call, monotonic_time now);
 
+  // node_evacuate.cc: shards of lost failure domains.
+  std::string AliveIn(const std::string& domain, monotonic_time now) const;
+  void TickEvacuations(monotonic_time now);
+  void TakeEvacuated(open_evacuation& open, monotonic_time now);
+  void LoseEvacuated(open_evacuation& open, monotonic_time now);
+  void MoveEvacuated(open_evacuation& open, monotonic_time now);
+  void AnswerEvacuation(open_evacuation& open, monotonic_time now);
+  std::string EvacuationText(const open_evacuation& open, monotonic_time now) const;
+  std::string NameOf(uint32_t number) const;
+  bool MayActFor(uint32_t number) const;
+
   // node_calls.cc: callers and operators.
   void OnHttp(http_server::token token, http_request request);
   void OnCall(http_server::token token, const std::string& key, caller_call call,
@@ -276,6 +296,9 @@
   absl::flat_hash_map<uint64_t, open_status> statuses_;
   absl::flat_hash_map<request_id, std::vector<open_cancel>> cancels_;
   std::map<uint64_t, open_change> changes_;
+  call_tags evacuation_tags_;
+  std::map<std::string, open_evacuation> evacuations_;
+  std::map<uint32_t, std::string> evacuated_names_;
   uint64_t next_query_ = 1;
   monotonic_time started_{};
   monotonic_time next_ownership_tick_{};
--- a/src/process/node_calls.cc
+++ b/src/process/node_calls.cc
@@ -14,7 +14,9 @@
 using std::chrono::steady_clock;
 
 constexpr milliseconds kComeBack{1000};
-constexpr milliseconds kDurablePatience{10000};  // to hear that a durable job was accepted
+// To hear that a durable job was accepted. With the grace for an owner's last word it ends before
+// the ten seconds after which many callers hang up: they would be left without any answer.
+constexpr milliseconds kDurablePatience{9000};
 constexpr milliseconds kEndless{std::chrono::hours{24 * 366}};
 constexpr size_t kTimelinePage = 10000;
 
@@ -173,12 +175,6 @@
 
 // ---- Operators -----------------------------------------------------------------------------
 
-void node::Handle(http_server::token token, const std::string& key, const evacuate_call& /*call*/,
-                  monotonic_time now) {
-  if (!IsOperator(token, key, now)) return;
-  front_.Respond(token, ErrorResponse(501, "not_built", "jobs of a lost domain are not moved yet"));
-}
-
 void node::Handle(http_server::token token, const std::string& key, const members_call& /*call*/,
                   monotonic_time now) {
   if (!IsOperator(token, key, now)) return;
--- /dev/null
+++ b/src/process/node_evacuate.cc
@@ -0,0 +1,208 @@
+// The part of an entry that answers for the shards of an evacuated failure domain, until an entry
+// of that domain takes them back.
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "process/node.h"
+#include "process/service_split.h"
+
+namespace catkinford {
+namespace {
+
+using json = nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// Shards of other domains are numbered from here, beside those of the own one.
+constexpr uint32_t kFirstEvacuated = 1U << 16;
+constexpr milliseconds kMoveInterval{2000};  // between tries to move what waits
+// A renewal that an owner sent just before its epoch was raised, and a clock that runs slower.
+constexpr milliseconds kLeaseMargin{1000};
+constexpr milliseconds kBeginLimit{5000};  // for the operator's answer
+
+std::string WordOf(evacuation_state state) {
+  switch (state) {
+    case evacuation_state::kWaiting:
+      return "waiting";
+    case evacuation_state::kReady:
+      return "moving";
+    case evacuation_state::kCounted:
+      return "counted";
+    case evacuation_state::kStopped:
+      return "stopped";
+    default:
+      return "beginning";
+  }
+}
+
+}  // namespace
+
+void node::Handle(http_server::token token, const std::string& key, const evacuate_call& call,
+                  monotonic_time now) {
+  if (!IsOperator(token, key, now)) return;
+  const std::string& domain = call.failure_domain;
+  const auto& all = config_.failure_domains;
+  if (std::find(all.begin(), all.end(), domain) == all.end()) {
+    front_.Respond(token, ErrorResponse(404, "unknown_domain", "it is not in the settings"));
+    return;
+  }
+  const std::string alive = domain == config_.failure_domain ? config_.name : AliveIn(domain, now);
+  if (!alive.empty()) {
+    front_.Respond(token, ErrorResponse(409, "domain_alive", alive + " answers there"));
+    return;
+  }
+  const auto under_way = evacuations_.find(domain);
+  if (under_way != evacuations_.end() && !under_way->second.work.IsOver()) {
+    under_way->second.waiting.push_back({token, now + kBeginLimit});
+    return;
+  }
+  evacuation_options options;
+  options.failure_domain = domain;
+  options.entry = config_.name;
+  options.incarnation = incarnation_;
+  options.shards = config_.shards.per_domain;
+  options.dry_run = call.dry_run;
+  options.lease_wait = config_.timing.task_lease + config_.timing.call_timeout + kLeaseMargin;
+  if (under_way != evacuations_.end()) evacuations_.erase(under_way);
+  open_evacuation& open =
+      evacuations_
+          .emplace(domain,
+                   open_evacuation{evacuation(options, evacuation_tags_), {}, {}, {}, false})
+          .first->second;
+  open.waiting.push_back({token, now + kBeginLimit});
+}
+
+// An entry of the domain that is heard, or one elsewhere that answers for its shards; empty: none.
+std::string node::AliveIn(const std::string& domain, monotonic_time now) const {
+  for (const auto& [name, peer] : peers_) {
+    if (peer.failure_domain == domain && peer.up) return name;
+  }
+  for (const std::string& name : routes_.ShardsOfDomain(domain)) {
+    const std::optional<std::string> owner = routes_.OwnerOf(name, now);
+    if (owner && *owner != config_.name) return *owner;
+  }
+  return {};
+}
+
+void node::TickEvacuations(monotonic_time now) {
+  for (auto& [domain, open] : evacuations_) {
+    const std::string alive = AliveIn(domain, now);
+    if (!alive.empty() && !open.work.IsOver()) {
+      open.work.Stop(alive + " answers there");
+      log_.Emit(event_code::kEvacuationStopped, now, {}, 0, domain, alive);
+      LoseEvacuated(open, now);
+    }
+    const evacuation_state before = open.work.State();
+    std::vector<store_request> calls;
+    open.work.Tick(now, calls);
+    for (const store_request& call : calls) {
+      SendStoreRequest(
+          call, [this, of = domain, tag = call.tag](const store_reply& reply, monotonic_time at) {
+            const auto found = evacuations_.find(of);
+            if (found != evacuations_.end()) found->second.work.OnReply(tag, reply, at);
+          });
+    }
+    if (open.work.State() == evacuation_state::kReady) {
+      if (before != evacuation_state::kReady) TakeEvacuated(open, now);
+      MoveEvacuated(open, now);
+    }
+    AnswerEvacuation(open, now);
+  }
+}
+
+// Whoever of the domain still writes to a log is shut out of it from here on.
+void node::TakeEvacuated(open_evacuation& open, monotonic_time now) {
+  const evacuation_options& options = open.work.Options();
+  log_.Emit(event_code::kEvacuationReady, now, {}, open.work.Epoch(0), options.failure_domain);
+  const auto at = std::find(config_.failure_domains.begin(), config_.failure_domains.end(),
+                            options.failure_domain);
+  const auto place = static_cast<uint32_t>(at - config_.failure_domains.begin());
+  for (uint32_t i = 0; i < options.shards; ++i) {
+    const uint32_t number = kFirstEvacuated + place * options.shards + i;
+    evacuated_names_[number] = ShardName(options.failure_domain, i);
+    open.numbers.push_back(number);
+    jobs_.OnGained(number, evacuated_names_[number], open.work.Epoch(i));
+  }
+}
+
+void node::LoseEvacuated(open_evacuation& open, monotonic_time now) {
+  for (const uint32_t number : std::exchange(open.numbers, {})) LoseShard(number, now);
+}
+
+void node::MoveEvacuated(open_evacuation& open, monotonic_time now) {
+  if (now < open.next_move) return;
+  const task_split split = [this, now](const place_message& job, uint32_t tasks) {
+    return SplitElsewhere(job, tasks, routes_, now);
+  };
+  bool all_open = true;
+  for (const uint32_t number : open.numbers) {
+    const auto held = shards_.find(number);
+    all_open = all_open && held != shards_.end();
+    if (held != shards_.end()) held->second->Evacuate(split, now);
+  }
+  if (all_open) open.next_move = now + kMoveInterval;
+}
+
+void node::AnswerEvacuation(open_evacuation& open, monotonic_time now) {
+  const evacuation& work = open.work;
+  const evacuation_state state = work.State();
+  const bool has_begun = state == evacuation_state::kWaiting || state == evacuation_state::kReady;
+  std::vector<open_cancel> still;
+  for (const open_cancel& operators : open.waiting) {
+    if (state == evacuation_state::kStopped) {
+      front_.Respond(operators.token, ErrorResponse(409, "domain_alive", work.Why()));
+    } else if (has_begun || state == evacuation_state::kCounted) {
+      if (!open.told && has_begun) {
+        log_.Emit(event_code::kEvacuationBegun, now, {}, work.Epoch(0),
+                  work.Options().failure_domain);
+      }
+      open.told = open.told || has_begun;
+      front_.Respond(operators.token, {200, EvacuationText(open, now)});
+    } else if (now >= operators.give_up) {
+      front_.Respond(operators.token,
+                     ErrorResponse(503, "store_unavailable", "it goes on when the store answers"));
+    } else {
+      still.push_back(operators);
+    }
+  }
+  open.waiting = std::move(still);
+}
+
+std::string node::EvacuationText(const open_evacuation& open, monotonic_time now) const {
+  evacuation_counts sum;
+  for (const uint32_t number : open.numbers) {
+    const auto held = shards_.find(number);
+    if (held == shards_.end()) continue;
+    const evacuation_counts& counts = held->second->Evacuated();
+    sum.moved += counts.moved;
+    sum.unknown += counts.unknown;
+    sum.given_back += counts.given_back;
+    sum.left += counts.left;
+  }
+  const json body = {{"failure_domain", open.work.Options().failure_domain},
+                     {"dry_run", open.work.Options().dry_run},
+                     {"state", WordOf(open.work.State())},
+                     {"jobs", open.work.Size().jobs},
+                     {"not_repeatable", open.work.Size().unknown},
+                     {"moves_after_ms", open.work.TimeLeft(now).count()},
+                     {"moved", sum.moved},
+                     {"given_back", sum.given_back},
+                     {"unknown", sum.unknown},
+                     {"left", sum.left}};
+  return body.dump();
+}
+
+// The name of a shard that this entry owns, or answers for.
+std::string node::NameOf(uint32_t number) const {
+  const auto found = evacuated_names_.find(number);
+  return found != evacuated_names_.end() ? found->second
+                                         : ShardName(config_.failure_domain, number);
+}
+
+bool node::MayActFor(uint32_t number) const {
+  if (number >= kFirstEvacuated) return shards_.contains(number);
+  return ownership_.MayStart(number, steady_clock::now());
+}
+
+}  // namespace catkinford
--- a/src/process/node_peers.cc
+++ b/src/process/node_peers.cc
@@ -38,7 +38,9 @@
     const shard_route* route = routes_.Route(report.shard);
     const bool is_new = route != nullptr && route->owner != from && report.epoch >= route->epoch;
     routes_.OnReport(from, report, now);
-    if (is_new) table_.OnNewOwner(report.shard, now);
+    if (!is_new) continue;
+    table_.OnNewOwner(report.shard, now);
+    for (auto& [number, held] : shards_) held->OnNewOwner(report.shard, now);
   }
   version_order& order = versions_.Order();
   order.OnPeerVersion(from, beat.config_version);
--- a/src/process/node_services.cc
+++ b/src/process/node_services.cc
@@ -10,7 +10,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 // How long after its start an entry waits to hear of every failure domain before it splits. Split
 // at once, services that come right after the start of a fleet, or to an entry that has just
@@ -45,7 +44,7 @@
 void node::PlacePart(uint32_t number, shard& from, const part_call& call, monotonic_time now) {
   const place_message* job = from.SpecOf(call.id);
   const std::optional<std::string> owner = routes_.OwnerOf(call.shard, now);
-  if (job == nullptr || !owner || !ownership_.MayStart(number, steady_clock::now())) return;
+  if (job == nullptr || !owner || !MayActFor(number)) return;
   if (call.is_cancel) {
     Send(*owner, cancel_message{call.id, call.shard, from.Name(), call.send}, now);
     return;
--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -69,7 +69,8 @@
   const uint32_t number = log.number;
   const uint64_t epoch = log.epoch;
   shard_options options;
-  options.name = ShardName(config_.failure_domain, number);
+  options.name = NameOf(number);
+  options.is_evacuated = evacuated_names_.contains(number);
   options.epoch = epoch;
   options.link.sync_wait = config_.timing.sync_wait;
   options.link.task_lease = config_.timing.task_lease;
@@ -86,12 +87,14 @@
   shards_[number] = std::move(gained);
   for (auto& [name, peer] : peers_) peer.next_beat = now;  // tells all who owns it
   table_.OnNewOwner(options.name, now);
+  for (auto& [other, held] : shards_) held->OnNewOwner(options.name, now);
   metrics_.takeovers.Increment();
   log_.Emit(event_code::kShardClaimed, now, {}, epoch, options.name);
 }
 
 void node::LoseShard(uint32_t number, monotonic_time now) {
   jobs_.OnLost(number);
+  evacuated_names_.erase(number);
   const auto found = shards_.find(number);
   if (found == shards_.end()) return;
   const std::string name = found->second->Name();
--- a/src/process/part_keeper.cc
+++ b/src/process/part_keeper.cc
@@ -17,6 +17,7 @@
     case refusal_reason::kQueueFull:
     case refusal_reason::kShed:
     case refusal_reason::kNotDurable:
+    case refusal_reason::kOwnerUnreachable:  // its failure domain was evacuated
       return true;
     default:
       return false;
@@ -39,8 +40,18 @@
                        uint64_t first_send, monotonic_time now) {
   if (shards.empty()) return;
   book& opened = books_[id];
-  opened.sends = first_send;
-  for (const std::string& shard : shards) opened.parts.push_back({shard});
+  opened.sends = std::max(opened.sends, first_send);
+  opened.rounds = 0;
+  for (const std::string& shard : shards) {
+    const auto one = std::find_if(opened.parts.begin(), opened.parts.end(),
+                                  [&](const part& each) { return each.shard == shard; });
+    if (one == opened.parts.end()) {
+      opened.parts.push_back({shard, part_state::kOwed, opened.sends + 1});
+    } else if (one->state != part_state::kOver) {
+      one->state = part_state::kOwed;
+      one->first_send = opened.sends + 1;
+    }
+  }
   Schedule(id, opened, now);
 }
 
@@ -60,6 +71,8 @@
                                 [&](const part& each) { return each.shard == answer.shard; });
   if (one == of.parts.end() || one->state == part_state::kOver) return part_news::kNone;
   if (answer.result.kind == outcome_kind::kAccepted) {
+    // Of an earlier sending: it may not have told of all tasks that the shard is to take now.
+    if (answer.send < one->first_send) return part_news::kNone;
     const bool is_news = one->state == part_state::kOwed;
     one->state = part_state::kPlaced;
     return is_news ? part_news::kPlaced : part_news::kNone;
@@ -73,6 +86,18 @@
   return part_news::kOver;
 }
 
+void part_keeper::OnNewOwner(const std::string& shard, monotonic_time now) {
+  for (auto& [id, of] : books_) {
+    for (part& one : of.parts) {
+      if (one.shard != shard || one.state == part_state::kOver) continue;
+      one.state = part_state::kOwed;
+      one.first_send = of.sends + 1;
+      of.rounds = 0;
+      Schedule(id, of, now);
+    }
+  }
+}
+
 void part_keeper::Close(const request_id& id) {
   const auto found = books_.find(id);
   if (found == books_.end()) return;
--- a/src/process/part_keeper.h
+++ b/src/process/part_keeper.h
@@ -41,10 +41,15 @@
   // a limit, since an answer that always comes after the next sending would never count.
   explicit part_keeper(std::chrono::milliseconds resend) : resend_(resend) {}
 
-  // `first_send`: of this owner; the numbers of an earlier owner must not come again.
+  // Parts in these shards are to be placed; those that are placed already are placed again, with
+  // what the job's record says of them now. `first_send`: of this owner; the numbers of an earlier
+  // owner must not come again.
   void Open(const request_id& id, const std::vector<std::string>& shards, uint64_t first_send,
             monotonic_time now);
   void Cancel(const request_id& id, monotonic_time now);
+  // A shard has changed hands: each part there is placed again. Mostly the new owner has read its
+  // record; but one that has given the part up, since its domain is evacuated, says so only then.
+  void OnNewOwner(const std::string& shard, monotonic_time now);
   part_news OnAnswer(const part_answer_message& answer);
   void Close(const request_id& id);
 
@@ -61,6 +66,7 @@
   struct part {
     std::string shard;
     part_state state = part_state::kOwed;
+    uint64_t first_send = 0;  // that carries what is owed now
     uint64_t last_send = 0;
   };
   struct book {
--- a/src/process/service_split.cc
+++ b/src/process/service_split.cc
@@ -58,7 +58,18 @@
   const auto best =
       std::min_element(able.begin(), able.end(),
                        [&](const candidate& a, const candidate& b) { return rank(a) < rank(b); });
-  return best == able.end() ? nullptr : &*best;
+  return &*best;
+}
+
+std::vector<job_part> PartsOf(const std::vector<candidate>& able) {
+  std::vector<job_part> parts;
+  uint32_t first = 0;
+  for (const candidate& one : able) {
+    if (one.taken == 0) continue;
+    parts.push_back({one.shard, first, one.taken});
+    first += one.taken;
+  }
+  return parts;
 }
 
 }  // namespace
@@ -68,21 +79,27 @@
          job.deadline_left.count() == 0;
 }
 
+std::vector<job_part> SplitElsewhere(const place_message& job, uint32_t tasks, const router& routes,
+                                     monotonic_time now) {
+  std::vector<candidate> able = CandidatesFor(job, {}, routes, now);
+  if (able.empty()) return {};
+  if (job.kind == workload_kind::kService) {
+    for (uint32_t i = 0; i < tasks; ++i) ++NextShard(able)->taken;
+  } else {
+    const auto most =
+        std::max_element(able.begin(), able.end(),
+                         [](const candidate& a, const candidate& b) { return a.room < b.room; });
+    most->taken = tasks;
+  }
+  return PartsOf(able);
+}
+
 std::vector<job_part> SplitService(const place_message& job, const std::string& home,
                                    const router& routes, monotonic_time now) {
   std::vector<candidate> able = CandidatesFor(job, home, routes, now);
-  for (uint32_t i = 0; i < job.tasks; ++i) {
-    candidate* next = NextShard(able);
-    if (next == nullptr) return {};
-    ++next->taken;
-  }
-  std::vector<job_part> parts;
-  uint32_t first = 0;
-  for (const candidate& one : able) {
-    if (one.taken == 0) continue;
-    parts.push_back({one.shard, first, one.taken});
-    first += one.taken;
-  }
+  if (able.empty()) return {};
+  for (uint32_t i = 0; i < job.tasks; ++i) ++NextShard(able)->taken;
+  std::vector<job_part> parts = PartsOf(able);
   const bool all_at_home = parts.size() == 1 && parts.front().shard == home;
   return all_at_home ? std::vector<job_part>{} : parts;
 }
--- a/src/process/service_split.h
+++ b/src/process/service_split.h
@@ -22,6 +22,11 @@
 std::vector<job_part> SplitService(const place_message& job, const std::string& home,
                                    const router& routes, monotonic_time now);
 
+// Where `tasks` tasks of a job go that cannot stay in their shard: a service as above, any other
+// job as a whole to the shard with the most room. Empty when no shard can hold them.
+std::vector<job_part> SplitElsewhere(const place_message& job, uint32_t tasks, const router& routes,
+                                     monotonic_time now);
+
 }  // namespace catkinford
 
 #endif  // CATKINFORD_PROCESS_SERVICE_SPLIT_H_
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -69,10 +69,14 @@
 void shard::Place(const std::string& entry, place_message place, monotonic_time now) {
   const request_id id = place.id;
   const uint64_t send = place.send;
+  if (const job_state* known = Find(id); known != nullptr && ComesAgain(*known, place)) Forget(id);
   if (job_state* job = Find(id)) {
+    const bool same_home = !place.home.empty() && job->spec.home == place.home;
     if (!job->has_spec) {
       job->spec = std::move(place);
       job->has_spec = true;
+    } else if (!job->ended && same_home) {
+      TakeMore(id, *job, std::move(place));
     }
     job->spec.send = std::max(job->spec.send, send);
     if (job->ended && !job->end_untold) {
@@ -85,6 +89,7 @@
     if (MayTellAccepted(id, *job, now)) Reply(entry, *job, Accepted(id));
     return;
   }
+  if (options_.is_evacuated && TurnAwayEvacuated(entry, place)) return;
   // An identity that another owner may have started must not start again while an endpoint that
   // could be running it has not been listed: it would run in two places, seen as two start records
   // of one task. It waits for the lists, or is answered as unknown.
@@ -226,7 +231,7 @@
   job_state* job = Find(id);
   if (job == nullptr || job->ended) return;
   if (job->durable) {
-    OnPartsRecorded(id, *job);
+    OnPartsRecorded(id, *job, now);
     return;
   }
   if (!durable) {
@@ -245,6 +250,7 @@
     job.has_spec = true;
     job.durable = true;
     job.accepted = true;
+    job.awaits_lists = true;
     job.ever_ran = !from.done.empty() || !from.failed.empty();
     job.tasks.resize(job.spec.tasks);
     MarkElsewhere(job);
@@ -268,8 +274,11 @@
     if (job == nullptr || job->ended) continue;
     Track(id, *job);
     core_.Resume(RequestOf(*job, now), WaitingOf(*job), now);
+    job->awaits_lists = false;
+    if (!job->cancelled) continue;
     // Cancelled before the core knew it: it would run on, and its caller wait for ever.
-    if (job->cancelled) core_.Cancel(id, now);
+    core_.Cancel(id, now);
+    EndIfOver(id, *job, now);
   }
 }
 
@@ -308,6 +317,7 @@
   }
   job->spec.send = std::max(job->spec.send, what.send);
   if (job->ended && !job->end_untold) {
+    job->cancelled = true;  // a part that was turned away does not come again either
     Reply(entry, *job, *job->ended);
     return;
   }
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <string>
 #include <utility>
@@ -105,6 +106,21 @@
   std::chrono::milliseconds identity_window{30000};
   std::chrono::milliseconds start_bound{2000};  // not-after of a start
   bool endpoints_fence = true;
+  // Of a failure domain that is evacuated: the owner is in another one, has no endpoints, and only
+  // answers for jobs whose tasks are moved.
+  bool is_evacuated = false;
+};
+
+// Where the tasks of one job go that cannot stay: shards, with how many tasks each takes; empty
+// when there is no other shard.
+using task_split = std::function<std::vector<job_part>(const place_message&, uint32_t tasks)>;
+
+// What became of the jobs of an evacuated shard so far.
+struct evacuation_counts {
+  uint32_t moved = 0;       // their unfinished tasks go to other shards
+  uint32_t unknown = 0;     // may have run, and may not run again
+  uint32_t given_back = 0;  // parts of jobs whose home is another shard, which takes them
+  uint32_t left = 0;        // wait here
 };
 
 // A job as its durable record tells it.
@@ -141,6 +157,11 @@
   // From entries.
   void Place(const std::string& entry, place_message place, monotonic_time now);
   void Cancel(const std::string& entry, const cancel_message& what, monotonic_time now);
+  // Another shard has a new owner.
+  void OnNewOwner(const std::string& name, monotonic_time now) { parts_.OnNewOwner(name, now); }
+  // Moves what waits here to other shards, and gives up what may not run again. Again and again.
+  void Evacuate(const task_split& split, monotonic_time now);
+  const evacuation_counts& Evacuated() const { return evacuated_; }
   void OnPartAnswer(const part_answer_message& answer, monotonic_time now);
   void Status(const std::string& entry, const status_query& query, monotonic_time now);
 
@@ -176,7 +197,8 @@
   const endpoint_address& Address(endpoint_index index) const { return endpoints_[index].address; }
   // Whether every endpoint was listed under this epoch, so that an identity that is not known has
   // surely not started.
-  bool AllListed() const { return unlisted_ == 0 && has_endpoints_; }
+  bool AllListed() const { return options_.is_evacuated || (unlisted_ == 0 && has_endpoints_); }
+  bool IsEvacuated() const { return options_.is_evacuated; }
   const place_message* SpecOf(const request_id& job) const;
 
  private:
@@ -232,7 +254,15 @@
   bool MayTellAccepted(const request_id& id, const job_state& job, monotonic_time now) const;
   outcome Accepted(const request_id& id) const;
   void TakeHome(const request_id& id, job_state& job, const std::string& from);
-  void OnPartsRecorded(const request_id& id, job_state& job);
+  void RecordPlan(const request_id& id, job_state& job);
+  void OnPartsRecorded(const request_id& id, job_state& job, monotonic_time now);
+  bool ComesAgain(const job_state& job, const place_message& place) const;
+  void Forget(const request_id& id);
+  void TakeMore(const request_id& id, job_state& job, place_message place);
+  void PartIsOver(const part_answer_message& answer, job_state& job, monotonic_time now);
+  // shard_evacuate.cc
+  bool MoveTasks(const request_id& id, job_state& job, const task_split& split);
+  bool TurnAwayEvacuated(const std::string& entry, const place_message& place);
   void CancelJob(const request_id& id, job_state& job, monotonic_time now);
   void CancelUnknownPart(const std::string& entry, const cancel_message& what, monotonic_time now);
   void ActParts(monotonic_time now);
@@ -267,6 +297,7 @@
   identity_memory identities_;     // of work that a caller waits for, beyond its job_state
   part_keeper parts_;              // of the jobs whose home this is
   std::set<std::pair<monotonic_time, request_id>> untold_;  // when each is told accepted at last
+  evacuation_counts evacuated_;
   std::vector<held_place> held_;
   std::vector<request_id> restored_;  // not resumed yet: some endpoint is not listed
   std::set<std::pair<monotonic_time, request_id>> deadlines_;  // of work that runs for a caller
--- a/src/process/shard_endpoints.cc
+++ b/src/process/shard_endpoints.cc
@@ -151,6 +151,13 @@
   strays.token = token;
   for (const task_status& status : reply.tasks) {
     const job_state* job = Find(status.id.job);
+    // A task that has moved to another shard while its failure domain was lost runs there now.
+    const bool moved = job != nullptr && status.id.index < job->tasks.size() &&
+                       job->tasks[status.id.index].phase == task_phase::kElsewhere;
+    if (moved) {
+      if (!status.finished) strays.ids.push_back(status.id);
+      continue;
+    }
     // A durable job that the store does not know any more has ended: nothing of it may go on, and
     // a caller that asks for it again must not start it anew.
     const bool stray = job == nullptr && IsDurable(status.kind);
--- a/src/process/shard_parts.cc
+++ b/src/process/shard_parts.cc
@@ -37,7 +37,8 @@
   std::vector<std::string> shards;
   for (const job_part& part : job.spec.parts) {
     const bool is_new = std::find(shards.begin(), shards.end(), part.shard) == shards.end();
-    if (part.shard != options_.name && is_new) shards.push_back(part.shard);
+    const bool is_open = HasElsewhere(job, part);
+    if (is_open && is_new) shards.push_back(part.shard);
   }
   if (shards.empty()) return;
   parts_.Open(id, shards, options_.epoch << kSendBits, now);
@@ -46,7 +47,7 @@
 }
 
 bool shard::MayTellAccepted(const request_id& id, const job_state& job, monotonic_time now) const {
-  if (!job.accepted || !job.durable || job.ended) return false;
+  if (!job.accepted || !job.durable || job.ended || job.unrecorded_plans > 0) return false;
   return parts_.Unplaced(id).empty() || now >= job.tell_accepted;
 }
 
@@ -73,13 +74,34 @@
   if (news == part_news::kNone) return;
   if (news == part_news::kPlaced) Note(event_code::kPartPlaced, answer.id, answer.shard);
   if (news == part_news::kRefused) TakeHome(answer.id, *job, answer.shard);
+  if (news == part_news::kOver) PartIsOver(answer, *job, now);
+  if (job->ended) return;
+  TellAccepted(answer.id, *job, now);
+  EndIfOver(answer.id, *job, now);
+}
+
+void shard::PartIsOver(const part_answer_message& answer, job_state& job, monotonic_time now) {
   // Only a home cancels parts: an earlier owner of this shard has begun to cancel the job and did
   // not live to write that down. Part of it is gone, so the rest follows.
-  if (news == part_news::kOver && answer.cancelled && !job->cancelled) {
-    CancelJob(answer.id, *job, now);
+  if (answer.cancelled && !job.cancelled) CancelJob(answer.id, job, now);
+  if (job.ended || job.cancelled || job.spec.kind == workload_kind::kService) return;
+  const outcome& result = answer.result;
+  if (result.kind == outcome_kind::kUnknown || result.kind == outcome_kind::kRefused) {
+    End(answer.id, job, result, now);
+    return;
+  }
+  if (result.kind == outcome_kind::kCompleted) job.answer = result.answer;
+  if (result.kind == outcome_kind::kFailed && job.fault.empty()) job.fault = result.detail;
+  for (const job_part& part : job.spec.parts) {
+    if (part.shard != answer.shard) continue;
+    for (uint32_t i = part.first; i < part.first + part.tasks && i < job.tasks.size(); ++i) {
+      if (job.tasks[i].phase != task_phase::kElsewhere) continue;
+      const auto& failed = answer.failed;
+      const bool well = std::find(failed.begin(), failed.end(), i) == failed.end();
+      job.tasks[i].phase = well ? task_phase::kDone : task_phase::kFailed;
+      actions_.push_back(complete_action{{answer.id, i, 0}, well, false});
+    }
   }
-  TellAccepted(answer.id, *job, now);
-  EndIfOver(answer.id, *job, now);
 }
 
 // What another shard turned away waits here. Not before that is recorded: an owner that read the
@@ -88,11 +110,18 @@
   for (job_part& part : job.spec.parts) {
     if (part.shard == from) part.shard = options_.name;
   }
+  ++job.spec.plan;
   Note(event_code::kPartTakenHome, id, from);
+  RecordPlan(id, job);
+}
+
+void shard::RecordPlan(const request_id& id, job_state& job) {
+  ++job.unrecorded_plans;
   actions_.push_back(record_action{id, true});
 }
 
-void shard::OnPartsRecorded(const request_id& id, job_state& job) {
+void shard::OnPartsRecorded(const request_id& id, job_state& job, monotonic_time now) {
+  if (job.unrecorded_plans > 0 && --job.unrecorded_plans > 0) return;
   for (const job_part& part : job.spec.parts) {
     if (part.shard != options_.name) continue;
     for (uint32_t i = part.first; i < part.first + part.tasks && i < job.tasks.size(); ++i) {
@@ -101,6 +130,34 @@
       core_.TakeIn(id, i);
     }
   }
+  if (options_.is_evacuated) OpenParts(id, job, now);
+  TellAccepted(id, job, now);
+}
+
+// A part that was turned away here and that its home sends again, having recorded in between that
+// it was not here. The memory of the refusal is for placements from before that.
+bool shard::ComesAgain(const job_state& job, const place_message& place) const {
+  return job.ended && !job.end_untold && !job.cancelled && !place.home.empty() &&
+         job.spec.home == place.home && place.plan > job.spec.plan &&
+         job.ended->kind == outcome_kind::kRefused;
+}
+
+void shard::Forget(const request_id& id) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  ended_.erase({found->second.forget_at, id});
+  jobs_.erase(found);
+}
+
+// The home has moved further tasks of the job here.
+void shard::TakeMore(const request_id& id, job_state& job, place_message place) {
+  const bool grows = std::any_of(place.parts.begin(), place.parts.end(), [&](const job_part& part) {
+    return part.shard == options_.name && HasElsewhere(job, part);
+  });
+  if (!grows || job.unrecorded_plans > 0) return;
+  job.spec.parts = std::move(place.parts);
+  job.spec.plan = place.plan;
+  RecordPlan(id, job);
 }
 
 // A part that never came, or is forgotten. It is remembered as cancelled: its placement may still
@@ -114,7 +171,8 @@
   job.spec.send = what.send;
   job.cancelled = true;
   job.ended = RefusedOutcome(what.id, refusal_reason::kCancelled, {}, "");
-  ended_.emplace(now + kPartMemory, what.id);
+  job.forget_at = now + kPartMemory;
+  ended_.emplace(job.forget_at, what.id);
   Reply(entry, job, *job.ended);
 }
 
@@ -127,7 +185,13 @@
   }
   std::vector<part_call> calls;
   parts_.Tick(now, calls);
-  for (part_call& call : calls) actions_.push_back(part_action{std::move(call)});
+  for (part_call& call : calls) {
+    // No shard may hear of a plan that is not recorded: dying now, this owner would be followed by
+    // one that reads the plan before it, and the same replicas would run by both.
+    const job_state* job = Find(call.id);
+    const bool waits = job != nullptr && job->unrecorded_plans > 0 && !call.is_cancel;
+    if (!waits) actions_.push_back(part_action{std::move(call)});
+  }
 }
 
 }  // namespace catkinford
--- a/src/process/shard_tasks.cc
+++ b/src/process/shard_tasks.cc
@@ -186,6 +186,9 @@
   answer.send = job.spec.send;
   answer.cancelled = job.cancelled;
   answer.ran = job.ever_ran;
+  for (uint32_t i = 0; i < job.tasks.size(); ++i) {
+    if (job.tasks[i].phase == task_phase::kFailed) answer.failed.push_back(i);
+  }
   answer.result = result;
   actions_.push_back(part_answer_action{entry, std::move(answer)});
 }
@@ -218,7 +221,8 @@
   // A part that was turned away is remembered too: a placement that was sent before and comes late
   // must not start what its home has taken elsewhere since.
   const bool remembered = has_record || !job.spec.home.empty();
-  ended_.emplace(remembered ? now + kDurableMemory : now, id);
+  job.forget_at = remembered ? now + kDurableMemory : now;
+  ended_.emplace(job.forget_at, id);
 }
 
 void shard::OnEndRecorded(const request_id& id) {
@@ -231,9 +235,13 @@
 
 void shard::EndIfOver(const request_id& id, job_state& job, monotonic_time now) {
   if (job.ended || !parts_.AllOver(id)) return;
-  // Its tasks may all be elsewhere, or on their way here: that none waits or runs here says
-  // nothing.
-  if (!job.spec.parts.empty() && !job.cancelled) return;
+  // It may run where no list has come from yet. Told "cancelled, not run" now, it would run on.
+  if (job.cancelled && job.awaits_lists) return;
+  // Its tasks may be elsewhere, or on their way: that none waits or runs here says nothing.
+  const bool is_service = job.spec.kind == workload_kind::kService;
+  const bool is_home = job.spec.home.empty();
+  const bool goes_on = is_service || job.unrecorded_plans > 0 || (is_home && HasElsewhere(job));
+  if (!job.spec.parts.empty() && !job.cancelled && goes_on) return;
   if (std::optional<outcome> end = EndOf(job)) End(id, job, *std::move(end), now);
 }
 
--- a/src/request/job_state.cc
+++ b/src/request/job_state.cc
@@ -1,5 +1,7 @@
 #include "request/job_state.h"
 
+#include <algorithm>
+
 namespace catkinford {
 
 job_progress ProgressOf(const job_state& job) {
@@ -27,6 +29,19 @@
   return progress;
 }
 
+bool HasElsewhere(const job_state& job) {
+  return std::any_of(job.tasks.begin(), job.tasks.end(), [](const task_progress& task) {
+    return task.phase == task_phase::kElsewhere;
+  });
+}
+
+bool HasElsewhere(const job_state& job, const job_part& part) {
+  for (uint32_t i = part.first; i < part.first + part.tasks && i < job.tasks.size(); ++i) {
+    if (job.tasks[i].phase == task_phase::kElsewhere) return true;
+  }
+  return false;
+}
+
 std::vector<uint32_t> WaitingOf(const job_state& job) {
   std::vector<uint32_t> waiting;
   for (uint32_t i = 0; i < job.tasks.size(); ++i) {
@@ -46,7 +61,9 @@
     end.reason = refusal_reason::kCancelled;
     return end;
   }
-  const bool whole = progress.failed == 0 && progress.waiting == 0;
+  // Of a task that was another shard's when the job was cancelled, nobody saw a good end.
+  const bool cut_short = progress.waiting > 0 || (job.cancelled && HasElsewhere(job));
+  const bool whole = progress.failed == 0 && !cut_short;
   end.kind = whole ? outcome_kind::kCompleted : outcome_kind::kFailed;
   end.answer = whole ? job.answer : "";
   end.detail = job.cancelled ? "cancelled" : job.fault;
--- a/src/request/job_state.h
+++ b/src/request/job_state.h
@@ -41,6 +41,7 @@
   bool durable = false;   // its record is in the store
   bool accepted = false;  // the core has it
   bool cancelled = false;
+  bool awaits_lists = false;  // of an earlier owner: whether it runs is not known yet
   bool ever_ran = false;
   std::vector<std::string> entries;  // which wait for an outcome
   std::vector<task_progress> tasks;
@@ -51,10 +52,15 @@
   // Of a spread job that waits for its parts' records: when its caller is told all the same.
   monotonic_time tell_accepted = monotonic_time::max();
   std::optional<outcome> ended;
-  bool end_untold = false;  // its end is told once the store has it
+  uint32_t unrecorded_plans = 0;  // changes of `spec.parts` that the store does not have yet
+  monotonic_time forget_at{};     // once it has ended
+  bool end_untold = false;        // its end is told once the store has it
 };
 
 job_progress ProgressOf(const job_state& job);
+// Whether any task, or any of a part, is another shard's.
+bool HasElsewhere(const job_state& job);
+bool HasElsewhere(const job_state& job, const job_part& part);
 // Tasks that wait here.
 std::vector<uint32_t> WaitingOf(const job_state& job);
 // The job's end, once no task waits or runs; a service ends only when it is cancelled.
--- a/test/parts_world.h
+++ b/test/parts_world.h
@@ -36,6 +36,9 @@
   // A new owner under a higher epoch reads the log; the endpoint runs on. Of the writes under way
   // some may still have come through.
   void ReplaceOwner(size_t site);
+  // All that runs in a site's domain dies, its owner too; another entry answers for the shard and
+  // moves its jobs, until an owner of the domain takes it back by ReplaceOwner().
+  void LoseAndEvacuate(size_t site);
   void CutOff(size_t site, bool cut) { cut_[site] = cut; }
   // How the world treats messages and records from now on, in percent.
   struct odds {
@@ -68,6 +71,7 @@
     uint64_t epoch = 1;
     uint64_t next_seq = 1;
     uint32_t queue_limit = 1000;
+    bool evacuated = false;
     std::unique_ptr<shard> owner;
     std::map<request_id, place_message> log;
     std::set<task_id> running;
@@ -87,6 +91,8 @@
   };
 
   void Open(size_t site);
+  void Succeed(size_t site, bool evacuated);
+  std::vector<job_part> SplitAwayFrom(size_t site, uint32_t tasks) const;
   void Configure(size_t site);
   size_t SiteOf(const std::string& shard) const;
   std::string EntryOf(size_t site) const;
--- a/test/shard_test.cc
+++ b/test/shard_test.cc
@@ -383,4 +383,51 @@
   CHECK(SyncAt(start.endpoint)->call.cursor == 1);
 }
 
+// A batch job runs when its shard's owner dies, and its caller cancels it at the next owner before
+// that has heard of every endpoint. Told "cancelled, not run" then, the job would run on.
+TEST_CASE_METHOD(shard_fixture, "shard, restored job cancelled before the lists, is stopped first",
+                 "[shard]") {
+  restored_job job;
+  job.spec = Place(1);
+  job.spec.kind = workload_kind::kBatch;
+  job.spec.deadline_left = {};
+  shard_.Restore({job}, now_);
+  shard_.Cancel(kEntry, {{1, 1}, "sapporo-ch/0", "", 0}, now_);
+  CHECK(Taken<answer_action>().empty());
+  task_status running;
+  running.id = {{1, 1}, 0, 1};
+  running.amount = job.spec.each;
+  running.kind = workload_kind::kBatch;
+  running.team = "booking";
+  AnswerFences({running});
+  Act();
+  CHECK(Taken<answer_action>().empty());
+  REQUIRE(Taken<stop_action>().size() == 1);
+  CHECK(Taken<stop_action>().front().ids == std::vector<task_id>{running.id});
+}
+
+// A job is cancelled and its owner dies before the store has heard of it. The next owner finds the
+// job in its log and runs it, so nobody may have been told until then that it is over.
+TEST_CASE_METHOD(shard_fixture, "shard, cancelled job, is told over once that is recorded",
+                 "[shard]") {
+  AnswerFences();
+  place_message place = Place(1);
+  place.kind = workload_kind::kBatch;
+  place.deadline_left = {};
+  place.each = {16000, 100, 0, 1};
+  place.tasks = 1;
+  shard_.Place(kEntry, std::move(place), now_);
+  Act();
+  shard_.OnRecorded({1, 1}, true, now_);
+  shard_.Cancel(kEntry, {{1, 1}, "sapporo-ch/0", "", 0}, now_);
+  Act();
+  for (const answer_action& answer : Taken<answer_action>()) {
+    CHECK(answer.result.kind == outcome_kind::kAccepted);
+  }
+  shard_.OnEndRecorded({1, 1});
+  Act();
+  REQUIRE(Taken<answer_action>().size() == 1);
+  CHECK(Taken<answer_action>().front().result.reason == refusal_reason::kCancelled);
+}
+
 }  // namespace catkinford
