--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -64,12 +64,6 @@
   return options;
 }
 
-// Two heartbeats for each shard of the fleet: see usage_average.
-milliseconds UsageTimeConstant(const settings& config) {
-  const size_t shards = config.failure_domains.size() * config.shards.per_domain;
-  return config.timing.far_heartbeat * (2 * static_cast<int64_t>(shards));
-}
-
 }  // namespace
 
 node::node(settings config)
@@ -102,9 +96,13 @@
           [this](core_task task) { Post(std::move(task)); },
           [this](monotonic_time now) { OnVersion(now); }),
       grants_(store_, [this](core_task task) { Post(std::move(task)); }),
-      usage_elsewhere_(UsageTimeConstant(config_)),
-      jobs_(config_.name, [this](const store_request& call,
-                                 std::function<void(store_reply, monotonic_time)> done) {
+      jobs_(
+          config_.name,
+          [this](const store_request& call, std::function<void(store_reply, monotonic_time)> done) {
+            SendStoreRequest(call, std::move(done));
+          }),
+      lives_(config_.name, [this](const store_request& call,
+                                  std::function<void(store_reply, monotonic_time)> done) {
         SendStoreRequest(call, std::move(done));
       }) {}
 
@@ -201,8 +199,11 @@
     TickStatus(now);
     TickEvacuations(now);
   }
-  for (opened_log& log : jobs_.Tick(now)) GainShard(std::move(log), now);
-  for (auto& [number, held] : shards_) jobs_.TakeNotices(number, *held, now);
+  OpenShards(now);
+  for (auto& [number, held] : shards_) {
+    jobs_.TakeNotices(number, *held, now);
+    lives_.Tick(*held, now);
+  }
   std::vector<shard*> owned;
   owned.reserve(shards_.size());
   for (auto& [number, held] : shards_) owned.push_back(held.get());
@@ -218,7 +219,7 @@
   } while (!local_.empty());
   // Records that the shards asked for just now. Left to the next round of the loop, each would wait
   // for up to its longest sleep.
-  for (opened_log& log : jobs_.Tick(now)) GainShard(std::move(log), now);
+  OpenShards(now);
   mailbox_.Flush();
   if (now >= next_gauges_) UpdateGauges(now);
   if (shutting_down_) CheckShutdown(now);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -29,6 +29,7 @@
 #include "process/event_log.h"
 #include "process/gone_endpoints.h"
 #include "process/grant_keeper.h"
+#include "process/incarnation_keeper.h"
 #include "process/job_keeper.h"
 #include "process/job_status.h"
 #include "process/metrics.h"
@@ -40,7 +41,6 @@
 #include "process/shard.h"
 #include "process/team_names.h"
 #include "process/timeline.h"
-#include "process/usage_average.h"
 #include "request/caller_call.h"
 
 namespace catkinford {
@@ -177,6 +177,7 @@
   void SendStoreRequest(const store_request& call,
                         std::function<void(store_reply, monotonic_time)> done);
   void OnOwnershipEvent(const ownership_event& event, monotonic_time now);
+  void OpenShards(monotonic_time now);
   void GainShard(opened_log log, monotonic_time now);
   void LoseShard(uint32_t number, monotonic_time now);
   void GiveEndpoints(shard& to, monotonic_time now);
@@ -283,8 +284,9 @@
   ownership ownership_;
   config_keeper versions_;
   grant_keeper grants_;
-  usage_average usage_elsewhere_;
   job_keeper jobs_;
+  incarnation_keeper lives_;
+  std::vector<opened_log> opened_;  // of shards that wait for their parts of the limits
   std::map<uint32_t, std::unique_ptr<shard>> shards_;
   std::map<std::string, peer_state> peers_;
   std::set<std::string> endpoint_names_;  // of the whole fleet, as last listed
--- a/src/process/node_evacuate.cc
+++ b/src/process/node_evacuate.cc
@@ -122,6 +122,7 @@
     const uint32_t number = kFirstEvacuated + place * options.shards + i;
     evacuated_names_[number] = ShardName(options.failure_domain, i);
     open.numbers.push_back(number);
+    grants_.OnGained(evacuated_names_[number], open.work.Epoch(i));
     jobs_.OnGained(number, evacuated_names_[number], open.work.Epoch(i));
   }
 }
--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -50,6 +50,7 @@
   switch (event.kind) {
     case ownership_event_kind::kGained:
       LoseShard(event.shard, now);  // held under a lower epoch
+      grants_.OnGained(ShardName(config_.failure_domain, event.shard), event.epoch);
       jobs_.OnGained(event.shard, ShardName(config_.failure_domain, event.shard), event.epoch);
       break;
     case ownership_event_kind::kLost:
@@ -64,7 +65,21 @@
   }
 }
 
-// Opens a shard whose log was read.
+// Opens the shards whose logs were read and whose parts of the limits are ours.
+void node::OpenShards(monotonic_time now) {
+  for (opened_log& log : jobs_.Tick(now)) opened_.push_back(std::move(log));
+  grants_.Prepare(now);
+  for (opened_log& log : std::exchange(opened_, {})) {
+    const bool is_evacuated = evacuated_names_.contains(log.number);
+    if (!is_evacuated && ownership_.Epoch(log.number) != log.epoch) continue;
+    if (grants_.Ready(NameOf(log.number))) {
+      GainShard(std::move(log), now);
+    } else {
+      opened_.push_back(std::move(log));
+    }
+  }
+}
+
 void node::GainShard(opened_log log, monotonic_time now) {
   const uint32_t number = log.number;
   const uint64_t epoch = log.epoch;
@@ -82,7 +97,8 @@
   if (const auto config = versions_.Order().Config()) gained->SetConfiguration(*config, now);
   gained->Restore(std::move(log.jobs), now);
   GiveEndpoints(*gained, now);
-  grants_.OnGained(options.name, epoch);
+  // The lives of an evacuated shard's endpoints stay recorded as they are, for its next owner.
+  if (!gained->IsEvacuated()) lives_.OnGained(*gained, now);
   routes_.OnReport(config_.name, gained->Report(), now);
   shards_[number] = std::move(gained);
   for (auto& [name, peer] : peers_) peer.next_beat = now;  // tells all who owns it
@@ -94,6 +110,7 @@
 
 void node::LoseShard(uint32_t number, monotonic_time now) {
   jobs_.OnLost(number);
+  grants_.OnLost(NameOf(number));
   evacuated_names_.erase(number);
   const auto found = shards_.find(number);
   if (found == shards_.end()) return;
@@ -101,7 +118,7 @@
   log_.Emit(shutting_down_ ? event_code::kShardReleased : event_code::kShardLost, now, {},
             found->second->Epoch(), name);
   shards_.erase(found);
-  grants_.OnLost(name);
+  lives_.OnLost(name);
   routes_.OnNotOwner(config_.name, name);
   table_.OnNewOwner(name, now);
 }
@@ -140,7 +157,8 @@
       const std::string& name = teams_.NameOf(team);
       const auto found = elsewhere.find(name);
       const resources latest = found == elsewhere.end() ? resources{} : found->second;
-      held->SetUsageElsewhere(name, usage_elsewhere_.Update(number, name, latest, now), now);
+      // Between two heartbeats news grow from fresh to one heartbeat old.
+      held->SetUsageElsewhere(name, latest, config_.timing.far_heartbeat / 2, now);
     }
   }
 }
--- a/test/parts_world.cc
+++ b/test/parts_world.cc
@@ -41,6 +41,7 @@
   endpoint.address = "http://127.0.0.1:1";
   endpoint.shape = {16000, 32768, 0, 8};
   at.owner->SetEndpoints({endpoint}, now_);
+  at.owner->SetIncarnations({}, now_);
 }
 
 void parts_world::Configure(size_t site) {
