Keep a job's deadline, its failed tasks and their words in the durable record

Cause: the record counted failed tasks without naming them, and had neither the deadline nor what a task said. After an owner's death other tasks were told as failed, the reason and the last answer were empty, and a deadline that had not passed by then never did: the job waited for ever.

Ruled out: a record of every task's answer (only the last one and the first fault are ever told); "not run" for a restored job whose deadline passes (an earlier owner may have started it: unknown).

Change: durable_job has failed tasks by index, fault, answer and deadline; records of earlier versions are still read. A job_log_test check on the number of failed tasks is now one on which.

--- a/src/process/decision_core.h
+++ b/src/process/decision_core.h
@@ -70,7 +70,7 @@
   resources amount;
   bool checkpoint = false;
   stop_reason why = stop_reason::kCancelled;
-  refusal_reason reason = refusal_reason::kNone;
+  refusal_reason reason = refusal_reason::kNone;  // of kRefuse; of kEnded, what ended it early
   std::chrono::milliseconds retry_after{0};
   std::string detail;
   job_end end = job_end::kDone;
--- a/src/process/decision_jobs.cc
+++ b/src/process/decision_jobs.cc
@@ -309,6 +309,7 @@
     }
   } else {
     c.kind = command_kind::kEnded;
+    if (reason == refusal_reason::kDeadline) c.reason = reason;
     c.end = EndOf(job);
     c.tasks_done = job.done;
     c.tasks_failed = job.failed;
--- a/src/process/durable_job.cc
+++ b/src/process/durable_job.cc
@@ -89,14 +89,25 @@
   job.declared_run_time = MillisecondsAt(object, "run_ms");
   job.submitted = std::chrono::system_clock::time_point{MillisecondsAt(object, "at_ms")};
   job.payload = TextAt(object, "payload");
-  job.failed = NumberAt<uint32_t>(object, "failed");
+  job.fault = TextAt(object, "fault");
+  job.answer = TextAt(object, "answer");
+  job.deadline = std::chrono::system_clock::time_point{MillisecondsAt(object, "deadline_ms")};
   job.done.resize(job.tasks);
+  job.failed.resize(job.tasks);
   job.home = TextAt(object, "home");
   job.plan = NumberAt(object, "plan");
   const bool whole = DecodeAmount(ArrayAt(object, "each"), job.each) &&
                      DecodeDone(ArrayAt(object, "done"), job.done) &&
+                     DecodeDone(ArrayAt(object, "failed"), job.failed) &&
                      DecodeParts(ArrayAt(object, "parts"), job);
   if (!whole) return std::nullopt;
+  // Earlier versions wrote how many had failed, and not which.
+  auto count = NumberAt<uint32_t>(object, "failed");
+  for (size_t i = 0; i < job.done.size() && count > 0; ++i) {
+    if (!job.done[i]) continue;
+    job.failed[i] = true;
+    --count;
+  }
   return job;
 }
 
@@ -114,6 +125,7 @@
     entry.kind = log_entry_kind::kTaskDone;
     entry.index = NumberAt<uint32_t>(object, "index");
     entry.failed = FlagAt(object, "failed");
+    entry.text = TextAt(object, "text");
     return entry;
   }
   std::optional<durable_job> job = DecodeJob(*id, object);
@@ -134,7 +146,15 @@
                   job.each.memory_mb, ",", job.each.accelerators, ",");
   absl::StrAppend(&text, job.each.slots, "],\"run_ms\":", job.declared_run_time.count(),
                   ",\"at_ms\":", submitted.time_since_epoch().count());
-  if (job.failed != 0) absl::StrAppend(&text, ",\"failed\":", job.failed);
+  if (const std::string failed = EncodeDone(job.failed); !failed.empty()) {
+    absl::StrAppend(&text, ",\"failed\":[", failed, "]");
+  }
+  if (!job.fault.empty()) absl::StrAppend(&text, ",\"fault\":", Quoted(job.fault));
+  if (!job.answer.empty()) absl::StrAppend(&text, ",\"answer\":", Quoted(job.answer));
+  if (job.deadline != std::chrono::system_clock::time_point{}) {
+    const auto deadline = std::chrono::floor<std::chrono::milliseconds>(job.deadline);
+    absl::StrAppend(&text, ",\"deadline_ms\":", deadline.time_since_epoch().count());
+  }
   if (!job.parts.empty()) absl::StrAppend(&text, ",\"parts\":[", EncodeParts(job.parts), "]");
   if (job.plan != 0) absl::StrAppend(&text, ",\"plan\":", job.plan);
   if (!job.home.empty()) absl::StrAppend(&text, ",\"home\":", Quoted(job.home));
@@ -143,9 +163,21 @@
   return text;
 }
 
-std::string EncodeTaskDone(const request_id& id, uint32_t index, bool failed) {
+bool NoteTaskEnd(durable_job& job, uint32_t index, bool failed, const std::string& text) {
+  if (index >= job.done.size() || job.done[index]) return false;
+  job.failed.resize(job.done.size());
+  job.done[index] = true;
+  job.failed[index] = failed;
+  if (failed && job.fault.empty()) job.fault = text;
+  if (!failed && !text.empty()) job.answer = text;
+  return true;
+}
+
+std::string EncodeTaskDone(const request_id& id, uint32_t index, bool failed,
+                           const std::string& text) {
   return absl::StrCat("{\"id\":\"", ToHex(id), "\",\"index\":", index,
-                      failed ? ",\"failed\":true}" : "}");
+                      failed ? ",\"failed\":true" : "",
+                      text.empty() ? "" : ",\"text\":" + Quoted(text), "}");
 }
 
 std::string EncodeJobDone(const request_id& id) {
--- a/src/process/durable_job.h
+++ b/src/process/durable_job.h
@@ -27,8 +27,11 @@
   std::chrono::milliseconds declared_run_time{0};
   std::chrono::system_clock::time_point submitted{};  // wall time: it outlives processes
   std::string payload;
-  std::vector<bool> done;  // by task: it ended for good, well or not, and never runs again
-  uint32_t failed = 0;     // how many of the done ones failed
+  std::vector<bool> done;    // by task: it ended for good, well or not, and never runs again
+  std::vector<bool> failed;  // by task: of the done ones
+  std::string fault;         // what the first of them said
+  std::string answer;        // of the end after which no task was left
+  std::chrono::system_clock::time_point deadline{};  // wall time; the clock's epoch: none
   // Of a job that is spread over shards: where each task lives, and, unless it is the writer of
   // this record, the shard that answers for the whole.
   std::vector<job_part> parts;
@@ -49,10 +52,15 @@
   request_id id;       // the others
   uint32_t index = 0;  // kTaskDone
   bool failed = false;
+  std::string text;  // its fault, or the job's answer
 };
 
+// Takes the end of one task into the record. False when it was there already.
+bool NoteTaskEnd(durable_job& job, uint32_t index, bool failed, const std::string& text);
+
 std::string EncodeJob(const durable_job& job);
-std::string EncodeTaskDone(const request_id& id, uint32_t index, bool failed);
+std::string EncodeTaskDone(const request_id& id, uint32_t index, bool failed,
+                           const std::string& text);
 std::string EncodeJobDone(const request_id& id);
 
 // The value of one segment: the epoch of the owner that wrote it last, and its entries.
--- a/src/process/job_keeper.cc
+++ b/src/process/job_keeper.cc
@@ -1,5 +1,6 @@
 #include "process/job_keeper.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -23,6 +24,7 @@
   job.home = place.home;
   job.plan = place.plan;
   job.done.resize(place.tasks);
+  if (place.deadline_left.count() > 0) job.deadline = job.submitted + place.deadline_left;
   return job;
 }
 
@@ -41,12 +43,17 @@
   place.parts = job.parts;
   place.home = job.home;
   place.plan = job.plan;
-  // The record counts the failed tasks and does not name them.
-  uint32_t failed = job.failed;
+  if (job.deadline != std::chrono::system_clock::time_point{}) {
+    // Not zero when it has passed: that would say that the job has none.
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+        job.deadline - std::chrono::system_clock::now());
+    place.deadline_left = std::max(left, std::chrono::milliseconds{1});
+  }
+  restored.fault = job.fault;
+  restored.answer = job.answer;
   for (uint32_t i = 0; i < job.done.size(); ++i) {
     if (!job.done[i]) continue;
-    if (failed > 0) {
-      --failed;
+    if (job.failed[i]) {
       restored.failed.push_back(i);
     } else {
       restored.done.push_back(i);
@@ -140,7 +147,7 @@
     if (log.FinishJob(what.task.job) == append_result::kKnown) from.OnEndRecorded(what.task.job);
     return;
   }
-  const append_result result = log.Complete(what.task.job, what.task.index, !what.well);
+  const append_result result = log.Complete(what.task.job, what.task.index, !what.well, what.text);
   if (result == append_result::kKnown) {
     from.OnCompletionRecorded(what.task.job, what.task.index, now);
   }
--- a/src/process/job_log.cc
+++ b/src/process/job_log.cc
@@ -105,15 +105,15 @@
   return append_result::kTaken;
 }
 
-append_result job_log::Complete(const request_id& id, uint32_t index, bool failed) {
+append_result job_log::Complete(const request_id& id, uint32_t index, bool failed,
+                                const std::string& text) {
   if (state_ != job_log_state::kReady) return append_result::kNotReady;
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return Repeated(id);
-  durable_job& job = found->second.record;
-  if (index >= job.done.size() || job.done[index]) return Repeated(id);
-  job.done[index] = true;
-  if (failed) ++job.failed;
-  Push(EncodeTaskDone(id, index, failed), {log_entry_kind::kTaskDone, id, index}, true);
+  // A longer answer is not kept: each commit sends the whole last segment again.
+  const std::string kept = text.size() <= options_.text_bytes ? text : std::string();
+  if (!NoteTaskEnd(found->second.record, index, failed, kept)) return Repeated(id);
+  Push(EncodeTaskDone(id, index, failed, kept), {log_entry_kind::kTaskDone, id, index}, true);
   return append_result::kTaken;
 }
 
--- a/src/process/job_log.h
+++ b/src/process/job_log.h
@@ -36,6 +36,7 @@
   // A full segment is not written again. Each commit sends the whole last segment, so a larger one
   // costs bytes; a smaller one costs items in the read of a takeover.
   size_t segment_bytes = 64 << 10;
+  size_t text_bytes = 16 << 10;     // the longest answer or fault that is kept
   size_t record_bytes = 700 << 10;  // the longest entry: a store value ends at 1 MB
 };
 
@@ -77,7 +78,9 @@
   append_result Replace(const durable_job& job);
   // Before the endpoint's cursor is acknowledged: otherwise a finished task could be forgotten by
   // everybody, and a new owner would run it again.
-  append_result Complete(const request_id& id, uint32_t index, bool failed);
+  // `text`: what a failed task said, or the answer of the last one.
+  append_result Complete(const request_id& id, uint32_t index, bool failed,
+                         const std::string& text = {});
   append_result FinishJob(const request_id& id);
   // Gives up the record of a job, if surely neither the store nor a call under way has it. False:
   // it may be there, and then a later owner would run the job.
--- a/src/process/job_log_upkeep.cc
+++ b/src/process/job_log_upkeep.cc
@@ -74,10 +74,7 @@
   }
   const auto found = jobs_.find(entry.id);
   if (found == jobs_.end()) return;
-  durable_job& job = found->second.record;
-  if (entry.index >= job.done.size() || job.done[entry.index]) return;
-  job.done[entry.index] = true;
-  if (entry.failed) ++job.failed;
+  NoteTaskEnd(found->second.record, entry.index, entry.failed, entry.text);
 }
 
 // An earlier owner may have been paused with a commit in its hands, for as long as it likes. It can
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -259,6 +259,9 @@
     job.accepted = true;
     job.awaits_lists = true;
     job.ever_ran = !from.done.empty() || !from.failed.empty();
+    job.fault = std::move(from.fault);
+    job.answer = std::move(from.answer);
+    if (job.spec.deadline_left.count() > 0) job.deadline = now + job.spec.deadline_left;
     job.tasks.resize(job.spec.tasks);
     MarkElsewhere(job);
     for (const uint32_t index : from.done) {
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -83,6 +83,7 @@
   task_id task;
   bool well = false;
   bool job_ended = false;
+  std::string text;  // what it said, if that is told of its job
 };
 // An endpoint has seen a higher epoch: the shard is another's.
 struct superseded_action {
@@ -129,6 +130,8 @@
   place_message spec;
   std::vector<uint32_t> done;  // task indices
   std::vector<uint32_t> failed;
+  std::string fault;   // of the first task that failed
+  std::string answer;  // of the task that ended last, when none is left
 };
 
 // Of endpoints, by name: the number of the life in which each was last known to keep its memory.
--- a/src/process/shard_parts.cc
+++ b/src/process/shard_parts.cc
@@ -99,7 +99,8 @@
       const auto& failed = answer.failed;
       const bool well = std::find(failed.begin(), failed.end(), i) == failed.end();
       job.tasks[i].phase = well ? task_phase::kDone : task_phase::kFailed;
-      actions_.push_back(complete_action{{answer.id, i, 0}, well, false});
+      actions_.push_back(
+          complete_action{{answer.id, i, 0}, well, false, well ? result.answer : result.detail});
     }
   }
 }
--- a/src/process/shard_tasks.cc
+++ b/src/process/shard_tasks.cc
@@ -71,11 +71,16 @@
   EndIfOver(end.task.job, *job, now);
   if (job->ended || ProgressOf(*job).running > 0 || !parts_.AllOver(end.task.job)) return;
   const bool may_have_run = end.end == job_end::kUnknown;
-  const std::string detail = job->fault.empty() ? end.detail : job->fault;
-  End(end.task.job, *job,
-      may_have_run ? UnknownOutcome(end.task.job, "a run of it was lost")
-                   : FailedOutcome(end.task.job, detail),
-      now);
+  const bool is_late = end.reason == refusal_reason::kDeadline;
+  std::string detail = job->fault.empty() ? end.detail : job->fault;
+  if (is_late && detail.empty()) detail = "its deadline passed before all of it had started";
+  outcome told = FailedOutcome(end.task.job, detail);
+  if (may_have_run) told = UnknownOutcome(end.task.job, "a run of it was lost");
+  // Neither "not run" nor "ran" is proved of a job that an earlier owner may have started.
+  if (is_late && !job->ever_ran) {
+    told = UnknownOutcome(end.task.job, "its deadline passed, it may have run under another owner");
+  }
+  End(end.task.job, *job, std::move(told), now);
 }
 
 void shard::TakeStart(const command& next, start_action& start) {
@@ -141,7 +146,10 @@
   if (result == task_result::kOk) job->answer = answer;
   if (result == task_result::kFailed && job->fault.empty()) job->fault = answer;
   if (job->durable && !job->ended) {
-    actions_.push_back(complete_action{id, task->phase == task_phase::kDone, false});
+    const bool well = task->phase == task_phase::kDone;
+    const job_progress progress = ProgressOf(*job);
+    const bool is_last = progress.waiting == 0 && progress.running == 0;
+    actions_.push_back(complete_action{id, well, false, !well || is_last ? answer : ""});
     const bool is_new = unrecorded_.try_emplace({id.job, id.index}, task->endpoint).second;
     if (is_new) ++endpoints_[task->endpoint].unrecorded;
   }
@@ -216,7 +224,7 @@
     Answer(job, *job.ended);
     job.entries.clear();
   }
-  if (has_record) actions_.push_back(complete_action{{id, 0, 0}, false, true});
+  if (has_record) actions_.push_back(complete_action{{id, 0, 0}, false, true, ""});
   if (!is_durable) identities_.Finish(id, *job.ended, now);
   // A part that was turned away is remembered too: a placement that was sent before and comes late
   // must not start what its home has taken elsewhere since.
--- a/test/job_log_test.cc
+++ b/test/job_log_test.cc
@@ -110,12 +110,16 @@
   job.urgent = true;
   job.repeatable = false;
   job.kind = workload_kind::kGang;
+  job.deadline = std::chrono::system_clock::time_point{milliseconds{1764723600123}};
+  job.parts = {{"otaru/0", 0, 2}, {"sapporo-ch/0", 2, 3}};
+  job.home = "otaru/0";
+  job.plan = 4;
   job.payload = "quote \" and \\ and ],\"entries\":[ in it";
   CHECK(first_.log->Append(job) == append_result::kTaken);
   CHECK_FALSE(first_.log->Durable(job.id));
   first_.Run(2);
   CHECK(first_.log->Durable(job.id));
-  first_.log->Complete(job.id, 3, true);
+  first_.log->Complete(job.id, 3, true, "disk \"full\"");
   first_.Run(2);
   const auto next = TakeOver(2);
   const durable_job& read = next->log->Jobs().at(job.id).record;
@@ -127,7 +131,22 @@
   CHECK(read.each == job.each);
   CHECK(read.submitted == job.submitted);
   CHECK(read.done == std::vector<bool>{false, false, false, true, false});
-  CHECK(read.failed == 1);
+  CHECK(read.failed == std::vector<bool>{false, false, false, true, false});
+  CHECK(read.fault == "disk \"full\"");
+  CHECK(read.deadline == job.deadline);
+  CHECK(read.parts == job.parts);
+  CHECK(read.home == job.home);
+  CHECK(read.plan == job.plan);
+}
+
+// An entry of an earlier version wrote how many tasks of a job had failed, and not which.
+TEST_CASE("durable job, record of an earlier version, keeps the number of failed tasks",
+          "[job_log]") {
+  const std::optional<log_segment> read = DecodeSegment(
+      R"({"epoch":1,"entries":[{"id":"00000000000000010000000000000001","team":"a","kind":"batch",)"
+      R"("tasks":3,"each":[1,1,0,1],"failed":1,"done":[1,2]}]})");
+  REQUIRE(read);
+  CHECK(read->entries.at(0).job.failed == std::vector<bool>{false, true, false});
 }
 
 TEST_CASE_METHOD(job_log_fixture, "job log, many jobs at once, are one call", "[job_log]") {
--- /dev/null
+++ b/test/owner_killed_fleet_test.cc
@@ -0,0 +1,128 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "absl/strings/str_cat.h"
+#include "bench/fleet.h"
+#include "nlohmann/json.hpp"
+
+namespace catkinford {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+constexpr seconds kGenerousLimit{30};
+
+// Two entries in one failure domain with one endpoint, which runs one task of these jobs at a time.
+class owner_killed_fixture {
+ public:
+  owner_killed_fixture() : fleet_(Options()) {
+    http_.Start();
+    REQUIRE(fleet_.Start(std::chrono::duration_cast<milliseconds>(kGenerousLimit)));
+  }
+  ~owner_killed_fixture() { http_.Stop(); }
+
+ protected:
+  static fleet_options Options() {
+    fleet_options options;
+    options.domains = {"otaru"};
+    options.endpoints_per_domain = 1;
+    options.teams = 1;
+    return options;
+  }
+
+  json Ask(const std::string& method, const std::string& path, const json& body, bool as_operator) {
+    const std::string& key =
+        as_operator ? fleet_.Contract().operator_secret : fleet_.Contract().teams.front().secret;
+    for (size_t slot = 0; slot < fleet_.Entries(); ++slot) {
+      if (!fleet_.Entry(slot).process.Alive()) continue;
+      http_call call{method, fleet_.UrlOf(slot) + path, body.is_null() ? "" : body.dump(), key};
+      call.timeout = milliseconds{12000};
+      return json::parse(http_.SendAndWait(call).body, nullptr, false);
+    }
+    return {};
+  }
+
+  // The identity of an accepted job of `tasks` that each take the whole endpoint.
+  std::string Submit(uint32_t tasks, const json& payload, milliseconds deadline) {
+    json job = {{"kind", "batch"}, {"tasks", tasks}, {"cpu_milli", 16000}, {"memory_mb", 1024}};
+    job["payload"] = payload.dump();
+    if (deadline.count() > 0) job["deadline_ms"] = deadline.count();
+    const json answer = Ask("POST", "/v1/jobs", job, false);
+    REQUIRE(answer.value("outcome", "") == "accepted");
+    return answer.value("id", "");
+  }
+
+  json Status(const std::string& id) { return Ask("GET", "/v1/jobs/" + id, json(), false); }
+
+  template <typename Condition>
+  bool WaitFor(Condition holds) {
+    const auto until = steady_clock::now() + kGenerousLimit;
+    while (!holds()) {
+      if (steady_clock::now() >= until) return false;
+      std::this_thread::sleep_for(milliseconds{50});
+    }
+    return true;
+  }
+
+  void KillOwner() {
+    const json members = Ask("GET", "/v1/members", json(), true);
+    const std::string owner = members.at("shards").at(0).value("owner", "");
+    for (size_t slot = 0; slot < fleet_.Entries(); ++slot) {
+      if (fleet_.Entry(slot).name == owner) fleet_.Entry(slot).process.Kill();
+    }
+  }
+
+  fleet fleet_;
+  http_client http_{0};
+};
+
+uint64_t Count(const json& status, const char* state) {
+  return status.contains("tasks") ? status["tasks"].value(state, uint64_t{0}) : 0;
+}
+
+}  // namespace
+
+// Two tasks of a job have failed, then the owner of its shard dies. The next owner must still know
+// which failed and what the first of them said: else the job is told as done, or without a reason.
+TEST_CASE_METHOD(owner_killed_fixture, "owner killed, tasks failed before, are told as failed",
+                 "[fleet]") {
+  const json fails = {{"run_ms", 400}, {"result", "fail"}, {"echo", "disk full"}};
+  const std::string id = Submit(6, fails, milliseconds{0});
+  REQUIRE(WaitFor([&] { return Count(Status(id), "failed") >= 2; }));
+  KillOwner();
+  json status;
+  REQUIRE(WaitFor([&] {
+    status = Status(id);
+    return status.value("state", "") == "finished";
+  }));
+  CHECK(Count(status, "failed") == 6);
+  CHECK(Count(status, "done") == 0);
+  CHECK(status["outcome"].value("outcome", "") == "failed");
+  CHECK(status["outcome"].value("detail", "") == "disk full");
+}
+
+// A job waits behind a longer one and has a deadline; the owner of its shard dies meanwhile. The
+// next owner must not start it when its team has long given it up.
+TEST_CASE_METHOD(owner_killed_fixture, "owner killed, deadline of a waiting job, still passes",
+                 "[fleet]") {
+  const std::string long_job = Submit(1, {{"run_ms", 600000}}, milliseconds{0});
+  REQUIRE(WaitFor([&] { return Count(Status(long_job), "running") == 1; }));
+  const std::string id = Submit(1, {{"run_ms", 100}}, milliseconds{4000});
+  KillOwner();
+  json status;
+  REQUIRE(WaitFor([&] {
+    status = Status(id);
+    return status.value("state", "") == "finished";
+  }));
+  CHECK(Count(status, "running") == 0);
+  CHECK(status["outcome"].value("outcome", "") == "unknown");
+  CHECK(status["outcome"].value("detail", "").find("deadline") != std::string::npos);
+}
+
+}  // namespace catkinford
--- a/test/shard_test.cc
+++ b/test/shard_test.cc
@@ -308,4 +308,32 @@
   CHECK(Taken<answer_action>().front().result.reason == refusal_reason::kCancelled);
 }
 
+// The last task of a job ends, that is recorded, and the owner dies before its caller has heard.
+// The caller asks the next owner, and must get the answer, or what went wrong, and not an empty
+// one.
+TEST_CASE_METHOD(shard_fixture, "shard, job ended under an earlier owner, is told with its words",
+                 "[shard]") {
+  AnswerFences();
+  restored_job well;
+  well.spec = Place(1);
+  well.spec.kind = workload_kind::kBatch;
+  well.spec.tasks = 2;
+  restored_job badly = well;
+  badly.spec.id = {2, 2};
+  well.done = {0, 1};
+  well.answer = "balanced";
+  badly.done = {0};
+  badly.failed = {1};
+  badly.fault = "disk full";
+  shard_.Restore({well, badly}, now_);
+  for (const restored_job& job : {well, badly}) shard_.Place(kEntry, job.spec, now_);
+  Act();
+  const auto answers = Taken<answer_action>();
+  REQUIRE(answers.size() == 2);
+  CHECK(answers[0].result.kind == outcome_kind::kCompleted);
+  CHECK(answers[0].result.answer == "balanced");
+  CHECK(answers[1].result.kind == outcome_kind::kFailed);
+  CHECK(answers[1].result.detail == "disk full");
+}
+
 }  // namespace catkinford
