--- a/src/process/node_peers.cc
+++ b/src/process/node_peers.cc
@@ -47,7 +47,9 @@
     const shard_route* route = routes_.Route(report.shard);
     const std::string before = route == nullptr ? "" : route->owner;
     routes_.OnReport(of.name, report, of.heard);
-    if (route != nullptr && route->owner != before) table_.OnNewOwner(report.shard, now);
+    if (route == nullptr || route->owner == before) continue;
+    table_.OnNewOwner(report.shard, now);
+    for (auto& [number, held] : shards_) held->OnNewOwner(report.shard, now);
   }
   if (!of.word.shards.empty()) routes_.OnRoundTrip(of.name, mailbox_.RoundTrip(of.name));
   versions_.Order().OnPeerVersion(of.name, of.word.config_version);
--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -70,8 +70,9 @@
   for (opened_log& log : jobs_.Tick(now)) opened_.push_back(std::move(log));
   grants_.Prepare(now);
   for (opened_log& log : std::exchange(opened_, {})) {
-    if (ownership_.Epoch(log.number) != log.epoch) continue;
-    if (grants_.Ready(ShardName(config_.failure_domain, log.number))) {
+    const bool is_evacuated = evacuated_names_.contains(log.number);
+    if (!is_evacuated && ownership_.Epoch(log.number) != log.epoch) continue;
+    if (grants_.Ready(NameOf(log.number))) {
       GainShard(std::move(log), now);
     } else {
       opened_.push_back(std::move(log));
@@ -83,7 +84,8 @@
   const uint32_t number = log.number;
   const uint64_t epoch = log.epoch;
   shard_options options;
-  options.name = ShardName(config_.failure_domain, number);
+  options.name = NameOf(number);
+  options.is_evacuated = evacuated_names_.contains(number);
   options.epoch = epoch;
   options.link.sync_wait = config_.timing.sync_wait;
   options.link.task_lease = config_.timing.task_lease;
@@ -95,18 +97,21 @@
   if (const auto config = versions_.Order().Config()) gained->SetConfiguration(*config, now);
   gained->Restore(std::move(log.jobs), now);
   GiveEndpoints(*gained, now);
-  lives_.OnGained(*gained, now);
+  // The lives of an evacuated shard's endpoints stay recorded as they are, for its next owner.
+  if (!gained->IsEvacuated()) lives_.OnGained(*gained, now);
   routes_.OnReport(config_.name, gained->Report(), now);
   shards_[number] = std::move(gained);
   Announce(now);
   table_.OnNewOwner(options.name, now);
+  for (auto& [other, held] : shards_) held->OnNewOwner(options.name, now);
   metrics_.takeovers.Increment();
   log_.Emit(event_code::kShardClaimed, now, {}, epoch, options.name);
 }
 
 void node::LoseShard(uint32_t number, monotonic_time now) {
   jobs_.OnLost(number);
-  grants_.OnLost(ShardName(config_.failure_domain, number));
+  grants_.OnLost(NameOf(number));
+  evacuated_names_.erase(number);
   const auto found = shards_.find(number);
   if (found == shards_.end()) return;
   const std::string name = found->second->Name();
