--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -97,7 +97,9 @@
       table_({}, routes_),
       ownership_(OwnershipOptions(config_, incarnation_)),
       versions_(
-          store_, config_.isolation.key_grace, [this](core_task task) { Post(std::move(task)); },
+          store_, config_.isolation.key_grace,
+          history_bounds{config_.bounds.history_versions, config_.bounds.history_bytes},
+          [this](core_task task) { Post(std::move(task)); },
           [this](monotonic_time now) { OnVersion(now); }),
       grants_(store_, [this](core_task task) { Post(std::move(task)); }),
       usage_elsewhere_(UsageTimeConstant(config_)),
@@ -293,8 +295,6 @@
   } else if (std::holds_alternative<release_message>(body)) {
     ownership_.OnHandedOver(now);
     next_ownership_tick_ = now;
-  } else if (const auto* drain = std::get_if<drain_message>(&body)) {
-    DrainEndpoint(drain->endpoint, now);
   } else if (const auto* wrong = std::get_if<not_owner_message>(&body)) {
     routes_.OnNotOwner(from, wrong->shard);
     table_.OnSendFailed(wrong->id, true, now);
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -127,9 +127,9 @@
   void SetGrants(const std::vector<grant_entry>& grants, monotonic_time now);
   void SetUsageElsewhere(const std::string& team, const resources& running, monotonic_time now);
   void SetCellCapacity(const resources& capacity) { core_.SetCellCapacity(capacity); }
-  // An operator's word: gets nothing new, what runs there is moved.
-  bool Drain(const std::string& endpoint, monotonic_time now);
   bool Has(const std::string& endpoint) const { return endpoint_by_name_.contains(endpoint); }
+  // Tasks under way at an endpoint of this shard.
+  size_t RunningAt(const std::string& endpoint) const;
 
   // Takes no request from now on that it does not know yet: this owner ends and nobody can be given
   // the shard.
@@ -209,6 +209,9 @@
   void LoseAllAt(endpoint_index index, monotonic_time now);
   void SettleUnsure(endpoint_index index, uint64_t token, const std::vector<task_id>& unsure,
                     monotonic_time now);
+  std::vector<task_id> TasksAt(endpoint_index index) const;
+  // On an operator's word: get nothing new, what runs there is moved.
+  void SetDrained(const std::vector<std::string>& names, monotonic_time now);
   bool IsSuperseded(const endpoint_reply& reply);
   void CheckMemory(endpoint_record& at, monotonic_time now);
 
@@ -245,6 +248,7 @@
   absl::flat_hash_map<std::string, endpoint_index> endpoint_by_name_;
   absl::flat_hash_map<std::string, uint32_t> racks_;
   uint32_t unlisted_ = 0;
+  std::set<std::string> drained_;  // by operators; also endpoints that are not here yet
   bool has_endpoints_ = false;
   bool has_incarnations_ = false;
   incarnations recorded_;
