--- a/bench/scenario_faults.cc
+++ b/bench/scenario_faults.cc
@@ -122,6 +122,23 @@
   for (const size_t slot : run.SlotsOf(domain)) run.Healed(slot);
 }
 
+// All that a domain has is gone at once: entries, endpoints and what runs there. It comes back with
+// new entries, and endpoints that know nothing.
+void DomainLost(scenario_run& run) {
+  const size_t domain = PickDomain(run);
+  for (const size_t slot : run.SlotsOf(domain)) run.KillEntry(slot);
+  for (const std::string& endpoint : run.Fleet().EndpointsOf(domain)) {
+    run.Fleet().SetEndpointMode(endpoint, "dead");
+  }
+  run.Sleep(kLongFault);
+  run.MarkFaultEnd();
+  for (const std::string& endpoint : run.Fleet().EndpointsOf(domain)) {
+    run.Fleet().SetEndpointMode(endpoint, "up");
+  }
+  for (const size_t slot : run.SlotsOf(domain)) run.ReplaceEntry(slot);
+  for (const size_t slot : run.SlotsOf(domain)) run.Fleet().WaitReady(slot, kLongFault);
+}
+
 // Every link between regions is lost, while each region still reaches the platform.
 void RegionsApart(scenario_run& run) {
   const link_rule cut = PickCut(run);
@@ -297,6 +314,11 @@
 
 void NeedLinks(scenario_options& options) { options.fleet.proxied = true; }
 
+void NeedServices(scenario_options& options) {
+  options.services = 24;
+  options.replicas = 6;
+}
+
 void NeedRegions(scenario_options& options) {
   options.fleet.proxied = true;
   options.fleet.region_delay = milliseconds{40};
@@ -327,6 +349,8 @@
      &NeedLinks, &DomainCutFromPlatform},
     {"domain_cut_off", "a failure domain reaches neither the platform nor the others", &NeedLinks,
      &DomainCutOff},
+    {"domain_lost", "entries and endpoints of a failure domain die, and come back new",
+     &NeedServices, &DomainLost},
     {"silent_connections", "all open connections go silent for good, three times", &NeedLinks,
      &SilentConnections},
     {"endpoint_drain", "two endpoints leave, one is drained by an operator", nullptr,
