Answer a late sending of a refused request with the same refusal

Cause: an entry sends a place again each second while it has no outcome. The same holds for every other refusal, and for a request that its entry had moved on to another shard.

Ruled out: remembering refused identities, since a caller that is told to come back asks again with the same key and must be tried anew.

Change: each ask of a caller has a number, the same in all its sendings (place_message::ask); refusal_memory keeps refused asks for an identity window.

--- a/src/process/message.cc
+++ b/src/process/message.cc
@@ -128,6 +128,7 @@
   if (!place.parts.empty()) body["parts"] = Encode(place.parts);
   if (!place.home.empty()) body["home"] = place.home;
   if (place.send != 0) body["send"] = place.send;
+  if (place.ask != 0) body["ask"] = place.ask;
   return body;
 }
 
@@ -149,6 +150,7 @@
   place.parts = DecodeParts(from);
   place.home = Read<std::string>(from, "home");
   place.send = Read<uint64_t>(from, "send");
+  place.ask = Read<uint64_t>(from, "ask");
   return place;
 }
 
--- a/src/process/message.h
+++ b/src/process/message.h
@@ -36,6 +36,7 @@
   std::vector<job_part> parts;
   std::string home;   // the shard that answers for the whole; empty when that is `shard`
   uint64_t send = 0;  // from a home to the owner of a part: which sending this is
+  uint64_t ask = 0;   // from an entry: which of the identity's asks this is, in all its sendings
 };
 
 // Owner to entry. kAccepted may be followed by the end of the job.
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -55,6 +55,12 @@
   return options;
 }
 
+table_options TableOptions(uint64_t incarnation) {
+  table_options options;
+  options.first_ask = incarnation;
+  return options;
+}
+
 event_log_options LogOptions(const settings& config) {
   event_log_options options;
   options.file = config.logs.file;
@@ -94,7 +100,7 @@
                OnHttp(token, std::move(request));
              }),
       routes_(RouterOptions(config_)),
-      table_({}, routes_),
+      table_(TableOptions(incarnation_), routes_),
       ownership_(OwnershipOptions(config_, incarnation_)),
       versions_(
           store_, config_.isolation.key_grace,
--- a/src/process/request_table.cc
+++ b/src/process/request_table.cc
@@ -30,7 +30,7 @@
 }  // namespace
 
 request_table::request_table(table_options options, router& routes)
-    : options_(options), routes_(routes) {}
+    : options_(options), routes_(routes), next_ask_(options.first_ask) {}
 
 void request_table::BeginCall(http_server::token token, bool is_batch,
                               std::vector<workload_kind> kinds, monotonic_time now) {
@@ -61,6 +61,7 @@
   if (entry.place.deadline_left.count() > 0) request.deadline = now + entry.place.deadline_left;
   request.entry = std::move(entry);
   place_message& place = request.entry.place;
+  place.ask = next_ask_++;
   if (request.entry.keyed) {
     place.shard = routes_.Home(id);
   } else if (const std::string* shard = routes_.Choose(place.each, id.lo, now)) {
--- a/src/process/request_table.h
+++ b/src/process/request_table.h
@@ -25,6 +25,7 @@
   std::chrono::milliseconds owner_wait{5000};       // how long a shard may be without an owner
   std::chrono::milliseconds answer_grace{250};      // for the owner's word after the deadline
   uint32_t most_hops = 3;                           // shards that one request may try
+  uint64_t first_ask = 1;  // number of the first ask; higher than any of an earlier process
 };
 
 // What has become ready: places to send, and calls whose outcomes are all there.
@@ -111,6 +112,7 @@
 
   table_options options_;
   router& routes_;
+  uint64_t next_ask_;
   absl::flat_hash_map<request_id, pending_request> pending_;
   std::set<std::pair<monotonic_time, request_id>> schedule_;
   absl::flat_hash_map<http_server::token, call_state> calls_;
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -18,6 +18,7 @@
 // How long a record may wait for the store before its caller is told. Longer than a change of the
 // store's leader; shorter than the time after which an entry would tell its caller `unknown`.
 constexpr milliseconds kRecordWait{5000};
+constexpr size_t kRefusals = 200000;        // remembered, of about 100 bytes each
 constexpr milliseconds kWithdrawAgain{20};  // while a call to the store was under way
 // When a caller whose job was not recorded may come back.
 constexpr milliseconds kAskAgain{1000};
@@ -42,7 +43,8 @@
       teams_(teams),
       core_(CoreOptions(options_)),
       identities_(IdentityOptions(options_)),
-      parts_(kPartResend) {}
+      parts_(kPartResend),
+      refusals_(options_.identity_window, kRefusals) {}
 
 void shard::Note(event_code code, const request_id& id, std::string subject, std::string detail) {
   actions_.push_back(event_action{code, id, std::move(subject), std::move(detail)});
@@ -69,7 +71,14 @@
 void shard::Place(const std::string& entry, place_message place, monotonic_time now) {
   const request_id id = place.id;
   const uint64_t send = place.send;
+  if (const std::optional<outcome> refused = refusals_.Find(id, place.ask)) {
+    actions_.push_back(answer_action{entry, *refused});
+    return;
+  }
   if (job_state* job = Find(id)) {
+    if (std::find(job->asks.begin(), job->asks.end(), place.ask) == job->asks.end()) {
+      job->asks.push_back(place.ask);
+    }
     if (!job->has_spec) {
       job->spec = std::move(place);
       job->has_spec = true;
@@ -103,10 +112,7 @@
     return;
   }
   if (closed_) {
-    outcome refused =
-        RefusedOutcome(id, refusal_reason::kShuttingDown, kAskAgain, "its owner is being stopped");
-    identities_.Finish(id, refused, now);
-    actions_.push_back(answer_action{entry, std::move(refused)});
+    TurnAway(entry, place, refusal_reason::kShuttingDown, "its owner is being stopped", now);
     return;
   }
   job_state& job = Admit(entry, std::move(place), now);
@@ -118,6 +124,14 @@
   Submit(id, job, now);
 }
 
+void shard::TurnAway(const std::string& entry, const place_message& place, refusal_reason reason,
+                     std::string detail, monotonic_time now) {
+  outcome refused = RefusedOutcome(place.id, reason, kAskAgain, std::move(detail));
+  refusals_.Add(place.id, place.ask, refused, now);
+  if (!IsDurable(place.kind)) identities_.Finish(place.id, refused, now);
+  actions_.push_back(answer_action{entry, std::move(refused)});
+}
+
 void shard::Close() {
   if (closed_) return;
   closed_ = true;
@@ -150,12 +164,9 @@
       actions_.push_back(
           answer_action{entry, UnknownOutcome(place.id, "it may have run where it is lost")});
       return true;
-    case identity_verdict::kFull: {
-      outcome full =
-          RefusedOutcome(place.id, refusal_reason::kQueueFull, kAskAgain, "no room to remember it");
-      actions_.push_back(answer_action{entry, std::move(full)});
+    case identity_verdict::kFull:
+      TurnAway(entry, place, refusal_reason::kQueueFull, "no room to remember it", now);
       return true;
-    }
   }
   const std::optional<known_identity> known = identities_.Find(place.id);
   if (!known || !known->finished) return false;
@@ -178,6 +189,7 @@
   job.has_spec = true;
   job.arrived = now;
   job.entries.push_back(entry);
+  job.asks.push_back(job.spec.ask);
   job.tasks.resize(job.spec.tasks);
   MarkElsewhere(job);
   if (job.spec.deadline_left.count() > 0) job.deadline = now + job.spec.deadline_left;
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -23,6 +23,7 @@
 #include "process/identity_memory.h"
 #include "process/message.h"
 #include "process/part_keeper.h"
+#include "process/refusal_memory.h"
 #include "process/team_names.h"
 #include "request/job_state.h"
 #include "version/contract.h"
@@ -241,6 +242,8 @@
   void End(const request_id& id, job_state& job, outcome result, monotonic_time now);
   void EndIfOver(const request_id& id, job_state& job, monotonic_time now);
   void Answer(const job_state& job, const outcome& result);
+  void TurnAway(const std::string& entry, const place_message& place, refusal_reason reason,
+                std::string detail, monotonic_time now);
   void Reply(const std::string& entry, const job_state& job, const outcome& result);
   // shard_parts.cc: jobs that are spread over shards.
   void MarkElsewhere(job_state& job);
@@ -287,6 +290,7 @@
   identity_memory identities_;     // of work that a caller waits for, beyond its job_state
   part_keeper parts_;              // of the jobs whose home this is
   std::set<std::pair<monotonic_time, request_id>> untold_;  // when each is told accepted at last
+  refusal_memory refusals_;
   std::vector<held_place> held_;
   std::vector<request_id> restored_;  // not resumed yet: some endpoint is not listed
   std::set<std::pair<monotonic_time, request_id>> deadlines_;  // of work that runs for a caller
--- a/src/process/shard_tasks.cc
+++ b/src/process/shard_tasks.cc
@@ -209,6 +209,9 @@
   parts_.Close(id);
   job.end_untold = has_record && (job.cancelled || result.kind == outcome_kind::kRefused);
   job.ended = std::move(result);
+  if (job.ended->kind == outcome_kind::kRefused) {
+    for (const uint64_t ask : job.asks) refusals_.Add(id, ask, *job.ended, now);
+  }
   if (!job.end_untold) {
     Answer(job, *job.ended);
     job.entries.clear();
@@ -251,6 +254,7 @@
 // Drops the state of jobs that have ended, but not while one of their tasks still runs.
 void shard::ForgetOld(monotonic_time now) {
   identities_.Expire(now);
+  refusals_.Expire(now);
   while (!ended_.empty() && ended_.begin()->first <= now) {
     const request_id id = ended_.begin()->second;
     ended_.erase(ended_.begin());
--- a/src/request/job_state.h
+++ b/src/request/job_state.h
@@ -43,6 +43,7 @@
   bool cancelled = false;
   bool ever_ran = false;
   std::vector<std::string> entries;  // which wait for an outcome
+  std::vector<uint64_t> asks;        // that were taken in, to be refused together
   std::vector<task_progress> tasks;
   std::string answer;  // of the last task that ended well
   std::string fault;   // of the first task that failed
--- a/test/shard_test.cc
+++ b/test/shard_test.cc
@@ -209,6 +209,29 @@
   CHECK(Taken<withdraw_action>().empty());
 }
 
+// An entry sends a request again while it has no outcome, and that sending is overtaken by the
+// refusal. Its caller has been told that nothing ran, and what comes late must not run; when the
+// caller itself asks anew it is another matter.
+TEST_CASE_METHOD(shard_fixture, "shard, refused and sent again late, does not run", "[shard]") {
+  AnswerFences();
+  place_message place = Place(1, false);
+  place.ask = 5;
+  shard_.Place(kEntry, place, now_);
+  shard_.Cancel(kEntry, {place.id, place.shard, "", 0}, now_);
+  Act();
+  REQUIRE_FALSE(Taken<answer_action>().empty());
+  CHECK(Taken<answer_action>()[0].result.kind == outcome_kind::kRefused);
+  Act();
+  shard_.Place(kEntry, place, now_);
+  Act();
+  CHECK(Taken<start_action>().empty());
+  REQUIRE(Taken<answer_action>().size() == 1);
+  CHECK(Taken<answer_action>()[0].result.kind == outcome_kind::kRefused);
+  place.ask = 6;
+  shard_.Place(kEntry, place, now_);
+  OneStart();
+}
+
 // An entry is being stopped and its shard can be handed to nobody. What it has begun is finished;
 // what comes now would keep it from ending and is refused, which is true as nothing was started.
 TEST_CASE_METHOD(shard_fixture, "shard, closed, finishes what it knows and refuses the rest",
