--- a/bench/scenario_faults.cc
+++ b/bench/scenario_faults.cc
@@ -1,6 +1,8 @@
 #include "bench/scenario_faults.h"
 
+#include <algorithm>
 #include <array>
+#include <map>
 #include <optional>
 #include <thread>
 #include <utility>
@@ -22,6 +24,10 @@
 constexpr int kWave = 1000;
 constexpr int kAsks = 200;
 constexpr int kAskRounds = 3;
+constexpr int kLongJobs = 100;
+constexpr int kSlowRequests = 30;
+constexpr milliseconds kUnderWay{700};
+constexpr milliseconds kSilence{8000};  // an owner takes 6 s to be sure of it
 constexpr uint32_t kLoweredLimit = 10;
 
 size_t PickDomain(scenario_run& run) {
@@ -171,12 +177,44 @@
   run.Sleep(kLongFault);
 }
 
+// Work that is under way for long enough that a fault strikes in the middle of it.
+void SubmitLong(scenario_run& run, int count, call_spec spec) {
+  const std::vector<load_target> targets = run.InBalancer();
+  for (int i = 0; i < count && !targets.empty(); ++i) {
+    const auto number = static_cast<size_t>(i);
+    spec.work = absl::StrCat("long-", i);
+    const load_target& target = targets[number % targets.size()];
+    run.Callers().Submit(target.entry, target.url, run.Teams()[number % run.Teams().size()], spec,
+                         steady_clock::now());
+  }
+  run.Sleep(kUnderWay);
+}
+
+// The endpoints of a domain, those with the most long work first.
+std::vector<std::string> BusiestEndpoints(scenario_run& run, size_t domain) {
+  std::map<std::string, int> tasks;
+  for (const run_event& event : run.Fleet().Events()) {
+    if (event.event == "start" && event.work.starts_with("long-")) ++tasks[event.endpoint];
+  }
+  std::vector<std::string> endpoints = run.Fleet().EndpointsOf(domain);
+  std::stable_sort(endpoints.begin(), endpoints.end(),
+                   [&](const auto& a, const auto& b) { return tasks[a] > tasks[b]; });
+  return endpoints;
+}
+
+// The silent one goes on with what it runs. Nothing of that may be started elsewhere before its
+// lease has lapsed.
 void EndpointKilled(scenario_run& run) {
-  const std::vector<std::string> endpoints = run.Fleet().EndpointsOf(PickDomain(run));
+  call_spec batch;
+  batch.kind = workload_kind::kBatch;
+  batch.run_time = milliseconds{9000};
+  SubmitLong(run, kLongJobs, batch);
+  const std::vector<std::string> busiest = BusiestEndpoints(run, PickDomain(run));
+  const std::vector<std::string> endpoints = {busiest[1], busiest[2], busiest[0]};
   run.Fleet().SetEndpointMode(endpoints[0], "dead");
   run.Fleet().SetEndpointMode(endpoints[1], "dead");
   run.Fleet().SetEndpointMode(endpoints[2], "silent");
-  run.Sleep(kShortFault);
+  run.Sleep(kSilence);
   run.Fleet().SetEndpointMode(endpoints[0], "up");
   run.Fleet().SetEndpointMode(endpoints[2], "up");
 }
@@ -190,9 +228,14 @@
   run.Fleet().SetEndpointMode(endpoints[1], "up");
 }
 
+// Some requests take longer than the hand-over of the shard: the process has to wait for them.
 void GracefulShutdown(scenario_run& run) {
   const size_t domain = PickDomain(run);
   const size_t owner = run.OwnerSlot(domain);
+  call_spec slow;
+  slow.run_time = milliseconds{3000};
+  slow.deadline = milliseconds{8000};
+  SubmitLong(run, kSlowRequests, slow);
   run.TimeNextPlacement(domain);
   run.StopGracefully(owner);
   run.Sleep(milliseconds{2000});
--- a/bench/scenario_run.cc
+++ b/bench/scenario_run.cc
@@ -18,7 +18,7 @@
 using std::chrono::steady_clock;
 
 constexpr milliseconds kStartLimit{20000};
-constexpr milliseconds kDrainLimit{12000};
+constexpr milliseconds kDrainLimit{20000};
 constexpr milliseconds kStopLimit{20000};
 constexpr milliseconds kWatchStep{150};  // of the balancer's health check and the config readings
 constexpr milliseconds kPollLimit{400};  // an entry that takes longer is out of the balancer
