--- a/src/process/message.h
+++ b/src/process/message.h
@@ -38,6 +38,8 @@
   std::string home;   // the shard that answers for the whole; empty when that is `shard`
   uint64_t send = 0;  // from a home to the owner of a part: which sending this is
   uint64_t plan = 0;  // how often `parts` has changed
+
+  uint64_t ask = 0;  // from an entry: which of the identity's asks this is, in all its sendings
 };
 
 // Owner to entry. kAccepted may be followed by the end of the job.
--- a/test/peer_mailbox_test.cc
+++ b/test/peer_mailbox_test.cc
@@ -6,10 +6,12 @@
 #include <mutex>
 #include <optional>
 #include <thread>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "bench/child_process.h"
-#include "connection/peer_rpc.h"
+#include "connection/http_server.h"
+#include "nlohmann/json.hpp"
 #include "standin/fault_proxy.h"
 
 namespace catkinford {
@@ -33,32 +35,40 @@
     REQUIRE(from_.Start());
   }
   ~mailbox_fixture() {
-    Hold(1);
+    Hold(0);
     from_.Stop();
-    server_.reset();
+    if (server_ != nullptr) server_->Stop();
   }
 
-  // A peer that answers each batch once `held_` are under way in it at the same time.
+  // A peer that answers once `held_` batches wait in it at the same time. Our own server, since its
+  // answers may come later: libjsonrpccpp's may have two connections on one thread, and the second
+  // would wait for the first.
   void Serve() {
-    server_ = std::make_unique<rpc_server>(port_, 8, [this](const std::string& text) {
-      std::unique_lock lock(mutex_);
-      most_inside_ = std::max(most_inside_, ++inside_);
-      batches_.push_back(DecodeBatch(text).size());
-      changed_.notify_all();
-      const auto enough = [this] { return inside_ >= held_ || released_ >= held_; };
-      changed_.wait_for(lock, kPatience, enough);
-      released_ = std::max(released_, inside_);
-      --inside_;
-      return "ok";
-    });
+    http_server_options options;
+    options.port = port_;
+    server_ = std::make_unique<http_server>(
+        options, [this](http_server::token token, const http_request& request) {
+          const nlohmann::json call = nlohmann::json::parse(request.body);
+          const std::lock_guard lock(mutex_);
+          batches_.push_back(DecodeBatch(call["params"]["text"].get<std::string>()).size());
+          waiting_.push_back(token);
+          most_waiting_ = std::max(most_waiting_, waiting_.size());
+          AnswerAll();
+          changed_.notify_all();
+        });
     REQUIRE(server_->Start());
   }
   std::string UrlOfPeer() const { return absl::StrCat("http://127.0.0.1:", port_); }
   void Hold(size_t count) {
     const std::lock_guard lock(mutex_);
     held_ = count;
-    released_ = 0;
-    changed_.notify_all();
+    if (server_ != nullptr) AnswerAll();
+  }
+  void AnswerAll() {
+    if (waiting_.size() < held_) return;
+    for (const http_server::token token : std::exchange(waiting_, {})) {
+      server_->Respond(token, {200, R"({"id":1,"jsonrpc":"2.0","result":"ok"})"});
+    }
   }
   void Ask(uint32_t number) {
     REQUIRE(from_.Send("to", ask_owner_message{number}));
@@ -79,14 +89,13 @@
   const uint16_t port_ = FreePort();
   std::mutex mutex_;
   std::condition_variable changed_;
-  size_t inside_ = 0;
-  size_t most_inside_ = 0;
+  std::vector<http_server::token> waiting_;
+  size_t most_waiting_ = 0;
   size_t held_ = 1;
-  size_t released_ = 0;
   std::vector<size_t> batches_;  // messages in each, as they came
   size_t lost_ = 0;
   std::optional<transfer_status> lost_status_;
-  std::unique_ptr<rpc_server> server_;
+  std::unique_ptr<http_server> server_;
   peer_mailbox from_;
 };
 
@@ -132,7 +141,7 @@
     Ask(i);
     std::this_thread::sleep_for(milliseconds{1});
   }
-  CHECK(WaitFor([this] { return most_inside_ == 4; }));
+  CHECK(WaitFor([this] { return most_waiting_ == 4; }));
   Hold(1);
   from_.Stop();
   distance.Stop();
