--- a/bench/caller.cc
+++ b/bench/caller.cc
@@ -26,9 +26,9 @@
                          {"accelerators", spec.each.accelerators},
                          {"urgent", spec.urgent},
                          {"repeatable", spec.repeatable},
-                         {"idempotency_key", spec.work},
                          {"run_time_ms", spec.run_time.count()},
                          {"payload", work.dump()}};
+  if (spec.keyed) body["idempotency_key"] = spec.work;
   if (spec.kind == workload_kind::kInteractive) body["deadline_ms"] = spec.deadline.count();
   return body;
 }
@@ -49,6 +49,7 @@
   if (!kind) return false;
   record.outcome = *kind;
   record.reason = ParseRefusalReason(TextOf(read, "reason", "")).value_or(refusal_reason::kNone);
+  record.retry_after = MillisecondsOf(read, "retry_after_ms", milliseconds{0});
   record.answer = TextOf(read, "answer", "");
   record.id = TextOf(read, "id", "");
   return true;
--- a/bench/load.h
+++ b/bench/load.h
@@ -42,6 +42,7 @@
   std::chrono::milliseconds deadline{5000};
   uint64_t seed = 1;
   std::string prefix = "w";  // of the marks
+  bool keyed = true;         // each request has an idempotency key
 };
 
 // The requests of one load, in order; the same seed gives the same ones.
@@ -79,6 +80,8 @@
   double p50_ms = 0;
   double p99_ms = 0;
   double p999_ms = 0;
+  double accepted_p50_ms = 0;  // until a job that nobody waits for is accepted
+  double accepted_p99_ms = 0;
   double refused_p99_ms = 0;
 };
 load_figures FiguresOf(const std::vector<call_record>& records);
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -103,8 +103,13 @@
           [this](version_origin origin, monotonic_time now) { OnVersion(origin, now); }),
       grants_(store_, [this](core_task task) { Post(std::move(task)); }),
       usage_elsewhere_(UsageTimeConstant(config_)),
-      jobs_(config_.name, [this](const store_request& call,
-                                 std::function<void(store_reply, monotonic_time)> done) {
+      jobs_(
+          config_.name,
+          [this](const store_request& call, std::function<void(store_reply, monotonic_time)> done) {
+            SendStoreRequest(call, std::move(done));
+          }),
+      lives_(config_.name, [this](const store_request& call,
+                                  std::function<void(store_reply, monotonic_time)> done) {
         SendStoreRequest(call, std::move(done));
       }) {}
 
@@ -164,6 +169,7 @@
 
 void node::Run() {
   std::vector<core_task> tasks;
+  started_ = steady_clock::now();
   while (!done_) {
     const monotonic_time before = steady_clock::now();
     const auto wait = std::chrono::ceil<milliseconds>(NextWake(before) - before);
@@ -195,8 +201,11 @@
     SendHeartbeats(now);
     TickStatus(now);
   }
-  for (opened_log& log : jobs_.Tick(now)) GainShard(std::move(log), now);
-  for (auto& [number, held] : shards_) jobs_.TakeNotices(number, *held, now);
+  OpenShards(now);
+  for (auto& [number, held] : shards_) {
+    jobs_.TakeNotices(number, *held, now);
+    lives_.Tick(*held, now);
+  }
   std::vector<shard*> owned;
   owned.reserve(shards_.size());
   for (auto& [number, held] : shards_) owned.push_back(held.get());
@@ -204,11 +213,15 @@
   table_actions due;
   table_.Tick(now, due);
   TakeTable(std::move(due), now);
+  RetryEarlyServices(now);
   // Messages to ourselves and what the shards make of them, until nothing new comes.
   do {
     DeliverLocal(now);
     ActShards(now);
   } while (!local_.empty());
+  // Records that the shards asked for just now. Left to the next round of the loop, each would wait
+  // for up to its longest sleep.
+  for (opened_log& log : jobs_.Tick(now)) GainShard(std::move(log), now);
   mailbox_.Flush();
   if (now >= next_gauges_) UpdateGauges(now);
   if (shutting_down_) CheckShutdown(now);
@@ -229,7 +242,8 @@
   }
   const place_message* place = std::get_if<place_message>(&body);
   const request_id id = place != nullptr ? place->id : request_id{};
-  const bool is_place = place != nullptr;
+  // A part has the identity of its job, whose caller may wait here; it is sent again by its home.
+  const bool is_place = place != nullptr && place->home.empty();
   if (!mailbox_.Send(entry, std::move(body)) && is_place) table_.OnSendFailed(id, true, now);
 }
 
@@ -242,7 +256,8 @@
                         std::vector<message_body> lost) {
   Post([this, peer, status, lost = std::move(lost)](monotonic_time now) {
     for (const message_body& body : lost) {
-      if (const auto* place = std::get_if<place_message>(&body)) {
+      const auto* place = std::get_if<place_message>(&body);
+      if (place != nullptr && place->home.empty()) {
         table_.OnSendFailed(place->id, status == transfer_status::kNotSent, now);
       }
     }
@@ -258,7 +273,7 @@
 void node::OnMessage(const std::string& from, message_body body, monotonic_time now) {
   if (auto* place = std::get_if<place_message>(&body)) {
     if (shard* to = FindShard(place->shard)) {
-      to->Place(from, std::move(*place), now);
+      TakePlace(from, *to, std::move(*place), now);
     } else {
       // Not ours (any more): this owner has not started it and will not, but an earlier send may
       // have reached another owner, so nothing is said of the request itself.
@@ -267,7 +282,9 @@
   } else if (auto* result = std::get_if<outcome_message>(&body)) {
     OnOutcome(result->result, now);
   } else if (const auto* cancel = std::get_if<cancel_message>(&body)) {
-    if (shard* to = FindShard(cancel->shard)) to->Cancel(from, cancel->id, now);
+    if (shard* to = FindShard(cancel->shard)) to->Cancel(from, *cancel, now);
+  } else if (const auto* part = std::get_if<part_answer_message>(&body)) {
+    if (shard* to = FindShard(part->home)) to->OnPartAnswer(*part, now);
   } else if (const auto* query = std::get_if<status_query>(&body)) {
     shard* to = FindShard(query->shard);
     if (to != nullptr) to->Status(from, *query, now);
@@ -289,7 +306,9 @@
     next_ownership_tick_ = now;
   } else if (const auto* wrong = std::get_if<not_owner_message>(&body)) {
     routes_.OnNotOwner(from, wrong->shard);
-    table_.OnSendFailed(wrong->id, true, now);
+    // The place may have been that of a part of a job that a caller waits for here.
+    const std::string* sent_to = table_.ShardOf(wrong->id);
+    if (sent_to != nullptr && *sent_to == wrong->shard) table_.OnSendFailed(wrong->id, true, now);
   }
 }
 
@@ -331,14 +350,23 @@
   return !shutting_down_ && has_instances_ && versions_.Order().Version() > 0;
 }
 
-// A request in flight is one whose caller still waits: it keeps the process alive until its answer
-// has gone out, or until the limit.
+// A request in flight is one whose caller still waits, here or at another entry: it keeps the
+// process alive until its answer has gone out, or until the limit. Shards that nobody can be given
+// do not: a store that stays out would hold up every stop until the limit. Their endpoints' work
+// goes on under its leases, until those lapse or a later owner lists it.
 void node::CheckShutdown(monotonic_time now) {
-  const bool is_free =
-      ownership_.Released() && shards_.empty() && table_.Pending() == 0 && front_.Waiting() == 0;
+  const bool stranded = ownership_.CannotHandOver(now);
+  bool have_callers = table_.Pending() > 0 || front_.Waiting() > 0;
+  for (const auto& [number, held] : shards_) {
+    if (stranded) held->Close();
+    have_callers = have_callers || (stranded && held->HasCallers());
+  }
+  const bool handed_over = ownership_.Released() && shards_.empty();
+  const bool is_free = !have_callers && (handed_over || stranded);
   if (!is_free && now < shutdown_deadline_) return;
-  log_.Emit(event_code::kShutdownDone, now, {}, 0, config_.name,
-            is_free ? "nothing was cut off" : "the limit passed");
+  const char* how = "the limit passed";
+  if (is_free) how = handed_over ? "nothing was cut off" : "no request was cut off; no heir";
+  log_.Emit(event_code::kShutdownDone, now, {}, 0, config_.name, how);
   done_ = true;
 }
 
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -21,6 +22,7 @@
 #include "process/events.h"
 #include "process/identity_memory.h"
 #include "process/message.h"
+#include "process/part_keeper.h"
 #include "process/team_names.h"
 #include "request/job_state.h"
 #include "version/contract.h"
@@ -57,9 +59,23 @@
   std::string entry;
   status_answer answer;
 };
-// A durable job to be recorded before it is accepted, or a change to one.
+// A durable job to be recorded before it is accepted, or a change to its parts.
 struct record_action {
   request_id job;
+  bool is_change = false;
+};
+// A message about a part of a spread job whose home this is, to the owner of the part's shard.
+struct part_action {
+  part_call call;
+};
+// An answer to the home of a spread job, through the entry that owns it.
+struct part_answer_action {
+  std::string entry;
+  part_answer_message answer;
+};
+// A job whose record the store has not taken for long: to be given up if that is still possible.
+struct withdraw_action {
+  request_id job;
 };
 // The end of a task of a durable job, to be recorded before the endpoint may forget it.
 struct complete_action {
@@ -80,7 +96,8 @@
 
 using shard_action =
     std::variant<fence_action, sync_action, start_action, stop_action, answer_action, status_action,
-                 record_action, complete_action, superseded_action, event_action>;
+                 record_action, part_action, part_answer_action, withdraw_action, complete_action,
+                 superseded_action, event_action>;
 
 struct shard_options {
   std::string name;
@@ -98,6 +115,9 @@
   std::vector<uint32_t> failed;
 };
 
+// Of endpoints, by name: the number of the life in which each was last known to keep its memory.
+using incarnations = std::map<std::string, uint64_t>;
+
 class shard {
  public:
   shard(shard_options options, team_names& teams);
@@ -106,6 +126,13 @@
   // a job whose last task just ended for one that never started.
   void Restore(std::vector<restored_job> jobs, monotonic_time now);
 
+  // As the store has them. An endpoint in another life than the recorded one has forgotten what it
+  // ran for earlier owners.
+  void SetIncarnations(incarnations recorded, monotonic_time now);
+  // What the store should have: of an endpoint that has forgotten something, the former life until
+  // every identity that it may have run is out of its window.
+  incarnations Incarnations(monotonic_time now) const;
+
   // The endpoints of this shard, from the instance list.
   void SetEndpoints(const std::vector<instance>& endpoints, monotonic_time now);
   void SetConfiguration(const configuration& config, monotonic_time now);
@@ -116,9 +143,16 @@
   // Tasks under way at an endpoint of this shard.
   size_t RunningAt(const std::string& endpoint) const;
 
+  // Takes no request from now on that it does not know yet: this owner ends and nobody can be given
+  // the shard.
+  void Close();
+  // Whether some entry waits for the outcome of a request, or for the word that a job is accepted.
+  bool HasCallers() const;
+
   // From entries.
   void Place(const std::string& entry, place_message place, monotonic_time now);
-  void Cancel(const std::string& entry, const request_id& id, monotonic_time now);
+  void Cancel(const std::string& entry, const cancel_message& what, monotonic_time now);
+  void OnPartAnswer(const part_answer_message& answer, monotonic_time now);
   void Status(const std::string& entry, const status_query& query, monotonic_time now);
 
   // Answers of endpoints; `token` is that of the call.
@@ -131,6 +165,8 @@
   // The store has the job's record, or surely will not have it.
   void OnRecorded(const request_id& job, bool durable, monotonic_time now);
   void OnCompletionRecorded(const request_id& job, uint32_t index, monotonic_time now);
+  // The store knows that the job is over.
+  void OnEndRecorded(const request_id& job);
 
   // Decides, and appends what is to be done now. Starts are in their own right: the caller checks
   // its ownership immediately before sending each.
@@ -151,7 +187,7 @@
   const endpoint_address& Address(endpoint_index index) const { return endpoints_[index].address; }
   // Whether every endpoint was listed under this epoch, so that an identity that is not known has
   // surely not started.
-  bool AllListed() const { return unlisted_ == 0 && has_endpoints_; }
+  bool AllListed() const { return unlisted_ == 0 && has_endpoints_ && has_incarnations_; }
   const place_message* SpecOf(const request_id& job) const;
 
  private:
@@ -164,6 +200,9 @@
     bool leaving = false;
     bool drained = false;     // by an operator
     uint32_t unrecorded = 0;  // ends told by it that are not durable yet
+    monotonic_time added{};
+    monotonic_time forgot{};    // when it was last seen to have forgotten what it ran
+    uint64_t checked_life = 0;  // its incarnation, once compared with the recorded one
   };
   // A place that has to wait until it is known what runs.
   struct held_place {
@@ -186,7 +225,11 @@
   std::vector<task_id> TasksAt(endpoint_index index) const;
   // On an operator's word: get nothing new, what runs there is moved.
   void SetDrained(const std::vector<std::string>& names, monotonic_time now);
+
+  void SettleUnsure(endpoint_index index, uint64_t token, const std::vector<task_id>& unsure,
+                    monotonic_time now);
   bool IsSuperseded(const endpoint_reply& reply);
+  void CheckMemory(endpoint_record& at, monotonic_time now);
 
   bool AnswerFromMemory(const std::string& entry, const place_message& place, monotonic_time now);
   job_state& Admit(const std::string& entry, place_message place, monotonic_time now);
@@ -199,9 +242,22 @@
   void End(const request_id& id, job_state& job, outcome result, monotonic_time now);
   void EndIfOver(const request_id& id, job_state& job, monotonic_time now);
   void Answer(const job_state& job, const outcome& result);
+  void Reply(const std::string& entry, const job_state& job, const outcome& result);
+  // shard_parts.cc: jobs that are spread over shards.
+  void MarkElsewhere(job_state& job);
+  void OpenParts(const request_id& id, job_state& job, monotonic_time now);
+  void TellAccepted(const request_id& id, job_state& job, monotonic_time now);
+  bool MayTellAccepted(const request_id& id, const job_state& job, monotonic_time now) const;
+  outcome Accepted(const request_id& id) const;
+  void TakeHome(const request_id& id, job_state& job, const std::string& from);
+  void OnPartsRecorded(const request_id& id, job_state& job);
+  void CancelJob(const request_id& id, job_state& job, monotonic_time now);
+  void CancelUnknownPart(const std::string& entry, const cancel_message& what, monotonic_time now);
+  void ActParts(monotonic_time now);
   void Track(const request_id& id, const job_state& job);
   void ReleaseHeld(monotonic_time now);
   void ResumeRestored(monotonic_time now);
+  void WithdrawUnrecorded(monotonic_time now);
   job_request RequestOf(const job_state& job, monotonic_time now) const;
   void ForgetOld(monotonic_time now);
   void StopLate(monotonic_time now);
@@ -222,14 +278,21 @@
   uint32_t unlisted_ = 0;
   std::set<std::string> drained_;  // by operators; also endpoints that are not here yet
   bool has_endpoints_ = false;
+  bool has_incarnations_ = false;
+  incarnations recorded_;
+  monotonic_time opened_{};  // when it got its first endpoints
+  bool closed_ = false;
   absl::flat_hash_map<request_id, job_state> jobs_;
   std::set<request_id> gangs_;     // that have not ended
   std::set<request_id> services_;  // that have not ended
   identity_memory identities_;     // of work that a caller waits for, beyond its job_state
+  part_keeper parts_;              // of the jobs whose home this is
+  std::set<std::pair<monotonic_time, request_id>> untold_;  // when each is told accepted at last
   std::vector<held_place> held_;
   std::vector<request_id> restored_;  // not resumed yet: some endpoint is not listed
   std::set<std::pair<monotonic_time, request_id>> deadlines_;  // of work that runs for a caller
   std::set<std::pair<monotonic_time, request_id>> ended_;      // when each may be forgotten
+  std::set<std::pair<monotonic_time, request_id>> unrecorded_jobs_;  // when to give each up
   // By job and index: where an end was told that is not in the store yet.
   absl::flat_hash_map<std::pair<request_id, uint32_t>, endpoint_index> unrecorded_;
   std::vector<shard_action> actions_;
