--- a/src/main/catkinford.cc
+++ b/src/main/catkinford.cc
@@ -3,6 +3,7 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,7 @@
 #include "absl/strings/str_split.h"
 #include "absl/time/time.h"
 #include "process/command_line.h"
+#include "process/flag_check.h"
 
 ABSL_FLAG(std::string, entry, "", "URL[,URL] of the entries, in the order to try");
 ABSL_FLAG(std::string, key, "", "the key to present");
@@ -91,6 +93,11 @@
   return asks;
 }
 
+int Misused(const std::string& why) {
+  std::cerr << "catkinford: " << why << "\n";
+  return static_cast<int>(catkinford::exit_code::kUsage);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -99,17 +106,28 @@
     std::cout << catkinford::HelpOn(asked);
     return 0;
   }
+  if (const auto error = catkinford::CheckFlags({argv + 1, argv + argc})) {
+    return Misused(catkinford::ToText(*error));
+  }
   absl::SetProgramUsageMessage("catkinford COMMAND [arguments] [--flag value ...]");
   const std::vector<char*> parsed = absl::ParseCommandLine(argc, argv);
   const std::vector<std::string> words(parsed.begin() + 1, parsed.end());
   const std::string output = absl::GetFlag(FLAGS_output);
-  if (output != "text" && output != "json") {
-    std::cerr << "catkinford: --output is text or json\n";
-    return static_cast<int>(catkinford::exit_code::kUsage);
+  if (output != "text" && output != "json") return Misused("--output is text or json");
+  if (absl::GetFlag(FLAGS_timeout) < absl::Milliseconds(1)) return Misused("--timeout is above 0");
+  for (const absl::Duration time : {absl::GetFlag(FLAGS_wait_limit), absl::GetFlag(FLAGS_deadline),
+                                    absl::GetFlag(FLAGS_run_time)}) {
+    if (time < absl::ZeroDuration()) return Misused("a duration is below 0");
   }
   catkinford::entry_client_options client;
   const std::string entries = FlagOrEnvironment(absl::GetFlag(FLAGS_entry), "CATKINFORD_ENTRY");
   client.entries = absl::StrSplit(entries, ',', absl::SkipEmpty());
+  for (std::string& entry : client.entries) {
+    const std::optional<std::string> base = catkinford::BaseUrl(entry);
+    if (!base)
+      return Misused("--entry: " + entry + " is not http://HOST:PORT or https://HOST:PORT");
+    entry = *base;
+  }
   client.key = FlagOrEnvironment(absl::GetFlag(FLAGS_key), "CATKINFORD_KEY");
   client.timeout = absl::ToChronoMilliseconds(absl::GetFlag(FLAGS_timeout));
   catkinford::http_client http(0, absl::GetFlag(FLAGS_ca_file));
--- a/src/process/command_context.cc
+++ b/src/process/command_context.cc
@@ -11,7 +11,8 @@
 
 using nlohmann::json;
 
-exit_code CodeOfStatus(int status) {
+// `word` is the typed error of the answer.
+exit_code CodeOfStatus(int status, const std::string& word) {
   switch (status) {
     case 401:
     case 403:
@@ -25,7 +26,9 @@
     case 413:
       return exit_code::kUsage;
     case 422:
-      return exit_code::kContract;
+      return word == "contract" ? exit_code::kContract : exit_code::kUsage;
+    case 504:
+      return exit_code::kUnknown;
     default:
       return exit_code::kRefused;
   }
@@ -54,6 +57,10 @@
 }
 
 exit_code Explain(command_context& context, const entry_answer& answer) {
+  if (context.entries.Entries().empty()) {
+    context.err << "catkinford: which entry? give --entry http://HOST:PORT or CATKINFORD_ENTRY\n";
+    return exit_code::kUsage;
+  }
   if (answer.result.status != transfer_status::kDone) {
     const bool sent = answer.result.status == transfer_status::kMaybeSent;
     const char* word = sent ? "no_answer" : "unreachable";
@@ -72,7 +79,7 @@
     if (!text.empty()) context.err << " " << field << "=" << text;
   }
   context.err << "\n";
-  return CodeOfStatus(answer.result.code);
+  return CodeOfStatus(answer.result.code, word);
 }
 
 std::optional<std::string> ReadFile(command_context& context, const std::string& name) {
--- a/src/process/command_line.cc
+++ b/src/process/command_line.cc
@@ -160,7 +160,12 @@
                         "\n\n", kCommonFlags, kExitCodes);
   }
   std::string text = "catkinford COMMAND [arguments] [--flag value ...]\n\n";
+  const std::string group = words.empty() ? "" : words[0] + " ";
+  const bool is_group = std::any_of(
+      kCommands.begin(), kCommands.end(),
+      [&group](const command_entry& entry) { return std::string(entry.name).starts_with(group); });
   for (const command_entry& entry : kCommands) {
+    if (is_group && !std::string(entry.name).starts_with(group)) continue;
     const std::string help = entry.help;
     absl::StrAppend(&text, "  ", Usage(entry), "\n      ", help.substr(0, help.find('\n')), "\n");
   }
@@ -178,7 +183,7 @@
   if (entry == nullptr) {
     if (!words.empty())
       err_ << "catkinford: no such command: " << absl::StrJoin(words, " ") << "\n";
-    err_ << HelpOn({});
+    err_ << HelpOn(words);
     return static_cast<int>(exit_code::kUsage);
   }
   const command_words rest(words.begin() + static_cast<std::ptrdiff_t>(WordsIn(entry->name)),
--- a/src/process/config_change.cc
+++ b/src/process/config_change.cc
@@ -11,6 +11,7 @@
 using nlohmann::json;
 
 constexpr int kConflictStatus = 409;
+constexpr int kUnknownStatus = 504;  // the entry had no answer of the store
 constexpr int kTriesOnConflict = 8;
 constexpr size_t kDiffContext = 2;
 
@@ -105,6 +106,16 @@
 }
 
 void PrintDiff(command_context& context, const std::string& before, const std::string& after) {
+  if (context.options.json) {
+    json lines = json::array();
+    for (const diff_line& line : DiffLines(before, after, kDiffContext)) {
+      lines.push_back({{"mark", std::string(1, line.mark)}, {"text", line.text}});
+    }
+    context.out << json{{"lines", std::move(lines)}}.dump(-1, ' ', true,
+                                                          json::error_handler_t::replace)
+                << "\n";
+    return;
+  }
   for (const diff_line& line : DiffLines(before, after, kDiffContext)) {
     context.out << line.mark << line.text << "\n";
   }
@@ -153,7 +164,9 @@
     if (context.options.dry_run && !context.options.json) PrintDiff(context, base.text, wanted);
     const entry_answer answer = Put(context, context.options.expect.value_or(base.version), wanted);
     if (answer.IsGood()) return static_cast<int>(ShowChange(context, answer));
-    if (answer.result.status == transfer_status::kMaybeSent) return ReadBack(context, wanted);
+    const bool may_be_made =
+        answer.result.status == transfer_status::kMaybeSent || answer.result.code == kUnknownStatus;
+    if (may_be_made) return ReadBack(context, wanted);
     if (answer.result.status != transfer_status::kDone || answer.result.code != kConflictStatus) {
       return static_cast<int>(Explain(context, answer));
     }
--- a/src/process/contract_commands.cc
+++ b/src/process/contract_commands.cc
@@ -32,17 +32,21 @@
   return number;
 }
 
+bool IsVersion(command_context& context, const std::string& word) {
+  if (VersionNumber(word)) return true;
+  context.err << "catkinford: " << word << " is not the number of a version\n";
+  return false;
+}
+
 // One version that is kept, or the one in force, in its canonical text.
 std::variant<fetched_config, exit_code> FetchVersion(command_context& context,
                                                      const std::string& word) {
-  if (!VersionNumber(word)) {
-    context.err << "catkinford: " << word << " is not the number of a version\n";
-    return exit_code::kUsage;
-  }
+  if (!IsVersion(context, word)) return exit_code::kUsage;
   return FetchConfig(context, absl::StrCat("?version=", word));
 }
 
 int DiffVersions(command_context& context, const std::string& before, const std::string& after) {
+  if (!IsVersion(context, after)) return static_cast<int>(exit_code::kUsage);
   const auto old_version = FetchVersion(context, before);
   if (const auto* code = std::get_if<exit_code>(&old_version)) return static_cast<int>(*code);
   const auto new_version = FetchVersion(context, after);
@@ -52,6 +56,15 @@
   return static_cast<int>(exit_code::kDone);
 }
 
+// What no other part of the document can set right: the file says nothing of keys that are granted.
+void WarnOfFile(command_context& context, const configuration& config) {
+  for (const contract_warning& warning : WarningsOf({}, config, {})) {
+    const bool concerns_keys = warning.kind == contract_warning_kind::kNoOperatorKey ||
+                               warning.kind == contract_warning_kind::kTeamWithoutKeys;
+    if (!concerns_keys) context.err << "warning: " << ToText(warning) << "\n";
+  }
+}
+
 int DiffWithPresent(command_context& context, const std::string& before) {
   const auto old_version = FetchVersion(context, before);
   if (const auto* code = std::get_if<exit_code>(&old_version)) return static_cast<int>(*code);
@@ -75,6 +88,7 @@
   } else {
     context.out << "good: " << config.workspaces.size() << " workspaces, " << teams << " teams\n";
   }
+  WarnOfFile(context, config);
   return static_cast<int>(exit_code::kDone);
 }
 
@@ -105,10 +119,7 @@
 }
 
 int RunContractGet(command_context& context, const command_words& words) {
-  if (!words.empty() && !VersionNumber(words[0])) {
-    context.err << "catkinford: " << words[0] << " is not the number of a version\n";
-    return static_cast<int>(exit_code::kUsage);
-  }
+  if (!words.empty() && !IsVersion(context, words[0])) return static_cast<int>(exit_code::kUsage);
   const std::string query = words.empty() ? "" : absl::StrCat("?version=", words[0]);
   const entry_answer answer = Ask(context, "GET", absl::StrCat("/v1/config", query), "");
   if (!answer.IsGood()) return static_cast<int>(Explain(context, answer));
--- a/src/process/entry_client.cc
+++ b/src/process/entry_client.cc
@@ -22,6 +22,16 @@
 
 }  // namespace
 
+std::optional<std::string> BaseUrl(const std::string& entry) {
+  for (const std::string scheme : {"http://", "https://"}) {
+    if (entry.compare(0, scheme.size(), scheme) != 0) continue;
+    const size_t end = entry.find_last_not_of('/');
+    if (end < scheme.size()) return std::nullopt;
+    return entry.substr(0, end + 1);
+  }
+  return std::nullopt;
+}
+
 entry_client::entry_client(http_client& http, entry_client_options options)
     : http_(http), options_(std::move(options)) {}
 
--- a/src/process/entry_client.h
+++ b/src/process/entry_client.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,10 @@
   std::chrono::milliseconds timeout{30000};
 };
 
+// The address of an entry as calls need it; absent where it is none. A slash at the end is left
+// out: with it every path would begin with two and be unknown.
+std::optional<std::string> BaseUrl(const std::string& entry);
+
 class entry_client {
  public:
   entry_client(http_client& http, entry_client_options options);
--- /dev/null
+++ b/src/process/flag_check.cc
@@ -0,0 +1,63 @@
+#include "process/flag_check.h"
+
+#include <array>
+#include <string_view>
+
+#include "absl/flags/reflection.h"
+#include "absl/strings/str_cat.h"
+
+namespace catkinford {
+namespace {
+
+constexpr std::array<std::string_view, 3> kFaults = {"no such flag", "needs a value", "bad value"};
+
+// "--name", "-name", "--name=value"; empty for what is no flag.
+std::string NameOf(const std::string& word) {
+  if (word.size() < 2 || word[0] != '-') return {};
+  const size_t begin = word[1] == '-' ? 2 : 1;
+  return word.substr(begin, word.find('=') - begin);
+}
+
+absl::CommandLineFlag* Find(const std::string& name) {
+  if (absl::CommandLineFlag* flag = absl::FindCommandLineFlag(name)) return flag;
+  // "--nourgent" is "--urgent=false".
+  if (name.compare(0, 2, "no") != 0) return nullptr;
+  absl::CommandLineFlag* flag = absl::FindCommandLineFlag(name.substr(2));
+  return flag != nullptr && flag->IsOfType<bool>() ? flag : nullptr;
+}
+
+}  // namespace
+
+std::string ToText(const flag_error& error) {
+  const std::string fault(kFaults[static_cast<size_t>(error.fault)]);
+  return absl::StrCat(error.flag, ": ", fault, error.detail.empty() ? "" : ": ", error.detail);
+}
+
+std::optional<flag_error> CheckFlags(const std::vector<std::string>& words) {
+  for (size_t i = 0; i < words.size(); ++i) {
+    if (words[i] == "--") return std::nullopt;  // the rest are no flags
+    const std::string name = NameOf(words[i]);
+    if (name.empty()) continue;
+    const std::string shown = absl::StrCat("--", name);
+    absl::CommandLineFlag* flag = Find(name);
+    if (flag == nullptr) return flag_error{flag_fault::kUnknown, shown, {}};
+    const size_t equals = words[i].find('=');
+    std::string value;
+    if (equals != std::string::npos) {
+      value = words[i].substr(equals + 1);
+    } else if (flag->IsOfType<bool>()) {
+      continue;
+    } else if (++i < words.size()) {
+      value = words[i];
+    } else {
+      return flag_error{flag_fault::kNoValue, shown, {}};
+    }
+    std::string detail;
+    if (!flag->ParseFrom(value, &detail)) {
+      return flag_error{flag_fault::kBadValue, shown, detail.empty() ? value : detail};
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace catkinford
--- a/src/process/job_commands.cc
+++ b/src/process/job_commands.cc
@@ -128,16 +128,30 @@
   context.out << "\n";
 }
 
+// Said here and not by an entry, which may not be reachable, and whose time it would be.
+bool IsId(command_context& context, const std::string& word) {
+  if (ParseRequestId(word)) return true;
+  context.err << "catkinford: " << word << " is not the id of a job: 32 hexadecimal digits\n";
+  return false;
+}
+
 }  // namespace
 
 int RunSubmit(command_context& context, const command_words& words) {
   const std::optional<workload_kind> kind = ParseWorkloadKind(words[0]);
-  if (!kind) return SubmitFile(context, words[0]);
+  if (!kind) {
+    const int code = SubmitFile(context, words[0]);
+    if (code == static_cast<int>(exit_code::kUsage) && words[0].find('.') == std::string::npos) {
+      context.err << "catkinford: kinds are interactive, service, batch and gang\n";
+    }
+    return code;
+  }
   const std::string body = JobBody(*kind, context.options.job).dump();
   return ShowAnswer(context, Ask(context, "POST", "/v1/jobs", body));
 }
 
 int RunStatus(command_context& context, const command_words& words) {
+  if (!IsId(context, words[0])) return static_cast<int>(exit_code::kUsage);
   const entry_answer answer = Ask(context, "GET", "/v1/jobs/" + words[0], "");
   if (!answer.IsGood()) return static_cast<int>(Explain(context, answer));
   ShowStatus(context, answer.body);
@@ -145,10 +159,12 @@
 }
 
 int RunCancel(command_context& context, const command_words& words) {
+  if (!IsId(context, words[0])) return static_cast<int>(exit_code::kUsage);
   return ShowAnswer(context, Ask(context, "POST", "/v1/jobs/" + words[0] + "/cancel", ""));
 }
 
 int RunWait(command_context& context, const command_words& words) {
+  if (!IsId(context, words[0])) return static_cast<int>(exit_code::kUsage);
   const auto end = steady_clock::now() + context.options.wait_limit;
   while (true) {
     const auto left = std::chrono::ceil<milliseconds>(end - steady_clock::now());
--- a/src/process/key_commands.cc
+++ b/src/process/key_commands.cc
@@ -46,6 +46,10 @@
 }  // namespace
 
 int RunKeyMake(command_context& context, const command_words& words) {
+  if (!IsContractName(words[0])) {
+    context.err << "catkinford: a name has 1 to 64 of a-z, 0-9, '-', '_' and '.'\n";
+    return static_cast<int>(exit_code::kUsage);
+  }
   const new_key key = MakeKey(words[0], context.options.is_operator);
   const json record = {
       {"name", key.record.name}, {"salt", key.record.salt}, {"hash", key.record.hash}};
@@ -60,6 +64,10 @@
 int RunKeyGrant(command_context& context, const command_words& words) {
   const std::optional<key_place> place = PlaceOf(context, words);
   if (!place) return static_cast<int>(exit_code::kUsage);
+  if (!IsContractName(place->name)) {
+    context.err << "catkinford: a name has 1 to 64 of a-z, 0-9, '-', '_' and '.'\n";
+    return static_cast<int>(exit_code::kUsage);
+  }
   const new_key key = MakeKey(place->name, context.options.is_operator);
   const int code = ChangeConfig(context, on_conflict::kTryAgain, [&](configuration& config) {
     return AddKey(config, place->team, key.record);
--- a/src/version/contract.h
+++ b/src/version/contract.h
@@ -61,6 +61,9 @@
   std::string value;  // what stood there
 };
 
+// 1 to 64 of a-z, 0-9, '-', '_' and '.': what workspaces, teams and keys may be called.
+bool IsContractName(std::string_view name);
+
 // Strict: JSON with comments; an unknown or repeated name, a wrong type or a value out of range is
 // an error, and so are shares of over 100 per cent together. docs/CONTRACTS.md is the schema.
 std::variant<configuration, contract_error> ParseConfiguration(std::string_view text);
--- a/src/version/json_reader.cc
+++ b/src/version/json_reader.cc
@@ -22,6 +22,11 @@
 
 }  // namespace
 
+bool IsContractName(std::string_view name) {
+  return !name.empty() && name.size() <= kNameLimit &&
+         std::all_of(name.begin(), name.end(), IsNameCharacter);
+}
+
 void contract_faults::Add(contract_fault fault, std::string path, std::string value) {
   if (!first_) first_ = contract_error{fault, std::move(path), std::move(value)};
 }
@@ -62,9 +67,7 @@
 
 std::string json_object_reader::Name(std::string_view field) {
   std::string text = Text(field);
-  const bool good = !text.empty() && text.size() <= kNameLimit &&
-                    std::all_of(text.begin(), text.end(), IsNameCharacter);
-  if (!good) faults_.Add(contract_fault::kOutOfRange, PathOf(field), Excerpt(text));
+  if (!IsContractName(text)) faults_.Add(contract_fault::kOutOfRange, PathOf(field), Excerpt(text));
   return text;
 }
 
--- a/test/command_line_test.cc
+++ b/test/command_line_test.cc
@@ -10,14 +10,20 @@
 #include <string>
 #include <vector>
 
+#include "absl/flags/flag.h"
 #include "absl/strings/str_cat.h"
+#include "absl/time/time.h"
 #include "connection/http_server.h"
 #include "nlohmann/json.hpp"
+#include "process/flag_check.h"
 #include "process/timeline_merge.h"
 #include "request/identity.h"
 #include "version/contract.h"
 #include "version/key_ring.h"
 
+ABSL_FLAG(absl::Duration, test_time, absl::Seconds(1), "for the tests of flags");
+ABSL_FLAG(bool, test_yes, false, "for the tests of flags");
+
 namespace catkinford {
 namespace {
 
@@ -49,10 +55,13 @@
   std::string race;                  // another operator's document, written before the next change
   std::vector<std::string> pending;  // domains that have not confirmed
   std::vector<std::string> submitted_keys;
+  http_response put_answer{0, ""};  // of a change, where it is not made
+  size_t calls = 0;
   http_response job_answer{200, R"({"id":"1","outcome":"completed","answer":"whole"})"};
 
  private:
   http_response Answer(const http_request& request) {
+    ++calls;
     if (request.bearer != "ck_operator") return {401, R"({"error":"unknown_key"})"};
     if (request.path == "/v1/config" && request.method == "PUT") return Change(request);
     if (request.path == "/v1/config") return {200, Present().dump()};
@@ -67,6 +76,7 @@
   json Present() const { return {{"version", version}, {"text", text}}; }
 
   http_response Change(const http_request& request) {
+    if (put_answer.status != 0) return put_answer;
     if (!race.empty()) {
       text = race;
       version += 1;
@@ -298,6 +308,10 @@
                                                           {"key", "withdraw"},
                                                           {"key", "list"},
                                                           {"endpoint", "drain"},
+                                                          {"endpoint", "undrain"},
+                                                          {"contract", "restore"},
+                                                          {"contract", "remove"},
+                                                          {"key", "make"},
                                                           {"domain", "evacuate"},
                                                           {"members"},
                                                           {"timeline"},
@@ -308,4 +322,90 @@
   }
 }
 
+// A newcomer forgets --entry. "No entry can be reached" would send him to look for a fault of the
+// network.
+TEST_CASE_METHOD(command_line_fixture, "command line, no entry given, asks for one", "[cli]") {
+  client_.entries.clear();
+  for (const std::vector<std::string>& words :
+       {std::vector<std::string>{"members"}, {"contract", "history"}, {"submit", "batch"}}) {
+    CHECK(Run(words) == Code(exit_code::kUsage));
+    CHECK_THAT(err_.str(), Catch::Contains("CATKINFORD_ENTRY"));
+  }
+}
+
+TEST_CASE("entry's address, as people type it, is cut to its base or refused", "[cli]") {
+  CHECK(BaseUrl("http://10.0.0.1:8080") == std::string("http://10.0.0.1:8080"));
+  CHECK(BaseUrl("https://10.0.0.1:8080//") == std::string("https://10.0.0.1:8080"));
+  CHECK_FALSE(BaseUrl("10.0.0.1:8080").has_value());
+  CHECK_FALSE(BaseUrl("http://").has_value());
+}
+
+// The entry got no answer of the store: the change may have been made. "Refused and not run" would
+// be untrue, and a script would make it twice.
+TEST_CASE_METHOD(command_line_fixture, "command line, entry does not know, says may have been made",
+                 "[cli]") {
+  entry_.put_answer = {504, R"({"error":"unknown","detail":"read it back"})"};
+  CHECK(Run({"contract", "apply", FileWith(kContracts)}) == Code(exit_code::kUnknown));
+  entry_.text = kContracts;
+  CHECK(Run({"contract", "apply", FileWith(kContracts)}) == Code(exit_code::kDone));
+}
+
+TEST_CASE_METHOD(command_line_fixture, "command line, bad input, is told before anything is sent",
+                 "[cli]") {
+  for (const std::vector<std::string>& words : {std::vector<std::string>{"status", "zz"},
+                                                {"cancel", "zz"},
+                                                {"wait", "zz"},
+                                                {"key", "make", "A B"},
+                                                {"key", "grant", "booking", "A B"},
+                                                {"contract", "get", "yesterday"},
+                                                {"contract", "diff", "40", "x"},
+                                                {"contract", "restore", "x"},
+                                                {"submit", "bacth"}}) {
+    INFO(words[0] << " " << words[1]);
+    CHECK(Run(words) == Code(exit_code::kUsage));
+    CHECK(!err_.str().empty());
+  }
+  CHECK(entry_.calls == 0);
+  entry_.job_answer = {422, R"({"error":"bad_field","path":"tasks"})"};
+  CHECK(Run({"submit", "batch"}) == Code(exit_code::kUsage));  // and not a wrong contract
+}
+
+TEST_CASE_METHOD(command_line_fixture, "command line, comparison as json, can be read", "[cli]") {
+  options_.json = true;
+  CHECK(Run({"contract", "diff", FileWith(kContracts)}) == Code(exit_code::kDone));
+  const json lines = json::parse(out_.str())["lines"];
+  REQUIRE(!lines.empty());
+  CHECK(lines[0].contains("mark"));
+}
+
+TEST_CASE_METHOD(command_line_fixture, "command line, contract that allows nothing, is warned of",
+                 "[cli]") {
+  std::string text = kContracts;
+  text.replace(text.find("\"running\": 400"), 14, "\"running\": 0");
+  text.replace(text.find("[\"interactive\"]"), 15, "[]");
+  CHECK(Run({"contract", "check", FileWith(text)}) == Code(exit_code::kDone));
+  CHECK_THAT(err_.str(), Catch::Contains("warning: "));
+  CHECK_THAT(err_.str(), !Catch::Contains("key"));
+  CHECK(Run({"contract", "check", FileWith(kContracts)}) == Code(exit_code::kDone));
+  CHECK(err_.str().empty());
+}
+
+TEST_CASE("help, on a group of commands, lists these only", "[cli]") {
+  const std::string text = HelpOn({"contract"});
+  CHECK(text.find("catkinford contract restore VERSION") != std::string::npos);
+  CHECK(text.find("catkinford members") == std::string::npos);
+  CHECK(HelpOn({"nonsense"}).find("catkinford members") != std::string::npos);
+}
+
+// The flag library ends the program with 1, which says of a job that it ran and failed.
+TEST_CASE("flags, unknown, without value or wrong, are told", "[cli]") {
+  CHECK_FALSE(CheckFlags({"members", "--test_time", "3s", "--test_yes", "--notest_yes"}));
+  CHECK_FALSE(CheckFlags({"submit", "--", "--nosuch"}));
+  CHECK(CheckFlags({"--nosuch"})->fault == flag_fault::kUnknown);
+  CHECK(CheckFlags({"--notest_time"})->fault == flag_fault::kUnknown);
+  CHECK(CheckFlags({"members", "--test_time"})->fault == flag_fault::kNoValue);
+  CHECK(CheckFlags({"--test_time=soon"})->fault == flag_fault::kBadValue);
+  CHECK_THAT(ToText(*CheckFlags({"--test_time=soon"})), Catch::Contains("--test_time"));
+}
+
 }  // namespace catkinford
