Sign the calls between entries, if a file of secrets is set

Cause: whoever reaches a peer port could send any message, a configuration with an operator's key of his own among them.

Change: listen.peer_secret_file. HMAC-SHA256 over the receiver's name and the batch in front of it; up to two secrets are good at a time, and `unsigned` while the first is brought in; SIGHUP reads the file again. A refused batch is counted, told (404 peer_refused), and answered as not taken. Exit code 5 where the file cannot be used at the start.

Not covered: a batch that was read on its way can be repeated to the same receiver, and nothing is encrypted.

--- a/bench/fleet.cc
+++ b/bench/fleet.cc
@@ -178,17 +178,19 @@
   const std::string store = UrlAt(PortThrough(absl::StrCat("store/", slot), store_port_, far));
   const std::string instances =
       UrlAt(PortThrough(absl::StrCat("instances/", slot), entry.instances->Port(), far));
-  const nlohmann::json settings = {
-      {"name", entry.name},
-      {"failure_domain", entry.domain},
-      {"failure_domains", options_.domains},
-      {"listen", {{"caller_port", entry.caller_port}, {"peer_port", entry.peer_port}}},
-      {"platform",
-       {{"store_url", store},
-        {"instances_url", instances},
-        {"endpoints_fence", options_.entries_trust_fencing}}},
-      {"shards", {{"per_domain", options_.shards_per_domain}}},
-      {"timing", options_.timing}};
+  const nlohmann::json settings = {{"name", entry.name},
+                                   {"failure_domain", entry.domain},
+                                   {"failure_domains", options_.domains},
+                                   {"listen",
+                                    {{"caller_port", entry.caller_port},
+                                     {"peer_port", entry.peer_port},
+                                     {"peer_secret_file", options_.peer_secret_file}}},
+                                   {"platform",
+                                    {{"store_url", store},
+                                     {"instances_url", instances},
+                                     {"endpoints_fence", options_.entries_trust_fencing}}},
+                                   {"shards", {{"per_domain", options_.shards_per_domain}}},
+                                   {"timing", options_.timing}};
   std::string file = absl::StrCat(directory_, "/", entry.name, ".json");
   std::ofstream(file) << settings.dump(2) << '\n';
   return file;
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -39,6 +39,7 @@
   std::chrono::milliseconds instance_lag{500};
   uint64_t seed = 1;
   nlohmann::json timing = nlohmann::json::object();  // settings below "timing"
+  std::string peer_secret_file;                      // of all entries
   std::vector<std::string> daemon_flags;
 };
 
--- a/bench/rpc_cost.cc
+++ b/bench/rpc_cost.cc
@@ -19,6 +19,7 @@
 #include "bench/forked_server.h"
 #include "connection/http_client.h"
 #include "connection/http_server.h"
+#include "connection/peer_auth.h"
 #include "connection/peer_rpc.h"
 
 namespace catkinford {
@@ -26,6 +27,7 @@
 
 constexpr std::chrono::milliseconds kCallTimeout{5000};
 constexpr int kServerThreads = 4;
+constexpr char kReceiver[] = "otaru-1";
 
 std::string Url(uint16_t port) { return "http://127.0.0.1:" + std::to_string(port); }
 
@@ -36,6 +38,19 @@
   server.Stop();
 }
 
+peer_secrets BenchSecrets() { return {{std::string(32, 's')}, false}; }
+
+void ServeSigned(uint16_t port, const std::function<void()>& wait) {
+  peer_auth auth;
+  auth.Set(BenchSecrets());
+  rpc_server server(port, kServerThreads, [&auth](const std::string& text) {
+    return auth.Open(kReceiver, text) ? "ok" : "refused";
+  });
+  server.Start();
+  wait();
+  server.Stop();
+}
+
 void ServeHttp(uint16_t port, const std::function<void()>& wait) {
   http_server_options options;
   options.port = port;
@@ -55,10 +70,13 @@
  public:
   call_pump(const call_load& load, uint16_t port)
       : client_(static_cast<size_t>(load.at_once)), load_(load), left_(load.calls) {
-    const std::string text(load.body_bytes, 'x');
+    auth_.Set(BenchSecrets());
+    text_ = std::string(load.body_bytes, 'x');
+    const std::string text =
+        load.way == call_way::kSignedRpc ? auth_.Seal(kReceiver, text_) : text_;
     call_.method = "POST";
     call_.url = Url(port);
-    call_.body = load.way == call_way::kJsonRpc ? RpcRequestText("deliver", text) : text;
+    call_.body = load.way == call_way::kHttp ? text : RpcRequestText("deliver", text);
     call_.timeout = kCallTimeout;
   }
 
@@ -75,6 +93,8 @@
  private:
   void Next() {
     if (left_.fetch_sub(1) <= 0) return;
+    // The text stays the same; signing it again is what each call costs.
+    if (load_.way == call_way::kSignedRpc) signed_bytes_ += auth_.Seal(kReceiver, text_).size();
     client_.Send(call_, [this](const http_result& result) {
       Count(IsAnswer(result));
       Next();
@@ -83,7 +103,8 @@
   bool IsAnswer(const http_result& result) const {
     if (result.status != transfer_status::kDone || result.code != 200) return false;
     std::string answer;
-    return load_.way != call_way::kJsonRpc || ReadRpcResponse(result.body, answer);
+    if (load_.way == call_way::kHttp) return true;
+    return ReadRpcResponse(result.body, answer) && answer == "ok";
   }
   void Count(bool good) {
     const std::lock_guard lock(mutex_);
@@ -94,6 +115,9 @@
   http_client client_;
   call_load load_;
   http_call call_;
+  peer_auth auth_;
+  std::string text_;
+  std::atomic<size_t> signed_bytes_{0};
   std::atomic<int> left_;
   std::mutex mutex_;
   std::condition_variable all_done_;
@@ -114,6 +138,8 @@
       {"JSON-RPC, 1 at a time", {call_way::kJsonRpc, 5000, 1, kRecordBytes}, 1},
       {"JSON-RPC, 4 in flight", {call_way::kJsonRpc, 20000, 4, kRecordBytes}, 1},
       {"JSON-RPC, 32 in flight", {call_way::kJsonRpc, 20000, 32, kRecordBytes}, 1},
+      {"JSON-RPC signed, 1 at a time", {call_way::kSignedRpc, 5000, 1, kRecordBytes}, 1},
+      {"JSON-RPC signed, 100 records", {call_way::kSignedRpc, 2000, 1, 100 * kRecordBytes}, 100},
       {"HTTP pair, 1 at a time", {call_way::kHttp, 5000, 1, kRecordBytes}, 1},
       {"HTTP pair, 4 in flight", {call_way::kHttp, 20000, 4, kRecordBytes}, 1},
       {"HTTP pair, 32 in flight", {call_way::kHttp, 20000, 32, kRecordBytes}, 1},
@@ -144,8 +170,10 @@
 }  // namespace
 
 call_cost RunCalls(const call_load& load) {
-  const bool rpc = load.way == call_way::kJsonRpc;
-  forked_server server(rpc ? ServeRpc : ServeHttp);
+  const auto serve = load.way == call_way::kJsonRpc     ? ServeRpc
+                     : load.way == call_way::kSignedRpc ? ServeSigned
+                                                        : ServeHttp;
+  forked_server server(serve);
   call_cost cost;
   const double cpu_before = ProcessCpuMicroseconds();
   const auto begin = std::chrono::steady_clock::now();
--- a/bench/rpc_cost.h
+++ b/bench/rpc_cost.h
@@ -7,7 +7,7 @@
 
 namespace catkinford {
 
-enum class call_way { kJsonRpc, kHttp };
+enum class call_way { kJsonRpc, kSignedRpc, kHttp };
 
 struct call_load {
   call_way way = call_way::kJsonRpc;
--- a/bench/slopes_message.cc
+++ b/bench/slopes_message.cc
@@ -121,9 +121,11 @@
 
 // Peers that do not answer: their rings and senders.
 double PeerMemory(double peers) {
+  peer_auth unsigned_calls;
   return HeapOf([&] {
     auto mailbox = std::make_unique<peer_mailbox>(
-        kSender, 0, milliseconds{100}, [](const std::vector<peer_message>& /*messages*/) {},
+        kSender, 0, milliseconds{100}, unsigned_calls,
+        [](const std::vector<peer_message>& /*messages*/) {},
         [](const std::string& /*peer*/, transfer_status /*status*/,
            const std::vector<message_body>& /*lost*/) {});
     for (int i = 0; i < static_cast<int>(peers); ++i) {
--- /dev/null
+++ b/src/connection/peer_auth.cc
@@ -0,0 +1,115 @@
+#include "connection/peer_auth.h"
+
+#include <gnutls/crypto.h>
+#include <gnutls/gnutls.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+namespace catkinford {
+namespace {
+
+constexpr size_t kMacBytes = 32;
+constexpr size_t kMacDigits = 2 * kMacBytes;
+constexpr size_t kShortestSecret = 32;  // characters; 128 bits even when they are hexadecimal
+constexpr size_t kMostSecrets = 2;
+constexpr char kUnsignedLine[] = "unsigned";
+constexpr std::array<std::string_view, 5> kFaults = {"none", "missing_file", "empty",
+                                                     "secret_too_short", "more_than_two_secrets"};
+
+std::string MacOf(const std::string& secret, std::string_view receiver, std::string_view text) {
+  gnutls_hmac_hd_t mac = nullptr;
+  // Without a signature nothing between entries can be told from what a stranger sends.
+  if (gnutls_hmac_init(&mac, GNUTLS_MAC_SHA256, secret.data(), secret.size()) < 0) std::abort();
+  gnutls_hmac(mac, receiver.data(), receiver.size());
+  gnutls_hmac(mac, "\n", 1);  // no name holds one
+  gnutls_hmac(mac, text.data(), text.size());
+  std::array<char, kMacBytes> bytes{};
+  gnutls_hmac_deinit(mac, bytes.data());
+  return absl::BytesToHexString(std::string(bytes.data(), bytes.size()));
+}
+
+// A batch is a JSON object, and a signature begins with none.
+bool IsUnsigned(const std::string& sealed) { return !sealed.empty() && sealed[0] == '{'; }
+
+}  // namespace
+
+std::string_view ToText(secret_fault fault) { return kFaults[static_cast<size_t>(fault)]; }
+
+std::variant<peer_secrets, secret_fault> ParsePeerSecrets(std::string_view text) {
+  peer_secrets read;
+  const std::string lines(text);
+  for (const absl::string_view line :
+       absl::StrSplit(lines, absl::ByAnyChar("\r\n"), absl::SkipWhitespace())) {
+    if (line == kUnsignedLine) {
+      read.accept_unsigned = true;
+      continue;
+    }
+    if (line.size() < kShortestSecret) return secret_fault::kTooShort;
+    read.secrets.emplace_back(line);
+  }
+  if (read.secrets.empty()) return secret_fault::kEmpty;
+  if (read.secrets.size() > kMostSecrets) return secret_fault::kTooMany;
+  return read;
+}
+
+secret_fault peer_auth::SetFromFile(const std::string& file) {
+  std::ifstream in(file, std::ios::binary);
+  if (!in) return secret_fault::kMissingFile;
+  const std::string text{std::istreambuf_iterator<char>(in), {}};
+  std::variant<peer_secrets, secret_fault> read = ParsePeerSecrets(text);
+  if (const auto* fault = std::get_if<secret_fault>(&read)) return *fault;
+  Set(std::get<peer_secrets>(std::move(read)));
+  return secret_fault::kNone;
+}
+
+void peer_auth::Set(peer_secrets secrets) {
+  auto set = std::make_shared<const peer_secrets>(std::move(secrets));
+  const std::lock_guard lock(mutex_);
+  secrets_ = std::move(set);
+}
+
+std::shared_ptr<const peer_secrets> peer_auth::Secrets() const {
+  const std::lock_guard lock(mutex_);
+  return secrets_;
+}
+
+std::string peer_auth::Seal(std::string_view receiver, const std::string& text) const {
+  const std::shared_ptr<const peer_secrets> known = Secrets();
+  if (known->secrets.empty()) return text;
+  return absl::StrCat(MacOf(known->secrets.front(), receiver, text), text);
+}
+
+std::optional<std::string> peer_auth::Open(std::string_view receiver, const std::string& sealed) {
+  const std::shared_ptr<const peer_secrets> known = Secrets();
+  const bool checks = !known->secrets.empty();
+  if (IsUnsigned(sealed)) {
+    if (!checks || known->accept_unsigned) return sealed;
+    ++refused_;
+    return std::nullopt;
+  }
+  if (sealed.size() < kMacDigits) {
+    ++refused_;
+    return std::nullopt;
+  }
+  std::string text = sealed.substr(kMacDigits);
+  // An entry that has no secret yet understands those that have.
+  if (!checks) return text;
+  const bool good =
+      std::any_of(known->secrets.begin(), known->secrets.end(), [&](const std::string& secret) {
+        return gnutls_memcmp(MacOf(secret, receiver, text).data(), sealed.data(), kMacDigits) == 0;
+      });
+  if (good) return text;
+  ++refused_;
+  return std::nullopt;
+}
+
+}  // namespace catkinford
--- a/src/main/catkinfordd.cc
+++ b/src/main/catkinfordd.cc
@@ -24,14 +24,17 @@
 constexpr int kPortTaken = 3;
 
 constexpr int kNoCertificate = 4;
+constexpr int kNoPeerSecrets = 5;
 
-// Waits for SIGTERM or SIGINT, which all threads have blocked. SIGHUP: the certificate's files were
-// replaced.
+// Waits for SIGTERM or SIGINT, which all threads have blocked. SIGHUP: the files of the certificate
+// or of the peers' secrets were replaced.
 void WaitForSignal(const sigset_t& signals, catkinford::node& entry) {
   int signal = SIGHUP;
   while (signal == SIGHUP) {
     sigwait(&signals, &signal);
-    if (signal == SIGHUP) entry.ReloadCertificate();
+    if (signal != SIGHUP) continue;
+    entry.ReloadCertificate();
+    entry.ReloadPeerSecrets();
   }
 }
 
@@ -42,6 +45,10 @@
     case catkinford::start_fault::kCertificate:
       std::fputs("catkinfordd: the certificate or its key cannot be used; see the log\n", stderr);
       return kNoCertificate;
+    case catkinford::start_fault::kPeerSecrets:
+      std::fputs("catkinfordd: the file of the peers' secrets cannot be used; see the log\n",
+                 stderr);
+      return kNoPeerSecrets;
     case catkinford::start_fault::kPeerPort:
       std::fputs("catkinfordd: the peer port cannot be had\n", stderr);
       return kPortTaken;
--- a/src/process/events.cc
+++ b/src/process/events.cc
@@ -31,6 +31,12 @@
     case kCertificateRefused:
       return {code, kError, "certificate_refused",
               "The certificate or its key cannot be used; the one before, if any, stays."};
+    case kPeerSecretsTaken:
+      return {code, kInfo, "peer_secrets_taken",
+              "The secrets that calls between entries are signed with were read."};
+    case kPeerSecretsRefused:
+      return {code, kError, "peer_secrets_refused",
+              "The file of the peers' secrets cannot be used; the ones before, if any, stay."};
     case kRequestReceived:
       return {code, kDebug, "request_received", "A caller's request passed its key check."};
     case kRequestForwarded:
@@ -86,6 +92,9 @@
               "The platform's store does not answer; no owner changes and no new jobs until then."};
     case kStoreUp:
       return {code, kInfo, "store_up", "The platform's store answers again."};
+    case kPeerRefused:
+      return {code, kWarning, "peer_refused",
+              "Calls to the peer port carried no good signature; nothing of them was taken."};
     case kVersionInForce:
       return {code, kInfo, "version_in_force", "A configuration version is in force here."};
     case kVersionRefused:
--- a/src/process/events.h
+++ b/src/process/events.h
@@ -18,6 +18,8 @@
   kShutdownDone = 103,
   kCertificateTaken = 104,
   kCertificateRefused = 105,
+  kPeerSecretsTaken = 106,
+  kPeerSecretsRefused = 107,
   // 2xx: requests
   kRequestReceived = 200,
   kRequestForwarded = 201,
@@ -44,6 +46,7 @@
   kPeerDown = 401,
   kStoreDown = 402,
   kStoreUp = 403,
+  kPeerRefused = 404,
   // 5xx: configuration
   kVersionInForce = 500,
   kVersionRefused = 501,
--- a/src/process/metrics.cc
+++ b/src/process/metrics.cc
@@ -84,6 +84,8 @@
                                    "Bytes of the texts sent to other entries.")),
       peer_bytes_received_(MakeCounter(registry_, "catkinford_peer_bytes_received_total",
                                        "Bytes of the texts received from other entries.")),
+      peer_refused_(MakeCounter(registry_, "catkinford_peer_refused_total",
+                                "Calls to the peer port that carried no good signature.")),
       grant_moves_(MakeCounter(registry_, "catkinford_grant_moves_total",
                                "Changes of the grant ledger by shards owned here.")),
       log_lines_dropped_(MakeCounter(registry_, "catkinford_log_lines_dropped_total",
@@ -168,6 +170,7 @@
   Follow(peer_messages_, totals.messages_sent);
   Follow(peer_bytes_sent_, totals.bytes_sent);
   Follow(peer_bytes_received_, totals.bytes_received);
+  Follow(peer_refused_, totals.refused);
 }
 
 void metrics::SetLogLinesDropped(uint64_t lines) { Follow(log_lines_dropped_, lines); }
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -29,6 +29,7 @@
   uint64_t messages_sent = 0;
   uint64_t bytes_sent = 0;
   uint64_t bytes_received = 0;
+  uint64_t refused = 0;
 };
 
 constexpr size_t kWorkloadKinds = 4;
@@ -77,6 +78,7 @@
   prometheus::Counter& peer_messages_;
   prometheus::Counter& peer_bytes_sent_;
   prometheus::Counter& peer_bytes_received_;
+  prometheus::Counter& peer_refused_;
   prometheus::Counter& grant_moves_;
   prometheus::Counter& log_lines_dropped_;
   prometheus::Histogram& placement_;
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -84,7 +84,7 @@
       endpoints_(endpoint_http_, config_.timing.call_timeout),
       instances_(platform_http_, config_.platform.instances_url, config_.timing.call_timeout),
       mailbox_(
-          config_.name, config_.listen.peer_port, kPeerCallTimeout,
+          config_.name, config_.listen.peer_port, kPeerCallTimeout, peer_auth_,
           [this](std::vector<peer_message> messages) { OnMessages(std::move(messages)); },
           [this](const std::string& peer, transfer_status status, std::vector<message_body> lost) {
             OnSendFailed(peer, status, std::move(lost));
@@ -135,8 +135,19 @@
   return fault;
 }
 
+secret_fault node::ReloadPeerSecrets() {
+  const std::string& file = config_.listen.peer_secret_file;
+  if (file.empty()) return secret_fault::kNone;
+  const secret_fault fault = peer_auth_.SetFromFile(file);
+  const bool good = fault == secret_fault::kNone;
+  log_.Emit(good ? event_code::kPeerSecretsTaken : event_code::kPeerSecretsRefused,
+            steady_clock::now(), {}, 0, file, good ? "" : std::string(ToText(fault)));
+  return fault;
+}
+
 start_fault node::Start() {
   if (ReloadCertificate() != tls_fault::kNone) return start_fault::kCertificate;
+  if (ReloadPeerSecrets() != secret_fault::kNone) return start_fault::kPeerSecrets;
   endpoint_http_.Start();
   platform_http_.Start();
   if (!mailbox_.Start()) return start_fault::kPeerPort;
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -45,7 +45,7 @@
 
 namespace catkinford {
 
-enum class start_fault : uint8_t { kNone, kCallerPort, kPeerPort, kCertificate };
+enum class start_fault : uint8_t { kNone, kCallerPort, kPeerPort, kCertificate, kPeerSecrets };
 
 class node {
  public:
@@ -58,6 +58,8 @@
   // Reads the certificate's files again; new connections of callers get it, open ones go on. On a
   // fault the old one stays in use.
   tls_fault ReloadCertificate();
+  // The same for the secrets that calls between entries are signed with.
+  secret_fault ReloadPeerSecrets();
   // Graceful: not ready, refuses new work, hands its shards over, finishes what is in flight.
   void BeginShutdown();
   // Until the shutdown is done.
@@ -259,6 +261,7 @@
   store_adapter store_;
   endpoint_adapter endpoints_;
   instance_adapter instances_;
+  peer_auth peer_auth_;
   peer_mailbox mailbox_;
   http_server front_;
 
@@ -294,6 +297,7 @@
   bool store_was_up_ = false;  // nothing is said before the first answer
   bool was_ready_ = false;
   uint64_t grant_moves_ = 0;      // that were told
+  uint64_t refused_batches_ = 0;  // that was told
   uint64_t refused_version_ = 0;  // that was told
   bool shutting_down_ = false;
   bool done_ = false;
--- a/src/process/node_metrics.cc
+++ b/src/process/node_metrics.cc
@@ -1,4 +1,5 @@
 // What a node counts, beside its gauges, and the events that come of it.
+#include "absl/strings/str_cat.h"
 #include "process/node.h"
 
 namespace catkinford {
@@ -22,11 +23,16 @@
   metrics_.open_endpoints.Set(open);
 
   const mailbox_counters& mail = mailbox_.Counters();
-  metrics_.SetPeerTotals(
-      {mail.batches_sent, mail.messages_sent, mail.bytes_sent, mail.bytes_received});
+  metrics_.SetPeerTotals({mail.batches_sent, mail.messages_sent, mail.bytes_sent,
+                          mail.bytes_received, peer_auth_.Refused()});
   metrics_.SetLogLinesDropped(log_.DroppedLines());
   metrics_.SetGrantMoves(grants_.Moves());
 
+  if (peer_auth_.Refused() != refused_batches_) {
+    const uint64_t more = peer_auth_.Refused() - refused_batches_;
+    refused_batches_ += more;
+    log_.Emit(event_code::kPeerRefused, now, {}, 0, config_.name, absl::StrCat(more, " calls"));
+  }
   if (grants_.Moves() != grant_moves_) {
     grant_moves_ = grants_.Moves();
     log_.Emit(event_code::kGrantsMoved, now, {}, 0, config_.name);
--- a/src/process/peer_mailbox.cc
+++ b/src/process/peer_mailbox.cc
@@ -12,6 +12,8 @@
 
 constexpr size_t kGatheredLimit = 8192;  // messages that wait for one peer
 constexpr int kServerThreads = 4;
+constexpr char kTaken[] = "ok";
+constexpr char kRefused[] = "refused";
 constexpr size_t kLargestBatch = 1000;
 // A batch leaves this often where the round trip is long, so that a message waits about half as
 // long for its turn. Measured in docs/design/021-peers-far-away.md.
@@ -22,9 +24,10 @@
 }  // namespace
 
 peer_mailbox::peer_mailbox(std::string own_name, int port, std::chrono::milliseconds call_timeout,
-                           on_messages received, on_failure failed)
+                           peer_auth& auth, on_messages received, on_failure failed)
     : own_name_(std::move(own_name)),
       call_timeout_(call_timeout),
+      auth_(auth),
       received_(std::move(received)),
       failed_(std::move(failed)),
       server_(port, kServerThreads, [this](const std::string& text) { return Receive(text); }),
@@ -49,8 +52,10 @@
 
 std::string peer_mailbox::Receive(const std::string& text) {
   counters_.bytes_received += text.size();
-  received_(DecodeBatch(text));
-  return "ok";
+  const std::optional<std::string> batch = auth_.Open(own_name_, text);
+  if (!batch) return kRefused;
+  received_(DecodeBatch(*batch));
+  return kTaken;
 }
 
 void peer_mailbox::SetPeer(const std::string& name, const std::string& address) {
@@ -123,7 +128,7 @@
 }
 
 void peer_mailbox::Deliver(const delivery_ptr& next) {
-  next->text = EncodeBatch(own_name_, next->batch);
+  next->text = auth_.Seal(next->name, EncodeBatch(own_name_, next->batch));
   ++counters_.batches_sent;
   counters_.messages_sent += next->batch.size();
   Try(next);
@@ -143,11 +148,14 @@
 
 void peer_mailbox::OnResult(const delivery_ptr& done, const http_result& result) {
   std::string answer;
-  const bool answered = result.status == transfer_status::kDone &&
-                        ReadRpcResponse(result.body, answer) && answer == "ok";
+  const bool read = result.status == transfer_status::kDone && ReadRpcResponse(result.body, answer);
+  const bool answered = read && answer == kTaken;
+  // Refused for its signature: none of it was taken.
+  const transfer_status status =
+      read && answer == kRefused ? transfer_status::kNotSent : result.status;
   if (answered || done->again) {
     const bool surely_not =
-        done->first == transfer_status::kNotSent && result.status == transfer_status::kNotSent;
+        done->first == transfer_status::kNotSent && status == transfer_status::kNotSent;
     if (!answered) {
       failed_(done->name, surely_not ? transfer_status::kNotSent : transfer_status::kMaybeSent,
               std::move(done->batch));
@@ -155,7 +163,7 @@
     OnDone(done, answered);
     return;
   }
-  done->first = result.status;
+  done->first = status;
   done->again = true;
   Try(done);
 }
--- a/src/process/peer_mailbox.h
+++ b/src/process/peer_mailbox.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "connection/http_client.h"
+#include "connection/peer_auth.h"
 #include "connection/peer_rpc.h"
 #include "process/message.h"
 #include "request/job_request.h"
@@ -41,7 +42,7 @@
                                         std::vector<message_body>)>;
 
   peer_mailbox(std::string own_name, int port, std::chrono::milliseconds call_timeout,
-               on_messages received, on_failure failed);
+               peer_auth& auth, on_messages received, on_failure failed);
   ~peer_mailbox();
   peer_mailbox(const peer_mailbox&) = delete;
   peer_mailbox& operator=(const peer_mailbox&) = delete;
@@ -96,6 +97,7 @@
 
   std::string own_name_;
   std::chrono::milliseconds call_timeout_;
+  peer_auth& auth_;
   on_messages received_;
   on_failure failed_;
   rpc_server server_;
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -23,6 +23,7 @@
     uint16_t peer_port = 0;
     std::string tls_certificate_file;  // empty: plain HTTP
     std::string tls_key_file;
+    std::string peer_secret_file;  // empty: calls between entries are not checked
   } listen;
 
   struct {
--- a/src/process/settings_table.cc
+++ b/src/process/settings_table.cc
@@ -49,6 +49,9 @@
      text_form::kAny, 0, 0, "PEM certificate of the caller port; empty: plain HTTP."},
     {"listen.tls_key_file", [](settings& s) { return setting_slot(&s.listen.tls_key_file); }, false,
      text_form::kAny, 0, 0, "PEM key that belongs to the certificate."},
+    {"listen.peer_secret_file",
+     [](settings& s) { return setting_slot(&s.listen.peer_secret_file); }, false, text_form::kAny,
+     0, 0, "Secrets that calls between entries are signed with, one a line; empty: unchecked."},
 
     {"platform.store_url", [](settings& s) { return setting_slot(&s.platform.store_url); }, true,
      text_form::kUrl, 0, 0, "Base address of the platform's key-value store."},
--- a/test/peer_mailbox_test.cc
+++ b/test/peer_mailbox_test.cc
@@ -26,7 +26,7 @@
  protected:
   explicit mailbox_fixture(milliseconds call_timeout = kCallTimeout)
       : from_(
-            "from", 0, call_timeout, [](const std::vector<peer_message>&) {},
+            "from", 0, call_timeout, auth_, [](const std::vector<peer_message>&) {},
             [this](const std::string&, transfer_status status,
                    const std::vector<message_body>& lost) { Lose(status, lost.size()); }) {
     REQUIRE(from_.Start());
@@ -86,6 +86,7 @@
   size_t lost_ = 0;
   std::optional<transfer_status> lost_status_;
   std::unique_ptr<rpc_server> server_;
+  peer_auth auth_;
   peer_mailbox from_;
 };
 
