--- a/src/process/config_change.cc
+++ b/src/process/config_change.cc
@@ -61,6 +61,11 @@
   return exit_code::kConflict;
 }
 
+exit_code CodeOf(edit_fault fault) {
+  if (fault == edit_fault::kNameTaken) return exit_code::kUsage;
+  return fault == edit_fault::kLastOperatorKey ? exit_code::kRefused : exit_code::kNotFound;
+}
+
 entry_answer Put(command_context& context, uint64_t expect, const std::string& text) {
   json body = {{"expect", expect}, {"text", text}};
   if (context.options.dry_run) body["dry_run"] = true;
@@ -154,8 +159,7 @@
     const edit_fault fault = edit(next);
     if (fault != edit_fault::kNone) {
       context.err << "catkinford: " << ToText(fault) << "\n";
-      return static_cast<int>(fault == edit_fault::kNameTaken ? exit_code::kUsage
-                                                              : exit_code::kNotFound);
+      return static_cast<int>(CodeOf(fault));
     }
     const std::string wanted = ToText(next);
     // The merged whole can be wrong where each part is right, as shares over the whole.
--- a/src/version/contract_edit.cc
+++ b/src/version/contract_edit.cc
@@ -9,8 +9,8 @@
 namespace catkinford {
 namespace {
 
-constexpr std::array<std::string_view, 5> kFaultNames = {
-    "none", "no_such_workspace", "no_such_team", "no_such_key", "name_taken"};
+constexpr std::array<std::string_view, 6> kFaultNames = {
+    "none", "no_such_workspace", "no_such_team", "no_such_key", "name_taken", "last_operator_key"};
 
 template <typename Named>
 Named* FindNamed(std::vector<Named>& list, std::string_view name) {
@@ -110,6 +110,10 @@
   if (keys == nullptr) return edit_fault::kNoSuchTeam;
   key_record* key = FindNamed(*keys, name);
   if (key == nullptr) return edit_fault::kNoSuchKey;
+  const auto in_force = std::count_if(keys->begin(), keys->end(),
+                                      [](const key_record& each) { return !each.withdrawn; });
+  // Only a hand in the platform's store could grant an operator's key again.
+  if (team.empty() && !key->withdrawn && in_force == 1) return edit_fault::kLastOperatorKey;
   key->withdrawn = true;
   return edit_fault::kNone;
 }
--- a/src/version/contract_edit.h
+++ b/src/version/contract_edit.h
@@ -16,7 +16,8 @@
   kNoSuchWorkspace,
   kNoSuchTeam,
   kNoSuchKey,
-  kNameTaken,  // a key of this name exists
+  kNameTaken,        // a key of this name exists
+  kLastOperatorKey,  // without it nobody could change anything any more
 };
 std::string_view ToText(edit_fault fault);
 
--- a/test/command_line_test.cc
+++ b/test/command_line_test.cc
@@ -322,6 +322,20 @@
   }
 }
 
+// An operator leaves and withdraws his key, which is the only one. Done, nobody could ever change
+// the configuration again but by hand in the platform's store.
+TEST_CASE_METHOD(command_line_fixture, "command line, last operator's key, is not withdrawn",
+                 "[cli]") {
+  configuration config;
+  config.operator_keys = {MakeKey("night", true).record, MakeKey("day", true).record};
+  entry_.text = ToText(config);
+  options_.is_operator = true;
+  CHECK(Run({"key", "withdraw", "night"}) == Code(exit_code::kDone));
+  CHECK(Run({"key", "withdraw", "day"}) == Code(exit_code::kRefused));
+  CHECK_THAT(err_.str(), Catch::Contains("last_operator_key"));
+  CHECK(Run({"key", "withdraw", "night"}) == Code(exit_code::kDone));  // once more does no harm
+}
+
 // A newcomer forgets --entry. "No entry can be reached" would send him to look for a fault of the
 // network.
 TEST_CASE_METHOD(command_line_fixture, "command line, no entry given, asks for one", "[cli]") {
