--- a/src/process/node.h
+++ b/src/process/node.h
@@ -12,6 +12,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -29,8 +31,10 @@
 #include "process/gone_endpoints.h"
 #include "process/grant_keeper.h"
 #include "process/incarnation_keeper.h"
+#include "process/instance_turns.h"
 #include "process/job_keeper.h"
 #include "process/job_status.h"
+#include "process/membership.h"
 #include "process/metrics.h"
 #include "process/ownership.h"
 #include "process/peer_mailbox.h"
@@ -40,6 +44,7 @@
 #include "process/shard.h"
 #include "process/team_names.h"
 #include "process/timeline.h"
+#include "process/usage_spread.h"
 #include "request/caller_call.h"
 
 namespace catkinford {
@@ -68,21 +73,12 @@
  private:
   using core_task = std::function<void(monotonic_time)>;
 
-  // An entry that this one knows of.
-  struct peer_state {
-    std::string failure_domain;
-    std::string address;
+  // What this entry remembers of another one besides what the membership knows.
+  struct peer_notes {
     uint64_t incarnation = 0;
-    uint64_t config_version = 0;
-    bool leaving = false;
-    bool up = false;
-    bool listed = false;  // in the instance list
-    monotonic_time heard{};
-    monotonic_time next_beat{};
     uint64_t config_sent = 0;      // the last version that it was sent
     monotonic_time lags_since{};   // has an older configuration than we
     monotonic_time next_config{};  // when it may be sent the configuration again
-    std::vector<team_report> teams;
   };
   // A status question that waits for answers of owners.
   struct open_status {
@@ -130,20 +126,31 @@
   void Send(const std::string& entry, message_body body, monotonic_time now);
   void DeliverLocal(monotonic_time now);
   void OnHeartbeat(const std::string& from, const heartbeat_message& beat, monotonic_time now);
+  void OnWord(const member& of, monotonic_time now);
+  void OnSilent(const std::string& peer, monotonic_time now);
+  void OnSilent(const silent_message& silent, monotonic_time now);
   void SendHeartbeats(monotonic_time now);
-  heartbeat_message Heartbeat() const;
-  void CheckPeers(monotonic_time now);
-  void SetPeerUp(const std::string& name, peer_state& peer, bool up, monotonic_time now);
+  // To every other entry, at once: who owns what, that we leave. By turns they would hear of it
+  // many seconds later.
+  void Announce(monotonic_time now);
+  entry_word OwnWord();
+  void PrepareReply(monotonic_time now);
+  std::optional<heartbeat_message> Reply();
+  void FollowMembers(monotonic_time now);
+  void TickMembers(monotonic_time now);
+  void TakeChanges(monotonic_time now);
+  usage_view UsageView() const;
   void PollInstances(monotonic_time now);
   void OnInstances(const instance_reply& reply, monotonic_time now);
+  void TakeInstances(monotonic_time now);
   void UpdateGauges(monotonic_time now);
   // node_metrics.cc: what is counted, and events about it.
   void UpdateCounters(monotonic_time now);
   void CountAnswer(const answered_call& answer, monotonic_time now);
   void CheckShutdown(monotonic_time now);
-  std::vector<std::string> LiveDomainPeers() const;
   std::vector<version_member> VersionMembers() const;
-  bool DomainsConfirm() const;
+  // The latest time at which every other failure domain was known to have our version.
+  std::optional<monotonic_time> DomainsConfirmed() const;
 
   bool IsReady() const;
 
@@ -151,9 +158,11 @@
   void OnVersion(version_origin origin, monotonic_time now);
   void OnStep(const version_step& step, monotonic_time now);
   // Sends a peer that has `known` what is in force here.
-  void SendVersion(const std::string& name, peer_state& peer, uint64_t known, monotonic_time now);
-  void HelpLagging(const std::string& name, peer_state& peer, monotonic_time now);
-  std::chrono::milliseconds HelpDelay(const peer_state& peer) const;
+  void SendVersion(const member& to, uint64_t known, monotonic_time now);
+  void HelpLagging(const member& other, monotonic_time now);
+  std::chrono::milliseconds HelpDelay(const member& other) const;
+  // Whoever sends a version waits to hear that it is in force here.
+  void SayVersion(const std::string& to, monotonic_time now);
   void CheckChanges(monotonic_time now);
   void OnChanged(uint64_t change, const change_result& result, monotonic_time now);
   void Respond(const open_change& open, http_response response);
@@ -271,11 +280,14 @@
   ownership ownership_;
   config_keeper versions_;
   grant_keeper grants_;
+  membership members_;
+  usage_spread usage_;
+  instance_turns turns_;
   job_keeper jobs_;
   incarnation_keeper lives_;
   std::vector<opened_log> opened_;  // of shards that wait for their parts of the limits
   std::map<uint32_t, std::unique_ptr<shard>> shards_;
-  std::map<std::string, peer_state> peers_;
+  std::map<std::string, peer_notes> notes_;
   std::set<std::string> endpoint_names_;  // of the whole fleet, as last listed
   gone_endpoints gone_;                   // drained ones that left the list
   std::vector<instance> own_endpoints_;   // of this failure domain
@@ -288,10 +300,12 @@
   uint64_t next_query_ = 1;
   monotonic_time started_{};
   monotonic_time next_ownership_tick_{};
-  monotonic_time next_instance_poll_{};
+  monotonic_time next_store_members_{};
+  monotonic_time next_reply_{};
+  monotonic_time next_usage_{};
+  uint64_t beat_ = 0;
   monotonic_time next_gauges_{};
   monotonic_time shutdown_deadline_{};
-  bool has_instances_ = false;
   bool store_was_up_ = false;  // nothing is said before the first answer
   bool was_ready_ = false;
   uint64_t grant_moves_ = 0;      // that were told
@@ -300,6 +314,12 @@
   bool shutting_down_ = false;
   bool done_ = false;
   std::thread core_;
+
+  // What calls of other domains' entries are answered with; made by the core, read by the mailbox's
+  // threads.
+  std::mutex reply_mutex_;
+  heartbeat_message reply_;
+  monotonic_time reply_made_{};
 };
 
 }  // namespace catkinford
--- a/src/process/node_config.cc
+++ b/src/process/node_config.cc
@@ -64,12 +64,12 @@
 void node::OnVersion(version_origin origin, monotonic_time now) {
   const version_order& order = versions_.Order();
   for (auto& [number, held] : shards_) held->SetConfiguration(*order.Config(), now);
-  for (auto& [name, peer] : peers_) {
-    if (peer.config_version >= order.Version()) continue;
-    peer.lags_since = now;
-    peer.next_beat = now;  // says that it is in force here
+  for (const auto& [name, other] : members_.Members()) {
+    if (other.word.config_version >= order.Version()) continue;
+    peer_notes& notes = notes_[name];
+    notes.lags_since = now;
     if (origin == version_origin::kOwnChange) {
-      SendVersion(name, peer, std::max(peer.config_version, peer.config_sent), now);
+      SendVersion(other, std::max(other.word.config_version, notes.config_sent), now);
     }
   }
   log_.Emit(event_code::kVersionInForce, now, {}, 0, absl::StrCat(order.Version()));
@@ -81,31 +81,36 @@
   if (text) versions_.Offer(step.version, *text, version_origin::kPeer, now);
 }
 
-void node::SendVersion(const std::string& name, peer_state& peer, uint64_t known,
-                       monotonic_time now) {
+void node::SayVersion(const std::string& to, monotonic_time now) {
+  Send(to, heartbeat_message{config_.failure_domain, false, {OwnWord()}}, now);
+}
+
+void node::SendVersion(const member& to, uint64_t known, monotonic_time now) {
   const version_order& order = versions_.Order();
-  peer.next_config = now + kConfigResend;
-  peer.config_sent = order.Version();
+  peer_notes& notes = notes_[to.name];
+  notes.next_config = now + kConfigResend;
+  notes.config_sent = order.Version();
   if (order.Step() && order.Step()->base == known) {
-    Send(name, config_step_message{*order.Step()}, now);
+    Send(to.name, config_step_message{*order.Step()}, now);
   } else {
-    Send(name, config_message{order.Version(), order.Text()}, now);
+    Send(to.name, config_message{order.Version(), order.Text()}, now);
   }
 }
 
-void node::HelpLagging(const std::string& name, peer_state& peer, monotonic_time now) {
-  if (peer.config_version >= versions_.Order().Version()) return;
-  if (now < peer.next_config || now < peer.lags_since + HelpDelay(peer)) return;
-  SendVersion(name, peer, peer.config_version, now);
+void node::HelpLagging(const member& other, monotonic_time now) {
+  if (other.word.config_version >= versions_.Order().Version()) return;
+  const peer_notes& notes = notes_[other.name];
+  if (now < notes.next_config || now < notes.lags_since + HelpDelay(other)) return;
+  SendVersion(other, other.word.config_version, now);
 }
 
 // Who lags is helped by its own failure domain, and by the others only when that cannot: from
 // everybody at once, a replaced entry of a large fleet would get the document 53 times.
-milliseconds node::HelpDelay(const peer_state& peer) const {
-  if (peer.failure_domain == config_.failure_domain) {
-    return peer.config_version == 0 ? milliseconds{0} : kConfigResend;
+milliseconds node::HelpDelay(const member& other) const {
+  if (other.failure_domain == config_.failure_domain) {
+    return other.word.config_version == 0 ? milliseconds{0} : kConfigResend;
   }
-  return IsWatcher(config_.name, LiveDomainPeers()) ? kHelpByWatcher : kHelpByAnybody;
+  return IsWatcher(config_.name, members_.LiveNeighbours()) ? kHelpByWatcher : kHelpByAnybody;
 }
 
 void node::Handle(http_server::token token, const std::string& key, const get_config_call& call,
--- a/src/process/peer_mailbox.cc
+++ b/src/process/peer_mailbox.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <utility>
+#include <variant>
 
 namespace catkinford {
 namespace {
@@ -12,8 +13,6 @@
 
 constexpr size_t kGatheredLimit = 8192;  // messages that wait for one peer
 constexpr int kServerThreads = 4;
-constexpr char kTaken[] = "ok";
-constexpr char kRefused[] = "refused";
 constexpr size_t kLargestBatch = 1000;
 // A batch leaves this often where the round trip is long, so that a message waits about half as
 // long for its turn. Measured in docs/design/021-peers-far-away.md.
@@ -21,15 +20,25 @@
 constexpr size_t kMostBatches = 32;  // under way to one peer
 constexpr int kRoundTripWeight = 8;  // of the past against the last call
 
+constexpr char kTaken[] = "ok";  // the answer of a call that has no other
+constexpr char kRefused[] = "refused";
+
+bool WantsReply(const peer_message& message) {
+  const auto* beat = std::get_if<heartbeat_message>(&message.body);
+  return beat != nullptr && beat->wants_reply;
+}
+
 }  // namespace
 
 peer_mailbox::peer_mailbox(std::string own_name, int port, std::chrono::milliseconds call_timeout,
-                           peer_auth& auth, on_messages received, on_failure failed)
+                           peer_auth& auth, on_messages received, on_failure failed,
+                           reply_maker reply)
     : own_name_(std::move(own_name)),
       call_timeout_(call_timeout),
       auth_(auth),
       received_(std::move(received)),
       failed_(std::move(failed)),
+      reply_(std::move(reply)),
       server_(port, kServerThreads, [this](const std::string& text) { return Receive(text); }),
       client_(kMostBatches) {}
 
@@ -54,8 +63,23 @@
   counters_.bytes_received += text.size();
   const std::optional<std::string> batch = auth_.Open(own_name_, text);
   if (!batch) return kRefused;
-  received_(DecodeBatch(*batch));
-  return kTaken;
+  std::vector<peer_message> messages = DecodeBatch(*batch);
+  const bool wants_reply = std::any_of(messages.begin(), messages.end(), WantsReply);
+  const std::string from = messages.empty() ? std::string() : messages.front().from;
+  received_(std::move(messages));
+  std::optional<heartbeat_message> reply;
+  if (wants_reply) reply = reply_();
+  if (!reply) return kTaken;
+  std::string answer = auth_.Seal(from, EncodeBatch(own_name_, {*std::move(reply)}));
+  counters_.bytes_sent += answer.size();
+  return answer;
+}
+
+void peer_mailbox::TakeAnswer(const std::string& answer) {
+  if (answer == kTaken) return;
+  counters_.bytes_received += answer.size();
+  const std::optional<std::string> batch = auth_.Open(own_name_, answer);
+  if (batch) received_(DecodeBatch(*batch));
 }
 
 void peer_mailbox::SetPeer(const std::string& name, const std::string& address) {
@@ -149,10 +173,10 @@
 void peer_mailbox::OnResult(const delivery_ptr& done, const http_result& result) {
   std::string answer;
   const bool read = result.status == transfer_status::kDone && ReadRpcResponse(result.body, answer);
-  const bool answered = read && answer == kTaken;
+  const bool answered = read && answer != kRefused;
   // Refused for its signature: none of it was taken.
-  const transfer_status status =
-      read && answer == kRefused ? transfer_status::kNotSent : result.status;
+  const transfer_status status = read && !answered ? transfer_status::kNotSent : result.status;
+  if (answered) TakeAnswer(answer);
   if (answered || done->again) {
     const bool surely_not =
         done->first == transfer_status::kNotSent && status == transfer_status::kNotSent;
