--- a/src/process/node_peers.cc
+++ b/src/process/node_peers.cc
@@ -28,13 +28,7 @@
   for (const std::string& name : news) OnWord(*members_.Find(name), now);
   version_order& order = versions_.Order();
   if (const auto confirmed = DomainsConfirmed()) order.Confirm(order.Version(), *confirmed);
-  const member* sender = members_.Find(from);
-  peer_notes& notes = notes_[from];
-  const bool is_behind = sender != nullptr && sender->word.config_version < order.Version();
-  if (is_behind && now >= notes.next_config) {
-    notes.next_config = now + kConfigResend;
-    Send(from, config_message{order.Version(), order.Text()}, now);
-  }
+  if (const member* sender = members_.Find(from)) HelpLagging(*sender, now);
   CheckChanges(now);
 }
 
@@ -42,6 +36,7 @@
 void node::OnWord(const member& of, monotonic_time now) {
   if (std::exchange(notes_[of.name].incarnation, of.word.incarnation) != of.word.incarnation) {
     usage_.OnLost(of.name);  // a new process, which knows nothing
+    notes_[of.name].lags_since = now;
   }
   for (const shard_report& report : of.word.shards) {
     const shard_route* route = routes_.Route(report.shard);
--- a/src/process/peer_mailbox.cc
+++ b/src/process/peer_mailbox.cc
@@ -21,6 +21,7 @@
 constexpr int kRoundTripWeight = 8;  // of the past against the last call
 
 constexpr char kTaken[] = "ok";  // the answer of a call that has no other
+constexpr char kRefused[] = "refused";
 
 bool WantsReply(const peer_message& message) {
   const auto* beat = std::get_if<heartbeat_message>(&message.body);
@@ -30,9 +31,11 @@
 }  // namespace
 
 peer_mailbox::peer_mailbox(std::string own_name, int port, std::chrono::milliseconds call_timeout,
-                           on_messages received, on_failure failed, reply_maker reply)
+                           peer_auth& auth, on_messages received, on_failure failed,
+                           reply_maker reply)
     : own_name_(std::move(own_name)),
       call_timeout_(call_timeout),
+      auth_(auth),
       received_(std::move(received)),
       failed_(std::move(failed)),
       reply_(std::move(reply)),
@@ -58,13 +61,16 @@
 
 std::string peer_mailbox::Receive(const std::string& text) {
   counters_.bytes_received += text.size();
-  std::vector<peer_message> messages = DecodeBatch(text);
+  const std::optional<std::string> batch = auth_.Open(own_name_, text);
+  if (!batch) return kRefused;
+  std::vector<peer_message> messages = DecodeBatch(*batch);
   const bool wants_reply = std::any_of(messages.begin(), messages.end(), WantsReply);
+  const std::string from = messages.empty() ? std::string() : messages.front().from;
   received_(std::move(messages));
   std::optional<heartbeat_message> reply;
   if (wants_reply) reply = reply_();
   if (!reply) return kTaken;
-  std::string answer = EncodeBatch(own_name_, {*std::move(reply)});
+  std::string answer = auth_.Seal(from, EncodeBatch(own_name_, {*std::move(reply)}));
   counters_.bytes_sent += answer.size();
   return answer;
 }
@@ -72,7 +78,8 @@
 void peer_mailbox::TakeAnswer(const std::string& answer) {
   if (answer == kTaken) return;
   counters_.bytes_received += answer.size();
-  received_(DecodeBatch(answer));
+  const std::optional<std::string> batch = auth_.Open(own_name_, answer);
+  if (batch) received_(DecodeBatch(*batch));
 }
 
 void peer_mailbox::SetPeer(const std::string& name, const std::string& address) {
@@ -145,7 +152,7 @@
 }
 
 void peer_mailbox::Deliver(const delivery_ptr& next) {
-  next->text = EncodeBatch(own_name_, next->batch);
+  next->text = auth_.Seal(next->name, EncodeBatch(own_name_, next->batch));
   ++counters_.batches_sent;
   counters_.messages_sent += next->batch.size();
   Try(next);
@@ -165,12 +172,14 @@
 
 void peer_mailbox::OnResult(const delivery_ptr& done, const http_result& result) {
   std::string answer;
-  const bool answered =
-      result.status == transfer_status::kDone && ReadRpcResponse(result.body, answer);
+  const bool read = result.status == transfer_status::kDone && ReadRpcResponse(result.body, answer);
+  const bool answered = read && answer != kRefused;
+  // Refused for its signature: none of it was taken.
+  const transfer_status status = read && !answered ? transfer_status::kNotSent : result.status;
   if (answered) TakeAnswer(answer);
   if (answered || done->again) {
     const bool surely_not =
-        done->first == transfer_status::kNotSent && result.status == transfer_status::kNotSent;
+        done->first == transfer_status::kNotSent && status == transfer_status::kNotSent;
     if (!answered) {
       failed_(done->name, surely_not ? transfer_status::kNotSent : transfer_status::kMaybeSent,
               std::move(done->batch));
@@ -178,7 +187,7 @@
     OnDone(done, answered);
     return;
   }
-  done->first = result.status;
+  done->first = status;
   done->again = true;
   Try(done);
 }
