Look at what was tried in a round before what may help a blocked lane

Change: the round's mark is compared first, and the room kept from batch work is worked out once for all lanes.

--- a/src/process/decision_impl.h
+++ b/src/process/decision_impl.h
@@ -135,7 +135,7 @@
   bool MayStart(const job_record& job, uint32_t count) const;
   void Pause(const lane_ref& ref, monotonic_time now);
   resources KeptRoom(lane_class kind, team_index team) const;
-  bool MayHelp(const blocked_lane& blocked) const;
+  bool MayHelp(const blocked_lane& blocked, const resources& kept) const;
   bool KeptForCallers(const job_record& job) const;
   uint32_t TasksAtOnce(const job_record& job) const;
   void Sign(const std::vector<command>& out, size_t first);
--- a/src/process/decision_order.cc
+++ b/src/process/decision_order.cc
@@ -84,9 +84,10 @@
   RoomFreed();
   ListFreedRoom();
   if (freed_room.empty() && lanes.KeptLanes() == 0) return;
+  const resources kept = KeptRoom(lane_class::kBatch, 0);
   std::optional<lane_rank> best;
   for (const blocked_lane& blocked : lanes.NoRoom()) {
-    if (!MayHelp(blocked) || blocked.tried == round) continue;
+    if (blocked.tried == round || !MayHelp(blocked, kept)) continue;
     const lane_rank rank = RankOf(blocked.ref);
     if (best && *best < rank) continue;
     const lane_needs& needs = lanes.Peek(blocked.ref).needs;
@@ -99,10 +100,12 @@
 }
 
 // A first, cheap look: whether freed room, or room that is no longer kept, holds the lane's least.
-bool decision_core::impl::MayHelp(const blocked_lane& blocked) const {
+// `kept`: of batch work, the same for all lanes.
+bool decision_core::impl::MayHelp(const blocked_lane& blocked, const resources& kept) const {
   if (!blocked.kept) return FreedRoomHolds(blocked.least);
-  return Fits(blocked.least + KeptRoom(blocked.ref.kind, blocked.ref.team),
-              floor.Open().TotalFree());
+  const bool is_batch = blocked.ref.kind == lane_class::kBatch;
+  const resources room = is_batch ? kept : KeptRoom(blocked.ref.kind, blocked.ref.team);
+  return Fits(blocked.least + room, floor.Open().TotalFree());
 }
 
 // The lane to serve next. Urgent work first, then callers who wait for an answer and whose team is
