Cut preempted work short where its checkpoint is overdue, and make room elsewhere where it does not stop

Cause: a task that gave way was asked once for a checkpoint. One that ignores that, or takes long, kept the room that was held for urgent work for 60 s, and the next reservation chose the same endpoint again, since its tasks counted as ending. A cancel of such a job was never sent to the task at all. Ruled out: to cut short at once (work since the last checkpoint is lost with every preemption); a hold of 60 s with tries elsewhere in between (one task that ignores its request still costs 60 s). Change: 3 s after the request for urgent work, 30 s for other work that waited long, the task is stopped without a checkpoint; a second later it counts as stuck, the hold is given up and another endpoint chosen. A stop without a checkpoint is sent also to a task that is writing one.

--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -96,6 +96,25 @@
           {"waits", WaitsToJson(core.waits[0])}};
 }
 
+// Urgent work on a full floor, where a part of the batch tasks never writes a checkpoint.
+nlohmann::json Urgent(uint64_t seed) {
+  const workload work = UrgentWorkload(seed);
+  nlohmann::json lines = nlohmann::json::array();
+  for (const double ignoring : {0.0, 0.2, 1.0}) {
+    simulation_options options;
+    options.seed = seed;
+    options.ignoring = ignoring;
+    const simulation_result run = Simulate<decision_core>(work, options);
+    lines.push_back({{"ignoring", ignoring},
+                     {"waits", WaitsToJson(run.urgent_waits)},
+                     {"most_ms", run.urgent_waits.Percentile(1).count()},
+                     {"refused", run.refused},
+                     {"preempted", run.preempted},
+                     {"cut_short", run.cut_short}});
+  }
+  return lines;
+}
+
 // The p99 wait of the teams within their shares, without and with a team far beyond its own.
 nlohmann::json Greedy(uint64_t seed) {
   const auto others = [seed](bool greedy) {
@@ -142,7 +161,8 @@
       {"share_error", ShareError(ShareWorkload(seed), seed)},
       {"goodput", Goodput(seed)},
       {"storm", Storm(seed)},
-      {"greedy", Greedy(seed)}};
+      {"greedy", Greedy(seed)},
+      {"urgent", Urgent(seed)}};
 }
 
 int PolicyMain(int argc, char** argv) {
--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -41,6 +41,7 @@
   uint64_t first_returns = 0;           // refused callers who came back for the first time
   uint64_t served_at_first_return = 0;  // of them, those whose work then started
   uint64_t preempted = 0;
+  uint64_t cut_short = 0;      // preempted and stopped without a checkpoint
   uint64_t never_started = 0;  // jobs submitted in the first half of which no task started
   uint64_t over_capacity = 0;  // starts that did not fit: a fault of the scheduler
   double packing = 0;          // of the scarcest amount, up to the last time anything waited
@@ -52,7 +53,9 @@
   uint64_t seed = 1;
   bool measure_share = false;
   std::chrono::milliseconds checkpoint_time{300};  // from a stop to the end of the run
-  std::chrono::milliseconds share_from{10000};     // shares count from then on
+  std::chrono::milliseconds stop_time{20};         // the same without a checkpoint
+  double ignoring = 0;                          // part of the tasks that never write a checkpoint
+  std::chrono::milliseconds share_from{10000};  // shares count from then on
   uint32_t most_returns = 0;  // how often a refused caller comes back when it was told to
 };
 
@@ -196,10 +199,21 @@
 
   void Stop(const command& c) {
     const auto found = runs_.find(c.task);
-    if (found == runs_.end() || found->second.stopping) return;
+    if (found == runs_.end()) return;
+    result_.preempted += found->second.stopping ? 0 : 1;
     found->second.stopping = true;
-    ++result_.preempted;
-    ends_.push({now_ + options_.checkpoint_time, ++order_, c.task, task_end::kCheckpointed});
+    if (!c.checkpoint) {
+      ++result_.cut_short;
+      ends_.push({now_ + options_.stop_time, ++order_, c.task, task_end::kStopped});
+    } else if (!Ignores(c.task)) {
+      ends_.push({now_ + options_.checkpoint_time, ++order_, c.task, task_end::kCheckpointed});
+    }
+  }
+
+  bool Ignores(const task_id& task) const {
+    constexpr uint64_t kSteps = 1000;
+    const uint64_t drawn = (task.job.lo * 31 + task.index) * 0x9e3779b97f4a7c15ULL >> 32;
+    return static_cast<double>(drawn % kSteps) < options_.ignoring * kSteps;
   }
 
   void Refuse(const command& c) {
@@ -224,7 +238,9 @@
     free_[run.endpoint] += request.each;
     used_ -= request.each;
     team_used_[request.team] -= request.each;
-    if (end.how == task_end::kCheckpointed) {
+    if (end.how == task_end::kStopped) {
+      ++waiting_;
+    } else if (end.how == task_end::kCheckpointed) {
       state.left[end.task.index] -= std::min(ran, state.left[end.task.index]);
       ++waiting_;
     } else if (request.kind == workload_kind::kInteractive) {
--- a/bench/workload.cc
+++ b/bench/workload.cc
@@ -191,6 +191,16 @@
   return build.Build();
 }
 
+workload UrgentWorkload(uint64_t seed) {
+  workload_builder build("urgent", seed, seconds{60});
+  build.AddWorkers(kSmallFloor, kKitamuraWorker);
+  build.AddTeams({1, 1});
+  const stream batch{workload_kind::kBatch, 0, 1, 1, 1, 60000, 0.5, 2000, 1, 1024, 4};
+  for (int i = 0; i < 400; ++i) build.AddJob(batch, milliseconds{0});
+  build.Add({workload_kind::kInteractive, 1, 1, 4, 2, 300, 0.5, 2000, 3, 2048, 2, 1, true});
+  return build.Build();
+}
+
 workload GreedyWorkload(bool greedy, uint64_t seed) {
   workload_builder build("greedy", seed, seconds{60});
   build.AddWorkers(kSmallFloor, kKitamuraWorker);
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -47,6 +47,9 @@
 // Three times what a small floor can do for 10 s, then half of it for 50 s.
 workload StormWorkload(uint64_t seed);
 
+// A small floor full of batch work that runs for a minute, and urgent callers.
+workload UrgentWorkload(uint64_t seed);
+
 // Six teams of equal shares that together ask for 0.7 of a small floor; or the same with team 0
 // asking for three times the floor.
 workload GreedyWorkload(bool greedy, uint64_t seed);
--- a/src/process/decision_admission.cc
+++ b/src/process/decision_admission.cc
@@ -64,6 +64,17 @@
   return Shed(request, now);
 }
 
+// Urgent tasks of the team for which room is being made. They start when that is done, however
+// slowly the queue has drained: with tasks that are slow to give way, urgent work would else be
+// shed.
+uint32_t decision_core::impl::HeldFor(team_index team) const {
+  return static_cast<uint32_t>(
+      std::count_if(reservations.begin(), reservations.end(), [&](const reservation& r) {
+        return r.in_use && r.urgent && jobs.Holds(r.job, r.generation) &&
+               jobs[r.job].request.team == team;
+      }));
+}
+
 // Work admitted up to its deadline would start just before it and end after it: the floor would be
 // busy with answers that nobody waits for any more.
 std::optional<admission> decision_core::impl::Shed(const job_request& request, monotonic_time now) {
@@ -71,9 +82,11 @@
   const std::optional<std::chrono::nanoseconds> one = l.meter.TimeOfOne(now);
   if (!one) return std::nullopt;
   const std::chrono::nanoseconds left = request.deadline - now;
-  const std::chrono::nanoseconds wait = *one * (l.tasks + 1);
+  const uint32_t before = l.tasks - std::min(l.tasks, request.urgent ? HeldFor(request.team) : 0);
+  const std::chrono::nanoseconds wait = *one * (before + 1);
   const std::chrono::nanoseconds short_wait = PartOf(left, kStandingPart);
-  const bool stands = l.meter.BacklogFor(now) > kStandingAfter && l.tasks >= kLeastQueue;
+  const bool stands =
+      !request.urgent && l.meter.BacklogFor(now) > kStandingAfter && l.tasks >= kLeastQueue;
   const bool newcomer = stands && wait > short_wait && !l.refused.Redeem(request.id, now);
   const std::chrono::nanoseconds budget = newcomer ? short_wait : PartOf(left, kWaitPart);
   if (wait <= budget) return std::nullopt;
--- a/src/process/decision_impl.h
+++ b/src/process/decision_impl.h
@@ -30,13 +30,14 @@
 namespace catkinford {
 
 enum class timer_kind : uint8_t {
-  kDeadline,      // of job `subject`
-  kBackoffOver,   // of job `subject`
-  kCoolingOver,   // of endpoint `subject`
-  kEjectionOver,  // of endpoint `subject`
-  kPauseOver,     // of lane `subject`
-  kLaneWatch,     // of lane `subject`, numbered team * kLaneClasses + class
-  kRoomDue        // of reservation `subject`: its bound, or its end
+  kDeadline,       // of job `subject`
+  kBackoffOver,    // of job `subject`
+  kCoolingOver,    // of endpoint `subject`
+  kEjectionOver,   // of endpoint `subject`
+  kPauseOver,      // of lane `subject`
+  kLaneWatch,      // of lane `subject`, numbered team * kLaneClasses + class
+  kCheckpointDue,  // of job `subject`: what it was asked to stop has to be over
+  kRoomDue         // of reservation `subject`: its bound, or its end
 };
 
 struct timer {
@@ -66,6 +67,12 @@
   bool cleared = false;  // batch work in the way was asked to stop
 };
 
+// How long a task that gives way may write at its checkpoint; then it is stopped without, and its
+// work since the last one is lost. Urgent work has to start within 5.2 s also where a checkpoint is
+// never written; other work that has waited long for its room can wait for a large one.
+constexpr std::chrono::seconds kUrgentCheckpoint{3};
+constexpr std::chrono::seconds kCheckpointLimit{30};
+
 // Lanes by number, for timers.
 inline uint32_t NumberOf(const lane_ref& ref) {
   return static_cast<uint32_t>(ref.team * kLaneClasses + static_cast<size_t>(ref.kind));
@@ -93,6 +100,7 @@
   void EndpointLeaving(endpoint_index endpoint);
 
   std::optional<admission> Refusal(const job_request& request, monotonic_time now);
+  uint32_t HeldFor(team_index team) const;
   std::optional<admission> Shed(const job_request& request, monotonic_time now);
   job_handle Enter(const job_request& request, monotonic_time now);
   bool FindLive(const task_id& task, job_handle& job, uint32_t& index) const;
@@ -105,7 +113,9 @@
   void DropWaiting(job_handle job);
   void StopTask(job_handle job, uint32_t index, stop_reason why, bool checkpoint);
   void StopAll(job_handle job, stop_reason why, bool checkpoint);
-  void Regroup(job_handle job);
+  void Preempt(job_handle job, uint32_t index, monotonic_time due);
+  void StopOverdue(job_handle job, monotonic_time now);
+  void Regroup(job_handle job, monotonic_time now);
   void BackOff(job_handle job, monotonic_time now);
   void EndIfOver(job_handle job, refusal_reason reason, std::string detail = {});
   void TeamChanged(team_index team);
@@ -150,7 +160,7 @@
   bool Victims(endpoint_index endpoint, const resources& need, std::vector<task_ref>& out) const;
   void ServeReservations(monotonic_time now, std::vector<command>& out);
   bool Serve(uint32_t number, monotonic_time now, std::vector<command>& out);
-  void Clear(reservation& room);
+  void Clear(reservation& room, monotonic_time now);
   void DropReservation(uint32_t number);
   bool Backfill(const job_record& job, monotonic_time now);
 
--- a/src/process/decision_jobs.cc
+++ b/src/process/decision_jobs.cc
@@ -129,6 +129,7 @@
   Detach(job, slot);
   if (slot.state == task_state::kStopping && stopping > 0) --stopping;
   slot.state = next;
+  slot.stop_due = {};
   --job.live;
 }
 
@@ -173,7 +174,7 @@
     return;
   }
   if (++job.failures_in_a_row > kStartsBeforeBackoff) BackOff(handle, now);
-  if (job.request.kind == workload_kind::kGang) Regroup(handle);
+  if (job.request.kind == workload_kind::kGang) Regroup(handle, now);
   if (job.may_have_run) {
     EndIfOver(handle, refusal_reason::kNone);
     return;
@@ -193,32 +194,61 @@
 
 // A gang that has lost a task runs on in part, which is of no use to anybody: the rest is stopped,
 // and all of it is placed again once nothing of it runs.
-void decision_core::impl::Regroup(job_handle handle) {
+void decision_core::impl::Regroup(job_handle handle, monotonic_time now) {
   job_record& job = jobs[handle];
   if (!job.request.repeatable && job.unproved_starts > 0) {
     job.may_have_run = true;
     DropWaiting(handle);
   }
-  StopAll(handle, stop_reason::kPreempted, true);
+  const auto tasks = static_cast<uint32_t>(jobs[handle].tasks.size());
+  for (uint32_t index = 0; index < tasks; ++index) Preempt(handle, index, now + kCheckpointLimit);
 }
 
 void decision_core::impl::StopTask(job_handle handle, uint32_t index, stop_reason why,
                                    bool checkpoint) {
   job_record& job = jobs[handle];
   task_slot& slot = job.tasks[index];
-  if (!slot.Live() || slot.state == task_state::kStopping) return;
-  slot.state = task_state::kStopping;
-  ++stopping;
+  if (!slot.Live()) return;
+  if (slot.state == task_state::kStopping) {
+    // Asked to write a checkpoint before: only a stop without one says more.
+    if (checkpoint || !slot.checkpointing) return;
+  } else {
+    slot.state = task_state::kStopping;
+    ++stopping;
+  }
+  slot.checkpointing = checkpoint;
   command stop;
   stop.kind = command_kind::kStop;
   stop.task = {job.request.id, index, slot.attempt};
   stop.endpoint = slot.endpoint;
   stop.amount = job.request.each;
-  stop.why = why;
   stop.checkpoint = checkpoint;
+  stop.why = why;
   pending.push_back(std::move(stop));
 }
 
+// Asks the task to write a checkpoint and stop, and sees to it that it has by `due`.
+void decision_core::impl::Preempt(job_handle handle, uint32_t index, monotonic_time due) {
+  task_slot& slot = jobs[handle].tasks[index];
+  if (!slot.Live() || slot.state == task_state::kStopping) return;
+  StopTask(handle, index, stop_reason::kPreempted, true);
+  slot.stop_due = due;
+  timers.push({due, timer_kind::kCheckpointDue, handle, jobs[handle].generation});
+}
+
+// A task may take very long over its checkpoint, or not know of the request at all. The room that
+// it was to make would never come free; one would see urgent work wait on a floor full of batch
+// work.
+void decision_core::impl::StopOverdue(job_handle handle, monotonic_time now) {
+  const auto tasks = static_cast<uint32_t>(jobs[handle].tasks.size());
+  for (uint32_t index = 0; index < tasks; ++index) {
+    const task_slot& slot = jobs[handle].tasks[index];
+    if (slot.state != task_state::kStopping || !slot.checkpointing) continue;
+    if (slot.stop_due == monotonic_time{} || now < slot.stop_due) continue;
+    StopTask(handle, index, stop_reason::kPreempted, false);
+  }
+}
+
 void decision_core::impl::StopAll(job_handle handle, stop_reason why, bool checkpoint) {
   if (jobs[handle].live == 0) return;
   const auto tasks = static_cast<uint32_t>(jobs[handle].tasks.size());
@@ -262,7 +292,7 @@
   const bool interrupted = end != task_end::kDone && end != task_end::kFailed;
   const bool gang_failed = is_gang && job.failed > 0;
   if (!over && interrupted && job.request.repeatable && !gang_failed) {
-    if (is_gang) Regroup(handle);
+    if (is_gang) Regroup(handle, now);
     WaitAgain(handle, index);
     return;
   }
--- a/src/process/decision_room.cc
+++ b/src/process/decision_room.cc
@@ -9,6 +9,7 @@
 constexpr std::chrono::seconds kLongWait{5};    // then the first of a lane gets a reservation
 constexpr std::chrono::seconds kHoldBound{30};  // batch work in the way of it is stopped then
 constexpr std::chrono::seconds kHoldAfterBound{60};
+constexpr std::chrono::seconds kStopLimit{1};  // for a stop without a checkpoint; then elsewhere
 constexpr std::chrono::milliseconds kUrgentRetry{100};
 constexpr uint32_t kMostUrgent = 64;     // reservations for urgent work at once
 constexpr uint32_t kMostStopping = 256;  // tasks asked to stop at once
@@ -78,7 +79,7 @@
   room.urgent = urgent;
   room.in_use = true;
   room.bound = urgent ? now : now + kHoldBound;
-  room.expires = room.bound + kHoldAfterBound;
+  room.expires = room.bound + (urgent ? kUrgentCheckpoint + kStopLimit : kHoldAfterBound);
   const auto place = std::find_if(reservations.begin(), reservations.end(),
                                   [](const reservation& r) { return !r.in_use; });
   const auto number = static_cast<uint32_t>(place - reservations.begin());
@@ -88,7 +89,7 @@
   timers.push({room.bound, timer_kind::kRoomDue, number, 0});
   timers.push({room.expires, timer_kind::kRoomDue, number, 0});
   reservations[number] = std::move(room);
-  if (urgent) Clear(reservations[number]);
+  if (urgent) Clear(reservations[number], now);
   return true;
 }
 
@@ -131,8 +132,12 @@
   std::vector<task_ref> may_stop;
   for (const task_ref& task : e.tasks) {
     const job_record& job = jobs[task.job];
-    const bool ending = job.tasks[task.index].state == task_state::kStopping;
-    if (ending) room += job.request.each;
+    const task_slot& slot = job.tasks[task.index];
+    const bool ending = slot.state == task_state::kStopping;
+    // One that does not end, though asked twice, makes no room.
+    const bool stuck =
+        slot.stop_due != monotonic_time{} && last_decide >= slot.stop_due + kStopLimit;
+    if (ending && !stuck) room += job.request.each;
     if (!ending && GivesWay(job.request)) may_stop.push_back(task);
   }
   const auto cheaper = [this](const task_ref& a, const task_ref& b) {
@@ -167,8 +172,9 @@
 }
 
 // Asks batch work in the way to write a checkpoint and stop, never more than a bound at once.
-void decision_core::impl::Clear(reservation& room) {
+void decision_core::impl::Clear(reservation& room, monotonic_time now) {
   const resources& each = jobs[room.job].request.each;
+  const monotonic_time due = now + (room.urgent ? kUrgentCheckpoint : kCheckpointLimit);
   std::vector<task_ref> victims;
   bool enough = true;
   for (const reservation::part& part : room.parts) {
@@ -176,7 +182,7 @@
     enough = Victims(part.endpoint, Times(each, part.count), victims) && enough;
     for (const task_ref& task : victims) {
       if (stopping >= kMostStopping) return;
-      StopTask(task.job, task.index, stop_reason::kPreempted, true);
+      Preempt(task.job, task.index, due);
     }
   }
   room.cleared = enough;
@@ -212,7 +218,7 @@
     StartChosen(room.job, now, out);
     return true;
   }
-  if (now >= room.bound && !room.cleared) Clear(room);
+  if (now >= room.bound && !room.cleared) Clear(room, now);
   return false;
 }
 
--- a/src/process/decision_rounds.cc
+++ b/src/process/decision_rounds.cc
@@ -90,6 +90,9 @@
       lanes.At(LaneOf(due.subject)).watched = false;
       WatchLane(LaneOf(due.subject), now);
       break;
+    case timer_kind::kCheckpointDue:
+      if (jobs.Holds(due.subject, due.generation)) StopOverdue(due.subject, now);
+      break;
     case timer_kind::kRoomDue:
       break;  // it wakes the round, which looks after all reservations
   }
--- a/src/process/job_table.h
+++ b/src/process/job_table.h
@@ -29,7 +29,9 @@
   endpoint_index endpoint = 0;
   uint32_t position = 0;  // in the endpoint's list of tasks
   task_state state = task_state::kWaiting;
+  bool checkpointing = false;  // while kStopping: it was asked to write a checkpoint first
   monotonic_time started{};
+  monotonic_time stop_due{};  // while checkpointing: until when it may; zero: as long as it likes
 
   // Holds room at its endpoint.
   bool Live() const {
--- a/test/decision_core_test.cc
+++ b/test/decision_core_test.cc
@@ -336,6 +336,64 @@
   CHECK(full.retry_after > milliseconds{0});
 }
 
+// The floor is full of batch work whose program does not know of checkpoint requests. Urgent work
+// that waits for one of them would wait until the batch task ends, for hours; its caller sees a
+// deadline pass.
+TEST_CASE_METHOD(decision_fixture,
+                 "urgent work, checkpoint never written, starts once it is cut short",
+                 "[decisions]") {
+  AddEndpoints(1);
+  Run(Job(1, workload_kind::kBatch, 16000));
+  job_request urgent = Job(2, workload_kind::kInteractive, 1000);
+  urgent.urgent = true;
+  core_.Submit(urgent, now_);
+  const std::vector<command> asked = Only(Decide(), command_kind::kStop);
+  REQUIRE(asked.size() == 1);
+  CHECK(asked[0].checkpoint);
+  CHECK(Only(DecideFor(milliseconds{2900}), command_kind::kStop).empty());
+  const std::vector<command> cut = Only(DecideFor(milliseconds{200}), command_kind::kStop);
+  REQUIRE(cut.size() == 1);
+  CHECK_FALSE(cut[0].checkpoint);
+  core_.Finished(cut[0].task, task_end::kStopped, seconds{3}, now_);
+  CHECK(Only(Decide(), command_kind::kStart)[0].task.job == urgent.id);
+}
+
+// The endpoint of the task that is to give way does not stop it at all. Urgent work that held on to
+// this one endpoint would never start while others could make room.
+TEST_CASE_METHOD(decision_fixture, "urgent work, task never stops, gets room made elsewhere",
+                 "[decisions]") {
+  AddEndpoints(2);
+  Run(Job(1, workload_kind::kBatch, 16000));
+  Run(Job(2, workload_kind::kBatch, 16000));
+  job_request urgent = Job(3, workload_kind::kInteractive, 1000);
+  urgent.urgent = true;
+  core_.Submit(urgent, now_);
+  const std::vector<command> first = Only(Decide(), command_kind::kStop);
+  REQUIRE(first.size() == 1);
+  for (const command& c : Only(DecideFor(seconds{5}), command_kind::kStop)) {
+    if (c.endpoint == first[0].endpoint) continue;
+    core_.Finished(c.task, task_end::kCheckpointed, seconds{5}, now_);
+  }
+  const std::vector<command> starts = Only(Decide(), command_kind::kStart);
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].task.job == urgent.id);
+  CHECK(starts[0].endpoint != first[0].endpoint);
+}
+
+// A task is writing its checkpoint, or ignores the request, when its job is cancelled. Were it not
+// asked again, it would run on for as long as it likes after its owner was told to cancel it.
+TEST_CASE_METHOD(decision_fixture, "job cancelled, task asked for a checkpoint, is stopped at once",
+                 "[decisions]") {
+  AddEndpoints(1);
+  const std::vector<command> starts = Run(Job(1, workload_kind::kBatch, 1000));
+  core_.SetEndpointState(0, endpoint_state::kLeaving, now_);
+  CHECK(Only(Decide(), command_kind::kStop).size() == 1);
+  core_.Cancel({1, 1}, now_);
+  const std::vector<command> stops = Only(Decide(), command_kind::kStop);
+  REQUIRE(stops.size() == 1);
+  CHECK_FALSE(stops[0].checkpoint);
+}
+
 // One team sends far more than its share, all of it callers. If its work filled every place, each
 // caller of the other teams would wait for some task to end; a buyer would see bookings turn slow
 // because of somebody else's import.
