--- a/bench/caller.cc
+++ b/bench/caller.cc
@@ -18,7 +18,8 @@
 constexpr milliseconds kCancelPatience{15000};
 
 nlohmann::json BodyOf(const call_spec& spec) {
-  const nlohmann::json work = {{"run_ms", spec.run_time.count()}, {"echo", spec.work}};
+  nlohmann::json work = {{"run_ms", spec.run_time.count()}, {"echo", spec.work}};
+  if (spec.checkpoint.count() > 0) work["checkpoint_ms"] = spec.checkpoint.count();
   nlohmann::json body = {{"kind", ToText(spec.kind)},
                          {"tasks", spec.tasks},
                          {"cpu_milli", spec.each.cpu_milli},
--- a/bench/caller.h
+++ b/bench/caller.h
@@ -28,6 +28,7 @@
   resources each{1000, 1024, 0, 0};
   std::chrono::milliseconds run_time{20};
   std::chrono::milliseconds deadline{5000};
+  std::chrono::milliseconds checkpoint{0};  // that it takes to write one; 0: the endpoint's usual
 };
 
 class caller {
--- a/bench/commands.h
+++ b/bench/commands.h
@@ -24,7 +24,7 @@
 // What each team gets of a full floor, beside its share: `shares --teams 6 --seconds 30`.
 int SharesMain(int argc, char** argv);
 
-// More load than the floor can hold: `overload --part loads|returns|greedy`.
+// More load than the floor can hold: `overload --part loads|returns|greedy|urgent`.
 int OverloadMain(int argc, char** argv);
 
 // Writes to the grant ledger for each size of a step: `grants --grant_teams 6 --grant_shards 3`.
--- a/bench/overload.cc
+++ b/bench/overload.cc
@@ -25,7 +25,11 @@
 constexpr uint32_t kMostReturns = 30;
 constexpr uint32_t kSlots = 8;
 constexpr double kWithinShares = 0.7;  // load of the floor by teams within their shares
-constexpr double kGreedy = 3;          // load of the floor by the one team beyond its own
+constexpr milliseconds kLongBatch{120000};
+constexpr double kBatchOverFloor = 1.2;  // batch tasks to slots
+constexpr double kUrgentRate = 10;
+constexpr milliseconds kUrgentDeadline{10000};
+constexpr double kGreedy = 3;  // load of the floor by the one team beyond its own
 
 double MillisecondsIn(steady_clock::duration time) {
   return std::chrono::duration<double, std::milli>(time).count();
@@ -53,10 +57,12 @@
   explicit overload_fleet(uint64_t seed) : running_(OptionsOf(seed)) {}
   bool Start() { return running_.Start(kStartLimit); }
 
+  const std::vector<team_access>& Teams() const { return running_.Contract().teams; }
+  double Slots() const { return static_cast<double>(running_.Capacities().size()) * kSlots; }
   // Requests a second that the slots can run.
   double Capacity() const {
     const std::chrono::duration<double> run = UsualRequest().run_time;
-    return static_cast<double>(running_.Capacities().size()) * kSlots / run.count();
+    return Slots() / run.count();
   }
   returning_options Load(const std::string& name, const std::vector<double>& rates,
                          const overload_options& options) const {
@@ -80,6 +86,7 @@
     }
     return targets;
   }
+  std::vector<run_event> Events() { return running_.Events(); }
   // Runs one load to its end and returns what was told in the window after `settle`.
   load_answers Run(returning_options load, const overload_options& options) {
     const monotonic_time begin = steady_clock::now();
@@ -291,4 +298,38 @@
           {"worst_wait_p99_growth", worst}};
 }
 
+nlohmann::json MeasureUrgent(const overload_options& options, double ignoring) {
+  overload_fleet fleet(options.seed);
+  if (!fleet.Start()) return {};
+  const std::vector<team_access>& teams = fleet.Teams();
+  const std::vector<load_target> targets = fleet.Targets();
+  const auto floor = static_cast<size_t>(fleet.Slots() * kBatchOverFloor);
+  caller batch(1);
+  for (size_t i = 0; i < floor; ++i) {
+    call_spec spec = UsualRequest();
+    spec.work = absl::StrCat("batch-", i);
+    spec.kind = workload_kind::kBatch;
+    spec.run_time = kLongBatch;
+    if (static_cast<double>(i % 10) < ignoring * 10) spec.checkpoint = kLongBatch;
+    const load_target& target = targets[i % targets.size()];
+    batch.Submit(target.entry, target.url, teams[1 + i % (teams.size() - 1)], spec,
+                 steady_clock::now());
+  }
+  batch.WaitIdle(kPatience);
+  std::vector<double> rates(teams.size(), 0);
+  rates.front() = kUrgentRate;
+  returning_options load = fleet.Load("urgent", rates, options);
+  load.like.urgent = true;
+  load.like.deadline = kUrgentDeadline;
+  const load_answers answers = fleet.Run(std::move(load), options);
+  Print("urgent", answers);
+  std::map<std::string, int> ends;
+  for (const run_event& event : fleet.Events()) {
+    if (event.event == "end" && event.result != "ok") ++ends[event.result];
+  }
+  for (const auto& [result, count] : ends) std::printf("%s %d  ", result.c_str(), count);
+  std::puts("");
+  return {{"urgent", ToJson(answers)}, {"ignoring", ignoring}, {"ends", ends}};
+}
+
 }  // namespace catkinford
--- a/bench/overload.h
+++ b/bench/overload.h
@@ -49,6 +49,8 @@
 nlohmann::json MeasureLoads(const overload_options& options);
 // Callers who come back after an overload: {"served_at_first_return": X, ...}.
 nlohmann::json MeasureReturns(const overload_options& options);
+// Urgent callers on a floor full of batch work, part of which takes very long over a checkpoint.
+nlohmann::json MeasureUrgent(const overload_options& options, double ignoring);
 // One team that asks for more than the floor while all others stay within their shares.
 nlohmann::json MeasureGreedyTeam(const overload_options& options);
 
--- a/bench/overload_command.cc
+++ b/bench/overload_command.cc
@@ -13,7 +13,8 @@
 
 ABSL_FLAG(std::string, loads, "0.5,1,1.5,2,3", "overload: loads in turn, times the capacity");
 ABSL_FLAG(double, each_seconds, 10, "overload: length of each load; figures count after 3 s");
-ABSL_FLAG(std::string, part, "loads", "overload: loads, returns or greedy");
+ABSL_FLAG(std::string, part, "loads", "overload: loads, returns, greedy or urgent");
+ABSL_FLAG(double, ignoring, 0, "overload: part of the batch tasks that never write a checkpoint");
 
 namespace catkinford {
 
@@ -31,16 +32,19 @@
     if (absl::SimpleAtod(text, &load) && load > 0) options.loads.push_back(load);
   }
   const std::string part = absl::GetFlag(FLAGS_part);
-  const bool known = part == "loads" || part == "returns" || part == "greedy";
+  const bool known = part == "loads" || part == "returns" || part == "greedy" || part == "urgent";
   if (options.loads.size() != loads.size() || loads.empty() || !known ||
       options.length <= options.settle) {
-    std::fputs("overload: --loads 0.5,1,3 --part loads|returns|greedy --each_seconds over 3\n",
-               stderr);
+    std::fputs(
+        "overload: --loads 0.5,1,3 --part loads|returns|greedy|urgent --each_seconds over 3\n",
+        stderr);
     return 2;
   }
-  nlohmann::json report = part == "loads"     ? MeasureLoads(options)
-                          : part == "returns" ? MeasureReturns(options)
-                                              : MeasureGreedyTeam(options);
+  nlohmann::json report;
+  if (part == "loads") report = MeasureLoads(options);
+  if (part == "returns") report = MeasureReturns(options);
+  if (part == "greedy") report = MeasureGreedyTeam(options);
+  if (part == "urgent") report = MeasureUrgent(options, absl::GetFlag(FLAGS_ignoring));
   if (report.empty()) return 1;
   report["seed"] = options.seed;
   report["commit"] = absl::GetFlag(FLAGS_commit);
--- a/src/main/catkinford-bench.cc
+++ b/src/main/catkinford-bench.cc
@@ -23,7 +23,7 @@
     {"load", catkinford::LoadMain, "open-loop load: load --rate 3000 --seconds 20 --json F"},
     {"shares", catkinford::SharesMain, "parts of a full floor: shares --teams 6 --seconds 30"},
     {"overload", catkinford::OverloadMain,
-     "more load than the floor holds: overload --part loads|returns|greedy"},
+     "more load than the floor holds: overload --part loads|returns|greedy|urgent"},
     {"grants", catkinford::GrantsMain, "writes to the grant ledger by size of step: grants"},
     {"control", catkinford::ControlMain, "what control costs an entry: control --json F"},
     {"scenario", catkinford::ScenarioMain, "a failure scenario: scenario NAME --seed N, --list"},
--- a/standin/endpoint_model.cc
+++ b/standin/endpoint_model.cc
@@ -161,6 +161,7 @@
   run.ends = mode_ == endpoint_mode::kFailAll
                  ? now
                  : now + MillisecondsOf(work, "run_ms", milliseconds{0});
+  run.checkpoint = MillisecondsOf(work, "checkpoint_ms", kStopTime);
   run.lease_until = now + MillisecondsOf(task, "lease_ms", kDefaultLease);
   run.retain = MillisecondsOf(task, "retain_ms", kDefaultRetain);
   used_ += amount;
@@ -176,8 +177,12 @@
     const std::string id = item.is_string() ? item.get<std::string>() : "";
     const char* result = "absent";
     if (const auto found = running_.find(id); found != running_.end()) {
-      found->second.ends = std::min(found->second.ends, now + kStopTime);
-      found->second.result = checkpoint ? "checkpointed" : "stopped";
+      running_task& run = found->second;
+      const monotonic_time stopped = now + (checkpoint ? run.checkpoint : kStopTime);
+      if (stopped < run.ends) {
+        run.ends = stopped;
+        run.result = checkpoint ? "checkpointed" : "stopped";
+      }
       result = "stopping";
     } else if (finished_at_.contains(id)) {
       result = "finished";
--- a/standin/endpoint_model.h
+++ b/standin/endpoint_model.h
@@ -63,7 +63,8 @@
     monotonic_time ends;
     monotonic_time lease_until;
     std::chrono::milliseconds retain{0};
-    std::string result;  // with which it will end
+    std::chrono::milliseconds checkpoint{0};  // how long it would write at one
+    std::string result;                       // with which it will end
     std::string answer;
   };
   struct finished_task {
