--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -16,6 +16,9 @@
 #include "bench/simulation.h"
 #include "bench/workload.h"
 
+ABSL_FLAG(uint32_t, scale, 1,
+          "policy: times the workers of today; without the focused parts over 1");
+
 namespace catkinford {
 namespace {
 
@@ -144,8 +147,8 @@
 
 }  // namespace
 
-nlohmann::json RunMix(std::string_view mix, uint64_t seed) {
-  const workload work = MixedWorkload(mix, seed);
+nlohmann::json RunMix(std::string_view mix, uint64_t seed, uint32_t scale) {
+  const workload work = MixedWorkload(mix, seed, scale);
   return {{"core", RunOne<decision_core>(work, seed)},
           {"first_fit", RunOne<baseline_scheduler<first_fit>>(work, seed)},
           {"random_of_two", RunOne<baseline_scheduler<random_of_two>>(work, seed)}};
@@ -171,11 +174,12 @@
   const std::string mix = asked.empty() ? "both" : asked;
   const uint64_t seed = absl::GetFlag(FLAGS_seed);
   nlohmann::json figures = {{"mix", mix}, {"seed", seed}};
-  figures["schedulers"] = RunMix(mix, seed);
-  figures["focused"] = RunFocused(seed);
+  const uint32_t scale = std::max(1U, absl::GetFlag(FLAGS_scale));
+  figures["schedulers"] = RunMix(mix, seed, scale);
+  if (scale == 1) figures["focused"] = RunFocused(seed);
   std::printf("mix %s, seed %llu\n", mix.c_str(), static_cast<unsigned long long>(seed));
   PrintMix(figures["schedulers"]);
-  std::printf("focused %s\n", figures["focused"].dump(1).c_str());
+  if (scale == 1) std::printf("focused %s\n", figures["focused"].dump(1).c_str());
   if (const std::string file = absl::GetFlag(FLAGS_json); !file.empty()) {
     std::ofstream(file) << figures.dump(2) << "\n";
   }
--- a/bench/policy.h
+++ b/bench/policy.h
@@ -10,7 +10,7 @@
 
 // Figures of one mix ("kitamura", "altynsay" or "both"), by scheduler ("core", "first_fit",
 // "random_of_two").
-nlohmann::json RunMix(std::string_view mix, uint64_t seed);
+nlohmann::json RunMix(std::string_view mix, uint64_t seed, uint32_t scale = 1);
 
 // Figures of the focused workloads: packing, closeness to share, overload.
 nlohmann::json RunFocused(uint64_t seed);
--- a/bench/workload.cc
+++ b/bench/workload.cc
@@ -114,36 +114,38 @@
 };
 
 // Bookings in bursts, a few long services, quarterly batch work that fills what is left.
-void AddKitamura(workload_builder& build, team_index first) {
-  build.Add({workload_kind::kInteractive, first, 3, 900, 8, 120, 0.7, 500, 4, 512, 4});
-  build.Add({workload_kind::kInteractive, first, 3, 1, 1, 200, 0.5, 1000, 2, 1024, 2, 1, true});
-  build.Add({workload_kind::kService, first, 3, 0.2, 1, 1e9, 0.1, 500, 3, 1024, 4, 4});
-  build.Add({workload_kind::kBatch, first + 3, 3, 6, 4, 6000, 1.0, 1000, 6, 1024, 8, 16});
+void AddKitamura(workload_builder& build, team_index first, double scale) {
+  build.Add({workload_kind::kInteractive, first, 3, 900 * scale, 8, 120, 0.7, 500, 4, 512, 4});
+  build.Add(
+      {workload_kind::kInteractive, first, 3, 1 * scale, 1, 200, 0.5, 1000, 2, 1024, 2, 1, true});
+  build.Add({workload_kind::kService, first, 3, 0.2 * scale, 1, 1e9, 0.1, 500, 3, 1024, 4, 4});
+  build.Add({workload_kind::kBatch, first + 3, 3, 6 * scale, 4, 6000, 1.0, 1000, 6, 1024, 8, 16});
 }
 
 // Reconciliation and audit replays, gangs, and allocations that somebody waits for.
-void AddAltynsay(workload_builder& build, team_index first) {
-  build.Add({workload_kind::kInteractive, first, 2, 150, 3, 200, 0.8, 1000, 4, 1024, 6});
-  build.Add({workload_kind::kInteractive, first, 2, 0.5, 1, 300, 0.5, 2000, 2, 2048, 2, 1, true});
-  build.Add({workload_kind::kService, first, 2, 0.1, 1, 1e9, 0.1, 1000, 3, 2048, 4, 4});
-  build.Add({workload_kind::kBatch, first + 2, 3, 8, 4, 8000, 1.0, 1000, 12, 2048, 32, 12});
-  build.Add({workload_kind::kGang, first + 5, 1, 0.4, 1, 5000, 0.6, 2000, 4, 4096, 8, 16});
+void AddAltynsay(workload_builder& build, team_index first, double scale) {
+  build.Add({workload_kind::kInteractive, first, 2, 150 * scale, 3, 200, 0.8, 1000, 4, 1024, 6});
+  build.Add(
+      {workload_kind::kInteractive, first, 2, 0.5 * scale, 1, 300, 0.5, 2000, 2, 2048, 2, 1, true});
+  build.Add({workload_kind::kService, first, 2, 0.1 * scale, 1, 1e9, 0.1, 1000, 3, 2048, 4, 4});
+  build.Add({workload_kind::kBatch, first + 2, 3, 8 * scale, 4, 8000, 1.0, 1000, 12, 2048, 32, 12});
+  build.Add({workload_kind::kGang, first + 5, 1, 0.4 * scale, 1, 5000, 0.6, 2000, 4, 4096, 8, 16});
 }
 
 }  // namespace
 
-workload MixedWorkload(std::string_view mix, uint64_t seed) {
+workload MixedWorkload(std::string_view mix, uint64_t seed, uint32_t scale) {
   workload_builder build(std::string(mix), seed, seconds{60});
   if (mix != "altynsay") {
-    build.AddWorkers(kWorkers, kKitamuraWorker);
+    build.AddWorkers(kWorkers * scale, kKitamuraWorker);
     build.AddTeams({3, 2, 2, 1, 1, 1});
-    AddKitamura(build, 0);
+    AddKitamura(build, 0, scale);
   }
   if (mix != "kitamura") {
     const team_index first = mix == "both" ? 6 : 0;
-    build.AddWorkers(kWorkers, kAltynsayWorker);
+    build.AddWorkers(kWorkers * scale, kAltynsayWorker);
     build.AddTeams({2, 2, 2, 1, 1, 1});
-    AddAltynsay(build, first);
+    AddAltynsay(build, first, scale);
   }
   return build.Build();
 }
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -32,8 +32,9 @@
 };
 
 // A day's mix in a minute or two: "kitamura" (bookings, mostly interactive), "altynsay"
-// (reconciliation and audits, mostly batch), "both" (one cell with the work of both).
-workload MixedWorkload(std::string_view mix, uint64_t seed);
+// (reconciliation and audits, mostly batch), "both" (one cell with the work of both). `scale` times
+// the workers of today, and work for them.
+workload MixedWorkload(std::string_view mix, uint64_t seed, uint32_t scale = 1);
 
 // Batch work of mixed sizes, all there at the start: for packing.
 workload PackingWorkload(uint64_t seed);
