--- a/src/process/decision_rounds.cc
+++ b/src/process/decision_rounds.cc
@@ -11,7 +11,9 @@
 constexpr size_t kMostCancelled = 128;
 constexpr size_t kMostPending = 256;
 constexpr size_t kMostTimers = 256;
-constexpr uint32_t kGangDepth = 2;  // gangs of a lane that are tried
+// Gangs of a lane that are tried. `policy`, seeds 1 to 5, wait of gangs of altynsay, mean and p99:
+// 2 2,762 ms, 11,515; 4 1,993, 9,742.
+constexpr uint32_t kGangDepth = 4;
 constexpr std::chrono::milliseconds kGangPause{50};
 
 // One step of a 64-bit mixer (the finalizer of SplitMix64).
