Let short batch work pass long work of its team, a bounded number of times

Cause: a lane served its jobs in order of arrival; what was learned of run times served backfill only. A job of seconds waited behind one of minutes.

--- a/src/process/decision_admission.cc
+++ b/src/process/decision_admission.cc
@@ -116,6 +116,8 @@
     timers.push({request.deadline, timer_kind::kDeadline, handle, job.generation});
   }
   if (job.request.submitted == monotonic_time{}) job.request.submitted = now;
+  job.expected =
+      job.request.tasks * estimates.Usual(request.team, request.kind, request.declared_run_time);
   return handle;
 }
 
--- a/src/process/decision_jobs.cc
+++ b/src/process/decision_jobs.cc
@@ -29,7 +29,7 @@
   if (job.request.kind == workload_kind::kGang && job.live > 0) return;
   lanes.Append(handle, front, teams[job.request.team].ratio);
   const lane_ref ref{ClassOf(job.request), job.request.team};
-  if (front || lanes.At(ref).jobs <= kLaneDepth) lanes.Unblock(ref);
+  if (lanes.IsTried(handle)) lanes.Unblock(ref);
 }
 
 // Takes all waiting tasks of a job out of its lane.
--- a/src/process/job_table.h
+++ b/src/process/job_table.h
@@ -5,6 +5,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/inlined_vector.h>
 
+#include <chrono>
 #include <cstdint>
 #include <vector>
 
@@ -57,7 +58,9 @@
   uint32_t unproved_starts = 0;  // starts sent and not proved to have done nothing
   uint32_t first_waiting = 0;    // no task before it waits
   uint32_t failures_in_a_row = 0;
-  job_handle next = kNoJob;  // in its lane
+  uint32_t passed = 0;                    // younger jobs of its lane that were put before it
+  std::chrono::milliseconds expected{0};  // run time of all its tasks; zero: not known
+  job_handle next = kNoJob;               // in its lane
   job_handle previous = kNoJob;
   endpoint_index avoid = UINT32_MAX;  // the last start there did not take
   uint32_t reservation = UINT32_MAX;
--- a/src/process/waiting_lanes.cc
+++ b/src/process/waiting_lanes.cc
@@ -8,6 +8,14 @@
 namespace {
 
 constexpr uint32_t kBlocksBeforeUpdate = 1024;
+// Batch work goes before work of its team that is expected to run at least so many times as long,
+// which is passed at most so often. `policy`, seeds 1 to 5, mean wait of batch work in ms
+// (kitamura, altynsay, both): in order of arrival 4,900, 4,366, 4,714; 4 times, passed 8 times
+// 4,541, 4,130, 4,421; 4 and 32 4,395, 4,129, 4,452; 2 and 16 4,162, 3,894, 4,098; p99 and packing
+// within 3 % in all.
+constexpr int kLongerToPass = 2;
+constexpr uint32_t kPassedAtMost = 16;
+constexpr uint32_t kMostPassed = 64;  // by one job: bounds the time of a submission
 
 }  // namespace
 
@@ -52,22 +60,48 @@
   }
 }
 
+// The job of the lane that a new one goes before, or none. Long batch jobs are passed a bounded
+// number of times: with no bound they would wait for as long as short ones come.
+job_handle waiting_lanes::FirstToPass(const lane& l, const job_record& job) {
+  job_handle first = kNoJob;
+  if (job.expected.count() == 0 || ClassOf(job.request) != lane_class::kBatch) return first;
+  job_handle at = l.jobs == 0 ? kNoJob : l.tail;
+  for (uint32_t steps = 0; at != kNoJob && steps < kMostPassed; ++steps) {
+    job_record& other = jobs_[at];
+    const bool stays = other.expected < job.expected * kLongerToPass ||
+                       other.passed >= kPassedAtMost || other.reservation != UINT32_MAX;
+    if (stays) break;
+    ++other.passed;
+    first = at;
+    at = other.previous;
+  }
+  return first;
+}
+
 void waiting_lanes::Append(job_handle job, bool front, double ratio) {
   job_record& j = jobs_[job];
   const lane_ref ref{ClassOf(j.request), j.request.team};
   lane& l = At(ref);
-  job_handle& end = front ? l.head : l.tail;
-  j.next = front ? l.head : kNoJob;
-  j.previous = front ? kNoJob : l.tail;
-  if (end != kNoJob) (front ? jobs_[end].previous : jobs_[end].next) = job;
-  end = job;
-  if (l.jobs == 0) l.head = l.tail = job;
+  if (l.jobs == 0) l.head = l.tail = kNoJob;
+  j.next = front ? l.head : FirstToPass(l, j);
+  j.previous = j.next == kNoJob ? l.tail : jobs_[j.next].previous;
+  (j.previous == kNoJob ? l.head : jobs_[j.previous].next) = job;
+  (j.next == kNoJob ? l.tail : jobs_[j.next].previous) = job;
   j.queued = true;
   ++l.jobs;
   l.tasks += j.waiting;
   if (l.state == lane_state::kEmpty) MakeReady(ref, ratio);
 }
 
+bool waiting_lanes::IsTried(job_handle job) const {
+  uint32_t depth = 0;
+  while (jobs_[job].previous != kNoJob && depth < kLaneDepth) {
+    job = jobs_[job].previous;
+    ++depth;
+  }
+  return depth < kLaneDepth;
+}
+
 void waiting_lanes::Remove(job_handle job) {
   job_record& j = jobs_[job];
   const lane_ref ref{ClassOf(j.request), j.request.team};
--- a/src/process/waiting_lanes.h
+++ b/src/process/waiting_lanes.h
@@ -93,8 +93,11 @@
     return teams_[ref.team][static_cast<size_t>(ref.kind)];
   }
 
-  // `front`: a job whose tasks have waited before and come back.
+  // `front`: a job whose tasks have waited before and come back. Short batch work goes before work
+  // that is expected to run for long.
   void Append(job_handle job, bool front, double ratio);
+  // Whether the job is among those that are tried before its lane counts as blocked.
+  bool IsTried(job_handle job) const;
   void Remove(job_handle job);
   // The lane's count of tasks when a task of a queued job starts.
   void TaskLeft(const lane_ref& ref) { --At(ref).tasks; }
@@ -122,6 +125,7 @@
   using order_key = std::pair<double, team_index>;
   void MakeReady(const lane_ref& ref, double ratio);
   void DropState(const lane_ref& ref);
+  job_handle FirstToPass(const lane& l, const job_record& job);
   void LowerLeastNeed(const resources& need);
 
   job_table& jobs_;
--- a/test/decision_core_test.cc
+++ b/test/decision_core_test.cc
@@ -394,6 +394,33 @@
   CHECK_FALSE(stops[0].checkpoint);
 }
 
+// Short batch jobs keep coming while a long one of the same team waits. If each went before it, the
+// long one would never start; its owner would see younger work start all night.
+TEST_CASE_METHOD(decision_fixture,
+                 "long batch job, short ones keep coming, is passed a few times only",
+                 "[decisions]") {
+  AddEndpoints(1);
+  std::vector<command> running = Run(Job(1, workload_kind::kBatch, 16000));
+  job_request longer = Job(2, workload_kind::kBatch, 16000);
+  longer.declared_run_time = seconds{1000};
+  core_.Submit(longer, now_);
+  uint32_t before = 0;
+  bool started = false;
+  for (uint64_t number = 3; number < 100 && !started; ++number) {
+    job_request shorter = Job(number, workload_kind::kBatch, 16000);
+    shorter.declared_run_time = seconds{1};
+    core_.Submit(shorter, now_);
+    core_.Finished(running[0].task, task_end::kDone, seconds{1}, now_);
+    running = Only(Decide(), command_kind::kStart);
+    REQUIRE(running.size() == 1);
+    started = running[0].task.job == longer.id;
+    before += started ? 0 : 1;
+  }
+  CHECK(started);
+  CHECK(before > 0);
+  CHECK(before <= 17);
+}
+
 // One team sends far more than its share, all of it callers. If its work filled every place, each
 // caller of the other teams would wait for some task to end; a buyer would see bookings turn slow
 // because of somebody else's import.
