--- a/bench/scenario_run.cc
+++ b/bench/scenario_run.cc
@@ -23,7 +23,6 @@
 constexpr milliseconds kWatchStep{150};  // of the balancer's health check and the config readings
 constexpr milliseconds kPollLimit{400};  // an entry that takes longer is out of the balancer
 constexpr milliseconds kOperateLimit{5000};
-constexpr size_t kServices = 4;
 constexpr milliseconds kServiceTime{600000};  // longer than any scenario
 // The document without its comments: an entry may sign what it keeps with a comment of its own.
 std::string Canonical(const std::string& text) {
@@ -95,11 +94,11 @@
 }
 
 void scenario_run::SubmitServices() {
-  for (size_t i = 0; i < kServices; ++i) {
+  for (size_t i = 0; i < options_.services; ++i) {
     call_spec spec;
     spec.work = absl::StrCat("service-", options_.seed, "-", i);
     spec.kind = workload_kind::kService;
-    spec.tasks = 2;
+    spec.tasks = options_.replicas;
     spec.run_time = kServiceTime;
     const size_t slot = i % fleet_.Entries();
     callers_.Submit(fleet_.Entry(slot).name, fleet_.UrlOf(slot), Teams()[i % Teams().size()], spec,
@@ -300,7 +299,9 @@
 
 void scenario_run::MarkFaultBegin() { times_.fault_begin = steady_clock::now(); }
 
-void scenario_run::MarkFaultEnd() { times_.fault_end = steady_clock::now(); }
+void scenario_run::MarkFaultEnd() {
+  if (times_.fault_end <= times_.fault_begin) times_.fault_end = steady_clock::now();
+}
 
 // Until each accepted job that nobody cancelled has run as many tasks as it has; services run on.
 bool scenario_run::WaitForAccepted(milliseconds limit) {
@@ -313,19 +314,28 @@
       const bool waits = call.has_answer && call.outcome == outcome_kind::kAccepted &&
                          !call.cancelled && !call.is_cancel;
       if (!waits) return true;
-      std::set<uint32_t> done;
-      for (const task_run* run : index.at(call.work).runs) {
-        const bool serving =
-            call.kind == workload_kind::kService && run->end == monotonic_time::max();
-        if (run->result == "ok" || run->result == "failed" || serving) done.insert(run->index);
-      }
-      return done.size() >= call.tasks;
+      return IsOver(call, index.at(call.work));
     });
     if (all_ran || steady_clock::now() >= until) return all_ran;
     Sleep(milliseconds{200});
   }
 }
 
+// Asks for the jobs of which the endpoints' records show no end, as their callers would.
+void scenario_run::AskForEnds(history& seen) {
+  const std::vector<task_run> runs = RunsOf(seen.events);
+  const work_index index = IndexByWork(runs, seen.calls);
+  const std::vector<load_target> targets = InBalancer();
+  if (targets.empty()) return;
+  for (call_record& call : seen.calls) {
+    const bool accepted = call.has_answer && call.outcome == outcome_kind::kAccepted;
+    if (!accepted || call.cancelled || IsOver(call, index.at(call.work))) continue;
+    const http_result result = Operate("GET", targets.front().url + "/v1/jobs/" + call.id, "");
+    const nlohmann::json body = nlohmann::json::parse(result.body, nullptr, false);
+    call.ended = ParseOutcomeKind(TextOf(ChildOf(body, "outcome"), "outcome", ""));
+  }
+}
+
 nlohmann::json scenario_run::End() {
   Sleep(options_.after);
   stopping_ = true;
@@ -333,7 +343,6 @@
   callers_.WaitIdle(kDrainLimit);
   const bool all_ran = came_up_ && WaitForAccepted(kDrainLimit);
   if (watcher_.joinable()) watcher_.join();
-  http_.Stop();
   history seen;
   scenario_times times;
   {
@@ -344,6 +353,8 @@
   Canonicalize(seen.readings);
   seen.calls = callers_.Records();
   seen.events = fleet_.Events();
+  AskForEnds(seen);
+  http_.Stop();
   seen.all_work_over = true;
   std::ofstream(fleet_.Directory() + "/history.txt") << ToLines(seen);
   nlohmann::json result = ToJson(Check(seen, {}));
