Place a service that may run once no second time

Cause: a service was placed again after any end of a run, also one marked as not repeatable whose endpoint was lost: the lost run may go on unseen, and the same work runs in two places. Found by the property test of the decision core, which now draws services, deadlines, grants that shrink, use elsewhere, leaving endpoints (which may get nothing new) and tasks that ignore a request for a checkpoint, and checks that nothing is preempted but repeatable batch work and broken gangs. It failed with "job.repeatable || !lost_.contains(job)"; before, it drew no services. Change: such a service ends as unknown, as other work that may run once does. 400 runs of up to 1,000 happenings hold now.

--- a/src/process/decision_jobs.cc
+++ b/src/process/decision_jobs.cc
@@ -281,7 +281,7 @@
   const bool is_gang = job.request.kind == workload_kind::kGang;
   const bool is_service = job.request.kind == workload_kind::kService;
   const bool over = job.cancelled || job.may_have_run;
-  if (!over && is_service && job.known) {
+  if (!over && is_service && job.known && job.request.repeatable) {
     if (end == task_end::kFailed) {
       ++job.failures_in_a_row;
       BackOff(handle, now);
--- a/test/decision_core_test.cc
+++ b/test/decision_core_test.cc
@@ -421,6 +421,24 @@
   CHECK(before <= 17);
 }
 
+// A service that may run once loses its endpoint. Whether the lost run still goes on somewhere is
+// not known; were it placed again as other services are, it could run in two places, and its owner
+// would find the same hours entered twice.
+TEST_CASE_METHOD(decision_fixture, "service, not repeatable and lost, is not placed again",
+                 "[decisions]") {
+  AddEndpoints(2);
+  job_request once = Job(1, workload_kind::kService, 1000);
+  once.repeatable = false;
+  const std::vector<command> starts = Run(once);
+  REQUIRE(starts.size() == 1);
+  core_.Finished(starts[0].task, task_end::kLost, seconds{1}, now_);
+  const std::vector<command> after = DecideFor(seconds{10});
+  CHECK(Only(after, command_kind::kStart).empty());
+  const std::vector<command> ended = Only(after, command_kind::kEnded);
+  REQUIRE(ended.size() == 1);
+  CHECK(ended[0].end == job_end::kUnknown);
+}
+
 // One team sends far more than its share, all of it callers. If its work filled every place, each
 // caller of the other teams would wait for some task to end; a buyer would see bookings turn slow
 // because of somebody else's import.
--- a/test/decision_property_test.cc
+++ b/test/decision_property_test.cc
@@ -18,6 +18,7 @@
 constexpr uint32_t kTeams = 3;
 constexpr uint32_t kFloor = 6;
 constexpr uint32_t kGrant = 5;
+constexpr uint32_t kHappenings = 10;
 
 // One drawn step: what happens, and a number from which its details follow.
 struct step {
@@ -34,11 +35,13 @@
     for (team_index team = 0; team < kTeams; ++team) AddTeam(team, 1.0 + team, kGrant);
     used_.resize(kFloor);
     running_.resize(kTeams);
+    grants_.resize(kTeams, kGrant);
+    states_.resize(kFloor, endpoint_state::kOpen);
   }
 
   void Apply(const step& s) {
     now_ += milliseconds{s.detail % 700};
-    switch (s.what % 8) {
+    switch (s.what % kHappenings) {
       case 0:
       case 1:
       case 2:
@@ -56,6 +59,13 @@
       case 6:
         core_.Cancel({1, s.detail % (jobs_.size() + 1)}, now_);
         break;
+      case 7:
+        SetGrant(s.detail % kTeams, 1 + s.detail / 3 % kGrant);
+        break;
+      case 8:
+        core_.SetUsageElsewhere(s.detail % kTeams, {1000 * (s.detail % 64), 1024, 0, 1},
+                                milliseconds{500}, now_);
+        break;
       default:
         ToggleEndpoint(s.detail);
     }
@@ -64,8 +74,11 @@
 
   // Everything that runs ends, stops are obeyed: all waiting work has to get its turn.
   void DrainAll() {
-    for (endpoint_index e = 0; e < kFloor; ++e) {
-      core_.SetEndpointState(e, endpoint_state::kOpen, now_);
+    for (endpoint_index e = 0; e < kFloor; ++e) SetState(e, endpoint_state::kOpen);
+    for (team_index team = 0; team < kTeams; ++team) SetGrant(team, kGrant);
+    for (const job_request& job : jobs_) {
+      if (job.kind == workload_kind::kService)
+        core_.Cancel(job.id, now_);  // it never ends by itself
     }
     for (int round = 0; round < 4000 && !open_.empty(); ++round) {
       Take(DecideFor(milliseconds{200}));
@@ -83,13 +96,17 @@
 
   void Submit(uint32_t detail) {
     constexpr std::array kKinds = {workload_kind::kInteractive, workload_kind::kBatch,
-                                   workload_kind::kGang};
+                                   workload_kind::kGang, workload_kind::kService};
     const workload_kind kind = kKinds[detail % kKinds.size()];
     const uint32_t tasks = kind == workload_kind::kInteractive ? 1 : 1 + detail / 7 % 4;
     job_request job =
         Job(jobs_.size(), kind, 1000 * (1 + detail / 11 % 16), tasks, detail / 13 % kTeams);
     job.urgent = detail % 17 == 0;
     job.repeatable = detail % 5 != 0;
+    job.declared_run_time = milliseconds{detail % 5000};
+    if (kind == workload_kind::kInteractive && detail % 2 == 0) {
+      job.deadline = now_ + milliseconds{200 + detail % 3000};
+    }
     jobs_.push_back(job);
     if (core_.Submit(job, now_).queued) open_.insert(job.id.lo);
   }
@@ -143,9 +160,32 @@
         runs_.erase(task);
       }
     }
+    SetState(e, state);
+  }
+
+  void SetState(endpoint_index e, endpoint_state state) {
+    states_[e] = state;
     core_.SetEndpointState(e, state, now_);
   }
 
+  // A grant below what runs stops nothing here; nothing more may start until it is back within it.
+  void SetGrant(team_index team, uint32_t running) {
+    grants_[team] = running;
+    core_.SetGrant(team, {{1000000000, 1000000000, 100000, 0}, running}, now_);
+  }
+
+  // What is preempted is batch work that may run again, or a gang that has lost a task. Some tasks
+  // ignore the request for a checkpoint; none ignores a stop.
+  void Stop(const command& c) {
+    const job_request& job = jobs_[c.task.job.lo];
+    if (c.why == stop_reason::kPreempted) {
+      const bool gives_way = job.kind == workload_kind::kBatch && job.repeatable && !job.urgent;
+      RC_ASSERT(gives_way || job.kind == workload_kind::kGang);
+    }
+    if (!runs_.contains(c.task) || (c.checkpoint && c.task.job.lo % 4 == 1)) return;
+    End(c.task, c.checkpoint ? task_end::kCheckpointed : task_end::kStopped);
+  }
+
   void Take(const std::vector<command>& commands) {
     absl::flat_hash_map<uint64_t, uint32_t> started;
     for (const command& c : commands) {
@@ -165,9 +205,7 @@
       }
     }
     for (const command& c : commands) {
-      if (c.kind == command_kind::kStop && runs_.contains(c.task)) {
-        End(c.task, task_end::kCheckpointed);
-      }
+      if (c.kind == command_kind::kStop) Stop(c);
     }
     for (const auto& [number, count] : started) CheckGang(number);
   }
@@ -178,9 +216,10 @@
     for (const auto& [task, place] : runs_) {
       RC_ASSERT(task.job != c.task.job || task.index != c.task.index);  // runs in one place
     }
+    RC_ASSERT(states_[c.endpoint] == endpoint_state::kOpen);  // one that leaves gets nothing new
     used_[c.endpoint] += job.each;
     RC_ASSERT(Fits(used_[c.endpoint], kWorker));
-    RC_ASSERT(++running_[job.team] <= kGrant);
+    RC_ASSERT(++running_[job.team] <= grants_[job.team]);
     runs_[c.task] = {c.endpoint, false};
   }
 
@@ -195,14 +234,16 @@
   std::vector<job_request> jobs_;
   std::vector<resources> used_;
   std::vector<uint32_t> running_;
+  std::vector<uint32_t> grants_;
+  std::vector<endpoint_state> states_;
   absl::flat_hash_map<task_id, run> runs_;
   std::set<uint64_t> open_;  // jobs taken in and not told to be over
   std::set<uint64_t> lost_;  // jobs of which a run was lost
 };
 
 std::vector<step> DrawSteps() {
-  const auto pairs = *rc::gen::container<std::vector<std::pair<uint32_t, uint32_t>>>(
-      rc::gen::pair(rc::gen::inRange<uint32_t>(0, 8), rc::gen::inRange<uint32_t>(0, 100000)));
+  const auto pairs = *rc::gen::container<std::vector<std::pair<uint32_t, uint32_t>>>(rc::gen::pair(
+      rc::gen::inRange<uint32_t>(0, kHappenings), rc::gen::inRange<uint32_t>(0, 100000)));
   std::vector<step> steps;
   steps.reserve(pairs.size());
   for (const auto& [what, detail] : pairs) steps.push_back({what, detail});
@@ -211,9 +252,11 @@
 
 }  // namespace
 
-// Ends, losses, failed starts, cancels, dying endpoints and new work in any order. Whatever comes,
-// no endpoint may hold more than it can, no team run over its limit, no gang run in part, nothing
-// that may run once be started again after a loss, and no job be forgotten.
+// Ends, losses, failed starts, cancels, dying and leaving endpoints, grants that shrink, ignored
+// checkpoint requests and new work in any order. Whatever comes, no endpoint may hold more than it
+// can or get work while it leaves, no team run over its limit, no gang run in part, nothing be
+// preempted that does not give way, nothing that may run once be started again after a loss, and no
+// job be forgotten.
 TEST_CASE("decision core, random events, keeps its promises", "[decisions][property]") {
   const property_run run{1, 1000, 400};
   CHECK(Holds(run, [] {
