--- a/bench/bounds.cc
+++ b/bench/bounds.cc
@@ -10,11 +10,14 @@
 #include <filesystem>
 #include <fstream>
 
+#include "absl/strings/str_cat.h"
 #include "bench/baselines.h"
+#include "bench/cell.h"
 #include "bench/commands.h"
 #include "bench/decisions.h"
 #include "bench/flags.h"
 #include "bench/latency.h"
+#include "bench/overload.h"
 #include "bench/policy.h"
 
 ABSL_FLAG(std::string, file, "bench/bounds.json", "bounds: the bounds to hold");
@@ -109,6 +112,14 @@
   figures["policy.packing_over_first_fit"] =
       run["packing"]["core"].get<double>() / run["packing"]["first_fit"].get<double>();
   figures["policy.share_error"] = run["share_error"].get<double>();
+  figures["policy.storm_served_at_first_return"] =
+      run["storm"]["served_at_first_return"].get<double>();
+  figures["policy.storm_tries_each"] = run["storm"]["tries_each"].get<double>();
+  figures["policy.greedy_others_p99_ms"] = run["greedy"]["greedy"]["p99_ms"].get<double>();
+  for (const nlohmann::json& line : run["urgent"]) {
+    double& worst = figures["policy.urgent_checkpoints_ignored_most_ms"];
+    worst = std::max(worst, line["most_ms"].get<double>());
+  }
   std::ofstream curve(out + "/goodput.dat");
   double peak = 0;
   double last = 0;
@@ -121,6 +132,31 @@
   figures["policy.goodput_3x_over_peak"] = last / peak;
 }
 
+// Closeness to share where news of other shards are a second old.
+void AddCellFigures(uint64_t seed, figure_map& figures) {
+  for (const uint32_t shards : {3U, 18U, 54U}) {
+    cell_options options;
+    options.shards = shards;
+    options.seed = seed;
+    double worst = 0;
+    for (const cell_phase& phase : RunCell(options)) {
+      worst = std::max(worst, phase.worst_after_10s);
+    }
+    figures[absl::StrCat("cell.worst_points_", shards)] = worst;
+  }
+}
+
+// Real processes; figures that are ratios within one run, or far from what a busy machine adds.
+void AddOverloadFigures(uint64_t seed, figure_map& figures) {
+  overload_options options;
+  options.seed = seed;
+  options.loads = {1, 3};
+  const nlohmann::json run = MeasureLoads(options);
+  if (run.empty()) return;  // the figures are missing, which breaks their bounds
+  figures["overload.goodput_3x_over_peak"] = run["goodput_over_peak"].get<double>();
+  figures["overload.refused_p99_ms"] = run["refused_p99_ms"].get<double>();
+}
+
 // Draws the curves; without gnuplot the figures stand all the same.
 void Draw(const std::string& out) {
   const std::string script = out + "/curves.gp";
@@ -173,6 +209,8 @@
   AddDecisionFigures(seed, out, figures);
   for (const char* mix : {"kitamura", "altynsay", "both"}) AddMixFigures(mix, seed, figures);
   AddFocusedFigures(seed, out, figures);
+  AddCellFigures(seed, figures);
+  AddOverloadFigures(seed, figures);
   for (const auto& [name, value] : figures) std::printf("%-50s %10.4f\n", name.c_str(), value);
   std::ofstream(out + "/figures.json") << nlohmann::json(figures).dump(2) << '\n';
   Draw(out);
--- a/src/process/waiting_lanes.cc
+++ b/src/process/waiting_lanes.cc
@@ -11,8 +11,8 @@
 // Batch work goes before work of its team that is expected to run at least so many times as long,
 // which is passed at most so often. `policy`, seeds 1 to 5, mean wait of batch work in ms
 // (kitamura, altynsay, both): in order of arrival 4,900, 4,366, 4,714; 4 times, passed 8 times
-// 4,541, 4,130, 4,421; 4 and 32 4,395, 4,129, 4,452; 2 and 16 4,162, 3,894, 4,098; p99 and packing
-// within 3 % in all.
+// 4,541, 4,130, 4,421; 4 and 32 4,395, 4,129, 4,452; 2 and 16 4,162, 3,897, 4,089, with a p99 up to
+// 8 % higher in kitamura and the same elsewhere.
 constexpr int kLongerToPass = 2;
 constexpr uint32_t kPassedAtMost = 16;
 constexpr uint32_t kMostPassed = 64;  // by one job: bounds the time of a submission
