--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -70,8 +70,9 @@
   for (opened_log& log : jobs_.Tick(now)) opened_.push_back(std::move(log));
   grants_.Prepare(now);
   for (opened_log& log : std::exchange(opened_, {})) {
-    if (ownership_.Epoch(log.number) != log.epoch) continue;
-    if (grants_.Ready(ShardName(config_.failure_domain, log.number))) {
+    const bool is_evacuated = evacuated_names_.contains(log.number);
+    if (!is_evacuated && ownership_.Epoch(log.number) != log.epoch) continue;
+    if (grants_.Ready(NameOf(log.number))) {
       GainShard(std::move(log), now);
     } else {
       opened_.push_back(std::move(log));
@@ -83,7 +84,8 @@
   const uint32_t number = log.number;
   const uint64_t epoch = log.epoch;
   shard_options options;
-  options.name = ShardName(config_.failure_domain, number);
+  options.name = NameOf(number);
+  options.is_evacuated = evacuated_names_.contains(number);
   options.epoch = epoch;
   options.link.sync_wait = config_.timing.sync_wait;
   options.link.task_lease = config_.timing.task_lease;
@@ -95,18 +97,21 @@
   if (const auto config = versions_.Order().Config()) gained->SetConfiguration(*config, now);
   gained->Restore(std::move(log.jobs), now);
   GiveEndpoints(*gained, now);
-  lives_.OnGained(*gained, now);
+  // The lives of an evacuated shard's endpoints stay recorded as they are, for its next owner.
+  if (!gained->IsEvacuated()) lives_.OnGained(*gained, now);
   routes_.OnReport(config_.name, gained->Report(), now);
   shards_[number] = std::move(gained);
-  for (auto& [name, peer] : peers_) peer.next_beat = now;  // tells all who owns it
+  Announce(now);
   table_.OnNewOwner(options.name, now);
+  for (auto& [other, held] : shards_) held->OnNewOwner(options.name, now);
   metrics_.takeovers.Increment();
   log_.Emit(event_code::kShardClaimed, now, {}, epoch, options.name);
 }
 
 void node::LoseShard(uint32_t number, monotonic_time now) {
   jobs_.OnLost(number);
-  grants_.OnLost(ShardName(config_.failure_domain, number));
+  grants_.OnLost(NameOf(number));
+  evacuated_names_.erase(number);
   const auto found = shards_.find(number);
   if (found == shards_.end()) return;
   const std::string name = found->second->Name();
@@ -114,14 +119,14 @@
             found->second->Epoch(), name);
   shards_.erase(found);
   lives_.OnLost(name);
-  routes_.OnNotOwner(config_.name, name);
+  routes_.OnNotOwner(config_.name, name, now);
   table_.OnNewOwner(name, now);
 }
 
 // Whole racks belong to one shard, by rendezvous hash, so that racks that come and go move no
 // others.
 void node::GiveEndpoints(shard& to, monotonic_time now) {
-  if (!has_instances_) return;
+  if (!turns_.HasList()) return;
   std::vector<instance> given;
   const std::vector<std::string> names = routes_.ShardsOfDomain(config_.failure_domain);
   for (const instance& from : own_endpoints_) {
@@ -134,30 +139,6 @@
   to.SetEndpoints(given, now);
 }
 
-// What each team runs elsewhere, for shares over the whole cell.
-void node::ShareUsage(monotonic_time now) {
-  if (shards_.empty()) return;
-  absl::flat_hash_map<std::string, resources> others;
-  for (const auto& [name, peer] : peers_) {
-    if (!peer.up) continue;
-    for (const team_report& team : peer.teams) others[team.team] += team.running;
-  }
-  for (auto& [number, held] : shards_) {
-    absl::flat_hash_map<std::string, resources> elsewhere = others;
-    for (const auto& [other_number, other] : shards_) {
-      if (other_number == number) continue;
-      for (const team_report& team : other->TeamReports()) elsewhere[team.team] += team.running;
-    }
-    for (team_index team = 0; team < teams_.Size(); ++team) {
-      const std::string& name = teams_.NameOf(team);
-      const auto found = elsewhere.find(name);
-      const resources latest = found == elsewhere.end() ? resources{} : found->second;
-      // Between two heartbeats news grow from fresh to one heartbeat old.
-      held->SetUsageElsewhere(name, latest, config_.timing.far_heartbeat / 2, now);
-    }
-  }
-}
-
 shard* node::Held(uint32_t number, uint64_t epoch) {
   const auto found = shards_.find(number);
   if (found == shards_.end() || found->second->Epoch() != epoch) return nullptr;
