--- a/bench/control.cc
+++ b/bench/control.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <thread>
 
+#include "absl/flags/declare.h"
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "absl/strings/str_cat.h"
@@ -19,6 +20,7 @@
 #include "bench/wire_bytes.h"
 #include "connection/http_client.h"
 
+ABSL_DECLARE_FLAG(double, settle);
 ABSL_FLAG(uint32_t, domains, 3, "control: failure domains");
 ABSL_FLAG(uint32_t, domain_entries, 2, "control: entries in each, a shard for each above two");
 ABSL_FLAG(uint32_t, domain_endpoints, 17, "control: endpoints in each");
@@ -33,7 +35,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kStartLimit{60000};
-constexpr milliseconds kSettle{8000};
 constexpr milliseconds kWatch{15000};
 constexpr milliseconds kChangeEvery{2500};  // 24 changes a minute
 
@@ -137,7 +138,7 @@
   absl::ParseCommandLine(argc, argv);
   fleet running(Options());
   if (!running.Start(kStartLimit)) return 1;
-  std::this_thread::sleep_for(kSettle);
+  std::this_thread::sleep_for(std::chrono::duration<double>(absl::GetFlag(FLAGS_settle)));
   control_run run(running);
   json result = {{"at_rest", run.Watch(false)}};
   Print("at rest, an entry", result["at_rest"]);
--- a/src/process/events.cc
+++ b/src/process/events.cc
@@ -78,9 +78,10 @@
       return {code, kWarning, "fenced_off",
               "An endpoint refused our epoch: another owner has taken the shard over."};
     case kPeerUp:
-      return {code, kInfo, "peer_up", "A peer answers heartbeats."};
+      return {code, kInfo, "peer_up", "News of a peer has come, its own or by others."};
     case kPeerDown:
-      return {code, kWarning, "peer_down", "A peer has not answered for the length of its lease."};
+      return {code, kWarning, "peer_down",
+              "A peer has been silent for too long, or a call to it failed."};
     case kStoreDown:
       return {code, kWarning, "store_down",
               "The platform's store does not answer; no owner changes and no new jobs until then."};
--- a/test/router_test.cc
+++ b/test/router_test.cc
@@ -2,12 +2,14 @@
 #include "process/router.h"
 
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <string>
 
 namespace catkinford {
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 constexpr resources kTask{1000, 1024, 0, 1};
 
@@ -45,6 +47,24 @@
   router routes_;
 };
 
+class router_news_fixture {
+ public:
+  router_news_fixture() : routes_({"otaru", {"otaru", "asahikawa"}}) {
+    routes_.SetAgeLimits(seconds{3}, seconds{20});
+  }
+
+ protected:
+  static shard_report Report(const std::string& domain, uint64_t epoch) {
+    shard_report report;
+    report.shard = ShardName(domain, 0);
+    report.epoch = epoch;
+    return report;
+  }
+
+  monotonic_time now_{std::chrono::hours{1}};
+  router routes_;
+};
+
 }  // namespace
 
 TEST_CASE_METHOD(router_fixture, "router, queue here and none there, sends work there",
@@ -66,4 +86,29 @@
   CHECK(SentThere() > 0);
 }
 
+// An owner gives its shard away and says so. Its earlier word, passed on by others, arrives after
+// that: taken as news it would send requests back to it until the next word of the heir.
+TEST_CASE_METHOD(router_news_fixture, "router, earlier word of an owner that refused, is ignored",
+                 "[router]") {
+  routes_.OnReport("otaru-0", Report("otaru", 4), now_);
+  routes_.OnNotOwner("otaru-0", "otaru/0", now_ + seconds{1});
+  routes_.OnReport("otaru-0", Report("otaru", 4), now_ + milliseconds{500});
+  CHECK_FALSE(routes_.OwnerOf("otaru/0", now_ + seconds{1}));
+  routes_.OnReport("otaru-1", Report("otaru", 5), now_ + milliseconds{600});
+  CHECK(routes_.OwnerOf("otaru/0", now_ + seconds{1}) == "otaru-1");
+  routes_.OnReport("otaru-0", Report("otaru", 4), now_ + seconds{2});
+  CHECK(routes_.OwnerOf("otaru/0", now_ + seconds{2}) == "otaru-1");
+}
+
+// Other domains are heard of by turns. With one limit of age for all, their shards would be without
+// an owner between two turns, and requests for them would wait.
+TEST_CASE_METHOD(router_news_fixture, "router, word of another domain, counts for its own limit",
+                 "[router]") {
+  routes_.OnReport("otaru-0", Report("otaru", 4), now_);
+  routes_.OnReport("asahikawa-0", Report("asahikawa", 4), now_);
+  CHECK_FALSE(routes_.OwnerOf("otaru/0", now_ + seconds{10}));
+  CHECK(routes_.OwnerOf("asahikawa/0", now_ + seconds{10}) == "asahikawa-0");
+  CHECK_FALSE(routes_.OwnerOf("asahikawa/0", now_ + seconds{21}));
+}
+
 }  // namespace catkinford
