--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -170,6 +170,10 @@
     shutdown_deadline_ = now + config_.timing.shutdown_limit;
     log_.Emit(event_code::kShutdownBegun, now, {}, 0, config_.name);
     Announce(now);
+    for (auto& [domain, open] : evacuations_) {
+      open.work.Stop("this entry is leaving");
+      LoseEvacuated(open, now);
+    }
     ownership_actions actions;
     ownership_.Release(now, actions);
     TakeOwnership(actions, now);
@@ -216,6 +220,7 @@
     PollInstances(now);
     TickMembers(now);
     TickStatus(now);
+    TickEvacuations(now);
   }
   OpenShards(now);
   for (auto& [number, held] : shards_) {
@@ -237,7 +242,7 @@
   } while (!local_.empty());
   // Records that the shards asked for just now. Left to the next round of the loop, each would wait
   // for up to its longest sleep.
-  for (opened_log& log : jobs_.Tick(now)) GainShard(std::move(log), now);
+  OpenShards(now);
   mailbox_.Flush();
   if (now >= next_gauges_) UpdateGauges(now);
   if (shutting_down_) CheckShutdown(now);
