--- a/src/process/node.h
+++ b/src/process/node.h
@@ -138,8 +138,8 @@
   void OnSilent(const std::string& peer, monotonic_time now);
   void OnSilent(const silent_message& silent, monotonic_time now);
   void SendHeartbeats(monotonic_time now);
-  // To every other entry, at once: who owns what, that we leave. By turns they would hear of it many
-  // seconds later.
+  // To every other entry, at once: who owns what, that we leave. By turns they would hear of it
+  // many seconds later.
   void Announce(monotonic_time now);
   entry_word OwnWord();
   void PrepareReply(monotonic_time now);
