--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -24,6 +24,7 @@
 #include "process/identity_memory.h"
 #include "process/message.h"
 #include "process/part_keeper.h"
+#include "process/refusal_memory.h"
 #include "process/team_names.h"
 #include "request/job_state.h"
 #include "version/contract.h"
@@ -251,12 +252,11 @@
                     monotonic_time now);
   void LoseTask(const task_id& id, monotonic_time now);
   void LoseAllAt(endpoint_index index, monotonic_time now);
+  void SettleUnsure(endpoint_index index, uint64_t token, const std::vector<task_id>& unsure,
+                    monotonic_time now);
   std::vector<task_id> TasksAt(endpoint_index index) const;
   // On an operator's word: get nothing new, what runs there is moved.
   void SetDrained(const std::vector<std::string>& names, monotonic_time now);
-
-  void SettleUnsure(endpoint_index index, uint64_t token, const std::vector<task_id>& unsure,
-                    monotonic_time now);
   bool IsSuperseded(const endpoint_reply& reply);
   void CheckMemory(endpoint_record& at, monotonic_time now);
 
@@ -271,6 +271,8 @@
   void End(const request_id& id, job_state& job, outcome result, monotonic_time now);
   void EndIfOver(const request_id& id, job_state& job, monotonic_time now);
   void Answer(const job_state& job, const outcome& result);
+  void TurnAway(const std::string& entry, const place_message& place, refusal_reason reason,
+                std::string detail, monotonic_time now);
   void Reply(const std::string& entry, const job_state& job, const outcome& result);
   // shard_parts.cc: jobs that are spread over shards.
   void MarkElsewhere(job_state& job);
@@ -326,6 +328,8 @@
   part_keeper parts_;              // of the jobs whose home this is
   std::set<std::pair<monotonic_time, request_id>> untold_;  // when each is told accepted at last
   evacuation_counts evacuated_;
+
+  refusal_memory refusals_;
   std::vector<held_place> held_;
   std::vector<request_id> restored_;  // not resumed yet: some endpoint is not listed
   std::set<std::pair<monotonic_time, request_id>> deadlines_;  // of work that runs for a caller
