--- a/src/process/events.cc
+++ b/src/process/events.cc
@@ -101,9 +101,10 @@
       return {code, kWarning, "evacuation_stopped",
               "The failure domain is back, or was not lost: nothing more of it moves."};
     case kPeerUp:
-      return {code, kInfo, "peer_up", "A peer answers heartbeats."};
+      return {code, kInfo, "peer_up", "News of a peer has come, its own or by others."};
     case kPeerDown:
-      return {code, kWarning, "peer_down", "A peer has not answered for the length of its lease."};
+      return {code, kWarning, "peer_down",
+              "A peer has been silent for too long, or a call to it failed."};
     case kStoreDown:
       return {code, kWarning, "store_down",
               "The platform's store does not answer; no owner changes and no new jobs until then."};
