--- a/src/process/node_evacuate.cc
+++ b/src/process/node_evacuate.cc
@@ -75,8 +75,8 @@
 
 // An entry of the domain that is heard, or one elsewhere that answers for its shards; empty: none.
 std::string node::AliveIn(const std::string& domain, monotonic_time now) const {
-  for (const auto& [name, peer] : peers_) {
-    if (peer.failure_domain == domain && peer.up) return name;
+  for (const auto& [name, one] : members_.Members()) {
+    if (one.failure_domain == domain && members_.IsUp(name)) return name;
   }
   for (const std::string& name : routes_.ShardsOfDomain(domain)) {
     const std::optional<std::string> owner = routes_.OwnerOf(name, now);
--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -101,9 +101,8 @@
   if (!gained->IsEvacuated()) lives_.OnGained(*gained, now);
   routes_.OnReport(config_.name, gained->Report(), now);
   shards_[number] = std::move(gained);
-  for (auto& [name, peer] : peers_) peer.next_beat = now;  // tells all who owns it
+  Announce(now);
   table_.OnNewOwner(options.name, now);
-  for (auto& [other, held] : shards_) held->OnNewOwner(options.name, now);
   metrics_.takeovers.Increment();
   log_.Emit(event_code::kShardClaimed, now, {}, epoch, options.name);
 }
@@ -119,14 +118,14 @@
             found->second->Epoch(), name);
   shards_.erase(found);
   lives_.OnLost(name);
-  routes_.OnNotOwner(config_.name, name);
+  routes_.OnNotOwner(config_.name, name, now);
   table_.OnNewOwner(name, now);
 }
 
 // Whole racks belong to one shard, by rendezvous hash, so that racks that come and go move no
 // others.
 void node::GiveEndpoints(shard& to, monotonic_time now) {
-  if (!has_instances_) return;
+  if (!turns_.HasList()) return;
   std::vector<instance> given;
   const std::vector<std::string> names = routes_.ShardsOfDomain(config_.failure_domain);
   for (const instance& from : own_endpoints_) {
@@ -139,30 +138,6 @@
   to.SetEndpoints(given, now);
 }
 
-// What each team runs elsewhere, for shares over the whole cell.
-void node::ShareUsage(monotonic_time now) {
-  if (shards_.empty()) return;
-  absl::flat_hash_map<std::string, resources> others;
-  for (const auto& [name, peer] : peers_) {
-    if (!peer.up) continue;
-    for (const team_report& team : peer.teams) others[team.team] += team.running;
-  }
-  for (auto& [number, held] : shards_) {
-    absl::flat_hash_map<std::string, resources> elsewhere = others;
-    for (const auto& [other_number, other] : shards_) {
-      if (other_number == number) continue;
-      for (const team_report& team : other->TeamReports()) elsewhere[team.team] += team.running;
-    }
-    for (team_index team = 0; team < teams_.Size(); ++team) {
-      const std::string& name = teams_.NameOf(team);
-      const auto found = elsewhere.find(name);
-      const resources latest = found == elsewhere.end() ? resources{} : found->second;
-      // Between two heartbeats news grow from fresh to one heartbeat old.
-      held->SetUsageElsewhere(name, latest, config_.timing.far_heartbeat / 2, now);
-    }
-  }
-}
-
 shard* node::Held(uint32_t number, uint64_t epoch) {
   const auto found = shards_.find(number);
   if (found == shards_.end() || found->second->Epoch() != epoch) return nullptr;
--- a/src/process/peer_mailbox.h
+++ b/src/process/peer_mailbox.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,14 +35,16 @@
 
 class peer_mailbox {
  public:
-  // Both are called on threads of the mailbox and must not block.
+  // All are called on threads of the mailbox and must not block.
   using on_messages = std::function<void(std::vector<peer_message>)>;
   // These messages got no confirmation, `status` says whether the peer may have seen them.
   using on_failure = std::function<void(const std::string& peer, transfer_status status,
                                         std::vector<message_body>)>;
+  // What the call that brought a heartbeat which wants a reply is answered with; none: nothing.
+  using reply_maker = std::function<std::optional<heartbeat_message>()>;
 
   peer_mailbox(std::string own_name, int port, std::chrono::milliseconds call_timeout,
-               on_messages received, on_failure failed);
+               on_messages received, on_failure failed, reply_maker reply);
   ~peer_mailbox();
   peer_mailbox(const peer_mailbox&) = delete;
   peer_mailbox& operator=(const peer_mailbox&) = delete;
@@ -86,6 +89,7 @@
   using delivery_ptr = std::shared_ptr<delivery>;
 
   std::string Receive(const std::string& text);
+  void TakeAnswer(const std::string& answer);
   static size_t MostUnderWay(const peer& to);
   // The next batch of a peer, or null when nothing has gathered. Under the lock.
   delivery_ptr NextBatch(const std::string& name, const peer_ptr& to);
@@ -98,6 +102,7 @@
   std::chrono::milliseconds call_timeout_;
   on_messages received_;
   on_failure failed_;
+  reply_maker reply_;
   rpc_server server_;
   http_client client_;
   mutable std::mutex mutex_;  // guards the peers, what they hold, and the count
