--- a/bench/scenario_command.cc
+++ b/bench/scenario_command.cc
@@ -1,4 +1,5 @@
 // `catkinford-bench scenario NAME --seed N`: exits 0 only when every promise held.
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <random>
@@ -43,13 +44,21 @@
   return 0;
 }
 
+// The faults of a scenario by its name, of two_faults by its seed, or of several names with "+"
+// between them. Null for a name that there is not.
 std::vector<const scenario_info*> FaultsOf(const std::string& name, uint64_t seed) {
-  if (name != kTwoFaults) return {FindScenario(name)};
-  const std::span<const scenario_info> all = PairedScenarios();
-  std::mt19937_64 random(seed);
-  const size_t first = random() % all.size();
-  const size_t second = (first + 1 + random() % (all.size() - 1)) % all.size();
-  return {&all[first], &all[second]};
+  std::vector<const scenario_info*> faults;
+  if (name == kTwoFaults) {
+    const std::span<const std::string_view> all = PairedScenarios();
+    std::mt19937_64 random(seed);
+    const size_t first = random() % all.size();
+    const size_t second = (first + 1 + random() % (all.size() - 1)) % all.size();
+    return {FindScenario(all[first]), FindScenario(all[second])};
+  }
+  const std::vector<std::string> names = absl::StrSplit(name, '+');
+  faults.reserve(names.size());
+  for (const std::string& one : names) faults.push_back(FindScenario(one));
+  return faults;
 }
 
 scenario_options OptionsFor(const std::vector<const scenario_info*>& faults) {
@@ -87,8 +96,9 @@
   const std::vector<char*> words = absl::ParseCommandLine(argc, argv);
   if (absl::GetFlag(FLAGS_list)) return PrintList();
   const std::string name = words.size() > 1 ? words[1] : "";
-  if (name != kTwoFaults && FindScenario(name) == nullptr) {
-    std::fputs("scenario NAME --seed N [--json F]; scenario --list names them\n", stderr);
+  const std::vector<const scenario_info*> faults = FaultsOf(name, absl::GetFlag(FLAGS_seed));
+  if (std::find(faults.begin(), faults.end(), nullptr) != faults.end()) {
+    std::fputs("scenario NAME[+NAME] --seed N [--json F]; scenario --list names them\n", stderr);
     return 2;
   }
   load_mix mix;
@@ -96,7 +106,6 @@
     std::fputs("scenario: --scenario_mix is not understood\n", stderr);
     return 2;
   }
-  const std::vector<const scenario_info*> faults = FaultsOf(name, absl::GetFlag(FLAGS_seed));
   nlohmann::json result = RunFaults(faults, mix);
   result["scenario"] = name;
   for (const scenario_info* fault : faults) result["faults"].push_back(fault->name);
--- a/bench/scenario_faults.cc
+++ b/bench/scenario_faults.cc
@@ -1,6 +1,8 @@
 #include "bench/scenario_faults.h"
 
+#include <algorithm>
 #include <array>
+#include <map>
 #include <optional>
 #include <thread>
 #include <utility>
@@ -19,12 +21,16 @@
 constexpr milliseconds kListed{1000};      // until the platform notices that an instance is gone
 constexpr milliseconds kNoticed{3000};     // until members' leases have lapsed and peers are missed
 constexpr milliseconds kEvacuated{18000};  // until task leases are waited out and jobs run again
-constexpr int kLongJobs = 40;
+constexpr int kEvacuatedJobs = 40;
 constexpr int kSilences = 3;
 constexpr int kRaces = 8;
 constexpr int kWave = 1000;
 constexpr int kAsks = 200;
 constexpr int kAskRounds = 3;
+constexpr int kLongJobs = 100;
+constexpr int kSlowRequests = 30;
+constexpr milliseconds kUnderWay{700};
+constexpr milliseconds kSilence{8000};  // an owner takes 6 s to be sure of it
 constexpr uint32_t kLoweredLimit = 10;
 
 size_t PickDomain(scenario_run& run) {
@@ -153,7 +159,7 @@
 // Jobs that still run when the domain is lost, and may run again.
 void SubmitLongBatch(scenario_run& run) {
   const std::vector<load_target> targets = run.InBalancer();
-  for (int i = 0; i < kLongJobs && !targets.empty(); ++i) {
+  for (int i = 0; i < kEvacuatedJobs && !targets.empty(); ++i) {
     call_spec spec;
     spec.work = absl::StrCat("long-", i);
     spec.kind = workload_kind::kBatch;
@@ -213,12 +219,44 @@
   run.Sleep(kLongFault);
 }
 
+// Work that is under way for long enough that a fault strikes in the middle of it.
+void SubmitLong(scenario_run& run, int count, call_spec spec) {
+  const std::vector<load_target> targets = run.InBalancer();
+  for (int i = 0; i < count && !targets.empty(); ++i) {
+    const auto number = static_cast<size_t>(i);
+    spec.work = absl::StrCat("long-", i);
+    const load_target& target = targets[number % targets.size()];
+    run.Callers().Submit(target.entry, target.url, run.Teams()[number % run.Teams().size()], spec,
+                         steady_clock::now());
+  }
+  run.Sleep(kUnderWay);
+}
+
+// The endpoints of a domain, those with the most long work first.
+std::vector<std::string> BusiestEndpoints(scenario_run& run, size_t domain) {
+  std::map<std::string, int> tasks;
+  for (const run_event& event : run.Fleet().Events()) {
+    if (event.event == "start" && event.work.starts_with("long-")) ++tasks[event.endpoint];
+  }
+  std::vector<std::string> endpoints = run.Fleet().EndpointsOf(domain);
+  std::stable_sort(endpoints.begin(), endpoints.end(),
+                   [&](const auto& a, const auto& b) { return tasks[a] > tasks[b]; });
+  return endpoints;
+}
+
+// The silent one goes on with what it runs. Nothing of that may be started elsewhere before its
+// lease has lapsed.
 void EndpointKilled(scenario_run& run) {
-  const std::vector<std::string> endpoints = run.Fleet().EndpointsOf(PickDomain(run));
+  call_spec batch;
+  batch.kind = workload_kind::kBatch;
+  batch.run_time = milliseconds{9000};
+  SubmitLong(run, kLongJobs, batch);
+  const std::vector<std::string> busiest = BusiestEndpoints(run, PickDomain(run));
+  const std::vector<std::string> endpoints = {busiest[1], busiest[2], busiest[0]};
   run.Fleet().SetEndpointMode(endpoints[0], "dead");
   run.Fleet().SetEndpointMode(endpoints[1], "dead");
   run.Fleet().SetEndpointMode(endpoints[2], "silent");
-  run.Sleep(kShortFault);
+  run.Sleep(kSilence);
   run.Fleet().SetEndpointMode(endpoints[0], "up");
   run.Fleet().SetEndpointMode(endpoints[2], "up");
 }
@@ -232,9 +270,14 @@
   run.Fleet().SetEndpointMode(endpoints[1], "up");
 }
 
+// Some requests take longer than the hand-over of the shard: the process has to wait for them.
 void GracefulShutdown(scenario_run& run) {
   const size_t domain = PickDomain(run);
   const size_t owner = run.OwnerSlot(domain);
+  call_spec slow;
+  slow.run_time = milliseconds{3000};
+  slow.deadline = milliseconds{8000};
+  SubmitLong(run, kSlowRequests, slow);
   run.TimeNextPlacement(domain);
   run.StopGracefully(owner);
   run.Sleep(milliseconds{2000});
@@ -376,8 +419,14 @@
   options.load.longest_run = milliseconds{600};
 }
 
-// A seed of two_faults names the same pair for ever: what is added later stands behind these.
-constexpr size_t kPairedScenarios = 17;
+// Of which two_faults draws. The list stays as it is, so that a seed names the same pair for ever.
+constexpr std::array<std::string_view, 17> kPaired = {
+    "owner_killed",    "owner_paused_past_lease",  "entry_replacement_wave",
+    "store_down",      "store_slow_lost_replies",  "domain_cut_from_platform",
+    "domain_cut_off",  "silent_connections",       "endpoint_drain",
+    "endpoint_killed", "failing_endpoint",         "graceful_shutdown",
+    "key_withdrawn",   "limit_lowered_under_load", "operators_race",
+    "cancel_wave",     "caller_asks_again"};
 constexpr std::array kScenarios = std::to_array<scenario_info>({
     {"owner_killed", "SIGKILL to the owner of a shard", nullptr, &OwnerKilled},
     {"owner_paused_past_lease", "SIGSTOP for longer than its lease, then SIGCONT", nullptr,
@@ -424,9 +473,7 @@
 
 std::span<const scenario_info> AllScenarios() { return kScenarios; }
 
-std::span<const scenario_info> PairedScenarios() {
-  return std::span(kScenarios).first(kPairedScenarios);
-}
+std::span<const std::string_view> PairedScenarios() { return kPaired; }
 
 const scenario_info* FindScenario(std::string_view name) {
   for (const scenario_info& scenario : kScenarios) {
--- a/src/process/shard_endpoints.cc
+++ b/src/process/shard_endpoints.cc
@@ -42,9 +42,8 @@
   endpoint_link link(options_.link, options_.epoch, now);
   endpoints_.push_back({{from.address, from.name}, shape, link});
   endpoints_.back().leaving = from.leaving;
-  endpoints_.back().drained = drained_.contains(from.name);
-
   endpoints_.back().added = now;
+  endpoints_.back().drained = drained_.contains(from.name);
   endpoint_by_name_.emplace(from.name, index);
   ++unlisted_;
   core_.SetEndpoint(index, shape, endpoint_state::kUnfenced, now);
