--- a/bench/overload.cc
+++ b/bench/overload.cc
@@ -25,7 +25,11 @@
 constexpr uint32_t kMostReturns = 30;
 constexpr uint32_t kSlots = 8;
 constexpr double kWithinShares = 0.7;  // load of the floor by teams within their shares
-constexpr double kGreedy = 3;          // load of the floor by the one team beyond its own
+constexpr milliseconds kLongBatch{120000};
+constexpr double kBatchOverFloor = 1.2;  // batch tasks to slots
+constexpr double kUrgentRate = 10;
+constexpr milliseconds kUrgentDeadline{10000};
+constexpr double kGreedy = 3;  // load of the floor by the one team beyond its own
 
 double MillisecondsIn(steady_clock::duration time) {
   return std::chrono::duration<double, std::milli>(time).count();
@@ -53,10 +57,12 @@
   explicit overload_fleet(uint64_t seed) : running_(OptionsOf(seed)) {}
   bool Start() { return running_.Start(kStartLimit); }
 
+  const std::vector<team_access>& Teams() const { return running_.Contract().teams; }
+  double Slots() const { return static_cast<double>(running_.Capacities().size()) * kSlots; }
   // Requests a second that the slots can run.
   double Capacity() const {
     const std::chrono::duration<double> run = UsualRequest().run_time;
-    return static_cast<double>(running_.Capacities().size()) * kSlots / run.count();
+    return Slots() / run.count();
   }
   returning_options Load(const std::string& name, const std::vector<double>& rates,
                          const overload_options& options) const {
@@ -80,6 +86,7 @@
     }
     return targets;
   }
+  std::vector<run_event> Events() { return running_.Events(); }
   // Runs one load to its end and returns what was told in the window after `settle`.
   load_answers Run(returning_options load, const overload_options& options) {
     const monotonic_time begin = steady_clock::now();
@@ -105,6 +112,7 @@
           {"ends", answers.ends},
           {"parts", answers.parts},
           {"wait_p99_ms", answers.wait_p99_ms},
+          {"others_wait_p99_ms", answers.others_wait_p99_ms},
           {"refused_p99_ms", answers.refused_p99_ms},
           {"late_p99_ms", answers.late_p99_ms}};
 }
@@ -158,10 +166,13 @@
   }
   answers.completed_rate =
       static_cast<double>(completed) / std::chrono::duration<double>(to - from).count();
+  std::vector<double> others;
   for (auto& [team, values] : waits) {
+    if (team != waits.begin()->first) others.insert(others.end(), values.begin(), values.end());
     answers.parts[team] = static_cast<double>(values.size()) / static_cast<double>(completed);
     answers.wait_p99_ms[team] = Percentile99(values);
   }
+  answers.others_wait_p99_ms = Percentile99(others);
   answers.refused_p99_ms = Percentile99(refused);
   answers.late_p99_ms = Percentile99(late);
   return answers;
@@ -278,8 +289,47 @@
     if (team == before.wait_p99_ms.begin()->first || found == with.wait_p99_ms.end()) continue;
     worst = std::max(worst, found->second / wait);
   }
-  std::printf("largest growth of another team's p99 wait %.2f\n", worst);
-  return {{"modest", ToJson(before)}, {"greedy", ToJson(with)}, {"wait_p99_growth", worst}};
+  const double growth = with.others_wait_p99_ms / before.others_wait_p99_ms;
+  std::printf("p99 wait of the others %.1f -> %.1f ms, %.2f times; of one of them %.2f times\n",
+              before.others_wait_p99_ms, with.others_wait_p99_ms, growth, worst);
+  return {{"modest", ToJson(before)},
+          {"greedy", ToJson(with)},
+          {"wait_p99_growth", growth},
+          {"worst_wait_p99_growth", worst}};
+}
+
+nlohmann::json MeasureUrgent(const overload_options& options, double ignoring) {
+  overload_fleet fleet(options.seed);
+  if (!fleet.Start()) return {};
+  const std::vector<team_access>& teams = fleet.Teams();
+  const std::vector<load_target> targets = fleet.Targets();
+  const auto floor = static_cast<size_t>(fleet.Slots() * kBatchOverFloor);
+  caller batch(1);
+  for (size_t i = 0; i < floor; ++i) {
+    call_spec spec = UsualRequest();
+    spec.work = absl::StrCat("batch-", i);
+    spec.kind = workload_kind::kBatch;
+    spec.run_time = kLongBatch;
+    if (static_cast<double>(i % 10) < ignoring * 10) spec.checkpoint = kLongBatch;
+    const load_target& target = targets[i % targets.size()];
+    batch.Submit(target.entry, target.url, teams[1 + i % (teams.size() - 1)], spec,
+                 steady_clock::now());
+  }
+  batch.WaitIdle(kPatience);
+  std::vector<double> rates(teams.size(), 0);
+  rates.front() = kUrgentRate;
+  returning_options load = fleet.Load("urgent", rates, options);
+  load.like.urgent = true;
+  load.like.deadline = kUrgentDeadline;
+  const load_answers answers = fleet.Run(std::move(load), options);
+  Print("urgent", answers);
+  std::map<std::string, int> ends;
+  for (const run_event& event : fleet.Events()) {
+    if (event.event == "end" && event.result != "ok") ++ends[event.result];
+  }
+  for (const auto& [result, count] : ends) std::printf("%s %d  ", result.c_str(), count);
+  std::puts("");
+  return {{"urgent", ToJson(answers)}, {"ignoring", ignoring}, {"ends", ends}};
 }
 
 }  // namespace catkinford
--- a/src/process/waiting_lanes.cc
+++ b/src/process/waiting_lanes.cc
@@ -8,6 +8,14 @@
 namespace {
 
 constexpr uint32_t kBlocksBeforeUpdate = 1024;
+// Batch work goes before work of its team that is expected to run at least so many times as long,
+// which is passed at most so often. `policy`, seeds 1 to 5, mean wait of batch work in ms
+// (kitamura, altynsay, both): in order of arrival 4,900, 4,366, 4,714; 4 times, passed 8 times
+// 4,541, 4,130, 4,421; 4 and 32 4,395, 4,129, 4,452; 2 and 16 4,162, 3,897, 4,089, with a p99 up to
+// 8 % higher in kitamura and the same elsewhere.
+constexpr int kLongerToPass = 2;
+constexpr uint32_t kPassedAtMost = 16;
+constexpr uint32_t kMostPassed = 64;  // by one job: bounds the time of a submission
 
 }  // namespace
 
@@ -45,30 +53,55 @@
     ready_[static_cast<size_t>(ref.kind)].erase({l.ratio, ref.team});
   }
   if (l.state == lane_state::kNoRoom) {
-    --no_room_of_[static_cast<size_t>(ref.kind)];
-    kept_lanes_ -= no_room_[l.position].kept ? 1 : 0;
+    --(no_room_[l.position].kept ? kept_lanes_ : no_room_of_[static_cast<size_t>(ref.kind)]);
     no_room_[l.position] = no_room_.back();
     At(no_room_[l.position].ref).position = l.position;
     no_room_.pop_back();
   }
 }
 
+// The job of the lane that a new one goes before, or none. Long batch jobs are passed a bounded
+// number of times: with no bound they would wait for as long as short ones come.
+job_handle waiting_lanes::FirstToPass(const lane& l, const job_record& job) {
+  job_handle first = kNoJob;
+  if (job.expected.count() == 0 || ClassOf(job.request) != lane_class::kBatch) return first;
+  job_handle at = l.jobs == 0 ? kNoJob : l.tail;
+  for (uint32_t steps = 0; at != kNoJob && steps < kMostPassed; ++steps) {
+    job_record& other = jobs_[at];
+    const bool stays = other.expected < job.expected * kLongerToPass ||
+                       other.passed >= kPassedAtMost || other.reservation != UINT32_MAX;
+    if (stays) break;
+    ++other.passed;
+    first = at;
+    at = other.previous;
+  }
+  return first;
+}
+
 void waiting_lanes::Append(job_handle job, bool front, double ratio) {
   job_record& j = jobs_[job];
   const lane_ref ref{ClassOf(j.request), j.request.team};
   lane& l = At(ref);
-  job_handle& end = front ? l.head : l.tail;
-  j.next = front ? l.head : kNoJob;
-  j.previous = front ? kNoJob : l.tail;
-  if (end != kNoJob) (front ? jobs_[end].previous : jobs_[end].next) = job;
-  end = job;
-  if (l.jobs == 0) l.head = l.tail = job;
+  if (l.jobs == 0) l.head = l.tail = kNoJob;
+  j.next = front ? l.head : FirstToPass(l, j);
+  j.previous = j.next == kNoJob ? l.tail : jobs_[j.next].previous;
+  (j.previous == kNoJob ? l.head : jobs_[j.previous].next) = job;
+  (j.next == kNoJob ? l.tail : jobs_[j.next].previous) = job;
   j.queued = true;
   ++l.jobs;
   l.tasks += j.waiting;
   if (l.state == lane_state::kEmpty) MakeReady(ref, ratio);
 }
 
+bool waiting_lanes::IsTried(job_handle job) const {
+  uint32_t depth = 0;
+  while (jobs_[job].previous != kNoJob && depth < kLaneDepth) {
+    job = jobs_[job].previous;
+    ++depth;
+  }
+  return depth < kLaneDepth;
+}
+
 void waiting_lanes::Remove(job_handle job) {
   job_record& j = jobs_[job];
   const lane_ref ref{ClassOf(j.request), j.request.team};
@@ -116,8 +149,7 @@
   for (const resources& need : needs) least = SmallestOf(least, need);
   l.position = static_cast<uint32_t>(no_room_.size());
   no_room_.push_back({least, round, ref, kept});
-  kept_lanes_ += kept ? 1 : 0;
-  ++no_room_of_[static_cast<size_t>(ref.kind)];
+  ++(kept ? kept_lanes_ : no_room_of_[static_cast<size_t>(ref.kind)]);
   LowerLeastNeed(least);
 }
 
