--- a/src/process/message.cc
+++ b/src/process/message.cc
@@ -84,24 +84,31 @@
 
 // Arrays without names, and the amounts that another entry uses: with 54 entries these texts are
 // most of what a node sends for control.
-json Encode(const shard_report& report) {
+// A shard of another domain, which its entry answers for, is named whole.
+json Encode(const shard_report& report, const std::string& failure_domain) {
   const shard_summary& summary = report.summary;
   const resources& largest = summary.largest_capacity;
+  const resources& free = summary.free;
   const size_t slash = report.shard.rfind('/');
-  return json::array({report.shard.substr(slash == std::string::npos ? 0 : slash + 1), report.epoch,
+  const bool is_own = slash != std::string::npos && report.shard.substr(0, slash) == failure_domain;
+  return json::array({is_own ? report.shard.substr(slash + 1) : report.shard, report.epoch,
                       report.endpoints, largest.cpu_milli, largest.memory_mb, largest.accelerators,
                       largest.slots, summary.open_endpoints, summary.queued_tasks,
-                      summary.running_tasks, summary.queue_delay.count()});
+                      summary.running_tasks, summary.queue_delay.count(), free.cpu_milli,
+                      free.memory_mb, free.accelerators, free.slots});
 }
 
 std::optional<shard_report> DecodeReport(const json& from, const std::string& failure_domain) {
-  constexpr size_t kFields = 11;
+  constexpr size_t kFields = 15;
   if (!from.is_array() || from.size() != kFields || !from[0].is_string()) return std::nullopt;
   for (size_t i = 1; i < kFields; ++i) {
     if (!from[i].is_number_integer()) return std::nullopt;
   }
   shard_report report;
-  report.shard = failure_domain + "/" + from[0].get<std::string>();
+  report.shard = from[0].get<std::string>();
+  if (report.shard.find('/') == std::string::npos) {
+    report.shard = failure_domain + "/" + report.shard;
+  }
   report.epoch = from[1];
   report.endpoints = from[2];
   report.summary.largest_capacity = {from[3], from[4], from[5], from[6]};
@@ -109,12 +116,13 @@
   report.summary.queued_tasks = from[8];
   report.summary.running_tasks = from[9];
   report.summary.queue_delay = milliseconds(from[10].get<int64_t>());
+  report.summary.free = {from[11], from[12], from[13], from[14]};
   return report;
 }
 
-json Encode(const entry_word& word) {
+json Encode(const entry_word& word, const std::string& failure_domain) {
   json shards = json::array();
-  for (const shard_report& report : word.shards) shards.push_back(Encode(report));
+  for (const shard_report& report : word.shards) shards.push_back(Encode(report, failure_domain));
   const int64_t age = std::max<int64_t>(word.age.count(), 0);
   json item = json::array({word.name, word.incarnation, word.beat, age, word.config_version,
                            word.leaving ? 1 : 0, std::move(shards)});
@@ -269,7 +277,7 @@
 
 json EncodeBody(const heartbeat_message& beat) {
   json words = json::array();
-  for (const entry_word& word : beat.words) words.push_back(Encode(word));
+  for (const entry_word& word : beat.words) words.push_back(Encode(word, beat.failure_domain));
   json body = {{"type", "beat"}, {"domain", beat.failure_domain}, {"words", std::move(words)}};
   if (beat.wants_reply) body["reply"] = true;
   return body;
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -186,11 +186,11 @@
     shutting_down_ = true;
     shutdown_deadline_ = now + config_.timing.shutdown_limit;
     log_.Emit(event_code::kShutdownBegun, now, {}, 0, config_.name);
-    Announce(now);
     for (auto& [domain, open] : evacuations_) {
       open.work.Stop("this entry is leaving");
       LoseEvacuated(open, now);
     }
+    Announce(now);
     ownership_actions actions;
     ownership_.Release(now, actions);
     TakeOwnership(actions, now);
@@ -238,6 +238,7 @@
     TickMembers(now);
     TickStatus(now);
     TickEvacuations(now);
+    FollowOwners(now);
   }
   OpenShards(now);
   for (auto& [number, held] : shards_) {
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -221,6 +221,7 @@
   // node_services.cc: services that are spread over failure domains.
   void TakePlace(const std::string& from, shard& to, place_message place, monotonic_time now);
   void RetryEarlyServices(monotonic_time now);
+  void FollowOwners(monotonic_time now);
   void PlacePart(uint32_t number, shard& from, const part_call& call, monotonic_time now);
 
   // node_evacuate.cc: shards of lost failure domains.
@@ -314,6 +315,7 @@
   resources cell_capacity_;
   std::vector<message_body> local_;  // messages to ourselves
   std::vector<early_service> early_services_;
+  std::map<std::string, uint64_t> followed_epochs_;  // of shards, that homes here have heard of
   absl::flat_hash_map<uint64_t, open_status> statuses_;
   absl::flat_hash_map<request_id, std::vector<open_cancel>> cancels_;
   std::map<uint64_t, open_change> changes_;
--- a/src/process/node_services.cc
+++ b/src/process/node_services.cc
@@ -39,6 +39,18 @@
   }
 }
 
+// Whichever way the word of a new owner came. Homes place their parts there again: the new owner
+// may have given them up, because its domain was evacuated.
+void node::FollowOwners(monotonic_time now) {
+  for (const auto& [name, route] : routes_.Routes()) {
+    if (!routes_.OwnerOf(name, now)) continue;
+    uint64_t& followed = followed_epochs_[name];
+    if (route.epoch <= followed) continue;
+    followed = route.epoch;
+    for (auto& [number, held] : shards_) held->OnNewOwner(name, now);
+  }
+}
+
 // Ownership is asked here too: an owner that was paused for long must not place a part by a plan
 // that its successor has changed since.
 void node::PlacePart(uint32_t number, shard& from, const part_call& call, monotonic_time now) {
--- a/src/process/node_shards.cc
+++ b/src/process/node_shards.cc
@@ -103,7 +103,6 @@
   shards_[number] = std::move(gained);
   Announce(now);
   table_.OnNewOwner(options.name, now);
-  for (auto& [other, held] : shards_) held->OnNewOwner(options.name, now);
   metrics_.takeovers.Increment();
   log_.Emit(event_code::kShardClaimed, now, {}, epoch, options.name);
 }
--- a/test/service_parts_test.cc
+++ b/test/service_parts_test.cc
@@ -338,6 +338,33 @@
   CHECK(answers[2].ended->kind == outcome_kind::kUnknown);
 }
 
+// Homes split by the free room in heartbeats, and find the parts of an evacuated domain by the word
+// of an entry of another one. Left out of the message, all replicas would stand in one domain, and
+// those of the evacuated one nowhere.
+TEST_CASE("heartbeat, report of free room and of a shard elsewhere, arrives whole", "[parts]") {
+  entry_word word;
+  word.name = "otaru-0";
+  word.incarnation = 1;
+  word.beat = 1;
+  shard_report own;
+  own.shard = "otaru/0";
+  own.epoch = 4;
+  own.summary.free = {1000, 2000, 1, 3};
+  shard_report evacuated;
+  evacuated.shard = "asahikawa/0";
+  evacuated.epoch = 9;
+  word.shards = {own, evacuated};
+  const auto read =
+      DecodeBatch(EncodeBatch("otaru-0", {heartbeat_message{"otaru", false, {word}}}));
+  REQUIRE(read.size() == 1);
+  const auto& beat = std::get<heartbeat_message>(read.front().body);
+  REQUIRE(beat.words.size() == 1);
+  REQUIRE(beat.words.front().shards.size() == 2);
+  CHECK(beat.words.front().shards[0].shard == "otaru/0");
+  CHECK(beat.words.front().shards[0].summary.free == own.summary.free);
+  CHECK(beat.words.front().shards[1].shard == "asahikawa/0");
+}
+
 TEST_CASE("job status, parts in several shards, is whole with all of them", "[parts]") {
   job_status status;
   status.Ask({"otaru/0", "sapporo-ch/0", "asahikawa/0"});
