--- a/src/process/message.cc
+++ b/src/process/message.cc
@@ -160,6 +160,8 @@
   if (!place.home.empty()) body["home"] = place.home;
   if (place.send != 0) body["send"] = place.send;
   if (place.plan != 0) body["plan"] = place.plan;
+
+  if (place.ask != 0) body["ask"] = place.ask;
   return body;
 }
 
@@ -182,6 +184,8 @@
   place.home = Read<std::string>(from, "home");
   place.send = Read<uint64_t>(from, "send");
   place.plan = Read<uint64_t>(from, "plan");
+
+  place.ask = Read<uint64_t>(from, "ask");
   return place;
 }
 
