--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -258,8 +258,10 @@
     // libmicrohttpd waits for ever for a connection that is still suspended when it stops.
     const std::lock_guard lock(impl_->mutex);
     impl_->stopping = true;
+    // Not 503 shutting_down, which says that nothing was done: these were taken in and may be
+    // running.
     for (auto& [id, current] : impl_->waiting) {
-      current->response = {503, R"({"error":"shutting_down"})", "application/json", {}};
+      current->response = {500, R"({"error":"stopped_before_the_answer"})", "application/json", {}};
       current->answered = true;
       MHD_resume_connection(current->connection);
     }
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -87,6 +87,24 @@
   CHECK(answered == kRounds);
 }
 
+// An entry is stopped with a request under way that takes longer than it may wait. "Shutting down"
+// would be read as "not run", and the work is running.
+TEST_CASE_METHOD(http_echo_fixture, "http call, server stopped meanwhile, may have been done",
+                 "[http]") {
+  for (int round = 0; round < 20; ++round) {
+    http_server server({}, [](http_server::token, const http_request&) {});
+    REQUIRE(server.Start());
+    const std::string url = "http://127.0.0.1:" + std::to_string(server.Port()) + "/";
+    http_result result;
+    std::thread caller([&] { result = client_.SendAndWait({"POST", url, "x"}); });
+    while (server.Waiting() == 0) std::this_thread::yield();
+    server.Stop();
+    caller.join();
+    CHECK(result.code != 503);
+    CHECK(result.status != transfer_status::kNotSent);
+  }
+}
+
 TEST_CASE_METHOD(http_echo_fixture, "http call, nobody listens, was surely not sent", "[http]") {
   const std::string url = Url("/a");
   server_->Stop();
--- a/test/shard_restart_test.cc
+++ b/test/shard_restart_test.cc
@@ -48,6 +48,31 @@
 
 }  // namespace
 
+// A new owner has work at hand before it knows what runs at its endpoints. What it started there
+// now could be more than they hold, on top of what its predecessor started.
+TEST_CASE_METHOD(shard_fixture, "shard, endpoints not listed, starts nothing there", "[shard]") {
+  shard_.Place(kEntry, Place(1), now_);
+  Act();
+  const auto fences = Taken<fence_action>();
+  REQUIRE(fences.size() == 2);
+  CHECK(Taken<start_action>().empty());
+  shard_.OnFence(fences[0].endpoint, fences[0].token, Done(), now_);
+  CHECK(OneStart().endpoint == fences[0].endpoint);
+}
+
+// Something between the two ends has lost track of the kept connections. An owner that asked again
+// on one of them would take a healthy endpoint for dead and lose what runs there.
+TEST_CASE_METHOD(sent_start_fixture, "shard, sync failed, asks again on a fresh connection",
+                 "[shard]") {
+  CHECK_FALSE(sync_->fresh_connection);
+  shard_.OnSync(start_.endpoint, sync_->call.epoch, endpoint_reply{}, now_);
+  Act();
+  const std::optional<sync_action> again = SyncAt(start_.endpoint);
+  REQUIRE(again);
+  CHECK(again->fresh_connection);
+  CHECK(again->call.wait == milliseconds{0});
+}
+
 // The reply to a start is lost, and before that is known the endpoint was listed under a raised
 // token without the task. It did not run and never will: it starts at once, without another round
 // of fencing in which the endpoint gets no work.
