--- a/src/process/node.h
+++ b/src/process/node.h
@@ -12,6 +12,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -25,12 +27,15 @@
 #include "connection/instance_adapter.h"
 #include "connection/store_adapter.h"
 #include "process/config_keeper.h"
+#include "process/evacuation.h"
 #include "process/event_log.h"
 #include "process/gone_endpoints.h"
 #include "process/grant_keeper.h"
 #include "process/incarnation_keeper.h"
+#include "process/instance_turns.h"
 #include "process/job_keeper.h"
 #include "process/job_status.h"
+#include "process/membership.h"
 #include "process/metrics.h"
 #include "process/ownership.h"
 #include "process/peer_mailbox.h"
@@ -40,6 +45,7 @@
 #include "process/shard.h"
 #include "process/team_names.h"
 #include "process/timeline.h"
+#include "process/usage_spread.h"
 #include "request/caller_call.h"
 
 namespace catkinford {
@@ -69,19 +75,10 @@
  private:
   using core_task = std::function<void(monotonic_time)>;
 
-  // An entry that this one knows of.
-  struct peer_state {
-    std::string failure_domain;
-    std::string address;
+  // What this entry remembers of another one besides what the membership knows.
+  struct peer_notes {
     uint64_t incarnation = 0;
-    uint64_t config_version = 0;
-    bool leaving = false;
-    bool up = false;
-    bool listed = false;  // in the instance list
-    monotonic_time heard{};
-    monotonic_time next_beat{};
     monotonic_time next_config{};  // when it may be sent the configuration again
-    std::vector<team_report> teams;
   };
   // A status question that waits for answers of owners.
   struct open_status {
@@ -116,6 +113,14 @@
     http_server::token token = 0;
     monotonic_time give_up{};
   };
+  // A failure domain that an operator has given up.
+  struct open_evacuation {
+    evacuation work;
+    std::vector<open_cancel> waiting;  // operators
+    monotonic_time next_move{};
+    std::vector<uint32_t> numbers;  // of its shards here
+    bool told = false;
+  };
 
   // node.cc: the loop, ticks, peers.
   void Run();
@@ -129,20 +134,31 @@
   void Send(const std::string& entry, message_body body, monotonic_time now);
   void DeliverLocal(monotonic_time now);
   void OnHeartbeat(const std::string& from, const heartbeat_message& beat, monotonic_time now);
+  void OnWord(const member& of, monotonic_time now);
+  void OnSilent(const std::string& peer, monotonic_time now);
+  void OnSilent(const silent_message& silent, monotonic_time now);
   void SendHeartbeats(monotonic_time now);
-  heartbeat_message Heartbeat() const;
-  void CheckPeers(monotonic_time now);
-  void SetPeerUp(const std::string& name, peer_state& peer, bool up, monotonic_time now);
+  // To every other entry, at once: who owns what, that we leave. By turns they would hear of it many
+  // seconds later.
+  void Announce(monotonic_time now);
+  entry_word OwnWord();
+  void PrepareReply(monotonic_time now);
+  std::optional<heartbeat_message> Reply();
+  void FollowMembers(monotonic_time now);
+  void TickMembers(monotonic_time now);
+  void TakeChanges(monotonic_time now);
+  usage_view UsageView() const;
   void PollInstances(monotonic_time now);
   void OnInstances(const instance_reply& reply, monotonic_time now);
+  void TakeInstances(monotonic_time now);
   void UpdateGauges(monotonic_time now);
   // node_metrics.cc: what is counted, and events about it.
   void UpdateCounters(monotonic_time now);
   void CountAnswer(const answered_call& answer, monotonic_time now);
   void CheckShutdown(monotonic_time now);
-  std::vector<std::string> LiveDomainPeers() const;
   std::vector<version_member> VersionMembers() const;
-  bool DomainsConfirm() const;
+  // The latest time at which every other failure domain was known to have our version.
+  std::optional<monotonic_time> DomainsConfirmed() const;
 
   bool IsReady() const;
 
@@ -199,6 +215,17 @@
   void RetryEarlyServices(monotonic_time now);
   void PlacePart(uint32_t number, shard& from, const part_call& call, monotonic_time now);
 
+  // node_evacuate.cc: shards of lost failure domains.
+  std::string AliveIn(const std::string& domain, monotonic_time now) const;
+  void TickEvacuations(monotonic_time now);
+  void TakeEvacuated(open_evacuation& open, monotonic_time now);
+  void LoseEvacuated(open_evacuation& open, monotonic_time now);
+  void MoveEvacuated(open_evacuation& open, monotonic_time now);
+  void AnswerEvacuation(open_evacuation& open, monotonic_time now);
+  std::string EvacuationText(const open_evacuation& open, monotonic_time now) const;
+  std::string NameOf(uint32_t number) const;
+  bool MayActFor(uint32_t number) const;
+
   // node_calls.cc: callers and operators.
   void OnHttp(http_server::token token, http_request request);
   void OnCall(http_server::token token, const std::string& key, caller_call call,
@@ -264,11 +291,14 @@
   ownership ownership_;
   config_keeper versions_;
   grant_keeper grants_;
+  membership members_;
+  usage_spread usage_;
+  instance_turns turns_;
   job_keeper jobs_;
   incarnation_keeper lives_;
   std::vector<opened_log> opened_;  // of shards that wait for their parts of the limits
   std::map<uint32_t, std::unique_ptr<shard>> shards_;
-  std::map<std::string, peer_state> peers_;
+  std::map<std::string, peer_notes> notes_;
   std::set<std::string> endpoint_names_;  // of the whole fleet, as last listed
   gone_endpoints gone_;                   // drained ones that left the list
   std::vector<instance> own_endpoints_;   // of this failure domain
@@ -278,13 +308,18 @@
   absl::flat_hash_map<uint64_t, open_status> statuses_;
   absl::flat_hash_map<request_id, std::vector<open_cancel>> cancels_;
   std::map<uint64_t, open_change> changes_;
+  call_tags evacuation_tags_;
+  std::map<std::string, open_evacuation> evacuations_;
+  std::map<uint32_t, std::string> evacuated_names_;
   uint64_t next_query_ = 1;
   monotonic_time started_{};
   monotonic_time next_ownership_tick_{};
-  monotonic_time next_instance_poll_{};
+  monotonic_time next_store_members_{};
+  monotonic_time next_reply_{};
+  monotonic_time next_usage_{};
+  uint64_t beat_ = 0;
   monotonic_time next_gauges_{};
   monotonic_time shutdown_deadline_{};
-  bool has_instances_ = false;
   bool store_was_up_ = false;  // nothing is said before the first answer
   bool was_ready_ = false;
   uint64_t grant_moves_ = 0;        // that were told
@@ -293,6 +328,12 @@
   bool shutting_down_ = false;
   bool done_ = false;
   std::thread core_;
+
+  // What calls of other domains' entries are answered with; made by the core, read by the mailbox's
+  // threads.
+  std::mutex reply_mutex_;
+  heartbeat_message reply_;
+  monotonic_time reply_made_{};
 };
 
 }  // namespace catkinford
--- a/src/process/node_drains.cc
+++ b/src/process/node_drains.cc
@@ -64,7 +64,7 @@
       config_.timing.forget_drain + kForgetStep * std::distance(domains.begin(), place);
   const std::vector<std::string> gone =
       gone_.Update(versions_.Order().Config()->drained_endpoints, endpoint_names_, wait, now);
-  if (gone.empty() || !IsWatcher(config_.name, LiveDomainPeers())) return;
+  if (gone.empty() || !IsWatcher(config_.name, members_.LiveNeighbours())) return;
   const bool under_way = std::any_of(changes_.begin(), changes_.end(),
                                      [](const auto& each) { return !each.second.token; });
   if (under_way) return;
--- a/test/shard_test.cc
+++ b/test/shard_test.cc
@@ -284,4 +284,79 @@
   CHECK(SyncAt(start.endpoint)->call.cursor == 1);
 }
 
+// A batch job runs when its shard's owner dies, and its caller cancels it at the next owner before
+// that has heard of every endpoint. Told "cancelled, not run" then, the job would run on.
+TEST_CASE_METHOD(shard_fixture, "shard, restored job cancelled before the lists, is stopped first",
+                 "[shard]") {
+  restored_job job;
+  job.spec = Place(1);
+  job.spec.kind = workload_kind::kBatch;
+  job.spec.deadline_left = {};
+  shard_.Restore({job}, now_);
+  shard_.Cancel(kEntry, {{1, 1}, "sapporo-ch/0", "", 0}, now_);
+  CHECK(Taken<answer_action>().empty());
+  task_status running;
+  running.id = {{1, 1}, 0, 1};
+  running.amount = job.spec.each;
+  running.kind = workload_kind::kBatch;
+  running.team = "booking";
+  AnswerFences({running});
+  Act();
+  CHECK(Taken<answer_action>().empty());
+  REQUIRE(Taken<stop_action>().size() == 1);
+  CHECK(Taken<stop_action>().front().ids == std::vector<task_id>{running.id});
+}
+
+// A job is cancelled and its owner dies before the store has heard of it. The next owner finds the
+// job in its log and runs it, so nobody may have been told until then that it is over.
+TEST_CASE_METHOD(shard_fixture, "shard, cancelled job, is told over once that is recorded",
+                 "[shard]") {
+  AnswerFences();
+  place_message place = Place(1);
+  place.kind = workload_kind::kBatch;
+  place.deadline_left = {};
+  place.each = {16000, 100, 0, 1};
+  place.tasks = 1;
+  shard_.Place(kEntry, std::move(place), now_);
+  Act();
+  shard_.OnRecorded({1, 1}, true, now_);
+  shard_.Cancel(kEntry, {{1, 1}, "sapporo-ch/0", "", 0}, now_);
+  Act();
+  for (const answer_action& answer : Taken<answer_action>()) {
+    CHECK(answer.result.kind == outcome_kind::kAccepted);
+  }
+  shard_.OnEndRecorded({1, 1});
+  Act();
+  REQUIRE(Taken<answer_action>().size() == 1);
+  CHECK(Taken<answer_action>().front().result.reason == refusal_reason::kCancelled);
+}
+
+// The last task of a job ends, that is recorded, and the owner dies before its caller has heard.
+// The caller asks the next owner, and must get the answer, or what went wrong, and not an empty
+// one.
+TEST_CASE_METHOD(shard_fixture, "shard, job ended under an earlier owner, is told with its words",
+                 "[shard]") {
+  AnswerFences();
+  restored_job well;
+  well.spec = Place(1);
+  well.spec.kind = workload_kind::kBatch;
+  well.spec.tasks = 2;
+  restored_job badly = well;
+  badly.spec.id = {2, 2};
+  well.done = {0, 1};
+  well.answer = "balanced";
+  badly.done = {0};
+  badly.failed = {1};
+  badly.fault = "disk full";
+  shard_.Restore({well, badly}, now_);
+  for (const restored_job& job : {well, badly}) shard_.Place(kEntry, job.spec, now_);
+  Act();
+  const auto answers = Taken<answer_action>();
+  REQUIRE(answers.size() == 2);
+  CHECK(answers[0].result.kind == outcome_kind::kCompleted);
+  CHECK(answers[0].result.answer == "balanced");
+  CHECK(answers[1].result.kind == outcome_kind::kFailed);
+  CHECK(answers[1].result.detail == "disk full");
+}
+
 }  // namespace catkinford
