--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -16,6 +16,9 @@
 #include "bench/simulation.h"
 #include "bench/workload.h"
 
+ABSL_FLAG(uint32_t, scale, 1,
+          "policy: times the workers of today; without the focused parts over 1");
+
 namespace catkinford {
 namespace {
 
@@ -96,6 +99,25 @@
           {"waits", WaitsToJson(core.waits[0])}};
 }
 
+// Urgent work on a full floor, where a part of the batch tasks never writes a checkpoint.
+nlohmann::json Urgent(uint64_t seed) {
+  const workload work = UrgentWorkload(seed);
+  nlohmann::json lines = nlohmann::json::array();
+  for (const double ignoring : {0.0, 0.2, 1.0}) {
+    simulation_options options;
+    options.seed = seed;
+    options.ignoring = ignoring;
+    const simulation_result run = Simulate<decision_core>(work, options);
+    lines.push_back({{"ignoring", ignoring},
+                     {"waits", WaitsToJson(run.urgent_waits)},
+                     {"most_ms", run.urgent_waits.Percentile(1).count()},
+                     {"refused", run.refused},
+                     {"preempted", run.preempted},
+                     {"cut_short", run.cut_short}});
+  }
+  return lines;
+}
+
 // The p99 wait of the teams within their shares, without and with a team far beyond its own.
 nlohmann::json Greedy(uint64_t seed) {
   const auto others = [seed](bool greedy) {
@@ -125,8 +147,8 @@
 
 }  // namespace
 
-nlohmann::json RunMix(std::string_view mix, uint64_t seed) {
-  const workload work = MixedWorkload(mix, seed);
+nlohmann::json RunMix(std::string_view mix, uint64_t seed, uint32_t scale) {
+  const workload work = MixedWorkload(mix, seed, scale);
   return {{"core", RunOne<decision_core>(work, seed)},
           {"first_fit", RunOne<baseline_scheduler<first_fit>>(work, seed)},
           {"random_of_two", RunOne<baseline_scheduler<random_of_two>>(work, seed)}};
@@ -142,7 +164,8 @@
       {"share_error", ShareError(ShareWorkload(seed), seed)},
       {"goodput", Goodput(seed)},
       {"storm", Storm(seed)},
-      {"greedy", Greedy(seed)}};
+      {"greedy", Greedy(seed)},
+      {"urgent", Urgent(seed)}};
 }
 
 int PolicyMain(int argc, char** argv) {
@@ -151,11 +174,12 @@
   const std::string mix = asked.empty() ? "both" : asked;
   const uint64_t seed = absl::GetFlag(FLAGS_seed);
   nlohmann::json figures = {{"mix", mix}, {"seed", seed}};
-  figures["schedulers"] = RunMix(mix, seed);
-  figures["focused"] = RunFocused(seed);
+  const uint32_t scale = std::max(1U, absl::GetFlag(FLAGS_scale));
+  figures["schedulers"] = RunMix(mix, seed, scale);
+  if (scale == 1) figures["focused"] = RunFocused(seed);
   std::printf("mix %s, seed %llu\n", mix.c_str(), static_cast<unsigned long long>(seed));
   PrintMix(figures["schedulers"]);
-  std::printf("focused %s\n", figures["focused"].dump(1).c_str());
+  if (scale == 1) std::printf("focused %s\n", figures["focused"].dump(1).c_str());
   if (const std::string file = absl::GetFlag(FLAGS_json); !file.empty()) {
     std::ofstream(file) << figures.dump(2) << "\n";
   }
--- a/src/process/config_change.cc
+++ b/src/process/config_change.cc
@@ -11,6 +11,7 @@
 using nlohmann::json;
 
 constexpr int kConflictStatus = 409;
+constexpr int kUnknownStatus = 504;  // the entry had no answer of the store
 constexpr int kTriesOnConflict = 8;
 constexpr size_t kDiffContext = 2;
 
@@ -60,6 +61,11 @@
   return exit_code::kConflict;
 }
 
+exit_code CodeOf(edit_fault fault) {
+  if (fault == edit_fault::kNameTaken) return exit_code::kUsage;
+  return fault == edit_fault::kLastOperatorKey ? exit_code::kRefused : exit_code::kNotFound;
+}
+
 entry_answer Put(command_context& context, uint64_t expect, const std::string& text) {
   json body = {{"expect", expect}, {"text", text}};
   if (context.options.dry_run) body["dry_run"] = true;
@@ -105,6 +111,16 @@
 }
 
 void PrintDiff(command_context& context, const std::string& before, const std::string& after) {
+  if (context.options.json) {
+    json lines = json::array();
+    for (const diff_line& line : DiffLines(before, after, kDiffContext)) {
+      lines.push_back({{"mark", std::string(1, line.mark)}, {"text", line.text}});
+    }
+    context.out << json{{"lines", std::move(lines)}}.dump(-1, ' ', true,
+                                                          json::error_handler_t::replace)
+                << "\n";
+    return;
+  }
   for (const diff_line& line : DiffLines(before, after, kDiffContext)) {
     context.out << line.mark << line.text << "\n";
   }
@@ -143,8 +159,7 @@
     const edit_fault fault = edit(next);
     if (fault != edit_fault::kNone) {
       context.err << "catkinford: " << ToText(fault) << "\n";
-      return static_cast<int>(fault == edit_fault::kNameTaken ? exit_code::kUsage
-                                                              : exit_code::kNotFound);
+      return static_cast<int>(CodeOf(fault));
     }
     const std::string wanted = ToText(next);
     // The merged whole can be wrong where each part is right, as shares over the whole.
@@ -153,7 +168,9 @@
     if (context.options.dry_run && !context.options.json) PrintDiff(context, base.text, wanted);
     const entry_answer answer = Put(context, context.options.expect.value_or(base.version), wanted);
     if (answer.IsGood()) return static_cast<int>(ShowChange(context, answer));
-    if (answer.result.status == transfer_status::kMaybeSent) return ReadBack(context, wanted);
+    const bool may_be_made =
+        answer.result.status == transfer_status::kMaybeSent || answer.result.code == kUnknownStatus;
+    if (may_be_made) return ReadBack(context, wanted);
     if (answer.result.status != transfer_status::kDone || answer.result.code != kConflictStatus) {
       return static_cast<int>(Explain(context, answer));
     }
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -104,7 +104,7 @@
       endpoints_(endpoint_http_, config_.timing.call_timeout),
       instances_(platform_http_, config_.platform.instances_url, config_.timing.call_timeout),
       mailbox_(
-          config_.name, config_.listen.peer_port, kPeerCallTimeout,
+          config_.name, config_.listen.peer_port, kPeerCallTimeout, peer_auth_,
           [this](std::vector<peer_message> messages) { OnMessages(std::move(messages)); },
           [this](const std::string& peer, transfer_status status, std::vector<message_body> lost) {
             OnSendFailed(peer, status, std::move(lost));
@@ -121,7 +121,7 @@
           store_, config_.isolation.key_grace,
           history_bounds{config_.bounds.history_versions, config_.bounds.history_bytes},
           [this](core_task task) { Post(std::move(task)); },
-          [this](monotonic_time now) { OnVersion(now); }),
+          [this](version_origin origin, monotonic_time now) { OnVersion(origin, now); }),
       grants_(store_, [this](core_task task) { Post(std::move(task)); }),
       members_(MembershipOptions(config_, incarnation_)),
       usage_(UsageOptions(config_, incarnation_)),
@@ -158,8 +158,19 @@
   return fault;
 }
 
+secret_fault node::ReloadPeerSecrets() {
+  const std::string& file = config_.listen.peer_secret_file;
+  if (file.empty()) return secret_fault::kNone;
+  const secret_fault fault = peer_auth_.SetFromFile(file);
+  const bool good = fault == secret_fault::kNone;
+  log_.Emit(good ? event_code::kPeerSecretsTaken : event_code::kPeerSecretsRefused,
+            steady_clock::now(), {}, 0, file, good ? "" : std::string(ToText(fault)));
+  return fault;
+}
+
 start_fault node::Start() {
   if (ReloadCertificate() != tls_fault::kNone) return start_fault::kCertificate;
+  if (ReloadPeerSecrets() != secret_fault::kNone) return start_fault::kPeerSecrets;
   endpoint_http_.Start();
   platform_http_.Start();
   if (!mailbox_.Start()) return start_fault::kPeerPort;
@@ -322,11 +333,11 @@
   } else if (const auto* beat = std::get_if<heartbeat_message>(&body)) {
     OnHeartbeat(from, *beat, now);
   } else if (const auto* config = std::get_if<config_message>(&body)) {
-    version_from_peer_ = true;
-    versions_.Offer(config->version, config->text, now);
-    version_from_peer_ = false;
-    // Whoever sends a version waits to hear that it is in force here.
-    Send(from, heartbeat_message{config_.failure_domain, false, {OwnWord()}}, now);
+    versions_.Offer(config->version, config->text, version_origin::kPeer, now);
+    SayVersion(from, now);
+  } else if (const auto* message = std::get_if<config_step_message>(&body)) {
+    OnStep(message->step, now);
+    SayVersion(from, now);
   } else if (const auto* ask = std::get_if<ask_owner_message>(&body)) {
     const owner_answer holds = ownership_.OnAsked(ask->shard, now);
     Send(from, owner_alive_message{ask->shard, holds.holds}, now);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -50,10 +50,7 @@
 
 namespace catkinford {
 
-// How long a peer may still be on an older version before it is sent the new one again.
-constexpr std::chrono::milliseconds kConfigResend{500};
-
-enum class start_fault : uint8_t { kNone, kCallerPort, kPeerPort, kCertificate };
+enum class start_fault : uint8_t { kNone, kCallerPort, kPeerPort, kCertificate, kPeerSecrets };
 
 class node {
  public:
@@ -66,6 +63,8 @@
   // Reads the certificate's files again; new connections of callers get it, open ones go on. On a
   // fault the old one stays in use.
   tls_fault ReloadCertificate();
+  // The same for the secrets that calls between entries are signed with.
+  secret_fault ReloadPeerSecrets();
   // Graceful: not ready, refuses new work, hands its shards over, finishes what is in flight.
   void BeginShutdown();
   // Until the shutdown is done.
@@ -78,6 +77,8 @@
   // What this entry remembers of another one besides what the membership knows.
   struct peer_notes {
     uint64_t incarnation = 0;
+    uint64_t config_sent = 0;      // the last version that it was sent
+    monotonic_time lags_since{};   // has an older configuration than we
     monotonic_time next_config{};  // when it may be sent the configuration again
   };
   // A status question that waits for answers of owners.
@@ -138,8 +139,8 @@
   void OnSilent(const std::string& peer, monotonic_time now);
   void OnSilent(const silent_message& silent, monotonic_time now);
   void SendHeartbeats(monotonic_time now);
-  // To every other entry, at once: who owns what, that we leave. By turns they would hear of it many
-  // seconds later.
+  // To every other entry, at once: who owns what, that we leave. By turns they would hear of it
+  // many seconds later.
   void Announce(monotonic_time now);
   entry_word OwnWord();
   void PrepareReply(monotonic_time now);
@@ -163,7 +164,14 @@
   bool IsReady() const;
 
   // node_config.cc: versions and their spread.
-  void OnVersion(monotonic_time now);
+  void OnVersion(version_origin origin, monotonic_time now);
+  void OnStep(const version_step& step, monotonic_time now);
+  // Sends a peer that has `known` what is in force here.
+  void SendVersion(const member& to, uint64_t known, monotonic_time now);
+  void HelpLagging(const member& other, monotonic_time now);
+  std::chrono::milliseconds HelpDelay(const member& other) const;
+  // Whoever sends a version waits to hear that it is in force here.
+  void SayVersion(const std::string& to, monotonic_time now);
   void CheckChanges(monotonic_time now);
   void OnChanged(uint64_t change, const change_result& result, monotonic_time now);
   void Respond(const open_change& open, http_response response);
@@ -281,6 +289,7 @@
   store_adapter store_;
   endpoint_adapter endpoints_;
   instance_adapter instances_;
+  peer_auth peer_auth_;
   peer_mailbox mailbox_;
   http_server front_;
 
@@ -322,9 +331,9 @@
   monotonic_time shutdown_deadline_{};
   bool store_was_up_ = false;  // nothing is said before the first answer
   bool was_ready_ = false;
-  uint64_t grant_moves_ = 0;        // that were told
-  uint64_t refused_version_ = 0;    // that was told
-  bool version_from_peer_ = false;  // while a peer's version is taken in
+  uint64_t grant_moves_ = 0;      // that were told
+  uint64_t refused_batches_ = 0;  // that was told
+  uint64_t refused_version_ = 0;  // that was told
   bool shutting_down_ = false;
   bool done_ = false;
   std::thread core_;
--- a/src/process/peer_mailbox.h
+++ b/src/process/peer_mailbox.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "connection/http_client.h"
+#include "connection/peer_auth.h"
 #include "connection/peer_rpc.h"
 #include "process/message.h"
 #include "request/job_request.h"
@@ -44,7 +45,7 @@
   using reply_maker = std::function<std::optional<heartbeat_message>()>;
 
   peer_mailbox(std::string own_name, int port, std::chrono::milliseconds call_timeout,
-               on_messages received, on_failure failed, reply_maker reply);
+               peer_auth& auth, on_messages received, on_failure failed, reply_maker reply);
   ~peer_mailbox();
   peer_mailbox(const peer_mailbox&) = delete;
   peer_mailbox& operator=(const peer_mailbox&) = delete;
@@ -100,6 +101,7 @@
 
   std::string own_name_;
   std::chrono::milliseconds call_timeout_;
+  peer_auth& auth_;
   on_messages received_;
   on_failure failed_;
   reply_maker reply_;
