--- a/bench/scenario_faults.cc
+++ b/bench/scenario_faults.cc
@@ -27,7 +27,7 @@
 constexpr int kWave = 1000;
 constexpr int kAsks = 200;
 constexpr int kAskRounds = 3;
-constexpr int kLongJobs = 100;
+constexpr int kLongTasks = 100;
 constexpr int kSlowRequests = 30;
 constexpr milliseconds kUnderWay{700};
 constexpr milliseconds kSilence{8000};  // an owner takes 6 s to be sure of it
@@ -250,7 +250,7 @@
   call_spec batch;
   batch.kind = workload_kind::kBatch;
   batch.run_time = milliseconds{9000};
-  SubmitLong(run, kLongJobs, batch);
+  SubmitLong(run, kLongTasks, batch);
   const std::vector<std::string> busiest = BusiestEndpoints(run, PickDomain(run));
   const std::vector<std::string> endpoints = {busiest[1], busiest[2], busiest[0]};
   run.Fleet().SetEndpointMode(endpoints[0], "dead");
--- a/src/process/shard.cc
+++ b/src/process/shard.cc
@@ -71,6 +71,8 @@
 void shard::Place(const std::string& entry, place_message place, monotonic_time now) {
   const request_id id = place.id;
   const uint64_t send = place.send;
+  // A part that its home sends again has its own count of sendings.
+  if (!place.home.empty()) place.ask = 0;
   if (const std::optional<outcome> refused = refusals_.Find(id, place.ask)) {
     actions_.push_back(answer_action{entry, *refused});
     return;
--- a/src/process/shard.h
+++ b/src/process/shard.h
@@ -327,9 +327,8 @@
   identity_memory identities_;     // of work that a caller waits for, beyond its job_state
   part_keeper parts_;              // of the jobs whose home this is
   std::set<std::pair<monotonic_time, request_id>> untold_;  // when each is told accepted at last
-  evacuation_counts evacuated_;
-
   refusal_memory refusals_;
+  evacuation_counts evacuated_;
   std::vector<held_place> held_;
   std::vector<request_id> restored_;  // not resumed yet: some endpoint is not listed
   std::set<std::pair<monotonic_time, request_id>> deadlines_;  // of work that runs for a caller
