Carry errors of settings and callers' bodies by Boost.LEAF

Cause: the users' house style asks for Boost.LEAF; it was installed and nowhere used, results were variants that each caller took apart by hand. Change: ParseSettings, LoadSettings and ReadCall give leaf::result, with settings_error and call_error handled by type at the edge: the daemon's main, check-config, the HTTP thread. request/typed_error says how, ErrorOf() serves tests. The daemon's main is split in two by the way. Ruled out: calls to other processes; a lost reply is one of their outcomes, not an error.

--- a/src/main/catkinfordd.cc
+++ b/src/main/catkinfordd.cc
@@ -5,7 +5,7 @@
 #include <csignal>
 #include <cstdio>
 #include <string>
-#include <variant>
+#include <utility>
 
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
@@ -52,26 +52,8 @@
   return kPortTaken;
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
-  absl::SetProgramUsageMessage("catkinfordd --settings FILE [--check]");
-  absl::ParseCommandLine(argc, argv);
-  if (absl::GetFlag(FLAGS_settings_table)) {
-    std::fputs(catkinford::SettingsTableText().c_str(), stdout);
-    return 0;
-  }
-  if (absl::GetFlag(FLAGS_settings).empty()) {
-    std::fputs("catkinfordd: --settings FILE is needed\n", stderr);
-    return kNoSettings;
-  }
-  auto loaded = catkinford::LoadSettings(absl::GetFlag(FLAGS_settings));
-  if (const auto* error = std::get_if<catkinford::settings_error>(&loaded)) {
-    std::fprintf(stderr, "catkinfordd: %s\n", catkinford::ToText(*error).c_str());
-    return catkinford::ExitCode(error->fault);
-  }
-  if (absl::GetFlag(FLAGS_check)) return 0;
-
+// Until it is told to stop.
+int Run(catkinford::settings config) {
   // Blocked before any thread starts, so that only the wait below gets them.
   sigset_t signals;
   sigemptyset(&signals);
@@ -82,7 +64,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   curl_global_init(CURL_GLOBAL_DEFAULT);
 
-  catkinford::node entry(std::get<catkinford::settings>(std::move(loaded)));
+  catkinford::node entry(std::move(config));
   const catkinford::start_fault fault = entry.Start();
   if (fault != catkinford::start_fault::kNone) return Explain(fault);
   WaitForSignal(signals, entry);
@@ -90,3 +72,28 @@
   entry.Wait();
   return 0;
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage("catkinfordd --settings FILE [--check]");
+  absl::ParseCommandLine(argc, argv);
+  if (absl::GetFlag(FLAGS_settings_table)) {
+    std::fputs(catkinford::SettingsTableText().c_str(), stdout);
+    return 0;
+  }
+  if (absl::GetFlag(FLAGS_settings).empty()) {
+    std::fputs("catkinfordd: --settings FILE is needed\n", stderr);
+    return kNoSettings;
+  }
+  return catkinford::leaf::try_handle_all(
+      []() -> catkinford::leaf::result<int> {
+        BOOST_LEAF_AUTO(config, catkinford::LoadSettings(absl::GetFlag(FLAGS_settings)));
+        return absl::GetFlag(FLAGS_check) ? 0 : Run(std::move(config));
+      },
+      [](const catkinford::settings_error& error) {
+        std::fprintf(stderr, "catkinfordd: %s\n", catkinford::ToText(error).c_str());
+        return catkinford::ExitCode(error.fault);
+      },
+      [] { return kNoSettings; });
+}
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -201,6 +201,7 @@
 
   // node_calls.cc: callers and operators.
   void OnHttp(http_server::token token, http_request request);
+  void PostCall(http_server::token token, std::string key, caller_call call);
   void OnCall(http_server::token token, const std::string& key, caller_call call,
               monotonic_time now);
   void Handle(http_server::token token, const std::string& key, submit_call call,
--- a/src/process/node_calls.cc
+++ b/src/process/node_calls.cc
@@ -41,21 +41,24 @@
 
 // On the HTTP thread: reads the call, so that the core never sees a malformed one.
 void node::OnHttp(http_server::token token, http_request request) {
-  auto call = ReadCall(request, {config_.bounds.batch_jobs});
-  if (const auto* error = std::get_if<call_error>(&call)) {
-    front_.Respond(token, ToResponse(*error));
-    return;
-  }
-  core_task task = [this, token, key = std::move(request.bearer),
-                    call = std::get<caller_call>(std::move(call))](monotonic_time now) mutable {
-    OnCall(token, key, std::move(call), now);
-  };
-  // The one producer that must not wait: a full ring is overload, and is said at once.
-  if (!ring_.TryPush(task)) {
-    http_response busy = ErrorResponse(503, "busy", "nothing was done");
-    busy.retry_after = std::chrono::seconds{1};
-    front_.Respond(token, std::move(busy));
-  }
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(call, ReadCall(request, {config_.bounds.batch_jobs}));
+        PostCall(token, std::move(request.bearer), std::move(call));
+        return {};
+      },
+      [&](const call_error& error) { front_.Respond(token, ToResponse(error)); },
+      [&] { front_.Respond(token, ErrorResponse(400, "bad_call")); });
+}
+
+// The one producer that must not wait: a full ring is overload, and is said at once.
+void node::PostCall(http_server::token token, std::string key, caller_call call) {
+  core_task task = [this, token, key = std::move(key), call = std::move(call)](
+                       monotonic_time now) mutable { OnCall(token, key, std::move(call), now); };
+  if (ring_.TryPush(task)) return;
+  http_response busy = ErrorResponse(503, "busy", "nothing was done");
+  busy.retry_after = std::chrono::seconds{1};
+  front_.Respond(token, std::move(busy));
 }
 
 void node::OnCall(http_server::token token, const std::string& key, caller_call call,
--- a/src/process/operator_commands.cc
+++ b/src/process/operator_commands.cc
@@ -183,30 +183,42 @@
   return static_cast<int>(exit_code::kDone);
 }
 
+namespace {
+
+int TellGoodSettings(command_context& context, const settings& read) {
+  if (context.options.json) {
+    context.out << json{{"settings", "good"}}.dump() << "\n";
+  } else {
+    context.out << "good: " << read.name << "\n";
+  }
+  return static_cast<int>(exit_code::kDone);
+}
+
+int TellSettingsError(command_context& context, const settings_error& error) {
+  if (context.options.json) {
+    const json answer = {
+        {"error", "settings"}, {"path", error.path}, {"value", error.value}, {"want", error.want}};
+    context.out << answer.dump(-1, ' ', true, json::error_handler_t::replace) << "\n";
+  }
+  context.err << "catkinford: " << ToText(error) << "\n";
+  return ExitCode(error.fault);
+}
+
+}  // namespace
+
 int RunCheckConfig(command_context& context, const command_words& words) {
   if (words[0] == "contracts") return RunContractCheck(context, {words[1]});
   if (words[0] != "settings") {
     context.err << "catkinford: give settings FILE or contracts FILE\n";
     return static_cast<int>(exit_code::kUsage);
   }
-  const std::variant<settings, settings_error> read = LoadSettings(words[1]);
-  if (const auto* error = std::get_if<settings_error>(&read)) {
-    if (context.options.json) {
-      const json answer = {{"error", "settings"},
-                           {"path", error->path},
-                           {"value", error->value},
-                           {"want", error->want}};
-      context.out << answer.dump(-1, ' ', true, json::error_handler_t::replace) << "\n";
-    }
-    context.err << "catkinford: " << ToText(*error) << "\n";
-    return ExitCode(error->fault);
-  }
-  if (context.options.json) {
-    context.out << json{{"settings", "good"}}.dump() << "\n";
-  } else {
-    context.out << "good: " << std::get<settings>(read).name << "\n";
-  }
-  return static_cast<int>(exit_code::kDone);
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(read, LoadSettings(words[1]));
+        return TellGoodSettings(context, read);
+      },
+      [&](const settings_error& error) { return TellSettingsError(context, error); },
+      [] { return static_cast<int>(exit_code::kUsage); });
 }
 
 }  // namespace catkinford
--- a/src/process/settings.cc
+++ b/src/process/settings.cc
@@ -232,31 +232,34 @@
   return out;
 }
 
-std::variant<settings, settings_error> ParseSettings(std::string_view text) {
+leaf::result<settings> ParseSettings(std::string_view text) {
   duplicate_finder duplicates;
   const json root = json::parse(text.begin(), text.end(), std::ref(duplicates), false, true);
   if (root.is_discarded() || !root.is_object()) {
-    return settings_error{settings_fault::kNotJson, "", "", "one JSON object, comments allowed"};
+    return leaf::new_error(
+        settings_error{settings_fault::kNotJson, "", "", "one JSON object, comments allowed"});
   }
   if (!duplicates.Found().empty()) {
-    return settings_error{settings_fault::kDuplicateField, duplicates.Found(), "", "one of them"};
+    return leaf::new_error(
+        settings_error{settings_fault::kDuplicateField, duplicates.Found(), "", "one of them"});
   }
   settings_reader reader;
-  if (failure error = reader.ReadObject(root, "")) return *error;
-  if (failure error = reader.CheckRequired()) return *error;
+  if (failure error = reader.ReadObject(root, "")) return leaf::new_error(*error);
+  if (failure error = reader.CheckRequired()) return leaf::new_error(*error);
   for (const auto check : {CheckDomains, CheckTls, CheckTiming}) {
-    if (failure error = check(reader.Result())) return *error;
+    if (failure error = check(reader.Result())) return leaf::new_error(*error);
   }
   return reader.Result();
 }
 
-std::variant<settings, settings_error> LoadSettings(const std::string& file) {
+leaf::result<settings> LoadSettings(const std::string& file) {
   std::ifstream in(file, std::ios::binary);
   std::ostringstream text;
   if (in) text << in.rdbuf();
   // Opening a folder succeeds; only the read fails.
   if (!in || !text) {
-    return settings_error{settings_fault::kMissingFile, "", file, "a readable file"};
+    return leaf::new_error(
+        settings_error{settings_fault::kMissingFile, "", file, "a readable file"});
   }
   return ParseSettings(text.str());
 }
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -7,9 +7,10 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
-#include <variant>
 #include <vector>
 
+#include "request/typed_error.h"
+
 namespace catkinford {
 
 struct settings {
@@ -95,9 +96,10 @@
 std::string_view ToText(settings_fault fault);
 std::string ToText(const settings_error& error);
 
-// Strict: an unknown name, a wrong unit or a value out of range is an error, and nothing starts.
-std::variant<settings, settings_error> ParseSettings(std::string_view text);
-std::variant<settings, settings_error> LoadSettings(const std::string& file);
+// Strict: an unknown name, a wrong unit or a value out of range is a settings_error, and nothing
+// starts.
+leaf::result<settings> ParseSettings(std::string_view text);
+leaf::result<settings> LoadSettings(const std::string& file);
 
 }  // namespace catkinford
 
--- a/src/request/caller_call.cc
+++ b/src/request/caller_call.cc
@@ -78,9 +78,9 @@
   return false;
 }
 
-std::variant<job_spec, call_error> ReadJob(const json& from, const std::string& prefix,
-                                           size_t longest_payload) {
-  if (!from.is_object()) return call_error{422, "bad_field", prefix, "an object"};
+leaf::result<job_spec> ReadJob(const json& from, const std::string& prefix,
+                               size_t longest_payload) {
+  if (!from.is_object()) return leaf::new_error(call_error{422, "bad_field", prefix, "an object"});
   field_reader read(from, prefix);
   for (const auto& [name, value] : from.items()) {
     if (!IsJobField(name)) read.Fail(name, "no such field");
@@ -108,36 +108,34 @@
   spec.deadline = read.Ms("deadline_ms");
   spec.run_time = read.Ms("run_time_ms");
   spec.payload = read.Text("payload", longest_payload);
-  if (read.Error()) return *read.Error();
+  if (read.Error()) return leaf::new_error(*read.Error());
   return spec;
 }
 
-std::variant<caller_call, call_error> ReadSubmit(const json& body, const call_limits& limits,
-                                                 bool is_batch) {
+leaf::result<caller_call> ReadSubmit(const json& body, const call_limits& limits, bool is_batch) {
   submit_call call;
   call.is_batch = is_batch;
   if (!is_batch) {
-    auto spec = ReadJob(body, "", std::string::npos);
-    if (auto* error = std::get_if<call_error>(&spec)) return std::move(*error);
-    call.jobs.push_back(std::get<job_spec>(std::move(spec)));
-    return call;
+    BOOST_LEAF_AUTO(spec, ReadJob(body, "", std::string::npos));
+    call.jobs.push_back(std::move(spec));
+    return caller_call(std::move(call));
   }
   const auto list = body.find("jobs");
   if (list == body.end() || !list->is_array() || list->empty()) {
-    return call_error{422, "bad_field", "jobs", "a list of jobs"};
+    return leaf::new_error(call_error{422, "bad_field", "jobs", "a list of jobs"});
   }
   if (list->size() > limits.batch_jobs) {
-    return call_error{422, "too_many", "jobs", absl::StrCat("at most ", limits.batch_jobs)};
+    return leaf::new_error(
+        call_error{422, "too_many", "jobs", absl::StrCat("at most ", limits.batch_jobs)});
   }
   for (size_t i = 0; i < list->size(); ++i) {
-    auto spec = ReadJob((*list)[i], absl::StrCat("jobs[", i, "]."), std::string::npos);
-    if (auto* error = std::get_if<call_error>(&spec)) return std::move(*error);
-    call.jobs.push_back(std::get<job_spec>(std::move(spec)));
+    BOOST_LEAF_AUTO(spec, ReadJob((*list)[i], absl::StrCat("jobs[", i, "]."), std::string::npos));
+    call.jobs.push_back(std::move(spec));
   }
-  return call;
+  return caller_call(std::move(call));
 }
 
-std::variant<caller_call, call_error> ReadPutConfig(const json& body) {
+leaf::result<caller_call> ReadPutConfig(const json& body) {
   field_reader read(body, "");
   put_config_call call;
   if (!body.contains("expect")) read.Fail("expect", "the version that was read, 0 for none");
@@ -145,8 +143,8 @@
   call.expect = read.Number("expect", 0, 0, UINT64_MAX);
   call.text = read.Text("text", std::string::npos);
   call.dry_run = read.Bool("dry_run", false);
-  if (read.Error()) return *read.Error();
-  return call;
+  if (read.Error()) return leaf::new_error(*read.Error());
+  return caller_call(std::move(call));
 }
 
 // The part of `path` between `prefix` and `suffix`, empty when it is not so built.
@@ -163,47 +161,48 @@
   return absl::SimpleAtoi(request.Query(name), &value) ? value : 0;
 }
 
-std::variant<caller_call, call_error> ReadGet(const http_request& request) {
+leaf::result<caller_call> ReadGet(const http_request& request) {
   const std::string& path = request.path;
-  if (path == "/healthz") return health_call{};
-  if (path == "/readyz") return ready_call{};
-  if (path == "/metrics") return metrics_call{};
+  if (path == "/healthz") return caller_call(health_call{});
+  if (path == "/readyz") return caller_call(ready_call{});
+  if (path == "/metrics") return caller_call(metrics_call{});
   if (path == "/v1/config") {
-    if (request.Query("version").empty()) return get_config_call{};
+    if (request.Query("version").empty()) return caller_call(get_config_call{});
     const uint64_t version = QueryNumber(request, "version");
-    if (version == 0) return call_error{422, "bad_field", "version", "a whole number from 1"};
-    return get_config_call{version};
+    if (version == 0)
+      return leaf::new_error(call_error{422, "bad_field", "version", "a whole number from 1"});
+    return caller_call(get_config_call{version});
   }
-  if (path == "/v1/config/history") return config_history_call{};
-  if (path == "/v1/members") return members_call{};
-  if (path == "/v1/timeline") return timeline_call{QueryNumber(request, "since")};
+  if (path == "/v1/config/history") return caller_call(config_history_call{});
+  if (path == "/v1/members") return caller_call(members_call{});
+  if (path == "/v1/timeline") return caller_call(timeline_call{QueryNumber(request, "since")});
   const std::string job = Between(path, "/v1/jobs/", "");
-  if (job.empty()) return call_error{404, "unknown_path", "", path};
+  if (job.empty()) return leaf::new_error(call_error{404, "unknown_path", "", path});
   const std::optional<request_id> id = ParseRequestId(job);
-  if (!id) return call_error{422, "bad_field", "id", "32 hexadecimal digits"};
+  if (!id) return leaf::new_error(call_error{422, "bad_field", "id", "32 hexadecimal digits"});
   const auto wait = static_cast<int64_t>(std::min(QueryNumber(request, "wait_ms"), kMostMs));
-  return status_call{*id, milliseconds(wait)};
+  return caller_call(status_call{*id, milliseconds(wait)});
 }
 
-std::variant<caller_call, call_error> ReadPost(const http_request& request, const json& body,
-                                               const call_limits& limits) {
+leaf::result<caller_call> ReadPost(const http_request& request, const json& body,
+                                   const call_limits& limits) {
   const std::string& path = request.path;
   if (path == "/v1/jobs") return ReadSubmit(body, limits, false);
   if (path == "/v1/batch") return ReadSubmit(body, limits, true);
   field_reader read(body, "");
   const bool dry_run = read.Bool("dry_run", false);
-  if (read.Error()) return *read.Error();
+  if (read.Error()) return leaf::new_error(*read.Error());
   const std::string endpoint = Between(path, "/v1/endpoints/", "/drain");
-  if (!endpoint.empty()) return drain_call{endpoint, false, dry_run};
+  if (!endpoint.empty()) return caller_call(drain_call{endpoint, false, dry_run});
   const std::string undrained = Between(path, "/v1/endpoints/", "/undrain");
-  if (!undrained.empty()) return drain_call{undrained, true, dry_run};
+  if (!undrained.empty()) return caller_call(drain_call{undrained, true, dry_run});
   const std::string domain = Between(path, "/v1/domains/", "/evacuate");
-  if (!domain.empty()) return evacuate_call{domain, dry_run};
+  if (!domain.empty()) return caller_call(evacuate_call{domain, dry_run});
   const std::string job = Between(path, "/v1/jobs/", "/cancel");
-  if (job.empty()) return call_error{404, "unknown_path", "", path};
+  if (job.empty()) return leaf::new_error(call_error{404, "unknown_path", "", path});
   const std::optional<request_id> id = ParseRequestId(job);
-  if (!id) return call_error{422, "bad_field", "id", "32 hexadecimal digits"};
-  return cancel_call{*id};
+  if (!id) return leaf::new_error(call_error{422, "bad_field", "id", "32 hexadecimal digits"});
+  return caller_call(cancel_call{*id});
 }
 
 int StatusOf(const outcome& result) {
@@ -241,16 +240,17 @@
 
 }  // namespace
 
-std::variant<caller_call, call_error> ReadCall(const http_request& request,
-                                               const call_limits& limits) {
+leaf::result<caller_call> ReadCall(const http_request& request, const call_limits& limits) {
   if (request.method == "GET") return ReadGet(request);
   if (request.method != "POST" && request.method != "PUT") {
-    return call_error{405, "wrong_method", "", request.method};
+    return leaf::new_error(call_error{405, "wrong_method", "", request.method});
   }
   const json body = json::parse(request.body.empty() ? "{}" : request.body, nullptr, false);
-  if (!body.is_object()) return call_error{400, "bad_json", "", "the body must be a JSON object"};
+  if (!body.is_object())
+    return leaf::new_error(call_error{400, "bad_json", "", "the body must be a JSON object"});
   if (request.method == "POST") return ReadPost(request, body, limits);
-  if (request.path != "/v1/config") return call_error{404, "unknown_path", "", request.path};
+  if (request.path != "/v1/config")
+    return leaf::new_error(call_error{404, "unknown_path", "", request.path});
   return ReadPutConfig(body);
 }
 
--- a/src/request/caller_call.h
+++ b/src/request/caller_call.h
@@ -14,6 +14,7 @@
 #include "connection/http_server.h"
 #include "request/job_request.h"
 #include "request/outcome.h"
+#include "request/typed_error.h"
 
 namespace catkinford {
 
@@ -86,8 +87,8 @@
   size_t batch_jobs = 1000;
 };
 
-std::variant<caller_call, call_error> ReadCall(const http_request& request,
-                                               const call_limits& limits);
+// What is malformed ends in a call_error.
+leaf::result<caller_call> ReadCall(const http_request& request, const call_limits& limits);
 
 http_response ToResponse(const call_error& error);
 http_response ToResponse(const outcome& result);
--- a/test/mutation_test.cc
+++ b/test/mutation_test.cc
@@ -59,22 +59,25 @@
       R"({"name":"e1","failure_domain":"a","failure_domains":["a","b"],"listen":{"caller_port":1,)"
       R"("peer_port":2},"platform":{"store_url":"http://127.0.0.1:1","instances_url":)"
       R"("http://127.0.0.1:2"},"timing":{"heartbeat":"250ms"},"shards":{"per_domain":3}})";
-  REQUIRE(std::holds_alternative<settings>(ParseSettings(whole)));
   int taken = 0;
-  for (int i = 0; i < kRounds; ++i) {
-    auto result = ParseSettings(Damage(whole));
-    if (const auto* error = std::get_if<settings_error>(&result)) {
-      CHECK(!ToText(*error).empty());
-      continue;
-    }
+  const auto check = [&taken](const settings& read) {
     ++taken;
-    auto& read = std::get<settings>(result);
     CHECK(read.shards.per_domain >= 1);
     CHECK(read.timing.heartbeat < read.timing.member_lease);
     CHECK(HasForm(text_form::kName, read.name));
     CHECK(HasForm(text_form::kUrl, read.platform.store_url));
+  };
+  const auto read = [&check](const std::string& text) -> leaf::result<void> {
+    BOOST_LEAF_AUTO(taken_settings, ParseSettings(text));
+    check(taken_settings);
+    return {};
+  };
+  REQUIRE_FALSE(ErrorOf<settings_error>([&] { return read(whole); }));
+  for (int i = 0; i < kRounds; ++i) {
+    const auto error = ErrorOf<settings_error>([&] { return read(Damage(whole)); });
+    if (error) CHECK(!ToText(*error).empty());
   }
-  CHECK(taken > 0);
+  CHECK(taken > 1);
 }
 
 // What is taken as a contract must print and read back as the same; else two entries would hold
@@ -112,25 +115,27 @@
   const std::string job =
       R"({"kind":"batch","tasks":3,"cpu_milli":1000,"memory_mb":256,"deadline_ms":5000,"payload":"x"})";
   int taken = 0;
-  for (int i = 0; i < kRounds; ++i) {
-    const bool is_batch = i % 2 == 1;
-    request.path = is_batch ? "/v1/batch" : "/v1/jobs";
-    request.body = Damage(is_batch ? absl::StrCat(R"({"jobs":[)", job, ",", job, "]}") : job);
-    const auto result = ReadCall(request, {});
-    if (const auto* error = std::get_if<call_error>(&result)) {
-      CHECK(error->status >= 400);
-      CHECK(error->status < 500);
-      CHECK(!error->error.empty());
-      continue;
-    }
-    const auto* call = std::get_if<submit_call>(&std::get<caller_call>(result));
-    REQUIRE(call != nullptr);
+  const auto read = [&]() -> leaf::result<void> {
+    BOOST_LEAF_AUTO(call, ReadCall(request, {}));
+    const auto* submit = std::get_if<submit_call>(&call);
+    REQUIRE(submit != nullptr);
     ++taken;
-    for (const job_spec& spec : call->jobs) {
+    for (const job_spec& spec : submit->jobs) {
       CHECK(spec.tasks > 0);
       CHECK(spec.deadline.count() >= 0);
       CHECK(spec.run_time.count() >= 0);
     }
+    return {};
+  };
+  for (int i = 0; i < kRounds; ++i) {
+    const bool is_batch = i % 2 == 1;
+    request.path = is_batch ? "/v1/batch" : "/v1/jobs";
+    request.body = Damage(is_batch ? absl::StrCat(R"({"jobs":[)", job, ",", job, "]}") : job);
+    const auto error = ErrorOf<call_error>(read);
+    if (!error) continue;
+    CHECK(error->status >= 400);
+    CHECK(error->status < 500);
+    CHECK(!error->error.empty());
   }
   CHECK(taken > 0);
 }
--- a/test/pages_test.cc
+++ b/test/pages_test.cc
@@ -119,9 +119,8 @@
   const std::set<std::string> examples = Find(Page("docs/OPERATING.md"), "```jsonc\n([^`]*)```");
   REQUIRE(!examples.empty());
   for (const std::string& example : examples) {
-    const auto result = ParseSettings(example);
     INFO(example);
-    CHECK(std::holds_alternative<settings>(result));
+    CHECK_FALSE(ErrorOf<settings_error>([&] { return ParseSettings(example); }));
   }
 }
 
--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -22,14 +22,20 @@
            R"("listen": {"caller_port": 0, "peer_port": 0}})";
   }
   static settings Good(const std::string& text) {
-    const auto result = ParseSettings(text);
-    if (const auto* error = std::get_if<settings_error>(&result)) FAIL(ToText(*error));
-    return std::get<settings>(result);
+    return leaf::try_handle_all([&] { return ParseSettings(text); },
+                                [](const settings_error& error) {
+                                  FAIL(ToText(error));
+                                  return settings{};
+                                },
+                                [] {
+                                  FAIL("an error without a type");
+                                  return settings{};
+                                });
   }
   static settings_error Bad(const std::string& text) {
-    const auto result = ParseSettings(text);
-    REQUIRE(std::holds_alternative<settings_error>(result));
-    return std::get<settings_error>(result);
+    const auto error = ErrorOf<settings_error>([&] { return ParseSettings(text); });
+    REQUIRE(error);
+    return *error;
   }
   static void CheckBad(const std::string& more, settings_fault fault, const std::string& path) {
     const settings_error error = Bad(File(more));
@@ -93,9 +99,10 @@
   CHECK(Bad("[]").fault == settings_fault::kNotJson);
   CHECK(Bad("{\"name\": \"\xff\xfe\"}").fault == settings_fault::kNotJson);
   for (const std::string file : {"/nonexistent/settings.json", "/"}) {
-    const auto result = LoadSettings(file);
-    REQUIRE(std::holds_alternative<settings_error>(result));
-    CHECK(std::get<settings_error>(result).fault == settings_fault::kMissingFile);
+    const auto error = ErrorOf<settings_error>([&] { return LoadSettings(file); });
+    REQUIRE(error);
+    CHECK(error->fault == settings_fault::kMissingFile);
+    CHECK(error->value == file);
   }
 }
 
