--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -142,6 +142,9 @@
     const std::string header = absl::StrCat("Authorization: Bearer ", call.bearer);
     next->headers = curl_slist_append(next->headers, header.c_str());
   }
+  for (const auto& [name, value] : call.headers) {
+    next->headers = curl_slist_append(next->headers, absl::StrCat(name, ": ", value).c_str());
+  }
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, next->headers);
   active.emplace(easy, std::move(next));
   curl_multi_add_handle(multi, easy);
--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -36,13 +36,16 @@
   return MHD_YES;
 }
 
+std::string HeaderOf(MHD_Connection* connection, const char* name) {
+  const char* header = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
+  return header == nullptr ? std::string() : std::string(header);
+}
+
 std::string BearerOf(MHD_Connection* connection) {
-  const char* header = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Authorization");
-  if (header == nullptr) return {};
   constexpr std::string_view kScheme = "Bearer ";
-  const std::string_view text = header;
-  if (text.substr(0, kScheme.size()) != kScheme) return {};
-  return std::string(text.substr(kScheme.size()));
+  const std::string text = HeaderOf(connection, "Authorization");
+  if (!text.starts_with(kScheme)) return {};
+  return text.substr(kScheme.size());
 }
 
 size_t DeclaredLength(MHD_Connection* connection) {
@@ -60,13 +63,14 @@
     MHD_add_response_header(response, "Retry-After",
                             absl::StrCat(answer.retry_after.count()).c_str());
   }
+  if (answer.close) MHD_add_response_header(response, "Connection", "close");
   const MHD_Result queued =
       MHD_queue_response(connection, static_cast<unsigned>(answer.status), response);
   MHD_destroy_response(response);
   return queued;
 }
 
-http_response TooLarge() { return {413, R"({"error":"body_too_large"})", "application/json", {}}; }
+http_response TooLarge() { return {413, R"({"error":"body_too_large"})", "application/json", {}, false}; }
 
 }  // namespace
 
@@ -77,6 +81,13 @@
   return {};
 }
 
+std::string http_request::Header(const std::string& name) const {
+  for (const auto& [key, value] : headers) {
+    if (key == name) return value;
+  }
+  return {};
+}
+
 struct http_server::impl {
   impl(http_server_options server_options, handler handle)
       : options(std::move(server_options)), on_request(std::move(handle)) {}
@@ -137,6 +148,11 @@
   current->request.method = method;
   current->request.path = url;
   current->request.bearer = BearerOf(connection);
+  current->request.host = HeaderOf(connection, "Host");
+  for (const std::string& name : options.kept_headers) {
+    std::string value = HeaderOf(connection, name.c_str());
+    if (!value.empty()) current->request.headers.emplace_back(name, std::move(value));
+  }
   MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &CollectQuery, current);
   return MHD_YES;
 }
@@ -261,7 +277,7 @@
     // Not 503 shutting_down, which says that nothing was done: these were taken in and may be
     // running.
     for (auto& [id, current] : impl_->waiting) {
-      current->response = {500, R"({"error":"stopped_before_the_answer"})", "application/json", {}};
+      current->response = {500, R"({"error":"stopped_before_the_answer"})", "application/json", {}, false};
       current->answered = true;
       MHD_resume_connection(current->connection);
     }
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -21,10 +21,15 @@
   std::string path;    // decoded, without the query
   std::string body;    // whole
   std::string bearer;  // the key of "Authorization: Bearer KEY", empty without one
+  std::string host;    // of the Host header
+  // Of the headers that http_server_options names, those that came: name and value.
+  std::vector<std::pair<std::string, std::string>> headers;
   std::vector<std::pair<std::string, std::string>> query;
 
   // The value of a query argument, or empty.
   std::string Query(const std::string& name) const;
+  // The value of a kept header, or empty.
+  std::string Header(const std::string& name) const;
 };
 
 struct http_response {
@@ -32,6 +37,7 @@
   std::string body;
   std::string content_type = "application/json";
   std::chrono::seconds retry_after{0};  // sent as Retry-After when over zero
+  bool close = false;                   // the connection ends after this answer
 };
 
 struct http_server_options {
@@ -41,6 +47,7 @@
   size_t body_limit = size_t{1} << 20;
   std::chrono::seconds idle_timeout{30};  // a slow sender or a half-closed connection ends here
   unsigned connection_limit = 4096;
+  std::vector<std::string> kept_headers;  // names of headers that requests keep
   bool tls = false;             // needs a certificate: here, or by SetCertificate() before Start()
   std::string tls_certificate;  // PEM text
   std::string tls_key;
--- a/src/connection/store_adapter.h
+++ b/src/connection/store_adapter.h
@@ -11,31 +11,10 @@
 #include <vector>
 
 #include "connection/http_client.h"
+#include "connection/store_types.h"
 
 namespace catkinford {
 
-enum class store_status : uint8_t {
-  kDone,
-  kConflict,     // the key is at another revision
-  kAbsent,       // no such key or lease
-  kUnavailable,  // surely not done: refused, rate limited, or never sent
-  kUnknown,      // may have been done: the reply is lost. Read back and compare write_id.
-};
-
-struct store_item {
-  std::string key;
-  std::string value;
-  uint64_t revision = 0;
-};
-
-struct store_reply {
-  store_status status = store_status::kUnavailable;
-  uint64_t revision = 0;  // of the store for reads; of the key for writes
-  std::vector<store_item>
-      items;          // for Get one, for Range and Watch all; for a conflict the present
-  std::string lease;  // for a new lease
-};
-
 class store_adapter {
  public:
   using callback = std::function<void(store_reply)>;  // on the client's thread
--- /dev/null
+++ b/src/main/catkinford-site.cc
@@ -0,0 +1,107 @@
+// The entry daemon of a site on the users' platform: reads its settings, runs one node until it is
+// told to stop.
+#include <curl/curl.h>
+#include <easylogging++.h>
+
+#include <csignal>
+#include <cstdio>
+#include <string>
+#include <utility>
+
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/flags/usage.h"
+#include "platform/adapter.h"
+#include "process/site/site_node.h"
+#include "process/site/site_settings.h"
+
+// clang-format off: it takes the macro for a keyword. The library's one instance in this program.
+INITIALIZE_EASYLOGGINGPP
+// clang-format on
+
+ABSL_FLAG(std::string, settings, "", "settings file, JSON with comments");
+ABSL_FLAG(bool, check, false, "only check the settings: 0 when they are good");
+
+namespace {
+
+constexpr int kNoSettings = 2;
+constexpr int kPortTaken = 3;
+
+// Connections to one address: the store has three watches open besides its other calls; an instance
+// has a listing that waits and orders.
+constexpr size_t kStoreConnections = 16;
+constexpr size_t kInstanceConnections = 3;
+constexpr size_t kPeerConnections = 8;
+
+const char* Explain(catkinford::site_start_fault fault) {
+  switch (fault) {
+    case catkinford::site_start_fault::kCallerAddress:
+      return "catkinford-site: listen.callers cannot be had\n";
+    case catkinford::site_start_fault::kReadyAddress:
+      return "catkinford-site: listen.ready cannot be had\n";
+    case catkinford::site_start_fault::kPeerAddress:
+      return "catkinford-site: the address for other entries cannot be had\n";
+    case catkinford::site_start_fault::kNone:
+      break;
+  }
+  return "";
+}
+
+int Run(catkinford::site_settings settings) {
+  // Blocked before any thread starts, so that only the wait below gets them.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+
+  catkinford::http_client store_http(kStoreConnections);
+  catkinford::http_client order_http(kInstanceConnections);
+  catkinford::http_client peer_http(kPeerConnections);
+  store_http.Start();
+  order_http.Start();
+  peer_http.Start();
+  catkinford::platform::adapter platform(store_http, order_http, settings);
+  catkinford::site_node<catkinford::platform::adapter> node(std::move(settings), platform,
+                                                            peer_http);
+  const catkinford::site_start_fault fault = node.Start();
+  if (fault != catkinford::site_start_fault::kNone) {
+    std::fputs(Explain(fault), stderr);
+    return kPortTaken;
+  }
+  int signal = SIGHUP;
+  while (signal == SIGHUP) {
+    sigwait(&signals, &signal);
+    if (signal == SIGHUP) node.Reload();
+  }
+  node.Shutdown();
+  // Calls under way end with the process: their answers would find a node that is gone.
+  peer_http.Stop();
+  order_http.Stop();
+  store_http.Stop();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage("catkinford-site --settings FILE [--check]");
+  absl::ParseCommandLine(argc, argv);
+  if (absl::GetFlag(FLAGS_settings).empty()) {
+    std::fputs("catkinford-site: --settings FILE is needed\n", stderr);
+    return kNoSettings;
+  }
+  return catkinford::leaf::try_handle_all(
+      []() -> catkinford::leaf::result<int> {
+        BOOST_LEAF_AUTO(settings, catkinford::LoadSiteSettings(absl::GetFlag(FLAGS_settings)));
+        return absl::GetFlag(FLAGS_check) ? 0 : Run(std::move(settings));
+      },
+      [](const catkinford::settings_error& error) {
+        std::fprintf(stderr, "catkinford-site: %s\n", catkinford::ToText(error).c_str());
+        return catkinford::ExitCode(error.fault);
+      },
+      [] { return kNoSettings; });
+}
--- /dev/null
+++ b/src/process/scheduling/fleet_state.cc
@@ -0,0 +1,62 @@
+#include "process/scheduling/fleet_state.h"
+
+namespace catkinford {
+namespace {
+
+uint32_t Left(uint32_t capacity, uint32_t used) { return used >= capacity ? 0 : capacity - used; }
+
+}  // namespace
+
+std::string_view ToText(stop_cause cause) {
+  switch (cause) {
+    case stop_cause::kNone:
+      return "none";
+    case stop_cause::kCancelled:
+      return "cancelled";
+    case stop_cause::kPreempted:
+      return "preempted";
+    case stop_cause::kUnknownStart:
+      return "unknown_start";
+    case stop_cause::kGangBroken:
+      return "gang_broken";
+    case stop_cause::kStray:
+      return "stray";
+    case stop_cause::kStalled:
+      return "stalled";
+    case stop_cause::kEvacuated:
+      return "evacuated";
+    case stop_cause::kJobFailed:
+      return "job_failed";
+    case stop_cause::kCopyLost:
+      return "copy_lost";
+  }
+  return "none";
+}
+
+resources fleet_instance::Free() const {
+  resources out;
+  out.cpu_milli = Left(report.capacity.cpu_milli, used.cpu_milli);
+  out.memory_mb = Left(report.capacity.memory_mb, used.memory_mb);
+  out.accelerators = Left(report.capacity.accelerators, used.accelerators);
+  return out;
+}
+
+bool fleet_instance::Fits(const resources& room) const {
+  const resources free = Free();
+  return room.cpu_milli <= free.cpu_milli && room.memory_mb <= free.memory_mb &&
+         room.accelerators <= free.accelerators;
+}
+
+int64_t fleet_instance::ClockAt(monotonic_time now) const {
+  const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(now - clock_at);
+  return clock_ms + passed.count();
+}
+
+bool fleet_instance::LeaseSurelyOver(monotonic_time now) const {
+  if (lease_until_ms == 0) return !lease_unknown;
+  const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(now - clock_at);
+  const double slow = static_cast<double>(passed.count()) * kSlowestClock;
+  return static_cast<double>(clock_ms) + slow > static_cast<double>(lease_until_ms);
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/scheduling/fleet_state.h
@@ -0,0 +1,128 @@
+// The instances as the owner sees them: room, lease, what runs there, what is unknown.
+#ifndef CATKINFORD_PROCESS_SCHEDULING_FLEET_STATE_H_
+#define CATKINFORD_PROCESS_SCHEDULING_FLEET_STATE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "process/scheduling/graph_state.h"
+#include "request/job_request.h"
+
+namespace catkinford {
+
+// What an instance says of itself in the registry.
+struct instance_report {
+  std::string id;
+  std::string service;
+  std::string address;  // "ip:port"
+  std::string failure_domain;
+  std::string rack;
+  std::vector<std::string> labels;
+  resources capacity;
+  bool draining = false;
+  std::chrono::milliseconds remaining{0};  // while draining: at least this long
+  int64_t incarnation = 0;                 // its start; another one knows nothing of before
+};
+
+enum class run_phase : uint8_t {
+  kSent,     // the start is on its way
+  kUnknown,  // no answer came: it may run, or begin to seconds from now
+  kRunning,  // confirmed by an answer or a listing
+  kStopping  // a stop is on its way or accepted
+};
+
+enum class stop_cause : uint8_t {
+  kNone,
+  kCancelled,
+  kPreempted,
+  kUnknownStart,  // its start got no answer: proved dead before it starts elsewhere
+  kGangBroken,
+  kStray,      // nobody here asked for it, or another run of the task holds
+  kStalled,    // makes no progress
+  kEvacuated,  // its instance leaves
+  kJobFailed,
+  kCopyLost,  // the other copy ended first
+};
+std::string_view ToText(stop_cause cause);
+
+// One run of one task on one instance; holds its room until it is proved gone.
+struct graph_run {
+  task_key key;
+  job_entry* job = nullptr;  // null: a stray
+  uint32_t number = 0;
+  fleet_instance* instance = nullptr;
+  resources room;  // without processors for a task that fills
+  bool fills = false;
+  bool serves = false;  // has a tail target
+  run_phase phase = run_phase::kSent;
+  stop_cause stopping = stop_cause::kNone;
+  bool stop_confirmed = false;  // the instance answered the stop
+  bool stop_in_flight = false;
+  monotonic_time started{};        // when the start was sent
+  monotonic_time confirmed{};      // when it was known to run
+  monotonic_time stop_asked{};     // the first stop
+  monotonic_time stop_answered{};  // the answer to it
+  monotonic_time next_stop{};
+  monotonic_time progressed{};  // when `percent` last grew
+  uint32_t percent = 0;
+  uint32_t load = 0;      // tail in ms of a serving task, processors in use of any other
+  uint32_t pace = 100;    // percent of its speed that it is allowed
+  bool pace_in_flight = false;
+  monotonic_time next_pace{};
+};
+
+// An end that was seen and must be stored before the instance may forget it.
+struct seen_end {
+  uint64_t number = 0;
+  std::string job;
+  uint64_t change = 0;  // of the job, which must be stored first
+};
+
+struct fleet_instance {
+  instance_report report;
+  bool present = true;       // in the registry
+  monotonic_time absent_since{};
+  bool listed = false;       // fenced by this owner, and its runs are known
+  bool lease_unknown = false;  // an earlier owner may have extended its lease
+  resources used;
+  std::vector<std::unique_ptr<graph_run>> runs;
+
+  // The instance's own clock, in milliseconds, as of `clock_at`.
+  int64_t clock_ms = 0;
+  monotonic_time clock_at{};
+  int64_t lease_until_ms = 0;  // the latest deadline that was sent, on its clock
+
+  uint64_t ends_seen = 0;   // highest end number that was handled
+  uint64_t ends_acked = 0;  // highest whose effect is stored
+  uint64_t acks_sent = 0;   // highest that the instance knows to be seen
+  std::deque<seen_end> unstored;
+
+  bool listing_in_flight = false;
+  monotonic_time listing_sent{};
+  monotonic_time next_listing{};
+  uint32_t silent = 0;  // listings without an answer in a row
+  monotonic_time answered{};
+
+  double speed = 1;              // learned: estimate over true run time
+  uint32_t faults = 0;           // failed runs in a row
+  monotonic_time shunned_until{};
+
+  bool Reachable() const { return silent == 0; }
+  resources Free() const;
+  bool Fits(const resources& room) const;
+  int64_t ClockAt(monotonic_time now) const;
+  // True once every lease that was ever sent has surely run out on the instance's own clock.
+  bool LeaseSurelyOver(monotonic_time now) const;
+};
+
+// An instance's clock may run this much slower than ours (the platform's bound).
+constexpr double kSlowestClock = 0.98;
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SCHEDULING_FLEET_STATE_H_
--- /dev/null
+++ b/src/process/scheduling/graph_state.cc
@@ -0,0 +1,197 @@
+#include "process/scheduling/graph_state.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace catkinford {
+namespace {
+
+using nlohmann::json;
+
+// Done tasks as ranges, [first, count, ...]: most steps are done from the front.
+json DoneRanges(const step_progress& step) {
+  json out = json::array();
+  for (size_t i = 0; i < step.tasks.size(); ++i) {
+    if (step.tasks[i].phase != slot_phase::kDone) continue;
+    const size_t first = i;
+    while (i < step.tasks.size() && step.tasks[i].phase == slot_phase::kDone) ++i;
+    out.push_back(first);
+    out.push_back(i - first);
+  }
+  return out;
+}
+
+json StepText(const step_progress& step) {
+  json out;
+  out["done"] = DoneRanges(step);
+  json failures = json::array();
+  json checkpoints = json::array();
+  for (size_t i = 0; i < step.tasks.size(); ++i) {
+    const task_state_slot& task = step.tasks[i];
+    if (task.phase == slot_phase::kDone) continue;
+    if (task.failures > 0) failures.push_back({i, task.failures});
+    if (!task.checkpoint.empty()) checkpoints.push_back({i, task.checkpoint});
+  }
+  if (!failures.empty()) out["fail"] = std::move(failures);
+  if (!checkpoints.empty()) out["ckpt"] = std::move(checkpoints);
+  if (step.gang_failures > 0) out["gang_fail"] = step.gang_failures;
+  return out;
+}
+
+void ApplyStep(step_progress& step, const json& in) {
+  const json& done = in.at("done");
+  for (size_t i = 0; i + 1 < done.size(); i += 2) {
+    const auto first = done[i].get<size_t>();
+    const auto count = done[i + 1].get<size_t>();
+    for (size_t k = first; k < first + count && k < step.tasks.size(); ++k) {
+      if (step.tasks[k].phase == slot_phase::kDone) continue;
+      step.tasks[k].phase = slot_phase::kDone;
+      --step.waiting;
+      ++step.done;
+    }
+  }
+  for (const json& row : in.value("fail", json::array())) {
+    const auto index = row.at(0).get<size_t>();
+    if (index < step.tasks.size()) step.tasks[index].failures = row.at(1).get<uint32_t>();
+  }
+  for (const json& row : in.value("ckpt", json::array())) {
+    const auto index = row.at(0).get<size_t>();
+    if (index < step.tasks.size()) step.tasks[index].checkpoint = row.at(1).get<std::string>();
+  }
+  step.gang_failures = in.value("gang_fail", uint32_t{0});
+}
+
+graph_phase PhaseFromText(const std::string& text) {
+  if (text == "completed") return graph_phase::kCompleted;
+  if (text == "failed") return graph_phase::kFailed;
+  if (text == "cancelled") return graph_phase::kCancelled;
+  if (text == "running") return graph_phase::kRunning;
+  return graph_phase::kQueued;
+}
+
+void ApplyOccurrences(job_entry& entry, const json& in, monotonic_time now) {
+  entry.done_below = in.value("below", uint32_t{0});
+  entry.finished = in.value("finished", std::vector<uint32_t>{});
+  entry.next_occurrence = entry.done_below;
+  for (const json& one : in.value("open", json::array())) {
+    const auto number = one.at("k").get<uint32_t>();
+    if (number >= entry.job.Occurrences()) continue;
+    auto state = MakeOccurrence(entry.job, number, now);
+    const json& steps = one.at("steps");
+    for (size_t i = 0; i < steps.size() && i < state->steps.size(); ++i) {
+      ApplyStep(state->steps[i], steps[i]);
+    }
+    state->started = true;
+    entry.occurrences[number] = std::move(state);
+  }
+}
+
+}  // namespace
+
+std::string_view ToText(graph_phase phase) {
+  switch (phase) {
+    case graph_phase::kQueued:
+      return "queued";
+    case graph_phase::kRunning:
+      return "running";
+    case graph_phase::kCompleted:
+      return "completed";
+    case graph_phase::kFailed:
+      return "failed";
+    case graph_phase::kCancelled:
+      return "cancelled";
+  }
+  return "queued";
+}
+
+bool IsFinal(graph_phase phase) {
+  return phase == graph_phase::kCompleted || phase == graph_phase::kFailed ||
+         phase == graph_phase::kCancelled;
+}
+
+bool occurrence_state::Done() const {
+  return std::all_of(steps.begin(), steps.end(),
+                     [](const step_progress& step) { return step.Done(); });
+}
+
+bool job_entry::AllDone() const { return done_below >= job.Occurrences(); }
+
+graph_phase job_entry::VisiblePhase() const {
+  // A final phase that is only in memory would be taken back if this process died now.
+  if (IsFinal(phase) && stored < change) return graph_phase::kRunning;
+  return phase;
+}
+
+step_progress* job_entry::Find(const task_key& key) {
+  const auto found = occurrences.find(key.occurrence);
+  if (found == occurrences.end() || key.step >= found->second->steps.size()) return nullptr;
+  step_progress& step = found->second->steps[key.step];
+  return key.index < step.tasks.size() ? &step : nullptr;
+}
+
+std::unique_ptr<occurrence_state> MakeOccurrence(const graph_job& job, uint32_t number,
+                                                 monotonic_time now) {
+  auto out = std::make_unique<occurrence_state>();
+  out->number = number;
+  out->steps.resize(job.steps.size());
+  for (size_t i = 0; i < job.steps.size(); ++i) {
+    step_progress& step = out->steps[i];
+    step.tasks.resize(job.steps[i].count);
+    step.waiting = job.steps[i].count;
+    for (task_state_slot& task : step.tasks) task.waiting_since = now;
+  }
+  return out;
+}
+
+void FinishOccurrence(job_entry& entry, uint32_t number) {
+  entry.occurrences.erase(number);
+  entry.finished.push_back(number);
+  std::sort(entry.finished.begin(), entry.finished.end());
+  size_t used = 0;
+  while (used < entry.finished.size() && entry.finished[used] == entry.done_below) {
+    ++entry.done_below;
+    ++used;
+  }
+  entry.finished.erase(entry.finished.begin(),
+                       entry.finished.begin() + static_cast<std::ptrdiff_t>(used));
+}
+
+std::string ProgressToText(const job_entry& entry) {
+  json out;
+  out["phase"] = ToText(entry.phase);
+  out["below"] = entry.done_below;
+  if (!entry.finished.empty()) out["finished"] = entry.finished;
+  if (!IsFinal(entry.phase)) {
+    json open = json::array();
+    for (const auto& [number, occurrence] : entry.occurrences) {
+      json steps = json::array();
+      for (const step_progress& step : occurrence->steps) steps.push_back(StepText(step));
+      open.push_back({{"k", number}, {"steps", std::move(steps)}});
+    }
+    out["open"] = std::move(open);
+  }
+  return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+bool ApplyProgress(job_entry& entry, std::string_view text, monotonic_time now) {
+  const json in = json::parse(text, nullptr, false);
+  if (!in.is_object()) return false;
+  job_entry fresh;
+  fresh.job = entry.job;
+  try {
+    fresh.phase = PhaseFromText(in.at("phase").get<std::string>());
+    ApplyOccurrences(fresh, in, now);
+  } catch (const json::exception&) {
+    return false;
+  }
+  entry.phase = fresh.phase;
+  entry.started = fresh.phase != graph_phase::kQueued;
+  entry.occurrences = std::move(fresh.occurrences);
+  entry.finished = std::move(fresh.finished);
+  entry.done_below = fresh.done_below;
+  entry.next_occurrence = fresh.next_occurrence;
+  return true;
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/scheduling/graph_state.h
@@ -0,0 +1,121 @@
+// What the scheduler knows of each job: its tasks, how far they are, and what of that is stored.
+#ifndef CATKINFORD_PROCESS_SCHEDULING_GRAPH_STATE_H_
+#define CATKINFORD_PROCESS_SCHEDULING_GRAPH_STATE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "request/job_request.h"
+#include "request/step_graph.h"
+
+namespace catkinford {
+
+struct fleet_instance;
+struct graph_run;
+
+// Names one task everywhere: in orders, listings and records.
+struct task_key {
+  std::string job;
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+  uint32_t index = 0;
+
+  auto operator<=>(const task_key&) const = default;
+};
+
+enum class graph_phase : uint8_t { kQueued, kRunning, kCompleted, kFailed, kCancelled };
+std::string_view ToText(graph_phase phase);
+bool IsFinal(graph_phase phase);
+
+enum class slot_phase : uint8_t { kWaiting, kActive, kDone };
+
+struct task_state_slot {
+  slot_phase phase = slot_phase::kWaiting;
+  uint32_t failures = 0;
+  uint32_t last_run = 0;        // the highest run number used, or seen in a listing
+  std::string checkpoint;       // of the latest run that told one
+  graph_run* run = nullptr;     // the run that holds the task; a copy hangs on it
+  graph_run* copy = nullptr;    // a second run of a speculative task
+  monotonic_time waiting_since{};
+};
+
+// What a policy said of the instances that may run a step. The verdict never changes; the ticket
+// ends with its time or with the instance's life.
+struct advice_ticket {
+  std::string ticket;
+  int64_t incarnation = 0;
+  monotonic_time expires{};
+};
+struct step_advice {
+  absl::flat_hash_map<std::string, advice_ticket> allowed;  // by instance
+  absl::flat_hash_map<std::string, bool> asked;             // by instance: was it allowed
+  bool in_flight = false;
+  uint32_t refused_asks = 0;  // in a row
+  monotonic_time next_ask{};
+};
+
+struct step_progress {
+  std::vector<task_state_slot> tasks;
+  uint32_t waiting = 0;
+  uint32_t active = 0;
+  uint32_t done = 0;
+  uint32_t gang_failures = 0;
+  bool ready = false;  // all steps before it are done, and its time has come
+  monotonic_time ready_at{};
+  monotonic_time gang_started{};  // of the run in progress
+  step_advice advice;
+  absl::flat_hash_map<const fleet_instance*, uint32_t> placed;  // tasks that hold room there
+
+  bool Done() const { return done == tasks.size(); }
+};
+
+struct occurrence_state {
+  uint32_t number = 0;
+  std::vector<step_progress> steps;
+  bool started = false;
+  bool Done() const;
+};
+
+struct job_entry {
+  graph_job job;
+  graph_phase phase = graph_phase::kQueued;
+  std::map<uint32_t, std::unique_ptr<occurrence_state>> occurrences;  // due and not done
+  uint32_t next_occurrence = 0;   // the first that is not due yet
+  std::vector<uint32_t> finished;  // done occurrences at or above `done_below`
+  uint32_t done_below = 0;        // all occurrences below are done
+  bool started = false;           // some task has started, ever
+  bool inherited = false;         // known before this owner: its tasks may run where it cannot see
+  uint64_t change = 0;            // counts changes of what must last
+  uint64_t stored = 0;            // the last change that the store has
+  uint64_t being_stored = 0;      // the change that is on its way there
+  monotonic_time objective{};     // when it starts to count as late
+  monotonic_time arrived{};
+  monotonic_time finished_at{};
+
+  bool AllDone() const;
+  // Phase as it may be told: a final one only once it is stored.
+  graph_phase VisiblePhase() const;
+  step_progress* Find(const task_key& key);
+};
+
+// Makes the occurrence's tasks, all waiting.
+std::unique_ptr<occurrence_state> MakeOccurrence(const graph_job& job, uint32_t number,
+                                                 monotonic_time now);
+// Notes that all of an occurrence is done and forgets its tasks.
+void FinishOccurrence(job_entry& entry, uint32_t number);
+
+// The durable progress: final phase, done tasks, failures, checkpoints.
+std::string ProgressToText(const job_entry& entry);
+// Applies a stored progress to a fresh entry. False, with the entry as it was, for bytes that are
+// no progress of this job.
+bool ApplyProgress(job_entry& entry, std::string_view text, monotonic_time now);
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SCHEDULING_GRAPH_STATE_H_
--- /dev/null
+++ b/src/process/scheduling/job_scheduler.cc
@@ -0,0 +1,256 @@
+#include "process/scheduling/job_scheduler.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// Occurrences that are due are opened this early; their tasks wait for their time in the open.
+constexpr milliseconds kOpenAhead{0};
+constexpr size_t kMaxNotes = 20000;  // between two calls of TakeNotes(); more are left out
+
+}  // namespace
+
+job_scheduler::job_scheduler(const scheduler_options& options, uint64_t epoch,
+                             monotonic_time took_over)
+    : options_(options), epoch_(epoch), took_over_(took_over) {}
+
+job_scheduler::~job_scheduler() = default;
+
+void job_scheduler::SetVersion(std::shared_ptr<const site_version> version) {
+  version_ = std::move(version);
+}
+
+void job_scheduler::Note(scheduler_note::kind what, std::string subject, std::string detail) {
+  if (notes_.size() < kMaxNotes) notes_.push_back({what, std::move(subject), std::move(detail)});
+}
+
+std::vector<scheduler_note> job_scheduler::TakeNotes() { return std::exchange(notes_, {}); }
+
+const job_terms& job_scheduler::TermsOf(const job_entry& entry) const {
+  if (version_ != nullptr) {
+    if (const queue_terms* queue = version_->QueueNamed(entry.job.queue)) return queue->jobs;
+  }
+  return entry.job.terms;
+}
+
+void job_scheduler::OnJob(graph_job job, std::string_view progress, bool inherited, wall_time wall,
+                          monotonic_time now) {
+  if (jobs_.contains(job.id)) return;
+  auto made = std::make_unique<job_entry>();
+  job_entry& entry = *made;
+  entry.job = std::move(job);
+  entry.inherited = inherited;
+  entry.arrived = now;
+  if (!progress.empty()) ApplyProgress(entry, progress, now);
+  const milliseconds allowed(
+      static_cast<int64_t>(entry.job.terms.stretch *
+                           static_cast<double>(LongestChain(entry.job.steps).count())));
+  const milliseconds age = std::max(milliseconds{0}, wall - entry.job.accepted);
+  entry.objective = now - age + allowed + entry.job.terms.target_latency;
+  const std::string id = entry.job.id;
+  jobs_[id] = std::move(made);
+  if (IsFinal(entry.phase)) {
+    entry.finished_at = now;
+    return;
+  }
+  active_.push_back(&entry);
+  Note(scheduler_note::kind::kJobAdded, id,
+       absl::StrCat("queue=", entry.job.queue, " workspace=", entry.job.workspace,
+                    " steps=", entry.job.steps.size(), " inherited=", inherited));
+  OpenOccurrences(entry, wall, now);
+}
+
+void job_scheduler::OpenOccurrences(job_entry& entry, wall_time wall, monotonic_time now) {
+  while (entry.next_occurrence < entry.job.Occurrences()) {
+    const uint32_t number = entry.next_occurrence;
+    if (entry.job.repeats > 0) {
+      const wall_time due = entry.job.first_run + entry.job.interval * number;
+      if (wall + kOpenAhead < due) return;
+    }
+    ++entry.next_occurrence;
+    const bool finished =
+        number < entry.done_below ||
+        std::find(entry.finished.begin(), entry.finished.end(), number) != entry.finished.end();
+    if (finished) continue;
+    if (!entry.occurrences.contains(number)) {
+      entry.occurrences[number] = MakeOccurrence(entry.job, number, now);
+    }
+  }
+  RefreshReady(entry, now);
+}
+
+void job_scheduler::RefreshReady(job_entry& entry, monotonic_time now) {
+  for (auto& [number, occurrence] : entry.occurrences) {
+    for (size_t i = 0; i < occurrence->steps.size(); ++i) {
+      step_progress& step = occurrence->steps[i];
+      if (step.ready) continue;
+      const auto& after = entry.job.steps[i].after;
+      const bool ready = std::all_of(after.begin(), after.end(), [&](uint32_t earlier) {
+        return occurrence->steps[earlier].Done();
+      });
+      if (!ready) continue;
+      step.ready = true;
+      step.ready_at = now;
+    }
+  }
+}
+
+void job_scheduler::Touch(job_entry& entry) {
+  if (entry.change == entry.stored || entry.change == entry.being_stored) {
+    unstored_.push_back(&entry);
+  }
+  ++entry.change;
+}
+
+void job_scheduler::AskStop(graph_run& run, stop_cause cause, monotonic_time now) {
+  if (run.stopping != stop_cause::kNone) return;
+  run.stopping = cause;
+  run.stop_asked = now;
+  run.next_stop = now;
+}
+
+void job_scheduler::StopAll(job_entry& entry, stop_cause cause, monotonic_time now) {
+  for (auto& [number, occurrence] : entry.occurrences) {
+    for (step_progress& step : occurrence->steps) {
+      for (task_state_slot& task : step.tasks) {
+        if (task.run != nullptr) AskStop(*task.run, cause, now);
+        if (task.copy != nullptr) AskStop(*task.copy, cause, now);
+      }
+    }
+  }
+}
+
+void job_scheduler::Finish(job_entry& entry, graph_phase phase, monotonic_time now) {
+  if (IsFinal(entry.phase)) return;
+  entry.phase = phase;
+  entry.finished_at = now;
+  Touch(entry);
+  active_.erase(std::remove(active_.begin(), active_.end(), &entry), active_.end());
+  if (phase != graph_phase::kCompleted) {
+    StopAll(entry,
+            phase == graph_phase::kCancelled ? stop_cause::kCancelled : stop_cause::kJobFailed,
+            now);
+  }
+  Note(scheduler_note::kind::kJobFinal, entry.job.id,
+       absl::StrCat("phase=", std::string(ToText(phase)),
+                    " ms=", duration_cast<milliseconds>(now - entry.arrived).count(), " late_ms=",
+                    duration_cast<milliseconds>(now - entry.objective).count()));
+}
+
+void job_scheduler::OnCancel(const std::string& job, monotonic_time now) {
+  const auto found = jobs_.find(job);
+  if (found == jobs_.end()) return;
+  Finish(*found->second, graph_phase::kCancelled, now);
+}
+
+std::vector<job_progress_write> job_scheduler::TakeUnstored(size_t most) {
+  std::vector<job_progress_write> out;
+  while (!unstored_.empty() && out.size() < most) {
+    job_entry& entry = *unstored_.back();
+    unstored_.pop_back();
+    entry.being_stored = entry.change;
+    out.push_back({entry.job.id, ProgressToText(entry), entry.change});
+  }
+  return out;
+}
+
+void job_scheduler::OnStored(const std::vector<job_progress_write>& writes, monotonic_time now) {
+  for (const job_progress_write& write : writes) {
+    const auto found = jobs_.find(write.job);
+    if (found == jobs_.end()) continue;
+    found->second->stored = std::max(found->second->stored, write.change);
+  }
+  for (auto& [id, instance] : instances_) {
+    const uint64_t before = instance->ends_acked;
+    AdvanceAcks(*instance);
+    if (instance->ends_acked != before && !instance->listing_in_flight) {
+      instance->next_listing = std::min(instance->next_listing, now);
+    }
+  }
+}
+
+void job_scheduler::OnNotStored(const std::vector<job_progress_write>& writes) {
+  for (const job_progress_write& write : writes) {
+    const auto found = jobs_.find(write.job);
+    if (found == jobs_.end()) continue;
+    job_entry& entry = *found->second;
+    // Still the newest change: put it back; a newer one has done so itself.
+    if (entry.change == write.change) unstored_.push_back(&entry);
+    entry.being_stored = entry.stored;
+  }
+}
+
+std::vector<std::string> job_scheduler::TakeExpired(monotonic_time now, size_t most) {
+  std::vector<std::string> out;
+  for (auto& [id, entry] : jobs_) {
+    if (out.size() >= most) break;
+    if (!IsFinal(entry->phase) || entry->stored < entry->change) continue;
+    if (now - entry->finished_at < options_.keep_final) continue;
+    const bool runs_left = std::any_of(
+        instances_.begin(), instances_.end(), [&, job = entry.get()](const auto& item) {
+          return std::any_of(item.second->runs.begin(), item.second->runs.end(),
+                             [&](const auto& run) { return run->job == job; });
+        });
+    if (!runs_left) out.push_back(id);
+  }
+  for (const std::string& id : out) jobs_.erase(id);
+  return out;
+}
+
+scheduler_orders job_scheduler::Decide(wall_time wall, monotonic_time now) {
+  scheduler_orders orders;
+  for (job_entry* entry : active_) {
+    if (entry->job.repeats > 0) OpenOccurrences(*entry, wall, now);
+  }
+  DropLapsed(now);
+  CheckRuns(orders, now);
+  Place(orders, now);
+  PlanAdvice(orders, now);
+  PlanPaces(orders, now);
+  PlanListings(orders, now);
+  return orders;
+}
+
+const job_entry* job_scheduler::Find(const std::string& job) const {
+  const auto found = jobs_.find(job);
+  return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+size_t job_scheduler::Pending(const std::string& queue) const {
+  return static_cast<size_t>(
+      std::count_if(active_.begin(), active_.end(), [&](const job_entry* entry) {
+        return entry->job.queue == queue && !entry->started;
+      }));
+}
+
+bool job_scheduler::Possible(const graph_job& job) const {
+  const auto found = largest_seen_.find(job.terms.service);
+  if (found == largest_seen_.end()) return true;
+  return std::all_of(job.steps.begin(), job.steps.end(), [&](const step_terms& step) {
+    return std::any_of(found->second.begin(), found->second.end(), [&](const resources& room) {
+      const bool cpu = step.fills || step.need.cpu_milli <= room.cpu_milli;
+      return cpu && step.need.memory_mb <= room.memory_mb &&
+             step.need.accelerators <= room.accelerators;
+    });
+  });
+}
+
+std::vector<instance_report> job_scheduler::Instances() const {
+  std::vector<instance_report> out;
+  for (const auto& [id, instance] : instances_) out.push_back(instance->report);
+  return out;
+}
+
+size_t job_scheduler::RunCount() const {
+  size_t count = 0;
+  for (const auto& [id, instance] : instances_) count += instance->runs.size();
+  return count;
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/scheduling/job_scheduler.h
@@ -0,0 +1,187 @@
+// The decisions of the process that owns the site: which task starts where and when, what is
+// stopped, and what of each job must be stored before the instances may forget it.
+//
+// Pure: no I/O, no clock, no lock. Events come in by the On...() functions, each with the present
+// time; Decide() gives out orders. One thread.
+#ifndef CATKINFORD_PROCESS_SCHEDULING_JOB_SCHEDULER_H_
+#define CATKINFORD_PROCESS_SCHEDULING_JOB_SCHEDULER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "process/scheduling/fleet_state.h"
+#include "process/scheduling/graph_state.h"
+#include "process/scheduling/scheduler_messages.h"
+#include "version/site_version.h"
+
+namespace catkinford {
+
+struct scheduler_options {
+  std::chrono::milliseconds longest_lease{6000};     // of a run, without a renewal
+  std::chrono::milliseconds stop_limit{900};         // a stop takes at most this long
+  std::chrono::milliseconds gang_limit{3000};        // members wait this long for each other
+  std::chrono::milliseconds keep_final{120000};      // how long an ended job's state is told
+  std::chrono::milliseconds early_limit{250};        // a repeat may start this much too early
+  double remote_factor = 2;                          // slower away from its data or off its rack
+};
+
+struct job_progress_write {
+  std::string job;
+  std::string text;
+  uint64_t change = 0;
+};
+
+class job_scheduler {
+ public:
+  // `epoch` of this ownership, 1 and up: run numbers of a later owner are higher. `took_over`: when
+  // this owner began.
+  job_scheduler(const scheduler_options& options, uint64_t epoch, monotonic_time took_over);
+  ~job_scheduler();
+  job_scheduler(const job_scheduler&) = delete;
+  job_scheduler& operator=(const job_scheduler&) = delete;
+
+  // Beliefs.
+  void SetVersion(std::shared_ptr<const site_version> version);
+  // The whole registry. `known_before`: instances that an earlier owner may have used are still to
+  // be listed, so tasks of its jobs may run there.
+  void OnRegistry(const std::vector<instance_report>& reports, monotonic_time now);
+  // Instances that an earlier owner knew: they may run its tasks though the registry has lost them.
+  void OnInherited(const std::vector<instance_report>& reports, monotonic_time now);
+
+  // Jobs. `progress`: the stored one, empty for none. `inherited`: accepted before this owner began.
+  // A job that is known already is left as it is.
+  void OnJob(graph_job job, std::string_view progress, bool inherited, wall_time wall,
+             monotonic_time now);
+  void OnCancel(const std::string& job, monotonic_time now);
+
+  // Answers to orders.
+  void OnStartAnswer(const start_order& order, const order_answer& answer, monotonic_time now);
+  void OnStopAnswer(const stop_order& order, const order_answer& answer, monotonic_time now);
+  void OnPaceAnswer(const pace_order& order, const order_answer& answer, monotonic_time now);
+  void OnListing(const list_order& order, const instance_listing& listing, monotonic_time sent,
+                 monotonic_time now);
+  void OnNoListing(const list_order& order, order_result result, monotonic_time now);
+  void OnAdvice(const advice_order& order, const advice_answer& answer, monotonic_time now);
+
+  // Progress that must be stored, at most `most` jobs; those given out count as on their way until
+  // OnStored() or OnNotStored() names them.
+  std::vector<job_progress_write> TakeUnstored(size_t most);
+  void OnStored(const std::vector<job_progress_write>& writes, monotonic_time now);
+  void OnNotStored(const std::vector<job_progress_write>& writes);
+  // Jobs that ended long enough ago; they are forgotten here and their records may go.
+  std::vector<std::string> TakeExpired(monotonic_time now, size_t most);
+
+  // Orders that are due.
+  scheduler_orders Decide(wall_time wall, monotonic_time now);
+  std::vector<scheduler_note> TakeNotes();
+
+  // Questions.
+  const job_entry* Find(const std::string& job) const;
+  // Accepted jobs of a queue of which no task has started. Jobs of repeats do not count.
+  size_t Pending(const std::string& queue) const;
+  // Could any instance of the service that was ever seen hold each task of the job? True while no
+  // instance is known.
+  bool Possible(const graph_job& job) const;
+  std::vector<instance_report> Instances() const;
+  size_t JobCount() const { return jobs_.size(); }
+  size_t RunCount() const;
+
+ private:
+  friend class placing_round;
+  struct ready_step {
+    job_entry* entry;
+    occurrence_state* occurrence;
+    uint32_t index;
+  };
+
+  // job_scheduler.cc
+  void Touch(job_entry& entry);
+  void Note(scheduler_note::kind what, std::string subject, std::string detail);
+  void OpenOccurrences(job_entry& entry, wall_time wall, monotonic_time now);
+  void RefreshReady(job_entry& entry, monotonic_time now);
+  void Finish(job_entry& entry, graph_phase phase, monotonic_time now);
+  void StopAll(job_entry& entry, stop_cause cause, monotonic_time now);
+  void AskStop(graph_run& run, stop_cause cause, monotonic_time now);
+  const job_terms& TermsOf(const job_entry& entry) const;
+
+  // scheduler_runs.cc: what becomes of runs
+  graph_run* FindRun(fleet_instance& instance, const task_key& key, uint32_t number);
+  graph_run& AddRun(fleet_instance& instance, job_entry* job, const task_key& key, uint32_t number);
+  void HoldRoom(graph_run& run, int sign);
+  // Proved not to run and never to run: its room is free and its task may start elsewhere.
+  void Release(graph_run& run, monotonic_time now);
+  void OnTaskDone(job_entry& entry, const task_key& key, monotonic_time now);
+  void OnTaskFailed(job_entry& entry, const task_key& key, fleet_instance& at, monotonic_time now);
+  void HandleEnd(fleet_instance& instance, const ended_row& row, monotonic_time now);
+  void HandleRunning(fleet_instance& instance, const running_row& row, monotonic_time now);
+  void HandleMissing(fleet_instance& instance, const std::vector<const graph_run*>& seen,
+                     monotonic_time sent, monotonic_time now);
+  void Adopt(fleet_instance& instance, const running_row& row, monotonic_time now);
+  void BreakGang(job_entry& entry, const task_key& member, stop_cause cause, monotonic_time now);
+  void CheckRuns(scheduler_orders& orders, monotonic_time now);
+  void CheckRun(graph_run& run, scheduler_orders& orders, monotonic_time now);
+  void SendStop(graph_run& run, scheduler_orders& orders, monotonic_time now);
+
+  // scheduler_instances.cc
+  void OnReport(const instance_report& report, monotonic_time now);
+  void Reborn(fleet_instance& instance, const instance_report& report, monotonic_time now);
+  void DropLapsed(monotonic_time now);
+  bool LeaseOver(const fleet_instance& instance, monotonic_time now) const;
+  void PlanListings(scheduler_orders& orders, monotonic_time now);
+  void NoteClock(fleet_instance& instance, int64_t clock_ms, monotonic_time now);
+  void AdvanceAcks(fleet_instance& instance);
+  void Evacuate(fleet_instance& instance, monotonic_time now);
+  // All instances that may run tasks of earlier owners are listed, or their leases are over.
+  bool InheritanceSettled(monotonic_time now) const;
+
+  // scheduler_placing.cc
+  void Place(scheduler_orders& orders, monotonic_time now);
+  std::vector<ready_step> ReadySteps();
+  void PlaceStep(const ready_step& ready, scheduler_orders& orders, monotonic_time now);
+  void PlaceGang(const ready_step& ready, scheduler_orders& orders, monotonic_time now);
+  fleet_instance* Choose(const ready_step& ready, const task_state_slot& task, monotonic_time now,
+                         const std::string* rack);
+  bool MayRun(const fleet_instance& instance, const ready_step& ready, monotonic_time now) const;
+  bool WithinLimit(const job_entry& entry, const resources& need) const;
+  void Start(fleet_instance& instance, const ready_step& ready, uint32_t index, uint32_t number,
+             scheduler_orders& orders, monotonic_time now);
+  uint32_t NextRun(const task_state_slot& task) const;
+
+  // scheduler_advice.cc
+  void PlanAdvice(scheduler_orders& orders, monotonic_time now);
+  void PlanStepAdvice(const ready_step& ready, scheduler_orders& orders, monotonic_time now);
+  std::vector<std::string> WorthAsking(const ready_step& ready, monotonic_time now) const;
+
+  // scheduler_pace.cc
+  void PlanPaces(scheduler_orders& orders, monotonic_time now);
+  void PaceInstance(fleet_instance& instance, scheduler_orders& orders, monotonic_time now);
+
+  scheduler_options options_;
+  uint64_t epoch_;
+  monotonic_time took_over_;
+  std::shared_ptr<const site_version> version_;
+  absl::flat_hash_map<std::string, std::unique_ptr<job_entry>> jobs_;
+  absl::flat_hash_map<std::string, std::unique_ptr<fleet_instance>> instances_;
+  absl::flat_hash_map<std::string, resources> running_of_workspace_;
+  std::vector<job_entry*> active_;       // not final
+  std::vector<job_entry*> unstored_;     // changed since they were last given out
+  std::vector<scheduler_note> notes_;
+  absl::flat_hash_map<std::string, double> allowed_share_;  // by queue: learned from advice
+  absl::flat_hash_map<std::string, std::vector<resources>> largest_seen_;  // by service
+  bool inheritance_settled_ = false;
+  bool registry_seen_ = false;
+};
+
+// Longest time for which leases that an earlier owner granted may still run: it may have gone on
+// until it noticed that it lost the site.
+constexpr std::chrono::milliseconds kEarlierOwnerMayGoOn{2000};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SCHEDULING_JOB_SCHEDULER_H_
--- /dev/null
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -0,0 +1,291 @@
+// Instances: how they come, go and come back, their leases and listings.
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "process/scheduling/job_scheduler.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// How long a listing may wait at the instance for an end; it also renews the lease.
+constexpr milliseconds kListingWait{1500};
+// The pause after a listing: ends that come together are told together, and each look costs.
+constexpr milliseconds kListingPause{40};
+constexpr milliseconds kSilentPause{300};      // after the first listing without an answer
+constexpr milliseconds kLongestPause{2000};    // the pause doubles up to this
+constexpr uint32_t kLongestDoubling = 4;
+// An instance that left the registry and runs nothing is forgotten after this time.
+constexpr milliseconds kForgetAbsent{15000};
+// A listing in flight is given up by the caller of OnNoListing(); this is only its backstop.
+constexpr milliseconds kEvacuationMargin{250};
+
+}  // namespace
+
+void job_scheduler::NoteClock(fleet_instance& instance, int64_t clock_ms, monotonic_time now) {
+  // Answers may overtake each other: the clock never goes back within a life.
+  if (clock_ms < instance.clock_ms) return;
+  instance.clock_ms = clock_ms;
+  instance.clock_at = now;
+}
+
+void job_scheduler::Reborn(fleet_instance& instance, const instance_report& report,
+                           monotonic_time now) {
+  Note(scheduler_note::kind::kInstanceReborn, report.id,
+       absl::StrCat("before=", instance.report.incarnation, " now=", report.incarnation));
+  // It runs nothing of before. Starts without an answer may still arrive there: they are stopped.
+  std::vector<graph_run*> gone;
+  for (const auto& run : instance.runs) {
+    const bool may_arrive = run->phase == run_phase::kSent || run->phase == run_phase::kUnknown;
+    if (may_arrive) {
+      run->phase = run_phase::kUnknown;
+      AskStop(*run, stop_cause::kUnknownStart, now);
+    } else {
+      gone.push_back(run.get());
+    }
+  }
+  for (graph_run* run : gone) {
+    job_entry* job = run->job;
+    const task_key key = run->key;
+    Release(*run, now);
+    if (job != nullptr && job->job.steps[key.step].gang) {
+      BreakGang(*job, key, stop_cause::kGangBroken, now);
+    }
+  }
+  instance.report = report;
+  instance.listed = false;
+  instance.lease_unknown = false;
+  instance.clock_ms = 0;
+  instance.lease_until_ms = 0;
+  instance.ends_seen = 0;
+  instance.ends_acked = 0;
+  instance.acks_sent = 0;
+  instance.unstored.clear();
+  instance.silent = 0;
+  instance.faults = 0;
+  instance.speed = 1;
+  instance.next_listing = now;
+}
+
+void job_scheduler::OnReport(const instance_report& report, monotonic_time now) {
+  std::unique_ptr<fleet_instance>& place = instances_[report.id];
+  if (place == nullptr) {
+    place = std::make_unique<fleet_instance>();
+    place->report = report;
+    place->lease_unknown = !registry_seen_;
+    place->next_listing = now;
+    Note(scheduler_note::kind::kInstanceJoined, report.id,
+         absl::StrCat("address=", report.address, " domain=", report.failure_domain, " rack=",
+                      report.rack, " cpu=", report.capacity.cpu_milli, " mb=",
+                      report.capacity.memory_mb));
+  } else if (report.incarnation > place->report.incarnation) {
+    Reborn(*place, report, now);
+  } else if (report.incarnation < place->report.incarnation) {
+    return;  // an old entry of an earlier life
+  }
+  fleet_instance& instance = *place;
+  if (report.draining && !instance.report.draining) {
+    Note(scheduler_note::kind::kInstanceDraining, report.id,
+         absl::StrCat("remaining_ms=", report.remaining.count(), " runs=", instance.runs.size()));
+  }
+  if (!instance.present) {
+    Note(scheduler_note::kind::kInstanceBack, report.id, "in the registry again");
+  }
+  instance.present = true;
+  instance.report = report;
+  std::vector<resources>& largest = largest_seen_[report.service];
+  if (std::find(largest.begin(), largest.end(), report.capacity) == largest.end()) {
+    largest.push_back(report.capacity);
+  }
+}
+
+void job_scheduler::OnRegistry(const std::vector<instance_report>& reports, monotonic_time now) {
+  absl::flat_hash_map<std::string, bool> present;
+  for (const instance_report& report : reports) {
+    OnReport(report, now);
+    present[report.id] = true;
+  }
+  registry_seen_ = true;
+  for (auto& [id, instance] : instances_) {
+    if (present.contains(id) || !instance->present) continue;
+    instance->present = false;
+    instance->absent_since = now;
+    Note(scheduler_note::kind::kInstanceAbsent, id,
+         absl::StrCat("runs=", instance->runs.size(), " silent=", instance->silent));
+  }
+}
+
+void job_scheduler::OnInherited(const std::vector<instance_report>& reports, monotonic_time now) {
+  for (const instance_report& report : reports) {
+    if (instances_.contains(report.id)) continue;
+    auto made = std::make_unique<fleet_instance>();
+    made->report = report;
+    made->present = false;
+    made->absent_since = now;
+    made->lease_unknown = true;
+    made->next_listing = now;
+    instances_[report.id] = std::move(made);
+  }
+}
+
+bool job_scheduler::LeaseOver(const fleet_instance& instance, monotonic_time now) const {
+  if (instance.lease_unknown) {
+    const double longest = static_cast<double>(options_.longest_lease.count()) / kSlowestClock;
+    return now > took_over_ + kEarlierOwnerMayGoOn + milliseconds(static_cast<int64_t>(longest));
+  }
+  return instance.LeaseSurelyOver(now);
+}
+
+bool job_scheduler::InheritanceSettled(monotonic_time now) const {
+  if (!registry_seen_) return false;
+  return std::all_of(instances_.begin(), instances_.end(), [&](const auto& item) {
+    const fleet_instance& instance = *item.second;
+    return instance.listed || !instance.lease_unknown || LeaseOver(instance, now);
+  });
+}
+
+void job_scheduler::DropLapsed(monotonic_time now) {
+  std::vector<std::string> forgotten;
+  for (auto& [id, instance] : instances_) {
+    if (instance->silent > 0 && LeaseOver(*instance, now)) {
+      // Unreachable for longer than any lease: whatever ran there was killed by the instance.
+      while (!instance->runs.empty()) {
+        graph_run& run = *instance->runs.front();
+        job_entry* job = run.job;
+        const task_key key = run.key;
+        Note(scheduler_note::kind::kRunVanished, key.job,
+             absl::StrCat("step=", key.step, " index=", key.index, " run=", run.number,
+                          " instance=", id, " lease over"));
+        Release(run, now);
+        if (job != nullptr && !IsFinal(job->phase) && job->job.steps[key.step].gang) {
+          BreakGang(*job, key, stop_cause::kGangBroken, now);
+        }
+      }
+    }
+    const bool idle = instance->runs.empty() && !instance->listing_in_flight;
+    if (!instance->present && idle && now - instance->absent_since > kForgetAbsent &&
+        LeaseOver(*instance, now)) {
+      forgotten.push_back(id);
+    }
+  }
+  for (const std::string& id : forgotten) instances_.erase(id);
+}
+
+void job_scheduler::Evacuate(fleet_instance& instance, monotonic_time now) {
+  // What ends with the instance is lost since its last checkpoint, and is missed only when its
+  // lease is over; what is stopped in time goes on elsewhere at once.
+  if (instance.clock_at == monotonic_time{}) return;
+  for (const auto& run : instance.runs) {
+    if (run->job == nullptr || run->stopping != stop_cause::kNone) continue;
+    const step_terms& terms = run->job->job.steps[run->key.step];
+    if (terms.long_running) {
+      AskStop(*run, stop_cause::kEvacuated, now);
+      continue;
+    }
+    if (terms.gang) continue;
+    const auto ran = duration_cast<milliseconds>(now - run->started);
+    const auto left = terms.estimate > ran ? terms.estimate - ran : milliseconds{0};
+    const bool ends_in_time = left + kEvacuationMargin < instance.report.remaining;
+    if (!ends_in_time && terms.checkpointing) AskStop(*run, stop_cause::kEvacuated, now);
+  }
+}
+
+void job_scheduler::AdvanceAcks(fleet_instance& instance) {
+  while (!instance.unstored.empty()) {
+    const seen_end& end = instance.unstored.front();
+    const auto found = jobs_.find(end.job);
+    if (found != jobs_.end() && found->second->stored < end.change) return;
+    instance.ends_acked = end.number;
+    instance.unstored.pop_front();
+  }
+}
+
+void job_scheduler::PlanListings(scheduler_orders& orders, monotonic_time now) {
+  for (auto& [id, instance] : instances_) {
+    if (instance->listing_in_flight || now < instance->next_listing) continue;
+    AdvanceAcks(*instance);
+    const bool fence = !instance->listed;
+    const bool back = instance->silent > 0 && instance->present;
+    const bool ack = instance->ends_acked > instance->acks_sent;
+    if (!fence && !back && !ack && instance->runs.empty()) continue;
+    if (!instance->present && instance->runs.empty() && LeaseOver(*instance, now)) continue;
+    list_order order;
+    order.to = {id, instance->report.address, instance->report.incarnation};
+    order.ends_seen = instance->ends_acked;
+    if (!fence && !instance->runs.empty()) {
+      // The lease runs on the instance's clock; not extended where nothing runs.
+      order.lease_until_ms = instance->ClockAt(now) + options_.longest_lease.count();
+      instance->lease_until_ms = std::max(instance->lease_until_ms, *order.lease_until_ms);
+      const bool waits_for_stop = std::any_of(
+          instance->runs.begin(), instance->runs.end(),
+          [](const std::unique_ptr<graph_run>& run) {
+            return run->stop_confirmed || run->phase == run_phase::kUnknown;
+          });
+      order.wait = waits_for_stop ? milliseconds{100} : kListingWait;
+    }
+    instance->listing_in_flight = true;
+    instance->listing_sent = now;
+    orders.listings.push_back(std::move(order));
+  }
+}
+
+void job_scheduler::OnListing(const list_order& order, const instance_listing& listing,
+                              monotonic_time sent, monotonic_time now) {
+  const auto found = instances_.find(order.to.instance);
+  if (found == instances_.end()) return;
+  fleet_instance& instance = *found->second;
+  instance.listing_in_flight = false;
+  if (listing.incarnation < instance.report.incarnation) return;
+  if (listing.incarnation > instance.report.incarnation && listing.incarnation != 0) {
+    instance_report report = instance.report;
+    report.incarnation = listing.incarnation;
+    Reborn(instance, report, now);
+  }
+  if (instance.silent > 0) {
+    Note(scheduler_note::kind::kInstanceBack, order.to.instance, "answers again");
+  }
+  instance.silent = 0;
+  instance.answered = now;
+  instance.acks_sent = std::max(instance.acks_sent, order.ends_seen);
+  NoteClock(instance, listing.clock_ms, now);
+  std::vector<ended_row> ends = listing.ended;
+  std::sort(ends.begin(), ends.end(),
+            [](const ended_row& a, const ended_row& b) { return a.number < b.number; });
+  for (const ended_row& row : ends) HandleEnd(instance, row, now);
+  std::vector<const graph_run*> seen;
+  for (const running_row& row : listing.running) {
+    HandleRunning(instance, row, now);
+    seen.push_back(FindRun(instance, row.key, row.run));
+  }
+  HandleMissing(instance, seen, sent, now);
+  if (!instance.listed) {
+    instance.listed = true;
+    instance.lease_unknown = false;
+    // Whatever an earlier owner granted ends by then at the latest.
+    instance.lease_until_ms = std::max(instance.lease_until_ms,
+                                       listing.clock_ms + options_.longest_lease.count());
+    instance.next_listing = now;
+    return;
+  }
+  instance.next_listing = now + kListingPause;
+}
+
+void job_scheduler::OnNoListing(const list_order& order, order_result result, monotonic_time now) {
+  const auto found = instances_.find(order.to.instance);
+  if (found == instances_.end()) return;
+  fleet_instance& instance = *found->second;
+  instance.listing_in_flight = false;
+  if (result == order_result::kOtherLife) {
+    instance.next_listing = now + kSilentPause;
+  }
+  if (instance.silent++ == 0) {
+    Note(scheduler_note::kind::kInstanceSilent, order.to.instance,
+         absl::StrCat("result=", std::string(ToText(result)), " runs=", instance.runs.size()));
+  }
+  const uint32_t doublings = std::min(instance.silent - 1, kLongestDoubling);
+  instance.next_listing = now + std::min(kLongestPause, kSilentPause * (1 << doublings));
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/scheduling/scheduler_messages.h
@@ -0,0 +1,159 @@
+// What goes into the job scheduler and what comes out of it.
+#ifndef CATKINFORD_PROCESS_SCHEDULING_SCHEDULER_MESSAGES_H_
+#define CATKINFORD_PROCESS_SCHEDULING_SCHEDULER_MESSAGES_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "process/scheduling/graph_state.h"
+
+namespace catkinford {
+
+// Where an order goes. An instance of another life must refuse it.
+struct order_target {
+  std::string instance;
+  std::string address;
+  int64_t incarnation = 0;
+};
+
+struct start_order {
+  order_target to;
+  task_key key;
+  uint32_t run = 0;
+  std::string payload;
+  int64_t lease_until_ms = 0;  // on the instance's clock
+  std::string checkpoint;
+  std::string ticket;
+};
+
+struct stop_order {
+  order_target to;
+  task_key key;
+  uint32_t run = 0;
+};
+
+struct pace_order {
+  order_target to;
+  task_key key;
+  uint32_t run = 0;
+  uint32_t percent = 100;
+};
+
+// Lists what runs and what has ended, and extends the lease of all that runs.
+struct list_order {
+  order_target to;
+  std::optional<int64_t> lease_until_ms;
+  uint64_t ends_seen = 0;               // the instance may forget ends up to here
+  std::chrono::milliseconds wait{0};    // for an end
+};
+
+// Asks the policy of a queue which of these instances may run a step.
+struct advice_order {
+  std::string job;
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+  std::vector<std::string> instances;
+  std::chrono::milliseconds expected{0};  // how long the answer takes
+  bool urgent = false;
+};
+
+struct scheduler_orders {
+  std::vector<start_order> starts;
+  std::vector<stop_order> stops;
+  std::vector<pace_order> paces;
+  std::vector<list_order> listings;
+  std::vector<advice_order> advice;
+};
+
+enum class order_result : uint8_t {
+  kDone,
+  kNotDone,    // surely nothing was done: not sent, or turned away
+  kFenced,     // a higher epoch was seen: another process owns the site
+  kStale,      // a run as high has been stopped or has ended there
+  kLate,       // the lease in the order is over
+  kNoRoom,
+  kNoTicket,
+  kOtherLife,  // the instance is not the one meant
+  kMalformed,
+  kUnknown     // no answer: it may have been done, or be done later
+};
+std::string_view ToText(order_result result);
+
+struct order_answer {
+  order_result result = order_result::kUnknown;
+  std::optional<int64_t> clock_ms;  // of the instance
+};
+
+enum class run_end : uint8_t {
+  kDone,
+  kFailed,
+  kStopped,
+  kLapsed,  // its lease ran out
+  kBroken,  // another member of its gang ended
+  kAlone,   // it waited too long for its gang
+  kUnknown
+};
+std::string_view ToText(run_end how);
+
+struct running_row {
+  task_key key;
+  uint32_t run = 0;
+  std::string checkpoint;
+  uint32_t percent = 0;
+  uint32_t load = 0;  // tail in ms of a serving task, processors in use of any other
+};
+
+struct ended_row {
+  uint64_t number = 0;
+  task_key key;
+  uint32_t run = 0;
+  run_end how = run_end::kUnknown;
+  std::string checkpoint;
+};
+
+struct instance_listing {
+  int64_t clock_ms = 0;
+  int64_t incarnation = 0;
+  std::vector<running_row> running;
+  std::vector<ended_row> ended;
+};
+
+struct advice_answer {
+  bool answered = false;  // false: no verdict came
+  bool overloaded = false;
+  std::vector<std::pair<std::string, std::string>> allowed;  // instance and ticket
+  std::chrono::milliseconds valid{0};                        // 0: as the queue says
+};
+
+// A line for the log: something was decided about a job, or the view of an instance changed.
+struct scheduler_note {
+  enum class kind : uint8_t {
+    kJobAdded,
+    kJobFinal,
+    kTaskStart,
+    kTaskRefused,
+    kTaskEnd,
+    kTaskStop,
+    kRunVanished,
+    kInstanceJoined,
+    kInstanceReborn,
+    kInstanceAbsent,
+    kInstanceSilent,
+    kInstanceBack,
+    kInstanceDraining,
+    kInstanceShunned,
+    kRunAdopted,
+    kAdvice,
+  };
+  kind what = kind::kJobAdded;
+  std::string subject;  // job or instance
+  std::string detail;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SCHEDULING_SCHEDULER_MESSAGES_H_
--- /dev/null
+++ b/src/process/scheduling/scheduler_placing.cc
@@ -0,0 +1,244 @@
+// Which waiting task starts next, and where.
+#include <algorithm>
+#include <limits>
+#include <optional>
+
+#include "absl/strings/str_cat.h"
+#include "process/scheduling/job_scheduler.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Runs of one owner are numbered within this range, so that a later owner's are always higher.
+constexpr uint32_t kRunsOfOwner = 1000;
+// A ticket must hold this long after the order leaves, so that it is still good on arrival.
+constexpr milliseconds kTicketMargin{60};
+// An instance whose clock was read longer ago than this gets no start: the lease in the order could
+// be over on arrival, or run too long.
+constexpr milliseconds kOldestClock{30000};
+
+double Share(uint32_t part, uint32_t whole) {
+  return whole == 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+// How full the instance is once the task runs there, by its scarcest resource.
+double FullnessWith(const fleet_instance& instance, const resources& room) {
+  const resources& capacity = instance.report.capacity;
+  const resources& used = instance.used;
+  return std::max({Share(used.cpu_milli + room.cpu_milli, capacity.cpu_milli),
+                   Share(used.memory_mb + room.memory_mb, capacity.memory_mb),
+                   Share(used.accelerators + room.accelerators, capacity.accelerators)});
+}
+
+bool Exceeds(uint32_t amount, uint32_t limit) { return limit > 0 && amount > limit; }
+
+}  // namespace
+
+uint32_t job_scheduler::NextRun(const task_state_slot& task) const {
+  const auto base = static_cast<uint32_t>((epoch_ - 1) * kRunsOfOwner);
+  return std::max(task.last_run, base) + 1;
+}
+
+bool job_scheduler::WithinLimit(const job_entry& entry, const resources& need) const {
+  if (version_ == nullptr || entry.job.workspace.empty()) return true;
+  const workspace_terms* workspace = version_->WorkspaceNamed(entry.job.workspace);
+  if (workspace == nullptr) return true;
+  const auto found = running_of_workspace_.find(entry.job.workspace);
+  resources with = need;
+  if (found != running_of_workspace_.end()) with += found->second;
+  return !Exceeds(with.cpu_milli, workspace->maximum.cpu_milli) &&
+         !Exceeds(with.memory_mb, workspace->maximum.memory_mb) &&
+         !Exceeds(with.accelerators, workspace->maximum.accelerators);
+}
+
+std::vector<job_scheduler::ready_step> job_scheduler::ReadySteps() {
+  std::vector<ready_step> out;
+  for (job_entry* entry : active_) {
+    for (auto& [number, occurrence] : entry->occurrences) {
+      for (uint32_t i = 0; i < occurrence->steps.size(); ++i) {
+        const step_progress& step = occurrence->steps[i];
+        if (step.ready && step.waiting > 0) out.push_back({entry, occurrence.get(), i});
+      }
+    }
+  }
+  std::stable_sort(out.begin(), out.end(), [this](const ready_step& a, const ready_step& b) {
+    const int first = TermsOf(*a.entry).priority;
+    const int second = TermsOf(*b.entry).priority;
+    if (first != second) return first < second;
+    return a.entry->objective < b.entry->objective;
+  });
+  return out;
+}
+
+bool job_scheduler::MayRun(const fleet_instance& instance, const ready_step& ready,
+                           monotonic_time now) const {
+  const job_terms& terms = TermsOf(*ready.entry);
+  const step_terms& step = ready.entry->job.steps[ready.index];
+  if (instance.report.service != terms.service) return false;
+  if (!instance.present || !instance.listed || instance.report.draining) return false;
+  if (!instance.Reachable() || now < instance.shunned_until) return false;
+  if (now - instance.clock_at > kOldestClock) return false;
+  if (step.required_label.empty()) return true;
+  const auto& labels = instance.report.labels;
+  return std::find(labels.begin(), labels.end(), step.required_label) != labels.end();
+}
+
+fleet_instance* job_scheduler::Choose(const ready_step& ready, const task_state_slot& task,
+                                      monotonic_time now, const std::string* rack) {
+  const step_terms& terms = ready.entry->job.steps[ready.index];
+  const step_progress& step = ready.occurrence->steps[ready.index];
+  const bool advised = TermsOf(*ready.entry).needs_advice;
+  resources room = terms.need;
+  if (terms.fills) room.cpu_milli = 0;
+  fleet_instance* best = nullptr;
+  double best_score = -std::numeric_limits<double>::infinity();
+  const auto consider = [&](fleet_instance& instance) {
+    if (rack != nullptr && instance.report.rack != *rack) return;
+    if (!instance.Fits(room) || !MayRun(instance, ready, now)) return;
+    const auto placed = step.placed.find(&instance);
+    const uint32_t here = placed == step.placed.end() ? 0 : placed->second;
+    if (terms.most_per_instance > 0 && here >= terms.most_per_instance) return;
+    double score = FullnessWith(instance, room);
+    // Lasting tasks are spread, so that one loss takes few of them.
+    if (terms.long_running) score = -score - here;
+    if (terms.fills) score = -score;
+    if (!terms.data_rack.empty() && instance.report.rack == terms.data_rack) score += 2;
+    if (task.failures > 0 && task.run == nullptr && instance.faults > 0) score -= 1;
+    if (score <= best_score) return;
+    best_score = score;
+    best = &instance;
+  };
+  if (!advised) {
+    for (auto& [id, instance] : instances_) consider(*instance);
+    return best;
+  }
+  for (const auto& [id, ticket] : step.advice.allowed) {
+    if (ticket.expires < now + kTicketMargin) continue;
+    const auto found = instances_.find(id);
+    if (found == instances_.end()) continue;
+    if (found->second->report.incarnation != ticket.incarnation) continue;
+    consider(*found->second);
+  }
+  return best;
+}
+
+void job_scheduler::Start(fleet_instance& instance, const ready_step& ready, uint32_t index,
+                          uint32_t number, scheduler_orders& orders, monotonic_time now) {
+  job_entry& entry = *ready.entry;
+  step_progress& step = ready.occurrence->steps[ready.index];
+  task_state_slot& task = step.tasks[index];
+  const task_key key{entry.job.id, ready.occurrence->number, ready.index, index};
+  graph_run& run = AddRun(instance, &entry, key, number);
+  run.started = now;
+  run.progressed = now;
+  task.last_run = number;
+  task.run = &run;
+  task.phase = slot_phase::kActive;
+  --step.waiting;
+  ++step.active;
+  entry.started = true;
+  if (entry.phase == graph_phase::kQueued) entry.phase = graph_phase::kRunning;
+
+  start_order order;
+  order.to = {instance.report.id, instance.report.address, instance.report.incarnation};
+  order.key = key;
+  order.run = number;
+  order.payload = entry.job.payload;
+  order.lease_until_ms = instance.ClockAt(now) + options_.longest_lease.count();
+  order.checkpoint = task.checkpoint;
+  const auto ticket = step.advice.allowed.find(instance.report.id);
+  if (ticket != step.advice.allowed.end()) order.ticket = ticket->second.ticket;
+  instance.lease_until_ms = std::max(instance.lease_until_ms, order.lease_until_ms);
+  Note(scheduler_note::kind::kTaskStart, entry.job.id,
+       absl::StrCat("task=", key.occurrence, ".", key.step, ".", key.index, " run=", number,
+                    " instance=", instance.report.id, " free_cpu=",
+                    instance.Free().cpu_milli, " waited_ms=",
+                    std::chrono::duration_cast<milliseconds>(now - step.ready_at).count()));
+  orders.starts.push_back(std::move(order));
+}
+
+void job_scheduler::PlaceStep(const ready_step& ready, scheduler_orders& orders,
+                              monotonic_time now) {
+  const step_terms& terms = ready.entry->job.steps[ready.index];
+  step_progress& step = ready.occurrence->steps[ready.index];
+  for (uint32_t i = 0; i < step.tasks.size() && step.waiting > 0; ++i) {
+    task_state_slot& task = step.tasks[i];
+    if (task.phase != slot_phase::kWaiting) continue;
+    if (!WithinLimit(*ready.entry, terms.need)) return;
+    fleet_instance* instance = Choose(ready, task, now, nullptr);
+    if (instance == nullptr) return;
+    Start(*instance, ready, i, NextRun(task), orders, now);
+  }
+}
+
+void job_scheduler::PlaceGang(const ready_step& ready, scheduler_orders& orders,
+                              monotonic_time now) {
+  const step_terms& terms = ready.entry->job.steps[ready.index];
+  step_progress& step = ready.occurrence->steps[ready.index];
+  // All members wait, or an earlier run of the gang is still being taken apart.
+  if (step.waiting != step.tasks.size()) return;
+  resources all;
+  for (size_t i = 0; i < step.tasks.size(); ++i) all += terms.need;
+  if (!WithinLimit(*ready.entry, all)) return;
+
+  resources room = terms.need;
+  if (terms.fills) room.cpu_milli = 0;
+  const auto try_rack = [&](const std::string* rack) {
+    std::vector<fleet_instance*> chosen;
+    for (const task_state_slot& task : step.tasks) {
+      fleet_instance* instance = Choose(ready, task, now, rack);
+      if (instance == nullptr) break;
+      // Tentative, so that the next member sees the room as taken.
+      instance->used += room;
+      ++step.placed[instance];
+      chosen.push_back(instance);
+    }
+    for (fleet_instance* instance : chosen) {
+      instance->used -= room;
+      if (--step.placed[instance] == 0) step.placed.erase(instance);
+    }
+    return chosen;
+  };
+  std::vector<fleet_instance*> chosen;
+  if (terms.same_rack) {
+    std::vector<std::string> racks;
+    for (const auto& [id, instance] : instances_) racks.push_back(instance->report.rack);
+    std::sort(racks.begin(), racks.end());
+    racks.erase(std::unique(racks.begin(), racks.end()), racks.end());
+    for (const std::string& rack : racks) {
+      chosen = try_rack(&rack);
+      if (chosen.size() == step.tasks.size()) break;
+    }
+  }
+  // Slower over several racks, but not waiting for ever for one that is free.
+  if (chosen.size() != step.tasks.size()) chosen = try_rack(nullptr);
+  if (chosen.size() != step.tasks.size()) return;
+  uint32_t number = 0;
+  std::string checkpoint;
+  for (const task_state_slot& task : step.tasks) {
+    number = std::max(number, NextRun(task));
+    if (!task.checkpoint.empty()) checkpoint = task.checkpoint;
+  }
+  step.gang_started = now;
+  for (uint32_t i = 0; i < step.tasks.size(); ++i) {
+    step.tasks[i].checkpoint = checkpoint;
+    Start(*chosen[i], ready, i, number, orders, now);
+  }
+}
+
+void job_scheduler::Place(scheduler_orders& orders, monotonic_time now) {
+  if (!inheritance_settled_) inheritance_settled_ = InheritanceSettled(now);
+  for (const ready_step& ready : ReadySteps()) {
+    // Its tasks may run on an instance that is not listed yet: a second run must not begin.
+    if (ready.entry->inherited && !inheritance_settled_) continue;
+    if (ready.entry->job.steps[ready.index].gang) {
+      PlaceGang(ready, orders, now);
+    } else {
+      PlaceStep(ready, orders, now);
+    }
+  }
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -0,0 +1,437 @@
+// What becomes of runs: starts that get no answer, ends, stops, runs that nobody asked for.
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "process/scheduling/job_scheduler.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// A start without an answer is looked for in listings this long before it is stopped: most lost
+// answers belong to starts that were carried out.
+constexpr milliseconds kUnknownStartWait{400};
+// A stop is sent again this often until its end is listed.
+constexpr milliseconds kStopAgain{500};
+// A run without progress for this many times its expected time, and at least this long, is stopped
+// and starts elsewhere: estimates are off by half and slow instances by a few times.
+constexpr double kStallFactor = 3.0;
+constexpr milliseconds kStallLeast{2500};
+// Failed runs in a row after which an instance gets nothing for a while; tasks that fail by
+// themselves are a few in a hundred.
+constexpr uint32_t kFaultsInARow = 3;
+constexpr milliseconds kShunTime{4000};
+constexpr double kSpeedKeep = 0.8;  // weight of the past in an instance's learned speed
+
+std::string NameOf(const task_key& key) {
+  return absl::StrCat(key.job, ".", key.occurrence, ".", key.step, ".", key.index);
+}
+
+}  // namespace
+
+std::string_view ToText(order_result result) {
+  switch (result) {
+    case order_result::kDone:
+      return "done";
+    case order_result::kNotDone:
+      return "not_done";
+    case order_result::kFenced:
+      return "fenced";
+    case order_result::kStale:
+      return "stale";
+    case order_result::kLate:
+      return "late";
+    case order_result::kNoRoom:
+      return "no_room";
+    case order_result::kNoTicket:
+      return "no_ticket";
+    case order_result::kOtherLife:
+      return "other_life";
+    case order_result::kMalformed:
+      return "malformed";
+    case order_result::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+std::string_view ToText(run_end how) {
+  switch (how) {
+    case run_end::kDone:
+      return "done";
+    case run_end::kFailed:
+      return "failed";
+    case run_end::kStopped:
+      return "stopped";
+    case run_end::kLapsed:
+      return "lapsed";
+    case run_end::kBroken:
+      return "broken";
+    case run_end::kAlone:
+      return "alone";
+    case run_end::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+graph_run* job_scheduler::FindRun(fleet_instance& instance, const task_key& key, uint32_t number) {
+  for (const auto& run : instance.runs) {
+    if (run->number == number && run->key == key) return run.get();
+  }
+  return nullptr;
+}
+
+graph_run& job_scheduler::AddRun(fleet_instance& instance, job_entry* job, const task_key& key,
+                                 uint32_t number) {
+  instance.runs.push_back(std::make_unique<graph_run>());
+  graph_run& run = *instance.runs.back();
+  run.key = key;
+  run.job = job;
+  run.number = number;
+  run.instance = &instance;
+  if (job == nullptr || key.step >= job->job.steps.size()) return run;
+  const step_terms& terms = job->job.steps[key.step];
+  run.fills = terms.fills;
+  run.serves = terms.tail_target.count() > 0;
+  run.room = terms.need;
+  if (terms.fills) run.room.cpu_milli = 0;
+  HoldRoom(run, 1);
+  return run;
+}
+
+void job_scheduler::HoldRoom(graph_run& run, int sign) {
+  if (run.job == nullptr) return;
+  const resources& need = run.job->job.steps[run.key.step].need;
+  resources& running = running_of_workspace_[run.job->job.workspace];
+  step_progress* step = run.job->Find(run.key);
+  if (sign > 0) {
+    run.instance->used += run.room;
+    running += need;
+    if (step != nullptr) ++step->placed[run.instance];
+    return;
+  }
+  run.instance->used -= run.room;
+  running -= need;
+  if (step == nullptr) return;
+  const auto placed = step->placed.find(run.instance);
+  if (placed != step->placed.end() && --placed->second == 0) step->placed.erase(placed);
+}
+
+void job_scheduler::Release(graph_run& run, monotonic_time now) {
+  HoldRoom(run, -1);
+  fleet_instance& instance = *run.instance;
+  if (run.job != nullptr) {
+    if (step_progress* step = run.job->Find(run.key)) {
+      task_state_slot& task = step->tasks[run.key.index];
+      if (task.copy == &run) task.copy = nullptr;
+      if (task.run == &run) {
+        task.run = std::exchange(task.copy, nullptr);
+        if (task.run == nullptr && task.phase == slot_phase::kActive) {
+          task.phase = slot_phase::kWaiting;
+          task.waiting_since = now;
+          --step->active;
+          ++step->waiting;
+        }
+      }
+    }
+  }
+  const auto place =
+      std::find_if(instance.runs.begin(), instance.runs.end(),
+                   [&](const std::unique_ptr<graph_run>& held) { return held.get() == &run; });
+  std::swap(*place, instance.runs.back());
+  instance.runs.pop_back();
+}
+
+void job_scheduler::OnTaskDone(job_entry& entry, const task_key& key, monotonic_time now) {
+  step_progress* step = entry.Find(key);
+  if (step == nullptr) return;
+  const bool gang = entry.job.steps[key.step].gang;
+  for (uint32_t i = 0; i < step->tasks.size(); ++i) {
+    // One end of a gang that is done stands for all of its members.
+    if (!gang && i != key.index) continue;
+    task_state_slot& task = step->tasks[i];
+    if (task.phase == slot_phase::kDone) continue;
+    if (task.phase == slot_phase::kWaiting) --step->waiting;
+    if (task.phase == slot_phase::kActive) --step->active;
+    task.phase = slot_phase::kDone;
+    ++step->done;
+    if (!gang) {
+      if (task.run != nullptr) AskStop(*task.run, stop_cause::kCopyLost, now);
+      if (task.copy != nullptr) AskStop(*task.copy, stop_cause::kCopyLost, now);
+    }
+  }
+  Touch(entry);
+  if (!step->Done()) return;
+  RefreshReady(entry, now);
+  const auto occurrence = entry.occurrences.find(key.occurrence);
+  if (!occurrence->second->Done()) return;
+  // Copies that still run point into the occurrence: they are cut loose, and stopped as strays.
+  for (step_progress& each : occurrence->second->steps) {
+    for (task_state_slot& task : each.tasks) {
+      for (graph_run* run : {task.run, task.copy}) {
+        if (run != nullptr) AskStop(*run, stop_cause::kCopyLost, now);
+      }
+    }
+  }
+  FinishOccurrence(entry, key.occurrence);
+  if (entry.AllDone()) Finish(entry, graph_phase::kCompleted, now);
+}
+
+void job_scheduler::OnTaskFailed(job_entry& entry, const task_key& key, fleet_instance& at,
+                                 monotonic_time now) {
+  step_progress* step = entry.Find(key);
+  if (step == nullptr) return;
+  const step_terms& terms = entry.job.steps[key.step];
+  task_state_slot& task = step->tasks[key.index];
+  if (task.phase == slot_phase::kDone) return;
+  const uint32_t failures = terms.gang ? ++step->gang_failures : ++task.failures;
+  Touch(entry);
+  // A task that failed elsewhere before is more likely at fault than the instance.
+  if (failures == 1 && ++at.faults >= kFaultsInARow) {
+    at.faults = 0;
+    at.shunned_until = now + kShunTime;
+    Note(scheduler_note::kind::kInstanceShunned, at.report.id, "failed runs in a row");
+  }
+  if (terms.long_running) return;
+  if (failures >= TermsOf(entry).max_attempts) Finish(entry, graph_phase::kFailed, now);
+}
+
+void job_scheduler::HandleEnd(fleet_instance& instance, const ended_row& row, monotonic_time now) {
+  if (row.number <= instance.ends_seen) return;
+  instance.ends_seen = row.number;
+  const auto found = jobs_.find(row.key.job);
+  job_entry* entry = found == jobs_.end() ? nullptr : found->second.get();
+  graph_run* run = FindRun(instance, row.key, row.run);
+  const stop_cause cause = run == nullptr ? stop_cause::kNone : run->stopping;
+  Note(scheduler_note::kind::kTaskEnd, NameOf(row.key),
+       absl::StrCat("run=", row.run, " instance=", instance.report.id, " end=", std::string(ToText(row.how)),
+                    " held=", run != nullptr, " stop=", std::string(ToText(cause)),
+                    run == nullptr ? std::string()
+                                   : absl::StrCat(" ran_ms=", duration_cast<milliseconds>(
+                                                                   now - run->started)
+                                                                   .count())));
+  step_progress* step = entry == nullptr ? nullptr : entry->Find(row.key);
+  if (step != nullptr) {
+    task_state_slot& task = step->tasks[row.key.index];
+    task.last_run = std::max(task.last_run, row.run);
+    if (!row.checkpoint.empty()) task.checkpoint = row.checkpoint;
+  }
+  if (row.how == run_end::kDone && run != nullptr && step != nullptr) {
+    instance.faults = 0;
+    const double took = static_cast<double>(
+        std::max<int64_t>(1, duration_cast<milliseconds>(now - run->started).count()));
+    const double expected =
+        static_cast<double>(entry->job.steps[row.key.step].estimate.count());
+    instance.speed = kSpeedKeep * instance.speed + (1 - kSpeedKeep) * expected / took;
+  }
+  if (run != nullptr) Release(*run, now);
+  if (entry != nullptr && !IsFinal(entry->phase) && step != nullptr) {
+    if (row.how == run_end::kDone) {
+      OnTaskDone(*entry, row.key, now);
+    } else {
+      if (row.how == run_end::kFailed) OnTaskFailed(*entry, row.key, instance, now);
+      if (!IsFinal(entry->phase) && !row.checkpoint.empty()) Touch(*entry);
+      if (!IsFinal(entry->phase) && entry->job.steps[row.key.step].gang) {
+        BreakGang(*entry, row.key, stop_cause::kGangBroken, now);
+      }
+    }
+  }
+  instance.unstored.push_back(
+      {row.number, row.key.job, entry == nullptr ? 0 : entry->change});
+}
+
+void job_scheduler::BreakGang(job_entry& entry, const task_key& member, stop_cause cause,
+                              monotonic_time now) {
+  step_progress* step = entry.Find(member);
+  if (step == nullptr) return;
+  for (task_state_slot& task : step->tasks) {
+    if (task.run != nullptr) AskStop(*task.run, cause, now);
+  }
+}
+
+void job_scheduler::Adopt(fleet_instance& instance, const running_row& row, monotonic_time now) {
+  const auto found = jobs_.find(row.key.job);
+  job_entry* entry = found == jobs_.end() ? nullptr : found->second.get();
+  if (entry != nullptr && row.key.step >= entry->job.steps.size()) entry = nullptr;
+  graph_run& run = AddRun(instance, entry, row.key, row.run);
+  run.phase = run_phase::kRunning;
+  run.started = now;
+  run.confirmed = now;
+  run.progressed = now;
+  step_progress* step = entry == nullptr ? nullptr : entry->Find(row.key);
+  const bool wanted = step != nullptr && !IsFinal(entry->phase);
+  if (step != nullptr) {
+    task_state_slot& task = step->tasks[row.key.index];
+    task.last_run = std::max(task.last_run, row.run);
+    if (wanted && task.phase == slot_phase::kWaiting) {
+      task.phase = slot_phase::kActive;
+      task.run = &run;
+      --step->waiting;
+      ++step->active;
+      entry->started = true;
+      if (entry->phase == graph_phase::kQueued) entry->phase = graph_phase::kRunning;
+      Note(scheduler_note::kind::kRunAdopted, NameOf(row.key),
+           absl::StrCat("run=", row.run, " instance=", instance.report.id));
+      return;
+    }
+  }
+  Note(scheduler_note::kind::kTaskStop, NameOf(row.key),
+       absl::StrCat("run=", row.run, " instance=", instance.report.id, " cause=stray known=",
+                    entry != nullptr));
+  AskStop(run, stop_cause::kStray, now);
+}
+
+void job_scheduler::HandleRunning(fleet_instance& instance, const running_row& row,
+                                  monotonic_time now) {
+  graph_run* run = FindRun(instance, row.key, row.run);
+  if (run == nullptr) return Adopt(instance, row, now);
+  if (run->phase == run_phase::kSent || run->phase == run_phase::kUnknown) {
+    run->phase = run_phase::kRunning;
+    run->confirmed = now;
+    run->progressed = now;
+  }
+  if (row.percent != run->percent) {
+    run->percent = row.percent;
+    run->progressed = now;
+  }
+  run->load = row.load;
+  if (run->job == nullptr) return;
+  step_progress* step = run->job->Find(row.key);
+  if (step != nullptr && !row.checkpoint.empty()) {
+    step->tasks[row.key.index].checkpoint = row.checkpoint;
+  }
+}
+
+void job_scheduler::HandleMissing(fleet_instance& instance,
+                                  const std::vector<const graph_run*>& seen, monotonic_time sent,
+                                  monotonic_time now) {
+  std::vector<graph_run*> gone;
+  for (const auto& run : instance.runs) {
+    if (std::find(seen.begin(), seen.end(), run.get()) != seen.end()) continue;
+    // A listing that was asked for before the run was known to be there says nothing of it.
+    const bool known = (run->phase == run_phase::kRunning && run->confirmed < sent);
+    // A run that is not there once its stop was answered will never be there.
+    const bool stopped = run->stop_confirmed && run->stop_answered < sent;
+    if (known || stopped) gone.push_back(run.get());
+  }
+  for (graph_run* run : gone) {
+    Note(scheduler_note::kind::kRunVanished, NameOf(run->key),
+         absl::StrCat("run=", run->number, " instance=", instance.report.id, " stop=",
+                      std::string(ToText(run->stopping))));
+    Release(*run, now);
+  }
+}
+
+void job_scheduler::SendStop(graph_run& run, scheduler_orders& orders, monotonic_time now) {
+  if (run.stop_in_flight || now < run.next_stop) return;
+  run.stop_in_flight = true;
+  run.next_stop = now + kStopAgain;
+  const instance_report& report = run.instance->report;
+  orders.stops.push_back({{report.id, report.address, report.incarnation}, run.key, run.number});
+  Note(scheduler_note::kind::kTaskStop, NameOf(run.key),
+       absl::StrCat("run=", run.number, " instance=", report.id, " cause=", std::string(ToText(run.stopping))));
+}
+
+void job_scheduler::CheckRun(graph_run& run, scheduler_orders& orders, monotonic_time now) {
+  if (run.phase == run_phase::kUnknown && now - run.started >= kUnknownStartWait) {
+    AskStop(run, stop_cause::kUnknownStart, now);
+  }
+  const bool works = run.phase == run_phase::kRunning && run.stopping == stop_cause::kNone &&
+                     run.job != nullptr && run.pace == 100;
+  if (works && !run.job->job.steps[run.key.step].long_running && run.instance->Reachable()) {
+    const auto expected = run.job->job.steps[run.key.step].estimate;
+    const auto patience = std::max(
+        kStallLeast, milliseconds(static_cast<int64_t>(
+                         kStallFactor * static_cast<double>(expected.count()) / 100)));
+    if (now - run.progressed > patience) AskStop(run, stop_cause::kStalled, now);
+  }
+  if (run.stopping != stop_cause::kNone) SendStop(run, orders, now);
+}
+
+void job_scheduler::CheckRuns(scheduler_orders& orders, monotonic_time now) {
+  for (auto& [id, instance] : instances_) {
+    if (instance->report.draining) Evacuate(*instance, now);
+    for (const auto& run : instance->runs) {
+      const bool gang = run->job != nullptr && run->key.step < run->job->job.steps.size() &&
+                        run->job->job.steps[run->key.step].gang;
+      const stop_cause before = run->stopping;
+      CheckRun(*run, orders, now);
+      if (gang && before == stop_cause::kNone && run->stopping != stop_cause::kNone) {
+        BreakGang(*run->job, run->key, stop_cause::kGangBroken, now);
+      }
+    }
+  }
+}
+
+void job_scheduler::OnStartAnswer(const start_order& order, const order_answer& answer,
+                                  monotonic_time now) {
+  const auto found = instances_.find(order.to.instance);
+  if (found == instances_.end()) return;
+  fleet_instance& instance = *found->second;
+  if (answer.clock_ms) NoteClock(instance, *answer.clock_ms, now);
+  graph_run* run = FindRun(instance, order.key, order.run);
+  if (run == nullptr) return;
+  if (answer.result == order_result::kDone) {
+    if (run->phase != run_phase::kSent && run->phase != run_phase::kUnknown) return;
+    run->phase = run_phase::kRunning;
+    run->confirmed = now;
+    run->progressed = now;
+    return;
+  }
+  Note(scheduler_note::kind::kTaskRefused, NameOf(order.key),
+       absl::StrCat("run=", order.run, " instance=", order.to.instance, " result=",
+                    std::string(ToText(answer.result))));
+  if (answer.result == order_result::kUnknown) {
+    if (run->phase == run_phase::kSent) run->phase = run_phase::kUnknown;
+    return;
+  }
+  if (run->phase == run_phase::kRunning) return;  // a listing has shown it: believed before this
+  job_entry* entry = run->job;
+  step_progress* step = entry == nullptr ? nullptr : entry->Find(order.key);
+  if (answer.result == order_result::kNoTicket && step != nullptr) {
+    step->advice.allowed.erase(order.to.instance);
+    step->advice.asked.erase(order.to.instance);
+  }
+  if (answer.result == order_result::kNotDone || answer.result == order_result::kOtherLife ||
+      answer.result == order_result::kNoRoom) {
+    instance.shunned_until = now + milliseconds{500};
+  }
+  const bool gang = step != nullptr && entry->job.steps[order.key.step].gang;
+  Release(*run, now);
+  if (gang) BreakGang(*entry, order.key, stop_cause::kGangBroken, now);
+}
+
+void job_scheduler::OnStopAnswer(const stop_order& order, const order_answer& answer,
+                                 monotonic_time now) {
+  const auto found = instances_.find(order.to.instance);
+  if (found == instances_.end()) return;
+  if (answer.clock_ms) NoteClock(*found->second, *answer.clock_ms, now);
+  graph_run* run = FindRun(*found->second, order.key, order.run);
+  if (run == nullptr) return;
+  run->stop_in_flight = false;
+  if (answer.result != order_result::kDone) return;
+  if (!run->stop_confirmed) {
+    run->stop_confirmed = true;
+    run->stop_answered = now;
+    run->phase = run_phase::kStopping;
+    // The end is listed by itself; a run that never began has none, and needs a listing to show it.
+    found->second->next_listing = std::min(found->second->next_listing, now);
+  }
+  run->next_stop = now + options_.stop_limit + kStopAgain;
+}
+
+void job_scheduler::OnPaceAnswer(const pace_order& order, const order_answer& answer,
+                                 monotonic_time now) {
+  const auto found = instances_.find(order.to.instance);
+  if (found == instances_.end()) return;
+  if (answer.clock_ms) NoteClock(*found->second, *answer.clock_ms, now);
+  graph_run* run = FindRun(*found->second, order.key, order.run);
+  if (run == nullptr) return;
+  run->pace_in_flight = false;
+  if (answer.result == order_result::kDone) run->pace = order.percent;
+}
+
+}  // namespace catkinford
--- a/src/process/settings.cc
+++ b/src/process/settings.cc
@@ -1,13 +1,10 @@
 #include "process/settings.h"
 
 #include <algorithm>
-#include <array>
-#include <fstream>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
-#include <sstream>
 #include <utility>
 
 #include "process/settings_table.h"
@@ -19,20 +16,6 @@
 using std::chrono::milliseconds;
 using failure = std::optional<settings_error>;
 
-constexpr int kFirstExitCode = 10;
-
-// In the order of the enumeration.
-constexpr std::array<std::string_view, kSettingsFaults> kFaultWords = {
-    "the settings file cannot be read",
-    "not JSON with comments",
-    "unknown setting",
-    "required setting is missing",
-    "wrong type",
-    "wrong or missing unit",
-    "out of range",
-    "given twice",
-    "contradicts another setting"};
-
 const setting_info* FindSetting(const std::string& path) {
   for (const setting_info& info : AllSettings()) {
     if (info.path == path) return &info;
@@ -219,19 +202,6 @@
 
 }  // namespace
 
-int ExitCode(settings_fault fault) { return kFirstExitCode + static_cast<int>(fault); }
-
-std::string_view ToText(settings_fault fault) { return kFaultWords[static_cast<size_t>(fault)]; }
-
-std::string ToText(const settings_error& error) {
-  std::string out = error.path.empty() ? "settings" : error.path;
-  out += ": ";
-  out += ToText(error.fault);
-  if (!error.value.empty()) out += ": " + error.value;
-  if (!error.want.empty()) out += "; wanted: " + error.want;
-  return out;
-}
-
 leaf::result<settings> ParseSettings(std::string_view text) {
   duplicate_finder duplicates;
   const json root = json::parse(text.begin(), text.end(), std::ref(duplicates), false, true);
@@ -253,15 +223,8 @@
 }
 
 leaf::result<settings> LoadSettings(const std::string& file) {
-  std::ifstream in(file, std::ios::binary);
-  std::ostringstream text;
-  if (in) text << in.rdbuf();
-  // Opening a folder succeeds; only the read fails.
-  if (!in || !text) {
-    return leaf::new_error(
-        settings_error{settings_fault::kMissingFile, "", file, "a readable file"});
-  }
-  return ParseSettings(text.str());
+  BOOST_LEAF_AUTO(text, ReadSettingsFile(file));
+  return ParseSettings(text);
 }
 
 }  // namespace catkinford
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "process/settings_error.h"
 #include "request/typed_error.h"
 
 namespace catkinford {
@@ -72,32 +73,6 @@
   } logs;
 };
 
-enum class settings_fault : uint8_t {
-  kMissingFile,
-  kNotJson,
-  kUnknownField,
-  kMissingField,
-  kWrongType,
-  kWrongUnit,  // durations are texts with a unit: "250ms", "10s", "10m"
-  kOutOfRange,
-  kDuplicateField,  // which of the two was meant cannot be known
-  kContradiction,   // two settings that cannot both hold
-};
-
-struct settings_error {
-  settings_fault fault = settings_fault::kMissingFile;
-  std::string path;   // "timing.heartbeat"
-  std::string value;  // what stood there
-  std::string want;   // what would be right
-};
-
-constexpr size_t kSettingsFaults = 9;
-
-// Each fault has an exit code of its own: 10 and up, in the order of the enumeration.
-int ExitCode(settings_fault fault);
-std::string_view ToText(settings_fault fault);
-std::string ToText(const settings_error& error);
-
 // Strict: an unknown name, a wrong unit or a value out of range is a settings_error, and nothing
 // starts.
 leaf::result<settings> ParseSettings(std::string_view text);
--- /dev/null
+++ b/src/process/site/event_loop.cc
@@ -0,0 +1,72 @@
+#include "process/site/event_loop.h"
+
+#include <time.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLongestWait{200};
+
+}  // namespace
+
+monotonic_time BootNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return monotonic_time(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
+wall_time WallNow() {
+  return std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now());
+}
+
+event_loop::event_loop(size_t capacity) : ring_(capacity) {}
+
+event_loop::~event_loop() { Stop(); }
+
+void event_loop::Start() {
+  thread_ = std::thread([this] { Run(); });
+}
+
+void event_loop::Post(work task) { ring_.Push(std::move(task)); }
+
+bool event_loop::TryPost(work task) { return ring_.TryPush(std::move(task)); }
+
+void event_loop::After(milliseconds delay, work task) {
+  timers_.push({BootNow() + delay, next_order_++, std::move(task)});
+}
+
+void event_loop::Stop() {
+  ring_.Close();
+  if (thread_.joinable()) thread_.join();
+}
+
+milliseconds event_loop::UntilDue() const {
+  if (timers_.empty()) return kLongestWait;
+  const auto left = std::chrono::ceil<milliseconds>(timers_.top().due - BootNow());
+  return std::clamp(left, milliseconds{0}, kLongestWait);
+}
+
+void event_loop::RunDue() {
+  const monotonic_time now = BootNow();
+  while (!timers_.empty() && timers_.top().due <= now) {
+    work task = std::move(const_cast<timed_work&>(timers_.top()).task);
+    timers_.pop();
+    task();
+  }
+}
+
+void event_loop::Run() {
+  std::vector<work> batch;
+  while (ring_.PopAll(batch, UntilDue())) {
+    for (work& task : batch) task();
+    batch.clear();
+    RunDue();
+  }
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/site/peer_words.cc
@@ -0,0 +1,103 @@
+#include "process/site/peer_words.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace catkinford {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+// Runs `read` over the parsed text; nothing where a field is missing or of another type.
+template <typename T, typename Read>
+std::optional<T> Parse(std::string_view text, Read read) {
+  const json in = json::parse(text, nullptr, false);
+  if (!in.is_object()) return std::nullopt;
+  T out;
+  try {
+    read(in, out);
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+  return out;
+}
+
+}  // namespace
+
+std::string PeerStateToText(const peer_state& state) {
+  json out{{"owns", state.owns}};
+  if (state.phase) out["phase"] = static_cast<int>(*state.phase);
+  return out.dump();
+}
+
+std::optional<peer_state> PeerStateFromText(std::string_view text) {
+  return Parse<peer_state>(text, [](const json& in, peer_state& out) {
+    out.owns = in.at("owns").get<bool>();
+    if (!in.contains("phase")) return;
+    const int phase = in.at("phase").get<int>();
+    if (phase < 0 || phase > static_cast<int>(graph_phase::kCancelled)) return;
+    out.phase = static_cast<graph_phase>(phase);
+  });
+}
+
+std::string PeerPendingToText(const peer_pending& pending) {
+  return json{{"owns", pending.owns}, {"pending", pending.pending}}.dump();
+}
+
+std::optional<peer_pending> PeerPendingFromText(std::string_view text) {
+  return Parse<peer_pending>(text, [](const json& in, peer_pending& out) {
+    out.owns = in.at("owns").get<bool>();
+    out.pending = in.at("pending").get<size_t>();
+  });
+}
+
+std::string PeerHealthToText(const peer_health& health) {
+  return json{{"store_ms", health.store_age.count()}, {"epoch", health.epoch}}.dump();
+}
+
+std::optional<peer_health> PeerHealthFromText(std::string_view text) {
+  return Parse<peer_health>(text, [](const json& in, peer_health& out) {
+    out.store_age = milliseconds(in.at("store_ms").get<int64_t>());
+    out.epoch = in.at("epoch").get<uint64_t>();
+  });
+}
+
+std::string PeerQuestionToText(const peer_question& question) {
+  const advice_order& order = question.order;
+  return json{{"job", order.job},
+              {"occurrence", order.occurrence},
+              {"step", order.step},
+              {"instances", order.instances},
+              {"timeout_ms", question.timeout.count()}}
+      .dump();
+}
+
+std::optional<peer_question> PeerQuestionFromText(std::string_view text) {
+  return Parse<peer_question>(text, [](const json& in, peer_question& out) {
+    out.order.job = in.at("job").get<std::string>();
+    out.order.occurrence = in.at("occurrence").get<uint32_t>();
+    out.order.step = in.at("step").get<uint32_t>();
+    out.order.instances = in.at("instances").get<std::vector<std::string>>();
+    out.timeout = milliseconds(in.at("timeout_ms").get<int64_t>());
+  });
+}
+
+std::string PeerAdviceToText(const advice_answer& answer) {
+  return json{{"answered", answer.answered},
+              {"overloaded", answer.overloaded},
+              {"allowed", answer.allowed},
+              {"valid_ms", answer.valid.count()}}
+      .dump();
+}
+
+std::optional<advice_answer> PeerAdviceFromText(std::string_view text) {
+  return Parse<advice_answer>(text, [](const json& in, advice_answer& out) {
+    out.answered = in.at("answered").get<bool>();
+    out.overloaded = in.at("overloaded").get<bool>();
+    out.allowed = in.at("allowed").get<std::vector<std::pair<std::string, std::string>>>();
+    out.valid = milliseconds(in.at("valid_ms").get<int64_t>());
+  });
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/site/peer_words.h
@@ -0,0 +1,63 @@
+// What the entries of a site say to each other, over HTTP with JSON bodies.
+//
+//   GET  /peer/state?id=     of a job, from the owner
+//   GET  /peer/pending?queue=
+//   GET  /peer/health        when the store last answered, the highest epoch seen
+//   GET  /peer/version       the configuration's text
+//   POST /peer/advise        asks a queue's policy from there
+//
+// libjsonrpccpp's server answers on the thread of the call, and a question to a policy takes up to a
+// second: these calls use the HTTP server that can answer later.
+#ifndef CATKINFORD_PROCESS_SITE_PEER_WORDS_H_
+#define CATKINFORD_PROCESS_SITE_PEER_WORDS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "process/scheduling/graph_state.h"
+#include "process/scheduling/scheduler_messages.h"
+
+namespace catkinford {
+
+inline constexpr char kPeerStatePath[] = "/peer/state";
+inline constexpr char kPeerPendingPath[] = "/peer/pending";
+inline constexpr char kPeerHealthPath[] = "/peer/health";
+inline constexpr char kPeerVersionPath[] = "/peer/version";
+inline constexpr char kPeerAdvisePath[] = "/peer/advise";
+
+struct peer_state {
+  bool owns = false;  // whoever does not own the site knows no states
+  std::optional<graph_phase> phase;
+};
+struct peer_pending {
+  bool owns = false;
+  size_t pending = 0;
+};
+struct peer_health {
+  std::chrono::milliseconds store_age{0};  // since the store last answered there
+  uint64_t epoch = 0;
+};
+struct peer_question {
+  advice_order order;
+  std::chrono::milliseconds timeout{0};
+};
+
+// Parsing answers nothing for other text.
+std::string PeerStateToText(const peer_state& state);
+std::optional<peer_state> PeerStateFromText(std::string_view text);
+std::string PeerPendingToText(const peer_pending& pending);
+std::optional<peer_pending> PeerPendingFromText(std::string_view text);
+std::string PeerHealthToText(const peer_health& health);
+std::optional<peer_health> PeerHealthFromText(std::string_view text);
+std::string PeerQuestionToText(const peer_question& question);
+std::optional<peer_question> PeerQuestionFromText(std::string_view text);
+std::string PeerAdviceToText(const advice_answer& answer);
+std::optional<advice_answer> PeerAdviceFromText(std::string_view text);
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SITE_PEER_WORDS_H_
--- /dev/null
+++ b/src/process/site/site_metrics.cc
@@ -0,0 +1,86 @@
+#include "process/site/site_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <sstream>
+
+namespace catkinford {
+namespace {
+
+using prometheus::Counter;
+using prometheus::Gauge;
+using prometheus::Histogram;
+
+// Seconds: an answer needs a few calls to the store, each some milliseconds.
+const Histogram::BucketBoundaries kAnswerBounds = {0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
+                                                   0.25,  0.5,   1,    2,    5};
+const Histogram::BucketBoundaries kDecideBounds = {0.0001, 0.0005, 0.001, 0.002, 0.005, 0.02, 0.1};
+
+prometheus::Family<Counter>& Counters(prometheus::Registry& registry, const char* name,
+                                      const char* help) {
+  return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+Gauge& OneGauge(prometheus::Registry& registry, const char* name, const char* help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+}  // namespace
+
+site_metrics::site_metrics()
+    : answers_(Counters(registry_, "catkinford_site_answers_total",
+                        "Answers to callers, by call and status.")),
+      store_calls_(Counters(registry_, "catkinford_site_store_calls_total",
+                            "Calls to the platform's store, by call and outcome.")),
+      orders_(Counters(registry_, "catkinford_site_orders_total",
+                       "Orders to instances, by order and outcome.")),
+      ends_(Counters(registry_, "catkinford_site_run_ends_total",
+                     "Ends of runs that instances listed, by how they ended.")),
+      answer_seconds_(prometheus::BuildHistogram()
+                          .Name("catkinford_site_answer_seconds")
+                          .Help("From a call's arrival to its answer.")
+                          .Register(registry_)),
+      decide_seconds(prometheus::BuildHistogram()
+                         .Name("catkinford_site_decide_seconds")
+                         .Help("One round of the owner's decisions.")
+                         .Register(registry_)
+                         .Add({}, kDecideBounds)),
+      takeovers(Counters(registry_, "catkinford_site_takeovers_total",
+                         "Times that this entry began to own the site.")
+                    .Add({})),
+      owns_site(OneGauge(registry_, "catkinford_site_owns", "1 while this entry owns the site.")),
+      jobs(OneGauge(registry_, "catkinford_site_jobs", "Jobs that the owner knows.")),
+      runs(OneGauge(registry_, "catkinford_site_runs", "Runs that hold room.")),
+      version(OneGauge(registry_, "catkinford_site_version", "Configuration in force.")),
+      store_age_seconds(OneGauge(registry_, "catkinford_site_store_age_seconds",
+                                 "Since the store last answered this entry.")),
+      version_age_seconds(OneGauge(registry_, "catkinford_site_version_age_seconds",
+                                   "Since the configuration was last confirmed.")),
+      log_lines_left_out(Counters(registry_, "catkinford_site_log_lines_left_out_total",
+                                  "Log lines that found no room.")
+                             .Add({})) {}
+
+void site_metrics::CountAnswer(const std::string& call, int status,
+                               std::chrono::microseconds took) {
+  answers_.Add({{"call", call}, {"status", std::to_string(status)}}).Increment();
+  answer_seconds_.Add({{"call", call}}, kAnswerBounds)
+      .Observe(std::chrono::duration<double>(took).count());
+}
+
+void site_metrics::CountStoreCall(const std::string& call, const std::string& outcome) {
+  store_calls_.Add({{"call", call}, {"outcome", outcome}}).Increment();
+}
+
+void site_metrics::CountOrder(const std::string& order, const std::string& outcome) {
+  orders_.Add({{"order", order}, {"outcome", outcome}}).Increment();
+}
+
+void site_metrics::CountEnd(const std::string& how) { ends_.Add({{"how", how}}).Increment(); }
+
+std::string site_metrics::Text() {
+  std::ostringstream out;
+  prometheus::TextSerializer().Serialize(out, registry_.Collect());
+  return out.str();
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/site/site_metrics.h
@@ -0,0 +1,51 @@
+// Counters and histograms of an entry of a site, in the Prometheus text format.
+#ifndef CATKINFORD_PROCESS_SITE_SITE_METRICS_H_
+#define CATKINFORD_PROCESS_SITE_SITE_METRICS_H_
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <chrono>
+#include <string>
+
+namespace catkinford {
+
+class site_metrics {
+ public:
+  site_metrics();
+  site_metrics(const site_metrics&) = delete;
+  site_metrics& operator=(const site_metrics&) = delete;
+
+  // `call`: submit, cancel, state, pending; `outcome`: the status that was answered.
+  void CountAnswer(const std::string& call, int status, std::chrono::microseconds took);
+  void CountStoreCall(const std::string& call, const std::string& outcome);
+  void CountOrder(const std::string& order, const std::string& outcome);
+  void CountEnd(const std::string& how);
+  std::string Text();
+
+ private:
+  prometheus::Registry registry_;
+  prometheus::Family<prometheus::Counter>& answers_;
+  prometheus::Family<prometheus::Counter>& store_calls_;
+  prometheus::Family<prometheus::Counter>& orders_;
+  prometheus::Family<prometheus::Counter>& ends_;
+  prometheus::Family<prometheus::Histogram>& answer_seconds_;
+
+ public:
+  prometheus::Histogram& decide_seconds;  // one round of decisions of the owner
+  prometheus::Counter& takeovers;         // times that this entry began to own the site
+  prometheus::Gauge& owns_site;           // 1 or 0
+  prometheus::Gauge& jobs;                // known to the owner
+  prometheus::Gauge& runs;                // that hold room
+  prometheus::Gauge& version;             // number of the configuration in force
+  prometheus::Gauge& store_age_seconds;   // since the store last answered
+  prometheus::Gauge& version_age_seconds;  // since the store last confirmed the configuration
+  prometheus::Counter& log_lines_left_out;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SITE_SITE_METRICS_H_
--- /dev/null
+++ b/src/process/site/site_node.h
@@ -0,0 +1,543 @@
+// One entry of a site: it joins the loop, the servers, the configuration, the membership, the callers'
+// front and, while it owns the site, the owner's work.
+#ifndef CATKINFORD_PROCESS_SITE_SITE_NODE_H_
+#define CATKINFORD_PROCESS_SITE_SITE_NODE_H_
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/random/random.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "connection/http_client.h"
+#include "connection/http_server.h"
+#include "process/site/advice_spread.h"
+#include "process/site/caller_front.h"
+#include "process/site/event_loop.h"
+#include "process/site/peer_words.h"
+#include "process/site/site_log.h"
+#include "process/site/site_membership.h"
+#include "process/site/site_metrics.h"
+#include "process/site/site_owner.h"
+#include "process/site/site_ports.h"
+#include "process/site/site_settings.h"
+#include "process/site/version_follow.h"
+
+namespace catkinford {
+
+enum class site_start_fault : uint8_t { kNone, kCallerAddress, kReadyAddress, kPeerAddress };
+
+// "ip:port"; false for other text.
+bool SplitAddress(const std::string& text, std::string& address, uint16_t& port);
+uint64_t NewNonce();
+
+template <site_platform Platform>
+class site_node {
+ public:
+  // `peers` carries the calls to other entries.
+  site_node(site_settings settings, Platform& platform, http_client& peers);
+  ~site_node() { Stop(); }
+  site_node(const site_node&) = delete;
+  site_node& operator=(const site_node&) = delete;
+
+  site_start_fault Start();
+  void Reload();
+  // Gives the site up, goes on answering while the balancer takes this entry out, and returns when
+  // nothing is in flight or the time is over.
+  void Shutdown();
+  void Stop();
+
+ private:
+  static constexpr size_t kLoopCapacity = 65536;
+  // Answers to callers, within the shortest time that callers wait for one.
+  static constexpr std::chrono::milliseconds kAnswerWithin{2300};
+  static constexpr std::chrono::milliseconds kPeerTimeout{400};
+  // Two looks of the balancer, a second apart, take an entry out of rotation.
+  static constexpr std::chrono::milliseconds kLinger{2300};
+  static constexpr std::chrono::milliseconds kShutdownMargin{1000};
+  static constexpr std::chrono::milliseconds kSettleWait{400};
+  // An answer to a question to a policy may take this much longer than the policy says.
+  static constexpr std::chrono::milliseconds kAdviceSlack{900};
+  // A peer that heard of the store within this time shows that it is not down for all.
+  static constexpr std::chrono::milliseconds kStoreFresh{900};
+
+  using peer_answer = std::function<void(const std::optional<std::string>&)>;
+
+  http_server_options OptionsFor(const std::string& address, uint16_t port) const;
+  front_hooks FrontHooks();
+  membership_hooks MembershipHooks();
+
+  // Servers' handlers, on their threads.
+  void OnCaller(http_server::token token, http_request request);
+  void OnReady(http_server::token token);
+  void OnPeer(http_server::token token, http_request request);
+  void OnMetrics(http_server::token token);
+
+  // On the loop's thread.
+  void AnswerPeer(http_server::token token, const http_request& request);
+  void AdviseFor(http_server::token token, const http_request& request);
+  void OnVersion();
+  void OnWon();
+  void OnLost();
+  void OnViewChanged();
+  void AskPeer(const entry_word& peer, const std::string& path_and_query, peer_answer done);
+  const entry_word* Owner() const;
+  void PhaseFromOwner(const std::string& job, std::function<void(std::optional<graph_phase>)> done);
+  void PendingFromOwner(const std::string& queue, std::function<void(std::optional<size_t>)> done);
+  void VersionFromPeer(std::function<void(std::string)> done);
+  void JudgeOutage(std::function<void(outage_verdict)> done);
+  void SpreadAdvice();
+  void AskAdvice(const advice_order& order, const std::string& entry);
+  void TellReadiness();
+  void UpdateAges();
+
+  site_settings settings_;
+  Platform& platform_;
+  http_client& peers_;
+  site_metrics numbers_;
+  site_log log_;
+  event_loop loop_;
+  site_membership<std::remove_reference_t<decltype(std::declval<Platform>().Store())>> membership_;
+  version_follow<Platform> versions_;
+  caller_front<Platform> front_;
+  advice_spread advice_;
+  std::shared_ptr<site_owner<Platform>> owner_;
+  std::map<std::string, bool> peer_silent_;
+  size_t next_peer_ = 0;
+  std::atomic<bool> ready_{false};
+  std::atomic<bool> stopping_{false};
+  bool stopped_ = false;
+  std::unique_ptr<http_server> callers_;
+  std::unique_ptr<http_server> readiness_;
+  std::unique_ptr<http_server> peer_server_;
+  std::unique_ptr<http_server> metrics_server_;
+};
+
+template <site_platform Platform>
+site_node<Platform>::site_node(site_settings settings, Platform& platform, http_client& peers)
+    : settings_(std::move(settings)),
+      platform_(platform),
+      peers_(peers),
+      log_(settings_.name, settings_.logs.lines_per_second),
+      loop_(kLoopCapacity),
+      membership_(platform.Store(), loop_, log_,
+                  entry_word{settings_.name,
+                             absl::StrCat(settings_.listen.address, ":",
+                                          settings_.listen.peer_port),
+                             settings_.failure_domain, NewNonce()},
+                  std::max(settings_.timing.owner_lease, settings_.platform.shortest_lease),
+                  settings_.timing.watch_wait, MembershipHooks()),
+      versions_(
+          platform, loop_, log_, settings_.timing.watch_wait, [this] { OnVersion(); },
+          [this](std::function<void(std::string)> done) { VersionFromPeer(std::move(done)); }),
+      front_(platform, loop_, log_, numbers_, kAnswerWithin, FrontHooks()) {}
+
+template <site_platform Platform>
+front_hooks site_node<Platform>::FrontHooks() {
+  front_hooks hooks;
+  hooks.version = [this] { return versions_.Version(); };
+  hooks.phase = [this](const std::string& job,
+                       std::function<void(std::optional<graph_phase>)> done) {
+    PhaseFromOwner(job, std::move(done));
+  };
+  hooks.pending = [this](const std::string& queue,
+                         std::function<void(std::optional<size_t>)> done) {
+    PendingFromOwner(queue, std::move(done));
+  };
+  hooks.stopping = [this] { return stopping_.load(); };
+  return hooks;
+}
+
+template <site_platform Platform>
+membership_hooks site_node<Platform>::MembershipHooks() {
+  membership_hooks hooks;
+  hooks.won = [this] { OnWon(); };
+  hooks.lost = [this](const std::string&) { OnLost(); };
+  hooks.view_changed = [this] { OnViewChanged(); };
+  hooks.ask_peers = [this](std::function<void(outage_verdict)> done) {
+    JudgeOutage(std::move(done));
+  };
+  return hooks;
+}
+
+template <site_platform Platform>
+http_server_options site_node<Platform>::OptionsFor(const std::string& address,
+                                                    uint16_t port) const {
+  http_server_options options;
+  options.address = address;
+  options.port = port;
+  return options;
+}
+
+template <site_platform Platform>
+site_start_fault site_node<Platform>::Start() {
+  std::string address;
+  uint16_t port = 0;
+  if (!SplitAddress(settings_.listen.ready, address, port)) return site_start_fault::kReadyAddress;
+  readiness_ = std::make_unique<http_server>(
+      OptionsFor(address, port),
+      [this](http_server::token token, const http_request&) { OnReady(token); });
+  if (!readiness_->Start()) return site_start_fault::kReadyAddress;
+
+  peer_server_ = std::make_unique<http_server>(
+      OptionsFor(settings_.listen.address, settings_.listen.peer_port),
+      [this](http_server::token token, http_request request) { OnPeer(token, std::move(request)); });
+  if (!peer_server_->Start()) return site_start_fault::kPeerAddress;
+
+  if (!SplitAddress(settings_.listen.callers, address, port)) {
+    return site_start_fault::kCallerAddress;
+  }
+  callers_ = std::make_unique<http_server>(
+      OptionsFor(address, port), [this](http_server::token token, http_request request) {
+        OnCaller(token, std::move(request));
+      });
+  if (!callers_->Start()) return site_start_fault::kCallerAddress;
+
+  if (settings_.listen.metrics_port != 0) {
+    metrics_server_ = std::make_unique<http_server>(
+        OptionsFor(settings_.listen.address, settings_.listen.metrics_port),
+        [this](http_server::token token, const http_request&) { OnMetrics(token); });
+    // Numbers are a help, not a duty: without them the entry still serves.
+    if (!metrics_server_->Start()) metrics_server_.reset();
+  }
+  log_.Write(site_event::kStarted, BootNow(),
+             absl::StrCat("domain=", settings_.failure_domain, " callers=",
+                          settings_.listen.callers, " store=", settings_.platform.store,
+                          " metrics=", metrics_server_ != nullptr));
+  loop_.Start();
+  loop_.Post([this] {
+    membership_.Start();
+    versions_.Start();
+    UpdateAges();
+  });
+  return site_start_fault::kNone;
+}
+
+template <site_platform Platform>
+void site_node<Platform>::Reload() {
+  log_.Write(site_event::kReloaded, BootNow(), "changed=none");
+}
+
+template <site_platform Platform>
+void site_node<Platform>::Shutdown() {
+  const monotonic_time begun = BootNow();
+  log_.Write(site_event::kStopping, begun, absl::StrCat("waiting=", callers_->Waiting()));
+  stopping_ = true;
+  ready_ = false;
+  std::mutex mutex;
+  std::condition_variable changed;
+  bool resigned = false;
+  const auto resign = [&] {
+    membership_.Resign([&] {
+      const std::lock_guard lock(mutex);
+      resigned = true;
+      changed.notify_one();
+    });
+  };
+  loop_.Post(resign);
+  const auto limit = settings_.bounds.shutdown_limit - kShutdownMargin;
+  {
+    std::unique_lock lock(mutex);
+    changed.wait_for(lock, limit, [&] { return resigned; });
+  }
+  // Callers keep their open connections until the balancer has taken this entry out.
+  constexpr std::chrono::milliseconds kLook{20};
+  while (BootNow() - begun < limit) {
+    const bool idle = callers_->Waiting() == 0;
+    if (idle && BootNow() - begun >= kLinger) break;
+    std::this_thread::sleep_for(kLook);
+  }
+  log_.Write(site_event::kStopped, BootNow(), absl::StrCat("waiting=", callers_->Waiting()));
+  // `resigned` and its lock live here: nothing may call back into them.
+  Stop();
+}
+
+template <site_platform Platform>
+void site_node<Platform>::Stop() {
+  if (std::exchange(stopped_, true)) return;
+  for (http_server* server :
+       {callers_.get(), readiness_.get(), peer_server_.get(), metrics_server_.get()}) {
+    if (server != nullptr) server->Stop();
+  }
+  loop_.Stop();
+}
+
+template <site_platform Platform>
+void site_node<Platform>::OnCaller(http_server::token token, http_request request) {
+  const bool taken = loop_.TryPost([this, token, request = std::move(request)]() mutable {
+    front_.Handle(std::move(request), [this, token](http_response response) {
+      callers_->Respond(token, std::move(response));
+    });
+  });
+  if (taken) return;
+  http_response busy;
+  busy.status = front_status::kUnavailable;
+  busy.body = Platform::EncodeError("overloaded");
+  busy.retry_after = std::chrono::seconds(1);
+  callers_->Respond(token, std::move(busy));
+}
+
+template <site_platform Platform>
+void site_node<Platform>::OnReady(http_server::token token) {
+  http_response response;
+  response.status = ready_ ? front_status::kOk : front_status::kUnavailable;
+  response.body = "{}";
+  readiness_->Respond(token, std::move(response));
+}
+
+template <site_platform Platform>
+void site_node<Platform>::OnMetrics(http_server::token token) {
+  http_response response;
+  response.content_type = "text/plain; version=0.0.4";
+  response.body = numbers_.Text();
+  metrics_server_->Respond(token, std::move(response));
+}
+
+template <site_platform Platform>
+void site_node<Platform>::OnPeer(http_server::token token, http_request request) {
+  const bool taken = loop_.TryPost(
+      [this, token, request = std::move(request)] { AnswerPeer(token, request); });
+  if (!taken) peer_server_->Respond(token, {.status = front_status::kUnavailable});
+}
+
+template <site_platform Platform>
+void site_node<Platform>::AnswerPeer(http_server::token token, const http_request& request) {
+  http_response response;
+  const bool owns = owner_ != nullptr && owner_->Loaded();
+  if (request.path == kPeerStatePath) {
+    peer_state state{owns, std::nullopt};
+    if (owns) state.phase = owner_->PhaseOf(request.Query("id"));
+    response.body = PeerStateToText(state);
+  } else if (request.path == kPeerPendingPath) {
+    response.body =
+        PeerPendingToText({owns, owns ? owner_->Pending(request.Query("queue")) : size_t{0}});
+  } else if (request.path == kPeerHealthPath) {
+    const auto age = BootNow() - membership_.StoreAnswered();
+    response.body =
+        PeerHealthToText({std::chrono::duration_cast<std::chrono::milliseconds>(age),
+                          membership_.View().epoch});
+  } else if (request.path == kPeerVersionPath) {
+    response.body = versions_.Text();
+  } else if (request.path == kPeerAdvisePath) {
+    return AdviseFor(token, request);
+  } else {
+    response.status = front_status::kNotFound;
+  }
+  peer_server_->Respond(token, std::move(response));
+}
+
+template <site_platform Platform>
+void site_node<Platform>::AdviseFor(http_server::token token, const http_request& request) {
+  const auto question = PeerQuestionFromText(request.body);
+  if (!question) return peer_server_->Respond(token, {.status = front_status::kBadRequest});
+  platform_.Advisor().Ask(question->order, question->timeout, [this, token](advice_answer answer) {
+    peer_server_->Respond(token, {.body = PeerAdviceToText(answer)});
+  });
+}
+
+template <site_platform Platform>
+void site_node<Platform>::OnVersion() {
+  numbers_.version.Set(static_cast<double>(versions_.Version()->Number()));
+  TellReadiness();
+  if (owner_ != nullptr) owner_->SetVersion(versions_.Version());
+}
+
+template <site_platform Platform>
+void site_node<Platform>::TellReadiness() {
+  const bool now = versions_.Version() != nullptr && !stopping_;
+  if (ready_.exchange(now) == now) return;
+  log_.Write(site_event::kReadiness, BootNow(), absl::StrCat("ready=", now));
+}
+
+template <site_platform Platform>
+void site_node<Platform>::UpdateAges() {
+  loop_.After(std::chrono::seconds(1), [this] { UpdateAges(); });
+  const auto now = BootNow();
+  const auto seconds = [&](monotonic_time since) {
+    return std::chrono::duration<double>(now - since).count();
+  };
+  numbers_.store_age_seconds.Set(seconds(membership_.StoreAnswered()));
+  numbers_.version_age_seconds.Set(seconds(versions_.Confirmed()));
+  const double left_out = static_cast<double>(log_.LeftOut());
+  numbers_.log_lines_left_out.Increment(left_out - numbers_.log_lines_left_out.Value());
+}
+
+template <site_platform Platform>
+void site_node<Platform>::OnWon() {
+  owner_hooks hooks;
+  hooks.superseded = [this](const std::string& why) { membership_.OnSuperseded(why); };
+  hooks.ask_advice = [this](advice_order order) {
+    advice_.Add(std::move(order));
+    SpreadAdvice();
+  };
+  owner_ = std::make_shared<site_owner<Platform>>(platform_, loop_, log_, numbers_, settings_,
+                                                  membership_.Epoch(), membership_.OwnerRevision(),
+                                                  std::move(hooks));
+  numbers_.owns_site.Set(1);
+  numbers_.takeovers.Increment();
+  owner_->Start(versions_.Version());
+}
+
+template <site_platform Platform>
+void site_node<Platform>::OnLost() {
+  numbers_.owns_site.Set(0);
+  if (owner_ == nullptr) return;
+  owner_->End();
+  owner_.reset();
+  advice_ = advice_spread();
+  OnViewChanged();
+}
+
+template <site_platform Platform>
+void site_node<Platform>::OnViewChanged() {
+  std::vector<std::string> names = {settings_.name};
+  for (const auto& [name, entry] : membership_.View().entries) {
+    if (name != settings_.name) names.push_back(name);
+  }
+  advice_.SetEntries(names);
+  SpreadAdvice();
+}
+
+template <site_platform Platform>
+void site_node<Platform>::AskPeer(const entry_word& peer, const std::string& path_and_query,
+                                  peer_answer done) {
+  http_call call;
+  call.url = absl::StrCat("http://", peer.address, path_and_query);
+  call.timeout = kPeerTimeout;
+  peers_.Send(std::move(call), [this, name = peer.name, done = std::move(done)](
+                                   http_result result) {
+    loop_.Post([this, name, done, result = std::move(result)] {
+      const bool good = result.status == transfer_status::kDone && result.code == front_status::kOk;
+      bool& silent = peer_silent_[name];
+      if (silent == good) {
+        silent = !good;
+        log_.Write(good ? site_event::kPeerBack : site_event::kPeerLost, BootNow(),
+                   absl::StrCat("peer=", name, " status=", result.code));
+      }
+      done(good ? std::optional<std::string>(result.body) : std::nullopt);
+    });
+  });
+}
+
+template <site_platform Platform>
+const entry_word* site_node<Platform>::Owner() const {
+  const auto& owner = membership_.View().owner;
+  return owner && owner->entry.name != settings_.name ? &owner->entry : nullptr;
+}
+
+template <site_platform Platform>
+void site_node<Platform>::PhaseFromOwner(const std::string& job,
+                                         std::function<void(std::optional<graph_phase>)> done) {
+  if (owner_ != nullptr) return done(owner_->PhaseOf(job));
+  const entry_word* owner = Owner();
+  if (owner == nullptr) return done(std::nullopt);
+  AskPeer(*owner, absl::StrCat(kPeerStatePath, "?id=", job),
+          [done = std::move(done)](const std::optional<std::string>& text) {
+            const auto state = text ? PeerStateFromText(*text) : std::nullopt;
+            done(state && state->owns ? state->phase : std::nullopt);
+          });
+}
+
+template <site_platform Platform>
+void site_node<Platform>::PendingFromOwner(const std::string& queue,
+                                           std::function<void(std::optional<size_t>)> done) {
+  if (owner_ != nullptr && owner_->Loaded()) return done(owner_->Pending(queue));
+  const entry_word* owner = Owner();
+  if (owner == nullptr) return done(std::nullopt);
+  AskPeer(*owner, absl::StrCat(kPeerPendingPath, "?queue=", queue),
+          [done = std::move(done)](const std::optional<std::string>& text) {
+            const auto pending = text ? PeerPendingFromText(*text) : std::nullopt;
+            done(pending && pending->owns ? std::optional<size_t>(pending->pending)
+                                          : std::nullopt);
+          });
+}
+
+template <site_platform Platform>
+void site_node<Platform>::VersionFromPeer(std::function<void(std::string)> done) {
+  std::vector<entry_word> others;
+  for (const auto& [name, entry] : membership_.View().entries) {
+    if (name != settings_.name) others.push_back(entry);
+  }
+  if (others.empty()) return done({});
+  AskPeer(others[next_peer_++ % others.size()], kPeerVersionPath,
+          [done = std::move(done)](const std::optional<std::string>& text) {
+            done(text.value_or(std::string()));
+          });
+}
+
+template <site_platform Platform>
+void site_node<Platform>::JudgeOutage(std::function<void(outage_verdict)> done) {
+  struct poll {
+    size_t left = 0;
+    size_t answered = 0;
+    bool up_elsewhere = false;
+    bool other_owner = false;
+  };
+  auto asked = std::make_shared<poll>();
+  const uint64_t epoch = membership_.Epoch();
+  for (const auto& [name, entry] : membership_.View().entries) {
+    if (name != settings_.name) ++asked->left;
+  }
+  if (asked->left == 0) return done(outage_verdict::kNobodyAnswers);
+  for (const auto& [name, entry] : membership_.View().entries) {
+    if (name == settings_.name) continue;
+    AskPeer(entry, kPeerHealthPath, [asked, epoch, done](const std::optional<std::string>& text) {
+      const auto health = text ? PeerHealthFromText(*text) : std::nullopt;
+      if (health) {
+        ++asked->answered;
+        asked->up_elsewhere = asked->up_elsewhere || health->store_age < kStoreFresh;
+        asked->other_owner = asked->other_owner || health->epoch > epoch;
+      }
+      if (--asked->left > 0) return;
+      if (asked->other_owner) return done(outage_verdict::kOtherOwner);
+      if (asked->up_elsewhere) return done(outage_verdict::kUpElsewhere);
+      done(asked->answered > 0 ? outage_verdict::kDownForAll : outage_verdict::kNobodyAnswers);
+    });
+  }
+}
+
+template <site_platform Platform>
+void site_node<Platform>::SpreadAdvice() {
+  while (auto next = advice_.Next()) AskAdvice(next->first, next->second);
+}
+
+template <site_platform Platform>
+void site_node<Platform>::AskAdvice(const advice_order& order, const std::string& entry) {
+  const auto timeout = order.expected + kAdviceSlack;
+  const auto finish = [this, order, entry](const advice_answer& answer) {
+    advice_.OnAnswered(entry);
+    if (owner_ != nullptr) owner_->OnAdvice(order, answer);
+    SpreadAdvice();
+  };
+  const auto found = membership_.View().entries.find(entry);
+  if (entry == settings_.name || found == membership_.View().entries.end()) {
+    platform_.Advisor().Ask(order, timeout, [this, finish](advice_answer answer) {
+      loop_.Post([finish, answer = std::move(answer)] { finish(answer); });
+    });
+    return;
+  }
+  http_call call;
+  call.method = "POST";
+  call.url = absl::StrCat("http://", found->second.address, kPeerAdvisePath);
+  call.body = PeerQuestionToText({order, timeout});
+  call.timeout = timeout + kPeerTimeout;
+  peers_.Send(std::move(call), [this, finish](http_result result) {
+    loop_.Post([finish, result = std::move(result)] {
+      const bool good = result.status == transfer_status::kDone && result.code == front_status::kOk;
+      const auto answer = good ? PeerAdviceFromText(result.body) : std::nullopt;
+      finish(answer.value_or(advice_answer{}));
+    });
+  });
+}
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SITE_SITE_NODE_H_
--- /dev/null
+++ b/src/process/site/site_owner.h
@@ -0,0 +1,527 @@
+// The work of the entry that owns the site: reads all records, then runs the scheduler, sends its
+// orders, stores its progress and follows the inbox and the registry, until the ownership ends.
+//
+// All of it lives on the loop's thread, and only as long as one ownership: answers that come after
+// its end find nobody and change nothing.
+#ifndef CATKINFORD_PROCESS_SITE_SITE_OWNER_H_
+#define CATKINFORD_PROCESS_SITE_SITE_OWNER_H_
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "process/scheduling/job_scheduler.h"
+#include "process/site/event_loop.h"
+#include "process/site/site_log.h"
+#include "process/site/site_metrics.h"
+#include "process/site/site_ports.h"
+#include "process/site/site_records.h"
+#include "process/site/site_settings.h"
+
+namespace catkinford {
+
+struct owner_hooks {
+  // The ownership is over: an instance or the store knows a later one.
+  std::function<void(const std::string& why)> superseded;
+  // A question to a queue's policy; answered by OnAdvice().
+  std::function<void(advice_order)> ask_advice;
+};
+
+// Writes a scheduler's notes to the log and counts them.
+void WriteNotes(const std::vector<scheduler_note>& notes, site_log& log, monotonic_time now);
+
+template <site_platform Platform>
+class site_owner : public std::enable_shared_from_this<site_owner<Platform>> {
+ public:
+  site_owner(Platform& platform, event_loop& loop, site_log& log, site_metrics& numbers,
+             const site_settings& settings, uint64_t epoch, uint64_t owner_revision,
+             owner_hooks hooks)
+      : platform_(platform),
+        loop_(loop),
+        log_(log),
+        numbers_(numbers),
+        settings_(settings),
+        epoch_(epoch),
+        owner_revision_(owner_revision),
+        hooks_(std::move(hooks)),
+        scheduler_(OptionsOf(settings), epoch, BootNow()) {}
+
+  void Start(std::shared_ptr<const site_version> version) {
+    began_ = BootNow();
+    scheduler_.SetVersion(std::move(version));
+    LoadInbox("");
+  }
+  // Ends it: no more orders. Answers under way are dropped.
+  void End() { ended_ = true; }
+
+  void SetVersion(std::shared_ptr<const site_version> version) {
+    scheduler_.SetVersion(std::move(version));
+    Soon();
+  }
+  bool Loaded() const { return loaded_; }
+  // Nothing while the records are still being read.
+  std::optional<graph_phase> PhaseOf(const std::string& job) const {
+    if (!loaded_) return std::nullopt;
+    const job_entry* entry = scheduler_.Find(job);
+    if (entry == nullptr) return std::nullopt;
+    return entry->VisiblePhase();
+  }
+  size_t Pending(const std::string& queue) const { return scheduler_.Pending(queue); }
+  void OnAdvice(const advice_order& order, const advice_answer& answer) {
+    scheduler_.OnAdvice(order, answer, BootNow());
+    Soon();
+  }
+  // True when nothing is on its way to the store and nothing waits for it.
+  bool Settled() const { return !committing_; }
+
+ private:
+  using self_type = site_owner<Platform>;
+
+  static constexpr std::chrono::milliseconds kRetry{150};
+  static constexpr std::chrono::milliseconds kTick{50};
+  // Events that come together are decided together.
+  static constexpr std::chrono::milliseconds kSoon{3};
+  // Ends are stored together: a write for each would be most of the store's rate.
+  static constexpr std::chrono::milliseconds kBetweenCommits{60};
+  static constexpr std::chrono::milliseconds kCommitRetry{150};
+  static constexpr std::chrono::milliseconds kExpiryEvery{2000};
+  static constexpr std::chrono::milliseconds kIdleWatchPause{50};
+  static constexpr size_t kExpireAtOnce = 8;  // jobs; three keys each
+  // Conditions and keys of the owner's own in each change.
+  static constexpr size_t kOwnEntries = 4;
+
+  static scheduler_options OptionsOf(const site_settings& settings) {
+    scheduler_options out;
+    out.longest_lease = settings.bounds.longest_run_lease;
+    out.stop_limit = settings.bounds.stop_limit;
+    out.gang_limit = settings.bounds.gang_limit;
+    out.keep_final = settings.bounds.keep_final;
+    out.early_limit = settings.bounds.early_limit;
+    out.remote_factor = settings.bounds.remote_factor;
+    return out;
+  }
+
+  // Brings an answer to the loop's thread, and drops it once this ownership is over.
+  template <typename... Args>
+  std::function<void(Args...)> Here(std::function<void(self_type&, Args...)> done) {
+    std::weak_ptr<self_type> weak = this->weak_from_this();
+    event_loop& loop = loop_;
+    return [weak, &loop, done = std::move(done)](Args... args) {
+      loop.Post([weak, done, ... held = std::move(args)]() mutable {
+        const std::shared_ptr<self_type> self = weak.lock();
+        if (self != nullptr && !self->ended_) done(*self, std::move(held)...);
+      });
+    };
+  }
+  store_callback OnReply(std::function<void(self_type&, store_reply)> done) {
+    return Here<store_reply>(std::move(done));
+  }
+  order_callback OnAnswer(std::function<void(self_type&, order_answer)> done) {
+    return Here<order_answer>(std::move(done));
+  }
+  void Later(std::chrono::milliseconds delay, std::function<void(self_type&)> task) {
+    std::weak_ptr<self_type> weak = this->weak_from_this();
+    loop_.After(delay, [weak, task = std::move(task)] {
+      const std::shared_ptr<self_type> self = weak.lock();
+      if (self != nullptr && !self->ended_) task(*self);
+    });
+  }
+
+  // --- reading the records -------------------------------------------------------------------
+
+  // Reads a whole range page by page; a page that fails is asked for again.
+  void ReadPages(const std::string& prefix, const std::string& after,
+                 std::function<void(self_type&, const store_reply&)> take,
+                 std::function<void(self_type&)> done) {
+    platform_.Store().Range(
+        prefix, after, OnReply([=](self_type& self, const store_reply& reply) {
+          if (reply.status != store_status::kDone) {
+            self.Later(kRetry, [=](self_type& again) {
+              again.ReadPages(prefix, after, take, done);
+            });
+            return;
+          }
+          take(self, reply);
+          if (!reply.more || reply.items.empty()) return done(self);
+          self.ReadPages(prefix, reply.items.back().key, take, done);
+        }));
+  }
+
+  void LoadInbox(const std::string& after) {
+    ReadPages(
+        kInboxPrefix, after,
+        [](self_type& self, const store_reply& reply) {
+          // Watched from the first page on: what comes while the others are read is seen twice.
+          if (self.inbox_revision_ == 0) self.inbox_revision_ = reply.revision;
+          for (const store_item& item : reply.items) self.loaded_inbox_.push_back(item);
+        },
+        [](self_type& self) { self.LoadProgress(); });
+  }
+
+  void LoadProgress() {
+    ReadPages(
+        kProgressPrefix, "",
+        [](self_type& self, const store_reply& reply) {
+          for (const store_item& item : reply.items) {
+            self.loaded_progress_[item.key.substr(std::string(kProgressPrefix).size())] =
+                item.value;
+          }
+        },
+        [](self_type& self) { self.LoadOwn(); });
+  }
+
+  void LoadOwn() {
+    ReadPages(
+        "owner/", "",
+        [](self_type& self, const store_reply& reply) {
+          for (const store_item& item : reply.items) {
+            if (item.key == kCommitKey) self.commit_revision_ = item.revision;
+            if (item.key == kFleetKey) self.loaded_fleet_ = FleetFromText(item.value);
+          }
+        },
+        [](self_type& self) { self.LoadRegistry(); });
+  }
+
+  void LoadRegistry() {
+    ReadRegistry([](self_type& self) { self.Begin(); });
+  }
+
+  void Begin() {
+    const monotonic_time now = BootNow();
+    loaded_ = true;
+    scheduler_.OnInherited(loaded_fleet_, now);
+    scheduler_.OnRegistry(registry_, now);
+    for (const store_item& item : loaded_inbox_) TakeInbox(item, true);
+    log_.Write(site_event::kOwnerLoaded, now,
+               absl::StrCat("epoch=", epoch_, " jobs=", scheduler_.JobCount(), " records=",
+                            loaded_inbox_.size(), " progress=", loaded_progress_.size(),
+                            " instances=", registry_.size(), " known_before=",
+                            loaded_fleet_.size(), " ms=",
+                            std::chrono::duration_cast<std::chrono::milliseconds>(now - began_)
+                                .count()));
+    loaded_inbox_.clear();
+    loaded_progress_.clear();
+    loaded_fleet_.clear();
+    WatchInbox(inbox_revision_);
+    Later(settings_.timing.registry_poll, [](self_type& self) { self.PollRegistry(); });
+    Later(kExpiryEvery, [](self_type& self) { self.Expire(); });
+    Tick();
+  }
+
+  void TakeInbox(const store_item& item, bool inherited) {
+    if (item.deleted) return;
+    const monotonic_time now = BootNow();
+    const std::string jobs = kJobPrefix;
+    const std::string cancels = kCancelPrefix;
+    if (item.key.starts_with(cancels)) {
+      const std::string id = item.key.substr(cancels.size());
+      cancelled_.insert(id);
+      scheduler_.OnCancel(id, now);
+      return;
+    }
+    if (!item.key.starts_with(jobs)) return;
+    const std::string id = item.key.substr(jobs.size());
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+          BOOST_LEAF_AUTO(job, JobFromText(item.value));
+          if (job.id != id) return leaf::new_error(durable_fault{});
+          const auto progress = loaded_progress_.find(id);
+          scheduler_.OnJob(std::move(job),
+                           progress == loaded_progress_.end() ? std::string() : progress->second,
+                           inherited, WallNow(), now);
+          // A cancelling may be read before its job: the keys come in their order.
+          if (cancelled_.contains(id)) scheduler_.OnCancel(id, now);
+          return {};
+        },
+        [&] {
+          log_.Write(site_event::kRecordUnreadable, now, absl::StrCat("key=", LogField(item.key)));
+        });
+  }
+
+  // --- following the inbox and the registry ----------------------------------------------------
+
+  void WatchInbox(uint64_t after) {
+    const monotonic_time sent = BootNow();
+    platform_.Store().Watch(
+        kInboxPrefix, after, settings_.timing.watch_wait,
+        OnReply([after, sent](self_type& self, const store_reply& reply) {
+          self.OnInbox(reply, after, sent);
+        }));
+  }
+
+  void OnInbox(const store_reply& reply, uint64_t after, monotonic_time sent) {
+    if (reply.status == store_status::kDone) {
+      for (const store_item& item : reply.items) TakeInbox(item, false);
+      if (!reply.items.empty()) Soon();
+      const uint64_t next = std::max(after, reply.revision);
+      if (!reply.items.empty() || BootNow() - sent >= kIdleWatchPause) return WatchInbox(next);
+      return Later(kIdleWatchPause, [next](self_type& self) { self.WatchInbox(next); });
+    }
+    if (reply.status != store_status::kHistoryGone) {
+      return Later(kRetry, [after](self_type& self) { self.WatchInbox(after); });
+    }
+    // What the watch missed is read in whole; jobs that are known already are left as they are.
+    inbox_revision_ = 0;
+    ReadPages(
+        kInboxPrefix, "",
+        [](self_type& self, const store_reply& page) {
+          if (self.inbox_revision_ == 0) self.inbox_revision_ = page.revision;
+          for (const store_item& item : page.items) self.TakeInbox(item, false);
+        },
+        [](self_type& self) {
+          self.Soon();
+          self.WatchInbox(self.inbox_revision_);
+        });
+  }
+
+  void ReadRegistry(std::function<void(self_type&)> done) {
+    auto reports = std::make_shared<std::vector<instance_report>>();
+    ReadPages(
+        Platform::kInstanceKeyPrefix, "",
+        [reports](self_type&, const store_reply& reply) {
+          for (const store_item& item : reply.items) {
+            auto report = Platform::DecodeRegistration(item.key, item.value);
+            if (report) reports->push_back(std::move(*report));
+          }
+        },
+        [reports, done](self_type& self) {
+          self.registry_ = std::move(*reports);
+          done(self);
+        });
+  }
+
+  void PollRegistry() {
+    ReadRegistry([](self_type& self) {
+      self.scheduler_.OnRegistry(self.registry_, BootNow());
+      self.NoteFleet();
+      self.Soon();
+      self.Later(self.settings_.timing.registry_poll,
+                 [](self_type& again) { again.PollRegistry(); });
+    });
+  }
+
+  // The instances that may hold work are kept in the store: the registry loses those that are cut
+  // off from it and run on.
+  void NoteFleet() {
+    std::vector<instance_report> fleet = scheduler_.Instances();
+    std::sort(fleet.begin(), fleet.end(),
+              [](const instance_report& a, const instance_report& b) { return a.id < b.id; });
+    std::string text = FleetToText(fleet);
+    if (text == fleet_text_) return;
+    fleet_text_ = std::move(text);
+    fleet_unstored_ = true;
+  }
+
+  // --- decisions ---------------------------------------------------------------------------------
+
+  void Tick() {
+    Decide();
+    Later(kTick, [](self_type& self) { self.Tick(); });
+  }
+
+  void Soon() {
+    if (soon_ || !loaded_) return;
+    soon_ = true;
+    Later(kSoon, [](self_type& self) {
+      self.soon_ = false;
+      self.Decide();
+    });
+  }
+
+  void Decide() {
+    const monotonic_time now = BootNow();
+    scheduler_orders orders = scheduler_.Decide(WallNow(), now);
+    for (start_order& order : orders.starts) SendStart(std::move(order));
+    for (const stop_order& order : orders.stops) SendStop(order);
+    for (const pace_order& order : orders.paces) SendPace(order);
+    for (const list_order& order : orders.listings) SendListing(order);
+    for (advice_order& order : orders.advice) hooks_.ask_advice(std::move(order));
+    WriteNotes(scheduler_.TakeNotes(), log_, now);
+    const auto spent = BootNow() - now;
+    numbers_.decide_seconds.Observe(std::chrono::duration<double>(spent).count());
+    numbers_.jobs.Set(static_cast<double>(scheduler_.JobCount()));
+    numbers_.runs.Set(static_cast<double>(scheduler_.RunCount()));
+    Commit();
+  }
+
+  // True when the answer ends this ownership.
+  bool Fenced(order_result result, const order_target& to) {
+    if (result != order_result::kFenced) return false;
+    hooks_.superseded(absl::StrCat("instance ", to.instance, " has seen a higher epoch"));
+    return true;
+  }
+
+  void SendStart(start_order order) {
+    start_order remembered = order;
+    remembered.payload.clear();
+    platform_.Instances().Start(
+        order, epoch_,
+        OnAnswer([order = std::move(remembered)](self_type& self, order_answer answer) {
+          self.numbers_.CountOrder("start", std::string(ToText(answer.result)));
+          if (self.Fenced(answer.result, order.to)) return;
+          self.scheduler_.OnStartAnswer(order, answer, BootNow());
+          if (answer.result != order_result::kDone) self.Soon();
+        }));
+  }
+
+  void SendStop(const stop_order& order) {
+    platform_.Instances().Stop(
+        order, epoch_, OnAnswer([order](self_type& self, order_answer answer) {
+          self.numbers_.CountOrder("stop", std::string(ToText(answer.result)));
+          if (self.Fenced(answer.result, order.to)) return;
+          self.scheduler_.OnStopAnswer(order, answer, BootNow());
+        }));
+  }
+
+  void SendPace(const pace_order& order) {
+    platform_.Instances().Pace(
+        order, epoch_, OnAnswer([order](self_type& self, order_answer answer) {
+          self.numbers_.CountOrder("pace", std::string(ToText(answer.result)));
+          if (self.Fenced(answer.result, order.to)) return;
+          self.scheduler_.OnPaceAnswer(order, answer, BootNow());
+        }));
+  }
+
+  void SendListing(const list_order& order) {
+    const monotonic_time sent = BootNow();
+    std::function<void(self_type&, std::optional<instance_listing>, order_result)> done =
+        [order, sent](self_type& self, std::optional<instance_listing> listing,
+                      order_result result) {
+          self.numbers_.CountOrder("list", std::string(ToText(result)));
+          if (self.Fenced(result, order.to)) return;
+          if (!listing) {
+            self.scheduler_.OnNoListing(order, result, BootNow());
+            return;
+          }
+          for (const ended_row& row : listing->ended) {
+            self.numbers_.CountEnd(std::string(ToText(row.how)));
+          }
+          self.scheduler_.OnListing(order, *listing, sent, BootNow());
+          self.Soon();
+        };
+    platform_.Instances().List(
+        order, epoch_, Here<std::optional<instance_listing>, order_result>(std::move(done)));
+  }
+
+  // --- storing -----------------------------------------------------------------------------------
+
+  // Each change holds only while this entry owns the site and no other change of its own came
+  // between: one that the store carries out late finds that and does nothing.
+  store_write Guarded() const {
+    store_write write;
+    write.expected = {{kOwnerKey, owner_revision_}, {kCommitKey, commit_revision_}};
+    write.puts.push_back({kCommitKey, absl::StrCat(epoch_), {}});
+    return write;
+  }
+
+  void Commit() {
+    const monotonic_time now = BootNow();
+    if (committing_ || now < next_commit_) return;
+    const size_t most = Platform::kMostInOneChange - kOwnEntries;
+    std::vector<job_progress_write> writes = scheduler_.TakeUnstored(most);
+    if (writes.empty() && !fleet_unstored_ && expired_.empty()) return;
+    store_write change = Guarded();
+    for (const job_progress_write& write : writes) {
+      change.puts.push_back({kProgressPrefix + write.job, write.text, {}});
+    }
+    const bool fleet = fleet_unstored_;
+    if (fleet) change.puts.push_back({kFleetKey, fleet_text_, {}});
+    fleet_unstored_ = false;
+    // Deletes go alone: three keys a job would not leave room for progress.
+    std::vector<std::string> expired;
+    if (writes.empty()) {
+      const size_t count = std::min(expired_.size(), kExpireAtOnce);
+      const auto end = expired_.begin() + static_cast<std::ptrdiff_t>(count);
+      expired.assign(expired_.begin(), end);
+      expired_.erase(expired_.begin(), end);
+      for (const std::string& id : expired) {
+        change.deletes.push_back(kJobPrefix + id);
+        change.deletes.push_back(kCancelPrefix + id);
+        change.deletes.push_back(kProgressPrefix + id);
+      }
+    }
+    committing_ = true;
+    next_commit_ = now + kBetweenCommits;
+    platform_.Store().Commit(
+        change, OnReply([writes = std::move(writes), expired = std::move(expired), fleet, now](
+                            self_type& self, const store_reply& reply) {
+          self.OnCommitted(writes, expired, fleet, reply, now);
+        }));
+  }
+
+  void OnCommitted(const std::vector<job_progress_write>& writes,
+                   const std::vector<std::string>& expired, bool fleet, const store_reply& reply,
+                   monotonic_time sent) {
+    committing_ = false;
+    const monotonic_time now = BootNow();
+    numbers_.CountStoreCall("commit", reply.status == store_status::kDone ? "done" : "not_done");
+    if (reply.status == store_status::kDone) {
+      commit_revision_ = reply.revision;
+      scheduler_.OnStored(writes, now);
+      log_.Write(site_event::kProgressStored, now,
+                 absl::StrCat("jobs=", writes.size(), " revision=", reply.revision, " ms=",
+                              std::chrono::duration_cast<std::chrono::milliseconds>(now - sent)
+                                  .count()));
+      return Soon();
+    }
+    scheduler_.OnNotStored(writes);
+    expired_.insert(expired_.end(), expired.begin(), expired.end());
+    fleet_unstored_ = fleet_unstored_ || fleet;
+    next_commit_ = now + kCommitRetry;
+    if (reply.status != store_status::kConflict) return;
+    for (const store_item& item : reply.items) {
+      // The change before this one was carried out though its answer was lost.
+      if (item.key == kCommitKey) commit_revision_ = item.revision;
+      if (item.key == kOwnerKey && item.revision != owner_revision_) {
+        return hooks_.superseded("the store names another owner");
+      }
+    }
+  }
+
+  void Expire() {
+    for (std::string& id : scheduler_.TakeExpired(BootNow(), kExpireAtOnce)) {
+      cancelled_.erase(id);
+      expired_.push_back(std::move(id));
+    }
+    Later(kExpiryEvery, [](self_type& self) { self.Expire(); });
+  }
+
+  Platform& platform_;
+  event_loop& loop_;
+  site_log& log_;
+  site_metrics& numbers_;
+  const site_settings& settings_;
+  const uint64_t epoch_;
+  const uint64_t owner_revision_;
+  owner_hooks hooks_;
+  job_scheduler scheduler_;
+  bool ended_ = false;
+  bool loaded_ = false;
+  bool soon_ = false;
+  monotonic_time began_{};
+  // While the records are read:
+  std::vector<store_item> loaded_inbox_;
+  std::map<std::string, std::string> loaded_progress_;
+  std::vector<instance_report> loaded_fleet_;
+  uint64_t inbox_revision_ = 0;
+
+  std::vector<instance_report> registry_;
+  std::set<std::string> cancelled_;  // until their jobs are forgotten
+  uint64_t commit_revision_ = 0;
+  bool committing_ = false;
+  monotonic_time next_commit_{};
+  std::string fleet_text_;
+  bool fleet_unstored_ = false;
+  std::vector<std::string> expired_;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SITE_SITE_OWNER_H_
--- /dev/null
+++ b/src/process/site/site_records.cc
@@ -0,0 +1,90 @@
+#include "process/site/site_records.h"
+
+#include <nlohmann/json.hpp>
+
+namespace catkinford {
+namespace {
+
+using nlohmann::json;
+
+json EntryToJson(const entry_word& entry) {
+  return {{"name", entry.name},
+          {"address", entry.address},
+          {"domain", entry.failure_domain},
+          {"nonce", entry.nonce}};
+}
+
+entry_word EntryFromJson(const json& in) {
+  return {in.at("name").get<std::string>(), in.at("address").get<std::string>(),
+          in.at("domain").get<std::string>(), in.at("nonce").get<uint64_t>()};
+}
+
+}  // namespace
+
+std::string EntryToText(const entry_word& entry) { return EntryToJson(entry).dump(); }
+
+std::optional<entry_word> EntryFromText(std::string_view text) {
+  const json in = json::parse(text, nullptr, false);
+  if (!in.is_object()) return std::nullopt;
+  try {
+    return EntryFromJson(in);
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string OwnerToText(const owner_word& owner) {
+  return json{{"entry", EntryToJson(owner.entry)}, {"epoch", owner.epoch}}.dump();
+}
+
+std::optional<owner_word> OwnerFromText(std::string_view text) {
+  const json in = json::parse(text, nullptr, false);
+  if (!in.is_object()) return std::nullopt;
+  try {
+    return owner_word{EntryFromJson(in.at("entry")), in.at("epoch").get<uint64_t>()};
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string FleetToText(const std::vector<instance_report>& instances) {
+  json out = json::array();
+  for (const instance_report& each : instances) {
+    out.push_back({{"id", each.id},
+                   {"service", each.service},
+                   {"address", each.address},
+                   {"domain", each.failure_domain},
+                   {"rack", each.rack},
+                   {"cpu", each.capacity.cpu_milli},
+                   {"mem", each.capacity.memory_mb},
+                   {"acc", each.capacity.accelerators},
+                   {"born", each.incarnation}});
+  }
+  return out.dump();
+}
+
+std::vector<instance_report> FleetFromText(std::string_view text) {
+  std::vector<instance_report> out;
+  const json in = json::parse(text, nullptr, false);
+  if (!in.is_array()) return out;
+  for (const json& row : in) {
+    try {
+      instance_report each;
+      each.id = row.at("id").get<std::string>();
+      each.service = row.at("service").get<std::string>();
+      each.address = row.at("address").get<std::string>();
+      each.failure_domain = row.at("domain").get<std::string>();
+      each.rack = row.at("rack").get<std::string>();
+      each.capacity.cpu_milli = row.at("cpu").get<uint32_t>();
+      each.capacity.memory_mb = row.at("mem").get<uint32_t>();
+      each.capacity.accelerators = row.at("acc").get<uint32_t>();
+      each.incarnation = row.at("born").get<int64_t>();
+      out.push_back(std::move(each));
+    } catch (const json::exception&) {
+      continue;  // a row that can't be read names no instance; the others hold
+    }
+  }
+  return out;
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/process/site/site_records.h
@@ -0,0 +1,60 @@
+// What a site keeps in the store: keys, and the records under them.
+//
+//   site/owner          who owns the site; lives as long as its process's lease
+//   site/epoch          the highest epoch of an owner; only grows
+//   site/entry/NAME     an entry that lives; as long as its lease
+//   inbox/job/ID        an accepted job, written once by the entry that took it
+//   inbox/cancel/ID     a job whose cancelling was accepted
+//   progress/ID         what of a job is done, written by the owner
+//   owner/commit        changes with each write of the owner: one that is carried out late finds it
+//                       changed and does nothing
+//   owner/fleet         the instances that the owner may have given work to
+#ifndef CATKINFORD_PROCESS_SITE_SITE_RECORDS_H_
+#define CATKINFORD_PROCESS_SITE_SITE_RECORDS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "process/scheduling/fleet_state.h"
+
+namespace catkinford {
+
+inline constexpr char kSitePrefix[] = "site/";
+inline constexpr char kOwnerKey[] = "site/owner";
+inline constexpr char kEpochKey[] = "site/epoch";
+inline constexpr char kEntryPrefix[] = "site/entry/";
+inline constexpr char kInboxPrefix[] = "inbox/";
+inline constexpr char kJobPrefix[] = "inbox/job/";
+inline constexpr char kCancelPrefix[] = "inbox/cancel/";
+inline constexpr char kProgressPrefix[] = "progress/";
+inline constexpr char kCommitKey[] = "owner/commit";
+inline constexpr char kFleetKey[] = "owner/fleet";
+
+struct entry_word {
+  std::string name;
+  std::string address;  // "ip:port" for calls between entries
+  std::string failure_domain;
+  uint64_t nonce = 0;  // of the process: a restarted one has another
+
+  bool operator==(const entry_word&) const = default;
+};
+
+struct owner_word {
+  entry_word entry;
+  uint64_t epoch = 0;
+};
+
+// Parsing answers nothing for bytes that are no such record.
+std::string EntryToText(const entry_word& entry);
+std::optional<entry_word> EntryFromText(std::string_view text);
+std::string OwnerToText(const owner_word& owner);
+std::optional<owner_word> OwnerFromText(std::string_view text);
+std::string FleetToText(const std::vector<instance_report>& instances);
+std::vector<instance_report> FleetFromText(std::string_view text);
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SITE_SITE_RECORDS_H_
--- /dev/null
+++ b/src/process/site/site_settings.h
@@ -0,0 +1,65 @@
+// What an entry of a site is told at its start.
+#ifndef CATKINFORD_PROCESS_SITE_SITE_SETTINGS_H_
+#define CATKINFORD_PROCESS_SITE_SITE_SETTINGS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "process/settings_error.h"
+#include "request/typed_error.h"
+
+namespace catkinford {
+
+struct site_settings {
+  std::string name;            // of this entry, unique in the site
+  std::string failure_domain;  // of this entry
+
+  struct {
+    std::string callers;  // "ip:port"
+    std::string ready;    // "ip:port": readiness, for the balancer
+    std::string address;  // "ip": calls between entries
+    uint16_t peer_port = 0;
+    uint16_t metrics_port = 0;  // 0: none
+  } listen;
+
+  struct {
+    std::string store;   // "ip:port"
+    std::string advice;  // "ip:port"; empty: no queue needs it
+    std::chrono::milliseconds call_timeout{1000};   // of a call to the store
+    std::chrono::milliseconds order_timeout{800};   // of a call to an instance
+    std::chrono::milliseconds shortest_lease{1000};  // the store grants no shorter one
+  } platform;
+
+  // The sites' agreements.
+  struct {
+    std::chrono::milliseconds longest_run_lease{6000};
+    std::chrono::milliseconds stop_limit{900};
+    std::chrono::milliseconds gang_limit{3000};
+    std::chrono::milliseconds early_limit{250};
+    std::chrono::milliseconds keep_final{120000};
+    std::chrono::milliseconds shutdown_limit{6000};
+    double remote_factor = 2;
+  } bounds;
+
+  struct {
+    std::chrono::milliseconds owner_lease{2000};  // the site is taken over this long after a death
+    std::chrono::milliseconds registry_poll{700};
+    std::chrono::milliseconds watch_wait{2500};   // a silent connection is noticed after this
+  } timing;
+
+  struct {
+    uint32_t lines_per_second = 300;  // more are counted and left out
+  } logs;
+};
+
+// Strict: an unknown name or a wrong type is a settings_error, and nothing starts. Numbers are in
+// the unit that the name of the field says: "owner_lease_ms", "keep_final_s".
+leaf::result<site_settings> ParseSiteSettings(std::string_view text);
+leaf::result<site_settings> LoadSiteSettings(const std::string& file);
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SITE_SITE_SETTINGS_H_
--- /dev/null
+++ b/src/request/step_graph.cc
@@ -0,0 +1,193 @@
+#include "request/step_graph.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace catkinford {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+json StepToJson(const step_terms& step) {
+  json out;
+  out["n"] = step.count;
+  out["cpu"] = step.need.cpu_milli;
+  out["mem"] = step.need.memory_mb;
+  if (step.need.accelerators > 0) out["acc"] = step.need.accelerators;
+  out["est"] = step.estimate.count();
+  if (!step.after.empty()) out["after"] = step.after;
+  if (step.checkpointing) out["ckpt"] = true;
+  if (step.gang) out["gang"] = true;
+  if (step.same_rack) out["rack"] = true;
+  if (step.speculative) out["spec"] = true;
+  if (step.long_running) out["long"] = true;
+  if (step.fills) out["fill"] = true;
+  if (!step.required_label.empty()) out["label"] = step.required_label;
+  if (!step.data_rack.empty()) out["data"] = step.data_rack;
+  if (step.most_per_instance > 0) out["most"] = step.most_per_instance;
+  if (!step.image.empty()) out["image"] = step.image;
+  if (step.tail_target.count() > 0) out["tail"] = step.tail_target.count();
+  if (step.may_miss > 0) out["miss"] = step.may_miss;
+  return out;
+}
+
+step_terms StepFromJson(const json& in) {
+  step_terms step;
+  step.count = in.at("n").get<uint32_t>();
+  step.need.cpu_milli = in.at("cpu").get<uint32_t>();
+  step.need.memory_mb = in.at("mem").get<uint32_t>();
+  step.need.accelerators = in.value("acc", uint32_t{0});
+  step.estimate = milliseconds(in.at("est").get<int64_t>());
+  step.after = in.value("after", std::vector<uint32_t>{});
+  step.checkpointing = in.value("ckpt", false);
+  step.gang = in.value("gang", false);
+  step.same_rack = in.value("rack", false);
+  step.speculative = in.value("spec", false);
+  step.long_running = in.value("long", false);
+  step.fills = in.value("fill", false);
+  step.required_label = in.value("label", std::string());
+  step.data_rack = in.value("data", std::string());
+  step.most_per_instance = in.value("most", uint32_t{0});
+  step.image = in.value("image", std::string());
+  step.tail_target = milliseconds(in.value("tail", int64_t{0}));
+  step.may_miss = in.value("miss", uint32_t{0});
+  return step;
+}
+
+json TermsToJson(const job_terms& terms) {
+  json out;
+  out["service"] = terms.service;
+  out["priority"] = terms.priority;
+  out["attempts"] = terms.max_attempts;
+  out["stretch"] = terms.stretch;
+  out["target"] = terms.target_latency.count();
+  if (terms.needs_advice) out["advice"] = true;
+  return out;
+}
+
+job_terms TermsFromJson(const json& in) {
+  job_terms terms;
+  terms.service = in.at("service").get<std::string>();
+  terms.priority = in.at("priority").get<int>();
+  terms.max_attempts = in.at("attempts").get<uint32_t>();
+  terms.stretch = in.at("stretch").get<double>();
+  terms.target_latency = milliseconds(in.at("target").get<int64_t>());
+  terms.needs_advice = in.value("advice", false);
+  return terms;
+}
+
+int64_t Millis(wall_time time) { return time.time_since_epoch().count(); }
+wall_time FromMillis(int64_t millis) { return wall_time(milliseconds(millis)); }
+
+bool DependsOnEarlier(const std::vector<step_terms>& steps) {
+  for (size_t i = 0; i < steps.size(); ++i) {
+    for (const uint32_t earlier : steps[i].after) {
+      if (earlier >= i) return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+std::string_view ToText(graph_fault fault) {
+  switch (fault) {
+    case graph_fault::kBadId:
+      return "bad_id";
+    case graph_fault::kNoSteps:
+      return "no_steps";
+    case graph_fault::kTooManySteps:
+      return "too_many_steps";
+    case graph_fault::kNoTasks:
+      return "no_tasks";
+    case graph_fault::kTooManyTasks:
+      return "too_many_tasks";
+    case graph_fault::kBadDependency:
+      return "bad_dependency";
+    case graph_fault::kPayloadTooLong:
+      return "payload_too_long";
+    case graph_fault::kBadRepeats:
+      return "bad_repeats";
+  }
+  return "unknown";
+}
+
+bool IsGraphId(std::string_view id) {
+  const auto is_digit = [](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+  };
+  return id.size() == kGraphIdLength && std::all_of(id.begin(), id.end(), is_digit);
+}
+
+leaf::result<void> CheckGraph(const graph_job& job) {
+  if (!IsGraphId(job.id)) return leaf::new_error(graph_fault::kBadId);
+  if (job.steps.empty()) return leaf::new_error(graph_fault::kNoSteps);
+  if (job.steps.size() > kMaxSteps) return leaf::new_error(graph_fault::kTooManySteps);
+  if (job.payload.size() > kMaxPayload) return leaf::new_error(graph_fault::kPayloadTooLong);
+  for (const step_terms& step : job.steps) {
+    if (step.count == 0) return leaf::new_error(graph_fault::kNoTasks);
+    if (step.count > kMaxTasksOfStep) return leaf::new_error(graph_fault::kTooManyTasks);
+  }
+  if (!DependsOnEarlier(job.steps)) return leaf::new_error(graph_fault::kBadDependency);
+  if (job.repeats > kMaxOccurrences || (job.repeats > 1 && job.interval.count() <= 0)) {
+    return leaf::new_error(graph_fault::kBadRepeats);
+  }
+  return {};
+}
+
+milliseconds LongestChain(const std::vector<step_terms>& steps) {
+  std::vector<milliseconds> ends(steps.size(), milliseconds{0});
+  milliseconds longest{0};
+  for (size_t i = 0; i < steps.size(); ++i) {
+    milliseconds begin{0};
+    for (const uint32_t earlier : steps[i].after) begin = std::max(begin, ends[earlier]);
+    ends[i] = begin + steps[i].estimate;
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+std::string JobToText(const graph_job& job) {
+  json out;
+  out["id"] = job.id;
+  out["queue"] = job.queue;
+  if (!job.workspace.empty()) out["workspace"] = job.workspace;
+  out["payload"] = job.payload;
+  out["terms"] = TermsToJson(job.terms);
+  out["accepted"] = Millis(job.accepted);
+  if (job.repeats > 0) {
+    out["first"] = Millis(job.first_run);
+    out["every"] = job.interval.count();
+    out["repeats"] = job.repeats;
+  }
+  json steps = json::array();
+  for (const step_terms& step : job.steps) steps.push_back(StepToJson(step));
+  out["steps"] = std::move(steps);
+  // A payload may hold bytes that are no UTF-8: they must not make the record unwritable.
+  return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+leaf::result<graph_job> JobFromText(std::string_view text) {
+  const json in = json::parse(text, nullptr, false);
+  if (!in.is_object()) return leaf::new_error(durable_fault{});
+  graph_job job;
+  try {
+    job.id = in.at("id").get<std::string>();
+    job.queue = in.at("queue").get<std::string>();
+    job.workspace = in.value("workspace", std::string());
+    job.payload = in.at("payload").get<std::string>();
+    job.terms = TermsFromJson(in.at("terms"));
+    job.accepted = FromMillis(in.at("accepted").get<int64_t>());
+    job.first_run = FromMillis(in.value("first", int64_t{0}));
+    job.interval = milliseconds(in.value("every", int64_t{0}));
+    job.repeats = in.value("repeats", uint32_t{0});
+    for (const json& step : in.at("steps")) job.steps.push_back(StepFromJson(step));
+  } catch (const json::exception&) {
+    return leaf::new_error(durable_fault{});
+  }
+  BOOST_LEAF_CHECK(CheckGraph(job));
+  return job;
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/src/request/step_graph.h
@@ -0,0 +1,95 @@
+// A job as a graph of steps: what a caller asks for, and what of it must outlive every process.
+#ifndef CATKINFORD_REQUEST_STEP_GRAPH_H_
+#define CATKINFORD_REQUEST_STEP_GRAPH_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "request/job_request.h"
+#include "request/typed_error.h"
+
+namespace catkinford {
+
+using wall_time = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
+
+// One step: `count` tasks of the same shape.
+struct step_terms {
+  uint32_t count = 1;
+  resources need;                           // of one task
+  std::chrono::milliseconds estimate{0};    // of one task; often wrong
+  std::vector<uint32_t> after;              // earlier steps that must be done first
+  bool checkpointing = false;
+  bool gang = false;                        // all tasks run at the same time or none does
+  bool same_rack = false;                   // slower when spread over racks
+  bool speculative = false;                 // copies may run at the same time
+  bool long_running = false;                // runs until the job is cancelled
+  bool fills = false;                       // its processors are what others leave unused
+  std::string required_label;               // of the instance; empty: any
+  std::string data_rack;                    // slower elsewhere; empty: no matter
+  uint32_t most_per_instance = 0;           // tasks of this step; 0: no limit
+  std::string image;                        // tasks of one image behave alike
+  std::chrono::milliseconds tail_target{0}; // of a serving task's response times; 0: none
+  uint32_t may_miss = 0;                    // tasks that may be away by our own doing
+};
+
+// What a queue promises its jobs; copied into each job, which may outlive its queue.
+struct job_terms {
+  std::string service;        // whose instances run it
+  int priority = 0;           // 0 goes first
+  uint32_t max_attempts = 1;  // failed runs of one task before the job has failed
+  double stretch = 2;         // objective: this times the longest chain of work ...
+  std::chrono::milliseconds target_latency{0};  // ... and this
+  bool needs_advice = false;  // only instances named by the queue's policy may run it
+};
+
+struct graph_job {
+  std::string id;         // chosen by the caller: 16 hexadecimal digits
+  std::string queue;      // its name
+  std::string workspace;  // empty: the queue takes anonymous jobs
+  std::string payload;    // for the instances; not read here
+  std::vector<step_terms> steps;
+  job_terms terms;
+  wall_time accepted{};
+  wall_time first_run{};                  // of a repeated job
+  std::chrono::milliseconds interval{0};  // between occurrences
+  uint32_t repeats = 0;                   // 0: runs once, at once
+
+  uint32_t Occurrences() const { return repeats == 0 ? 1 : repeats; }
+};
+
+// Why a submission is malformed.
+enum class graph_fault : uint8_t {
+  kBadId,
+  kNoSteps,
+  kTooManySteps,
+  kNoTasks,
+  kTooManyTasks,
+  kBadDependency,  // `after` names the step itself, a later one or none
+  kPayloadTooLong,
+  kBadRepeats,
+};
+std::string_view ToText(graph_fault fault);
+
+constexpr size_t kGraphIdLength = 16;
+constexpr size_t kMaxPayload = 4000;           // bytes; the callers' interface allows no more
+constexpr size_t kMaxSteps = 64;               // keeps a job's progress far below a store value
+constexpr uint32_t kMaxTasksOfStep = 10000;    // the same
+constexpr uint32_t kMaxOccurrences = 100000;   // the same; occurrences are made when due
+
+bool IsGraphId(std::string_view id);
+leaf::result<void> CheckGraph(const graph_job& job);
+
+// The longest chain of estimates through the graph.
+std::chrono::milliseconds LongestChain(const std::vector<step_terms>& steps);
+
+// The durable form. Parse: an error of type durable_fault for bytes that name no job.
+struct durable_fault {};
+std::string JobToText(const graph_job& job);
+leaf::result<graph_job> JobFromText(std::string_view text);
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_REQUEST_STEP_GRAPH_H_
--- /dev/null
+++ b/src/version/site_version.h
@@ -0,0 +1,85 @@
+// One version of what the operators want: queues, workspaces with their keys and limits, services.
+#ifndef CATKINFORD_VERSION_SITE_VERSION_H_
+#define CATKINFORD_VERSION_SITE_VERSION_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "request/job_request.h"
+#include "request/step_graph.h"
+
+namespace catkinford {
+
+// How long a queue's policy takes to say which instances may run a step.
+struct advice_cost {
+  std::chrono::milliseconds base{0};
+  std::chrono::microseconds per_instance{0};
+  std::chrono::milliseconds valid{0};  // of a ticket
+};
+
+struct queue_terms {
+  std::string name;
+  std::string host;
+  std::string prefix;  // of the path; the longest that fits names the queue
+  bool anonymous = false;
+  job_terms jobs;
+  std::optional<advice_cost> advice;
+};
+
+struct workspace_terms {
+  std::string name;
+  std::vector<std::string> keys;
+  double weight = 1;
+  resources maximum;  // over all instances; an amount of 0 has no limit
+};
+
+struct service_terms {
+  std::string name;
+  bool guards_room = false;  // its instances refuse what does not fit
+  bool standby = false;
+};
+
+struct caller_limits {
+  size_t body_bytes = size_t{256} << 10;
+};
+
+class site_version {
+ public:
+  site_version(uint64_t number, std::vector<queue_terms> queues,
+               std::vector<workspace_terms> workspaces, std::vector<service_terms> services,
+               caller_limits limits);
+
+  uint64_t Number() const { return number_; }
+  const std::vector<queue_terms>& Queues() const { return queues_; }
+  const std::vector<workspace_terms>& Workspaces() const { return workspaces_; }
+  const std::vector<service_terms>& Services() const { return services_; }
+  const caller_limits& Limits() const { return limits_; }
+
+  // The queue of the longest prefix that `path` begins with; null: none.
+  const queue_terms* QueueFor(std::string_view host, std::string_view path) const;
+  const queue_terms* QueueNamed(const std::string& name) const;
+  // The workspace that holds `key`; null: nobody does.
+  const workspace_terms* HolderOf(const std::string& key) const;
+  const workspace_terms* WorkspaceNamed(const std::string& name) const;
+  const service_terms* ServiceNamed(const std::string& name) const;
+
+ private:
+  uint64_t number_;
+  std::vector<queue_terms> queues_;
+  std::vector<workspace_terms> workspaces_;
+  std::vector<service_terms> services_;
+  caller_limits limits_;
+  absl::flat_hash_map<std::string, std::vector<size_t>> by_host_;  // longest prefix first
+  absl::flat_hash_map<std::string, size_t> by_queue_name_;
+  absl::flat_hash_map<std::string, size_t> by_key_;
+  absl::flat_hash_map<std::string, size_t> by_workspace_name_;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_VERSION_SITE_VERSION_H_
