Count a failed run once, also when its end is listed to the next owner again

Cause: an end that was stored but not acknowledged when its owner died is listed to the next owner, which counted the failure a second time; a job with two attempts was shown as failed after one. Change: the progress record keeps the number of the last run whose failure was counted.

--- a/src/process/scheduling/graph_state.h
+++ b/src/process/scheduling/graph_state.h
@@ -38,6 +38,9 @@
 struct task_state_slot {
   slot_phase phase = slot_phase::kWaiting;
   uint32_t failures = 0;
+  // The latest run whose failure was counted. An end that was stored but not yet acknowledged when
+  // its owner died is listed to the next owner again: counted twice, a sound job would fail early.
+  uint32_t failed_run = 0;
   uint32_t last_run = 0;        // the highest run number used, or seen in a listing
   std::string checkpoint;       // of the latest run that told one
   graph_run* run = nullptr;     // the run that holds the task; a copy hangs on it
@@ -66,6 +69,7 @@
   uint32_t active = 0;
   uint32_t done = 0;
   uint32_t gang_failures = 0;
+  uint32_t gang_failed_run = 0;  // as failed_run of a task
   bool ready = false;  // all steps before it are done, and its time has come
   monotonic_time ready_at{};
   monotonic_time gang_started{};  // of the run in progress
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -117,7 +117,8 @@
   // Proved not to run and never to run: its room is free and its task may start elsewhere.
   void Release(graph_run& run, monotonic_time now);
   void OnTaskDone(job_entry& entry, const task_key& key, monotonic_time now);
-  void OnTaskFailed(job_entry& entry, const task_key& key, fleet_instance& at, monotonic_time now);
+  void OnTaskFailed(job_entry& entry, const task_key& key, uint32_t run, fleet_instance& at,
+                    monotonic_time now);
   void HandleEnd(fleet_instance& instance, const ended_row& row, monotonic_time now);
   void HandleRunning(fleet_instance& instance, const running_row& row, monotonic_time now);
   void HandleMissing(fleet_instance& instance, const std::vector<const graph_run*>& seen,
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -180,13 +180,16 @@
   if (entry.AllDone()) Finish(entry, graph_phase::kCompleted, now);
 }
 
-void job_scheduler::OnTaskFailed(job_entry& entry, const task_key& key, fleet_instance& at,
-                                 monotonic_time now) {
+void job_scheduler::OnTaskFailed(job_entry& entry, const task_key& key, uint32_t run,
+                                 fleet_instance& at, monotonic_time now) {
   step_progress* step = entry.Find(key);
   if (step == nullptr) return;
   const step_terms& terms = entry.job.steps[key.step];
   task_state_slot& task = step->tasks[key.index];
   if (task.phase == slot_phase::kDone) return;
+  uint32_t& counted = terms.gang ? step->gang_failed_run : task.failed_run;
+  if (run <= counted) return;
+  counted = run;
   const uint32_t failures = terms.gang ? ++step->gang_failures : ++task.failures;
   Touch(entry);
   // A task that failed elsewhere before is more likely at fault than the instance.
@@ -232,7 +235,7 @@
     if (row.how == run_end::kDone) {
       OnTaskDone(*entry, row.key, now);
     } else {
-      if (row.how == run_end::kFailed) OnTaskFailed(*entry, row.key, instance, now);
+      if (row.how == run_end::kFailed) OnTaskFailed(*entry, row.key, row.run, instance, now);
       if (!IsFinal(entry->phase) && !row.checkpoint.empty()) Touch(*entry);
       if (!IsFinal(entry->phase) && entry->job.steps[row.key.step].gang) {
         BreakGang(*entry, row.key, stop_cause::kGangBroken, now);
--- a/src/process/site/site_settings.h
+++ b/src/process/site/site_settings.h
@@ -51,7 +51,7 @@
   } timing;
 
   struct {
-    uint32_t lines_per_second = 300;  // more are counted and left out
+    uint32_t lines_per_second = 400;  // more are counted and left out
   } logs;
 };
 
