Ask queues' policies for all instances at once, spoken-for room aside, and ahead for the next step

Change: one question names as many instances as cost no more than the question itself; room that a step before it will take is not asked for; a step is asked for ahead when its turn comes about then.

--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -156,8 +156,24 @@
 
   // scheduler_advice.cc
   void PlanAdvice(scheduler_orders& orders, monotonic_time now);
-  void PlanStepAdvice(const ready_step& ready, scheduler_orders& orders, monotonic_time now);
-  std::vector<std::string> WorthAsking(const ready_step& ready, monotonic_time now) const;
+  struct advice_option {
+    const fleet_instance* instance;
+    uint32_t tasks;  // that it has room for now
+    bool known;      // allowed, as an earlier answer said
+    bool ticket_good;
+  };
+  // Room that is left once the steps that come first have taken theirs.
+  using room_left = absl::flat_hash_map<const fleet_instance*, resources>;
+  void PlanStepAdvice(const ready_step& ready, room_left& left, scheduler_orders& orders,
+                      monotonic_time now);
+  std::vector<advice_option> AdviceOptions(const ready_step& ready, const room_left& left,
+                                           monotonic_time now) const;
+  std::vector<std::string> WorthAsking(const ready_step& ready,
+                                       const std::vector<advice_option>& options,
+                                       const advice_cost& cost) const;
+  std::vector<ready_step> NextSteps(monotonic_time now);
+  bool TurnComesWithin(const job_entry& entry, const occurrence_state& occurrence, uint32_t index,
+                       std::chrono::milliseconds ahead, monotonic_time now) const;
 
   // scheduler_pace.cc
   void PlanPaces(scheduler_orders& orders, monotonic_time now);
@@ -173,7 +189,6 @@
   std::vector<job_entry*> active_;       // not final
   std::vector<job_entry*> unstored_;     // changed since they were last given out
   std::vector<scheduler_note> notes_;
-  absl::flat_hash_map<std::string, double> allowed_share_;  // by queue: learned from advice
   absl::flat_hash_map<std::string, std::vector<resources>> largest_seen_;  // by service
   bool inheritance_settled_ = false;
   bool registry_seen_ = false;
