Let the lease of an instance that does not answer run out

Cause: each listing that was tried at a silent instance extended the lease that it might have reached, so its runs were never given up: 21 lasting and other tasks of a crashed instance never ran again. Change: no extension while an instance is silent.

--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -214,8 +214,9 @@
     list_order order;
     order.to = {id, instance->report.address, instance->report.incarnation};
     order.ends_seen = instance->ends_acked;
-    if (!fence && !instance->runs.empty()) {
-      // The lease runs on the instance's clock; not extended where nothing runs.
+    // Not extended at an instance that does not answer: its runs could not be given up as long as
+    // each try may have reached it, and a crashed instance's work would wait for ever.
+    if (!fence && !instance->runs.empty() && instance->Reachable()) {
       order.lease_until_ms = instance->ClockAt(now) + options_.longest_lease.count();
       instance->lease_until_ms = std::max(instance->lease_until_ms, *order.lease_until_ms);
       const bool waits_for_stop = std::any_of(
