--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -25,7 +25,9 @@
 namespace catkinford {
 
 struct scheduler_options {
-  std::chrono::milliseconds longest_lease{6000};     // of a run, without a renewal
+  std::chrono::milliseconds run_lease{4000};         // of a run, without a renewal
+  // An earlier owner may have gone on for this long after this one began.
+  std::chrono::milliseconds earlier_owner{700};
   std::chrono::milliseconds stop_limit{900};         // a stop takes at most this long
   std::chrono::milliseconds gang_limit{3000};        // members wait this long for each other
   std::chrono::milliseconds keep_final{120000};      // how long an ended job's state is told
@@ -207,10 +209,6 @@
   bool registry_seen_ = false;
 };
 
-// Longest time for which leases that an earlier owner granted may still run: it may have gone on
-// until it noticed that it lost the site.
-constexpr std::chrono::milliseconds kEarlierOwnerMayGoOn{2000};
-
 }  // namespace catkinford
 
 #endif  // CATKINFORD_PROCESS_SCHEDULING_JOB_SCHEDULER_H_
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -12,7 +12,7 @@
 using std::chrono::milliseconds;
 
 // How long a listing may wait at the instance for an end; it also renews the lease.
-constexpr milliseconds kListingWait{1500};
+constexpr milliseconds kListingWait{1000};
 // The pause after a listing: ends that come together are told together, and each look costs.
 constexpr milliseconds kListingPause{40};
 constexpr milliseconds kSilentPause{300};      // after the first listing without an answer
@@ -42,7 +42,7 @@
     if (now - start.sent <= kLatestArrival) Expect(instance, start, now);
   }
   if (!instance.runs.empty()) {
-    instance.earlier_orders_until = now + kLatestArrival + options_.longest_lease;
+    instance.earlier_orders_until = now + kLatestArrival + options_.run_lease;
   }
   instance.report = report;
   instance.listed = false;
@@ -159,8 +159,8 @@
 bool job_scheduler::LeaseOver(const fleet_instance& instance, monotonic_time now) const {
   if (now < instance.earlier_orders_until) return false;
   if (instance.lease_unknown) {
-    const double longest = static_cast<double>(options_.longest_lease.count()) / kSlowestClock;
-    return now > took_over_ + kEarlierOwnerMayGoOn + milliseconds(static_cast<int64_t>(longest));
+    const double longest = static_cast<double>(options_.run_lease.count()) / kSlowestClock;
+    return now > took_over_ + options_.earlier_owner + milliseconds(static_cast<int64_t>(longest));
   }
   return instance.LeaseSurelyOver(now);
 }
@@ -245,7 +245,7 @@
     // Not extended at an instance that does not answer: its runs could not be given up as long as
     // each try may have reached it, and a crashed instance's work would wait for ever.
     if (!fence && !instance->runs.empty() && instance->Reachable()) {
-      order.lease_until_ms = instance->ClockAt(now) + options_.longest_lease.count();
+      order.lease_until_ms = instance->ClockAt(now) + options_.run_lease.count();
       instance->lease_until_ms = std::max(instance->lease_until_ms, *order.lease_until_ms);
       const bool waits_for_stop = std::any_of(
           instance->runs.begin(), instance->runs.end(),
@@ -294,7 +294,7 @@
     instance.lease_unknown = false;
     // Whatever an earlier owner granted ends by then at the latest.
     instance.lease_until_ms = std::max(instance.lease_until_ms,
-                                       listing.clock_ms + options_.longest_lease.count());
+                                       listing.clock_ms + options_.run_lease.count());
     instance.next_listing = now;
     return;
   }
--- a/src/process/scheduling/scheduler_placing.cc
+++ b/src/process/scheduling/scheduler_placing.cc
@@ -147,7 +147,7 @@
   order.key = key;
   order.run = number;
   order.payload = entry.job.payload;
-  order.lease_until_ms = instance.ClockAt(now) + options_.longest_lease.count();
+  order.lease_until_ms = instance.ClockAt(now) + options_.run_lease.count();
   order.checkpoint = task.checkpoint;
   const auto ticket = step.advice.allowed.find(instance.report.id);
   if (ticket != step.advice.allowed.end()) order.ticket = ticket->second.ticket;
--- a/src/process/site/site_membership.h
+++ b/src/process/site/site_membership.h
@@ -100,10 +100,17 @@
   // When the store last answered a call of this class.
   monotonic_time StoreAnswered() const { return answered_; }
   bool LeaseGood(monotonic_time now) const { return !lease_.empty() && now < kept_ + ttl_; }
+  // No other entry can own the site at this moment: the lease holds, or the store has just been seen
+  // to be down for all.
+  bool MayAct(monotonic_time now) const {
+    return owns_ && (LeaseGood(now) || now < outage_seen_ + kOutageTrusted);
+  }
 
  private:
   static constexpr std::chrono::milliseconds kRetry{250};
   static constexpr std::chrono::milliseconds kCheckEvery{200};
+  // Longer than a round of questions to the peers and the pause before it.
+  static constexpr std::chrono::milliseconds kOutageTrusted{650};
   // A watch that answers at once with nothing new is asked again only after this.
   static constexpr std::chrono::milliseconds kIdleWatchPause{200};
   static constexpr int kKeepsPerLease = 4;
@@ -294,7 +301,10 @@
     hooks_.ask_peers([this, epoch = epoch_](outage_verdict verdict) {
       asking_ = false;
       if (!owns_ || epoch != epoch_ || LeaseGood(BootNow())) return;
-      if (verdict == outage_verdict::kDownForAll) return;
+      if (verdict == outage_verdict::kDownForAll) {
+        outage_seen_ = BootNow();
+        return;
+      }
       Lose(verdict == outage_verdict::kOtherOwner    ? "a peer has seen a higher epoch"
            : verdict == outage_verdict::kUpElsewhere ? "cut off from the store"
                                                      : "cut off from everything");
@@ -323,6 +333,7 @@
   bool resigning_ = false;
   bool store_up_ = true;
   monotonic_time answered_{};
+  monotonic_time outage_seen_{};
   uint64_t epoch_ = 0;
   uint64_t owner_revision_ = 0;
 };
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -374,6 +374,7 @@
 void site_node<Platform>::OnWon() {
   owner_hooks hooks;
   hooks.superseded = [this](const std::string& why) { membership_.OnSuperseded(why); };
+  hooks.may_act = [this](monotonic_time now) { return membership_.MayAct(now); };
   hooks.ask_advice = [this](advice_order order) {
     advice_.Add(std::move(order));
     SpreadAdvice();
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -30,6 +30,9 @@
 struct owner_hooks {
   // The ownership is over: an instance or the store knows a later one.
   std::function<void(const std::string& why)> superseded;
+  // False while it is not sure that no other entry owns the site: a process that was paused wakes up
+  // with orders at hand, and an instance that the next owner cannot reach would take them.
+  std::function<bool(monotonic_time now)> may_act;
   // A question to a queue's policy; answered by OnAdvice().
   std::function<void(advice_order)> ask_advice;
 };
@@ -99,7 +102,7 @@
 
   static scheduler_options OptionsOf(const site_settings& settings) {
     scheduler_options out;
-    out.longest_lease = settings.bounds.longest_run_lease;
+    out.run_lease = std::min(settings.timing.run_lease, settings.bounds.longest_run_lease);
     out.stop_limit = settings.bounds.stop_limit;
     out.gang_limit = settings.bounds.gang_limit;
     out.keep_final = settings.bounds.keep_final;
@@ -335,6 +338,7 @@
 
   void Decide() {
     const monotonic_time now = BootNow();
+    if (!hooks_.may_act(now)) return;
     scheduler_orders orders = scheduler_.Decide(WallNow(), now);
     for (start_order& order : orders.starts) SendStart(std::move(order));
     for (const stop_order& order : orders.stops) SendStop(order);
--- a/src/process/site/site_settings.cc
+++ b/src/process/site/site_settings.cc
@@ -105,6 +105,7 @@
         "a number, 1 or more, or null"}},
       {"timing.owner_lease_ms",
        Time([](s& o) -> milliseconds& { return o.timing.owner_lease; }, 1)},
+      {"timing.run_lease_ms", Time([](s& o) -> milliseconds& { return o.timing.run_lease; }, 1)},
       {"timing.registry_poll_ms",
        Time([](s& o) -> milliseconds& { return o.timing.registry_poll; }, 1)},
       {"timing.watch_wait_ms", Time([](s& o) -> milliseconds& { return o.timing.watch_wait; }, 1)},
--- a/src/process/site/site_settings.h
+++ b/src/process/site/site_settings.h
@@ -35,7 +35,7 @@
 
   // The sites' agreements.
   struct {
-    std::chrono::milliseconds longest_run_lease{6000};
+    std::chrono::milliseconds longest_run_lease{6000};  // instances shorten a longer one
     std::chrono::milliseconds stop_limit{900};
     std::chrono::milliseconds gang_limit{3000};
     std::chrono::milliseconds early_limit{250};
@@ -45,7 +45,11 @@
   } bounds;
 
   struct {
-    std::chrono::milliseconds owner_lease{2000};  // the site is taken over this long after a death
+    // The site is taken over this long after an owner's death. With a takeover's own time it must
+    // stay below run_lease less one renewal (1 s), or what runs is killed meanwhile.
+    std::chrono::milliseconds owner_lease{1500};
+    // What a crashed instance ran starts elsewhere after this: its lease must surely be over.
+    std::chrono::milliseconds run_lease{4000};
     std::chrono::milliseconds registry_poll{700};
     std::chrono::milliseconds watch_wait{2500};   // a silent connection is noticed after this
   } timing;
--- a/test/scheduling_world.cc
+++ b/test/scheduling_world.cc
@@ -19,7 +19,7 @@
 constexpr milliseconds kStopTakes{300};
 constexpr milliseconds kGangLimit{3000};
 constexpr size_t kMostInCommit = 28;
-constexpr int64_t kLongestLease = 6000;
+constexpr int64_t kLongestLease = 6000;  // instances shorten a longer one
 
 std::string NameOf(const task_key& key) {
   return absl::StrCat(key.job, ".", key.occurrence, ".", key.step, ".", key.index);
