--- /dev/null
+++ b/test/platform_standin.cc
@@ -0,0 +1,419 @@
+#include "platform_standin.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace catkinford {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{5};
+constexpr milliseconds kHeartbeat{300};
+constexpr milliseconds kStopTakes{50};
+constexpr int64_t kLongestLease = 6000;
+
+monotonic_time Now() { return std::chrono::steady_clock::now(); }
+
+int64_t ClockMs() {
+  return std::chrono::duration_cast<milliseconds>(Now().time_since_epoch()).count();
+}
+
+uint64_t NumberOf(const std::string& text) {
+  uint64_t number = 0;
+  return absl::SimpleAtoi(text, &number) ? number : 0;
+}
+
+std::unique_ptr<http_server> Serve(http_server::handler handler) {
+  auto server = std::make_unique<http_server>(http_server_options{}, std::move(handler));
+  server->Start();
+  return server;
+}
+
+http_response Answer(int status, const json& body) {
+  http_response response;
+  response.status = status;
+  response.body = body.dump();
+  return response;
+}
+
+std::string LoopbackAddress(const http_server& server) {
+  return absl::StrCat("127.0.0.1:", server.Port());
+}
+
+}  // namespace
+
+// --- the store -----------------------------------------------------------------------------------
+
+standin_metadata_store::standin_metadata_store() {
+  server_ = Serve(
+      [this](http_server::token token, const http_request& request) { Handle(token, request); });
+  ticker_ = std::thread([this] {
+    while (!stop_) {
+      std::this_thread::sleep_for(kTick);
+      Tick();
+    }
+  });
+}
+
+standin_metadata_store::~standin_metadata_store() {
+  stop_ = true;
+  ticker_.join();
+  server_->Stop();
+}
+
+std::string standin_metadata_store::Address() const { return LoopbackAddress(*server_); }
+
+void standin_metadata_store::Put(const std::string& key, const std::string& value) {
+  const std::lock_guard lock(mutex_);
+  Write(key, value, 0);
+}
+
+void standin_metadata_store::Remove(const std::string& key) {
+  const std::lock_guard lock(mutex_);
+  Write(key, std::nullopt, 0);
+}
+
+std::optional<std::string> standin_metadata_store::Value(const std::string& key) {
+  const std::lock_guard lock(mutex_);
+  const auto found = items_.find(key);
+  return found == items_.end() ? std::nullopt : std::optional(found->second.value);
+}
+
+void standin_metadata_store::Write(const std::string& key, const std::optional<std::string>& value,
+                                   uint64_t lease) {
+  ++revision_;
+  changes_.push_back({revision_, key});
+  if (value) {
+    items_[key] = {*value, revision_, lease};
+  } else {
+    items_.erase(key);
+  }
+}
+
+json standin_metadata_store::ItemOf(const std::string& key) const {
+  const auto found = items_.find(key);
+  if (found == items_.end()) return {{"key", key}, {"revision", 0}};
+  return {{"key", key},
+          {"value", absl::Base64Escape(found->second.value)},
+          {"revision", found->second.revision},
+          {"lease", found->second.lease}};
+}
+
+json standin_metadata_store::EventsSince(const std::string& prefix, uint64_t after) const {
+  json events = json::array();
+  for (const key_change& each : changes_) {
+    if (each.revision <= after || !each.key.starts_with(prefix)) continue;
+    const auto found = items_.find(each.key);
+    if (found == items_.end()) {
+      events.push_back({{"key", each.key}, {"revision", each.revision}, {"deleted", true}});
+    } else if (found->second.revision == each.revision) {
+      events.push_back(ItemOf(each.key));
+    }
+  }
+  return events;
+}
+
+http_response standin_metadata_store::Change(const json& body) {
+  json present = json::array();
+  bool holds = true;
+  for (const json& row : body.at("expected-rev")) {
+    const auto key = row.at("key").get<std::string>();
+    const json now = ItemOf(key);
+    holds = holds && now.at("revision") == row.at("revision");
+    present.push_back(now);
+  }
+  if (!holds) return Answer(412, {{"items", present}});
+  for (const json& put : body.at("puts")) {
+    const uint64_t lease = put.value("lease", uint64_t{0});
+    if (lease != 0 && !leases_.contains(lease)) return Answer(404, json::object());
+  }
+  for (const json& put : body.at("puts")) {
+    std::string value;
+    absl::Base64Unescape(put.at("value").get<std::string>(), &value);
+    Write(put.at("key").get<std::string>(), value, put.value("lease", uint64_t{0}));
+  }
+  for (const json& key : body.at("deletes")) Write(key.get<std::string>(), std::nullopt, 0);
+  // One revision for the whole change.
+  for (const json& put : body.at("puts")) {
+    items_[put.at("key").get<std::string>()].revision = revision_;
+    changes_.push_back({revision_, put.at("key").get<std::string>()});
+  }
+  return Answer(200, {{"revision", revision_}});
+}
+
+void standin_metadata_store::Handle(http_server::token token, const http_request& request) {
+  ++calls_;
+  if (down_) return server_->Respond(token, Answer(503, json::object()));
+  const std::lock_guard lock(mutex_);
+  if (request.path == "/v1/kv-key") {
+    const std::string key = request.Query("key");
+    if (!items_.contains(key)) return server_->Respond(token, Answer(404, {{"at-rev", revision_}}));
+    json item = ItemOf(key);
+    item["at-rev"] = revision_;
+    return server_->Respond(token, Answer(200, item));
+  }
+  if (request.path == "/v1/kv-range") {
+    json items = json::array();
+    for (const auto& [key, value] : items_) {
+      if (key.starts_with(request.Query("prefix")) && key > request.Query("after")) {
+        items.push_back(ItemOf(key));
+      }
+    }
+    return server_->Respond(
+        token, Answer(200, {{"items", items}, {"has-more", false}, {"at-rev", revision_}}));
+  }
+  if (request.path == "/v1/kv-watch") {
+    watches_.push_back({token, request.Query("prefix"), NumberOf(request.Query("after")),
+                        Now() + milliseconds(NumberOf(request.Query("wait-ms")))});
+    return;
+  }
+  if (request.path == "/v1/kv-txn") {
+    const http_response response = Change(json::parse(request.body));
+    // Done, and nobody hears of it: the caller's own time limit ends its wait.
+    if (response.status == 200 && lose_ > 0 && lose_-- > 0) return;
+    return server_->Respond(token, response);
+  }
+  if (request.path == "/v1/kv-lease") {
+    const milliseconds ttl(json::parse(request.body).at("ttl-ms").get<int64_t>());
+    const uint64_t id = 1000 + leases_.size() + revision_;
+    leases_[id] = {ttl, Now() + ttl};
+    return server_->Respond(token, Answer(200, {{"lease", id}, {"ttl-ms", ttl.count()}}));
+  }
+  const std::string keep = "/v1/kv-keep/";
+  const std::string end = "/v1/kv-lease-end/";
+  if (request.path.starts_with(keep)) {
+    const auto found = leases_.find(NumberOf(request.path.substr(keep.size())));
+    if (found == leases_.end()) return server_->Respond(token, Answer(404, json::object()));
+    found->second.ends = Now() + found->second.ttl;
+    return server_->Respond(token, Answer(200, {{"ttl-ms", found->second.ttl.count()}}));
+  }
+  if (request.path.starts_with(end)) {
+    const auto found = leases_.find(NumberOf(request.path.substr(end.size())));
+    if (found != leases_.end()) found->second.ends = Now();
+    return server_->Respond(token, Answer(200, json::object()));
+  }
+  server_->Respond(token, Answer(404, json::object()));
+}
+
+void standin_metadata_store::Tick() {
+  const std::lock_guard lock(mutex_);
+  const monotonic_time now = Now();
+  for (auto lease = leases_.begin(); lease != leases_.end();) {
+    if (lease->second.ends > now) {
+      ++lease;
+      continue;
+    }
+    std::vector<std::string> gone;
+    for (const auto& [key, value] : items_) {
+      if (value.lease == lease->first) gone.push_back(key);
+    }
+    for (const std::string& key : gone) Write(key, std::nullopt, 0);
+    lease = leases_.erase(lease);
+  }
+  for (size_t i = 0; i < watches_.size();) {
+    const json events = EventsSince(watches_[i].prefix, watches_[i].after);
+    if (events.empty() && now < watches_[i].ends && !down_) {
+      ++i;
+      continue;
+    }
+    server_->Respond(watches_[i].token,
+                     down_ ? Answer(503, json::object())
+                           : Answer(200, {{"events", events}, {"at-rev", revision_}}));
+    watches_.erase(watches_.begin() + static_cast<std::ptrdiff_t>(i));
+  }
+}
+
+// --- instances -----------------------------------------------------------------------------------
+
+standin_instances::standin_instances(standin_metadata_store& store, size_t count,
+                                     milliseconds run_time)
+    : store_(store), run_time_(run_time) {
+  for (size_t i = 0; i < count; ++i) {
+    auto made = std::make_unique<instance>();
+    made->id = absl::StrCat("i-", i);
+    made->server = Serve([this, i](http_server::token token, const http_request& request) {
+      Handle(i, token, request);
+    });
+    Register(*made);
+    instances_.push_back(std::move(made));
+  }
+  advice_ = Serve([this](http_server::token token, const http_request& request) {
+    json allowed = json::array();
+    const json asked = json::parse(request.body);
+    for (const json& id : asked.at("workers")) {
+      allowed.push_back({id, "ticket"});
+    }
+    advice_->Respond(token, Answer(200, {{"allowed", allowed}, {"valid-ms", 2000}}));
+  });
+  ticker_ = std::thread([this] {
+    while (!stop_) {
+      std::this_thread::sleep_for(kTick);
+      Tick();
+    }
+  });
+}
+
+standin_instances::~standin_instances() {
+  stop_ = true;
+  ticker_.join();
+  advice_->Stop();
+  for (const auto& each : instances_) each->server->Stop();
+}
+
+std::string standin_instances::AdviceAddress() const { return LoopbackAddress(*advice_); }
+
+std::vector<standin_start> standin_instances::Starts() {
+  const std::lock_guard lock(mutex_);
+  return starts_;
+}
+
+std::vector<std::string> standin_instances::Doubles() {
+  const std::lock_guard lock(mutex_);
+  return doubles_;
+}
+
+size_t standin_instances::Running() {
+  const std::lock_guard lock(mutex_);
+  size_t count = 0;
+  for (const auto& each : instances_) count += each->runs.size();
+  return count;
+}
+
+void standin_instances::Register(instance& here) {
+  const json entry{{"service", "svc"},
+                   {"address", LoopbackAddress(*here.server)},
+                   {"zone", "zone-a"},
+                   {"version", "v1"},
+                   {"slots", 8},
+                   {"state", "ready"},
+                   {"cold-left-ms", 0},
+                   {"capacity", {{"cpu", 8000}, {"mem-mb", 16384}, {"gpu", 0}}},
+                   {"labels", {"a", "r1-1"}},
+                   {"clock-ms", ClockMs()},
+                   {"born", 1},
+                   {"seq-no", ++here.heartbeats}};
+  store_.Put("servers/" + here.id, entry.dump());
+}
+
+void standin_instances::End(instance& here, const std::string& task, const char* how) {
+  const auto found = here.runs.find(task);
+  here.ended.push_back({++here.last_end, task, found->second.number, how, ""});
+  here.over[task] = std::max(here.over[task], found->second.number);
+  here.runs.erase(found);
+}
+
+void standin_instances::Advance(instance& here) {
+  std::vector<std::pair<std::string, const char*>> ends;
+  for (const auto& [task, each] : here.runs) {
+    if (ClockMs() > here.lease_until) {
+      ends.emplace_back(task, "lapsed");
+    } else if (each.ends <= Now()) {
+      ends.emplace_back(task, each.stopping ? "stopped" : "done");
+    }
+  }
+  for (const auto& [task, how] : ends) End(here, task, how);
+}
+
+json standin_instances::Start(instance& here, const json& body, int& status) {
+  const auto task = body.at("task").get<std::string>();
+  const auto number = body.at("run-id").get<uint32_t>();
+  const auto until = body.at("deadline-ms").get<int64_t>();
+  const auto refuse = [&](const char* why) {
+    status = 409;
+    return json{{"clock-ms", ClockMs()}, {"reason", why}};
+  };
+  if (body.value("ticket", std::string()) != "ticket") return refuse("ticket");
+  const auto running = here.runs.find(task);
+  if (running != here.runs.end() && running->second.number == number) {
+    return {{"clock-ms", ClockMs()}};
+  }
+  if (here.over.contains(task) && number <= here.over[task]) return refuse("old");
+  if (until <= ClockMs()) return refuse("late");
+  for (const auto& other : instances_) {
+    Advance(*other);
+    if (other->runs.contains(task)) doubles_.push_back(task);
+  }
+  here.lease_until = std::max(here.lease_until, std::min(until, ClockMs() + kLongestLease));
+  here.runs[task] = {task, number, Now() + run_time_, false};
+  starts_.push_back({task, number, here.id});
+  return {{"clock-ms", ClockMs()}};
+}
+
+json standin_instances::Stop(instance& here, const json& body) {
+  const auto task = body.at("task").get<std::string>();
+  const auto number = body.at("run-id").get<uint32_t>();
+  here.over[task] = std::max(here.over[task], number);
+  const auto found = here.runs.find(task);
+  if (found != here.runs.end() && found->second.number <= number) {
+    found->second.stopping = true;
+    found->second.ends = Now() + kStopTakes;
+  }
+  return {{"clock-ms", ClockMs()}};
+}
+
+json standin_instances::Listing(instance& here) {
+  json running = json::array();
+  for (const auto& [task, each] : here.runs) running.push_back({task, each.number, "", 50, 0});
+  return {{"clock-ms", ClockMs()}, {"born", 1}, {"running", running}, {"ended", here.ended}};
+}
+
+void standin_instances::Handle(size_t at, http_server::token token, const http_request& request) {
+  const std::lock_guard lock(mutex_);
+  instance& here = *instances_[at];
+  const json body = json::parse(request.body);
+  const auto fence = body.at("fencing-token").get<uint64_t>();
+  if (fence < here.fence) {
+    const json refusal{{"clock-ms", ClockMs()}, {"reason", "fence"}};
+    return here.server->Respond(token, Answer(409, refusal));
+  }
+  here.fence = fence;
+  Advance(here);
+  int status = 200;
+  json answer;
+  if (request.path == "/v1/run-start") {
+    answer = Start(here, body, status);
+    if (lose_ > 0 && lose_-- > 0) return;
+  } else if (request.path == "/v1/run-stop") {
+    answer = Stop(here, body);
+  } else if (request.path == "/v1/hold") {
+    const auto seen = body.at("last-seen").get<uint64_t>();
+    while (!here.ended.empty() && here.ended[0][0].get<uint64_t>() <= seen) here.ended.erase(0);
+    if (body.contains("deadline-ms")) {
+      here.lease_until = std::max(here.lease_until, std::min(body.at("deadline-ms").get<int64_t>(),
+                                                             ClockMs() + kLongestLease));
+    }
+    holds_.push_back({at, token, Now() + milliseconds(body.value("wait-ms", int64_t{0}))});
+    return;
+  } else {
+    status = 404;
+  }
+  here.server->Respond(token, Answer(status, answer));
+}
+
+void standin_instances::Tick() {
+  const std::lock_guard lock(mutex_);
+  static thread_local monotonic_time next_heartbeat{};
+  const bool beat = Now() >= next_heartbeat;
+  if (beat) next_heartbeat = Now() + kHeartbeat;
+  for (const auto& each : instances_) {
+    Advance(*each);
+    if (beat) Register(*each);
+  }
+  for (size_t i = 0; i < holds_.size();) {
+    instance& here = *instances_[holds_[i].at];
+    if (here.ended.empty() && Now() < holds_[i].ends) {
+      ++i;
+      continue;
+    }
+    here.server->Respond(holds_[i].token, Answer(200, Listing(here)));
+    holds_.erase(holds_.begin() + static_cast<std::ptrdiff_t>(i));
+  }
+}
+
+}  // namespace catkinford
--- /dev/null
+++ b/test/platform_standin.h
@@ -0,0 +1,155 @@
+// A small stand-in of the users' platform for tests with real processes: its store (keys, watches,
+// conditional changes, leases), instances that run tasks under leases, and the service that speaks
+// for queues' policies, all over the platform's own wire on loopback.
+#ifndef CATKINFORD_TEST_PLATFORM_STANDIN_H_
+#define CATKINFORD_TEST_PLATFORM_STANDIN_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "connection/http_server.h"
+#include "request/job_request.h"
+
+namespace catkinford {
+
+// The metadata store.
+class standin_metadata_store {
+ public:
+  standin_metadata_store();
+  ~standin_metadata_store();
+
+  std::string Address() const;
+  // As the operator or an instance does.
+  void Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+  std::optional<std::string> Value(const std::string& key);
+  // Every call is answered 503; leases run out meanwhile.
+  void SetDown(bool down) { down_ = down; }
+  // The next so many changes are done and answered only after every caller has given up.
+  void LoseAnswers(int changes) { lose_ = changes; }
+  uint64_t Calls() const { return calls_; }
+
+ private:
+  struct kept_item {
+    std::string value;
+    uint64_t revision = 0;
+    uint64_t lease = 0;
+  };
+  struct key_change {
+    uint64_t revision;
+    std::string key;
+  };
+  struct kept_lease {
+    std::chrono::milliseconds ttl{0};
+    monotonic_time ends{};
+  };
+  struct waiting_watch {
+    http_server::token token;
+    std::string prefix;
+    uint64_t after;
+    monotonic_time ends;
+  };
+
+  void Handle(http_server::token token, const http_request& request);
+  http_response Change(const nlohmann::json& body);
+  nlohmann::json ItemOf(const std::string& key) const;
+  nlohmann::json EventsSince(const std::string& prefix, uint64_t after) const;
+  void Write(const std::string& key, const std::optional<std::string>& value, uint64_t lease);
+  void Tick();
+
+  std::mutex mutex_;
+  std::map<std::string, kept_item> items_;
+  std::vector<key_change> changes_;
+  std::map<uint64_t, kept_lease> leases_;
+  std::vector<waiting_watch> watches_;
+  uint64_t revision_ = 1;
+  std::atomic<bool> down_{false};
+  std::atomic<int> lose_{0};
+  std::atomic<uint64_t> calls_{0};
+  std::atomic<bool> stop_{false};
+  std::unique_ptr<http_server> server_;
+  std::thread ticker_;
+};
+
+// One start that an instance carried out.
+struct standin_start {
+  std::string task;
+  uint32_t run = 0;
+  std::string instance;
+};
+
+// Instances that run every task for `run_time`, and the service that allows every instance.
+class standin_instances {
+ public:
+  standin_instances(standin_metadata_store& store, size_t count,
+                    std::chrono::milliseconds run_time);
+  ~standin_instances();
+
+  std::string AdviceAddress() const;
+  std::vector<standin_start> Starts();
+  // Tasks of which two runs were there at the same time.
+  std::vector<std::string> Doubles();
+  size_t Running();
+  // The next so many starts are carried out and never answered.
+  void LoseStartAnswers(int starts) { lose_ = starts; }
+
+ private:
+  struct live_task {
+    std::string task;
+    uint32_t number = 0;
+    monotonic_time ends{};
+    bool stopping = false;
+  };
+  struct instance {
+    std::string id;
+    std::unique_ptr<http_server> server;
+    std::map<std::string, live_task> runs;  // by task
+    std::map<std::string, uint32_t> over;
+    nlohmann::json ended = nlohmann::json::array();
+    uint64_t last_end = 0;
+    uint64_t fence = 0;
+    int64_t lease_until = 0;
+    uint64_t heartbeats = 0;
+  };
+  struct hold {
+    size_t at;
+    http_server::token token;
+    monotonic_time ends;
+  };
+
+  void Handle(size_t at, http_server::token token, const http_request& request);
+  nlohmann::json Start(instance& here, const nlohmann::json& body, int& status);
+  nlohmann::json Stop(instance& here, const nlohmann::json& body);
+  nlohmann::json Listing(instance& here);
+  void Advance(instance& here);
+  void End(instance& here, const std::string& task, const char* how);
+  void Register(instance& here);
+  void Tick();
+
+  standin_metadata_store& store_;
+  std::chrono::milliseconds run_time_;
+  std::mutex mutex_;
+  std::vector<std::unique_ptr<instance>> instances_;
+  std::vector<hold> holds_;
+  std::vector<standin_start> starts_;
+  std::vector<std::string> doubles_;
+  std::atomic<int> lose_{0};
+  std::atomic<bool> stop_{false};
+  std::unique_ptr<http_server> advice_;
+  std::thread ticker_;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_TEST_PLATFORM_STANDIN_H_
