--- a/src/process/site/caller_front.h
+++ b/src/process/site/caller_front.h
@@ -28,6 +28,10 @@
   std::function<void(const std::string& job, std::function<void(std::optional<graph_phase>)>)>
       phase;
   std::function<void(const std::string& queue, std::function<void(std::optional<size_t>)>)> pending;
+  // Tell the owner of what was just stored, so that it need not wait for its watch. Nothing rests on
+  // it: what gets lost here, the watch brings.
+  std::function<void(const std::string& id, const std::string& record)> tell_job;
+  std::function<void(const std::string& id)> tell_cancel;
   std::function<bool()> stopping;
 };
 
@@ -191,6 +195,7 @@
     if (reply.status == store_status::kDone || reply.status == store_status::kConflict) {
       Log(site_event::kJobAccepted, *current,
           absl::StrCat("again=", reply.status == store_status::kConflict));
+      if (reply.status == store_status::kDone) hooks_.tell_job(current->id, *text);
       return Answer(*current, front_status::kOk, "{}");
     }
     const bool uncertain = unsure || reply.status == store_status::kUnknown;
@@ -228,6 +233,7 @@
     platform_.Store().Commit(write, Here([this, current](const store_reply& reply) {
                                if (reply.status != store_status::kDone) return RetryCancel(current);
                                Log(site_event::kCancelTaken, *current, "");
+      hooks_.tell_cancel(current->id);
                                Answer(*current, front_status::kOk, "{}");
                              }));
   }
--- a/src/process/site/peer_words.h
+++ b/src/process/site/peer_words.h
@@ -5,6 +5,8 @@
 //   GET  /peer/health        when the store last answered, the highest epoch seen
 //   GET  /peer/version       the configuration's text
 //   POST /peer/advise        asks a queue's policy from there
+//   POST /peer/job           a job's record, just stored: the owner need not wait for its watch
+//   POST /peer/cancel?id=    a cancelling, just stored
 //
 // libjsonrpccpp's server answers on the thread of the call, and a question to a policy takes up to
 // a second: these calls use the HTTP server that can answer later.
@@ -28,6 +30,8 @@
 inline constexpr char kPeerHealthPath[] = "/peer/health";
 inline constexpr char kPeerVersionPath[] = "/peer/version";
 inline constexpr char kPeerAdvisePath[] = "/peer/advise";
+inline constexpr char kPeerJobPath[] = "/peer/job";
+inline constexpr char kPeerCancelPath[] = "/peer/cancel";
 
 struct peer_state {
   bool owns = false;  // whoever does not own the site knows no states
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -89,6 +89,7 @@
   void OnLost();
   void OnViewChanged();
   void AskPeer(const entry_word& peer, const std::string& path_and_query, peer_answer done);
+  void TellOwner(const std::string& path_and_query, const std::string& body);
   const entry_word* Owner() const;
   void PhaseFromOwner(const std::string& job, std::function<void(std::optional<graph_phase>)> done);
   void PendingFromOwner(const std::string& queue, std::function<void(std::optional<size_t>)> done);
@@ -152,6 +153,14 @@
                          std::function<void(std::optional<size_t>)> done) {
     PendingFromOwner(queue, std::move(done));
   };
+  hooks.tell_job = [this](const std::string& id, const std::string& record) {
+    if (owner_ != nullptr) return owner_->OnJobStored(id, record);
+    TellOwner(absl::StrCat(kPeerJobPath, "?id=", id), record);
+  };
+  hooks.tell_cancel = [this](const std::string& id) {
+    if (owner_ != nullptr) return owner_->OnCancelStored(id);
+    TellOwner(absl::StrCat(kPeerCancelPath, "?id=", id), {});
+  };
   hooks.stopping = [this] { return stopping_.load(); };
   return hooks;
 }
@@ -327,6 +336,10 @@
         {std::chrono::duration_cast<std::chrono::milliseconds>(age), membership_.View().epoch});
   } else if (request.path == kPeerVersionPath) {
     response.body = versions_.Text();
+  } else if (request.path == kPeerJobPath) {
+    if (owner_ != nullptr) owner_->OnJobStored(request.Query("id"), request.body);
+  } else if (request.path == kPeerCancelPath) {
+    if (owner_ != nullptr) owner_->OnCancelStored(request.Query("id"));
   } else if (request.path == kPeerAdvisePath) {
     return AdviseFor(token, request);
   } else {
@@ -429,6 +442,19 @@
   });
 }
 
+template <site_platform Platform>
+void site_node<Platform>::TellOwner(const std::string& path_and_query, const std::string& body) {
+  const entry_word* owner = Owner();
+  if (owner == nullptr) return;
+  http_call call;
+  call.method = "POST";
+  call.url = absl::StrCat("http://", owner->address, path_and_query);
+  call.body = body;
+  call.timeout = kPeerTimeout;
+  // Whether it arrives does not matter: the owner's watch brings the same.
+  peers_.Send(std::move(call), [](const http_result&) {});
+}
+
 template <site_platform Platform>
 const entry_word* site_node<Platform>::Owner() const {
   const auto& owner = membership_.View().owner;
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -68,6 +68,17 @@
     scheduler_.SetVersion(std::move(version));
     Soon();
   }
+  // News of the inbox that came before the watch told it.
+  void OnJobStored(const std::string& id, const std::string& record) {
+    if (!loaded_) return;
+    TakeInbox({kJobPrefix + id, record}, false);
+    Soon();
+  }
+  void OnCancelStored(const std::string& id) {
+    if (!loaded_) return;
+    TakeInbox({kCancelPrefix + id, {}}, false);
+    Soon();
+  }
   bool Loaded() const { return loaded_; }
   // Nothing while the records are still being read.
   std::optional<graph_phase> PhaseOf(const std::string& job) const {
