Make room for urgent work by stops that save it; start copies of overdue speculative tasks

Change: urgent tasks without room stop less urgent checkpointing runs, those with most time left first; a speculative task that is overdue or sits on a silent instance gets a copy elsewhere.

--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -101,6 +101,8 @@
 
  private:
   friend class placing_round;
+  // Room of instances, as tentatively given or taken during one round.
+  using room_left = absl::flat_hash_map<const fleet_instance*, resources>;
   struct ready_step {
     job_entry* entry;
     occurrence_state* occurrence;
@@ -161,6 +163,14 @@
                          const std::string* rack);
   bool MayRun(const fleet_instance& instance, const ready_step& ready, monotonic_time now) const;
   bool WithinLimit(const job_entry& entry, const resources& need) const;
+  bool WantsCopy(const task_state_slot& task, const step_terms& terms, monotonic_time now) const;
+  std::vector<ready_step> CopySteps(monotonic_time now);
+  void PlaceCopies(scheduler_orders& orders, monotonic_time now);
+  resources RoomBeingFreed(const fleet_instance& instance) const;
+  std::vector<graph_run*> Preemptible(fleet_instance& instance, int priority,
+                                      monotonic_time now) const;
+  void Preempt(monotonic_time now);
+  void PreemptFor(const ready_step& ready, room_left& promised, monotonic_time now);
   void Start(fleet_instance& instance, const ready_step& ready, uint32_t index, uint32_t number,
              scheduler_orders& orders, monotonic_time now);
   uint32_t NextRun(const task_state_slot& task) const;
@@ -173,15 +183,14 @@
     bool known;      // allowed, as an earlier answer said
     bool ticket_good;
   };
-  // Room that is left once the steps that come first have taken theirs.
-  using room_left = absl::flat_hash_map<const fleet_instance*, resources>;
   void PlanStepAdvice(const ready_step& ready, room_left& left, scheduler_orders& orders,
                       monotonic_time now);
   std::vector<advice_option> AdviceOptions(const ready_step& ready, const room_left& left,
                                            monotonic_time now) const;
   std::vector<std::string> WorthAsking(const ready_step& ready,
                                        const std::vector<advice_option>& options,
-                                       const advice_cost& cost) const;
+                                       const advice_cost& cost, uint32_t wanted) const;
+  uint32_t Wanted(const step_progress& step, const step_terms& terms, monotonic_time now) const;
   std::vector<ready_step> NextSteps(monotonic_time now);
   bool TurnComesWithin(const job_entry& entry, const occurrence_state& occurrence, uint32_t index,
                        std::chrono::milliseconds ahead, monotonic_time now) const;
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -41,6 +41,16 @@
 
 }  // namespace
 
+// Tasks of the step that need an instance: those that wait, or copies of those that are overdue.
+uint32_t job_scheduler::Wanted(const step_progress& step, const step_terms& terms,
+                               monotonic_time now) const {
+  if (step.waiting > 0 || !terms.speculative) return step.waiting;
+  return static_cast<uint32_t>(
+      std::count_if(step.tasks.begin(), step.tasks.end(), [&](const task_state_slot& task) {
+        return WantsCopy(task, terms, now);
+      }));
+}
+
 // Instances that may still be of use to the step: those allowed and those not asked about yet.
 std::vector<job_scheduler::advice_option> job_scheduler::AdviceOptions(const ready_step& ready,
                                                                        const room_left& left,
@@ -55,7 +65,7 @@
     const auto asked = step.advice.asked.find(id);
     const bool known = asked != step.advice.asked.end();
     if (known && !asked->second) continue;  // not allowed, for good
-    uint32_t most = step.waiting;
+    uint32_t most = Wanted(step, terms, now);
     if (terms.most_per_instance > 0) {
       const auto placed = step.placed.find(instance.get());
       const uint32_t here = placed == step.placed.end() ? 0 : placed->second;
@@ -83,26 +93,28 @@
 // naming an instance costs far less than another question.
 std::vector<std::string> job_scheduler::WorthAsking(const ready_step& ready,
                                                     const std::vector<advice_option>& options,
-                                                    const advice_cost& cost) const {
-  const step_progress& step = ready.occurrence->steps[ready.index];
+                                                    const advice_cost& cost,
+                                                    uint32_t wanted) const {
   std::vector<std::string> out;
   uint32_t found = 0;
-  bool room_at_unknown = false;
+  // Urgent work gets room made where it is allowed: that must be known first.
+  bool room_at_unknown = TermsOf(*ready.entry).priority == 0 &&
+                         ready.occurrence->steps[ready.index].advice.asked.empty();
   size_t spare = kSpareInstances;
   for (const advice_option& option : options) {
     room_at_unknown = room_at_unknown || (!option.known && option.tasks > 0);
     if (!option.known || option.tasks == 0) continue;
-    if (found >= step.waiting && (option.ticket_good || spare-- == 0)) break;
+    if (found >= wanted && (option.ticket_good || spare-- == 0)) break;
     found += option.tasks;
     if (!option.ticket_good) out.push_back(option.instance->report.id);
   }
-  if (found >= step.waiting || !room_at_unknown) return out;
+  if (found >= wanted || !room_at_unknown) return out;
   // As many as cost no more than the question itself.
   const size_t cheap =
       cost.per_instance.count() <= 0
           ? kMostInOneAsk
           : static_cast<size_t>(duration_cast<microseconds>(cost.base) / cost.per_instance);
-  const size_t most = std::min(kMostInOneAsk, std::max<size_t>(cheap, step.waiting));
+  const size_t most = std::min(kMostInOneAsk, std::max<size_t>(cheap, wanted));
   for (const advice_option& option : options) {
     if (out.size() >= most) break;
     if (!option.known) out.push_back(option.instance->report.id);
@@ -120,7 +132,7 @@
   // tickets that are over before they are of use.
   resources room = terms.need;
   if (terms.fills) room.cpu_milli = 0;
-  uint32_t wanted = step.waiting;
+  uint32_t wanted = Wanted(step, terms, now);
   for (const advice_option& option : options) {
     if (wanted == 0) break;
     const uint32_t tasks = std::min(wanted, option.tasks);
@@ -134,7 +146,7 @@
       version_ == nullptr ? nullptr : version_->QueueNamed(ready.entry->job.queue);
   const advice_cost cost = queue != nullptr && queue->advice ? *queue->advice : advice_cost{};
   advice_order order;
-  order.instances = WorthAsking(ready, options, cost);
+  order.instances = WorthAsking(ready, options, cost, Wanted(step, terms, now));
   if (order.instances.empty()) return;
   order.job = ready.entry->job.id;
   order.occurrence = ready.occurrence->number;
@@ -195,6 +207,7 @@
   room_left left;
   std::vector<ready_step> steps = ReadySteps();
   for (const ready_step& next : NextSteps(now)) steps.push_back(next);
+  for (const ready_step& copies : CopySteps(now)) steps.push_back(copies);
   for (const ready_step& ready : steps) {
     if (!TermsOf(*ready.entry).needs_advice) continue;
     const step_terms& terms = ready.entry->job.steps[ready.index];
--- a/src/process/scheduling/scheduler_placing.cc
+++ b/src/process/scheduling/scheduler_placing.cc
@@ -18,6 +18,13 @@
 // An instance whose clock was read longer ago than this gets no start: the lease in the order could
 // be over on arrival, or run too long.
 constexpr milliseconds kOldestClock{30000};
+// A run is not stopped for urgent work before it has had this long: it would only restore its
+// checkpoint again and again.
+constexpr milliseconds kLeastRunBeforePreempt{500};
+
+// A run is overdue after this many times its estimate and a little more: estimates are off by half.
+constexpr double kCopyFactor = 1.6;
+constexpr milliseconds kCopySlack{300};
 
 double Share(uint32_t part, uint32_t whole) {
   return whole == 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole);
@@ -97,6 +104,7 @@
   double best_score = -std::numeric_limits<double>::infinity();
   const auto consider = [&](fleet_instance& instance) {
     if (rack != nullptr && instance.report.rack != *rack) return;
+    if (task.run != nullptr && task.run->instance == &instance) return;
     if (!instance.Fits(room) || !MayRun(instance, ready, now)) return;
     const auto placed = step.placed.find(&instance);
     const uint32_t here = placed == step.placed.end() ? 0 : placed->second;
@@ -135,10 +143,14 @@
   run.started = now;
   run.progressed = now;
   task.last_run = number;
-  task.run = &run;
-  task.phase = slot_phase::kActive;
-  --step.waiting;
-  ++step.active;
+  if (task.phase == slot_phase::kActive) {
+    task.copy = &run;
+  } else {
+    task.run = &run;
+    task.phase = slot_phase::kActive;
+    --step.waiting;
+    ++step.active;
+  }
   entry.started = true;
   if (entry.phase == graph_phase::kQueued) entry.phase = graph_phase::kRunning;
 
@@ -229,6 +241,52 @@
   }
 }
 
+// A speculative task gets a copy where its run is overdue or its instance does not answer: a slow or
+// lost instance is noticed by the clock long before its lease is over.
+bool job_scheduler::WantsCopy(const task_state_slot& task, const step_terms& terms,
+                              monotonic_time now) const {
+  if (!terms.speculative || terms.gang || terms.long_running) return false;
+  if (task.phase != slot_phase::kActive || task.run == nullptr || task.copy != nullptr) return false;
+  if (task.run->stopping != stop_cause::kNone) return false;
+  const auto patience = milliseconds(static_cast<int64_t>(
+                            kCopyFactor * static_cast<double>(terms.estimate.count()))) +
+                        kCopySlack;
+  return !task.run->instance->Reachable() || now - task.run->started > patience;
+}
+
+void job_scheduler::PlaceCopies(scheduler_orders& orders, monotonic_time now) {
+  for (const ready_step& ready : CopySteps(now)) {
+    const step_terms& terms = ready.entry->job.steps[ready.index];
+    step_progress& step = ready.occurrence->steps[ready.index];
+    for (uint32_t i = 0; i < step.tasks.size(); ++i) {
+      task_state_slot& task = step.tasks[i];
+      if (!WantsCopy(task, terms, now)) continue;
+      if (!WithinLimit(*ready.entry, terms.need)) break;
+      fleet_instance* instance = Choose(ready, task, now, nullptr);
+      if (instance == nullptr) break;
+      Start(*instance, ready, i, NextRun(task), orders, now);
+    }
+  }
+}
+
+std::vector<job_scheduler::ready_step> job_scheduler::CopySteps(monotonic_time now) {
+  std::vector<ready_step> out;
+  for (job_entry* entry : active_) {
+    for (auto& [number, occurrence] : entry->occurrences) {
+      for (uint32_t i = 0; i < occurrence->steps.size(); ++i) {
+        const step_terms& terms = entry->job.steps[i];
+        const step_progress& step = occurrence->steps[i];
+        if (!terms.speculative || step.active == 0 || step.waiting > 0) continue;
+        const bool wanted = std::any_of(
+            step.tasks.begin(), step.tasks.end(),
+            [&](const task_state_slot& task) { return WantsCopy(task, terms, now); });
+        if (wanted) out.push_back({entry, occurrence.get(), i});
+      }
+    }
+  }
+  return out;
+}
+
 // Until all instances are listed that may run work of an earlier owner, a task of its jobs may run
 // there already, and what its workspaces have running is known only from above.
 bool job_scheduler::MustWaitForInheritance(const job_entry& entry, const resources& need) const {
@@ -268,6 +326,82 @@
       PlaceStep(ready, orders, now);
     }
   }
+  PlaceCopies(orders, now);
+  Preempt(now);
+}
+
+// Room that is on its way to be free: runs there that are being stopped.
+resources job_scheduler::RoomBeingFreed(const fleet_instance& instance) const {
+  resources out;
+  for (const auto& run : instance.runs) {
+    if (run->stopping != stop_cause::kNone) out += run->room;
+  }
+  return out;
+}
+
+// The runs of an instance that may make room for urgent work, those that lose least first.
+std::vector<graph_run*> job_scheduler::Preemptible(fleet_instance& instance, int priority,
+                                                   monotonic_time now) const {
+  std::vector<graph_run*> out;
+  for (const auto& run : instance.runs) {
+    if (run->phase != run_phase::kRunning || run->stopping != stop_cause::kNone) continue;
+    if (run->job == nullptr || run->fills || now - run->started < kLeastRunBeforePreempt) continue;
+    const step_terms& terms = run->job->job.steps[run->key.step];
+    // A stop saves the work of a task that takes checkpoints; of any other it throws all away.
+    if (!terms.checkpointing || terms.long_running || terms.gang) continue;
+    if (TermsOf(*run->job).priority <= priority) continue;
+    out.push_back(run.get());
+  }
+  std::sort(out.begin(), out.end(), [](const graph_run* a, const graph_run* b) {
+    return a->job->objective > b->job->objective;  // whoever has most time left
+  });
+  return out;
+}
+
+// Urgent tasks that found no room get that of less urgent ones which lose nothing by a stop.
+void job_scheduler::Preempt(monotonic_time now) {
+  absl::flat_hash_map<const fleet_instance*, resources> promised;
+  for (const ready_step& ready : ReadySteps()) {
+    if (TermsOf(*ready.entry).priority > 0) return;
+    const step_terms& terms = ready.entry->job.steps[ready.index];
+    if (terms.gang || terms.long_running) continue;
+    if (!inheritance_settled_ && MustWaitForInheritance(*ready.entry, terms.need)) continue;
+    PreemptFor(ready, promised, now);
+  }
+}
+
+void job_scheduler::PreemptFor(const ready_step& ready, room_left& promised, monotonic_time now) {
+  const job_terms& job_terms_now = TermsOf(*ready.entry);
+  const step_terms& terms = ready.entry->job.steps[ready.index];
+  const step_progress& step = ready.occurrence->steps[ready.index];
+  uint32_t wanted = step.waiting;
+  for (auto& [id, instance] : instances_) {
+    if (wanted == 0) return;
+    if (!MayRun(*instance, ready, now)) continue;
+    if (job_terms_now.needs_advice) {
+      const auto asked = step.advice.asked.find(id);
+      if (asked == step.advice.asked.end() || !asked->second) continue;
+    }
+    if (!WithinLimit(*ready.entry, terms.need)) return;
+    resources& taken = promised[instance.get()];
+    // Taken by those before this one: free room and what is being freed.
+    const auto fits = [&] {
+      const resources free = instance->Free() + RoomBeingFreed(*instance);
+      const resources need = taken + terms.need;
+      return need.cpu_milli <= free.cpu_milli && need.memory_mb <= free.memory_mb &&
+             need.accelerators <= free.accelerators;
+    };
+    std::vector<graph_run*> victims = Preemptible(*instance, job_terms_now.priority, now);
+    while (wanted > 0) {
+      while (!fits() && !victims.empty()) {
+        AskStop(*victims.front(), stop_cause::kPreempted, now);
+        victims.erase(victims.begin());
+      }
+      if (!fits()) break;
+      taken += terms.need;
+      --wanted;
+    }
+  }
 }
 
 }  // namespace catkinford
