Take preemption back; count each workspace's arrivals against its share

A stop takes up to 0.9 s, in which the urgent work would mostly have found room by itself, and what was restored runs longer.

--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -52,6 +52,7 @@
       entry.job.terms.stretch * static_cast<double>(LongestChain(entry.job.steps).count())));
   const milliseconds age = std::max(milliseconds{0}, wall - entry.job.accepted);
   entry.objective = now - age + allowed + entry.job.terms.target_latency;
+  entry.beyond_share = BeyondShare(entry.job);
   const std::string id = entry.job.id;
   jobs_[id] = std::move(made);
   if (IsFinal(entry.phase)) {
@@ -66,6 +67,14 @@
   OpenOccurrences(entry, wall, now);
 }
 
+// By the time at which the job was accepted, so that the next owner finds the same.
+bool job_scheduler::BeyondShare(const graph_job& job) {
+  if (version_ == nullptr || job.workspace.empty()) return false;
+  const workspace_terms* workspace = version_->WorkspaceNamed(job.workspace);
+  if (workspace == nullptr || workspace->weight <= 0) return false;
+  return arrivals_[job.workspace].Exceeds(workspace->weight, job.accepted);
+}
+
 void job_scheduler::OpenOccurrences(job_entry& entry, wall_time wall, monotonic_time now) {
   while (entry.next_occurrence < entry.job.Occurrences()) {
     const uint32_t number = entry.next_occurrence;
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "process/scheduling/arrival_meter.h"
 #include "process/scheduling/fleet_state.h"
 #include "process/scheduling/graph_state.h"
 #include "process/scheduling/scheduler_messages.h"
@@ -111,6 +112,7 @@
 
   // job_scheduler.cc
   void Touch(job_entry& entry);
+  bool BeyondShare(const graph_job& job);
   bool HoldsRuns(const job_entry& entry) const;
   void Note(scheduler_note::kind what, std::string subject, std::string detail);
   void OpenOccurrences(job_entry& entry, wall_time wall, monotonic_time now);
@@ -166,11 +168,6 @@
   bool WantsCopy(const task_state_slot& task, const step_terms& terms, monotonic_time now) const;
   std::vector<ready_step> CopySteps(monotonic_time now);
   void PlaceCopies(scheduler_orders& orders, monotonic_time now);
-  resources RoomBeingFreed(const fleet_instance& instance) const;
-  std::vector<graph_run*> Preemptible(fleet_instance& instance, int priority,
-                                      monotonic_time now) const;
-  void Preempt(monotonic_time now);
-  void PreemptFor(const ready_step& ready, room_left& promised, monotonic_time now);
   void Start(fleet_instance& instance, const ready_step& ready, uint32_t index, uint32_t number,
              scheduler_orders& orders, monotonic_time now);
   uint32_t NextRun(const task_state_slot& task) const;
@@ -187,8 +184,7 @@
                       monotonic_time now);
   std::vector<advice_option> AdviceOptions(const ready_step& ready, const room_left& left,
                                            monotonic_time now) const;
-  std::vector<std::string> WorthAsking(const ready_step& ready,
-                                       const std::vector<advice_option>& options,
+  std::vector<std::string> WorthAsking(const std::vector<advice_option>& options,
                                        const advice_cost& cost, uint32_t wanted) const;
   uint32_t Wanted(const step_progress& step, const step_terms& terms, monotonic_time now) const;
   std::vector<ready_step> NextSteps(monotonic_time now);
@@ -207,6 +203,7 @@
   // Ordered, so that equal choices fall the same way in every process.
   std::map<std::string, std::unique_ptr<fleet_instance>> instances_;
   absl::flat_hash_map<std::string, resources> running_of_workspace_;
+  absl::flat_hash_map<std::string, arrival_meter> arrivals_;  // by workspace
   std::vector<job_entry*> active_;    // not final
   std::deque<std::string> final_;     // in the order in which they ended
   std::vector<job_entry*> unstored_;  // changed since they were last given out
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -91,15 +91,12 @@
 // Which instances to name: a few allowed ones that have room for all that waits, or, where these do
 // not suffice, also those that were never asked about, with room or without: the verdict stays, and
 // naming an instance costs far less than another question.
-std::vector<std::string> job_scheduler::WorthAsking(const ready_step& ready,
-                                                    const std::vector<advice_option>& options,
+std::vector<std::string> job_scheduler::WorthAsking(const std::vector<advice_option>& options,
                                                     const advice_cost& cost,
                                                     uint32_t wanted) const {
   std::vector<std::string> out;
   uint32_t found = 0;
-  // Urgent work gets room made where it is allowed: that must be known first.
-  bool room_at_unknown = TermsOf(*ready.entry).priority == 0 &&
-                         ready.occurrence->steps[ready.index].advice.asked.empty();
+  bool room_at_unknown = false;
   size_t spare = kSpareInstances;
   for (const advice_option& option : options) {
     room_at_unknown = room_at_unknown || (!option.known && option.tasks > 0);
@@ -146,7 +143,7 @@
       version_ == nullptr ? nullptr : version_->QueueNamed(ready.entry->job.queue);
   const advice_cost cost = queue != nullptr && queue->advice ? *queue->advice : advice_cost{};
   advice_order order;
-  order.instances = WorthAsking(ready, options, cost, Wanted(step, terms, now));
+  order.instances = WorthAsking(options, cost, Wanted(step, terms, now));
   if (order.instances.empty()) return;
   order.job = ready.entry->job.id;
   order.occurrence = ready.occurrence->number;
--- a/src/process/scheduling/scheduler_placing.cc
+++ b/src/process/scheduling/scheduler_placing.cc
@@ -18,10 +18,6 @@
 // An instance whose clock was read longer ago than this gets no start: the lease in the order could
 // be over on arrival, or run too long.
 constexpr milliseconds kOldestClock{30000};
-// A run is not stopped for urgent work before it has had this long: it would only restore its
-// checkpoint again and again.
-constexpr milliseconds kLeastRunBeforePreempt{500};
-
 // A run is overdue after this many times its estimate and a little more: estimates are off by half.
 constexpr double kCopyFactor = 1.6;
 constexpr milliseconds kCopySlack{300};
@@ -73,6 +69,7 @@
   std::stable_sort(out.begin(), out.end(), [this](const ready_step& a, const ready_step& b) {
     const int first = TermsOf(*a.entry).priority;
     const int second = TermsOf(*b.entry).priority;
+    if (a.entry->beyond_share != b.entry->beyond_share) return b.entry->beyond_share;
     if (first != second) return first < second;
     return a.entry->objective < b.entry->objective;
   });
@@ -327,81 +324,6 @@
     }
   }
   PlaceCopies(orders, now);
-  Preempt(now);
-}
-
-// Room that is on its way to be free: runs there that are being stopped.
-resources job_scheduler::RoomBeingFreed(const fleet_instance& instance) const {
-  resources out;
-  for (const auto& run : instance.runs) {
-    if (run->stopping != stop_cause::kNone) out += run->room;
-  }
-  return out;
-}
-
-// The runs of an instance that may make room for urgent work, those that lose least first.
-std::vector<graph_run*> job_scheduler::Preemptible(fleet_instance& instance, int priority,
-                                                   monotonic_time now) const {
-  std::vector<graph_run*> out;
-  for (const auto& run : instance.runs) {
-    if (run->phase != run_phase::kRunning || run->stopping != stop_cause::kNone) continue;
-    if (run->job == nullptr || run->fills || now - run->started < kLeastRunBeforePreempt) continue;
-    const step_terms& terms = run->job->job.steps[run->key.step];
-    // A stop saves the work of a task that takes checkpoints; of any other it throws all away.
-    if (!terms.checkpointing || terms.long_running || terms.gang) continue;
-    if (TermsOf(*run->job).priority <= priority) continue;
-    out.push_back(run.get());
-  }
-  std::sort(out.begin(), out.end(), [](const graph_run* a, const graph_run* b) {
-    return a->job->objective > b->job->objective;  // whoever has most time left
-  });
-  return out;
-}
-
-// Urgent tasks that found no room get that of less urgent ones which lose nothing by a stop.
-void job_scheduler::Preempt(monotonic_time now) {
-  absl::flat_hash_map<const fleet_instance*, resources> promised;
-  for (const ready_step& ready : ReadySteps()) {
-    if (TermsOf(*ready.entry).priority > 0) return;
-    const step_terms& terms = ready.entry->job.steps[ready.index];
-    if (terms.gang || terms.long_running) continue;
-    if (!inheritance_settled_ && MustWaitForInheritance(*ready.entry, terms.need)) continue;
-    PreemptFor(ready, promised, now);
-  }
-}
-
-void job_scheduler::PreemptFor(const ready_step& ready, room_left& promised, monotonic_time now) {
-  const job_terms& job_terms_now = TermsOf(*ready.entry);
-  const step_terms& terms = ready.entry->job.steps[ready.index];
-  const step_progress& step = ready.occurrence->steps[ready.index];
-  uint32_t wanted = step.waiting;
-  for (auto& [id, instance] : instances_) {
-    if (wanted == 0) return;
-    if (!MayRun(*instance, ready, now)) continue;
-    if (job_terms_now.needs_advice) {
-      const auto asked = step.advice.asked.find(id);
-      if (asked == step.advice.asked.end() || !asked->second) continue;
-    }
-    if (!WithinLimit(*ready.entry, terms.need)) return;
-    resources& taken = promised[instance.get()];
-    // Taken by those before this one: free room and what is being freed.
-    const auto fits = [&] {
-      const resources free = instance->Free() + RoomBeingFreed(*instance);
-      const resources need = taken + terms.need;
-      return need.cpu_milli <= free.cpu_milli && need.memory_mb <= free.memory_mb &&
-             need.accelerators <= free.accelerators;
-    };
-    std::vector<graph_run*> victims = Preemptible(*instance, job_terms_now.priority, now);
-    while (wanted > 0) {
-      while (!fits() && !victims.empty()) {
-        AskStop(*victims.front(), stop_cause::kPreempted, now);
-        victims.erase(victims.begin());
-      }
-      if (!fits()) break;
-      taken += terms.need;
-      --wanted;
-    }
-  }
 }
 
 }  // namespace catkinford
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -211,6 +211,9 @@
     loaded_ = true;
     scheduler_.OnInherited(loaded_fleet_, now);
     scheduler_.OnRegistry(registry_, now);
+    // In the order of their acceptance: shares are counted along it.
+    std::sort(loaded_inbox_.begin(), loaded_inbox_.end(),
+              [](const store_item& a, const store_item& b) { return a.revision < b.revision; });
     for (const store_item& item : loaded_inbox_) TakeInbox(item, true);
     log_.Write(site_event::kOwnerLoaded, now,
                absl::StrCat(
