--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -14,7 +14,7 @@
 // How long a listing may wait at the instance for an end; it also renews the lease.
 constexpr milliseconds kListingWait{1000};
 // The pause after a listing: ends that come together are told together, and each look costs.
-constexpr milliseconds kListingPause{40};
+constexpr milliseconds kListingPause{70};
 constexpr milliseconds kSilentPause{300};    // after the first listing without an answer
 constexpr milliseconds kLongestPause{2000};  // the pause doubles up to this
 constexpr uint32_t kLongestDoubling = 4;
--- a/src/process/site/site_log.cc
+++ b/src/process/site/site_log.cc
@@ -51,6 +51,8 @@
     site_event_info{kRunAdopted, kDetail, "run_adopted",
                     "A run of an earlier owner was found and goes on."},
     site_event_info{kAdvice, kDetail, "advice", "A queue's policy named instances for a step."},
+    site_event_info{kAdviceAsked, kDetail, "advice_asked",
+                    "A question to a queue's policy came back: who asked, and how long it took."},
     site_event_info{kProgressStored, kDetail, "progress_stored",
                     "Ends were stored; instances may forget them."},
     site_event_info{kInstanceJoined, kDetail, "instance_joined", "The registry names it."},
--- a/src/process/site/site_log.h
+++ b/src/process/site/site_log.h
@@ -48,6 +48,7 @@
   kRunAdopted = 627,
   kAdvice = 628,
   kProgressStored = 629,
+  kAdviceAsked = 619,
   // 63x: instances at the owner
   kInstanceJoined = 630,
   kInstanceReborn = 631,
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -544,7 +544,16 @@
 template <site_platform Platform>
 void site_node<Platform>::AskAdvice(const advice_order& order, const std::string& entry) {
   const auto timeout = order.expected + kAdviceSlack;
-  const auto finish = [this, order, entry](const advice_answer& answer) {
+  const monotonic_time asked = BootNow();
+  const auto finish = [this, order, entry, asked](const advice_answer& answer) {
+    const monotonic_time now = BootNow();
+    log_.Write(site_event::kAdviceAsked, now,
+               absl::StrCat("id=", order.job, " step=", order.occurrence, ".", order.step, " by=",
+                            entry, " instances=", order.instances.size(), " answered=",
+                            answer.answered, " expected_ms=", order.expected.count(), " ms=",
+                            std::chrono::duration_cast<std::chrono::milliseconds>(now - asked)
+                                .count(),
+                            " waiting=", advice_.Waiting()));
     advice_.OnAnswered(entry);
     if (owner_ != nullptr) owner_->OnAdvice(order, answer);
     SpreadAdvice();
