--- a/src/process/scheduling/arrival_meter.h
+++ b/src/process/scheduling/arrival_meter.h
@@ -1,5 +1,5 @@
-// Tells the jobs that a workspace sends beyond its share from those within: the rate that its weight
-// gives, with a second's worth at once.
+// Tells the jobs that a workspace sends beyond its share from those within: the rate that its
+// weight gives, with a second's worth at once.
 //
 // The load it answers: one workspace sends many times its usual, and without this everybody's quick
 // work would wait in one line behind it. Its jobs beyond the share run when nobody else waits.
@@ -15,8 +15,8 @@
 
 class arrival_meter {
  public:
-  // Counts a job that came at `now`; `rate`: jobs a second. True when it is beyond the share; such a
-  // job does not use the share up.
+  // Counts a job that came at `now`; `rate`: jobs a second. True when it is beyond the share; such
+  // a job does not use the share up.
   bool Exceeds(double rate, wall_time now) {
     const std::chrono::milliseconds between(static_cast<int64_t>(kMillisPerSecond / rate));
     const wall_time begin = std::max(next_, now - kBurst);
--- a/src/process/scheduling/graph_state.h
+++ b/src/process/scheduling/graph_state.h
@@ -93,7 +93,7 @@
   std::vector<uint32_t> finished;  // done occurrences at or above `done_below`
   uint32_t done_below = 0;         // all occurrences below are done
   bool started = false;            // some task has started, ever
-  bool beyond_share = false;      // its workspace sent more than its share when it came
+  bool beyond_share = false;       // its workspace sent more than its share when it came
   bool inherited = false;          // known before this owner: its tasks may run where it cannot see
   uint64_t change = 0;             // counts changes of what must last
   uint64_t stored = 0;             // the last change that the store has
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -204,8 +204,8 @@
   std::map<std::string, std::unique_ptr<fleet_instance>> instances_;
   absl::flat_hash_map<std::string, resources> running_of_workspace_;
   absl::flat_hash_map<std::string, arrival_meter> arrivals_;  // by workspace
-  std::vector<job_entry*> active_;    // not final
-  std::deque<std::string> final_;     // in the order in which they ended
+  std::vector<job_entry*> active_;                            // not final
+  std::deque<std::string> final_;                             // in the order in which they ended
   std::vector<job_entry*> unstored_;  // changed since they were last given out
   std::vector<scheduler_note> notes_;
   absl::flat_hash_map<std::string, std::vector<resources>> largest_seen_;  // by service
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -46,9 +46,8 @@
                                monotonic_time now) const {
   if (step.waiting > 0 || !terms.speculative) return step.waiting;
   return static_cast<uint32_t>(
-      std::count_if(step.tasks.begin(), step.tasks.end(), [&](const task_state_slot& task) {
-        return WantsCopy(task, terms, now);
-      }));
+      std::count_if(step.tasks.begin(), step.tasks.end(),
+                    [&](const task_state_slot& task) { return WantsCopy(task, terms, now); }));
 }
 
 // Instances that may still be of use to the step: those allowed and those not asked about yet.
--- a/src/process/scheduling/scheduler_placing.cc
+++ b/src/process/scheduling/scheduler_placing.cc
@@ -214,6 +214,7 @@
   std::vector<fleet_instance*> chosen;
   if (terms.same_rack) {
     std::vector<std::string> racks;
+    racks.reserve(instances_.size());
     for (const auto& [id, instance] : instances_) racks.push_back(instance->report.rack);
     std::sort(racks.begin(), racks.end());
     racks.erase(std::unique(racks.begin(), racks.end()), racks.end());
@@ -238,12 +239,13 @@
   }
 }
 
-// A speculative task gets a copy where its run is overdue or its instance does not answer: a slow or
-// lost instance is noticed by the clock long before its lease is over.
+// A speculative task gets a copy where its run is overdue or its instance does not answer: a slow
+// or lost instance is noticed by the clock long before its lease is over.
 bool job_scheduler::WantsCopy(const task_state_slot& task, const step_terms& terms,
                               monotonic_time now) const {
   if (!terms.speculative || terms.gang || terms.long_running) return false;
-  if (task.phase != slot_phase::kActive || task.run == nullptr || task.copy != nullptr) return false;
+  if (task.phase != slot_phase::kActive || task.run == nullptr || task.copy != nullptr)
+    return false;
   if (task.run->stopping != stop_cause::kNone) return false;
   const auto patience = milliseconds(static_cast<int64_t>(
                             kCopyFactor * static_cast<double>(terms.estimate.count()))) +
@@ -274,9 +276,9 @@
         const step_terms& terms = entry->job.steps[i];
         const step_progress& step = occurrence->steps[i];
         if (!terms.speculative || step.active == 0 || step.waiting > 0) continue;
-        const bool wanted = std::any_of(
-            step.tasks.begin(), step.tasks.end(),
-            [&](const task_state_slot& task) { return WantsCopy(task, terms, now); });
+        const bool wanted =
+            std::any_of(step.tasks.begin(), step.tasks.end(),
+                        [&](const task_state_slot& task) { return WantsCopy(task, terms, now); });
         if (wanted) out.push_back({entry, occurrence.get(), i});
       }
     }
--- a/src/process/site/caller_front.h
+++ b/src/process/site/caller_front.h
@@ -28,8 +28,8 @@
   std::function<void(const std::string& job, std::function<void(std::optional<graph_phase>)>)>
       phase;
   std::function<void(const std::string& queue, std::function<void(std::optional<size_t>)>)> pending;
-  // Tell the owner of what was just stored, so that it need not wait for its watch. Nothing rests on
-  // it: what gets lost here, the watch brings.
+  // Tell the owner of what was just stored, so that it need not wait for its watch. Nothing rests
+  // on it: what gets lost here, the watch brings.
   std::function<void(const std::string& id, const std::string& record)> tell_job;
   std::function<void(const std::string& id)> tell_cancel;
   std::function<bool()> stopping;
@@ -162,7 +162,8 @@
     leaf::try_handle_all(
         [&]() -> leaf::result<void> {
           BOOST_LEAF_AUTO(job, Platform::DecodeSubmission(current->id, current->request.body));
-          BOOST_LEAF_CHECK(CheckGraph(job));
+          leaf::result<void> sound = CheckGraph(job);
+          if (!sound) return sound.error();
           job.queue = current->queue->name;
           job.workspace = current->workspace;
           job.terms = current->queue->jobs;
@@ -233,7 +234,7 @@
     platform_.Store().Commit(write, Here([this, current](const store_reply& reply) {
                                if (reply.status != store_status::kDone) return RetryCancel(current);
                                Log(site_event::kCancelTaken, *current, "");
-      hooks_.tell_cancel(current->id);
+                               hooks_.tell_cancel(current->id);
                                Answer(*current, front_status::kOk, "{}");
                              }));
   }
--- a/src/process/site/site_log.cc
+++ b/src/process/site/site_log.cc
@@ -129,7 +129,7 @@
   return used < static_cast<uint32_t>(share * lines_per_second_);
 }
 
-void site_log::Write(site_event event, monotonic_time now, std::string fields) {
+void site_log::Write(site_event event, monotonic_time now, const std::string& fields) {
   const site_event_info& info = InfoOf(event);
   std::string line = absl::StrCat(static_cast<int>(event), " ", std::string(info.name),
                                   " entry=", entry_, " ", fields);
--- a/src/process/site/site_log.h
+++ b/src/process/site/site_log.h
@@ -97,7 +97,7 @@
 
   // From any thread; never waits. `fields`: "name=value name=value". Details are left out first
   // when the second's lines run out.
-  void Write(site_event event, monotonic_time now, std::string fields);
+  void Write(site_event event, monotonic_time now, const std::string& fields);
   uint64_t LeftOut() const { return left_out_.load(std::memory_order_relaxed); }
 
  private:
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -94,7 +94,7 @@
   void PhaseFromOwner(const std::string& job, std::function<void(std::optional<graph_phase>)> done);
   void PendingFromOwner(const std::string& queue, std::function<void(std::optional<size_t>)> done);
   void VersionFromPeer(std::function<void(std::string)> done);
-  void JudgeOutage(std::function<void(outage_verdict)> done);
+  void JudgeOutage(const std::function<void(outage_verdict)>& done);
   void SpreadAdvice();
   void AskAdvice(const advice_order& order, const std::string& entry);
   void TellReadiness();
@@ -171,9 +171,7 @@
   hooks.won = [this] { OnWon(); };
   hooks.lost = [this](const std::string&) { OnLost(); };
   hooks.view_changed = [this] { OnViewChanged(); };
-  hooks.ask_peers = [this](std::function<void(outage_verdict)> done) {
-    JudgeOutage(std::move(done));
-  };
+  hooks.ask_peers = [this](const std::function<void(outage_verdict)>& done) { JudgeOutage(done); };
   return hooks;
 }
 
@@ -352,9 +350,10 @@
 void site_node<Platform>::AdviseFor(http_server::token token, const http_request& request) {
   const auto question = PeerQuestionFromText(request.body);
   if (!question) return peer_server_->Respond(token, {.status = front_status::kBadRequest});
-  platform_.Advisor().Ask(question->order, question->timeout, [this, token](advice_answer answer) {
-    peer_server_->Respond(token, {.body = PeerAdviceToText(answer)});
-  });
+  platform_.Advisor().Ask(question->order, question->timeout,
+                          [this, token](const advice_answer& answer) {
+                            peer_server_->Respond(token, {.body = PeerAdviceToText(answer)});
+                          });
 }
 
 template <site_platform Platform>
@@ -501,7 +500,7 @@
 }
 
 template <site_platform Platform>
-void site_node<Platform>::JudgeOutage(std::function<void(outage_verdict)> done) {
+void site_node<Platform>::JudgeOutage(const std::function<void(outage_verdict)>& done) {
   struct poll {
     size_t left = 0;
     size_t answered = 0;
@@ -547,13 +546,13 @@
   const monotonic_time asked = BootNow();
   const auto finish = [this, order, entry, asked](const advice_answer& answer) {
     const monotonic_time now = BootNow();
-    log_.Write(site_event::kAdviceAsked, now,
-               absl::StrCat("id=", order.job, " step=", order.occurrence, ".", order.step, " by=",
-                            entry, " instances=", order.instances.size(), " answered=",
-                            answer.answered, " expected_ms=", order.expected.count(), " ms=",
-                            std::chrono::duration_cast<std::chrono::milliseconds>(now - asked)
-                                .count(),
-                            " waiting=", advice_.Waiting()));
+    log_.Write(
+        site_event::kAdviceAsked, now,
+        absl::StrCat("id=", order.job, " step=", order.occurrence, ".", order.step, " by=", entry,
+                     " instances=", order.instances.size(), " answered=", answer.answered,
+                     " expected_ms=", order.expected.count(), " ms=",
+                     std::chrono::duration_cast<std::chrono::milliseconds>(now - asked).count(),
+                     " waiting=", advice_.Waiting()));
     advice_.OnAnswered(entry);
     if (owner_ != nullptr) owner_->OnAdvice(order, answer);
     SpreadAdvice();
--- a/src/process/site/site_settings.cc
+++ b/src/process/site/site_settings.cc
@@ -144,11 +144,13 @@
   std::map<std::string, bool> seen;
   for (const auto& [name, value] : in.items()) {
     if (!value.is_object()) {
-      BOOST_LEAF_CHECK(TakeField(name, value, out, seen));
+      leaf::result<void> taken = TakeField(name, value, out, seen);
+      if (!taken) return taken.error();
       continue;
     }
     for (const auto& [inner, field] : value.items()) {
-      BOOST_LEAF_CHECK(TakeField(absl::StrCat(name, ".", inner), field, out, seen));
+      leaf::result<void> taken = TakeField(absl::StrCat(name, ".", inner), field, out, seen);
+      if (!taken) return taken.error();
     }
   }
   for (const auto& [path, rule] : Rules()) {
--- a/src/request/step_graph.cc
+++ b/src/request/step_graph.cc
@@ -186,7 +186,8 @@
   } catch (const json::exception&) {
     return leaf::new_error(durable_fault{});
   }
-  BOOST_LEAF_CHECK(CheckGraph(job));
+  leaf::result<void> sound = CheckGraph(job);
+  if (!sound) return sound.error();
   return job;
 }
 
--- a/test/scheduling_world.cc
+++ b/test/scheduling_world.cc
@@ -293,8 +293,8 @@
 
 template <typename Order>
 void scheduling_world::Deliver(const Order& order,
-                               std::function<order_answer(live_instance&)> carry_out,
-                               std::function<void(const order_answer&)> answer) {
+                               const std::function<order_answer(live_instance&)>& carry_out,
+                               const std::function<void(const order_answer&)>& answer) {
   const uint64_t life = owner_life_;
   const auto reply = [this, life, answer](milliseconds when, const order_answer& what) {
     At(when, [this, life, answer, what] {
@@ -389,6 +389,7 @@
   scheduler_options options;
   owner_ = std::make_unique<job_scheduler>(options, epoch_, Mono());
   std::vector<workspace_terms> workspaces;
+  workspaces.reserve(maximum_.size());
   for (const auto& [name, maximum] : maximum_) workspaces.push_back({name, {}, 1, maximum});
   owner_->SetVersion(
       std::make_shared<const site_version>(1, std::vector<queue_terms>{}, std::move(workspaces),
--- a/test/scheduling_world.h
+++ b/test/scheduling_world.h
@@ -118,8 +118,8 @@
   void Commit();
   void ReadRegistry();
   template <typename Order>
-  void Deliver(const Order& order, std::function<order_answer(live_instance&)> carry_out,
-               std::function<void(const order_answer&)> answer);
+  void Deliver(const Order& order, const std::function<order_answer(live_instance&)>& carry_out,
+               const std::function<void(const order_answer&)>& answer);
   order_answer CarryOutStart(live_instance& instance, const start_order& order, uint64_t epoch);
   order_answer CarryOutStop(live_instance& instance, const stop_order& order, uint64_t epoch);
   void SendListing(const list_order& order);
@@ -141,7 +141,6 @@
   std::unique_ptr<job_scheduler> owner_;
   uint64_t epoch_ = 0;
   uint64_t owner_life_ = 0;  // answers for an earlier owner are dropped
-  uint64_t commit_number_ = 0;
   bool committing_ = false;
   std::vector<instance_report> fleet_;  // as stored
   size_t told_fleet_ = 0;               // size of the one that the owner knows to be stored
