--- a/src/process/site/peer_words.cc
+++ b/src/process/site/peer_words.cc
@@ -25,14 +25,14 @@
 
 }  // namespace
 
-std::string PeerStateToText(const peer_state& state) {
+std::string ToldPhaseToText(const told_phase& state) {
   json out{{"owns", state.owns}};
   if (state.phase) out["phase"] = static_cast<int>(*state.phase);
   return out.dump();
 }
 
-std::optional<peer_state> PeerStateFromText(std::string_view text) {
-  return Parse<peer_state>(text, [](const json& in, peer_state& out) {
+std::optional<told_phase> ToldPhaseFromText(std::string_view text) {
+  return Parse<told_phase>(text, [](const json& in, told_phase& out) {
     out.owns = in.at("owns").get<bool>();
     if (!in.contains("phase")) return;
     const int phase = in.at("phase").get<int>();
@@ -41,12 +41,12 @@
   });
 }
 
-std::string PeerPendingToText(const peer_pending& pending) {
+std::string ToldPendingToText(const told_pending& pending) {
   return json{{"owns", pending.owns}, {"pending", pending.pending}}.dump();
 }
 
-std::optional<peer_pending> PeerPendingFromText(std::string_view text) {
-  return Parse<peer_pending>(text, [](const json& in, peer_pending& out) {
+std::optional<told_pending> ToldPendingFromText(std::string_view text) {
+  return Parse<told_pending>(text, [](const json& in, told_pending& out) {
     out.owns = in.at("owns").get<bool>();
     out.pending = in.at("pending").get<size_t>();
   });
--- a/src/process/site/peer_words.h
+++ b/src/process/site/peer_words.h
@@ -33,11 +33,11 @@
 inline constexpr char kPeerJobPath[] = "/peer/job";
 inline constexpr char kPeerCancelPath[] = "/peer/cancel";
 
-struct peer_state {
+struct told_phase {
   bool owns = false;  // whoever does not own the site knows no states
   std::optional<graph_phase> phase;
 };
-struct peer_pending {
+struct told_pending {
   bool owns = false;
   size_t pending = 0;
 };
@@ -51,10 +51,10 @@
 };
 
 // Parsing answers nothing for other text.
-std::string PeerStateToText(const peer_state& state);
-std::optional<peer_state> PeerStateFromText(std::string_view text);
-std::string PeerPendingToText(const peer_pending& pending);
-std::optional<peer_pending> PeerPendingFromText(std::string_view text);
+std::string ToldPhaseToText(const told_phase& state);
+std::optional<told_phase> ToldPhaseFromText(std::string_view text);
+std::string ToldPendingToText(const told_pending& pending);
+std::optional<told_pending> ToldPendingFromText(std::string_view text);
 std::string PeerHealthToText(const peer_health& health);
 std::optional<peer_health> PeerHealthFromText(std::string_view text);
 std::string PeerQuestionToText(const peer_question& question);
--- a/src/process/site/site_membership.h
+++ b/src/process/site/site_membership.h
@@ -40,7 +40,7 @@
   uint64_t owner_changed = 0;   // the store's revision when it was last written or removed
   uint64_t epoch = 0;           // the highest so far
   uint64_t epoch_revision = 0;
-  std::map<std::string, entry_word> entries;
+  std::map<std::string, site_entry> entries;
 
   // News older than what is known already changes nothing: answers may overtake each other.
   void Take(const store_item& item);
@@ -60,7 +60,7 @@
 template <key_value_store Store>
 class site_membership {
  public:
-  site_membership(Store& store, event_loop& loop, site_log& log, entry_word self,
+  site_membership(Store& store, event_loop& loop, site_log& log, site_entry self,
                   std::chrono::milliseconds ttl, std::chrono::milliseconds watch_wait,
                   membership_hooks hooks)
       : store_(store),
@@ -93,7 +93,7 @@
   }
 
   const site_view& View() const { return view_; }
-  const entry_word& Self() const { return self_; }
+  const site_entry& Self() const { return self_; }
   bool Owns() const { return owns_; }
   uint64_t Epoch() const { return epoch_; }
   uint64_t OwnerRevision() const { return owner_revision_; }
@@ -315,7 +315,7 @@
   Store& store_;
   event_loop& loop_;
   site_log& log_;
-  entry_word self_;
+  site_entry self_;
   std::chrono::milliseconds ttl_;
   std::chrono::milliseconds watch_wait_;
   membership_hooks hooks_;
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -88,9 +88,9 @@
   void OnWon();
   void OnLost();
   void OnViewChanged();
-  void AskPeer(const entry_word& peer, const std::string& path_and_query, peer_answer done);
+  void AskPeer(const site_entry& peer, const std::string& path_and_query, peer_answer done);
   void TellOwner(const std::string& path_and_query, const std::string& body);
-  const entry_word* Owner() const;
+  const site_entry* Owner() const;
   void PhaseFromOwner(const std::string& job, std::function<void(std::optional<graph_phase>)> done);
   void PendingFromOwner(const std::string& queue, std::function<void(std::optional<size_t>)> done);
   void VersionFromPeer(std::function<void(std::string)> done);
@@ -131,7 +131,7 @@
       loop_(kLoopCapacity),
       membership_(
           platform.Store(), loop_, log_,
-          entry_word{settings_.name,
+          site_entry{settings_.name,
                      absl::StrCat(settings_.listen.address, ":", settings_.listen.peer_port),
                      settings_.failure_domain, NewNonce()},
           std::max(settings_.timing.owner_lease, settings_.platform.shortest_lease),
@@ -322,12 +322,12 @@
   http_response response;
   const bool owns = owner_ != nullptr && owner_->Loaded();
   if (request.path == kPeerStatePath) {
-    peer_state state{owns, std::nullopt};
+    told_phase state{owns, std::nullopt};
     if (owns) state.phase = owner_->PhaseOf(request.Query("id"));
-    response.body = PeerStateToText(state);
+    response.body = ToldPhaseToText(state);
   } else if (request.path == kPeerPendingPath) {
     response.body =
-        PeerPendingToText({owns, owns ? owner_->Pending(request.Query("queue")) : size_t{0}});
+        ToldPendingToText({owns, owns ? owner_->Pending(request.Query("queue")) : size_t{0}});
   } else if (request.path == kPeerHealthPath) {
     const auto age = BootNow() - membership_.StoreAnswered();
     response.body = PeerHealthToText(
@@ -421,7 +421,7 @@
 }
 
 template <site_platform Platform>
-void site_node<Platform>::AskPeer(const entry_word& peer, const std::string& path_and_query,
+void site_node<Platform>::AskPeer(const site_entry& peer, const std::string& path_and_query,
                                   peer_answer done) {
   http_call call;
   call.url = absl::StrCat("http://", peer.address, path_and_query);
@@ -443,7 +443,7 @@
 
 template <site_platform Platform>
 void site_node<Platform>::TellOwner(const std::string& path_and_query, const std::string& body) {
-  const entry_word* owner = Owner();
+  const site_entry* owner = Owner();
   if (owner == nullptr) return;
   http_call call;
   call.method = "POST";
@@ -455,7 +455,7 @@
 }
 
 template <site_platform Platform>
-const entry_word* site_node<Platform>::Owner() const {
+const site_entry* site_node<Platform>::Owner() const {
   const auto& owner = membership_.View().owner;
   return owner && owner->entry.name != settings_.name ? &owner->entry : nullptr;
 }
@@ -464,11 +464,11 @@
 void site_node<Platform>::PhaseFromOwner(const std::string& job,
                                          std::function<void(std::optional<graph_phase>)> done) {
   if (owner_ != nullptr) return done(owner_->PhaseOf(job));
-  const entry_word* owner = Owner();
+  const site_entry* owner = Owner();
   if (owner == nullptr) return done(std::nullopt);
   AskPeer(*owner, absl::StrCat(kPeerStatePath, "?id=", job),
           [done = std::move(done)](const std::optional<std::string>& text) {
-            const auto state = text ? PeerStateFromText(*text) : std::nullopt;
+            const auto state = text ? ToldPhaseFromText(*text) : std::nullopt;
             done(state && state->owns ? state->phase : std::nullopt);
           });
 }
@@ -477,18 +477,18 @@
 void site_node<Platform>::PendingFromOwner(const std::string& queue,
                                            std::function<void(std::optional<size_t>)> done) {
   if (owner_ != nullptr && owner_->Loaded()) return done(owner_->Pending(queue));
-  const entry_word* owner = Owner();
+  const site_entry* owner = Owner();
   if (owner == nullptr) return done(std::nullopt);
   AskPeer(*owner, absl::StrCat(kPeerPendingPath, "?queue=", queue),
           [done = std::move(done)](const std::optional<std::string>& text) {
-            const auto pending = text ? PeerPendingFromText(*text) : std::nullopt;
+            const auto pending = text ? ToldPendingFromText(*text) : std::nullopt;
             done(pending && pending->owns ? std::optional<size_t>(pending->pending) : std::nullopt);
           });
 }
 
 template <site_platform Platform>
 void site_node<Platform>::VersionFromPeer(std::function<void(std::string)> done) {
-  std::vector<entry_word> others;
+  std::vector<site_entry> others;
   for (const auto& [name, entry] : membership_.View().entries) {
     if (name != settings_.name) others.push_back(entry);
   }
--- a/src/process/site/site_records.cc
+++ b/src/process/site/site_records.cc
@@ -7,23 +7,23 @@
 
 using nlohmann::json;
 
-json EntryToJson(const entry_word& entry) {
+json EntryToJson(const site_entry& entry) {
   return {{"name", entry.name},
           {"address", entry.address},
           {"domain", entry.failure_domain},
           {"nonce", entry.nonce}};
 }
 
-entry_word EntryFromJson(const json& in) {
+site_entry EntryFromJson(const json& in) {
   return {in.at("name").get<std::string>(), in.at("address").get<std::string>(),
           in.at("domain").get<std::string>(), in.at("nonce").get<uint64_t>()};
 }
 
 }  // namespace
 
-std::string EntryToText(const entry_word& entry) { return EntryToJson(entry).dump(); }
+std::string EntryToText(const site_entry& entry) { return EntryToJson(entry).dump(); }
 
-std::optional<entry_word> EntryFromText(std::string_view text) {
+std::optional<site_entry> EntryFromText(std::string_view text) {
   const json in = json::parse(text, nullptr, false);
   if (!in.is_object()) return std::nullopt;
   try {
--- a/src/process/site/site_records.h
+++ b/src/process/site/site_records.h
@@ -33,23 +33,23 @@
 inline constexpr char kCommitKey[] = "owner/commit";
 inline constexpr char kFleetKey[] = "owner/fleet";
 
-struct entry_word {
+struct site_entry {
   std::string name;
   std::string address;  // "ip:port" for calls between entries
   std::string failure_domain;
   uint64_t nonce = 0;  // of the process: a restarted one has another
 
-  bool operator==(const entry_word&) const = default;
+  bool operator==(const site_entry&) const = default;
 };
 
 struct owner_word {
-  entry_word entry;
+  site_entry entry;
   uint64_t epoch = 0;
 };
 
 // Parsing answers nothing for bytes that are no such record.
-std::string EntryToText(const entry_word& entry);
-std::optional<entry_word> EntryFromText(std::string_view text);
+std::string EntryToText(const site_entry& entry);
+std::optional<site_entry> EntryFromText(std::string_view text);
 std::string OwnerToText(const owner_word& owner);
 std::optional<owner_word> OwnerFromText(std::string_view text);
 std::string FleetToText(const std::vector<instance_report>& instances);
--- /dev/null
+++ b/test/platform_codec_test.cc
@@ -0,0 +1,280 @@
+#include <catch2/catch.hpp>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "platform/codecs.h"
+#include "platform/instance_calls.h"
+#include "process/scheduling/arrival_meter.h"
+#include "process/site/advice_spread.h"
+#include "process/site/peer_words.h"
+#include "process/site/site_membership.h"
+#include "process/site/site_records.h"
+#include "process/site/site_settings.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+// What the operator, the instances and the callers write on the platform's wire.
+class platform_wire_fixture {
+ protected:
+  std::shared_ptr<const site_version> Version(const std::string& text) {
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::shared_ptr<const site_version>> {
+          return platform::DecodeVersion(text);
+        },
+        [] { return std::shared_ptr<const site_version>(); });
+  }
+  // Empty: it is sound.
+  std::string Refused(const std::string& body) {
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::string> {
+          BOOST_LEAF_AUTO(job, platform::DecodeSubmission("00000000000000ab", body));
+          leaf::result<void> sound = CheckGraph(job);
+          if (!sound) return sound.error();
+          last_job = std::move(job);
+          return std::string();
+        },
+        [](graph_fault fault) { return std::string(ToText(fault)); },
+        [](const platform::submission_fault&) { return std::string("malformed"); },
+        [] { return std::string("other"); });
+  }
+
+  graph_job last_job;
+  const std::string version_text = R"({"version":7,"routes":[
+    {"name":"r1","host":"h","prefix":"/a/","route-type":"unsafe","service":"s","priority":2,
+     "max-attempts":3,"stretch":1.5,"target-latency-ms":250.0,
+     "advice":{"decision-ms":22.0,"per-item-ms":0.32,"valid-ms":2500},"anonymous":false},
+    {"name":"r2","host":"h","prefix":"/a/b/","service":"s","anonymous":true}],
+    "services":[{"name":"s","admission-check":true}],"limits":{"max-body-bytes":1000},
+    "tenants":[{"name":"t","api-keys":["k1","k2"],"weight":9,
+                "maximum":{"cpu":398965,"mem-mb":609084,"gpu":0}}],"new-field":{"x":1}})";
+};
+
+TEST_CASE_METHOD(platform_wire_fixture, "version, as the operator writes it, is decoded") {
+  const auto version = Version(version_text);
+  REQUIRE(version != nullptr);
+  CHECK(version->Number() == 7);
+  const queue_terms* queue = version->QueueFor("h", "/a/0123");
+  REQUIRE(queue != nullptr);
+  CHECK(queue->name == "r1");
+  CHECK(queue->jobs.max_attempts == 3);
+  CHECK(queue->jobs.needs_advice);
+  CHECK(queue->advice->per_instance == std::chrono::microseconds(320));
+  CHECK(version->HolderOf("k2")->name == "t");
+  CHECK(version->HolderOf("k3") == nullptr);
+  CHECK(version->WorkspaceNamed("t")->maximum.cpu_milli == 398965);
+  CHECK(version->Limits().body_bytes == 1000);
+}
+
+TEST_CASE_METHOD(platform_wire_fixture, "queue, of the longest prefix, is found") {
+  const auto version = Version(version_text);
+  CHECK(version->QueueFor("h", "/a/b/0123")->name == "r2");
+  CHECK(version->QueueFor("h", "/c/0123") == nullptr);
+  CHECK(version->QueueFor("other", "/a/0123") == nullptr);
+}
+
+// Bytes that nobody can read stand under the configuration's key. They must change nothing.
+TEST_CASE_METHOD(platform_wire_fixture, "version, unreadable, is refused") {
+  CHECK(Version("") == nullptr);
+  CHECK(Version("[1]") == nullptr);
+  CHECK(Version(R"({"version":"seven","routes":[]})") == nullptr);
+  CHECK(Version(R"({"version":8,"routes":[{"name":1}]})") == nullptr);
+}
+
+TEST_CASE_METHOD(platform_wire_fixture, "registration, of an instance, is decoded") {
+  const std::string entry =
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,
+          "state":"draining","remaining-ms":1200,"cold-left-ms":0,
+          "capacity":{"cpu":16000,"mem-mb":32768,"gpu":0},"labels":["a","r1-3"],"born":17,"seq-no":4})";
+  const auto report = platform::DecodeRegistration("servers/i-1", entry);
+  REQUIRE(report);
+  CHECK(report->id == "i-1");
+  CHECK(report->draining);
+  CHECK(report->remaining == milliseconds(1200));
+  CHECK(report->rack == "r1-3");
+  CHECK(report->incarnation == 17);
+}
+
+// An entry of another writer: a field is missing or of another type, or a state is not known. It
+// names no instance to use, and the others hold.
+TEST_CASE_METHOD(platform_wire_fixture, "registration, of another writer, names no instance") {
+  CHECK_FALSE(platform::DecodeRegistration("servers/i-1", "no json"));
+  CHECK_FALSE(platform::DecodeRegistration("servers/i-1", R"({"service":"s"})"));
+  CHECK_FALSE(platform::DecodeRegistration("servers/", "{}"));
+  CHECK_FALSE(platform::DecodeRegistration(
+      "servers/i-1", R"({"service":"s","address":"a","zone":"z","state":"asleep",
+                         "capacity":{"cpu":1},"labels":[]})"));
+  CHECK_FALSE(platform::DecodeRegistration("servers/i-1",
+                                           R"({"service":"s","address":7,"zone":"z","state":"ready",
+                         "capacity":{"cpu":1},"labels":[]})"));
+}
+
+TEST_CASE_METHOD(platform_wire_fixture, "submission, with all terms of a step, is decoded") {
+  REQUIRE(Refused(R"({"task-spec":"x","steps":[
+      {"count":4,"cpu":500,"mem-mb":256,"estimate-ms":900,"affinity":"r1-3","gang":true},
+      {"count":20,"cpu":2000,"mem-mb":1024,"after":[0],"checkpointing":true,"anti-affinity":2,
+       "speculative":true,"constraints":"b","image":"i","target-ms":40,"may-miss":1,"fills":true,
+       "long-running":true,"same-rack":true}],
+      "repeat-count":3,"interval-ms":2000,"first-run-ms":1700000000000})")
+              .empty());
+  CHECK(last_job.steps[0].data_rack == "r1-3");
+  CHECK(last_job.steps[1].most_per_instance == 2);
+  CHECK(last_job.steps[1].tail_target == milliseconds(40));
+  CHECK(last_job.Occurrences() == 3);
+}
+
+TEST_CASE_METHOD(platform_wire_fixture, "submission, malformed, gets its typed error") {
+  CHECK(Refused("") == "malformed");
+  CHECK(Refused(R"({"steps":7})") == "malformed");
+  CHECK(Refused(R"({"steps":[{"count":"x"}]})") == "malformed");
+  CHECK(Refused(R"({"steps":[]})") == "no_steps");
+  CHECK(Refused(R"({"steps":[{"count":0}]})") == "no_tasks");
+  CHECK(Refused(R"({"steps":[{"count":1,"after":[0]}]})") == "bad_dependency");
+  CHECK(Refused(R"({"steps":[{"count":1}],"repeat-count":2})") == "bad_repeats");
+  CHECK(Refused(R"({"steps":[{"count":1}],"task-spec":")" + std::string(5000, 'x') + "\"}") ==
+        "payload_too_long");
+}
+
+TEST_CASE_METHOD(platform_wire_fixture, "job record, written and read, is the same") {
+  REQUIRE(Refused(R"({"task-spec":"x","steps":[{"count":2,"cpu":5,"gang":true}]})").empty());
+  const std::string text = JobToText(last_job);
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(again, JobFromText(text));
+        CHECK(JobToText(again) == text);
+        return {};
+      },
+      [] { FAIL("not read"); });
+}
+
+TEST_CASE_METHOD(platform_wire_fixture, "task name, read back, is the same") {
+  const task_key key{"5c0e7a21d94b36f8", 0, 1, 17};
+  CHECK(platform::TaskName(key) == "5c0e7a21d94b36f8.0.1.17");
+  CHECK(platform::ParseTaskName("5c0e7a21d94b36f8.0.1.17") == key);
+  CHECK_FALSE(platform::ParseTaskName("5c0e7a21d94b36f8.0.1"));
+  CHECK_FALSE(platform::ParseTaskName("5c0e7a21d94b36f8.0.x.1"));
+}
+
+// The pure parts of a site's process.
+class site_parts_fixture {
+ protected:
+  std::optional<settings_error> Refused(const std::string& text) {
+    return ErrorOf<settings_error>([&] { return ParseSiteSettings(text); });
+  }
+  const std::string good = R"({"name":"n","failure_domain":"d",
+    "listen":{"callers":"1.2.3.4:1","ready":"1.2.3.4:2","address":"1.2.3.4","peer_port":3},
+    "platform":{"store":"1.2.3.4:5"}})";
+};
+
+TEST_CASE_METHOD(site_parts_fixture, "site settings, sound, are accepted with comments") {
+  CHECK_FALSE(Refused("// a comment\n" + good));
+}
+
+TEST_CASE_METHOD(site_parts_fixture, "site settings, wrong, name the field") {
+  CHECK(Refused("no json")->fault == settings_fault::kNotJson);
+  CHECK(Refused(R"({"name":"n"})")->fault == settings_fault::kMissingField);
+  std::string unknown = good;
+  unknown.insert(1, R"("colour":1,)");
+  CHECK(Refused(unknown)->path == "colour");
+  std::string wrong = good;
+  wrong.insert(1, R"("timing":{"owner_lease_ms":"soon"},)");
+  CHECK(Refused(wrong)->path == "timing.owner_lease_ms");
+  CHECK(Refused(wrong)->fault == settings_fault::kWrongType);
+}
+
+// One workspace sends many times its share. Its jobs beyond it are told apart, and those within it
+// still count as owed; the others' jobs do not wait behind the flood.
+TEST_CASE_METHOD(site_parts_fixture, "arrival meter, flood of one workspace, finds the excess") {
+  arrival_meter meter;
+  const wall_time start{milliseconds(1000000)};
+  int within = 0;
+  for (int i = 0; i < 1000; ++i) {
+    if (!meter.Exceeds(5, start + milliseconds(10 * i))) ++within;
+  }
+  CHECK(within >= 50);
+  CHECK(within <= 56);
+}
+
+TEST_CASE_METHOD(site_parts_fixture, "arrival meter, usual load, finds no excess") {
+  arrival_meter meter;
+  for (int i = 0; i < 100; ++i) {
+    CHECK_FALSE(meter.Exceeds(5, wall_time{milliseconds(1000000 + 250 * i)}));
+  }
+}
+
+// Slow questions of a burst must not take all entries: quick work is late after some hundred
+// milliseconds, and would wait half a second behind them.
+TEST_CASE_METHOD(site_parts_fixture, "advice spread, burst of slow asks, keeps entries for quick") {
+  advice_spread spread;
+  spread.SetEntries({"a", "b", "c", "d", "e", "f"});
+  for (int i = 0; i < 10; ++i) spread.Add({});
+  int slow = 0;
+  while (spread.Next()) ++slow;
+  CHECK(slow == 4);
+  advice_order quick;
+  quick.urgent = true;
+  spread.Add(quick);
+  const auto next = spread.Next();
+  REQUIRE(next);
+  CHECK(next->first.urgent);
+}
+
+TEST_CASE_METHOD(site_parts_fixture, "advice spread, entry gone, gets nothing new") {
+  advice_spread spread;
+  spread.SetEntries({"a", "b"});
+  spread.SetEntries({"b"});
+  spread.Add({});
+  CHECK(spread.Next()->second == "b");
+  spread.Add({});
+  CHECK_FALSE(spread.Next());
+  spread.OnAnswered("b");
+  CHECK(spread.Next()->second == "b");
+}
+
+// Answers of the store overtake each other: news from before this entry's claim comes after it. If
+// it were believed, the new owner would think that it had lost the site.
+TEST_CASE_METHOD(site_parts_fixture, "site view, old news after newer, changes nothing") {
+  site_view view;
+  const owner_word mine{{"me", "1.1.1.1:1", "d", 5}, 4};
+  view.Take({kOwnerKey, OwnerToText(mine), 20});
+  view.Take({kOwnerKey, {}, 15, true});
+  REQUIRE(view.owner);
+  CHECK(view.owner->epoch == 4);
+  view.Take({kOwnerKey, {}, 25, true});
+  CHECK_FALSE(view.owner);
+  CHECK(view.epoch == 4);
+}
+
+TEST_CASE_METHOD(site_parts_fixture, "claims, of several entries, come one after the other") {
+  site_view view;
+  for (const char* name : {"a", "b", "c"}) view.entries[name] = {name, "", "", 1};
+  std::set<milliseconds> delays;
+  for (const char* name : {"a", "b", "c"}) delays.insert(ClaimDelay(view, name));
+  CHECK(delays.size() == 3);
+  CHECK(*delays.begin() == milliseconds(0));
+}
+
+TEST_CASE_METHOD(site_parts_fixture, "records of the store, unreadable, are no records") {
+  CHECK_FALSE(OwnerFromText("x"));
+  CHECK_FALSE(EntryFromText(R"({"name":1})"));
+  CHECK(FleetFromText("{}").empty());
+  CHECK(FleetFromText(R"([{"id":"i"}])").empty());
+}
+
+TEST_CASE_METHOD(site_parts_fixture, "words between entries, read back, are the same") {
+  const peer_question question{{"00000000000000ab", 1, 2, {"i-1"}, {}, false}, milliseconds(900)};
+  const auto again = PeerQuestionFromText(PeerQuestionToText(question));
+  REQUIRE(again);
+  CHECK(again->order.instances == question.order.instances);
+  CHECK(again->timeout == question.timeout);
+  CHECK(ToldPhaseFromText(ToldPhaseToText({true, graph_phase::kFailed}))->phase ==
+        graph_phase::kFailed);
+  CHECK_FALSE(ToldPhaseFromText(R"({"owns":true,"phase":77})")->phase);
+  CHECK_FALSE(PeerAdviceFromText("[]"));
+}
+
+}  // namespace
+}  // namespace catkinford
--- a/test/site_fleet_test.cc
+++ b/test/site_fleet_test.cc
@@ -49,7 +49,7 @@
   return std::string(16 - text.size(), '0') + text;
 }
 
-struct site_entry {
+struct site_process {
   std::string name;
   uint16_t callers = 0;
   uint16_t ready = 0;
@@ -104,7 +104,7 @@
   }
 
   void AddEntry(const std::string& name) {
-    auto entry = std::make_unique<site_entry>();
+    auto entry = std::make_unique<site_process>();
     entry->name = name;
     entry->callers = FreePort();
     entry->ready = FreePort();
@@ -127,7 +127,7 @@
     entries_.push_back(std::move(entry));
   }
 
-  void Start(site_entry& entry) {
+  void Start(site_process& entry) {
     REQUIRE(entry.process.Start(
         {absl::StrCat(CATKINFORD_BIN_DIR, "/catkinford-site"), "--settings", entry.settings_file},
         entry.log_file));
@@ -186,7 +186,7 @@
   standin_metadata_store store_;
   standin_instances instances_;
   http_client http_;
-  std::vector<std::unique_ptr<site_entry>> entries_;
+  std::vector<std::unique_ptr<site_process>> entries_;
 };
 
 TEST_CASE_METHOD(site_fixture, "site, job of two steps, completes and is told at any entry") {
