--- a/bench/tables.cc
+++ b/bench/tables.cc
@@ -1,9 +1,11 @@
 #include "bench/tables.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <fstream>
 #include <iterator>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
@@ -12,6 +14,7 @@
 #include "process/metrics.h"
 #include "process/settings.h"
 #include "process/settings_table.h"
+#include "process/site/site_log.h"
 
 namespace catkinford {
 namespace {
@@ -34,6 +37,18 @@
   return out;
 }
 
+std::string SiteEventTable() {
+  std::vector<site_event_info> events(AllSiteEvents().begin(), AllSiteEvents().end());
+  std::sort(events.begin(), events.end(),
+            [](const site_event_info& a, const site_event_info& b) { return a.event < b.event; });
+  std::string out = "| number | name | meaning |\n| --- | --- | --- |\n";
+  for (const site_event_info& info : events) {
+    absl::StrAppend(&out, "| ", static_cast<int>(info.event), " | `", std::string(info.name),
+                    "` | ", std::string(info.text), " |\n");
+  }
+  return out;
+}
+
 std::string MetricTable() {
   const metrics all;
   std::string out = "| metric | type | labels | meaning |\n| --- | --- | --- | --- |\n";
@@ -44,11 +59,12 @@
   return out;
 }
 
-constexpr std::array<page_table, 4> kPageTables = {{
+constexpr std::array<page_table, 5> kPageTables = {{
     {"settings", "docs/OPERATING.md", SettingsTableText},
     {"exit codes", "docs/OPERATING.md", ExitCodeTable},
     {"metrics", "docs/OPERATING.md", MetricTable},
     {"events", "docs/EVENTS.md", EventTable},
+    {"site events", "docs/EVENTS.md", SiteEventTable},
 }};
 
 struct section_bounds {
--- a/src/main/catkinford-site.cc
+++ b/src/main/catkinford-site.cc
@@ -1,7 +1,6 @@
 // The entry daemon of a site on the users' platform: reads its settings, runs one node until it is
 // told to stop.
 #include <curl/curl.h>
-#include <easylogging++.h>
 
 #include <csignal>
 #include <cstdio>
@@ -15,10 +14,6 @@
 #include "process/site/site_node.h"
 #include "process/site/site_settings.h"
 
-// clang-format off: it takes the macro for a keyword. The library's one instance in this program.
-INITIALIZE_EASYLOGGINGPP
-// clang-format on
-
 ABSL_FLAG(std::string, settings, "", "settings file, JSON with comments");
 ABSL_FLAG(bool, check, false, "only check the settings: 0 when they are good");
 
--- a/src/process/event_log.cc
+++ b/src/process/event_log.cc
@@ -6,10 +6,6 @@
 #include <chrono>
 #include <utility>
 
-// clang-format off: it takes the macro for a keyword. The library's one instance in this program.
-INITIALIZE_EASYLOGGINGPP
-// clang-format on
-
 namespace catkinford {
 namespace {
 
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -23,6 +23,9 @@
 constexpr milliseconds kDefaultValid{2000};
 // A step whose turn comes within the time of an ask and this much more is asked for ahead.
 constexpr milliseconds kAheadSlack{150};
+// Steps looked at in one round, the most urgent first: each costs a look at all instances, and those
+// far behind have no chance of room.
+constexpr size_t kStepsInRound = 64;
 constexpr double kSlowestSpeed = 0.1;  // below this a learned speed says nothing
 
 uint32_t TasksThatFit(const resources& free, const resources& room, uint32_t most) {
@@ -202,6 +205,7 @@
 void job_scheduler::PlanAdvice(scheduler_orders& orders, monotonic_time now) {
   room_left left;
   std::vector<ready_step> steps = ReadySteps();
+  if (steps.size() > kStepsInRound) steps.resize(kStepsInRound);
   for (const ready_step& next : NextSteps(now)) steps.push_back(next);
   for (const ready_step& copies : CopySteps(now)) steps.push_back(copies);
   for (const ready_step& ready : steps) {
--- a/src/process/site/site_membership.cc
+++ b/src/process/site/site_membership.cc
@@ -1,5 +1,9 @@
 #include "process/site/site_membership.h"
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 #include "absl/strings/numbers.h"
 
 namespace catkinford {
@@ -7,6 +11,12 @@
 
 // Between the claims of two entries: a claim and its answer take a few milliseconds.
 constexpr std::chrono::milliseconds kBetweenClaims{60};
+// Weaker entries leave the strong ones this much time: all of these have claimed by then.
+constexpr std::chrono::milliseconds kWeakWait{600};
+constexpr double kMuchStronger = 2;
+// Orders and listings of 350 instances took up to 20 Mbit/s: a link above this is never what binds.
+constexpr double kWideLinkMbps = 100;
+constexpr double kLeastLinkShare = 0.05;
 constexpr size_t kMostSteps = 8;  // however many entries live, one of the first claims
 
 }  // namespace
@@ -38,16 +48,33 @@
   }
 }
 
+double Strength(double cpu_share, double link_mbps) {
+  return cpu_share * std::clamp(link_mbps / kWideLinkMbps, kLeastLinkShare, 1.0);
+}
+
+bool MuchStrongerLives(const site_view& view, const site_entry& self) {
+  return std::any_of(view.entries.begin(), view.entries.end(), [&](const auto& item) {
+    return item.second.strength >= kMuchStronger * self.strength;
+  });
+}
+
 std::chrono::milliseconds ClaimDelay(const site_view& view, const std::string& self) {
-  // Each epoch begins with another entry, so that a site does not always fall to the same one.
-  const size_t count = std::max<size_t>(1, view.entries.size());
-  size_t place = 0;
+  const auto mine = view.entries.find(self);
+  if (mine == view.entries.end()) return kBetweenClaims;
+  // Each epoch begins with another entry of the same strength, so that a site does not always fall
+  // to the same one.
+  std::vector<std::string> equals;
+  bool weak = false;
   for (const auto& [name, entry] : view.entries) {
-    if (name == self) break;
-    ++place;
+    if (entry.strength == mine->second.strength) equals.push_back(name);
+    weak = weak || entry.strength > mine->second.strength;
   }
+  const size_t count = equals.size();
+  const auto place =
+      static_cast<size_t>(std::find(equals.begin(), equals.end(), self) - equals.begin());
   const size_t turn = (place + count - view.epoch % count) % count;
-  return kBetweenClaims * std::min(turn, kMostSteps);
+  return kBetweenClaims * std::min(turn, kMostSteps) +
+         (weak ? kWeakWait : std::chrono::milliseconds{0});
 }
 
 }  // namespace catkinford
--- a/src/process/site/site_membership.h
+++ b/src/process/site/site_membership.h
@@ -53,9 +53,15 @@
   std::function<void(std::function<void(outage_verdict)>)> ask_peers;
 };
 
+// Of a machine with this share of a processor and this link. An owner talks to every instance: with
+// a small link or a small share its answers come too late, and what it asked for is given up.
+double Strength(double cpu_share, double link_mbps);
+
 // How long to wait before claiming a site without an owner: entries claim one after the other, so
-// that mostly one call is made and not one from each.
+// that mostly one call is made and not one from each, and the strong ones first.
 std::chrono::milliseconds ClaimDelay(const site_view& view, const std::string& self);
+// An entry lives that is much stronger than this one.
+bool MuchStrongerLives(const site_view& view, const site_entry& self);
 
 template <key_value_store Store>
 class site_membership {
@@ -114,6 +120,8 @@
   // A watch that answers at once with nothing new is asked again only after this.
   static constexpr std::chrono::milliseconds kIdleWatchPause{200};
   static constexpr int kKeepsPerLease = 4;
+  // A weak owner goes on this long beside a strong entry: one that just started may end again.
+  static constexpr std::chrono::milliseconds kYieldAfter{2000};
 
   store_callback Here(std::function<void(const store_reply&)> done) {
     return [this, done = std::move(done)](store_reply reply) {
@@ -291,12 +299,31 @@
     hooks_.lost(why);
   }
 
+  // Gives the site to a much stronger entry: the lease ends, and with it the owner's key; the
+  // others claim before this one does.
+  void Yield() {
+    const monotonic_time now = BootNow();
+    if (!MuchStrongerLives(view_, self_)) {
+      stronger_since_ = monotonic_time::max();
+      return;
+    }
+    stronger_since_ = std::min(stronger_since_, now);
+    if (now - stronger_since_ < kYieldAfter || !LeaseGood(now)) return;
+    stronger_since_ = monotonic_time::max();
+    Lose("a much stronger entry is there");
+    store_.EndLease(std::exchange(lease_, {}), Here([](const store_reply&) {}));
+    keep_in_flight_ = false;
+    Keep();
+  }
+
   // While the lease cannot be renewed, the others are asked whether the store is down for all. If
   // it is, nobody can take over, and stopping would only kill what runs.
   void Check() {
     if (resigning_) return;
     loop_.After(kCheckEvery, [this] { Check(); });
     if (!owns_) return Consider();
+    Yield();
+    if (!owns_) return;
     if (LeaseGood(BootNow()) || asking_) return;
     asking_ = true;
     hooks_.ask_peers([this, epoch = epoch_](outage_verdict verdict) {
@@ -335,6 +362,7 @@
   bool store_up_ = true;
   monotonic_time answered_{};
   monotonic_time outage_seen_{};
+  monotonic_time stronger_since_ = monotonic_time::max();
   uint64_t epoch_ = 0;
   uint64_t owner_revision_ = 0;
 };
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -133,7 +133,8 @@
           platform.Store(), loop_, log_,
           site_entry{settings_.name,
                      absl::StrCat(settings_.listen.address, ":", settings_.listen.peer_port),
-                     settings_.failure_domain, NewNonce()},
+                     settings_.failure_domain, NewNonce(),
+                     Strength(settings_.machine.cpu_share, settings_.machine.link_mbps)},
           std::max(settings_.timing.owner_lease, settings_.platform.shortest_lease),
           settings_.timing.watch_wait, MembershipHooks()),
       versions_(
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -102,6 +102,7 @@
   static constexpr std::chrono::milliseconds kTick{50};
   // Events that come together are decided together.
   static constexpr std::chrono::milliseconds kSoon{3};
+  static constexpr int kRestPerRound = 3;  // deciding takes a quarter of the time at most
   // Ends are stored together: a write for each would be most of the store's rate.
   static constexpr std::chrono::milliseconds kBetweenCommits{60};
   static constexpr std::chrono::milliseconds kCommitRetry{150};
@@ -341,7 +342,8 @@
   void Soon() {
     if (soon_ || !loaded_) return;
     soon_ = true;
-    Later(kSoon, [](self_type& self) {
+    const auto rest = std::chrono::ceil<std::chrono::milliseconds>(next_decide_ - BootNow());
+    Later(std::max(kSoon, rest), [](self_type& self) {
       self.soon_ = false;
       self.Decide();
     });
@@ -349,7 +351,7 @@
 
   void Decide() {
     const monotonic_time now = BootNow();
-    if (!hooks_.may_act(now)) return;
+    if (now < next_decide_ || !hooks_.may_act(now)) return;
     scheduler_orders orders = scheduler_.Decide(WallNow(), now);
     for (start_order& order : orders.starts) SendStart(std::move(order));
     for (const stop_order& order : orders.stops) SendStop(order);
@@ -358,6 +360,9 @@
     for (advice_order& order : orders.advice) hooks_.ask_advice(std::move(order));
     WriteNotes(scheduler_.TakeNotes(), log_, now);
     const auto spent = BootNow() - now;
+    // A round costs more the more waits. Without a pause after it, a backlog would take all the
+    // processor, answers would be read too late, and what they were about would be given up.
+    next_decide_ = BootNow() + kRestPerRound * spent;
     numbers_.decide_seconds.Observe(std::chrono::duration<double>(spent).count());
     numbers_.jobs.Set(static_cast<double>(scheduler_.JobCount()));
     numbers_.runs.Set(static_cast<double>(scheduler_.RunCount()));
@@ -524,6 +529,7 @@
   bool loaded_ = false;
   bool soon_ = false;
   monotonic_time began_{};
+  monotonic_time next_decide_{};
   // While the records are read:
   std::vector<store_item> loaded_inbox_;
   std::map<std::string, std::string> loaded_progress_;
--- a/src/process/site/site_records.cc
+++ b/src/process/site/site_records.cc
@@ -11,12 +11,14 @@
   return {{"name", entry.name},
           {"address", entry.address},
           {"domain", entry.failure_domain},
-          {"nonce", entry.nonce}};
+          {"nonce", entry.nonce},
+          {"strength", entry.strength}};
 }
 
 site_entry EntryFromJson(const json& in) {
   return {in.at("name").get<std::string>(), in.at("address").get<std::string>(),
-          in.at("domain").get<std::string>(), in.at("nonce").get<uint64_t>()};
+          in.at("domain").get<std::string>(), in.at("nonce").get<uint64_t>(),
+          in.value("strength", 1.0)};
 }
 
 }  // namespace
--- a/src/process/site/site_records.h
+++ b/src/process/site/site_records.h
@@ -38,6 +38,8 @@
   std::string address;  // "ip:port" for calls between entries
   std::string failure_domain;
   uint64_t nonce = 0;  // of the process: a restarted one has another
+  // How much work its machine can do, against that of others; see Strength().
+  double strength = 1;
 
   bool operator==(const site_entry&) const = default;
 };
--- a/src/process/site/site_settings.cc
+++ b/src/process/site/site_settings.cc
@@ -54,6 +54,17 @@
           "a number above 0, or null"};
 }
 
+template <typename Pick>
+field_rule Number(Pick pick) {
+  return {[pick](const json& in, site_settings& out) {
+            if (in.is_null()) return true;
+            if (!in.is_number() || in.get<double>() <= 0) return false;
+            pick(out) = in.get<double>();
+            return true;
+          },
+          "a number above 0, or null"};
+}
+
 template <typename Pick>
 field_rule Port(Pick pick, bool required) {
   return {[pick](const json& in, site_settings& out) {
@@ -94,14 +105,9 @@
        Time([](s& o) -> milliseconds& { return o.bounds.keep_final; }, kMillisPerSecond)},
       {"bounds.shutdown_limit_s",
        Time([](s& o) -> milliseconds& { return o.bounds.shutdown_limit; }, kMillisPerSecond)},
-      {"bounds.remote_factor",
-       {[](const json& in, s& o) {
-          if (in.is_null()) return true;
-          if (!in.is_number() || in.get<double>() < 1) return false;
-          o.bounds.remote_factor = in.get<double>();
-          return true;
-        },
-        "a number, 1 or more, or null"}},
+      {"bounds.remote_factor", Number([](s& o) -> double& { return o.bounds.remote_factor; })},
+      {"machine.cpu_share", Number([](s& o) -> double& { return o.machine.cpu_share; })},
+      {"machine.link_mbps", Number([](s& o) -> double& { return o.machine.link_mbps; })},
       {"timing.owner_lease_ms",
        Time([](s& o) -> milliseconds& { return o.timing.owner_lease; }, 1)},
       {"timing.run_lease_ms", Time([](s& o) -> milliseconds& { return o.timing.run_lease; }, 1)},
--- a/src/process/site/site_settings.h
+++ b/src/process/site/site_settings.h
@@ -25,6 +25,12 @@
     uint16_t metrics_port = 0;  // 0: none
   } listen;
 
+  // Of the machine: strong entries own the site first.
+  struct {
+    double cpu_share = 1;  // of one processor
+    double link_mbps = 1000;
+  } machine;
+
   struct {
     std::string store;                               // "ip:port"
     std::string advice;                              // "ip:port"; empty: no queue needs it
--- a/test/platform_codec_test.cc
+++ b/test/platform_codec_test.cc
@@ -257,6 +257,22 @@
   CHECK(*delays.begin() == milliseconds(0));
 }
 
+// The owner talks to every instance. On a small machine its answers come too late, and all work is
+// stopped and started in circles: a strong entry goes first, and a weak owner gives way to one.
+TEST_CASE_METHOD(site_parts_fixture, "claims, of a weak entry, wait for the strong ones") {
+  site_view view;
+  const site_entry weak{"a", "", "", 1, Strength(0.12, 10)};
+  const site_entry strong{"b", "", "", 1, Strength(0.5, 200)};
+  view.entries = {{"a", weak}, {"b", strong}};
+  for (view.epoch = 0; view.epoch < 4; ++view.epoch) {
+    CHECK(ClaimDelay(view, "b") + milliseconds(300) < ClaimDelay(view, "a"));
+  }
+  CHECK(MuchStrongerLives(view, weak));
+  CHECK_FALSE(MuchStrongerLives(view, strong));
+  view.entries.erase("b");
+  CHECK(ClaimDelay(view, "a") == milliseconds(0));
+}
+
 TEST_CASE_METHOD(site_parts_fixture, "records of the store, unreadable, are no records") {
   CHECK_FALSE(OwnerFromText("x"));
   CHECK_FALSE(EntryFromText(R"({"name":1})"));
