--- a/src/process/site/site_settings.cc
+++ b/src/process/site/site_settings.cc
@@ -167,6 +167,13 @@
   return out;
 }
 
+std::vector<std::string> AllSiteSettings() {
+  std::vector<std::string> out;
+  out.reserve(Rules().size());
+  for (const auto& [path, rule] : Rules()) out.push_back(path);
+  return out;
+}
+
 leaf::result<site_settings> LoadSiteSettings(const std::string& file) {
   BOOST_LEAF_AUTO(text, ReadSettingsFile(file));
   return ParseSiteSettings(text);
--- a/src/process/site/site_settings.h
+++ b/src/process/site/site_settings.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "process/settings_error.h"
 #include "request/typed_error.h"
@@ -68,6 +69,8 @@
 // Strict: an unknown name or a wrong type is a settings_error, and nothing starts. Numbers are in
 // the unit that the name of the field says: "owner_lease_ms", "keep_final_s".
 leaf::result<site_settings> ParseSiteSettings(std::string_view text);
+// The paths of all fields, "timing.owner_lease_ms".
+std::vector<std::string> AllSiteSettings();
 leaf::result<site_settings> LoadSiteSettings(const std::string& file);
 
 }  // namespace catkinford
--- a/test/pages_test.cc
+++ b/test/pages_test.cc
@@ -16,6 +16,9 @@
 #include "process/metrics.h"
 #include "process/settings.h"
 #include "process/settings_table.h"
+#include "process/site/site_log.h"
+#include "process/site/site_metrics.h"
+#include "process/site/site_settings.h"
 
 namespace catkinford {
 namespace {
@@ -78,7 +81,9 @@
 TEST_CASE_METHOD(pages_fixture, "pages, setting named in prose, exists in the code", "[pages]") {
   std::set<std::string> known;
   for (const setting_info& info : AllSettings()) known.insert(std::string(info.path));
-  for (const std::string page : {"docs/OPERATING.md", "docs/EVENTS.md", "docs/PROMISES.md"}) {
+  for (const std::string& path : AllSiteSettings()) known.insert(path);
+  for (const std::string page :
+       {"docs/OPERATING.md", "docs/OPERATIONS.md", "docs/EVENTS.md", "docs/PROMISES.md"}) {
     const std::string pattern =
         "`((?:listen|platform|shards|timing|bounds|isolation|logs)\\.[a-z_]+)`";
     for (const std::string& name : Find(Page(page), pattern)) {
@@ -101,6 +106,30 @@
   }
 }
 
+// The page leads from a failed request to its cause by events and metrics; one that was renamed in
+// the code leads nowhere.
+TEST_CASE_METHOD(pages_fixture, "operations page, event or metric named, exists", "[pages]") {
+  const std::string page = Page("docs/OPERATIONS.md");
+  std::set<std::string> events;
+  for (const site_event_info& info : AllSiteEvents()) {
+    events.insert(std::to_string(static_cast<int>(info.event)) + " " + std::string(info.name));
+  }
+  for (const std::string& name : Find(page, "`(6[0-9][0-9] [a-z_]+)")) {
+    INFO(name);
+    CHECK(events.contains(name));
+  }
+  site_metrics numbers;
+  numbers.CountAnswer("submit", 200, std::chrono::microseconds(1));
+  numbers.CountStoreCall("commit", "done");
+  numbers.CountOrder("start", "done");
+  numbers.CountEnd("done");
+  const std::string text = numbers.Text();
+  for (const std::string& name : Find(page, "`(catkinford_site_[a-z_]+)`")) {
+    INFO(name);
+    CHECK(text.find(name) != std::string::npos);
+  }
+}
+
 // An engineer follows a promise to its test and its command; a name that is gone proves nothing.
 TEST_CASE_METHOD(pages_fixture, "promises, test or scenario named, exists", "[pages]") {
   const std::string page = Page("docs/PROMISES.md");
--- a/test/site_fleet_test.cc
+++ b/test/site_fleet_test.cc
@@ -67,7 +67,7 @@
     PutVersion(1, {"key-1"});
     for (size_t i = 0; i < 2; ++i) AddEntry(absl::StrCat("entry-", i));
     for (auto& entry : entries_) Start(*entry);
-    REQUIRE(Eventually([this] { return Ready(0) && Ready(1); }));
+    REQUIRE(Eventually([this] { return Ready(0) && Ready(1) && Owner() >= 0; }));
   }
   ~site_fixture() {
     for (auto& entry : entries_) entry->process.Kill();
