--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -23,8 +23,8 @@
 constexpr milliseconds kDefaultValid{2000};
 // A step whose turn comes within the time of an ask and this much more is asked for ahead.
 constexpr milliseconds kAheadSlack{150};
-// Steps looked at in one round, the most urgent first: each costs a look at all instances, and those
-// far behind have no chance of room.
+// Steps looked at in one round, the most urgent first: each costs a look at all instances, and
+// those far behind have no chance of room.
 constexpr size_t kStepsInRound = 64;
 constexpr double kSlowestSpeed = 0.1;  // below this a learned speed says nothing
 
