--- a/bench/commands.h
+++ b/bench/commands.h
@@ -45,6 +45,9 @@
 // Policies in virtual time: `policy --mix kitamura|altynsay|both [--seed S] [--json F]`.
 int PolicyMain(int argc, char** argv);
 
+// The platform's job scheduler at the size of a large site: `site --endpoints 350 --seed S`.
+int SiteMain(int argc, char** argv);
+
 // Closeness to share over many shards: `cell --cell_shards 18 --news_ms 1000`.
 int CellMain(int argc, char** argv);
 
--- a/src/main/catkinford-bench.cc
+++ b/src/main/catkinford-bench.cc
@@ -34,6 +34,8 @@
     {"decisions", catkinford::DecisionsMain, "times of decisions: decisions --endpoints N"},
     {"cell", catkinford::CellMain, "shares over many shards: cell --cell_shards 18"},
     {"bounds", catkinford::BoundsMain, "hold figures to bench/bounds.json: bounds --out DIR"},
+    {"site", catkinford::SiteMain,
+     "the platform's job scheduler in virtual time: site --endpoints 350"},
     {"policy", catkinford::PolicyMain, "policies in virtual time: policy --mix both"},
 });
 
--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -30,10 +30,12 @@
 };
 
 enum class run_phase : uint8_t {
-  kSent,     // the start is on its way
-  kUnknown,  // no answer came: it may run, or begin to seconds from now
-  kRunning,  // confirmed by an answer or a listing
-  kStopping  // a stop is on its way or accepted
+  kPlanned,    // decided on; its start is sent once its record is stored
+  kSent,       // the start is on its way
+  kUnknown,    // no answer came: it may run, or begin to seconds from now
+  kInherited,  // an earlier owner's record names it; the instance's first listing decides
+  kRunning,    // confirmed by an answer or a listing
+  kStopping    // a stop is on its way or accepted
 };
 
 enum class stop_cause : uint8_t {
@@ -61,6 +63,8 @@
   bool serves = false;  // has a tail target
   run_phase phase = run_phase::kSent;
   stop_cause stopping = stop_cause::kNone;
+  bool inherited = false;       // when it began is not known
+  bool seen = false;            // an answer or a listing has shown it
   bool stop_confirmed = false;  // the instance answered the stop
   bool stop_in_flight = false;
   monotonic_time started{};        // when the start was sent
@@ -93,7 +97,10 @@
 
 struct fleet_instance {
   instance_report report;
-  bool present = true;  // in the registry
+  uint32_t ordinal = 0;  // unique among all that were ever seen
+  uint32_t service = 0;  // ordinal of its service
+  uint32_t filling = 0;  // runs there that fill what others leave unused
+  bool present = true;   // in the registry
   monotonic_time absent_since{};
   bool listed = false;         // fenced by this owner, and its runs are known
   bool lease_unknown = false;  // an earlier owner may have extended its lease
--- a/src/process/scheduling/graph_state.cc
+++ b/src/process/scheduling/graph_state.cc
@@ -27,14 +27,17 @@
   out["done"] = DoneRanges(step);
   json failures = json::array();
   json checkpoints = json::array();
+  json runs = json::array();
   for (size_t i = 0; i < step.tasks.size(); ++i) {
     const task_state_slot& task = step.tasks[i];
     if (task.phase == slot_phase::kDone) continue;
     if (!task.failed_runs.empty()) failures.push_back({i, task.failed_runs});
     if (!task.checkpoint.empty()) checkpoints.push_back({i, task.checkpoint});
+    for (const open_run& run : task.open_runs) runs.push_back({i, run.number, run.instance});
   }
   if (!failures.empty()) out["fail"] = std::move(failures);
   if (!checkpoints.empty()) out["ckpt"] = std::move(checkpoints);
+  if (!runs.empty()) out["runs"] = std::move(runs);
   if (!step.gang_failed_runs.empty()) out["gang_fail"] = step.gang_failed_runs;
   return out;
 }
@@ -60,6 +63,13 @@
     const auto index = row.at(0).get<size_t>();
     if (index < step.tasks.size()) step.tasks[index].checkpoint = row.at(1).get<std::string>();
   }
+  for (const json& row : in.value("runs", json::array())) {
+    const auto index = row.at(0).get<size_t>();
+    if (index >= step.tasks.size()) continue;
+    task_state_slot& task = step.tasks[index];
+    task.open_runs.push_back({row.at(1).get<uint32_t>(), row.at(2).get<std::string>(), {}});
+    task.last_run = std::max(task.last_run, task.open_runs.back().number);
+  }
   step.gang_failed_runs = in.value("gang_fail", std::vector<uint32_t>{});
 }
 
@@ -111,6 +121,36 @@
          phase == graph_phase::kCancelled;
 }
 
+namespace {
+
+auto PlaceOf(const std::vector<advice_verdict>& verdicts, uint32_t instance) {
+  return std::lower_bound(
+      verdicts.begin(), verdicts.end(), instance,
+      [](const advice_verdict& each, uint32_t wanted) { return each.instance < wanted; });
+}
+
+}  // namespace
+
+const advice_verdict* step_advice::Of(uint32_t instance) const {
+  const auto found = PlaceOf(verdicts, instance);
+  return found != verdicts.end() && found->instance == instance ? &*found : nullptr;
+}
+
+advice_verdict& step_advice::Make(uint32_t instance) {
+  const auto found = PlaceOf(verdicts, instance);
+  if (found != verdicts.end() && found->instance == instance) {
+    return verdicts[static_cast<size_t>(found - verdicts.begin())];
+  }
+  advice_verdict made;
+  made.instance = instance;
+  return *verdicts.insert(found, std::move(made));
+}
+
+void step_advice::Forget(uint32_t instance) {
+  const auto found = PlaceOf(verdicts, instance);
+  if (found != verdicts.end() && found->instance == instance) verdicts.erase(found);
+}
+
 bool occurrence_state::Done() const {
   return std::all_of(steps.begin(), steps.end(),
                      [](const step_progress& step) { return step.Done(); });
--- a/src/process/scheduling/graph_state.h
+++ b/src/process/scheduling/graph_state.h
@@ -18,6 +18,7 @@
 
 struct fleet_instance;
 struct graph_run;
+struct queue_terms;
 
 // Names one task everywhere: in orders, listings and records.
 struct task_key {
@@ -35,8 +36,19 @@
 
 enum class slot_phase : uint8_t { kWaiting, kActive, kDone };
 
+// A run that may be at work. It is stored before its start is sent, so that the next owner looks
+// for it there, and need not wait for instances that have nothing to do with the task.
+struct open_run {
+  uint32_t number = 0;
+  std::string instance;
+  // Proved not to have begun, but its start got no answer: it may still reach the next life of the
+  // instance up to here. Not stored.
+  monotonic_time may_arrive_until{};
+};
+
 struct task_state_slot {
   slot_phase phase = slot_phase::kWaiting;
+  std::vector<open_run> open_runs;
   // The runs that failed by themselves, each once: an end that was stored but not yet acknowledged
   // when its owner died is listed to the next owner again, and in any order. Counted twice, a sound
   // job would fail early; missed, a task would start once too often.
@@ -50,17 +62,23 @@
 
 // What a policy said of the instances that may run a step. The verdict never changes; the ticket
 // ends with its time or with the instance's life.
-struct advice_ticket {
+struct advice_verdict {
+  uint32_t instance = 0;  // its ordinal
+  bool allowed = false;
   std::string ticket;
-  int64_t incarnation = 0;
+  int64_t incarnation = 0;  // of the instance: the ticket is good for that life only
   monotonic_time expires{};
 };
 struct step_advice {
-  std::map<std::string, advice_ticket> allowed;  // by instance
-  absl::flat_hash_map<std::string, bool> asked;  // by instance: was it allowed
+  std::vector<advice_verdict> verdicts;  // by ordinal, ascending
   bool in_flight = false;
   uint32_t refused_asks = 0;  // in a row
   monotonic_time next_ask{};
+
+  // Null: never asked about.
+  const advice_verdict* Of(uint32_t instance) const;
+  advice_verdict& Make(uint32_t instance);
+  void Forget(uint32_t instance);
 };
 
 struct step_progress {
@@ -87,6 +105,9 @@
 
 struct job_entry {
   graph_job job;
+  // As the version in force says, looked up once: each decision needs them many times.
+  const queue_terms* queue = nullptr;
+  uint32_t service = 0;  // ordinal of the service whose instances run it
   graph_phase phase = graph_phase::kQueued;
   std::map<uint32_t, std::unique_ptr<occurrence_state>> occurrences;  // due and not done
   uint32_t next_occurrence = 0;    // the first that is not due yet
--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -24,6 +24,16 @@
 
 void job_scheduler::SetVersion(std::shared_ptr<const site_version> version) {
   version_ = std::move(version);
+  for (auto& [id, entry] : jobs_) LookUpTerms(*entry);
+}
+
+void job_scheduler::LookUpTerms(job_entry& entry) {
+  entry.queue = version_ == nullptr ? nullptr : version_->QueueNamed(entry.job.queue);
+  entry.service = ServiceOrdinal(TermsOf(entry).service);
+}
+
+uint32_t job_scheduler::ServiceOrdinal(const std::string& service) {
+  return services_.try_emplace(service, static_cast<uint32_t>(services_.size() + 1)).first->second;
 }
 
 void job_scheduler::Note(scheduler_note::kind what, std::string subject, std::string detail) {
@@ -33,10 +43,7 @@
 std::vector<scheduler_note> job_scheduler::TakeNotes() { return std::exchange(notes_, {}); }
 
 const job_terms& job_scheduler::TermsOf(const job_entry& entry) const {
-  if (version_ != nullptr) {
-    if (const queue_terms* queue = version_->QueueNamed(entry.job.queue)) return queue->jobs;
-  }
-  return entry.job.terms;
+  return entry.queue != nullptr ? entry.queue->jobs : entry.job.terms;
 }
 
 void job_scheduler::OnJob(graph_job job, std::string_view progress, bool inherited, wall_time wall,
@@ -46,6 +53,7 @@
   job_entry& entry = *made;
   entry.job = std::move(job);
   entry.inherited = inherited;
+  LookUpTerms(entry);
   entry.arrived = now;
   if (!progress.empty()) ApplyProgress(entry, progress, now);
   const milliseconds allowed(static_cast<int64_t>(
@@ -65,6 +73,7 @@
        absl::StrCat("queue=", entry.job.queue, " workspace=", entry.job.workspace,
                     " steps=", entry.job.steps.size(), " inherited=", inherited));
   OpenOccurrences(entry, wall, now);
+  ExpectRecorded(entry, now);
 }
 
 // By the time at which the job was accepted, so that the next owner finds the same.
@@ -162,8 +171,8 @@
 std::vector<job_progress_write> job_scheduler::TakeUnstored(size_t most) {
   std::vector<job_progress_write> out;
   while (!unstored_.empty() && out.size() < most) {
-    job_entry& entry = *unstored_.back();
-    unstored_.pop_back();
+    job_entry& entry = *unstored_.front();
+    unstored_.pop_front();
     entry.being_stored = entry.change;
     out.push_back({entry.job.id, ProgressToText(entry), entry.change});
   }
@@ -228,8 +237,10 @@
   }
   DropLapsed(now);
   CheckRuns(orders, now);
-  Place(orders, now);
-  PlanAdvice(orders, now);
+  const std::vector<ready_step> ready = ReadySteps();
+  Place(ready, now);
+  orders.starts = TakeStarts(now);
+  PlanAdvice(ready, orders, now);
   PlanPaces(orders, now);
   PlanListings(orders, now);
   return orders;
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -82,6 +82,15 @@
   // Jobs that ended long enough ago; they are forgotten here and their records may go.
   std::vector<std::string> TakeExpired(monotonic_time now, size_t most);
 
+  // All starts that an earlier owner may have sent are in its records: nothing else needs to wait
+  // for instances that cannot be listed.
+  void SetRecordsComplete();
+  // True: starts are sent without waiting for their records. Only while nobody can take over.
+  void SetUnrecordedStarts(bool allowed) { unrecorded_starts_ = allowed; }
+  bool StartsPlanned() const { return !planned_.empty(); }
+  // Starts whose record is stored by now; also among the orders of Decide().
+  std::vector<start_order> TakeStarts(monotonic_time now);
+
   // Orders that are due.
   scheduler_orders Decide(wall_time wall, monotonic_time now);
   std::vector<scheduler_note> TakeNotes();
@@ -96,14 +105,14 @@
   // The instances that may run work, of this owner's or an earlier one's. They must be stored
   // before they are used: OnFleetStored() names what was stored.
   std::vector<instance_report> Fleet() const;
+  // Changes whenever Fleet() does.
+  uint64_t FleetStamp() const;
   void OnFleetStored(const std::vector<instance_report>& fleet);
   size_t JobCount() const { return jobs_.size(); }
   size_t RunCount() const;
 
  private:
   friend class placing_round;
-  // Room of instances, as tentatively given or taken during one round.
-  using room_left = absl::flat_hash_map<const fleet_instance*, resources>;
   struct ready_step {
     job_entry* entry;
     occurrence_state* occurrence;
@@ -121,6 +130,9 @@
   void StopAll(job_entry& entry, stop_cause cause, monotonic_time now);
   void AskStop(graph_run& run, stop_cause cause, monotonic_time now);
   const job_terms& TermsOf(const job_entry& entry) const;
+  void LookUpTerms(job_entry& entry);
+  uint32_t ServiceOrdinal(const std::string& service);
+  fleet_instance& MakeInstance(const instance_report& report, monotonic_time now);
 
   // scheduler_runs.cc: what becomes of runs
   graph_run* FindRun(fleet_instance& instance, const task_key& key, uint32_t number);
@@ -155,37 +167,66 @@
   bool InheritanceSettled(monotonic_time now) const;
 
   // scheduler_placing.cc
-  void Place(scheduler_orders& orders, monotonic_time now);
+  void Place(const std::vector<ready_step>& ready, monotonic_time now);
   bool MustWaitForInheritance(const job_entry& entry, const resources& need) const;
   void CountPossibleRuns();
   std::vector<ready_step> ReadySteps();
-  void PlaceStep(const ready_step& ready, scheduler_orders& orders, monotonic_time now);
-  void PlaceGang(const ready_step& ready, scheduler_orders& orders, monotonic_time now);
+  void PlaceStep(const ready_step& ready, monotonic_time now);
+  void PlaceGang(const ready_step& ready, monotonic_time now);
   fleet_instance* Choose(const ready_step& ready, const task_state_slot& task, monotonic_time now,
                          const std::string* rack);
   bool MayRun(const fleet_instance& instance, const ready_step& ready, monotonic_time now) const;
+  static bool HasLabel(const fleet_instance& instance, const ready_step& ready);
+  static bool MayGetWork(const fleet_instance& instance, monotonic_time now);
   bool WithinLimit(const job_entry& entry, const resources& need) const;
   bool WantsCopy(const task_state_slot& task, const step_terms& terms, monotonic_time now) const;
   std::vector<ready_step> CopySteps(monotonic_time now);
-  void PlaceCopies(scheduler_orders& orders, monotonic_time now);
+  void PlaceCopies(monotonic_time now);
+
+  // scheduler_starts.cc: starts and their records
+  struct planned_start {
+    start_order order;
+    uint64_t change = 0;  // of the job, which must be stored first
+  };
   void Start(fleet_instance& instance, const ready_step& ready, uint32_t index, uint32_t number,
-             scheduler_orders& orders, monotonic_time now);
+             monotonic_time now);
   uint32_t NextRun(const task_state_slot& task) const;
+  bool StillGood(const start_order& order, const fleet_instance& instance,
+                 monotonic_time now) const;
+  bool Stored(const planned_start& planned) const;
+  void ExpectRecorded(job_entry& entry, monotonic_time now);
+  void CloseRun(const graph_run& run, monotonic_time now);
+  graph_run* AnyOpenRun(const task_key& key);
 
   // scheduler_advice.cc
-  void PlanAdvice(scheduler_orders& orders, monotonic_time now);
-  struct advice_option {
+  void PlanAdvice(const std::vector<ready_step>& ready, scheduler_orders& orders,
+                  monotonic_time now);
+  // What one round of questions knows of an instance that may get work.
+  struct advice_room {
     const fleet_instance* instance;
+    resources left;  // not yet spoken for by a step before
+  };
+  struct advice_round {
+    std::vector<advice_room> rooms;  // those with most room first
+    std::vector<uint32_t> place;     // by ordinal: 1 + index in `rooms`; 0: not there
+  };
+  struct advice_option {
+    advice_room* room;
     uint32_t tasks;  // that it has room for now
-    bool known;      // allowed, as an earlier answer said
     bool ticket_good;
   };
-  void PlanStepAdvice(const ready_step& ready, room_left& left, scheduler_orders& orders,
+  advice_round BeginAdvice(monotonic_time now) const;
+  void PlanStepAdvice(const ready_step& ready, advice_round& round, scheduler_orders& orders,
                       monotonic_time now);
-  std::vector<advice_option> AdviceOptions(const ready_step& ready, const room_left& left,
-                                           monotonic_time now) const;
-  std::vector<std::string> WorthAsking(const std::vector<advice_option>& options,
-                                       const advice_cost& cost, uint32_t wanted) const;
+  void SpeakFor(const ready_step& ready, advice_round& round,
+                const std::vector<advice_option>& known, uint32_t wanted) const;
+  uint32_t MostThere(const ready_step& ready, const fleet_instance& instance,
+                     uint32_t wanted) const;
+  std::vector<advice_option> KnownOptions(const ready_step& ready, advice_round& round,
+                                          uint32_t wanted, monotonic_time now) const;
+  std::vector<std::string> WorthAsking(const ready_step& ready, const advice_round& round,
+                                       const std::vector<advice_option>& known, uint32_t wanted,
+                                       const advice_cost& cost) const;
   uint32_t Wanted(const step_progress& step, const step_terms& terms, monotonic_time now) const;
   std::vector<ready_step> NextSteps(monotonic_time now);
   bool TurnComesWithin(const job_entry& entry, const occurrence_state& occurrence, uint32_t index,
@@ -202,11 +243,17 @@
   absl::flat_hash_map<std::string, std::unique_ptr<job_entry>> jobs_;
   // Ordered, so that equal choices fall the same way in every process.
   std::map<std::string, std::unique_ptr<fleet_instance>> instances_;
+  absl::flat_hash_map<uint32_t, fleet_instance*> by_ordinal_;
+  uint32_t last_ordinal_ = 0;
+  absl::flat_hash_map<std::string, uint32_t> services_;  // ordinals, from 1
   absl::flat_hash_map<std::string, resources> running_of_workspace_;
   absl::flat_hash_map<std::string, arrival_meter> arrivals_;  // by workspace
   std::vector<job_entry*> active_;                            // not final
   std::deque<std::string> final_;                             // in the order in which they ended
-  std::vector<job_entry*> unstored_;  // changed since they were last given out
+  std::deque<job_entry*> unstored_;  // changed since they were last given out, the oldest first
+  std::deque<planned_start> planned_;
+  bool unrecorded_starts_ = false;
+  bool records_complete_ = false;
   std::vector<scheduler_note> notes_;
   absl::flat_hash_map<std::string, std::vector<resources>> largest_seen_;  // by service
   bool inheritance_settled_ = false;
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -36,6 +36,12 @@
   return tasks;
 }
 
+resources RoomOf(const step_terms& terms) {
+  resources room = terms.need;
+  if (terms.fills) room.cpu_milli = 0;
+  return room;
+}
+
 void Take(resources& from, const resources& room, uint32_t tasks) {
   from.cpu_milli -= std::min(from.cpu_milli, room.cpu_milli * tasks);
   from.memory_mb -= std::min(from.memory_mb, room.memory_mb * tasks);
@@ -53,39 +59,54 @@
                     [&](const task_state_slot& task) { return WantsCopy(task, terms, now); }));
 }
 
-// Instances that may still be of use to the step: those allowed and those not asked about yet.
-std::vector<job_scheduler::advice_option> job_scheduler::AdviceOptions(const ready_step& ready,
-                                                                       const room_left& left,
-                                                                       monotonic_time now) const {
-  const step_terms& terms = ready.entry->job.steps[ready.index];
+job_scheduler::advice_round job_scheduler::BeginAdvice(monotonic_time now) const {
+  advice_round round;
+  round.place.resize(last_ordinal_ + 1);
+  for (const auto& [id, instance] : instances_) {
+    if (MayGetWork(*instance, now)) round.rooms.push_back({instance.get(), instance->Free()});
+  }
+  std::stable_sort(round.rooms.begin(), round.rooms.end(),
+                   [](const advice_room& a, const advice_room& b) {
+                     return a.left.cpu_milli > b.left.cpu_milli;
+                   });
+  for (size_t i = 0; i < round.rooms.size(); ++i) {
+    round.place[round.rooms[i].instance->ordinal] = static_cast<uint32_t>(i + 1);
+  }
+  return round;
+}
+
+// How many tasks of the step the instance may hold beside those that are there.
+uint32_t job_scheduler::MostThere(const ready_step& ready, const fleet_instance& instance,
+                                  uint32_t wanted) const {
+  const uint32_t limit = ready.entry->job.steps[ready.index].most_per_instance;
+  if (limit == 0) return wanted;
   const step_progress& step = ready.occurrence->steps[ready.index];
-  resources room = terms.need;
-  if (terms.fills) room.cpu_milli = 0;
+  const auto placed = step.placed.find(&instance);
+  const uint32_t here = placed == step.placed.end() ? 0 : placed->second;
+  return std::min(wanted, limit - std::min(here, limit));
+}
+
+// Instances that are known to be allowed, those with most room first.
+std::vector<job_scheduler::advice_option> job_scheduler::KnownOptions(const ready_step& ready,
+                                                                      advice_round& round,
+                                                                      uint32_t wanted,
+                                                                      monotonic_time now) const {
+  const resources room = RoomOf(ready.entry->job.steps[ready.index]);
   std::vector<advice_option> options;
-  for (const auto& [id, instance] : instances_) {
-    if (!MayRun(*instance, ready, now)) continue;
-    const auto asked = step.advice.asked.find(id);
-    const bool known = asked != step.advice.asked.end();
-    if (known && !asked->second) continue;  // not allowed, for good
-    uint32_t most = Wanted(step, terms, now);
-    if (terms.most_per_instance > 0) {
-      const auto placed = step.placed.find(instance.get());
-      const uint32_t here = placed == step.placed.end() ? 0 : placed->second;
-      most = std::min(most, terms.most_per_instance - std::min(here, terms.most_per_instance));
-    }
-    const auto found = left.find(instance.get());
-    const resources free = found == left.end() ? instance->Free() : found->second;
-    const auto ticket = step.advice.allowed.find(id);
-    const bool good = ticket != step.advice.allowed.end() &&
-                      ticket->second.expires > now + kTicketMargin &&
-                      ticket->second.incarnation == instance->report.incarnation;
-    options.push_back({instance.get(), TasksThatFit(free, room, most), known, good});
-  }
-  // Those that are known to be allowed first, then those with most room.
+  for (const advice_verdict& verdict : ready.occurrence->steps[ready.index].advice.verdicts) {
+    if (!verdict.allowed) continue;  // for good
+    const uint32_t place = round.place[verdict.instance];
+    if (place == 0) continue;
+    advice_room& there = round.rooms[place - 1];
+    if (!MayRun(*there.instance, ready, now)) continue;
+    const uint32_t most = MostThere(ready, *there.instance, wanted);
+    const bool good = verdict.expires > now + kTicketMargin &&
+                      verdict.incarnation == there.instance->report.incarnation;
+    options.push_back({&there, TasksThatFit(there.left, room, most), good});
+  }
   std::sort(options.begin(), options.end(), [](const advice_option& a, const advice_option& b) {
-    if (a.known != b.known) return a.known;
     if (a.tasks != b.tasks) return a.tasks > b.tasks;
-    return a.instance->report.id < b.instance->report.id;
+    return a.room->instance->ordinal < b.room->instance->ordinal;
   });
   return options;
 }
@@ -93,59 +114,57 @@
 // Which instances to name: a few allowed ones that have room for all that waits, or, where these do
 // not suffice, also those that were never asked about, with room or without: the verdict stays, and
 // naming an instance costs far less than another question.
-std::vector<std::string> job_scheduler::WorthAsking(const std::vector<advice_option>& options,
-                                                    const advice_cost& cost,
-                                                    uint32_t wanted) const {
+std::vector<std::string> job_scheduler::WorthAsking(const ready_step& ready,
+                                                    const advice_round& round,
+                                                    const std::vector<advice_option>& known,
+                                                    uint32_t wanted,
+                                                    const advice_cost& cost) const {
   std::vector<std::string> out;
   uint32_t found = 0;
-  bool room_at_unknown = false;
   size_t spare = kSpareInstances;
-  for (const advice_option& option : options) {
-    room_at_unknown = room_at_unknown || (!option.known && option.tasks > 0);
-    if (!option.known || option.tasks == 0) continue;
+  for (const advice_option& option : known) {
+    if (option.tasks == 0) break;
     if (found >= wanted && (option.ticket_good || spare-- == 0)) break;
     found += option.tasks;
-    if (!option.ticket_good) out.push_back(option.instance->report.id);
+    if (!option.ticket_good) out.push_back(option.room->instance->report.id);
   }
-  if (found >= wanted || !room_at_unknown) return out;
+  if (found >= wanted) return out;
   // As many as cost no more than the question itself.
   const size_t cheap =
       cost.per_instance.count() <= 0
           ? kMostInOneAsk
           : static_cast<size_t>(duration_cast<microseconds>(cost.base) / cost.per_instance);
   const size_t most = std::min(kMostInOneAsk, std::max<size_t>(cheap, wanted));
-  for (const advice_option& option : options) {
+  const step_advice& advice = ready.occurrence->steps[ready.index].advice;
+  const resources room = RoomOf(ready.entry->job.steps[ready.index]);
+  const size_t of_known = out.size();
+  bool room_at_unknown = false;
+  for (const advice_room& there : round.rooms) {
     if (out.size() >= most) break;
-    if (!option.known) out.push_back(option.instance->report.id);
+    if (there.instance->service != ready.entry->service) continue;
+    if (advice.Of(there.instance->ordinal) != nullptr) continue;
+    if (!HasLabel(*there.instance, ready)) continue;
+    room_at_unknown = room_at_unknown || TasksThatFit(there.left, room, 1) > 0;
+    out.push_back(there.instance->report.id);
   }
+  if (!room_at_unknown) out.resize(of_known);
   return out;
 }
 
-void job_scheduler::PlanStepAdvice(const ready_step& ready, room_left& left,
+void job_scheduler::PlanStepAdvice(const ready_step& ready, advice_round& round,
                                    scheduler_orders& orders, monotonic_time now) {
   step_progress& step = ready.occurrence->steps[ready.index];
   const step_terms& terms = ready.entry->job.steps[ready.index];
   if (!WithinLimit(*ready.entry, terms.need)) return;
-  const std::vector<advice_option> options = AdviceOptions(ready, left, now);
-  // Room that this step will use is not asked for by those that come after it: they would hold
-  // tickets that are over before they are of use.
-  resources room = terms.need;
-  if (terms.fills) room.cpu_milli = 0;
-  uint32_t wanted = Wanted(step, terms, now);
-  for (const advice_option& option : options) {
-    if (wanted == 0) break;
-    const uint32_t tasks = std::min(wanted, option.tasks);
-    if (tasks == 0) continue;
-    resources& free = left.try_emplace(option.instance, option.instance->Free()).first->second;
-    Take(free, room, tasks);
-    wanted -= tasks;
-  }
-  if (step.advice.in_flight || now < step.advice.next_ask) return;
-  const queue_terms* queue =
-      version_ == nullptr ? nullptr : version_->QueueNamed(ready.entry->job.queue);
+  const uint32_t wanted = Wanted(step, terms, now);
+  const std::vector<advice_option> known = KnownOptions(ready, round, wanted, now);
+  const queue_terms* queue = ready.entry->queue;
   const advice_cost cost = queue != nullptr && queue->advice ? *queue->advice : advice_cost{};
   advice_order order;
-  order.instances = WorthAsking(options, cost, Wanted(step, terms, now));
+  if (!step.advice.in_flight && now >= step.advice.next_ask) {
+    order.instances = WorthAsking(ready, round, known, wanted, cost);
+  }
+  SpeakFor(ready, round, known, wanted);
   if (order.instances.empty()) return;
   order.job = ready.entry->job.id;
   order.occurrence = ready.occurrence->number;
@@ -158,13 +177,36 @@
   orders.advice.push_back(std::move(order));
 }
 
+// Room that this step will use is not asked for by those that come after it: they would hold
+// tickets that are over before they are of use.
+void job_scheduler::SpeakFor(const ready_step& ready, advice_round& round,
+                             const std::vector<advice_option>& known, uint32_t wanted) const {
+  const resources room = RoomOf(ready.entry->job.steps[ready.index]);
+  const step_advice& advice = ready.occurrence->steps[ready.index].advice;
+  for (const advice_option& option : known) {
+    const uint32_t tasks = std::min(wanted, option.tasks);
+    if (tasks == 0) break;
+    Take(option.room->left, room, tasks);
+    wanted -= tasks;
+  }
+  for (advice_room& there : round.rooms) {
+    if (wanted == 0) return;
+    if (there.instance->service != ready.entry->service) continue;
+    const uint32_t most = MostThere(ready, *there.instance, wanted);
+    const uint32_t tasks = TasksThatFit(there.left, room, most);
+    if (tasks == 0 || advice.Of(there.instance->ordinal) != nullptr) continue;
+    if (!HasLabel(*there.instance, ready)) continue;
+    Take(there.left, room, tasks);
+    wanted -= tasks;
+  }
+}
+
 // Steps whose turn comes about when an answer would: asked for ahead, they start at once.
 std::vector<job_scheduler::ready_step> job_scheduler::NextSteps(monotonic_time now) {
   std::vector<ready_step> out;
   for (job_entry* entry : active_) {
     if (!TermsOf(*entry).needs_advice || entry->job.steps.size() < 2) continue;
-    const queue_terms* queue =
-        version_ == nullptr ? nullptr : version_->QueueNamed(entry->job.queue);
+    const queue_terms* queue = entry->queue;
     if (queue == nullptr || !queue->advice) continue;
     const auto all = static_cast<int64_t>(std::min(instances_.size(), kMostInOneAsk));
     const milliseconds ahead = queue->advice->base +
@@ -174,7 +216,7 @@
       for (uint32_t i = 0; i < occurrence->steps.size(); ++i) {
         if (occurrence->steps[i].ready || occurrence->steps[i].advice.in_flight) continue;
         // Asked ahead once: what comes later is seen when its turn has come.
-        if (!occurrence->steps[i].advice.asked.empty()) continue;
+        if (!occurrence->steps[i].advice.verdicts.empty()) continue;
         if (TurnComesWithin(*entry, *occurrence, i, ahead, now)) {
           out.push_back({entry, occurrence.get(), i});
         }
@@ -202,17 +244,21 @@
   return true;
 }
 
-void job_scheduler::PlanAdvice(scheduler_orders& orders, monotonic_time now) {
-  room_left left;
-  std::vector<ready_step> steps = ReadySteps();
-  if (steps.size() > kStepsInRound) steps.resize(kStepsInRound);
+void job_scheduler::PlanAdvice(const std::vector<ready_step>& ready_steps, scheduler_orders& orders,
+                               monotonic_time now) {
+  advice_round round = BeginAdvice(now);
+  std::vector<ready_step> steps;
+  for (const ready_step& ready : ready_steps) {
+    if (steps.size() >= kStepsInRound) break;
+    if (ready.occurrence->steps[ready.index].waiting > 0) steps.push_back(ready);
+  }
   for (const ready_step& next : NextSteps(now)) steps.push_back(next);
   for (const ready_step& copies : CopySteps(now)) steps.push_back(copies);
   for (const ready_step& ready : steps) {
     if (!TermsOf(*ready.entry).needs_advice) continue;
     const step_terms& terms = ready.entry->job.steps[ready.index];
     if (!inheritance_settled_ && MustWaitForInheritance(*ready.entry, terms.need)) continue;
-    PlanStepAdvice(ready, left, orders, now);
+    PlanStepAdvice(ready, round, orders, now);
   }
 }
 
@@ -230,17 +276,24 @@
     return;
   }
   step->advice.refused_asks = 0;
-  const queue_terms* queue = version_ == nullptr ? nullptr : version_->QueueNamed(entry.job.queue);
+  const queue_terms* queue = entry.queue;
   milliseconds valid = answer.valid;
   if (valid.count() == 0) {
     valid = queue != nullptr && queue->advice ? queue->advice->valid : kDefaultValid;
   }
-  for (const std::string& id : order.instances) step->advice.asked[id] = false;
-  for (const auto& [id, ticket] : answer.allowed) {
-    step->advice.asked[id] = true;
+  for (const std::string& id : order.instances) {
     const auto instance = instances_.find(id);
-    if (instance == instances_.end()) continue;
-    step->advice.allowed[id] = {ticket, instance->second->report.incarnation, now + valid};
+    if (instance != instances_.end()) step->advice.Make(instance->second->ordinal).allowed = false;
+  }
+  for (const auto& [id, ticket] : answer.allowed) {
+    const auto found_instance = instances_.find(id);
+    if (found_instance == instances_.end()) continue;
+    const fleet_instance& instance = *found_instance->second;
+    advice_verdict& verdict = step->advice.Make(instance.ordinal);
+    verdict.allowed = true;
+    verdict.ticket = ticket;
+    verdict.incarnation = instance.report.incarnation;
+    verdict.expires = now + valid;
   }
   Note(scheduler_note::kind::kAdvice, order.job,
        absl::StrCat("step=", order.occurrence, ".", order.step, " asked=", order.instances.size(),
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/hash/hash.h"
 #include "absl/strings/str_cat.h"
 #include "process/scheduling/job_scheduler.h"
 
@@ -22,6 +23,7 @@
 constexpr milliseconds kForgetAbsent{15000};
 // A listing in flight is given up by the caller of OnNoListing(); this is only its backstop.
 constexpr milliseconds kEvacuationMargin{250};
+constexpr size_t kEndsAtOnce = 500;  // in one listing, by the platform's agreement
 
 }  // namespace
 
@@ -78,22 +80,31 @@
   ++step->active;
 }
 
-void job_scheduler::OnReport(const instance_report& report, monotonic_time now) {
+fleet_instance& job_scheduler::MakeInstance(const instance_report& report, monotonic_time now) {
   std::unique_ptr<fleet_instance>& place = instances_[report.id];
-  if (place == nullptr) {
-    place = std::make_unique<fleet_instance>();
-    place->report = report;
-    place->next_listing = now;
+  place = std::make_unique<fleet_instance>();
+  place->report = report;
+  place->ordinal = ++last_ordinal_;
+  place->service = ServiceOrdinal(report.service);
+  place->next_listing = now;
+  by_ordinal_[place->ordinal] = place.get();
+  return *place;
+}
+
+void job_scheduler::OnReport(const instance_report& report, monotonic_time now) {
+  const auto known = instances_.find(report.id);
+  if (known == instances_.end()) {
+    MakeInstance(report, now);
     Note(scheduler_note::kind::kInstanceJoined, report.id,
          absl::StrCat("address=", report.address, " domain=", report.failure_domain,
                       " rack=", report.rack, " cpu=", report.capacity.cpu_milli,
                       " mb=", report.capacity.memory_mb));
-  } else if (report.incarnation > place->report.incarnation) {
-    Reborn(*place, report, now);
-  } else if (report.incarnation < place->report.incarnation) {
+  } else if (report.incarnation > known->second->report.incarnation) {
+    Reborn(*known->second, report, now);
+  } else if (report.incarnation < known->second->report.incarnation) {
     return;  // an old entry of an earlier life
   }
-  fleet_instance& instance = *place;
+  fleet_instance& instance = *instances_.at(report.id);
   if (report.draining && !instance.report.draining) {
     Note(scheduler_note::kind::kInstanceDraining, report.id,
          absl::StrCat("remaining_ms=", report.remaining.count(), " runs=", instance.runs.size()));
@@ -103,6 +114,7 @@
   }
   instance.present = true;
   instance.report = report;
+  instance.service = ServiceOrdinal(report.service);
   std::vector<resources>& largest = largest_seen_[report.service];
   if (std::find(largest.begin(), largest.end(), report.capacity) == largest.end()) {
     largest.push_back(report.capacity);
@@ -127,16 +139,15 @@
 
 void job_scheduler::OnInherited(const std::vector<instance_report>& reports, monotonic_time now) {
   for (const instance_report& report : reports) {
-    std::unique_ptr<fleet_instance>& place = instances_[report.id];
-    if (place == nullptr) {
-      place = std::make_unique<fleet_instance>();
-      place->report = report;
-      place->present = false;
-      place->absent_since = now;
-      place->next_listing = now;
+    const auto known = instances_.find(report.id);
+    fleet_instance& instance =
+        known == instances_.end() ? MakeInstance(report, now) : *known->second;
+    if (known == instances_.end()) {
+      instance.present = false;
+      instance.absent_since = now;
     }
-    place->lease_unknown = true;
-    place->noted = true;
+    instance.lease_unknown = true;
+    instance.noted = true;
   }
 }
 
@@ -148,6 +159,17 @@
   return out;
 }
 
+uint64_t job_scheduler::FleetStamp() const {
+  size_t stamp = 0;
+  for (const auto& [id, instance] : instances_) {
+    if (!instance->InUse() && !instance->lease_unknown) continue;
+    const instance_report& report = instance->report;
+    stamp = absl::HashOf(stamp, instance->ordinal, report.incarnation, report.address,
+                         report.capacity.cpu_milli, report.capacity.memory_mb);
+  }
+  return stamp;
+}
+
 void job_scheduler::OnFleetStored(const std::vector<instance_report>& fleet) {
   for (auto& [id, instance] : instances_) instance->noted = false;
   for (const instance_report& report : fleet) {
@@ -198,7 +220,10 @@
       forgotten.push_back(id);
     }
   }
-  for (const std::string& id : forgotten) instances_.erase(id);
+  for (const std::string& id : forgotten) {
+    by_ordinal_.erase(instances_.at(id)->ordinal);
+    instances_.erase(id);
+  }
 }
 
 void job_scheduler::Evacuate(fleet_instance& instance, monotonic_time now) {
@@ -287,6 +312,11 @@
     HandleRunning(instance, row, now);
     seen.push_back(FindRun(instance, row.key, row.run));
   }
+  // Ends are told so many at a time: a run that is not listed may have its end on the next page.
+  if (listing.ended.size() >= kEndsAtOnce) {
+    instance.next_listing = now + kListingPause;
+    return;
+  }
   HandleMissing(instance, seen, sent, now);
   if (!instance.listed) {
     instance.listed = true;
--- a/src/process/scheduling/scheduler_pace.cc
+++ b/src/process/scheduling/scheduler_pace.cc
@@ -56,7 +56,7 @@
 
 void job_scheduler::PlanPaces(scheduler_orders& orders, monotonic_time now) {
   for (auto& [id, instance] : instances_) {
-    if (instance->Reachable()) PaceInstance(*instance, orders, now);
+    if (instance->filling > 0 && instance->Reachable()) PaceInstance(*instance, orders, now);
   }
 }
 
--- a/src/process/scheduling/scheduler_placing.cc
+++ b/src/process/scheduling/scheduler_placing.cc
@@ -11,8 +11,6 @@
 
 using std::chrono::milliseconds;
 
-// Runs of one owner are numbered within this range, so that a later owner's are always higher.
-constexpr uint32_t kRunsOfOwner = 1000;
 // A ticket must hold this long after the order leaves, so that it is still good on arrival.
 constexpr milliseconds kTicketMargin{60};
 // An instance whose clock was read longer ago than this gets no start: the lease in the order could
@@ -39,11 +37,6 @@
 
 }  // namespace
 
-uint32_t job_scheduler::NextRun(const task_state_slot& task) const {
-  const auto base = static_cast<uint32_t>((epoch_ - 1) * kRunsOfOwner);
-  return std::max(task.last_run, base) + 1;
-}
-
 bool job_scheduler::WithinLimit(const job_entry& entry, const resources& need) const {
   if (version_ == nullptr || entry.job.workspace.empty()) return true;
   const workspace_terms* workspace = version_->WorkspaceNamed(entry.job.workspace);
@@ -67,24 +60,30 @@
     }
   }
   std::stable_sort(out.begin(), out.end(), [this](const ready_step& a, const ready_step& b) {
+    if (a.entry->beyond_share != b.entry->beyond_share) return b.entry->beyond_share;
     const int first = TermsOf(*a.entry).priority;
     const int second = TermsOf(*b.entry).priority;
-    if (a.entry->beyond_share != b.entry->beyond_share) return b.entry->beyond_share;
     if (first != second) return first < second;
     return a.entry->objective < b.entry->objective;
   });
   return out;
 }
 
-bool job_scheduler::MayRun(const fleet_instance& instance, const ready_step& ready,
-                           monotonic_time now) const {
-  const job_terms& terms = TermsOf(*ready.entry);
-  const step_terms& step = ready.entry->job.steps[ready.index];
-  if (instance.report.service != terms.service) return false;
+bool job_scheduler::MayGetWork(const fleet_instance& instance, monotonic_time now) {
   if (!instance.present || !instance.listed || !instance.noted) return false;
   if (instance.report.draining) return false;
   if (!instance.Reachable() || now < instance.shunned_until) return false;
-  if (now - instance.clock_at > kOldestClock) return false;
+  return now - instance.clock_at <= kOldestClock;
+}
+
+bool job_scheduler::MayRun(const fleet_instance& instance, const ready_step& ready,
+                           monotonic_time now) const {
+  if (instance.service != ready.entry->service || !MayGetWork(instance, now)) return false;
+  return HasLabel(instance, ready);
+}
+
+bool job_scheduler::HasLabel(const fleet_instance& instance, const ready_step& ready) {
+  const step_terms& step = ready.entry->job.steps[ready.index];
   if (step.required_label.empty()) return true;
   const auto& labels = instance.report.labels;
   return std::find(labels.begin(), labels.end(), step.required_label) != labels.end();
@@ -120,57 +119,17 @@
     for (auto& [id, instance] : instances_) consider(*instance);
     return best;
   }
-  for (const auto& [id, ticket] : step.advice.allowed) {
-    if (ticket.expires < now + kTicketMargin) continue;
-    const auto found = instances_.find(id);
-    if (found == instances_.end()) continue;
-    if (found->second->report.incarnation != ticket.incarnation) continue;
+  for (const advice_verdict& verdict : step.advice.verdicts) {
+    if (!verdict.allowed || verdict.expires < now + kTicketMargin) continue;
+    const auto found = by_ordinal_.find(verdict.instance);
+    if (found == by_ordinal_.end()) continue;
+    if (found->second->report.incarnation != verdict.incarnation) continue;
     consider(*found->second);
   }
   return best;
 }
 
-void job_scheduler::Start(fleet_instance& instance, const ready_step& ready, uint32_t index,
-                          uint32_t number, scheduler_orders& orders, monotonic_time now) {
-  job_entry& entry = *ready.entry;
-  step_progress& step = ready.occurrence->steps[ready.index];
-  task_state_slot& task = step.tasks[index];
-  const task_key key{entry.job.id, ready.occurrence->number, ready.index, index};
-  graph_run& run = AddRun(instance, &entry, key, number);
-  run.started = now;
-  run.progressed = now;
-  task.last_run = number;
-  if (task.phase == slot_phase::kActive) {
-    task.copy = &run;
-  } else {
-    task.run = &run;
-    task.phase = slot_phase::kActive;
-    --step.waiting;
-    ++step.active;
-  }
-  entry.started = true;
-  if (entry.phase == graph_phase::kQueued) entry.phase = graph_phase::kRunning;
-
-  start_order order;
-  order.to = {instance.report.id, instance.report.address, instance.report.incarnation};
-  order.key = key;
-  order.run = number;
-  order.payload = entry.job.payload;
-  order.lease_until_ms = instance.ClockAt(now) + options_.run_lease.count();
-  order.checkpoint = task.checkpoint;
-  const auto ticket = step.advice.allowed.find(instance.report.id);
-  if (ticket != step.advice.allowed.end()) order.ticket = ticket->second.ticket;
-  instance.lease_until_ms = std::max(instance.lease_until_ms, order.lease_until_ms);
-  Note(scheduler_note::kind::kTaskStart, entry.job.id,
-       absl::StrCat(
-           "task=", key.occurrence, ".", key.step, ".", key.index, " run=", number,
-           " instance=", instance.report.id, " free_cpu=", instance.Free().cpu_milli,
-           " waited_ms=", std::chrono::duration_cast<milliseconds>(now - step.ready_at).count()));
-  orders.starts.push_back(std::move(order));
-}
-
-void job_scheduler::PlaceStep(const ready_step& ready, scheduler_orders& orders,
-                              monotonic_time now) {
+void job_scheduler::PlaceStep(const ready_step& ready, monotonic_time now) {
   const step_terms& terms = ready.entry->job.steps[ready.index];
   step_progress& step = ready.occurrence->steps[ready.index];
   for (uint32_t i = 0; i < step.tasks.size() && step.waiting > 0; ++i) {
@@ -179,12 +138,11 @@
     if (!WithinLimit(*ready.entry, terms.need)) return;
     fleet_instance* instance = Choose(ready, task, now, nullptr);
     if (instance == nullptr) return;
-    Start(*instance, ready, i, NextRun(task), orders, now);
+    Start(*instance, ready, i, NextRun(task), now);
   }
 }
 
-void job_scheduler::PlaceGang(const ready_step& ready, scheduler_orders& orders,
-                              monotonic_time now) {
+void job_scheduler::PlaceGang(const ready_step& ready, monotonic_time now) {
   const step_terms& terms = ready.entry->job.steps[ready.index];
   step_progress& step = ready.occurrence->steps[ready.index];
   // All members wait, or an earlier run of the gang is still being taken apart.
@@ -235,7 +193,7 @@
   step.gang_started = now;
   for (uint32_t i = 0; i < step.tasks.size(); ++i) {
     step.tasks[i].checkpoint = checkpoint;
-    Start(*chosen[i], ready, i, number, orders, now);
+    Start(*chosen[i], ready, i, number, now);
   }
 }
 
@@ -253,7 +211,7 @@
   return !task.run->instance->Reachable() || now - task.run->started > patience;
 }
 
-void job_scheduler::PlaceCopies(scheduler_orders& orders, monotonic_time now) {
+void job_scheduler::PlaceCopies(monotonic_time now) {
   for (const ready_step& ready : CopySteps(now)) {
     const step_terms& terms = ready.entry->job.steps[ready.index];
     step_progress& step = ready.occurrence->steps[ready.index];
@@ -263,7 +221,7 @@
       if (!WithinLimit(*ready.entry, terms.need)) break;
       fleet_instance* instance = Choose(ready, task, now, nullptr);
       if (instance == nullptr) break;
-      Start(*instance, ready, i, NextRun(task), orders, now);
+      Start(*instance, ready, i, NextRun(task), now);
     }
   }
 }
@@ -289,6 +247,7 @@
 // Until all instances are listed that may run work of an earlier owner, a task of its jobs may run
 // there already, and what its workspaces have running is known only from above.
 bool job_scheduler::MustWaitForInheritance(const job_entry& entry, const resources& need) const {
+  if (records_complete_) return false;
   if (entry.inherited) return true;
   const auto possible = possible_of_workspace_.find(entry.job.workspace);
   if (possible == possible_of_workspace_.end()) return false;
@@ -311,21 +270,21 @@
   }
 }
 
-void job_scheduler::Place(scheduler_orders& orders, monotonic_time now) {
+void job_scheduler::Place(const std::vector<ready_step>& steps, monotonic_time now) {
   if (!inheritance_settled_) {
     inheritance_settled_ = InheritanceSettled(now);
     CountPossibleRuns();
   }
-  for (const ready_step& ready : ReadySteps()) {
+  for (const ready_step& ready : steps) {
     const step_terms& terms = ready.entry->job.steps[ready.index];
     if (!inheritance_settled_ && MustWaitForInheritance(*ready.entry, terms.need)) continue;
     if (terms.gang) {
-      PlaceGang(ready, orders, now);
+      PlaceGang(ready, now);
     } else {
-      PlaceStep(ready, orders, now);
+      PlaceStep(ready, now);
     }
   }
-  PlaceCopies(orders, now);
+  PlaceCopies(now);
 }
 
 }  // namespace catkinford
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -79,7 +79,9 @@
 
 graph_run* job_scheduler::FindRun(fleet_instance& instance, const task_key& key, uint32_t number) {
   for (const auto& run : instance.runs) {
-    if (run->number == number && run->key == key) return run.get();
+    const bool same = run->number == number && run->key.index == key.index &&
+                      run->key.step == key.step && run->key.occurrence == key.occurrence;
+    if (same && run->key.job == key.job) return run.get();
   }
   return nullptr;
 }
@@ -98,6 +100,7 @@
   run.serves = terms.tail_target.count() > 0;
   run.room = terms.need;
   if (terms.fills) run.room.cpu_milli = 0;
+  if (terms.fills) ++instance.filling;
   HoldRoom(run, 1);
   return run;
 }
@@ -122,13 +125,22 @@
 
 void job_scheduler::Release(graph_run& run, monotonic_time now) {
   HoldRoom(run, -1);
+  CloseRun(run, now);
   fleet_instance& instance = *run.instance;
+  if (run.fills) --instance.filling;
+  const auto place =
+      std::find_if(instance.runs.begin(), instance.runs.end(),
+                   [&](const std::unique_ptr<graph_run>& held) { return held.get() == &run; });
+  const std::unique_ptr<graph_run> released = std::move(*place);
+  std::swap(*place, instance.runs.back());
+  instance.runs.pop_back();
   if (run.job != nullptr) {
     if (step_progress* step = run.job->Find(run.key)) {
       task_state_slot& task = step->tasks[run.key.index];
       if (task.copy == &run) task.copy = nullptr;
       if (task.run == &run) {
         task.run = std::exchange(task.copy, nullptr);
+        if (task.run == nullptr) task.run = AnyOpenRun(run.key);
         if (task.run == nullptr && task.phase == slot_phase::kActive) {
           task.phase = slot_phase::kWaiting;
           task.waiting_since = now;
@@ -138,11 +150,6 @@
       }
     }
   }
-  const auto place =
-      std::find_if(instance.runs.begin(), instance.runs.end(),
-                   [&](const std::unique_ptr<graph_run>& held) { return held.get() == &run; });
-  std::swap(*place, instance.runs.back());
-  instance.runs.pop_back();
 }
 
 void job_scheduler::OnTaskDone(job_entry& entry, const task_key& key, monotonic_time now) {
@@ -223,7 +230,7 @@
     task.last_run = std::max(task.last_run, row.run);
     if (!row.checkpoint.empty()) task.checkpoint = row.checkpoint;
   }
-  if (row.how == run_end::kDone && run != nullptr && step != nullptr) {
+  if (row.how == run_end::kDone && run != nullptr && !run->inherited && step != nullptr) {
     instance.faults = 0;
     const double took = static_cast<double>(
         std::max<int64_t>(1, duration_cast<milliseconds>(now - run->started).count()));
@@ -268,6 +275,10 @@
   if (step != nullptr) {
     task_state_slot& task = step->tasks[row.key.index];
     task.last_run = std::max(task.last_run, row.run);
+    // Also one that is not wanted: until it is gone, the task must not start elsewhere.
+    if (task.phase != slot_phase::kDone) {
+      task.open_runs.push_back({row.run, instance.report.id, {}});
+    }
     if (wanted && task.phase == slot_phase::kWaiting) {
       task.phase = slot_phase::kActive;
       task.run = &run;
@@ -290,7 +301,13 @@
                                   monotonic_time now) {
   graph_run* run = FindRun(instance, row.key, row.run);
   if (run == nullptr) return Adopt(instance, row, now);
-  if (run->phase == run_phase::kSent || run->phase == run_phase::kUnknown) {
+  run->seen = true;
+  if (run->phase == run_phase::kSent || run->phase == run_phase::kUnknown ||
+      run->phase == run_phase::kInherited) {
+    if (run->phase == run_phase::kInherited) {
+      Note(scheduler_note::kind::kRunAdopted, NameOf(row.key),
+           absl::StrCat("run=", row.run, " instance=", instance.report.id));
+    }
     run->phase = run_phase::kRunning;
     run->confirmed = now;
     run->progressed = now;
@@ -317,7 +334,9 @@
     const bool known = (run->phase == run_phase::kRunning && run->confirmed < sent);
     // A run that is not there once its stop was answered will never be there.
     const bool stopped = run->stop_confirmed && run->stop_answered < sent;
-    if (known || stopped) gone.push_back(run.get());
+    // This owner's listing shuts out all orders of earlier ones.
+    const bool inherited = run->phase == run_phase::kInherited;
+    if (known || stopped || inherited) gone.push_back(run.get());
   }
   for (graph_run* run : gone) {
     Note(scheduler_note::kind::kRunVanished, NameOf(run->key),
@@ -326,7 +345,12 @@
     if (run->stopping == stop_cause::kUnknownStart) {
       instance.undelivered.push_back({run->key, run->number, run->started});
     }
+    job_entry* entry = run->job;
+    const task_key key = run->key;
+    const bool inherited = run->phase == run_phase::kInherited;
     Release(*run, now);
+    if (!inherited || entry == nullptr || IsFinal(entry->phase)) continue;
+    if (entry->job.steps[key.step].gang) BreakGang(*entry, key, stop_cause::kGangBroken, now);
   }
 }
 
@@ -354,7 +378,9 @@
                                   kStallFactor * static_cast<double>(expected.count()) / 100)));
     if (now - run.progressed > patience) AskStop(run, stop_cause::kStalled, now);
   }
-  if (run.stopping != stop_cause::kNone) SendStop(run, orders, now);
+  // What was never sent needs no stop: it is taken back when its turn to be sent comes.
+  if (run.stopping == stop_cause::kNone || run.phase == run_phase::kPlanned) return;
+  SendStop(run, orders, now);
 }
 
 void job_scheduler::CheckRuns(scheduler_orders& orders, monotonic_time now) {
@@ -383,6 +409,7 @@
   if (answer.result == order_result::kDone) {
     if (run->phase != run_phase::kSent && run->phase != run_phase::kUnknown) return;
     run->phase = run_phase::kRunning;
+    run->seen = true;
     run->confirmed = now;
     run->progressed = now;
     return;
@@ -398,8 +425,7 @@
   job_entry* entry = run->job;
   step_progress* step = entry == nullptr ? nullptr : entry->Find(order.key);
   if (answer.result == order_result::kNoTicket && step != nullptr) {
-    step->advice.allowed.erase(order.to.instance);
-    step->advice.asked.erase(order.to.instance);
+    step->advice.Forget(instance.ordinal);
   }
   if (answer.result == order_result::kNotDone || answer.result == order_result::kOtherLife ||
       answer.result == order_result::kNoRoom) {
--- /dev/null
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -0,0 +1,198 @@
+// Starts and their records: a start is decided on, its record is stored, and only then is it sent.
+// The next owner reads from the records where each task may be at work. Without them it would have
+// to wait until every instance is listed or its leases are over, and one that is cut off would
+// hold up all tasks of all jobs for that long.
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "process/scheduling/job_scheduler.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Runs of one owner are numbered within this range, so that a later owner's are always higher.
+constexpr uint32_t kRunsOfOwner = 1000;
+// A ticket must hold this long after the order leaves, so that it is still good on arrival.
+constexpr milliseconds kTicketMargin{30};
+
+}  // namespace
+
+uint32_t job_scheduler::NextRun(const task_state_slot& task) const {
+  const auto base = static_cast<uint32_t>((epoch_ - 1) * kRunsOfOwner);
+  return std::max(task.last_run, base) + 1;
+}
+
+void job_scheduler::SetRecordsComplete() { records_complete_ = true; }
+
+void job_scheduler::Start(fleet_instance& instance, const ready_step& ready, uint32_t index,
+                          uint32_t number, monotonic_time now) {
+  job_entry& entry = *ready.entry;
+  step_progress& step = ready.occurrence->steps[ready.index];
+  task_state_slot& task = step.tasks[index];
+  const task_key key{entry.job.id, ready.occurrence->number, ready.index, index};
+  graph_run& run = AddRun(instance, &entry, key, number);
+  run.phase = run_phase::kPlanned;
+  run.started = now;
+  run.progressed = now;
+  task.last_run = number;
+  std::erase_if(task.open_runs, [&](const open_run& open) {
+    return open.may_arrive_until != monotonic_time{} && open.may_arrive_until < now;
+  });
+  task.open_runs.push_back({number, instance.report.id, {}});
+  if (task.phase == slot_phase::kActive) {
+    task.copy = &run;
+  } else {
+    task.run = &run;
+    task.phase = slot_phase::kActive;
+    --step.waiting;
+    ++step.active;
+  }
+  entry.started = true;
+  if (entry.phase == graph_phase::kQueued) entry.phase = graph_phase::kRunning;
+
+  start_order order;
+  order.to = {instance.report.id, instance.report.address, instance.report.incarnation};
+  order.key = key;
+  order.run = number;
+  order.payload = entry.job.payload;
+  order.checkpoint = task.checkpoint;
+  const advice_verdict* verdict = step.advice.Of(instance.ordinal);
+  if (verdict != nullptr) order.ticket = verdict->ticket;
+  Touch(entry);
+  planned_.push_back({std::move(order), entry.change});
+  Note(scheduler_note::kind::kTaskStart, entry.job.id,
+       absl::StrCat(
+           "task=", key.occurrence, ".", key.step, ".", key.index, " run=", number,
+           " instance=", instance.report.id, " free_cpu=", instance.Free().cpu_milli,
+           " waited_ms=", std::chrono::duration_cast<milliseconds>(now - step.ready_at).count()));
+}
+
+// What was true when the start was decided on may have changed while its record was stored.
+bool job_scheduler::StillGood(const start_order& order, const fleet_instance& instance,
+                              monotonic_time now) const {
+  const instance_report& report = instance.report;
+  if (report.incarnation != order.to.incarnation || !instance.listed) return false;
+  if (!instance.present || report.draining || !instance.Reachable()) return false;
+  if (order.ticket.empty()) return true;
+  const auto found = jobs_.find(order.key.job);
+  if (found == jobs_.end()) return false;
+  const step_progress* step = found->second->Find(order.key);
+  if (step == nullptr) return false;
+  const advice_verdict* verdict = step->advice.Of(instance.ordinal);
+  return verdict != nullptr && verdict->ticket == order.ticket &&
+         verdict->expires > now + kTicketMargin;
+}
+
+bool job_scheduler::Stored(const planned_start& planned) const {
+  if (unrecorded_starts_) return true;
+  const auto found = jobs_.find(planned.order.key.job);
+  // Of a job that is forgotten nothing starts; it is taken out with those that are stored.
+  return found == jobs_.end() || found->second->stored >= planned.change;
+}
+
+std::vector<start_order> job_scheduler::TakeStarts(monotonic_time now) {
+  std::vector<start_order> out;
+  std::deque<planned_start> later;
+  for (planned_start& planned : planned_) {
+    if (!Stored(planned)) {
+      later.push_back(std::move(planned));
+      continue;
+    }
+    start_order& order = planned.order;
+    const auto found = instances_.find(order.to.instance);
+    if (found == instances_.end()) continue;
+    fleet_instance& instance = *found->second;
+    graph_run* run = FindRun(instance, order.key, order.run);
+    if (run == nullptr || run->phase != run_phase::kPlanned) continue;
+    if (run->stopping != stop_cause::kNone || !StillGood(order, instance, now)) {
+      job_entry* entry = run->job;
+      Note(scheduler_note::kind::kTaskRefused, order.key.job,
+           absl::StrCat("task=", order.key.occurrence, ".", order.key.step, ".", order.key.index,
+                        " run=", order.run, " instance=", order.to.instance, " result=not_sent",
+                        " stop=", std::string(ToText(run->stopping))));
+      Release(*run, now);
+      if (entry != nullptr && !IsFinal(entry->phase) && entry->job.steps[order.key.step].gang) {
+        BreakGang(*entry, order.key, stop_cause::kGangBroken, now);
+      }
+      continue;
+    }
+    run->phase = run_phase::kSent;
+    run->started = now;
+    run->progressed = now;
+    order.lease_until_ms = instance.ClockAt(now) + options_.run_lease.count();
+    instance.lease_until_ms = std::max(instance.lease_until_ms, order.lease_until_ms);
+    out.push_back(std::move(order));
+  }
+  planned_ = std::move(later);
+  return out;
+}
+
+// The runs that an earlier owner recorded, each as one that may be at work until its instance is
+// listed. An instance that neither the registry nor the stored fleet knows has none of them.
+void job_scheduler::ExpectRecorded(job_entry& entry, monotonic_time now) {
+  for (auto& [number, occurrence] : entry.occurrences) {
+    for (uint32_t i = 0; i < occurrence->steps.size(); ++i) {
+      step_progress& step = occurrence->steps[i];
+      for (uint32_t k = 0; k < step.tasks.size(); ++k) {
+        task_state_slot& task = step.tasks[k];
+        std::erase_if(task.open_runs, [&](const open_run& open) {
+          return !instances_.contains(open.instance) || instances_.at(open.instance)->listed;
+        });
+        if (task.phase == slot_phase::kDone) task.open_runs.clear();
+        for (const open_run& open : task.open_runs) {
+          const task_key key{entry.job.id, number, i, k};
+          graph_run& run = AddRun(*instances_.at(open.instance), &entry, key, open.number);
+          run.phase = run_phase::kInherited;
+          run.inherited = true;
+          run.started = now;
+          run.progressed = now;
+          if (task.run == nullptr) {
+            task.run = &run;
+          } else if (task.copy == nullptr) {
+            task.copy = &run;
+          }
+        }
+        if (task.run == nullptr) continue;
+        task.phase = slot_phase::kActive;
+        --step.waiting;
+        ++step.active;
+      }
+    }
+  }
+}
+
+// A run is over: it need not be looked for any more, unless its start may still reach another life
+// of the instance.
+void job_scheduler::CloseRun(const graph_run& run, monotonic_time now) {
+  step_progress* step = run.job == nullptr ? nullptr : run.job->Find(run.key);
+  if (step == nullptr) return;
+  std::vector<open_run>& open = step->tasks[run.key.index].open_runs;
+  const auto found = std::find_if(open.begin(), open.end(), [&](const open_run& each) {
+    return each.number == run.number && each.instance == run.instance->report.id;
+  });
+  if (found == open.end()) return;
+  const bool unanswered = !run.seen && run.stopping == stop_cause::kUnknownStart;
+  if (unanswered && now < run.started + kLatestArrival) {
+    found->may_arrive_until = run.started + kLatestArrival;
+    return;
+  }
+  open.erase(found);
+}
+
+// Another run of the task that is not proved gone yet, beside its run and copy.
+graph_run* job_scheduler::AnyOpenRun(const task_key& key) {
+  const auto found = jobs_.find(key.job);
+  step_progress* step = found == jobs_.end() ? nullptr : found->second->Find(key);
+  if (step == nullptr) return nullptr;
+  for (const open_run& open : step->tasks[key.index].open_runs) {
+    const auto instance = instances_.find(open.instance);
+    if (instance == instances_.end()) continue;
+    if (graph_run* run = FindRun(*instance->second, key, open.number)) return run;
+  }
+  return nullptr;
+}
+
+}  // namespace catkinford
--- a/src/process/site/peer_words.cc
+++ b/src/process/site/peer_words.cc
@@ -9,6 +9,13 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
+// What an owner started without a record after such a confirmation has ended by then: the owner
+// trusts it for 0.65 s, and the start's lease is 4 s by a clock that may be 2 % slow.
+constexpr milliseconds kUnrecordedMatter{6000};
+// An owner's view of the entries may be this old at most (a watch that hangs: 3.5 s), so one that
+// was registered for longer than that and kUnrecordedMatter was asked by any owner that matters.
+constexpr milliseconds kSteadyEntry{10000};
+
 // Runs `read` over the parsed text; nothing where a field is missing or of another type.
 template <typename T, typename Read>
 std::optional<T> Parse(std::string_view text, Read read) {
@@ -63,6 +70,26 @@
   });
 }
 
+std::string OwnerWitnessToText(const owner_witness& witness) {
+  json out{{"registered_ms", witness.registered.count()}};
+  if (witness.confirmed_age) out["confirmed_ms"] = witness.confirmed_age->count();
+  return out.dump();
+}
+
+std::optional<owner_witness> OwnerWitnessFromText(std::string_view text) {
+  return Parse<owner_witness>(text, [](const json& in, owner_witness& out) {
+    out.registered = milliseconds(in.at("registered_ms").get<int64_t>());
+    if (in.contains("confirmed_ms")) {
+      out.confirmed_age = milliseconds(in.at("confirmed_ms").get<int64_t>());
+    }
+  });
+}
+
+bool RulesOutUnrecordedStarts(const owner_witness& witness) {
+  const bool confirmed = witness.confirmed_age && *witness.confirmed_age < kUnrecordedMatter;
+  return witness.registered >= kSteadyEntry && !confirmed;
+}
+
 std::string PeerQuestionToText(const peer_question& question) {
   const advice_order& order = question.order;
   return json{{"job", order.job},
--- a/src/process/site/peer_words.h
+++ b/src/process/site/peer_words.h
@@ -3,6 +3,7 @@
 //   GET  /peer/state?id=     of a job, from the owner
 //   GET  /peer/pending?queue=
 //   GET  /peer/health        when the store last answered, the highest epoch seen
+//   GET  /peer/witness       whether an owner may have gone on while the store was down
 //   GET  /peer/version       the configuration's text
 //   POST /peer/advise        asks a queue's policy from there
 //   POST /peer/job           a job's record, just stored: the owner need not wait for its watch
@@ -28,6 +29,7 @@
 inline constexpr char kPeerStatePath[] = "/peer/state";
 inline constexpr char kPeerPendingPath[] = "/peer/pending";
 inline constexpr char kPeerHealthPath[] = "/peer/health";
+inline constexpr char kPeerWitnessPath[] = "/peer/witness";
 inline constexpr char kPeerVersionPath[] = "/peer/version";
 inline constexpr char kPeerAdvisePath[] = "/peer/advise";
 inline constexpr char kPeerJobPath[] = "/peer/job";
@@ -45,6 +47,13 @@
   std::chrono::milliseconds store_age{0};  // since the store last answered there
   uint64_t epoch = 0;
 };
+// What an entry can say of earlier owners. An owner sends starts without records only while every
+// registered entry confirms that the store is down; one that was there all the time and confirmed
+// nothing proves that none did.
+struct owner_witness {
+  std::chrono::milliseconds registered{0};                 // without a gap
+  std::optional<std::chrono::milliseconds> confirmed_age;  // since it last confirmed an outage
+};
 struct peer_question {
   advice_order order;
   std::chrono::milliseconds timeout{0};
@@ -57,6 +66,10 @@
 std::optional<told_pending> ToldPendingFromText(std::string_view text);
 std::string PeerHealthToText(const peer_health& health);
 std::optional<peer_health> PeerHealthFromText(std::string_view text);
+std::string OwnerWitnessToText(const owner_witness& witness);
+std::optional<owner_witness> OwnerWitnessFromText(std::string_view text);
+// True when the witness rules out starts without records whose leases still hold.
+bool RulesOutUnrecordedStarts(const owner_witness& witness);
 std::string PeerQuestionToText(const peer_question& question);
 std::optional<peer_question> PeerQuestionFromText(std::string_view text);
 std::string PeerAdviceToText(const advice_answer& answer);
--- a/src/process/site/site_log.h
+++ b/src/process/site/site_log.h
@@ -62,6 +62,7 @@
   kOwnershipWon = 641,
   kOwnershipLost = 642,
   kOwnerLoaded = 643,
+  kRecordsComplete = 647,
   kLeaseLost = 644,
   kEntrySeen = 645,
   kEntryGone = 646,
--- a/src/process/site/site_membership.h
+++ b/src/process/site/site_membership.h
@@ -106,10 +106,19 @@
   // When the store last answered a call of this class.
   monotonic_time StoreAnswered() const { return answered_; }
   bool LeaseGood(monotonic_time now) const { return !lease_.empty() && now < kept_ + ttl_; }
+  // How long the store has named this entry without a gap.
+  std::chrono::milliseconds RegisteredFor(monotonic_time now) const {
+    if (registered_ == monotonic_time::max()) return std::chrono::milliseconds{0};
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - registered_);
+  }
+  // Every other entry has just confirmed that it cannot reach the store either.
+  bool StoreDownForAll(monotonic_time now) const {
+    return owns_ && now < outage_seen_ + kOutageTrusted;
+  }
   // No other entry can own the site at this moment: the lease holds, or the store has just been
   // seen to be down for all.
   bool MayAct(monotonic_time now) const {
-    return owns_ && (LeaseGood(now) || now < outage_seen_ + kOutageTrusted);
+    return owns_ && (LeaseGood(now) || StoreDownForAll(now));
   }
 
  private:
@@ -117,6 +126,8 @@
   static constexpr std::chrono::milliseconds kCheckEvery{200};
   // Longer than a round of questions to the peers and the pause before it.
   static constexpr std::chrono::milliseconds kOutageTrusted{650};
+  // A store that has answered nothing for this long is asked about at the other entries.
+  static constexpr std::chrono::milliseconds kStoreSilent{900};
   // A watch that answers at once with nothing new is asked again only after this.
   static constexpr std::chrono::milliseconds kIdleWatchPause{200};
   static constexpr int kKeepsPerLease = 4;
@@ -170,6 +181,7 @@
   void OnLeaseEnded() {
     log_.Write(site_event::kLeaseLost, BootNow(), absl::StrCat("lease=", lease_, " owns=", owns_));
     lease_.clear();
+    registered_ = monotonic_time::max();
     if (owns_) Lose("the lease ended at the store");
     keep_in_flight_ = false;
     Keep();
@@ -180,6 +192,9 @@
     write.puts.push_back({kEntryPrefix + self_.name, EntryToText(self_), lease_});
     store_.Commit(write, Here([this, lease = lease_](const store_reply& reply) {
                     if (reply.status == store_status::kDone || lease != lease_ || resigning_) {
+                      if (reply.status == store_status::kDone && lease == lease_) {
+                        registered_ = BootNow();
+                      }
                       if (reply.status == store_status::kDone) Consider();
                       return;
                     }
@@ -310,6 +325,7 @@
     stronger_since_ = std::min(stronger_since_, now);
     if (now - stronger_since_ < kYieldAfter || !LeaseGood(now)) return;
     stronger_since_ = monotonic_time::max();
+    registered_ = monotonic_time::max();
     Lose("a much stronger entry is there");
     store_.EndLease(std::exchange(lease_, {}), Here([](const store_reply&) {}));
     keep_in_flight_ = false;
@@ -324,15 +340,17 @@
     if (!owns_) return Consider();
     Yield();
     if (!owns_) return;
-    if (LeaseGood(BootNow()) || asking_) return;
+    const bool silent = BootNow() - answered_ > kStoreSilent;
+    if ((LeaseGood(BootNow()) && !silent) || asking_) return;
     asking_ = true;
     hooks_.ask_peers([this, epoch = epoch_](outage_verdict verdict) {
       asking_ = false;
-      if (!owns_ || epoch != epoch_ || LeaseGood(BootNow())) return;
+      if (!owns_ || epoch != epoch_) return;
       if (verdict == outage_verdict::kDownForAll) {
         outage_seen_ = BootNow();
         return;
       }
+      if (LeaseGood(BootNow())) return;
       Lose(verdict == outage_verdict::kOtherOwner    ? "a peer has seen a higher epoch"
            : verdict == outage_verdict::kUpElsewhere ? "cut off from the store"
                                                      : "cut off from the store and from peers");
@@ -361,6 +379,7 @@
   bool resigning_ = false;
   bool store_up_ = true;
   monotonic_time answered_{};
+  monotonic_time registered_ = monotonic_time::max();  // since when the store names this entry
   monotonic_time outage_seen_{};
   monotonic_time stronger_since_ = monotonic_time::max();
   uint64_t epoch_ = 0;
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -95,6 +95,8 @@
   void PendingFromOwner(const std::string& queue, std::function<void(std::optional<size_t>)> done);
   void VersionFromPeer(std::function<void(std::string)> done);
   void JudgeOutage(const std::function<void(outage_verdict)>& done);
+  owner_witness Witness() const;
+  void SeekWitness();
   void SpreadAdvice();
   void AskAdvice(const advice_order& order, const std::string& entry);
   void TellReadiness();
@@ -113,6 +115,8 @@
   std::shared_ptr<site_owner<Platform>> owner_;
   std::map<std::string, bool> peer_silent_;
   size_t next_peer_ = 0;
+  uint64_t witnessed_epoch_ = 0;  // of the ownership for which a witness was found
+  std::optional<monotonic_time> outage_confirmed_;  // when this entry last told an owner of one
   std::atomic<bool> ready_{false};
   std::atomic<bool> stopping_{false};
   bool stopped_ = false;
@@ -330,9 +334,13 @@
     response.body =
         ToldPendingToText({owns, owns ? owner_->Pending(request.Query("queue")) : size_t{0}});
   } else if (request.path == kPeerHealthPath) {
-    const auto age = BootNow() - membership_.StoreAnswered();
-    response.body = PeerHealthToText(
-        {std::chrono::duration_cast<std::chrono::milliseconds>(age), membership_.View().epoch});
+    const monotonic_time now = BootNow();
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - membership_.StoreAnswered());
+    if (age >= kStoreFresh) outage_confirmed_ = now;
+    response.body = PeerHealthToText({age, membership_.View().epoch});
+  } else if (request.path == kPeerWitnessPath) {
+    response.body = OwnerWitnessToText(Witness());
   } else if (request.path == kPeerVersionPath) {
     response.body = versions_.Text();
   } else if (request.path == kPeerJobPath) {
@@ -389,6 +397,9 @@
   owner_hooks hooks;
   hooks.superseded = [this](const std::string& why) { membership_.OnSuperseded(why); };
   hooks.may_act = [this](monotonic_time now) { return membership_.MayAct(now); };
+  hooks.store_down_for_all = [this](monotonic_time now) {
+    return membership_.StoreDownForAll(now);
+  };
   hooks.ask_advice = [this](advice_order order) {
     advice_.Add(std::move(order));
     SpreadAdvice();
@@ -399,6 +410,43 @@
   numbers_.owns_site.Set(1);
   numbers_.takeovers.Increment();
   owner_->Start(versions_.Version());
+  SeekWitness();
+}
+
+template <site_platform Platform>
+owner_witness site_node<Platform>::Witness() const {
+  const monotonic_time now = BootNow();
+  owner_witness out;
+  out.registered = membership_.RegisteredFor(now);
+  if (outage_confirmed_) {
+    out.confirmed_age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - *outage_confirmed_);
+  }
+  return out;
+}
+
+// One good witness suffices: this entry, or the first of the others.
+template <site_platform Platform>
+void site_node<Platform>::SeekWitness() {
+  const std::weak_ptr<site_owner<Platform>> weak = owner_;
+  const auto take = [this, weak](const owner_witness& witness, const std::string& from) {
+    const auto owner = weak.lock();
+    if (owner == nullptr || owner != owner_ || !RulesOutUnrecordedStarts(witness)) return false;
+    if (std::exchange(witnessed_epoch_, membership_.Epoch()) == membership_.Epoch()) return true;
+    log_.Write(site_event::kRecordsComplete, BootNow(),
+               absl::StrCat("epoch=", membership_.Epoch(), " witness=", from,
+                            " registered_ms=", witness.registered.count()));
+    owner->OnRecordsComplete();
+    return true;
+  };
+  if (take(Witness(), settings_.name)) return;
+  for (const auto& [name, entry] : membership_.View().entries) {
+    if (name == settings_.name) continue;
+    AskPeer(entry, kPeerWitnessPath, [take, name](const std::optional<std::string>& text) {
+      const auto witness = text ? OwnerWitnessFromText(*text) : std::nullopt;
+      if (witness) take(*witness, name);
+    });
+  }
 }
 
 template <site_platform Platform>
@@ -518,21 +566,23 @@
   if (asked->left == 0) return done(outage_verdict::kSomeSilent);
   for (const auto& [name, entry] : membership_.View().entries) {
     if (name == settings_.name) continue;
-    AskPeer(entry, kPeerHealthPath, [asked, epoch, done](const std::optional<std::string>& text) {
-      const auto health = text ? PeerHealthFromText(*text) : std::nullopt;
-      if (health) {
-        ++asked->answered;
-        asked->up_elsewhere = asked->up_elsewhere || health->store_age < kStoreFresh;
-        asked->other_owner = asked->other_owner || health->epoch > epoch;
-      }
-      if (--asked->left > 0) return;
-      if (asked->other_owner) return done(outage_verdict::kOtherOwner);
-      if (asked->up_elsewhere) return done(outage_verdict::kUpElsewhere);
-      // One that is silent may reach the store: a failure domain that is cut off hears only its own
-      // entries, and all of those are cut off from the store too.
-      done(asked->answered == asked->asked ? outage_verdict::kDownForAll
-                                           : outage_verdict::kSomeSilent);
-    });
+    AskPeer(entry, kPeerHealthPath,
+            [this, asked, epoch, done](const std::optional<std::string>& text) {
+              const auto health = text ? PeerHealthFromText(*text) : std::nullopt;
+              if (health) {
+                ++asked->answered;
+                asked->up_elsewhere = asked->up_elsewhere || health->store_age < kStoreFresh;
+                asked->other_owner = asked->other_owner || health->epoch > epoch;
+              }
+              if (--asked->left > 0) return;
+              if (asked->other_owner) return done(outage_verdict::kOtherOwner);
+              if (asked->up_elsewhere) return done(outage_verdict::kUpElsewhere);
+              // One that is silent may reach the store: a failure domain that is cut off hears only
+              // its own entries, and all of those are cut off from the store too.
+              if (asked->answered < asked->asked) return done(outage_verdict::kSomeSilent);
+              outage_confirmed_ = BootNow();
+              done(outage_verdict::kDownForAll);
+            });
   }
 }
 
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -33,6 +33,9 @@
   // False while it is not sure that no other entry owns the site: a process that was paused wakes
   // up with orders at hand, and an instance that the next owner cannot reach would take them.
   std::function<bool(monotonic_time now)> may_act;
+  // True while the store is known to be down for all entries: nobody can take the site over, and
+  // starts go out without their records.
+  std::function<bool(monotonic_time now)> store_down_for_all;
   // A question to a queue's policy; answered by OnAdvice().
   std::function<void(advice_order)> ask_advice;
 };
@@ -79,6 +82,11 @@
     TakeInbox({kCancelPrefix + id, {}}, false);
     Soon();
   }
+  // Another entry, or this one, vouches that no earlier owner sent starts without records.
+  void OnRecordsComplete() {
+    scheduler_.SetRecordsComplete();
+    Soon();
+  }
   bool Loaded() const { return loaded_; }
   // Nothing while the records are still being read.
   std::optional<graph_phase> PhaseOf(const std::string& job) const {
@@ -105,6 +113,12 @@
   static constexpr int kRestPerRound = 3;  // deciding takes a quarter of the time at most
   // Ends are stored together: a write for each would be most of the store's rate.
   static constexpr std::chrono::milliseconds kBetweenCommits{60};
+  // But starts wait for their records: these go out as soon as the change before them is done. Each
+  // change takes about 10 ms, so this is some 60 writes a second at most.
+  static constexpr std::chrono::milliseconds kBetweenStartCommits{6};
+  // A change without an answer after this time is looked for in the store: its answer may be lost,
+  // and all that waits for it would wait for the call's timeout.
+  static constexpr std::chrono::milliseconds kProbeAfter{150};
   static constexpr std::chrono::milliseconds kCommitRetry{150};
   static constexpr std::chrono::milliseconds kExpiryEvery{2000};
   static constexpr std::chrono::milliseconds kIdleWatchPause{50};
@@ -324,6 +338,9 @@
   // The instances that may run work are kept in the store: the registry loses those that are cut
   // off from it and run on.
   void NoteFleet() {
+    const uint64_t stamp = scheduler_.FleetStamp();
+    if (fleet_stamp_ == stamp) return;
+    fleet_stamp_ = stamp;
     std::vector<instance_report> fleet = scheduler_.Fleet();
     std::string text = FleetToText(fleet);
     if (text == fleet_text_) return;
@@ -352,6 +369,7 @@
   void Decide() {
     const monotonic_time now = BootNow();
     if (now < next_decide_ || !hooks_.may_act(now)) return;
+    scheduler_.SetUnrecordedStarts(hooks_.store_down_for_all(now));
     scheduler_orders orders = scheduler_.Decide(WallNow(), now);
     for (start_order& order : orders.starts) SendStart(std::move(order));
     for (const stop_order& order : orders.stops) SendStop(order);
@@ -432,16 +450,18 @@
 
   // Each change holds only while this entry owns the site and no other change of its own came
   // between: one that the store carries out late finds that and does nothing.
+  std::string CommitName() const { return absl::StrCat(epoch_, ".", commit_number_); }
   store_write Guarded() const {
     store_write write;
     write.expected = {{kOwnerKey, owner_revision_}, {kCommitKey, commit_revision_}};
-    write.puts.push_back({kCommitKey, absl::StrCat(epoch_), {}});
+    write.puts.push_back({kCommitKey, CommitName(), {}});
     return write;
   }
 
   void Commit() {
     const monotonic_time now = BootNow();
-    if (committing_ || now < next_commit_) return;
+    const auto pause = scheduler_.StartsPlanned() ? kBetweenStartCommits : kBetweenCommits;
+    if (committing_ || now < next_commit_ || now < last_commit_ + pause) return;
     NoteFleet();
     const size_t most = Platform::kMostInOneChange - kOwnEntries;
     std::vector<job_progress_write> writes = scheduler_.TakeUnstored(most);
@@ -469,19 +489,44 @@
       }
     }
     committing_ = true;
-    next_commit_ = now + kBetweenCommits;
+    last_commit_ = now;
+    committed_writes_ = std::move(writes);
+    committed_expired_ = std::move(expired);
+    committed_fleet_ = std::move(fleet);
     platform_.Store().Commit(
-        change, OnReply([writes = std::move(writes), expired = std::move(expired),
-                         fleet = std::move(fleet), now](self_type& self, const store_reply& reply) {
-          self.OnCommitted(writes, expired, fleet, reply, now);
+        change, OnReply([number = commit_number_](self_type& self, const store_reply& reply) {
+          self.OnCommitted(number, reply);
+        }));
+    Later(kProbeAfter, [number = commit_number_](self_type& self) { self.ProbeCommit(number); });
+  }
+
+  void ProbeCommit(uint64_t number) {
+    if (!committing_ || number != commit_number_) return;
+    platform_.Store().Get(
+        kCommitKey, OnReply([number](self_type& self, const store_reply& reply) {
+          if (!self.committing_ || number != self.commit_number_) return;
+          const bool done = reply.status == store_status::kDone && !reply.items.empty() &&
+                            reply.items.front().value == self.CommitName();
+          if (!done) {
+            self.Later(kProbeAfter, [number](self_type& again) { again.ProbeCommit(number); });
+            return;
+          }
+          store_reply found;
+          found.status = store_status::kDone;
+          found.revision = reply.items.front().revision;
+          self.OnCommitted(number, found);
         }));
   }
 
-  void OnCommitted(const std::vector<job_progress_write>& writes,
-                   const std::vector<std::string>& expired,
-                   const std::optional<std::vector<instance_report>>& fleet,
-                   const store_reply& reply, monotonic_time sent) {
+  void OnCommitted(uint64_t number, const store_reply& reply) {
+    // A probe may have told it before the answer came.
+    if (!committing_ || number != commit_number_) return;
     committing_ = false;
+    ++commit_number_;
+    const std::vector<job_progress_write> writes = std::move(committed_writes_);
+    const std::vector<std::string> expired = std::move(committed_expired_);
+    const std::optional<std::vector<instance_report>> fleet = std::move(committed_fleet_);
+    const monotonic_time sent = last_commit_;
     const monotonic_time now = BootNow();
     numbers_.CountStoreCall("commit", reply.status == store_status::kDone ? "done" : "not_done");
     if (reply.status == store_status::kDone) {
@@ -492,7 +537,9 @@
           site_event::kProgressStored, now,
           absl::StrCat("jobs=", writes.size(), " revision=", reply.revision, " ms=",
                        std::chrono::duration_cast<std::chrono::milliseconds>(now - sent).count()));
-      return Soon();
+      SendRecordedStarts(now);
+      Soon();
+      return Commit();
     }
     scheduler_.OnNotStored(writes);
     expired_.insert(expired_.end(), expired.begin(), expired.end());
@@ -508,6 +555,11 @@
     }
   }
 
+  void SendRecordedStarts(monotonic_time now) {
+    if (!hooks_.may_act(now)) return;
+    for (start_order& order : scheduler_.TakeStarts(now)) SendStart(std::move(order));
+  }
+
   void Expire() {
     for (std::string& id : scheduler_.TakeExpired(BootNow(), kExpireAtOnce)) {
       cancelled_.erase(id);
@@ -540,7 +592,14 @@
   std::set<std::string> cancelled_;  // until their jobs are forgotten
   uint64_t commit_revision_ = 0;
   bool committing_ = false;
-  monotonic_time next_commit_{};
+  uint64_t commit_number_ = 1;  // of the change on its way, or of the next one
+  monotonic_time last_commit_{};
+  monotonic_time next_commit_{};  // not before, after one that failed
+  // What the change on its way holds:
+  std::vector<job_progress_write> committed_writes_;
+  std::vector<std::string> committed_expired_;
+  std::optional<std::vector<instance_report>> committed_fleet_;
+  std::optional<uint64_t> fleet_stamp_;  // of fleet_
   std::string fleet_text_;
   std::vector<instance_report> fleet_;  // what fleet_text_ says
   bool fleet_unstored_ = false;
--- a/test/job_scheduler_test.cc
+++ b/test/job_scheduler_test.cc
@@ -228,18 +228,135 @@
   CheckNothingViolated();
 }
 
+// An owner dies while one instance is cut off. Jobs that wait have nothing to do with that
+// instance, and a user whose booking waits for its leases to run out waits five seconds for
+// nothing.
+TEST_CASE_METHOD(job_scheduler_fixture,
+                 "job scheduler, owner dies beside a cut instance, other work goes on") {
+  AddInstances(3);
+  world.Run(seconds(1));
+  world.Submit(Job(1, {Tasks(24, 1000, seconds(60))}));
+  world.Run(seconds(1));
+  world.Submit(Job(2, {Tasks(2, 1000, milliseconds(300))}));
+  world.Run(seconds(1));
+  REQUIRE(world.Running(JobId(2)) == 0);  // the floor is full
+  world.Cut("instance-0", true);
+  world.KillOwner(milliseconds(800));
+  world.Run(milliseconds(900));
+  world.AddInstance("instance-3", kSmallInstance);
+  world.Run(milliseconds(1500));
+  CHECK(world.Phase(JobId(2)) == graph_phase::kCompleted);
+  CheckNothingViolated();
+}
+
+// Owners that could not record their starts leave the next one in the dark: a task that seems to
+// wait may run on the instance that is cut off, and must not start elsewhere before its lease ends.
+TEST_CASE_METHOD(job_scheduler_fixture,
+                 "job scheduler, starts without records, next owner waits for cut instances") {
+  world.SetUnrecordedStarts();
+  AddInstances(2);
+  world.Run(seconds(1));
+  world.Submit(Job(1, {Tasks(12, 1000, seconds(20))}));
+  world.Run(seconds(1));
+  world.Cut("instance-0", true);
+  world.KillOwner(milliseconds(800));
+  world.Run(milliseconds(1200));
+  world.AddInstance("instance-2", kSmallInstance);
+  world.Run(seconds(40));
+  CHECK(world.Phase(JobId(1)) == graph_phase::kCompleted);
+  CheckNothingViolated();
+}
+
+class planned_start_fixture {
+ protected:
+  planned_start_fixture() {
+    report.id = "instance";
+    report.service = "service";
+    report.capacity = kSmallInstance;
+    owner.OnRegistry({report}, now);
+    owner.OnListing({{"instance", "", 0}, {}, 0, {}}, {5000, 0, {}, {}}, now, now);
+    owner.OnFleetStored(owner.Fleet());
+    owner.OnJob(Job(1, {Tasks(1, 1000, milliseconds(200))}), "", false, wall_time{}, now);
+  }
+
+  const monotonic_time now{seconds(100)};
+  job_scheduler owner{scheduler_options{}, 1, monotonic_time{}};
+  instance_report report;
+};
+
+// A start that leaves before its record is stored is unknown to the next owner, which starts the
+// task a second time.
+TEST_CASE_METHOD(planned_start_fixture, "job scheduler, start not recorded yet, is not sent") {
+  CHECK(owner.Decide(wall_time{}, now).starts.empty());
+  CHECK(owner.StartsPlanned());
+  const auto writes = owner.TakeUnstored(10);
+  REQUIRE(writes.size() == 1);
+  owner.OnStored(writes, now);
+  CHECK(owner.TakeStarts(now).size() == 1);
+}
+
+// The instance says that it leaves while the record of a start for it is on its way to the store.
+// Sent all the same, the work would be lost with the instance seconds later.
+TEST_CASE_METHOD(planned_start_fixture,
+                 "job scheduler, instance drains meanwhile, sends no start") {
+  owner.Decide(wall_time{}, now);
+  report.draining = true;
+  owner.OnRegistry({report}, now);
+  owner.OnStored(owner.TakeUnstored(10), now);
+  CHECK(owner.TakeStarts(now).empty());
+  CHECK(owner.RunCount() == 0);
+}
+
+// The caller cancels while the record of a start is on its way to the store.
+TEST_CASE_METHOD(planned_start_fixture, "job scheduler, job cancelled meanwhile, sends no start") {
+  owner.Decide(wall_time{}, now);
+  const auto writes = owner.TakeUnstored(10);
+  owner.OnCancel(JobId(1), now);
+  owner.OnStored(writes, now);
+  CHECK(owner.Decide(wall_time{}, now).stops.empty());
+  CHECK(owner.TakeStarts(now).empty());
+  CHECK(owner.RunCount() == 0);
+}
+
+// More ends wait at the instance than one listing holds. A task whose end is on the next page seems
+// to be nowhere; started again, a salary would be charged twice.
+TEST_CASE_METHOD(planned_start_fixture,
+                 "job scheduler, ends on several pages, starts nothing before the last") {
+  owner.Decide(wall_time{}, now);
+  const auto writes = owner.TakeUnstored(10);
+  job_scheduler next(scheduler_options{}, 2, now);
+  next.SetRecordsComplete();
+  next.OnInherited({report}, now);
+  next.OnRegistry({report}, now);
+  next.OnFleetStored({report});
+  next.OnJob(Job(1, {Tasks(1, 1000, milliseconds(200))}), writes.front().text, true, wall_time{},
+             now);
+  instance_listing page{5000, 0, {}, {}};
+  for (uint64_t i = 1; i <= 500; ++i) {
+    page.ended.push_back({i, {JobId(99), 0, 0, 0}, 1, run_end::kDone, ""});
+  }
+  next.OnListing({{"instance", "", 0}, {}, 0, {}}, page, now, now);
+  next.Decide(wall_time{}, now);
+  CHECK_FALSE(next.StartsPlanned());
+  const task_key key{JobId(1), 0, 0, 0};
+  next.OnListing({{"instance", "", 0}, {}, 500, {}},
+                 {5000, 0, {}, {{501, key, 1, run_end::kDone, ""}}}, now, now);
+  CHECK(next.Find(JobId(1))->phase == graph_phase::kCompleted);
+}
+
 // One course of random work under random faults.
 class random_course {
  public:
   static constexpr uint32_t kJobs = 30;
   static constexpr uint32_t kInstances = 6;
 
-  explicit random_course(uint64_t seed)
+  random_course(uint64_t seed, bool recorded)
       : random_(seed * 977), world_(seed, Faults()), cancelled_(kJobs), poisoned_(kJobs) {
     for (uint32_t i = 0; i < kInstances; ++i) {
       world_.AddInstance(Instance(i), kSmallInstance, absl::StrCat("r", i / 2));
     }
     world_.SetWorkspaceMaximum("workspace", {30000, 0, 0, 0});
+    if (!recorded) world_.SetUnrecordedStarts();
   }
 
   void Run() {
@@ -328,7 +445,18 @@
   constexpr uint64_t kSeeds = 300;
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     INFO("seed " << seed);
-    random_course course(seed);
+    random_course course(seed, true);
+    course.Run();
+    course.Check();
+  }
+}
+
+// The same while the store is down for all, where owners go on without records.
+TEST_CASE("job scheduler, random faults and no records, keeps every promise", "[property]") {
+  constexpr uint64_t kSeeds = 300;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    random_course course(seed, false);
     course.Run();
     course.Check();
   }
--- a/test/scheduling_world.cc
+++ b/test/scheduling_world.cc
@@ -394,6 +394,8 @@
   owner_->SetVersion(
       std::make_shared<const site_version>(1, std::vector<queue_terms>{}, std::move(workspaces),
                                            std::vector<service_terms>{}, caller_limits{}));
+  owner_->SetUnrecordedStarts(!recorded_);
+  if (recorded_) owner_->SetRecordsComplete();
   owner_->OnInherited(fleet_, Mono());
   ReadRegistry();
   for (auto& [id, kept] : store_) {
--- a/test/scheduling_world.h
+++ b/test/scheduling_world.h
@@ -51,6 +51,8 @@
   void Cut(const std::string& id, bool cut);
   void SetDraining(const std::string& id, std::chrono::milliseconds remaining);
   void KillOwner(std::chrono::milliseconds until_next);
+  // Owners that send starts without waiting for their records, and whose successors know that.
+  void SetUnrecordedStarts() { recorded_ = false; }
   void CutStore(bool cut) { store_cut_ = cut; }
 
   void Run(std::chrono::milliseconds time);
@@ -145,6 +147,7 @@
   std::vector<instance_report> fleet_;  // as stored
   size_t told_fleet_ = 0;               // size of the one that the owner knows to be stored
   bool store_cut_ = false;
+  bool recorded_ = true;
   std::vector<std::string> violations_;
   std::vector<std::string> notes_;
   std::vector<world_run> starts_;
