Judge the store by the calls under way; refuse at once, unsent, what could not be stored

The entry stayed ready, so the balancer sent it more.

Change: store_health watches the oldest call without an answer against the usual latency: doubtful after 250 ms (submissions wait a moment, unsent), down after 700 ms (refused at once, with a time to come back; not ready, so that other entries take the callers).

--- a/src/process/site/caller_front.h
+++ b/src/process/site/caller_front.h
@@ -19,6 +19,7 @@
 #include "process/site/site_metrics.h"
 #include "process/site/site_ports.h"
 #include "process/site/site_records.h"
+#include "process/site/store_health.h"
 
 namespace catkinford {
 
@@ -52,9 +53,10 @@
  public:
   using responder = std::function<void(http_response)>;
 
-  caller_front(Platform& platform, event_loop& loop, site_log& log, site_metrics& numbers,
-               std::chrono::milliseconds answer_within, front_hooks hooks)
+  caller_front(Platform& platform, store_health& health, event_loop& loop, site_log& log,
+               site_metrics& numbers, std::chrono::milliseconds answer_within, front_hooks hooks)
       : platform_(platform),
+        health_(health),
         loop_(loop),
         log_(log),
         numbers_(numbers),
@@ -82,6 +84,7 @@
 
  private:
   static constexpr std::chrono::milliseconds kStoreRetry{100};
+  static constexpr std::chrono::milliseconds kDoubtfulPause{40};
   static constexpr std::chrono::seconds kRetryAfter{1};  // an outage or a start-up lasts seconds
 
   // What lives for one call. The version stays as it was when the call came.
@@ -97,8 +100,12 @@
   using shared_call = std::shared_ptr<call>;
 
   store_callback Here(std::function<void(const store_reply&)> done) {
-    return [this, done = std::move(done)](store_reply reply) {
-      loop_.Post([done, reply = std::move(reply)] { done(reply); });
+    const uint64_t sent = health_.Sent(BootNow());
+    return [this, sent, done = std::move(done)](store_reply reply) {
+      loop_.Post([this, sent, done, reply = std::move(reply)] {
+        health_.Answered(sent, IsAnswer(reply), BootNow());
+        done(reply);
+      });
     };
   }
 
@@ -168,7 +175,7 @@
           job.workspace = current->workspace;
           job.terms = current->queue->jobs;
           job.accepted = WallNow();
-          Store(current, std::make_shared<const std::string>(JobToText(job)), false);
+          StoreWhenUp(current, std::make_shared<const std::string>(JobToText(job)));
           return {};
         },
         [&](graph_fault fault) {
@@ -178,6 +185,22 @@
         [&] { Refuse(*current, front_status::kBadRequest, "malformed"); });
   }
 
+  // What is not sent surely never runs. Sent to a store that is silent, the job may be kept or not,
+  // and its caller could be told neither.
+  void StoreWhenUp(const shared_call& current, const std::shared_ptr<const std::string>& text) {
+    switch (health_.State(BootNow())) {
+      case store_state::kUp:
+        return Store(current, text, false);
+      case store_state::kDoubtful:
+        loop_.After(kDoubtfulPause, [this, current, text] { StoreWhenUp(current, text); });
+        return;
+      case store_state::kDown:
+        Log(site_event::kJobRefused, *current, "why=store_down sent=0");
+        return Answer(*current, front_status::kUnavailable,
+                      Platform::EncodeError("store_unavailable"));
+    }
+  }
+
   // `unsure`: an earlier try got no answer, so the job may be kept already.
   void Store(const shared_call& current, const std::shared_ptr<const std::string>& text,
              bool unsure) {
@@ -299,7 +322,8 @@
   }
 
   void RetryState(const shared_call& current) {
-    if (BootNow() - current->arrived < answer_within_) {
+    const bool down = health_.State(BootNow()) == store_state::kDown;
+    if (!down && BootNow() - current->arrived < answer_within_) {
       loop_.After(kStoreRetry, [this, current] { TellState(current); });
       return;
     }
@@ -322,6 +346,7 @@
   }
 
   Platform& platform_;
+  store_health& health_;
   event_loop& loop_;
   site_log& log_;
   site_metrics& numbers_;
--- a/src/process/site/site_membership.h
+++ b/src/process/site/site_membership.h
@@ -22,6 +22,7 @@
 #include "process/site/site_log.h"
 #include "process/site/site_ports.h"
 #include "process/site/site_records.h"
+#include "process/site/store_health.h"
 
 namespace catkinford {
 
@@ -66,10 +67,11 @@
 template <key_value_store Store>
 class site_membership {
  public:
-  site_membership(Store& store, event_loop& loop, site_log& log, site_entry self,
-                  std::chrono::milliseconds ttl, std::chrono::milliseconds watch_wait,
-                  membership_hooks hooks)
+  site_membership(Store& store, store_health& health, event_loop& loop, site_log& log,
+                  site_entry self, std::chrono::milliseconds ttl,
+                  std::chrono::milliseconds watch_wait, membership_hooks hooks)
       : store_(store),
+        health_(health),
         loop_(loop),
         log_(log),
         self_(std::move(self)),
@@ -135,6 +137,17 @@
   static constexpr std::chrono::milliseconds kYieldAfter{2000};
 
   store_callback Here(std::function<void(const store_reply&)> done) {
+    const uint64_t call = health_.Sent(BootNow());
+    return [this, call, done = std::move(done)](store_reply reply) {
+      loop_.Post([this, call, done, reply = std::move(reply)] {
+        health_.Answered(call, IsAnswer(reply), BootNow());
+        Hear(reply);
+        done(reply);
+      });
+    };
+  }
+  // A watch waits at the store on purpose: how long it takes says nothing.
+  store_callback HereWatched(std::function<void(const store_reply&)> done) {
     return [this, done = std::move(done)](store_reply reply) {
       loop_.Post([this, done, reply = std::move(reply)] {
         Hear(reply);
@@ -144,8 +157,7 @@
   }
 
   void Hear(const store_reply& reply) {
-    const bool answered =
-        reply.status != store_status::kUnavailable && reply.status != store_status::kUnknown;
+    const bool answered = IsAnswer(reply);
     if (answered) answered_ = BootNow();
     if (answered == store_up_) return;
     store_up_ = answered;
@@ -231,7 +243,7 @@
   void WatchView(uint64_t after, uint64_t watch) {
     const monotonic_time sent = BootNow();
     store_.Watch(kSitePrefix, after, watch_wait_,
-                 Here([this, after, watch, sent](const store_reply& reply) {
+                 HereWatched([this, after, watch, sent](const store_reply& reply) {
                    if (watch != watch_number_ || resigning_) return;
                    if (reply.status != store_status::kDone) return ReadView();
                    for (const store_item& item : reply.items) view_.Take(item);
@@ -358,6 +370,7 @@
   }
 
   Store& store_;
+  store_health& health_;
   event_loop& loop_;
   site_log& log_;
   site_entry self_;
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -29,6 +29,7 @@
 #include "process/site/site_owner.h"
 #include "process/site/site_ports.h"
 #include "process/site/site_settings.h"
+#include "process/site/store_health.h"
 #include "process/site/version_follow.h"
 
 namespace catkinford {
@@ -69,6 +70,8 @@
   // A peer that heard of the store within this time shows that it is not down for all.
   static constexpr std::chrono::milliseconds kStoreFresh{900};
 
+  static constexpr std::chrono::milliseconds kReadinessCheck{100};
+
   using peer_answer = std::function<void(const std::optional<std::string>&)>;
 
   http_server_options OptionsFor(const std::string& address, uint16_t port) const;
@@ -100,6 +103,7 @@
   void SpreadAdvice();
   void AskAdvice(const advice_order& order, const std::string& entry);
   void TellReadiness();
+  void WatchReadiness();
   void UpdateAges();
 
   site_settings settings_;
@@ -108,6 +112,7 @@
   site_metrics numbers_;
   site_log log_;
   event_loop loop_;
+  store_health store_health_;
   site_membership<std::remove_reference_t<decltype(std::declval<Platform>().Store())>> membership_;
   version_follow<Platform> versions_;
   caller_front<Platform> front_;
@@ -134,7 +139,7 @@
       log_(settings_.name, settings_.logs.lines_per_second),
       loop_(kLoopCapacity),
       membership_(
-          platform.Store(), loop_, log_,
+          platform.Store(), store_health_, loop_, log_,
           site_entry{settings_.name,
                      absl::StrCat(settings_.listen.address, ":", settings_.listen.peer_port),
                      settings_.failure_domain, NewNonce(),
@@ -144,7 +149,7 @@
       versions_(
           platform, loop_, log_, settings_.timing.watch_wait, [this] { OnVersion(); },
           [this](std::function<void(std::string)> done) { VersionFromPeer(std::move(done)); }),
-      front_(platform, loop_, log_, numbers_, kAnswerWithin, FrontHooks()) {}
+      front_(platform, store_health_, loop_, log_, numbers_, kAnswerWithin, FrontHooks()) {}
 
 template <site_platform Platform>
 front_hooks site_node<Platform>::FrontHooks() {
@@ -231,6 +236,7 @@
     membership_.Start();
     versions_.Start();
     UpdateAges();
+    WatchReadiness();
   });
   return site_start_fault::kNone;
 }
@@ -374,9 +380,17 @@
 
 template <site_platform Platform>
 void site_node<Platform>::TellReadiness() {
-  const bool now = versions_.Version() != nullptr && !stopping_;
+  // Callers whose entry cannot reach the store are better served by another one.
+  const bool reaches = store_health_.State(BootNow()) != store_state::kDown;
+  const bool now = versions_.Version() != nullptr && !stopping_ && reaches;
   if (ready_.exchange(now) == now) return;
-  log_.Write(site_event::kReadiness, BootNow(), absl::StrCat("ready=", now));
+  log_.Write(site_event::kReadiness, BootNow(), absl::StrCat("ready=", now, " store=", reaches));
+}
+
+template <site_platform Platform>
+void site_node<Platform>::WatchReadiness() {
+  loop_.After(kReadinessCheck, [this] { WatchReadiness(); });
+  TellReadiness();
 }
 
 template <site_platform Platform>
--- a/src/process/site/site_ports.h
+++ b/src/process/site/site_ports.h
@@ -21,6 +21,11 @@
 
 namespace catkinford {
 
+// The store did what it was asked, or said why not.
+inline bool IsAnswer(const store_reply& reply) {
+  return reply.status != store_status::kUnavailable && reply.status != store_status::kUnknown;
+}
+
 using store_callback = std::function<void(store_reply)>;
 using order_callback = std::function<void(order_answer)>;
 using listing_callback = std::function<void(std::optional<instance_listing>, order_result)>;
