Declare records behind a slow store; bound starts in flight

Change: record_mode declares in the store that records run behind while changes take over 80 ms, and withdraws it once the store is quick and nothing is missing; a next owner that finds the declaration does not trust the records. 160 starts in flight at most, 4 at an instance, 128 first listings.

--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -124,6 +124,7 @@
   // Starts that were meant for an earlier life may arrive until then, and run for a lease.
   monotonic_time earlier_orders_until{};
 
+  uint32_t starts_in_flight = 0;
   bool listing_in_flight = false;
   monotonic_time listing_sent{};
   monotonic_time next_listing{};
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -34,6 +34,13 @@
   std::chrono::milliseconds keep_final{120000};  // how long an ended job's state is told
   std::chrono::milliseconds early_limit{250};    // a repeat may start this much too early
   double remote_factor = 2;                      // slower away from its data or off its rack
+  // Starts that are sent and not answered, in all and at one instance. After a takeover a whole
+  // floor may be waiting: sent at once, its starts take longer to send than their timeout lasts,
+  // their answers are not heard, and all of them are stopped and sent again. An answer takes 5 to
+  // 10 ms, so this many are 15,000 a second and more; two connections to an instance are free.
+  uint32_t starts_in_flight = 160;
+  uint32_t starts_at_instance = 4;
+  uint32_t fences_in_flight = 128;  // first listings of instances, likewise
 };
 
 struct job_progress_write {
@@ -87,6 +94,8 @@
   void SetRecordsComplete();
   // True: starts are sent without waiting for their records. Only while nobody can take over.
   void SetUnrecordedStarts(bool allowed) { unrecorded_starts_ = allowed; }
+  // Nothing is missing in the stored records, and no run of an earlier owner may be out of sight.
+  bool RecordsKnown() const;
   bool StartsPlanned() const { return !planned_.empty(); }
   // Starts whose record is stored by now; also among the orders of Decide().
   std::vector<start_order> TakeStarts(monotonic_time now);
@@ -191,6 +200,8 @@
   void Start(fleet_instance& instance, const ready_step& ready, uint32_t index, uint32_t number,
              monotonic_time now);
   uint32_t NextRun(const task_state_slot& task) const;
+  bool MayPlanMore() const { return planned_.size() < options_.starts_in_flight; }
+  bool MaySendTo(const fleet_instance& instance) const;
   bool StillGood(const start_order& order, const fleet_instance& instance,
                  monotonic_time now) const;
   bool Stored(const planned_start& planned) const;
@@ -252,6 +263,7 @@
   std::deque<std::string> final_;                             // in the order in which they ended
   std::deque<job_entry*> unstored_;  // changed since they were last given out, the oldest first
   std::deque<planned_start> planned_;
+  uint32_t starts_in_flight_ = 0;
   bool unrecorded_starts_ = false;
   bool records_complete_ = false;
   std::vector<scheduler_note> notes_;
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -256,6 +256,9 @@
 }
 
 void job_scheduler::PlanListings(scheduler_orders& orders, monotonic_time now) {
+  auto fences = static_cast<uint32_t>(std::count_if(
+      instances_.begin(), instances_.end(),
+      [](const auto& item) { return !item.second->listed && item.second->listing_in_flight; }));
   for (auto& [id, instance] : instances_) {
     if (instance->listing_in_flight || now < instance->next_listing) continue;
     AdvanceAcks(*instance);
@@ -264,6 +267,7 @@
     const bool ack = instance->ends_acked > instance->acks_sent;
     if (!fence && !back && !ack && instance->runs.empty()) continue;
     if (!instance->present && instance->runs.empty() && LeaseOver(*instance, now)) continue;
+    if (fence && fences++ >= options_.fences_in_flight) continue;
     list_order order;
     order.to = {id, instance->report.address, instance->report.incarnation};
     order.ends_seen = instance->ends_acked;
--- a/src/process/scheduling/scheduler_placing.cc
+++ b/src/process/scheduling/scheduler_placing.cc
@@ -133,6 +133,7 @@
   const step_terms& terms = ready.entry->job.steps[ready.index];
   step_progress& step = ready.occurrence->steps[ready.index];
   for (uint32_t i = 0; i < step.tasks.size() && step.waiting > 0; ++i) {
+    if (!MayPlanMore()) return;
     task_state_slot& task = step.tasks[i];
     if (task.phase != slot_phase::kWaiting) continue;
     if (!WithinLimit(*ready.entry, terms.need)) return;
@@ -276,6 +277,7 @@
     CountPossibleRuns();
   }
   for (const ready_step& ready : steps) {
+    if (!MayPlanMore()) break;
     const step_terms& terms = ready.entry->job.steps[ready.index];
     if (!inheritance_settled_ && MustWaitForInheritance(*ready.entry, terms.need)) continue;
     if (terms.gang) {
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -278,6 +278,7 @@
     // Also one that is not wanted: until it is gone, the task must not start elsewhere.
     if (task.phase != slot_phase::kDone) {
       task.open_runs.push_back({row.run, instance.report.id, {}});
+      Touch(*entry);
     }
     if (wanted && task.phase == slot_phase::kWaiting) {
       task.phase = slot_phase::kActive;
@@ -400,9 +401,11 @@
 
 void job_scheduler::OnStartAnswer(const start_order& order, const order_answer& answer,
                                   monotonic_time now) {
+  if (starts_in_flight_ > 0) --starts_in_flight_;
   const auto found = instances_.find(order.to.instance);
   if (found == instances_.end()) return;
   fleet_instance& instance = *found->second;
+  if (instance.starts_in_flight > 0) --instance.starts_in_flight;
   if (answer.clock_ms) NoteClock(instance, *answer.clock_ms, now);
   graph_run* run = FindRun(instance, order.key, order.run);
   if (run == nullptr) return;
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -27,6 +27,13 @@
 
 void job_scheduler::SetRecordsComplete() { records_complete_ = true; }
 
+bool job_scheduler::RecordsKnown() const {
+  const bool settled = records_complete_ || inheritance_settled_;
+  return settled && std::all_of(active_.begin(), active_.end(), [](const job_entry* entry) {
+           return entry->stored == entry->change;
+         });
+}
+
 void job_scheduler::Start(fleet_instance& instance, const ready_step& ready, uint32_t index,
                           uint32_t number, monotonic_time now) {
   job_entry& entry = *ready.entry;
@@ -93,6 +100,11 @@
   return found == jobs_.end() || found->second->stored >= planned.change;
 }
 
+bool job_scheduler::MaySendTo(const fleet_instance& instance) const {
+  return starts_in_flight_ < options_.starts_in_flight &&
+         instance.starts_in_flight < options_.starts_at_instance;
+}
+
 std::vector<start_order> job_scheduler::TakeStarts(monotonic_time now) {
   std::vector<start_order> out;
   std::deque<planned_start> later;
@@ -107,6 +119,10 @@
     fleet_instance& instance = *found->second;
     graph_run* run = FindRun(instance, order.key, order.run);
     if (run == nullptr || run->phase != run_phase::kPlanned) continue;
+    if (run->stopping == stop_cause::kNone && !MaySendTo(instance)) {
+      later.push_back(std::move(planned));
+      continue;
+    }
     if (run->stopping != stop_cause::kNone || !StillGood(order, instance, now)) {
       job_entry* entry = run->job;
       Note(scheduler_note::kind::kTaskRefused, order.key.job,
@@ -119,6 +135,8 @@
       }
       continue;
     }
+    ++starts_in_flight_;
+    ++instance.starts_in_flight;
     run->phase = run_phase::kSent;
     run->started = now;
     run->progressed = now;
--- a/src/process/site/site_log.h
+++ b/src/process/site/site_log.h
@@ -63,6 +63,7 @@
   kOwnershipLost = 642,
   kOwnerLoaded = 643,
   kRecordsComplete = 647,
+  kRecordsBehind = 648,
   kLeaseLost = 644,
   kEntrySeen = 645,
   kEntryGone = 646,
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -19,6 +19,7 @@
 #include "absl/strings/str_cat.h"
 #include "process/scheduling/job_scheduler.h"
 #include "process/site/event_loop.h"
+#include "process/site/record_mode.h"
 #include "process/site/site_log.h"
 #include "process/site/site_metrics.h"
 #include "process/site/site_ports.h"
@@ -84,8 +85,8 @@
   }
   // Another entry, or this one, vouches that no earlier owner sent starts without records.
   void OnRecordsComplete() {
-    scheduler_.SetRecordsComplete();
-    Soon();
+    vouched_ = true;
+    TrustRecords();
   }
   bool Loaded() const { return loaded_; }
   // Nothing while the records are still being read.
@@ -124,7 +125,7 @@
   static constexpr std::chrono::milliseconds kIdleWatchPause{50};
   static constexpr size_t kExpireAtOnce = 8;  // jobs; three keys each
   // Conditions and keys of the owner's own in each change.
-  static constexpr size_t kOwnEntries = 4;
+  static constexpr size_t kOwnEntries = 5;
 
   static scheduler_options OptionsOf(const site_settings& settings) {
     scheduler_options out;
@@ -212,6 +213,7 @@
           for (const store_item& item : reply.items) {
             if (item.key == kCommitKey) self.commit_revision_ = item.revision;
             if (item.key == kFleetKey) self.loaded_fleet_ = FleetFromText(item.value);
+            if (item.key == kBehindKey) self.records_behind_ = true;
           }
         },
         [](self_type& self) { self.LoadRegistry(); });
@@ -224,6 +226,8 @@
   void Begin() {
     const monotonic_time now = BootNow();
     loaded_ = true;
+    if (records_behind_) mode_.OnInherited();
+    TrustRecords();
     scheduler_.OnInherited(loaded_fleet_, now);
     scheduler_.OnRegistry(registry_, now);
     // In the order of their acceptance: shares are counted along it.
@@ -245,6 +249,14 @@
     Tick();
   }
 
+  // The records name all starts of earlier owners if none of them went on while the store was down,
+  // and none has declared its records to run behind.
+  void TrustRecords() {
+    if (!loaded_ || !vouched_ || records_behind_) return;
+    scheduler_.SetRecordsComplete();
+    Soon();
+  }
+
   void TakeInbox(const store_item& item, bool inherited) {
     if (item.deleted) return;
     const monotonic_time now = BootNow();
@@ -369,7 +381,8 @@
   void Decide() {
     const monotonic_time now = BootNow();
     if (now < next_decide_ || !hooks_.may_act(now)) return;
-    scheduler_.SetUnrecordedStarts(hooks_.store_down_for_all(now));
+    if (committing_) mode_.OnWaiting(WaitedSince(last_commit_, now));
+    scheduler_.SetUnrecordedStarts(!mode_.StartsWait() || hooks_.store_down_for_all(now));
     scheduler_orders orders = scheduler_.Decide(WallNow(), now);
     for (start_order& order : orders.starts) SendStart(std::move(order));
     for (const stop_order& order : orders.stops) SendStop(order);
@@ -387,6 +400,10 @@
     Commit();
   }
 
+  static std::chrono::milliseconds WaitedSince(monotonic_time since, monotonic_time now) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - since);
+  }
+
   // True when the answer ends this ownership.
   bool Fenced(order_result result, const order_target& to) {
     if (result != order_result::kFenced) return false;
@@ -403,6 +420,7 @@
           self.numbers_.CountOrder("start", std::string(ToText(answer.result)));
           if (self.Fenced(answer.result, order.to)) return;
           self.scheduler_.OnStartAnswer(order, answer, BootNow());
+          if (self.scheduler_.StartsPlanned()) self.SendRecordedStarts(BootNow());
           if (answer.result != order_result::kDone) self.Soon();
         }));
   }
@@ -465,8 +483,14 @@
     NoteFleet();
     const size_t most = Platform::kMostInOneChange - kOwnEntries;
     std::vector<job_progress_write> writes = scheduler_.TakeUnstored(most);
-    if (writes.empty() && !fleet_unstored_ && expired_.empty()) return;
+    const bool declares = mode_.WantsDeclared();
+    const bool withdraws = !declares && writes.empty() && mode_.WantsWithdrawn(RecordsKnown());
+    if (writes.empty() && !fleet_unstored_ && expired_.empty() && !declares && !withdraws) return;
     store_write change = Guarded();
+    if (declares) change.puts.push_back({kBehindKey, absl::StrCat(epoch_), {}});
+    if (withdraws) change.deletes.push_back(kBehindKey);
+    declares_ = declares;
+    withdraws_ = withdraws;
     for (const job_progress_write& write : writes) {
       change.puts.push_back({kProgressPrefix + write.job, write.text, {}});
     }
@@ -477,7 +501,7 @@
     }
     // Deletes go alone: three keys a job would not leave room for progress.
     std::vector<std::string> expired;
-    if (writes.empty()) {
+    if (writes.empty() && !withdraws) {
       const size_t count = std::min(expired_.size(), kExpireAtOnce);
       const auto end = expired_.begin() + static_cast<std::ptrdiff_t>(count);
       expired.assign(expired_.begin(), end);
@@ -531,6 +555,7 @@
     numbers_.CountStoreCall("commit", reply.status == store_status::kDone ? "done" : "not_done");
     if (reply.status == store_status::kDone) {
       commit_revision_ = reply.revision;
+      OnModeStored(WaitedSince(sent, now), now);
       scheduler_.OnStored(writes, now);
       if (fleet) scheduler_.OnFleetStored(*fleet);
       log_.Write(
@@ -555,6 +580,21 @@
     }
   }
 
+  bool RecordsKnown() const { return scheduler_.RecordsKnown(); }
+
+  void OnModeStored(std::chrono::milliseconds took, monotonic_time now) {
+    mode_.OnChange(took, now);
+    if (std::exchange(declares_, false)) {
+      mode_.OnDeclared();
+      log_.Write(site_event::kRecordsBehind, now, absl::StrCat("declared=1 ms=", took.count()));
+    }
+    if (std::exchange(withdraws_, false)) {
+      records_behind_ = false;
+      mode_.OnWithdrawn();
+      log_.Write(site_event::kRecordsBehind, now, absl::StrCat("declared=0 ms=", took.count()));
+    }
+  }
+
   void SendRecordedStarts(monotonic_time now) {
     if (!hooks_.may_act(now)) return;
     for (start_order& order : scheduler_.TakeStarts(now)) SendStart(std::move(order));
@@ -591,6 +631,11 @@
   std::vector<instance_report> registry_;
   std::set<std::string> cancelled_;  // until their jobs are forgotten
   uint64_t commit_revision_ = 0;
+  record_mode mode_;
+  bool records_behind_ = false;  // as an earlier owner declared
+  bool vouched_ = false;         // that no owner went on while the store was down
+  bool declares_ = false;        // the change on its way does
+  bool withdraws_ = false;
   bool committing_ = false;
   uint64_t commit_number_ = 1;  // of the change on its way, or of the next one
   monotonic_time last_commit_{};
--- a/src/process/site/site_records.h
+++ b/src/process/site/site_records.h
@@ -32,6 +32,7 @@
 inline constexpr char kProgressPrefix[] = "progress/";
 inline constexpr char kCommitKey[] = "owner/commit";
 inline constexpr char kFleetKey[] = "owner/fleet";
+inline constexpr char kBehindKey[] = "owner/behind";  // starts leave before their records
 
 struct site_entry {
   std::string name;
--- a/test/job_scheduler_test.cc
+++ b/test/job_scheduler_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <deque>
 #include <random>
 #include <string>
 #include <vector>
@@ -344,6 +345,44 @@
   CHECK(next.Find(JobId(1))->phase == graph_phase::kCompleted);
 }
 
+// A new owner finds a whole floor's work waiting. If all of it is sent at once, the answers come
+// later than the calls' timeouts: what runs is stopped as unknown and sent again, and nothing ever
+// ends.
+TEST_CASE("job scheduler, whole floor waiting, keeps starts in flight bounded") {
+  const monotonic_time now{seconds(100)};
+  const scheduler_options options;
+  job_scheduler owner(options, 1, monotonic_time{});
+  std::vector<instance_report> reports;
+  for (int i = 0; i < 350; ++i) {
+    instance_report report;
+    report.id = absl::StrCat("instance-", i);
+    report.service = "service";
+    report.capacity = kSmallInstance;
+    reports.push_back(report);
+  }
+  owner.OnRegistry(reports, now);
+  for (const instance_report& report : reports) {
+    owner.OnListing({{report.id, "", 0}, {}, 0, {}}, {5000, 0, {}, {}}, now, now);
+  }
+  owner.OnFleetStored(owner.Fleet());
+  for (uint32_t i = 0; i < 40; ++i) {
+    owner.OnJob(Job(i, {Tasks(50, 1000, seconds(1))}), "", true, wall_time{}, now);
+  }
+  size_t sent = 0;
+  std::deque<start_order> in_flight;
+  for (int round = 0; round < 400 && sent < 2000; ++round) {
+    for (start_order& order : owner.Decide(wall_time{}, now).starts) in_flight.push_back(order);
+    owner.OnStored(owner.TakeUnstored(100), now);
+    for (start_order& order : owner.TakeStarts(now)) in_flight.push_back(order);
+    REQUIRE(in_flight.size() <= options.starts_in_flight);
+    for (int answered = 0; answered < 40 && !in_flight.empty(); ++answered, ++sent) {
+      owner.OnStartAnswer(in_flight.front(), {order_result::kDone, 5000}, now);
+      in_flight.pop_front();
+    }
+  }
+  CHECK(sent == 2000);
+}
+
 // One course of random work under random faults.
 class random_course {
  public:
