Believe an outage that all entries confirmed for 3.5 s more when some fall silent

Change: the owner goes on for 3.5 s after the last confirmation by all; a next owner for whom nobody vouches waits that much longer for instances that it cannot list.

--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -29,6 +29,8 @@
   std::chrono::milliseconds run_lease{4000};  // of a run, without a renewal
   // An earlier owner may have gone on for this long after this one began.
   std::chrono::milliseconds earlier_owner{700};
+  // And for this much longer, if the records are not known to be complete.
+  std::chrono::milliseconds unvouched_owner{0};
   std::chrono::milliseconds stop_limit{900};     // a stop takes at most this long
   std::chrono::milliseconds gang_limit{3000};    // members wait this long for each other
   std::chrono::milliseconds keep_final{120000};  // how long an ended job's state is told
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -182,7 +182,9 @@
   if (now < instance.earlier_orders_until) return false;
   if (instance.lease_unknown) {
     const double longest = static_cast<double>(options_.run_lease.count()) / kSlowestClock;
-    return now > took_over_ + options_.earlier_owner + milliseconds(static_cast<int64_t>(longest));
+    const milliseconds alone = records_complete_ ? milliseconds{0} : options_.unvouched_owner;
+    return now > took_over_ + options_.earlier_owner + alone +
+                     milliseconds(static_cast<int64_t>(longest));
   }
   return instance.LeaseSurelyOver(now);
 }
--- a/src/process/site/peer_words.cc
+++ b/src/process/site/peer_words.cc
@@ -9,12 +9,12 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-// What an owner started without a record after such a confirmation has ended by then: the owner
-// trusts it for 0.65 s, and the start's lease is 4 s by a clock that may be 2 % slow.
-constexpr milliseconds kUnrecordedMatter{6000};
+// What an owner started without a record after such a confirmation has ended by then: the owner goes
+// on for 3.5 s and 0.65 s more, and the start's lease is 4 s by a clock that may be 2 % slow.
+constexpr milliseconds kUnrecordedMatter{9000};
 // An owner's view of the entries may be this old at most (a watch that hangs: 3.5 s), so one that
 // was registered for longer than that and kUnrecordedMatter was asked by any owner that matters.
-constexpr milliseconds kSteadyEntry{10000};
+constexpr milliseconds kSteadyEntry{12500};
 
 // Runs `read` over the parsed text; nothing where a field is missing or of another type.
 template <typename T, typename Read>
--- a/src/process/site/site_membership.h
+++ b/src/process/site/site_membership.h
@@ -34,6 +34,12 @@
   kOtherOwner    // another entry has seen a higher epoch
 };
 
+// A failure domain may be cut off while the store is down for all, and its entries fall silent. An
+// owner that stopped then would let everything that runs be killed. It goes on for this long after
+// all entries confirmed the outage; a next owner that finds nobody to vouch that this did not happen
+// waits as much longer for instances that it cannot list. Outages last four to five seconds.
+inline constexpr std::chrono::milliseconds kOwnerGoesOnAlone{3500};
+
 // The present content of the keys under kSitePrefix.
 struct site_view {
   std::optional<owner_word> owner;
@@ -113,14 +119,13 @@
     if (registered_ == monotonic_time::max()) return std::chrono::milliseconds{0};
     return std::chrono::duration_cast<std::chrono::milliseconds>(now - registered_);
   }
-  // Every other entry has just confirmed that it cannot reach the store either.
-  bool StoreDownForAll(monotonic_time now) const {
-    return owns_ && now < outage_seen_ + kOutageTrusted;
-  }
+  // Every other entry confirmed, just now or a few seconds ago, that it cannot reach the store
+  // either; starts need not wait for records that cannot be stored.
+  bool OutageTrusted(monotonic_time now) const { return owns_ && now < outage_trusted_until_; }
   // No other entry can own the site at this moment: the lease holds, or the store has just been
   // seen to be down for all.
   bool MayAct(monotonic_time now) const {
-    return owns_ && (LeaseGood(now) || StoreDownForAll(now));
+    return owns_ && (LeaseGood(now) || OutageTrusted(now));
   }
 
  private:
@@ -128,6 +133,8 @@
   static constexpr std::chrono::milliseconds kCheckEvery{200};
   // Longer than a round of questions to the peers and the pause before it.
   static constexpr std::chrono::milliseconds kOutageTrusted{650};
+  // How long an outage that all entries confirmed is believed after some of them went silent.
+  static constexpr std::chrono::milliseconds kOutageBelieved = kOwnerGoesOnAlone;
   // A store that has answered nothing for this long is asked about at the other entries.
   static constexpr std::chrono::milliseconds kStoreSilent{900};
   // A watch that answers at once with nothing new is asked again only after this.
@@ -358,8 +365,12 @@
     hooks_.ask_peers([this, epoch = epoch_](outage_verdict verdict) {
       asking_ = false;
       if (!owns_ || epoch != epoch_) return;
-      if (verdict == outage_verdict::kDownForAll) {
-        outage_seen_ = BootNow();
+      const monotonic_time now = BootNow();
+      if (verdict == outage_verdict::kDownForAll) outage_seen_ = now;
+      const bool believed =
+          verdict == outage_verdict::kSomeSilent && now < outage_seen_ + kOutageBelieved;
+      if (verdict == outage_verdict::kDownForAll || believed) {
+        outage_trusted_until_ = now + kOutageTrusted;
         return;
       }
       if (LeaseGood(BootNow())) return;
@@ -393,7 +404,8 @@
   bool store_up_ = true;
   monotonic_time answered_{};
   monotonic_time registered_ = monotonic_time::max();  // since when the store names this entry
-  monotonic_time outage_seen_{};
+  monotonic_time outage_seen_{};  // when all entries last confirmed it
+  monotonic_time outage_trusted_until_{};
   monotonic_time stronger_since_ = monotonic_time::max();
   uint64_t epoch_ = 0;
   uint64_t owner_revision_ = 0;
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -411,9 +411,7 @@
   owner_hooks hooks;
   hooks.superseded = [this](const std::string& why) { membership_.OnSuperseded(why); };
   hooks.may_act = [this](monotonic_time now) { return membership_.MayAct(now); };
-  hooks.store_down_for_all = [this](monotonic_time now) {
-    return membership_.StoreDownForAll(now);
-  };
+  hooks.store_down_for_all = [this](monotonic_time now) { return membership_.OutageTrusted(now); };
   hooks.ask_advice = [this](advice_order order) {
     advice_.Add(std::move(order));
     SpreadAdvice();
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -21,6 +21,7 @@
 #include "process/site/event_loop.h"
 #include "process/site/record_mode.h"
 #include "process/site/site_log.h"
+#include "process/site/site_membership.h"
 #include "process/site/site_metrics.h"
 #include "process/site/site_ports.h"
 #include "process/site/site_records.h"
@@ -133,6 +134,7 @@
     out.stop_limit = settings.bounds.stop_limit;
     out.gang_limit = settings.bounds.gang_limit;
     out.keep_final = settings.bounds.keep_final;
+    out.unvouched_owner = kOwnerGoesOnAlone;
     out.early_limit = settings.bounds.early_limit;
     out.remote_factor = settings.bounds.remote_factor;
     return out;
