Follow a dead owner without waiting for its lease

Change: two entries ask the owner's process eight times a second. Refused twice, answered by another process, or silent for 550 ms, it is suspected; four other entries look for themselves, and if none reaches it, the watcher claims. The earlier owner may go on until its lease ends: leases of runs are waited for that much longer at instances that cannot be listed.

--- a/src/process/site/peer_words.cc
+++ b/src/process/site/peer_words.cc
@@ -70,6 +70,25 @@
   });
 }
 
+std::string AliveToText(uint64_t nonce) { return json{{"nonce", nonce}}.dump(); }
+
+std::optional<uint64_t> AliveFromText(std::string_view text) {
+  return Parse<uint64_t>(text, [](const json& in, uint64_t& out) {
+    out = in.at("nonce").get<uint64_t>();
+  });
+}
+
+std::string LookToText(alive_answer answer) {
+  return json{{"owner", static_cast<int>(answer)}}.dump();
+}
+
+std::optional<alive_answer> LookFromText(std::string_view text) {
+  const auto owner = Parse<int>(
+      text, [](const json& in, int& out) { out = in.at("owner").get<int>(); });
+  if (!owner || *owner < 0 || *owner > static_cast<int>(alive_answer::kSilent)) return std::nullopt;
+  return static_cast<alive_answer>(*owner);
+}
+
 std::string OwnerWitnessToText(const owner_witness& witness) {
   json out{{"registered_ms", witness.registered.count()}};
   if (witness.confirmed_age) out["confirmed_ms"] = witness.confirmed_age->count();
--- a/src/process/site/peer_words.h
+++ b/src/process/site/peer_words.h
@@ -4,6 +4,8 @@
 //   GET  /peer/pending?queue=
 //   GET  /peer/health        when the store last answered, the highest epoch seen
 //   GET  /peer/witness       whether an owner may have gone on while the store was down
+//   GET  /peer/alive         the process's nonce; answered without its loop
+//   GET  /peer/look          whether the owner's process is alive, as seen from there
 //   GET  /peer/version       the configuration's text
 //   POST /peer/advise        asks a queue's policy from there
 //   POST /peer/job           a job's record, just stored: the owner need not wait for its watch
@@ -23,12 +25,15 @@
 
 #include "process/scheduling/graph_state.h"
 #include "process/scheduling/scheduler_messages.h"
+#include "process/site/owner_suspicion.h"
 
 namespace catkinford {
 
 inline constexpr char kPeerStatePath[] = "/peer/state";
 inline constexpr char kPeerPendingPath[] = "/peer/pending";
 inline constexpr char kPeerHealthPath[] = "/peer/health";
+inline constexpr char kPeerAlivePath[] = "/peer/alive";
+inline constexpr char kPeerLookPath[] = "/peer/look";
 inline constexpr char kPeerWitnessPath[] = "/peer/witness";
 inline constexpr char kPeerVersionPath[] = "/peer/version";
 inline constexpr char kPeerAdvisePath[] = "/peer/advise";
@@ -66,6 +71,10 @@
 std::optional<told_pending> ToldPendingFromText(std::string_view text);
 std::string PeerHealthToText(const peer_health& health);
 std::optional<peer_health> PeerHealthFromText(std::string_view text);
+std::string AliveToText(uint64_t nonce);
+std::optional<uint64_t> AliveFromText(std::string_view text);
+std::string LookToText(alive_answer answer);
+std::optional<alive_answer> LookFromText(std::string_view text);
 std::string OwnerWitnessToText(const owner_witness& witness);
 std::optional<owner_witness> OwnerWitnessFromText(std::string_view text);
 // True when the witness rules out starts without records whose leases still hold.
--- a/src/process/site/site_log.cc
+++ b/src/process/site/site_log.cc
@@ -73,6 +73,8 @@
                     "An entry vouches that the records name all starts of earlier owners."},
     site_event_info{kRecordsBehind, kInfo, "records_behind",
                     "The store is slow: starts no longer wait for their records, or do again."},
+    site_event_info{kOwnerSuspected, kWarning, "owner_suspected",
+                    "The owner's process seems dead; what other entries see decides."},
     site_event_info{kLeaseLost, kWarning, "lease_lost", "The store ended this entry's lease."},
     site_event_info{kEntrySeen, kInfo, "entry_seen", "Another entry is registered."},
     site_event_info{kEntryGone, kWarning, "entry_gone", "Another entry's lease is over."},
--- a/src/process/site/site_log.h
+++ b/src/process/site/site_log.h
@@ -64,6 +64,7 @@
   kOwnerLoaded = 643,
   kRecordsComplete = 647,
   kRecordsBehind = 648,
+  kOwnerSuspected = 649,
   kLeaseLost = 644,
   kEntrySeen = 645,
   kEntryGone = 646,
--- a/src/process/site/site_membership.cc
+++ b/src/process/site/site_membership.cc
@@ -17,6 +17,7 @@
 // Orders and listings of 350 instances took up to 20 Mbit/s: a link above this is never what binds.
 constexpr double kWideLinkMbps = 100;
 constexpr double kLeastLinkShare = 0.05;
+constexpr size_t kWatchers = 2;   // of the owner: one may be dead or cut off too
 constexpr size_t kMostSteps = 8;  // however many entries live, one of the first claims
 
 }  // namespace
@@ -58,6 +59,18 @@
   });
 }
 
+bool WatchesOwner(const site_view& view, const std::string& self) {
+  if (!view.owner || view.owner->entry.name == self || !view.entries.contains(self)) return false;
+  const auto mine = ClaimDelay(view, self);
+  size_t before = 0;
+  for (const auto& [name, entry] : view.entries) {
+    if (name == self || name == view.owner->entry.name) continue;
+    const auto theirs = ClaimDelay(view, name);
+    if (theirs < mine || (theirs == mine && name < self)) ++before;
+  }
+  return before < kWatchers;
+}
+
 std::chrono::milliseconds ClaimDelay(const site_view& view, const std::string& self) {
   const auto mine = view.entries.find(self);
   if (mine == view.entries.end()) return kBetweenClaims;
--- a/src/process/site/site_membership.h
+++ b/src/process/site/site_membership.h
@@ -67,6 +67,8 @@
 // How long to wait before claiming a site without an owner: entries claim one after the other, so
 // that mostly one call is made and not one from each, and the strong ones first.
 std::chrono::milliseconds ClaimDelay(const site_view& view, const std::string& self);
+// Whether this entry is one of those that watch the owner's process.
+bool WatchesOwner(const site_view& view, const std::string& self);
 // An entry lives that is much stronger than this one.
 bool MuchStrongerLives(const site_view& view, const site_entry& self);
 
@@ -100,6 +102,12 @@
                     Here([done = std::move(done)](const store_reply&) { done(); }));
   }
 
+  // The owner of this epoch is dead, as this entry and others see it: its lease is not waited for.
+  void ClaimFrom(uint64_t epoch) {
+    if (!view_.owner || view_.owner->epoch != epoch || owns_ || claim_pending_) return;
+    Claim(true);
+  }
+
   // An instance or the store has told of a higher epoch.
   void OnSuperseded(const std::string& why) {
     if (owns_) Lose(why);
@@ -109,6 +117,8 @@
   const site_view& View() const { return view_; }
   const site_entry& Self() const { return self_; }
   bool Owns() const { return owns_; }
+  // The earlier owner's lease had not ended: it may go on until it does.
+  bool ClaimedEarly() const { return claimed_early_; }
   uint64_t Epoch() const { return epoch_; }
   uint64_t OwnerRevision() const { return owner_revision_; }
   // When the store last answered a call of this class.
@@ -293,12 +303,12 @@
     claim_pending_ = true;
     loop_.After(ClaimDelay(view_, self_.name), [this] {
       claim_pending_ = false;
-      Claim();
+      Claim(false);
     });
   }
 
-  void Claim() {
-    const bool free = !view_.owner || view_.owner->entry.name == self_.name;
+  void Claim(bool early) {
+    const bool free = early || !view_.owner || view_.owner->entry.name == self_.name;
     if (resigning_ || owns_ || !free || !LeaseGood(BootNow())) return;
     const owner_word word{self_, view_.epoch + 1};
     store_write write;
@@ -306,7 +316,7 @@
     write.puts.push_back({kOwnerKey, OwnerToText(word), lease_});
     write.puts.push_back({kEpochKey, absl::StrCat(word.epoch), {}});
     claim_pending_ = true;
-    store_.Commit(write, Here([this, word](const store_reply& reply) {
+    store_.Commit(write, Here([this, word, early](const store_reply& reply) {
                     claim_pending_ = false;
                     if (reply.status != store_status::kDone || resigning_) {
                       loop_.After(kRetry, [this] { ReadView(); });
@@ -318,10 +328,11 @@
                     view_.epoch = word.epoch;
                     view_.epoch_revision = reply.revision;
                     owns_ = true;
+                    claimed_early_ = early;
                     epoch_ = word.epoch;
                     owner_revision_ = reply.revision;
                     log_.Write(site_event::kOwnershipWon, BootNow(),
-                               absl::StrCat("epoch=", epoch_));
+                               absl::StrCat("epoch=", epoch_, " early=", early));
                     hooks_.won();
                   }));
   }
@@ -399,6 +410,7 @@
   bool keep_in_flight_ = false;
   bool claim_pending_ = false;
   bool owns_ = false;
+  bool claimed_early_ = false;
   bool asking_ = false;
   bool resigning_ = false;
   bool store_up_ = true;
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,6 +23,7 @@
 #include "process/site/advice_spread.h"
 #include "process/site/caller_front.h"
 #include "process/site/event_loop.h"
+#include "process/site/owner_suspicion.h"
 #include "process/site/peer_words.h"
 #include "process/site/site_log.h"
 #include "process/site/site_membership.h"
@@ -71,6 +73,10 @@
   static constexpr std::chrono::milliseconds kStoreFresh{900};
 
   static constexpr std::chrono::milliseconds kReadinessCheck{100};
+  static constexpr std::chrono::milliseconds kAliveTimeout{250};
+  // A question that failed sooner was refused: a silent address takes the whole timeout.
+  static constexpr std::chrono::milliseconds kRefusedWithin{150};
+  static constexpr size_t kOthersAsked = 4;  // of different failure domains, if there are
 
   using peer_answer = std::function<void(const std::optional<std::string>&)>;
 
@@ -98,6 +104,10 @@
   void PendingFromOwner(const std::string& queue, std::function<void(std::optional<size_t>)> done);
   void VersionFromPeer(std::function<void(std::string)> done);
   void JudgeOutage(const std::function<void(outage_verdict)>& done);
+  // Watching the owner's process.
+  void WatchOwner();
+  void LookAtOwner(const std::function<void(alive_answer)>& done);
+  void OnSuspected(uint64_t epoch);
   owner_witness Witness() const;
   void SeekWitness();
   void SpreadAdvice();
@@ -120,6 +130,8 @@
   std::shared_ptr<site_owner<Platform>> owner_;
   std::map<std::string, bool> peer_silent_;
   size_t next_peer_ = 0;
+  owner_suspicion suspicion_;
+  bool asking_others_ = false;    // whether they see the owner dead too
   uint64_t witnessed_epoch_ = 0;  // of the ownership for which a witness was found
   std::optional<monotonic_time> outage_confirmed_;  // when this entry last told an owner of one
   std::atomic<bool> ready_{false};
@@ -237,6 +249,7 @@
     versions_.Start();
     UpdateAges();
     WatchReadiness();
+    WatchOwner();
   });
   return site_start_fault::kNone;
 }
@@ -323,6 +336,9 @@
 
 template <site_platform Platform>
 void site_node<Platform>::OnPeer(http_server::token token, http_request request) {
+  if (request.path == kPeerAlivePath) {
+    return peer_server_->Respond(token, {.body = AliveToText(membership_.Self().nonce)});
+  }
   const bool taken =
       loop_.TryPost([this, token, request = std::move(request)] { AnswerPeer(token, request); });
   if (!taken) peer_server_->Respond(token, {.status = front_status::kUnavailable});
@@ -347,6 +363,10 @@
     response.body = PeerHealthToText({age, membership_.View().epoch});
   } else if (request.path == kPeerWitnessPath) {
     response.body = OwnerWitnessToText(Witness());
+  } else if (request.path == kPeerLookPath) {
+    return LookAtOwner([this, token](alive_answer answer) {
+      peer_server_->Respond(token, {.body = LookToText(answer)});
+    });
   } else if (request.path == kPeerVersionPath) {
     response.body = versions_.Text();
   } else if (request.path == kPeerJobPath) {
@@ -406,6 +426,79 @@
   numbers_.log_lines_left_out.Increment(left_out - numbers_.log_lines_left_out.Value());
 }
 
+// One question to the owner's process.
+template <site_platform Platform>
+void site_node<Platform>::LookAtOwner(const std::function<void(alive_answer)>& done) {
+  const site_entry* owner = Owner();
+  if (owner == nullptr) return done(alive_answer::kAlive);  // nobody, or this entry
+  http_call call;
+  call.url = absl::StrCat("http://", owner->address, kPeerAlivePath);
+  call.timeout = kAliveTimeout;
+  const monotonic_time asked = BootNow();
+  peers_.Send(std::move(call), [this, done, asked, nonce = owner->nonce](http_result result) {
+    loop_.Post([done, asked, nonce, result = std::move(result)] {
+      if (result.status == transfer_status::kDone) {
+        const auto alive = AliveFromText(result.body);
+        return done(alive == nonce ? alive_answer::kAlive : alive_answer::kOtherProcess);
+      }
+      const bool refused = BootNow() - asked < kRefusedWithin;
+      done(refused ? alive_answer::kRefused : alive_answer::kSilent);
+    });
+  });
+}
+
+template <site_platform Platform>
+void site_node<Platform>::WatchOwner() {
+  const auto again = [this](std::chrono::milliseconds pause) {
+    loop_.After(pause, [this] { WatchOwner(); });
+  };
+  const bool watches = WatchesOwner(membership_.View(), settings_.name) && !stopping_ &&
+                       store_health_.State(BootNow()) == store_state::kUp;
+  if (!watches) return again(suspicion_.Pause());
+  const uint64_t epoch = membership_.View().owner->epoch;
+  suspicion_.Watch(epoch, BootNow());
+  LookAtOwner([this, epoch, again](alive_answer answer) {
+    suspicion_.OnAnswer(answer, BootNow());
+    if (suspicion_.Suspected(BootNow())) OnSuspected(epoch);
+    again(suspicion_.Pause());
+  });
+}
+
+// This entry may be the one that is cut off: others are asked what they see.
+template <site_platform Platform>
+void site_node<Platform>::OnSuspected(uint64_t epoch) {
+  if (std::exchange(asking_others_, true)) return;
+  log_.Write(site_event::kOwnerSuspected, BootNow(), absl::StrCat("epoch=", epoch));
+  std::vector<site_entry> others;
+  std::set<std::string> domains;
+  for (const bool fresh_domain : {true, false}) {
+    for (const auto& [name, entry] : membership_.View().entries) {
+      const bool owner = Owner() != nullptr && name == Owner()->name;
+      if (name == settings_.name || owner || others.size() >= kOthersAsked) continue;
+      if (domains.insert(entry.failure_domain).second == fresh_domain) others.push_back(entry);
+    }
+  }
+  if (others.empty()) {
+    asking_others_ = false;
+    return;
+  }
+  auto answers = std::make_shared<std::vector<alive_answer>>();
+  auto left = std::make_shared<size_t>(others.size());
+  for (const site_entry& other : others) {
+    AskPeer(other, kPeerLookPath, [this, answers, left, epoch](
+                                      const std::optional<std::string>& text) {
+      const auto seen = text ? LookFromText(*text) : std::nullopt;
+      if (seen) answers->push_back(*seen);
+      if (--*left > 0) return;
+      asking_others_ = false;
+      const bool shared = SuspicionShared(*answers);
+      log_.Write(site_event::kOwnerSuspected, BootNow(),
+                 absl::StrCat("epoch=", epoch, " answers=", answers->size(), " shared=", shared));
+      if (shared && !stopping_) membership_.ClaimFrom(epoch);
+    });
+  }
+}
+
 template <site_platform Platform>
 void site_node<Platform>::OnWon() {
   owner_hooks hooks;
@@ -418,7 +511,7 @@
   };
   owner_ = std::make_shared<site_owner<Platform>>(platform_, loop_, log_, numbers_, settings_,
                                                   membership_.Epoch(), membership_.OwnerRevision(),
-                                                  std::move(hooks));
+                                                  membership_.ClaimedEarly(), std::move(hooks));
   numbers_.owns_site.Set(1);
   numbers_.takeovers.Increment();
   owner_->Start(versions_.Version());
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -49,7 +49,7 @@
 class site_owner : public std::enable_shared_from_this<site_owner<Platform>> {
  public:
   site_owner(Platform& platform, event_loop& loop, site_log& log, site_metrics& numbers,
-             const site_settings& settings, uint64_t epoch, uint64_t owner_revision,
+             const site_settings& settings, uint64_t epoch, uint64_t owner_revision, bool early,
              owner_hooks hooks)
       : platform_(platform),
         loop_(loop),
@@ -59,7 +59,7 @@
         epoch_(epoch),
         owner_revision_(owner_revision),
         hooks_(std::move(hooks)),
-        scheduler_(OptionsOf(settings), epoch, BootNow()) {}
+        scheduler_(OptionsOf(settings, early), epoch, BootNow()) {}
 
   void Start(std::shared_ptr<const site_version> version) {
     began_ = BootNow();
@@ -128,12 +128,14 @@
   // Conditions and keys of the owner's own in each change.
   static constexpr size_t kOwnEntries = 5;
 
-  static scheduler_options OptionsOf(const site_settings& settings) {
+  // `early`: the earlier owner's lease has not ended, and it may go on until then.
+  static scheduler_options OptionsOf(const site_settings& settings, bool early) {
     scheduler_options out;
     out.run_lease = std::min(settings.timing.run_lease, settings.bounds.longest_run_lease);
     out.stop_limit = settings.bounds.stop_limit;
     out.gang_limit = settings.bounds.gang_limit;
     out.keep_final = settings.bounds.keep_final;
+    if (early) out.earlier_owner += settings.timing.owner_lease;
     out.unvouched_owner = kOwnerGoesOnAlone;
     out.early_limit = settings.bounds.early_limit;
     out.remote_factor = settings.bounds.remote_factor;
