Tell callers refused in an outage to come back after about as long as it has lasted

Change: one to three seconds, as long as the outage has lasted. Kept: four tries now span more than five seconds (test), which is what a caller needs.

--- a/src/process/site/caller_front.h
+++ b/src/process/site/caller_front.h
@@ -85,7 +85,6 @@
  private:
   static constexpr std::chrono::milliseconds kStoreRetry{100};
   static constexpr std::chrono::milliseconds kDoubtfulPause{40};
-  static constexpr std::chrono::seconds kRetryAfter{1};  // an outage or a start-up lasts seconds
 
   // What lives for one call. The version stays as it was when the call came.
   struct call {
@@ -120,7 +119,9 @@
     response.status = status;
     response.body = std::move(body);
     response.close = hooks_.stopping();
-    if (status == front_status::kUnavailable) response.retry_after = kRetryAfter;
+    if (status == front_status::kUnavailable) {
+      response.retry_after = health_.ComeBackAfter(BootNow());
+    }
     numbers_.CountAnswer(
         NameOf(current), status,
         std::chrono::duration_cast<std::chrono::microseconds>(BootNow() - current.arrived));
--- a/src/process/site/store_health.cc
+++ b/src/process/site/store_health.cc
@@ -13,6 +13,9 @@
 // A store that is slow for all, up to a hundred times, is not down.
 constexpr double kTimesUsual = 4;
 constexpr double kKeep = 0.8;  // weight of the past in the smoothed latency
+// For callers that are refused. Beyond a few seconds a quick job is late whatever happens.
+constexpr std::chrono::seconds kSoonest{1};
+constexpr std::chrono::seconds kLatest{3};
 // One call that is turned away or lost says little: single answers get lost.
 constexpr uint32_t kFailedInARow = 2;
 
@@ -33,6 +36,7 @@
     return;
   }
   failed_ = 0;
+  answered_ = now;
   last_good_ = std::max(last_good_, call);
   latency_ = kKeep * latency_ + (1 - kKeep) * took;
 }
@@ -49,6 +53,11 @@
   return store_state::kUp;
 }
 
+std::chrono::seconds store_health::ComeBackAfter(monotonic_time now) const {
+  if (answered_ == monotonic_time::max()) return kSoonest;
+  return std::clamp(std::chrono::round<std::chrono::seconds>(now - answered_), kSoonest, kLatest);
+}
+
 milliseconds store_health::Latency() const {
   return std::chrono::duration_cast<milliseconds>(latency_);
 }
--- a/src/process/site/store_health.h
+++ b/src/process/site/store_health.h
@@ -31,6 +31,10 @@
   void Answered(uint64_t call, bool good, monotonic_time now);
 
   store_state State(monotonic_time now) const;
+  // When a caller that is refused now should come back. An outage that has lasted for a while will
+  // last about as long again: callers have few tries, and spend them all in one outage of four
+  // seconds if each is told to come back in one.
+  std::chrono::seconds ComeBackAfter(monotonic_time now) const;
   // Of recent good answers, smoothed.
   std::chrono::milliseconds Latency() const;
 
@@ -38,6 +42,7 @@
   std::map<uint64_t, monotonic_time> waiting_;  // when each call was sent
   uint64_t last_call_ = 0;
   uint64_t last_good_ = 0;  // the newest call with a good answer
+  monotonic_time answered_ = monotonic_time::max();  // the last good answer
   uint32_t failed_ = 0;     // since the last good answer
   std::chrono::duration<double, std::milli> latency_{0};
 };
--- a/test/store_health_test.cc
+++ b/test/store_health_test.cc
@@ -64,5 +64,16 @@
   CHECK(health.State(now) == store_state::kUp);
 }
 
+// The store is down for four seconds, and a caller has four tries. Told to come back in one second
+// each time, it has used them up just before the store is back, and its booking is lost.
+TEST_CASE_METHOD(store_health_fixture, "store health, outage of four seconds, callers outlast it") {
+  AnswerAfter(milliseconds{6});
+  const monotonic_time outage = now;
+  for (int tries = 0; tries < 4; ++tries) Wait(health.ComeBackAfter(now));
+  CHECK(now - outage > std::chrono::seconds(5));
+  AnswerAfter(milliseconds{6});
+  CHECK(health.ComeBackAfter(now) == std::chrono::seconds(1));
+}
+
 }  // namespace
 }  // namespace catkinford
