--- a/src/process/site/owner_suspicion.h
+++ b/src/process/site/owner_suspicion.h
@@ -1,10 +1,10 @@
 // Whether the owner of the site is dead, as one watching entry sees it: by short questions to its
 // process, asked a few times a second.
 //
-// The owner's lease at the store ends 1.5 s after its death, and each quick job in flight is late by
-// then. A killed process refuses connections at once; one that lost power answers nothing. A false
-// suspicion costs a needless takeover but breaks no promise: instances refuse the older epoch, and
-// the older owner's changes are refused by the store.
+// The owner's lease at the store ends 1.5 s after its death, and each quick job in flight is late
+// by then. A killed process refuses connections at once; one that lost power answers nothing. A
+// false suspicion costs a needless takeover but breaks no promise: instances refuse the older
+// epoch, and the older owner's changes are refused by the store.
 #ifndef CATKINFORD_PROCESS_SITE_OWNER_SUSPICION_H_
 #define CATKINFORD_PROCESS_SITE_OWNER_SUSPICION_H_
 
--- a/src/process/site/peer_words.cc
+++ b/src/process/site/peer_words.cc
@@ -9,8 +9,8 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-// What an owner started without a record after such a confirmation has ended by then: the owner goes
-// on for 3.5 s and 0.65 s more, and the start's lease is 4 s by a clock that may be 2 % slow.
+// What an owner started without a record after such a confirmation has ended by then: the owner
+// goes on for 3.5 s and 0.65 s more, and the start's lease is 4 s by a clock that may be 2 % slow.
 constexpr milliseconds kUnrecordedMatter{9000};
 // An owner's view of the entries may be this old at most (a watch that hangs: 3.5 s), so one that
 // was registered for longer than that and kUnrecordedMatter was asked by any owner that matters.
@@ -73,9 +73,8 @@
 std::string AliveToText(uint64_t nonce) { return json{{"nonce", nonce}}.dump(); }
 
 std::optional<uint64_t> AliveFromText(std::string_view text) {
-  return Parse<uint64_t>(text, [](const json& in, uint64_t& out) {
-    out = in.at("nonce").get<uint64_t>();
-  });
+  return Parse<uint64_t>(
+      text, [](const json& in, uint64_t& out) { out = in.at("nonce").get<uint64_t>(); });
 }
 
 std::string LookToText(alive_answer answer) {
@@ -83,8 +82,8 @@
 }
 
 std::optional<alive_answer> LookFromText(std::string_view text) {
-  const auto owner = Parse<int>(
-      text, [](const json& in, int& out) { out = in.at("owner").get<int>(); });
+  const auto owner =
+      Parse<int>(text, [](const json& in, int& out) { out = in.at("owner").get<int>(); });
   if (!owner || *owner < 0 || *owner > static_cast<int>(alive_answer::kSilent)) return std::nullopt;
   return static_cast<alive_answer>(*owner);
 }
--- a/src/process/site/site_membership.h
+++ b/src/process/site/site_membership.h
@@ -36,8 +36,8 @@
 
 // A failure domain may be cut off while the store is down for all, and its entries fall silent. An
 // owner that stopped then would let everything that runs be killed. It goes on for this long after
-// all entries confirmed the outage; a next owner that finds nobody to vouch that this did not happen
-// waits as much longer for instances that it cannot list. Outages last four to five seconds.
+// all entries confirmed the outage; a next owner that finds nobody to vouch that this did not
+// happen waits as much longer for instances that it cannot list. Outages last four to five seconds.
 inline constexpr std::chrono::milliseconds kOwnerGoesOnAlone{3500};
 
 // The present content of the keys under kSitePrefix.
@@ -134,9 +134,7 @@
   bool OutageTrusted(monotonic_time now) const { return owns_ && now < outage_trusted_until_; }
   // No other entry can own the site at this moment: the lease holds, or the store has just been
   // seen to be down for all.
-  bool MayAct(monotonic_time now) const {
-    return owns_ && (LeaseGood(now) || OutageTrusted(now));
-  }
+  bool MayAct(monotonic_time now) const { return owns_ && (LeaseGood(now) || OutageTrusted(now)); }
 
  private:
   static constexpr std::chrono::milliseconds kRetry{250};
@@ -416,7 +414,7 @@
   bool store_up_ = true;
   monotonic_time answered_{};
   monotonic_time registered_ = monotonic_time::max();  // since when the store names this entry
-  monotonic_time outage_seen_{};  // when all entries last confirmed it
+  monotonic_time outage_seen_{};                       // when all entries last confirmed it
   monotonic_time outage_trusted_until_{};
   monotonic_time stronger_since_ = monotonic_time::max();
   uint64_t epoch_ = 0;
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -485,17 +485,18 @@
   auto answers = std::make_shared<std::vector<alive_answer>>();
   auto left = std::make_shared<size_t>(others.size());
   for (const site_entry& other : others) {
-    AskPeer(other, kPeerLookPath, [this, answers, left, epoch](
-                                      const std::optional<std::string>& text) {
-      const auto seen = text ? LookFromText(*text) : std::nullopt;
-      if (seen) answers->push_back(*seen);
-      if (--*left > 0) return;
-      asking_others_ = false;
-      const bool shared = SuspicionShared(*answers);
-      log_.Write(site_event::kOwnerSuspected, BootNow(),
-                 absl::StrCat("epoch=", epoch, " answers=", answers->size(), " shared=", shared));
-      if (shared && !stopping_) membership_.ClaimFrom(epoch);
-    });
+    AskPeer(other, kPeerLookPath,
+            [this, answers, left, epoch](const std::optional<std::string>& text) {
+              const auto seen = text ? LookFromText(*text) : std::nullopt;
+              if (seen) answers->push_back(*seen);
+              if (--*left > 0) return;
+              asking_others_ = false;
+              const bool shared = SuspicionShared(*answers);
+              log_.Write(
+                  site_event::kOwnerSuspected, BootNow(),
+                  absl::StrCat("epoch=", epoch, " answers=", answers->size(), " shared=", shared));
+              if (shared && !stopping_) membership_.ClaimFrom(epoch);
+            });
   }
 }
 
--- a/src/process/site/store_health.h
+++ b/src/process/site/store_health.h
@@ -41,9 +41,9 @@
  private:
   std::map<uint64_t, monotonic_time> waiting_;  // when each call was sent
   uint64_t last_call_ = 0;
-  uint64_t last_good_ = 0;  // the newest call with a good answer
+  uint64_t last_good_ = 0;                           // the newest call with a good answer
   monotonic_time answered_ = monotonic_time::max();  // the last good answer
-  uint32_t failed_ = 0;     // since the last good answer
+  uint32_t failed_ = 0;                              // since the last good answer
   std::chrono::duration<double, std::milli> latency_{0};
 };
 
--- a/test/platform_standin.cc
+++ b/test/platform_standin.cc
@@ -69,6 +69,8 @@
 
 std::string standin_metadata_store::Address() const { return LoopbackAddress(*server_); }
 
+uint16_t standin_metadata_store::Port() const { return server_->Port(); }
+
 void standin_metadata_store::Put(const std::string& key, const std::string& value) {
   const std::lock_guard lock(mutex_);
   Write(key, value, 0);
@@ -240,6 +242,7 @@
     made->server = Serve([this, i](http_server::token token, const http_request& request) {
       Handle(i, token, request);
     });
+    made->address = LoopbackAddress(*made->server);
     Register(*made);
     instances_.push_back(std::move(made));
   }
@@ -278,6 +281,17 @@
   return doubles_;
 }
 
+std::vector<std::string> standin_instances::StartsAfterDone() {
+  const std::lock_guard lock(mutex_);
+  return after_done_;
+}
+
+void standin_instances::RegisterAs(size_t at, const std::string& address) {
+  const std::lock_guard lock(mutex_);
+  instances_[at]->address = address;
+  Register(*instances_[at]);
+}
+
 size_t standin_instances::Running() {
   const std::lock_guard lock(mutex_);
   size_t count = 0;
@@ -287,7 +301,7 @@
 
 void standin_instances::Register(instance& here) {
   const json entry{{"service", "svc"},
-                   {"address", LoopbackAddress(*here.server)},
+                   {"address", here.address},
                    {"zone", "zone-a"},
                    {"version", "v1"},
                    {"slots", 8},
@@ -339,6 +353,7 @@
     Advance(*other);
     if (other->runs.contains(task)) doubles_.push_back(task);
   }
+  if (done_.contains(task)) after_done_.push_back(task);
   here.lease_until = std::max(here.lease_until, std::min(until, ClockMs() + kLongestLease));
   here.runs[task] = {task, number, Now() + run_time_, false};
   starts_.push_back({task, number, here.id});
@@ -383,7 +398,10 @@
     answer = Stop(here, body);
   } else if (request.path == "/v1/hold") {
     const auto seen = body.at("last-seen").get<uint64_t>();
-    while (!here.ended.empty() && here.ended[0][0].get<uint64_t>() <= seen) here.ended.erase(0);
+    while (!here.ended.empty() && here.ended[0][0].get<uint64_t>() <= seen) {
+      if (here.ended[0][3] == "done") done_.insert(here.ended[0][1].get<std::string>());
+      here.ended.erase(0);
+    }
     if (body.contains("deadline-ms")) {
       here.lease_until = std::max(here.lease_until, std::min(body.at("deadline-ms").get<int64_t>(),
                                                              ClockMs() + kLongestLease));
--- a/test/platform_standin.h
+++ b/test/platform_standin.h
@@ -30,6 +30,7 @@
   ~standin_metadata_store();
 
   std::string Address() const;
+  uint16_t Port() const;
   // As the operator or an instance does.
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
@@ -100,7 +101,12 @@
   std::vector<standin_start> Starts();
   // Tasks of which two runs were there at the same time.
   std::vector<std::string> Doubles();
+  // Tasks that started again after an end `done` of theirs was acknowledged.
+  std::vector<std::string> StartsAfterDone();
   size_t Running();
+  uint16_t PortOf(size_t at) const { return instances_[at]->server->Port(); }
+  // The address that the instance registers: that of a proxy before it.
+  void RegisterAs(size_t at, const std::string& address);
   // The next so many starts are carried out and never answered.
   void LoseStartAnswers(int starts) { lose_ = starts; }
 
@@ -114,6 +120,7 @@
   struct instance {
     std::string id;
     std::unique_ptr<http_server> server;
+    std::string address;
     std::map<std::string, live_task> runs;  // by task
     std::map<std::string, uint32_t> over;
     nlohmann::json ended = nlohmann::json::array();
@@ -144,6 +151,8 @@
   std::vector<hold> holds_;
   std::vector<standin_start> starts_;
   std::vector<std::string> doubles_;
+  std::set<std::string> done_;  // tasks whose end was acknowledged
+  std::vector<std::string> after_done_;
   std::atomic<int> lose_{0};
   std::atomic<bool> stop_{false};
   std::unique_ptr<http_server> advice_;
