Plan advice by lines of each service, without steps that nothing free could help

Cause: advice was planned for the 64 most urgent waiting steps of a round. Change: a line of 64 for each service; steps whose workspace is at its limit, and those that no instance that was ever seen could hold, keep no place in it.

--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -255,18 +255,21 @@
       [&](const job_entry* entry) { return entry->job.queue == queue && !entry->started; }));
 }
 
-bool job_scheduler::Possible(const graph_job& job) const {
-  const auto found = largest_seen_.find(job.terms.service);
+bool job_scheduler::AnyCouldHold(const std::string& service, const step_terms& step) const {
+  const auto found = largest_seen_.find(service);
   if (found == largest_seen_.end()) return true;
-  return std::all_of(job.steps.begin(), job.steps.end(), [&](const step_terms& step) {
-    return std::any_of(found->second.begin(), found->second.end(), [&](const resources& room) {
-      const bool cpu = step.fills || step.need.cpu_milli <= room.cpu_milli;
-      return cpu && step.need.memory_mb <= room.memory_mb &&
-             step.need.accelerators <= room.accelerators;
-    });
+  return std::any_of(found->second.begin(), found->second.end(), [&](const resources& room) {
+    const bool cpu = step.fills || step.need.cpu_milli <= room.cpu_milli;
+    return cpu && step.need.memory_mb <= room.memory_mb &&
+           step.need.accelerators <= room.accelerators;
   });
 }
 
+bool job_scheduler::Possible(const graph_job& job) const {
+  return std::all_of(job.steps.begin(), job.steps.end(),
+                     [&](const step_terms& step) { return AnyCouldHold(job.terms.service, step); });
+}
+
 size_t job_scheduler::RunCount() const {
   size_t count = 0;
   for (const auto& [id, instance] : instances_) count += instance->runs.size();
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -143,6 +143,9 @@
   void StopAll(job_entry& entry, stop_cause cause, monotonic_time now);
   void AskStop(graph_run& run, stop_cause cause, monotonic_time now);
   const job_terms& TermsOf(const job_entry& entry) const;
+  // Could any instance of the service that was ever seen hold a task of the step? True while none
+  // is known.
+  bool AnyCouldHold(const std::string& service, const step_terms& step) const;
   void LookUpTerms(job_entry& entry);
   uint32_t ServiceOrdinal(const std::string& service);
   fleet_instance& MakeInstance(const instance_report& report, monotonic_time now);
@@ -243,6 +246,7 @@
                                        const std::vector<advice_option>& known, uint32_t wanted,
                                        const advice_cost& cost) const;
   uint32_t Wanted(const step_progress& step, const step_terms& terms, monotonic_time now) const;
+  std::vector<ready_step> FrontOfLines(const std::vector<ready_step>& ready_steps) const;
   std::vector<ready_step> NextSteps(monotonic_time now);
   bool TurnComesWithin(const job_entry& entry, const occurrence_state& occurrence, uint32_t index,
                        std::chrono::milliseconds ahead, monotonic_time now) const;
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -21,9 +21,9 @@
 constexpr milliseconds kDefaultValid{2000};
 // A step whose turn comes within the time of an ask and this much more is asked for ahead.
 constexpr milliseconds kAheadSlack{150};
-// Steps looked at in one round, the most urgent first: each costs a look at all instances, and
-// those far behind have no chance of room.
-constexpr size_t kStepsInRound = 64;
+// Steps of one service that a round looks at, the most urgent first: each costs a look at all its
+// instances, and those far behind have no chance of room.
+constexpr size_t kStepsInLine = 64;
 constexpr double kSlowestSpeed = 0.1;  // below this a learned speed says nothing
 
 uint32_t TasksThatFit(const resources& free, const resources& room, uint32_t most) {
@@ -242,14 +242,30 @@
   return true;
 }
 
+// The steps that wait for an instance, a bounded number for each service. A step that no instance
+// could take however empty the floor is keeps no place: its workspace is at its limit, or no
+// instance of its service is large enough. With one line for all, jobs of a full service or of a
+// workspace at its limit would fill it, and nothing behind them would ever be asked for.
+std::vector<job_scheduler::ready_step> job_scheduler::FrontOfLines(
+    const std::vector<ready_step>& ready_steps) const {
+  std::vector<ready_step> out;
+  std::vector<size_t> taken(services_.size() + 1);
+  for (const ready_step& ready : ready_steps) {
+    const job_entry& entry = *ready.entry;
+    const step_terms& terms = entry.job.steps[ready.index];
+    if (ready.occurrence->steps[ready.index].waiting == 0) continue;
+    if (!TermsOf(entry).needs_advice || taken[entry.service] >= kStepsInLine) continue;
+    if (!WithinLimit(entry, terms.need) || !AnyCouldHold(TermsOf(entry).service, terms)) continue;
+    ++taken[entry.service];
+    out.push_back(ready);
+  }
+  return out;
+}
+
 void job_scheduler::PlanAdvice(const std::vector<ready_step>& ready_steps, scheduler_orders& orders,
                                monotonic_time now) {
   advice_round round = BeginAdvice(now);
-  std::vector<ready_step> steps;
-  for (const ready_step& ready : ready_steps) {
-    if (steps.size() >= kStepsInRound) break;
-    if (ready.occurrence->steps[ready.index].waiting > 0) steps.push_back(ready);
-  }
+  std::vector<ready_step> steps = FrontOfLines(ready_steps);
   for (const ready_step& next : NextSteps(now)) steps.push_back(next);
   for (const ready_step& copies : CopySteps(now)) steps.push_back(copies);
   for (const ready_step& ready : steps) {
--- a/test/job_scheduler_test.cc
+++ b/test/job_scheduler_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "scheduling_jobs.h"
 #include "scheduling_world.h"
 
 namespace catkinford {
@@ -16,35 +17,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr resources kSmallInstance{8000, 16384, 0, 0};
-
-std::string JobId(uint32_t number) {
-  const std::string text = absl::StrCat(absl::Hex(number));
-  return std::string(kGraphIdLength - text.size(), '0') + text;
-}
-
-step_terms Tasks(uint32_t count, uint32_t cpu_milli, milliseconds estimate,
-                 std::vector<uint32_t> after = {}) {
-  step_terms step;
-  step.count = count;
-  step.need.cpu_milli = cpu_milli;
-  step.need.memory_mb = 512;
-  step.estimate = estimate;
-  step.after = std::move(after);
-  return step;
-}
-
-graph_job Job(uint32_t number, std::vector<step_terms> steps) {
-  graph_job job;
-  job.id = JobId(number);
-  job.queue = "queue";
-  job.workspace = "workspace";
-  job.terms.service = "service";
-  job.terms.max_attempts = 2;
-  job.steps = std::move(steps);
-  return job;
-}
-
 class job_scheduler_fixture {
  protected:
   void AddInstances(size_t count) {
--- /dev/null
+++ b/test/scheduling_jobs.h
@@ -0,0 +1,48 @@
+// Jobs and instances that the scheduler's tests share.
+#ifndef CATKINFORD_TEST_SCHEDULING_JOBS_H_
+#define CATKINFORD_TEST_SCHEDULING_JOBS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "request/step_graph.h"
+
+namespace catkinford {
+
+inline constexpr resources kSmallInstance{8000, 16384, 0, 0};
+
+inline std::string JobId(uint32_t number) {
+  const std::string text = absl::StrCat(absl::Hex(number));
+  return std::string(kGraphIdLength - text.size(), '0') + text;
+}
+
+// One step, without the terms that a test sets itself.
+inline step_terms Tasks(uint32_t count, uint32_t cpu_milli, std::chrono::milliseconds estimate,
+                        std::vector<uint32_t> after = {}) {
+  step_terms step;
+  step.count = count;
+  step.need.cpu_milli = cpu_milli;
+  step.need.memory_mb = 512;
+  step.estimate = estimate;
+  step.after = std::move(after);
+  return step;
+}
+
+inline graph_job Job(uint32_t number, std::vector<step_terms> steps) {
+  graph_job job;
+  job.id = JobId(number);
+  job.queue = "queue";
+  job.workspace = "workspace";
+  job.terms.service = "service";
+  job.terms.max_attempts = 2;
+  job.steps = std::move(steps);
+  return job;
+}
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_TEST_SCHEDULING_JOBS_H_
