Leave instances that have left for good out of the stored fleet

Cause: an instance that drained, ran empty and left the registry still counted as one that may run work, so it was stored in owner/fleet. Ruled out: slow loading (84 ms for 747 jobs), slow listings (all others answered within 10 ms). Change: in use is what runs something, or is registered and answers. A test, red before.

--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -134,8 +134,11 @@
   monotonic_time shunned_until{};
 
   bool Reachable() const { return silent == 0; }
-  // May run work, or is to: all but those that answer nothing and of which all is given up.
-  bool InUse() const { return listed && (Reachable() || !runs.empty()); }
+  // May run work, or is to: all but those that answer nothing and of which all is given up, and
+  // those that left the registry with nothing running. Kept in use, an instance that has left for
+  // good would never answer a next owner, which would wait for its leases before it starts
+  // inherited work.
+  bool InUse() const { return listed && (!runs.empty() || (present && Reachable())); }
   resources Free() const;
   bool Fits(const resources& room) const;
   int64_t ClockAt(monotonic_time now) const;
--- a/test/full_floor_test.cc
+++ b/test/full_floor_test.cc
@@ -101,5 +101,18 @@
   CHECK(AsksFor(kManyJobs));
 }
 
+// An instance drains, leaves the registry and never answers again. If it is still stored as one
+// that may run work, the next owner waits for its leases to run out before it starts anything that
+// it inherited, and callers wait four seconds for an empty instance.
+TEST_CASE_METHOD(two_services_fixture, "scheduler, instance left for good, is not in the fleet") {
+  const size_t before = owner.Fleet().size();
+  std::vector<instance_report> left;
+  for (const instance_report& report : owner.Fleet()) {
+    if (report.id != "first-0") left.push_back(report);
+  }
+  owner.OnRegistry(left, now);
+  CHECK(owner.Fleet().size() == before - 1);
+}
+
 }  // namespace
 }  // namespace catkinford
