Doubt an instance whose start goes unanswered, by the usual time of answers

Cause: a start that got no answer was noticed by the call's timeout (800 ms) and stopped 400 ms later; the proof that it is not there waited for the waiting listing, up to a second more. Meanwhile further starts followed it to the same instance. Ruled out: a fixed short limit; an owner that reads late would stop all that it starts (test: answers read late). Change: patience follows recent answers (mean and four deviations, 150 ms at least); past it the start is stopped, the instance gets nothing until it answers, and a second listing beside the waiting one shows what became of the start. Of two listings that overtake each other the older one only tells ends. Tests: answer_time_test.

--- /dev/null
+++ b/src/process/scheduling/answer_time.h
@@ -0,0 +1,44 @@
+// How long an order may go unanswered before its instance is doubted: the smoothed time of recent
+// answers and four times their deviation, as a TCP sender sets its retransmission timer.
+//
+// The load it answers: a domain is cut off, or orders are delayed by seconds. Found only by the
+// call's timeout, each start that goes there keeps its task from running elsewhere for as long,
+// several times the length of a quick task. A fixed short limit would doubt every instance whenever
+// the owner itself is slow to read answers.
+#ifndef CATKINFORD_PROCESS_SCHEDULING_ANSWER_TIME_H_
+#define CATKINFORD_PROCESS_SCHEDULING_ANSWER_TIME_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace catkinford {
+
+class answer_time {
+ public:
+  void OnAnswer(std::chrono::milliseconds took) {
+    const auto sample = static_cast<double>(took.count());
+    deviation_ += kDeviationGain * (std::abs(sample - mean_) - deviation_);
+    mean_ += kMeanGain * (sample - mean_);
+  }
+
+  std::chrono::milliseconds Patience() const {
+    const auto limit =
+        std::chrono::milliseconds(static_cast<int64_t>(mean_ + kDeviations * deviation_));
+    return std::clamp(limit, kShortest, kLongest);
+  }
+
+ private:
+  static constexpr double kMeanGain = 1.0 / 8;
+  static constexpr double kDeviationGain = 1.0 / 4;
+  static constexpr double kDeviations = 4;
+  static constexpr std::chrono::milliseconds kShortest{150};  // ten times a usual answer
+  static constexpr std::chrono::milliseconds kLongest{1200};
+
+  double mean_ = 10;  // ms
+  double deviation_ = 5;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SCHEDULING_ANSWER_TIME_H_
--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -125,6 +125,11 @@
   monotonic_time earlier_orders_until{};
 
   uint32_t starts_in_flight = 0;
+  // A start there has gone unanswered for too long: no further ones until the instance answers.
+  bool doubted = false;
+  monotonic_time doubted_since{};
+  bool check_in_flight = false;  // a listing beside the waiting one, for what became of a start
+  int64_t listed_at_ms = 0;      // on its clock: the latest listing that was taken in
   bool listing_in_flight = false;
   monotonic_time next_listing{};
   uint32_t silent = 0;  // listings without an answer in a row
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "process/scheduling/answer_time.h"
 #include "process/scheduling/arrival_meter.h"
 #include "process/scheduling/fleet_state.h"
 #include "process/scheduling/graph_state.h"
@@ -176,6 +177,10 @@
   void DropLapsed(monotonic_time now);
   bool LeaseOver(const fleet_instance& instance, monotonic_time now) const;
   void PlanListings(scheduler_orders& orders, monotonic_time now);
+  void PlanCheck(fleet_instance& instance, scheduler_orders& orders);
+  // It answered an order that was sent at `sent`.
+  static void Heard(fleet_instance& instance, monotonic_time sent);
+  void Doubt(fleet_instance& instance, monotonic_time now);
   void NoteClock(fleet_instance& instance, int64_t clock_ms, monotonic_time now);
   void AdvanceAcks(fleet_instance& instance);
   void Evacuate(fleet_instance& instance, monotonic_time now);
@@ -272,6 +277,7 @@
   std::deque<job_entry*> unstored_;  // changed since they were last given out, the oldest first
   std::deque<planned_start> planned_;
   uint32_t starts_in_flight_ = 0;
+  answer_time answer_time_;  // of starts
   bool unrecorded_starts_ = false;
   bool records_complete_ = false;
   std::vector<scheduler_note> notes_;
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -50,6 +50,7 @@
   instance.listed = false;
   instance.lease_unknown = false;
   instance.clock_ms = 0;
+  instance.listed_at_ms = 0;
   instance.lease_until_ms = 0;
   instance.ends_seen = 0;
   instance.ends_acked = 0;
@@ -257,11 +258,42 @@
   }
 }
 
+void job_scheduler::Doubt(fleet_instance& instance, monotonic_time now) {
+  if (instance.doubted) return;
+  instance.doubted = true;
+  instance.doubted_since = now;
+  Note(scheduler_note::kind::kInstanceDoubted, instance.report.id,
+       absl::StrCat("patience_ms=", answer_time_.Patience().count(),
+                    " runs=", instance.runs.size()));
+}
+
+void job_scheduler::Heard(fleet_instance& instance, monotonic_time sent) {
+  if (sent >= instance.doubted_since) instance.doubted = false;
+}
+
+// The waiting listing returns at an end, and a start that was never carried out has none: a second
+// listing shows that it is not there, and its task may start elsewhere.
+void job_scheduler::PlanCheck(fleet_instance& instance, scheduler_orders& orders) {
+  if (!instance.listed || instance.check_in_flight) return;
+  const bool wanted = std::any_of(
+      instance.runs.begin(), instance.runs.end(), [](const std::unique_ptr<graph_run>& run) {
+        return run->stop_confirmed && !run->seen && run->stopping == stop_cause::kUnknownStart;
+      });
+  if (!wanted) return;
+  list_order order;
+  order.to = {instance.report.id, instance.report.address, instance.report.incarnation};
+  order.ends_seen = instance.ends_acked;
+  order.check = true;
+  instance.check_in_flight = true;
+  orders.listings.push_back(std::move(order));
+}
+
 void job_scheduler::PlanListings(scheduler_orders& orders, monotonic_time now) {
   auto fences = static_cast<uint32_t>(std::count_if(
       instances_.begin(), instances_.end(),
       [](const auto& item) { return !item.second->listed && item.second->listing_in_flight; }));
   for (auto& [id, instance] : instances_) {
+    if (instance->listing_in_flight) PlanCheck(*instance, orders);
     if (instance->listing_in_flight || now < instance->next_listing) continue;
     AdvanceAcks(*instance);
     const bool fence = !instance->listed;
@@ -294,7 +326,7 @@
   const auto found = instances_.find(order.to.instance);
   if (found == instances_.end()) return;
   fleet_instance& instance = *found->second;
-  instance.listing_in_flight = false;
+  (order.check ? instance.check_in_flight : instance.listing_in_flight) = false;
   if (listing.incarnation < instance.report.incarnation) return;
   if (listing.incarnation > instance.report.incarnation && listing.incarnation != 0) {
     instance_report report = instance.report;
@@ -305,12 +337,17 @@
     Note(scheduler_note::kind::kInstanceBack, order.to.instance, "answers again");
   }
   instance.silent = 0;
+  Heard(instance, sent);
   instance.acks_sent = std::max(instance.acks_sent, order.ends_seen);
   NoteClock(instance, listing.clock_ms, now);
   std::vector<ended_row> ends = listing.ended;
   std::sort(ends.begin(), ends.end(),
             [](const ended_row& a, const ended_row& b) { return a.number < b.number; });
   for (const ended_row& row : ends) HandleEnd(instance, row, now);
+  // Two listings may be under way, and their answers overtake each other: of the older one only the
+  // ends are news, and what it shows as running may be over.
+  if (listing.clock_ms < instance.listed_at_ms) return;
+  instance.listed_at_ms = listing.clock_ms;
   std::vector<const graph_run*> seen;
   for (const running_row& row : listing.running) {
     HandleRunning(instance, row, now);
@@ -338,6 +375,11 @@
   const auto found = instances_.find(order.to.instance);
   if (found == instances_.end()) return;
   fleet_instance& instance = *found->second;
+  // The waiting listing tells whether the instance is silent.
+  if (order.check) {
+    instance.check_in_flight = false;
+    return;
+  }
   instance.listing_in_flight = false;
   if (result == order_result::kOtherLife) {
     instance.next_listing = now + kSilentPause;
--- a/src/process/scheduling/scheduler_messages.h
+++ b/src/process/scheduling/scheduler_messages.h
@@ -49,6 +49,7 @@
   std::optional<int64_t> lease_until_ms;
   uint64_t ends_seen = 0;             // the instance may forget ends up to here
   std::chrono::milliseconds wait{0};  // for an end
+  bool check = false;                 // beside one that waits there
 };
 
 // Asks the policy of a queue which of these instances may run a step.
@@ -146,6 +147,7 @@
     kInstanceBack,
     kInstanceDraining,
     kInstanceShunned,
+    kInstanceDoubted,
     kRunAdopted,
     kAdvice,
   };
--- a/src/process/scheduling/scheduler_placing.cc
+++ b/src/process/scheduling/scheduler_placing.cc
@@ -69,7 +69,7 @@
 
 bool job_scheduler::MayGetWork(const fleet_instance& instance, monotonic_time now) {
   if (!instance.present || !instance.listed || !instance.noted) return false;
-  if (instance.report.draining) return false;
+  if (instance.report.draining || instance.doubted) return false;
   if (!instance.Reachable() || now < instance.shunned_until) return false;
   return now - instance.clock_at <= kOldestClock;
 }
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -10,9 +10,6 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-// A start without an answer is looked for in listings this long before it is stopped: most lost
-// answers belong to starts that were carried out.
-constexpr milliseconds kUnknownStartWait{400};
 // A stop is sent again this often until its end is listed.
 constexpr milliseconds kStopAgain{500};
 // A run without progress for this many times its expected time, and at least this long, is stopped
@@ -367,7 +364,9 @@
 }
 
 void job_scheduler::CheckRun(graph_run& run, scheduler_orders& orders, monotonic_time now) {
-  if (run.phase == run_phase::kUnknown && now - run.started >= kUnknownStartWait) {
+  const bool unanswered = run.phase == run_phase::kUnknown || run.phase == run_phase::kSent;
+  if (unanswered && now - run.started >= answer_time_.Patience()) {
+    if (run.stopping == stop_cause::kNone) Doubt(*run.instance, now);
     AskStop(run, stop_cause::kUnknownStart, now);
   }
   const bool works = run.phase == run_phase::kRunning && run.stopping == stop_cause::kNone &&
@@ -409,6 +408,10 @@
   if (answer.clock_ms) NoteClock(instance, *answer.clock_ms, now);
   graph_run* run = FindRun(instance, order.key, order.run);
   if (run == nullptr) return;
+  if (answer.clock_ms) {
+    answer_time_.OnAnswer(duration_cast<milliseconds>(now - run->started));
+    Heard(instance, run->started);
+  }
   if (answer.result == order_result::kDone) {
     if (run->phase != run_phase::kSent && run->phase != run_phase::kUnknown) return;
     run->phase = run_phase::kRunning;
@@ -447,6 +450,7 @@
   graph_run* run = FindRun(*found->second, order.key, order.run);
   if (run == nullptr) return;
   run->stop_in_flight = false;
+  if (answer.clock_ms) Heard(*found->second, run->next_stop - kStopAgain);
   if (answer.result != order_result::kDone) return;
   if (!run->stop_confirmed) {
     run->stop_confirmed = true;
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -93,6 +93,7 @@
   const instance_report& report = instance.report;
   if (report.incarnation != order.to.incarnation || !instance.listed) return false;
   if (!instance.present || report.draining || !instance.Reachable()) return false;
+  if (instance.doubted) return false;
   if (order.ticket.empty()) return true;
   const auto found = jobs_.find(order.key.job);
   if (found == jobs_.end()) return false;
--- a/src/process/site/site_log.cc
+++ b/src/process/site/site_log.cc
@@ -64,6 +64,8 @@
     site_event_info{kInstanceDraining, kInfo, "instance_draining", "It leaves: nothing new."},
     site_event_info{kInstanceShunned, kWarning, "instance_shunned",
                     "Runs fail there in a row: nothing new for a while."},
+    site_event_info{kInstanceDoubted, kWarning, "instance_doubted",
+                    "A start there goes unanswered: nothing new until the instance answers."},
     site_event_info{kOwnerSeen, kInfo, "owner_seen", "The store names an owner of the site."},
     site_event_info{kOwnershipWon, kInfo, "ownership_won", "This entry owns the site."},
     site_event_info{kOwnershipLost, kWarning, "ownership_lost",
--- a/src/process/site/site_log.h
+++ b/src/process/site/site_log.h
@@ -57,6 +57,7 @@
   kInstanceBack = 634,
   kInstanceDraining = 635,
   kInstanceShunned = 636,
+  kInstanceDoubted = 637,
   // 64x: who owns the site
   kOwnerSeen = 640,
   kOwnershipWon = 641,
--- a/src/process/site/site_owner.cc
+++ b/src/process/site/site_owner.cc
@@ -34,6 +34,8 @@
       return site_event::kInstanceDraining;
     case kind::kInstanceShunned:
       return site_event::kInstanceShunned;
+    case kind::kInstanceDoubted:
+      return site_event::kInstanceDoubted;
     case kind::kRunAdopted:
       return site_event::kRunAdopted;
     case kind::kAdvice:
--- /dev/null
+++ b/test/answer_time_test.cc
@@ -0,0 +1,112 @@
+#include "process/scheduling/answer_time.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <vector>
+
+#include "process/scheduling/job_scheduler.h"
+#include "scheduling_jobs.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("answer time, quick answers, doubts after a small part of the timeout") {
+  answer_time answers;
+  for (int i = 0; i < 100; ++i) answers.OnAnswer(milliseconds{8});
+  CHECK(answers.Patience() <= milliseconds{200});
+}
+
+// The owner is short of processor time and reads answers late. If it kept its short patience, it
+// would stop and send again everything that it has just started, and nothing would end.
+TEST_CASE("answer time, answers read late, becomes patient") {
+  answer_time answers;
+  for (int i = 0; i < 40; ++i) answers.OnAnswer(milliseconds{i % 2 == 0 ? 300 : 600});
+  CHECK(answers.Patience() > milliseconds{600});
+}
+
+class two_instances_fixture {
+ protected:
+  two_instances_fixture() {
+    std::vector<instance_report> reports;
+    for (const char* id : {"a", "b"}) {
+      instance_report report;
+      report.id = id;
+      report.service = "service";
+      report.capacity = kSmallInstance;
+      reports.push_back(report);
+    }
+    owner.OnRegistry(reports, now);
+    for (const instance_report& report : reports) {
+      owner.OnListing({{report.id, "", 0}, {}, 0, {}}, {5000, 0, {}, {}}, now, now);
+    }
+    owner.OnFleetStored(owner.Fleet());
+  }
+
+  std::vector<start_order> StartsAt(monotonic_time when) {
+    scheduler_orders orders = owner.Decide(wall_time{}, when);
+    stops = orders.stops;
+    listings = orders.listings;
+    owner.OnStored(owner.TakeUnstored(10), when);
+    std::vector<start_order> starts = std::move(orders.starts);
+    for (start_order& order : owner.TakeStarts(when)) starts.push_back(std::move(order));
+    return starts;
+  }
+
+  const monotonic_time now{seconds(100)};
+  job_scheduler owner{scheduler_options{}, 1, monotonic_time{}};
+  std::vector<stop_order> stops;
+  std::vector<list_order> listings;
+};
+
+// A start gets no answer: the instance is cut off, or carries the order out seconds later. Until it
+// is proved that the task is not there it can start nowhere else, and whatever follows it there is
+// stuck as well. A caller of quick work waits for the call's timeout, longer than the work takes.
+TEST_CASE_METHOD(two_instances_fixture,
+                 "scheduler, start unanswered, stops it early and sends nothing more there") {
+  owner.OnJob(Job(1, {Tasks(1, 8000, milliseconds(300))}), "", false, wall_time{}, now);
+  const auto first = StartsAt(now);
+  REQUIRE(first.size() == 1);
+  const monotonic_time later = now + milliseconds{200};
+  owner.OnJob(Job(2, {Tasks(2, 1000, milliseconds(300))}), "", false, wall_time{}, later);
+  owner.OnJob(Job(3, {Tasks(9, 1000, milliseconds(300))}), "", false, wall_time{}, later);
+  const auto second = StartsAt(later);
+  REQUIRE(stops.size() == 1);
+  CHECK(stops[0].to.instance == first[0].to.instance);
+  for (const start_order& order : second) CHECK(order.to.instance != first[0].to.instance);
+
+  // Its stop is answered and a listing shows that it never began: it starts again at once.
+  const monotonic_time answered = later + milliseconds{5};
+  owner.OnStopAnswer(stops[0], {order_result::kDone, 5300}, answered);
+  owner.Decide(wall_time{}, answered);
+  const monotonic_time listed = answered + milliseconds{5};
+  owner.OnListing({{first[0].to.instance, "", 0}, {}, 0, {}}, {5310, 0, {}, {}}, listed, listed);
+  bool again = false;
+  for (const start_order& order : StartsAt(listed + milliseconds{5})) {
+    again = again || (order.key.job == JobId(1) && order.run > first[0].run);
+  }
+  CHECK(again);
+}
+
+// The waiting listing of a busy instance comes back only at an end, up to a second later. What
+// became of a start that was stopped unanswered must not wait for that.
+TEST_CASE_METHOD(two_instances_fixture,
+                 "scheduler, stopped start beside a waiting listing, looks at once") {
+  owner.OnJob(Job(1, {Tasks(1, 8000, milliseconds(300))}), "", false, wall_time{}, now);
+  const auto first = StartsAt(now);
+  REQUIRE(first.size() == 1);
+  const monotonic_time later = now + milliseconds{200};
+  StartsAt(later);
+  REQUIRE(stops.size() == 1);
+  owner.OnStopAnswer(stops[0], {order_result::kDone, 5300}, later + milliseconds{5});
+  StartsAt(later + milliseconds{6});
+  bool checks = false;
+  for (const list_order& order : listings)
+    checks = checks || (order.check && order.wait.count() == 0);
+  CHECK(checks);
+}
+
+}  // namespace
+}  // namespace catkinford
