Learn run times by queue; derive objectives, copies and stalls from them

Change: a line a queue through the logarithms of declared and real times, recent steps counting most; a step's own tasks, which are alike, count once one has ended; objectives are set again as steps end and allow for one question to the policy. Ruled out: a plain mean by queue (declarations of one queue are good, correlation 0.75).

--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -64,6 +64,7 @@
   run_phase phase = run_phase::kSent;
   stop_cause stopping = stop_cause::kNone;
   bool inherited = false;       // when it began is not known
+  bool resumed = false;         // from a checkpoint
   bool seen = false;            // an answer or a listing has shown it
   bool stop_confirmed = false;  // the instance answered the stop
   bool stop_in_flight = false;
--- a/src/process/scheduling/graph_state.h
+++ b/src/process/scheduling/graph_state.h
@@ -90,6 +90,9 @@
   bool ready = false;                      // all steps before it are done, and its time has come
   monotonic_time ready_at{};
   step_advice advice;
+  // How long tasks of the step really took, from beginning to end: they are alike.
+  std::chrono::milliseconds took_sum{0};
+  uint32_t took_count = 0;
   absl::flat_hash_map<const fleet_instance*, uint32_t> placed;  // tasks that hold room there
 
   bool Done() const { return done == tasks.size(); }
@@ -119,7 +122,8 @@
   uint64_t stored = 0;             // the last change that the store has
   uint64_t unrecorded = 0;         // the last change that may hold starts which left before it
   uint64_t being_stored = 0;       // the change that is on its way there
-  monotonic_time objective{};      // when it starts to count as late
+  monotonic_time objective{};      // when it starts to count as late, as far as is known
+  monotonic_time accepted_at{};
   monotonic_time arrived{};
   monotonic_time finished_at{};
 
--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -10,6 +10,10 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
+// Callers' objectives allow for one question to the queue's policy a step, about this many
+// instances.
+constexpr int64_t kInstancesOfUsualAsk = 30;
+constexpr double kSpeedKeep = 0.8;   // weight of the past in an instance's learned speed
 constexpr size_t kMaxNotes = 20000;  // between two calls of TakeNotes(); more are left out
 
 }  // namespace
@@ -54,10 +58,7 @@
   LookUpTerms(entry);
   entry.arrived = now;
   if (!progress.empty()) ApplyProgress(entry, progress, now);
-  const milliseconds allowed(static_cast<int64_t>(
-      entry.job.terms.stretch * static_cast<double>(LongestChain(entry.job.steps).count())));
-  const milliseconds age = std::max(milliseconds{0}, wall - entry.job.accepted);
-  entry.objective = now - age + allowed + entry.job.terms.target_latency;
+  entry.accepted_at = now - std::max(milliseconds{0}, wall - entry.job.accepted);
   entry.beyond_share = BeyondShare(entry.job);
   const std::string id = entry.job.id;
   jobs_[id] = std::move(made);
@@ -72,6 +73,48 @@
                     " steps=", entry.job.steps.size(), " inherited=", inherited));
   OpenOccurrences(entry, wall, now);
   ExpectRecorded(entry, now);
+  SetObjective(entry);
+}
+
+milliseconds job_scheduler::ExpectedRun(const job_entry& entry, const step_progress& step,
+                                        uint32_t index) const {
+  if (step.took_count > 0) return step.took_sum / step.took_count;
+  return run_times_.Expected(entry.job.queue, entry.job.steps[index].estimate);
+}
+
+// What callers are promised follows from how long the work really takes, which shows step by step.
+void job_scheduler::SetObjective(job_entry& entry) {
+  const queue_terms* queue = entry.queue;
+  milliseconds advice{0};
+  if (queue != nullptr && queue->advice) {
+    advice = queue->advice->base +
+             duration_cast<milliseconds>(queue->advice->per_instance * kInstancesOfUsualAsk);
+  }
+  std::vector<milliseconds> takes;
+  const occurrence_state* first =
+      entry.occurrences.empty() ? nullptr : entry.occurrences.begin()->second.get();
+  for (uint32_t i = 0; i < entry.job.steps.size(); ++i) {
+    const milliseconds run =
+        first == nullptr ? entry.job.steps[i].estimate : ExpectedRun(entry, first->steps[i], i);
+    takes.push_back(run + advice);
+  }
+  const auto chain = static_cast<double>(LongestChain(entry.job.steps, takes).count());
+  const milliseconds allowed(static_cast<int64_t>(entry.job.terms.stretch * chain));
+  entry.objective = entry.accepted_at + allowed + entry.job.terms.target_latency;
+}
+
+void job_scheduler::LearnRun(job_entry& entry, step_progress& step, const graph_run& run,
+                             monotonic_time now) {
+  if (run.inherited || run.resumed || run.pace != 100) return;
+  const step_terms& terms = entry.job.steps[run.key.step];
+  const auto took = std::max(milliseconds{1}, duration_cast<milliseconds>(now - run.started));
+  const auto expected = ExpectedRun(entry, step, run.key.step);
+  double& speed = run.instance->speed;
+  speed = kSpeedKeep * speed + (1 - kSpeedKeep) * static_cast<double>(expected.count()) /
+                                   static_cast<double>(took.count());
+  run_times_.OnRun(entry.job.queue, terms.estimate, took, 1.0 / terms.count);
+  step.took_sum += took;
+  ++step.took_count;
 }
 
 // By the time at which the job was accepted, so that the next owner finds the same.
@@ -115,6 +158,7 @@
       step.ready_at = now;
     }
   }
+  SetObjective(entry);
 }
 
 void job_scheduler::Touch(job_entry& entry) {
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -21,6 +21,7 @@
 #include "process/scheduling/arrival_meter.h"
 #include "process/scheduling/fleet_state.h"
 #include "process/scheduling/graph_state.h"
+#include "process/scheduling/run_times.h"
 #include "process/scheduling/scheduler_messages.h"
 #include "version/site_version.h"
 
@@ -136,6 +137,12 @@
   // job_scheduler.cc
   void Touch(job_entry& entry);
   bool BeyondShare(const graph_job& job);
+  // How long a task of the step will take on a sound instance, from its own tasks that have ended
+  // or, before that, from what is learned of its queue.
+  std::chrono::milliseconds ExpectedRun(const job_entry& entry, const step_progress& step,
+                                        uint32_t index) const;
+  void SetObjective(job_entry& entry);
+  void LearnRun(job_entry& entry, step_progress& step, const graph_run& run, monotonic_time now);
   bool HoldsRuns(const job_entry& entry) const;
   void Note(scheduler_note::kind what, std::string subject, std::string detail);
   void OpenOccurrences(job_entry& entry, wall_time wall, monotonic_time now);
@@ -200,7 +207,9 @@
   static bool HasLabel(const fleet_instance& instance, const ready_step& ready);
   static bool MayGetWork(const fleet_instance& instance, monotonic_time now);
   bool WithinLimit(const job_entry& entry, const resources& need) const;
-  bool WantsCopy(const task_state_slot& task, const step_terms& terms, monotonic_time now) const;
+  // `expected`: how long a run of the step takes.
+  bool WantsCopy(const task_state_slot& task, const step_terms& terms,
+                 std::chrono::milliseconds expected, monotonic_time now) const;
   std::vector<ready_step> CopySteps(monotonic_time now);
   void PlaceCopies(monotonic_time now);
 
@@ -250,7 +259,7 @@
   std::vector<std::string> WorthAsking(const ready_step& ready, const advice_round& round,
                                        const std::vector<advice_option>& known, uint32_t wanted,
                                        const advice_cost& cost) const;
-  uint32_t Wanted(const step_progress& step, const step_terms& terms, monotonic_time now) const;
+  uint32_t Wanted(const ready_step& ready, monotonic_time now) const;
   std::vector<ready_step> FrontOfLines(const std::vector<ready_step>& ready_steps) const;
   std::vector<ready_step> NextSteps(monotonic_time now);
   bool TurnComesWithin(const job_entry& entry, const occurrence_state& occurrence, uint32_t index,
@@ -278,6 +287,7 @@
   std::deque<planned_start> planned_;
   uint32_t starts_in_flight_ = 0;
   answer_time answer_time_;  // of starts
+  run_times run_times_;
   bool unrecorded_starts_ = false;
   bool records_complete_ = false;
   std::vector<scheduler_note> notes_;
--- /dev/null
+++ b/src/process/scheduling/run_times.cc
@@ -0,0 +1,70 @@
+#include "process/scheduling/run_times.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Before anything ran, declared times are taken as they are, with the weight of a few steps: two
+// short and two long ones that took just what was declared.
+constexpr std::array<double, 2> kPriorMillis = {200, 5000};
+constexpr double kPriorWeight = 2;
+// What is left of a step's weight when the next one is added: the last hundred count.
+constexpr double kKeep = 0.99;
+constexpr milliseconds kShortest{1};
+
+double Log(milliseconds time) {
+  return std::log(static_cast<double>(std::max(time, kShortest).count()));
+}
+
+}  // namespace
+
+void run_times::line::Add(double log_declared, double log_took, double weight) {
+  w += weight;
+  x += weight * log_declared;
+  y += weight * log_took;
+  xx += weight * log_declared * log_declared;
+  xy += weight * log_declared * log_took;
+}
+
+void run_times::line::Fade(double keep) {
+  w *= keep;
+  x *= keep;
+  y *= keep;
+  xx *= keep;
+  xy *= keep;
+}
+
+run_times::line run_times::Prior() {
+  line out;
+  for (const double millis : kPriorMillis) {
+    out.Add(std::log(millis), std::log(millis), kPriorWeight);
+  }
+  return out;
+}
+
+void run_times::OnRun(const std::string& queue, milliseconds declared, milliseconds took,
+                      double weight) {
+  if (declared.count() <= 0) return;  // a task that lasts declares none
+  line& of_queue = lines_.try_emplace(queue, Prior()).first->second;
+  of_queue.Fade(std::pow(kKeep, weight));
+  of_queue.Add(Log(declared), Log(took), weight);
+}
+
+milliseconds run_times::Expected(const std::string& queue, milliseconds declared) const {
+  const auto found = lines_.find(queue);
+  if (found == lines_.end() || declared.count() <= 0) return declared;
+  const line& of = found->second;
+  const double mean_x = of.x / of.w;
+  const double mean_y = of.y / of.w;
+  const double spread = of.xx / of.w - mean_x * mean_x;
+  const double together = of.xy / of.w - mean_x * mean_y;
+  const double slope = spread <= 0 ? 0 : std::clamp(together / spread, 0.0, 1.0);
+  return milliseconds(static_cast<int64_t>(std::exp(mean_y + slope * (Log(declared) - mean_x))));
+}
+
+}  // namespace catkinford
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -49,12 +49,14 @@
 }  // namespace
 
 // Tasks of the step that need an instance: those that wait, or copies of those that are overdue.
-uint32_t job_scheduler::Wanted(const step_progress& step, const step_terms& terms,
-                               monotonic_time now) const {
+uint32_t job_scheduler::Wanted(const ready_step& ready, monotonic_time now) const {
+  const step_progress& step = ready.occurrence->steps[ready.index];
+  const step_terms& terms = ready.entry->job.steps[ready.index];
   if (step.waiting > 0 || !terms.speculative) return step.waiting;
-  return static_cast<uint32_t>(
-      std::count_if(step.tasks.begin(), step.tasks.end(),
-                    [&](const task_state_slot& task) { return WantsCopy(task, terms, now); }));
+  const milliseconds expected = ExpectedRun(*ready.entry, step, ready.index);
+  return static_cast<uint32_t>(std::count_if(
+      step.tasks.begin(), step.tasks.end(),
+      [&](const task_state_slot& task) { return WantsCopy(task, terms, expected, now); }));
 }
 
 job_scheduler::advice_round job_scheduler::BeginAdvice(monotonic_time now) const {
@@ -154,7 +156,7 @@
   step_progress& step = ready.occurrence->steps[ready.index];
   const step_terms& terms = ready.entry->job.steps[ready.index];
   if (!WithinLimit(*ready.entry, terms.need)) return;
-  const uint32_t wanted = Wanted(step, terms, now);
+  const uint32_t wanted = Wanted(ready, now);
   const std::vector<advice_option> known = KnownOptions(ready, round, wanted, now);
   const queue_terms* queue = ready.entry->queue;
   const advice_cost cost = queue != nullptr && queue->advice ? *queue->advice : advice_cost{};
@@ -230,12 +232,11 @@
     const step_progress& step = occurrence.steps[earlier];
     if (step.Done()) continue;
     if (step.waiting > 0) return false;
-    const step_terms& terms = entry.job.steps[earlier];
+    const auto takes = static_cast<double>(ExpectedRun(entry, step, earlier).count());
     for (const task_state_slot& task : step.tasks) {
       if (task.phase != slot_phase::kActive || task.run == nullptr) continue;
       const double speed = std::max(kSlowestSpeed, task.run->instance->speed);
-      const auto expected =
-          milliseconds(static_cast<int64_t>(static_cast<double>(terms.estimate.count()) / speed));
+      const auto expected = milliseconds(static_cast<int64_t>(takes / speed));
       if (task.run->started + expected > now + ahead) return false;
     }
   }
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -242,7 +242,10 @@
     }
     if (terms.gang) continue;
     const auto ran = duration_cast<milliseconds>(now - run->started);
-    const auto left = terms.estimate > ran ? terms.estimate - ran : milliseconds{0};
+    const step_progress* step = run->job->Find(run->key);
+    const auto takes =
+        step == nullptr ? terms.estimate : ExpectedRun(*run->job, *step, run->key.step);
+    const auto left = std::max(takes - ran, milliseconds{0});
     const bool ends_in_time = left + kEvacuationMargin < instance.report.remaining;
     if (!ends_in_time && terms.checkpointing) AskStop(*run, stop_cause::kEvacuated, now);
   }
--- a/src/process/scheduling/scheduler_placing.cc
+++ b/src/process/scheduling/scheduler_placing.cc
@@ -198,14 +198,14 @@
 // A speculative task gets a copy where its run is overdue or its instance does not answer: a slow
 // or lost instance is noticed by the clock long before its lease is over.
 bool job_scheduler::WantsCopy(const task_state_slot& task, const step_terms& terms,
-                              monotonic_time now) const {
+                              milliseconds expected, monotonic_time now) const {
   if (!terms.speculative || terms.gang || terms.long_running) return false;
   if (task.phase != slot_phase::kActive || task.run == nullptr || task.copy != nullptr)
     return false;
   if (task.run->stopping != stop_cause::kNone) return false;
-  const auto patience = milliseconds(static_cast<int64_t>(
-                            kCopyFactor * static_cast<double>(terms.estimate.count()))) +
-                        kCopySlack;
+  const auto patience =
+      milliseconds(static_cast<int64_t>(kCopyFactor * static_cast<double>(expected.count()))) +
+      kCopySlack;
   return !task.run->instance->Reachable() || now - task.run->started > patience;
 }
 
@@ -213,9 +213,10 @@
   for (const ready_step& ready : CopySteps(now)) {
     const step_terms& terms = ready.entry->job.steps[ready.index];
     step_progress& step = ready.occurrence->steps[ready.index];
+    const milliseconds expected = ExpectedRun(*ready.entry, step, ready.index);
     for (uint32_t i = 0; i < step.tasks.size(); ++i) {
       task_state_slot& task = step.tasks[i];
-      if (!WantsCopy(task, terms, now)) continue;
+      if (!WantsCopy(task, terms, expected, now)) continue;
       if (!WithinLimit(*ready.entry, terms.need)) break;
       fleet_instance* instance = Choose(ready, task, now, nullptr);
       if (instance == nullptr) break;
@@ -232,9 +233,10 @@
         const step_terms& terms = entry->job.steps[i];
         const step_progress& step = occurrence->steps[i];
         if (!terms.speculative || step.active == 0 || step.waiting > 0) continue;
-        const bool wanted =
-            std::any_of(step.tasks.begin(), step.tasks.end(),
-                        [&](const task_state_slot& task) { return WantsCopy(task, terms, now); });
+        const milliseconds expected = ExpectedRun(*entry, step, i);
+        const bool wanted = std::any_of(
+            step.tasks.begin(), step.tasks.end(),
+            [&](const task_state_slot& task) { return WantsCopy(task, terms, expected, now); });
         if (wanted) out.push_back({entry, occurrence.get(), i});
       }
     }
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -20,7 +20,6 @@
 // themselves are a few in a hundred.
 constexpr uint32_t kFaultsInARow = 3;
 constexpr milliseconds kShunTime{4000};
-constexpr double kSpeedKeep = 0.8;  // weight of the past in an instance's learned speed
 
 std::string NameOf(const task_key& key) {
   return absl::StrCat(key.job, ".", key.occurrence, ".", key.step, ".", key.index);
@@ -227,12 +226,9 @@
     task.last_run = std::max(task.last_run, row.run);
     if (!row.checkpoint.empty()) task.checkpoint = row.checkpoint;
   }
-  if (row.how == run_end::kDone && run != nullptr && !run->inherited && step != nullptr) {
+  if (row.how == run_end::kDone && run != nullptr && step != nullptr) {
     instance.faults = 0;
-    const double took = static_cast<double>(
-        std::max<int64_t>(1, duration_cast<milliseconds>(now - run->started).count()));
-    const double expected = static_cast<double>(entry->job.steps[row.key.step].estimate.count());
-    instance.speed = kSpeedKeep * instance.speed + (1 - kSpeedKeep) * expected / took;
+    LearnRun(*entry, *step, *run, now);
   }
   if (run != nullptr) Release(*run, now);
   if (entry != nullptr && !IsFinal(entry->phase) && step != nullptr) {
@@ -372,7 +368,9 @@
   const bool works = run.phase == run_phase::kRunning && run.stopping == stop_cause::kNone &&
                      run.job != nullptr && run.pace == 100;
   if (works && !run.job->job.steps[run.key.step].long_running && run.instance->Reachable()) {
-    const auto expected = run.job->job.steps[run.key.step].estimate;
+    const step_progress* step = run.job->Find(run.key);
+    const auto expected =
+        step == nullptr ? kStallLeast : ExpectedRun(*run.job, *step, run.key.step);
     const auto patience =
         std::max(kStallLeast, milliseconds(static_cast<int64_t>(
                                   kStallFactor * static_cast<double>(expected.count()) / 100)));
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -52,6 +52,7 @@
   const task_key key{entry.job.id, ready.occurrence->number, ready.index, index};
   graph_run& run = AddRun(instance, &entry, key, number);
   run.phase = run_phase::kPlanned;
+  run.resumed = !task.checkpoint.empty();
   run.started = now;
   run.progressed = now;
   task.last_run = number;
--- a/src/request/step_graph.cc
+++ b/src/request/step_graph.cc
@@ -136,13 +136,14 @@
   return {};
 }
 
-milliseconds LongestChain(const std::vector<step_terms>& steps) {
+milliseconds LongestChain(const std::vector<step_terms>& steps,
+                          std::span<const milliseconds> takes) {
   std::vector<milliseconds> ends(steps.size(), milliseconds{0});
   milliseconds longest{0};
   for (size_t i = 0; i < steps.size(); ++i) {
     milliseconds begin{0};
     for (const uint32_t earlier : steps[i].after) begin = std::max(begin, ends[earlier]);
-    ends[i] = begin + steps[i].estimate;
+    ends[i] = begin + takes[i];
     longest = std::max(longest, ends[i]);
   }
   return longest;
--- a/src/request/step_graph.h
+++ b/src/request/step_graph.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -82,8 +83,9 @@
 bool IsGraphId(std::string_view id);
 leaf::result<void> CheckGraph(const graph_job& job);
 
-// The longest chain of estimates through the graph.
-std::chrono::milliseconds LongestChain(const std::vector<step_terms>& steps);
+// The longest chain through the graph, by how long each step takes.
+std::chrono::milliseconds LongestChain(const std::vector<step_terms>& steps,
+                                       std::span<const std::chrono::milliseconds> takes);
 
 // The durable form. Parse: an error of type durable_fault for bytes that name no job.
 struct durable_fault {};
