Hold room for wide work that is next in line; ask for its ticket ahead

Cause: scan-compare needs 2 to 8 accelerators and half an instance's processors, ocr-check one accelerator. Ruled out: the order (scans have the higher priority); best fit alone (no instance is ever empty). Change: room_forecast: steps next in line hold the instance that will have room for them soonest, by the expected ends of its runs; others start there only if they fit beside or will have ended. Tickets for held instances are asked for so that they are good when the room is there. The test world now tells true progress in its listings.

--- a/src/process/scheduling/graph_state.h
+++ b/src/process/scheduling/graph_state.h
@@ -81,6 +81,12 @@
   void Forget(uint32_t instance);
 };
 
+// An instance that will have room for a task.
+struct held_room {
+  uint32_t instance = 0;  // its ordinal
+  monotonic_time from{};
+};
+
 struct step_progress {
   std::vector<task_state_slot> tasks;
   uint32_t waiting = 0;
@@ -93,6 +99,9 @@
   // How long tasks of the step really took, from beginning to end: they are alike.
   std::chrono::milliseconds took_sum{0};
   uint32_t took_count = 0;
+  // Instances that are held for its waiting tasks; as of the round `held_in`.
+  std::vector<held_room> held;
+  uint64_t held_in = 0;
   absl::flat_hash_map<const fleet_instance*, uint32_t> placed;  // tasks that hold room there
 
   bool Done() const { return done == tasks.size(); }
--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -103,6 +103,16 @@
   entry.objective = entry.accepted_at + allowed + entry.job.terms.target_latency;
 }
 
+milliseconds job_scheduler::RemainingChain(const job_entry& entry,
+                                           const occurrence_state& occurrence) const {
+  std::vector<milliseconds> takes;
+  for (uint32_t i = 0; i < entry.job.steps.size(); ++i) {
+    const step_progress& step = occurrence.steps[i];
+    takes.push_back(step.Done() ? milliseconds{0} : ExpectedRun(entry, step, i));
+  }
+  return LongestChain(entry.job.steps, takes);
+}
+
 void job_scheduler::LearnRun(job_entry& entry, step_progress& step, const graph_run& run,
                              monotonic_time now) {
   if (run.inherited || run.resumed || run.pace != 100) return;
@@ -279,7 +289,7 @@
   }
   DropLapsed(now);
   CheckRuns(orders, now);
-  const std::vector<ready_step> ready = ReadySteps();
+  const std::vector<ready_step> ready = ReadySteps(now);
   Place(ready, now);
   orders.starts = TakeStarts(now);
   PlanAdvice(ready, orders, now);
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -21,6 +21,8 @@
 #include "process/scheduling/arrival_meter.h"
 #include "process/scheduling/fleet_state.h"
 #include "process/scheduling/graph_state.h"
+#include "process/scheduling/job_order.h"
+#include "process/scheduling/room_forecast.h"
 #include "process/scheduling/run_times.h"
 #include "process/scheduling/scheduler_messages.h"
 #include "version/site_version.h"
@@ -132,6 +134,7 @@
     job_entry* entry;
     occurrence_state* occurrence;
     uint32_t index;
+    job_place place;
   };
 
   // job_scheduler.cc
@@ -142,6 +145,9 @@
   std::chrono::milliseconds ExpectedRun(const job_entry& entry, const step_progress& step,
                                         uint32_t index) const;
   void SetObjective(job_entry& entry);
+  // Of one occurrence: the longest chain of what is not done.
+  std::chrono::milliseconds RemainingChain(const job_entry& entry,
+                                           const occurrence_state& occurrence) const;
   void LearnRun(job_entry& entry, step_progress& step, const graph_run& run, monotonic_time now);
   bool HoldsRuns(const job_entry& entry) const;
   void Note(scheduler_note::kind what, std::string subject, std::string detail);
@@ -198,7 +204,7 @@
   void Place(const std::vector<ready_step>& ready, monotonic_time now);
   bool MustWaitForInheritance(const job_entry& entry, const resources& need) const;
   void CountPossibleRuns();
-  std::vector<ready_step> ReadySteps();
+  std::vector<ready_step> ReadySteps(monotonic_time now);
   void PlaceStep(const ready_step& ready, monotonic_time now);
   void PlaceGang(const ready_step& ready, monotonic_time now);
   fleet_instance* Choose(const ready_step& ready, const task_state_slot& task, monotonic_time now,
@@ -213,6 +219,20 @@
   std::vector<ready_step> CopySteps(monotonic_time now);
   void PlaceCopies(monotonic_time now);
 
+  // scheduler_holds.cc: room for those next in line
+  void BeginHolds();
+  // Holds room for the step's tasks that found none.
+  void HoldRoom(const ready_step& ready, monotonic_time now);
+  room_forecast& ForecastOf(const fleet_instance& instance, monotonic_time now);
+  std::optional<monotonic_time> ExpectedEnd(const graph_run& run, monotonic_time now) const;
+  // When a task of the step that starts now gives its room back.
+  monotonic_time GivesBack(const ready_step& ready, monotonic_time now) const;
+  // Nobody who comes before is delayed by it.
+  bool DelaysNobody(const fleet_instance& instance, const resources& room,
+                    monotonic_time until) const;
+  // When the step could start at the instance for all that its policy needs.
+  monotonic_time TicketBy(const ready_step& ready, uint32_t instance, monotonic_time now) const;
+
   // scheduler_starts.cc: starts and their records
   struct planned_start {
     start_order order;
@@ -252,6 +272,9 @@
                       monotonic_time now);
   void SpeakFor(const ready_step& ready, advice_round& round,
                 const std::vector<advice_option>& known, uint32_t wanted) const;
+  // Adds the instances that are held for the step, if an answer would come when they have room.
+  void AddHeld(const ready_step& ready, const advice_cost& cost, advice_order& order,
+               monotonic_time now) const;
   uint32_t MostThere(const ready_step& ready, const fleet_instance& instance,
                      uint32_t wanted) const;
   std::vector<advice_option> KnownOptions(const ready_step& ready, advice_round& round,
@@ -285,6 +308,10 @@
   std::deque<std::string> final_;                             // in the order in which they ended
   std::deque<job_entry*> unstored_;  // changed since they were last given out, the oldest first
   std::deque<planned_start> planned_;
+  // Of the round under way, by ordinal of the instance; null where nothing is held.
+  std::vector<std::unique_ptr<room_forecast>> forecasts_;
+  std::vector<uint32_t> holding_steps_;  // by service
+  uint64_t round_ = 0;                   // of decisions
   uint32_t starts_in_flight_ = 0;
   answer_time answer_time_;  // of starts
   run_times run_times_;
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -151,6 +151,27 @@
   return out;
 }
 
+// A ticket that is asked for only when the room is there comes too late: another's work takes it
+// meanwhile.
+void job_scheduler::AddHeld(const ready_step& ready, const advice_cost& cost, advice_order& order,
+                            monotonic_time now) const {
+  const step_progress& step = ready.occurrence->steps[ready.index];
+  if (step.held_in != round_) return;
+  const milliseconds ahead =
+      cost.base + duration_cast<milliseconds>(cost.per_instance) + kAheadSlack;
+  for (const held_room& held : step.held) {
+    if (held.from > now + ahead) continue;
+    const advice_verdict* verdict = step.advice.Of(held.instance);
+    const auto found = by_ordinal_.find(held.instance);
+    if (verdict == nullptr || found == by_ordinal_.end()) continue;
+    if (verdict->expires > held.from + kTicketMargin) continue;
+    const std::string& id = found->second->report.id;
+    const bool named =
+        std::find(order.instances.begin(), order.instances.end(), id) != order.instances.end();
+    if (!named && order.instances.size() < kMostInOneAsk) order.instances.push_back(id);
+  }
+}
+
 void job_scheduler::PlanStepAdvice(const ready_step& ready, advice_round& round,
                                    scheduler_orders& orders, monotonic_time now) {
   step_progress& step = ready.occurrence->steps[ready.index];
@@ -163,6 +184,7 @@
   advice_order order;
   if (!step.advice.in_flight && now >= step.advice.next_ask) {
     order.instances = WorthAsking(ready, round, known, wanted, cost);
+    AddHeld(ready, cost, order, now);
   }
   SpeakFor(ready, round, known, wanted);
   if (order.instances.empty()) return;
@@ -218,7 +240,7 @@
         // Asked ahead once: what comes later is seen when its turn has come.
         if (!occurrence->steps[i].advice.verdicts.empty()) continue;
         if (TurnComesWithin(*entry, *occurrence, i, ahead, now)) {
-          out.push_back({entry, occurrence.get(), i});
+          out.push_back({entry, occurrence.get(), i, {}});
         }
       }
     }
--- a/src/process/scheduling/scheduler_placing.cc
+++ b/src/process/scheduling/scheduler_placing.cc
@@ -47,13 +47,19 @@
          !Exceeds(with.accelerators, workspace->maximum.accelerators);
 }
 
-std::vector<job_scheduler::ready_step> job_scheduler::ReadySteps() {
+std::vector<job_scheduler::ready_step> job_scheduler::ReadySteps(monotonic_time now) {
   std::vector<ready_step> out;
   for (job_entry* entry : active_) {
     for (auto& [number, occurrence] : entry->occurrences) {
+      job_place place;
       for (uint32_t i = 0; i < occurrence->steps.size(); ++i) {
         const step_progress& step = occurrence->steps[i];
-        if (step.ready && step.waiting > 0) out.push_back({entry, occurrence.get(), i});
+        if (!step.ready || step.waiting == 0) continue;
+        if (place.by == monotonic_time{}) {
+          const milliseconds remaining = RemainingChain(*entry, *occurrence);
+          place = PlaceOf({entry->accepted_at, entry->objective, remaining}, now);
+        }
+        out.push_back({entry, occurrence.get(), i, place});
       }
     }
   }
@@ -94,12 +100,14 @@
   const bool advised = TermsOf(*ready.entry).needs_advice;
   resources room = terms.need;
   if (terms.fills) room.cpu_milli = 0;
+  const monotonic_time until = GivesBack(ready, now);
   fleet_instance* best = nullptr;
   double best_score = -std::numeric_limits<double>::infinity();
   const auto consider = [&](fleet_instance& instance) {
     if (rack != nullptr && instance.report.rack != *rack) return;
     if (task.run != nullptr && task.run->instance == &instance) return;
     if (!instance.Fits(room) || !MayRun(instance, ready, now)) return;
+    if (!DelaysNobody(instance, room, until)) return;
     const auto placed = step.placed.find(&instance);
     const uint32_t here = placed == step.placed.end() ? 0 : placed->second;
     if (terms.most_per_instance > 0 && here >= terms.most_per_instance) return;
@@ -237,7 +245,7 @@
         const bool wanted = std::any_of(
             step.tasks.begin(), step.tasks.end(),
             [&](const task_state_slot& task) { return WantsCopy(task, terms, expected, now); });
-        if (wanted) out.push_back({entry, occurrence.get(), i});
+        if (wanted) out.push_back({entry, occurrence.get(), i, {}});
       }
     }
   }
@@ -275,6 +283,7 @@
     inheritance_settled_ = InheritanceSettled(now);
     CountPossibleRuns();
   }
+  BeginHolds();
   for (const ready_step& ready : steps) {
     if (!MayPlanMore()) break;
     const step_terms& terms = ready.entry->job.steps[ready.index];
@@ -284,6 +293,7 @@
     } else {
       PlaceStep(ready, now);
     }
+    HoldRoom(ready, now);
   }
   PlaceCopies(now);
 }
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -53,6 +53,9 @@
   graph_run& run = AddRun(instance, &entry, key, number);
   run.phase = run_phase::kPlanned;
   run.resumed = !task.checkpoint.empty();
+  if (instance.ordinal < forecasts_.size() && forecasts_[instance.ordinal] != nullptr) {
+    forecasts_[instance.ordinal]->Start(run.room, GivesBack(ready, now));
+  }
   run.started = now;
   run.progressed = now;
   task.last_run = number;
--- a/test/scheduling_world.cc
+++ b/test/scheduling_world.cc
@@ -322,6 +322,12 @@
   if (!answered) reply(now_ + kOrderTimeout, {order_result::kUnknown, {}});
 }
 
+uint32_t scheduling_world::PercentOf(const live_run& run) const {
+  if (run.lasting) return 100;
+  const auto all = std::max(milliseconds{1}, run.ends - run.began);
+  return static_cast<uint32_t>(std::min<int64_t>(100, 100 * (now_ - run.began) / all));
+}
+
 void scheduling_world::SendListing(const list_order& order) {
   const uint64_t life = owner_life_;
   const uint64_t epoch = epoch_;
@@ -363,9 +369,7 @@
       listing.clock_ms = Clock(later);
       listing.incarnation = later.report.incarnation;
       for (const live_run& run : later.runs) {
-        const auto ran = now_ - run.began;
-        listing.running.push_back(
-            {run.key, run.run, {}, static_cast<uint32_t>(ran.count() / 100 % 100), 0});
+        listing.running.push_back({run.key, run.run, {}, PercentOf(run), 0});
       }
       listing.ended = later.ended;
       At(now_ + milliseconds{1}, [this, life, order, listing, sent] {
--- a/test/scheduling_world.h
+++ b/test/scheduling_world.h
@@ -124,6 +124,8 @@
                const std::function<void(const order_answer&)>& answer);
   order_answer CarryOutStart(live_instance& instance, const start_order& order, uint64_t epoch);
   order_answer CarryOutStop(live_instance& instance, const stop_order& order, uint64_t epoch);
+  // Of its work that is done.
+  uint32_t PercentOf(const live_run& run) const;
   void SendListing(const list_order& order);
   void CheckStart(const live_instance& instance, const start_order& order);
 
