--- a/src/process/scheduling/scheduler_placing.cc
+++ b/src/process/scheduling/scheduler_placing.cc
@@ -68,7 +68,7 @@
     const int first = TermsOf(*a.entry).priority;
     const int second = TermsOf(*b.entry).priority;
     if (first != second) return first < second;
-    return a.entry->objective < b.entry->objective;
+    return a.place < b.place;
   });
   return out;
 }
