Give up what ran at an address that a newcomer answers at

Their tasks waited for leases: 4 s, and 6.2 s after a takeover, though the newcomer was registered and answered 0.1 s after the new owner had loaded; jobs of 1 s took 10 to 13 s. Ruled out: a refused connection as proof (a partition may refuse as well); the registration alone. Change: once a later incarnation answers a listing at the same address, the earlier instance has ended: its runs are dropped, it leaves the stored fleet and gets nothing more. Starts that may still reach a next life under its id are kept in mind. A new owner no longer logs each instance of its first registry as back.

--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -105,6 +105,7 @@
   monotonic_time absent_since{};
   bool listed = false;         // fenced by this owner, and its runs are known
   bool lease_unknown = false;  // an earlier owner may have extended its lease
+  bool replaced = false;       // another one answers at its address: it has ended
   // The store names it as one that may run work. Without that, the next owner would not look for
   // runs there if the registry had lost it too.
   bool noted = false;
@@ -144,7 +145,7 @@
   // those that left the registry with nothing running. Kept in use, an instance that has left for
   // good would never answer a next owner, which would wait for its leases before it starts
   // inherited work.
-  bool InUse() const { return listed && (!runs.empty() || (present && Reachable())); }
+  bool InUse() const { return listed && !replaced && (!runs.empty() || (present && Reachable())); }
   resources Free() const;
   bool Fits(const resources& room) const;
   int64_t ClockAt(monotonic_time now) const;
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -188,6 +188,9 @@
   void Reborn(fleet_instance& instance, const instance_report& report, monotonic_time now);
   void Expect(fleet_instance& instance, const undelivered_start& start, monotonic_time now);
   void DropLapsed(monotonic_time now);
+  // Nothing runs there any more.
+  void DropRuns(fleet_instance& instance, const char* why, monotonic_time now);
+  void FindReplaced(const fleet_instance& newcomer, monotonic_time now);
   bool LeaseOver(const fleet_instance& instance, monotonic_time now) const;
   void PlanListings(scheduler_orders& orders, monotonic_time now);
   void PlanCheck(fleet_instance& instance, scheduler_orders& orders);
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -49,6 +49,7 @@
   instance.report = report;
   instance.listed = false;
   instance.lease_unknown = false;
+  instance.replaced = false;
   instance.clock_ms = 0;
   instance.listed_at_ms = 0;
   instance.lease_until_ms = 0;
@@ -111,7 +112,9 @@
          absl::StrCat("remaining_ms=", report.remaining.count(), " runs=", instance.runs.size()));
   }
   if (!instance.present) {
-    Note(scheduler_note::kind::kInstanceBack, report.id, "in the registry again");
+    if (registry_seen_) {
+      Note(scheduler_note::kind::kInstanceBack, report.id, "in the registry again");
+    }
   }
   instance.present = true;
   instance.report = report;
@@ -180,6 +183,7 @@
 }
 
 bool job_scheduler::LeaseOver(const fleet_instance& instance, monotonic_time now) const {
+  if (instance.replaced) return true;
   if (now < instance.earlier_orders_until) return false;
   if (instance.lease_unknown) {
     const double longest = static_cast<double>(options_.run_lease.count()) / kSlowestClock;
@@ -198,24 +202,47 @@
   });
 }
 
+void job_scheduler::DropRuns(fleet_instance& instance, const char* why, monotonic_time now) {
+  instance.lease_unknown = false;
+  while (!instance.runs.empty()) {
+    graph_run& run = *instance.runs.front();
+    job_entry* job = run.job;
+    const task_key key = run.key;
+    Note(scheduler_note::kind::kRunVanished, key.job,
+         absl::StrCat("step=", key.step, " index=", key.index, " run=", run.number,
+                      " instance=", instance.report.id, " ", why));
+    Release(run, now);
+    if (job != nullptr && !IsFinal(job->phase) && job->job.steps[key.step].gang) {
+      BreakGang(*job, key, stop_cause::kGangBroken, now);
+    }
+  }
+}
+
+// An instance ended and its address went to a newcomer, which answers there under its own id: only
+// one process can listen at an address, so all that ran at the earlier one has ended with it. Its
+// leases are not waited for; they would hold up its tasks for seconds. Orders that are still on
+// their way to it name it, and the newcomer refuses them.
+void job_scheduler::FindReplaced(const fleet_instance& newcomer, monotonic_time now) {
+  for (auto& [id, instance] : instances_) {
+    const instance_report& report = instance->report;
+    if (instance.get() == &newcomer || instance->replaced) continue;
+    if (report.address.empty() || report.address != newcomer.report.address) continue;
+    if (report.incarnation >= newcomer.report.incarnation) continue;
+    instance->replaced = true;
+    // Should it come back under its id, a start that is still on its way may reach it.
+    for (const auto& run : instance->runs) {
+      if (!run->seen) instance->undelivered.push_back({run->key, run->number, run->started});
+    }
+    DropRuns(*instance, "address taken over", now);
+  }
+}
+
 void job_scheduler::DropLapsed(monotonic_time now) {
   std::vector<std::string> forgotten;
   for (auto& [id, instance] : instances_) {
     if (instance->silent > 0 && LeaseOver(*instance, now)) {
-      instance->lease_unknown = false;
       // Unreachable for longer than any lease: whatever ran there was killed by the instance.
-      while (!instance->runs.empty()) {
-        graph_run& run = *instance->runs.front();
-        job_entry* job = run.job;
-        const task_key key = run.key;
-        Note(scheduler_note::kind::kRunVanished, key.job,
-             absl::StrCat("step=", key.step, " index=", key.index, " run=", run.number,
-                          " instance=", id, " lease over"));
-        Release(run, now);
-        if (job != nullptr && !IsFinal(job->phase) && job->job.steps[key.step].gang) {
-          BreakGang(*job, key, stop_cause::kGangBroken, now);
-        }
-      }
+      DropRuns(*instance, "lease over", now);
     }
     const bool idle = instance->runs.empty() && !instance->listing_in_flight;
     if (!instance->present && idle && now - instance->absent_since > kForgetAbsent &&
@@ -296,6 +323,7 @@
       instances_.begin(), instances_.end(),
       [](const auto& item) { return !item.second->listed && item.second->listing_in_flight; }));
   for (auto& [id, instance] : instances_) {
+    if (instance->replaced) continue;
     if (instance->listing_in_flight) PlanCheck(*instance, orders);
     if (instance->listing_in_flight || now < instance->next_listing) continue;
     AdvanceAcks(*instance);
@@ -365,6 +393,7 @@
   if (!instance.listed) {
     instance.listed = true;
     instance.lease_unknown = false;
+    FindReplaced(instance, now);
     // Whatever an earlier owner granted ends by then at the latest.
     instance.lease_until_ms =
         std::max(instance.lease_until_ms, listing.clock_ms + options_.run_lease.count());
--- a/src/process/scheduling/scheduler_placing.cc
+++ b/src/process/scheduling/scheduler_placing.cc
@@ -75,7 +75,7 @@
 
 bool job_scheduler::MayGetWork(const fleet_instance& instance, monotonic_time now) {
   if (!instance.present || !instance.listed || !instance.noted) return false;
-  if (instance.report.draining || instance.doubted) return false;
+  if (instance.report.draining || instance.doubted || instance.replaced) return false;
   if (!instance.Reachable() || now < instance.shunned_until) return false;
   return now - instance.clock_at <= kOldestClock;
 }
--- a/test/answer_time_test.cc
+++ b/test/answer_time_test.cc
@@ -34,6 +34,7 @@
     for (const char* id : {"a", "b"}) {
       instance_report report;
       report.id = id;
+      report.address = id;
       report.service = "service";
       report.capacity = kSmallInstance;
       reports.push_back(report);
@@ -108,5 +109,32 @@
   CHECK(checks);
 }
 
+// An instance ends for good and its address goes to another one, of another service. Its tasks
+// would wait for its leases, four seconds and more, though the newcomer answers where it was.
+TEST_CASE_METHOD(two_instances_fixture,
+                 "scheduler, address taken over by a newcomer, runs what was there elsewhere") {
+  owner.OnJob(Job(1, {Tasks(1, 8000, seconds(5))}), "", false, wall_time{}, now);
+  const auto first = StartsAt(now);
+  REQUIRE(first.size() == 1);
+  owner.OnStartAnswer(first[0], {order_result::kDone, 5010}, now);
+  const monotonic_time later = now + milliseconds{500};
+  instance_report newcomer;
+  newcomer.id = "newcomer";
+  newcomer.service = "other";
+  newcomer.address = first[0].to.instance;  // the fixture's instances are reached by their ids
+  newcomer.incarnation = 2;
+  newcomer.capacity = kSmallInstance;
+  std::vector<instance_report> reports = owner.Fleet();
+  reports.push_back(newcomer);
+  owner.OnRegistry(reports, later);
+  StartsAt(later);
+  CHECK(owner.RunCount() == 1);  // a registration alone proves nothing
+  owner.OnListing({{"newcomer", "", 0}, {}, 0, {}}, {10, 2, {}, {}}, later, later);
+  const auto second = StartsAt(later + milliseconds{1});
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].key == first[0].key);
+  CHECK(second[0].to.instance != first[0].to.instance);
+}
+
 }  // namespace
 }  // namespace catkinford
