Bring back lasting tasks before other work of their priority

Cause: with jobs ranked by what can still be saved, a job that lasts is older than any objective and ranked last, so a task of it that was down came after everything that waits. The users' rule wants it back within seconds however full the service is. Change: steps that last are in time always, the longest down first. Test: lasting task down on a full floor.

--- a/src/process/scheduling/scheduler_placing.cc
+++ b/src/process/scheduling/scheduler_placing.cc
@@ -55,6 +55,11 @@
       for (uint32_t i = 0; i < occurrence->steps.size(); ++i) {
         const step_progress& step = occurrence->steps[i];
         if (!step.ready || step.waiting == 0) continue;
+        if (entry->job.steps[i].long_running) {
+          // It serves its users again from the moment when it is back.
+          out.push_back({entry, occurrence.get(), i, {job_rank::kInTime, step.ready_at}});
+          continue;
+        }
         if (place.by == monotonic_time{}) {
           const milliseconds remaining = RemainingChain(*entry, *occurrence);
           place = PlaceOf({entry->accepted_at, entry->objective, remaining}, now);
--- a/test/full_floor_test.cc
+++ b/test/full_floor_test.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "process/scheduling/job_scheduler.h"
 #include "scheduling_jobs.h"
+#include "scheduling_world.h"
 
 namespace catkinford {
 namespace {
@@ -114,5 +115,24 @@
   CHECK(owner.Fleet().size() == before - 1);
 }
 
+// An instance crashes on a full floor, and a task that lasts is down with it. Its job is older than
+// any objective; ranked by that, it would come after everything else that waits, for ever.
+TEST_CASE("scheduler, lasting task down on a full floor, comes back before other work") {
+  scheduling_world world(5);
+  world.AddInstance("instance", kSmallInstance);
+  world.Run(seconds(1));
+  step_terms lasting = Tasks(1, 4000, milliseconds(300));
+  lasting.long_running = true;
+  world.Submit(Job(1, {lasting}));
+  world.Run(seconds(20));
+  for (uint32_t i = 2; i < 40; ++i) world.Submit(Job(i, {Tasks(1, 8000, seconds(2))}));
+  world.Run(seconds(1));
+  REQUIRE(world.Running(JobId(1)) == 1);
+  world.Crash("instance", true);
+  world.Run(seconds(9));
+  CHECK(world.Running(JobId(1)) == 1);
+  CHECK(world.Violations().empty());
+}
+
 }  // namespace
 }  // namespace catkinford
