Give up overdue listings and look again; wait shorter while calls are held up

Cause: orders that are held up for seconds include the waiting listings. Change: a listing that is overdue (its wait and the patience for answers) is given up; a second one asks at once, waits for no end and renews no lease; only if that is unanswered as well is the instance silent.

--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -22,6 +22,7 @@
 #include "process/scheduling/fleet_state.h"
 #include "process/scheduling/graph_state.h"
 #include "process/scheduling/job_order.h"
+#include "process/scheduling/listing_wait.h"
 #include "process/scheduling/room_forecast.h"
 #include "process/scheduling/run_times.h"
 #include "process/scheduling/scheduler_messages.h"
@@ -193,6 +194,9 @@
   void FindReplaced(const fleet_instance& newcomer, monotonic_time now);
   bool LeaseOver(const fleet_instance& instance, monotonic_time now) const;
   void PlanListings(scheduler_orders& orders, monotonic_time now);
+  void GiveUpOverdue(fleet_instance& instance, monotonic_time now);
+  // A listing that went unanswered.
+  void FallSilent(fleet_instance& instance, std::string_view why, monotonic_time now);
   void PlanCheck(fleet_instance& instance, scheduler_orders& orders);
   // It answered an order that was sent at `sent`.
   static void Heard(fleet_instance& instance, monotonic_time sent);
@@ -317,6 +321,7 @@
   uint64_t round_ = 0;                   // of decisions
   uint32_t starts_in_flight_ = 0;
   answer_time answer_time_;  // of starts
+  listing_wait listing_wait_;
   run_times run_times_;
   bool unrecorded_starts_ = false;
   bool records_complete_ = false;
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -12,8 +12,6 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-// How long a listing may wait at the instance for an end; it also renews the lease.
-constexpr milliseconds kListingWait{1000};
 // The pause after a listing: ends that come together are told together, and each look costs.
 constexpr milliseconds kListingPause{70};
 constexpr milliseconds kSilentPause{300};    // after the first listing without an answer
@@ -301,6 +299,19 @@
   if (sent >= instance.doubted_since) instance.doubted = false;
 }
 
+// An order may be held up for seconds, a waiting listing as well, and all ends at its instance
+// would be heard that much later. One that is overdue is given up and a second one sent, which
+// waits for no end and renews no lease: it may be the instance that is gone. Only if that goes
+// unanswered too is the instance silent.
+void job_scheduler::GiveUpOverdue(fleet_instance& instance, monotonic_time now) {
+  if (!instance.listed || now <= instance.listing_due) return;
+  if (instance.probing || instance.silent > 0) return FallSilent(instance, "overdue", now);
+  Doubt(instance, now);
+  instance.listing_in_flight = false;
+  instance.probing = true;
+  instance.next_listing = now;
+}
+
 // The waiting listing returns at an end, and a start that was never carried out has none: a second
 // listing shows that it is not there, and its task may start elsewhere.
 void job_scheduler::PlanCheck(fleet_instance& instance, scheduler_orders& orders) {
@@ -324,6 +335,7 @@
       [](const auto& item) { return !item.second->listed && item.second->listing_in_flight; }));
   for (auto& [id, instance] : instances_) {
     if (instance->replaced) continue;
+    if (instance->listing_in_flight) GiveUpOverdue(*instance, now);
     if (instance->listing_in_flight) PlanCheck(*instance, orders);
     if (instance->listing_in_flight || now < instance->next_listing) continue;
     AdvanceAcks(*instance);
@@ -338,16 +350,19 @@
     order.ends_seen = instance->ends_acked;
     // Not extended at an instance that does not answer: its runs could not be given up as long as
     // each try may have reached it, and a crashed instance's work would wait for ever.
-    if (!fence && !instance->runs.empty() && instance->Reachable()) {
+    const bool renews = !fence && !instance->runs.empty() && instance->Reachable();
+    if (renews && !instance->probing) {
       order.lease_until_ms = instance->ClockAt(now) + options_.run_lease.count();
       instance->lease_until_ms = std::max(instance->lease_until_ms, *order.lease_until_ms);
       const bool waits_for_stop = std::any_of(
           instance->runs.begin(), instance->runs.end(), [](const std::unique_ptr<graph_run>& run) {
             return run->stop_confirmed || run->phase == run_phase::kUnknown;
           });
-      order.wait = waits_for_stop ? milliseconds{100} : kListingWait;
+      order.wait = waits_for_stop ? milliseconds{100} : listing_wait_.Wait();
     }
     instance->listing_in_flight = true;
+    instance->listing_due = now + order.wait + answer_time_.Patience();
+    order.number = ++instance->listing_number;
     orders.listings.push_back(std::move(order));
   }
 }
@@ -357,7 +372,15 @@
   const auto found = instances_.find(order.to.instance);
   if (found == instances_.end()) return;
   fleet_instance& instance = *found->second;
-  (order.check ? instance.check_in_flight : instance.listing_in_flight) = false;
+  if (order.check) instance.check_in_flight = false;
+  if (!order.check && order.number == instance.listing_number) {
+    instance.listing_in_flight = false;
+    if (std::exchange(instance.probing, false)) {
+      listing_wait_.OnLost();
+    } else {
+      listing_wait_.OnAnswered();
+    }
+  }
   if (listing.incarnation < instance.report.incarnation) return;
   if (listing.incarnation > instance.report.incarnation && listing.incarnation != 0) {
     instance_report report = instance.report;
@@ -412,13 +435,17 @@
     instance.check_in_flight = false;
     return;
   }
+  // Given up before: its answer was overdue.
+  if (!instance.listing_in_flight || order.number != instance.listing_number) return;
+  FallSilent(instance, ToText(result), now);
+}
+
+void job_scheduler::FallSilent(fleet_instance& instance, std::string_view why, monotonic_time now) {
   instance.listing_in_flight = false;
-  if (result == order_result::kOtherLife) {
-    instance.next_listing = now + kSilentPause;
-  }
+  instance.probing = false;
   if (instance.silent++ == 0) {
-    Note(scheduler_note::kind::kInstanceSilent, order.to.instance,
-         absl::StrCat("result=", std::string(ToText(result)), " runs=", instance.runs.size()));
+    Note(scheduler_note::kind::kInstanceSilent, instance.report.id,
+         absl::StrCat("result=", std::string(why), " runs=", instance.runs.size()));
   }
   const uint32_t doublings = std::min(instance.silent - 1, kLongestDoubling);
   instance.next_listing = now + std::min(kLongestPause, kSilentPause * (1 << doublings));
--- a/src/process/scheduling/scheduler_messages.h
+++ b/src/process/scheduling/scheduler_messages.h
@@ -50,6 +50,7 @@
   uint64_t ends_seen = 0;             // the instance may forget ends up to here
   std::chrono::milliseconds wait{0};  // for an end
   bool check = false;                 // beside one that waits there
+  uint64_t number = 0;                // rises with each that is no check
 };
 
 // Asks the policy of a queue which of these instances may run a step.
--- a/test/answer_time_test.cc
+++ b/test/answer_time_test.cc
@@ -109,6 +109,39 @@
   CHECK(checks);
 }
 
+// The answer to a waiting listing is lost or held up for seconds, and with it all ends at the
+// instance: work that is done is not heard of, and the next step of a quick job waits for the
+// call's timeout.
+TEST_CASE_METHOD(two_instances_fixture,
+                 "scheduler, waiting listing overdue, looks again and renews no lease") {
+  owner.OnJob(Job(1, {Tasks(1, 8000, milliseconds(300))}), "", false, wall_time{}, now);
+  const auto first = StartsAt(now);
+  REQUIRE(first.size() == 1);
+  REQUIRE(listings.size() == 1);
+  owner.OnStartAnswer(first[0], {order_result::kDone, 5010}, now);
+  const list_order waiting = listings[0];
+  REQUIRE(waiting.wait.count() > 0);
+  REQUIRE(waiting.lease_until_ms);
+  const monotonic_time overdue = now + waiting.wait + milliseconds{300};
+  StartsAt(overdue);
+  REQUIRE(listings.size() == 1);
+  CHECK(listings[0].to.instance == waiting.to.instance);
+  CHECK(listings[0].wait.count() == 0);
+  CHECK_FALSE(listings[0].lease_until_ms);
+
+  // The first one's timeout comes later and says nothing new.
+  owner.OnListing(listings[0], {6500, 0, {}, {{1, first[0].key, 1, run_end::kDone, ""}}}, overdue,
+                  overdue);
+  owner.OnNoListing(waiting, order_result::kUnknown, overdue + milliseconds{500});
+  CHECK(owner.Find(JobId(1))->phase == graph_phase::kCompleted);
+  owner.OnJob(Job(2, {Tasks(16, 1000, milliseconds(300))}), "", false, wall_time{}, overdue);
+  size_t there = 0;
+  for (const start_order& order : StartsAt(overdue + milliseconds{501})) {
+    there += order.to.instance == waiting.to.instance ? 1 : 0;
+  }
+  CHECK(there > 0);
+}
+
 // An instance ends for good and its address goes to another one, of another service. Its tasks
 // would wait for its leases, four seconds and more, though the newcomer answers where it was.
 TEST_CASE_METHOD(two_instances_fixture,
