Pause 120 ms between listings of an instance

Hypothesis: with lost listings given up early, fewer looks cost less and fewer of them get lost; the time by which an end is heard later is small against both.

--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 
 // The pause after a listing: ends that come together are told together, and each look costs.
-constexpr milliseconds kListingPause{70};
+constexpr milliseconds kListingPause{120};
 constexpr milliseconds kSilentPause{300};    // after the first listing without an answer
 constexpr milliseconds kLongestPause{2000};  // the pause doubles up to this
 constexpr uint32_t kLongestDoubling = 4;
