--- a/test/full_floor_test.cc
+++ b/test/full_floor_test.cc
@@ -21,7 +21,7 @@
  protected:
   two_services_fixture() {
     std::vector<queue_terms> queues;
-    for (const std::string& name : {"first", "second"}) {
+    for (const char* name : {"first", "second"}) {
       queue_terms queue;
       queue.name = name;
       queue.jobs.service = name;
@@ -36,7 +36,7 @@
     owner.SetVersion(std::make_shared<const site_version>(
         1, queues, workspaces, std::vector<service_terms>{}, caller_limits{}));
     std::vector<instance_report> reports;
-    for (const std::string& service : {"first", "second"}) {
+    for (const char* service : {"first", "second"}) {
       for (int i = 0; i < 3; ++i) {
         instance_report report;
         report.id = absl::StrCat(service, "-", i);
