Wait for the owner before the last one when that claimed early and was followed at once

Traced: an owner is cut off together with its domain; another entry claims the site before its lease has ended and is killed (or stopped in turn) within a second. The third hears that the second is dead and waits for nobody else: 4.1 s from its own start. The first goes on in its domain until its lease ends, and extends what runs there beyond that. Ruled out: records (all starts were recorded), leases of the third owner's own, the address of a replaced instance.

--- a/src/process/site/site_membership.h
+++ b/src/process/site/site_membership.h
@@ -19,6 +19,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "process/site/event_loop.h"
+#include "process/site/owner_history.h"
 #include "process/site/site_log.h"
 #include "process/site/site_ports.h"
 #include "process/site/site_records.h"
@@ -121,6 +122,8 @@
   bool Owns() const { return owns_; }
   // The earlier owner's lease had not ended: it may go on until it does.
   bool ClaimedEarly() const { return claimed_early_; }
+  // One before the earlier owner may go on as well.
+  bool OthersMayAct() const { return others_may_act_; }
   uint64_t Epoch() const { return epoch_; }
   uint64_t OwnerRevision() const { return owner_revision_; }
   // When the store last answered a call of this class.
@@ -275,7 +278,10 @@
   }
 
   void OnView() {
-    if (view_.owner) previous_seen_ = view_.owner->entry;
+    if (view_.owner) {
+      previous_seen_ = view_.owner->entry;
+      history_.OnSeen(*view_.owner, BootNow());
+    }
     const uint64_t seen = view_.owner ? view_.owner->epoch : 0;
     if (seen != logged_epoch_) {
       logged_epoch_ = seen;
@@ -311,14 +317,15 @@
   void Claim(bool early) {
     const bool free = early || !view_.owner || view_.owner->entry.name == self_.name;
     if (resigning_ || owns_ || !free || !LeaseGood(BootNow())) return;
-    const owner_word word{self_, view_.epoch + 1};
+    const owner_word word{self_, view_.epoch + 1, early};
+    const bool others = history_.EarlierMayAct(ttl_, BootNow());
     store_write write;
     write.expected = {{kOwnerKey, view_.owner_revision}, {kEpochKey, view_.epoch_revision}};
     write.puts.push_back({kOwnerKey, OwnerToText(word), lease_});
     write.puts.push_back({kEpochKey, absl::StrCat(word.epoch), {}});
     claim_pending_ = true;
-    store_.Commit(write,
-                  Here([this, word, early, previous = previous_seen_](const store_reply& reply) {
+    store_.Commit(write, Here([this, word, early, others,
+                               previous = previous_seen_](const store_reply& reply) {
                     claim_pending_ = false;
                     if (reply.status != store_status::kDone || resigning_) {
                       loop_.After(kRetry, [this] { ReadView(); });
@@ -332,10 +339,12 @@
                     owns_ = true;
                     previous_ = previous;
                     claimed_early_ = early;
+                    others_may_act_ = others;
                     epoch_ = word.epoch;
                     owner_revision_ = reply.revision;
                     log_.Write(site_event::kOwnershipWon, BootNow(),
-                               absl::StrCat("epoch=", epoch_, " early=", early));
+                               absl::StrCat("epoch=", epoch_, " early=", early,
+                                            " others_may_act=", others_may_act_));
                     hooks_.won();
                   }));
   }
@@ -414,6 +423,8 @@
   bool claim_pending_ = false;
   bool owns_ = false;
   bool claimed_early_ = false;
+  bool others_may_act_ = false;
+  owner_history history_;
   std::optional<site_entry> previous_seen_;  // the last owner that the store named
   std::optional<site_entry> previous_;       // whom this owner followed
   bool asking_ = false;
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -521,9 +521,9 @@
     advice_.Add(std::move(order));
     SpreadAdvice();
   };
-  owner_ = std::make_shared<site_owner<Platform>>(platform_, loop_, log_, numbers_, settings_,
-                                                  membership_.Epoch(), membership_.OwnerRevision(),
-                                                  membership_.ClaimedEarly(), std::move(hooks));
+  owner_ = std::make_shared<site_owner<Platform>>(
+      platform_, loop_, log_, numbers_, settings_, membership_.Epoch(), membership_.OwnerRevision(),
+      membership_.ClaimedEarly() || membership_.OthersMayAct(), std::move(hooks));
   numbers_.owns_site.Set(1);
   numbers_.takeovers.Increment();
   owner_->Start(versions_.Version());
@@ -537,6 +537,8 @@
 void site_node<Platform>::LookAtPrevious(int tries) {
   const auto& previous = membership_.Previous();
   if (!previous || owner_ == nullptr || tries == 0) return;
+  // That it is dead says nothing of the one before it.
+  if (membership_.OthersMayAct()) return;
   // This entry was restarted at the previous owner's address.
   const site_entry& self = membership_.Self();
   if (previous->name == self.name && previous->nonce != self.nonce) {
--- a/src/process/site/site_records.cc
+++ b/src/process/site/site_records.cc
@@ -36,14 +36,16 @@
 }
 
 std::string OwnerToText(const owner_word& owner) {
-  return json{{"entry", EntryToJson(owner.entry)}, {"epoch", owner.epoch}}.dump();
+  return json{{"entry", EntryToJson(owner.entry)}, {"epoch", owner.epoch}, {"early", owner.early}}
+      .dump();
 }
 
 std::optional<owner_word> OwnerFromText(std::string_view text) {
   const json in = json::parse(text, nullptr, false);
   if (!in.is_object()) return std::nullopt;
   try {
-    return owner_word{EntryFromJson(in.at("entry")), in.at("epoch").get<uint64_t>()};
+    return owner_word{EntryFromJson(in.at("entry")), in.at("epoch").get<uint64_t>(),
+                      in.value("early", false)};
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/src/process/site/site_records.h
+++ b/src/process/site/site_records.h
@@ -48,6 +48,7 @@
 struct owner_word {
   site_entry entry;
   uint64_t epoch = 0;
+  bool early = false;  // claimed while the lease of the owner before had not ended
 };
 
 // Parsing answers nothing for bytes that are no such record.
