Log and count what ends a read of the configuration

An entry answered by an old version for nine seconds and its output said nothing about its reads of the newer one: neither that they failed, nor with how many bytes after which time. A time limit on a text that is arriving, a silent connection and a store that refuses looked the same.

658 version_unread: source, outcome, bytes, ms, version held and its age. 659 version_told: another entry was given the text. 653 peer_lost gets bytes and ms. Metrics: reads by source and outcome, the text's size, texts given.

No decision changes.

--- a/src/connection/store_types.h
+++ b/src/connection/store_types.h
@@ -2,6 +2,7 @@
 #ifndef CATKINFORD_CONNECTION_STORE_TYPES_H_
 #define CATKINFORD_CONNECTION_STORE_TYPES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -32,6 +33,7 @@
       items;          // for Get one, for Range and Watch all; for a conflict the present
   std::string lease;  // for a new lease
   bool more = false;  // a range goes on after the last item
+  size_t bytes = 0;   // received, of an answer that broke off too
 };
 
 // One change of several keys: all of it is done or nothing.
--- a/src/process/site/site_log.cc
+++ b/src/process/site/site_log.cc
@@ -90,6 +90,10 @@
                     "A configuration can't be read; the one before stays."},
     site_event_info{kRecordUnreadable, kWarning, "record_unreadable",
                     "Bytes under a key of the store are no record; they name nothing."},
+    site_event_info{kVersionUnread, kWarning, "version_unread",
+                    "Reading the configuration failed: what ended it, after which time and bytes."},
+    site_event_info{kVersionTold, kInfo, "version_told",
+                    "Another entry was given the configuration's text."},
 };
 
 }  // namespace
--- a/src/process/site/site_log.h
+++ b/src/process/site/site_log.h
@@ -78,6 +78,8 @@
   kVersionTaken = 655,
   kVersionRefused = 656,
   kRecordUnreadable = 657,
+  kVersionUnread = 658,
+  kVersionTold = 659,
 };
 
 enum class site_log_level : uint8_t { kDetail, kInfo, kWarning };
--- a/src/process/site/site_metrics.cc
+++ b/src/process/site/site_metrics.cc
@@ -36,6 +36,8 @@
                        "Orders to instances, by order and outcome.")),
       ends_(Counters(registry_, "catkinford_site_run_ends_total",
                      "Ends of runs that instances listed, by how they ended.")),
+      version_reads_(Counters(registry_, "catkinford_site_version_reads_total",
+                              "Reads of the configuration, by source and outcome.")),
       answer_seconds_(prometheus::BuildHistogram()
                           .Name("catkinford_site_answer_seconds")
                           .Help("From a call's arrival to its answer.")
@@ -56,6 +58,11 @@
                                  "Since the store last answered this entry.")),
       version_age_seconds(OneGauge(registry_, "catkinford_site_version_age_seconds",
                                    "Since the configuration was last confirmed.")),
+      version_bytes(OneGauge(registry_, "catkinford_site_version_bytes",
+                             "Size of the configuration's text.")),
+      version_texts(Counters(registry_, "catkinford_site_version_texts_total",
+                             "Texts of the configuration given to other entries.")
+                        .Add({})),
       log_lines_left_out(Counters(registry_, "catkinford_site_log_lines_left_out_total",
                                   "Log lines that found no room.")
                              .Add({})) {}
@@ -77,6 +84,10 @@
 
 void site_metrics::CountEnd(const std::string& how) { ends_.Add({{"how", how}}).Increment(); }
 
+void site_metrics::CountVersionRead(const std::string& source, const std::string& outcome) {
+  version_reads_.Add({{"source", source}, {"outcome", outcome}}).Increment();
+}
+
 std::string site_metrics::Text() {
   std::ostringstream out;
   prometheus::TextSerializer().Serialize(out, registry_.Collect());
--- a/src/process/site/site_metrics.h
+++ b/src/process/site/site_metrics.h
@@ -24,6 +24,9 @@
   void CountStoreCall(const std::string& call, const std::string& outcome);
   void CountOrder(const std::string& order, const std::string& outcome);
   void CountEnd(const std::string& how);
+  // `source`: store, watch or peer; `outcome`: done, refused, absent, history_gone or
+  // broken_off.
+  void CountVersionRead(const std::string& source, const std::string& outcome);
   std::string Text();
 
  private:
@@ -32,6 +35,7 @@
   prometheus::Family<prometheus::Counter>& store_calls_;
   prometheus::Family<prometheus::Counter>& orders_;
   prometheus::Family<prometheus::Counter>& ends_;
+  prometheus::Family<prometheus::Counter>& version_reads_;
   prometheus::Family<prometheus::Histogram>& answer_seconds_;
 
  public:
@@ -43,6 +47,8 @@
   prometheus::Gauge& version;              // number of the configuration in force
   prometheus::Gauge& store_age_seconds;    // since the store last answered
   prometheus::Gauge& version_age_seconds;  // since the store last confirmed the configuration
+  prometheus::Gauge& version_bytes;        // of the configuration's text
+  prometheus::Counter& version_texts;      // given to other entries
   prometheus::Counter& log_lines_left_out;
 };
 
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -164,7 +164,7 @@
           std::max(settings_.timing.owner_lease, settings_.platform.shortest_lease),
           settings_.timing.watch_wait, MembershipHooks()),
       versions_(
-          platform, loop_, log_, settings_.timing.watch_wait, [this] { OnVersion(); },
+          platform, loop_, log_, numbers_, settings_.timing.watch_wait, [this] { OnVersion(); },
           [this](std::function<void(std::string)> done) { VersionFromPeer(std::move(done)); }),
       front_(platform, store_health_, loop_, log_, numbers_, kAnswerWithin, FrontHooks()) {}
 
@@ -374,6 +374,10 @@
     });
   } else if (request.path == kPeerVersionPath) {
     response.body = versions_.Text();
+    numbers_.version_texts.Increment();
+    log_.Write(
+        site_event::kVersionTold, BootNow(),
+        absl::StrCat("peer=", LogField(request.Query("by")), " bytes=", response.body.size()));
   } else if (request.path == kPeerJobPath) {
     if (owner_ != nullptr) owner_->OnJobStored(request.Query("id"), request.body);
   } else if (request.path == kPeerCancelPath) {
@@ -615,15 +619,19 @@
   http_call call;
   call.url = absl::StrCat("http://", peer.address, path_and_query);
   call.timeout = kPeerTimeout;
-  peers_.Send(std::move(call), [this, name = peer.name,
+  const monotonic_time asked = BootNow();
+  peers_.Send(std::move(call), [this, asked, name = peer.name,
                                 done = std::move(done)](http_result result) {
-    loop_.Post([this, name, done, result = std::move(result)] {
+    loop_.Post([this, asked, name, done, result = std::move(result)] {
       const bool good = result.status == transfer_status::kDone && result.code == front_status::kOk;
       bool& silent = peer_silent_[name];
       if (silent == good) {
         silent = !good;
-        log_.Write(good ? site_event::kPeerBack : site_event::kPeerLost, BootNow(),
-                   absl::StrCat("peer=", name, " status=", result.code));
+        log_.Write(
+            good ? site_event::kPeerBack : site_event::kPeerLost, BootNow(),
+            absl::StrCat(
+                "peer=", name, " status=", result.code, " bytes=", result.body.size(), " ms=",
+                std::chrono::duration_cast<std::chrono::milliseconds>(BootNow() - asked).count()));
       }
       done(good ? std::optional<std::string>(result.body) : std::nullopt);
     });
@@ -682,7 +690,8 @@
     if (name != settings_.name) others.push_back(entry);
   }
   if (others.empty()) return done({});
-  AskPeer(others[next_peer_++ % others.size()], kPeerVersionPath,
+  AskPeer(others[next_peer_++ % others.size()],
+          absl::StrCat(kPeerVersionPath, "?by=", settings_.name),
           [done = std::move(done)](const std::optional<std::string>& text) {
             done(text.value_or(std::string()));
           });
--- a/src/process/site/version_follow.h
+++ b/src/process/site/version_follow.h
@@ -13,6 +13,7 @@
 #include "absl/strings/str_cat.h"
 #include "process/site/event_loop.h"
 #include "process/site/site_log.h"
+#include "process/site/site_metrics.h"
 #include "process/site/site_ports.h"
 
 namespace catkinford {
@@ -23,12 +24,13 @@
   // `ask_peer`: gets the text of the configuration that some other entry has; empty: none.
   using peer_question = std::function<void(std::function<void(std::string)>)>;
 
-  version_follow(Platform& platform, event_loop& loop, site_log& log,
+  version_follow(Platform& platform, event_loop& loop, site_log& log, site_metrics& numbers,
                  std::chrono::milliseconds watch_wait, std::function<void()> changed,
                  peer_question ask_peer)
       : platform_(platform),
         loop_(loop),
         log_(log),
+        numbers_(numbers),
         watch_wait_(watch_wait),
         changed_(std::move(changed)),
         ask_peer_(std::move(ask_peer)) {}
@@ -58,7 +60,9 @@
   }
 
   void Read() {
-    platform_.Store().Get(Platform::kVersionKeyName, Here([this](const store_reply& reply) {
+    const monotonic_time sent = BootNow();
+    platform_.Store().Get(Platform::kVersionKeyName, Here([this, sent](const store_reply& reply) {
+                            NoteRead("store", reply, sent);
                             if (reply.status == store_status::kDone && !reply.items.empty()) {
                               confirmed_ = BootNow();
                               Take(reply.items.front().value, "store");
@@ -76,6 +80,7 @@
   }
 
   void OnWatched(const store_reply& reply, uint64_t after, monotonic_time sent) {
+    NoteRead("watch", reply, sent);
     if (reply.status != store_status::kDone) {
       loop_.After(kRetry, [this] { Read(); });
       return;
@@ -93,10 +98,42 @@
     loop_.After(kPeerPause, [this] { AskPeers(); });
     if (BootNow() - confirmed_ < watch_wait_ + kPeerSlack) return;
     ask_peer_([this](const std::string& text) {
+      numbers_.CountVersionRead("peer", text.empty() ? "broken_off" : "done");
       if (!text.empty()) Take(text, "peer");
     });
   }
 
+  static const char* OutcomeOf(store_status status) {
+    switch (status) {
+      case store_status::kDone:
+        return "done";
+      case store_status::kAbsent:
+        return "absent";
+      case store_status::kHistoryGone:
+        return "history_gone";
+      case store_status::kUnknown:
+        return "broken_off";
+      default:
+        return "refused";
+    }
+  }
+
+  // What ended a read, and how far it had come: a limit that is too short for the text looks
+  // different from a silent connection or a store that refuses.
+  void NoteRead(const char* source, const store_reply& reply, monotonic_time sent) {
+    numbers_.CountVersionRead(source, OutcomeOf(reply.status));
+    if (reply.status == store_status::kDone) return;
+    const monotonic_time now = BootNow();
+    const auto millis = [now](monotonic_time since) {
+      return std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count();
+    };
+    log_.Write(site_event::kVersionUnread, now,
+               absl::StrCat("source=", source, " outcome=", OutcomeOf(reply.status),
+                            " bytes=", reply.bytes, " ms=", millis(sent),
+                            " version=", version_ == nullptr ? 0 : version_->Number(),
+                            " age_ms=", version_ == nullptr ? -1 : millis(confirmed_)));
+  }
+
   void Take(const std::string& text, const char* source) {
     if (text == text_) return;
     leaf::try_handle_all(
@@ -105,6 +142,7 @@
           if (version_ != nullptr && version->Number() <= version_->Number()) return {};
           version_ = std::move(version);
           text_ = text;
+          numbers_.version_bytes.Set(static_cast<double>(text_.size()));
           log_.Write(site_event::kVersionTaken, BootNow(),
                      absl::StrCat("version=", version_->Number(), " source=", source,
                                   " queues=", version_->Queues().size(),
@@ -121,6 +159,7 @@
   Platform& platform_;
   event_loop& loop_;
   site_log& log_;
+  site_metrics& numbers_;
   std::chrono::milliseconds watch_wait_;
   std::function<void()> changed_;
   peer_question ask_peer_;
