Bring about a version that never arrives over narrow links (red)

Two tests of whole sites whose links to the store carry 150,000 bytes a second, with a configuration of 2,500 queues (567 KB on the wire): a change comes in force at neither entry within 30 s, and entries that start with it never get ready.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	@cmake --preset release >/dev/null
 	@cmake --build --preset release
 test: build
-	@ctest --preset release -j 4
+	@tools/test
 demo: build
 	@tools/demo
 bench: build
--- a/standin/fault_proxy.cc
+++ b/standin/fault_proxy.cc
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <limits>
 #include <list>
 #include <mutex>
 #include <string>
@@ -26,6 +27,9 @@
 
 constexpr size_t kChunk = size_t{64} << 10;
 constexpr size_t kBacklogBytes = size_t{4} << 20;  // then the sender is not read any further
+// On a link with a rate: what is passed on at once, and what waits for it at most.
+constexpr size_t kPacedBytes = size_t{4} << 10;
+constexpr size_t kPacedBacklogBytes = size_t{32} << 10;
 
 sockaddr_in Loopback(uint16_t port) {
   sockaddr_in address{};
@@ -99,6 +103,18 @@
   uint16_t target = 0;
   link_rule rule;
   uint64_t passed = 0;
+  std::array<time_point, 2> free_at{};  // when each way of a link with a rate takes more
+
+  bool Busy(size_t way, time_point now) const {
+    return rule.bytes_per_second != 0 && free_at[way] > now;
+  }
+  void Pass(size_t way, size_t bytes, time_point now) {
+    if (rule.bytes_per_second == 0) return;
+    const std::chrono::duration<double> takes(static_cast<double>(bytes) /
+                                              static_cast<double>(rule.bytes_per_second));
+    free_at[way] =
+        std::max(free_at[way], now) + std::chrono::duration_cast<std::chrono::nanoseconds>(takes);
+  }
 };
 
 void SetSwallow(proxied_connection& connection, link_state state) {
@@ -113,7 +129,7 @@
   void Run();
   void Accept(size_t link);
   void Read(proxied_connection& connection, stream& way, time_point now);
-  void Write(proxied_connection& connection, stream& way, time_point now);
+  void Write(proxied_connection& connection, size_t direction, time_point now);
   void CollectPolls(time_point now, int& timeout_ms);
   void Wake() const {
     const uint64_t one = 1;
@@ -171,14 +187,19 @@
   way.waiting.push_back({now + link.rule.delay, std::move(chunk)});
 }
 
-void fault_proxy::impl::Write(proxied_connection& connection, stream& way, time_point now) {
-  while (!way.waiting.empty() && way.waiting.front().due <= now) {
+void fault_proxy::impl::Write(proxied_connection& connection, size_t direction, time_point now) {
+  stream& way = connection.streams[direction];
+  proxy_link& link = links[connection.link];
+  const size_t most =
+      link.rule.bytes_per_second == 0 ? std::numeric_limits<size_t>::max() : kPacedBytes;
+  while (!way.waiting.empty() && way.waiting.front().due <= now && !link.Busy(direction, now)) {
     std::string& bytes = way.waiting.front().bytes;
-    const ssize_t sent = send(way.to, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    const ssize_t sent = send(way.to, bytes.data(), std::min(most, bytes.size()), MSG_NOSIGNAL);
     if (sent < 0) {
       if (errno != EAGAIN && errno != EINTR) connection.broken = true;
       return;
     }
+    link.Pass(direction, static_cast<size_t>(sent), now);
     way.waiting_bytes -= static_cast<size_t>(sent);
     bytes.erase(0, static_cast<size_t>(sent));
     if (bytes.empty()) way.waiting.pop_front();
@@ -196,15 +217,20 @@
   polls.push_back({wake, POLLIN, 0});
   for (const proxy_link& link : links) polls.push_back({link.listener, POLLIN, 0});
   for (proxied_connection& connection : connections) {
-    for (stream& way : connection.streams) {
+    const proxy_link& link = links[connection.link];
+    const size_t backlog = link.rule.bytes_per_second == 0 ? kBacklogBytes : kPacedBacklogBytes;
+    for (size_t direction = 0; direction < connection.streams.size(); ++direction) {
+      const stream& way = connection.streams[direction];
       // A held stream stays in the system's buffers, as sent packets stay with a sender that
       // goes on retransmitting them through a partition.
-      const bool held = links[connection.link].rule.state == link_state::kHold;
-      const bool reads = !held && !way.ended && way.waiting_bytes < kBacklogBytes;
+      const bool held = link.rule.state == link_state::kHold;
+      const bool reads = !held && !way.ended && way.waiting_bytes < backlog;
       polls.push_back({reads ? way.from : -1, POLLIN, 0});
       bool writes = false;
       if (!way.waiting.empty()) {
-        const auto left = way.waiting.front().due - now;
+        const time_point free_at =
+            link.rule.bytes_per_second == 0 ? time_point::min() : link.free_at[direction];
+        const auto left = std::max(way.waiting.front().due, free_at) - now;
         writes = left <= milliseconds{0};
         if (!writes) {
           const auto wait = std::chrono::ceil<milliseconds>(left).count();
@@ -231,12 +257,15 @@
     const time_point now = steady_clock::now();
     size_t at = 1 + known_links;
     for (proxied_connection& connection : connections) {
-      for (stream& way : connection.streams) {
-        if (ready[at++].revents != 0) Read(connection, way, now);
+      for (size_t direction = 0; direction < connection.streams.size(); ++direction) {
+        if (ready[at++].revents != 0) Read(connection, connection.streams[direction], now);
         ++at;
-        Write(connection, way, now);
+        Write(connection, direction, now);
       }
     }
+    // The connections of a link with a rate take turns.
+    if (!connections.empty())
+      connections.splice(connections.end(), connections, connections.begin());
     for (size_t link = 0; link < known_links; ++link) {
       if (ready[1 + link].revents != 0) Accept(link);
     }
--- a/standin/fault_proxy.h
+++ b/standin/fault_proxy.h
@@ -25,6 +25,8 @@
   std::chrono::milliseconds delay{0};  // each way
   // After so many bytes a connection goes silent for good; another one starts at zero.
   uint64_t silent_after_bytes = std::numeric_limits<uint64_t>::max();
+  // Each way, shared by the link's connections; 0: as fast as the machine.
+  uint64_t bytes_per_second = 0;
 };
 
 // Numbers a link: one listening port in front of one target port.
--- a/test/fault_proxy_test.cc
+++ b/test/fault_proxy_test.cc
@@ -52,6 +52,18 @@
 
 }  // namespace
 
+TEST_CASE_METHOD(fault_proxy_fixture, "link with a rate, carries whole bodies no faster",
+                 "[proxy]") {
+  const std::string large(50000, 'x');
+  link_rule rule;
+  rule.bytes_per_second = 100'000;
+  proxy_.SetRule(link_, rule);
+  const auto begun = std::chrono::steady_clock::now();
+  CHECK(Call(large, false, milliseconds{30000}).body == large);
+  // There and back, one after the other: the server answers what it has read whole.
+  CHECK(std::chrono::steady_clock::now() - begun > milliseconds{950});
+}
+
 TEST_CASE_METHOD(fault_proxy_fixture, "link, passing, carries whole bodies", "[proxy]") {
   const std::string large(500000, 'x');
   CHECK(Call("a").body == "a");
--- /dev/null
+++ b/test/narrow_link_test.cc
@@ -0,0 +1,76 @@
+// Sites whose links carry a large configuration slowly.
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "site_fixture.h"
+#include "standin/fault_proxy.h"
+
+namespace catkinford {
+namespace {
+
+// Two entries whose ways to the store can be made narrow, and a configuration that takes such a way
+// longer than any call to the store may stay unanswered.
+class narrow_link_fixture : public site_fixture {
+ protected:
+  static constexpr uint64_t kNarrow = 150'000;  // bytes a second
+  static constexpr size_t kQueues = 2500;
+
+  narrow_link_fixture() : site_fixture(no_entries{}) {
+    proxy_.Start();
+    for (size_t i = 0; i < 2; ++i) {
+      links_.push_back(proxy_.AddLink(store_.Port()));
+      AddEntry(absl::StrCat("entry-", i), absl::StrCat("127.0.0.1:", proxy_.PortOf(links_.back())));
+    }
+  }
+  ~narrow_link_fixture() {
+    for (auto& entry : entries_) entry->process.Kill();
+    proxy_.Stop();
+  }
+
+  void Narrow() {
+    for (const link_index link : links_) {
+      link_rule rule;
+      rule.bytes_per_second = kNarrow;
+      proxy_.SetRule(link, rule);
+    }
+  }
+
+  void PutLargeVersion(uint64_t number) {
+    std::vector<nlohmann::json> queues;
+    for (size_t i = 0; i < kQueues; ++i) queues.push_back(OpenQueue(absl::StrCat("queue-", i)));
+    queues.push_back(OpenQueue("added"));
+    PutVersion(number, {"key-1"}, queues);
+  }
+
+  bool Serves(size_t at) { return Call(at, "GET", "/added/").code == 200; }
+
+  fault_proxy proxy_;
+  std::vector<link_index> links_;
+};
+
+// Guards against an entry that never catches up: its read of a new version is ended by time,
+// however much has arrived, and begins again at the first byte.
+TEST_CASE_METHOD(narrow_link_fixture,
+                 "site, version larger than its links carry in time, is in force at every entry") {
+  for (auto& entry : entries_) Start(*entry);
+  REQUIRE(Eventually([this] { return Ready(0) && Ready(1) && Owner() >= 0; }));
+  Narrow();
+  PutLargeVersion(2);
+  CHECK(Eventually([this] { return Serves(0); }));
+  CHECK(Eventually([this] { return Serves(1); }));
+}
+
+// Guards against an entry that starts and never gets ready: the same read, its first.
+TEST_CASE_METHOD(narrow_link_fixture,
+                 "site, started with a version larger than its links carry in time, gets ready") {
+  PutLargeVersion(2);
+  Narrow();
+  for (auto& entry : entries_) Start(*entry);
+  CHECK(Eventually([this] { return Ready(0) && Ready(1); }));
+  CHECK(Eventually([this] { return Serves(0) && Serves(1); }));
+}
+
+}  // namespace
+}  // namespace catkinford
