Give up a call to the store when it stands still, not when it takes long

Callers saw 404 for a queue whose version was confirmed 4 s before, at one entry, for as long as the record goes on.

Cause: a time limit on the whole transfer. The text of 4,245 queues is 1.2 MB on the wire, 0.95 s of a link of 10 Mbit/s; a read was ended after 1 s, a watch 3.5 s after its sending, whatever had arrived, and the next try began at the first byte. An entry that missed the watch's answer could never catch up, and one that started never got ready.

Evidence: in the record the entry receives 983 to 1,202 KB in each of nine seconds and takes no version. Ruled out: a silent connection (bytes arrive all the while), an unreadable version (no 656), the processor (1 % in those seconds).

Change: http_call::stall. With it the timeout bounds the wait for the first byte, and then the pause between two bytes.

It works since what moves is not thrown away, and what does not move is given up as before.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -34,6 +34,16 @@
   http_client::callback on_done;
   std::string answer;
   curl_slist* headers = nullptr;
+  // Of a call with a stall limit:
+  steady_clock::time_point moved;  // when a byte last went either way
+  curl_off_t up = 0;
+  curl_off_t down = 0;
+  steady_clock::time_point* stall_check = nullptr;  // the client's
+
+  // When it has stood still for too long, if no byte moves before.
+  steady_clock::time_point Deadline() const {
+    return moved + (down > 0 ? call.stall : call.timeout);
+  }
 };
 
 size_t AppendBody(char* data, size_t size, size_t count, void* closure) {
@@ -41,6 +51,17 @@
   return size * count;
 }
 
+int OnProgress(void* closure, curl_off_t /*expected*/, curl_off_t down, curl_off_t /*whole*/,
+               curl_off_t up) {
+  auto* self = static_cast<transfer*>(closure);
+  if (down == self->down && up == self->up) return 0;
+  self->down = down;
+  self->up = up;
+  self->moved = steady_clock::now();
+  *self->stall_check = std::min(*self->stall_check, self->Deadline());
+  return 0;
+}
+
 // A transfer that failed before a byte of the request went out was surely not seen.
 transfer_status StatusOf(CURL* easy, CURLcode code) {
   if (code == CURLE_OK) return transfer_status::kDone;
@@ -63,6 +84,7 @@
   void Begin(std::unique_ptr<transfer> next);
   void Act(curl_socket_t socket, int events);
   void Finish();
+  void EndStalled();
   void Complete(CURL* easy, transfer_status status);
   int WaitMs() const;
   CURL* NewHandle();
@@ -81,6 +103,9 @@
   steady_clock::time_point timer = steady_clock::time_point::max();
   absl::flat_hash_map<CURL*, std::unique_ptr<transfer>> active;
   std::vector<CURL*> idle;
+  std::vector<CURL*> watched;  // active, with a stall limit
+  // No later than the first deadline of these; a deadline that has moved is found out then.
+  steady_clock::time_point stall_check = steady_clock::time_point::max();
 };
 
 int http_client::impl::OnSocket(CURL* /*easy*/, curl_socket_t socket, int what, void* closure,
@@ -124,7 +149,17 @@
   curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_PROXY, "");  // our peers are addresses, never behind a proxy
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));  // NOLINT
+  if (call.stall.count() == 0) {
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));  // NOLINT
+  } else {
+    next->moved = steady_clock::now();
+    curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
+    curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, &OnProgress);
+    curl_easy_setopt(easy, CURLOPT_XFERINFODATA, next.get());
+    next->stall_check = &stall_check;
+    stall_check = std::min(stall_check, next->Deadline());
+    watched.push_back(easy);
+  }
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(kConnectTimeout.count()));  // NOLINT
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &AppendBody);
@@ -152,6 +187,7 @@
 
 void http_client::impl::Complete(CURL* easy, transfer_status status) {
   auto node = active.extract(easy);
+  std::erase(watched, easy);
   const std::unique_ptr<transfer> done = std::move(node.mapped());
   http_result result;
   result.status = status;
@@ -178,6 +214,22 @@
   }
 }
 
+void http_client::impl::EndStalled() {
+  const steady_clock::time_point now = steady_clock::now();
+  if (now < stall_check) return;
+  std::vector<CURL*> stalled;
+  stall_check = steady_clock::time_point::max();
+  for (CURL* easy : watched) {
+    const steady_clock::time_point deadline = active.at(easy)->Deadline();
+    if (deadline <= now) {
+      stalled.push_back(easy);
+    } else {
+      stall_check = std::min(stall_check, deadline);
+    }
+  }
+  for (CURL* easy : stalled) Complete(easy, StatusOf(easy, CURLE_OPERATION_TIMEDOUT));
+}
+
 void http_client::impl::Act(curl_socket_t socket, int events) {
   int running = 0;
   curl_multi_socket_action(multi, socket, events, &running);
@@ -193,8 +245,9 @@
 }
 
 int http_client::impl::WaitMs() const {
-  if (timer == steady_clock::time_point::max()) return static_cast<int>(kIdleWait.count());
-  const auto left = std::chrono::ceil<milliseconds>(timer - steady_clock::now());
+  const steady_clock::time_point next = std::min(timer, stall_check);
+  if (next == steady_clock::time_point::max()) return static_cast<int>(kIdleWait.count());
+  const auto left = std::chrono::ceil<milliseconds>(next - steady_clock::now());
   return static_cast<int>(std::clamp(left, milliseconds{0}, kIdleWait).count());
 }
 
@@ -225,6 +278,7 @@
       Act(CURL_SOCKET_TIMEOUT, 0);
     }
     Finish();
+    EndStalled();
   }
   TakeNew();
   while (!active.empty()) Complete(active.begin()->first, transfer_status::kMaybeSent);
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -24,7 +24,11 @@
   std::string url;
   std::string body;
   std::string bearer;  // sent as "Authorization: Bearer" when not empty
+  // Of the whole call; where `stall` is set, of the wait for the answer's first byte.
   std::chrono::milliseconds timeout{5000};
+  // Once the answer arrives, the longest that no byte of it may come. However long a large answer
+  // takes on a narrow link, it is not thrown away while it moves. 0: `timeout` holds alone.
+  std::chrono::milliseconds stall{0};
   bool fresh_connection = false;  // not on a kept connection, which may have gone silent
   std::vector<std::pair<std::string, std::string>> headers;  // more of them: name and value
 };
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -9,6 +9,7 @@
 #include "connection/http_client.h"
 #include "connection/http_server.h"
 #include "connection/peer_rpc.h"
+#include "standin/fault_proxy.h"
 
 namespace catkinford {
 namespace {
@@ -63,6 +64,65 @@
   CHECK(client_.SendAndWait(call).status == transfer_status::kMaybeSent);
 }
 
+// A server with a large answer behind a link that can be made narrow or fall silent.
+class http_large_answer_fixture {
+ public:
+  http_large_answer_fixture()
+      : server_({}, [this](http_server::token token, const http_request&) {
+          server_.Respond(token, {200, std::string(kBytes, 'x')});
+        }) {
+    server_.Start();
+    proxy_.Start();
+    link_ = proxy_.AddLink(server_.Port());
+    client_.Start();
+  }
+  ~http_large_answer_fixture() {
+    client_.Stop();
+    proxy_.Stop();
+    server_.Stop();
+  }
+
+ protected:
+  static constexpr size_t kBytes = 200'000;
+
+  http_result Call(milliseconds stall) {
+    http_call call{"GET", "http://127.0.0.1:" + std::to_string(proxy_.PortOf(link_)) + "/"};
+    call.timeout = milliseconds{500};
+    call.stall = stall;
+    return client_.SendAndWait(std::move(call));
+  }
+
+  http_server server_;
+  fault_proxy proxy_;
+  link_index link_ = 0;
+  http_client client_{1};
+};
+
+// Guards against a large answer that is thrown away, however much of it has come, and asked for
+// again from its first byte.
+TEST_CASE_METHOD(http_large_answer_fixture,
+                 "http call with a stall limit, answer arrives slowly, is whole", "[http]") {
+  link_rule rule;
+  rule.bytes_per_second = 100'000;
+  proxy_.SetRule(link_, rule);
+  const http_result result = Call(milliseconds{5000});
+  CHECK(result.status == transfer_status::kDone);
+  CHECK(result.body.size() == kBytes);
+  CHECK(Call(milliseconds{0}).status == transfer_status::kMaybeSent);
+}
+
+// Guards against a call that waits for ever for an answer that has stopped half way, or for one
+// that does not begin.
+TEST_CASE_METHOD(http_large_answer_fixture,
+                 "http call with a stall limit, answer stops, is given up", "[http]") {
+  link_rule rule;
+  rule.silent_after_bytes = GENERATE(0, 100'000);
+  proxy_.SetRule(link_, rule);
+  const http_result result = Call(milliseconds{300});
+  CHECK(result.status == transfer_status::kMaybeSent);
+  CHECK(result.body.size() < kBytes);
+}
+
 // An entry that ends answers its last caller and stops its server. An answer that is given is not
 // yet sent: stopped too soon, the caller finds its connection closed and knows nothing.
 TEST_CASE("http server, stopped when nothing waits, has sent its last answer", "[http]") {
