Let the daemon's own reads and messages take their time while they move

Change: reads, watches and swaps of the store and deliveries to peers are given up when no byte moves for their timeout. Calls of leases keep theirs: what they say about time rests on it.

--- a/src/connection/store_adapter.cc
+++ b/src/connection/store_adapter.cc
@@ -89,12 +89,14 @@
 void store_adapter::Get(const std::string& key, callback done) {
   http_call call{"GET", absl::StrCat(base_url_, "/v1/kv?key=", Escaped(key))};
   call.timeout = timeout_;
+  call.stall = timeout_;
   http_.Send(std::move(call), Reading(std::move(done)));
 }
 
 void store_adapter::Range(const std::string& prefix, callback done) {
   http_call call{"GET", absl::StrCat(base_url_, "/v1/range?prefix=", Escaped(prefix))};
   call.timeout = timeout_;
+  call.stall = timeout_;
   http_.Send(std::move(call), Reading(std::move(done)));
 }
 
@@ -109,6 +111,7 @@
   body.push_back('}');
   http_call call{"POST", base_url_ + "/v1/cas", std::move(body)};
   call.timeout = timeout_;
+  call.stall = timeout_;
   http_.Send(std::move(call), [key, done = std::move(done)](const http_result& result) {
     store_reply reply = ReadReply(result, call_effect::kWrites);
     if (!reply.items.empty() && reply.items.front().key.empty()) reply.items.front().key = key;
@@ -134,6 +137,7 @@
   http_call call{"GET", absl::StrCat(base_url_, "/v1/watch?prefix=", Escaped(prefix),
                                      "&after=", after, "&wait_ms=", wait.count())};
   call.timeout = timeout_ + wait;
+  call.stall = timeout_;
   http_.Send(std::move(call), Reading(std::move(done)));
 }
 
--- a/src/connection/store_adapter.h
+++ b/src/connection/store_adapter.h
@@ -19,6 +19,8 @@
  public:
   using callback = std::function<void(store_reply)>;  // on the client's thread
 
+  // `timeout`: of a lease's call; of other calls for the first byte of their answer and then
+  // between two of its bytes, since a configuration may take a narrow link longer than that.
   store_adapter(http_client& http, std::string base_url, std::chrono::milliseconds timeout);
 
   void Get(const std::string& key, callback done);
--- a/src/process/peer_mailbox.cc
+++ b/src/process/peer_mailbox.cc
@@ -165,6 +165,7 @@
   next->begun = steady_clock::now();
   http_call call{"POST", next->to->address, RpcRequestText("deliver", next->text)};
   call.timeout = call_timeout_;
+  call.stall = call_timeout_;
   call.fresh_connection = next->again;
   client_.Send(std::move(call),
                [this, next](const http_result& result) { OnResult(next, result); });
--- a/test/adapter_test.cc
+++ b/test/adapter_test.cc
@@ -10,6 +10,7 @@
 #include "connection/http_server.h"
 #include "connection/instance_adapter.h"
 #include "connection/store_adapter.h"
+#include "standin/fault_proxy.h"
 
 namespace catkinford {
 namespace {
@@ -118,6 +119,25 @@
   CHECK(query_ == "a/b");
 }
 
+// Guards against a configuration that is never read: its answer moves, and is ended by time.
+TEST_CASE_METHOD(platform_fixture, "store, value larger than its link carries in time, is read",
+                 "[adapter]") {
+  body_ = R"({"key":"a/b","revision":3,"value":")" + std::string(100'000, 'x') + R"("})";
+  fault_proxy proxy;
+  proxy.Start();
+  const link_index link = proxy.AddLink(server_->Port());
+  link_rule rule;
+  rule.bytes_per_second = 100'000;
+  proxy.SetRule(link, rule);
+  store_adapter store(client_, "http://127.0.0.1:" + std::to_string(proxy.PortOf(link)),
+                      milliseconds{500});
+  const auto reply = Wait<store_reply>([&](auto done) { store.Get("a/b", done); });
+  CHECK(reply.status == store_status::kDone);
+  REQUIRE(reply.items.size() == 1);
+  CHECK(reply.items.front().value.size() == 100'000);
+  proxy.Stop();
+}
+
 TEST_CASE_METHOD(platform_fixture, "endpoint, start answered, gives a result for each task",
                  "[adapter]") {
   body_ = std::string(R"({"results":[{"id":")") + kId + R"(","result":"already"}]})";
