Ask different entries for the configuration, and bound what each gives

All entries went through the others in the order of their names with a counter that advanced equally everywhere, so all asked the same one in the same half second, and it sent the text to all at once over its own narrow link.

Evidence: in the record that entry sends 2,756 KB and has 38 connections in the second in which the 34 others get the version and it does not; 27 of 28 questions were given up after 0.4 s.

Change: entries ask one at random, any and strong ones by turns (PickEntry), and each gives texts for a quarter of its link at most (text_ration); beyond that the answer is empty and the next question goes elsewhere.

Tests: entry to ask, by random number, is any or a strong one; text ration, asked by many, gives one text and keeps the link free.

--- a/src/process/site/site_membership.cc
+++ b/src/process/site/site_membership.cc
@@ -59,6 +59,21 @@
   });
 }
 
+std::optional<site_entry> PickEntry(const site_view& view, const std::string& self, bool strong,
+                                    uint64_t random) {
+  double strongest = 0;
+  for (const auto& [name, entry] : view.entries) {
+    if (name != self) strongest = std::max(strongest, entry.strength);
+  }
+  std::vector<const site_entry*> choice;
+  for (const auto& [name, entry] : view.entries) {
+    const bool weak = entry.strength * kMuchStronger <= strongest;
+    if (name != self && !(strong && weak)) choice.push_back(&entry);
+  }
+  if (choice.empty()) return std::nullopt;
+  return *choice[random % choice.size()];
+}
+
 bool WatchesOwner(const site_view& view, const std::string& self) {
   if (!view.owner || view.owner->entry.name == self || !view.entries.contains(self)) return false;
   const auto mine = ClaimDelay(view, self);
--- a/src/process/site/site_membership.h
+++ b/src/process/site/site_membership.h
@@ -72,6 +72,10 @@
 bool WatchesOwner(const site_view& view, const std::string& self);
 // An entry lives that is much stronger than this one.
 bool MuchStrongerLives(const site_view& view, const site_entry& self);
+// One of the other entries, or of the strong ones among them, by `random`; nothing: there is none.
+// Entries that choose alike would all ask the same one at the same time.
+std::optional<site_entry> PickEntry(const site_view& view, const std::string& self, bool strong,
+                                    uint64_t random);
 
 template <key_value_store Store>
 class site_membership {
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -32,6 +32,7 @@
 #include "process/site/site_ports.h"
 #include "process/site/site_settings.h"
 #include "process/site/store_health.h"
+#include "process/site/text_ration.h"
 #include "process/site/version_follow.h"
 
 namespace catkinford {
@@ -134,7 +135,9 @@
   advice_spread advice_;
   std::shared_ptr<site_owner<Platform>> owner_;
   std::map<std::string, bool> peer_silent_;
-  size_t next_peer_ = 0;
+  text_ration texts_;  // of the configuration, for other entries
+  absl::BitGen random_;
+  bool ask_strong_ = false;  // entries for the configuration: any and strong ones by turns
   owner_suspicion suspicion_;
   bool asking_others_ = false;    // whether they see the owner dead too
   uint64_t witnessed_epoch_ = 0;  // of the ownership for which a witness was found
@@ -166,7 +169,8 @@
       versions_(
           platform, loop_, log_, numbers_, settings_.timing.watch_wait, [this] { OnVersion(); },
           [this](std::function<void(std::string)> done) { VersionFromPeer(std::move(done)); }),
-      front_(platform, store_health_, loop_, log_, numbers_, kAnswerWithin, FrontHooks()) {}
+      front_(platform, store_health_, loop_, log_, numbers_, kAnswerWithin, FrontHooks()),
+      texts_(settings_.machine.link_mbps) {}
 
 template <site_platform Platform>
 front_hooks site_node<Platform>::FrontHooks() {
@@ -373,11 +377,14 @@
       peer_server_->Respond(token, {.body = LookToText(answer)});
     });
   } else if (request.path == kPeerVersionPath) {
-    response.body = versions_.Text();
-    numbers_.version_texts.Increment();
-    log_.Write(
-        site_event::kVersionTold, BootNow(),
-        absl::StrCat("peer=", LogField(request.Query("by")), " bytes=", response.body.size()));
+    const bool given = texts_.Take(versions_.Text().size(), BootNow());
+    if (given) {
+      response.body = versions_.Text();
+      numbers_.version_texts.Increment();
+    }
+    log_.Write(site_event::kVersionTold, BootNow(),
+               absl::StrCat("peer=", LogField(request.Query("by")), " given=", given,
+                            " bytes=", response.body.size()));
   } else if (request.path == kPeerJobPath) {
     if (owner_ != nullptr) owner_->OnJobStored(request.Query("id"), request.body);
   } else if (request.path == kPeerCancelPath) {
@@ -685,13 +692,11 @@
 
 template <site_platform Platform>
 void site_node<Platform>::VersionFromPeer(std::function<void(std::string)> done) {
-  std::vector<site_entry> others;
-  for (const auto& [name, entry] : membership_.View().entries) {
-    if (name != settings_.name) others.push_back(entry);
-  }
-  if (others.empty()) return done({});
-  AskPeer(others[next_peer_++ % others.size()],
-          absl::StrCat(kPeerVersionPath, "?by=", settings_.name),
+  ask_strong_ = !ask_strong_;
+  const auto peer =
+      PickEntry(membership_.View(), settings_.name, ask_strong_, absl::Uniform<uint64_t>(random_));
+  if (!peer) return done({});
+  AskPeer(*peer, absl::StrCat(kPeerVersionPath, "?by=", settings_.name),
           [done = std::move(done)](const std::optional<std::string>& text) {
             done(text.value_or(std::string()));
           });
--- a/test/platform_codec_test.cc
+++ b/test/platform_codec_test.cc
@@ -273,6 +273,24 @@
   CHECK(ClaimDelay(view, "a") == milliseconds(0));
 }
 
+// Guards against all entries asking the same one for the configuration, and weak ones for its text.
+TEST_CASE_METHOD(site_parts_fixture, "entry to ask, by random number, is any or a strong one") {
+  site_view view;
+  CHECK_FALSE(PickEntry(view, "a", false, 7));
+  for (const char* name : {"a", "b", "c", "d"}) {
+    const double strength = name[0] == 'b' ? 0.05 : 0.5;
+    view.entries[name] = site_entry{name, "", "z", 1, strength};
+  }
+  std::set<std::string> any;
+  std::set<std::string> strong;
+  for (uint64_t random = 0; random < 12; ++random) {
+    any.insert(PickEntry(view, "a", false, random)->name);
+    strong.insert(PickEntry(view, "a", true, random)->name);
+  }
+  CHECK(any == std::set<std::string>{"b", "c", "d"});
+  CHECK(strong == std::set<std::string>{"c", "d"});
+}
+
 TEST_CASE_METHOD(site_parts_fixture, "records of the store, unreadable, are no records") {
   CHECK_FALSE(OwnerFromText("x"));
   CHECK_FALSE(EntryFromText(R"({"name":1})"));
--- /dev/null
+++ b/test/text_ration_test.cc
@@ -0,0 +1,25 @@
+#include "process/site/text_ration.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+
+namespace catkinford {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against all entries that ask the same one for the text, and a link full of texts.
+TEST_CASE("text ration, asked by many, gives one text and keeps the link free") {
+  monotonic_time now{seconds(1000)};
+  constexpr size_t kText = 1'000'000;
+  text_ration narrow(10);
+  CHECK(narrow.Take(kText, now));
+  CHECK_FALSE(narrow.Take(kText, now));
+  CHECK_FALSE(narrow.Take(kText, now + seconds(3)));
+  CHECK(narrow.Take(kText, now + seconds(4)));
+  text_ration wide(1000);
+  CHECK(wide.Take(kText, now));
+  CHECK(wide.Take(kText, now + milliseconds{50}));
+}
+
+}  // namespace catkinford
