Answer by a configuration only while it is known to be in force

What callers saw: 404 for a queue that is there, work and keys judged by a version that was out of force, for as long as an entry did not hear of the newer one.

Cause, the class of fault: an entry served what the operators set with no bound on the age of its knowledge. One watch told it of changes; that nobody answered it was noticed after 3.5 s, where changes have to be in force after 2 or 3 s, and others were asked after 3.2 s. Until then, and without end where reads failed, a missing queue meant 404.

Change: - version_plan, no I/O: keeps as of when the configuration was the newest. The watch waits for 0.4 of the time within which a change has to be in force (new setting bounds.config_limit_ms) and renews that moment; beside a watch that is late, short reads on connections of their own do, and the word of other entries, with its own age. A watch goes on from its revision after a failure; only the newest is read after an answer with several versions. No second transfer is begun beside one that moves. - caller_front: what the configuration lacks is a 404 or 401 only while it is the newest; otherwise 503, come back. Without confirmation no work is taken and nothing is told but what runs while the store is away. - readiness: an entry without confirmation is taken out of the balancer. - entries ask each other for the number and its age, and for the text only if it is newer. - 660, 661: confirmation lost and regained. - the watch of the entries keeps its limit in whole: how old a view can be is what a next owner's conclusions rest on.

Why it works: what an entry says is bound to what it knows and since when; the ways to know it are independent of each other and of one connection.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -47,7 +47,9 @@
 };
 
 size_t AppendBody(char* data, size_t size, size_t count, void* closure) {
-  static_cast<transfer*>(closure)->answer.append(data, size * count);
+  auto* self = static_cast<transfer*>(closure);
+  self->answer.append(data, size * count);
+  if (self->call.arrived != nullptr) *self->call.arrived += size * count;
   return size * count;
 }
 
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -2,6 +2,7 @@
 #ifndef CATKINFORD_CONNECTION_HTTP_CLIENT_H_
 #define CATKINFORD_CONNECTION_HTTP_CLIENT_H_
 
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -31,6 +32,7 @@
   std::chrono::milliseconds stall{0};
   bool fresh_connection = false;  // not on a kept connection, which may have gone silent
   std::vector<std::pair<std::string, std::string>> headers;  // more of them: name and value
+  std::shared_ptr<std::atomic<uint64_t>> arrived;  // counts the answer's bytes; null: nobody asks
 };
 
 struct http_result {
--- a/src/connection/store_types.h
+++ b/src/connection/store_types.h
@@ -2,8 +2,10 @@
 #ifndef CATKINFORD_CONNECTION_STORE_TYPES_H_
 #define CATKINFORD_CONNECTION_STORE_TYPES_H_
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -19,6 +21,13 @@
   kHistoryGone,  // the store has forgotten what a watch asks for: read all again
 };
 
+// How a read travels.
+struct read_way {
+  bool fresh_connection = false;  // not on a kept one, which may have gone silent
+  bool bounded = false;           // ends in time, however much of the answer has arrived
+  std::shared_ptr<std::atomic<uint64_t>> arrived;  // counts the answer's bytes; null: nobody asks
+};
+
 struct store_item {
   std::string key;
   std::string value;
--- a/src/process/site/caller_front.h
+++ b/src/process/site/caller_front.h
@@ -20,11 +20,13 @@
 #include "process/site/site_ports.h"
 #include "process/site/site_records.h"
 #include "process/site/store_health.h"
+#include "process/site/version_plan.h"
 
 namespace catkinford {
 
 struct front_hooks {
   std::function<std::shared_ptr<const site_version>()> version;
+  std::function<version_trust(monotonic_time now)> trust;
   // From the owner, this entry or another; nothing when it does not answer or does not know.
   std::function<void(const std::string& job, std::function<void(std::optional<graph_phase>)>)>
       phase;
@@ -71,13 +73,14 @@
       return Refuse(now, front_status::kUnavailable, "no_configuration_yet");
     }
     const queue_terms* queue = now.version->QueueFor(now.request.host, now.request.path);
-    if (queue == nullptr) return Refuse(now, front_status::kNotFound, "no_such_queue");
+    if (queue == nullptr) return RefuseAbsent(now, front_status::kNotFound, "no_such_queue");
     now.queue = queue;
     now.id = now.request.path.substr(queue->prefix.size());
     const workspace_terms* holder = now.version->HolderOf(now.request.bearer);
     if (!queue->anonymous && holder == nullptr) {
-      return Refuse(now, front_status::kNoKey, "unknown_key");
+      return RefuseAbsent(now, front_status::kNoKey, "unknown_key");
     }
+    if (!MayServe(now)) return Refuse(now, front_status::kUnavailable, kVersionUnconfirmed);
     if (holder != nullptr && !queue->anonymous) now.workspace = holder->name;
     Route(std::move(now));
   }
@@ -85,6 +88,7 @@
  private:
   static constexpr std::chrono::milliseconds kStoreRetry{100};
   static constexpr std::chrono::milliseconds kDoubtfulPause{40};
+  static constexpr char kVersionUnconfirmed[] = "version_unconfirmed";
 
   // What lives for one call. The version stays as it was when the call came.
   struct call {
@@ -146,6 +150,21 @@
     Answer(current, status, Platform::EncodeError(word));
   }
 
+  // What is not in this entry's configuration may be in a newer one: then the caller is not told
+  // that it does not exist, but to come back.
+  void RefuseAbsent(const call& current, int status, const char* word) {
+    const bool newest = hooks_.trust(current.arrived) == version_trust::kNewest;
+    Refuse(current, newest ? status : front_status::kUnavailable,
+           newest ? word : kVersionUnconfirmed);
+  }
+
+  // By a configuration that may be out of force, a withdrawn key or a dropped queue would still be
+  // served. While the store is away nothing can change, and what runs is still told.
+  bool MayServe(const call& current) const {
+    if (hooks_.trust(current.arrived) != version_trust::kUnconfirmed) return true;
+    return current.request.method != "POST" && health_.State(current.arrived) != store_state::kUp;
+  }
+
   void Route(call now) {
     const std::string& method = now.request.method;
     if (now.id.empty() && method == "GET") {
--- a/src/process/site/peer_words.cc
+++ b/src/process/site/peer_words.cc
@@ -70,6 +70,26 @@
   });
 }
 
+std::string ToldVersionToText(const told_version& told) {
+  return json{{"number", told.version.number},
+              {"revision", told.version.revision},
+              {"age_ms", told.version.age.count()}}
+             .dump() +
+         "\n" + told.text;
+}
+
+std::optional<told_version> ToldVersionFromText(std::string_view text) {
+  const size_t end = text.find('\n');
+  if (end == std::string_view::npos) return std::nullopt;
+  auto out = Parse<told_version>(text.substr(0, end), [](const json& in, told_version& read) {
+    read.version.number = in.at("number").get<uint64_t>();
+    read.version.revision = in.at("revision").get<uint64_t>();
+    read.version.age = milliseconds(in.at("age_ms").get<int64_t>());
+  });
+  if (out) out->text = text.substr(end + 1);
+  return out;
+}
+
 std::string AliveToText(uint64_t nonce) { return json{{"nonce", nonce}}.dump(); }
 
 std::optional<uint64_t> AliveFromText(std::string_view text) {
--- a/src/process/site/peer_words.h
+++ b/src/process/site/peer_words.h
@@ -6,7 +6,9 @@
 //   GET  /peer/witness       whether an owner may have gone on while the store was down
 //   GET  /peer/alive         the process's nonce; answered without its loop
 //   GET  /peer/look          whether the owner's process is alive, as seen from there
-//   GET  /peer/version       the configuration's text
+//   GET  /peer/version?have=&text=
+//                            the configuration's number and since when it is confirmed; with text=1
+//                            its text too, if it is newer than `have` and the link has room for it
 //   POST /peer/advise        asks a queue's policy from there
 //   POST /peer/job           a job's record, just stored: the owner need not wait for its watch
 //   POST /peer/cancel?id=    a cancelling, just stored
@@ -26,6 +28,7 @@
 #include "process/scheduling/graph_state.h"
 #include "process/scheduling/scheduler_messages.h"
 #include "process/site/owner_suspicion.h"
+#include "process/site/version_plan.h"
 
 namespace catkinford {
 
@@ -59,6 +62,10 @@
   std::chrono::milliseconds registered{0};                 // without a gap
   std::optional<std::chrono::milliseconds> confirmed_age;  // since it last confirmed an outage
 };
+struct told_version {
+  peer_version version;
+  std::string text;  // empty: not newer than what was asked for, or not given
+};
 struct peer_question {
   advice_order order;
   std::chrono::milliseconds timeout{0};
@@ -71,6 +78,9 @@
 std::optional<told_pending> ToldPendingFromText(std::string_view text);
 std::string PeerHealthToText(const peer_health& health);
 std::optional<peer_health> PeerHealthFromText(std::string_view text);
+// One line of JSON, then the text as it is: it may be large.
+std::string ToldVersionToText(const told_version& told);
+std::optional<told_version> ToldVersionFromText(std::string_view text);
 std::string AliveToText(uint64_t nonce);
 std::optional<uint64_t> AliveFromText(std::string_view text);
 std::string LookToText(alive_answer answer);
--- a/src/process/site/site_log.cc
+++ b/src/process/site/site_log.cc
@@ -94,6 +94,10 @@
                     "Reading the configuration failed: what ended it, after which time and bytes."},
     site_event_info{kVersionTold, kInfo, "version_told",
                     "Another entry was given the configuration's text."},
+    site_event_info{kVersionUnconfirmed, kWarning, "version_unconfirmed",
+                    "A newer configuration may be in force elsewhere: calls are turned away."},
+    site_event_info{kVersionConfirmed, kInfo, "version_confirmed",
+                    "The configuration here is known to be the newest, or was moments ago."},
 };
 
 }  // namespace
--- a/src/process/site/site_log.h
+++ b/src/process/site/site_log.h
@@ -80,6 +80,8 @@
   kRecordUnreadable = 657,
   kVersionUnread = 658,
   kVersionTold = 659,
+  kVersionUnconfirmed = 660,
+  kVersionConfirmed = 661,
 };
 
 enum class site_log_level : uint8_t { kDetail, kInfo, kWarning };
--- a/src/process/site/site_membership.h
+++ b/src/process/site/site_membership.h
@@ -266,6 +266,8 @@
 
   void WatchView(uint64_t after, uint64_t watch) {
     const monotonic_time sent = BootNow();
+    read_way way;
+    way.bounded = true;  // what a next owner may conclude rests on how old a view can be
     store_.Watch(kSitePrefix, after, watch_wait_,
                  HereWatched([this, after, watch, sent](const store_reply& reply) {
                    if (watch != watch_number_ || resigning_) return;
@@ -278,7 +280,8 @@
                    loop_.After(kIdleWatchPause, [this, next, watch] {
                      if (watch == watch_number_) WatchView(next, watch);
                    });
-                 }));
+                 }),
+                 way);
   }
 
   void OnView() {
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -64,6 +64,8 @@
   // Answers to callers, within the shortest time that callers wait for one.
   static constexpr std::chrono::milliseconds kAnswerWithin{2300};
   static constexpr std::chrono::milliseconds kPeerTimeout{400};
+  // Between two bytes of a peer's answer: a configuration takes a narrow link a second and more.
+  static constexpr std::chrono::milliseconds kPeerStall{1000};
   // Two looks of the balancer, a second apart, take an entry out of rotation.
   static constexpr std::chrono::milliseconds kLinger{2300};
   static constexpr std::chrono::milliseconds kShutdownMargin{1000};
@@ -87,6 +89,7 @@
   http_server_options OptionsFor(const std::string& address, uint16_t port) const;
   front_hooks FrontHooks();
   membership_hooks MembershipHooks();
+  version_hooks VersionHooks();
 
   // Servers' handlers, on their threads.
   void OnCaller(http_server::token token, http_request request);
@@ -101,12 +104,15 @@
   void OnWon();
   void OnLost();
   void OnViewChanged();
-  void AskPeer(const site_entry& peer, const std::string& path_and_query, peer_answer done);
+  void AskPeer(const site_entry& peer, const std::string& path_and_query, peer_answer done,
+               byte_counter arrived = nullptr);
   void TellOwner(const std::string& path_and_query, const std::string& body);
   const site_entry* Owner() const;
   void PhaseFromOwner(const std::string& job, std::function<void(std::optional<graph_phase>)> done);
   void PendingFromOwner(const std::string& queue, std::function<void(std::optional<size_t>)> done);
-  void VersionFromPeer(std::function<void(std::string)> done);
+  told_version TellVersion(const http_request& request);
+  void VersionFromPeer(uint64_t have, bool text, byte_counter arrived,
+                       const std::function<void(std::optional<told_version>)>& done);
   void JudgeOutage(const std::function<void(outage_verdict)>& done);
   // Watching the owner's process.
   void WatchOwner();
@@ -166,9 +172,7 @@
                      Strength(settings_.machine.cpu_share, settings_.machine.link_mbps)},
           std::max(settings_.timing.owner_lease, settings_.platform.shortest_lease),
           settings_.timing.watch_wait, MembershipHooks()),
-      versions_(
-          platform, loop_, log_, numbers_, settings_.timing.watch_wait, [this] { OnVersion(); },
-          [this](std::function<void(std::string)> done) { VersionFromPeer(std::move(done)); }),
+      versions_(platform, loop_, log_, numbers_, settings_.bounds.config_limit, VersionHooks()),
       front_(platform, store_health_, loop_, log_, numbers_, kAnswerWithin, FrontHooks()),
       texts_(settings_.machine.link_mbps) {}
 
@@ -176,6 +180,7 @@
 front_hooks site_node<Platform>::FrontHooks() {
   front_hooks hooks;
   hooks.version = [this] { return versions_.Version(); };
+  hooks.trust = [this](monotonic_time now) { return versions_.Trust(now); };
   hooks.phase = [this](const std::string& job,
                        std::function<void(std::optional<graph_phase>)> done) {
     PhaseFromOwner(job, std::move(done));
@@ -206,6 +211,18 @@
   return hooks;
 }
 
+template <site_platform Platform>
+version_hooks site_node<Platform>::VersionHooks() {
+  version_hooks hooks;
+  hooks.changed = [this] { OnVersion(); };
+  hooks.store_up = [this] { return store_health_.State(BootNow()) == store_state::kUp; };
+  hooks.ask_peer = [this](uint64_t have, bool text, byte_counter arrived,
+                          const std::function<void(std::optional<told_version>)>& done) {
+    VersionFromPeer(have, text, std::move(arrived), done);
+  };
+  return hooks;
+}
+
 template <site_platform Platform>
 http_server_options site_node<Platform>::OptionsFor(const std::string& address,
                                                     uint16_t port) const {
@@ -377,14 +394,7 @@
       peer_server_->Respond(token, {.body = LookToText(answer)});
     });
   } else if (request.path == kPeerVersionPath) {
-    const bool given = texts_.Take(versions_.Text().size(), BootNow());
-    if (given) {
-      response.body = versions_.Text();
-      numbers_.version_texts.Increment();
-    }
-    log_.Write(site_event::kVersionTold, BootNow(),
-               absl::StrCat("peer=", LogField(request.Query("by")), " given=", given,
-                            " bytes=", response.body.size()));
+    response.body = ToldVersionToText(TellVersion(request));
   } else if (request.path == kPeerJobPath) {
     if (owner_ != nullptr) owner_->OnJobStored(request.Query("id"), request.body);
   } else if (request.path == kPeerCancelPath) {
@@ -418,9 +428,12 @@
 void site_node<Platform>::TellReadiness() {
   // Callers whose entry cannot reach the store are better served by another one.
   const bool reaches = store_health_.State(BootNow()) != store_state::kDown;
-  const bool now = versions_.Version() != nullptr && !stopping_ && reaches;
+  // And so are those whose entry does not know what is in force.
+  const bool confirmed = versions_.Trust(BootNow()) != version_trust::kUnconfirmed;
+  const bool now = confirmed && !stopping_ && reaches;
   if (ready_.exchange(now) == now) return;
-  log_.Write(site_event::kReadiness, BootNow(), absl::StrCat("ready=", now, " store=", reaches));
+  log_.Write(site_event::kReadiness, BootNow(),
+             absl::StrCat("ready=", now, " store=", reaches, " version_confirmed=", confirmed));
 }
 
 template <site_platform Platform>
@@ -437,7 +450,7 @@
     return std::chrono::duration<double>(now - since).count();
   };
   numbers_.store_age_seconds.Set(seconds(membership_.StoreAnswered()));
-  numbers_.version_age_seconds.Set(seconds(versions_.Confirmed()));
+  numbers_.version_age_seconds.Set(seconds(versions_.AsOf()));
   const double left_out = static_cast<double>(log_.LeftOut());
   numbers_.log_lines_left_out.Increment(left_out - numbers_.log_lines_left_out.Value());
 }
@@ -622,10 +635,12 @@
 
 template <site_platform Platform>
 void site_node<Platform>::AskPeer(const site_entry& peer, const std::string& path_and_query,
-                                  peer_answer done) {
+                                  peer_answer done, byte_counter arrived) {
   http_call call;
   call.url = absl::StrCat("http://", peer.address, path_and_query);
   call.timeout = kPeerTimeout;
+  call.stall = kPeerStall;
+  call.arrived = std::move(arrived);
   const monotonic_time asked = BootNow();
   peers_.Send(std::move(call), [this, asked, name = peer.name,
                                 done = std::move(done)](http_result result) {
@@ -690,16 +705,40 @@
           });
 }
 
+// What this entry tells another one of its configuration.
 template <site_platform Platform>
-void site_node<Platform>::VersionFromPeer(std::function<void(std::string)> done) {
+told_version site_node<Platform>::TellVersion(const http_request& request) {
+  const monotonic_time now = BootNow();
+  told_version told;
+  told.version = versions_.Word(now);
+  uint64_t have = 0;
+  const bool newer = absl::SimpleAtoi(request.Query("have"), &have) && told.version.number > have;
+  if (!newer || request.Query("text") != "1") return told;
+  const bool given = texts_.Take(versions_.Text().size(), now);
+  if (given) {
+    told.text = versions_.Text();
+    numbers_.version_texts.Increment();
+  }
+  log_.Write(site_event::kVersionTold, now,
+             absl::StrCat("peer=", LogField(request.Query("by")), " version=", told.version.number,
+                          " have=", have, " given=", given, " bytes=", told.text.size()));
+  return told;
+}
+
+template <site_platform Platform>
+void site_node<Platform>::VersionFromPeer(
+    uint64_t have, bool text, byte_counter arrived,
+    const std::function<void(std::optional<told_version>)>& done) {
   ask_strong_ = !ask_strong_;
   const auto peer =
       PickEntry(membership_.View(), settings_.name, ask_strong_, absl::Uniform<uint64_t>(random_));
-  if (!peer) return done({});
-  AskPeer(*peer, absl::StrCat(kPeerVersionPath, "?by=", settings_.name),
-          [done = std::move(done)](const std::optional<std::string>& text) {
-            done(text.value_or(std::string()));
-          });
+  if (!peer) return done(std::nullopt);
+  AskPeer(
+      *peer, absl::StrCat(kPeerVersionPath, "?have=", have, "&text=", text, "&by=", settings_.name),
+      [done](const std::optional<std::string>& answer) {
+        done(answer ? ToldVersionFromText(*answer) : std::nullopt);
+      },
+      std::move(arrived));
 }
 
 template <site_platform Platform>
--- a/src/process/site/site_ports.h
+++ b/src/process/site/site_ports.h
@@ -35,10 +35,10 @@
 template <typename Store>
 concept key_value_store =
     requires(Store store, std::string text, uint64_t revision, std::chrono::milliseconds time,
-             store_write write, store_callback done) {
-      store.Get(text, done);
-      store.Range(text, text, done);
-      store.Watch(text, revision, time, done);
+             store_write write, store_callback done, read_way way) {
+      store.Get(text, done, way);
+      store.Range(text, text, done, way);
+      store.Watch(text, revision, time, done, way);
       store.Commit(write, done);
       store.GrantLease(time, done);
       store.KeepLease(text, done);
--- a/src/process/site/site_settings.cc
+++ b/src/process/site/site_settings.cc
@@ -105,6 +105,8 @@
        Time([](s& o) -> milliseconds& { return o.bounds.keep_final; }, kMillisPerSecond)},
       {"bounds.shutdown_limit_s",
        Time([](s& o) -> milliseconds& { return o.bounds.shutdown_limit; }, kMillisPerSecond)},
+      {"bounds.config_limit_ms",
+       Time([](s& o) -> milliseconds& { return o.bounds.config_limit; }, 1)},
       {"bounds.remote_factor", Number([](s& o) -> double& { return o.bounds.remote_factor; })},
       {"machine.cpu_share", Number([](s& o) -> double& { return o.machine.cpu_share; })},
       {"machine.link_mbps", Number([](s& o) -> double& { return o.machine.link_mbps; })},
--- a/src/process/site/site_settings.h
+++ b/src/process/site/site_settings.h
@@ -48,6 +48,8 @@
     std::chrono::milliseconds early_limit{250};
     std::chrono::milliseconds keep_final{120000};
     std::chrono::milliseconds shutdown_limit{6000};
+    // A change of the configuration is in force everywhere this long after its acknowledgement.
+    std::chrono::milliseconds config_limit{3000};
     double remote_factor = 2;
   } bounds;
 
--- a/src/process/site/version_follow.h
+++ b/src/process/site/version_follow.h
@@ -1,106 +1,85 @@
 // The configuration in force at this entry: read from the store, watched, and taken from other
-// entries while the store does not answer. It never goes back to a lower version.
+// entries while the store does not answer. It never goes back to a lower version. When to ask, and
+// how far the configuration may be trusted, version_plan says; this carries it out.
 #ifndef CATKINFORD_PROCESS_SITE_VERSION_FOLLOW_H_
 #define CATKINFORD_PROCESS_SITE_VERSION_FOLLOW_H_
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "process/site/event_loop.h"
+#include "process/site/peer_words.h"
 #include "process/site/site_log.h"
 #include "process/site/site_metrics.h"
 #include "process/site/site_ports.h"
+#include "process/site/version_plan.h"
 
 namespace catkinford {
 
+using byte_counter = std::shared_ptr<std::atomic<uint64_t>>;
+
+struct version_hooks {
+  std::function<void()> changed;  // another configuration is in force
+  // The store answers this entry's other calls.
+  std::function<bool()> store_up;
+  // Asks some other entry for what is newer than `have`, and for its text if `text`; answered once,
+  // with nothing when it does not say. `arrived` counts the bytes of the answer.
+  std::function<void(uint64_t have, bool text, byte_counter arrived,
+                     std::function<void(std::optional<told_version>)>)>
+      ask_peer;
+};
+
 template <site_platform Platform>
 class version_follow {
  public:
-  // `ask_peer`: gets the text of the configuration that some other entry has; empty: none.
-  using peer_question = std::function<void(std::function<void(std::string)>)>;
-
+  // `in_force`: how long after its acknowledgement a change has to be in force everywhere.
   version_follow(Platform& platform, event_loop& loop, site_log& log, site_metrics& numbers,
-                 std::chrono::milliseconds watch_wait, std::function<void()> changed,
-                 peer_question ask_peer)
+                 std::chrono::milliseconds in_force, version_hooks hooks)
       : platform_(platform),
         loop_(loop),
         log_(log),
         numbers_(numbers),
-        watch_wait_(watch_wait),
-        changed_(std::move(changed)),
-        ask_peer_(std::move(ask_peer)) {}
+        hooks_(std::move(hooks)),
+        plan_(in_force, BootNow()) {}
 
-  void Start() {
-    Read();
-    AskPeers();
-  }
+  void Start() { Tick(); }
 
   // Null before the first one was read.
   const std::shared_ptr<const site_version>& Version() const { return version_; }
   const std::string& Text() const { return text_; }
-  // When the store last said what is in force, or a peer did.
-  monotonic_time Confirmed() const { return confirmed_; }
-
- private:
-  static constexpr std::chrono::milliseconds kRetry{250};
-  static constexpr std::chrono::milliseconds kIdleWatchPause{200};
-  // Without word from the store for this long, another entry is asked, this often.
-  static constexpr std::chrono::milliseconds kPeerPause{500};
-  static constexpr std::chrono::milliseconds kPeerSlack{700};
-
-  store_callback Here(std::function<void(const store_reply&)> done) {
-    return [this, done = std::move(done)](store_reply reply) {
-      loop_.Post([done, reply = std::move(reply)] { done(reply); });
-    };
-  }
-
-  void Read() {
-    const monotonic_time sent = BootNow();
-    platform_.Store().Get(Platform::kVersionKeyName, Here([this, sent](const store_reply& reply) {
-                            NoteRead("store", reply, sent);
-                            if (reply.status == store_status::kDone && !reply.items.empty()) {
-                              confirmed_ = BootNow();
-                              Take(reply.items.front().value, "store");
-                              return Watch(reply.revision);
-                            }
-                            loop_.After(kRetry, [this] { Read(); });
-                          }));
+  version_trust Trust(monotonic_time now) const { return plan_.Trust(now); }
+  // The configuration here was the newest at this time.
+  monotonic_time AsOf() const { return plan_.AsOf(); }
+  // What this entry tells another one.
+  peer_version Word(monotonic_time now) const {
+    peer_version word;
+    if (version_ != nullptr) word.number = version_->Number();
+    word.revision = plan_.Revision();
+    word.age = std::chrono::ceil<std::chrono::milliseconds>(now - plan_.AsOf());
+    return word;
   }
 
-  void Watch(uint64_t after) {
-    const monotonic_time sent = BootNow();
-    platform_.Store().Watch(
-        Platform::kVersionKeyPrefix, after, watch_wait_,
-        Here([this, after, sent](const store_reply& reply) { OnWatched(reply, after, sent); }));
-  }
-
-  void OnWatched(const store_reply& reply, uint64_t after, monotonic_time sent) {
-    NoteRead("watch", reply, sent);
-    if (reply.status != store_status::kDone) {
-      loop_.After(kRetry, [this] { Read(); });
-      return;
-    }
-    confirmed_ = BootNow();
-    for (const store_item& item : reply.items) {
-      if (item.key == Platform::kVersionKeyName && !item.deleted) Take(item.value, "watch");
+ private:
+  static constexpr std::chrono::milliseconds kTick{100};
+
+  static const char* NameOf(version_call call) {
+    switch (call) {
+      case version_call::kRead:
+        return "store";
+      case version_call::kWatch:
+        return "watch";
+      case version_call::kProbe:
+        return "probe";
     }
-    const uint64_t next = std::max(after, reply.revision);
-    if (!reply.items.empty() || BootNow() - sent >= kIdleWatchPause) return Watch(next);
-    loop_.After(kIdleWatchPause, [this, next] { Watch(next); });
-  }
-
-  void AskPeers() {
-    loop_.After(kPeerPause, [this] { AskPeers(); });
-    if (BootNow() - confirmed_ < watch_wait_ + kPeerSlack) return;
-    ask_peer_([this](const std::string& text) {
-      numbers_.CountVersionRead("peer", text.empty() ? "broken_off" : "done");
-      if (!text.empty()) Take(text, "peer");
-    });
+    return "";
   }
 
   static const char* OutcomeOf(store_status status) {
@@ -118,20 +97,101 @@
     }
   }
 
+  static int64_t MillisSince(monotonic_time since, monotonic_time now) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count();
+  }
+
+  void Tick() {
+    loop_.After(kTick, [this] { Tick(); });
+    Drive();
+  }
+
+  void Drive() {
+    const monotonic_time now = BootNow();
+    while (const auto step = plan_.NextStoreCall(hooks_.store_up(), Arriving(), now)) Send(*step);
+    if (plan_.AsksPeer(now)) AskPeer();
+    NoteTrust(now);
+  }
+
+  // A configuration is on its way: more than the first bytes of an answer are there, and not all.
+  bool Arriving() const {
+    return std::any_of(arrived_.begin(), arrived_.end(),
+                       [](const auto& item) { return *item.second > 0; });
+  }
+
+  byte_counter Count(uint64_t call) {
+    return arrived_.emplace(call, std::make_shared<std::atomic<uint64_t>>(0)).first->second;
+  }
+
+  void Send(const version_step& step) {
+    read_way way;
+    way.fresh_connection = step.fresh_connection;
+    way.arrived = Count(step.id);
+    const store_callback done = [this, step](store_reply reply) {
+      loop_.Post([this, step, reply = std::move(reply)] {
+        arrived_.erase(step.id);
+        OnReply(step, reply);
+        Drive();
+      });
+    };
+    if (step.call == version_call::kRead) {
+      platform_.Store().Get(Platform::kVersionKeyName, done, way);
+    } else {
+      platform_.Store().Watch(Platform::kVersionKeyPrefix, step.after, step.wait, done, way);
+    }
+  }
+
+  void OnReply(const version_step& step, const store_reply& reply) {
+    NoteRead(step, reply);
+    version_news news;
+    news.status = reply.status;
+    news.revision = reply.revision;
+    news.idle = step.call != version_call::kRead && reply.items.empty();
+    const store_item* newest = nullptr;
+    for (const store_item& item : reply.items) {
+      if (item.key != Platform::kVersionKeyName || item.deleted) continue;
+      newest = &item;
+      ++news.versions;
+    }
+    if (reply.status == store_status::kDone && newest != nullptr) {
+      Take(newest->value, NameOf(step.call));
+    }
+    plan_.OnNews(step, news, BootNow());
+  }
+
+  void AskPeer() {
+    const uint64_t have = version_ == nullptr ? 0 : version_->Number();
+    const bool text = !Arriving();
+    hooks_.ask_peer(have, text, Count(kPeerCall), [this](const std::optional<told_version>& told) {
+      arrived_.erase(kPeerCall);
+      numbers_.CountVersionRead("peer", told ? "done" : "unanswered");
+      if (told && !told->text.empty()) Take(told->text, "peer");
+      plan_.OnPeer(told ? std::optional(told->version) : std::nullopt, BootNow());
+    });
+  }
+
   // What ended a read, and how far it had come: a limit that is too short for the text looks
   // different from a silent connection or a store that refuses.
-  void NoteRead(const char* source, const store_reply& reply, monotonic_time sent) {
-    numbers_.CountVersionRead(source, OutcomeOf(reply.status));
+  void NoteRead(const version_step& step, const store_reply& reply) {
+    numbers_.CountVersionRead(NameOf(step.call), OutcomeOf(reply.status));
     if (reply.status == store_status::kDone) return;
     const monotonic_time now = BootNow();
-    const auto millis = [now](monotonic_time since) {
-      return std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count();
-    };
-    log_.Write(site_event::kVersionUnread, now,
-               absl::StrCat("source=", source, " outcome=", OutcomeOf(reply.status),
-                            " bytes=", reply.bytes, " ms=", millis(sent),
-                            " version=", version_ == nullptr ? 0 : version_->Number(),
-                            " age_ms=", version_ == nullptr ? -1 : millis(confirmed_)));
+    log_.Write(
+        site_event::kVersionUnread, now,
+        absl::StrCat("source=", NameOf(step.call), " outcome=", OutcomeOf(reply.status),
+                     " bytes=", reply.bytes, " ms=", MillisSince(step.sent, now), " ", Held(now)));
+  }
+
+  void NoteTrust(monotonic_time now) {
+    const bool confirmed = plan_.Trust(now) != version_trust::kUnconfirmed;
+    if (std::exchange(confirmed_, confirmed) == confirmed) return;
+    log_.Write(confirmed ? site_event::kVersionConfirmed : site_event::kVersionUnconfirmed, now,
+               absl::StrCat(Held(now), " heard=", plan_.Heard()));
+  }
+
+  std::string Held(monotonic_time now) const {
+    if (version_ == nullptr) return "version=0 age_ms=-1";
+    return absl::StrCat("version=", version_->Number(), " age_ms=", MillisSince(plan_.AsOf(), now));
   }
 
   void Take(const std::string& text, const char* source) {
@@ -142,12 +202,13 @@
           if (version_ != nullptr && version->Number() <= version_->Number()) return {};
           version_ = std::move(version);
           text_ = text;
+          plan_.OnTaken(version_->Number());
           numbers_.version_bytes.Set(static_cast<double>(text_.size()));
           log_.Write(site_event::kVersionTaken, BootNow(),
                      absl::StrCat("version=", version_->Number(), " source=", source,
                                   " queues=", version_->Queues().size(),
                                   " workspaces=", version_->Workspaces().size()));
-          changed_();
+          hooks_.changed();
           return {};
         },
         [&] {
@@ -156,16 +217,18 @@
         });
   }
 
+  static constexpr uint64_t kPeerCall = 0;  // calls to the store count from 1
+
   Platform& platform_;
   event_loop& loop_;
   site_log& log_;
   site_metrics& numbers_;
-  std::chrono::milliseconds watch_wait_;
-  std::function<void()> changed_;
-  peer_question ask_peer_;
+  version_hooks hooks_;
+  version_plan plan_;
+  std::map<uint64_t, byte_counter> arrived_;  // of the calls under way
   std::shared_ptr<const site_version> version_;
   std::string text_;
-  monotonic_time confirmed_{};
+  bool confirmed_ = false;
 };
 
 }  // namespace catkinford
--- /dev/null
+++ b/src/process/site/version_plan.cc
@@ -0,0 +1,116 @@
+#include "process/site/version_plan.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Shares of the time within which a change has to be in force.
+constexpr double kWatchShare = 0.4;  // a watch waits this long: it renews what is known in time
+constexpr double kAskShare = 0.5;    // knowledge older than this is asked for at other entries
+constexpr double kProbeShare = 0.6;  // and than this, beside a watch that is late
+
+constexpr milliseconds kShortestWatch{50};
+constexpr milliseconds kProbeWait{20};
+constexpr milliseconds kProbePause{300};
+constexpr milliseconds kRetry{250};
+// A watch that answers sooner with nothing new is asked again only after this.
+constexpr milliseconds kIdlePause{200};
+constexpr milliseconds kAskPause{250};
+
+milliseconds Share(double share, milliseconds whole) {
+  return std::chrono::duration_cast<milliseconds>(share * whole);
+}
+
+}  // namespace
+
+version_plan::version_plan(milliseconds in_force, monotonic_time now)
+    : in_force_(in_force), ask_due_(now + kAskPause) {}
+
+version_trust version_plan::Trust(monotonic_time now) const {
+  if (number_ == 0 || now - as_of_ > in_force_) return version_trust::kUnconfirmed;
+  return heard_ > number_ ? version_trust::kNewerKnown : version_trust::kNewest;
+}
+
+version_step version_plan::Make(version_call call, milliseconds wait, monotonic_time now) {
+  version_step step;
+  step.id = ++last_id_;
+  step.call = call;
+  step.after = revision_;
+  step.wait = wait;
+  step.sent = now;
+  return step;
+}
+
+std::optional<version_step> version_plan::NextStoreCall(bool store_up, bool arriving,
+                                                        monotonic_time now) {
+  if (!main_) {
+    if (now < due_) return std::nullopt;
+    // What is known is already old: the watch answers early, so that it is renewed in time.
+    const auto left = as_of_ + Share(kProbeShare, in_force_) - now;
+    const auto wait = std::clamp(std::chrono::duration_cast<milliseconds>(left), kShortestWatch,
+                                 Share(kWatchShare, in_force_));
+    version_step step = read_next_ ? Make(version_call::kRead, milliseconds{0}, now)
+                                   : Make(version_call::kWatch, wait, now);
+    step.fresh_connection = std::exchange(fresh_next_, false);
+    main_ = step.id;
+    return step;
+  }
+  const bool late = revision_ != 0 && now - as_of_ > Share(kProbeShare, in_force_);
+  if (!late || !store_up || arriving || now < probe_due_) return std::nullopt;
+  probe_due_ = now + kProbePause;
+  version_step step = Make(version_call::kProbe, kProbeWait, now);
+  step.fresh_connection = true;
+  return step;
+}
+
+void version_plan::Confirm(uint64_t revision, monotonic_time as_of) {
+  revision_ = std::max(revision_, revision);
+  as_of_ = std::max(as_of_, as_of);
+}
+
+void version_plan::OnNews(const version_step& step, const version_news& news, monotonic_time now) {
+  const bool is_main = main_ == step.id;
+  if (is_main) main_.reset();
+  if (news.status == store_status::kDone) {
+    // The store answers a watch early only with something new; that may be as old as the call.
+    const bool waited = news.idle && now - step.sent >= step.wait;
+    Confirm(news.revision, waited ? step.sent + step.wait : step.sent);
+    if (!is_main) return;
+    // Behind by several: more may have come meanwhile, and only the newest is of use.
+    read_next_ = news.versions > 1;
+    due_ = news.idle ? std::max(now, step.sent + kIdlePause) : now;
+    return;
+  }
+  if (!is_main) return;
+  read_next_ = revision_ == 0 || news.status == store_status::kHistoryGone;
+  const bool silent = news.status == store_status::kUnknown;
+  fresh_next_ = silent;
+  due_ = silent ? std::max(now, step.sent + kRetry) : now + kRetry;
+}
+
+bool version_plan::AsksPeer(monotonic_time now) {
+  const bool wants = heard_ > number_ || now - as_of_ > Share(kAskShare, in_force_);
+  if (asking_ || !wants || now < ask_due_) return false;
+  asking_ = true;
+  asked_ = now;
+  return true;
+}
+
+void version_plan::OnPeer(const std::optional<peer_version>& word, monotonic_time now) {
+  asking_ = false;
+  ask_due_ = now + kAskPause;
+  if (!word) return;
+  heard_ = std::max(heard_, word->number);
+  if (number_ != 0 && word->number == number_) Confirm(word->revision, asked_ - word->age);
+}
+
+void version_plan::OnTaken(uint64_t number) {
+  number_ = std::max(number_, number);
+  heard_ = std::max(heard_, number);
+}
+
+}  // namespace catkinford
--- a/test/narrow_link_test.cc
+++ b/test/narrow_link_test.cc
@@ -72,5 +72,23 @@
   CHECK(Eventually([this] { return Serves(0) && Serves(1); }));
 }
 
+// Guards against "no such queue" from an entry that has heard nothing for longer than a change may
+// take, and against work taken by a configuration that may be out of force.
+TEST_CASE_METHOD(narrow_link_fixture,
+                 "site, cut off from its store, says come back and not that a queue is not there") {
+  for (auto& entry : entries_) Start(*entry);
+  REQUIRE(Eventually([this] { return Ready(0) && Ready(1) && Owner() >= 0; }));
+  const auto nowhere = [this] { return Call(0, "POST", "/nowhere/" + JobId(1), TwoSteps()).code; };
+  CHECK(nowhere() == 404);
+  CHECK(Call(0, "POST", "/keyed/" + JobId(1), TwoSteps(), "other").code == 401);
+  for (const link_index link : links_) proxy_.SetRule(link, {link_state::kHold});
+  CHECK(Eventually([&] { return nowhere() == 503; }));
+  CHECK(Call(0, "POST", "/keyed/" + JobId(1), TwoSteps(), "other").code == 503);
+  CHECK_FALSE(Ready(0));
+  for (const link_index link : links_) proxy_.SetRule(link, {});
+  CHECK(Eventually([&] { return nowhere() == 404; }));
+  CHECK(Eventually([this] { return Ready(0) && Ready(1); }));
+}
+
 }  // namespace
 }  // namespace catkinford
--- a/test/platform_codec_test.cc
+++ b/test/platform_codec_test.cc
@@ -308,6 +308,13 @@
         graph_phase::kFailed);
   CHECK_FALSE(ToldPhaseFromText(R"({"owns":true,"phase":77})")->phase);
   CHECK_FALSE(PeerAdviceFromText("[]"));
+  const auto told = ToldVersionFromText(ToldVersionToText({{7, 90, milliseconds(40)}, "{\n}"}));
+  REQUIRE(told);
+  CHECK(told->version.number == 7);
+  CHECK(told->version.revision == 90);
+  CHECK(told->version.age == milliseconds(40));
+  CHECK(told->text == "{\n}");
+  CHECK_FALSE(ToldVersionFromText(R"({"number":7,"revision":90,"age_ms":40})"));
 }
 
 }  // namespace
