Read a page of the records again on a connection of its own

Change: a page that failed is asked for on a fresh connection. The same reads load a new owner's records.

--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -174,21 +174,25 @@
 
   // --- reading the records -------------------------------------------------------------------
 
-  // Reads a whole range page by page; a page that fails is asked for again.
+  // Reads a whole range page by page; a page that fails is asked for again, on a connection of its
+  // own: the kept ones may all have gone silent, and each would cost a timeout.
   void ReadPages(const std::string& prefix, const std::string& after,
                  std::function<void(self_type&, const store_reply&)> take,
-                 std::function<void(self_type&)> done) {
+                 std::function<void(self_type&)> done, const read_way& way = {}) {
     platform_.Store().Range(prefix, after, OnReply([=](self_type& self, const store_reply& reply) {
                               if (reply.status != store_status::kDone) {
+                                read_way fresh;
+                                fresh.fresh_connection = true;
                                 self.Later(kRetry, [=](self_type& again) {
-                                  again.ReadPages(prefix, after, take, done);
+                                  again.ReadPages(prefix, after, take, done, fresh);
                                 });
                                 return;
                               }
                               take(self, reply);
                               if (!reply.more || reply.items.empty()) return done(self);
                               self.ReadPages(prefix, reply.items.back().key, take, done);
-                            }));
+                            }),
+                            way);
   }
 
   void LoadInbox(const std::string& after) {
