Start nothing by a configuration that may be out of force

Change: while its configuration is not confirmed and the store is not down for all, the owner plans no starts (HoldStarts); what runs is renewed as before. With the store down for all nothing newer can have been acknowledged.

Test: job scheduler, starts held, starts nothing and renews runs.

--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -290,7 +290,7 @@
   DropLapsed(now);
   CheckRuns(orders, now);
   const std::vector<ready_step> ready = ReadySteps(now);
-  Place(ready, now);
+  if (!starts_held_) Place(ready, now);
   orders.starts = TakeStarts(now);
   PlanAdvice(ready, orders, now);
   PlanPaces(orders, now);
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -103,6 +103,8 @@
   void OnEarlierOwnerDead();
   // True: starts are sent without waiting for their records. Only while nobody can take over.
   void SetUnrecordedStarts(bool allowed);
+  // True: no task starts; what runs goes on. While queues, limits and services may be out of date.
+  void HoldStarts(bool held) { starts_held_ = held; }
   // All that started without a record is in one by now, and no run of an earlier owner may be out
   // of sight.
   bool RecordsKnown() const;
@@ -324,6 +326,7 @@
   listing_wait listing_wait_;
   run_times run_times_;
   bool unrecorded_starts_ = false;
+  bool starts_held_ = false;
   bool records_complete_ = false;
   std::vector<scheduler_note> notes_;
   absl::flat_hash_map<std::string, std::vector<resources>> largest_seen_;  // by service
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -541,6 +541,9 @@
   hooks.superseded = [this](const std::string& why) { membership_.OnSuperseded(why); };
   hooks.may_act = [this](monotonic_time now) { return membership_.MayAct(now); };
   hooks.store_down_for_all = [this](monotonic_time now) { return membership_.OutageTrusted(now); };
+  hooks.version_confirmed = [this](monotonic_time now) {
+    return versions_.Trust(now) != version_trust::kUnconfirmed;
+  };
   hooks.ask_advice = [this](advice_order order) {
     advice_.Add(std::move(order));
     SpreadAdvice();
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -38,6 +38,8 @@
   // True while the store is known to be down for all entries: nobody can take the site over, and
   // starts go out without their records.
   std::function<bool(monotonic_time now)> store_down_for_all;
+  // True while the configuration here is known to be in force.
+  std::function<bool(monotonic_time now)> version_confirmed;
   // A question to a queue's policy; answered by OnAdvice().
   std::function<void(advice_order)> ask_advice;
 };
@@ -595,7 +597,10 @@
   }
 
   void FollowMode(monotonic_time now) {
-    scheduler_.SetUnrecordedStarts(!mode_.StartsWait() || hooks_.store_down_for_all(now));
+    const bool store_down = hooks_.store_down_for_all(now);
+    scheduler_.SetUnrecordedStarts(!mode_.StartsWait() || store_down);
+    // With the store down for all, nothing newer can have been acknowledged.
+    scheduler_.HoldStarts(!hooks_.version_confirmed(now) && !store_down);
   }
 
   void OnModeStored(std::chrono::milliseconds took, monotonic_time now) {
--- a/test/job_scheduler_test.cc
+++ b/test/job_scheduler_test.cc
@@ -86,6 +86,25 @@
   CHECK(world.Phase(JobId(1)) == graph_phase::kCancelled);
 }
 
+// Guards against starts by limits and queues that are out of force, and against killing what runs.
+TEST_CASE_METHOD(job_scheduler_fixture,
+                 "job scheduler, starts held, starts nothing and renews runs") {
+  AddInstances(2);
+  world.Run(seconds(1));
+  world.Submit(Job(1, {Tasks(2, 1000, seconds(60))}));
+  world.Run(seconds(1));
+  REQUIRE(world.Running(JobId(1)) == 2);
+  world.HoldStarts(true);
+  world.Submit(Job(2, {Tasks(2, 1000, milliseconds(300))}));
+  world.Run(seconds(8));
+  CHECK(world.Running(JobId(1)) == 2);
+  CHECK(world.Starts() == 2);
+  world.HoldStarts(false);
+  world.Run(seconds(2));
+  CHECK(world.Phase(JobId(2)) == graph_phase::kCompleted);
+  CheckNothingViolated();
+}
+
 TEST_CASE_METHOD(job_scheduler_fixture, "job scheduler, lasting task that ends, is started again") {
   AddInstances(2);
   step_terms lasting = Tasks(2, 1000, milliseconds(300));
--- a/test/scheduling_world.h
+++ b/test/scheduling_world.h
@@ -53,6 +53,7 @@
   void KillOwner(std::chrono::milliseconds until_next);
   // Owners that send starts without waiting for their records, and whose successors know that.
   void SetUnrecordedStarts() { recorded_ = false; }
+  void HoldStarts(bool held) { owner_->HoldStarts(held); }
   void CutStore(bool cut) { store_cut_ = cut; }
 
   void Run(std::chrono::milliseconds time);
