Soak: change and grow the configuration, narrow the links, and check what is said of it

A queue comes and goes with the versions, some of them of up to 2,500 queues, while links fail and get narrow. Each answer on that queue has to be one that a version may give which was in force when it was asked, or came since.

Courses of the other faults are drawn as before: the configuration has a random generator of its own.

--- a/test/narrow_link_test.cc
+++ b/test/narrow_link_test.cc
@@ -53,7 +53,8 @@
 // Guards against an entry that never catches up: its read of a new version is ended by time,
 // however much has arrived, and begins again at the first byte.
 TEST_CASE_METHOD(narrow_link_fixture,
-                 "site, version larger than its links carry in time, is in force at every entry") {
+                 "site, version larger than its links carry in time, is in force at every entry",
+                 "[version]") {
   for (auto& entry : entries_) Start(*entry);
   REQUIRE(Eventually([this] { return Ready(0) && Ready(1) && Owner() >= 0; }));
   Narrow();
@@ -64,7 +65,8 @@
 
 // Guards against an entry that starts and never gets ready: the same read, its first.
 TEST_CASE_METHOD(narrow_link_fixture,
-                 "site, started with a version larger than its links carry in time, gets ready") {
+                 "site, started with a version larger than its links carry in time, gets ready",
+                 "[version]") {
   PutLargeVersion(2);
   Narrow();
   for (auto& entry : entries_) Start(*entry);
@@ -75,7 +77,8 @@
 // Guards against "no such queue" from an entry that has heard nothing for longer than a change may
 // take, and against work taken by a configuration that may be out of force.
 TEST_CASE_METHOD(narrow_link_fixture,
-                 "site, cut off from its store, says come back and not that a queue is not there") {
+                 "site, cut off from its store, says come back and not that a queue is not there",
+                 "[version]") {
   for (auto& entry : entries_) Start(*entry);
   REQUIRE(Eventually([this] { return Ready(0) && Ready(1) && Owner() >= 0; }));
   const auto nowhere = [this] { return Call(0, "POST", "/nowhere/" + JobId(1), TwoSteps()).code; };
--- a/test/site_soak.cc
+++ b/test/site_soak.cc
@@ -25,35 +25,43 @@
 constexpr seconds kCalmLimit{60};           // generous: leases of dead owners and runs end first
 constexpr uint32_t kTries = 4;
 constexpr char kQueue[] = "/open/";
+constexpr char kGoingQueue[] = "going";
+constexpr milliseconds kInForce{3000};  // a change is in force everywhere, by the entries' settings
+constexpr milliseconds kBetweenVersions{1500};
+constexpr milliseconds kBetweenQueueChecks{40};
+constexpr milliseconds kCheckTimeout{300};  // an entry that stands still says nothing
+constexpr uint32_t kManyQueues = 2500;      // some 570 KB on the wire
 
 std::string PathOf(const std::string& id) { return kQueue + id; }
 
+json OpenQueue(const std::string& name) {
+  return {{"name", name},
+          {"host", "h"},
+          {"prefix", absl::StrCat("/", name, "/")},
+          {"service", "svc"},
+          {"priority", 1},
+          {"max-attempts", 3},
+          {"stretch", 2},
+          {"target-latency-ms", 500},
+          {"advice", {{"decision-ms", 5}, {"per-item-ms", 0.5}, {"valid-ms", 2000}}},
+          {"anonymous", true}};
+}
+
 }  // namespace
 
 site_soak::site_soak(uint64_t seed, const std::string& name)
-    : random_(seed), name_(name), instances_(store_, kInstances, kTaskTakes), http_(16) {
+    : random_(seed),
+      versions_(seed + 1),
+      name_(name),
+      instances_(store_, kInstances, kTaskTakes),
+      http_(16) {
   proxy_.Start();
   http_.Start();
   for (size_t i = 0; i < kInstances; ++i) {
     instance_links_.push_back(proxy_.AddLink(instances_.PortOf(i)));
     instances_.RegisterAs(i, absl::StrCat("127.0.0.1:", proxy_.PortOf(instance_links_[i])));
   }
-  const json version{{"version", 1},
-                     {"routes",
-                      {{{"name", "open"},
-                        {"host", "h"},
-                        {"prefix", kQueue},
-                        {"service", "svc"},
-                        {"priority", 1},
-                        {"max-attempts", 3},
-                        {"stretch", 2},
-                        {"target-latency-ms", 500},
-                        {"advice", {{"decision-ms", 5}, {"per-item-ms", 0.5}, {"valid-ms", 2000}}},
-                        {"anonymous", true}}}},
-                     {"services", {{{"name", "svc"}, {"admission-check", false}}}},
-                     {"limits", {{"max-body-bytes", 20000}}},
-                     {"tenants", json::array()}};
-  store_.Put("op/config", version.dump());
+  ChangeVersion();
   for (size_t i = 0; i < kEntries; ++i) {
     entries_.push_back(std::make_unique<entry>());
     entries_.back()->name = absl::StrCat("entry-", i);
@@ -96,13 +104,13 @@
 }
 
 http_result site_soak::Call(size_t at, const std::string& method, const std::string& path,
-                            const std::string& body) {
+                            const std::string& body, milliseconds timeout) {
   http_call call;
   call.method = method;
   call.url = absl::StrCat("http://127.0.0.1:", entries_[at]->callers, path);
   call.body = body;
   call.headers.emplace_back("Host", "h");
-  call.timeout = kCallTimeout;
+  call.timeout = timeout;
   return http_.SendAndWait(call);
 }
 
@@ -123,7 +131,7 @@
   const std::string body = json{{"task-spec", id}, {"steps", steps}}.dump();
   job& made = jobs_[id];
   for (uint32_t tries = 0; tries < kTries && !made.accepted; ++tries) {
-    const http_result result = Call(Pick(kEntries), "POST", PathOf(id), body);
+    const http_result result = Call(Pick(kEntries), "POST", PathOf(id), body, kCallTimeout);
     if (result.status == transfer_status::kNotSent) continue;
     if (result.status == transfer_status::kDone && result.code == 200) made.accepted = true;
     const bool refused = result.status == transfer_status::kDone &&
@@ -136,7 +144,8 @@
   if (jobs_.empty()) return;
   auto chosen = std::next(jobs_.begin(), Pick(static_cast<uint32_t>(jobs_.size())));
   if (!chosen->second.accepted) return;
-  const http_result result = Call(Pick(kEntries), "DELETE", PathOf(chosen->first), {});
+  const http_result result =
+      Call(Pick(kEntries), "DELETE", PathOf(chosen->first), {}, kCallTimeout);
   const bool refused = result.status == transfer_status::kNotSent ||
                        (result.status == transfer_status::kDone && result.code == 503);
   if (!refused) chosen->second.cancelled = true;
@@ -145,7 +154,7 @@
 void site_soak::Ask() {
   for (auto& [id, one] : jobs_) {
     if (!one.accepted || one.state == "completed" || one.state == "cancelled") continue;
-    const http_result result = Call(Pick(kEntries), "GET", PathOf(id), {});
+    const http_result result = Call(Pick(kEntries), "GET", PathOf(id), {}, kCallTimeout);
     if (result.status != transfer_status::kDone) continue;
     if (result.code == 410)
       broken_.push_back(absl::StrCat(id, ": accepted, and told to be unknown"));
@@ -159,6 +168,66 @@
   }
 }
 
+// --- the configuration
+// ----------------------------------------------------------------------------
+
+void site_soak::ChangeVersion() {
+  const bool there = PickVersion(2) == 0;
+  json queues = json::array({OpenQueue("open")});
+  if (there) queues.push_back(OpenQueue(kGoingQueue));
+  const uint32_t more = PickVersion(2) == 0 ? 0 : PickVersion(kManyQueues);
+  for (uint32_t i = 0; i < more; ++i) queues.push_back(OpenQueue(absl::StrCat("other-", i)));
+  const json version{{"version", ++version_},
+                     {"routes", queues},
+                     {"services", {{{"name", "svc"}, {"admission-check", false}}}},
+                     {"limits", {{"max-body-bytes", 20000}}},
+                     {"tenants", json::array()}};
+  const std::string text = version.dump();
+  queue_change change{there, steady_clock::now(), {}};
+  store_.Put("op/config", text);
+  change.acknowledged = steady_clock::now();
+  queue_changes_.push_back(change);
+}
+
+// By what was in force when it was asked, or by any change since: until the time is over within
+// which a change has to be in force, both old and new may be said.
+bool site_soak::MaySay(bool there, steady_clock::time_point asked,
+                       steady_clock::time_point answered) const {
+  bool in_force = false;
+  bool changed = false;
+  for (const queue_change& change : queue_changes_) {
+    if (change.acknowledged <= asked - kInForce) {
+      in_force = change.there;
+    } else if (change.sent <= answered) {
+      changed = changed || change.there == there;
+    }
+  }
+  return in_force == there || changed;
+}
+
+// A body that no queue takes: refused as malformed where the queue is, as unknown where it is not.
+std::optional<bool> site_soak::AskForQueue(size_t at) {
+  const auto asked = steady_clock::now();
+  const http_result result = Call(at, "POST", absl::StrCat("/", kGoingQueue, "/00000000000000ff"),
+                                  "no json", kCheckTimeout);
+  const auto answered = steady_clock::now();
+  const bool told = result.status == transfer_status::kDone;
+  if (!told || (result.code != 400 && result.code != 404)) return std::nullopt;
+  const bool there = result.code == 400;
+  if (!MaySay(there, asked, answered)) {
+    broken_.push_back(absl::StrCat(entries_[at]->name, ": says ", there ? "there" : "not there",
+                                   " of a queue, by a version that is out of force; newest is ",
+                                   version_));
+  }
+  return there;
+}
+
+bool site_soak::AllFollow() {
+  bool all = true;
+  for (size_t i = 0; i < kEntries; ++i) all = AskForQueue(i) == queue_changes_.back().there && all;
+  return all;
+}
+
 // --- faults --------------------------------------------------------------------------------------
 
 void site_soak::BringFault() {
@@ -205,6 +274,7 @@
   link_rule rule;
   rule.state = kStates[Pick(std::size(kStates))];
   if (Pick(4) == 0) rule.delay = milliseconds(Pick(150));
+  if (PickVersion(3) == 0) rule.bytes_per_second = 150'000 + PickVersion(600'000);
   proxy_.SetRule(one.store_link, rule);
   if (Pick(4) == 0) proxy_.SilenceOpenConnections(one.store_link);
 }
@@ -258,6 +328,8 @@
   const auto begun = steady_clock::now();
   auto next_job = begun;
   auto next_fault = begun + seconds(2);
+  auto next_version = begun + seconds(3);
+  auto next_check = begun;
   while (steady_clock::now() < begun + time) {
     std::this_thread::sleep_for(milliseconds(5));
     if (steady_clock::now() >= next_job) {
@@ -269,17 +341,29 @@
       BringFault();
       next_fault = steady_clock::now() + kBetweenFaults;
     }
+    if (steady_clock::now() >= next_version) {
+      ChangeVersion();
+      next_version = steady_clock::now() + kBetweenVersions * (1 + PickVersion(3));
+    }
+    if (steady_clock::now() >= next_check) {
+      AskForQueue(PickVersion(kEntries));
+      next_check = steady_clock::now() + kBetweenQueueChecks;
+    }
   }
   Mend();
   const auto calm = steady_clock::now();
   while (!AllEnded() && steady_clock::now() < calm + kCalmLimit) {
     std::this_thread::sleep_for(milliseconds(200));
   }
+  while (!AllFollow() && steady_clock::now() < calm + 2 * kCalmLimit) {
+    std::this_thread::sleep_for(milliseconds(200));
+  }
   CheckAtEnd();
   return broken_;
 }
 
 void site_soak::CheckAtEnd() {
+  if (!AllFollow()) broken_.push_back("an entry never follows the newest version");
   for (const std::string& task : instances_.Doubles()) {
     broken_.push_back(absl::StrCat(task, ": two runs at the same time"));
   }
--- a/test/site_soak.h
+++ b/test/site_soak.h
@@ -1,6 +1,7 @@
 // A soak of whole sites: real entry processes, a stand-in of the platform, a fault proxy on each
 // entry's way to the store and on the way to each instance, and random faults that come in series
-// and overlap. What is checked is seen from outside: by callers and by the instances.
+// and overlap, while the configuration changes and grows beyond what a narrow link carries in time.
+// What is checked is seen from outside: by callers and by the instances.
 #ifndef CATKINFORD_TEST_SITE_SOAK_H_
 #define CATKINFORD_TEST_SITE_SOAK_H_
 
@@ -8,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -48,12 +50,25 @@
     bool cancelled = false;  // or may be
     std::string state;
   };
+  // A queue that comes and goes with the versions of the configuration.
+  struct queue_change {
+    bool there = false;
+    std::chrono::steady_clock::time_point sent;
+    std::chrono::steady_clock::time_point acknowledged;
+  };
 
+  void ChangeVersion();
+  bool MaySay(bool there, std::chrono::steady_clock::time_point asked,
+              std::chrono::steady_clock::time_point answered) const;
+  // What the entry says of that queue; nothing: neither yes nor no.
+  std::optional<bool> AskForQueue(size_t at);
+  bool AllFollow();
+  uint32_t PickVersion(uint32_t bound) { return static_cast<uint32_t>(versions_() % bound); }
   uint32_t Pick(uint32_t bound) { return static_cast<uint32_t>(random_() % bound); }
   void WriteSettings(entry& made, const std::string& domain);
   void StartEntry(entry& one);
   http_result Call(size_t at, const std::string& method, const std::string& path,
-                   const std::string& body);
+                   const std::string& body, std::chrono::milliseconds timeout);
   void Submit();
   void CancelOne();
   void Ask();
@@ -67,6 +82,7 @@
   void CheckAtEnd();
 
   std::mt19937_64 random_;
+  std::mt19937_64 versions_;  // of its own: the course of the other faults does not depend on it
   std::string name_;
   standin_metadata_store store_;
   standin_instances instances_;
@@ -76,6 +92,8 @@
   std::vector<link_index> instance_links_;
   std::map<std::string, job> jobs_;
   uint32_t next_job_ = 0;
+  uint64_t version_ = 0;
+  std::vector<queue_change> queue_changes_;
   size_t faults_ = 0;
   std::vector<std::string> broken_;
 };
--- a/test/site_soak_test.cc
+++ b/test/site_soak_test.cc
@@ -30,6 +30,9 @@
 TEST_CASE("site soak, overlapping faults of first seed, keeps every promise") { RunSeed(1); }
 TEST_CASE("site soak, overlapping faults of second seed, keeps every promise") { RunSeed(2); }
 
+// Guards against "no such queue" by a version that is out of force.
+TEST_CASE("site soak, queue added among faults, is never said to be missing") { RunSeed(8); }
+
 TEST_CASE("site soak, seeds given by hand, keeps every promise", "[.soak]") {
   const char* given = std::getenv("CATKINFORD_SOAK_SEEDS");
   REQUIRE(given != nullptr);
--- a/test/version_plan_test.cc
+++ b/test/version_plan_test.cc
@@ -189,7 +189,8 @@
 
 }  // namespace
 
-TEST_CASE_METHOD(version_world, "version plan, nothing changes, stays confirmed by few calls") {
+TEST_CASE_METHOD(version_world, "version plan, nothing changes, stays confirmed by few calls",
+                 "[version]") {
   Run(seconds(1));
   Run(seconds(30), [this] { REQUIRE(IsNewest()); });
   CHECK(sent < 30);
@@ -197,7 +198,8 @@
 }
 
 // Guards against a watch that nobody answers: its connection went silent without a reset.
-TEST_CASE_METHOD(version_world, "version plan, kept connections silent, new version in force") {
+TEST_CASE_METHOD(version_world, "version plan, kept connections silent, new version in force",
+                 "[version]") {
   peer_answers = GENERATE(true, false);
   Run(seconds(5));
   SilenceKept();
@@ -208,7 +210,8 @@
 
 // Guards against a second transfer beside one that only takes long: on a narrow link both take
 // twice as long.
-TEST_CASE_METHOD(version_world, "version plan, text takes long to arrive, is carried once") {
+TEST_CASE_METHOD(version_world, "version plan, text takes long to arrive, is carried once",
+                 "[version]") {
   text_takes = milliseconds{1500};
   Run(seconds(10));
   REQUIRE(texts == 1);
@@ -220,7 +223,8 @@
 }
 
 // Guards against an entry that is behind by more versions the longer it receives them.
-TEST_CASE_METHOD(version_world, "version plan, versions faster than texts arrive, stays close") {
+TEST_CASE_METHOD(version_world, "version plan, versions faster than texts arrive, stays close",
+                 "[version]") {
   text_takes = milliseconds{500};
   peer_answers = false;
   Run(seconds(5));
@@ -235,7 +239,8 @@
 
 // Guards against callers turned away long after an outage: the watch that the silent store held is
 // answered by nobody.
-TEST_CASE_METHOD(version_world, "version plan, store back from silence, confirms at once") {
+TEST_CASE_METHOD(version_world, "version plan, store back from silence, confirms at once",
+                 "[version]") {
   Run(seconds(5));
   peer_answers = false;
   SetStore(store_mode::kSilent);
@@ -249,7 +254,8 @@
 }
 
 // Guards against an entry that goes on with what it has while the store refuses it and nobody else.
-TEST_CASE_METHOD(version_world, "version plan, store refuses this entry, another one tells it") {
+TEST_CASE_METHOD(version_world, "version plan, store refuses this entry, another one tells it",
+                 "[version]") {
   Run(seconds(5));
   SetStore(store_mode::kRefuses);
   Run(seconds(9), [this] { REQUIRE(Confirmed()); });
@@ -259,7 +265,8 @@
 }
 
 // Guards against "no such queue" from an entry that knows nothing of the last seconds.
-TEST_CASE_METHOD(version_world, "version plan, cut off from all, is unconfirmed in time") {
+TEST_CASE_METHOD(version_world, "version plan, cut off from all, is unconfirmed in time",
+                 "[version]") {
   Run(seconds(5));
   peer_answers = false;
   SetStore(store_mode::kSilent);
@@ -270,7 +277,8 @@
 }
 
 // Guards against a process that wakes up and answers by what it knew before.
-TEST_CASE_METHOD(version_world, "version plan, after a pause, is unconfirmed until it hears") {
+TEST_CASE_METHOD(version_world, "version plan, after a pause, is unconfirmed until it hears",
+                 "[version]") {
   Run(seconds(5));
   now += seconds(6);
   CHECK_FALSE(Confirmed());
@@ -278,7 +286,8 @@
   CHECK(IsNewest());
 }
 
-TEST_CASE_METHOD(version_world, "version plan, another entry holds a newer one, is not newest") {
+TEST_CASE_METHOD(version_world, "version plan, another entry holds a newer one, is not newest",
+                 "[version]") {
   Run(seconds(5));
   REQUIRE(IsNewest());
   plan.OnPeer(peer_version{2, 2, milliseconds{0}}, now);
@@ -329,7 +338,8 @@
 };
 
 // Guards against an entry that answers by an old version, whatever comes together.
-TEST_CASE("version plan, random faults, never confirms what is too old and catches up") {
+TEST_CASE("version plan, random faults, never confirms what is too old and catches up",
+          "[version]") {
   for (uint64_t seed = 1; seed <= 300; ++seed) {
     INFO("seed " << seed);
     random_version_world world;
