Rename the plan's call to the store: version_step names another type already

Two types of one name in one namespace are one type to the linker; the tests link both. The site's program links only one of them, so nothing that ran there changes.

--- a/src/process/site/version_follow.h
+++ b/src/process/site/version_follow.h
@@ -108,7 +108,7 @@
 
   void Drive() {
     const monotonic_time now = BootNow();
-    while (const auto step = plan_.NextStoreCall(hooks_.store_up(), Arriving(), now)) Send(*step);
+    while (const auto query = plan_.NextStoreCall(hooks_.store_up(), Arriving(), now)) Send(*query);
     if (plan_.AsksPeer(now)) AskPeer();
     NoteTrust(now);
   }
@@ -123,30 +123,30 @@
     return arrived_.emplace(call, std::make_shared<std::atomic<uint64_t>>(0)).first->second;
   }
 
-  void Send(const version_step& step) {
+  void Send(const version_query& query) {
     read_way way;
-    way.fresh_connection = step.fresh_connection;
-    way.arrived = Count(step.id);
-    const store_callback done = [this, step](store_reply reply) {
-      loop_.Post([this, step, reply = std::move(reply)] {
-        arrived_.erase(step.id);
-        OnReply(step, reply);
+    way.fresh_connection = query.fresh_connection;
+    way.arrived = Count(query.id);
+    const store_callback done = [this, query](store_reply reply) {
+      loop_.Post([this, query, reply = std::move(reply)] {
+        arrived_.erase(query.id);
+        OnReply(query, reply);
         Drive();
       });
     };
-    if (step.call == version_call::kRead) {
+    if (query.call == version_call::kRead) {
       platform_.Store().Get(Platform::kVersionKeyName, done, way);
     } else {
-      platform_.Store().Watch(Platform::kVersionKeyPrefix, step.after, step.wait, done, way);
+      platform_.Store().Watch(Platform::kVersionKeyPrefix, query.after, query.wait, done, way);
     }
   }
 
-  void OnReply(const version_step& step, const store_reply& reply) {
-    NoteRead(step, reply);
+  void OnReply(const version_query& query, const store_reply& reply) {
+    NoteRead(query, reply);
     version_news news;
     news.status = reply.status;
     news.revision = reply.revision;
-    news.idle = step.call != version_call::kRead && reply.items.empty();
+    news.idle = query.call != version_call::kRead && reply.items.empty();
     const store_item* newest = nullptr;
     for (const store_item& item : reply.items) {
       if (item.key != Platform::kVersionKeyName || item.deleted) continue;
@@ -154,9 +154,9 @@
       ++news.versions;
     }
     if (reply.status == store_status::kDone && newest != nullptr) {
-      Take(newest->value, NameOf(step.call));
+      Take(newest->value, NameOf(query.call));
     }
-    plan_.OnNews(step, news, BootNow());
+    plan_.OnNews(query, news, BootNow());
   }
 
   void AskPeer() {
@@ -172,14 +172,14 @@
 
   // What ended a read, and how far it had come: a limit that is too short for the text looks
   // different from a silent connection or a store that refuses.
-  void NoteRead(const version_step& step, const store_reply& reply) {
-    numbers_.CountVersionRead(NameOf(step.call), OutcomeOf(reply.status));
+  void NoteRead(const version_query& query, const store_reply& reply) {
+    numbers_.CountVersionRead(NameOf(query.call), OutcomeOf(reply.status));
     if (reply.status == store_status::kDone) return;
     const monotonic_time now = BootNow();
     log_.Write(
         site_event::kVersionUnread, now,
-        absl::StrCat("source=", NameOf(step.call), " outcome=", OutcomeOf(reply.status),
-                     " bytes=", reply.bytes, " ms=", MillisSince(step.sent, now), " ", Held(now)));
+        absl::StrCat("source=", NameOf(query.call), " outcome=", OutcomeOf(reply.status),
+                     " bytes=", reply.bytes, " ms=", MillisSince(query.sent, now), " ", Held(now)));
   }
 
   void NoteTrust(monotonic_time now) {
--- a/src/process/site/version_plan.cc
+++ b/src/process/site/version_plan.cc
@@ -35,36 +35,36 @@
   return heard_ > number_ ? version_trust::kNewerKnown : version_trust::kNewest;
 }
 
-version_step version_plan::Make(version_call call, milliseconds wait, monotonic_time now) {
-  version_step step;
-  step.id = ++last_id_;
-  step.call = call;
-  step.after = revision_;
-  step.wait = wait;
-  step.sent = now;
-  return step;
+version_query version_plan::Make(version_call call, milliseconds wait, monotonic_time now) {
+  version_query query;
+  query.id = ++last_id_;
+  query.call = call;
+  query.after = revision_;
+  query.wait = wait;
+  query.sent = now;
+  return query;
 }
 
-std::optional<version_step> version_plan::NextStoreCall(bool store_up, bool arriving,
-                                                        monotonic_time now) {
+std::optional<version_query> version_plan::NextStoreCall(bool store_up, bool arriving,
+                                                         monotonic_time now) {
   if (!main_) {
     if (now < due_) return std::nullopt;
     // What is known is already old: the watch answers early, so that it is renewed in time.
     const auto left = as_of_ + Share(kProbeShare, in_force_) - now;
     const auto wait = std::clamp(std::chrono::duration_cast<milliseconds>(left), kShortestWatch,
                                  Share(kWatchShare, in_force_));
-    version_step step = read_next_ ? Make(version_call::kRead, milliseconds{0}, now)
-                                   : Make(version_call::kWatch, wait, now);
-    step.fresh_connection = std::exchange(fresh_next_, false);
-    main_ = step.id;
-    return step;
+    version_query query = read_next_ ? Make(version_call::kRead, milliseconds{0}, now)
+                                     : Make(version_call::kWatch, wait, now);
+    query.fresh_connection = std::exchange(fresh_next_, false);
+    main_ = query.id;
+    return query;
   }
   const bool late = revision_ != 0 && now - as_of_ > Share(kProbeShare, in_force_);
   if (!late || !store_up || arriving || now < probe_due_) return std::nullopt;
   probe_due_ = now + kProbePause;
-  version_step step = Make(version_call::kProbe, kProbeWait, now);
-  step.fresh_connection = true;
-  return step;
+  version_query query = Make(version_call::kProbe, kProbeWait, now);
+  query.fresh_connection = true;
+  return query;
 }
 
 void version_plan::Confirm(uint64_t revision, monotonic_time as_of) {
@@ -72,24 +72,25 @@
   as_of_ = std::max(as_of_, as_of);
 }
 
-void version_plan::OnNews(const version_step& step, const version_news& news, monotonic_time now) {
-  const bool is_main = main_ == step.id;
+void version_plan::OnNews(const version_query& query, const version_news& news,
+                          monotonic_time now) {
+  const bool is_main = main_ == query.id;
   if (is_main) main_.reset();
   if (news.status == store_status::kDone) {
     // The store answers a watch early only with something new; that may be as old as the call.
-    const bool waited = news.idle && now - step.sent >= step.wait;
-    Confirm(news.revision, waited ? step.sent + step.wait : step.sent);
+    const bool waited = news.idle && now - query.sent >= query.wait;
+    Confirm(news.revision, waited ? query.sent + query.wait : query.sent);
     if (!is_main) return;
     // Behind by several: more may have come meanwhile, and only the newest is of use.
     read_next_ = news.versions > 1;
-    due_ = news.idle ? std::max(now, step.sent + kIdlePause) : now;
+    due_ = news.idle ? std::max(now, query.sent + kIdlePause) : now;
     return;
   }
   if (!is_main) return;
   read_next_ = revision_ == 0 || news.status == store_status::kHistoryGone;
   const bool silent = news.status == store_status::kUnknown;
   fresh_next_ = silent;
-  due_ = silent ? std::max(now, step.sent + kRetry) : now + kRetry;
+  due_ = silent ? std::max(now, query.sent + kRetry) : now + kRetry;
 }
 
 bool version_plan::AsksPeer(monotonic_time now) {
--- a/src/process/site/version_plan.h
+++ b/src/process/site/version_plan.h
@@ -33,7 +33,7 @@
 };
 
 // One call to the store.
-struct version_step {
+struct version_query {
   uint64_t id = 0;
   version_call call = version_call::kRead;
   uint64_t after = 0;                 // revision; of a watch or probe
@@ -64,8 +64,8 @@
 
   // The next call to the store, if one is due. `store_up`: the store answers this entry's other
   // calls; `arriving`: an answer with a configuration is on its way and moving.
-  std::optional<version_step> NextStoreCall(bool store_up, bool arriving, monotonic_time now);
-  void OnNews(const version_step& step, const version_news& news, monotonic_time now);
+  std::optional<version_query> NextStoreCall(bool store_up, bool arriving, monotonic_time now);
+  void OnNews(const version_query& query, const version_news& news, monotonic_time now);
 
   // True when another entry is to be asked now; one question at a time.
   bool AsksPeer(monotonic_time now);
@@ -82,7 +82,7 @@
   version_trust Trust(monotonic_time now) const;
 
  private:
-  version_step Make(version_call call, std::chrono::milliseconds wait, monotonic_time now);
+  version_query Make(version_call call, std::chrono::milliseconds wait, monotonic_time now);
   void Confirm(uint64_t revision, monotonic_time as_of);
 
   std::chrono::milliseconds in_force_;
--- a/test/version_plan_test.cc
+++ b/test/version_plan_test.cc
@@ -57,7 +57,7 @@
   }
 
   struct pending_call {
-    version_step step;
+    version_query query;
     bool lost = false;  // never answered: its connection is silent, or the store was
     // Set once the answer is on its way.
     std::optional<monotonic_time> arrives;
@@ -78,12 +78,12 @@
   bool StoreUp() const { return store == store_mode::kUp; }
 
   void Drive() {
-    while (const auto step = plan.NextStoreCall(StoreUp(), Arriving(), now)) {
+    while (const auto query = plan.NextStoreCall(StoreUp(), Arriving(), now)) {
       ++sent;
       pending_call call;
-      call.step = *step;
-      call.lost = store == store_mode::kSilent || (kept_silent && !step->fresh_connection);
-      if (step->fresh_connection) kept_silent = false;
+      call.query = *query;
+      call.lost = store == store_mode::kSilent || (kept_silent && !query->fresh_connection);
+      if (query->fresh_connection) kept_silent = false;
       if (!call.lost && store == store_mode::kRefuses) {
         call.news.status = store_status::kUnavailable;
         call.arrives = now + kLatency;
@@ -105,14 +105,14 @@
 
   // What the store answers a call that it holds.
   void Answer(pending_call& call) {
-    const bool read = call.step.call == version_call::kRead;
-    const bool news = read || Newest() > call.step.after;
-    const bool over = now >= call.step.sent + call.step.wait;
+    const bool read = call.query.call == version_call::kRead;
+    const bool news = read || Newest() > call.query.after;
+    const bool over = now >= call.query.sent + call.query.wait;
     if (!news && !over) return;
     call.news.status = store_status::kDone;
     call.news.revision = Newest();
     call.news.idle = !news;
-    call.news.versions = read ? 1 : static_cast<size_t>(Newest() - call.step.after);
+    call.news.versions = read ? 1 : static_cast<size_t>(Newest() - call.query.after);
     call.brings = news ? Newest() : 0;
     call.arrives = now + kLatency + text_takes * static_cast<int>(news ? call.news.versions : 0);
     if (news) texts += call.news.versions;
@@ -123,7 +123,7 @@
       pending_call& call = calls[i];
       const bool held = !call.lost && !call.arrives && store == store_mode::kUp;
       if (held) Answer(call);
-      if (!call.arrives && now >= call.step.sent + call.step.wait + kCallTimeout) {
+      if (!call.arrives && now >= call.query.sent + call.query.wait + kCallTimeout) {
         call.news.status = store_status::kUnknown;
         call.arrives = now;
       }
@@ -134,7 +134,7 @@
       const pending_call done = call;
       calls.erase(calls.begin() + static_cast<std::ptrdiff_t>(i));
       Take(done.brings);
-      plan.OnNews(done.step, done.news, now);
+      plan.OnNews(done.query, done.news, now);
     }
     for (size_t i = 0; i < questions.size();) {
       if (questions[i].arrives > now) {
@@ -157,7 +157,7 @@
   // Kept connections go silent for good, and with them what is under way on them.
   void SilenceKept() {
     kept_silent = true;
-    for (pending_call& call : calls) call.lost = call.lost || !call.step.fresh_connection;
+    for (pending_call& call : calls) call.lost = call.lost || !call.query.fresh_connection;
   }
   void SetStore(store_mode mode) {
     store = mode;
