Read the configuration beside a watch that is late, instead of watching again

Cause: the second way to the store was a watch like the first.

Change: it is a read, on a connection of its own, once the watch is late by 0.4 s and what is known is older than 0.6 of the limit. After more than the limit without news the newest is read whole: a watch from long ago would bring every version of that time, one after the other.

Evidence: version plan, watches hear nothing, reads keep it confirmed: fails with a short watch in its place.

--- a/src/process/site/version_follow.h
+++ b/src/process/site/version_follow.h
@@ -76,8 +76,6 @@
         return "store";
       case version_call::kWatch:
         return "watch";
-      case version_call::kProbe:
-        return "probe";
     }
     return "";
   }
--- a/src/process/site/version_plan.cc
+++ b/src/process/site/version_plan.cc
@@ -9,13 +9,16 @@
 using std::chrono::milliseconds;
 
 // Shares of the time within which a change has to be in force.
-constexpr double kWatchShare = 0.4;  // a watch waits this long: it renews what is known in time
-constexpr double kAskShare = 0.5;    // knowledge older than this is asked for at other entries
-constexpr double kProbeShare = 0.6;  // and than this, beside a watch that is late
+constexpr double kWatchShare = 0.4;   // a watch waits this long: it renews what is known in time
+constexpr double kAskShare = 0.5;     // knowledge older than this is asked for at other entries
+constexpr double kBesideShare = 0.6;  // and than this is read beside a watch that is late
+// How long after its wait a watch's answer may come; a store that is slow takes a third of a
+// second.
+constexpr milliseconds kLateAfter{400};
 
 constexpr milliseconds kShortestWatch{50};
-constexpr milliseconds kProbeWait{20};
-constexpr milliseconds kProbePause{300};
+// Between two such reads: one on a connection that is silent from the start holds up no other.
+constexpr milliseconds kBesidePause{400};
 constexpr milliseconds kRetry{250};
 // A watch that answers sooner with nothing new is asked again only after this.
 constexpr milliseconds kIdlePause{200};
@@ -50,19 +53,21 @@
   if (!main_) {
     if (now < due_) return std::nullopt;
     // What is known is already old: the watch answers early, so that it is renewed in time.
-    const auto left = as_of_ + Share(kProbeShare, in_force_) - now;
+    const auto left = as_of_ + Share(kBesideShare, in_force_) - now;
     const auto wait = std::clamp(std::chrono::duration_cast<milliseconds>(left), kShortestWatch,
                                  Share(kWatchShare, in_force_));
     version_query query = read_next_ ? Make(version_call::kRead, milliseconds{0}, now)
                                      : Make(version_call::kWatch, wait, now);
     query.fresh_connection = std::exchange(fresh_next_, false);
     main_ = query.id;
+    main_late_ = now + query.wait + kLateAfter;
     return query;
   }
-  const bool late = revision_ != 0 && now - as_of_ > Share(kProbeShare, in_force_);
-  if (!late || !store_up || arriving || now < probe_due_) return std::nullopt;
-  probe_due_ = now + kProbePause;
-  version_query query = Make(version_call::kProbe, kProbeWait, now);
+  const bool old = now - as_of_ > Share(kBesideShare, in_force_);
+  const bool late = revision_ != 0 && now > main_late_;
+  if (!old || !late || !store_up || arriving || now < beside_due_) return std::nullopt;
+  beside_due_ = now + kBesidePause;
+  version_query query = Make(version_call::kRead, milliseconds{0}, now);
   query.fresh_connection = true;
   return query;
 }
@@ -87,7 +92,9 @@
     return;
   }
   if (!is_main) return;
-  read_next_ = revision_ == 0 || news.status == store_status::kHistoryGone;
+  // After long silence a watch would bring every version of that time, one after the other.
+  const bool behind = now - as_of_ > in_force_;
+  read_next_ = revision_ == 0 || behind || news.status == store_status::kHistoryGone;
   const bool silent = news.status == store_status::kUnknown;
   fresh_next_ = silent;
   due_ = silent ? std::max(now, query.sent + kRetry) : now + kRetry;
--- a/src/process/site/version_plan.h
+++ b/src/process/site/version_plan.h
@@ -3,7 +3,7 @@
 //
 // The operators' change counts from the store's answer to them, and has to be in force everywhere a
 // fixed time later. So an entry keeps, beside the configuration, the moment as of which that was
-// the newest: a watch of the store renews it, and where the watch is late, short reads on
+// the newest: a watch of the store renews it, and where the watch is late, reads on
 // connections of their own and the word of other entries do. Once the moment is older than the
 // fixed time, a newer configuration may be in force, and a refusal by this one could be untrue.
 #ifndef CATKINFORD_PROCESS_SITE_VERSION_PLAN_H_
@@ -27,17 +27,16 @@
 };
 
 enum class version_call : uint8_t {
-  kRead,   // the newest one, whole
-  kWatch,  // what changes after a revision, waiting for it
-  kProbe   // the same, hardly waiting, beside a watch that may never be answered
+  kRead,  // the newest one, whole
+  kWatch  // what changes after a revision, waiting for it
 };
 
 // One call to the store.
 struct version_query {
   uint64_t id = 0;
   version_call call = version_call::kRead;
-  uint64_t after = 0;                 // revision; of a watch or probe
-  std::chrono::milliseconds wait{0};  // at the store; of a watch or probe
+  uint64_t after = 0;                 // revision; of a watch
+  std::chrono::milliseconds wait{0};  // at the store; of a watch
   monotonic_time sent{};
   bool fresh_connection = false;  // a kept one may have gone silent
 };
@@ -92,10 +91,11 @@
   monotonic_time as_of_{};
   uint64_t last_id_ = 0;
   std::optional<uint64_t> main_;  // the read or watch under way
+  monotonic_time main_late_{};    // without an answer by then
   monotonic_time due_{};          // the next one, not before
   bool read_next_ = true;         // rather than a watch
   bool fresh_next_ = false;
-  monotonic_time probe_due_{};
+  monotonic_time beside_due_{};  // the next read beside a watch that is late
   bool asking_ = false;
   monotonic_time asked_{};
   monotonic_time ask_due_{};
--- a/test/version_plan_test.cc
+++ b/test/version_plan_test.cc
@@ -24,7 +24,8 @@
 // texts slowly, kept connections that can go silent, and another entry that holds the newest.
 class version_world {
  protected:
-  enum class store_mode : uint8_t { kUp, kSilent, kRefuses };
+  // kDeaf: reads are answered, watches hear of nothing and get no answer.
+  enum class store_mode : uint8_t { kUp, kDeaf, kSilent, kRefuses };
 
   version_world() : plan(kInForce, now) { Acknowledge(); }
 
@@ -75,7 +76,7 @@
       return call.brings != 0 && call.arrives && *call.arrives > now;
     });
   }
-  bool StoreUp() const { return store == store_mode::kUp; }
+  bool StoreUp() const { return store == store_mode::kUp || store == store_mode::kDeaf; }
 
   void Drive() {
     while (const auto query = plan.NextStoreCall(StoreUp(), Arriving(), now)) {
@@ -121,7 +122,9 @@
   void Deliver() {
     for (size_t i = 0; i < calls.size();) {
       pending_call& call = calls[i];
-      const bool held = !call.lost && !call.arrives && store == store_mode::kUp;
+      const bool heard = store == store_mode::kUp ||
+                         (store == store_mode::kDeaf && call.query.call == version_call::kRead);
+      const bool held = !call.lost && !call.arrives && heard;
       if (held) Answer(call);
       if (!call.arrives && now >= call.query.sent + call.query.wait + kCallTimeout) {
         call.news.status = store_status::kUnknown;
@@ -160,8 +163,16 @@
     for (pending_call& call : calls) call.lost = call.lost || !call.query.fresh_connection;
   }
   void SetStore(store_mode mode) {
+    // What deaf watches missed is no longer kept.
+    for (pending_call& call : calls) {
+      const bool watch = call.query.call == version_call::kWatch;
+      if (store != store_mode::kDeaf || mode == store || call.lost || call.arrives || !watch)
+        continue;
+      call.news.status = store_status::kHistoryGone;
+      call.arrives = now;
+    }
     store = mode;
-    if (mode == store_mode::kUp) return;
+    if (mode == store_mode::kUp || mode == store_mode::kDeaf) return;
     for (pending_call& call : calls) {
       if (call.arrives) continue;
       if (mode == store_mode::kSilent) call.lost = true;
@@ -237,6 +248,18 @@
   CHECK(number == last);
 }
 
+// Guards against all entries turning callers away at once while the store answers everything but
+// watches.
+TEST_CASE_METHOD(version_world, "version plan, watches hear nothing, reads keep it confirmed",
+                 "[version]") {
+  Run(seconds(5));
+  peer_answers = false;
+  SetStore(store_mode::kDeaf);
+  Acknowledge();
+  Run(seconds(4), [this] { REQUIRE(Confirmed()); });
+  CHECK(number == 2);
+}
+
 // Guards against callers turned away long after an outage: the watch that the silent store held is
 // answered by nobody.
 TEST_CASE_METHOD(version_world, "version plan, store back from silence, confirms at once",
@@ -302,7 +325,7 @@
     std::mt19937_64 random(seed);
     const auto pick = [&random](uint64_t bound) { return static_cast<int>(random() % bound); };
     for (int i = 0; i < 60; ++i) {
-      switch (pick(8)) {
+      switch (pick(9)) {
         case 0:
         case 1:
           Acknowledge();
@@ -320,6 +343,9 @@
           peer_answers = pick(2) == 0;
           break;
         case 6:
+          SetStore(store_mode::kDeaf);
+          break;
+        case 7:
           text_takes = milliseconds{pick(1500)};
           peer_text_takes = milliseconds{pick(800)};
           break;
