--- a/src/process/site/version_follow.h
+++ b/src/process/site/version_follow.h
@@ -111,7 +111,7 @@
     NoteTrust(now);
   }
 
-  // A configuration is on its way: more than the first bytes of an answer are there, and not all.
+  // Some bytes of an answer are there, and not all of them: a small one is whole at once.
   bool Arriving() const {
     return std::any_of(arrived_.begin(), arrived_.end(),
                        [](const auto& item) { return *item.second > 0; });
