Tests of sites: use the ports and job names that the project has

site_fixture.h defined FreePort() inline beside the one of bench/child_process.h, which it includes and which gives each port once, and JobId() beside that of scheduling_jobs.h: two definitions of one function in one program, of which the linker takes either.

--- a/test/site_fixture.h
+++ b/test/site_fixture.h
@@ -16,23 +16,14 @@
 #include "absl/strings/str_cat.h"
 #include "bench/child_process.h"
 #include "connection/http_client.h"
-#include "connection/http_server.h"
 #include "platform_standin.h"
 #include "request/identity.h"
+#include "scheduling_jobs.h"
 
 namespace catkinford {
 
 inline constexpr std::chrono::seconds kGenerousLimit{30};
 
-// A port that was free a moment ago.
-inline uint16_t FreePort() {
-  http_server probe(http_server_options{}, [](http_server::token, const http_request&) {});
-  probe.Start();
-  const uint16_t port = probe.Port();
-  probe.Stop();
-  return port;
-}
-
 inline bool Eventually(const std::function<bool()>& holds) {
   const auto until = std::chrono::steady_clock::now() + kGenerousLimit;
   while (std::chrono::steady_clock::now() < until) {
@@ -42,11 +33,6 @@
   return false;
 }
 
-inline std::string JobId(uint32_t number) {
-  const std::string text = absl::StrCat(absl::Hex(number));
-  return std::string(16 - text.size(), '0') + text;
-}
-
 struct site_process {
   std::string name;
   uint16_t callers = 0;
