Scheduler: judge lateness by its own, bound stops, and do less a round

Cause: the owner was late, not its instances.

Ruled out: the loop itself (its timers were 40 ms late at most), the link (1.4 of 25 MB a second), memory.

Change: what the owner is late by is added to its patience, and patience is tripled while more answers are overdue than the largest failure domain holds (own_delay). Listings that waited as long as they might also teach the usual time of an answer. An instance gets two stops at a time. Ends are acknowledged by the next listing, without one of their own. Runs that made progress lately are not looked at for standing still, records of progress are written without a tree of values, and a change takes a bounded number of bytes of them.

--- a/bench/site_load.cc
+++ b/bench/site_load.cc
@@ -363,7 +363,7 @@
   committing_ = true;
   At(now_ + kStoreTakes, [this, writes = std::move(writes), fleet] {
     committing_ = false;
-    Timed("stored", [&] { scheduler_->OnStored(writes, Mono()); });
+    Timed("stored", [&] { scheduler_->OnStored(writes); });
     scheduler_->OnFleetStored(fleet);
     CountFinals();
     for (const start_order& order : scheduler_->TakeStarts(Mono())) Start(order);
--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -134,7 +134,7 @@
   int64_t listed_at_ms = 0;      // on its clock: the latest listing that was taken in
   bool listing_in_flight = false;
   uint64_t listing_number = 0;   // of the latest listing; an earlier one may have been given up
-  monotonic_time listing_due{};  // its answer should be there by then
+  monotonic_time listing_due{};  // it waits at the instance no longer than this
   bool probing = false;          // it waits for no end: one before it went unanswered
   monotonic_time next_listing{};
   uint32_t silent = 0;  // listings without an answer in a row
--- a/src/process/scheduling/graph_state.cc
+++ b/src/process/scheduling/graph_state.cc
@@ -4,42 +4,61 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
 namespace catkinford {
 namespace {
 
 using nlohmann::json;
 
+std::string Quoted(const std::string& text) {
+  return json(text).dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 // Done tasks as ranges, [first, count, ...]: most steps are done from the front.
-json DoneRanges(const step_progress& step) {
-  json out = json::array();
+void AppendDoneRanges(const step_progress& step, std::string& out) {
+  out += '[';
   for (size_t i = 0; i < step.tasks.size(); ++i) {
     if (step.tasks[i].phase != slot_phase::kDone) continue;
     const size_t first = i;
     while (i < step.tasks.size() && step.tasks[i].phase == slot_phase::kDone) ++i;
-    out.push_back(first);
-    out.push_back(i - first);
+    absl::StrAppend(&out, out.back() == '[' ? "" : ",", first, ",", i - first);
   }
-  return out;
+  out += ']';
 }
 
-json StepText(const step_progress& step) {
-  json out;
-  out["done"] = DoneRanges(step);
-  json failures = json::array();
-  json checkpoints = json::array();
-  json runs = json::array();
+// Written by hand: records are made some hundred times a second, and a tree of values for each
+// would take most of the time.
+void AppendStep(const step_progress& step, std::string& out) {
+  out += R"({"done":)";
+  AppendDoneRanges(step, out);
+  std::string failures;
+  std::string checkpoints;
+  std::string runs;
   for (size_t i = 0; i < step.tasks.size(); ++i) {
     const task_state_slot& task = step.tasks[i];
     if (task.phase == slot_phase::kDone) continue;
-    if (!task.failed_runs.empty()) failures.push_back({i, task.failed_runs});
-    if (!task.checkpoint.empty()) checkpoints.push_back({i, task.checkpoint});
-    for (const open_run& run : task.open_runs) runs.push_back({i, run.number, run.instance});
+    if (!task.failed_runs.empty()) {
+      absl::StrAppend(&failures, failures.empty() ? "" : ",", "[", i, ",[",
+                      absl::StrJoin(task.failed_runs, ","), "]]");
+    }
+    if (!task.checkpoint.empty()) {
+      absl::StrAppend(&checkpoints, checkpoints.empty() ? "" : ",", "[", i, ",",
+                      Quoted(task.checkpoint), "]");
+    }
+    for (const open_run& run : task.open_runs) {
+      absl::StrAppend(&runs, runs.empty() ? "" : ",", "[", i, ",", run.number, ",",
+                      Quoted(run.instance), "]");
+    }
   }
-  if (!failures.empty()) out["fail"] = std::move(failures);
-  if (!checkpoints.empty()) out["ckpt"] = std::move(checkpoints);
-  if (!runs.empty()) out["runs"] = std::move(runs);
-  if (!step.gang_failed_runs.empty()) out["gang_fail"] = step.gang_failed_runs;
-  return out;
+  if (!failures.empty()) absl::StrAppend(&out, R"(,"fail":[)", failures, "]");
+  if (!checkpoints.empty()) absl::StrAppend(&out, R"(,"ckpt":[)", checkpoints, "]");
+  if (!runs.empty()) absl::StrAppend(&out, R"(,"runs":[)", runs, "]");
+  if (!step.gang_failed_runs.empty()) {
+    absl::StrAppend(&out, R"(,"gang_fail":[)", absl::StrJoin(step.gang_failed_runs, ","), "]");
+  }
+  out += '}';
 }
 
 void ApplyStep(step_progress& step, const json& in) {
@@ -199,20 +218,25 @@
 }
 
 std::string ProgressToText(const job_entry& entry) {
-  json out;
-  out["phase"] = ToText(entry.phase);
-  out["below"] = entry.done_below;
-  if (!entry.finished.empty()) out["finished"] = entry.finished;
+  std::string out = absl::StrCat(R"({"phase":")", std::string(ToText(entry.phase)), R"(","below":)",
+                                 entry.done_below);
+  if (!entry.finished.empty()) {
+    absl::StrAppend(&out, R"(,"finished":[)", absl::StrJoin(entry.finished, ","), "]");
+  }
   if (!IsFinal(entry.phase)) {
-    json open = json::array();
+    out += R"(,"open":[)";
     for (const auto& [number, occurrence] : entry.occurrences) {
-      json steps = json::array();
-      for (const step_progress& step : occurrence->steps) steps.push_back(StepText(step));
-      open.push_back({{"k", number}, {"steps", std::move(steps)}});
+      absl::StrAppend(&out, out.back() == '[' ? "" : ",", R"({"k":)", number, R"(,"steps":[)");
+      for (const step_progress& step : occurrence->steps) {
+        if (out.back() != '[') out += ',';
+        AppendStep(step, out);
+      }
+      out += "]}";
     }
-    out["open"] = std::move(open);
+    out += ']';
   }
-  return out.dump(-1, ' ', false, json::error_handler_t::replace);
+  out += '}';
+  return out;
 }
 
 bool ApplyProgress(job_entry& entry, std::string_view text, monotonic_time now) {
--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -220,30 +220,27 @@
   Finish(*found->second, graph_phase::kCancelled, now);
 }
 
-std::vector<job_progress_write> job_scheduler::TakeUnstored(size_t most) {
+std::vector<job_progress_write> job_scheduler::TakeUnstored(size_t most, size_t bytes) {
   std::vector<job_progress_write> out;
-  while (!unstored_.empty() && out.size() < most) {
+  size_t taken = 0;
+  while (!unstored_.empty() && out.size() < most && taken < bytes) {
     job_entry& entry = *unstored_.front();
     unstored_.pop_front();
     entry.being_stored = entry.change;
     out.push_back({entry.job.id, ProgressToText(entry), entry.change});
+    taken += out.back().text.size();
   }
   return out;
 }
 
-void job_scheduler::OnStored(const std::vector<job_progress_write>& writes, monotonic_time now) {
+void job_scheduler::OnStored(const std::vector<job_progress_write>& writes) {
   for (const job_progress_write& write : writes) {
     const auto found = jobs_.find(write.job);
     if (found == jobs_.end()) continue;
     found->second->stored = std::max(found->second->stored, write.change);
   }
-  for (auto& [id, instance] : instances_) {
-    const uint64_t before = instance->ends_acked;
-    AdvanceAcks(*instance);
-    if (instance->ends_acked != before && !instance->listing_in_flight) {
-      instance->next_listing = std::min(instance->next_listing, now);
-    }
-  }
+  // The next listing of each tells it what it may forget.
+  for (auto& [id, instance] : instances_) AdvanceAcks(*instance);
 }
 
 void job_scheduler::OnNotStored(const std::vector<job_progress_write>& writes) {
@@ -288,6 +285,7 @@
     if (entry->job.repeats > 0) OpenOccurrences(*entry, wall, now);
   }
   DropLapsed(now);
+  JudgeOwnDelay(now);
   CheckRuns(orders, now);
   const std::vector<ready_step> ready = ReadySteps(now);
   if (!starts_held_) Place(ready, now);
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -23,6 +23,7 @@
 #include "process/scheduling/graph_state.h"
 #include "process/scheduling/job_order.h"
 #include "process/scheduling/listing_wait.h"
+#include "process/scheduling/own_delay.h"
 #include "process/scheduling/room_forecast.h"
 #include "process/scheduling/run_times.h"
 #include "process/scheduling/scheduler_messages.h"
@@ -47,7 +48,9 @@
   // 10 ms, so this many are 15,000 a second and more; two connections to an instance are free.
   uint32_t starts_in_flight = 160;
   uint32_t starts_at_instance = 4;
-  uint32_t fences_in_flight = 128;  // first listings of instances, likewise
+  uint32_t stops_at_instance = 2;
+  uint32_t fences_in_flight = 128;               // first listings of instances, likewise
+  std::chrono::milliseconds listing_pause{120};  // after a listing of an instance
 };
 
 struct job_progress_write {
@@ -88,10 +91,10 @@
   void OnNoListing(const list_order& order, order_result result, monotonic_time now);
   void OnAdvice(const advice_order& order, const advice_answer& answer, monotonic_time now);
 
-  // Progress that must be stored, at most `most` jobs; those given out count as on their way until
-  // OnStored() or OnNotStored() names them.
-  std::vector<job_progress_write> TakeUnstored(size_t most);
-  void OnStored(const std::vector<job_progress_write>& writes, monotonic_time now);
+  // Progress that must be stored, at most `most` jobs and, beyond the first, `bytes`; those given
+  // out count as on their way until OnStored() or OnNotStored() names them.
+  std::vector<job_progress_write> TakeUnstored(size_t most, size_t bytes = SIZE_MAX);
+  void OnStored(const std::vector<job_progress_write>& writes);
   void OnNotStored(const std::vector<job_progress_write>& writes);
   // Jobs that ended long enough ago; they are forgotten here and their records may go.
   std::vector<std::string> TakeExpired(monotonic_time now, size_t most);
@@ -105,6 +108,11 @@
   void SetUnrecordedStarts(bool allowed);
   // True: no task starts; what runs goes on. While queues, limits and services may be out of date.
   void HoldStarts(bool held) { starts_held_ = held; }
+  // In place of the options: what the owner's link carries is known only while it works.
+  void SetStartsInFlight(uint32_t most) { options_.starts_in_flight = most; }
+  void SetListingPause(std::chrono::milliseconds pause) { options_.listing_pause = pause; }
+  // How long answers may have waited in this process before they were heard.
+  void SetOwnDelay(std::chrono::milliseconds delay) { own_delay_ = delay; }
   // All that started without a record is in one by now, and no run of an earlier owner may be out
   // of sight.
   bool RecordsKnown() const;
@@ -126,8 +134,6 @@
   // The instances that may run work, of this owner's or an earlier one's. They must be stored
   // before they are used: OnFleetStored() names what was stored.
   std::vector<instance_report> Fleet() const;
-  // Changes whenever Fleet() does.
-  uint64_t FleetStamp() const;
   void OnFleetStored(const std::vector<instance_report>& fleet);
   size_t JobCount() const { return jobs_.size(); }
   size_t RunCount() const;
@@ -196,6 +202,9 @@
   void FindReplaced(const fleet_instance& newcomer, monotonic_time now);
   bool LeaseOver(const fleet_instance& instance, monotonic_time now) const;
   void PlanListings(scheduler_orders& orders, monotonic_time now);
+  // How late answers may be before their instance is suspected.
+  std::chrono::milliseconds Patience() const;
+  void JudgeOwnDelay(monotonic_time now);
   void GiveUpOverdue(fleet_instance& instance, monotonic_time now);
   // A listing that went unanswered.
   void FallSilent(fleet_instance& instance, std::string_view why, monotonic_time now);
@@ -322,7 +331,10 @@
   std::vector<uint32_t> holding_steps_;  // by service
   uint64_t round_ = 0;                   // of decisions
   uint32_t starts_in_flight_ = 0;
-  answer_time answer_time_;  // of starts
+  answer_time answer_time_;  // of starts, and of listings that waited as long as they might
+  double delay_factor_ = 1;  // times its patience: this process itself may be late
+  std::chrono::milliseconds own_delay_{0};
+  monotonic_time next_delay_look_{};
   listing_wait listing_wait_;
   run_times run_times_;
   bool unrecorded_starts_ = false;
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -2,7 +2,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "absl/hash/hash.h"
 #include "absl/strings/str_cat.h"
 #include "process/scheduling/job_scheduler.h"
 
@@ -12,8 +11,7 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-// The pause after a listing: ends that come together are told together, and each look costs.
-constexpr milliseconds kListingPause{120};
+constexpr milliseconds kDelayLook{50};
 constexpr milliseconds kSilentPause{300};    // after the first listing without an answer
 constexpr milliseconds kLongestPause{2000};  // the pause doubles up to this
 constexpr uint32_t kLongestDoubling = 4;
@@ -161,17 +159,6 @@
   return out;
 }
 
-uint64_t job_scheduler::FleetStamp() const {
-  size_t stamp = 0;
-  for (const auto& [id, instance] : instances_) {
-    if (!instance->InUse() && !instance->lease_unknown) continue;
-    const instance_report& report = instance->report;
-    stamp = absl::HashOf(stamp, instance->ordinal, report.incarnation, report.address,
-                         report.capacity.cpu_milli, report.capacity.memory_mb);
-  }
-  return stamp;
-}
-
 void job_scheduler::OnFleetStored(const std::vector<instance_report>& fleet) {
   for (auto& [id, instance] : instances_) instance->noted = false;
   for (const instance_report& report : fleet) {
@@ -291,8 +278,7 @@
   instance.doubted = true;
   instance.doubted_since = now;
   Note(scheduler_note::kind::kInstanceDoubted, instance.report.id,
-       absl::StrCat("patience_ms=", answer_time_.Patience().count(),
-                    " runs=", instance.runs.size()));
+       absl::StrCat("patience_ms=", Patience().count(), " runs=", instance.runs.size()));
 }
 
 void job_scheduler::Heard(fleet_instance& instance, monotonic_time sent) {
@@ -304,7 +290,7 @@
 // waits for no end and renews no lease: it may be the instance that is gone. Only if that goes
 // unanswered too is the instance silent.
 void job_scheduler::GiveUpOverdue(fleet_instance& instance, monotonic_time now) {
-  if (!instance.listed || now <= instance.listing_due) return;
+  if (!instance.listed || now <= instance.listing_due + Patience()) return;
   if (instance.probing || instance.silent > 0) return FallSilent(instance, "overdue", now);
   Doubt(instance, now);
   instance.listing_in_flight = false;
@@ -329,6 +315,29 @@
   orders.listings.push_back(std::move(order));
 }
 
+milliseconds job_scheduler::Patience() const {
+  const auto usual = static_cast<double>(answer_time_.Patience().count());
+  return milliseconds(static_cast<int64_t>(delay_factor_ * usual)) + own_delay_;
+}
+
+void job_scheduler::JudgeOwnDelay(monotonic_time now) {
+  if (now < next_delay_look_) return;
+  next_delay_look_ = now + kDelayLook;
+  size_t waiting = 0;
+  size_t overdue = 0;
+  absl::flat_hash_map<std::string_view, size_t> of_domain;
+  const milliseconds patience = answer_time_.Patience() + own_delay_;
+  for (const auto& [id, instance] : instances_) {
+    if (!instance->listing_in_flight || !instance->listed) continue;
+    ++waiting;
+    ++of_domain[instance->report.failure_domain];
+    if (now > instance->listing_due + patience) ++overdue;
+  }
+  size_t largest = 0;
+  for (const auto& [domain, count] : of_domain) largest = std::max(largest, count);
+  delay_factor_ = DelayFactor(waiting, largest, overdue);
+}
+
 void job_scheduler::PlanListings(scheduler_orders& orders, monotonic_time now) {
   auto fences = static_cast<uint32_t>(std::count_if(
       instances_.begin(), instances_.end(),
@@ -361,7 +370,7 @@
       order.wait = waits_for_stop ? milliseconds{100} : listing_wait_.Wait();
     }
     instance->listing_in_flight = true;
-    instance->listing_due = now + order.wait + answer_time_.Patience();
+    instance->listing_due = now + order.wait;
     order.number = ++instance->listing_number;
     orders.listings.push_back(std::move(order));
   }
@@ -375,6 +384,10 @@
   if (order.check) instance.check_in_flight = false;
   if (!order.check && order.number == instance.listing_number) {
     instance.listing_in_flight = false;
+    // Early ones came back with an end: they say nothing of how long an answer takes.
+    if (now > sent + order.wait) {
+      answer_time_.OnAnswer(duration_cast<milliseconds>(now - sent - order.wait));
+    }
     if (std::exchange(instance.probing, false)) {
       listing_wait_.OnLost();
     } else {
@@ -409,7 +422,7 @@
   }
   // Ends are told so many at a time: a run that is not listed may have its end on the next page.
   if (listing.ended.size() >= kEndsAtOnce) {
-    instance.next_listing = now + kListingPause;
+    instance.next_listing = now + options_.listing_pause;
     return;
   }
   HandleMissing(instance, seen, sent, now);
@@ -423,7 +436,7 @@
     instance.next_listing = now;
     return;
   }
-  instance.next_listing = now + kListingPause;
+  instance.next_listing = now + options_.listing_pause;
 }
 
 void job_scheduler::OnNoListing(const list_order& order, order_result result, monotonic_time now) {
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -350,6 +350,11 @@
 
 void job_scheduler::SendStop(graph_run& run, scheduler_orders& orders, monotonic_time now) {
   if (run.stop_in_flight || now < run.next_stop) return;
+  // More would only wait for a connection, and hold up calls to others there.
+  const auto& runs = run.instance->runs;
+  const auto under_way = std::count_if(runs.begin(), runs.end(),
+                                       [](const auto& each) { return each->stop_in_flight; });
+  if (static_cast<uint32_t>(under_way) >= options_.stops_at_instance) return;
   run.stop_in_flight = true;
   run.next_stop = now + kStopAgain;
   const instance_report& report = run.instance->report;
@@ -361,13 +366,16 @@
 
 void job_scheduler::CheckRun(graph_run& run, scheduler_orders& orders, monotonic_time now) {
   const bool unanswered = run.phase == run_phase::kUnknown || run.phase == run_phase::kSent;
-  if (unanswered && now - run.started >= answer_time_.Patience()) {
+  if (unanswered && now - run.started >= Patience()) {
     if (run.stopping == stop_cause::kNone) Doubt(*run.instance, now);
     AskStop(run, stop_cause::kUnknownStart, now);
   }
   const bool works = run.phase == run_phase::kRunning && run.stopping == stop_cause::kNone &&
                      run.job != nullptr && run.pace == 100;
-  if (works && !run.job->job.steps[run.key.step].long_running && run.instance->Reachable()) {
+  // Most runs made progress lately: what they should take need not be looked up.
+  const bool quiet = now - run.progressed > kStallLeast;
+  if (works && quiet && !run.job->job.steps[run.key.step].long_running &&
+      run.instance->Reachable()) {
     const step_progress* step = run.job->Find(run.key);
     const auto expected =
         step == nullptr ? kStallLeast : ExpectedRun(*run.job, *step, run.key.step);
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -572,7 +572,7 @@
     if (reply.status == store_status::kDone) {
       commit_revision_ = reply.revision;
       OnModeStored(WaitedSince(sent, now), now);
-      scheduler_.OnStored(writes, now);
+      scheduler_.OnStored(writes);
       if (fleet) scheduler_.OnFleetStored(*fleet);
       log_.Write(
           site_event::kProgressStored, now,
