Leave a busy owner to its lease, and space early takeovers

What callers saw: in the small twins, where every link has 2 Mbit/s, nothing started any more after the first burst.

Cause: the question whether the owner lives waits behind the owner's own bulk. Silent for 0.55 s, and silent to the others that are asked as well, it was followed before its lease ended; the next owner had the records to read over a link no wider and fell silent in turn.

Change: silence counts only while the owner's changes at the store stand still too, and not at all once it had said that it is overloaded. Early takeovers for silence are spaced, 3 s after a change of owner and twice as long after each one that came soon after another. A process that refuses connections or was replaced is followed as before; everything else ends with the lease.

The test "silent for long, is suspected" is as strict as before with one more fact given: the owner's changes stand still.

--- /dev/null
+++ b/src/process/site/takeover_spacing.h
@@ -0,0 +1,48 @@
+// Whether an owner's silence alone is reason to take the site over before its lease ends.
+//
+// The failure it prevents: an owner is busy, its answers wait behind its own work, and it is
+// followed; loading all records is more work still, so the next one falls silent too. The site
+// changes hands once a second, nothing starts, and it goes on after the load that began it is over.
+// Early takeovers for silence are spaced, longer after each one that came soon after another; an
+// owner that is gone for good is followed when its lease ends in any case.
+#ifndef CATKINFORD_PROCESS_SITE_TAKEOVER_SPACING_H_
+#define CATKINFORD_PROCESS_SITE_TAKEOVER_SPACING_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+
+#include "request/job_request.h"
+
+namespace catkinford {
+
+class takeover_spacing {
+ public:
+  // The store names the owner of this epoch.
+  void OnOwner(uint64_t epoch, monotonic_time now) {
+    if (epoch == epoch_) return;
+    // The first one that is seen may have owned the site for long.
+    if (epoch_ != 0) {
+      const bool soon = now - since_ < kQuiet;
+      pause_ = soon ? std::clamp(pause_ * 2, kShortest, kLongest) : kShortest;
+    }
+    epoch_ = epoch;
+    since_ = now;
+  }
+  // Of the present owner.
+  bool SilenceSuffices(monotonic_time now) const { return now >= since_ + pause_; }
+
+ private:
+  // A loaded owner is done with its records and its first listings by then.
+  static constexpr std::chrono::milliseconds kShortest{3000};
+  static constexpr std::chrono::milliseconds kLongest{24000};
+  static constexpr std::chrono::milliseconds kQuiet{15000};
+
+  uint64_t epoch_ = 0;
+  monotonic_time since_{};
+  std::chrono::milliseconds pause_{0};  // nothing is known against the first owner
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SITE_TAKEOVER_SPACING_H_
--- a/test/owner_suspicion_test.cc
+++ b/test/owner_suspicion_test.cc
@@ -51,17 +51,53 @@
 // The owner's machine loses power: nothing answers, and nothing refuses either.
 TEST_CASE_METHOD(owner_suspicion_fixture, "owner suspicion, silent for long, is suspected") {
   Answer(alive_answer::kSilent, milliseconds{500});
+  suspicion.OnChange(77, now);
   Answer(alive_answer::kSilent, milliseconds{500});
+  suspicion.OnChange(77, now);
   CHECK(suspicion.Suspected(now));
+  CHECK(suspicion.OnlySilent());
   suspicion.Watch(2, now);
   CHECK_FALSE(suspicion.Suspected(now));
 }
 
+// Guards against taking the site from an owner whose answers wait behind its own work.
+TEST_CASE_METHOD(owner_suspicion_fixture,
+                 "owner suspicion, silent while its changes arrive, is not suspected") {
+  for (uint64_t change = 1; change <= 20; ++change) {
+    Answer(alive_answer::kSilent, milliseconds{370});
+    suspicion.OnChange(change, now);
+    CHECK_FALSE(suspicion.Suspected(now));
+  }
+}
+
+// Guards against the same where the store cannot be asked: silence alone proves nothing.
+TEST_CASE_METHOD(owner_suspicion_fixture,
+                 "owner suspicion, silent and its changes unknown, is not suspected") {
+  Answer(alive_answer::kSilent, milliseconds{500});
+  Answer(alive_answer::kSilent, milliseconds{500});
+  CHECK_FALSE(suspicion.Suspected(now));
+}
+
+// Guards against the same for an owner that had said that its link is full.
+TEST_CASE_METHOD(owner_suspicion_fixture,
+                 "owner suspicion, silent after it said that it is busy, is left to its lease") {
+  Answer(alive_answer::kBusy, milliseconds{200});
+  Answer(alive_answer::kSilent, milliseconds{500});
+  suspicion.OnChange(0, now);
+  Answer(alive_answer::kSilent, milliseconds{500});
+  suspicion.OnChange(0, now);
+  CHECK_FALSE(suspicion.Suspected(now));
+  Answer(alive_answer::kRefused, milliseconds{100});
+  Answer(alive_answer::kRefused, milliseconds{100});
+  CHECK(suspicion.Suspected(now));
+}
+
 // The asker is cut off, not the owner: whoever reaches the owner says so, and an asker that hears
 // nobody believes nobody.
 TEST_CASE("owner suspicion, others reach the owner, is not shared") {
   CHECK_FALSE(SuspicionShared({}));
   CHECK_FALSE(SuspicionShared({alive_answer::kRefused, alive_answer::kAlive}));
+  CHECK_FALSE(SuspicionShared({alive_answer::kSilent, alive_answer::kBusy}));
   CHECK(SuspicionShared({alive_answer::kRefused, alive_answer::kSilent}));
 }
 
