--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -16,6 +16,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
+#include "connection/recent_delay.h"
 
 namespace catkinford {
 namespace {
@@ -23,7 +24,7 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr int kEventsAtOnce = 64;
+constexpr int kEventsAtOnce = 512;
 constexpr milliseconds kIdleWait{1000};
 constexpr size_t kIdleHandles = 256;           // easy handles kept for the next call
 constexpr milliseconds kConnectTimeout{2000};  // an address that answers nothing at all
@@ -34,6 +35,7 @@
   http_client::callback on_done;
   std::string answer;
   curl_slist* headers = nullptr;
+  steady_clock::time_point queued;  // when it was given to the client
   // Of a call with a stall limit:
   steady_clock::time_point moved;  // when a byte last went either way
   curl_off_t up = 0;
@@ -75,8 +77,8 @@
 }  // namespace
 
 struct http_client::impl {
-  impl(size_t connections, std::string authorities)
-      : connections_per_host(connections), ca_file(std::move(authorities)) {}
+  impl(size_t connections, std::string authorities, traffic_meter* counts)
+      : connections_per_host(connections), ca_file(std::move(authorities)), meter(counts) {}
 
   static int OnSocket(CURL* easy, curl_socket_t socket, int what, void* closure, void* known);
   static int OnTimer(CURLM* multi, long wait_ms, void* closure);  // NOLINT(google-runtime-int)
@@ -88,11 +90,14 @@
   void Finish();
   void EndStalled();
   void Complete(CURL* easy, transfer_status status);
+  void Count(CURL* easy, const transfer& done);
   int WaitMs() const;
   CURL* NewHandle();
 
   size_t connections_per_host;
   std::string ca_file;
+  traffic_meter* meter;  // may be null
+  recent_delay delay;
   CURLM* multi = nullptr;
   int epoll = -1;
   int wake = -1;
@@ -187,6 +192,20 @@
   curl_multi_add_handle(multi, easy);
 }
 
+void http_client::impl::Count(CURL* easy, const transfer& done) {
+  if (meter == nullptr) return;
+  long head_sent = 0;      // NOLINT(google-runtime-int): libcurl's type
+  long head_received = 0;  // NOLINT(google-runtime-int): libcurl's type
+  curl_off_t body_sent = 0;
+  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &head_sent);
+  curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &head_received);
+  curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &body_sent);
+  // libcurl counts a small body that left with the head as part of the request.
+  const auto head = static_cast<uint64_t>(head_sent);
+  meter->Count(done.call.url, std::max(head, static_cast<uint64_t>(body_sent)),
+               static_cast<uint64_t>(head_received) + done.answer.size());
+}
+
 void http_client::impl::Complete(CURL* easy, transfer_status status) {
   auto node = active.extract(easy);
   std::erase(watched, easy);
@@ -196,6 +215,7 @@
   long code = 0;  // NOLINT(google-runtime-int): libcurl's type
   curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &code);
   result.code = static_cast<int>(code);
+  Count(easy, *done);
   result.body = std::move(done->answer);
   curl_multi_remove_handle(multi, easy);
   curl_slist_free_all(done->headers);
@@ -243,6 +263,9 @@
     const std::lock_guard lock(mutex);
     taken.swap(incoming);
   }
+  if (taken.empty()) return;
+  const steady_clock::time_point now = steady_clock::now();
+  delay.Note(std::chrono::duration_cast<milliseconds>(now - taken.front()->queued), now);
   for (auto& next : taken) Begin(std::move(next));
 }
 
@@ -275,19 +298,21 @@
       if ((event.events & (EPOLLERR | EPOLLHUP)) != 0) what |= CURL_CSELECT_ERR;
       Act(event.data.fd, what);
     }
-    if (steady_clock::now() >= timer) {
+    // Answers that have arrived are read before any call is given up: a process that was held up
+    // has many of both.
+    if (count < kEventsAtOnce && steady_clock::now() >= timer) {
       timer = steady_clock::time_point::max();
       Act(CURL_SOCKET_TIMEOUT, 0);
     }
     Finish();
-    EndStalled();
+    if (count < kEventsAtOnce) EndStalled();
   }
   TakeNew();
   while (!active.empty()) Complete(active.begin()->first, transfer_status::kMaybeSent);
 }
 
-http_client::http_client(size_t connections_per_host, std::string ca_file)
-    : impl_(std::make_unique<impl>(connections_per_host, std::move(ca_file))) {}
+http_client::http_client(size_t connections_per_host, std::string ca_file, traffic_meter* meter)
+    : impl_(std::make_unique<impl>(connections_per_host, std::move(ca_file), meter)) {}
 
 http_client::~http_client() { Stop(); }
 
@@ -316,6 +341,7 @@
   auto next = std::make_unique<transfer>();
   next->call = std::move(call);
   next->on_done = std::move(on_done);
+  next->queued = steady_clock::now();
   bool first = false;
   bool taken = false;
   {
@@ -336,6 +362,8 @@
   }
 }
 
+milliseconds http_client::Delay() const { return impl_->delay.Most(); }
+
 http_result http_client::SendAndWait(http_call call) {
   std::mutex mutex;
   std::condition_variable ready;
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -12,6 +12,8 @@
 #include <utility>
 #include <vector>
 
+#include "connection/traffic_meter.h"
+
 namespace catkinford {
 
 enum class transfer_status : uint8_t {
@@ -47,8 +49,10 @@
   using callback = std::function<void(http_result)>;
 
   // `connections_per_host` bounds the connections that are open to one address. `ca_file`: PEM file
-  // of the authorities to trust for https; empty: those of the system.
-  explicit http_client(size_t connections_per_host, std::string ca_file = {});
+  // of the authorities to trust for https; empty: those of the system. `meter` counts the bytes of
+  // all calls; null: nobody asks.
+  explicit http_client(size_t connections_per_host, std::string ca_file = {},
+                       traffic_meter* meter = nullptr);
   ~http_client();
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
@@ -58,6 +62,9 @@
   void Send(http_call call, callback on_done);
   // Sends and waits for the result; for command lines and tests.
   http_result SendAndWait(http_call call);
+  // How long calls waited lately, at most, before they were begun: while this thread is late, so
+  // are the answers that it reads.
+  std::chrono::milliseconds Delay() const;
   // Ends all transfers; each callback is called.
   void Stop();
 
--- /dev/null
+++ b/src/connection/traffic_meter.cc
@@ -0,0 +1,39 @@
+#include "connection/traffic_meter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace catkinford {
+
+void traffic_meter::Count(std::string_view url, uint64_t sent, uint64_t received) {
+  const std::string kind = KindOfCall(url);
+  const std::lock_guard lock(mutex_);
+  for (traffic* sum : {&counted_[kind], &total_}) {
+    ++sum->calls;
+    sum->sent += sent;
+    sum->received += received;
+  }
+}
+
+traffic traffic_meter::Total() {
+  const std::lock_guard lock(mutex_);
+  return total_;
+}
+
+std::map<std::string, traffic> traffic_meter::Take() {
+  const std::lock_guard lock(mutex_);
+  return std::exchange(counted_, {});
+}
+
+std::string KindOfCall(std::string_view url) {
+  const size_t scheme = url.find("://");
+  if (scheme != std::string_view::npos) url.remove_prefix(scheme + 3);
+  const size_t path = url.find('/');
+  if (path == std::string_view::npos) return {};
+  url.remove_prefix(path + 1);
+  const size_t second = url.find('/');
+  const size_t end = url.find_first_of("/?", second == std::string_view::npos ? 0 : second + 1);
+  return std::string(url.substr(0, std::min(end, url.size())));
+}
+
+}  // namespace catkinford
--- a/src/main/catkinford-site.cc
+++ b/src/main/catkinford-site.cc
@@ -27,6 +27,8 @@
 constexpr size_t kStoreConnections = 16;
 constexpr size_t kInstanceConnections = 3;
 constexpr size_t kPeerConnections = 8;
+// To an entry that brings starts: one is busy for as long as the slowest instance takes.
+constexpr size_t kStartConnections = 8;
 
 const char* Explain(catkinford::site_start_fault fault) {
   switch (fault) {
@@ -53,15 +55,18 @@
   std::signal(SIGPIPE, SIG_IGN);
   curl_global_init(CURL_GLOBAL_DEFAULT);
 
-  catkinford::http_client store_http(kStoreConnections);
-  catkinford::http_client order_http(kInstanceConnections);
-  catkinford::http_client peer_http(kPeerConnections);
+  catkinford::traffic_meter traffic;
+  catkinford::http_client store_http(kStoreConnections, {}, &traffic);
+  catkinford::http_client order_http(kInstanceConnections, {}, &traffic);
+  catkinford::http_client peer_http(kPeerConnections, {}, &traffic);
+  catkinford::http_client start_http(kStartConnections, {}, &traffic);
   store_http.Start();
   order_http.Start();
   peer_http.Start();
+  start_http.Start();
   catkinford::platform::adapter platform(store_http, order_http, settings);
   catkinford::site_node<catkinford::platform::adapter> node(std::move(settings), platform,
-                                                            peer_http);
+                                                            peer_http, start_http, traffic);
   const catkinford::site_start_fault fault = node.Start();
   if (fault != catkinford::site_start_fault::kNone) {
     std::fputs(Explain(fault), stderr);
@@ -74,6 +79,7 @@
   }
   node.Shutdown();
   // Calls under way end with the process: their answers would find a node that is gone.
+  start_http.Stop();
   peer_http.Stop();
   order_http.Stop();
   store_http.Stop();
--- a/src/process/site/caller_front.h
+++ b/src/process/site/caller_front.h
@@ -21,10 +21,12 @@
 #include "process/site/site_records.h"
 #include "process/site/store_health.h"
 #include "process/site/version_plan.h"
+#include "request/packed_text.h"
 
 namespace catkinford {
 
 struct front_hooks {
+  std::string entry;  // the name of this one
   std::function<std::shared_ptr<const site_version>()> version;
   std::function<version_trust(monotonic_time now)> trust;
   // From the owner, this entry or another; nothing when it does not answer or does not know.
@@ -34,6 +36,8 @@
   // Tell the owner of what was just stored, so that it need not wait for its watch. Nothing rests
   // on it: what gets lost here, the watch brings.
   std::function<void(const std::string& id, const std::string& record)> tell_job;
+  // A job is being accepted here: its tasks may have to be started from here.
+  std::function<void(const std::string& id, const std::string& payload)> keep_payload;
   std::function<void(const std::string& id)> tell_cancel;
   std::function<bool()> stopping;
 };
@@ -195,6 +199,8 @@
           job.workspace = current->workspace;
           job.terms = current->queue->jobs;
           job.accepted = WallNow();
+          job.accepted_by = hooks_.entry;
+          hooks_.keep_payload(job.id, job.payload);
           StoreWhenUp(current, std::make_shared<const std::string>(JobToText(job)));
           return {};
         },
@@ -329,8 +335,11 @@
                             leaf::try_handle_all(
                                 [&]() -> leaf::result<void> {
                                   BOOST_LEAF_ASSIGN(entry.job, JobFromText(job_text));
-                                  if (!absent)
-                                    ApplyProgress(entry, reply.items.front().value, BootNow());
+                                  if (!absent) {
+                                    const auto text = UnpackText(reply.items.front().value);
+                                    if (!text) return leaf::new_error(durable_fault{});
+                                    ApplyProgress(entry, *text, BootNow());
+                                  }
                                   return {};
                                 },
                                 [&] {
--- a/src/process/site/event_loop.h
+++ b/src/process/site/event_loop.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "connection/bounded_ring.h"
+#include "connection/recent_delay.h"
 #include "request/job_request.h"
 #include "request/step_graph.h"
 
@@ -39,6 +40,9 @@
   bool TryPost(work task);
   // On the loop's thread.
   void After(std::chrono::milliseconds delay, work task);
+  // On the loop's thread. How late timers ran lately, at most: what other threads posted meanwhile
+  // waited as long.
+  std::chrono::milliseconds Delay() const { return delay_.Most(); }
   // From any thread but the loop's own; what still waits is dropped.
   void Stop();
   // Takes `done`, to be called on another thread, to the loop's thread.
@@ -66,6 +70,7 @@
   bounded_ring<work> ring_;
   std::priority_queue<timed_work> timers_;
   uint64_t next_order_ = 0;
+  recent_delay delay_;
   std::thread thread_;
 };
 
--- /dev/null
+++ b/src/process/site/payload_cache.h
@@ -0,0 +1,47 @@
+// Payloads of jobs that this entry accepted or was asked to start tasks of, the newest ones. One
+// that is gone is read from the store again.
+#ifndef CATKINFORD_PROCESS_SITE_PAYLOAD_CACHE_H_
+#define CATKINFORD_PROCESS_SITE_PAYLOAD_CACHE_H_
+
+#include <cstddef>
+#include <deque>
+#include <string>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+
+namespace catkinford {
+
+class payload_cache {
+ public:
+  // `limit`: bytes of all payloads together.
+  explicit payload_cache(size_t limit) : limit_(limit) {}
+
+  void Put(const std::string& job, std::string payload) {
+    const size_t size = payload.size();
+    if (!payloads_.try_emplace(job, std::move(payload)).second) return;
+    order_.push_back(job);
+    bytes_ += size;
+    while (bytes_ > limit_) {
+      const auto oldest = payloads_.find(order_.front());
+      bytes_ -= oldest->second.size();
+      payloads_.erase(oldest);
+      order_.pop_front();
+    }
+  }
+  // Null: not here. Good until the next Put().
+  const std::string* Find(const std::string& job) const {
+    const auto found = payloads_.find(job);
+    return found == payloads_.end() ? nullptr : &found->second;
+  }
+
+ private:
+  size_t limit_;
+  size_t bytes_ = 0;
+  std::deque<std::string> order_;  // the oldest first
+  absl::flat_hash_map<std::string, std::string> payloads_;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SITE_PAYLOAD_CACHE_H_
--- a/src/process/site/peer_words.cc
+++ b/src/process/site/peer_words.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "request/packed_text.h"
+
 namespace catkinford {
 namespace {
 
@@ -30,6 +32,13 @@
   return out;
 }
 
+// Lists of instances are long: they travel packed.
+template <typename T, typename Read>
+std::optional<T> ParsePacked(std::string_view bytes, Read read) {
+  const auto text = UnpackText(bytes);
+  return text ? Parse<T>(*text, read) : std::nullopt;
+}
+
 }  // namespace
 
 std::string ToldPhaseToText(const told_phase& state) {
@@ -90,11 +99,15 @@
   return out;
 }
 
-std::string AliveToText(uint64_t nonce) { return json{{"nonce", nonce}}.dump(); }
+std::string AliveToText(const told_alive& alive) {
+  return json{{"nonce", alive.nonce}, {"busy", alive.busy}}.dump();
+}
 
-std::optional<uint64_t> AliveFromText(std::string_view text) {
-  return Parse<uint64_t>(
-      text, [](const json& in, uint64_t& out) { out = in.at("nonce").get<uint64_t>(); });
+std::optional<told_alive> AliveFromText(std::string_view text) {
+  return Parse<told_alive>(text, [](const json& in, told_alive& out) {
+    out.nonce = in.at("nonce").get<uint64_t>();
+    out.busy = in.value("busy", false);
+  });
 }
 
 std::string LookToText(alive_answer answer) {
@@ -130,16 +143,16 @@
 
 std::string PeerQuestionToText(const peer_question& question) {
   const advice_order& order = question.order;
-  return json{{"job", order.job},
-              {"occurrence", order.occurrence},
-              {"step", order.step},
-              {"instances", order.instances},
-              {"timeout_ms", question.timeout.count()}}
-      .dump();
+  const json out{{"job", order.job},
+                 {"occurrence", order.occurrence},
+                 {"step", order.step},
+                 {"instances", order.instances},
+                 {"timeout_ms", question.timeout.count()}};
+  return PackText(out.dump());
 }
 
 std::optional<peer_question> PeerQuestionFromText(std::string_view text) {
-  return Parse<peer_question>(text, [](const json& in, peer_question& out) {
+  return ParsePacked<peer_question>(text, [](const json& in, peer_question& out) {
     out.order.job = in.at("job").get<std::string>();
     out.order.occurrence = in.at("occurrence").get<uint32_t>();
     out.order.step = in.at("step").get<uint32_t>();
@@ -149,15 +162,15 @@
 }
 
 std::string PeerAdviceToText(const advice_answer& answer) {
-  return json{{"answered", answer.answered},
-              {"overloaded", answer.overloaded},
-              {"allowed", answer.allowed},
-              {"valid_ms", answer.valid.count()}}
-      .dump();
+  const json out{{"answered", answer.answered},
+                 {"overloaded", answer.overloaded},
+                 {"allowed", answer.allowed},
+                 {"valid_ms", answer.valid.count()}};
+  return PackText(out.dump());
 }
 
 std::optional<advice_answer> PeerAdviceFromText(std::string_view text) {
-  return Parse<advice_answer>(text, [](const json& in, advice_answer& out) {
+  return ParsePacked<advice_answer>(text, [](const json& in, advice_answer& out) {
     out.answered = in.at("answered").get<bool>();
     out.overloaded = in.at("overloaded").get<bool>();
     out.allowed = in.at("allowed").get<std::vector<std::pair<std::string, std::string>>>();
--- a/src/process/site/peer_words.h
+++ b/src/process/site/peer_words.h
@@ -4,7 +4,7 @@
 //   GET  /peer/pending?queue=
 //   GET  /peer/health        when the store last answered, the highest epoch seen
 //   GET  /peer/witness       whether an owner may have gone on while the store was down
-//   GET  /peer/alive         the process's nonce; answered without its loop
+//   GET  /peer/alive         the process's nonce, and if it is busy; answered without its loop
 //   GET  /peer/look          whether the owner's process is alive, as seen from there
 //   GET  /peer/version?have=&text=
 //                            the configuration's number and since when it is confirmed; with text=1
@@ -12,6 +12,8 @@
 //   POST /peer/advise        asks a queue's policy from there
 //   POST /peer/job           a job's record, just stored: the owner need not wait for its watch
 //   POST /peer/cancel?id=    a cancelling, just stored
+//   POST /peer/start, /peer/started
+//                            see start_words.h
 //
 // libjsonrpccpp's server answers on the thread of the call, and a question to a policy takes up to
 // a second: these calls use the HTTP server that can answer later.
@@ -62,6 +64,10 @@
   std::chrono::milliseconds registered{0};                 // without a gap
   std::optional<std::chrono::milliseconds> confirmed_age;  // since it last confirmed an outage
 };
+struct told_alive {
+  uint64_t nonce = 0;  // of the process
+  bool busy = false;   // its link is: it may be silent without being gone
+};
 struct told_version {
   peer_version version;
   std::string text;  // empty: not newer than what was asked for, or not given
@@ -81,8 +87,8 @@
 // One line of JSON, then the text as it is: it may be large.
 std::string ToldVersionToText(const told_version& told);
 std::optional<told_version> ToldVersionFromText(std::string_view text);
-std::string AliveToText(uint64_t nonce);
-std::optional<uint64_t> AliveFromText(std::string_view text);
+std::string AliveToText(const told_alive& alive);
+std::optional<told_alive> AliveFromText(std::string_view text);
 std::string LookToText(alive_answer answer);
 std::optional<alive_answer> LookFromText(std::string_view text);
 std::string OwnerWitnessToText(const owner_witness& witness);
--- a/src/process/site/site_log.cc
+++ b/src/process/site/site_log.cc
@@ -51,6 +51,8 @@
     site_event_info{kRunAdopted, kDetail, "run_adopted",
                     "A run of an earlier owner was found and goes on."},
     site_event_info{kAdvice, kDetail, "advice", "A queue's policy named instances for a step."},
+    site_event_info{kStartsNotCarried, kWarning, "starts_not_carried",
+                    "Another entry did not take starts for instances."},
     site_event_info{kAdviceAsked, kDetail, "advice_asked",
                     "A question to a queue's policy came back: who asked, and how long it took."},
     site_event_info{kProgressStored, kDetail, "progress_stored",
@@ -98,6 +100,8 @@
                     "A newer configuration may be in force elsewhere: calls are turned away."},
     site_event_info{kVersionConfirmed, kInfo, "version_confirmed",
                     "The configuration here is known to be the newest, or was moments ago."},
+    site_event_info{kLinkUse, kSummary, "link_use",
+                    "Bytes of the last second's calls, by what was called."},
 };
 
 }  // namespace
@@ -140,7 +144,7 @@
     in_second_.store(0, std::memory_order_relaxed);
   }
   const uint32_t used = in_second_.fetch_add(1, std::memory_order_relaxed);
-  if (level == kWarning) return true;
+  if (level == kWarning || level == kSummary) return true;
   const double share = level == kDetail ? kDetailShare : 1.0;
   return used < static_cast<uint32_t>(share * lines_per_second_);
 }
--- a/src/process/site/site_log.h
+++ b/src/process/site/site_log.h
@@ -49,6 +49,7 @@
   kAdvice = 628,
   kProgressStored = 629,
   kAdviceAsked = 619,
+  kStartsNotCarried = 618,
   // 63x: instances at the owner
   kInstanceJoined = 630,
   kInstanceReborn = 631,
@@ -82,9 +83,12 @@
   kVersionTold = 659,
   kVersionUnconfirmed = 660,
   kVersionConfirmed = 661,
+  kLinkUse = 662,
 };
 
-enum class site_log_level : uint8_t { kDetail, kInfo, kWarning };
+// Details are left out first when a second's lines run out; summaries, one a second, and warnings
+// never.
+enum class site_log_level : uint8_t { kDetail, kInfo, kSummary, kWarning };
 
 struct site_event_info {
   site_event event;
--- a/src/process/site/site_metrics.cc
+++ b/src/process/site/site_metrics.cc
@@ -38,6 +38,8 @@
                      "Ends of runs that instances listed, by how they ended.")),
       version_reads_(Counters(registry_, "catkinford_site_version_reads_total",
                               "Reads of the configuration, by source and outcome.")),
+      link_bytes_(Counters(registry_, "catkinford_site_link_bytes_total",
+                           "Bytes of this entry's calls, by what was called and direction.")),
       answer_seconds_(prometheus::BuildHistogram()
                           .Name("catkinford_site_answer_seconds")
                           .Help("From a call's arrival to its answer.")
@@ -88,6 +90,12 @@
   version_reads_.Add({{"source", source}, {"outcome", outcome}}).Increment();
 }
 
+void site_metrics::CountTraffic(const std::string& kind, const traffic& use) {
+  link_bytes_.Add({{"call", kind}, {"direction", "sent"}}).Increment(static_cast<double>(use.sent));
+  link_bytes_.Add({{"call", kind}, {"direction", "received"}})
+      .Increment(static_cast<double>(use.received));
+}
+
 std::string site_metrics::Text() {
   std::ostringstream out;
   prometheus::TextSerializer().Serialize(out, registry_.Collect());
--- a/src/process/site/site_metrics.h
+++ b/src/process/site/site_metrics.h
@@ -11,6 +11,8 @@
 #include <chrono>
 #include <string>
 
+#include "connection/traffic_meter.h"
+
 namespace catkinford {
 
 class site_metrics {
@@ -27,6 +29,8 @@
   // `source`: store, watch or peer; `outcome`: done, refused, absent, history_gone or
   // broken_off.
   void CountVersionRead(const std::string& source, const std::string& outcome);
+  // Bytes of calls of one kind since the last time.
+  void CountTraffic(const std::string& kind, const traffic& use);
   std::string Text();
 
  private:
@@ -36,6 +40,7 @@
   prometheus::Family<prometheus::Counter>& orders_;
   prometheus::Family<prometheus::Counter>& ends_;
   prometheus::Family<prometheus::Counter>& version_reads_;
+  prometheus::Family<prometheus::Counter>& link_bytes_;
   prometheus::Family<prometheus::Histogram>& answer_seconds_;
 
  public:
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -23,6 +23,7 @@
 #include "process/site/advice_spread.h"
 #include "process/site/caller_front.h"
 #include "process/site/event_loop.h"
+#include "process/site/owner_budget.h"
 #include "process/site/owner_suspicion.h"
 #include "process/site/peer_words.h"
 #include "process/site/site_log.h"
@@ -31,7 +32,10 @@
 #include "process/site/site_owner.h"
 #include "process/site/site_ports.h"
 #include "process/site/site_settings.h"
+#include "process/site/start_carrier.h"
+#include "process/site/start_relay.h"
 #include "process/site/store_health.h"
+#include "process/site/takeover_spacing.h"
 #include "process/site/text_ration.h"
 #include "process/site/version_follow.h"
 
@@ -46,8 +50,10 @@
 template <site_platform Platform>
 class site_node {
  public:
-  // `peers` carries the calls to other entries.
-  site_node(site_settings settings, Platform& platform, http_client& peers);
+  // `peers` carries the calls to other entries, `orders` those with orders and their results, so
+  // that neither holds up the other; `link` counts the bytes of all calls.
+  site_node(site_settings settings, Platform& platform, http_client& peers, http_client& starts,
+            traffic_meter& link);
   ~site_node() { Stop(); }
   site_node(const site_node&) = delete;
   site_node& operator=(const site_node&) = delete;
@@ -90,6 +96,10 @@
   front_hooks FrontHooks();
   membership_hooks MembershipHooks();
   version_hooks VersionHooks();
+  relay_hooks RelayHooks();
+  owner_hooks OwnerHooks();
+  // As of now.
+  const owner_budget& Budget(monotonic_time now);
 
   // Servers' handlers, on their threads.
   void OnCaller(http_server::token token, http_request request);
@@ -119,6 +129,8 @@
   void LookAt(const site_entry& process, const std::function<void(alive_answer)>& done);
   void LookAtPrevious(int tries);
   void LookAtOwner(const std::function<void(alive_answer)>& done);
+  void ReadOwnersChange(uint64_t epoch);
+  void JudgeOwner(uint64_t epoch);
   void OnSuspected(uint64_t epoch);
   owner_witness Witness() const;
   void SeekWitness();
@@ -127,10 +139,12 @@
   void TellReadiness();
   void WatchReadiness();
   void UpdateAges();
+  void TellLinkUse();
 
   site_settings settings_;
   Platform& platform_;
   http_client& peers_;
+  traffic_meter& link_;
   site_metrics numbers_;
   site_log log_;
   event_loop loop_;
@@ -138,6 +152,9 @@
   site_membership<std::remove_reference_t<decltype(std::declval<Platform>().Store())>> membership_;
   version_follow<Platform> versions_;
   caller_front<Platform> front_;
+  owner_budget budget_;
+  start_relay<Platform> relay_;      // of this entry's starts, while it owns the site
+  start_carrier<Platform> carrier_;  // of another owner's
   advice_spread advice_;
   std::shared_ptr<site_owner<Platform>> owner_;
   std::map<std::string, bool> peer_silent_;
@@ -145,10 +162,12 @@
   absl::BitGen random_;
   bool ask_strong_ = false;  // entries for the configuration: any and strong ones by turns
   owner_suspicion suspicion_;
+  takeover_spacing spacing_;
   bool asking_others_ = false;    // whether they see the owner dead too
   uint64_t witnessed_epoch_ = 0;  // of the ownership for which a witness was found
   std::optional<monotonic_time> outage_confirmed_;  // when this entry last told an owner of one
   std::atomic<bool> ready_{false};
+  std::atomic<bool> overloaded_{false};
   std::atomic<bool> stopping_{false};
   bool stopped_ = false;
   std::unique_ptr<http_server> callers_;
@@ -158,10 +177,12 @@
 };
 
 template <site_platform Platform>
-site_node<Platform>::site_node(site_settings settings, Platform& platform, http_client& peers)
+site_node<Platform>::site_node(site_settings settings, Platform& platform, http_client& peers,
+                               http_client& starts, traffic_meter& link)
     : settings_(std::move(settings)),
       platform_(platform),
       peers_(peers),
+      link_(link),
       log_(settings_.name, settings_.logs.lines_per_second),
       loop_(kLoopCapacity),
       membership_(
@@ -174,11 +195,15 @@
           settings_.timing.watch_wait, MembershipHooks()),
       versions_(platform, loop_, log_, numbers_, settings_.bounds.config_limit, VersionHooks()),
       front_(platform, store_health_, loop_, log_, numbers_, kAnswerWithin, FrontHooks()),
+      budget_(settings_.machine.link_mbps, settings_.machine.cpu_share),
+      relay_(platform, starts, budget_, loop_, log_, membership_.Self().address, RelayHooks()),
+      carrier_(platform, starts, loop_, log_, [this] { return membership_.View().epoch; }),
       texts_(settings_.machine.link_mbps) {}
 
 template <site_platform Platform>
 front_hooks site_node<Platform>::FrontHooks() {
   front_hooks hooks;
+  hooks.entry = settings_.name;
   hooks.version = [this] { return versions_.Version(); };
   hooks.trust = [this](monotonic_time now) { return versions_.Trust(now); };
   hooks.phase = [this](const std::string& job,
@@ -197,10 +222,26 @@
     if (owner_ != nullptr) return owner_->OnCancelStored(id);
     TellOwner(absl::StrCat(kPeerCancelPath, "?id=", id), {});
   };
+  hooks.keep_payload = [this](const std::string& id, const std::string& payload) {
+    carrier_.Keep(id, payload);
+  };
   hooks.stopping = [this] { return stopping_.load(); };
   return hooks;
 }
 
+template <site_platform Platform>
+relay_hooks site_node<Platform>::RelayHooks() {
+  relay_hooks hooks;
+  hooks.address = [this](const std::string& name) {
+    const auto found = membership_.View().entries.find(name);
+    return found == membership_.View().entries.end() ? std::string() : found->second.address;
+  };
+  hooks.may_send = [this](uint64_t epoch, monotonic_time now) {
+    return owner_ != nullptr && membership_.Epoch() == epoch && membership_.MayAct(now);
+  };
+  return hooks;
+}
+
 template <site_platform Platform>
 membership_hooks site_node<Platform>::MembershipHooks() {
   membership_hooks hooks;
@@ -363,7 +404,8 @@
 template <site_platform Platform>
 void site_node<Platform>::OnPeer(http_server::token token, http_request request) {
   if (request.path == kPeerAlivePath) {
-    return peer_server_->Respond(token, {.body = AliveToText(membership_.Self().nonce)});
+    return peer_server_->Respond(
+        token, {.body = AliveToText({membership_.Self().nonce, overloaded_.load()})});
   }
   const bool taken =
       loop_.TryPost([this, token, request = std::move(request)] { AnswerPeer(token, request); });
@@ -401,6 +443,12 @@
     if (owner_ != nullptr) owner_->OnCancelStored(request.Query("id"));
   } else if (request.path == kPeerAdvisePath) {
     return AdviseFor(token, request);
+  } else if (request.path == kPeerStartPath) {
+    return carrier_.Carry(request.body, [this, token](http_response answer) {
+      peer_server_->Respond(token, std::move(answer));
+    });
+  } else if (request.path == kPeerStartedPath) {
+    relay_.OnStarted(request.body);
   } else {
     response.status = front_status::kNotFound;
   }
@@ -453,6 +501,26 @@
   numbers_.version_age_seconds.Set(seconds(versions_.AsOf()));
   const double left_out = static_cast<double>(log_.LeftOut());
   numbers_.log_lines_left_out.Increment(left_out - numbers_.log_lines_left_out.Value());
+  TellLinkUse();
+}
+
+template <site_platform Platform>
+void site_node<Platform>::TellLinkUse() {
+  std::string kinds;
+  uint64_t sent = 0;
+  uint64_t received = 0;
+  for (const auto& [kind, use] : link_.Take()) {
+    numbers_.CountTraffic(kind, use);
+    sent += use.sent;
+    received += use.received;
+    absl::StrAppend(&kinds, " ", kind, "=", use.calls, "/", use.sent, "/", use.received);
+  }
+  // Of an entry that only takes calls there is nothing to explain.
+  if (owner_ == nullptr) return;
+  log_.Write(site_event::kLinkUse, BootNow(),
+             absl::StrCat("sent=", sent, " received=", received, " decide_ms=",
+                          owner_->TakeDecideTime().count(), " delay_ms=", loop_.Delay().count(),
+                          " order_delay_ms=", platform_.Instances().Delay().count(), kinds));
 }
 
 template <site_platform Platform>
@@ -474,7 +542,8 @@
     loop_.Post([done, asked, nonce, result = std::move(result)] {
       if (result.status == transfer_status::kDone) {
         const auto alive = AliveFromText(result.body);
-        return done(alive == nonce ? alive_answer::kAlive : alive_answer::kOtherProcess);
+        if (!alive || alive->nonce != nonce) return done(alive_answer::kOtherProcess);
+        return done(alive->busy ? alive_answer::kBusy : alive_answer::kAlive);
       }
       const bool refused = BootNow() - asked < kRefusedWithin;
       done(refused ? alive_answer::kRefused : alive_answer::kSilent);
@@ -494,16 +563,42 @@
   suspicion_.Watch(epoch, BootNow());
   LookAtOwner([this, epoch, again](alive_answer answer) {
     suspicion_.OnAnswer(answer, BootNow());
-    if (suspicion_.Suspected(BootNow())) OnSuspected(epoch);
+    if (answer == alive_answer::kSilent) ReadOwnersChange(epoch);
+    JudgeOwner(epoch);
     again(suspicion_.Pause());
   });
 }
 
+// An owner that is busy answers late, but what it writes still arrives.
+template <site_platform Platform>
+void site_node<Platform>::ReadOwnersChange(uint64_t epoch) {
+  platform_.Store().Get(kCommitKey, [this, epoch](const store_reply& reply) {
+    loop_.Post([this, epoch, reply] {
+      const auto& owner = membership_.View().owner;
+      const bool same = owner && owner->epoch == epoch;
+      const bool told =
+          reply.status == store_status::kDone || reply.status == store_status::kAbsent;
+      if (!same || !told) return;
+      suspicion_.OnChange(reply.items.empty() ? 0 : reply.items.front().revision, BootNow());
+      JudgeOwner(epoch);
+    });
+  });
+}
+
+template <site_platform Platform>
+void site_node<Platform>::JudgeOwner(uint64_t epoch) {
+  const monotonic_time now = BootNow();
+  if (!suspicion_.Suspected(now)) return;
+  if (suspicion_.OnlySilent() && !spacing_.SilenceSuffices(now)) return;
+  OnSuspected(epoch);
+}
+
 // This entry may be the one that is cut off: others are asked what they see.
 template <site_platform Platform>
 void site_node<Platform>::OnSuspected(uint64_t epoch) {
   if (std::exchange(asking_others_, true)) return;
-  log_.Write(site_event::kOwnerSuspected, BootNow(), absl::StrCat("epoch=", epoch));
+  log_.Write(site_event::kOwnerSuspected, BootNow(),
+             absl::StrCat("epoch=", epoch, " only_silent=", suspicion_.OnlySilent()));
   std::vector<site_entry> others;
   std::set<std::string> domains;
   for (const bool fresh_domain : {true, false}) {
@@ -536,7 +631,7 @@
 }
 
 template <site_platform Platform>
-void site_node<Platform>::OnWon() {
+owner_hooks site_node<Platform>::OwnerHooks() {
   owner_hooks hooks;
   hooks.superseded = [this](const std::string& why) { membership_.OnSuperseded(why); };
   hooks.may_act = [this](monotonic_time now) { return membership_.MayAct(now); };
@@ -548,9 +643,27 @@
     advice_.Add(std::move(order));
     SpreadAdvice();
   };
+  const uint64_t epoch = membership_.Epoch();
+  hooks.start = [this, epoch](start_order order, const std::string& accepted_by,
+                              order_callback done) {
+    relay_.Send(std::move(order), accepted_by, epoch, std::move(done));
+  };
+  hooks.budget = [this](monotonic_time now) -> const owner_budget& { return Budget(now); };
+  return hooks;
+}
+
+template <site_platform Platform>
+const owner_budget& site_node<Platform>::Budget(monotonic_time now) {
+  budget_.OnUse(link_.Total(), now);
+  overloaded_ = budget_.Overloaded();
+  return budget_;
+}
+
+template <site_platform Platform>
+void site_node<Platform>::OnWon() {
   owner_ = std::make_shared<site_owner<Platform>>(
       platform_, loop_, log_, numbers_, settings_, membership_.Epoch(), membership_.OwnerRevision(),
-      membership_.ClaimedEarly() || membership_.OthersMayAct(), std::move(hooks));
+      membership_.ClaimedEarly() || membership_.OthersMayAct(), OwnerHooks());
   numbers_.owns_site.Set(1);
   numbers_.takeovers.Increment();
   owner_->Start(versions_.Version());
@@ -619,6 +732,8 @@
 template <site_platform Platform>
 void site_node<Platform>::OnLost() {
   numbers_.owns_site.Set(0);
+  overloaded_ = false;
+  relay_.Clear();
   if (owner_ == nullptr) return;
   owner_->End();
   owner_.reset();
@@ -628,10 +743,13 @@
 
 template <site_platform Platform>
 void site_node<Platform>::OnViewChanged() {
-  std::vector<std::string> names = {settings_.name};
+  if (const auto& owner = membership_.View().owner) spacing_.OnOwner(owner->epoch, BootNow());
+  std::vector<std::string> names;
   for (const auto& [name, entry] : membership_.View().entries) {
     if (name != settings_.name) names.push_back(name);
   }
+  relay_.SetEntries(names);
+  names.insert(names.begin(), settings_.name);
   advice_.SetEntries(names);
   SpreadAdvice();
 }
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -19,6 +20,8 @@
 #include "absl/strings/str_cat.h"
 #include "process/scheduling/job_scheduler.h"
 #include "process/site/event_loop.h"
+#include "process/site/fleet_record.h"
+#include "process/site/owner_budget.h"
 #include "process/site/record_mode.h"
 #include "process/site/site_log.h"
 #include "process/site/site_membership.h"
@@ -26,6 +29,7 @@
 #include "process/site/site_ports.h"
 #include "process/site/site_records.h"
 #include "process/site/site_settings.h"
+#include "request/packed_text.h"
 
 namespace catkinford {
 
@@ -42,6 +46,10 @@
   std::function<bool(monotonic_time now)> version_confirmed;
   // A question to a queue's policy; answered by OnAdvice().
   std::function<void(advice_order)> ask_advice;
+  // Brings a start to its instance, from here or by the entry that accepted the job.
+  std::function<void(start_order, const std::string& accepted_by, order_callback)> start;
+  // What this entry still bears.
+  std::function<const owner_budget&(monotonic_time now)> budget;
 };
 
 // Writes a scheduler's notes to the log and counts them.
@@ -61,6 +69,7 @@
         epoch_(epoch),
         owner_revision_(owner_revision),
         hooks_(std::move(hooks)),
+        most_starts_(OptionsOf(settings, early).starts_in_flight),
         scheduler_(OptionsOf(settings, early), epoch, BootNow()) {}
 
   void Start(std::shared_ptr<const site_version> version) {
@@ -108,6 +117,11 @@
     scheduler_.OnAdvice(order, answer, BootNow());
     Soon();
   }
+  // What deciding took since the last time.
+  std::chrono::milliseconds TakeDecideTime() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::exchange(decide_time_, monotonic_time::duration{0}));
+  }
   // True when nothing is on its way to the store and nothing waits for it.
   bool Settled() const { return !committing_; }
 
@@ -129,7 +143,14 @@
   static constexpr std::chrono::milliseconds kProbeAfter{150};
   static constexpr std::chrono::milliseconds kCommitRetry{150};
   static constexpr std::chrono::milliseconds kExpiryEvery{2000};
+  static constexpr std::chrono::milliseconds kFleetLook{100};
+  // After a listing: ends that come together are told together, and each look costs.
+  static constexpr std::chrono::milliseconds kListingPause{120};
+  // What this process is late by is added to the patience with others, up to this.
+  static constexpr std::chrono::milliseconds kMostOwnDelay{1500};
+  static constexpr std::chrono::milliseconds kOwnDelayMatters{40};
   static constexpr std::chrono::milliseconds kIdleWatchPause{50};
+  static constexpr size_t kItemBytes = 150;   // of an item on the wire, beside its key and value
   static constexpr size_t kExpireAtOnce = 8;  // jobs; three keys each
   // Conditions and keys of the owner's own in each change.
   static constexpr size_t kOwnEntries = 5;
@@ -197,6 +218,15 @@
                             way);
   }
 
+  std::optional<std::string> Unpacked(const store_item& item) {
+    auto text = UnpackText(item.value);
+    if (!text) {
+      log_.Write(site_event::kRecordUnreadable, BootNow(),
+                 absl::StrCat("key=", LogField(item.key)));
+    }
+    return text;
+  }
+
   void LoadInbox(const std::string& after) {
     ReadPages(
         kInboxPrefix, after,
@@ -213,8 +243,10 @@
         kProgressPrefix, "",
         [](self_type& self, const store_reply& reply) {
           for (const store_item& item : reply.items) {
+            auto text = self.Unpacked(item);
+            if (!text) continue;
             self.loaded_progress_[item.key.substr(std::string(kProgressPrefix).size())] =
-                item.value;
+                std::move(*text);
           }
         },
         [](self_type& self) { self.LoadOwn(); });
@@ -226,7 +258,10 @@
         [](self_type& self, const store_reply& reply) {
           for (const store_item& item : reply.items) {
             if (item.key == kCommitKey) self.commit_revision_ = item.revision;
-            if (item.key == kFleetKey) self.loaded_fleet_ = FleetFromText(item.value);
+            if (item.key == kFleetKey) {
+              const auto text = self.Unpacked(item);
+              if (text) self.loaded_fleet_ = FleetFromText(*text);
+            }
             if (item.key == kBehindKey) self.records_behind_ = true;
           }
         },
@@ -340,10 +375,12 @@
 
   void ReadRegistry(std::function<void(self_type&)> done) {
     auto reports = std::make_shared<std::vector<instance_report>>();
+    registry_bytes_ = 0;
     ReadPages(
         Platform::kInstanceKeyPrefix, "",
-        [reports](self_type&, const store_reply& reply) {
+        [reports](self_type& self, const store_reply& reply) {
           for (const store_item& item : reply.items) {
+            self.registry_bytes_ += item.key.size() + item.value.size() + kItemBytes;
             auto report = Platform::DecodeRegistration(item.key, item.value);
             if (report) reports->push_back(std::move(*report));
           }
@@ -358,22 +395,21 @@
     ReadRegistry([](self_type& self) {
       self.scheduler_.OnRegistry(self.registry_, BootNow());
       self.Soon();
-      self.Later(self.settings_.timing.registry_poll,
-                 [](self_type& again) { again.PollRegistry(); });
+      const auto pause = self.hooks_.budget(BootNow()).RegistryPause(
+          self.settings_.timing.registry_poll, self.registry_bytes_);
+      self.Later(pause, [](self_type& again) { again.PollRegistry(); });
     });
   }
 
   // The instances that may run work are kept in the store: the registry loses those that are cut
   // off from it and run on.
-  void NoteFleet() {
-    const uint64_t stamp = scheduler_.FleetStamp();
-    if (fleet_stamp_ == stamp) return;
-    fleet_stamp_ = stamp;
-    std::vector<instance_report> fleet = scheduler_.Fleet();
-    std::string text = FleetToText(fleet);
-    if (text == fleet_text_) return;
-    fleet_text_ = std::move(text);
-    fleet_ = std::move(fleet);
+  void NoteFleet(monotonic_time now) {
+    if (now < next_fleet_look_) return;
+    next_fleet_look_ = now + kFleetLook;
+    auto fleet = fleet_record_.Update(scheduler_.Fleet(), now);
+    if (!fleet) return;
+    fleet_text_ = FleetToText(*fleet);
+    fleet_ = std::move(*fleet);
     fleet_unstored_ = true;
   }
 
@@ -388,7 +424,7 @@
     if (soon_ || !loaded_) return;
     soon_ = true;
     const auto rest = std::chrono::ceil<std::chrono::milliseconds>(next_decide_ - BootNow());
-    Later(std::max(kSoon, rest), [](self_type& self) {
+    Later(std::max(hooks_.budget(BootNow()).RoundPause(kSoon), rest), [](self_type& self) {
       self.soon_ = false;
       self.Decide();
     });
@@ -399,6 +435,13 @@
     if (now < next_decide_ || !hooks_.may_act(now)) return;
     if (committing_) mode_.OnWaiting(WaitedSince(last_commit_, now));
     FollowMode(now);
+    const owner_budget& budget = hooks_.budget(now);
+    scheduler_.SetStartsInFlight(budget.StartsInFlight(most_starts_));
+    scheduler_.SetListingPause(budget.ListingPause(kListingPause));
+    // A call waits for its turn, and its answer to be read.
+    const auto late = 2 * std::max(loop_.Delay(), platform_.Instances().Delay());
+    scheduler_.SetOwnDelay(late < kOwnDelayMatters ? std::chrono::milliseconds{0}
+                                                   : std::min(late, kMostOwnDelay));
     scheduler_orders orders = scheduler_.Decide(WallNow(), now);
     for (start_order& order : orders.starts) SendStart(std::move(order));
     for (const stop_order& order : orders.stops) SendStop(order);
@@ -410,6 +453,7 @@
     // A round costs more the more waits. Without a pause after it, a backlog would take all the
     // processor, answers would be read too late, and what they were about would be given up.
     next_decide_ = BootNow() + kRestPerRound * spent;
+    decide_time_ += spent;
     numbers_.decide_seconds.Observe(std::chrono::duration<double>(spent).count());
     numbers_.jobs.Set(static_cast<double>(scheduler_.JobCount()));
     numbers_.runs.Set(static_cast<double>(scheduler_.RunCount()));
@@ -430,15 +474,15 @@
   void SendStart(start_order order) {
     start_order remembered = order;
     remembered.payload.clear();
-    platform_.Instances().Start(
-        order, epoch_,
-        OnAnswer([order = std::move(remembered)](self_type& self, order_answer answer) {
-          self.numbers_.CountOrder("start", std::string(ToText(answer.result)));
-          if (self.Fenced(answer.result, order.to)) return;
-          self.scheduler_.OnStartAnswer(order, answer, BootNow());
-          if (self.scheduler_.StartsPlanned()) self.SendRecordedStarts(BootNow());
-          if (answer.result != order_result::kDone) self.Soon();
-        }));
+    const job_entry* entry = scheduler_.Find(order.key.job);
+    hooks_.start(std::move(order), entry == nullptr ? std::string() : entry->job.accepted_by,
+                 OnAnswer([order = std::move(remembered)](self_type& self, order_answer answer) {
+                   self.numbers_.CountOrder("start", std::string(ToText(answer.result)));
+                   if (self.Fenced(answer.result, order.to)) return;
+                   self.scheduler_.OnStartAnswer(order, answer, BootNow());
+                   if (self.scheduler_.StartsPlanned()) self.SendRecordedStarts(BootNow());
+                   if (answer.result != order_result::kDone) self.Soon();
+                 }));
   }
 
   void SendStop(const stop_order& order) {
@@ -494,11 +538,14 @@
 
   void Commit() {
     const monotonic_time now = BootNow();
-    const auto pause = scheduler_.StartsPlanned() ? kBetweenStartCommits : kBetweenCommits;
+    const auto pause = scheduler_.StartsPlanned()
+                           ? hooks_.budget(now).RoundPause(kBetweenStartCommits)
+                           : kBetweenCommits;
     if (committing_ || now < next_commit_ || now < last_commit_ + pause) return;
-    NoteFleet();
+    NoteFleet(now);
     const size_t most = Platform::kMostInOneChange - kOwnEntries;
-    std::vector<job_progress_write> writes = scheduler_.TakeUnstored(most);
+    std::vector<job_progress_write> writes =
+        scheduler_.TakeUnstored(most, hooks_.budget(now).RecordBytes());
     const bool declares = mode_.WantsDeclared();
     const bool withdraws = !declares && mode_.WantsWithdrawn(scheduler_.RecordsKnown());
     if (writes.empty() && !fleet_unstored_ && expired_.empty() && !declares && !withdraws) return;
@@ -508,11 +555,11 @@
     declares_ = declares;
     withdraws_ = withdraws;
     for (const job_progress_write& write : writes) {
-      change.puts.push_back({kProgressPrefix + write.job, write.text, {}});
+      change.puts.push_back({kProgressPrefix + write.job, PackText(write.text), {}});
     }
     std::optional<std::vector<instance_report>> fleet;
     if (std::exchange(fleet_unstored_, false)) {
-      change.puts.push_back({kFleetKey, fleet_text_, {}});
+      change.puts.push_back({kFleetKey, PackText(fleet_text_), {}});
       fleet = fleet_;
     }
     // Deletes go alone: three keys a job would not leave room for progress.
@@ -638,12 +685,14 @@
   const uint64_t epoch_;
   const uint64_t owner_revision_;
   owner_hooks hooks_;
+  const uint32_t most_starts_;
   job_scheduler scheduler_;
   bool ended_ = false;
   bool loaded_ = false;
   bool soon_ = false;
   monotonic_time began_{};
   monotonic_time next_decide_{};
+  monotonic_time::duration decide_time_{0};
   // While the records are read:
   std::vector<store_item> loaded_inbox_;
   std::map<std::string, std::string> loaded_progress_;
@@ -651,6 +700,7 @@
   uint64_t inbox_revision_ = 0;
 
   std::vector<instance_report> registry_;
+  size_t registry_bytes_ = 0;        // of its last read
   std::set<std::string> cancelled_;  // until their jobs are forgotten
   uint64_t commit_revision_ = 0;
   record_mode mode_;
@@ -667,7 +717,8 @@
   std::vector<job_progress_write> committed_writes_;
   std::vector<std::string> committed_expired_;
   std::optional<std::vector<instance_report>> committed_fleet_;
-  std::optional<uint64_t> fleet_stamp_;  // of fleet_
+  fleet_record fleet_record_;
+  monotonic_time next_fleet_look_{};
   std::string fleet_text_;
   std::vector<instance_report> fleet_;  // what fleet_text_ says
   bool fleet_unstored_ = false;
--- a/src/process/site/site_ports.h
+++ b/src/process/site/site_ports.h
@@ -53,6 +53,7 @@
       to.Stop(stop, epoch, done);
       to.Pace(pace, epoch, done);
       to.List(list, epoch, listed);
+      { to.Delay() } -> std::same_as<std::chrono::milliseconds>;
     };
 
 template <typename Advisor>
--- /dev/null
+++ b/src/process/site/start_carrier.h
@@ -0,0 +1,177 @@
+// Brings starts of another entry, the owner, to instances, and tells it what became of them.
+//
+// Nothing is decided here: a start goes out at once with the payload of its job, or not at all.
+#ifndef CATKINFORD_PROCESS_SITE_START_CARRIER_H_
+#define CATKINFORD_PROCESS_SITE_START_CARRIER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/str_cat.h"
+#include "connection/http_client.h"
+#include "connection/http_server.h"
+#include "process/site/event_loop.h"
+#include "process/site/payload_cache.h"
+#include "process/site/site_log.h"
+#include "process/site/site_ports.h"
+#include "process/site/site_records.h"
+#include "process/site/start_words.h"
+
+namespace catkinford {
+
+template <site_platform Platform>
+class start_carrier {
+ public:
+  using responder = std::function<void(http_response)>;
+
+  // `http`: calls to owners. `epoch`: the highest that this entry has heard of.
+  start_carrier(Platform& platform, http_client& http, event_loop& loop, site_log& log,
+                std::function<uint64_t()> epoch)
+      : platform_(platform),
+        http_(http),
+        loop_(loop),
+        log_(log),
+        epoch_(std::move(epoch)),
+        payloads_(kPayloadBytes) {}
+
+  // The payload of a job that this entry is taking.
+  void Keep(const std::string& job, const std::string& payload) { payloads_.Put(job, payload); }
+
+  // Answers when it is known what became of all starts, or after a while.
+  void Carry(const std::string& text, responder respond) {
+    auto message = GivenStartsFromText(text);
+    constexpr int kBadRequest = 400;
+    if (!message) return respond({.status = kBadRequest});
+    const auto all = std::make_shared<batch>();
+    all->owner = std::move(message->owner);
+    all->epoch = message->epoch;
+    all->left = message->starts.size();
+    all->respond = std::move(respond);
+    if (message->epoch < epoch_()) {
+      for (const given_start& start : message->starts) {
+        OnResult(all, {start.number, true, {order_result::kFenced, std::nullopt}});
+      }
+      return;
+    }
+    for (given_start& start : message->starts) Start({all, std::move(start), BootNow()});
+    loop_.After(kAnswerWithin, [this, all] { Tell(all); });
+  }
+
+ private:
+  // What came in one message.
+  struct batch {
+    std::string owner;
+    uint64_t epoch = 0;
+    size_t left = 0;    // without a result
+    responder respond;  // empty once it was answered
+    std::vector<start_result> results;
+    bool told_later_planned = false;
+  };
+  using shared_batch = std::shared_ptr<batch>;
+  struct waiting_start {
+    shared_batch from;
+    given_start start;
+    monotonic_time came{};
+  };
+
+  static constexpr size_t kPayloadBytes = size_t{2} << 20;
+  // An instance answers within some 10 ms; one that does not must not hold up what is known of the
+  // others.
+  static constexpr std::chrono::milliseconds kAnswerWithin{60};
+  static constexpr std::chrono::milliseconds kTellLater{10};
+  static constexpr std::chrono::milliseconds kTellTimeout{600};
+  // A start whose payload took longer to read is left to the owner.
+  static constexpr std::chrono::milliseconds kFetchLimit{250};
+
+  void Start(waiting_start item) {
+    const std::string job = item.start.order.key.job;
+    if (const std::string* payload = payloads_.Find(job)) return SendStart(item, *payload);
+    // This entry did not take the job, or was started since: one read serves all its tasks.
+    std::vector<waiting_start>& waiting = fetching_[job];
+    waiting.push_back(std::move(item));
+    if (waiting.size() == 1) Fetch(job);
+  }
+
+  void SendStart(waiting_start& item, const std::string& payload) {
+    item.start.order.payload = payload;
+    platform_.Instances().Start(
+        item.start.order, item.from->epoch,
+        [this, from = item.from, number = item.start.number](const order_answer& answer) {
+          loop_.Post([this, from, number, answer] { OnResult(from, {number, true, answer}); });
+        });
+  }
+
+  void Fetch(const std::string& job) {
+    platform_.Store().Get(kJobPrefix + job, [this, job](const store_reply& reply) {
+      loop_.Post([this, job, reply] { OnFetched(job, reply); });
+    });
+  }
+
+  void OnFetched(const std::string& job, const store_reply& reply) {
+    if (reply.status == store_status::kDone && !reply.items.empty()) {
+      leaf::try_handle_all(
+          [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(record, JobFromText(reply.items.front().value));
+            payloads_.Put(job, record.payload);
+            return {};
+          },
+          [&] {
+            log_.Write(site_event::kRecordUnreadable, BootNow(),
+                       absl::StrCat("id=", LogField(job)));
+          });
+    }
+    auto node = fetching_.extract(job);
+    if (node.empty()) return;
+    const std::string* payload = payloads_.Find(job);
+    for (waiting_start& item : node.mapped()) {
+      const bool late = BootNow() - item.came > kFetchLimit;
+      if (payload == nullptr || late || item.from->epoch < epoch_()) {
+        OnResult(item.from, {item.start.number, false, {}});
+      } else {
+        SendStart(item, *payload);
+      }
+    }
+  }
+
+  void OnResult(const shared_batch& from, const start_result& result) {
+    from->results.push_back(result);
+    if (--from->left == 0 && from->respond) return Tell(from);
+    if (from->respond || std::exchange(from->told_later_planned, true)) return;
+    loop_.After(kTellLater, [this, from] { TellLater(from); });
+  }
+
+  void Tell(const shared_batch& from) {
+    if (!from->respond) return;
+    std::exchange(from->respond,
+                  nullptr)({.body = StartResultsToText(std::exchange(from->results, {}))});
+  }
+
+  void TellLater(const shared_batch& from) {
+    from->told_later_planned = false;
+    http_call call;
+    call.method = "POST";
+    call.url = absl::StrCat("http://", from->owner, kPeerStartedPath);
+    call.body = StartResultsToText(std::exchange(from->results, {}));
+    call.timeout = kTellTimeout;
+    // Unheard, these starts count as unanswered, as they would without an entry between.
+    http_.Send(std::move(call), [](const http_result&) {});
+  }
+
+  Platform& platform_;
+  http_client& http_;
+  event_loop& loop_;
+  site_log& log_;
+  std::function<uint64_t()> epoch_;
+  payload_cache payloads_;
+  absl::flat_hash_map<std::string, std::vector<waiting_start>> fetching_;  // by job
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SITE_START_CARRIER_H_
--- /dev/null
+++ b/src/process/site/start_words.cc
@@ -0,0 +1,101 @@
+#include "process/site/start_words.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace catkinford {
+namespace {
+
+using nlohmann::json;
+
+// Takes the fields of a row one after the other.
+class row_reader {
+ public:
+  explicit row_reader(const json& row) : row_(row) {}
+  template <typename T>
+  row_reader& operator>>(T& field) {
+    row_.at(at_++).get_to(field);
+    return *this;
+  }
+
+ private:
+  const json& row_;
+  size_t at_ = 0;
+};
+
+json RowOf(const given_start& start) {
+  const start_order& order = start.order;
+  return {start.number,  order.to.instance,    order.to.address, order.to.incarnation,
+          order.key.job, order.key.occurrence, order.key.step,   order.key.index,
+          order.run,     order.lease_until_ms, order.checkpoint, order.ticket};
+}
+
+given_start StartFrom(const json& row) {
+  given_start out;
+  start_order& order = out.order;
+  row_reader(row) >> out.number >> order.to.instance >> order.to.address >> order.to.incarnation >>
+      order.key.job >> order.key.occurrence >> order.key.step >> order.key.index >> order.run >>
+      order.lease_until_ms >> order.checkpoint >> order.ticket;
+  return out;
+}
+
+// What a result means that only a later program knows is not known here.
+order_result ResultFrom(int number) {
+  const bool known = number >= 0 && number <= static_cast<int>(order_result::kUnknown);
+  return known ? static_cast<order_result>(number) : order_result::kUnknown;
+}
+
+}  // namespace
+
+std::string GivenStartsToText(const given_starts& starts) {
+  json rows = json::array();
+  for (const given_start& start : starts.starts) rows.push_back(RowOf(start));
+  const json out{{"epoch", starts.epoch}, {"owner", starts.owner}, {"starts", std::move(rows)}};
+  return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<given_starts> GivenStartsFromText(std::string_view text) {
+  const json in = json::parse(text, nullptr, false);
+  if (!in.is_object()) return std::nullopt;
+  given_starts out;
+  try {
+    in.at("epoch").get_to(out.epoch);
+    in.at("owner").get_to(out.owner);
+    for (const json& row : in.at("starts")) out.starts.push_back(StartFrom(row));
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+  return out;
+}
+
+std::string StartResultsToText(const std::vector<start_result>& results) {
+  json rows = json::array();
+  for (const start_result& each : results) {
+    json row{each.number, each.sent, static_cast<int>(each.answer.result)};
+    if (each.answer.clock_ms) row.push_back(*each.answer.clock_ms);
+    rows.push_back(std::move(row));
+  }
+  return rows.dump();
+}
+
+std::optional<std::vector<start_result>> StartResultsFromText(std::string_view text) {
+  const json in = json::parse(text, nullptr, false);
+  if (!in.is_array()) return std::nullopt;
+  constexpr size_t kWithClock = 4;
+  std::vector<start_result> out;
+  try {
+    for (const json& row : in) {
+      start_result& each = out.emplace_back();
+      int result = 0;
+      row_reader fields(row);
+      fields >> each.number >> each.sent >> result;
+      each.answer.result = ResultFrom(result);
+      if (row.size() >= kWithClock) fields >> each.answer.clock_ms.emplace();
+    }
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+  return out;
+}
+
+}  // namespace catkinford
--- a/src/request/step_graph.cc
+++ b/src/request/step_graph.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "request/packed_text.h"
+
 namespace catkinford {
 namespace {
 
@@ -155,6 +157,7 @@
   out["queue"] = job.queue;
   if (!job.workspace.empty()) out["workspace"] = job.workspace;
   out["payload"] = job.payload;
+  if (!job.accepted_by.empty()) out["by"] = job.accepted_by;
   out["terms"] = TermsToJson(job.terms);
   out["accepted"] = Millis(job.accepted);
   if (job.repeats > 0) {
@@ -166,11 +169,13 @@
   for (const step_terms& step : job.steps) steps.push_back(StepToJson(step));
   out["steps"] = std::move(steps);
   // A payload may hold bytes that are no UTF-8: they must not make the record unwritable.
-  return out.dump(-1, ' ', false, json::error_handler_t::replace);
+  return PackText(out.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
-leaf::result<graph_job> JobFromText(std::string_view text) {
-  const json in = json::parse(text, nullptr, false);
+leaf::result<graph_job> JobFromText(std::string_view bytes) {
+  const auto text = UnpackText(bytes);
+  if (!text) return leaf::new_error(durable_fault{});
+  const json in = json::parse(*text, nullptr, false);
   if (!in.is_object()) return leaf::new_error(durable_fault{});
   graph_job job;
   try {
@@ -178,6 +183,7 @@
     job.queue = in.at("queue").get<std::string>();
     job.workspace = in.value("workspace", std::string());
     job.payload = in.at("payload").get<std::string>();
+    job.accepted_by = in.value("by", std::string());
     job.terms = TermsFromJson(in.at("terms"));
     job.accepted = FromMillis(in.at("accepted").get<int64_t>());
     job.first_run = FromMillis(in.value("first", int64_t{0}));
--- a/src/request/step_graph.h
+++ b/src/request/step_graph.h
@@ -47,10 +47,11 @@
 };
 
 struct graph_job {
-  std::string id;         // chosen by the caller: 16 hexadecimal digits
-  std::string queue;      // its name
-  std::string workspace;  // empty: the queue takes anonymous jobs
-  std::string payload;    // for the instances; not read here
+  std::string id;           // chosen by the caller: 16 hexadecimal digits
+  std::string queue;        // its name
+  std::string workspace;    // empty: the queue takes anonymous jobs
+  std::string payload;      // for the instances; not read here
+  std::string accepted_by;  // the entry that took it; empty in records of earlier programs
   std::vector<step_terms> steps;
   job_terms terms;
   wall_time accepted{};
--- /dev/null
+++ b/test/fleet_record_test.cc
@@ -0,0 +1,81 @@
+#include "process/site/fleet_record.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class fleet_record_fixture {
+ protected:
+  static instance_report Instance(int number) {
+    instance_report out;
+    out.id = absl::StrCat("i-", number);
+    out.address = absl::StrCat("10.0.0.", number, ":80");
+    out.incarnation = 1;
+    return out;
+  }
+  static std::vector<instance_report> Fleet(int count, int without = -1) {
+    std::vector<instance_report> out;
+    for (int i = 0; i < count; ++i) {
+      if (i != without) out.push_back(Instance(i));
+    }
+    return out;
+  }
+
+  fleet_record record;
+  monotonic_time now{seconds(100)};
+};
+
+// Guards against an owner that is kept busy by its own list while instances fall silent in turn.
+TEST_CASE_METHOD(fleet_record_fixture,
+                 "fleet record, hundreds of instances flapping, is written once") {
+  constexpr int kInstances = 300;
+  REQUIRE(record.Update(Fleet(kInstances), now));
+  int writes = 0;
+  for (int round = 0; round < 200; ++round) {
+    now += milliseconds{50};
+    if (record.Update(Fleet(kInstances, round % kInstances), now)) ++writes;
+  }
+  CHECK(writes == 0);
+}
+
+// Guards against instances that get work before a next owner would look for it there.
+TEST_CASE_METHOD(fleet_record_fixture, "fleet record, instances join, are written soon") {
+  REQUIRE(record.Update(Fleet(3), now));
+  now += milliseconds{100};
+  CHECK_FALSE(record.Update(Fleet(4), now));
+  now += milliseconds{300};
+  const auto written = record.Update(Fleet(4), now);
+  REQUIRE(written);
+  CHECK(written->size() == 4);
+  std::vector<instance_report> reborn = Fleet(4);
+  reborn[2].incarnation = 2;
+  now += milliseconds{300};
+  const auto again = record.Update(reborn, now);
+  REQUIRE(again);
+  CHECK(again->at(2).incarnation == 2);
+}
+
+// Guards against a next owner that waits for an instance which left for good.
+TEST_CASE_METHOD(fleet_record_fixture, "fleet record, instance gone for good, leaves the list") {
+  REQUIRE(record.Update(Fleet(3), now));
+  bool left = false;
+  for (int round = 0; round < 100 && !left; ++round) {
+    now += milliseconds{100};
+    const auto written = record.Update(Fleet(3, 1), now);
+    left = written && written->size() == 2;
+  }
+  CHECK(left);
+  CHECK(now <= monotonic_time{seconds(100)} + seconds(4));
+}
+
+}  // namespace
+}  // namespace catkinford
--- /dev/null
+++ b/test/traffic_meter_test.cc
@@ -0,0 +1,32 @@
+#include "connection/traffic_meter.h"
+
+#include <catch2/catch.hpp>
+
+namespace catkinford {
+namespace {
+
+// Guards against a metric with a value for each job.
+TEST_CASE("traffic meter, paths with identities, are counted by their kind") {
+  CHECK(KindOfCall("http://10.0.0.1:80/peer/state?id=7") == "peer/state");
+  CHECK(KindOfCall("http://10.0.0.1:80/v1/keep/123/more") == "v1/keep");
+  CHECK(KindOfCall("http://10.0.0.1:80/health") == "health");
+  CHECK(KindOfCall("http://10.0.0.1:80").empty());
+}
+
+TEST_CASE("traffic meter, taken, begins anew while the totals go on") {
+  traffic_meter meter;
+  meter.Count("http://a/x/y?1", 10, 20);
+  meter.Count("http://b/x/y?2", 1, 2);
+  const auto first = meter.Take();
+  REQUIRE(first.size() == 1);
+  CHECK(first.at("x/y").calls == 2);
+  CHECK(first.at("x/y").sent == 11);
+  CHECK(first.at("x/y").received == 22);
+  CHECK(meter.Take().empty());
+  CHECK(meter.Total().calls == 2);
+  CHECK(meter.Total().sent == 11);
+  CHECK(meter.Total().received == 22);
+}
+
+}  // namespace
+}  // namespace catkinford
