Bring back lasting tasks first while starts are what is short

Cause: on a narrow link the owner has few starts in flight, and work of the first priority took all of them. Within their priority lasting tasks came first, but their priority had no turn.

Change: steps of which a task served before and is down come before all others. They are few, and a start each.

Test: few starts at a time; it failed without the line and passes with it.

--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -144,6 +144,7 @@
     occurrence_state* occurrence;
     uint32_t index;
     job_place place;
+    bool back = false;  // a task of it served before, and is down
   };
 
   // job_scheduler.cc
--- a/src/process/scheduling/scheduler_placing.cc
+++ b/src/process/scheduling/scheduler_placing.cc
@@ -31,6 +31,12 @@
                    Share(used.accelerators + room.accelerators, capacity.accelerators)});
 }
 
+bool ServedBefore(const step_progress& step) {
+  return std::any_of(step.tasks.begin(), step.tasks.end(), [](const task_state_slot& task) {
+    return task.phase == slot_phase::kWaiting && task.last_run > 0;
+  });
+}
+
 bool Exceeds(uint32_t amount, uint32_t limit) { return limit > 0 && amount > limit; }
 
 }  // namespace
@@ -57,7 +63,8 @@
         if (!step.ready || step.waiting == 0) continue;
         if (entry->job.steps[i].long_running) {
           // It serves its users again from the moment when it is back.
-          out.push_back({entry, occurrence.get(), i, {job_rank::kInTime, step.ready_at}});
+          out.push_back(
+              {entry, occurrence.get(), i, {job_rank::kInTime, step.ready_at}, ServedBefore(step)});
           continue;
         }
         if (place.by == monotonic_time{}) {
@@ -69,6 +76,8 @@
     }
   }
   std::stable_sort(out.begin(), out.end(), [this](const ready_step& a, const ready_step& b) {
+    // These are few, and while starts are what is short they would wait behind every burst.
+    if (a.back != b.back) return a.back;
     if (a.entry->beyond_share != b.entry->beyond_share) return b.entry->beyond_share;
     const int first = TermsOf(*a.entry).priority;
     const int second = TermsOf(*b.entry).priority;
--- a/test/job_scheduler_test.cc
+++ b/test/job_scheduler_test.cc
@@ -276,6 +276,46 @@
   instance_report report;
 };
 
+// Guards against lasting tasks that stay down while urgent work takes every start that the owner's
+// link carries.
+TEST_CASE("job scheduler, few starts at a time, lasting task that is down comes back first") {
+  const monotonic_time now{seconds(100)};
+  scheduler_options options;
+  options.starts_in_flight = 1;
+  job_scheduler owner(options, 1, monotonic_time{});
+  instance_report report;
+  report.id = "instance";
+  report.service = "service";
+  report.capacity = kSmallInstance;
+  const list_order list{{"instance", "", 0}, {}, 0, {}};
+  owner.OnRegistry({report}, now);
+  owner.OnListing(list, {5000, 0, {}, {}}, now, now);
+  owner.OnFleetStored(owner.Fleet());
+  const auto next_start = [&](monotonic_time when) {
+    auto starts = owner.Decide(wall_time{}, when).starts;
+    owner.OnStored(owner.TakeUnstored(10));
+    for (start_order& start : owner.TakeStarts(when)) starts.push_back(std::move(start));
+    REQUIRE(starts.size() == 1);
+    owner.OnStartAnswer(starts.front(), {order_result::kDone, 5000}, when);
+    return starts.front().key;
+  };
+
+  step_terms lasting = Tasks(1, 1000, milliseconds(300));
+  lasting.long_running = true;
+  graph_job standing = Job(9, {lasting});
+  standing.terms.priority = 2;
+  owner.OnJob(standing, "", false, wall_time{}, now);
+  const task_key served = next_start(now);
+  REQUIRE(served.job == JobId(9));
+  const monotonic_time later = now + seconds(1);
+  for (uint32_t i = 1; i <= 3; ++i) {
+    owner.OnJob(Job(i, {Tasks(4, 500, milliseconds(200))}), "", false, wall_time{}, later);
+  }
+  owner.OnListing(list, {6000, 0, {}, {{1, served, 1, run_end::kFailed, ""}}}, later, later);
+  CHECK(next_start(later).job == JobId(9));
+  CHECK(next_start(later).job != JobId(9));
+}
+
 // A start that leaves before its record is stored is unknown to the next owner, which starts the
 // task a second time.
 TEST_CASE_METHOD(planned_start_fixture, "job scheduler, start not recorded yet, is not sent") {
