--- a/test/pages_test.cc
+++ b/test/pages_test.cc
@@ -124,6 +124,7 @@
   numbers.CountOrder("start", "done");
   numbers.CountEnd("done");
   numbers.CountVersionRead("store", "done");
+  numbers.CountTraffic("peer/state", {1, 200, 300});
   const std::string text = numbers.Text();
   for (const std::string& name : Find(page, "`(catkinford_site_[a-z_]+)`")) {
     INFO(name);
