--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -50,8 +50,8 @@
 template <site_platform Platform>
 class site_node {
  public:
-  // `peers` carries the calls to other entries, `orders` those with orders and their results, so
-  // that neither holds up the other; `link` counts the bytes of all calls.
+  // `peers` carries the calls to other entries, `starts` those that bring starts, so that neither
+  // holds up the other; `link` counts the bytes of all calls.
   site_node(site_settings settings, Platform& platform, http_client& peers, http_client& starts,
             traffic_meter& link);
   ~site_node() { Stop(); }
--- a/test/site_fixture.h
+++ b/test/site_fixture.h
@@ -107,7 +107,9 @@
     store_.Put("op/config", version.dump());
   }
 
-  void AddEntry(const std::string& name, const std::string& store_address) {
+  // `link_mbps`: what the entry takes its link for.
+  void AddEntry(const std::string& name, const std::string& store_address,
+                double link_mbps = 1000) {
     auto entry = std::make_unique<site_process>();
     entry->name = name;
     entry->callers = FreePort();
@@ -126,6 +128,7 @@
           {"address", "127.0.0.1"},
           {"peer_port", FreePort()},
           {"metrics_port", entry->metrics}}},
+        {"machine", {{"link_mbps", link_mbps}}},
         {"platform", {{"store", store_address}, {"advice", instances_.AdviceAddress()}}}};
     std::ofstream(entry->settings_file) << settings.dump();
     entries_.push_back(std::move(entry));
