--- a/src/process/site/payload_cache.h
+++ b/src/process/site/payload_cache.h
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <deque>
 #include <string>
-#include <utility>
 
 #include "absl/container/flat_hash_map.h"
 
@@ -17,11 +16,10 @@
   // `limit`: bytes of all payloads together.
   explicit payload_cache(size_t limit) : limit_(limit) {}
 
-  void Put(const std::string& job, std::string payload) {
-    const size_t size = payload.size();
-    if (!payloads_.try_emplace(job, std::move(payload)).second) return;
+  void Put(const std::string& job, const std::string& payload) {
+    if (!payloads_.try_emplace(job, payload).second) return;
     order_.push_back(job);
-    bytes_ += size;
+    bytes_ += payload.size();
     while (bytes_ > limit_) {
       const auto oldest = payloads_.find(order_.front());
       bytes_ -= oldest->second.size();
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -443,7 +443,7 @@
     scheduler_.SetOwnDelay(late < kOwnDelayMatters ? std::chrono::milliseconds{0}
                                                    : std::min(late, kMostOwnDelay));
     scheduler_orders orders = scheduler_.Decide(WallNow(), now);
-    for (start_order& order : orders.starts) SendStart(std::move(order));
+    for (const start_order& order : orders.starts) SendStart(order);
     for (const stop_order& order : orders.stops) SendStop(order);
     for (const pace_order& order : orders.paces) SendPace(order);
     for (const list_order& order : orders.listings) SendListing(order);
@@ -471,11 +471,11 @@
     return true;
   }
 
-  void SendStart(start_order order) {
+  void SendStart(const start_order& order) {
     start_order remembered = order;
     remembered.payload.clear();
     const job_entry* entry = scheduler_.Find(order.key.job);
-    hooks_.start(std::move(order), entry == nullptr ? std::string() : entry->job.accepted_by,
+    hooks_.start(order, entry == nullptr ? std::string() : entry->job.accepted_by,
                  OnAnswer([order = std::move(remembered)](self_type& self, order_answer answer) {
                    self.numbers_.CountOrder("start", std::string(ToText(answer.result)));
                    if (self.Fenced(answer.result, order.to)) return;
@@ -666,7 +666,7 @@
 
   void SendRecordedStarts(monotonic_time now) {
     if (!hooks_.may_act(now)) return;
-    for (start_order& order : scheduler_.TakeStarts(now)) SendStart(std::move(order));
+    for (const start_order& order : scheduler_.TakeStarts(now)) SendStart(order);
   }
 
   void Expire() {
--- a/src/process/site/start_carrier.h
+++ b/src/process/site/start_carrier.h
@@ -44,7 +44,7 @@
   void Keep(const std::string& job, const std::string& payload) { payloads_.Put(job, payload); }
 
   // Answers when it is known what became of all starts, or after a while.
-  void Carry(const std::string& text, responder respond) {
+  void Carry(const std::string& text, const responder& respond) {
     auto message = GivenStartsFromText(text);
     constexpr int kBadRequest = 400;
     if (!message) return respond({.status = kBadRequest});
@@ -52,7 +52,7 @@
     all->owner = std::move(message->owner);
     all->epoch = message->epoch;
     all->left = message->starts.size();
-    all->respond = std::move(respond);
+    all->respond = respond;
     if (message->epoch < epoch_()) {
       for (const given_start& start : message->starts) {
         OnResult(all, {start.number, true, {order_result::kFenced, std::nullopt}});
