Fleet of the scenarios: start each instance list once, with its whole content

Cause, by reading: each entry's instance list was started on a port of the system's, stopped, and started again on that port with its content; whoever took the port between made the second start fail, which is the one way out of Start() this early without a line. Not reproduced.

Change: the list is built once all entries have their ports, and started once.

--- a/bench/fleet.cc
+++ b/bench/fleet.cc
@@ -87,16 +87,11 @@
     entry.name = absl::StrCat(entry.domain, "-", slot % options_.entries_per_domain);
     entry.caller_port = FreePort();
     entry.peer_port = FreePort();
-    entry.instances =
-        std::make_unique<instance_server>(0, options_.instance_lag, nlohmann::json::array());
-    if (!entry.instances->Start()) return false;
   }
+  // All entries have their ports now, so that the first list is whole and comes without the lag.
   for (size_t slot = 0; slot < entries_.size(); ++slot) {
-    // Started anew with the whole list, so that the first list does not come with the lag.
-    const uint16_t port = entries_[slot].instances->Port();
-    entries_[slot].instances->Stop();
     entries_[slot].instances =
-        std::make_unique<instance_server>(port, options_.instance_lag, ListFor(slot));
+        std::make_unique<instance_server>(0, options_.instance_lag, ListFor(slot));
     if (!entries_[slot].instances->Start()) return false;
   }
   for (size_t slot = 0; slot < entries_.size(); ++slot) {
