Read again: one copy of status codes and units, fewer copies a round

No change of behaviour; no assertion or bound changed.

- start_relay and start_carrier had status codes of their own beside front_status; that has a header now and serves them too.
- text_ration, owner_budget and a test each had the bytes of a megabit; it stands beside the byte counts (traffic_meter.h).
- owner_budget stretched a pause in two places; Stretched() does.
- fleet_record copied each report twice ten times a second; it takes them over.
- A change of the records asked for the budget twice, each a lock and an update.
- Two comments still said link where processor counts too; a test's loop stood twice.

--- a/src/connection/traffic_meter.h
+++ b/src/connection/traffic_meter.h
@@ -13,6 +13,9 @@
 
 namespace catkinford {
 
+// Of a link whose width is told in Mbit/s.
+inline constexpr double kBytesInMegabit = 125'000;
+
 // Bytes of HTTP, headers included; what TCP and IP add is not counted.
 struct traffic {
   uint64_t calls = 0;
--- a/src/process/site/caller_front.h
+++ b/src/process/site/caller_front.h
@@ -14,6 +14,7 @@
 #include "absl/strings/str_cat.h"
 #include "connection/http_server.h"
 #include "process/site/event_loop.h"
+#include "process/site/front_status.h"
 #include "process/site/peer_words.h"
 #include "process/site/site_log.h"
 #include "process/site/site_metrics.h"
@@ -42,18 +43,6 @@
   std::function<bool()> stopping;
 };
 
-namespace front_status {
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNoKey = 401;
-constexpr int kNotFound = 404;
-constexpr int kWrongMethod = 405;
-constexpr int kGone = 410;
-constexpr int kTooLarge = 413;
-constexpr int kUnavailable = 503;
-constexpr int kUnsettled = 504;
-}  // namespace front_status
-
 template <site_platform Platform>
 class caller_front {
  public:
--- a/src/process/site/fleet_record.h
+++ b/src/process/site/fleet_record.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "process/scheduling/fleet_state.h"
@@ -22,19 +23,18 @@
 class fleet_record {
  public:
   // `in_use`: the instances that may run work now. What to write, if it is time to write anything.
-  std::optional<std::vector<instance_report>> Update(const std::vector<instance_report>& in_use,
+  std::optional<std::vector<instance_report>> Update(std::vector<instance_report> in_use,
                                                      monotonic_time now) {
-    for (const instance_report& report : in_use) {
-      const auto [at, added] = listed_.try_emplace(report.id, entry{report, now});
+    for (instance_report& report : in_use) {
+      const auto [at, added] = listed_.try_emplace(report.id);
       changed_ = changed_ || added || !Same(at->second.report, report);
-      at->second = {report, now};
+      at->second = {std::move(report), now};
     }
-    const bool left = std::any_of(listed_.begin(), listed_.end(), [&](const auto& item) {
-      return now - item.second.in_use > kStays;
-    });
+    const auto gone = [now](const auto& item) { return now - item.second.in_use > kStays; };
+    const bool left = std::any_of(listed_.begin(), listed_.end(), gone);
     const bool due = changed_ ? now >= written_ + kBetweenAdditions : now >= written_ + kStays;
     if (!due || (!changed_ && !left)) return std::nullopt;
-    std::erase_if(listed_, [&](const auto& item) { return now - item.second.in_use > kStays; });
+    std::erase_if(listed_, gone);
     written_ = now;
     changed_ = false;
     std::vector<instance_report> out;
--- a/src/process/site/owner_budget.h
+++ b/src/process/site/owner_budget.h
@@ -73,20 +73,17 @@
   size_t RecordBytes() const {
     return static_cast<size_t>(bytes_per_second_ * kQueue.count() / kOnTheWire);
   }
-  // Between two listings of an instance: `usual`, or longer on a busy link.
+  // Between two listings of an instance: `usual`, or longer on a busy machine.
   std::chrono::milliseconds ListingPause(std::chrono::milliseconds usual) const {
-    const double times = std::clamp(Pressure(), 1.0, kLongestListingPause);
-    return std::chrono::milliseconds(
-        static_cast<int64_t>(times * static_cast<double>(usual.count())));
+    return Stretched(usual, std::clamp(Pressure(), 1.0, kLongestListingPause));
   }
   // Between two rounds of decisions, or two changes of the records: `usual`, or longer on a busy
   // machine. Both cost little more for many events than for one.
   std::chrono::milliseconds RoundPause(std::chrono::milliseconds usual) const {
     const double times = std::clamp(Pressure(), 1.0, kLongestRoundPause);
-    return std::chrono::milliseconds(
-        static_cast<int64_t>(times * times * static_cast<double>(usual.count())));
+    return Stretched(usual, times * times);
   }
-  // Between two reads of the registry, which is `bytes` long: `usual`, or longer on a narrow link.
+  // Between two reads of the registry, which is `bytes` long: `usual`, or longer on a weak machine.
   std::chrono::milliseconds RegistryPause(std::chrono::milliseconds usual, size_t bytes) const {
     const std::chrono::duration<double> link(static_cast<double>(bytes) /
                                              (kRegistryShare * bytes_per_second_));
@@ -98,7 +95,11 @@
   }
 
  private:
-  static constexpr double kBytesInMegabit = 125'000;
+  static std::chrono::milliseconds Stretched(std::chrono::milliseconds usual, double times) {
+    return std::chrono::milliseconds(
+        static_cast<int64_t>(times * static_cast<double>(usual.count())));
+  }
+
   static constexpr std::chrono::duration<double> kRateWindow{0.5};
   // Bursts double the load within a second, and not all bytes are counted.
   static constexpr double kBusyLink = 0.25;
--- a/src/process/site/owner_suspicion.h
+++ b/src/process/site/owner_suspicion.h
@@ -23,7 +23,7 @@
 
 enum class alive_answer : uint8_t {
   kAlive,
-  kBusy,          // alive, and its link is nearly full
+  kBusy,          // alive, and has more to do than it bears
   kOtherProcess,  // a later process at the same address
   kRefused,       // nothing listens there
   kSilent         // no answer in time
--- a/src/process/site/peer_words.h
+++ b/src/process/site/peer_words.h
@@ -66,7 +66,7 @@
 };
 struct told_alive {
   uint64_t nonce = 0;  // of the process
-  bool busy = false;   // its link is: it may be silent without being gone
+  bool busy = false;   // overloaded: it may be silent without being gone
 };
 struct told_version {
   peer_version version;
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -538,14 +538,13 @@
 
   void Commit() {
     const monotonic_time now = BootNow();
-    const auto pause = scheduler_.StartsPlanned()
-                           ? hooks_.budget(now).RoundPause(kBetweenStartCommits)
-                           : kBetweenCommits;
+    const owner_budget& budget = hooks_.budget(now);
+    const auto pause =
+        scheduler_.StartsPlanned() ? budget.RoundPause(kBetweenStartCommits) : kBetweenCommits;
     if (committing_ || now < next_commit_ || now < last_commit_ + pause) return;
     NoteFleet(now);
     const size_t most = Platform::kMostInOneChange - kOwnEntries;
-    std::vector<job_progress_write> writes =
-        scheduler_.TakeUnstored(most, hooks_.budget(now).RecordBytes());
+    std::vector<job_progress_write> writes = scheduler_.TakeUnstored(most, budget.RecordBytes());
     const bool declares = mode_.WantsDeclared();
     const bool withdraws = !declares && mode_.WantsWithdrawn(scheduler_.RecordsKnown());
     if (writes.empty() && !fleet_unstored_ && expired_.empty() && !declares && !withdraws) return;
--- a/src/process/site/start_carrier.h
+++ b/src/process/site/start_carrier.h
@@ -17,6 +17,7 @@
 #include "connection/http_client.h"
 #include "connection/http_server.h"
 #include "process/site/event_loop.h"
+#include "process/site/front_status.h"
 #include "process/site/payload_cache.h"
 #include "process/site/site_log.h"
 #include "process/site/site_ports.h"
@@ -46,8 +47,7 @@
   // Answers when it is known what became of all starts, or after a while.
   void Carry(const std::string& text, const responder& respond) {
     auto message = GivenStartsFromText(text);
-    constexpr int kBadRequest = 400;
-    if (!message) return respond({.status = kBadRequest});
+    if (!message) return respond({.status = front_status::kBadRequest});
     const auto all = std::make_shared<batch>();
     all->owner = std::move(message->owner);
     all->epoch = message->epoch;
--- a/src/process/site/start_relay.h
+++ b/src/process/site/start_relay.h
@@ -19,6 +19,7 @@
 #include "absl/strings/str_cat.h"
 #include "connection/http_client.h"
 #include "process/site/event_loop.h"
+#include "process/site/front_status.h"
 #include "process/site/owner_budget.h"
 #include "process/site/site_log.h"
 #include "process/site/site_ports.h"
@@ -137,10 +138,10 @@
 
   void OnGiven(uint64_t message, const std::string& carrier, const std::vector<uint64_t>& numbers,
                const http_result& result) {
-    constexpr int kOk = 200;
     const bool answered = result.status == transfer_status::kDone;
-    const auto results =
-        answered && result.code == kOk ? StartResultsFromText(result.body) : std::nullopt;
+    const auto results = answered && result.code == front_status::kOk
+                             ? StartResultsFromText(result.body)
+                             : std::nullopt;
     route_.Answered(message, results.has_value(), BootNow());
     if (results) return Take(*results);
     log_.Write(site_event::kStartsNotCarried, BootNow(),
--- a/src/process/site/text_ration.h
+++ b/src/process/site/text_ration.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstddef>
 
+#include "connection/traffic_meter.h"
 #include "request/job_request.h"
 
 namespace catkinford {
@@ -26,7 +27,6 @@
 
  private:
   static constexpr double kShare = 0.25;  // of the link
-  static constexpr double kBytesInMegabit = 125'000;
 
   double bytes_per_second_;
   monotonic_time free_at_{};
--- a/test/carried_starts_fleet_test.cc
+++ b/test/carried_starts_fleet_test.cc
@@ -32,6 +32,12 @@
   }
   static std::string Path(uint32_t job) { return "/open/" + JobId(job); }
 
+  void SubmitAll(size_t taker) {
+    for (uint32_t job = 0; job < kJobs; ++job) {
+      REQUIRE(Call(taker, "POST", Path(job), WideJob()).code == 200);
+    }
+  }
+
   bool AllCompleted(size_t told_by, uint32_t first, uint32_t last) {
     for (uint32_t job = first; job < last; ++job) {
       if (StateOf(told_by, Path(job)) != "completed") return false;
@@ -66,9 +72,7 @@
                  "site, entry that brings starts is killed, its jobs complete all the same") {
   const auto owner = static_cast<size_t>(Owner());
   const size_t taker = (owner + 1) % 3;
-  for (uint32_t job = 0; job < kJobs; ++job) {
-    REQUIRE(Call(taker, "POST", Path(job), WideJob()).code == 200);
-  }
+  SubmitAll(taker);
   entries_[taker]->process.Kill();
   CHECK(Eventually([&] { return AllCompleted(owner, 0, kJobs); }));
   CHECK(instances_.Doubles().empty());
@@ -79,9 +83,7 @@
                  "site, entry that brings starts is paused, no task runs twice at a time") {
   const auto owner = static_cast<size_t>(Owner());
   const size_t taker = (owner + 1) % 3;
-  for (uint32_t job = 0; job < kJobs; ++job) {
-    REQUIRE(Call(taker, "POST", Path(job), WideJob()).code == 200);
-  }
+  SubmitAll(taker);
   entries_[taker]->process.Signal(SIGSTOP);
   CHECK(Eventually([&] { return AllCompleted(owner, 0, kJobs); }));
   entries_[taker]->process.Signal(SIGCONT);
--- a/test/owner_budget_test.cc
+++ b/test/owner_budget_test.cc
@@ -12,7 +12,6 @@
 constexpr double kNarrowMbps = 2;
 constexpr double kWideMbps = 200;
 constexpr double kWholeProcessor = 1;
-constexpr uint64_t kBytesInMegabit = 125'000;
 constexpr milliseconds kUsualPause{120};
 
 // An owner that puts the same number of bytes on its link every 20 ms.
