--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -66,6 +67,17 @@
   return 0;
 }
 
+curl_socket_t OpenSocket(void* closure, curlsocktype /*purpose*/, curl_sockaddr* address) {
+  const int opened = socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+  if (opened >= 0) ++*static_cast<std::atomic<uint64_t>*>(closure);
+  return opened;
+}
+
+int CloseSocket(void* closure, curl_socket_t closed) {
+  ++*static_cast<std::atomic<uint64_t>*>(closure);
+  return close(closed);
+}
+
 // A transfer that failed before any byte of the request was sent did not reach the server.
 transfer_status StatusOf(CURL* easy, CURLcode code) {
   if (code == CURLE_OK) return transfer_status::kDone;
@@ -74,6 +86,21 @@
   return sent == 0 ? transfer_status::kNotSent : transfer_status::kMaybeSent;
 }
 
+call_fault FaultOf(CURL* easy, CURLcode code) {
+  if (code == CURLE_OK) return call_fault::kNone;
+  curl_off_t lookup_time = 0;
+  curl_off_t connect_time = 0;
+  long sent = 0;  // NOLINT(google-runtime-int): libcurl's type
+  curl_easy_getinfo(easy, CURLINFO_NAMELOOKUP_TIME_T, &lookup_time);
+  curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connect_time);
+  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
+  // libcurl looks up the address only once the transfer may open or reuse a connection.
+  if (lookup_time == 0 && code == CURLE_OPERATION_TIMEDOUT) return call_fault::kNoFreeConnection;
+  // A reused connection has no connect time.
+  if (connect_time == 0 && sent == 0) return call_fault::kNotConnected;
+  return code == CURLE_OPERATION_TIMEDOUT ? call_fault::kTimedOut : call_fault::kClosed;
+}
+
 }  // namespace
 
 struct http_client::impl {
@@ -91,8 +118,8 @@
   void SocketAction(curl_socket_t socket, int events);
   void CompleteFinished();
   void EndStalled();
-  void Complete(CURL* easy, transfer_status status);
-  void Count(CURL* easy, const transfer& done);
+  void Complete(CURL* easy, transfer_status status, call_fault fault);
+  void Count(CURL* easy, const transfer& done, call_fault fault);
   int WaitMs() const;
   CURL* NewHandle();
 
@@ -100,6 +127,8 @@
   std::string ca_file;
   traffic_counter* traffic_counts;  // may be null
   recent_delay delay;
+  std::atomic<uint64_t> connections_opened{0};
+  std::atomic<uint64_t> connections_closed{0};
   CURLM* multi = nullptr;
   int epoll = -1;
   int wake = -1;
@@ -169,6 +198,10 @@
     next_stall_check = std::min(next_stall_check, next->Deadline());
     stall_limited.push_back(easy);
   }
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OpenSocket);
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &connections_opened);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &CloseSocket);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, &connections_closed);
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(kConnectTimeout.count()));  // NOLINT
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &AppendBody);
@@ -194,7 +227,7 @@
   curl_multi_add_handle(multi, easy);
 }
 
-void http_client::impl::Count(CURL* easy, const transfer& done) {
+void http_client::impl::Count(CURL* easy, const transfer& done, call_fault fault) {
   if (traffic_counts == nullptr) return;
   long head_sent = 0;      // NOLINT(google-runtime-int): libcurl's type
   long head_received = 0;  // NOLINT(google-runtime-int): libcurl's type
@@ -205,10 +238,10 @@
   // libcurl includes a small body that was sent with the header in the request size.
   const auto head = static_cast<uint64_t>(head_sent);
   traffic_counts->Count(done.call.url, std::max(head, static_cast<uint64_t>(body_sent)),
-                        static_cast<uint64_t>(head_received) + done.answer.size());
+                        static_cast<uint64_t>(head_received) + done.answer.size(), fault);
 }
 
-void http_client::impl::Complete(CURL* easy, transfer_status status) {
+void http_client::impl::Complete(CURL* easy, transfer_status status, call_fault fault) {
   auto node = active.extract(easy);
   std::erase(stall_limited, easy);
   const std::unique_ptr<transfer> done = std::move(node.mapped());
@@ -217,7 +250,7 @@
   long code = 0;  // NOLINT(google-runtime-int): libcurl's type
   curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &code);
   result.code = static_cast<int>(code);
-  Count(easy, *done);
+  Count(easy, *done, fault);
   result.body = std::move(done->answer);
   curl_multi_remove_handle(multi, easy);
   curl_slist_free_all(done->headers);
@@ -234,7 +267,8 @@
   while (CURLMsg* message = curl_multi_info_read(multi, &left)) {
     if (message->msg != CURLMSG_DONE) continue;
     CURL* easy = message->easy_handle;
-    Complete(easy, StatusOf(easy, message->data.result));
+    const CURLcode code = message->data.result;
+    Complete(easy, StatusOf(easy, code), FaultOf(easy, code));
   }
 }
 
@@ -251,7 +285,10 @@
       next_stall_check = std::min(next_stall_check, deadline);
     }
   }
-  for (CURL* easy : stalled) Complete(easy, StatusOf(easy, CURLE_OPERATION_TIMEDOUT));
+  for (CURL* easy : stalled) {
+    Complete(easy, StatusOf(easy, CURLE_OPERATION_TIMEDOUT),
+             FaultOf(easy, CURLE_OPERATION_TIMEDOUT));
+  }
 }
 
 void http_client::impl::SocketAction(curl_socket_t socket, int events) {
@@ -310,7 +347,9 @@
     if (count < kMaxEvents) EndStalled();
   }
   BeginIncoming();
-  while (!active.empty()) Complete(active.begin()->first, transfer_status::kMaybeSent);
+  while (!active.empty()) {
+    Complete(active.begin()->first, transfer_status::kMaybeSent, call_fault::kNone);
+  }
 }
 
 http_client::http_client(size_t connections_per_host, std::string ca_file,
@@ -367,6 +406,13 @@
 
 milliseconds http_client::Delay() const { return impl_->delay.Max(); }
 
+connection_counts http_client::Connections() const {
+  // Closed ones are read first: a connection is opened before it is closed.
+  const uint64_t closed = impl_->connections_closed;
+  const uint64_t opened = impl_->connections_opened;
+  return {opened - closed, opened};
+}
+
 http_result http_client::SendAndWait(http_call call) {
   std::mutex mutex;
   std::condition_variable ready;
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -37,6 +37,12 @@
   std::shared_ptr<std::atomic<uint64_t>> received_bytes;  // counts the response bytes; may be null
 };
 
+// Connections of one client.
+struct connection_counts {
+  uint64_t open = 0;
+  uint64_t opened = 0;  // since the start, the open ones included
+};
+
 struct http_result {
   transfer_status status = transfer_status::kNotSent;
   int code = 0;
@@ -65,6 +71,7 @@
   // The longest time that recent calls waited before the client's thread began them. While that
   // thread is late, so is its reading of responses.
   std::chrono::milliseconds Delay() const;
+  connection_counts Connections() const;
   // Ends all transfers; every callback is still called.
   void Stop();
 
--- a/src/connection/traffic_counter.cc
+++ b/src/connection/traffic_counter.cc
@@ -5,13 +5,31 @@
 
 namespace catkinford {
 
-void traffic_counter::Count(std::string_view url, uint64_t sent, uint64_t received) {
+std::string_view ToText(call_fault fault) {
+  switch (fault) {
+    case call_fault::kNone:
+      return "none";
+    case call_fault::kNoFreeConnection:
+      return "no_free_connection";
+    case call_fault::kNotConnected:
+      return "not_connected";
+    case call_fault::kClosed:
+      return "closed";
+    case call_fault::kTimedOut:
+      return "timed_out";
+  }
+  return "none";
+}
+
+void traffic_counter::Count(std::string_view url, uint64_t sent, uint64_t received,
+                            call_fault fault) {
   const std::string kind = KindOfCall(url);
   const std::lock_guard lock(mutex_);
   for (traffic* sum : {&by_kind_[kind], &total_}) {
     ++sum->calls;
     sum->sent += sent;
     sum->received += received;
+    ++sum->faults[static_cast<size_t>(fault)];
   }
 }
 
--- a/src/process/site/site_log.cc
+++ b/src/process/site/site_log.cc
@@ -112,7 +112,7 @@
     site_event_info{kVersionConfirmed, kInfo, "version_confirmed",
                     "The configuration here is, or was moments ago, known to be the newest."},
     site_event_info{kLinkUse, kSummary, "link_use",
-                    "Bytes of the calls of the last second, by kind of call."},
+                    "Bytes and faults of the calls of the last second, by kind of call."},
 };
 
 }  // namespace
--- a/src/process/site/site_metrics.cc
+++ b/src/process/site/site_metrics.cc
@@ -40,6 +40,8 @@
                               "Reads of the configuration, by source and outcome.")),
       link_bytes_(Counters(registry_, "catkinford_site_link_bytes_total",
                            "Bytes of this entry's calls, by kind of call and direction.")),
+      call_faults_(Counters(registry_, "catkinford_site_call_faults_total",
+                            "Calls without a complete response, by kind of call and reason.")),
       answer_seconds_(prometheus::BuildHistogram()
                           .Name("catkinford_site_answer_seconds")
                           .Help("Time from the arrival of a call to its answer.")
@@ -66,6 +68,12 @@
       version_texts_sent(Counters(registry_, "catkinford_site_version_texts_total",
                                   "Texts of the configuration sent to other entries.")
                              .Add({})),
+      instance_connections(OneGauge(registry_, "catkinford_site_instance_connections",
+                                    "Open connections to instances.")),
+      instance_connections_opened(Counters(registry_,
+                                           "catkinford_site_instance_connections_opened_total",
+                                           "Connections opened to instances.")
+                                      .Add({})),
       log_lines_left_out(Counters(registry_, "catkinford_site_log_lines_left_out_total",
                                   "Log lines that were dropped.")
                              .Add({})) {}
@@ -93,11 +101,15 @@
   version_reads_.Add({{"source", source}, {"outcome", outcome}}).Increment();
 }
 
-void site_metrics::CountTraffic(const std::string& kind, const traffic& bytes) {
-  link_bytes_.Add({{"call", kind}, {"direction", "sent"}})
-      .Increment(static_cast<double>(bytes.sent));
+void site_metrics::CountTraffic(const std::string& kind, const traffic& use) {
+  link_bytes_.Add({{"call", kind}, {"direction", "sent"}}).Increment(static_cast<double>(use.sent));
   link_bytes_.Add({{"call", kind}, {"direction", "received"}})
-      .Increment(static_cast<double>(bytes.received));
+      .Increment(static_cast<double>(use.received));
+  for (const call_fault fault : kCallFaults) {
+    if (use.Faults(fault) == 0) continue;
+    call_faults_.Add({{"call", kind}, {"reason", std::string(ToText(fault))}})
+        .Increment(static_cast<double>(use.Faults(fault)));
+  }
 }
 
 std::string site_metrics::Text() {
--- a/src/process/site/site_metrics.h
+++ b/src/process/site/site_metrics.h
@@ -29,8 +29,8 @@
   // `source`: store, watch or peer; `outcome`: done, refused, absent, history_gone or
   // broken_off.
   void CountVersionRead(const std::string& source, const std::string& outcome);
-  // Adds the bytes of calls of one kind since the last time.
-  void CountTraffic(const std::string& kind, const traffic& bytes);
+  // Adds the bytes and faults of calls of one kind since the last time.
+  void CountTraffic(const std::string& kind, const traffic& use);
   std::string Text();
 
  private:
@@ -41,6 +41,7 @@
   prometheus::Family<prometheus::Counter>& run_ends_;
   prometheus::Family<prometheus::Counter>& version_reads_;
   prometheus::Family<prometheus::Counter>& link_bytes_;
+  prometheus::Family<prometheus::Counter>& call_faults_;
   prometheus::Family<prometheus::Histogram>& answer_seconds_;
 
  public:
@@ -54,6 +55,8 @@
   prometheus::Gauge& version_age_seconds;   // since the store last confirmed the configuration
   prometheus::Gauge& version_bytes;         // of the configuration's text
   prometheus::Counter& version_texts_sent;  // sent to other entries
+  prometheus::Gauge& instance_connections;  // open
+  prometheus::Counter& instance_connections_opened;
   prometheus::Counter& log_lines_left_out;
 };
 
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -515,18 +515,29 @@
   std::string kinds;
   uint64_t sent = 0;
   uint64_t received = 0;
+  std::string faults;
   for (const auto& [kind, use] : link_.Take()) {
     metrics_.CountTraffic(kind, use);
     sent += use.sent;
     received += use.received;
     absl::StrAppend(&kinds, " ", kind, "=", use.calls, "/", use.sent, "/", use.received);
+    for (const call_fault fault : kCallFaults) {
+      if (use.Faults(fault) == 0) continue;
+      absl::StrAppend(&faults, " ", kind, ".", std::string(ToText(fault)), "=", use.Faults(fault));
+    }
   }
+  const connection_counts connections = platform_.Instances().Connections();
+  metrics_.instance_connections.Set(static_cast<double>(connections.open));
+  metrics_.instance_connections_opened.Increment(static_cast<double>(connections.opened) -
+                                                 metrics_.instance_connections_opened.Value());
   // An entry that does not own the site only serves callers: its link use is not logged.
   if (owner_ == nullptr) return;
   log_.Write(site_event::kLinkUse, BootNow(),
              absl::StrCat("sent=", sent, " received=", received, " decide_ms=",
                           owner_->TakeDecideTime().count(), " delay_ms=", loop_.Delay().count(),
-                          " order_delay_ms=", platform_.Instances().Delay().count(), kinds));
+                          " order_delay_ms=", platform_.Instances().Delay().count(),
+                          " instance_connections=", connections.open,
+                          " opened=", connections.opened, kinds, faults));
 }
 
 template <site_platform Platform>
--- a/src/process/site/site_platform.h
+++ b/src/process/site/site_platform.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 
+#include "connection/http_client.h"
 #include "connection/store_types.h"
 #include "process/scheduling/fleet_state.h"
 #include "process/scheduling/scheduler_messages.h"
@@ -54,6 +55,7 @@
       to.SetSpeed(pace, epoch, done);
       to.List(list, epoch, listed);
       { to.Delay() } -> std::same_as<std::chrono::milliseconds>;
+      { to.Connections() } -> std::same_as<connection_counts>;
     };
 
 template <typename Advisor>
