Red: instances that serve few connections, and entries that forward starts

On this code, connections of forwarding entries stay open until an instance serves nobody else: jobs do not complete in 30 s, after a loss of power of all entries service tasks are not started again in 30 s, and more than the owner's three connections stay open.

The fault proxy gains a loss of power of the clients: their side is dead and the target's stays open. The stand-in's instances have a limit of connections and tasks that run until they are stopped.

--- a/standin/fault_proxy.cc
+++ b/standin/fault_proxy.cc
@@ -95,6 +95,7 @@
   std::array<proxied_stream, 2> streams;  // client to target, target to client
   uint64_t bytes = 0;
   bool blackholed = false;
+  bool client_lost = false;  // only the target can end it
   bool broken = false;
 };
 
@@ -172,11 +173,14 @@
                              time_point now) {
   std::string chunk(kReadChunkBytes, '\0');
   const ssize_t received = recv(stream.from, chunk.data(), chunk.size(), 0);
-  if (received < 0) {
-    if (errno != EAGAIN && errno != EINTR) connection.broken = true;
+  const bool failed = received < 0 && errno != EAGAIN && errno != EINTR;
+  const bool client_reset =
+      failed && connection.client_lost && &stream == connection.streams.data();
+  if (received < 0 && !client_reset) {
+    if (failed) connection.broken = true;
     return;
   }
-  if (received == 0) {
+  if (received <= 0) {
     stream.ended = true;
     return;
   }
@@ -283,9 +287,10 @@
         return true;
       }
       // Both sides have closed, or one side closed a connection that is dead.
+      const bool client_ended = to_target.ended && !connection.client_lost;
       const bool blackhole_ended =
           (connection.blackholed || to_target.discard || to_client.discard) &&
-          (to_target.ended || to_client.ended);
+          (client_ended || to_client.ended);
       if (!(to_target.end_forwarded && to_client.end_forwarded) && !blackhole_ended) return false;
       close(to_target.from);
       close(to_target.to);
@@ -337,6 +342,26 @@
   }
 }
 
+void fault_proxy::LoseClients(link_index link) {
+  const std::lock_guard lock(impl_->mutex);
+  for (proxied_connection& connection : impl_->connections) {
+    if (connection.link != link) continue;
+    connection.blackholed = true;
+    connection.client_lost = true;
+    for (proxied_stream& stream : connection.streams) {
+      stream.waiting.clear();
+      stream.waiting_bytes = 0;
+    }
+  }
+}
+
+size_t fault_proxy::OpenConnections(link_index link) const {
+  const std::lock_guard lock(impl_->mutex);
+  return static_cast<size_t>(
+      std::count_if(impl_->connections.begin(), impl_->connections.end(),
+                    [&](const proxied_connection& each) { return each.link == link; }));
+}
+
 uint64_t fault_proxy::BytesForwarded(link_index link) const {
   const std::lock_guard lock(impl_->mutex);
   return impl_->links[link].forwarded_bytes;
--- a/standin/fault_proxy.h
+++ b/standin/fault_proxy.h
@@ -46,6 +46,11 @@
   void SetRule(link_index link, const link_rule& rule);
   // The connections open now go dead for good in both directions; new ones work.
   void BlackholeOpenConnections(link_index link);
+  // As if the clients' machines lost power: the open connections go dead for good, and the target's
+  // side of each stays open after its client has closed it.
+  void LoseClients(link_index link);
+  // Connections open on the target's side.
+  size_t OpenConnections(link_index link) const;
   uint64_t BytesForwarded(link_index link) const;
 
   void Start();
--- a/test/platform_standin.cc
+++ b/test/platform_standin.cc
@@ -17,6 +17,9 @@
 constexpr milliseconds kHeartbeatInterval{300};
 constexpr milliseconds kStopDuration{50};
 constexpr int64_t kMaxLeaseMs = 6000;
+// Longer than a test: an instance does not notice that a client's machine has lost power.
+constexpr std::chrono::seconds kIdleTimeout{300};
+constexpr std::chrono::hours kEndless{24};
 
 monotonic_time Now() { return std::chrono::steady_clock::now(); }
 
@@ -29,8 +32,9 @@
   return absl::SimpleAtoi(text, &number) ? number : 0;
 }
 
-std::unique_ptr<http_server> Serve(http_server::handler handler) {
-  auto server = std::make_unique<http_server>(http_server_options{}, std::move(handler));
+std::unique_ptr<http_server> Serve(http_server::handler handler,
+                                   const http_server_options& options = {}) {
+  auto server = std::make_unique<http_server>(options, std::move(handler));
   server->Start();
   return server;
 }
@@ -234,14 +238,17 @@
 // --- instances -----------------------------------------------------------------------------------
 
 standin_instances::standin_instances(standin_metadata_store& store, size_t count,
-                                     milliseconds run_time)
+                                     milliseconds run_time, unsigned connection_limit)
     : store_(store), run_time_(run_time) {
+  http_server_options options;
+  options.connection_limit = connection_limit;
+  options.idle_timeout = kIdleTimeout;
   for (size_t i = 0; i < count; ++i) {
     auto created = std::make_unique<instance>();
     created->id = absl::StrCat("i-", i);
-    created->server = Serve([this, i](http_server::token token, const http_request& request) {
-      Handle(i, token, request);
-    });
+    created->server = Serve([this, i](http_server::token token,
+                                      const http_request& request) { Handle(i, token, request); },
+                            options);
     created->address = LoopbackAddress(*created->server);
     Register(*created);
     instances_.push_back(std::move(created));
@@ -356,7 +363,8 @@
   }
   if (done_.contains(task)) starts_after_done_.push_back(task);
   target.lease_until = std::max(target.lease_until, std::min(deadline_ms, ClockMs() + kMaxLeaseMs));
-  target.runs[task] = {task, number, Now() + run_time_, false};
+  const bool service = body.value("task-spec", std::string()) == kServicePayload;
+  target.runs[task] = {task, number, Now() + (service ? kEndless : run_time_), false};
   starts_.push_back({task, number, target.id});
   return {{"clock-ms", ClockMs()}};
 }
--- a/test/platform_standin.h
+++ b/test/platform_standin.h
@@ -90,12 +90,15 @@
   std::string instance;
 };
 
-// Instances that run every task for `run_time`, and the advice service, which allows every
-// instance.
+// Instances that run every task for `run_time`, those whose payload is kServicePayload until they
+// are stopped, and the advice service, which allows every instance.
 class standin_instances {
  public:
-  standin_instances(standin_metadata_store& store, size_t count,
-                    std::chrono::milliseconds run_time);
+  static constexpr const char* kServicePayload = "until stopped";
+
+  // `connection_limit`: connections that an instance serves at a time; further ones wait.
+  standin_instances(standin_metadata_store& store, size_t count, std::chrono::milliseconds run_time,
+                    unsigned connection_limit = http_server_options{}.connection_limit);
   ~standin_instances();
 
   std::string AdviceAddress() const;
--- a/test/site_fixture.h
+++ b/test/site_fixture.h
@@ -47,14 +47,17 @@
 class site_fixture {
  protected:
   struct no_entries {};
+  static constexpr size_t kInstances = 3;
 
   site_fixture() : site_fixture(no_entries{}) {
     for (size_t i = 0; i < 2; ++i) AddEntry(absl::StrCat("entry-", i), store_.Address());
     for (auto& entry : entries_) Start(*entry);
     REQUIRE(Eventually([this] { return Ready(0) && Ready(1) && Owner() >= 0; }));
   }
-  explicit site_fixture(no_entries /*unused*/)
-      : instances_(store_, 3, std::chrono::milliseconds(200)), http_(16) {
+  explicit site_fixture(no_entries /*unused*/,
+                        unsigned connection_limit = http_server_options{}.connection_limit)
+      : instances_(store_, kInstances, std::chrono::milliseconds(200), connection_limit),
+        http_(16) {
     http_.Start();
     PutVersion(1, {"key-1"});
   }
