Red tests of connections: check what their titles say

The service's own tasks are counted, not any job's; - every entry but the owner must be shown to have sent starts; - the earlier owner must have closed its connections before it forwards a start, since forwarding would empty its pool.

--- a/test/forwarded_starts_fleet_test.cc
+++ b/test/forwarded_starts_fleet_test.cc
@@ -45,13 +45,7 @@
     return true;
   }
   double StartsForwarded(size_t at) {
-    http_call call;
-    call.url = absl::StrCat("http://127.0.0.1:", entries_[at]->metrics, "/metrics");
-    const std::string text = http_.SendAndWait(call).body;
-    const size_t name =
-        text.find(R"(catkinford_site_link_bytes_total{call="peer/start",direction="sent"})");
-    if (name == std::string::npos) return 0;
-    return std::stod(text.substr(text.find('}', name) + 1));
+    return Metric(at, R"(catkinford_site_link_bytes_total{call="peer/start",direction="sent"})");
   }
 };
 
--- a/test/instance_connections_fleet_test.cc
+++ b/test/instance_connections_fleet_test.cc
@@ -3,7 +3,6 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <csignal>
-#include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -24,7 +23,6 @@
   static constexpr size_t kOwnerConnections = 3;  // to an instance
   static constexpr unsigned kConnectionLimit = 2 * kOwnerConnections + 2;
   static constexpr uint32_t kJobsPerEntry = 3;
-  static constexpr uint32_t kLastRunOfFirstOwner = 1000;
 
   few_connections_fixture() : site_fixture(no_entries{}, kConnectionLimit) {
     proxy_.Start();
@@ -90,16 +88,8 @@
     }));
   }
 
-  bool ServiceRuns(const std::string& job, uint32_t after_run) {
-    std::map<std::string, uint32_t> latest;
-    for (const standin_start& start : instances_.Starts()) {
-      if (start.task.starts_with(job)) latest[start.task] = start.run;
-    }
-    if (latest.size() != kInstances) return false;
-    for (const auto& [task, run] : latest) {
-      if (run <= after_run) return false;
-    }
-    return true;
+  double InstanceConnections(size_t at) {
+    return Metric(at, "catkinford_site_instance_connections");
   }
 
   // Most connections that one instance has open.
@@ -120,12 +110,13 @@
                  "[connections]") {
   const std::string job = JobId(next_job_++);
   REQUIRE(Call(0, "POST", "/open/" + job, ServiceJob()).code == 200);
-  REQUIRE(Eventually([&] { return ServiceRuns(job, 0); }));
+  REQUIRE(Eventually([&] { return instances_.Running(job) == kInstances; }));
   RunJobsAtEachEntry();
   for (const link_index link : links_) proxy_.LoseClients(link);
   for (auto& entry : entries_) entry->process.Kill();
+  REQUIRE(Eventually([this] { return instances_.Running() == 0; }));
   StartAll();
-  CHECK(Eventually([&] { return ServiceRuns(job, kLastRunOfFirstOwner); }));
+  CHECK(Eventually([&] { return instances_.Running(job) == kInstances; }));
   CHECK(instances_.DuplicateRuns().empty());
 }
 
@@ -134,6 +125,16 @@
                  "site, every entry has forwarded starts, only the owner stays connected",
                  "[connections]") {
   RunJobsAtEachEntry();
+  const int owner = Owner();
+  for (size_t i = 0; i < kEntries; ++i) {
+    if (static_cast<int>(i) == owner) continue;
+    INFO("entry " << i);
+    CHECK(Eventually([&] {
+      return Metric(i,
+                    R"(catkinford_site_link_bytes_total{call="v1/run-start",direction="sent"})") >
+             0;
+    }));
+  }
   CHECK(Eventually([this] { return MostConnections() <= kOwnerConnections; }));
 }
 
@@ -144,9 +145,12 @@
     "[connections]") {
   RunJobsAtEachEntry();
   const int before = Owner();
-  entries_[static_cast<size_t>(before)]->process.Signal(SIGSTOP);
+  const auto paused = static_cast<size_t>(before);
+  REQUIRE(Eventually([&] { return InstanceConnections(paused) >= kInstances; }));
+  entries_[paused]->process.Signal(SIGSTOP);
   REQUIRE(Eventually([&] { return Owner() >= 0 && Owner() != before; }));
-  entries_[static_cast<size_t>(before)]->process.Signal(SIGCONT);
+  entries_[paused]->process.Signal(SIGCONT);
+  CHECK(Eventually([&] { return InstanceConnections(paused) == 0; }));
   RunJobsAtEachEntry();
   CHECK(Eventually([this] { return MostConnections() <= kOwnerConnections; }));
 }
--- a/test/platform_standin.cc
+++ b/test/platform_standin.cc
@@ -299,10 +299,12 @@
   Register(*instances_[at]);
 }
 
-size_t standin_instances::Running() {
+size_t standin_instances::Running(const std::string& job) {
   const std::lock_guard lock(mutex_);
   size_t count = 0;
-  for (const auto& each : instances_) count += each->runs.size();
+  for (const auto& each : instances_) {
+    for (const auto& [task, run] : each->runs) count += task.starts_with(job) ? 1 : 0;
+  }
   return count;
 }
 
--- a/test/platform_standin.h
+++ b/test/platform_standin.h
@@ -107,7 +107,8 @@
   std::vector<std::string> DuplicateRuns();
   // Tasks that started again after their end `done` had been acknowledged.
   std::vector<std::string> StartsAfterDone();
-  size_t Running();
+  // Tasks that run, of all jobs or of one.
+  size_t Running(const std::string& job = {});
   uint16_t PortOf(size_t at) const { return instances_[at]->server->Port(); }
   // Sets the address that the instance registers, for example that of a proxy in front of it.
   void SetRegisteredAddress(size_t at, const std::string& address);
--- a/test/site_fixture.h
+++ b/test/site_fixture.h
@@ -188,6 +188,15 @@
     return -1;
   }
 
+  // The value of an entry's metric, with its labels as they are printed; 0 if it has none.
+  double Metric(size_t at, const std::string& name) {
+    http_call call;
+    call.url = absl::StrCat("http://127.0.0.1:", entries_[at]->metrics, "/metrics");
+    const std::string text = "\n" + http_.SendAndWait(call).body;
+    const size_t found = text.find(absl::StrCat("\n", name, " "));
+    return found == std::string::npos ? 0 : std::stod(text.substr(found + name.size() + 2));
+  }
+
   std::string Log(size_t at) {
     std::ifstream in(entries_[at]->log_file);
     return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
