Keep no connection to an instance at entries that do not own the site

What callers saw: on the grown and large sites service tasks whose runs had lapsed did not run again for tens of seconds (LOST), and jobs were late or failed long before.

Cause: an entry that forwards a start opened up to three connections to the instance and kept them in its pool. An instance serves 64 by the users' sheet; 37 to 147 entries hold 111 to 441. Instances reset further connections, so starts through other entries ended without an answer.

Change: a forwarded start closes its connection after the answer, so that open ones are bounded by the starts in flight at an instance, 4; an owner whose ownership ends closes its own, as its successor needs them. The number of connections to an instance no longer depends on the number of entries. The gauge of open connections no longer counts those that could not be opened in time, which libcurl closes without its callback.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -36,7 +36,9 @@
   http_client::callback on_done;
   std::string answer;
   curl_slist* headers = nullptr;
-  steady_clock::time_point queued;  // when Send() was called
+  steady_clock::time_point queued;                      // when Send() was called
+  std::atomic<uint64_t>* connections_opened = nullptr;  // points into the client
+  bool opened_connection = false;
   // Only for calls with a stall timeout:
   steady_clock::time_point last_progress;  // when a byte was last sent or received
   curl_off_t bytes_sent = 0;
@@ -69,7 +71,11 @@
 
 curl_socket_t OpenSocket(void* closure, curlsocktype /*purpose*/, curl_sockaddr* address) {
   const int opened = socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
-  if (opened >= 0) ++*static_cast<std::atomic<uint64_t>*>(closure);
+  if (opened >= 0) {
+    auto* self = static_cast<transfer*>(closure);
+    self->opened_connection = true;
+    ++*self->connections_opened;
+  }
   return opened;
 }
 
@@ -113,6 +119,8 @@
   static int OnTimer(CURLM* multi, long wait_ms, void* closure);  // NOLINT(google-runtime-int)
 
   void Run();
+  void OpenMulti();
+  void WakeThread() const;
   void BeginIncoming();
   void Begin(std::unique_ptr<transfer> next);
   void SocketAction(curl_socket_t socket, int events);
@@ -129,6 +137,7 @@
   recent_delay delay;
   std::atomic<uint64_t> connections_opened{0};
   std::atomic<uint64_t> connections_closed{0};
+  std::atomic<bool> close_idle{false};
   CURLM* multi = nullptr;
   int epoll = -1;
   int wake = -1;
@@ -199,7 +208,8 @@
     stall_limited.push_back(easy);
   }
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OpenSocket);
-  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &connections_opened);
+  next->connections_opened = &connections_opened;
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, next.get());
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &CloseSocket);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, &connections_closed);
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
@@ -207,6 +217,7 @@
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &AppendBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, next.get());
   if (!ca_file.empty()) curl_easy_setopt(easy, CURLOPT_CAINFO, ca_file.c_str());
+  if (call.close_connection) curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
   if (call.fresh_connection) curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
   if (call.method != "GET") {
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
@@ -268,6 +279,10 @@
     if (message->msg != CURLMSG_DONE) continue;
     CURL* easy = message->easy_handle;
     const CURLcode code = message->data.result;
+    // libcurl closes a connection that could not be opened in time without the callback.
+    const bool unopened =
+        code == CURLE_OPERATION_TIMEDOUT && FaultOf(easy, code) == call_fault::kNotConnected;
+    if (unopened && active.at(easy)->opened_connection) ++connections_closed;
     Complete(easy, StatusOf(easy, code), FaultOf(easy, code));
   }
 }
@@ -308,6 +323,25 @@
   for (auto& next : taken) Begin(std::move(next));
 }
 
+// libcurl closes its pooled connections only together with their handle.
+void http_client::impl::OpenMulti() {
+  if (multi != nullptr) curl_multi_cleanup(multi);
+  timer = steady_clock::time_point::max();
+  multi = curl_multi_init();
+  curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &impl::OnSocket);
+  curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &impl::OnTimer);
+  curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+  curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, kMaxPooledConnections);
+  curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                    static_cast<long>(connections_per_host));  // NOLINT(google-runtime-int)
+}
+
+void http_client::impl::WakeThread() const {
+  const uint64_t one = 1;
+  [[maybe_unused]] const ssize_t put = write(wake, &one, sizeof one);
+}
+
 int http_client::impl::WaitMs() const {
   const steady_clock::time_point next = std::min(timer, next_stall_check);
   if (next == steady_clock::time_point::max()) return static_cast<int>(kMaxWait.count());
@@ -345,6 +379,7 @@
     }
     CompleteFinished();
     if (count < kMaxEvents) EndStalled();
+    if (active.empty() && close_idle.exchange(false)) OpenMulti();
   }
   BeginIncoming();
   while (!active.empty()) {
@@ -367,14 +402,7 @@
   event.events = EPOLLIN;
   event.data.fd = self.wake;
   epoll_ctl(self.epoll, EPOLL_CTL_ADD, self.wake, &event);
-  self.multi = curl_multi_init();
-  curl_multi_setopt(self.multi, CURLMOPT_SOCKETFUNCTION, &impl::OnSocket);
-  curl_multi_setopt(self.multi, CURLMOPT_SOCKETDATA, &self);
-  curl_multi_setopt(self.multi, CURLMOPT_TIMERFUNCTION, &impl::OnTimer);
-  curl_multi_setopt(self.multi, CURLMOPT_TIMERDATA, &self);
-  curl_multi_setopt(self.multi, CURLMOPT_MAXCONNECTS, kMaxPooledConnections);
-  curl_multi_setopt(self.multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-                    static_cast<long>(self.connections_per_host));  // NOLINT(google-runtime-int)
+  self.OpenMulti();
   self.stopped = false;
   self.thread = std::thread([&self] { self.Run(); });
 }
@@ -398,10 +426,7 @@
     next->on_done({});  // NOLINT(bugprone-use-after-move): moved only when accepted
     return;
   }
-  if (first) {
-    const uint64_t one = 1;
-    [[maybe_unused]] const ssize_t put = write(impl_->wake, &one, sizeof one);
-  }
+  if (first) impl_->WakeThread();
 }
 
 milliseconds http_client::Delay() const { return impl_->delay.Max(); }
@@ -413,6 +438,11 @@
   return {opened - closed, opened};
 }
 
+void http_client::CloseIdleConnections() {
+  impl_->close_idle = true;
+  impl_->WakeThread();
+}
+
 http_result http_client::SendAndWait(http_call call) {
   std::mutex mutex;
   std::condition_variable ready;
@@ -436,8 +466,7 @@
     if (self.stopped) return;
     self.stopping = true;
   }
-  const uint64_t one = 1;
-  [[maybe_unused]] const ssize_t put = write(self.wake, &one, sizeof one);
+  self.WakeThread();
   self.thread.join();
   {
     const std::lock_guard lock(self.mutex);
@@ -446,6 +475,7 @@
   for (CURL* easy : self.idle) curl_easy_cleanup(easy);
   self.idle.clear();
   curl_multi_cleanup(self.multi);
+  self.multi = nullptr;
   close(self.epoll);
   close(self.wake);
 }
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -32,6 +32,7 @@
   // Once the response has begun, the longest time without a byte. A large response on a slow link
   // is not aborted while it makes progress. 0: only `timeout` applies, to the entire call.
   std::chrono::milliseconds stall_timeout{0};
+  bool close_connection = false;  // after the response, instead of keeping it for later calls
   bool fresh_connection = false;  // bypasses pooled connections, which may be dead
   std::vector<std::pair<std::string, std::string>> headers;  // additional ones: name and value
   std::shared_ptr<std::atomic<uint64_t>> received_bytes;  // counts the response bytes; may be null
@@ -72,6 +73,8 @@
   // thread is late, so is its reading of responses.
   std::chrono::milliseconds Delay() const;
   connection_counts Connections() const;
+  // Closes the open connections as soon as no call is in flight.
+  void CloseIdleConnections();
   // Ends all transfers; every callback is still called.
   void Stop();
 
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -757,6 +757,8 @@
   if (owner_ == nullptr) return;
   owner_->End();
   owner_.reset();
+  // Instances serve a limited number of connections, which the next owner needs.
+  platform_.Instances().CloseIdleConnections();
   advice_ = advice_dispatcher();
   OnViewChanged();
 }
--- a/src/process/site/site_platform.h
+++ b/src/process/site/site_platform.h
@@ -51,11 +51,13 @@
     requires(Endpoints to, start_command start, stop_command stop, speed_command pace,
              list_command list, uint64_t epoch, command_callback done, listing_callback listed) {
       to.Start(start, epoch, done);
+      to.ForwardStart(start, epoch, done);
       to.Stop(stop, epoch, done);
       to.SetSpeed(pace, epoch, done);
       to.List(list, epoch, listed);
       { to.Delay() } -> std::same_as<std::chrono::milliseconds>;
       { to.Connections() } -> std::same_as<connection_counts>;
+      to.CloseIdleConnections();
     };
 
 template <typename Advisor>
--- a/src/process/site/start_forwarder.h
+++ b/src/process/site/start_forwarder.h
@@ -102,7 +102,7 @@
 
   void SendStart(waiting_start& item, const std::string& payload) {
     item.start.command.payload = payload;
-    platform_.Instances().Start(
+    platform_.Instances().ForwardStart(
         item.start.command, item.from->epoch,
         [this, from = item.from, number = item.start.number](const command_answer& answer) {
           loop_.Post([this, from, number, answer] { OnResult(from, {number, true, answer}); });
--- a/test/call_fault_test.cc
+++ b/test/call_fault_test.cc
@@ -1,9 +1,18 @@
 // Why calls fail, as counted by the client.
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <future>
+#include <map>
 #include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "bench/child_process.h"
@@ -73,6 +82,56 @@
   CHECK(Faults("no/listener", call_fault::kNotConnected) == 1);
 }
 
+// Guards against a count of open connections that grows with each host that does not answer.
+TEST_CASE_METHOD(call_fault_fixture, "call fault, connection not opened in time, is not connected",
+                 "[http]") {
+  // Once its queue of new connections is full, the kernel drops further ones.
+  const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof address;
+  REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&address), size) == 0);
+  REQUIRE(listen(listener, 0) == 0);
+  REQUIRE(getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+  std::vector<int> queued;
+  for (int i = 0; i < 4; ++i) {
+    queued.push_back(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+    [[maybe_unused]] const int pending =
+        connect(queued.back(), reinterpret_cast<sockaddr*>(&address), size);
+  }
+  client_.SendAndWait(CallTo(ntohs(address.sin_port), "/full/queue"));
+  CHECK(Faults("full/queue", call_fault::kNotConnected) == 1);
+  CHECK(client_.Connections().open == 0);
+  for (const int each : queued) close(each);
+  close(listener);
+}
+
+// Guards against pooled connections that outlive the need for them.
+TEST_CASE_METHOD(call_fault_fixture,
+                 "http client, told to close idle connections during a call, closes all after it",
+                 "[http]") {
+  http_client client{3};
+  client.Start();
+  std::promise<void> done;
+  std::atomic<int> left{3};
+  for (int i = 0; i < 3; ++i) {
+    client.Send(CallTo(server_->Port(), "/silent/call"), [&](const http_result&) {
+      if (--left == 0) done.set_value();
+    });
+  }
+  REQUIRE(client.SendAndWait(CallTo(proxy_.PortOf(link_), "/answered/call")).code == 200);
+  client.CloseIdleConnections();
+  done.get_future().wait();
+  const auto until = std::chrono::steady_clock::now() + std::chrono::seconds{30};
+  while (client.Connections().open > 0 && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(milliseconds{5});
+  }
+  CHECK(client.Connections().open == 0);
+  CHECK(client.SendAndWait(CallTo(proxy_.PortOf(link_), "/answered/call")).code == 200);
+  client.Stop();
+}
+
 TEST_CASE_METHOD(call_fault_fixture, "call fault, connection reset, is closed", "[http]") {
   REQUIRE(client_.SendAndWait(CallTo(proxy_.PortOf(link_), "/answered/call")).code == 200);
   CHECK(client_.Connections().open == 1);
