Queue calls by host, so that a silent host delays only its own

Change: http_client holds calls over the limit itself, one queue a host, and begins the next when a call to that host ends. The time limit still counts from when a call could first have begun. One that ends while it waits was not sent, and counts as no_free_connection, which libcurl's timings only suggested.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -39,12 +39,16 @@
   steady_clock::time_point queued;                      // when Send() was called
   std::atomic<uint64_t>* connections_opened = nullptr;  // points into the client
   bool opened_connection = false;
+  steady_clock::time_point waiting_since;
+  std::string host;  // with the port; empty while no limit applies
   // Only for calls with a stall timeout:
   steady_clock::time_point last_progress;  // when a byte was last sent or received
   curl_off_t bytes_sent = 0;
   curl_off_t bytes_received = 0;
   steady_clock::time_point* next_stall_check = nullptr;  // points into the client
 
+  // When the call times out unless its transfer has begun.
+  steady_clock::time_point BeginBy() const { return waiting_since + call.timeout; }
   // When the transfer times out unless a byte is sent or received before.
   steady_clock::time_point Deadline() const {
     return last_progress + (bytes_received > 0 ? call.stall_timeout : call.timeout);
@@ -69,6 +73,20 @@
   return 0;
 }
 
+// Calls to one host. Those over the limit of connections wait here and not in libcurl, whose one
+// queue for all hosts lets calls to a free host wait behind those to a busy one.
+struct host_calls {
+  size_t active = 0;
+  std::deque<std::unique_ptr<transfer>> waiting;
+};
+
+// "http://HOST:PORT/path" is of host "HOST:PORT".
+std::string HostOf(std::string_view url) {
+  const size_t scheme = url.find("://");
+  if (scheme != std::string_view::npos) url.remove_prefix(scheme + 3);
+  return std::string(url.substr(0, url.find('/')));
+}
+
 curl_socket_t OpenSocket(void* closure, curlsocktype /*purpose*/, curl_sockaddr* address) {
   const int opened = socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
   if (opened >= 0) {
@@ -94,14 +112,10 @@
 
 call_fault FaultOf(CURL* easy, CURLcode code) {
   if (code == CURLE_OK) return call_fault::kNone;
-  curl_off_t lookup_time = 0;
   curl_off_t connect_time = 0;
   long sent = 0;  // NOLINT(google-runtime-int): libcurl's type
-  curl_easy_getinfo(easy, CURLINFO_NAMELOOKUP_TIME_T, &lookup_time);
   curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connect_time);
   curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
-  // libcurl looks up the address only once the transfer may open or reuse a connection.
-  if (lookup_time == 0 && code == CURLE_OPERATION_TIMEDOUT) return call_fault::kNoFreeConnection;
   // A reused connection has no connect time.
   if (connect_time == 0 && sent == 0) return call_fault::kNotConnected;
   return code == CURLE_OPERATION_TIMEDOUT ? call_fault::kTimedOut : call_fault::kClosed;
@@ -122,7 +136,10 @@
   void OpenMulti();
   void WakeThread() const;
   void BeginIncoming();
-  void Begin(std::unique_ptr<transfer> next);
+  void BeginOrWait(std::unique_ptr<transfer> next, steady_clock::time_point now);
+  void Begin(std::unique_ptr<transfer> next, milliseconds waited);
+  void EndOverdueWaiting();
+  void Release(const std::string& host);
   void SocketAction(curl_socket_t socket, int events);
   void CompleteFinished();
   void EndStalled();
@@ -149,6 +166,10 @@
   // Accessed only by the client's thread:
   steady_clock::time_point timer = steady_clock::time_point::max();
   absl::flat_hash_map<CURL*, std::unique_ptr<transfer>> active;
+  // Only if the connections to a host are limited:
+  absl::flat_hash_map<std::string, host_calls> hosts;
+  // No later than the earliest BeginBy() of the waiting calls.
+  steady_clock::time_point next_waiting_check = steady_clock::time_point::max();
   std::vector<CURL*> idle;
   std::vector<CURL*> stall_limited;  // active transfers with a stall timeout
   // No later than the earliest deadline of `stall_limited`; extended deadlines are found then.
@@ -190,16 +211,72 @@
   return curl_easy_init();
 }
 
-void http_client::impl::Begin(std::unique_ptr<transfer> next) {
+void http_client::impl::BeginOrWait(std::unique_ptr<transfer> next, steady_clock::time_point now) {
+  if (connections_per_host == 0) return Begin(std::move(next), milliseconds{0});
+  next->host = HostOf(next->call.url);
+  host_calls& calls = hosts[next->host];
+  if (calls.active >= connections_per_host) {
+    next->waiting_since = now;
+    next_waiting_check = std::min(next_waiting_check, next->BeginBy());
+    calls.waiting.push_back(std::move(next));
+    return;
+  }
+  ++calls.active;
+  Begin(std::move(next), milliseconds{0});
+}
+
+// `host` has one call less in flight: the next one begins.
+void http_client::impl::Release(const std::string& host) {
+  if (host.empty()) return;
+  const auto found = hosts.find(host);
+  host_calls& calls = found->second;
+  if (calls.waiting.empty()) {
+    if (--calls.active == 0) hosts.erase(found);
+    return;
+  }
+  std::unique_ptr<transfer> next = std::move(calls.waiting.front());
+  calls.waiting.pop_front();
+  const auto waited =
+      std::chrono::duration_cast<milliseconds>(steady_clock::now() - next->waiting_since);
+  Begin(std::move(next), waited);
+}
+
+void http_client::impl::EndOverdueWaiting() {
+  const steady_clock::time_point now = steady_clock::now();
+  if (now < next_waiting_check) return;
+  next_waiting_check = steady_clock::time_point::max();
+  std::vector<std::unique_ptr<transfer>> overdue;
+  for (auto& [host, calls] : hosts) {
+    std::deque<std::unique_ptr<transfer>> still_waiting;
+    for (std::unique_ptr<transfer>& each : calls.waiting) {
+      if (each->BeginBy() <= now) {
+        overdue.push_back(std::move(each));
+        continue;
+      }
+      next_waiting_check = std::min(next_waiting_check, each->BeginBy());
+      still_waiting.push_back(std::move(each));
+    }
+    calls.waiting = std::move(still_waiting);
+  }
+  for (const std::unique_ptr<transfer>& each : overdue) {
+    if (traffic_counts != nullptr) {
+      traffic_counts->Count(each->call.url, 0, 0, call_fault::kNoFreeConnection);
+    }
+    each->on_done({});
+  }
+}
+
+void http_client::impl::Begin(std::unique_ptr<transfer> next, milliseconds waited) {
   CURL* easy = NewHandle();
   const http_call& call = next->call;
   curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_PROXY, "");  // peers are addressed directly, never through a proxy
   if (call.stall_timeout.count() == 0) {
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));  // NOLINT
+    const milliseconds left = std::max(call.timeout - waited, milliseconds{1});
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(left.count()));  // NOLINT
   } else {
-    next->last_progress = steady_clock::now();
+    next->last_progress = steady_clock::now() - waited;
     curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
     curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, &OnProgress);
     curl_easy_setopt(easy, CURLOPT_XFERINFODATA, next.get());
@@ -270,6 +347,7 @@
   } else {
     curl_easy_cleanup(easy);
   }
+  Release(done->host);
   done->on_done(std::move(result));
 }
 
@@ -320,7 +398,7 @@
   if (taken.empty()) return;
   const steady_clock::time_point now = steady_clock::now();
   delay.Record(std::chrono::duration_cast<milliseconds>(now - taken.front()->queued), now);
-  for (auto& next : taken) Begin(std::move(next));
+  for (auto& next : taken) BeginOrWait(std::move(next), now);
 }
 
 // libcurl closes its pooled connections only together with their handle.
@@ -343,7 +421,7 @@
 }
 
 int http_client::impl::WaitMs() const {
-  const steady_clock::time_point next = std::min(timer, next_stall_check);
+  const steady_clock::time_point next = std::min({timer, next_stall_check, next_waiting_check});
   if (next == steady_clock::time_point::max()) return static_cast<int>(kMaxWait.count());
   const auto left = std::chrono::ceil<milliseconds>(next - steady_clock::now());
   return static_cast<int>(std::clamp(left, milliseconds{0}, kMaxWait).count());
@@ -379,9 +457,14 @@
     }
     CompleteFinished();
     if (count < kMaxEvents) EndStalled();
+    EndOverdueWaiting();
     if (active.empty() && close_idle.exchange(false)) OpenMulti();
   }
   BeginIncoming();
+  for (auto& [host, calls] : hosts) {
+    for (const std::unique_ptr<transfer>& each : calls.waiting) each->on_done({});
+    calls.waiting.clear();
+  }
   while (!active.empty()) {
     Complete(active.begin()->first, transfer_status::kMaybeSent, call_fault::kNone);
   }
--- a/test/call_fault_test.cc
+++ b/test/call_fault_test.cc
@@ -107,6 +107,28 @@
   close(listener);
 }
 
+// Guards against calls that time out behind those to another host, which does not answer.
+TEST_CASE_METHOD(call_fault_fixture, "http client, one host silent, calls to others are answered",
+                 "[http][silent_host]") {
+  constexpr int kCalls = 12;
+  http_client client{3};
+  client.Start();
+  std::promise<void> done;
+  std::atomic<int> left{2 * kCalls};
+  std::atomic<int> answered{0};
+  const auto on_done = [&](const http_result& result) {
+    if (result.code == 200) ++answered;
+    if (--left == 0) done.set_value();
+  };
+  for (int i = 0; i < kCalls; ++i) client.Send(CallTo(server_->Port(), "/silent/call"), on_done);
+  for (int i = 0; i < kCalls; ++i) {
+    client.Send(CallTo(proxy_.PortOf(link_), "/answered/call"), on_done);
+  }
+  done.get_future().wait();
+  CHECK(answered == kCalls);
+  client.Stop();
+}
+
 // Guards against pooled connections that outlive the need for them.
 TEST_CASE_METHOD(call_fault_fixture,
                  "http client, told to close idle connections during a call, closes all after it",
