Stand-in: list running tasks, and let connections of unanswered starts end

RunningTasks() lets a test check from the instances' own records that tasks run.

A start whose response is dropped was never answered, so the server kept its connection counted after the caller had closed it. With instances that serve few connections, each such start would use one up for good.

--- a/test/platform_standin.h
+++ b/test/platform_standin.h
@@ -108,10 +108,12 @@
   // Tasks that started again after their end `done` had been acknowledged.
   std::vector<std::string> StartsAfterDone();
   size_t Running();
+  // Tasks that run and are not being stopped.
+  std::set<std::string> RunningTasks();
   uint16_t PortOf(size_t at) const { return instances_[at]->server->Port(); }
   // Sets the address that the instance registers, for example that of a proxy in front of it.
   void SetRegisteredAddress(size_t at, const std::string& address);
-  // Executes the next `starts` starts without answering them.
+  // Executes the next `starts` starts and answers them long after their callers' timeout.
   void DropStartResponses(int starts) { responses_to_drop_ = starts; }
 
  private:
@@ -138,6 +140,12 @@
     http_server::token token;
     monotonic_time ends;
   };
+  struct delayed_response {
+    size_t at;
+    http_server::token token;
+    http_response response;
+    monotonic_time due;
+  };
 
   void Handle(size_t at, http_server::token token, const http_request& request);
   nlohmann::json Start(instance& target, const nlohmann::json& body, int& status);
@@ -153,6 +161,7 @@
   std::mutex mutex_;
   std::vector<std::unique_ptr<instance>> instances_;
   std::vector<pending_poll> pending_polls_;
+  std::vector<delayed_response> delayed_responses_;
   std::vector<standin_start> starts_;
   std::vector<std::string> duplicate_runs_;
   std::set<std::string> done_;  // tasks whose end `done` was acknowledged
