Soak: wait for entries that were told to stop before checking the end

An entry that was told to stop during the faults drains for some seconds and is started again only while the soak waits for the jobs to end. There, entry-3 logs 601 stopping at 17:05:06.076 and 602 stopped at 17:05:08.389, and nothing after it; the others answered until the end.

The wait now also lasts until such entries have been started again, within the same limit. No check changes: an entry that ends otherwise after the wait is still reported.

--- a/test/site_soak.cc
+++ b/test/site_soak.cc
@@ -116,6 +116,7 @@
       {absl::StrCat(CATKINFORD_BIN_DIR, "/catkinford-site"), "--settings", one.settings_file},
       one.log_file);
   one.paused = false;
+  one.stopping = false;
 }
 
 http_result site_soak::Call(size_t at, const std::string& method, const std::string& path,
@@ -290,6 +291,7 @@
   }
   switch (Pick(4)) {
     case 0:
+      one.stopping = true;
       return one.process.Signal(SIGTERM);  // it drains and is started again later
     case 1:
       one.paused = true;
@@ -396,10 +398,13 @@
   }
   if (!services_accepted_) SubmitServices();
   QueryJobStates();
-  return services_accepted_ && std::all_of(jobs_.begin(), jobs_.end(), [](const auto& item) {
-           const job& one = item.second;
-           return !one.accepted || one.cancelled || one.state == "completed";
-         });
+  const bool stopping =
+      std::any_of(entries_.begin(), entries_.end(), [](const auto& one) { return one->stopping; });
+  const bool jobs_ended = std::all_of(jobs_.begin(), jobs_.end(), [](const auto& item) {
+    const job& one = item.second;
+    return !one.accepted || one.cancelled || one.state == "completed";
+  });
+  return jobs_ended && services_accepted_ && !stopping;
 }
 
 bool site_soak::AllServicesRun() {
--- a/test/site_soak.h
+++ b/test/site_soak.h
@@ -45,6 +45,7 @@
     child_process process;
     bool paused = false;
     bool running = false;
+    bool stopping = false;  // told to stop, and not started again yet
     std::optional<std::chrono::steady_clock::time_point> power_returns;  // after a loss
   };
   struct job {
