Log how many runs an owner restores, and whether a vanished run held its task

A third recorded run of a task showed only as the absence of a 625 line: 620 did not say how many runs a job is believed to have, and 626 not whether the run that vanished was the task's own or another one. 620 gains recorded_runs=, 626 gains holds_task=. No decision changes.

--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -67,11 +67,12 @@
     return;
   }
   active_.push_back(&entry);
+  OpenOccurrences(entry, wall, now);
+  const size_t restored = RestoreRecordedRuns(entry, now);
   LogEvent(scheduler_event::kind::kJobAdded, id,
            absl::StrCat("queue=", entry.job.queue, " workspace=", entry.job.workspace,
-                        " steps=", entry.job.steps.size(), " inherited=", inherited));
-  OpenOccurrences(entry, wall, now);
-  RestoreRecordedRuns(entry, now);
+                        " steps=", entry.job.steps.size(), " inherited=", inherited,
+                        " recorded_runs=", restored));
   SetObjective(entry);
 }
 
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -181,6 +181,8 @@
 
   // scheduler_runs.cc: lifecycle of runs
   graph_run* FindRun(fleet_instance& instance, const task_key& key, uint32_t number);
+  // True if the run is its task's run or copy.
+  static bool HoldsTask(const graph_run& run);
   graph_run& AddRun(fleet_instance& instance, job_entry* job, const task_key& key, uint32_t number);
   void ReserveCapacity(graph_run& run, int sign);
   // The run is proved to have ended or never to begin: frees its capacity; its task may start
@@ -274,7 +276,8 @@
   bool StillValid(const start_command& request, const fleet_instance& instance,
                   monotonic_time now) const;
   bool Stored(const planned_start& planned) const;
-  void RestoreRecordedRuns(job_entry& entry, monotonic_time now);
+  // Returns the number of runs.
+  size_t RestoreRecordedRuns(job_entry& entry, monotonic_time now);
   void CloseRun(const graph_run& run, monotonic_time now);
   graph_run* AnyOpenRun(const task_key& key);
 
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -83,6 +83,13 @@
   return nullptr;
 }
 
+bool job_scheduler::HoldsTask(const graph_run& run) {
+  const step_progress* step = run.job == nullptr ? nullptr : run.job->Find(run.key);
+  if (step == nullptr) return false;
+  const graph_task_state& task = step->tasks[run.key.index];
+  return task.run == &run || task.copy == &run;
+}
+
 graph_run& job_scheduler::AddRun(fleet_instance& instance, job_entry* job, const task_key& key,
                                  uint32_t number) {
   instance.runs.push_back(std::make_unique<graph_run>());
@@ -337,8 +344,8 @@
   }
   for (graph_run* run : missing) {
     LogEvent(scheduler_event::kind::kRunVanished, NameOf(run->key),
-             absl::StrCat("run=", run->number, " instance=", instance.report.id,
-                          " stop=", std::string(ToText(run->stopping))));
+             absl::StrCat("run=", run->number, " instance=", instance.report.id, " stop=",
+                          std::string(ToText(run->stopping)), " holds_task=", HoldsTask(*run)));
     if (run->stopping == stop_cause::kUnknownStart) {
       instance.undelivered.push_back({run->key, run->number, run->started});
     }
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -166,7 +166,8 @@
 
 // Adds the runs that an earlier owner recorded; each may exist until its instance is listed. An
 // instance that is neither in the registry nor in the stored fleet has none.
-void job_scheduler::RestoreRecordedRuns(job_entry& entry, monotonic_time now) {
+size_t job_scheduler::RestoreRecordedRuns(job_entry& entry, monotonic_time now) {
+  size_t restored = 0;
   for (auto& [number, occurrence] : entry.occurrences) {
     for (uint32_t i = 0; i < occurrence->steps.size(); ++i) {
       step_progress& step = occurrence->steps[i];
@@ -183,6 +184,7 @@
           run.inherited = true;
           run.started = now;
           run.progressed = now;
+          ++restored;
           if (task.run == nullptr) {
             task.run = &run;
           } else if (task.copy == nullptr) {
@@ -196,6 +198,7 @@
       }
     }
   }
+  return restored;
 }
 
 // The run has ended and need not be looked for, unless its start may still reach the next
--- a/src/process/site/site_log.cc
+++ b/src/process/site/site_log.cc
@@ -42,7 +42,9 @@
                     "The state of a job could not be returned."},
     site_event_info{kRequestRefused, kInfo, "request_refused",
                     "A request names no queue, has no valid key or is malformed."},
-    site_event_info{kJobAdded, kDetail, "job_added", "The owner has loaded the job."},
+    site_event_info{
+        kJobAdded, kDetail, "job_added",
+        "The owner has loaded the job; recorded_runs= runs of earlier owners that may exist."},
     site_event_info{kJobEnded, kInfo, "job_ended", "The job reached a final phase."},
     site_event_info{kTaskStart, kDetail, "task_start", "A start was sent."},
     site_event_info{kTaskRefused, kInfo, "task_refused", "A start was rejected or got no answer."},
