Stop and keep the runs of a task by its records, not by two pointers

Cause: a task holds one run and one copy. A start that is not answered stays recorded for 12 s after it was seen not to run, since a next life of its instance could carry it out. An owner that takes over may therefore restore three runs of a task and more; all were known at their instances, but only the first two were reached by what stops a task's runs: the cancelling or failure of its job, its end at another instance, the end of its occurrence, a broken gang. The third was found at work, renewed with its instance and never stopped. The class: a set kept as two pointers.

Ruled out: a lost stop (none was sent), a run that the owner did not know (it was renewed; a run that is listed and unknown is stopped as stray).

Change: whatever stops a task's runs takes them from its records (OpenRuns). A run that is found at work holds its task unless another one at work does; then it is stopped as a stray. The latest recorded run holds the task until one is found.

--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -186,13 +186,15 @@
   run.next_stop = now;
 }
 
-void job_scheduler::StopAll(job_entry& entry, stop_cause cause, monotonic_time now) {
-  for (auto& [number, occurrence] : entry.occurrences) {
-    for (step_progress& step : occurrence->steps) {
-      for (graph_task_state& task : step.tasks) {
-        if (task.run != nullptr) RequestStop(*task.run, cause, now);
-        if (task.copy != nullptr) RequestStop(*task.copy, cause, now);
-      }
+void job_scheduler::StopRuns(const task_key& key, stop_cause cause, monotonic_time now) {
+  for (graph_run* run : OpenRuns(key)) RequestStop(*run, cause, now);
+}
+
+void job_scheduler::StopRuns(const job_entry& entry, const occurrence_state& occurrence,
+                             stop_cause cause, monotonic_time now) {
+  for (uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+    for (uint32_t k = 0; k < occurrence.steps[i].tasks.size(); ++k) {
+      StopRuns({entry.job.id, occurrence.number, i, k}, cause, now);
     }
   }
 }
@@ -205,9 +207,11 @@
   active_.erase(std::remove(active_.begin(), active_.end(), &entry), active_.end());
   final_.push_back(entry.job.id);
   if (phase != graph_phase::kCompleted) {
-    StopAll(entry,
-            phase == graph_phase::kCancelled ? stop_cause::kCancelled : stop_cause::kJobFailed,
-            now);
+    const stop_cause cause =
+        phase == graph_phase::kCancelled ? stop_cause::kCancelled : stop_cause::kJobFailed;
+    for (const auto& [number, occurrence] : entry.occurrences) {
+      StopRuns(entry, *occurrence, cause, now);
+    }
   }
   LogEvent(scheduler_event::kind::kJobFinal, entry.job.id,
            absl::StrCat("phase=", std::string(ToText(phase)),
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -169,7 +169,10 @@
   void OpenOccurrences(job_entry& entry, wall_time wall, monotonic_time now);
   void RefreshReady(job_entry& entry, monotonic_time now);
   void Finish(job_entry& entry, graph_phase phase, monotonic_time now);
-  void StopAll(job_entry& entry, stop_cause cause, monotonic_time now);
+  // All runs of a task, or of all tasks of an occurrence, that may exist.
+  void StopRuns(const task_key& key, stop_cause cause, monotonic_time now);
+  void StopRuns(const job_entry& entry, const occurrence_state& occurrence, stop_cause cause,
+                monotonic_time now);
   void RequestStop(graph_run& run, stop_cause cause, monotonic_time now);
   const job_terms& TermsOf(const job_entry& entry) const;
   // True if some instance of the service that was ever seen is large enough for a task of the step,
@@ -196,6 +199,9 @@
   void HandleMissing(fleet_instance& instance, const std::vector<const graph_run*>& seen,
                      monotonic_time sent, monotonic_time now);
   void Adopt(fleet_instance& instance, const running_row& row, monotonic_time now);
+  // False if another run holds the task or none is wanted.
+  static bool ClaimTask(graph_run& run);
+  void StopStray(graph_run& run, monotonic_time now);
   void BreakGang(job_entry& entry, const task_key& member, stop_cause cause, monotonic_time now);
   void CheckRuns(scheduler_commands& commands, monotonic_time now);
   void CheckRun(graph_run& run, scheduler_commands& commands, monotonic_time now);
@@ -279,7 +285,7 @@
   // Returns the number of runs.
   size_t RestoreRecordedRuns(job_entry& entry, monotonic_time now);
   void CloseRun(const graph_run& run, monotonic_time now);
-  graph_run* AnyOpenRun(const task_key& key);
+  std::vector<graph_run*> OpenRuns(const task_key& key);
 
   // scheduler_advice.cc
   void PlanAdvice(const std::vector<ready_step>& ready, scheduler_commands& commands,
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -144,7 +144,10 @@
       if (task.copy == &run) task.copy = nullptr;
       if (task.run == &run) {
         task.run = std::exchange(task.copy, nullptr);
-        if (task.run == nullptr) task.run = AnyOpenRun(run.key);
+        if (task.run == nullptr) {
+          const std::vector<graph_run*> others = OpenRuns(run.key);
+          if (!others.empty()) task.run = others.front();
+        }
         if (task.run == nullptr && task.phase == graph_task_phase::kActive) {
           task.phase = graph_task_phase::kWaiting;
           task.waiting_since = now;
@@ -169,24 +172,15 @@
     if (task.phase == graph_task_phase::kActive) --step->active;
     task.phase = graph_task_phase::kDone;
     ++step->done;
-    if (!gang) {
-      if (task.run != nullptr) RequestStop(*task.run, stop_cause::kCopyLost, now);
-      if (task.copy != nullptr) RequestStop(*task.copy, stop_cause::kCopyLost, now);
-    }
+    if (!gang) StopRuns(key, stop_cause::kCopyLost, now);
   }
   MarkChanged(entry);
   if (!step->Done()) return;
   RefreshReady(entry, now);
   const auto occurrence = entry.occurrences.find(key.occurrence);
   if (!occurrence->second->Done()) return;
-  // Copies that still run refer to the occurrence: they are stopped as stray runs.
-  for (step_progress& each : occurrence->second->steps) {
-    for (graph_task_state& task : each.tasks) {
-      for (graph_run* run : {task.run, task.copy}) {
-        if (run != nullptr) RequestStop(*run, stop_cause::kCopyLost, now);
-      }
-    }
-  }
+  // Runs that still exist refer to the occurrence: they are stopped as stray runs.
+  StopRuns(entry, *occurrence->second, stop_cause::kCopyLost, now);
   FinishOccurrence(entry, key.occurrence);
   if (entry.AllDone()) Finish(entry, graph_phase::kCompleted, now);
 }
@@ -258,9 +252,8 @@
                               monotonic_time now) {
   step_progress* step = entry.Find(member);
   if (step == nullptr) return;
-  for (graph_task_state& task : step->tasks) {
-    if (task.run != nullptr) RequestStop(*task.run, cause, now);
-  }
+  task_key key = member;
+  for (key.index = 0; key.index < step->tasks.size(); ++key.index) StopRuns(key, cause, now);
 }
 
 void job_scheduler::Adopt(fleet_instance& instance, const running_row& row, monotonic_time now) {
@@ -273,7 +266,6 @@
   run.confirmed = now;
   run.progressed = now;
   step_progress* step = entry == nullptr ? nullptr : entry->Find(row.key);
-  const bool wanted = step != nullptr && !IsFinal(entry->phase);
   if (step != nullptr) {
     graph_task_state& task = step->tasks[row.key.index];
     task.last_run = std::max(task.last_run, row.run);
@@ -283,21 +275,43 @@
       task.open_runs.push_back({row.run, instance.report.id, {}});
       MarkChanged(*entry);
     }
-    if (wanted && task.phase == graph_task_phase::kWaiting) {
-      task.phase = graph_task_phase::kActive;
-      task.run = &run;
-      --step->waiting;
-      ++step->active;
-      entry->started = true;
-      if (entry->phase == graph_phase::kQueued) entry->phase = graph_phase::kRunning;
-      LogEvent(scheduler_event::kind::kRunAdopted, NameOf(row.key),
-               absl::StrCat("run=", row.run, " instance=", instance.report.id));
-      return;
-    }
   }
-  LogEvent(scheduler_event::kind::kTaskStop, NameOf(row.key),
-           absl::StrCat("run=", row.run, " instance=", instance.report.id,
-                        " cause=stray known=", entry != nullptr));
+  if (ClaimTask(run)) {
+    LogEvent(scheduler_event::kind::kRunAdopted, NameOf(row.key),
+             absl::StrCat("run=", row.run, " instance=", instance.report.id));
+    return;
+  }
+  StopStray(run, now);
+}
+
+// A run at work holds its task, unless another run that is at work does. One that is only recorded
+// may not exist.
+bool job_scheduler::ClaimTask(graph_run& run) {
+  step_progress* step = run.job == nullptr ? nullptr : run.job->Find(run.key);
+  if (step == nullptr || IsFinal(run.job->phase)) return false;
+  graph_task_state& task = step->tasks[run.key.index];
+  if (task.phase == graph_task_phase::kDone) return false;
+  if (HoldsTask(run)) return true;
+  if (task.run != nullptr && task.run->phase != run_phase::kInherited) {
+    if (!run.job->job.steps[run.key.step].speculative || task.copy != nullptr) return false;
+    task.copy = &run;
+    return true;
+  }
+  task.run = &run;
+  if (task.phase == graph_task_phase::kActive) return true;
+  task.phase = graph_task_phase::kActive;
+  --step->waiting;
+  ++step->active;
+  run.job->started = true;
+  if (run.job->phase == graph_phase::kQueued) run.job->phase = graph_phase::kRunning;
+  return true;
+}
+
+void job_scheduler::StopStray(graph_run& run, monotonic_time now) {
+  if (run.stopping != stop_cause::kNone) return;
+  LogEvent(scheduler_event::kind::kTaskStop, NameOf(run.key),
+           absl::StrCat("run=", run.number, " instance=", run.instance->report.id,
+                        " cause=stray known=", run.job != nullptr));
   RequestStop(run, stop_cause::kStray, now);
 }
 
@@ -308,13 +322,16 @@
   run->seen = true;
   if (run->phase == run_phase::kSent || run->phase == run_phase::kUnknown ||
       run->phase == run_phase::kInherited) {
-    if (run->phase == run_phase::kInherited) {
-      LogEvent(scheduler_event::kind::kRunAdopted, NameOf(row.key),
-               absl::StrCat("run=", row.run, " instance=", instance.report.id));
-    }
+    const bool inherited = run->phase == run_phase::kInherited;
     run->phase = run_phase::kRunning;
     run->confirmed = now;
     run->progressed = now;
+    if (inherited && ClaimTask(*run)) {
+      LogEvent(scheduler_event::kind::kRunAdopted, NameOf(row.key),
+               absl::StrCat("run=", row.run, " instance=", instance.report.id));
+    } else if (inherited) {
+      StopStray(*run, now);
+    }
   }
   if (row.percent != run->percent) {
     run->percent = row.percent;
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -185,11 +185,8 @@
           run.started = now;
           run.progressed = now;
           ++restored;
-          if (task.run == nullptr) {
-            task.run = &run;
-          } else if (task.copy == nullptr) {
-            task.copy = &run;
-          }
+          // The latest start is the one that is most likely at work.
+          if (task.run == nullptr || task.run->number < run.number) task.run = &run;
         }
         if (task.run == nullptr) continue;
         task.phase = graph_task_phase::kActive;
@@ -219,18 +216,22 @@
   open.erase(found);
 }
 
-// Returns another run of the task, besides its run and copy, that is not yet proved to have ended,
-// or null.
-graph_run* job_scheduler::AnyOpenRun(const task_key& key) {
+// The runs of the task that are not yet proved to have ended, the latest first. There may be more
+// than the task's run and copy: a start that was not answered stays recorded until it can no longer
+// arrive, and the next owner looks for each recorded run.
+std::vector<graph_run*> job_scheduler::OpenRuns(const task_key& key) {
+  std::vector<graph_run*> out;
   const auto found = jobs_.find(key.job);
   step_progress* step = found == jobs_.end() ? nullptr : found->second->Find(key);
-  if (step == nullptr) return nullptr;
+  if (step == nullptr) return out;
   for (const open_run& open : step->tasks[key.index].open_runs) {
     const auto instance = instances_.find(open.instance);
     if (instance == instances_.end()) continue;
-    if (graph_run* run = FindRun(*instance->second, key, open.number)) return run;
+    if (graph_run* run = FindRun(*instance->second, key, open.number)) out.push_back(run);
   }
-  return nullptr;
+  std::sort(out.begin(), out.end(),
+            [](const graph_run* a, const graph_run* b) { return a->number > b->number; });
+  return out;
 }
 
 }  // namespace catkinford
