--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -125,6 +125,10 @@
   // Starts whose record is stored by now. Decide() returns them too.
   std::vector<start_command> TakeStarts(monotonic_time now);
 
+  // Adapts a policy query that waited before it was sent: meanwhile tickets expired and capacity
+  // was freed. Returns false if the step needs no query any more.
+  bool RefreshQuery(advice_query& query, monotonic_time now);
+
   // Returns the commands that are due.
   scheduler_commands Decide(wall_time wall, monotonic_time now);
   std::vector<scheduler_event> TakeEvents();
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -300,6 +300,8 @@
   }
 }
 
+bool job_scheduler::RefreshQuery(advice_query& /*query*/, monotonic_time /*now*/) { return true; }
+
 void job_scheduler::OnAdvice(const advice_query& request, const advice_answer& answer,
                              monotonic_time now) {
   const auto found = jobs_.find(request.job);
--- a/src/process/site/advice_dispatcher.cc
+++ b/src/process/site/advice_dispatcher.cc
@@ -19,8 +19,8 @@
   }
 }
 
-void advice_dispatcher::Add(advice_query query) {
-  (query.urgent ? urgent_ : slow_).push_back(std::move(query));
+void advice_dispatcher::Add(advice_query query, monotonic_time now) {
+  (query.urgent ? urgent_ : slow_).push_back({std::move(query), now});
 }
 
 size_t advice_dispatcher::FreeEntries() const {
@@ -30,10 +30,10 @@
   }));
 }
 
-std::optional<std::pair<advice_query, std::string>> advice_dispatcher::Next() {
+std::optional<dispatched_query> advice_dispatcher::Next(monotonic_time now) {
   const size_t free_entries = FreeEntries();
   if (free_entries == 0) return std::nullopt;
-  std::deque<advice_query>* queue = nullptr;
+  std::deque<waiting_query>* queue = nullptr;
   if (!urgent_.empty()) {
     queue = &urgent_;
   } else if (!slow_.empty() && free_entries > entries_.size() / kEntriesPerReserved) {
@@ -44,7 +44,9 @@
     bool& busy = busy_[name];
     if (busy) continue;
     busy = true;
-    std::pair<advice_query, std::string> out(std::move(queue->front()), name);
+    waiting_query& first = queue->front();
+    dispatched_query out{std::move(first.query), name,
+                         std::chrono::duration_cast<std::chrono::milliseconds>(now - first.since)};
     queue->pop_front();
     return out;
   }
--- a/src/process/site/advice_dispatcher.h
+++ b/src/process/site/advice_dispatcher.h
@@ -4,6 +4,7 @@
 #ifndef CATKINFORD_PROCESS_SITE_ADVICE_DISPATCHER_H_
 #define CATKINFORD_PROCESS_SITE_ADVICE_DISPATCHER_H_
 
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <map>
@@ -16,23 +17,34 @@
 
 namespace catkinford {
 
+struct dispatched_query {
+  advice_query query;
+  std::string entry;                    // that sends it
+  std::chrono::milliseconds queued{0};  // how long it waited for the entry
+};
+
 class advice_dispatcher {
  public:
   // The entries that may send queries; an entry that is no longer listed gets no new ones.
   void SetEntries(const std::vector<std::string>& names);
-  void Add(advice_query query);
+  void Add(advice_query query, monotonic_time now);
   // The next query and the entry to send it; urgent queries first. Empty while no entry is free.
-  std::optional<std::pair<advice_query, std::string>> Next();
+  std::optional<dispatched_query> Next(monotonic_time now);
   void OnAnswered(const std::string& entry);
   size_t Waiting() const { return urgent_.size() + slow_.size(); }
 
  private:
+  struct waiting_query {
+    advice_query query;
+    monotonic_time since{};
+  };
+
   size_t FreeEntries() const;
 
   std::map<std::string, bool> busy_;  // by entry: a query is in flight
   std::map<std::string, bool> entries_;
-  std::deque<advice_query> urgent_;
-  std::deque<advice_query> slow_;
+  std::deque<waiting_query> urgent_;
+  std::deque<waiting_query> slow_;
 };
 
 }  // namespace catkinford
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -137,7 +137,7 @@
   outage_report LocalOutageReport() const;
   void SeekConfirmation();
   void SendAdviceRequests();
-  void RequestAdvice(const advice_query& order, const std::string& entry);
+  void RequestAdvice(const dispatched_query& next);
   void UpdateReadiness();
   void PollReadiness();
   void UpdateMetrics();
@@ -660,7 +660,7 @@
     return versions_.Trust(now) != version_trust::kUnconfirmed;
   };
   hooks.request_advice = [this](advice_query order) {
-    advice_.Add(std::move(order));
+    advice_.Add(std::move(order), BootNow());
     SendAdviceRequests();
   };
   const uint64_t epoch = membership_.Epoch();
@@ -928,20 +928,29 @@
 
 template <site_platform Platform>
 void site_node<Platform>::SendAdviceRequests() {
-  while (auto next = advice_.Next()) RequestAdvice(next->first, next->second);
+  while (auto next = advice_.Next(BootNow())) {
+    if (owner_ != nullptr && owner_->RefreshQuery(next->query)) {
+      RequestAdvice(*next);
+    } else {
+      advice_.OnAnswered(next->entry);
+    }
+  }
 }
 
 template <site_platform Platform>
-void site_node<Platform>::RequestAdvice(const advice_query& order, const std::string& entry) {
+void site_node<Platform>::RequestAdvice(const dispatched_query& next) {
+  const advice_query& order = next.query;
+  const std::string& entry = next.entry;
   const auto timeout = order.expected + kAdviceSlack;
   const monotonic_time asked = BootNow();
-  const auto finish = [this, order, entry, asked](const advice_answer& answer) {
+  const auto finish = [this, order, entry, queued = next.queued,
+                       asked](const advice_answer& answer) {
     const monotonic_time now = BootNow();
     log_.Write(
         site_event::kAdviceAsked, now,
         absl::StrCat("id=", order.job, " step=", order.occurrence, ".", order.step, " by=", entry,
                      " instances=", order.instances.size(), " answered=", answer.answered,
-                     " expected_ms=", order.expected.count(), " ms=",
+                     " queued_ms=", queued.count(), " expected_ms=", order.expected.count(), " ms=",
                      std::chrono::duration_cast<std::chrono::milliseconds>(now - asked).count(),
                      " waiting=", advice_.Waiting()));
     advice_.OnAnswered(entry);
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -117,6 +117,7 @@
     scheduler_.OnAdvice(request, answer, BootNow());
     ScheduleDecision();
   }
+  bool RefreshQuery(advice_query& query) { return scheduler_.RefreshQuery(query, BootNow()); }
   // Time spent on decisions since the last call.
   std::chrono::milliseconds TakeDecideTime() {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/test/platform_codec_test.cc
+++ b/test/platform_codec_test.cc
@@ -167,6 +167,7 @@
   const std::string good = R"({"name":"n","failure_domain":"d",
     "listen":{"callers":"1.2.3.4:1","ready":"1.2.3.4:2","address":"1.2.3.4","peer_port":3},
     "platform":{"store":"1.2.3.4:5"}})";
+  const monotonic_time now{std::chrono::seconds(100)};
 };
 
 TEST_CASE_METHOD(site_parts_fixture, "site settings, sound, are accepted with comments") {
@@ -212,28 +213,28 @@
                  "advice spread, burst of slow queries, keeps entries for quick ones") {
   advice_dispatcher spread;
   spread.SetEntries({"a", "b", "c", "d", "e", "f"});
-  for (int i = 0; i < 10; ++i) spread.Add({});
+  for (int i = 0; i < 10; ++i) spread.Add({}, now);
   int slow = 0;
-  while (spread.Next()) ++slow;
+  while (spread.Next(now)) ++slow;
   CHECK(slow == 4);
   advice_query quick;
   quick.urgent = true;
-  spread.Add(quick);
-  const auto next = spread.Next();
+  spread.Add(quick, now);
+  const auto next = spread.Next(now);
   REQUIRE(next);
-  CHECK(next->first.urgent);
+  CHECK(next->query.urgent);
 }
 
 TEST_CASE_METHOD(site_parts_fixture, "advice spread, entry removed, gets no new queries") {
   advice_dispatcher spread;
   spread.SetEntries({"a", "b"});
   spread.SetEntries({"b"});
-  spread.Add({});
-  CHECK(spread.Next()->second == "b");
-  spread.Add({});
-  CHECK_FALSE(spread.Next());
+  spread.Add({}, now);
+  CHECK(spread.Next(now)->entry == "b");
+  spread.Add({}, now);
+  CHECK_FALSE(spread.Next(now));
   spread.OnAnswered("b");
-  CHECK(spread.Next()->second == "b");
+  CHECK(spread.Next(now)->entry == "b");
 }
 
 // Guards against an owner that takes its site as lost because the store's answers arrive out of
