Choose a query's instances when it is sent, and let slow queries have a turn

Cause: a query named the instances that suited its step when it was queued. With few entries it waits 8 to 9 s, a ticket is valid for 2 s. So it was sent with the 1 to 3 instances that were free on a full floor, without those whose tickets were still good then, while 5 to 10 tasks waited and the floor was empty; a gang never had all tickets at once.

Ruled out: runs believed to exist, silent instances, reservations.

Change: job_scheduler::RefreshQuery() chooses again when an entry is free, and drops the query if its step needs none any more. A slow query that waited for 2 s also gets a reserved entry if no urgent one came for 1 s, and a turn each second beside urgent ones.

--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -46,6 +46,24 @@
   from.accelerators -= std::min(from.accelerators, capacity.accelerators * tasks);
 }
 
+advice_timing AdviceTimingOf(const job_entry& entry) {
+  const queue_config* queue = entry.queue;
+  return queue != nullptr && queue->advice ? *queue->advice : advice_timing{};
+}
+
+void SetExpected(advice_query& query, const advice_timing& cost) {
+  const auto count = static_cast<int64_t>(query.instances.size());
+  query.expected = cost.base + duration_cast<milliseconds>(cost.per_instance * count);
+  query.urgent = query.expected < kCheapQuery;
+}
+
+// Unless it is named already or the query is full.
+void AddInstance(advice_query& query, std::string id) {
+  std::vector<std::string>& named = query.instances;
+  if (named.size() >= kMaxInstancesPerQuery) return;
+  if (std::find(named.begin(), named.end(), id) == named.end()) named.push_back(std::move(id));
+}
+
 }  // namespace
 
 // Number of the step's tasks that need an instance: waiting tasks, or copies of overdue ones.
@@ -165,10 +183,7 @@
     const auto found = by_ordinal_.find(reserved.instance);
     if (verdict == nullptr || found == by_ordinal_.end()) continue;
     if (verdict->expires > reserved.from + kTicketMargin) continue;
-    const std::string& id = found->second->report.id;
-    const bool named = std::find(request.instances.begin(), request.instances.end(), id) !=
-                       request.instances.end();
-    if (!named && request.instances.size() < kMaxInstancesPerQuery) request.instances.push_back(id);
+    AddInstance(request, found->second->report.id);
   }
 }
 
@@ -179,8 +194,7 @@
   if (!WithinLimit(*ready.entry, terms.need)) return;
   const uint32_t wanted = TasksToPlace(ready, now);
   const std::vector<advice_option> known = KnownOptions(ready, round, wanted, now);
-  const queue_config* queue = ready.entry->queue;
-  const advice_timing cost = queue != nullptr && queue->advice ? *queue->advice : advice_timing{};
+  const advice_timing cost = AdviceTimingOf(*ready.entry);
   advice_query request;
   if (!step.advice.in_flight && now >= step.advice.next_query) {
     request.instances = InstancesToQuery(ready, round, known, wanted, cost);
@@ -191,10 +205,7 @@
   request.job = ready.entry->job.id;
   request.occurrence = ready.occurrence->number;
   request.step = ready.index;
-  request.expected =
-      cost.base + duration_cast<milliseconds>(cost.per_instance *
-                                              static_cast<int64_t>(request.instances.size()));
-  request.urgent = request.expected < kCheapQuery;
+  SetExpected(request, cost);
   step.advice.in_flight = true;
   commands.advice.push_back(std::move(request));
 }
@@ -300,7 +311,42 @@
   }
 }
 
-bool job_scheduler::RefreshQuery(advice_query& /*query*/, monotonic_time /*now*/) { return true; }
+// Instances that were named before stay named while they have no ticket: another step's claim on
+// their capacity may be gone by the time of the answer.
+bool job_scheduler::RefreshQuery(advice_query& query, monotonic_time now) {
+  const auto found = jobs_.find(query.job);
+  if (found == jobs_.end()) return false;
+  job_entry& entry = *found->second;
+  const auto occurrence = entry.occurrences.find(query.occurrence);
+  if (occurrence == entry.occurrences.end() || query.step >= entry.job.steps.size()) return false;
+  const ready_step ready{&entry, occurrence->second.get(), query.step, {}};
+  step_advice& advice = ready.occurrence->steps[query.step].advice;
+  const uint32_t wanted = IsFinal(entry.phase) ? 0 : TasksToPlace(ready, now);
+  if (wanted == 0 || !WithinLimit(entry, entry.job.steps[query.step].need)) {
+    advice.in_flight = false;
+    return false;
+  }
+  advice_round round = BeginAdvice(now);
+  const std::vector<advice_option> known = KnownOptions(ready, round, wanted, now);
+  const advice_timing cost = AdviceTimingOf(entry);
+  std::vector<std::string> earlier = std::move(query.instances);
+  query.instances = InstancesToQuery(ready, round, known, wanted, cost);
+  AddReserved(ready, cost, query, now);
+  for (std::string& id : earlier) {
+    const auto instance = instances_.find(id);
+    if (instance == instances_.end() || !MayRun(*instance->second, ready, now)) continue;
+    const advice_verdict* verdict = advice.FindVerdict(instance->second->ordinal);
+    if (verdict != nullptr && (!verdict->allowed || verdict->expires > now + kTicketMargin))
+      continue;
+    AddInstance(query, std::move(id));
+  }
+  if (query.instances.empty()) {
+    advice.in_flight = false;
+    return false;
+  }
+  SetExpected(query, cost);
+  return true;
+}
 
 void job_scheduler::OnAdvice(const advice_query& request, const advice_answer& answer,
                              monotonic_time now) {
--- a/src/process/site/advice_dispatcher.cc
+++ b/src/process/site/advice_dispatcher.cc
@@ -8,6 +8,11 @@
 // One entry in every `kEntriesPerReserved` is reserved for urgent queries: slow queries take half a
 // second each, and a burst of them would delay work that is late after a quarter of that.
 constexpr size_t kEntriesPerReserved = 3;
+// A slow query that has waited for this long is overdue. The reserved entries send it too if no
+// urgent query came for a while, and urgent queries leave it a turn.
+constexpr std::chrono::milliseconds kOverdue{2000};
+constexpr std::chrono::milliseconds kUrgentPause{1000};
+constexpr std::chrono::milliseconds kMaxSlowInterval{1000};
 
 }  // namespace
 
@@ -20,6 +25,7 @@
 }
 
 void advice_dispatcher::Add(advice_query query, monotonic_time now) {
+  if (query.urgent) last_urgent_ = now;
   (query.urgent ? urgent_ : slow_).push_back({std::move(query), now});
 }
 
@@ -33,13 +39,19 @@
 std::optional<dispatched_query> advice_dispatcher::Next(monotonic_time now) {
   const size_t free_entries = FreeEntries();
   if (free_entries == 0) return std::nullopt;
+  const bool overdue = !slow_.empty() && now - slow_.front().since >= kOverdue;
+  const bool reserve = !overdue || now - last_urgent_ < kUrgentPause;
+  const size_t reserved = reserve ? entries_.size() / kEntriesPerReserved : 0;
   std::deque<waiting_query>* queue = nullptr;
-  if (!urgent_.empty()) {
+  if (overdue && now - last_slow_ >= kMaxSlowInterval) {
+    queue = &slow_;
+  } else if (!urgent_.empty()) {
     queue = &urgent_;
-  } else if (!slow_.empty() && free_entries > entries_.size() / kEntriesPerReserved) {
+  } else if (!slow_.empty() && free_entries > reserved) {
     queue = &slow_;
   }
   if (queue == nullptr) return std::nullopt;
+  if (queue == &slow_) last_slow_ = now;
   for (const auto& [name, listed] : entries_) {
     bool& busy = busy_[name];
     if (busy) continue;
--- a/src/process/site/advice_dispatcher.h
+++ b/src/process/site/advice_dispatcher.h
@@ -45,6 +45,8 @@
   std::map<std::string, bool> entries_;
   std::deque<waiting_query> urgent_;
   std::deque<waiting_query> slow_;
+  monotonic_time last_urgent_{};  // when one was added
+  monotonic_time last_slow_{};    // when one was sent
 };
 
 }  // namespace catkinford
