Hand what an owner knows to the next ownership of the same process

Cause: the owner went on while the store was down, gave the site up at 20.28 s as two entries saw the store a moment before it did, and won it again 0.2 s later. As its own successor it did not know which starts it had sent without records, found no entry to vouch for them, and let all inherited work wait for instances that cannot be listed, up to 8.3 s (648 declared=0 at 28.78 s).

Ruled out: another owner in between (epochs 1 and 2); an instance that kept the task (absent from 16.5 s, its lease over by 20.7 s).

Change: an ownership that ends hands over the progress that is not stored and whether all runs are known (scheduler_handover). The next one of the same process uses it if its epoch follows directly; the store accepts no epoch twice, so no other process owned the site meanwhile. What was handed over counts as unrecorded until it is stored, and the records stay declared as behind until then, so a third owner is not misled. A start still in flight is in what was handed over; its instance's listing fences it off, or its lease is waited for, as with any earlier owner's.

--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -25,7 +25,14 @@
 
 void job_scheduler::SetRecordsComplete() { records_complete_ = true; }
 
-scheduler_handover job_scheduler::HandOver() const { return {}; }
+scheduler_handover job_scheduler::HandOver() const {
+  scheduler_handover out;
+  out.complete = records_complete_ || inheritance_settled_;
+  for (const auto& [id, entry] : jobs_) {
+    if (entry->stored < entry->change) out.progress[id] = ProgressToText(*entry);
+  }
+  return out;
+}
 
 void job_scheduler::OnUnstoredProgress(const std::string& job) {
   const auto found = jobs_.find(job);
