--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -137,7 +137,7 @@
   outage_report LocalOutageReport() const;
   void SeekConfirmation();
   void SendAdviceRequests();
-  void RequestAdvice(const advice_query& order, const std::string& entry);
+  void RequestAdvice(const dispatched_query& next);
   void UpdateReadiness();
   void PollReadiness();
   void UpdateMetrics();
@@ -158,6 +158,8 @@
   start_dispatcher<Platform> start_dispatcher_;  // for this entry's starts, while it owns the site
   start_forwarder<Platform> start_forwarder_;    // for starts of another entry that owns the site
   advice_dispatcher advice_;
+  scheduler_handover handover_;  // of this process's last ownership
+  uint64_t handover_epoch_ = 0;
   std::shared_ptr<site_owner<Platform>> owner_;
   std::map<std::string, bool> peer_silent_;
   text_rate_limiter text_limiter_;  // limits how often the configuration's text is sent to peers
@@ -660,7 +662,7 @@
     return versions_.Trust(now) != version_trust::kUnconfirmed;
   };
   hooks.request_advice = [this](advice_query order) {
-    advice_.Add(std::move(order));
+    advice_.Add(std::move(order), BootNow());
     SendAdviceRequests();
   };
   const uint64_t epoch = membership_.Epoch();
@@ -686,7 +688,10 @@
       membership_.ClaimedEarly() || membership_.EarlierOwnersMayAct(), OwnerHooks());
   metrics_.owns_site.Set(1);
   metrics_.takeovers.Increment();
-  owner_->Start(versions_.Version());
+  // Epochs that follow each other directly: no other process owned the site in between.
+  const bool own = handover_epoch_ + 1 == membership_.Epoch();
+  owner_->Start(versions_.Version(), own ? std::move(handover_) : scheduler_handover{});
+  handover_ = {};
   SeekConfirmation();
   CheckPreviousOwner(kPreviousOwnerChecks);
 }
@@ -755,6 +760,8 @@
   overloaded_ = false;
   start_dispatcher_.Clear();
   if (owner_ == nullptr) return;
+  handover_ = owner_->HandOver();
+  handover_epoch_ = membership_.Epoch();
   owner_->End();
   owner_.reset();
   // Instances serve a limited number of connections, which the next owner needs.
@@ -928,20 +935,29 @@
 
 template <site_platform Platform>
 void site_node<Platform>::SendAdviceRequests() {
-  while (auto next = advice_.Next()) RequestAdvice(next->first, next->second);
+  while (auto next = advice_.Next(BootNow())) {
+    if (owner_ != nullptr && owner_->RefreshQuery(next->query)) {
+      RequestAdvice(*next);
+    } else {
+      advice_.OnAnswered(next->entry);
+    }
+  }
 }
 
 template <site_platform Platform>
-void site_node<Platform>::RequestAdvice(const advice_query& order, const std::string& entry) {
+void site_node<Platform>::RequestAdvice(const dispatched_query& next) {
+  const advice_query& order = next.query;
+  const std::string& entry = next.entry;
   const auto timeout = order.expected + kAdviceSlack;
   const monotonic_time asked = BootNow();
-  const auto finish = [this, order, entry, asked](const advice_answer& answer) {
+  const auto finish = [this, order, entry, queued = next.queued,
+                       asked](const advice_answer& answer) {
     const monotonic_time now = BootNow();
     log_.Write(
         site_event::kAdviceAsked, now,
         absl::StrCat("id=", order.job, " step=", order.occurrence, ".", order.step, " by=", entry,
                      " instances=", order.instances.size(), " answered=", answer.answered,
-                     " expected_ms=", order.expected.count(), " ms=",
+                     " queued_ms=", queued.count(), " expected_ms=", order.expected.count(), " ms=",
                      std::chrono::duration_cast<std::chrono::milliseconds>(now - asked).count(),
                      " waiting=", advice_.Waiting()));
     advice_.OnAnswered(entry);
