Choose a query's instances again only if it waited for 200 ms

A query that was sent at once was chosen twice in the same round, the second time without the claims of steps before it, and each choice sorts all instances. dispatched_query::Fresh() spares that where no query waits.

--- a/bench/site_load.cc
+++ b/bench/site_load.cc
@@ -238,7 +238,7 @@
   for (const start_command& order : orders.starts) Start(order);
   for (const stop_command& order : orders.stops) Stop(order);
   for (const list_command& order : orders.listings) List(order);
-  for (advice_query& order : orders.advice) spread_.Add(std::move(order));
+  for (advice_query& order : orders.advice) spread_.Add(std::move(order), Mono());
   AskNext();
   Commit();
 }
@@ -373,8 +373,12 @@
 }
 
 void site_load::AskNext() {
-  while (auto next = spread_.Next()) {
-    At(now_ + next->first.expected + 2 * kLink, [this, order = next->first, entry = next->second] {
+  while (auto next = spread_.Next(Mono())) {
+    if (!next->Fresh() && !scheduler_->RefreshQuery(next->query, Mono())) {
+      spread_.OnAnswered(next->entry);
+      continue;
+    }
+    At(now_ + next->query.expected + 2 * kLink, [this, order = next->query, entry = next->entry] {
       spread_.OnAnswered(entry);
       const auto job = jobs_.find(order.job);
       advice_answer answer;
--- a/src/process/site/advice_dispatcher.h
+++ b/src/process/site/advice_dispatcher.h
@@ -21,6 +21,9 @@
   advice_query query;
   std::string entry;                    // that sends it
   std::chrono::milliseconds queued{0};  // how long it waited for the entry
+
+  // Its instances were chosen so recently that they still suit its step.
+  bool Fresh() const { return queued < std::chrono::milliseconds(200); }
 };
 
 class advice_dispatcher {
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -936,7 +936,7 @@
 template <site_platform Platform>
 void site_node<Platform>::SendAdviceRequests() {
   while (auto next = advice_.Next(BootNow())) {
-    if (owner_ != nullptr && owner_->RefreshQuery(next->query)) {
+    if (owner_ != nullptr && (next->Fresh() || owner_->RefreshQuery(next->query))) {
       RequestAdvice(*next);
     } else {
       advice_.OnAnswered(next->entry);
