--- a/test/site_fixture.h
+++ b/test/site_fixture.h
@@ -110,9 +110,10 @@
     store_.Put("op/config", version.dump());
   }
 
-  // `link_mbps`: the entry's setting for the bandwidth of its link.
-  void AddEntry(const std::string& name, const std::string& store_address,
-                double link_mbps = 1000) {
+  // `link_mbps`: the entry's setting for the bandwidth of its link. `bounds`: its settings of that
+  // name.
+  void AddEntry(const std::string& name, const std::string& store_address, double link_mbps = 1000,
+                const nlohmann::json& bounds = nlohmann::json::object()) {
     auto entry = std::make_unique<site_process>();
     entry->name = name;
     entry->callers = FreePort();
@@ -132,6 +133,7 @@
           {"peer_port", FreePort()},
           {"metrics_port", entry->metrics}}},
         {"machine", {{"link_mbps", link_mbps}}},
+        {"bounds", bounds},
         {"platform", {{"store", store_address}, {"advice", instances_.AdviceAddress()}}}};
     std::ofstream(entry->settings_file) << settings.dump();
     entries_.push_back(std::move(entry));
