Answer every request that an entry takes while it stops

Cause, two faults: 1. An entry that resigned stopped watching the site's keys, so it never learnt who owns the site next. Counts of waiting jobs, which only the owner knows, waited 2.3 s for the owner of before and were refused. Asked often enough, the entry was never idle and ran into its limit. 2. At its limit the entry closed all connections over the calls in flight: a call's limit did not know when the process ends, and calls were taken until then.

Ruled out: a silent store (it answered throughout), and a request read between the last look and the closing (sent 0.65 s before; that gap existed and is closed as well).

Change: a resigned entry goes on following the site's keys. shutdown_schedule, a function of the present time, rejects new requests before the entry ends (http_server::RejectNew, in the server, so that what is in flight is final), then settles what is left (SettleAll): a submission that was not sent is rejected and is not sent afterwards, one that was sent is told to be unsettled. The wait counts suspensions.

Why it works: after RejectNew no request can come to be in flight unseen, and each that is in flight is answered by the settling at the latest, 1 s before the process would be killed.

--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -75,6 +75,11 @@
   return {413, R"({"error":"body_too_large"})", "application/json", {}, false};
 }
 
+// The request was not passed to the handler, so nothing was done.
+http_response ShuttingDown() {
+  return {503, R"({"error":"shutting_down"})", "application/json", std::chrono::seconds{1}, true};
+}
+
 }  // namespace
 
 std::string http_request::Query(const std::string& name) const {
@@ -114,7 +119,7 @@
   absl::flat_hash_map<token, exchange*> waiting;
   size_t unfinished = 0;  // passed to `on_request` and not yet completed
   token next_token = 1;
-  bool stopping = false;
+  bool rejecting = false;
 };
 
 MHD_Result http_server::impl::OnAccess(void* closure, MHD_Connection* connection, const char* url,
@@ -179,14 +184,16 @@
   token id = 0;
   {
     const std::lock_guard lock(mutex);
-    if (stopping) return MHD_NO;
-    id = next_token++;
-    current.id = id;
-    current.suspended = true;
-    ++unfinished;
-    waiting.emplace(id, &current);
-    MHD_suspend_connection(current.connection);
+    if (!rejecting) {
+      id = next_token++;
+      current.id = id;
+      current.suspended = true;
+      ++unfinished;
+      waiting.emplace(id, &current);
+      MHD_suspend_connection(current.connection);
+    }
   }
+  if (id == 0) return QueueResponse(current.connection, ShuttingDown());
   // Once `on_request` runs, another thread may respond and end the exchange, so `current` is not
   // accessed afterwards.
   http_request request = std::move(current.request);
@@ -266,6 +273,11 @@
   return impl_->unfinished;
 }
 
+void http_server::RejectNew() {
+  const std::lock_guard lock(impl_->mutex);
+  impl_->rejecting = true;
+}
+
 void http_server::StopAccepting() {
   if (impl_->daemon != nullptr) {
     const MHD_socket listener = MHD_quiesce_daemon(impl_->daemon);
@@ -278,7 +290,7 @@
   {
     // MHD_stop_daemon() waits forever for connections that are still suspended.
     const std::lock_guard lock(impl_->mutex);
-    impl_->stopping = true;
+    impl_->rejecting = true;
     // Not 503 shutting_down, which means that nothing was done: these requests were accepted and
     // may be executing.
     for (auto& [id, current] : impl_->waiting) {
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -77,6 +77,9 @@
   void Respond(token request, http_response response);
   // Requests without a response, or whose response is not fully sent: Stop() may abort them.
   size_t Waiting() const;
+  // Answers requests that arrive from now on with 503, without passing them to the handler, and
+  // closes their connections. Once nothing waits after this call, Stop() aborts no request.
+  void RejectNew();
   // Accepts no new connections; open ones continue to be served.
   void StopAccepting();
   void Stop();
--- a/src/process/site/caller_frontend.h
+++ b/src/process/site/caller_frontend.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -61,7 +62,8 @@
 
   // On the loop's thread.
   void Handle(http_request request, responder respond) {
-    call now{std::move(request), std::move(respond), BootNow(), {}, {}, {}, nullptr};
+    call now{std::move(request), std::move(respond), BootNow(), {}, {}, {}};
+    if (all_settled_) return Reject(now, http_status::kUnavailable, kStopping);
     now.version = hooks_.version();
     if (now.version == nullptr) {
       return Reject(now, http_status::kUnavailable, "no_configuration_yet");
@@ -79,10 +81,19 @@
     Route(std::move(now));
   }
 
+  // Answers every call in flight with what is known of it, and rejects those that follow: the
+  // process ends before they could be settled. On the loop's thread.
+  void SettleAll() {
+    all_settled_ = true;
+    const auto open = open_;
+    for (const auto& [key, current] : open) Settle(*current);
+  }
+
  private:
   static constexpr std::chrono::milliseconds kStoreRetry{100};
   static constexpr std::chrono::milliseconds kSuspectStorePause{40};
   static constexpr char kVersionUnconfirmed[] = "version_unconfirmed";
+  static constexpr char kStopping[] = "stopping";
 
   // State of one call. The version is the one in effect when the call arrived.
   struct call {
@@ -93,26 +104,64 @@
     std::string workspace;
     std::shared_ptr<const site_configuration> version;
     const queue_config* queue = nullptr;  // points into `version`
+    bool may_be_stored = false;           // a submission that was sent to the store
+    bool answered = false;
   };
   using shared_call = std::shared_ptr<call>;
 
-  store_callback OnLoop(std::function<void(const store_reply&)> done) {
+  // What follows for a call does not happen once the call is answered: a rejected submission must
+  // not be sent.
+  store_callback OnLoop(const shared_call& current, std::function<void(const store_reply&)> done) {
     const uint64_t sent = health_.Sent(BootNow());
-    return [this, sent, done = std::move(done)](store_reply reply) {
-      loop_.Post([this, sent, done, reply = std::move(reply)] {
+    return [this, current, sent, done = std::move(done)](store_reply reply) {
+      loop_.Post([this, current, sent, done, reply = std::move(reply)] {
         health_.Answered(sent, IsAnswer(reply), BootNow());
-        done(reply);
+        if (!current->answered) done(reply);
       });
     };
   }
 
+  void After(std::chrono::milliseconds delay, const shared_call& current,
+             std::function<void()> next) {
+    loop_.After(delay, [current, next = std::move(next)] {
+      if (!current->answered) next();
+    });
+  }
+
+  shared_call Open(call now) {
+    const auto opened = std::make_shared<call>(std::move(now));
+    open_.emplace(opened.get(), opened);
+    return opened;
+  }
+
+  void Settle(call& current) {
+    if (current.request.method == "POST") {
+      const bool sent = current.may_be_stored;
+      Log(sent ? site_event::kJobUnsettled : site_event::kJobRefused, current,
+          absl::StrCat("why=", kStopping, " sent=", sent));
+      return AnswerError(current, sent ? http_status::kUnsettled : http_status::kUnavailable);
+    }
+    if (current.request.method == "DELETE") {
+      Log(site_event::kCancelRefused, current, absl::StrCat("why=", kStopping));
+      return AnswerError(current, http_status::kUnsettled);
+    }
+    Log(site_event::kStateRefused, current, absl::StrCat("why=", kStopping));
+    AnswerError(current, http_status::kUnavailable);
+  }
+
+  void AnswerError(call& current, int status) {
+    Answer(current, status,
+           Platform::EncodeError(status == http_status::kUnsettled ? "unsettled" : kStopping));
+  }
+
   const char* NameOf(const call& current) const {
     if (current.request.method == "POST") return "submit";
     if (current.request.method == "DELETE") return "cancel";
     return current.id.empty() ? "pending" : "state";
   }
 
-  void Answer(const call& current, int status, std::string body) {
+  void Answer(call& current, int status, std::string body) {
+    current.answered = true;
     http_response response;
     response.status = status;
     response.body = std::move(body);
@@ -124,6 +173,7 @@
         NameOf(current), status,
         std::chrono::duration_cast<std::chrono::microseconds>(BootNow() - current.arrived));
     current.respond(std::move(response));
+    open_.erase(&current);  // the caller of this function holds the call
   }
 
   void Log(site_event event, const call& current, const std::string& detail) {
@@ -139,14 +189,14 @@
             " ", detail));
   }
 
-  void Reject(const call& current, int status, const char* reason) {
+  void Reject(call& current, int status, const char* reason) {
     Log(site_event::kRequestRefused, current, absl::StrCat("status=", status, " why=", reason));
     Answer(current, status, Platform::EncodeError(reason));
   }
 
   // What this entry's configuration does not hold may be in a newer one: unless it is the newest,
   // the caller is told to retry and not that the item does not exist.
-  void RejectAbsent(const call& current, int status, const char* reason) {
+  void RejectAbsent(call& current, int status, const char* reason) {
     const bool newest = hooks_.trust(current.arrived) == version_trust::kNewest;
     Reject(current, newest ? status : http_status::kUnavailable,
            newest ? reason : kVersionUnconfirmed);
@@ -163,16 +213,16 @@
   void Route(call now) {
     const std::string& method = now.request.method;
     if (now.id.empty() && method == "GET") {
-      return AnswerPending(std::make_shared<call>(std::move(now)));
+      return AnswerPending(Open(std::move(now)));
     }
-    if (method == "POST") return Submit(std::make_shared<call>(std::move(now)));
+    if (method == "POST") return Submit(Open(std::move(now)));
     if (method != "GET" && method != "DELETE") {
       return Reject(now, http_status::kMethodNotAllowed, "wrong_method");
     }
     // Not a valid job id, so there is no such job.
     if (!IsGraphId(now.id)) return Reject(now, http_status::kGone, "no_such_job");
-    if (method == "GET") return AnswerState(std::make_shared<call>(std::move(now)));
-    Cancel(std::make_shared<call>(std::move(now)));
+    if (method == "GET") return AnswerState(Open(std::move(now)));
+    Cancel(Open(std::move(now)));
   }
 
   // --- submit ------------------------------------------------------------------------------------
@@ -209,7 +259,7 @@
       case store_state::kUp:
         return Store(current, text, false);
       case store_state::kSuspect:
-        loop_.After(kSuspectStorePause, [this, current, text] { StoreWhenUp(current, text); });
+        After(kSuspectStorePause, current, [this, current, text] { StoreWhenUp(current, text); });
         return;
       case store_state::kDown:
         Log(site_event::kJobRefused, *current, "why=store_down sent=0");
@@ -225,10 +275,11 @@
     const std::string key = kJobPrefix + current->id;
     write.expected = {{key, 0}};
     write.puts.push_back({key, *text, {}});
-    platform_.Store().Commit(write,
-                             OnLoop([this, current, text, may_be_stored](const store_reply& reply) {
-                               OnStoreAnswer(current, text, may_be_stored, reply);
-                             }));
+    current->may_be_stored = true;
+    platform_.Store().Commit(
+        write, OnLoop(current, [this, current, text, may_be_stored](const store_reply& reply) {
+          OnStoreAnswer(current, text, may_be_stored, reply);
+        }));
   }
 
   void OnStoreAnswer(const shared_call& current, const std::shared_ptr<const std::string>& text,
@@ -252,14 +303,14 @@
       return Answer(*current, http_status::kUnsettled, Platform::EncodeError("unsettled"));
     }
     // The condition on the key makes a second attempt harmless.
-    loop_.After(kStoreRetry, [this, current, text] { Store(current, text, true); });
+    After(kStoreRetry, current, [this, current, text] { Store(current, text, true); });
   }
 
   // --- cancel ------------------------------------------------------------------------------------
 
   void Cancel(const shared_call& current) {
     platform_.Store().Get(
-        kJobPrefix + current->id, OnLoop([this, current](const store_reply& reply) {
+        kJobPrefix + current->id, OnLoop(current, [this, current](const store_reply& reply) {
           if (reply.status == store_status::kAbsent) {
             Log(site_event::kCancelRefused, *current, "why=no_such_job");
             return Answer(*current, http_status::kGone, Platform::EncodeError("no_such_job"));
@@ -272,7 +323,7 @@
   void MarkCancelled(const shared_call& current) {
     store_write write;
     write.puts.push_back({kCancelPrefix + current->id, "{}", {}});
-    platform_.Store().Commit(write, OnLoop([this, current](const store_reply& reply) {
+    platform_.Store().Commit(write, OnLoop(current, [this, current](const store_reply& reply) {
                                if (reply.status != store_status::kDone) return RetryCancel(current);
                                Log(site_event::kCancelTaken, *current, "");
                                hooks_.notify_cancel_stored(current->id);
@@ -282,7 +333,7 @@
 
   void RetryCancel(const shared_call& current) {
     if (BootNow() - current->arrived < answer_timeout_) {
-      loop_.After(kStoreRetry, [this, current] { Cancel(current); });
+      After(kStoreRetry, current, [this, current] { Cancel(current); });
       return;
     }
     Log(site_event::kCancelRefused, *current, "why=store_unavailable");
@@ -293,6 +344,7 @@
 
   void AnswerState(const shared_call& current) {
     hooks_.phase(current->id, [this, current](std::optional<graph_phase> phase) {
+      if (current->answered) return;
       if (phase) return AnswerPhase(current, *phase, "owner");
       ReadState(current);
     });
@@ -307,7 +359,7 @@
   // The owner does not answer or does not know the job yet, so the records are read.
   void ReadState(const shared_call& current) {
     platform_.Store().Get(
-        kJobPrefix + current->id, OnLoop([this, current](const store_reply& reply) {
+        kJobPrefix + current->id, OnLoop(current, [this, current](const store_reply& reply) {
           if (reply.status == store_status::kAbsent) {
             Log(site_event::kStateTold, *current, "phase=none source=store");
             return Answer(*current, http_status::kGone, Platform::EncodeError("no_such_job"));
@@ -319,7 +371,7 @@
 
   void ReadProgress(const shared_call& current, const std::string& job_text) {
     platform_.Store().Get(kProgressPrefix + current->id,
-                          OnLoop([this, current, job_text](const store_reply& reply) {
+                          OnLoop(current, [this, current, job_text](const store_reply& reply) {
                             const bool absent = reply.status == store_status::kAbsent;
                             if (reply.status != store_status::kDone && !absent)
                               return RetryState(current);
@@ -345,7 +397,7 @@
   void RetryState(const shared_call& current) {
     const bool down = health_.State(BootNow()) == store_state::kDown;
     if (!down && BootNow() - current->arrived < answer_timeout_) {
-      loop_.After(kStoreRetry, [this, current] { AnswerState(current); });
+      After(kStoreRetry, current, [this, current] { AnswerState(current); });
       return;
     }
     Log(site_event::kStateRefused, *current, "why=store_unavailable");
@@ -356,9 +408,10 @@
 
   void AnswerPending(const shared_call& current) {
     hooks_.pending(current->queue->name, [this, current](std::optional<size_t> pending) {
+      if (current->answered) return;
       if (pending) return Answer(*current, http_status::kOk, Platform::EncodePending(*pending));
       if (BootNow() - current->arrived < answer_timeout_) {
-        loop_.After(kStoreRetry, [this, current] { AnswerPending(current); });
+        After(kStoreRetry, current, [this, current] { AnswerPending(current); });
         return;
       }
       Log(site_event::kStateRefused, *current, "why=no_owner");
@@ -373,6 +426,8 @@
   site_metrics& metrics_;
   std::chrono::milliseconds answer_timeout_;
   frontend_hooks hooks_;
+  std::unordered_map<const call*, shared_call> open_;  // calls that are not answered yet
+  bool all_settled_ = false;
 };
 
 }  // namespace catkinford
--- a/src/process/site/site_membership.h
+++ b/src/process/site/site_membership.h
@@ -101,7 +101,8 @@
   }
 
   // Ends the lease, so that the next owner need not wait for its expiry. `done` is called once the
-  // store has answered, or at once if there is no lease.
+  // store has answered, or at once if there is no lease. The view is still followed: callers on
+  // open connections ask for what only the owner knows.
   void Resign(std::function<void()> done) {
     resigning_ = true;
     if (owns_) EndOwnership("resigned");
@@ -250,7 +251,7 @@
   }
 
   void ReadView() {
-    if (reading_ || resigning_) return;
+    if (reading_) return;
     reading_ = true;
     const uint64_t watch = ++watch_id_;
     store_.Range(kSitePrefix, "", OnLoop([this, watch](const store_reply& reply) {
@@ -280,7 +281,7 @@
         true;  // what a next owner may conclude depends on the maximum age of a view
     store_.Watch(kSitePrefix, after, watch_wait_,
                  OnLoopUntimed([this, after, watch, sent](const store_reply& reply) {
-                   if (watch != watch_id_ || resigning_) return;
+                   if (watch != watch_id_) return;
                    if (reply.status != store_status::kDone) return ReadView();
                    for (const store_item& item : reply.items) view_.Apply(item);
                    if (!reply.items.empty()) OnView();
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -5,10 +5,8 @@
 
 #include <atomic>
 #include <chrono>
-#include <condition_variable>
 #include <functional>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <set>
 #include <string>
@@ -26,6 +24,7 @@
 #include "process/site/owner_budget.h"
 #include "process/site/owner_failure_detector.h"
 #include "process/site/peer_messages.h"
+#include "process/site/shutdown_schedule.h"
 #include "process/site/site_log.h"
 #include "process/site/site_membership.h"
 #include "process/site/site_metrics.h"
@@ -61,7 +60,8 @@
   site_start_fault Start();
   void Reload();
   // Resigns the ownership, keeps answering while the load balancer takes this entry out of
-  // rotation, and returns when no call is in flight or the limit has passed.
+  // rotation, and returns when every call in flight has its answer; near the limit it is answered
+  // with what is known.
   void Shutdown();
   void Stop();
 
@@ -72,10 +72,6 @@
   static constexpr std::chrono::milliseconds kPeerTimeout{400};
   // Between two bytes of a peer's answer: a configuration takes a second and more on a narrow link.
   static constexpr std::chrono::milliseconds kPeerStall{1000};
-  // The load balancer takes an entry out of rotation after two failed checks, a second apart.
-  static constexpr std::chrono::milliseconds kDeregistrationDelay{2300};
-  static constexpr std::chrono::milliseconds kShutdownMargin{1000};
-  static constexpr std::chrono::milliseconds kSettleWait{400};
   // An advice request may take this much longer than the time that its policy states.
   static constexpr std::chrono::milliseconds kAdviceSlack{900};
   // The store counts as reachable at a peer that got an answer from it within this time.
@@ -338,31 +334,22 @@
   log_.Write(site_event::kStopping, begun, absl::StrCat("waiting=", caller_server_->Waiting()));
   stopping_ = true;
   ready_ = false;
-  std::mutex mutex;
-  std::condition_variable changed;
-  bool resigned = false;
-  const auto resign = [&] {
-    membership_.Resign([&] {
-      const std::lock_guard lock(mutex);
-      resigned = true;
-      changed.notify_one();
-    });
-  };
-  loop_.Post(resign);
-  const auto limit = settings_.bounds.shutdown_limit - kShutdownMargin;
-  {
-    std::unique_lock lock(mutex);
-    changed.wait_for(lock, limit, [&] { return resigned; });
-  }
-  // Callers keep their open connections until the load balancer has taken this entry out.
+  std::atomic<bool> resigned{false};
+  loop_.Post([this, &resigned] { membership_.Resign([&resigned] { resigned = true; }); });
+  // Polled by the clock that counts suspensions, which a condition variable's wait does not.
   constexpr std::chrono::milliseconds kPollInterval{20};
-  while (BootNow() - begun < limit) {
-    const bool idle = caller_server_->Waiting() == 0;
-    if (idle && BootNow() - begun >= kDeregistrationDelay) break;
+  shutdown_schedule schedule(begun, settings_.bounds.shutdown_limit);
+  shutdown_phase phase = shutdown_phase::kServing;
+  while (phase != shutdown_phase::kEnded) {
     std::this_thread::sleep_for(kPollInterval);
+    const bool idle = caller_server_->Waiting() == 0;
+    const shutdown_phase next = schedule.Advance(idle, resigned, BootNow());
+    if (next == std::exchange(phase, next)) continue;
+    if (phase == shutdown_phase::kRejecting) caller_server_->RejectNew();
+    if (phase == shutdown_phase::kSettling) loop_.Post([this] { frontend_.SettleAll(); });
   }
   log_.Write(site_event::kStopped, BootNow(), absl::StrCat("waiting=", caller_server_->Waiting()));
-  // `resigned` and its mutex are on this stack: no callback may run after this function returns.
+  // `resigned` is on this stack: no callback may run after this function returns.
   Stop();
 }
 
@@ -388,6 +375,7 @@
   busy.status = http_status::kUnavailable;
   busy.body = Platform::EncodeError("overloaded");
   busy.retry_after = std::chrono::seconds(1);
+  busy.close = stopping_;
   caller_server_->Respond(token, std::move(busy));
 }
 
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -164,6 +164,38 @@
   }
 }
 
+// Guards against requests that are read while the server is about to stop and end without a
+// response.
+TEST_CASE_METHOD(http_echo_fixture, "http server, rejecting new requests, answers them with 503",
+                 "[http]") {
+  REQUIRE(client_.SendAndWait({"GET", Url("/a")}).code == 200);
+  server_->RejectNew();
+  const http_result rejected = client_.SendAndWait({"GET", Url("/a")});
+  CHECK(rejected.status == transfer_status::kDone);
+  CHECK(rejected.code == 503);
+  CHECK(server_->Waiting() == 0);
+}
+
+TEST_CASE("http server, rejecting new requests, still answers those in flight", "[http]") {
+  std::atomic<http_server::token> taken{0};
+  http_server server({}, [&](http_server::token token, const http_request&) { taken = token; });
+  REQUIRE(server.Start());
+  http_client client(0);
+  client.Start();
+  std::atomic<int> code{0};
+  http_call call;
+  call.url = "http://127.0.0.1:" + std::to_string(server.Port()) + "/a";
+  call.timeout = std::chrono::seconds(30);
+  client.Send(call, [&](const http_result& result) { code = result.code; });
+  while (taken == 0) std::this_thread::sleep_for(milliseconds(5));
+  server.RejectNew();
+  CHECK(server.Waiting() == 1);
+  server.Respond(taken, {200, "late"});
+  while (code == 0) std::this_thread::sleep_for(milliseconds(5));
+  CHECK(code == 200);
+  client.Stop();
+}
+
 TEST_CASE_METHOD(http_echo_fixture, "http call, no listener, was not sent", "[http]") {
   const std::string url = Url("/a");
   server_->Stop();
