Keep attempts of a gang apart, remember every unanswered start, drop old records

A run of a gang's earlier attempt that was absent, ended or lapsed broke the attempt at work; found at work first, it even took its place. All runs of an attempt have one number: BreakGang() takes it and leaves a later attempt alone, and a gang's latest attempt holds its tasks. 2. Only starts that were stopped as unanswered were remembered. One stopped for a cancelling or an evacuation before that was forgotten. 3. A run that was seen and is being stopped stayed after a restart of its instance until a further stop was answered. It has ended with it. 4. They are dropped when they expire. 5. A speculative task's second recorded run is its copy again.

--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -130,8 +130,9 @@
   // A start timed out there: no further starts until the instance answers.
   bool suspect = false;
   monotonic_time suspect_since{};
-  bool check_in_flight = false;  // a second listing, to settle an unknown start
-  int64_t listed_at_ms = 0;      // on the instance's clock: the latest listing that was applied
+  bool check_in_flight = false;   // a second listing, to settle an unknown start
+  int64_t listed_at_ms = 0;       // on the instance's clock: the latest listing that was applied
+  monotonic_time listing_sent{};  // when that listing was requested
   bool listing_in_flight = false;
   uint64_t listing_number = 0;   // of the latest listing; an earlier one may have timed out
   monotonic_time listing_due{};  // latest time at which the instance should answer
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -216,7 +216,8 @@
   // False if another run holds the task or none is wanted.
   static bool ClaimTask(graph_run& run);
   void StopStray(graph_run& run, monotonic_time now);
-  void BreakGang(job_entry& entry, const task_key& member, stop_cause cause, monotonic_time now);
+  // Stops the gang's attempt that the member's run belongs to.
+  void BreakGang(job_entry& entry, const task_key& member, uint32_t run, monotonic_time now);
   void CheckRuns(scheduler_commands& commands, monotonic_time now);
   void CheckRun(graph_run& run, scheduler_commands& commands, monotonic_time now);
   void SendStop(graph_run& run, scheduler_commands& commands, monotonic_time now);
@@ -299,6 +300,8 @@
   bool Stored(const planned_start& planned) const;
   // Returns the number of runs.
   size_t RestoreRecordedRuns(job_entry& entry, monotonic_time now);
+  static void RecordRun(graph_task_state& task, uint32_t number, const std::string& instance);
+  void DropExpiredRecords(monotonic_time now);
   void CloseRun(const graph_run& run, monotonic_time now);
   std::vector<graph_run*> OpenRuns(const task_key& key);
 
@@ -361,6 +364,12 @@
   std::deque<std::string> final_;    // in the order in which they ended
   std::deque<job_entry*> unstored_;  // changed since they were last taken, oldest first
   std::deque<planned_start> planned_;
+  // Records of starts that may still arrive, in the order in which they were given up.
+  struct expiring_record {
+    monotonic_time at{};
+    task_key key;
+  };
+  std::deque<expiring_record> expiring_records_;
   // Of the current round, by ordinal of the instance; null where nothing is reserved.
   std::vector<std::unique_ptr<capacity_forecast>> forecasts_;
   std::vector<uint32_t> reserving_steps_;  // by service
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -42,9 +42,12 @@
   if (!instance.runs.empty()) {
     instance.earlier_commands_until = now + kMaxCommandDelay + options_.run_lease;
   }
-  // The stop of an unanswered start held for the earlier incarnation only.
+  // A stop that was answered holds for the earlier incarnation only. What ran there has ended, but
+  // a start without an answer may still arrive.
   for (const auto& run : instance.runs) {
-    if (run->phase == run_phase::kStopping && !run->seen) run->phase = run_phase::kUnknown;
+    if (run->phase == run_phase::kStopping) {
+      run->phase = run->seen ? run_phase::kRunning : run_phase::kUnknown;
+    }
     run->stop_confirmed = false;
     run->stop_in_flight = false;
     run->next_stop = now;
@@ -202,13 +205,14 @@
     graph_run& run = *instance.runs.front();
     job_entry* job = run.job;
     const task_key key = run.key;
+    const uint32_t number = run.number;
     LogEvent(scheduler_event::kind::kRunVanished, key.job,
              absl::StrCat("step=", key.step, " index=", key.index, " run=", run.number,
                           " instance=", instance.report.id, " ", reason));
     if (!run.seen && run.phase != run_phase::kPlanned) RememberUndelivered(run, now);
     Release(run, now);
     if (job != nullptr && !IsFinal(job->phase) && job->job.steps[key.step].gang) {
-      BreakGang(*job, key, stop_cause::kGangBroken, now);
+      BreakGang(*job, key, number, now);
     }
   }
 }
@@ -237,6 +241,7 @@
 }
 
 void job_scheduler::DropExpired(monotonic_time now) {
+  DropExpiredRecords(now);
   std::vector<std::string> forgotten;
   for (auto& [id, instance] : instances_) {
     if (instance->silent > 0 && LeaseExpired(*instance, now)) {
@@ -431,6 +436,7 @@
   // used; its running runs may have ended since.
   if (listing.clock_ms < instance.listed_at_ms) return;
   instance.listed_at_ms = listing.clock_ms;
+  instance.listing_sent = std::max(instance.listing_sent, sent);
   std::vector<const graph_run*> seen;
   for (const running_row& row : listing.running) {
     HandleRunning(instance, row, now);
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -241,19 +241,27 @@
       if (row.how == run_end::kFailed) OnTaskFailed(*entry, row.key, row.run, instance, now);
       if (!IsFinal(entry->phase) && !row.checkpoint.empty()) MarkChanged(*entry);
       if (!IsFinal(entry->phase) && entry->job.steps[row.key.step].gang) {
-        BreakGang(*entry, row.key, stop_cause::kGangBroken, now);
+        BreakGang(*entry, row.key, row.run, now);
       }
     }
   }
   instance.unstored.push_back({row.number, row.key.job, entry == nullptr ? 0 : entry->change});
 }
 
-void job_scheduler::BreakGang(job_entry& entry, const task_key& member, stop_cause cause,
+void job_scheduler::BreakGang(job_entry& entry, const task_key& member, uint32_t run,
                               monotonic_time now) {
   step_progress* step = entry.Find(member);
   if (step == nullptr) return;
+  // All runs of an attempt have one number. A run of an earlier attempt says nothing of this one.
+  const bool superseded =
+      std::any_of(step->tasks.begin(), step->tasks.end(), [run](const graph_task_state& task) {
+        return task.run != nullptr && task.run->number > run;
+      });
+  if (superseded) return;
   task_key key = member;
-  for (key.index = 0; key.index < step->tasks.size(); ++key.index) StopRuns(key, cause, now);
+  for (key.index = 0; key.index < step->tasks.size(); ++key.index) {
+    StopRuns(key, stop_cause::kGangBroken, now);
+  }
 }
 
 void job_scheduler::Adopt(fleet_instance& instance, const running_row& row, monotonic_time now) {
@@ -262,6 +270,7 @@
   if (entry != nullptr && row.key.step >= entry->job.steps.size()) entry = nullptr;
   graph_run& run = AddRun(instance, entry, row.key, row.run);
   run.phase = run_phase::kRunning;
+  run.seen = true;
   run.started = now;
   run.confirmed = now;
   run.progressed = now;
@@ -272,7 +281,7 @@
     // Recorded even if the run is not wanted: until it has ended, the task must not start
     // elsewhere.
     if (task.phase != graph_task_phase::kDone) {
-      task.open_runs.push_back({row.run, instance.report.id, {}});
+      RecordRun(task, row.run, instance.report.id);
       MarkChanged(*entry);
     }
   }
@@ -289,13 +298,19 @@
 bool job_scheduler::ClaimTask(graph_run& run) {
   step_progress* step = run.job == nullptr ? nullptr : run.job->Find(run.key);
   if (step == nullptr || IsFinal(run.job->phase)) return false;
+  const step_spec& terms = run.job->job.steps[run.key.step];
   graph_task_state& task = step->tasks[run.key.index];
   if (task.phase == graph_task_phase::kDone) return false;
   if (HoldsTask(run)) return true;
-  if (task.run != nullptr && task.run->phase != run_phase::kInherited) {
-    if (!run.job->job.steps[run.key.step].speculative || task.copy != nullptr) return false;
-    task.copy = &run;
-    return true;
+  if (task.run != nullptr) {
+    const bool recorded_only = task.run->phase == run_phase::kInherited;
+    // Members of a gang belong together, so the latest attempt is the one that goes on.
+    const bool later_attempt = terms.gang && task.run->number > run.number;
+    if (!recorded_only || later_attempt) {
+      if (!terms.speculative || task.copy != nullptr) return false;
+      task.copy = &run;
+      return true;
+    }
   }
   task.run = &run;
   if (task.phase == graph_task_phase::kActive) return true;
@@ -366,10 +381,11 @@
     job_entry* entry = run->job;
     const task_key key = run->key;
     const bool inherited = run->phase == run_phase::kInherited;
-    if (inherited || run->stopping == stop_cause::kUnknownStart) RememberUndelivered(*run, now);
+    const uint32_t number = run->number;
+    if (!run->seen) RememberUndelivered(*run, now);
     Release(*run, now);
     if (!inherited || entry == nullptr || IsFinal(entry->phase)) continue;
-    if (entry->job.steps[key.step].gang) BreakGang(*entry, key, stop_cause::kGangBroken, now);
+    if (entry->job.steps[key.step].gang) BreakGang(*entry, key, number, now);
   }
 }
 
@@ -423,7 +439,7 @@
       const stop_cause before = run->stopping;
       CheckRun(*run, commands, now);
       if (gang && before == stop_cause::kNone && run->stopping != stop_cause::kNone) {
-        BreakGang(*run->job, run->key, stop_cause::kGangBroken, now);
+        BreakGang(*run->job, run->key, run->number, now);
       }
     }
   }
@@ -472,7 +488,7 @@
   }
   const bool gang = step != nullptr && entry->job.steps[request.key.step].gang;
   Release(*run, now);
-  if (gang) BreakGang(*entry, request.key, stop_cause::kGangBroken, now);
+  if (gang) BreakGang(*entry, request.key, request.run, now);
 }
 
 void job_scheduler::OnStopAnswer(const stop_command& request, const command_answer& answer,
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -76,10 +76,7 @@
   run.started = now;
   run.progressed = now;
   task.last_run = number;
-  std::erase_if(task.open_runs, [&](const open_run& open) {
-    return open.may_arrive_until != monotonic_time{} && open.may_arrive_until < now;
-  });
-  task.open_runs.push_back({number, instance.report.id, {}});
+  RecordRun(task, number, instance.report.id);
   if (task.phase == graph_task_phase::kActive) {
     task.copy = &run;
   } else {
@@ -164,7 +161,7 @@
                        " result=not_sent", " stop=", std::string(ToText(run->stopping))));
       Release(*run, now);
       if (entry != nullptr && !IsFinal(entry->phase) && entry->job.steps[request.key.step].gang) {
-        BreakGang(*entry, request.key, stop_cause::kGangBroken, now);
+        BreakGang(*entry, request.key, request.run, now);
       }
       continue;
     }
@@ -202,9 +199,11 @@
           run.started = now;
           run.progressed = now;
           ++restored;
-          // The latest start is the one that is most likely at work.
-          if (task.run == nullptr || task.run->number < run.number) task.run = &run;
         }
+        // The latest start is the one that is most likely at work.
+        const std::vector<graph_run*> open = OpenRuns({entry.job.id, number, i, k});
+        if (!open.empty()) task.run = open.front();
+        if (open.size() > 1 && entry.job.steps[i].speculative) task.copy = open[1];
         if (task.run == nullptr) continue;
         task.phase = graph_task_phase::kActive;
         --step.waiting;
@@ -215,6 +214,35 @@
   return restored;
 }
 
+void job_scheduler::RecordRun(graph_task_state& task, uint32_t number,
+                              const std::string& instance) {
+  const auto known = std::find_if(
+      task.open_runs.begin(), task.open_runs.end(),
+      [&](const open_run& open) { return open.number == number && open.instance == instance; });
+  if (known == task.open_runs.end()) {
+    task.open_runs.push_back({number, instance, {}});
+  } else {
+    known->may_arrive_until = {};
+  }
+}
+
+// A record that outlives its start makes the next owner wait for an instance that has nothing to do
+// with the task.
+void job_scheduler::DropExpiredRecords(monotonic_time now) {
+  while (!expiring_records_.empty() && expiring_records_.front().at < now) {
+    const task_key key = std::move(expiring_records_.front().key);
+    expiring_records_.pop_front();
+    const auto found = jobs_.find(key.job);
+    step_progress* step = found == jobs_.end() ? nullptr : found->second->Find(key);
+    if (step == nullptr || IsFinal(found->second->phase)) continue;
+    const size_t erased =
+        std::erase_if(step->tasks[key.index].open_runs, [&](const open_run& open) {
+          return open.may_arrive_until != monotonic_time{} && open.may_arrive_until < now;
+        });
+    if (erased > 0) MarkChanged(*found->second);
+  }
+}
+
 // The run has ended and need not be looked for, unless its start may still reach the next
 // incarnation of the instance.
 void job_scheduler::CloseRun(const graph_run& run, monotonic_time now) {
@@ -225,9 +253,12 @@
     return each.number == run.number && each.instance == run.instance->report.id;
   });
   if (found == open.end()) return;
-  const bool unanswered = !run.seen && run.stopping == stop_cause::kUnknownStart;
+  // The latter are those of an earlier owner, which this owner's listing has fenced off.
+  const bool sent = run.phase != run_phase::kPlanned && run.phase != run_phase::kInherited;
+  const bool unanswered = !run.seen && sent && run.stopping != stop_cause::kNone;
   if (unanswered && now < run.started + kMaxCommandDelay) {
     found->may_arrive_until = run.started + kMaxCommandDelay;
+    expiring_records_.push_back({found->may_arrive_until, run.key});
     return;
   }
   open.erase(found);
--- a/test/late_starts_test.cc
+++ b/test/late_starts_test.cc
@@ -29,12 +29,14 @@
     owner.OnJob(Job(1, {Tasks(1, 1000, seconds(60))}), "", false, wall_time{}, now);
     auto starts = owner.Decide(wall_time{}, now).starts;
     owner.OnStored(owner.TakeUnstored(10));
-    for (start_command& start : owner.TakeStarts(now)) starts.push_back(std::move(start));
+    for (start_command& sent : owner.TakeStarts(now)) starts.push_back(std::move(sent));
     REQUIRE(starts.size() == 1);
     start = starts.front();
-    now += milliseconds(800);
+    now += milliseconds(100);
     owner.OnStartAnswer(start, {command_result::kUnknown, {}}, now);
   }
+  // Long enough for the start to count as unanswered.
+  void WaitForTimeout() { now += milliseconds(700); }
 
   // A listing of the incarnation that shows no run.
   void List(int64_t incarnation, monotonic_time sent) {
@@ -63,6 +65,7 @@
 // says nothing of the next one, where the start may still arrive.
 TEST_CASE_METHOD(unanswered_start_fixture,
                  "job scheduler, start stopped, instance restarts, stops it there again") {
+  WaitForTimeout();
   const std::vector<stop_command> stops = Stops();
   REQUIRE(stops.size() == 1);
   owner.OnStopAnswer(stops.front(), {command_result::kDone, 5000}, now);
@@ -75,6 +78,7 @@
 
 TEST_CASE_METHOD(unanswered_start_fixture,
                  "job scheduler, instance restarts, earlier stop answered, task waits") {
+  WaitForTimeout();
   const std::vector<stop_command> stops = Stops();
   REQUIRE(stops.size() == 1);
   Restart();
@@ -85,6 +89,38 @@
   CHECK_FALSE(owner.StartsPlanned());
 }
 
+// Guards against a run of a cancelled job: its start was stopped for the cancelling before it
+// counted as unanswered.
+TEST_CASE_METHOD(
+    unanswered_start_fixture,
+    "job scheduler, start of cancelled job stopped, instance restarts, stops it again") {
+  owner.OnCancel(JobId(1), now);
+  const std::vector<stop_command> stops = Stops();
+  REQUIRE(stops.size() == 1);
+  owner.OnStopAnswer(stops.front(), {command_result::kDone, 5000}, now);
+  now += milliseconds(10);
+  List(1, now);
+  REQUIRE(owner.RunCount() == 0);
+  Restart();
+  List(2, now);
+  CHECK(StopsInNextIncarnation());
+}
+
+// Guards against a task that waits for a run which ended with its incarnation.
+TEST_CASE_METHOD(unanswered_start_fixture,
+                 "job scheduler, run at work is being stopped, instance restarts, frees its task") {
+  owner.OnStartAnswer(start, {command_result::kDone, 5000}, now);
+  owner.OnCancel(JobId(1), now);
+  const std::vector<stop_command> stops = Stops();
+  REQUIRE(stops.size() == 1);
+  owner.OnStopAnswer(stops.front(), {command_result::kDone, 5000}, now);
+  now += milliseconds(10);
+  Restart();
+  now += milliseconds(10);
+  List(2, now);
+  CHECK(owner.RunCount() == 0);
+}
+
 // Guards against a run that begins after its task was given up with the instance's lease and
 // started elsewhere.
 TEST_CASE_METHOD(
