Judge a run's progress by listings, not by the time since the last one

Cause: a run was stalled after 2.5 s and more without progress, and progress is known from listings only. An owner that lists late took its own lateness for the runs'.

Change: the time without progress ends with the request of the latest listing. Before: the new test fails (2 of its assertions); after: passes.

--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -413,8 +413,10 @@
   }
   const bool works = run.phase == run_phase::kRunning && run.stopping == stop_cause::kNone &&
                      run.job != nullptr && run.speed_percent == 100;
-  // Most runs made progress recently, so their expected time need not be computed.
-  const bool progress_overdue = now - run.progressed > kMinStallTime;
+  // Progress is known from listings only, so that the time since the latest one says nothing of the
+  // run. Most runs made progress recently, and their expected time need not be computed.
+  const auto without_progress = run.instance->listing_sent - run.progressed;
+  const bool progress_overdue = without_progress > kMinStallTime;
   if (works && progress_overdue && !run.job->job.steps[run.key.step].long_running &&
       run.instance->Reachable()) {
     const step_progress* step = run.job->Find(run.key);
@@ -423,7 +425,7 @@
     const auto timeout =
         std::max(kMinStallTime, milliseconds(static_cast<int64_t>(
                                     kStallFactor * static_cast<double>(expected.count()) / 100)));
-    if (now - run.progressed > timeout) RequestStop(run, stop_cause::kStalled, now);
+    if (without_progress > timeout) RequestStop(run, stop_cause::kStalled, now);
   }
   // A start that was never sent needs no stop: TakeStarts() withdraws it.
   if (run.stopping == stop_cause::kNone || run.phase == run_phase::kPlanned) return;
--- a/test/recorded_runs_test.cc
+++ b/test/recorded_runs_test.cc
@@ -232,5 +232,30 @@
   CHECK(later.find(run) == std::string::npos);
 }
 
+// Guards against sound runs that are stopped for want of progress because their owner was late to
+// list their instances.
+TEST_CASE("job scheduler, no listing for seconds, stops no run for want of progress") {
+  monotonic_time now{seconds(100)};
+  job_scheduler owner(scheduler_options{}, 1, monotonic_time{});
+  instance_report report;
+  report.id = "instance";
+  report.service = "service";
+  report.capacity = kSmallInstance;
+  owner.OnRegistry({report}, now);
+  const list_command list{{"instance", "", 0}, {}, 0, {}};
+  owner.OnListing(list, {5000, 0, {}, {}}, now, now);
+  owner.OnFleetStored({report});
+  owner.OnJob(Job(1, {Tasks(1, 1000, milliseconds(300))}), "", false, wall_time{}, now);
+  owner.Decide(wall_time{}, now);
+  owner.OnStored(owner.TakeUnstored(10));
+  const start_command start = owner.TakeStarts(now).at(0);
+  owner.OnStartAnswer(start, {command_result::kDone, 5000}, now);
+  owner.OnListing(list, {5010, 0, {{start.key, 1, "", 10, 0}}, {}}, now, now);
+  now += seconds(3);
+  CHECK(owner.Decide(wall_time{}, now).stops.empty());
+  owner.OnListing(list, {8010, 0, {{start.key, 1, "", 10, 0}}, {}}, now, now);
+  CHECK(owner.Decide(wall_time{}, now).stops.size() == 1);
+}
+
 }  // namespace
 }  // namespace catkinford
