--- a/src/process/site/advice_dispatcher.cc
+++ b/src/process/site/advice_dispatcher.cc
@@ -42,24 +42,20 @@
   const bool overdue = !slow_.empty() && now - slow_.front().since >= kOverdue;
   const bool reserve = !overdue || now - last_urgent_ < kUrgentPause;
   const size_t reserved = reserve ? entries_.size() / kEntriesPerReserved : 0;
-  std::deque<waiting_query>* queue = nullptr;
-  if (overdue && now - last_slow_ >= kMaxSlowInterval) {
-    queue = &slow_;
-  } else if (!urgent_.empty()) {
-    queue = &urgent_;
-  } else if (!slow_.empty() && free_entries > reserved) {
-    queue = &slow_;
-  }
-  if (queue == nullptr) return std::nullopt;
-  if (queue == &slow_) last_slow_ = now;
+  const bool slow_turn = overdue && now - last_slow_ >= kMaxSlowInterval;
+  const bool slow_next =
+      slow_turn || (!slow_.empty() && urgent_.empty() && free_entries > reserved);
+  if (!slow_next && urgent_.empty()) return std::nullopt;
+  if (slow_next) last_slow_ = now;
+  std::deque<waiting_query>& queue = slow_next ? slow_ : urgent_;
   for (const auto& [name, listed] : entries_) {
     bool& busy = busy_[name];
     if (busy) continue;
     busy = true;
-    waiting_query& first = queue->front();
+    waiting_query& first = queue.front();
     dispatched_query out{std::move(first.query), name,
                          std::chrono::duration_cast<std::chrono::milliseconds>(now - first.since)};
-    queue->pop_front();
+    queue.pop_front();
     return out;
   }
   return std::nullopt;
