Log where the time of a completed job goes, stage by stage

A late job's line said by how much it was late and nothing of where. To find that, 610, 620, 628, 622 and 624 of one job had to be laid side by side, and most of these are details, which a busy owner leaves out first.

621 of a completed job now has the time in each stage of its longest chain of steps, by the run that ended each step last: known, advice, place, retry, record, start, run; beside them estimate_ms=, lost_runs=, failed_runs= and priority=. retry is the time from the first start of that task to the start that counted, so that lost and failed runs do not hide in place. 629 has the jobs that its change completed and the longest wait of one for its final phase. catkinford_site_stage_seconds has all stages by priority.

The type (job_stages) is pure. A job costs one more sum for each step that ends and seven numbers in a line that was written before; the metric keeps its histograms by priority and looks up no labels. Failed and cancelled jobs have no stages.

--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -68,6 +68,7 @@
   bool seen = false;            // shown by an answer or a listing
   bool stop_confirmed = false;  // the instance answered the stop
   bool stop_in_flight = false;
+  monotonic_time decided{};            // when the start was decided on
   monotonic_time started{};            // when the start was sent
   monotonic_time confirmed{};          // when the run was first known to be running
   monotonic_time stop_requested_at{};  // when the first stop was requested
--- a/src/process/scheduling/graph_state.h
+++ b/src/process/scheduling/graph_state.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "process/scheduling/job_stages.h"
 #include "request/job_request.h"
 #include "request/step_graph.h"
 
@@ -58,6 +59,8 @@
   graph_run* run = nullptr;   // the run that holds the task; a copy may run beside it
   graph_run* copy = nullptr;  // a second run of a speculative task
   monotonic_time waiting_since{};
+  monotonic_time first_decided{};  // its first start by this owner
+  uint32_t starts = 0;             // decided on by this owner, copies not counted
 };
 
 // A policy's verdict on one instance for a step. The verdict never changes; the ticket expires, and
@@ -73,6 +76,7 @@
   std::vector<advice_verdict> verdicts;  // by ordinal, ascending
   bool in_flight = false;
   uint32_t failed_queries = 0;  // consecutive
+  monotonic_time first_allowed{};
   monotonic_time next_query{};
 
   // Returns null if the policy was never asked about the instance.
@@ -102,6 +106,7 @@
   // Reservations for the step's waiting tasks; valid in the round `reserved_round` only.
   std::vector<capacity_reservation> reserved;
   uint64_t reserved_round = 0;
+  job_stage_times stages;  // of the chain of steps that ends with this one; empty until it is done
   absl::flat_hash_map<const fleet_instance*, uint32_t> placed;  // tasks that occupy capacity there
 
   bool Done() const { return done == tasks.size(); }
@@ -131,10 +136,12 @@
   uint64_t stored = 0;             // the last change that the store has
   uint64_t unrecorded = 0;  // the last change whose starts may have been sent before it was stored
   uint64_t being_stored = 0;   // the change that is being written
+  uint64_t final_change = 0;   // the change that ended the job
   monotonic_time objective{};  // counts as late after this; an estimate
   monotonic_time accepted_at{};
   monotonic_time arrived{};
   monotonic_time finished_at{};
+  job_stage_times stages;  // of the steps that ended it last; empty unless it is completed
 
   bool AllDone() const;
   // The phase that may be reported: a final phase only once it is stored.
--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -204,6 +204,7 @@
   entry.phase = phase;
   entry.finished_at = now;
   MarkChanged(entry);
+  entry.final_change = entry.change;
   active_.erase(std::remove(active_.begin(), active_.end(), &entry), active_.end());
   final_.push_back(entry.job.id);
   if (phase != graph_phase::kCompleted) {
@@ -213,10 +214,13 @@
       StopRuns(entry, *occurrence, cause, now);
     }
   }
+  const bool completed = phase == graph_phase::kCompleted;
   LogEvent(scheduler_event::kind::kJobFinal, entry.job.id,
            absl::StrCat("phase=", std::string(ToText(phase)),
                         " ms=", duration_cast<milliseconds>(now - entry.arrived).count(),
-                        " late_ms=", duration_cast<milliseconds>(now - entry.objective).count()));
+                        " late_ms=", duration_cast<milliseconds>(now - entry.objective).count(),
+                        " priority=", TermsOf(entry).priority, completed ? " " : "",
+                        completed ? entry.stages.ToFields() : std::string()));
 }
 
 void job_scheduler::OnCancel(const std::string& job, monotonic_time now) {
@@ -259,6 +263,19 @@
   }
 }
 
+std::vector<completed_job> job_scheduler::CompletedBy(const std::vector<job_progress_write>& writes,
+                                                      monotonic_time now) const {
+  std::vector<completed_job> out;
+  for (const job_progress_write& write : writes) {
+    const job_entry* entry = Find(write.job);
+    if (entry == nullptr || entry->phase != graph_phase::kCompleted) continue;
+    if (entry->stored >= entry->final_change || write.change < entry->final_change) continue;
+    out.push_back({TermsOf(*entry).priority, entry->stages});
+    out.back().stages.Add(job_stage::kFinal, now - entry->finished_at);
+  }
+  return out;
+}
+
 bool job_scheduler::HoldsRuns(const job_entry& entry) const {
   return std::any_of(instances_.begin(), instances_.end(), [&](const auto& item) {
     return std::any_of(item.second->runs.begin(), item.second->runs.end(),
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -23,6 +23,7 @@
 #include "process/scheduling/fleet_state.h"
 #include "process/scheduling/graph_state.h"
 #include "process/scheduling/job_order.h"
+#include "process/scheduling/job_stages.h"
 #include "process/scheduling/listing_wait.h"
 #include "process/scheduling/run_times.h"
 #include "process/scheduling/scheduler_messages.h"
@@ -97,6 +98,9 @@
   // The returned writes count as in progress until OnStored() or OnNotStored() is called with them.
   std::vector<job_progress_write> TakeUnstored(size_t most, size_t bytes = SIZE_MAX);
   void OnStored(const std::vector<job_progress_write>& writes);
+  // The completed jobs whose final phase the writes are the first to store, as of `now`.
+  std::vector<completed_job> CompletedBy(const std::vector<job_progress_write>& writes,
+                                         monotonic_time now) const;
   void OnNotStored(const std::vector<job_progress_write>& writes);
   // Forgets jobs that ended more than `keep_final` ago and returns their ids; their records may be
   // deleted.
@@ -191,7 +195,13 @@
   // The run is proved to have ended or never to begin: frees its capacity; its task may start
   // elsewhere.
   void Release(graph_run& run, monotonic_time now);
-  void OnTaskDone(job_entry& entry, const task_key& key, monotonic_time now);
+  static task_times TimesOf(const step_progress& step, const task_key& key, const graph_run* run,
+                            monotonic_time now);
+  // `times`: of the task that ended the step.
+  static void EndStep(const job_entry& entry, occurrence_state& occurrence, uint32_t index,
+                      task_times times);
+  void OnTaskDone(job_entry& entry, const task_key& key, const task_times& times,
+                  monotonic_time now);
   void OnTaskFailed(job_entry& entry, const task_key& key, uint32_t run, fleet_instance& at,
                     monotonic_time now);
   void HandleEnd(fleet_instance& instance, const ended_row& row, monotonic_time now);
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -330,6 +330,7 @@
     const fleet_instance& instance = *found_instance->second;
     advice_verdict& verdict = step->advice.MakeVerdict(instance.ordinal);
     verdict.allowed = true;
+    if (step->advice.first_allowed == monotonic_time{}) step->advice.first_allowed = now;
     verdict.ticket = ticket;
     verdict.incarnation = instance.report.incarnation;
     verdict.expires = now + valid;
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -159,7 +159,43 @@
   }
 }
 
-void job_scheduler::OnTaskDone(job_entry& entry, const task_key& key, monotonic_time now) {
+task_times job_scheduler::TimesOf(const step_progress& step, const task_key& key,
+                                  const graph_run* run, monotonic_time now) {
+  const graph_task_state& task = step.tasks[key.index];
+  // The failures of a gang are kept with its step.
+  const size_t failures = task.failed_runs.size() + step.gang_failed_runs.size();
+  const auto failed = static_cast<uint32_t>(failures);
+  task_times times;
+  times.ready = step.ready_at;
+  times.allowed = step.advice.first_allowed;
+  times.first_decided = task.first_decided;
+  times.ended = now;
+  times.failed_runs = failed;
+  times.lost_runs = task.starts > failed ? task.starts - failed - 1 : 0;
+  if (run == nullptr) return times;
+  times.decided = run->decided;
+  times.sent = run->started;
+  times.confirmed = run->confirmed;
+  return times;
+}
+
+// The chain continues the longest one before the step: that of the step that made it ready.
+void job_scheduler::EndStep(const job_entry& entry, occurrence_state& occurrence, uint32_t index,
+                            task_times times) {
+  const step_spec& terms = entry.job.steps[index];
+  job_stage_times chain;
+  chain.Add(job_stage::kKnown, entry.arrived - std::min(entry.accepted_at, entry.arrived));
+  for (const uint32_t earlier : terms.after) {
+    const job_stage_times& before = occurrence.steps[earlier].stages;
+    if (before.Ended() > chain.Ended()) chain = before;
+  }
+  times.estimate = terms.estimate;
+  chain.AddStep(times);
+  occurrence.steps[index].stages = chain;
+}
+
+void job_scheduler::OnTaskDone(job_entry& entry, const task_key& key, const task_times& times,
+                               monotonic_time now) {
   step_progress* step = entry.Find(key);
   if (step == nullptr) return;
   const bool gang = entry.job.steps[key.step].gang;
@@ -176,13 +212,17 @@
   }
   MarkChanged(entry);
   if (!step->Done()) return;
-  RefreshReady(entry, now);
   const auto occurrence = entry.occurrences.find(key.occurrence);
+  EndStep(entry, *occurrence->second, key.step, times);
+  RefreshReady(entry, now);
   if (!occurrence->second->Done()) return;
   // Runs that still exist refer to the occurrence: they are stopped as stray runs.
   StopRuns(entry, *occurrence->second, stop_cause::kCopyLost, now);
+  const job_stage_times stages = step->stages;
   FinishOccurrence(entry, key.occurrence);
-  if (entry.AllDone()) Finish(entry, graph_phase::kCompleted, now);
+  if (!entry.AllDone()) return;
+  entry.stages = stages;
+  Finish(entry, graph_phase::kCompleted, now);
 }
 
 void job_scheduler::OnTaskFailed(job_entry& entry, const task_key& key, uint32_t run,
@@ -233,10 +273,12 @@
     instance.faults = 0;
     LearnRun(*entry, *step, *run, now);
   }
+  task_times times;
+  if (step != nullptr) times = TimesOf(*step, row.key, run, now);
   if (run != nullptr) Release(*run, now);
   if (entry != nullptr && !IsFinal(entry->phase) && step != nullptr) {
     if (row.how == run_end::kDone) {
-      OnTaskDone(*entry, row.key, now);
+      OnTaskDone(*entry, row.key, times, now);
     } else {
       if (row.how == run_end::kFailed) OnTaskFailed(*entry, row.key, row.run, instance, now);
       if (!IsFinal(entry->phase) && !row.checkpoint.empty()) MarkChanged(*entry);
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -56,8 +56,10 @@
   if (instance.ordinal < forecasts_.size() && forecasts_[instance.ordinal] != nullptr) {
     forecasts_[instance.ordinal]->Start(run.capacity, ExpectedRelease(ready, now));
   }
+  run.decided = now;
   run.started = now;
   run.progressed = now;
+  if (task.first_decided == monotonic_time{}) task.first_decided = now;
   task.last_run = number;
   std::erase_if(task.open_runs, [&](const open_run& open) {
     return open.may_arrive_until != monotonic_time{} && open.may_arrive_until < now;
@@ -68,6 +70,7 @@
   } else {
     task.run = &run;
     task.phase = graph_task_phase::kActive;
+    ++task.starts;
     --step.waiting;
     ++step.active;
   }
--- a/src/process/site/site_log.cc
+++ b/src/process/site/site_log.cc
@@ -45,7 +45,9 @@
     site_event_info{
         kJobAdded, kDetail, "job_added",
         "The owner has loaded the job; recorded_runs= runs of earlier owners that may exist."},
-    site_event_info{kJobEnded, kInfo, "job_ended", "The job reached a final phase."},
+    site_event_info{kJobEnded, kInfo, "job_ended",
+                    "The job reached a final phase; if completed, the time in each stage of its "
+                    "longest chain."},
     site_event_info{kTaskStart, kDetail, "task_start", "A start was sent."},
     site_event_info{kTaskRefused, kInfo, "task_refused", "A start was rejected or got no answer."},
     site_event_info{kTaskEnd, kDetail, "task_end", "An instance reported the end of a run."},
@@ -61,7 +63,7 @@
     site_event_info{kAdviceAsked, kDetail, "advice_asked",
                     "An advice query was answered: which entry sent it and how long it took."},
     site_event_info{kProgressStored, kDetail, "progress_stored",
-                    "Ends of runs were stored; instances may discard them."},
+                    "Ends of runs were stored; completed= jobs by it, final_ms= the longest wait."},
     site_event_info{kInstanceJoined, kDetail, "instance_joined",
                     "The instance appeared in the registry."},
     site_event_info{kInstanceReborn, kInfo, "instance_reborn",
--- a/src/process/site/site_metrics.cc
+++ b/src/process/site/site_metrics.cc
@@ -14,6 +14,7 @@
 // Seconds. An answer takes a few calls to the store of some milliseconds each.
 const Histogram::BucketBoundaries kAnswerBounds = {0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
                                                    0.25,  0.5,   1,    2,    5};
+const Histogram::BucketBoundaries kStageBounds = {0.01, 0.03, 0.1, 0.25, 0.5, 1, 2, 5, 15};
 const Histogram::BucketBoundaries kDecideBounds = {0.0001, 0.0005, 0.001, 0.002, 0.005, 0.02, 0.1};
 
 prometheus::Family<Counter>& Counters(prometheus::Registry& registry, const char* name,
@@ -46,6 +47,10 @@
                           .Name("catkinford_site_answer_seconds")
                           .Help("Time from the arrival of a call to its answer.")
                           .Register(registry_)),
+      stage_seconds_(prometheus::BuildHistogram()
+                         .Name("catkinford_site_stage_seconds")
+                         .Help("Time that a completed job spent in a stage, by stage and priority.")
+                         .Register(registry_)),
       decide_seconds(prometheus::BuildHistogram()
                          .Name("catkinford_site_decide_seconds")
                          .Help("Duration of one decision round of the owner.")
@@ -97,6 +102,20 @@
   run_ends_.Add({{"how", how}}).Increment();
 }
 
+void site_metrics::CountCompletedJob(const completed_job& job) {
+  const auto [found, added] = stages_of_priority_.try_emplace(job.priority);
+  for (size_t i = 0; i < kJobStages; ++i) {
+    const auto stage = static_cast<job_stage>(i);
+    Histogram*& histogram = found->second[i];
+    if (added) {
+      histogram = &stage_seconds_.Add(
+          {{"stage", std::string(ToText(stage))}, {"priority", std::to_string(job.priority)}},
+          kStageBounds);
+    }
+    histogram->Observe(std::chrono::duration<double>(job.stages.Of(stage)).count());
+  }
+}
+
 void site_metrics::CountVersionRead(const std::string& source, const std::string& outcome) {
   version_reads_.Add({{"source", source}, {"outcome", outcome}}).Increment();
 }
--- a/src/process/site/site_metrics.h
+++ b/src/process/site/site_metrics.h
@@ -8,10 +8,13 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <array>
 #include <chrono>
+#include <map>
 #include <string>
 
 #include "connection/traffic_counter.h"
+#include "process/scheduling/job_stages.h"
 
 namespace catkinford {
 
@@ -26,6 +29,7 @@
   void CountStoreCall(const std::string& call, const std::string& outcome);
   void CountCommand(const std::string& command, const std::string& outcome);
   void CountRunEnd(const std::string& how);
+  void CountCompletedJob(const completed_job& job);
   // `source`: store, watch or peer; `outcome`: done, refused, absent, history_gone or
   // broken_off.
   void CountVersionRead(const std::string& source, const std::string& outcome);
@@ -43,6 +47,9 @@
   prometheus::Family<prometheus::Counter>& link_bytes_;
   prometheus::Family<prometheus::Counter>& call_faults_;
   prometheus::Family<prometheus::Histogram>& answer_seconds_;
+  prometheus::Family<prometheus::Histogram>& stage_seconds_;
+  // By priority. A look-up by labels compares and copies strings, for each stage of each job.
+  std::map<int, std::array<prometheus::Histogram*, kJobStages>> stages_of_priority_;
 
  public:
   prometheus::Histogram& decide_seconds;    // one decision round of the owner
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -628,12 +628,15 @@
     if (reply.status == store_status::kDone) {
       commit_revision_ = reply.revision;
       OnRecordModeStored(MillisSince(sent, now), now);
+      const std::vector<completed_job> completed = scheduler_.CompletedBy(writes, now);
+      for (const completed_job& job : completed) metrics_.CountCompletedJob(job);
       scheduler_.OnStored(writes);
       if (fleet) scheduler_.OnFleetStored(*fleet);
       log_.Write(
           site_event::kProgressStored, now,
           absl::StrCat("jobs=", writes.size(), " revision=", reply.revision, " ms=",
-                       std::chrono::duration_cast<std::chrono::milliseconds>(now - sent).count()));
+                       std::chrono::duration_cast<std::chrono::milliseconds>(now - sent).count(),
+                       " completed=", completed.size(), " final_ms=", LongestFinal(completed)));
       SendRecordedStarts(now);
       ScheduleDecision();
       return Commit();
@@ -652,6 +655,16 @@
     }
   }
 
+  // The longest time, in milliseconds, that a completed job waited for its final phase to be
+  // stored.
+  static int64_t LongestFinal(const std::vector<completed_job>& completed) {
+    int64_t longest = 0;
+    for (const completed_job& job : completed) {
+      longest = std::max(longest, job.stages.Of(job_stage::kFinal).count());
+    }
+    return longest;
+  }
+
   void ApplyRecordMode(monotonic_time now) {
     const bool store_down = hooks_.store_down_for_all(now);
     scheduler_.SetUnrecordedStarts(!record_mode_.StartsAwaitRecords() || store_down);
