--- a/bench/site_load.cc
+++ b/bench/site_load.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <string_view>
 
 #include "bench/commands.h"
 #include "bench/flags.h"
@@ -14,6 +15,7 @@
 ABSL_FLAG(double, site_burst, 1, "times the usual of the quick queue, from 10 s to 14 s");
 ABSL_FLAG(double, site_plan_burst, 1, "times the usual of the large queue, from 20 s to 24 s");
 ABSL_FLAG(uint32_t, site_seconds, 40, "simulated seconds");
+ABSL_FLAG(bool, site_full, false, "cheap policies, short urgent steps and a nearly full site");
 
 namespace catkinford {
 namespace {
@@ -35,6 +37,14 @@
 constexpr std::array<double, 3> kSpeeds = {0.8, 1.0, 1.25};
 constexpr double kTaskFails = 0.01;
 
+// FNV-1a, alike on every machine.
+uint64_t Mix(uint64_t hash, std::string_view text) {
+  for (const char each : text) {
+    hash = (hash ^ static_cast<unsigned char>(each)) * uint64_t{0x100000001b3};
+  }
+  return hash;
+}
+
 }  // namespace
 
 std::vector<site_queue> LargeSiteMix() {
@@ -86,6 +96,31 @@
   return {quick, plan, lasting};
 }
 
+std::vector<site_queue> FullSiteMix() {
+  constexpr double kPart = 350.0 / 1100;  // the rates below are those of 1,100 instances
+  std::vector<site_queue> queues = LargeSiteMix();
+  const advice_timing advice{milliseconds{25}, std::chrono::microseconds{350}, milliseconds{2500}};
+  site_queue& urgent = queues[0];
+  urgent.jobs_per_second = 57 * kPart;
+  urgent.steps = 1;
+  urgent.width = 13;
+  urgent.cpu_milli = 4000;
+  urgent.run = milliseconds{640};
+  urgent.advice = advice;
+  site_queue& batch = queues[1];
+  batch.jobs_per_second = 6.6 * kPart;
+  batch.steps = 1;
+  batch.width = 41;
+  batch.cpu_milli = 4000;
+  batch.advice = advice;
+  site_queue& service = queues[2];
+  service.jobs_per_second = 3.5 * kPart;
+  service.cpu_milli = 4000;
+  service.advice = advice;
+  service.at_start = 50;
+  return queues;
+}
+
 site_load::site_load(const site_load_options& options, std::vector<site_queue> queues)
     : options_(options), queues_(std::move(queues)), random_(options.seed) {
   results_.resize(queues_.size());
@@ -234,6 +269,7 @@
 
 void site_load::Decide() {
   scheduler_commands orders = Timed("decide", [&] { return scheduler_->Decide(Wall(), Mono()); });
+  HashCommands(orders);
   scheduler_->TakeEvents();
   for (const start_command& order : orders.starts) Start(order);
   for (const stop_command& order : orders.stops) Stop(order);
@@ -243,7 +279,34 @@
   Commit();
 }
 
+void site_load::HashTarget(char kind, const command_target& to) {
+  command_hash_ =
+      Mix(command_hash_, absl::StrCat(std::string(1, kind), now_.count(), " ", to.instance));
+}
+
+void site_load::HashRun(char kind, const command_target& to, const task_key& key, uint32_t run) {
+  HashTarget(kind, to);
+  command_hash_ = Mix(command_hash_, absl::StrCat(key.job, ".", key.occurrence, ".", key.step, ".",
+                                                  key.index, ".", run));
+}
+
+void site_load::HashCommands(const scheduler_commands& orders) {
+  for (const stop_command& order : orders.stops) HashRun('x', order.to, order.key, order.run);
+  for (const list_command& order : orders.listings) {
+    HashTarget('l', order.to);
+    command_hash_ =
+        Mix(command_hash_, absl::StrCat(order.lease_until_ms.value_or(0), " ", order.ends_seen, " ",
+                                        order.wait.count(), " ", order.check));
+  }
+  for (const advice_query& order : orders.advice) {
+    command_hash_ = Mix(command_hash_, absl::StrCat("a", order.job, ".", order.step));
+    for (const std::string& id : order.instances) command_hash_ = Mix(command_hash_, id);
+  }
+}
+
 void site_load::Start(const start_command& order) {
+  HashRun('s', order.to, order.key, order.run);
+  command_hash_ = Mix(command_hash_, absl::StrCat(order.lease_until_ms, order.ticket));
   ++starts_;
   At(now_ + kLink, [this, order] {
     live_instance& instance = instances_[order.to.instance];
@@ -451,7 +514,7 @@
   options.burst = absl::GetFlag(FLAGS_site_burst);
   options.plan_burst = absl::GetFlag(FLAGS_site_plan_burst);
   options.length = std::chrono::seconds(absl::GetFlag(FLAGS_site_seconds));
-  std::vector<site_queue> queues = LargeSiteMix();
+  std::vector<site_queue> queues = absl::GetFlag(FLAGS_site_full) ? FullSiteMix() : LargeSiteMix();
   const double part = options.instances / 350.0;
   for (site_queue& queue : queues) {
     queue.jobs_per_second *= part;
@@ -483,8 +546,9 @@
     std::printf("%-8s %5u jobs  %5u in time  %5u late  worth %.3f\n", queues[i].name.c_str(),
                 result.jobs, result.in_time, result.late, result.earned / result.owed);
   }
-  std::printf("worth %.3f  capacity %.0f cores  signature %u %u\n", earned / owed,
-              load.CapacityCores(), load.Results()[0].in_time, load.Results()[1].in_time);
+  std::printf("worth %.3f  capacity %.0f cores  signature %u %u  commands %016llx\n", earned / owed,
+              load.CapacityCores(), load.Results()[0].in_time, load.Results()[1].in_time,
+              static_cast<unsigned long long>(load.CommandHash()));
   return 0;
 }
 
--- a/bench/site_load.h
+++ b/bench/site_load.h
@@ -72,6 +72,8 @@
   const std::vector<site_queue_result>& Results() const { return results_; }
   uint64_t Listings() const { return listings_; }
   uint64_t Starts() const { return starts_; }
+  // Hash of all commands, in order: equal for equal decisions.
+  uint64_t CommandHash() const { return command_hash_; }
   double Thrown() const { return thrown_; }  // core-seconds of work that was stopped and not saved
   double CapacityCores() const;
 
@@ -115,6 +117,9 @@
   void Submit(size_t queue);
   void Soon();
   void Decide();
+  void HashTarget(char kind, const command_target& to);
+  void HashRun(char kind, const command_target& to, const task_key& key, uint32_t run);
+  void HashCommands(const scheduler_commands& orders);
   void Start(const start_command& order);
   void Stop(const stop_command& order);
   void List(const list_command& order);
@@ -139,12 +144,16 @@
   std::vector<site_queue_result> results_;
   uint64_t listings_ = 0;
   uint64_t starts_ = 0;
+  uint64_t command_hash_ = 0xcbf29ce484222325;
   double thrown_ = 0;
   uint32_t next_job_ = 0;
 };
 
 // The mix of a large site: about four fifths of what its instances hold.
 std::vector<site_queue> LargeSiteMix();
+// Short urgent steps and wide batch steps beside services that leave them little room; for 350
+// instances, like the above.
+std::vector<site_queue> FullSiteMix();
 
 }  // namespace catkinford
 
