Policy queries: scan flat copies, and stop where no processors are left

Cause: for each of up to 64 steps a round, two scans of all instances looked up each in the step's verdicts by binary search and read the instance itself; all instances were stably sorted each round, also when no step waited. Now the verdicts' instances are marked by ordinal once a step, the scans read a flat copy sorted by free processors, end at the first with too few, and begin only if a step waits. All of it lives for one round.

--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -294,10 +294,18 @@
   struct unclaimed_capacity {
     const fleet_instance* instance;
     resources unclaimed;  // not claimed by an earlier step of the round
+    // Copied from the instance: most scans read nothing else of it.
+    uint32_t ordinal;
+    uint32_t service;
+    uint32_t free_cpu_milli;  // at the beginning of the round; not less than unclaimed
   };
   struct advice_round {
-    std::vector<unclaimed_capacity> capacities;  // largest first
-    std::vector<uint32_t> rank;  // by ordinal: 1 + index in `capacities`, 0 if absent
+    std::vector<unclaimed_capacity> capacities;  // by `free_cpu_milli`, largest first
+    std::vector<uint32_t> rank;        // by ordinal: 1 + index in `capacities`, 0 if absent
+    std::vector<uint32_t> judged_for;  // by ordinal: the last step with a verdict on the instance
+    uint32_t step = 0;                 // the current one, from 1
+
+    bool Judged(uint32_t ordinal) const { return judged_for[ordinal] == step; }
   };
   struct advice_option {
     unclaimed_capacity* capacity;
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -34,6 +34,11 @@
   return tasks;
 }
 
+bool Covers(const resources& free, const resources& capacity) {
+  return capacity.cpu_milli <= free.cpu_milli && capacity.memory_mb <= free.memory_mb &&
+         capacity.accelerators <= free.accelerators;
+}
+
 resources CapacityOf(const step_spec& terms) {
   resources capacity = terms.need;
   if (terms.fills) capacity.cpu_milli = 0;
@@ -60,17 +65,25 @@
 }
 
 job_scheduler::advice_round job_scheduler::BeginAdvice(monotonic_time now) const {
-  advice_round round;
-  round.rank.resize(last_ordinal_ + 1);
+  std::vector<const fleet_instance*> accepting;
+  std::vector<uint64_t> order;  // free processors, inverted, then the position
   for (const auto& [id, instance] : instances_) {
-    if (AcceptsWork(*instance, now)) round.capacities.push_back({instance.get(), instance->Free()});
+    if (!AcceptsWork(*instance, now)) continue;
+    const uint64_t used_up = UINT32_MAX - instance->Free().cpu_milli;
+    order.push_back(used_up << 32 | accepting.size());
+    accepting.push_back(instance.get());
   }
-  std::stable_sort(round.capacities.begin(), round.capacities.end(),
-                   [](const unclaimed_capacity& a, const unclaimed_capacity& b) {
-                     return a.unclaimed.cpu_milli > b.unclaimed.cpu_milli;
-                   });
-  for (size_t i = 0; i < round.capacities.size(); ++i) {
-    round.rank[round.capacities[i].instance->ordinal] = static_cast<uint32_t>(i + 1);
+  std::sort(order.begin(), order.end());
+  advice_round round;
+  round.rank.resize(last_ordinal_ + 1);
+  round.judged_for.resize(last_ordinal_ + 1);
+  round.capacities.reserve(order.size());
+  for (const uint64_t key : order) {
+    const fleet_instance& instance = *accepting[key & UINT32_MAX];
+    const resources free = instance.Free();
+    round.capacities.push_back(
+        {&instance, free, instance.ordinal, instance.service, free.cpu_milli});
+    round.rank[instance.ordinal] = static_cast<uint32_t>(round.capacities.size());
   }
   return round;
 }
@@ -93,12 +106,15 @@
                                                                       monotonic_time now) const {
   const resources capacity = CapacityOf(ready.entry->job.steps[ready.index]);
   std::vector<advice_option> options;
+  ++round.step;
   for (const advice_verdict& verdict : ready.occurrence->steps[ready.index].advice.verdicts) {
+    round.judged_for[verdict.instance] = round.step;
     if (!verdict.allowed) continue;  // final
     const uint32_t rank = round.rank[verdict.instance];
     if (rank == 0) continue;
     unclaimed_capacity& candidate = round.capacities[rank - 1];
-    if (!MayRun(*candidate.instance, ready, now)) continue;
+    if (candidate.service != ready.entry->service) continue;
+    if (!HasLabel(*candidate.instance, ready)) continue;
     const uint32_t most = MaxTasksAt(ready, *candidate.instance, wanted);
     const bool good = verdict.expires > now + kTicketMargin &&
                       verdict.incarnation == candidate.instance->report.incarnation;
@@ -135,19 +151,20 @@
           ? kMaxInstancesPerQuery
           : static_cast<size_t>(duration_cast<microseconds>(cost.base) / cost.per_instance);
   const size_t most = std::min(kMaxInstancesPerQuery, std::max<size_t>(cheap, wanted));
-  const step_advice& advice = ready.occurrence->steps[ready.index].advice;
   const resources capacity = CapacityOf(ready.entry->job.steps[ready.index]);
-  const size_t known_count = out.size();
+  std::vector<const fleet_instance*> unknown;
   bool free_at_unknown = false;
   for (const unclaimed_capacity& candidate : round.capacities) {
-    if (out.size() >= most) break;
-    if (candidate.instance->service != ready.entry->service) continue;
-    if (advice.FindVerdict(candidate.instance->ordinal) != nullptr) continue;
+    if (out.size() + unknown.size() >= most) break;
+    // Nor has any later one the processors.
+    if (!free_at_unknown && candidate.free_cpu_milli < capacity.cpu_milli) break;
+    if (candidate.service != ready.entry->service || round.Judged(candidate.ordinal)) continue;
     if (!HasLabel(*candidate.instance, ready)) continue;
-    free_at_unknown = free_at_unknown || TasksThatFit(candidate.unclaimed, capacity, 1) > 0;
-    out.push_back(candidate.instance->report.id);
+    free_at_unknown = free_at_unknown || Covers(candidate.unclaimed, capacity);
+    unknown.push_back(candidate.instance);
   }
-  if (!free_at_unknown) out.resize(known_count);
+  if (!free_at_unknown) return out;
+  for (const fleet_instance* instance : unknown) out.push_back(instance->report.id);
   return out;
 }
 
@@ -204,7 +221,6 @@
 void job_scheduler::ClaimCapacity(const ready_step& ready, advice_round& round,
                                   const std::vector<advice_option>& known, uint32_t wanted) const {
   const resources capacity = CapacityOf(ready.entry->job.steps[ready.index]);
-  const step_advice& advice = ready.occurrence->steps[ready.index].advice;
   for (const advice_option& option : known) {
     const uint32_t tasks = std::min(wanted, option.tasks);
     if (tasks == 0) break;
@@ -212,12 +228,13 @@
     wanted -= tasks;
   }
   for (unclaimed_capacity& candidate : round.capacities) {
-    if (wanted == 0) return;
-    if (candidate.instance->service != ready.entry->service) continue;
+    // Nor has any later one the processors.
+    if (wanted == 0 || candidate.free_cpu_milli < capacity.cpu_milli) return;
+    if (!Covers(candidate.unclaimed, capacity)) continue;
+    if (candidate.service != ready.entry->service || round.Judged(candidate.ordinal)) continue;
+    if (!HasLabel(*candidate.instance, ready)) continue;
     const uint32_t most = MaxTasksAt(ready, *candidate.instance, wanted);
     const uint32_t tasks = TasksThatFit(candidate.unclaimed, capacity, most);
-    if (tasks == 0 || advice.FindVerdict(candidate.instance->ordinal) != nullptr) continue;
-    if (!HasLabel(*candidate.instance, ready)) continue;
     Claim(candidate.unclaimed, capacity, tasks);
     wanted -= tasks;
   }
@@ -288,10 +305,11 @@
 
 void job_scheduler::PlanAdvice(const std::vector<ready_step>& ready_steps,
                                scheduler_commands& commands, monotonic_time now) {
-  advice_round round = BeginAdvice(now);
   std::vector<ready_step> steps = StepsToQuery(ready_steps);
   for (const ready_step& next : UpcomingSteps(now)) steps.push_back(next);
   for (const ready_step& copies : CopySteps(now)) steps.push_back(copies);
+  if (steps.empty()) return;
+  advice_round round = BeginAdvice(now);
   for (const ready_step& ready : steps) {
     if (!TermsOf(*ready.entry).needs_advice) continue;
     const step_spec& terms = ready.entry->job.steps[ready.index];
