--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -9,13 +9,13 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
 #include "process/scheduling/answer_timeout.h"
 #include "process/scheduling/arrival_rate_limit.h"
@@ -180,6 +180,9 @@
   bool AnyCouldHold(const std::string& service, const step_spec& step) const;
   void LookUpTerms(job_entry& entry);
   uint32_t ServiceOrdinal(const std::string& service);
+  fleet_instance* InstanceAt(uint32_t ordinal) const {
+    return ordinal < by_ordinal_.size() ? by_ordinal_[ordinal] : nullptr;
+  }
   fleet_instance& MakeInstance(const instance_report& report, monotonic_time now);
 
   // scheduler_runs.cc: lifecycle of runs
@@ -344,8 +347,8 @@
   std::shared_ptr<const site_configuration> version_;
   absl::flat_hash_map<std::string, std::unique_ptr<job_entry>> jobs_;
   // Ordered, so that ties are broken alike in every process.
-  std::map<std::string, std::unique_ptr<fleet_instance>> instances_;
-  absl::flat_hash_map<uint32_t, fleet_instance*> by_ordinal_;
+  absl::btree_map<std::string, std::unique_ptr<fleet_instance>> instances_;
+  std::vector<fleet_instance*> by_ordinal_;  // null: unused or forgotten
   uint32_t last_ordinal_ = 0;
   absl::flat_hash_map<std::string, uint32_t> services_;  // ordinals, from 1
   absl::flat_hash_map<std::string, resources> usage_of_workspace_;
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -179,10 +179,10 @@
   for (const capacity_reservation& reserved : step.reserved) {
     if (reserved.from > now + ahead) continue;
     const advice_verdict* verdict = step.advice.FindVerdict(reserved.instance);
-    const auto found = by_ordinal_.find(reserved.instance);
-    if (verdict == nullptr || found == by_ordinal_.end()) continue;
+    const fleet_instance* instance = InstanceAt(reserved.instance);
+    if (verdict == nullptr || instance == nullptr) continue;
     if (verdict->expires > reserved.from + kTicketMargin) continue;
-    const std::string& id = found->second->report.id;
+    const std::string& id = instance->report.id;
     const bool named = std::find(request.instances.begin(), request.instances.end(), id) !=
                        request.instances.end();
     if (!named && request.instances.size() < kMaxInstancesPerQuery) request.instances.push_back(id);
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -85,6 +85,7 @@
   slot->ordinal = ++last_ordinal_;
   slot->service = ServiceOrdinal(report.service);
   slot->next_listing = now;
+  by_ordinal_.resize(last_ordinal_ + 1);
   by_ordinal_[slot->ordinal] = slot.get();
   return *slot;
 }
@@ -141,9 +142,9 @@
 void job_scheduler::OnInherited(const std::vector<instance_report>& reports, monotonic_time now) {
   for (const instance_report& report : reports) {
     const auto known = instances_.find(report.id);
-    fleet_instance& instance =
-        known == instances_.end() ? MakeInstance(report, now) : *known->second;
-    if (known == instances_.end()) {
+    const bool is_new = known == instances_.end();
+    fleet_instance& instance = is_new ? MakeInstance(report, now) : *known->second;
+    if (is_new) {
       instance.present = false;
       instance.absent_since = now;
     }
@@ -238,7 +239,7 @@
     }
   }
   for (const std::string& id : forgotten) {
-    by_ordinal_.erase(instances_.at(id)->ordinal);
+    by_ordinal_[instances_.at(id)->ordinal] = nullptr;
     instances_.erase(id);
   }
 }
--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -143,10 +143,9 @@
   }
   for (const advice_verdict& verdict : step.advice.verdicts) {
     if (!verdict.allowed || verdict.expires < now + kTicketMargin) continue;
-    const auto found = by_ordinal_.find(verdict.instance);
-    if (found == by_ordinal_.end()) continue;
-    if (found->second->report.incarnation != verdict.incarnation) continue;
-    consider(*found->second);
+    fleet_instance* instance = InstanceAt(verdict.instance);
+    if (instance == nullptr || instance->report.incarnation != verdict.incarnation) continue;
+    consider(*instance);
   }
   return best;
 }
--- a/src/process/scheduling/scheduler_reservations.cc
+++ b/src/process/scheduling/scheduler_reservations.cc
@@ -107,8 +107,8 @@
     if (advised) {
       for (const advice_verdict& verdict : step.advice.verdicts) {
         if (!verdict.allowed) continue;
-        const auto found = by_ordinal_.find(verdict.instance);
-        if (found != by_ordinal_.end()) consider(*found->second);
+        const fleet_instance* instance = InstanceAt(verdict.instance);
+        if (instance != nullptr) consider(*instance);
       }
     } else {
       for (const auto& [id, instance] : instances_) consider(*instance);
