Reservations: forecast each candidate once a step

Cause: for each of up to six reservations of a step the earliest free time was computed anew for all its verdicts, though a reservation changes only the forecast of its own instance.

--- a/src/process/scheduling/scheduler_reservations.cc
+++ b/src/process/scheduling/scheduler_reservations.cc
@@ -90,32 +90,44 @@
   if (!WithinLimit(*ready.entry, terms.need)) return;
   const bool advised = TermsOf(*ready.entry).needs_advice;
   step.reserved.clear();
+  // A reservation changes the forecast of its own instance only.
+  struct candidate {
+    const fleet_instance* instance;
+    capacity_forecast* forecast;
+    monotonic_time ticket_at;
+    monotonic_time from;
+  };
+  std::vector<candidate> candidates;
+  const auto consider = [&](const fleet_instance& instance) {
+    if (!MayRun(instance, ready, now) || IsNarrow(terms.need, instance.report.capacity)) return;
+    capacity_forecast& forecast = ForecastOf(instance, now);
+    const auto free_at = forecast.EarliestFor(terms.need, now);
+    if (!free_at) return;
+    const monotonic_time ticket_at = TicketAvailableAt(ready, instance.ordinal, now);
+    candidates.push_back({&instance, &forecast, ticket_at, std::max(*free_at, ticket_at)});
+  };
+  if (advised) {
+    for (const advice_verdict& verdict : step.advice.verdicts) {
+      if (!verdict.allowed) continue;
+      const fleet_instance* instance = InstanceAt(verdict.instance);
+      if (instance != nullptr) consider(*instance);
+    }
+  } else {
+    for (const auto& [id, instance] : instances_) consider(*instance);
+  }
   const uint32_t wanted = std::min(step.waiting, kMaxReservationsPerStep);
-  for (uint32_t i = 0; i < wanted; ++i) {
-    const fleet_instance* best = nullptr;
-    monotonic_time earliest = monotonic_time::max();
-    const auto consider = [&](const fleet_instance& instance) {
-      if (!MayRun(instance, ready, now) || IsNarrow(terms.need, instance.report.capacity)) return;
-      const auto free_at = ForecastOf(instance, now).EarliestFor(terms.need, now);
-      if (!free_at) return;
-      const monotonic_time from =
-          std::max(*free_at, TicketAvailableAt(ready, instance.ordinal, now));
-      if (from >= earliest) return;
-      earliest = from;
-      best = &instance;
-    };
-    if (advised) {
-      for (const advice_verdict& verdict : step.advice.verdicts) {
-        if (!verdict.allowed) continue;
-        const fleet_instance* instance = InstanceAt(verdict.instance);
-        if (instance != nullptr) consider(*instance);
-      }
+  while (step.reserved.size() < wanted && !candidates.empty()) {
+    const auto best =
+        std::min_element(candidates.begin(), candidates.end(),
+                         [](const candidate& a, const candidate& b) { return a.from < b.from; });
+    best->forecast->Reserve(terms.need, best->from);
+    step.reserved.push_back({best->instance->ordinal, best->from});
+    const auto free_at = best->forecast->EarliestFor(terms.need, now);
+    if (free_at) {
+      best->from = std::max(*free_at, best->ticket_at);
     } else {
-      for (const auto& [id, instance] : instances_) consider(*instance);
+      candidates.erase(best);
     }
-    if (best == nullptr) break;
-    ForecastOf(*best, now).Reserve(terms.need, earliest);
-    step.reserved.push_back({best->ordinal, earliest});
   }
   if (step.reserved.empty()) return;
   step.reserved_round = round_;
