Check of runs: look at the job's step only when a run is stopped

Cause: each round read job, step list and step of each run to learn whether it is in a gang, and fields of the run from several cache lines.

--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -54,30 +54,32 @@
 
 // One run of one task on one instance. It occupies its capacity until it is proved to have ended.
 struct graph_run {
-  task_key key;
-  job_entry* job = nullptr;  // null: a stray run
-  uint32_t number = 0;
-  fleet_instance* instance = nullptr;
-  resources capacity;  // occupied at the instance; no processors if the task is a filler
-  bool fills = false;
-  bool serves = false;  // has a tail latency target
+  // What each round of decisions reads of all runs comes first, to share a cache line.
   run_phase phase = run_phase::kSent;
   stop_cause stopping = stop_cause::kNone;
+  bool fills = false;
+  bool serves = false;          // has a tail latency target
   bool inherited = false;       // its start time is unknown
   bool resumed = false;         // from a checkpoint
   bool seen = false;            // shown by an answer or a listing
   bool stop_confirmed = false;  // the instance answered the stop
   bool stop_in_flight = false;
-  monotonic_time started{};            // when the start was sent
-  monotonic_time confirmed{};          // when the run was first known to be running
+  bool speed_in_flight = false;
+  uint32_t speed_percent = 100;  // percent of full speed that the run may use
+  job_entry* job = nullptr;      // null: a stray run
+  fleet_instance* instance = nullptr;
+  monotonic_time started{};     // when the start was sent
+  monotonic_time progressed{};  // when `percent` last changed
+
+  task_key key;
+  uint32_t number = 0;
+  resources capacity;          // occupied at the instance; no processors if the task is a filler
+  monotonic_time confirmed{};  // when the run was first known to be running
   monotonic_time stop_requested_at{};  // when the first stop was requested
   monotonic_time stop_answered_at{};   // when the stop was answered
   monotonic_time next_stop{};
-  monotonic_time progressed{};  // when `percent` last changed
   uint32_t percent = 0;
   uint32_t load = 0;  // tail latency in ms of a serving task, processors in use otherwise
-  uint32_t speed_percent = 100;  // percent of full speed that the run may use
-  bool speed_in_flight = false;
   monotonic_time next_speed_change{};
 };
 
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -420,13 +420,12 @@
   for (auto& [id, instance] : instances_) {
     if (instance->report.draining) Evacuate(*instance, now);
     for (const auto& run : instance->runs) {
-      const bool gang = run->job != nullptr && run->key.step < run->job->job.steps.size() &&
-                        run->job->job.steps[run->key.step].gang;
       const stop_cause before = run->stopping;
       CheckRun(*run, commands, now);
-      if (gang && before == stop_cause::kNone && run->stopping != stop_cause::kNone) {
-        BreakGang(*run->job, run->key, stop_cause::kGangBroken, now);
-      }
+      if (before != stop_cause::kNone || run->stopping == stop_cause::kNone) continue;
+      const bool gang = run->job != nullptr && run->key.step < run->job->job.steps.size() &&
+                        run->job->job.steps[run->key.step].gang;
+      if (gang) BreakGang(*run->job, run->key, stop_cause::kGangBroken, now);
     }
   }
 }
