Instances: fields that each round reads side by side

Cause: they were spread over the whole object, and each walk over all instances missed the cache several times for each.

--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -99,24 +99,35 @@
 };
 
 struct fleet_instance {
-  instance_report report;
-  uint32_t ordinal = 0;  // unique among all instances ever seen
-  uint32_t service = 0;  // ordinal of its service
-  uint32_t filling = 0;  // filler runs, which use what other runs leave unused
-  bool present = true;   // in the registry
-  monotonic_time absent_since{};
+  // What each round of decisions reads of all instances comes first, to share cache lines.
+  uint32_t ordinal = 0;        // unique among all instances ever seen
+  uint32_t service = 0;        // ordinal of its service
+  uint32_t filling = 0;        // filler runs, which use what other runs leave unused
+  uint32_t silent = 0;         // consecutive listings without an answer
+  bool present = true;         // in the registry
   bool listed = false;         // fenced by this owner, and its runs are known
   bool lease_unknown = false;  // an earlier owner may have extended its lease
   bool replaced = false;       // another instance answers at its address: it has ended
   // Registered in the store as an instance that may run work. Without that, the next owner would
   // not look for runs there if the registry had lost the instance too.
   bool registered = false;
-  resources used;
+  // A start timed out there: no further starts until the instance answers.
+  bool suspect = false;
+  bool check_in_flight = false;  // a second listing, to settle an unknown start
+  bool listing_in_flight = false;
+  bool probing = false;  // this listing does not wait for an end, as the previous one timed out
   std::vector<std::unique_ptr<graph_run>> runs;
+  monotonic_time clock_at{};  // when the instance's own clock was read
+  monotonic_time quarantined_until{};
+  monotonic_time listing_due{};  // latest time at which the instance should answer
+  monotonic_time next_listing{};
+  resources used;
+
+  instance_report report;
+  monotonic_time absent_since{};
 
   // The instance's own clock in milliseconds, read at `clock_at`.
   int64_t clock_ms = 0;
-  monotonic_time clock_at{};
   int64_t lease_until_ms = 0;  // latest deadline sent, on the instance's clock
 
   uint64_t ends_seen = 0;   // highest end number handled
@@ -129,21 +140,12 @@
   monotonic_time earlier_commands_until{};
 
   uint32_t starts_in_flight = 0;
-  // A start timed out there: no further starts until the instance answers.
-  bool suspect = false;
   monotonic_time suspect_since{};
-  bool check_in_flight = false;  // a second listing, to settle an unknown start
-  int64_t listed_at_ms = 0;      // on the instance's clock: the latest listing that was applied
-  bool listing_in_flight = false;
-  uint64_t listing_number = 0;   // of the latest listing; an earlier one may have timed out
-  monotonic_time listing_due{};  // latest time at which the instance should answer
-  bool probing = false;  // this listing does not wait for an end, as the previous one timed out
-  monotonic_time next_listing{};
-  uint32_t silent = 0;  // consecutive listings without an answer
+  int64_t listed_at_ms = 0;     // on the instance's clock: the latest listing that was applied
+  uint64_t listing_number = 0;  // of the latest listing; an earlier one may have timed out
 
   double speed = 1;     // learned: expected over actual run time
   uint32_t faults = 0;  // consecutive failed runs
-  monotonic_time quarantined_until{};
 
   bool Reachable() const { return silent == 0; }
   // True if the instance runs or may get work: all except those that do not answer and have no runs
