--- a/test/full_capacity_test.cc
+++ b/test/full_capacity_test.cc
@@ -1,4 +1,5 @@
 // The scheduler at full capacity: which jobs proceed and which must not block others.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <memory>
@@ -69,6 +70,30 @@
     return false;
   }
 
+  // Instances that are named in queries for the job.
+  std::vector<std::string> NamedFor(uint32_t number, monotonic_time when) {
+    std::vector<std::string> out;
+    for (const advice_query& order : owner.Decide(wall_time{}, when).advice) {
+      if (order.job != JobId(number)) continue;
+      out.insert(out.end(), order.instances.begin(), order.instances.end());
+    }
+    std::sort(out.begin(), out.end());
+    return out;
+  }
+
+  // The instances of the service "first", with these processors and memory.
+  static std::vector<instance_report> FirstService(const std::vector<resources>& capacities) {
+    std::vector<instance_report> out;
+    for (const resources& capacity : capacities) {
+      instance_report report;
+      report.id = absl::StrCat("first-", out.size());
+      report.service = "first";
+      report.capacity = capacity;
+      out.push_back(report);
+    }
+    return out;
+  }
+
   const monotonic_time now{seconds(100)};
   job_scheduler owner{scheduler_options{}, 1, monotonic_time{}};
 };
@@ -102,6 +127,47 @@
   CHECK(RequestsAdviceFor(kManyJobs));
 }
 
+// The instance with the most free processors lacks memory. If the search for free capacity ended
+// there, the job would wait beside an instance that could run it.
+TEST_CASE_METHOD(
+    two_services_fixture,
+    "scheduler, most processors free where memory is short, asks about all instances") {
+  owner.OnRegistry(FirstService({{8000, 100, 0, 0}, {2000, 16384, 0, 0}, {500, 16384, 0, 0}}), now);
+  Submit(1, "first", "workspace", 1000);
+  CHECK(NamedFor(1, now) == std::vector<std::string>{"first-0", "first-1", "first-2"});
+}
+
+// No instance has both the processors and the memory: a ticket would expire unused.
+TEST_CASE_METHOD(two_services_fixture,
+                 "scheduler, no instance with enough of everything, asks about none") {
+  owner.OnRegistry(FirstService({{8000, 100, 0, 0}, {900, 16384, 0, 0}, {500, 16384, 0, 0}}), now);
+  Submit(1, "first", "workspace", 1000);
+  CHECK(NamedFor(1, now).empty());
+}
+
+// An instance is forgotten while a step holds a verdict on it, and returns under its id. The old
+// verdict must not be taken for one on the newcomer.
+TEST_CASE_METHOD(two_services_fixture,
+                 "scheduler, instance forgotten and back, is asked about again before a start") {
+  Submit(1, "first", "workspace", 1000);
+  const std::vector<advice_query> queries = owner.Decide(wall_time{}, now).advice;
+  REQUIRE(queries.size() == 1);
+  const std::vector<instance_report> all = FirstService(std::vector<resources>(3, kSmallInstance));
+  owner.OnRegistry({all[1], all[2]}, now);
+  advice_answer answer;
+  answer.answered = true;
+  answer.allowed = {{"first-0", "ticket"}};
+  answer.valid = seconds(60);
+  owner.OnAdvice(queries[0], answer, now);
+  const monotonic_time later = now + seconds(20);
+  owner.Decide(wall_time{}, later);
+  owner.OnRegistry(all, later);
+  owner.OnListing({{"first-0", "", 0}, {}, 0, {}}, {5000, 0, {}, {}}, later, later);
+  owner.OnFleetStored(owner.Fleet());
+  CHECK(NamedFor(1, later) == std::vector<std::string>{"first-0"});
+  CHECK_FALSE(owner.StartsPlanned());
+}
+
 // An instance drains, leaves the registry and never answers again. If it stays stored as one that
 // may run tasks, the next owner waits for its leases to expire before it starts inherited jobs, and
 // callers wait four seconds for an idle instance.
