Bench: what a call to an instance costs an owner

catkinford-bench instance_calls sends listings, starts and stops (6:2:2) from an event loop at a given rate, by instance_calls and http_client, to a server in a process of its own, and reads the processor time of the client's thread and of the loop.

--- a/bench/commands.h
+++ b/bench/commands.h
@@ -14,6 +14,8 @@
 int CapacityMain(int argc, char** argv);
 // Calls between two processes, JSON-RPC against our HTTP pair: `rpc --json F`.
 int RpcMain(int argc, char** argv);
+// What a call to an instance costs an owner: `instance_calls --call_count N --call_rate R`.
+int InstanceCallsMain(int argc, char** argv);
 
 // Raise, read the jobs, fence and list: `takeover --shard_endpoints 467 --shard_tasks 13000`.
 int TakeoverMain(int argc, char** argv);
--- a/src/main/catkinford-bench.cc
+++ b/src/main/catkinford-bench.cc
@@ -19,6 +19,8 @@
     {"capacity", catkinford::CapacityMain,
      "write docs/CAPACITY.md from slopes: capacity --slopes F"},
     {"rpc", catkinford::RpcMain, "calls between two processes: rpc --json F"},
+    {"instance_calls", catkinford::InstanceCallsMain,
+     "what a call to an instance costs an owner: instance_calls --call_rate 2000"},
     {"takeover", catkinford::TakeoverMain, "shard takeover by a new owner: takeover --json F"},
     {"load", catkinford::LoadMain, "open-loop load: load --rate 3000 --seconds 20 --json F"},
     {"shares", catkinford::SharesMain,
