Count the limits of calls without this process's own delay

Cause: each call had CURLOPT_TIMEOUT_MS. libcurl checks it before it reads from the socket, ends the transfer and closes the connection, answer or not; so a late thread gave up what it had not read, and paid for new connections, which made it later. The rule to read first (count < kMaxEvents) came too late for that, and looked at the present time instead of the time until which had been read.

Evidence: [late_client], red before: 0 of 20 answered, 20 connections closed, both with the answers there and with answers 0.2 s after the delay.

Ruled out: longer limits (dead hosts would be noticed later); limits without a bound on what the delay adds (a thread that is always late would never give a dead host up).

Change: the client holds the limits itself. A call is overdue only at a time until which all that had arrived was read; the time in which the thread was busy or did not run (from 20 ms on at a time) adds to the limit, at most as much again. The same for calls that wait for a connection. libcurl still bounds the opening of a connection. With a stall timeout a call is judged as before, but by the time until which was read; a connection it could not open is now counted as closed.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -11,6 +11,7 @@
 #include <condition_variable>
 #include <deque>
 #include <mutex>
+#include <queue>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -28,6 +29,7 @@
 constexpr int kMaxEvents = 512;
 constexpr milliseconds kMaxWait{1000};
 constexpr size_t kMaxIdleHandles = 256;        // easy handles kept for reuse
+constexpr milliseconds kMinOwnDelay{20};       // shorter ones are not told from ordinary work
 constexpr milliseconds kConnectTimeout{2000};  // bounds calls to an unresponsive address
 constexpr long kMaxPooledConnections = 8192;   // NOLINT(google-runtime-int): libcurl's type
 
@@ -39,20 +41,27 @@
   steady_clock::time_point queued;                      // when Send() was called
   std::atomic<uint64_t>* connections_opened = nullptr;  // points into the client
   bool opened_connection = false;
-  steady_clock::time_point waiting_since;
   std::string host;  // with the port; empty while no limit applies
+  uint64_t number = 0;
+  steady_clock::time_point limit_from;         // when the call's limit began to run
+  steady_clock::duration own_delay_before{0};  // the client's total delay at `limit_from`
   // Only for calls with a stall timeout:
   steady_clock::time_point last_progress;  // when a byte was last sent or received
   curl_off_t bytes_sent = 0;
   curl_off_t bytes_received = 0;
   steady_clock::time_point* next_stall_check = nullptr;  // points into the client
 
-  // When the call times out unless its transfer has begun.
-  steady_clock::time_point BeginBy() const { return waiting_since + call.timeout; }
   // When the transfer times out unless a byte is sent or received before.
-  steady_clock::time_point Deadline() const {
+  steady_clock::time_point StallDeadline() const {
     return last_progress + (bytes_received > 0 ? call.stall_timeout : call.timeout);
   }
+  // When the call times out, unless it has begun and has a stall timeout. `own_delay`: the client's
+  // total delay. The limit is at most doubled, so that a client that is always late notices dead
+  // hosts.
+  steady_clock::time_point Deadline(steady_clock::duration own_delay) const {
+    const steady_clock::duration delayed = own_delay - own_delay_before;
+    return limit_from + call.timeout + std::min<steady_clock::duration>(delayed, call.timeout);
+  }
 };
 
 size_t AppendBody(char* data, size_t size, size_t count, void* closure) {
@@ -69,10 +78,18 @@
   self->bytes_received = bytes_received;
   self->bytes_sent = bytes_sent;
   self->last_progress = steady_clock::now();
-  *self->next_stall_check = std::min(*self->next_stall_check, self->Deadline());
+  *self->next_stall_check = std::min(*self->next_stall_check, self->StallDeadline());
   return 0;
 }
 
+// The earliest time at which an active call may time out.
+struct call_deadline {
+  steady_clock::time_point time;
+  CURL* easy;
+  uint64_t number;  // of the call: the handle may serve another one by then
+  bool operator>(const call_deadline& other) const { return time > other.time; }
+};
+
 // Calls to one host. Those over the limit of connections wait here and not in libcurl, whose one
 // queue for all hosts lets calls to a free host wait behind those to a busy one.
 struct host_calls {
@@ -137,12 +154,18 @@
   void WakeThread() const;
   void BeginIncoming();
   void BeginOrWait(std::unique_ptr<transfer> next, steady_clock::time_point now);
-  void Begin(std::unique_ptr<transfer> next, milliseconds waited);
-  void EndOverdueWaiting();
+  void Begin(std::unique_ptr<transfer> next);
+  void EndOverdueWaiting(steady_clock::time_point now);
   void Release(const std::string& host);
   void SocketAction(curl_socket_t socket, int events);
   void CompleteFinished();
-  void EndStalled();
+  // `read_until`: all that had arrived by then has been read.
+  void EndStalled(steady_clock::time_point read_until);
+  void EndOverdue(steady_clock::time_point read_until);
+  // Drops the deadlines of completed calls that come before any other.
+  void DropCompletedDeadlines();
+  void EndTimedOut(CURL* easy);
+  void RecordOwnDelay(steady_clock::duration late);
   void Complete(CURL* easy, transfer_status status, call_fault fault);
   void Count(CURL* easy, const transfer& done, call_fault fault);
   int WaitMs() const;
@@ -168,8 +191,13 @@
   absl::flat_hash_map<CURL*, std::unique_ptr<transfer>> active;
   // Only if the connections to a host are limited:
   absl::flat_hash_map<std::string, host_calls> hosts;
-  // No later than the earliest BeginBy() of the waiting calls.
+  // No later than the earliest deadline of the waiting calls.
   steady_clock::time_point next_waiting_check = steady_clock::time_point::max();
+  // Of calls without a stall timeout, and of completed calls.
+  std::priority_queue<call_deadline, std::vector<call_deadline>, std::greater<>> deadlines;
+  uint64_t calls_begun = 0;
+  // Time in which this thread could not send or read: it was busy or did not run.
+  steady_clock::duration own_delay{0};
   std::vector<CURL*> idle;
   std::vector<CURL*> stall_limited;  // active transfers with a stall timeout
   // No later than the earliest deadline of `stall_limited`; extended deadlines are found then.
@@ -212,17 +240,18 @@
 }
 
 void http_client::impl::BeginOrWait(std::unique_ptr<transfer> next, steady_clock::time_point now) {
-  if (connections_per_host == 0) return Begin(std::move(next), milliseconds{0});
+  next->limit_from = now;
+  next->own_delay_before = own_delay;
+  if (connections_per_host == 0) return Begin(std::move(next));
   next->host = HostOf(next->call.url);
   host_calls& calls = hosts[next->host];
   if (calls.active >= connections_per_host) {
-    next->waiting_since = now;
-    next_waiting_check = std::min(next_waiting_check, next->BeginBy());
+    next_waiting_check = std::min(next_waiting_check, now + next->call.timeout);
     calls.waiting.push_back(std::move(next));
     return;
   }
   ++calls.active;
-  Begin(std::move(next), milliseconds{0});
+  Begin(std::move(next));
 }
 
 // `host` has one call less in flight: the next one begins.
@@ -236,24 +265,22 @@
   }
   std::unique_ptr<transfer> next = std::move(calls.waiting.front());
   calls.waiting.pop_front();
-  const auto waited =
-      std::chrono::duration_cast<milliseconds>(steady_clock::now() - next->waiting_since);
-  Begin(std::move(next), waited);
+  Begin(std::move(next));
 }
 
-void http_client::impl::EndOverdueWaiting() {
-  const steady_clock::time_point now = steady_clock::now();
+void http_client::impl::EndOverdueWaiting(steady_clock::time_point now) {
   if (now < next_waiting_check) return;
   next_waiting_check = steady_clock::time_point::max();
   std::vector<std::unique_ptr<transfer>> overdue;
   for (auto& [host, calls] : hosts) {
     std::deque<std::unique_ptr<transfer>> still_waiting;
     for (std::unique_ptr<transfer>& each : calls.waiting) {
-      if (each->BeginBy() <= now) {
+      const steady_clock::time_point deadline = each->Deadline(own_delay);
+      if (deadline <= now) {
         overdue.push_back(std::move(each));
         continue;
       }
-      next_waiting_check = std::min(next_waiting_check, each->BeginBy());
+      next_waiting_check = std::min(next_waiting_check, deadline);
       still_waiting.push_back(std::move(each));
     }
     calls.waiting = std::move(still_waiting);
@@ -266,22 +293,24 @@
   }
 }
 
-void http_client::impl::Begin(std::unique_ptr<transfer> next, milliseconds waited) {
+void http_client::impl::Begin(std::unique_ptr<transfer> next) {
   CURL* easy = NewHandle();
   const http_call& call = next->call;
   curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_PROXY, "");  // peers are addressed directly, never through a proxy
   if (call.stall_timeout.count() == 0) {
-    const milliseconds left = std::max(call.timeout - waited, milliseconds{1});
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(left.count()));  // NOLINT
+    // Not by CURLOPT_TIMEOUT_MS: when this thread is late, libcurl would end the transfer and close
+    // its connection before it reads the answer that has arrived.
+    next->number = ++calls_begun;
+    deadlines.push({next->Deadline(own_delay), easy, next->number});
   } else {
-    next->last_progress = steady_clock::now() - waited;
+    next->last_progress = next->limit_from;
     curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
     curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, &OnProgress);
     curl_easy_setopt(easy, CURLOPT_XFERINFODATA, next.get());
     next->next_stall_check = &next_stall_check;
-    next_stall_check = std::min(next_stall_check, next->Deadline());
+    next_stall_check = std::min(next_stall_check, next->StallDeadline());
     stall_limited.push_back(easy);
   }
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OpenSocket);
@@ -365,23 +394,54 @@
   }
 }
 
-void http_client::impl::EndStalled() {
-  const steady_clock::time_point now = steady_clock::now();
-  if (now < next_stall_check) return;
+void http_client::impl::EndStalled(steady_clock::time_point read_until) {
+  if (read_until < next_stall_check) return;
   std::vector<CURL*> stalled;
   next_stall_check = steady_clock::time_point::max();
   for (CURL* easy : stall_limited) {
-    const steady_clock::time_point deadline = active.at(easy)->Deadline();
-    if (deadline <= now) {
+    const steady_clock::time_point deadline = active.at(easy)->StallDeadline();
+    if (deadline <= read_until) {
       stalled.push_back(easy);
     } else {
       next_stall_check = std::min(next_stall_check, deadline);
     }
   }
-  for (CURL* easy : stalled) {
-    Complete(easy, StatusOf(easy, CURLE_OPERATION_TIMEDOUT),
-             FaultOf(easy, CURLE_OPERATION_TIMEDOUT));
+  for (CURL* easy : stalled) EndTimedOut(easy);
+}
+
+void http_client::impl::DropCompletedDeadlines() {
+  while (!deadlines.empty()) {
+    const auto found = active.find(deadlines.top().easy);
+    if (found != active.end() && found->second->number == deadlines.top().number) return;
+    deadlines.pop();
+  }
+}
+
+void http_client::impl::EndOverdue(steady_clock::time_point read_until) {
+  for (DropCompletedDeadlines(); !deadlines.empty() && deadlines.top().time <= read_until;
+       DropCompletedDeadlines()) {
+    const call_deadline due = deadlines.top();
+    deadlines.pop();
+    const steady_clock::time_point extended = active.at(due.easy)->Deadline(own_delay);
+    if (extended <= read_until) {
+      EndTimedOut(due.easy);
+    } else {
+      deadlines.push({extended, due.easy, due.number});
+    }
+  }
+}
+
+void http_client::impl::EndTimedOut(CURL* easy) {
+  const call_fault fault = FaultOf(easy, CURLE_OPERATION_TIMEDOUT);
+  // libcurl closes a connection that could not be opened in time without the callback.
+  if (fault == call_fault::kNotConnected && active.at(easy)->opened_connection) {
+    ++connections_closed;
   }
+  Complete(easy, StatusOf(easy, CURLE_OPERATION_TIMEDOUT), fault);
+}
+
+void http_client::impl::RecordOwnDelay(steady_clock::duration late) {
+  if (late >= kMinOwnDelay) own_delay += late;
 }
 
 void http_client::impl::SocketAction(curl_socket_t socket, int events) {
@@ -421,7 +481,8 @@
 }
 
 int http_client::impl::WaitMs() const {
-  const steady_clock::time_point next = std::min({timer, next_stall_check, next_waiting_check});
+  steady_clock::time_point next = std::min({timer, next_stall_check, next_waiting_check});
+  if (!deadlines.empty()) next = std::min(next, deadlines.top().time);
   if (next == steady_clock::time_point::max()) return static_cast<int>(kMaxWait.count());
   const auto left = std::chrono::ceil<milliseconds>(next - steady_clock::now());
   return static_cast<int>(std::clamp(left, milliseconds{0}, kMaxWait).count());
@@ -429,13 +490,20 @@
 
 void http_client::impl::Run() {
   std::array<epoll_event, kMaxEvents> events{};
+  steady_clock::time_point reads_from = steady_clock::now();
   while (true) {
     {
       const std::lock_guard lock(mutex);
       if (stopping) break;
     }
     BeginIncoming();
-    const int count = epoll_wait(epoll, events.data(), kMaxEvents, WaitMs());
+    DropCompletedDeadlines();
+    const int wait_ms = WaitMs();
+    const steady_clock::time_point waits_from = steady_clock::now();
+    RecordOwnDelay(waits_from - reads_from);
+    const int count = epoll_wait(epoll, events.data(), kMaxEvents, wait_ms);
+    reads_from = steady_clock::now();
+    RecordOwnDelay(reads_from - waits_from - milliseconds{wait_ms});
     for (int i = 0; i < count; ++i) {
       const epoll_event& event = events[static_cast<size_t>(i)];
       if (event.data.fd == wake) {
@@ -456,8 +524,11 @@
       SocketAction(CURL_SOCKET_TIMEOUT, 0);
     }
     CompleteFinished();
-    if (count < kMaxEvents) EndStalled();
-    EndOverdueWaiting();
+    if (count < kMaxEvents) {
+      EndStalled(reads_from);
+      EndOverdue(reads_from);
+    }
+    EndOverdueWaiting(reads_from);
     if (active.empty() && close_idle.exchange(false)) OpenMulti();
   }
   BeginIncoming();
