Keep idle connections registered with epoll

An idle connection stays registered as it is; an event on one (its server closed it) removes it, and libcurl notices at its next call, as before.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -104,6 +104,13 @@
   return std::string(url.substr(0, url.find('/')));
 }
 
+// A socket's registration with epoll. An idle connection stays registered, so that its next call
+// needs no system call for it.
+struct watched_socket {
+  uint32_t events = 0;  // 0: not registered
+  bool idle = false;    // not wanted by libcurl
+};
+
 curl_socket_t OpenSocket(void* closure, curlsocktype /*purpose*/, curl_sockaddr* address) {
   const int opened = socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
   if (opened >= 0) {
@@ -114,11 +121,6 @@
   return opened;
 }
 
-int CloseSocket(void* closure, curl_socket_t closed) {
-  ++*static_cast<std::atomic<uint64_t>*>(closure);
-  return close(closed);
-}
-
 // A transfer that failed before any byte of the request was sent did not reach the server.
 transfer_status StatusOf(CURL* easy, CURLcode code) {
   if (code == CURLE_OK) return transfer_status::kDone;
@@ -146,9 +148,12 @@
         ca_file(std::move(authorities)),
         traffic_counts(counts) {}
 
+  static int CloseSocket(void* closure, curl_socket_t closed);
   static int OnSocket(CURL* easy, curl_socket_t socket, int what, void* closure, void* known);
   static int OnTimer(CURLM* multi, long wait_ms, void* closure);  // NOLINT(google-runtime-int)
 
+  watched_socket& Watched(curl_socket_t socket);
+  void Watch(curl_socket_t socket, uint32_t events);
   void Run();
   void OpenMulti();
   void WakeThread() const;
@@ -189,6 +194,7 @@
   // Accessed only by the client's thread:
   steady_clock::time_point timer = steady_clock::time_point::max();
   absl::flat_hash_map<CURL*, std::unique_ptr<transfer>> active;
+  std::vector<watched_socket> watched;  // by socket
   // Only if the connections to a host are limited:
   absl::flat_hash_map<std::string, host_calls> hosts;
   // No later than the earliest deadline of the waiting calls.
@@ -204,23 +210,52 @@
   steady_clock::time_point next_stall_check = steady_clock::time_point::max();
 };
 
+watched_socket& http_client::impl::Watched(curl_socket_t socket) {
+  const auto at = static_cast<size_t>(socket);
+  if (at >= watched.size()) watched.resize(at + 1);
+  return watched[at];
+}
+
+// `events` 0: removes the socket.
+void http_client::impl::Watch(curl_socket_t socket, uint32_t events) {
+  watched_socket& known = Watched(socket);
+  known.idle = false;
+  if (known.events == events) return;
+  epoll_event event{};
+  event.events = events;
+  event.data.fd = socket;
+  const int operation =
+      events == 0 ? EPOLL_CTL_DEL : (known.events == 0 ? EPOLL_CTL_ADD : EPOLL_CTL_MOD);
+  epoll_ctl(epoll, operation, socket, &event);
+  known.events = events;
+}
+
 int http_client::impl::OnSocket(CURL* /*easy*/, curl_socket_t socket, int what, void* closure,
-                                void* known) {
+                                void* /*known*/) {
   auto* self = static_cast<impl*>(closure);
   if (what == CURL_POLL_REMOVE) {
-    epoll_ctl(self->epoll, EPOLL_CTL_DEL, socket, nullptr);
+    watched_socket& known = self->Watched(socket);
+    if (known.events == EPOLLIN) {
+      known.idle = true;
+    } else {
+      self->Watch(socket, 0);
+    }
     return 0;
   }
-  epoll_event event{};
-  event.data.fd = socket;
-  if ((what & CURL_POLL_IN) != 0) event.events |= EPOLLIN;
-  if ((what & CURL_POLL_OUT) != 0) event.events |= EPOLLOUT;
-  const int operation = known == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
-  epoll_ctl(self->epoll, operation, socket, &event);
-  if (known == nullptr) curl_multi_assign(self->multi, socket, self);
+  uint32_t events = 0;
+  if ((what & CURL_POLL_IN) != 0) events |= EPOLLIN;
+  if ((what & CURL_POLL_OUT) != 0) events |= EPOLLOUT;
+  self->Watch(socket, events);
   return 0;
 }
 
+int http_client::impl::CloseSocket(void* closure, curl_socket_t closed) {
+  auto* self = static_cast<impl*>(closure);
+  ++self->connections_closed;
+  self->Watch(closed, 0);
+  return close(closed);
+}
+
 // NOLINTNEXTLINE(google-runtime-int): libcurl's type
 int http_client::impl::OnTimer(CURLM* /*multi*/, long wait_ms, void* closure) {
   auto* self = static_cast<impl*>(closure);
@@ -317,7 +352,7 @@
   next->connections_opened = &connections_opened;
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, next.get());
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &CloseSocket);
-  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, &connections_closed);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(kConnectTimeout.count()));  // NOLINT
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &AppendBody);
@@ -511,6 +546,11 @@
         [[maybe_unused]] const ssize_t got = read(wake, &ignored, sizeof ignored);
         continue;
       }
+      // The server closed an idle connection: libcurl notices at the next call.
+      if (Watched(event.data.fd).idle) {
+        Watch(event.data.fd, 0);
+        continue;
+      }
       int what = 0;
       if ((event.events & EPOLLIN) != 0) what |= CURL_CSELECT_IN;
       if ((event.events & EPOLLOUT) != 0) what |= CURL_CSELECT_OUT;
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -164,6 +164,27 @@
   }
 }
 
+// Guards against a client that takes a connection that its server closed for the next call's.
+TEST_CASE_METHOD(http_echo_fixture,
+                 "http call, server restarted since the last one, opens a new connection",
+                 "[http]") {
+  http_server_options options;
+  options.port = FreePort();
+  const std::string url = "http://127.0.0.1:" + std::to_string(options.port) + "/";
+  for (uint64_t round = 1; round <= 5; ++round) {
+    http_server* self = nullptr;
+    http_server server(options, [&self](http_server::token token, const http_request&) {
+      self->Respond(token, {});
+    });
+    self = &server;
+    REQUIRE(server.Start());
+    for (int i = 0; i < 3; ++i) CHECK(client_.SendAndWait({"POST", url, "x"}).code == 200);
+    CHECK(client_.Connections().opened == round);
+    server.Stop();
+  }
+  CHECK(client_.SendAndWait({"POST", url, "x"}).status == transfer_status::kNotSent);
+}
+
 TEST_CASE_METHOD(http_echo_fixture, "http call, no listener, was not sent", "[http]") {
   const std::string url = Url("/a");
   server_->Stop();
