Test: cut the connection only once the call has arrived

'call fault, connection reset, is closed' sent a call and cut the link at once. On a busy machine the cut came first: the call found its connection dead and counted as not connected, which is right. The test now waits until the server has the call, as its title says; what it checks is the same.

--- a/test/call_fault_test.cc
+++ b/test/call_fault_test.cc
@@ -161,6 +161,7 @@
   waiting.timeout = milliseconds{10000};
   std::promise<void> done;
   client_.Send(std::move(waiting), [&](const http_result&) { done.set_value(); });
+  while (server_->Waiting() == 0) std::this_thread::yield();
   link_rule cut;
   cut.state = link_state::kCut;
   proxy_.SetRule(link_, cut);
