--- a/test/recorded_runs_test.cc
+++ b/test/recorded_runs_test.cc
@@ -143,7 +143,11 @@
                     {clock, 0, std::move(running), std::move(ended)}, now, now);
   }
   void ListRun(const std::string& instance, uint32_t index, uint32_t run) {
-    List(instance, {{{JobId(1), 0, 0, index}, run, "", 10, 0}});
+    running_row row;
+    row.key = {JobId(1), 0, 0, index};
+    row.run = run;
+    row.percent = 10;
+    List(instance, {row});
   }
   void ListPresentAttempt() {
     ListRun("member-0", 0, 2);
