--- a/src/process/site/caller_frontend.h
+++ b/src/process/site/caller_frontend.h
@@ -129,7 +129,7 @@
   }
 
   shared_call Open(call now) {
-    const auto opened = std::make_shared<call>(std::move(now));
+    auto opened = std::make_shared<call>(std::move(now));
     open_.emplace(opened.get(), opened);
     return opened;
   }
