--- a/test/job_scheduler_test.cc
+++ b/test/job_scheduler_test.cc
@@ -431,9 +431,11 @@
   static constexpr uint32_t kInstances = 6;
 
   // `returning`: the process of an owner that loses the site may own it again next.
-  random_faults_run(uint64_t seed, bool recorded, bool returning = false)
+  // `unheard`: earlier owners start jobs that the next one has not heard of.
+  random_faults_run(uint64_t seed, bool recorded, bool returning = false, bool unheard = false)
       : random_(seed * 977),
         returning_(returning),
+        unheard_(unheard),
         world_(seed, RandomFaults()),
         cancelled_(kJobs),
         always_failing_(kJobs) {
@@ -459,10 +461,10 @@
   void Check() {
     for (const std::string& what : world_.Violations()) UNSCOPED_INFO(what);
     CHECK(world_.Violations().empty());
-    for (uint32_t i = 0; i < kJobs; ++i) {
-      if (cancelled_[i]) continue;
-      const graph_phase wanted =
-          always_failing_[i] ? graph_phase::kFailed : graph_phase::kCompleted;
+    for (uint32_t i = 0; i < kJobs + unheard_jobs_; ++i) {
+      if (i < kJobs && cancelled_[i]) continue;
+      const bool fails = i < kJobs && always_failing_[i];
+      const graph_phase wanted = fails ? graph_phase::kFailed : graph_phase::kCompleted;
       if (world_.Phase(JobId(i)) == wanted) continue;
       for (const std::string& event : world_.EventsOf(JobId(i))) UNSCOPED_INFO(event);
       UNSCOPED_INFO("job " << i << " is " << std::string(ToText(world_.Phase(JobId(i)))));
@@ -500,6 +502,14 @@
     world_.Cancel(JobId(number));
   }
 
+  void SubmitUnheard() {
+    const uint32_t number = kJobs + unheard_jobs_++;
+    std::vector<step_spec> steps = {
+        Tasks(Pick(1, 6), Pick(500, 3000), milliseconds(Pick(200, 2500)))};
+    if (Pick(0, 1) == 1) steps.push_back(Tasks(Pick(1, 4), Pick(500, 3000), seconds(1), {0}));
+    world_.SubmitUnheard(Job(number, steps), milliseconds(Pick(20, 3000)));
+  }
+
   void InjectFault() {
     const std::string instance = Instance(Pick(0, kInstances - 1));
     switch (Pick(0, 11)) {
@@ -510,6 +520,7 @@
       case 2:
         return world_.Cut(instance, false);
       case 3:
+        if (unheard_) SubmitUnheard();
         if (returning_ && Pick(0, 1) == 0) return world_.LoseSite(milliseconds(Pick(50, 3000)));
         return world_.KillOwner(milliseconds(Pick(50, 3000)));
       case 4:
@@ -521,6 +532,8 @@
 
   std::mt19937_64 random_;
   const bool returning_;
+  const bool unheard_;
+  uint32_t unheard_jobs_ = 0;
   scheduling_world world_;
   std::vector<bool> cancelled_;
   std::vector<bool> always_failing_;
@@ -562,5 +575,18 @@
   }
 }
 
+// Guards against runs over capacity, two runs of a task at once and lost attempts where an earlier
+// owner started jobs that the next one has not heard of.
+TEST_CASE("job scheduler, random faults and jobs heard of late, violates no guarantee",
+          "[property]") {
+  constexpr uint64_t kSeeds = 300;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    random_faults_run scenario(seed, false, false, true);
+    scenario.Run();
+    scenario.Check();
+  }
+}
+
 }  // namespace
 }  // namespace catkinford
--- a/test/scheduling_world.cc
+++ b/test/scheduling_world.cc
@@ -67,6 +67,10 @@
   if (owner_ != nullptr) owner_->OnJob(std::move(job), {}, false, Wall(), Mono());
 }
 
+void scheduling_world::SubmitUnheard(graph_job job, milliseconds heard_after) {
+  unheard_.emplace_back(std::move(job), heard_after);
+}
+
 void scheduling_world::Cancel(const std::string& job) {
   store_[job].cancelled = true;
   if (owner_ != nullptr) owner_->OnCancel(job, Mono());
@@ -420,6 +424,9 @@
     if (newer) owner_->OnUnstoredProgress(id);
     if (kept.cancelled) owner_->OnCancel(id, Mono());
   }
+  for (auto& [job, heard_after] : std::exchange(unheard_, {})) {
+    StartUnheard(std::move(job), heard_after);
+  }
   At(now_ + kTick, [this, owner_incarnation] {
     if (owner_incarnation == owner_incarnation_) Decide();
   });
@@ -428,6 +435,47 @@
   });
 }
 
+void scheduling_world::StartUnheard(graph_job job, milliseconds heard_after) {
+  const std::string id = job.id;
+  job.accepted = Wall();
+  store_[id] = {std::move(job), {}, false};
+  const step_spec& terms = store_[id].job.steps[0];
+  for (uint32_t i = 0; epoch_ > 1 && i < terms.count; ++i) {
+    for (auto& [name, other] : instances_) Advance(other);
+    resources of_workspace = UsageOf(store_[id].job.workspace);
+    of_workspace += terms.need;
+    const auto maximum = maximum_.find(store_[id].job.workspace);
+    if (maximum != maximum_.end() && of_workspace.cpu_milli > maximum->second.cpu_milli) break;
+    for (auto& [name, instance] : instances_) {
+      resources used = terms.need;
+      for (const live_run& run : instance.runs) used += run.capacity;
+      const bool fits = used.cpu_milli <= instance.report.capacity.cpu_milli;
+      if (!fits || !instance.up || instance.cut || instance.fence >= epoch_) continue;
+      start_command request;
+      request.key = {id, 0, 0, i};
+      request.run = static_cast<uint32_t>((epoch_ - 2) * 1000 + 1);
+      request.lease_until_ms = Clock(instance) + scheduler_options{}.run_lease.count();
+      CarryOutStart(instance, request, epoch_ - 1);
+      break;
+    }
+  }
+  At(now_ + heard_after, [this, id, owner_incarnation = owner_incarnation_] {
+    if (owner_incarnation != owner_incarnation_ || owner_ == nullptr) return;
+    owner_->OnJob(store_[id].job, store_[id].progress, false, Wall(), Mono());
+  });
+}
+
+resources scheduling_world::UsageOf(const std::string& workspace) const {
+  resources sum;
+  for (const auto& [id, instance] : instances_) {
+    if (!instance.up) continue;
+    for (const live_run& run : instance.runs) {
+      if (store_.at(run.key.job).job.workspace == workspace) sum += run.capacity;
+    }
+  }
+  return sum;
+}
+
 void scheduling_world::ReadRegistry() {
   const uint64_t owner_incarnation = owner_incarnation_;
   At(now_ + kRegistryPoll, [this, owner_incarnation] {
--- a/test/scheduling_world.h
+++ b/test/scheduling_world.h
@@ -12,6 +12,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "process/scheduling/job_scheduler.h"
@@ -41,6 +42,10 @@
   // Accepts a job, which is durable from then on.
   void Submit(graph_job job);
   void Cancel(const std::string& job);
+  // Accepts a job at the next change of owner. The earlier owner still acts then: it starts the
+  // job's first step without a record, at instances that the next owner has not listed. That one
+  // hears of the job `heard_after` it began.
+  void SubmitUnheard(graph_job job, std::chrono::milliseconds heard_after);
   void SetWorkspaceMaximum(const std::string& workspace, resources maximum);
   // Actual run time of each task of a job, and how its runs end.
   void SetDuration(const std::string& job, std::chrono::milliseconds time);
@@ -132,6 +137,8 @@
   // Percent of the run's work that is done.
   uint32_t PercentOf(const live_run& run) const;
   void SendListing(const list_command& request);
+  void StartUnheard(graph_job job, std::chrono::milliseconds heard_after);
+  resources UsageOf(const std::string& workspace) const;
   void CheckStart(const live_instance& instance, const start_command& request);
 
   std::mt19937_64 random_;
@@ -152,6 +159,7 @@
   uint64_t epoch_ = 0;
   uint64_t owner_incarnation_ = 0;  // answers to an earlier owner are dropped
   bool committing_ = false;
+  std::vector<std::pair<graph_job, std::chrono::milliseconds>> unheard_;
   std::vector<instance_report> fleet_;  // as stored
   size_t stored_fleet_size_ = 0;        // size of the fleet that the owner knows to be stored
   bool store_cut_ = false;
