Count a job as waiting until one of its tasks is known to have begun

Cause: a job counted as begun when its start was decided on, and most starts got no answer. Now the answer to a start, a listing or an end says so. The phase 'running' follows the same rule.

Ruled out: old counts at other entries (the count comes from the owner).

--- a/src/process/scheduling/graph_state.h
+++ b/src/process/scheduling/graph_state.h
@@ -129,7 +129,7 @@
   uint32_t next_occurrence = 0;    // first occurrence that is not due yet
   std::vector<uint32_t> finished;  // done occurrences at or above `done_below`
   uint32_t done_below = 0;         // all occurrences below are done
-  bool started = false;            // some task has ever started
+  bool started = false;            // some task is known to have begun
   bool beyond_share = false;       // exceeded the workspace's share on arrival
   bool inherited = false;          // older than this ownership: may have unlisted runs
   uint64_t change = 0;             // counts changes of the durable state
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -149,7 +149,7 @@
 
   // Queries.
   const job_entry* Find(const std::string& job) const;
-  // Number of accepted jobs of a queue of which no task has ever started.
+  // Number of accepted jobs of a queue of which no task is known to have begun.
   size_t Pending(const std::string& queue) const;
   // True if some instance of the service that was ever seen is large enough for each task of the
   // job, or if no instance is known.
@@ -228,6 +228,8 @@
   void Adopt(fleet_instance& instance, const running_row& row, monotonic_time now);
   // False if another run holds the task or none is wanted.
   static bool ClaimTask(graph_run& run);
+  // Some task of the job is known to have begun.
+  static void MarkStarted(job_entry& entry);
   void StopStray(graph_run& run, monotonic_time now);
   // Stops the gang's attempt that the member's run belongs to.
   void BreakGang(job_entry& entry, const task_key& member, uint32_t run, monotonic_time now);
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -263,6 +263,7 @@
           run == nullptr
               ? std::string()
               : absl::StrCat(" ran_ms=", duration_cast<milliseconds>(now - run->started).count())));
+  if (entry != nullptr) MarkStarted(*entry);
   step_progress* step = entry == nullptr ? nullptr : entry->Find(row.key);
   if (step != nullptr) {
     graph_task_state& task = step->tasks[row.key.index];
@@ -316,6 +317,7 @@
   run.started = now;
   run.confirmed = now;
   run.progressed = now;
+  if (entry != nullptr) MarkStarted(*entry);
   step_progress* step = entry == nullptr ? nullptr : entry->Find(row.key);
   if (step != nullptr) {
     graph_task_state& task = step->tasks[row.key.index];
@@ -359,11 +361,14 @@
   task.phase = graph_task_phase::kActive;
   --step->waiting;
   ++step->active;
-  run.job->started = true;
-  if (run.job->phase == graph_phase::kQueued) run.job->phase = graph_phase::kRunning;
   return true;
 }
 
+void job_scheduler::MarkStarted(job_entry& entry) {
+  entry.started = true;
+  if (entry.phase == graph_phase::kQueued) entry.phase = graph_phase::kRunning;
+}
+
 void job_scheduler::StopStray(graph_run& run, monotonic_time now) {
   if (run.stopping != stop_cause::kNone) return;
   LogEvent(scheduler_event::kind::kTaskStop, NameOf(run.key),
@@ -377,6 +382,7 @@
   graph_run* run = FindRun(instance, row.key, row.run);
   if (run == nullptr) return Adopt(instance, row, now);
   run->seen = true;
+  if (run->job != nullptr) MarkStarted(*run->job);
   if (run->phase == run_phase::kSent || run->phase == run_phase::kUnknown ||
       run->phase == run_phase::kInherited) {
     const bool inherited = run->phase == run_phase::kInherited;
@@ -509,6 +515,7 @@
     run->seen = true;
     run->confirmed = now;
     run->progressed = now;
+    if (run->job != nullptr) MarkStarted(*run->job);
     return;
   }
   LogEvent(scheduler_event::kind::kTaskRefused, NameOf(request.key),
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -88,8 +88,6 @@
     --step.waiting;
     ++step.active;
   }
-  entry.started = true;
-  if (entry.phase == graph_phase::kQueued) entry.phase = graph_phase::kRunning;
 
   start_command request;
   request.to = {instance.report.id, instance.report.address, instance.report.incarnation};
