Runs and ends of jobs that the owner does not know: occupied and unacknowledged until the store is asked

Cause: a gap in the owner's copy was read as a fact. The inbox is read once and followed by a watch, listings arrive milliseconds after a takeover. While records run behind, an earlier owner that still acts starts jobs accepted after that reading. The next one listed their runs as runs of no job: no capacity counted (LIMIT), their ends acknowledged uncounted (BUDGET), and when the job came by the watch its tasks started again beside them (TWICE). Their workspace was not charged (QUOTA). Change: such a run makes its instance take no work and limited workspaces no starts; the job's record is read from the store at once; found, the runs claim their tasks and their ends take effect, absent, the runs are stopped and the ends acknowledged. A job that arrives while an earlier owner may act waits as inherited ones do. 638 run_unidentified. Why it works: absence is concluded from the store's answer alone.

--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "process/scheduling/graph_state.h"
+#include "process/scheduling/scheduler_messages.h"
 #include "request/job_request.h"
 
 namespace catkinford {
@@ -66,7 +66,7 @@
   bool stop_in_flight = false;
   bool speed_in_flight = false;
   uint32_t speed_percent = 100;  // percent of full speed that the run may use
-  job_entry* job = nullptr;      // null: a stray run
+  job_entry* job = nullptr;      // null: the job is not known
   fleet_instance* instance = nullptr;
   monotonic_time started{};     // when the start was sent
   monotonic_time progressed{};  // when `percent` last changed
@@ -88,7 +88,8 @@
 struct seen_end {
   uint64_t number = 0;
   std::string job;
-  uint64_t change = 0;  // of the job, which must be stored first
+  uint64_t change = 0;        // of the job, which must be stored first
+  bool unidentified = false;  // its job is not known: it has no effect yet
 };
 
 // A start that got no answer and was proved not to have begun. The proof holds only for that
@@ -104,6 +105,7 @@
   uint32_t ordinal = 0;        // unique among all instances ever seen
   uint32_t service = 0;        // ordinal of its service
   uint32_t filling = 0;        // filler runs, which use what other runs leave unused
+  uint32_t unidentified = 0;   // runs whose job, and with it their capacity, is not known
   uint32_t silent = 0;         // consecutive listings without an answer
   bool present = true;         // in the registry
   bool listed = false;         // fenced by this owner, and its runs are known
@@ -135,6 +137,7 @@
   uint64_t ends_acked = 0;  // highest end number whose effect is stored
   uint64_t acks_sent = 0;   // highest end number that was acknowledged to the instance
   std::deque<seen_end> unstored;
+  std::vector<ended_row> unidentified_ends;  // whose job is not known; their effect is yet to come
 
   std::vector<undelivered_start> undelivered;
   // Runs begun by late starts that were meant for an earlier incarnation have ended by then.
--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -53,7 +53,7 @@
   auto made = std::make_unique<job_entry>();
   job_entry& entry = *made;
   entry.job = std::move(job);
-  entry.inherited = inherited;
+  entry.inherited = inherited || EarlierOwnerMayStart(now);
   LookUpTerms(entry);
   entry.arrived = now;
   if (!progress.empty()) ApplyProgress(entry, progress, now);
@@ -64,16 +64,17 @@
   if (IsFinal(entry.phase)) {
     entry.finished_at = now;
     final_.push_back(id);
-    return;
+    return IdentifyWork(entry, now);
   }
   active_.push_back(&entry);
   OpenOccurrences(entry, wall, now);
   const size_t restored = RestoreRecordedRuns(entry, now);
   LogEvent(scheduler_event::kind::kJobAdded, id,
            absl::StrCat("queue=", entry.job.queue, " workspace=", entry.job.workspace,
-                        " steps=", entry.job.steps.size(), " inherited=", inherited,
+                        " steps=", entry.job.steps.size(), " inherited=", entry.inherited,
                         " recorded_runs=", restored));
   SetObjective(entry);
+  IdentifyWork(entry, now);
 }
 
 milliseconds job_scheduler::ExpectedRun(const job_entry& entry, const step_progress& step,
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -17,6 +17,7 @@
 
 #include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "process/scheduling/answer_timeout.h"
 #include "process/scheduling/arrival_rate_limit.h"
 #include "process/scheduling/capacity_forecast.h"
@@ -89,6 +90,11 @@
   void OnJob(graph_job job, std::string_view progress, bool inherited, wall_time wall,
              monotonic_time now);
   void OnCancel(const std::string& job, monotonic_time now);
+  // Jobs that are not known here and of which an instance lists a run or an end; each is returned
+  // once. The store must be asked: OnJob() or OnJobAbsent() is expected with the answer.
+  std::vector<std::string> TakeUnknownJobs();
+  // The store has no such job, or no readable one.
+  void OnJobAbsent(const std::string& job, monotonic_time now);
 
   // Answers to commands.
   void OnStartAnswer(const start_command& request, const command_answer& answer,
@@ -207,7 +213,9 @@
   graph_run* FindRun(fleet_instance& instance, const task_key& key, uint32_t number);
   // True if the run is its task's run or copy.
   static bool HoldsTask(const graph_run& run);
+  // `job` null: not known. The instance gets no work until it is, or the run has ended.
   graph_run& AddRun(fleet_instance& instance, job_entry* job, const task_key& key, uint32_t number);
+  static void AssignJob(graph_run& run, job_entry& job);
   void ReserveCapacity(graph_run& run, int sign);
   // The run is proved to have ended or never to begin: frees its capacity; its task may start
   // elsewhere.
@@ -222,10 +230,15 @@
   void OnTaskFailed(job_entry& entry, const task_key& key, uint32_t run, fleet_instance& at,
                     monotonic_time now);
   void HandleEnd(fleet_instance& instance, const ended_row& row, monotonic_time now);
+  // `run`: the one that ended; null if it was released before.
+  void ApplyEnd(job_entry& entry, fleet_instance& instance, const ended_row& row, graph_run* run,
+                monotonic_time now);
   void HandleRunning(fleet_instance& instance, const running_row& row, monotonic_time now);
   void HandleMissing(fleet_instance& instance, const std::vector<const graph_run*>& seen,
                      monotonic_time sent, monotonic_time now);
   void Adopt(fleet_instance& instance, const running_row& row, monotonic_time now);
+  // Records a run of a known job that this owner did not start. It holds its task or is stopped.
+  void ClaimOrStop(graph_run& run, monotonic_time now);
   // False if another run holds the task or none is wanted.
   static bool ClaimTask(graph_run& run);
   // Some task of the job is known to have begun.
@@ -237,6 +250,12 @@
   void CheckRun(graph_run& run, scheduler_commands& commands, monotonic_time now);
   void SendStop(graph_run& run, scheduler_commands& commands, monotonic_time now);
 
+  // scheduler_unidentified.cc: runs and ends of jobs that are not known
+  void SeekJob(const std::string& job);
+  // The job has become known: its runs and ends that were listed before take effect.
+  void IdentifyWork(job_entry& entry, monotonic_time now);
+  void IdentifyEnds(job_entry& entry, fleet_instance& instance, monotonic_time now);
+
   // scheduler_instances.cc
   void OnReport(const instance_report& report, monotonic_time now);
   void OnRestart(fleet_instance& instance, const instance_report& report, monotonic_time now);
@@ -269,6 +288,8 @@
   // scheduler_placement.cc
   void Place(const std::vector<ready_step>& ready, monotonic_time now);
   bool MustWaitForInheritance(const job_entry& entry, const resources& need) const;
+  // An earlier owner may still start tasks of jobs that it is told of, without recording them.
+  bool EarlierOwnerMayStart(monotonic_time now) const;
   void CountPossibleRuns();
   std::vector<ready_step> ReadySteps(monotonic_time now);
   void PlaceStep(const ready_step& ready, monotonic_time now);
@@ -384,7 +405,9 @@
   absl::flat_hash_map<std::string, resources> usage_of_workspace_;
   absl::flat_hash_map<std::string, arrival_rate_limit> arrival_limits_;  // by workspace
   std::vector<job_entry*> active_;                                       // not final
-  std::deque<std::string> final_;    // in the order in which they ended
+  absl::flat_hash_set<std::string> sought_jobs_;  // not known; runs or ends of theirs were listed
+  std::vector<std::string> unknown_jobs_;         // of these, the ones that were not taken yet
+  std::deque<std::string> final_;                 // in the order in which they ended
   std::deque<job_entry*> unstored_;  // changed since they were last taken, oldest first
   std::deque<planned_start> planned_;
   // Records of starts that may still arrive, in the order in which they were given up.
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -63,6 +63,7 @@
   instance.ends_acked = 0;
   instance.acks_sent = 0;
   instance.unstored.clear();
+  instance.unidentified_ends.clear();
   instance.silent = 0;
   instance.faults = 0;
   instance.speed = 1;
@@ -75,10 +76,12 @@
   const auto found = jobs_.find(start.key.job);
   job_entry* entry = found == jobs_.end() ? nullptr : found->second.get();
   step_progress* step = entry == nullptr ? nullptr : entry->Find(start.key);
-  graph_run& run = AddRun(instance, step == nullptr ? nullptr : entry, start.key, start.run);
+  const bool has_step = entry != nullptr && start.key.step < entry->job.steps.size();
+  graph_run& run = AddRun(instance, has_step ? entry : nullptr, start.key, start.run);
   run.phase = run_phase::kUnknown;
   run.started = start.sent;
   RequestStop(run, stop_cause::kUnknownStart, now);
+  if (entry == nullptr) SeekJob(start.key.job);
   if (step == nullptr) return;
   graph_task_state& task = step->tasks[start.key.index];
   if (task.phase != graph_task_phase::kWaiting) return;
@@ -286,6 +289,7 @@
 void job_scheduler::AdvanceAcks(fleet_instance& instance) {
   while (!instance.unstored.empty()) {
     const seen_end& end = instance.unstored.front();
+    if (end.unidentified) return;
     const auto found = jobs_.find(end.job);
     if (found != jobs_.end() && found->second->stored < end.change) return;
     instance.ends_acked = end.number;
--- a/src/process/scheduling/scheduler_messages.h
+++ b/src/process/scheduling/scheduler_messages.h
@@ -150,6 +150,7 @@
     kInstanceShunned,
     kInstanceDoubted,
     kRunAdopted,
+    kRunUnidentified,
     kAdvice,
   };
   kind what = kind::kJobAdded;
--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -45,7 +45,9 @@
 bool job_scheduler::WithinLimit(const job_entry& entry, const resources& need) const {
   if (version_ == nullptr || entry.job.workspace.empty()) return true;
   const workspace_config* workspace = version_->WorkspaceNamed(entry.job.workspace);
-  if (workspace == nullptr) return true;
+  if (workspace == nullptr || workspace->maximum == resources{}) return true;
+  // Runs of jobs that are not known may belong to any workspace.
+  if (!sought_jobs_.empty()) return false;
   const auto found = usage_of_workspace_.find(entry.job.workspace);
   resources with = need;
   if (found != usage_of_workspace_.end()) with += found->second;
@@ -91,6 +93,7 @@
 
 bool job_scheduler::AcceptsWork(const fleet_instance& instance, monotonic_time now) {
   if (!instance.present || !instance.listed || !instance.registered) return false;
+  if (instance.unidentified > 0) return false;
   if (instance.report.draining || instance.suspect || instance.replaced) return false;
   if (!instance.Reachable() || now < instance.quarantined_until) return false;
   return now - instance.clock_at <= kMaxClockAge;
@@ -277,6 +280,11 @@
   return !WithinLimit(entry, need + possible->second);
 }
 
+bool job_scheduler::EarlierOwnerMayStart(monotonic_time now) const {
+  return !records_complete_ && !inheritance_settled_ &&
+         now < took_over_ + options_.earlier_owner + options_.unconfirmed_owner;
+}
+
 void job_scheduler::CountPossibleRuns() {
   possible_usage_of_workspace_.clear();
   for (const job_entry* entry : active_) {
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -95,18 +95,26 @@
   instance.runs.push_back(std::make_unique<graph_run>());
   graph_run& run = *instance.runs.back();
   run.key = key;
-  run.job = job;
   run.number = number;
   run.instance = &instance;
-  if (job == nullptr || key.step >= job->job.steps.size()) return run;
-  const step_spec& terms = job->job.steps[key.step];
+  if (job == nullptr) {
+    ++instance.unidentified;
+  } else {
+    AssignJob(run, *job);
+    ReserveCapacity(run, 1);
+  }
+  return run;
+}
+
+void job_scheduler::AssignJob(graph_run& run, job_entry& job) {
+  const step_spec& terms = job.job.steps[run.key.step];
+  run.job = &job;
   run.fills = terms.fills;
   run.serves = terms.tail_latency_target.count() > 0;
   run.capacity = terms.need;
-  if (terms.fills) run.capacity.cpu_milli = 0;
-  if (terms.fills) ++instance.filling;
-  ReserveCapacity(run, 1);
-  return run;
+  if (!terms.fills) return;
+  run.capacity.cpu_milli = 0;
+  ++run.instance->filling;
 }
 
 void job_scheduler::ReserveCapacity(graph_run& run, int sign) {
@@ -132,6 +140,7 @@
   CloseRun(run, now);
   fleet_instance& instance = *run.instance;
   if (run.fills) --instance.filling;
+  if (run.job == nullptr) --instance.unidentified;
   const auto slot =
       std::find_if(instance.runs.begin(), instance.runs.end(),
                    [&](const std::unique_ptr<graph_run>& held) { return held.get() == &run; });
@@ -263,32 +272,45 @@
           run == nullptr
               ? std::string()
               : absl::StrCat(" ran_ms=", duration_cast<milliseconds>(now - run->started).count())));
-  if (entry != nullptr) MarkStarted(*entry);
-  step_progress* step = entry == nullptr ? nullptr : entry->Find(row.key);
-  if (step != nullptr) {
-    graph_task_state& task = step->tasks[row.key.index];
-    task.last_run = std::max(task.last_run, row.run);
-    if (!row.checkpoint.empty()) task.checkpoint = row.checkpoint;
+  // A job whose record is absent or malformed has no progress to store.
+  const bool job_absent = row.key.job.empty() || cause == stop_cause::kStray;
+  if (entry != nullptr) {
+    ApplyEnd(*entry, instance, row, run, now);
+  } else {
+    if (run != nullptr) Release(*run, now);
+    if (!job_absent) {
+      instance.unidentified_ends.push_back(row);
+      SeekJob(row.key.job);
+    }
+  }
+  const bool unidentified = entry == nullptr && !job_absent;
+  instance.unstored.push_back(
+      {row.number, row.key.job, entry == nullptr ? 0 : entry->change, unidentified});
+}
+
+void job_scheduler::ApplyEnd(job_entry& entry, fleet_instance& instance, const ended_row& row,
+                             graph_run* run, monotonic_time now) {
+  MarkStarted(entry);
+  step_progress* step = entry.Find(row.key);
+  if (step == nullptr) {
+    if (run != nullptr) Release(*run, now);
+    return;
   }
-  if (row.how == run_end::kDone && run != nullptr && step != nullptr) {
+  graph_task_state& task = step->tasks[row.key.index];
+  task.last_run = std::max(task.last_run, row.run);
+  if (!row.checkpoint.empty()) task.checkpoint = row.checkpoint;
+  if (row.how == run_end::kDone && run != nullptr) {
     instance.faults = 0;
-    LearnRun(*entry, *step, *run, now);
+    LearnRun(entry, *step, *run, now);
   }
-  task_times times;
-  if (step != nullptr) times = TimesOf(*step, row.key, run, now);
+  const task_times times = TimesOf(*step, row.key, run, now);
   if (run != nullptr) Release(*run, now);
-  if (entry != nullptr && !IsFinal(entry->phase) && step != nullptr) {
-    if (row.how == run_end::kDone) {
-      OnTaskDone(*entry, row.key, times, now);
-    } else {
-      if (row.how == run_end::kFailed) OnTaskFailed(*entry, row.key, row.run, instance, now);
-      if (!IsFinal(entry->phase) && !row.checkpoint.empty()) MarkChanged(*entry);
-      if (!IsFinal(entry->phase) && entry->job.steps[row.key.step].gang) {
-        BreakGang(*entry, row.key, row.run, now);
-      }
-    }
-  }
-  instance.unstored.push_back({row.number, row.key.job, entry == nullptr ? 0 : entry->change});
+  if (IsFinal(entry.phase)) return;
+  if (row.how == run_end::kDone) return OnTaskDone(entry, row.key, times, now);
+  if (row.how == run_end::kFailed) OnTaskFailed(entry, row.key, row.run, instance, now);
+  if (IsFinal(entry.phase)) return;
+  if (!row.checkpoint.empty()) MarkChanged(entry);
+  if (entry.job.steps[row.key.step].gang) BreakGang(entry, row.key, row.run, now);
 }
 
 void job_scheduler::BreakGang(job_entry& entry, const task_key& member, uint32_t run,
@@ -309,32 +331,36 @@
 
 void job_scheduler::Adopt(fleet_instance& instance, const running_row& row, monotonic_time now) {
   const auto found = jobs_.find(row.key.job);
-  job_entry* entry = found == jobs_.end() ? nullptr : found->second.get();
-  if (entry != nullptr && row.key.step >= entry->job.steps.size()) entry = nullptr;
-  graph_run& run = AddRun(instance, entry, row.key, row.run);
+  const bool known = found != jobs_.end();
+  const bool has_step = known && row.key.step < found->second->job.steps.size();
+  graph_run& run = AddRun(instance, has_step ? found->second.get() : nullptr, row.key, row.run);
   run.phase = run_phase::kRunning;
   run.seen = true;
   run.started = now;
   run.confirmed = now;
   run.progressed = now;
-  if (entry != nullptr) MarkStarted(*entry);
-  step_progress* step = entry == nullptr ? nullptr : entry->Find(row.key);
-  if (step != nullptr) {
-    graph_task_state& task = step->tasks[row.key.index];
-    task.last_run = std::max(task.last_run, row.run);
+  if (has_step) return ClaimOrStop(run, now);
+  if (known) return StopStray(run, now);
+  LogEvent(scheduler_event::kind::kRunUnidentified, NameOf(row.key),
+           absl::StrCat("run=", row.run, " instance=", instance.report.id));
+  SeekJob(row.key.job);
+}
+
+void job_scheduler::ClaimOrStop(graph_run& run, monotonic_time now) {
+  if (run.seen) MarkStarted(*run.job);
+  if (step_progress* step = run.job->Find(run.key)) {
+    graph_task_state& task = step->tasks[run.key.index];
+    task.last_run = std::max(task.last_run, run.number);
     // Recorded even if the run is not wanted: until it has ended, the task must not start
     // elsewhere.
     if (task.phase != graph_task_phase::kDone) {
-      RecordRun(task, row.run, instance.report.id);
-      MarkChanged(*entry);
+      RecordRun(task, run.number, run.instance->report.id);
+      MarkChanged(*run.job);
     }
   }
-  if (ClaimTask(run)) {
-    LogEvent(scheduler_event::kind::kRunAdopted, NameOf(row.key),
-             absl::StrCat("run=", row.run, " instance=", instance.report.id));
-    return;
-  }
-  StopStray(run, now);
+  if (!ClaimTask(run)) return StopStray(run, now);
+  LogEvent(scheduler_event::kind::kRunAdopted, NameOf(run.key),
+           absl::StrCat("run=", run.number, " instance=", run.instance->report.id));
 }
 
 // A run at work holds its task, unless another run that is at work does. One that is only recorded
--- a/src/process/site/site_log.cc
+++ b/src/process/site/site_log.cc
@@ -79,6 +79,9 @@
                     "Consecutive runs failed on the instance: it gets no new work for a while."},
     site_event_info{kInstanceDoubted, kWarning, "instance_doubted",
                     "A start got no answer: the instance gets no new work until it answers."},
+    site_event_info{
+        kRunUnidentified, kInfo, "run_unidentified",
+        "An instance lists a run of an unknown job: it gets no work until the job is known."},
     site_event_info{kOwnerSeen, kInfo, "owner_seen", "The store names an owner of the site."},
     site_event_info{kOwnershipWon, kInfo, "ownership_won", "This entry owns the site."},
     site_event_info{kOwnershipLost, kWarning, "ownership_lost",
--- a/src/process/site/site_log.h
+++ b/src/process/site/site_log.h
@@ -60,6 +60,7 @@
   kInstanceDraining = 635,
   kInstanceShunned = 636,
   kInstanceDoubted = 637,
+  kRunUnidentified = 638,
   // 64x: ownership of the site and its entries
   kOwnerSeen = 640,
   kOwnershipWon = 641,
--- a/src/process/site/site_owner.cc
+++ b/src/process/site/site_owner.cc
@@ -38,6 +38,8 @@
       return site_event::kInstanceDoubted;
     case kind::kRunAdopted:
       return site_event::kRunAdopted;
+    case kind::kRunUnidentified:
+      return site_event::kRunUnidentified;
     case kind::kAdvice:
       return site_event::kAdvice;
   }
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -338,6 +338,7 @@
     }
     if (!item.key.starts_with(jobs)) return;
     const std::string id = item.key.substr(jobs.size());
+    if (forgotten_.contains(id)) return;
     leaf::try_handle_all(
         [&]() -> leaf::result<void> {
           BOOST_LEAF_AUTO(job, JobFromText(item.value));
@@ -355,6 +356,24 @@
         });
   }
 
+  // Reads the record of a job of which an instance lists a run or an end, and no earlier reading of
+  // the inbox brought it. Its absence is certain only once the store has answered.
+  void SeekJob(const std::string& id) {
+    platform_.Store().Get(kJobPrefix + id, OnReply([id](self_type& self, const store_reply& reply) {
+                            if (!IsAnswer(reply)) {
+                              self.RunAfter(kRetry, [id](self_type& again) { again.SeekJob(id); });
+                              return;
+                            }
+                            for (const store_item& item : reply.items) {
+                              self.ApplyInboxItem(item, true);
+                            }
+                            if (self.scheduler_.Find(id) == nullptr) {
+                              self.scheduler_.OnJobAbsent(id, BootNow());
+                            }
+                            self.ScheduleDecision();
+                          }));
+  }
+
   // --- following the inbox and the registry ----------------------------------------------------
 
   void WatchInbox(uint64_t after) {
@@ -538,6 +557,7 @@
             self.metrics_.CountRunEnd(std::string(ToText(row.how)));
           }
           self.scheduler_.OnListing(request, *listing, sent, BootNow());
+          for (const std::string& job : self.scheduler_.TakeUnknownJobs()) self.SeekJob(job);
           self.ScheduleDecision();
         };
     platform_.Instances().List(
@@ -640,6 +660,7 @@
     metrics_.CountStoreCall("commit", reply.status == store_status::kDone ? "done" : "not_done");
     if (reply.status == store_status::kDone) {
       commit_revision_ = reply.revision;
+      for (const std::string& id : expired) forgotten_.erase(id);
       OnRecordModeStored(MillisSince(sent, now), now);
       const std::vector<completed_job> completed = scheduler_.CompletedBy(writes, now);
       for (const completed_job& job : completed) metrics_.CountCompletedJob(job);
@@ -707,6 +728,7 @@
   void CollectExpired() {
     for (std::string& id : scheduler_.TakeExpired(BootNow(), kMaxExpiredPerCommit)) {
       cancelled_.erase(id);
+      forgotten_.insert(id);
       expired_.push_back(std::move(id));
     }
     RunAfter(kExpiryInterval, [](self_type& self) { self.CollectExpired(); });
@@ -759,6 +781,7 @@
   std::vector<instance_report> fleet_;  // the instances in fleet_text_
   bool fleet_unstored_ = false;
   std::vector<std::string> expired_;
+  std::set<std::string> forgotten_;  // jobs whose records are not yet deleted
 };
 
 }  // namespace catkinford
--- a/test/scheduling_world.cc
+++ b/test/scheduling_world.cc
@@ -390,6 +390,7 @@
         if (owner_incarnation != owner_incarnation_ || owner_ == nullptr) return;
         owner_->OnListing(request, listing, monotonic_time(std::chrono::seconds(1000) + sent),
                           Mono());
+        ReadUnknownJobs();
       });
     });
   });
@@ -476,6 +477,17 @@
   return sum;
 }
 
+void scheduling_world::ReadUnknownJobs() {
+  for (const std::string& id : owner_->TakeUnknownJobs()) {
+    At(now_ + Between(4, 300), [this, id, owner_incarnation = owner_incarnation_] {
+      if (owner_incarnation != owner_incarnation_ || owner_ == nullptr) return;
+      const auto found = store_.find(id);
+      if (found == store_.end()) return owner_->OnJobAbsent(id, Mono());
+      owner_->OnJob(found->second.job, found->second.progress, true, Wall(), Mono());
+    });
+  }
+}
+
 void scheduling_world::ReadRegistry() {
   const uint64_t owner_incarnation = owner_incarnation_;
   At(now_ + kRegistryPoll, [this, owner_incarnation] {
--- a/test/scheduling_world.h
+++ b/test/scheduling_world.h
@@ -44,7 +44,7 @@
   void Cancel(const std::string& job);
   // Accepts a job at the next change of owner. The earlier owner still acts then: it starts the
   // job's first step without a record, at instances that the next owner has not listed. That one
-  // hears of the job `heard_after` it began.
+  // hears of the job `heard_after` it began, unless it asks the store.
   void SubmitUnheard(graph_job job, std::chrono::milliseconds heard_after);
   void SetWorkspaceMaximum(const std::string& workspace, resources maximum);
   // Actual run time of each task of a job, and how its runs end.
@@ -138,6 +138,7 @@
   uint32_t PercentOf(const live_run& run) const;
   void SendListing(const list_command& request);
   void StartUnheard(graph_job job, std::chrono::milliseconds heard_after);
+  void ReadUnknownJobs();
   resources UsageOf(const std::string& workspace) const;
   void CheckStart(const live_instance& instance, const start_command& request);
 
