Record mode: red tests of a declaration that is lost and of one that stays

A store that becomes slow while the withdrawal is in flight sets the mode to asynchronous and OnAsyncWithdrawn() leaves it there: starts go out without records and without a declaration. A declaration that a fast change carried is never withdrawn.

--- a/test/record_mode_test.cc
+++ b/test/record_mode_test.cc
@@ -80,5 +80,32 @@
   CHECK_FALSE(mode.ShouldDeclareAsync());
 }
 
+// Guards against two runs of a task: starts were sent without records after the declaration had
+// been withdrawn, so the next owner took the records for complete.
+TEST_CASE_METHOD(record_mode_fixture,
+                 "record mode, slow while the declaration is withdrawn, declares again") {
+  Changes(1, milliseconds{300});
+  mode.OnAsyncDeclared();
+  Changes(40, milliseconds{10});
+  REQUIRE(mode.ShouldWithdrawAsync(true));
+  mode.OnChangePending(milliseconds{200});
+  Changes(1, milliseconds{200});  // the change that withdraws it
+  mode.OnAsyncWithdrawn();
+  CHECK(mode.StartsAwaitRecords());
+  CHECK(mode.ShouldDeclareAsync());
+}
+
+// Guards against a declaration that stays in the store: each later owner would wait for instances
+// that it cannot list.
+TEST_CASE_METHOD(record_mode_fixture,
+                 "record mode, slow once, declared by a fast change, withdraws it") {
+  Changes(1, milliseconds{300});
+  REQUIRE(mode.ShouldDeclareAsync());
+  Changes(1, milliseconds{10});  // the change that declares it
+  mode.OnAsyncDeclared();
+  Changes(40, milliseconds{10});
+  CHECK(mode.ShouldWithdrawAsync(true));
+}
+
 }  // namespace
 }  // namespace catkinford
