Jobs of unknown work: by acceptance time, runs before ends, lookups that fail are no answer

Callers could see two runs of one task: the earlier owner's window was compared with the time of hearing of a job, not of its acceptance, and the other tasks of a job of which one run was listed started at once. An end of an unknown job stopped all starts of limited workspaces though it uses nothing; a gang's end was applied before its other runs were known. Now: accepted_at; jobs looked up count as inherited; only listed runs bound workspaces; runs first, then ends. Only the store's 'no such key' is absence, the cancel record is read with the job, and a record that is being deleted brings its job back no more.

--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -53,11 +53,12 @@
   auto made = std::make_unique<job_entry>();
   job_entry& entry = *made;
   entry.job = std::move(job);
-  entry.inherited = inherited || EarlierOwnerMayStart(now);
   LookUpTerms(entry);
   entry.arrived = now;
   if (!progress.empty()) ApplyProgress(entry, progress, now);
   entry.accepted_at = now - std::max(milliseconds{0}, wall - entry.job.accepted);
+  entry.inherited =
+      inherited || lookups_.contains(entry.job.id) || EarlierOwnerMayStart(entry.accepted_at);
   entry.beyond_share = BeyondShare(entry.job);
   const std::string id = entry.job.id;
   jobs_[id] = std::move(made);
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -91,7 +91,7 @@
              monotonic_time now);
   void OnCancel(const std::string& job, monotonic_time now);
   // Jobs that are not known here and of which an instance lists a run or an end; each is returned
-  // once. The store must be asked: OnJob() or OnJobAbsent() is expected with the answer.
+  // once. Their records must be read: OnJob() or OnJobAbsent() is expected with the answer.
   std::vector<std::string> TakeUnknownJobs();
   // The store has no such job, or no readable one.
   void OnJobAbsent(const std::string& job, monotonic_time now);
@@ -251,7 +251,7 @@
   void SendStop(graph_run& run, scheduler_commands& commands, monotonic_time now);
 
   // scheduler_unidentified.cc: runs and ends of jobs that are not known
-  void SeekJob(const std::string& job);
+  void RequestLookup(const std::string& job);
   // The job has become known: its runs and ends that were listed before take effect.
   void IdentifyWork(job_entry& entry, monotonic_time now);
   void IdentifyEnds(job_entry& entry, fleet_instance& instance, monotonic_time now);
@@ -288,8 +288,8 @@
   // scheduler_placement.cc
   void Place(const std::vector<ready_step>& ready, monotonic_time now);
   bool MustWaitForInheritance(const job_entry& entry, const resources& need) const;
-  // An earlier owner may still start tasks of jobs that it is told of, without recording them.
-  bool EarlierOwnerMayStart(monotonic_time now) const;
+  // An earlier owner may have started tasks of a job accepted at that time without recording them.
+  bool EarlierOwnerMayStart(monotonic_time accepted) const;
   void CountPossibleRuns();
   std::vector<ready_step> ReadySteps(monotonic_time now);
   void PlaceStep(const ready_step& ready, monotonic_time now);
@@ -405,9 +405,12 @@
   absl::flat_hash_map<std::string, resources> usage_of_workspace_;
   absl::flat_hash_map<std::string, arrival_rate_limit> arrival_limits_;  // by workspace
   std::vector<job_entry*> active_;                                       // not final
-  absl::flat_hash_set<std::string> sought_jobs_;  // not known; runs or ends of theirs were listed
-  std::vector<std::string> unknown_jobs_;         // of these, the ones that were not taken yet
-  std::deque<std::string> final_;                 // in the order in which they ended
+  // Jobs that are not known and of which a run or an end was listed, those with a run, and those
+  // that TakeUnknownJobs() has not returned yet.
+  absl::flat_hash_set<std::string> lookups_;
+  absl::flat_hash_set<std::string> unidentified_jobs_;
+  std::vector<std::string> lookups_to_send_;
+  std::deque<std::string> final_;    // in the order in which they ended
   std::deque<job_entry*> unstored_;  // changed since they were last taken, oldest first
   std::deque<planned_start> planned_;
   // Records of starts that may still arrive, in the order in which they were given up.
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -81,7 +81,7 @@
   run.phase = run_phase::kUnknown;
   run.started = start.sent;
   RequestStop(run, stop_cause::kUnknownStart, now);
-  if (entry == nullptr) SeekJob(start.key.job);
+  if (entry == nullptr) RequestLookup(start.key.job);
   if (step == nullptr) return;
   graph_task_state& task = step->tasks[start.key.index];
   if (task.phase != graph_task_phase::kWaiting) return;
--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -46,8 +46,8 @@
   if (version_ == nullptr || entry.job.workspace.empty()) return true;
   const workspace_config* workspace = version_->WorkspaceNamed(entry.job.workspace);
   if (workspace == nullptr || workspace->maximum == resources{}) return true;
-  // Runs of jobs that are not known may belong to any workspace.
-  if (!sought_jobs_.empty()) return false;
+  // Runs of unknown jobs may belong to any workspace.
+  if (!unidentified_jobs_.empty()) return false;
   const auto found = usage_of_workspace_.find(entry.job.workspace);
   resources with = need;
   if (found != usage_of_workspace_.end()) with += found->second;
@@ -280,9 +280,9 @@
   return !WithinLimit(entry, need + possible->second);
 }
 
-bool job_scheduler::EarlierOwnerMayStart(monotonic_time now) const {
+bool job_scheduler::EarlierOwnerMayStart(monotonic_time accepted) const {
   return !records_complete_ && !inheritance_settled_ &&
-         now < took_over_ + options_.earlier_owner + options_.unconfirmed_owner;
+         accepted < took_over_ + options_.earlier_owner + options_.unconfirmed_owner;
 }
 
 void job_scheduler::CountPossibleRuns() {
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -272,7 +272,8 @@
           run == nullptr
               ? std::string()
               : absl::StrCat(" ran_ms=", duration_cast<milliseconds>(now - run->started).count())));
-  // A job whose record is absent or malformed has no progress to store.
+  // A run of an unknown job is stopped as a stray once the job's record is known to be absent; such
+  // an end has no effect.
   const bool job_absent = row.key.job.empty() || cause == stop_cause::kStray;
   if (entry != nullptr) {
     ApplyEnd(*entry, instance, row, run, now);
@@ -280,7 +281,7 @@
     if (run != nullptr) Release(*run, now);
     if (!job_absent) {
       instance.unidentified_ends.push_back(row);
-      SeekJob(row.key.job);
+      RequestLookup(row.key.job);
     }
   }
   const bool unidentified = entry == nullptr && !job_absent;
@@ -343,7 +344,8 @@
   if (known) return StopStray(run, now);
   LogEvent(scheduler_event::kind::kRunUnidentified, NameOf(row.key),
            absl::StrCat("run=", row.run, " instance=", instance.report.id));
-  SeekJob(row.key.job);
+  unidentified_jobs_.insert(row.key.job);
+  RequestLookup(row.key.job);
 }
 
 void job_scheduler::ClaimOrStop(graph_run& run, monotonic_time now) {
--- a/src/process/scheduling/scheduler_unidentified.cc
+++ b/src/process/scheduling/scheduler_unidentified.cc
@@ -1,22 +1,23 @@
 // Runs and ends of jobs that this owner does not know. The inbox is read at a takeover and followed
-// by a watch, so an earlier owner may have been told of a job, and have started it, before this one
-// hears of it. Until then such a run may use any capacity, and such an end has no effect yet.
-#include <algorithm>
+// by a watch, so an earlier owner may have started a job that reaches this one later than a listing
+// of its runs. Until then such a run may use any capacity, and such an end has no effect.
+#include <utility>
 
 #include "process/scheduling/job_scheduler.h"
 
 namespace catkinford {
 
-void job_scheduler::SeekJob(const std::string& job) {
-  if (sought_jobs_.insert(job).second) unknown_jobs_.push_back(job);
+void job_scheduler::RequestLookup(const std::string& job) {
+  if (lookups_.insert(job).second) lookups_to_send_.push_back(job);
 }
 
 std::vector<std::string> job_scheduler::TakeUnknownJobs() {
-  return std::exchange(unknown_jobs_, {});
+  return std::exchange(lookups_to_send_, {});
 }
 
 void job_scheduler::IdentifyWork(job_entry& entry, monotonic_time now) {
-  if (sought_jobs_.erase(entry.job.id) == 0) return;
+  if (lookups_.erase(entry.job.id) == 0) return;
+  unidentified_jobs_.erase(entry.job.id);
   for (auto& [id, instance] : instances_) {
     for (const auto& run : instance->runs) {
       if (run->job != nullptr || run->key.job != entry.job.id) continue;
@@ -29,8 +30,9 @@
       ReserveCapacity(*run, 1);
       ClaimOrStop(*run, now);
     }
-    IdentifyEnds(entry, *instance, now);
   }
+  // After the runs: the end of a gang's member stops the others.
+  for (auto& [id, instance] : instances_) IdentifyEnds(entry, *instance, now);
 }
 
 void job_scheduler::IdentifyEnds(job_entry& entry, fleet_instance& instance, monotonic_time now) {
@@ -48,7 +50,8 @@
 }
 
 void job_scheduler::OnJobAbsent(const std::string& job, monotonic_time now) {
-  if (sought_jobs_.erase(job) == 0) return;
+  if (lookups_.erase(job) == 0) return;
+  unidentified_jobs_.erase(job);
   for (auto& [id, instance] : instances_) {
     for (const auto& run : instance->runs) {
       if (run->job == nullptr && run->key.job == job) StopStray(*run, now);
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -159,6 +159,8 @@
   static constexpr std::chrono::milliseconds kIdleWatchPause{50};
   static constexpr size_t kItemOverheadBytes =
       150;  // per item on the wire, besides its key and value
+  // A read that was answered before a change may reach this process this much later.
+  static constexpr std::chrono::milliseconds kReadsInFlight{10000};
   static constexpr size_t kMaxExpiredPerCommit = 8;  // jobs; three keys each
   // The owner's own conditions and keys in each change.
   static constexpr size_t kReservedEntries = 5;
@@ -338,7 +340,7 @@
     }
     if (!item.key.starts_with(jobs)) return;
     const std::string id = item.key.substr(jobs.size());
-    if (forgotten_.contains(id)) return;
+    if (deleting_.contains(id)) return;
     leaf::try_handle_all(
         [&]() -> leaf::result<void> {
           BOOST_LEAF_AUTO(job, JobFromText(item.value));
@@ -356,22 +358,34 @@
         });
   }
 
-  // Reads the record of a job of which an instance lists a run or an end, and no earlier reading of
-  // the inbox brought it. Its absence is certain only once the store has answered.
-  void SeekJob(const std::string& id) {
-    platform_.Store().Get(kJobPrefix + id, OnReply([id](self_type& self, const store_reply& reply) {
-                            if (!IsAnswer(reply)) {
-                              self.RunAfter(kRetry, [id](self_type& again) { again.SeekJob(id); });
-                              return;
-                            }
-                            for (const store_item& item : reply.items) {
-                              self.ApplyInboxItem(item, true);
-                            }
-                            if (self.scheduler_.Find(id) == nullptr) {
-                              self.scheduler_.OnJobAbsent(id, BootNow());
-                            }
-                            self.ScheduleDecision();
-                          }));
+  // Reads the record of a job of which an instance lists a run or an end.
+  void ReadUnknownJob(const std::string& id) {
+    if (!IsGraphId(id)) return scheduler_.OnJobAbsent(id, BootNow());
+    platform_.Store().Get(
+        kJobPrefix + id, OnReply([id](self_type& self, const store_reply& reply) {
+          const bool found = reply.status == store_status::kDone && !reply.items.empty();
+          if (found) return self.ReadUnknownCancel(id, reply.items.front());
+          if (reply.status == store_status::kAbsent) {
+            return self.scheduler_.OnJobAbsent(id, BootNow());
+          }
+          self.RunAfter(kRetry, [id](self_type& again) { again.ReadUnknownJob(id); });
+        }));
+  }
+
+  void ReadUnknownCancel(const std::string& id, const store_item& job) {
+    platform_.Store().Get(
+        kCancelPrefix + id, OnReply([id, job](self_type& self, const store_reply& reply) {
+          if (reply.status != store_status::kDone && reply.status != store_status::kAbsent) {
+            self.RunAfter(kRetry,
+                          [id, job](self_type& again) { again.ReadUnknownCancel(id, job); });
+            return;
+          }
+          self.ApplyInboxItem(job, true);
+          for (const store_item& item : reply.items) self.ApplyInboxItem(item, true);
+          // Not known even now: its record is malformed, or about to be deleted.
+          if (self.scheduler_.Find(id) == nullptr) self.scheduler_.OnJobAbsent(id, BootNow());
+          self.ScheduleDecision();
+        }));
   }
 
   // --- following the inbox and the registry ----------------------------------------------------
@@ -480,6 +494,7 @@
     const auto local_delay = 2 * std::max(loop_.Delay(), platform_.Instances().Delay());
     scheduler_.SetLocalDelay(local_delay < kMinLocalDelay ? std::chrono::milliseconds{0}
                                                           : std::min(local_delay, kMaxLocalDelay));
+    for (const std::string& job : scheduler_.TakeUnknownJobs()) ReadUnknownJob(job);
     scheduler_commands requests = scheduler_.Decide(WallNow(), now);
     for (const start_command& request : requests.starts) SendStart(request);
     for (const stop_command& request : requests.stops) SendStop(request);
@@ -557,7 +572,6 @@
             self.metrics_.CountRunEnd(std::string(ToText(row.how)));
           }
           self.scheduler_.OnListing(request, *listing, sent, BootNow());
-          for (const std::string& job : self.scheduler_.TakeUnknownJobs()) self.SeekJob(job);
           self.ScheduleDecision();
         };
     platform_.Instances().List(
@@ -660,7 +674,9 @@
     metrics_.CountStoreCall("commit", reply.status == store_status::kDone ? "done" : "not_done");
     if (reply.status == store_status::kDone) {
       commit_revision_ = reply.revision;
-      for (const std::string& id : expired) forgotten_.erase(id);
+      for (const std::string& id : expired) {
+        RunAfter(kReadsInFlight, [id](self_type& self) { self.deleting_.erase(id); });
+      }
       OnRecordModeStored(MillisSince(sent, now), now);
       const std::vector<completed_job> completed = scheduler_.CompletedBy(writes, now);
       for (const completed_job& job : completed) metrics_.CountCompletedJob(job);
@@ -728,7 +744,7 @@
   void CollectExpired() {
     for (std::string& id : scheduler_.TakeExpired(BootNow(), kMaxExpiredPerCommit)) {
       cancelled_.erase(id);
-      forgotten_.insert(id);
+      deleting_.insert(id);
       expired_.push_back(std::move(id));
     }
     RunAfter(kExpiryInterval, [](self_type& self) { self.CollectExpired(); });
@@ -781,7 +797,7 @@
   std::vector<instance_report> fleet_;  // the instances in fleet_text_
   bool fleet_unstored_ = false;
   std::vector<std::string> expired_;
-  std::set<std::string> forgotten_;  // jobs whose records are not yet deleted
+  std::set<std::string> deleting_;  // forgotten jobs whose records may still be read
 };
 
 }  // namespace catkinford
