A start answered 'stale' is settled by a listing

Two runs of a task, or a start after its end, could follow: the start was released at once, though a call that is repeated reaches the instance twice and the first may have run and ended there. It can begin no more; a listing requested from then on says whether it ran. An answer of another incarnation says nothing of this one. Test: 'takeover, start answered stale by earlier incarnation, next one gets a stop', failed before.

--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -243,6 +243,8 @@
   static bool ClaimTask(graph_run& run);
   // Some task of the job is known to have begun.
   static void MarkStarted(job_entry& entry);
+  // The start was rejected since the instance has seen this run or a later one.
+  void OnStaleStart(graph_run& run, monotonic_time now);
   void StopStray(graph_run& run, monotonic_time now);
   // Stops the gang's attempt that the member's run belongs to.
   void BreakGang(job_entry& entry, const task_key& member, uint32_t run, monotonic_time now);
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -554,6 +554,13 @@
     return;
   }
   if (run->phase == run_phase::kRunning) return;  // confirmed by a listing, which takes precedence
+  if (answer.result == command_result::kStale) {
+    // What an earlier incarnation has seen says nothing of this one, where the start may arrive
+    // too.
+    if (same_incarnation) return OnStaleStart(*run, now);
+    if (run->phase == run_phase::kSent) run->phase = run_phase::kUnknown;
+    return;
+  }
   job_entry* entry = run->job;
   step_progress* step = entry == nullptr ? nullptr : entry->Find(request.key);
   if (answer.result == command_result::kNoTicket && step != nullptr) {
@@ -569,6 +576,19 @@
   if (gang) BreakGang(*entry, request.key, request.run, now);
 }
 
+// The run can begin no more, but it may have run: a call that is repeated reaches the instance
+// twice. Only a listing that is requested from now on tells.
+void job_scheduler::OnStaleStart(graph_run& run, monotonic_time now) {
+  RequestStop(run, stop_cause::kUnknownStart, now);
+  run.stop_confirmed = true;
+  run.stop_answered_at = now;
+  run.phase = run_phase::kStopping;
+  run.next_stop = now + options_.stop_limit + kStopRetryInterval;
+  run.instance->next_listing = std::min(run.instance->next_listing, now);
+  const bool gang = run.job != nullptr && run.job->job.steps[run.key.step].gang;
+  if (gang) BreakGang(*run.job, run.key, run.number, now);
+}
+
 void job_scheduler::OnStopAnswer(const stop_command& request, const command_answer& answer,
                                  monotonic_time now) {
   const auto found = instances_.find(request.to.instance);
