An earlier owner that is found dead may have acted until then

Its process may end seconds after the next owner began and have renewed leases all the while; the wait for leases counted from the next owner's beginning, so that a task at an instance out of reach could start while it still ran. The limit is the earlier of its usual bound and the moment at which it was found dead; it never grows.

--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -125,8 +125,8 @@
   scheduler_handover HandOver() const;
   // The job, which is known by now, was added with progress that the store does not have.
   void OnUnstoredProgress(const std::string& job);
-  // The earlier owner's process has ended: only the leases of its runs must still expire.
-  void OnEarlierOwnerDead();
+  // The earlier owner's process has ended by `now`, possibly long after this owner began.
+  void OnEarlierOwnerDead(monotonic_time now);
   // If true, starts are sent without waiting for their records. Allowed only while no other process
   // can take over.
   void SetUnrecordedStarts(bool allowed);
@@ -269,6 +269,8 @@
   static void RememberUndelivered(const graph_run& run, monotonic_time now);
   void FindReplaced(const fleet_instance& newcomer, monotonic_time now);
   bool LeaseExpired(const fleet_instance& instance, monotonic_time now) const;
+  // No earlier owner acts after that.
+  monotonic_time EarlierOwnerUntil() const;
   void PlanListings(scheduler_commands& commands, monotonic_time now);
   // Time-out for answers, after which their instance is suspect.
   std::chrono::milliseconds Timeout() const;
@@ -435,6 +437,7 @@
   bool unrecorded_starts_ = false;
   bool starts_paused_ = false;
   bool records_complete_ = false;
+  monotonic_time earlier_owner_dead_at_ = monotonic_time::max();
   std::vector<scheduler_event> events_;
   absl::flat_hash_map<std::string, std::vector<resources>> largest_seen_;  // by service
   bool inheritance_settled_ = false;
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -187,10 +187,7 @@
   if (now < instance.earlier_commands_until) return false;
   if (instance.lease_unknown) {
     const double longest = static_cast<double>(options_.run_lease.count()) / kSlowestClock;
-    const milliseconds unconfirmed =
-        records_complete_ ? milliseconds{0} : options_.unconfirmed_owner;
-    return now > took_over_ + options_.earlier_owner + unconfirmed +
-                     milliseconds(static_cast<int64_t>(longest));
+    return now > EarlierOwnerUntil() + milliseconds(static_cast<int64_t>(longest));
   }
   return instance.LeaseSurelyExpired(now);
 }
--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -281,8 +281,7 @@
 }
 
 bool job_scheduler::EarlierOwnerMayStart(monotonic_time accepted) const {
-  return !records_complete_ && !inheritance_settled_ &&
-         accepted < took_over_ + options_.earlier_owner + options_.unconfirmed_owner;
+  return !records_complete_ && !inheritance_settled_ && accepted < EarlierOwnerUntil();
 }
 
 void job_scheduler::CountPossibleRuns() {
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -42,9 +42,13 @@
   entry.unrecorded = entry.change;
 }
 
-void job_scheduler::OnEarlierOwnerDead() {
-  options_.earlier_owner = milliseconds{0};
-  options_.unconfirmed_owner = milliseconds{0};
+void job_scheduler::OnEarlierOwnerDead(monotonic_time now) {
+  earlier_owner_dead_at_ = std::min(earlier_owner_dead_at_, now);
+}
+
+monotonic_time job_scheduler::EarlierOwnerUntil() const {
+  const milliseconds unconfirmed = records_complete_ ? milliseconds{0} : options_.unconfirmed_owner;
+  return std::min(took_over_ + options_.earlier_owner + unconfirmed, earlier_owner_dead_at_);
 }
 
 void job_scheduler::SetUnrecordedStarts(bool allowed) {
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -106,7 +106,7 @@
     UpdateRecordTrust();
   }
   void OnEarlierOwnerDead() {
-    earlier_owner_dead_ = true;
+    if (!earlier_owner_dead_at_) earlier_owner_dead_at_ = BootNow();
     UpdateRecordTrust();
   }
   bool Loaded() const { return loaded_; }
@@ -322,7 +322,7 @@
   // and none declared asynchronous records.
   void UpdateRecordTrust() {
     if (!loaded_ || inherited_async_) return;
-    if (earlier_owner_dead_) scheduler_.OnEarlierOwnerDead();
+    if (earlier_owner_dead_at_) scheduler_.OnEarlierOwnerDead(*earlier_owner_dead_at_);
     if (records_confirmed_) scheduler_.SetRecordsComplete();
     ScheduleDecision();
   }
@@ -778,10 +778,10 @@
   std::set<std::string> cancelled_;  // until their jobs have expired
   uint64_t commit_revision_ = 0;
   record_mode record_mode_;
-  bool inherited_async_ = false;     // an earlier owner declared asynchronous records
-  bool earlier_owner_dead_ = false;  // its process has ended
-  bool records_confirmed_ = false;   // no owner continued while the store was down
-  bool declares_async_ = false;      // the change in flight declares asynchronous records
+  bool inherited_async_ = false;  // an earlier owner declared asynchronous records
+  std::optional<monotonic_time> earlier_owner_dead_at_;  // when its process was found ended
+  bool records_confirmed_ = false;  // no owner continued while the store was down
+  bool declares_async_ = false;     // the change in flight declares asynchronous records
   bool withdraws_async_ = false;
   bool commit_in_flight_ = false;
   uint64_t commit_number_ = 1;  // of the change in flight, or of the next one
--- a/test/takeover_knowledge_test.cc
+++ b/test/takeover_knowledge_test.cc
@@ -277,7 +277,7 @@
     recorded_at_silent_fixture,
     "takeover, records complete, earlier owner found dead late, task starts no later") {
   REQUIRE_FALSE(StartsBefore(seconds(3)));
-  owner.OnEarlierOwnerDead();
+  owner.OnEarlierOwnerDead(now);
   CHECK(StartsBefore(milliseconds(5200)));
 }
 
