A restarted instance: capacity by its own registration, leases while an earlier owner may act

A next incarnation that a listing shows first kept the capacity and labels of the one before until the registry was read: a smaller one got too much. And it has seen no epoch, so an earlier owner that still acts may start inherited work there: its lease stays unknown for that time. Test: 'takeover, silent instance restarts while earlier owner acts, inherited job waits', failed before.

--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -116,6 +116,8 @@
   bool registered = false;
   // A start timed out there: no further starts until the instance answers.
   bool suspect = false;
+  // Restarted, and the registry does not show this incarnation yet: `report` is of an earlier one.
+  bool report_outdated = false;
   bool check_in_flight = false;  // a second listing, to settle an unknown start
   bool listing_in_flight = false;
   bool probing = false;  // this listing does not wait for an end, as the previous one timed out
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -54,7 +54,8 @@
   }
   instance.report = report;
   instance.listed = false;
-  instance.lease_unknown = false;
+  // The new incarnation has seen no epoch: an earlier owner that still acts may start work there.
+  instance.lease_unknown = instance.lease_unknown && now < EarlierOwnerUntil();
   instance.replaced = false;
   instance.clock_ms = 0;
   instance.listed_at_ms = 0;
@@ -129,6 +130,7 @@
   }
   instance.present = true;
   instance.report = report;
+  instance.report_outdated = false;
   instance.service = ServiceOrdinal(report.service);
   std::vector<resources>& largest = largest_seen_[report.service];
   if (std::find(largest.begin(), largest.end(), report.capacity) == largest.end()) {
@@ -422,6 +424,7 @@
     instance_report report = instance.report;
     report.incarnation = listing.incarnation;
     OnRestart(instance, report, now);
+    instance.report_outdated = true;
   }
   if (instance.silent > 0) {
     LogEvent(scheduler_event::kind::kInstanceBack, request.to.instance, "answers again");
