No call but a read is repeated by libcurl on another connection

libcurl sends a request again when its reused connection closes before a response. The server may have executed the first copy; a refusal of the second (503, 429, no room) was read as that of both: a start was released though it ran (two runs, over capacity), a submission rejected though it was stored. The second attempt is ended before it is sent and the outcome is 'may have been sent'. Reads are repeated as before.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -41,7 +41,8 @@
   steady_clock::time_point queued;                      // when Send() was called
   std::atomic<uint64_t>* connections_opened = nullptr;  // points into the client
   bool opened_connection = false;
-  std::string host;  // with the port; empty while no limit applies
+  uint32_t tries = 0;  // times that the request was begun
+  std::string host;    // with the port; empty while no limit applies
   uint64_t number = 0;
   steady_clock::time_point limit_from;         // when the call's limit began to run
   steady_clock::duration own_delay_before{0};  // the client's total delay at `limit_from`
@@ -121,6 +122,14 @@
   return opened;
 }
 
+// libcurl repeats a request whose reused connection was closed without a response. The server may
+// have executed the first one, and the response to the second one says nothing of it.
+int OnRequest(void* closure, char* /*to*/, char* /*from*/, int /*to_port*/, int /*from_port*/) {
+  auto* self = static_cast<transfer*>(closure);
+  const bool repeated = self->tries++ > 0;
+  return repeated && self->call.method != "GET" ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 // A transfer that failed before any byte of the request was sent did not reach the server.
 transfer_status StatusOf(CURL* easy, CURLcode code) {
   if (code == CURLE_OK) return transfer_status::kDone;
@@ -357,6 +366,8 @@
                    static_cast<long>(kConnectTimeout.count()));  // NOLINT
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &AppendBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, next.get());
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnRequest);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, next.get());
   if (!ca_file.empty()) curl_easy_setopt(easy, CURLOPT_CAINFO, ca_file.c_str());
   if (call.close_connection) curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
   if (call.fresh_connection) curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
@@ -425,7 +436,9 @@
     const bool unopened =
         code == CURLE_OPERATION_TIMEDOUT && FaultOf(easy, code) == call_fault::kNotConnected;
     if (unopened && active.at(easy)->opened_connection) ++connections_closed;
-    Complete(easy, StatusOf(easy, code), FaultOf(easy, code));
+    const bool repeated = code == CURLE_ABORTED_BY_CALLBACK && active.at(easy)->tries > 1;
+    Complete(easy, repeated ? transfer_status::kMaybeSent : StatusOf(easy, code),
+             repeated ? call_fault::kClosed : FaultOf(easy, code));
   }
 }
 
