Occurrences that are due become ready before later ones are due

The first of several occurrences of a repeated job waited until the last was due: opening them returned before the steps were refreshed. Test: 'takeover, first of two occurrences due, starts', failed before.

--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -143,7 +143,7 @@
     const uint32_t number = entry.next_occurrence;
     if (entry.job.repeats > 0) {
       const wall_time due = entry.job.first_run + entry.job.interval * number;
-      if (wall < due) return;
+      if (wall < due) break;
     }
     ++entry.next_occurrence;
     const bool finished =
