Records are not known while adopted runs are unstored or jobs are looked up

The declaration that records run behind could be withdrawn before a run of an earlier owner, just adopted, was stored: a third owner that found the store without it would start the task again.

--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -358,6 +358,7 @@
     if (task.phase != graph_task_phase::kDone) {
       RecordRun(task, run.number, run.instance->report.id);
       MarkChanged(*run.job);
+      run.job->unrecorded = run.job->change;
     }
   }
   if (!ClaimTask(run)) return StopStray(run, now);
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -27,7 +27,7 @@
 
 scheduler_handover job_scheduler::HandOver() const {
   scheduler_handover out;
-  out.complete = records_complete_ || inheritance_settled_;
+  out.complete = (records_complete_ || inheritance_settled_) && lookups_.empty();
   for (const auto& [id, entry] : jobs_) {
     if (entry->stored < entry->change) out.progress[id] = ProgressToText(*entry);
   }
@@ -59,7 +59,7 @@
 }
 
 bool job_scheduler::RecordsKnown() const {
-  const bool settled = records_complete_ || inheritance_settled_;
+  const bool settled = (records_complete_ || inheritance_settled_) && lookups_.empty();
   return settled && std::all_of(active_.begin(), active_.end(), [](const job_entry* entry) {
            return entry->stored >= entry->unrecorded;
          });
