Record mode: no asynchronous records without a declaration, none that stays

If the store became slow while the withdrawal was on its way, starts went on without records and without the declaration: the next owner trusted the records and could start a task twice.

--- a/src/process/site/record_mode.cc
+++ b/src/process/site/record_mode.cc
@@ -40,11 +40,13 @@
 
 void record_mode::OnAsyncDeclared() {
   if (phase_ == phase::kSlow) phase_ = phase::kAsync;
+  // Fast again by now: no start was sent without its record.
+  if (phase_ == phase::kWriteAhead) phase_ = phase::kRecovering;
 }
 
 void record_mode::OnAsyncWithdrawn() {
-  if (phase_ != phase::kRecovering) return;
-  phase_ = phase::kWriteAhead;
+  // If the store became slow meanwhile, starts must wait until it is declared again.
+  phase_ = phase_ == phase::kRecovering ? phase::kWriteAhead : phase::kSlow;
   unconfirmed_starts_ = false;
 }
 
