--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -169,6 +169,10 @@
 // Commands that got no answer may still be executed up to this much later.
 constexpr std::chrono::milliseconds kMaxCommandDelay{12000};
 
+// An instance whose clock was read longer ago than this gets no start: the lease in the command
+// could have expired on arrival, or last too long.
+constexpr std::chrono::milliseconds kMaxClockAge{30000};
+
 // A policy's ticket must be valid for this long when a start is decided on, and for half of it when
 // the start is sent, so that it is still valid on arrival.
 constexpr std::chrono::milliseconds kTicketMargin{60};
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -173,12 +173,17 @@
   std::vector<const fleet_instance*> unknown;
   bool free_at_unknown = false;
   for (const unclaimed_capacity& candidate : round.capacities) {
-    if (out.size() + unknown.size() >= most) break;
+    const bool full = out.size() + unknown.size() >= most;
+    if (full && (free_at_unknown || unknown.empty())) break;
     // Nor has any later one the processors.
     if (!free_at_unknown && candidate.free_cpu_milli < capacity.cpu_milli) break;
     if (candidate.service != ready.entry->service || round.Judged(candidate.ordinal)) continue;
     if (!HasLabel(*candidate.instance, ready)) continue;
-    free_at_unknown = free_at_unknown || Covers(candidate.unclaimed, capacity);
+    const bool fits = Covers(candidate.unclaimed, capacity);
+    if (full && !fits) continue;
+    // Instances that lack another resource must not take all places of the query.
+    if (full) unknown.pop_back();
+    free_at_unknown = free_at_unknown || fits;
     unknown.push_back(candidate.instance);
   }
   if (!free_at_unknown) return out;
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -374,7 +374,10 @@
     const bool fence = !instance->listed;
     const bool recheck = instance->silent > 0 && instance->present;
     const bool ack = instance->ends_acked > instance->acks_sent;
-    if (!fence && !recheck && !ack && instance->runs.empty()) continue;
+    // An idle instance gets no work while its clock is too old or a doubt is not settled.
+    const bool refresh =
+        instance->present && (instance->suspect || now - instance->clock_at > kMaxClockAge / 2);
+    if (!fence && !recheck && !ack && !refresh && instance->runs.empty()) continue;
     if (!instance->present && instance->runs.empty() && LeaseExpired(*instance, now)) continue;
     if (fence && fences++ >= options_.fences_in_flight) continue;
     list_command request;
--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -11,9 +11,6 @@
 
 using std::chrono::milliseconds;
 
-// An instance whose clock was read longer ago than this gets no start: the lease in the command
-// could have expired on arrival, or last too long.
-constexpr milliseconds kMaxClockAge{30000};
 // A run is overdue after its expected time multiplied by this factor plus a slack: estimates are
 // off by half.
 constexpr double kCopyFactor = 1.6;
--- a/src/process/site/advice_dispatcher.cc
+++ b/src/process/site/advice_dispatcher.cc
@@ -48,10 +48,15 @@
   if (!slow_next && urgent_.empty()) return std::nullopt;
   if (slow_next) last_slow_ = now;
   std::deque<waiting_query>& queue = slow_next ? slow_ : urgent_;
-  for (const auto& [name, listed] : entries_) {
+  // In turn: an entry that cannot reach the policy's service must not get every query.
+  auto at = entries_.upper_bound(last_entry_);
+  for (size_t i = 0; i < entries_.size(); ++i, ++at) {
+    if (at == entries_.end()) at = entries_.begin();
+    const std::string& name = at->first;
     bool& busy = busy_[name];
     if (busy) continue;
     busy = true;
+    last_entry_ = name;
     waiting_query& first = queue.front();
     dispatched_query out{std::move(first.query), name,
                          std::chrono::duration_cast<std::chrono::milliseconds>(now - first.since)};
--- a/src/process/site/advice_dispatcher.h
+++ b/src/process/site/advice_dispatcher.h
@@ -46,6 +46,7 @@
 
   std::map<std::string, bool> busy_;  // by entry: a query is in flight
   std::map<std::string, bool> entries_;
+  std::string last_entry_;  // that got a query
   std::deque<waiting_query> urgent_;
   std::deque<waiting_query> slow_;
   monotonic_time last_urgent_{};  // when one was added
