Calls may be repeated, but a refusal of the repetition is no answer

In place of ending libcurl's second attempt: a repetition that succeeds stays a success (a start is idempotent), one that is refused leaves the outcome open.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -122,12 +122,16 @@
   return opened;
 }
 
-// libcurl repeats a request whose reused connection was closed without a response. The server may
-// have executed the first one, and the response to the second one says nothing of it.
 int OnRequest(void* closure, char* /*to*/, char* /*from*/, int /*to_port*/, int /*from_port*/) {
-  auto* self = static_cast<transfer*>(closure);
-  const bool repeated = self->tries++ > 0;
-  return repeated && self->call.method != "GET" ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+  ++static_cast<transfer*>(closure)->tries;
+  return CURL_PREREQFUNC_OK;
+}
+
+// libcurl repeats a request whose reused connection was closed without a response. The server may
+// have executed the first one, and a refusal of the second one says nothing of it.
+bool OnlyRepetitionRefused(const transfer& done, int code) {
+  constexpr int kFirstRefusal = 300;
+  return done.tries > 1 && done.call.method != "GET" && code >= kFirstRefusal;
 }
 
 // A transfer that failed before any byte of the request was sent did not reach the server.
@@ -413,6 +417,7 @@
   long code = 0;  // NOLINT(google-runtime-int): libcurl's type
   curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &code);
   result.code = static_cast<int>(code);
+  if (OnlyRepetitionRefused(*done, result.code)) result.status = transfer_status::kMaybeSent;
   Count(easy, *done, fault);
   result.body = std::move(done->answer);
   curl_multi_remove_handle(multi, easy);
@@ -436,9 +441,7 @@
     const bool unopened =
         code == CURLE_OPERATION_TIMEDOUT && FaultOf(easy, code) == call_fault::kNotConnected;
     if (unopened && active.at(easy)->opened_connection) ++connections_closed;
-    const bool repeated = code == CURLE_ABORTED_BY_CALLBACK && active.at(easy)->tries > 1;
-    Complete(easy, repeated ? transfer_status::kMaybeSent : StatusOf(easy, code),
-             repeated ? call_fault::kClosed : FaultOf(easy, code));
+    Complete(easy, StatusOf(easy, code), FaultOf(easy, code));
   }
 }
 
