--- a/test/scheduling_world.cc
+++ b/test/scheduling_world.cc
@@ -58,6 +58,7 @@
   made.report.capacity = capacity;
   made.report.incarnation = 1 + now_.count();
   made.clock_offset = Between(1000, 900000).count();
+  if (faults_.slow_clocks) made.clock_rate = 1 - static_cast<double>(Between(0, 20).count()) / 1000;
 }
 
 void scheduling_world::Submit(graph_job job) {
@@ -89,6 +90,7 @@
   instance.up = false;
   instance.runs.clear();
   instance.ended.clear();
+  instance.end_records.clear();
   instance.highest_over.clear();
   instance.last_end = 0;
   instance.fence = 0;
@@ -101,7 +103,9 @@
     live_instance& again = instances_[id];
     again.up = true;
     again.report.incarnation = 1 + now_.count();
+    again.clock_rate = 1;
     again.clock_offset = -now_.count();  // its clock restarts
+    again.clock_read_ms = 0;
   });
 }
 
@@ -158,6 +162,7 @@
   instance.highest_over[run.key] = std::max(instance.highest_over[run.key], run.run);
   if (how == run_end::kDone) ended_done_.insert(run.key);
   instance.ended.push_back({++instance.last_end, run.key, run.run, how, {}});
+  instance.end_records.push_back({now_, false});
 }
 
 std::optional<run_end> scheduling_world::EndOfGangMember(live_run& run) {
@@ -192,6 +197,7 @@
   if (Clock(instance) > instance.lease_until) return run_end::kLapsed;
   if (run.stopping) return run.ends <= now_ ? std::optional(run_end::kStopped) : std::nullopt;
   if (run.gang) return EndOfGangMember(run);
+  if (run.fails && run.ends <= now_) return run_end::kFailed;
   if (run.long_running || run.ends > now_) return std::nullopt;
   const auto failing = failing_.find(run.key.job);
   const bool fails = failing != failing_.end() && failures_[run.key] < failing->second;
@@ -208,6 +214,48 @@
       ++i;
     }
   }
+  if (Clock(instance) <= instance.lease_until) return;
+  for (end_record& end : instance.end_records) end.lease_expired = true;
+}
+
+void scheduling_world::ExtendLease(live_instance& instance, int64_t clock, int64_t until) {
+  instance.lease_until = std::max(instance.lease_until, std::min(until, clock + kLongestLease));
+}
+
+// An acknowledged end is final.
+void scheduling_world::AcknowledgeEnd(live_instance& instance) {
+  const ended_row row = instance.ended.front();
+  const end_record end = instance.end_records.front();
+  instance.ended.erase(instance.ended.begin());
+  instance.end_records.erase(instance.end_records.begin());
+  if (strict_attempts_ && end.lease_expired) return;
+  if (row.how == run_end::kDone) done_[row.key] = row.run;
+  if (row.how == run_end::kFailed) ++failures_[row.key];
+  if (!strict_attempts_) return;
+  attempt_record& attempts = attempts_[row.key];
+  if (row.how == run_end::kDone) attempts.done.push_back(end.at);
+  if (row.how == run_end::kFailed) attempts.failed.push_back(end.at);
+  std::sort(attempts.failed.begin(), attempts.failed.end());
+  CheckAttempts(row.key);
+}
+
+void scheduling_world::CheckAttempts(const task_key& key) {
+  const attempt_record& attempts = attempts_[key];
+  const graph_job& job = store_.at(key.job).job;
+  if (job.steps[key.step].long_running) return;
+  const size_t most = job.terms.max_attempts;
+  for (const milliseconds start : attempts.starts) {
+    if (attempts.failed.size() >= most && start > attempts.failed[most - 1]) {
+      AddViolation(absl::StrCat("started at ", start.count(), " ms after ", most,
+                                " failed runs, the last one at ", attempts.failed[most - 1].count(),
+                                " ms: ", NameOf(key)));
+    }
+    for (const milliseconds done : attempts.done) {
+      if (start <= done) continue;
+      AddViolation(absl::StrCat("started at ", start.count(), " ms, done at ", done.count(),
+                                " ms: ", NameOf(key)));
+    }
+  }
 }
 
 void scheduling_world::CheckStart(const live_instance& instance, const start_command& request) {
@@ -266,8 +314,7 @@
     return {command_result::kStale, clock};
   }
   if (request.lease_until_ms <= clock) return {command_result::kLate, clock};
-  instance.lease_until =
-      std::max(instance.lease_until, std::min(request.lease_until_ms, clock + kLongestLease));
+  ExtendLease(instance, clock, request.lease_until_ms);
   CheckStart(instance, request);
   const step_spec& terms = store_.at(request.key.job).job.steps[request.key.step];
   const auto duration = durations_.find(request.key.job);
@@ -279,6 +326,15 @@
   run.ends = now_ + (duration == durations_.end() ? terms.estimate : duration->second);
   run.long_running = terms.long_running;
   run.gang = terms.gang;
+  if (faults_.failing_run > 0 && !terms.gang && !terms.long_running) {
+    run.fails = Chance(faults_.failing_run);
+    if (run.fails) run.ends = now_ + (run.ends - now_) * Between(1, 10).count() / 10;
+  }
+  if (strict_attempts_) {
+    attempts_[request.key].starts.push_back(now_);
+    // An end is only noticed when the instance is looked at, and its time counts.
+    At(run.ends, [this, id = instance.report.id] { Advance(instances_[id]); });
+  }
   instance.runs.push_back(run);
   starts_.push_back({request.key, request.run, instance.report.id, now_});
   return {command_result::kDone, clock};
@@ -337,6 +393,28 @@
   return static_cast<uint32_t>(std::min<int64_t>(100, 100 * (now_ - run.began) / all));
 }
 
+void scheduling_world::CarryOutListing(live_instance& instance, const list_command& request,
+                                       uint64_t epoch) {
+  if (epoch < instance.fence) return;
+  Advance(instance);
+  instance.fence = epoch;
+  if (request.lease_until_ms) ExtendLease(instance, Clock(instance), *request.lease_until_ms);
+  while (!instance.ended.empty() && instance.ended.front().number <= request.ends_seen) {
+    AcknowledgeEnd(instance);
+  }
+}
+
+// The earlier owner reaches all instances, also those that the next one does not.
+void scheduling_world::RenewForEarlierOwner(uint64_t next_epoch) {
+  for (auto& [id, instance] : instances_) {
+    if (!instance.up || instance.fence >= next_epoch || instance.clock_read_ms == 0) continue;
+    Advance(instance);
+    const int64_t clock = instance.clock_read_ms + (now_ - instance.clock_read_at).count();
+    if (instance.runs.empty()) continue;
+    ExtendLease(instance, Clock(instance), clock + scheduler_options{}.run_lease.count());
+  }
+}
+
 void scheduling_world::SendListing(const list_command& request) {
   const uint64_t owner_incarnation = owner_incarnation_;
   const uint64_t epoch = epoch_;
@@ -347,23 +425,20 @@
         owner_->OnNoListing(request, result, Mono());
     });
   };
+  if (faults_.late_listing > 0 && Chance(faults_.late_listing)) {
+    const int64_t incarnation = instances_[request.to.instance].report.incarnation;
+    At(now_ + Between(500, faults_.late_by.count()), [this, request, epoch, incarnation] {
+      live_instance& instance = instances_[request.to.instance];
+      if (!instance.up || instance.report.incarnation != incarnation) return;
+      CarryOutListing(instance, request, epoch);
+    });
+    return fail(command_result::kUnknown);
+  }
   At(now_ + Between(1, 3), [this, owner_incarnation, epoch, request, sent, fail] {
     live_instance& instance = instances_[request.to.instance];
     if (!instance.up || instance.cut) return fail(command_result::kUnknown);
     if (epoch < instance.fence) return;
-    Advance(instance);
-    instance.fence = epoch;
-    if (request.lease_until_ms) {
-      instance.lease_until = std::max(
-          instance.lease_until, std::min(*request.lease_until_ms, Clock(instance) + kLongestLease));
-    }
-    // An acknowledged end is final.
-    while (!instance.ended.empty() && instance.ended.front().number <= request.ends_seen) {
-      const ended_row row = instance.ended.front();
-      instance.ended.erase(instance.ended.begin());
-      if (row.how == run_end::kDone) done_[row.key] = row.run;
-      if (row.how == run_end::kFailed) ++failures_[row.key];
-    }
+    CarryOutListing(instance, request, epoch);
     const auto wait = std::min<milliseconds>(request.wait, milliseconds{40});
     At(now_ + wait, [this, owner_incarnation, request, sent] {
       live_instance& later = instances_[request.to.instance];
@@ -376,6 +451,8 @@
       }
       Advance(later);
       instance_listing listing;
+      later.clock_read_ms = Clock(later);
+      later.clock_read_at = now_;
       listing.clock_ms = Clock(later);
       listing.incarnation = later.report.incarnation;
       for (const live_run& run : later.runs) {
@@ -420,6 +497,10 @@
     if (newer) owner_->OnUnstoredProgress(id);
     if (kept.cancelled) owner_->OnCancel(id, Mono());
   }
+  if (faults_.earlier_owner.count() > 0 && epoch_ > 1) {
+    At(now_ + Between(0, faults_.earlier_owner.count()),
+       [this, epoch = epoch_] { RenewForEarlierOwner(epoch); });
+  }
   At(now_ + kTick, [this, owner_incarnation] {
     if (owner_incarnation == owner_incarnation_) Decide();
   });
--- a/test/scheduling_world.h
+++ b/test/scheduling_world.h
@@ -22,7 +22,12 @@
   double lost_answer = 0;   // share of commands that are executed and not answered
   double late_command = 0;  // share that is not answered and is executed up to `late_by` later
   std::chrono::milliseconds late_by{6000};
-  double lost_commit = 0;  // share of store changes that are done and not answered
+  double lost_commit = 0;    // share of store changes that are done and not answered
+  double late_listing = 0;   // like `late_command`, of listings
+  double failing_run = 0;    // share of runs that fail before their work is done
+  bool slow_clocks = false;  // clocks of instances run up to 2 % slow
+  // An earlier owner renews leases for this long after the next one began, as it sees the clocks.
+  std::chrono::milliseconds earlier_owner{0};
 };
 
 // A start that an instance executed.
@@ -53,6 +58,9 @@
   void KillOwner(std::chrono::milliseconds until_next);
   // The owner loses the site, and the same process owns it again next.
   void LoseSite(std::chrono::milliseconds until_next);
+  // Counts attempts as the platform's rules do: an end counts from the moment when it occurred,
+  // also if it is acknowledged later, unless the instance's lease expired in between.
+  void SetStrictAttempts() { strict_attempts_ = true; }
   // Owners send starts without waiting for their records, and their successors know that.
   void SetUnrecordedStarts() { recorded_ = false; }
   void PauseStarts(bool paused) { owner_->PauseStarts(paused); }
@@ -82,6 +90,18 @@
     bool gang = false;
     bool complete = false;  // all members of its gang have been present
     bool stopping = false;
+    bool fails = false;
+  };
+  // What happened to an end that is not acknowledged yet.
+  struct end_record {
+    std::chrono::milliseconds at{0};
+    bool lease_expired = false;  // since then
+  };
+  // Runs of a task that count as attempts.
+  struct attempt_record {
+    std::vector<std::chrono::milliseconds> starts;
+    std::vector<std::chrono::milliseconds> failed;
+    std::vector<std::chrono::milliseconds> done;
   };
   struct live_instance {
     instance_report report;
@@ -90,10 +110,14 @@
     bool registered = true;
     uint64_t fence = 0;
     int64_t clock_offset = 0;
+    double clock_rate = 1;
+    int64_t clock_read_ms = 0;  // as an owner read it last, and when
+    std::chrono::milliseconds clock_read_at{0};
     int64_t lease_until = 0;
     uint64_t last_end = 0;
     std::vector<live_run> runs;
     std::vector<ended_row> ended;
+    std::vector<end_record> end_records;        // of each row of `ended`
     std::map<task_key, uint32_t> highest_over;  // highest run number stopped or ended here
   };
   struct durable {
@@ -105,7 +129,9 @@
   monotonic_time Mono() const { return monotonic_time(std::chrono::seconds(1000) + now_); }
   wall_time Wall() const { return wall_time(std::chrono::hours(1000) + now_); }
   int64_t Clock(const live_instance& instance) const {
-    return instance.clock_offset + now_.count();
+    if (instance.clock_rate == 1) return instance.clock_offset + now_.count();
+    return instance.clock_offset +
+           static_cast<int64_t>(instance.clock_rate * static_cast<double>(now_.count()));
   }
   bool Chance(double share);
   std::chrono::milliseconds Between(int64_t low, int64_t high);
@@ -132,6 +158,11 @@
   // Percent of the run's work that is done.
   uint32_t PercentOf(const live_run& run) const;
   void SendListing(const list_command& request);
+  void CarryOutListing(live_instance& instance, const list_command& request, uint64_t epoch);
+  static void ExtendLease(live_instance& instance, int64_t clock, int64_t until);
+  void RenewForEarlierOwner(uint64_t next_epoch);
+  void AcknowledgeEnd(live_instance& instance);
+  void CheckAttempts(const task_key& key);
   void CheckStart(const live_instance& instance, const start_command& request);
 
   std::mt19937_64 random_;
@@ -147,6 +178,8 @@
   std::set<task_key> ended_done_;          // tasks of which a run ended as done
   std::map<task_key, uint32_t> done_;      // tasks whose end was acknowledged as done
   std::map<task_key, uint32_t> failures_;  // acknowledged failures
+  bool strict_attempts_ = false;
+  std::map<task_key, attempt_record> attempts_;
   std::unique_ptr<job_scheduler> owner_;
   scheduler_handover handover_;  // to the next owner
   uint64_t epoch_ = 0;
