Leases and acknowledgements across a takeover and a restart

An unknown lease stays unknown until the instance is listed or the time is over; deadlines use the slowest clock; ends are acknowledged to instances that answer.

--- a/src/process/scheduling/fleet_state.cc
+++ b/src/process/scheduling/fleet_state.cc
@@ -51,7 +51,9 @@
 
 int64_t fleet_instance::ClockAt(monotonic_time now) const {
   const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(now - clock_at);
-  return clock_ms + passed.count();
+  // The earliest that it can be: what is derived from it must not outlast what another owner, which
+  // reads the clock later, expects.
+  return clock_ms + static_cast<int64_t>(kSlowestClock * static_cast<double>(passed.count()));
 }
 
 bool fleet_instance::LeaseSurelyExpired(monotonic_time now) const {
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -54,8 +54,7 @@
   }
   instance.report = report;
   instance.listed = false;
-  // The new incarnation has seen no epoch: an earlier owner that still acts may start work there.
-  instance.lease_unknown = instance.lease_unknown && now < EarlierOwnerUntil();
+  // `lease_unknown` stays: an earlier owner may have known this incarnation and renewed there.
   instance.replaced = false;
   instance.clock_ms = 0;
   instance.listed_at_ms = 0;
@@ -332,7 +331,6 @@
   if (!wanted) return;
   list_command request;
   request.to = {instance.report.id, instance.report.address, instance.report.incarnation};
-  request.ends_seen = instance.ends_acked;
   request.check = true;
   instance.check_in_flight = true;
   commands.listings.push_back(std::move(request));
@@ -382,7 +380,8 @@
     if (fence && fences++ >= options_.fences_in_flight) continue;
     list_command request;
     request.to = {id, instance->report.address, instance->report.incarnation};
-    request.ends_seen = instance->ends_acked;
+    // An instance that did not answer may have restarted, and its ends are numbered anew.
+    if (instance->Reachable() && !instance->probing) request.ends_seen = instance->ends_acked;
     // The lease is not extended at an instance that does not answer: any attempt may have reached
     // it, so its runs could never be given up, and the work of a crashed instance would wait
     // forever.
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -199,7 +199,9 @@
         if (task.phase == graph_task_phase::kDone) task.open_runs.clear();
         for (const open_run& open : task.open_runs) {
           const task_key key{entry.job.id, number, i, k};
-          graph_run& run = AddRun(*instances_.at(open.instance), &entry, key, open.number);
+          fleet_instance& instance = *instances_.at(open.instance);
+          instance.lease_unknown = true;
+          graph_run& run = AddRun(instance, &entry, key, open.number);
           run.phase = run_phase::kInherited;
           run.inherited = true;
           run.started = now;
