--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -19,6 +19,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 #include "connection/recent_delay.h"
+#include "connection/thread_cpu_clock.h"
 
 namespace catkinford {
 namespace {
@@ -180,6 +181,7 @@
   std::string ca_file;
   traffic_counter* traffic_counts;  // may be null
   recent_delay delay;
+  thread_cpu_clock cpu_clock;
   std::atomic<uint64_t> connections_opened{0};
   std::atomic<uint64_t> connections_closed{0};
   std::atomic<bool> close_idle{false};
@@ -538,6 +540,7 @@
     RecordOwnDelay(waits_from - reads_from);
     const int count = epoll_wait(epoll, events.data(), kMaxEvents, wait_ms);
     reads_from = steady_clock::now();
+    cpu_clock.Note(reads_from);
     RecordOwnDelay(reads_from - waits_from - milliseconds{wait_ms});
     for (int i = 0; i < count; ++i) {
       const epoll_event& event = events[static_cast<size_t>(i)];
@@ -625,6 +628,8 @@
 
 milliseconds http_client::Delay() const { return impl_->delay.Max(); }
 
+std::chrono::microseconds http_client::CpuTime() const { return impl_->cpu_clock.Used(); }
+
 connection_counts http_client::Connections() const {
   // Closed ones are read first: a connection is opened before it is closed.
   const uint64_t closed = impl_->connections_closed;
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -73,6 +73,8 @@
   // thread is late, so is its reading of responses.
   std::chrono::milliseconds Delay() const;
   connection_counts Connections() const;
+  // Processor time of the client's thread.
+  std::chrono::microseconds CpuTime() const;
   // Closes the open connections as soon as no call is in flight.
   void CloseIdleConnections();
   // Ends all transfers; every callback is still called.
--- a/src/process/site/event_loop.cc
+++ b/src/process/site/event_loop.cc
@@ -68,6 +68,7 @@
   while (posted_.PopAll(batch, TimeToNextTimer())) {
     for (work& task : batch) task();
     batch.clear();
+    cpu_clock_.Note(std::chrono::steady_clock::now());
     RunDueTimers();
   }
 }
--- a/src/process/site/event_loop.h
+++ b/src/process/site/event_loop.h
@@ -13,6 +13,7 @@
 
 #include "connection/bounded_ring.h"
 #include "connection/recent_delay.h"
+#include "connection/thread_cpu_clock.h"
 #include "request/job_request.h"
 #include "request/step_graph.h"
 
@@ -43,6 +44,8 @@
   // On the loop's thread. The maximum recent delay of timers; work posted meanwhile was delayed as
   // much.
   std::chrono::milliseconds Delay() const { return delay_.Max(); }
+  // Processor time of the loop's thread.
+  std::chrono::microseconds CpuTime() const { return cpu_clock_.Used(); }
   // From any thread but the loop's own; queued work is dropped.
   void Stop();
   // Wraps `done`, which another thread calls, so that it runs on the loop's thread.
@@ -71,6 +74,7 @@
   std::priority_queue<timed_work> timers_;
   uint64_t next_order_ = 0;
   recent_delay delay_;
+  thread_cpu_clock cpu_clock_;
   std::thread thread_;
 };
 
--- a/src/process/site/site_metrics.cc
+++ b/src/process/site/site_metrics.cc
@@ -15,6 +15,7 @@
 const Histogram::BucketBoundaries kAnswerBounds = {0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
                                                    0.25,  0.5,   1,    2,    5};
 const Histogram::BucketBoundaries kStageBounds = {0.01, 0.03, 0.1, 0.25, 0.5, 1, 2, 5, 15};
+const Histogram::BucketBoundaries kAgeBounds = {0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5};
 const Histogram::BucketBoundaries kDecideBounds = {0.0001, 0.0005, 0.001, 0.002, 0.005, 0.02, 0.1};
 
 prometheus::Family<Counter>& Counters(prometheus::Registry& registry, const char* name,
@@ -43,6 +44,10 @@
                            "Bytes of this entry's calls, by kind of call and direction.")),
       call_faults_(Counters(registry_, "catkinford_site_call_faults_total",
                             "Calls without a complete response, by kind of call and reason.")),
+      cpu_seconds_(prometheus::BuildGauge()
+                       .Name("catkinford_site_cpu_seconds")
+                       .Help("Processor time since the start of the process, by thread.")
+                       .Register(registry_)),
       answer_seconds_(prometheus::BuildHistogram()
                           .Name("catkinford_site_answer_seconds")
                           .Help("Time from the arrival of a call to its answer.")
@@ -56,6 +61,11 @@
                          .Help("Duration of one decision round of the owner.")
                          .Register(registry_)
                          .Add({}, kDecideBounds)),
+      listing_age_seconds(prometheus::BuildHistogram()
+                              .Name("catkinford_site_listing_age_seconds")
+                              .Help("Age of an instance's listing when the owner handled it.")
+                              .Register(registry_)
+                              .Add({}, kAgeBounds)),
       takeovers(Counters(registry_, "catkinford_site_takeovers_total",
                          "Times that this entry became the owner of the site.")
                     .Add({})),
@@ -131,6 +141,10 @@
   }
 }
 
+void site_metrics::SetCpuTime(const std::string& thread, std::chrono::microseconds total) {
+  cpu_seconds_.Add({{"thread", thread}}).Set(std::chrono::duration<double>(total).count());
+}
+
 std::string site_metrics::Text() {
   std::ostringstream out;
   prometheus::TextSerializer().Serialize(out, registry_.Collect());
--- a/src/process/site/site_metrics.h
+++ b/src/process/site/site_metrics.h
@@ -35,6 +35,8 @@
   void CountVersionRead(const std::string& source, const std::string& outcome);
   // Adds the bytes and faults of calls of one kind since the last time.
   void CountTraffic(const std::string& kind, const traffic& use);
+  // `thread`: loop, instances, starts, peers, store or other; `total` since the process began.
+  void SetCpuTime(const std::string& thread, std::chrono::microseconds total);
   std::string Text();
 
  private:
@@ -46,23 +48,25 @@
   prometheus::Family<prometheus::Counter>& version_reads_;
   prometheus::Family<prometheus::Counter>& link_bytes_;
   prometheus::Family<prometheus::Counter>& call_faults_;
+  prometheus::Family<prometheus::Gauge>& cpu_seconds_;
   prometheus::Family<prometheus::Histogram>& answer_seconds_;
   prometheus::Family<prometheus::Histogram>& stage_seconds_;
   // By priority. A look-up by labels compares and copies strings, for each stage of each job.
   std::map<int, std::array<prometheus::Histogram*, kJobStages>> stages_of_priority_;
 
  public:
-  prometheus::Histogram& decide_seconds;    // one decision round of the owner
-  prometheus::Counter& takeovers;           // times that this entry became owner
-  prometheus::Gauge& owns_site;             // 1 or 0
-  prometheus::Gauge& jobs;                  // known to the owner
-  prometheus::Gauge& runs;                  // that occupy capacity
-  prometheus::Gauge& version;               // number of the configuration in effect
-  prometheus::Gauge& store_age_seconds;     // since the store last answered
-  prometheus::Gauge& version_age_seconds;   // since the store last confirmed the configuration
-  prometheus::Gauge& version_bytes;         // of the configuration's text
-  prometheus::Counter& version_texts_sent;  // sent to other entries
-  prometheus::Gauge& instance_connections;  // open
+  prometheus::Histogram& decide_seconds;       // one decision round of the owner
+  prometheus::Histogram& listing_age_seconds;  // of an instance's listing when it was handled
+  prometheus::Counter& takeovers;              // times that this entry became owner
+  prometheus::Gauge& owns_site;                // 1 or 0
+  prometheus::Gauge& jobs;                     // known to the owner
+  prometheus::Gauge& runs;                     // that occupy capacity
+  prometheus::Gauge& version;                  // number of the configuration in effect
+  prometheus::Gauge& store_age_seconds;        // since the store last answered
+  prometheus::Gauge& version_age_seconds;      // since the store last confirmed the configuration
+  prometheus::Gauge& version_bytes;            // of the configuration's text
+  prometheus::Counter& version_texts_sent;     // sent to other entries
+  prometheus::Gauge& instance_connections;     // open
   prometheus::Counter& instance_connections_opened;
   prometheus::Counter& log_lines_left_out;
 };
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -18,6 +18,7 @@
 #include "absl/strings/str_cat.h"
 #include "connection/http_client.h"
 #include "connection/http_server.h"
+#include "connection/thread_cpu_clock.h"
 #include "process/site/advice_dispatcher.h"
 #include "process/site/caller_frontend.h"
 #include "process/site/event_loop.h"
@@ -138,10 +139,13 @@
   void PollReadiness();
   void UpdateMetrics();
   void ReportLinkUse();
+  // Processor time since the last call, as log fields.
+  std::string TakeCpuFields();
 
   site_settings settings_;
   Platform& platform_;
   http_client& peer_client_;
+  http_client& start_client_;
   traffic_counter& link_;
   site_metrics metrics_;
   site_log log_;
@@ -158,6 +162,7 @@
   uint64_t handover_epoch_ = 0;
   std::shared_ptr<site_owner<Platform>> owner_;
   std::map<std::string, bool> peer_silent_;
+  std::map<std::string, std::chrono::microseconds> cpu_time_;  // by thread, at the last report
   text_rate_limiter text_limiter_;  // limits how often the configuration's text is sent to peers
   absl::BitGen random_;
   bool query_strong_peer_ = false;  // alternates between any and strong entries
@@ -182,6 +187,7 @@
     : settings_(std::move(settings)),
       platform_(platform),
       peer_client_(peer_client),
+      start_client_(start_client),
       link_(link),
       log_(settings_.name, settings_.logs.lines_per_second),
       loop_(kLoopCapacity),
@@ -500,6 +506,29 @@
   ReportLinkUse();
 }
 
+template <site_platform Platform>
+std::string site_node<Platform>::TakeCpuFields() {
+  std::map<std::string, std::chrono::microseconds> now{
+      {"loop", loop_.CpuTime()},
+      {"instances", platform_.Instances().CpuTime()},
+      {"starts", start_client_.CpuTime()},
+      {"peers", peer_client_.CpuTime()},
+      {"store", platform_.Store().CpuTime()},
+  };
+  std::chrono::microseconds other = CpuTimeOf(RUSAGE_SELF);
+  for (const auto& [thread, used] : now) other -= used;
+  now["other"] = other;  // the servers and the log's writer
+  std::string out;
+  for (const auto& [thread, used] : now) {
+    metrics_.SetCpuTime(thread, used);
+    absl::StrAppend(
+        &out, " cpu_", thread, "_ms=",
+        std::chrono::duration_cast<std::chrono::milliseconds>(used - cpu_time_[thread]).count());
+  }
+  cpu_time_ = std::move(now);
+  return out;
+}
+
 template <site_platform Platform>
 void site_node<Platform>::ReportLinkUse() {
   std::string kinds;
@@ -520,14 +549,22 @@
   metrics_.instance_connections.Set(static_cast<double>(connections.open));
   metrics_.instance_connections_opened.Increment(static_cast<double>(connections.opened) -
                                                  metrics_.instance_connections_opened.Value());
+  const std::string cpu = TakeCpuFields();
   // An entry that does not own the site only serves callers: its link use is not logged.
   if (owner_ == nullptr) return;
-  log_.Write(site_event::kLinkUse, BootNow(),
-             absl::StrCat("sent=", sent, " received=", received, " decide_ms=",
-                          owner_->TakeDecideTime().count(), " delay_ms=", loop_.Delay().count(),
-                          " order_delay_ms=", platform_.Instances().Delay().count(),
-                          " instance_connections=", connections.open,
-                          " opened=", connections.opened, kinds, faults));
+  const decision_costs costs = owner_->TakeDecisionCosts();
+  const auto ms = [](std::chrono::microseconds time) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+  };
+  log_.Write(
+      site_event::kLinkUse, BootNow(),
+      absl::StrCat("sent=", sent, " received=", received, " decide_ms=",
+                   owner_->TakeDecideTime().count(), " delay_ms=", loop_.Delay().count(),
+                   " order_delay_ms=", platform_.Instances().Delay().count(),
+                   " instance_connections=", connections.open, " opened=", connections.opened, cpu,
+                   " plan_ms=", ms(costs.plan), " send_ms=", ms(costs.send),
+                   " notes_ms=", ms(costs.notes), " record_ms=", ms(costs.record),
+                   " listing_age_ms=", owner_->TakeLongestListingAge().count(), kinds, faults));
 }
 
 template <site_platform Platform>
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -18,9 +18,11 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "connection/thread_cpu_clock.h"
 #include "process/scheduling/job_scheduler.h"
 #include "process/site/event_loop.h"
 #include "process/site/fleet_record.h"
+#include "process/site/listing_age.h"
 #include "process/site/owner_budget.h"
 #include "process/site/record_mode.h"
 #include "process/site/site_log.h"
@@ -52,6 +54,14 @@
   std::function<const owner_budget&(monotonic_time now)> budget;
 };
 
+// Processor time of the loop's thread, by part of a round of decisions.
+struct decision_costs {
+  std::chrono::microseconds plan{0};    // the decisions themselves
+  std::chrono::microseconds send{0};    // handing the commands to their clients
+  std::chrono::microseconds notes{0};   // log lines
+  std::chrono::microseconds record{0};  // writing the progress and sending the change
+};
+
 // Writes the scheduler's notes to the log.
 void WriteNotes(const std::vector<scheduler_event>& notes, site_log& log, monotonic_time now);
 
@@ -128,6 +138,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(
         std::exchange(decide_time_, monotonic_time::duration{0}));
   }
+  // Where the processor time of decisions went since the last call.
+  decision_costs TakeDecisionCosts() { return std::exchange(decision_costs_, {}); }
+  // The longest age of a listing, when it was handled, since the last call.
+  std::chrono::milliseconds TakeLongestListingAge() {
+    return std::exchange(longest_listing_age_, std::chrono::milliseconds{0});
+  }
   // True when no change is being stored.
   bool Settled() const { return !commit_in_flight_; }
 
@@ -461,13 +477,17 @@
     const auto local_delay = 2 * std::max(loop_.Delay(), platform_.Instances().Delay());
     scheduler_.SetLocalDelay(local_delay < kMinLocalDelay ? std::chrono::milliseconds{0}
                                                           : std::min(local_delay, kMaxLocalDelay));
+    const auto plan_from = CpuTimeOf(RUSAGE_THREAD);
     scheduler_commands requests = scheduler_.Decide(WallNow(), now);
+    const auto send_from = CpuTimeOf(RUSAGE_THREAD);
     for (const start_command& request : requests.starts) SendStart(request);
     for (const stop_command& request : requests.stops) SendStop(request);
     for (const speed_command& request : requests.speeds) SendSpeed(request);
     for (const list_command& request : requests.listings) SendListing(request);
     for (advice_query& request : requests.advice) hooks_.request_advice(std::move(request));
+    const auto notes_from = CpuTimeOf(RUSAGE_THREAD);
     WriteNotes(scheduler_.TakeEvents(), log_, now);
+    const auto notes_until = CpuTimeOf(RUSAGE_THREAD);
     const auto spent = BootNow() - now;
     // A round takes longer the more jobs wait. Without a pause after it a backlog would take the
     // whole processor, answers would be read too late, and the calls they belong to would time out.
@@ -476,7 +496,12 @@
     metrics_.decide_seconds.Observe(std::chrono::duration<double>(spent).count());
     metrics_.jobs.Set(static_cast<double>(scheduler_.JobCount()));
     metrics_.runs.Set(static_cast<double>(scheduler_.RunCount()));
+    decision_costs_.plan += send_from - plan_from;
+    decision_costs_.send += notes_from - send_from;
+    decision_costs_.notes += notes_until - notes_from;
+    const auto record_from = CpuTimeOf(RUSAGE_THREAD);
     Commit();
+    decision_costs_.record += CpuTimeOf(RUSAGE_THREAD) - record_from;
   }
 
   static std::chrono::milliseconds MillisSince(monotonic_time since, monotonic_time now) {
@@ -537,7 +562,11 @@
           for (const ended_row& row : listing->ended) {
             self.metrics_.CountRunEnd(std::string(ToText(row.how)));
           }
-          self.scheduler_.OnListing(request, *listing, sent, BootNow());
+          const monotonic_time now = BootNow();
+          const auto age = self.listing_age_.Age(request.to.instance, listing->clock_ms, now);
+          self.longest_listing_age_ = std::max(self.longest_listing_age_, age);
+          self.metrics_.listing_age_seconds.Observe(std::chrono::duration<double>(age).count());
+          self.scheduler_.OnListing(request, *listing, sent, now);
           self.ScheduleDecision();
         };
     platform_.Instances().List(
@@ -728,6 +757,9 @@
   monotonic_time load_started_{};
   monotonic_time next_decision_at_{};
   monotonic_time::duration decide_time_{0};
+  decision_costs decision_costs_;
+  listing_age listing_age_;
+  std::chrono::milliseconds longest_listing_age_{0};
   // Used while the records are read:
   std::vector<store_item> loaded_inbox_;
   std::map<std::string, std::string> loaded_progress_;
--- a/src/process/site/site_platform.h
+++ b/src/process/site/site_platform.h
@@ -44,6 +44,7 @@
       store.GrantLease(time, done);
       store.RenewLease(text, done);
       store.RevokeLease(text, done);
+      { store.CpuTime() } -> std::same_as<std::chrono::microseconds>;
     };
 
 template <typename Endpoints>
@@ -56,6 +57,7 @@
       to.SetSpeed(pace, epoch, done);
       to.List(list, epoch, listed);
       { to.Delay() } -> std::same_as<std::chrono::milliseconds>;
+      { to.CpuTime() } -> std::same_as<std::chrono::microseconds>;
       { to.Connections() } -> std::same_as<connection_counts>;
       to.CloseIdleConnections();
     };
--- a/test/pages_test.cc
+++ b/test/pages_test.cc
@@ -126,6 +126,7 @@
   exported_metrics.CountRunEnd("done");
   exported_metrics.CountVersionRead("store", "done");
   exported_metrics.CountCompletedJob({});
+  exported_metrics.SetCpuTime("loop", std::chrono::seconds(1));
   exported_metrics.CountTraffic("peer/state", {1, 200, 300, {0, 1}});
   const std::string text = exported_metrics.Text();
   for (const std::string& name : FindAll(page, "`(catkinford_site_[a-z_]+)`")) {
