--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -359,6 +359,8 @@
                    static_cast<long>(kConnectTimeout.count()));  // NOLINT
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &AppendBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, next.get());
+  // libcurl walks its whole cache of addresses at the end of each call. Ours are literal.
+  curl_easy_setopt(easy, CURLOPT_DNS_CACHE_TIMEOUT, 0L);
   if (!ca_file.empty()) curl_easy_setopt(easy, CURLOPT_CAINFO, ca_file.c_str());
   if (call.close_connection) curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
   if (call.fresh_connection) curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
