--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -88,8 +88,8 @@
 struct seen_end {
   uint64_t number = 0;
   std::string job;
-  uint64_t change = 0;        // of the job, which must be stored first
-  bool unidentified = false;  // its job is not known: it has no effect yet
+  uint64_t change = 0;      // of the job, which must be stored first
+  bool awaits_job = false;  // its job is not known: it has no effect yet
 };
 
 // A start that got no answer and was proved not to have begun. The proof holds only for that
@@ -102,15 +102,15 @@
 
 struct fleet_instance {
   // What each round of decisions reads of all instances comes first, to share cache lines.
-  uint32_t ordinal = 0;        // unique among all instances ever seen
-  uint32_t service = 0;        // ordinal of its service
-  uint32_t filling = 0;        // filler runs, which use what other runs leave unused
-  uint32_t unidentified = 0;   // runs whose job, and with it their capacity, is not known
-  uint32_t silent = 0;         // consecutive listings without an answer
-  bool present = true;         // in the registry
-  bool listed = false;         // fenced by this owner, and its runs are known
-  bool lease_unknown = false;  // an earlier owner may have extended its lease
-  bool replaced = false;       // another instance answers at its address: it has ended
+  uint32_t ordinal = 0;            // unique among all instances ever seen
+  uint32_t service = 0;            // ordinal of its service
+  uint32_t filling = 0;            // filler runs, which use what other runs leave unused
+  uint32_t unidentified_runs = 0;  // runs whose job, and with it their capacity, is not known
+  uint32_t silent = 0;             // consecutive listings without an answer
+  bool present = true;             // in the registry
+  bool listed = false;             // fenced by this owner, and its runs are known
+  bool lease_unknown = false;      // an earlier owner may have extended its lease
+  bool replaced = false;           // another instance answers at its address: it has ended
   // Registered in the store as an instance that may run work. Without that, the next owner would
   // not look for runs there if the registry had lost the instance too.
   bool registered = false;
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -287,7 +287,7 @@
 void job_scheduler::AdvanceAcks(fleet_instance& instance) {
   while (!instance.unstored.empty()) {
     const seen_end& end = instance.unstored.front();
-    if (end.unidentified) return;
+    if (end.awaits_job) return;
     const auto found = jobs_.find(end.job);
     if (found != jobs_.end() && found->second->stored < end.change) return;
     instance.ends_acked = end.number;
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -98,7 +98,7 @@
   run.number = number;
   run.instance = &instance;
   if (job == nullptr) {
-    ++instance.unidentified;
+    ++instance.unidentified_runs;
   } else {
     AssignJob(run, *job);
     ReserveCapacity(run, 1);
@@ -140,7 +140,7 @@
   CloseRun(run, now);
   fleet_instance& instance = *run.instance;
   if (run.fills) --instance.filling;
-  if (run.job == nullptr) --instance.unidentified;
+  if (run.job == nullptr) --instance.unidentified_runs;
   const auto slot =
       std::find_if(instance.runs.begin(), instance.runs.end(),
                    [&](const std::unique_ptr<graph_run>& held) { return held.get() == &run; });
@@ -284,9 +284,9 @@
       RequestLookup(row.key.job);
     }
   }
-  const bool unidentified = entry == nullptr && !job_absent;
+  const bool awaits_job = entry == nullptr && !job_absent;
   instance.unstored.push_back(
-      {row.number, row.key.job, entry == nullptr ? 0 : entry->change, unidentified});
+      {row.number, row.key.job, entry == nullptr ? 0 : entry->change, awaits_job});
 }
 
 void job_scheduler::ApplyEnd(job_entry& entry, fleet_instance& instance, const ended_row& row,
--- a/src/process/scheduling/scheduler_unidentified.cc
+++ b/src/process/scheduling/scheduler_unidentified.cc
@@ -25,7 +25,7 @@
         StopStray(*run, now);
         continue;
       }
-      --instance->unidentified;
+      --instance->unidentified_runs;
       AssignJob(*run, entry);
       ReserveCapacity(*run, 1);
       ClaimOrStop(*run, now);
@@ -42,7 +42,7 @@
     for (seen_end& end : instance.unstored) {
       if (end.number != row.number) continue;
       end.change = entry.change;
-      end.unidentified = false;
+      end.awaits_job = false;
     }
   }
   std::erase_if(instance.unidentified_ends,
@@ -57,7 +57,7 @@
       if (run->job == nullptr && run->key.job == job) StopStray(*run, now);
     }
     for (seen_end& end : instance->unstored) {
-      if (end.job == job) end.unidentified = false;
+      if (end.job == job) end.awaits_job = false;
     }
     std::erase_if(instance->unidentified_ends,
                   [&](const ended_row& row) { return row.key.job == job; });
--- a/test/job_scheduler_test.cc
+++ b/test/job_scheduler_test.cc
@@ -431,11 +431,11 @@
   static constexpr uint32_t kInstances = 6;
 
   // `returning`: the process of an owner that loses the site may own it again next.
-  // `unheard`: earlier owners start jobs that the next one has not heard of.
-  random_faults_run(uint64_t seed, bool recorded, bool returning = false, bool unheard = false)
+  // `unknown`: earlier owners start jobs that the next one does not know yet.
+  random_faults_run(uint64_t seed, bool recorded, bool returning = false, bool unknown = false)
       : random_(seed * 977),
         returning_(returning),
-        unheard_(unheard),
+        unknown_(unknown),
         world_(seed, RandomFaults()),
         cancelled_(kJobs),
         always_failing_(kJobs) {
@@ -461,7 +461,7 @@
   void Check() {
     for (const std::string& what : world_.Violations()) UNSCOPED_INFO(what);
     CHECK(world_.Violations().empty());
-    for (uint32_t i = 0; i < kJobs + unheard_jobs_; ++i) {
+    for (uint32_t i = 0; i < kJobs + unknown_jobs_; ++i) {
       if (i < kJobs && cancelled_[i]) continue;
       const bool fails = i < kJobs && always_failing_[i];
       const graph_phase wanted = fails ? graph_phase::kFailed : graph_phase::kCompleted;
@@ -502,12 +502,12 @@
     world_.Cancel(JobId(number));
   }
 
-  void SubmitUnheard() {
-    const uint32_t number = kJobs + unheard_jobs_++;
+  void SubmitUnknown() {
+    const uint32_t number = kJobs + unknown_jobs_++;
     std::vector<step_spec> steps = {
         Tasks(Pick(1, 6), Pick(500, 3000), milliseconds(Pick(200, 2500)))};
     if (Pick(0, 1) == 1) steps.push_back(Tasks(Pick(1, 4), Pick(500, 3000), seconds(1), {0}));
-    world_.SubmitUnheard(Job(number, steps), milliseconds(Pick(20, 3000)));
+    world_.SubmitUnknown(Job(number, steps), milliseconds(Pick(20, 3000)));
   }
 
   void InjectFault() {
@@ -520,7 +520,7 @@
       case 2:
         return world_.Cut(instance, false);
       case 3:
-        if (unheard_) SubmitUnheard();
+        if (unknown_) SubmitUnknown();
         if (returning_ && Pick(0, 1) == 0) return world_.LoseSite(milliseconds(Pick(50, 3000)));
         return world_.KillOwner(milliseconds(Pick(50, 3000)));
       case 4:
@@ -532,8 +532,8 @@
 
   std::mt19937_64 random_;
   const bool returning_;
-  const bool unheard_;
-  uint32_t unheard_jobs_ = 0;
+  const bool unknown_;
+  uint32_t unknown_jobs_ = 0;
   scheduling_world world_;
   std::vector<bool> cancelled_;
   std::vector<bool> always_failing_;
@@ -576,9 +576,8 @@
 }
 
 // Guards against runs over capacity, two runs of a task at once and lost attempts where an earlier
-// owner started jobs that the next one has not heard of.
-TEST_CASE("job scheduler, random faults and jobs heard of late, violates no guarantee",
-          "[property]") {
+// owner started jobs that the next one does not know yet.
+TEST_CASE("job scheduler, random faults and jobs known late, violates no guarantee", "[property]") {
   constexpr uint64_t kSeeds = 300;
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     INFO("seed " << seed);
--- a/test/late_jobs_test.cc
+++ b/test/late_jobs_test.cc
@@ -62,13 +62,13 @@
 
 // Guards against two runs of a task.
 TEST_CASE_METHOD(unreached_instance_fixture,
-                 "job scheduler, job heard of at once, earlier owner may have started it, waits") {
+                 "job scheduler, job known at once, earlier owner may have started it, waits") {
   Hear(seconds(1), seconds(1));
   CHECK_FALSE(owner.StartsPlanned());
 }
 
 TEST_CASE_METHOD(unreached_instance_fixture,
-                 "job scheduler, job heard of late, earlier owner may have started it, waits") {
+                 "job scheduler, job known late, earlier owner may have started it, waits") {
   Hear(seconds(1), seconds(6));
   CHECK_FALSE(owner.StartsPlanned());
 }
--- a/test/scheduling_world.cc
+++ b/test/scheduling_world.cc
@@ -68,8 +68,8 @@
   if (owner_ != nullptr) owner_->OnJob(std::move(job), {}, false, Wall(), Mono());
 }
 
-void scheduling_world::SubmitUnheard(graph_job job, milliseconds heard_after) {
-  unheard_.emplace_back(std::move(job), heard_after);
+void scheduling_world::SubmitUnknown(graph_job job, milliseconds known_after) {
+  unknown_.emplace_back(std::move(job), known_after);
 }
 
 void scheduling_world::Cancel(const std::string& job) {
@@ -502,8 +502,8 @@
     if (newer) owner_->OnUnstoredProgress(id);
     if (kept.cancelled) owner_->OnCancel(id, Mono());
   }
-  for (auto& [job, heard_after] : std::exchange(unheard_, {})) {
-    StartUnheard(std::move(job), heard_after);
+  for (auto& [job, known_after] : std::exchange(unknown_, {})) {
+    StartUnknown(std::move(job), known_after);
   }
   if (faults_.earlier_owner.count() > 0 && epoch_ > 1) {
     At(now_ + Between(0, faults_.earlier_owner.count()),
@@ -517,7 +517,7 @@
   });
 }
 
-void scheduling_world::StartUnheard(graph_job job, milliseconds heard_after) {
+void scheduling_world::StartUnknown(graph_job job, milliseconds known_after) {
   const std::string id = job.id;
   job.accepted = Wall();
   store_[id] = {std::move(job), {}, false};
@@ -541,7 +541,7 @@
       break;
     }
   }
-  At(now_ + heard_after, [this, id, owner_incarnation = owner_incarnation_] {
+  At(now_ + known_after, [this, id, owner_incarnation = owner_incarnation_] {
     if (owner_incarnation != owner_incarnation_ || owner_ == nullptr) return;
     owner_->OnJob(store_[id].job, store_[id].progress, false, Wall(), Mono());
   });
--- a/test/scheduling_world.h
+++ b/test/scheduling_world.h
@@ -49,8 +49,8 @@
   void Cancel(const std::string& job);
   // Accepts a job at the next change of owner. The earlier owner still acts then: it starts the
   // job's first step without a record, at instances that the next owner has not listed. That one
-  // hears of the job `heard_after` it began, unless it asks the store.
-  void SubmitUnheard(graph_job job, std::chrono::milliseconds heard_after);
+  // knows the job `known_after` it began, unless it asks the store.
+  void SubmitUnknown(graph_job job, std::chrono::milliseconds known_after);
   void SetWorkspaceMaximum(const std::string& workspace, resources maximum);
   // Actual run time of each task of a job, and how its runs end.
   void SetDuration(const std::string& job, std::chrono::milliseconds time);
@@ -163,7 +163,7 @@
   // Percent of the run's work that is done.
   uint32_t PercentOf(const live_run& run) const;
   void SendListing(const list_command& request);
-  void StartUnheard(graph_job job, std::chrono::milliseconds heard_after);
+  void StartUnknown(graph_job job, std::chrono::milliseconds known_after);
   void ReadUnknownJobs();
   resources UsageOf(const std::string& workspace) const;
   void CarryOutListing(live_instance& instance, const list_command& request, uint64_t epoch);
@@ -193,7 +193,7 @@
   uint64_t epoch_ = 0;
   uint64_t owner_incarnation_ = 0;  // answers to an earlier owner are dropped
   bool committing_ = false;
-  std::vector<std::pair<graph_job, std::chrono::milliseconds>> unheard_;
+  std::vector<std::pair<graph_job, std::chrono::milliseconds>> unknown_;
   std::vector<instance_report> fleet_;  // as stored
   size_t stored_fleet_size_ = 0;        // size of the fleet that the owner knows to be stored
   bool store_cut_ = false;
