--- a/test/departed_hosts_test.cc
+++ b/test/departed_hosts_test.cc
@@ -24,7 +24,7 @@
 // Takes precedence over the C library's, for libcurl too.
 extern "C" int poll(pollfd* sockets, nfds_t count, int timeout_ms) {
   ++polls;
-  const timespec timeout{timeout_ms / 1000, (timeout_ms % 1000) * 1000000};
+  const timespec timeout{timeout_ms / 1000, (timeout_ms % 1000) * 1000000L};
   return ppoll(sockets, count, timeout_ms < 0 ? nullptr : &timeout, nullptr);
 }
 
