--- a/test/takeover_knowledge_test.cc
+++ b/test/takeover_knowledge_test.cc
@@ -103,6 +103,7 @@
     owner.OnStored(owner.TakeUnstored(10));
     for (start_command& sent : owner.TakeStarts(now)) starts.push_back(std::move(sent));
     std::vector<task_key> out;
+    out.reserve(starts.size());
     for (const start_command& start : starts) out.push_back(start.key);
     return out;
   }
@@ -325,7 +326,8 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    [[maybe_unused]] const int bound =
+        bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof address);
     listen(listener_, 4);
     socklen_t size = sizeof address;
     getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
