New jobs wait only while an earlier owner can learn of them

The wait covered the unconfirmed owner too, which continues while the store is down; the entry that stores a job reaches the store, and would end that owner.

--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -278,7 +278,11 @@
 }
 
 bool job_scheduler::EarlierOwnerMayStart(monotonic_time accepted) const {
-  return !records_complete_ && !inheritance_settled_ && accepted < EarlierOwnerUntil();
+  // One that continues while the store is down, the unconfirmed owner, cannot learn of a job that
+  // was accepted since: the entry that stored it reaches the store and would end that owner.
+  const monotonic_time until = took_over_ + options_.earlier_owner;
+  return !records_complete_ && !inheritance_settled_ &&
+         accepted < std::min(until, earlier_owner_dead_at_);
 }
 
 void job_scheduler::CountPossibleRuns() {
