--- a/test/job_stages_test.cc
+++ b/test/job_stages_test.cc
@@ -112,7 +112,7 @@
               now);
   Pass(20);
   StartRun();
-  Answer(command_result::kStale);
+  Answer(command_result::kLate);
   Pass(30);
   StartRun();
   Pass(40);
