--- a/src/connection/thread_cpu_clock.h
+++ b/src/connection/thread_cpu_clock.h
@@ -20,6 +20,12 @@
          std::chrono::microseconds{use.ru_utime.tv_usec + use.ru_stime.tv_usec};
 }
 
+// How often threads of this process gave up the processor to wait.
+inline uint64_t WaitsOfProcess() {
+  rusage use{};
+  return getrusage(RUSAGE_SELF, &use) == 0 ? static_cast<uint64_t>(use.ru_nvcsw) : 0;
+}
+
 class thread_cpu_clock {
  public:
   // On the thread that is measured, in each turn of its loop.
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -165,6 +165,8 @@
   std::vector<instance_report> Fleet() const;
   void OnFleetStored(const std::vector<instance_report>& fleet);
   size_t JobCount() const { return jobs_.size(); }
+  // Waiting or running steps that rounds of decisions have looked at so far.
+  uint64_t StepsSeen() const { return steps_seen_; }
   size_t RunCount() const;
 
  private:
@@ -427,6 +429,7 @@
   std::vector<std::unique_ptr<capacity_forecast>> forecasts_;
   std::vector<uint32_t> reserving_steps_;  // by service
   uint64_t round_ = 0;                     // of decisions
+  uint64_t steps_seen_ = 0;
   uint32_t starts_in_flight_ = 0;
   answer_timeout answer_timeout_;  // of starts, and of listings that waited for their full time
   double timeout_factor_ = 1;      // multiplies the time-out while this process itself may be late
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -270,6 +270,7 @@
                                kLookaheadSlack;
     for (auto& [number, occurrence] : entry->occurrences) {
       for (uint32_t i = 0; i < occurrence->steps.size(); ++i) {
+        ++steps_seen_;
         if (occurrence->steps[i].ready || occurrence->steps[i].advice.in_flight) continue;
         // Queried ahead only once: instances that join later are queried when the step is ready.
         if (!occurrence->steps[i].advice.verdicts.empty()) continue;
--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -59,6 +59,7 @@
     for (auto& [number, occurrence] : entry->occurrences) {
       job_order_key rank;
       for (uint32_t i = 0; i < occurrence->steps.size(); ++i) {
+        ++steps_seen_;
         const step_progress& step = occurrence->steps[i];
         if (!step.ready || step.waiting == 0) continue;
         if (entry->job.steps[i].long_running) {
@@ -253,6 +254,7 @@
   for (job_entry* entry : active_) {
     for (auto& [number, occurrence] : entry->occurrences) {
       for (uint32_t i = 0; i < occurrence->steps.size(); ++i) {
+        ++steps_seen_;
         const step_spec& terms = entry->job.steps[i];
         const step_progress& step = occurrence->steps[i];
         if (!terms.speculative || step.active == 0 || step.waiting > 0) continue;
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -141,6 +141,8 @@
   void ReportLinkUse();
   // Processor time since the last call, as log fields.
   std::string TakeCpuFields();
+  // How often threads of this process have waited since the last call.
+  uint64_t TakeWaits();
 
   site_settings settings_;
   Platform& platform_;
@@ -163,6 +165,7 @@
   std::shared_ptr<site_owner<Platform>> owner_;
   std::map<std::string, bool> peer_silent_;
   std::map<std::string, std::chrono::microseconds> cpu_time_;  // by thread, at the last report
+  uint64_t waits_ = 0;                                         // at the last report
   text_rate_limiter text_limiter_;  // limits how often the configuration's text is sent to peers
   absl::BitGen random_;
   bool query_strong_peer_ = false;  // alternates between any and strong entries
@@ -529,6 +532,12 @@
   return out;
 }
 
+template <site_platform Platform>
+uint64_t site_node<Platform>::TakeWaits() {
+  const uint64_t now = WaitsOfProcess();
+  return now - std::exchange(waits_, now);
+}
+
 template <site_platform Platform>
 void site_node<Platform>::ReportLinkUse() {
   std::string kinds;
@@ -564,7 +573,8 @@
                    " instance_connections=", connections.open, " opened=", connections.opened, cpu,
                    " plan_ms=", ms(costs.plan), " send_ms=", ms(costs.send),
                    " notes_ms=", ms(costs.notes), " record_ms=", ms(costs.record),
-                   " listing_age_ms=", owner_->TakeLongestListingAge().count(), kinds, faults));
+                   " listing_age_ms=", owner_->TakeLongestListingAge().count(),
+                   owner_->TakeWorkFields(), " waits=", TakeWaits(), kinds, faults));
 }
 
 template <site_platform Platform>
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -65,6 +65,16 @@
 // Writes the scheduler's notes to the log.
 void WriteNotes(const std::vector<scheduler_event>& notes, site_log& log, monotonic_time now);
 
+// Counts of what an owner has handled.
+struct owner_work {
+  uint64_t rounds = 0;    // of decisions
+  uint64_t starts = 0;    // commands sent
+  uint64_t listings = 0;  // answered
+  uint64_t ends = 0;      // of runs, in listings
+  uint64_t queries = 0;   // to policies
+  uint64_t steps_seen = 0;
+};
+
 template <site_platform Platform>
 class site_owner : public std::enable_shared_from_this<site_owner<Platform>> {
  public:
@@ -144,6 +154,16 @@
   std::chrono::milliseconds TakeLongestListingAge() {
     return std::exchange(longest_listing_age_, std::chrono::milliseconds{0});
   }
+  // What was handled since the last call, as log fields.
+  std::string TakeWorkFields() {
+    const owner_work now{work_.rounds, work_.starts, work_.listings, work_.ends, work_.queries,
+                         scheduler_.StepsSeen()};
+    const owner_work last = std::exchange(reported_work_, now);
+    return absl::StrCat(" rounds=", now.rounds - last.rounds, " starts=", now.starts - last.starts,
+                        " listings=", now.listings - last.listings,
+                        " ends=", now.ends - last.ends, " queries=", now.queries - last.queries,
+                        " steps_seen=", now.steps_seen - last.steps_seen);
+  }
   // True when no change is being stored.
   bool Settled() const { return !commit_in_flight_; }
 
@@ -510,6 +530,7 @@
     const auto local_delay = 2 * std::max(loop_.Delay(), platform_.Instances().Delay());
     scheduler_.SetLocalDelay(local_delay < kMinLocalDelay ? std::chrono::milliseconds{0}
                                                           : std::min(local_delay, kMaxLocalDelay));
+    ++work_.rounds;
     for (const std::string& job : scheduler_.TakeUnknownJobs()) ReadUnknownJob(job);
     const auto plan_from = CpuTimeOf(RUSAGE_THREAD);
     scheduler_commands requests = scheduler_.Decide(WallNow(), now);
@@ -518,6 +539,7 @@
     for (const stop_command& request : requests.stops) SendStop(request);
     for (const speed_command& request : requests.speeds) SendSpeed(request);
     for (const list_command& request : requests.listings) SendListing(request);
+    work_.queries += requests.advice.size();
     for (advice_query& request : requests.advice) hooks_.request_advice(std::move(request));
     const auto notes_from = CpuTimeOf(RUSAGE_THREAD);
     WriteNotes(scheduler_.TakeEvents(), log_, now);
@@ -552,6 +574,7 @@
   void SendStart(const start_command& request) {
     start_command without_payload = request;
     without_payload.payload.clear();
+    ++work_.starts;
     const job_entry* entry = scheduler_.Find(request.key.job);
     hooks_.start(
         request, entry == nullptr ? std::string() : entry->job.accepted_by,
@@ -593,6 +616,8 @@
             self.scheduler_.OnNoListing(request, result, BootNow());
             return;
           }
+          ++self.work_.listings;
+          self.work_.ends += listing->ended.size();
           for (const ended_row& row : listing->ended) {
             self.metrics_.CountRunEnd(std::string(ToText(row.how)));
           }
@@ -796,6 +821,8 @@
   monotonic_time next_decision_at_{};
   monotonic_time::duration decide_time_{0};
   decision_costs decision_costs_;
+  owner_work work_;
+  owner_work reported_work_;
   listing_age listing_age_;
   std::chrono::milliseconds longest_listing_age_{0};
   // Used while the records are read:
