--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -156,12 +156,12 @@
   }
   // What was handled since the last call, as log fields.
   std::string TakeWorkFields() {
-    const owner_work now{work_.rounds, work_.starts, work_.listings, work_.ends, work_.queries,
-                         scheduler_.StepsSeen()};
+    const owner_work now{work_.rounds, work_.starts,  work_.listings,
+                         work_.ends,   work_.queries, scheduler_.StepsSeen()};
     const owner_work last = std::exchange(reported_work_, now);
     return absl::StrCat(" rounds=", now.rounds - last.rounds, " starts=", now.starts - last.starts,
-                        " listings=", now.listings - last.listings,
-                        " ends=", now.ends - last.ends, " queries=", now.queries - last.queries,
+                        " listings=", now.listings - last.listings, " ends=", now.ends - last.ends,
+                        " queries=", now.queries - last.queries,
                         " steps_seen=", now.steps_seen - last.steps_seen);
   }
   // True when no change is being stored.
--- a/test/site_fixture.h
+++ b/test/site_fixture.h
@@ -110,10 +110,10 @@
     store_.Put("op/config", version.dump());
   }
 
-  // `link_mbps`: the entry's setting for the bandwidth of its link. `bounds`: its settings of that
+  // `link_mbps`, `cpu_share`: the entry's settings for its machine. `bounds`: its settings of that
   // name.
   void AddEntry(const std::string& name, const std::string& store_address, double link_mbps = 1000,
-                const nlohmann::json& bounds = nlohmann::json::object()) {
+                const nlohmann::json& bounds = nlohmann::json::object(), double cpu_share = 1) {
     auto entry = std::make_unique<site_process>();
     entry->name = name;
     entry->callers = FreePort();
@@ -132,7 +132,7 @@
           {"address", "127.0.0.1"},
           {"peer_port", FreePort()},
           {"metrics_port", entry->metrics}}},
-        {"machine", {{"link_mbps", link_mbps}}},
+        {"machine", {{"link_mbps", link_mbps}, {"cpu_share", cpu_share}}},
         {"bounds", bounds},
         {"platform", {{"store", store_address}, {"advice", instances_.AdviceAddress()}}}};
     std::ofstream(entry->settings_file) << settings.dump();
