A busy owner makes its calls to instances through one strong entry of each failure domain

Cause: a call of its own for each listing, start and stop. A transfer costs the owner several times the processor time of the decision behind it, and with the processor full every queue in the process is late: listings, records, the calls themselves.

The red test counted 21 calls for 21 listings.

Ruled out: libcurl's standstill (its thread uses a sixth), the store (4 ms), the policy's service.

Change: relay_client groups calls by failure domain and exchanges them with a relay, each 15 to 25 ms; relay_server makes them and returns results together. The relay is the strongest entry of the domain. A relay that does not answer is avoided for 3 s and its calls are repeated through another; a refusal of a repetition says nothing of the first attempt, as with calls that libcurl repeats. Calls carry a limit on the relay's clock, so that a relay that was suspended does not carry out what was given up. The route is chosen by the calls that would be made directly, with hysteresis; on a busy link starts still leave through the entry that holds their payload. Work that the loop posts to itself takes no lock.

Why it works: what a command costs the owner is a row in two messages; their number depends on the failure domains and not on instances or starts.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -153,13 +153,6 @@
   std::deque<std::unique_ptr<transfer>> waiting;
 };
 
-// "http://HOST:PORT/path" is of host "HOST:PORT".
-std::string_view HostOf(std::string_view url) {
-  const size_t scheme = url.find("://");
-  if (scheme != std::string_view::npos) url.remove_prefix(scheme + 3);
-  return url.substr(0, url.find('/'));
-}
-
 curl_socket_t OpenSocket(void* closure, curlsocktype /*purpose*/, curl_sockaddr* address) {
   const int opened = socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
   if (opened >= 0) {
@@ -203,6 +196,12 @@
 
 }  // namespace
 
+std::string_view HostOf(std::string_view url) {
+  const size_t scheme = url.find("://");
+  if (scheme != std::string_view::npos) url.remove_prefix(scheme + 3);
+  return url.substr(0, url.find('/'));
+}
+
 struct http_client::impl {
   impl(size_t connections, std::string authorities, traffic_counter* counts)
       : connections_per_host(connections),
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -50,6 +51,9 @@
   std::string body;
 };
 
+// "http://HOST:PORT/path" is of host "HOST:PORT".
+std::string_view HostOf(std::string_view url);
+
 class http_client {
  public:
   // Called on the client's thread; must not block.
@@ -85,6 +89,10 @@
   std::unique_ptr<impl> impl_;
 };
 
+// Another way for a call than this process's own connections. Takes the call and returns true, or
+// leaves both arguments as they are and returns false.
+using call_route = std::function<bool(http_call& call, http_client::callback& done)>;
+
 }  // namespace catkinford
 
 #endif  // CATKINFORD_CONNECTION_HTTP_CLIENT_H_
--- a/src/main/catkinford-site.cc
+++ b/src/main/catkinford-site.cc
@@ -65,8 +65,8 @@
   peer_http.Start();
   start_http.Start();
   catkinford::platform::adapter platform(store_http, command_http, settings);
-  catkinford::site_node<catkinford::platform::adapter> node(std::move(settings), platform,
-                                                            peer_http, start_http, traffic);
+  catkinford::site_node<catkinford::platform::adapter> node(
+      std::move(settings), platform, peer_http, start_http, command_http, traffic);
   const catkinford::site_start_fault fault = node.Start();
   if (fault != catkinford::site_start_fault::kNone) {
     std::fputs(FaultMessage(fault), stderr);
--- /dev/null
+++ b/src/process/site/call_messages.cc
@@ -0,0 +1,104 @@
+#include "process/site/call_messages.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace catkinford {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr size_t kCallFields = 5;  // before the headers: a name and a value each
+constexpr size_t kResultFields = 4;
+
+std::string ToBytes(const json& message) {
+  std::string out;
+  json::to_msgpack(message, out);
+  return out;
+}
+
+json RowOf(const relayed_call& each) {
+  const http_call& call = each.call;
+  json row = json::array({each.number, call.method, call.url, call.body, call.timeout.count()});
+  for (const auto& [name, value] : call.headers) {
+    row.push_back(name);
+    row.push_back(value);
+  }
+  return row;
+}
+
+relayed_call CallFrom(json& row) {
+  relayed_call out;
+  out.number = row.at(0).get<uint64_t>();
+  out.call.method = std::move(row.at(1).get_ref<std::string&>());
+  out.call.url = std::move(row.at(2).get_ref<std::string&>());
+  out.call.body = std::move(row.at(3).get_ref<std::string&>());
+  out.call.timeout = milliseconds(row.at(4).get<int64_t>());
+  for (size_t i = kCallFields; i + 1 < row.size(); i += 2) {
+    out.call.headers.emplace_back(std::move(row.at(i).get_ref<std::string&>()),
+                                  std::move(row.at(i + 1).get_ref<std::string&>()));
+  }
+  return out;
+}
+
+relayed_result ResultFrom(json& row) {
+  relayed_result out;
+  out.number = row.at(0).get<uint64_t>();
+  const int status = row.at(1).get<int>();
+  // A status added by a later version says nothing of the call.
+  const bool known = status >= 0 && status <= static_cast<int>(transfer_status::kMaybeSent);
+  out.result.status = known ? static_cast<transfer_status>(status) : transfer_status::kMaybeSent;
+  out.result.code = row.at(2).get<int>();
+  out.result.body = std::move(row.at(kResultFields - 1).get_ref<std::string&>());
+  return out;
+}
+
+// Applies `read` to the message; returns nothing if a field is missing or has a wrong type.
+template <typename T, typename Read>
+std::optional<T> Parse(std::string_view bytes, Read read) {
+  json in = json::from_msgpack(bytes, true, false);
+  if (!in.is_array()) return std::nullopt;
+  T out;
+  try {
+    read(in, out);
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+  return out;
+}
+
+}  // namespace
+
+std::string RelayedCallsToBytes(const relayed_calls& message) {
+  json rows = json::array();
+  for (const relayed_call& each : message.calls) rows.push_back(RowOf(each));
+  return ToBytes(json::array({message.epoch, message.not_after_ms, std::move(rows)}));
+}
+
+std::optional<relayed_calls> RelayedCallsFromBytes(std::string_view bytes) {
+  return Parse<relayed_calls>(bytes, [](json& in, relayed_calls& out) {
+    out.epoch = in.at(0).get<uint64_t>();
+    out.not_after_ms = in.at(1).get<int64_t>();
+    for (json& row : in.at(2)) out.calls.push_back(CallFrom(row));
+  });
+}
+
+std::string RelayedResultsToBytes(relayed_results message) {
+  json rows = json::array();
+  for (relayed_result& each : message.results) {
+    rows.push_back(json::array({each.number, static_cast<int>(each.result.status), each.result.code,
+                                std::move(each.result.body)}));
+  }
+  return ToBytes(json::array({message.nonce, message.clock_ms, std::move(rows)}));
+}
+
+std::optional<relayed_results> RelayedResultsFromBytes(std::string_view bytes) {
+  return Parse<relayed_results>(bytes, [](json& in, relayed_results& out) {
+    out.nonce = in.at(0).get<uint64_t>();
+    out.clock_ms = in.at(1).get<int64_t>();
+    for (json& row : in.at(2)) out.results.push_back(ResultFrom(row));
+  });
+}
+
+}  // namespace catkinford
--- a/src/process/site/event_loop.cc
+++ b/src/process/site/event_loop.cc
@@ -32,7 +32,13 @@
   thread_ = std::thread([this] { Run(); });
 }
 
-void event_loop::Post(work task) { posted_.Push(std::move(task)); }
+void event_loop::Post(work task) {
+  if (std::this_thread::get_id() == loop_thread_.load(std::memory_order_relaxed)) {
+    posted_by_loop_.push_back(std::move(task));
+    return;
+  }
+  posted_.Push(std::move(task));
+}
 
 bool event_loop::TryPost(work task) { return posted_.TryPush(std::move(task)); }
 
@@ -64,8 +70,12 @@
 }
 
 void event_loop::Run() {
+  loop_thread_ = std::this_thread::get_id();
   std::vector<work> batch;
-  while (posted_.PopAll(batch, TimeToNextTimer())) {
+  while (posted_.PopAll(batch, posted_by_loop_.empty() ? TimeToNextTimer() : milliseconds{0})) {
+    for (work& task : batch) task();
+    batch.clear();
+    batch.swap(posted_by_loop_);
     for (work& task : batch) task();
     batch.clear();
     cpu_clock_.Note(std::chrono::steady_clock::now());
--- a/src/process/site/event_loop.h
+++ b/src/process/site/event_loop.h
@@ -3,6 +3,7 @@
 #ifndef CATKINFORD_PROCESS_SITE_EVENT_LOOP_H_
 #define CATKINFORD_PROCESS_SITE_EVENT_LOOP_H_
 
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -35,7 +36,8 @@
   event_loop& operator=(const event_loop&) = delete;
 
   void Start();
-  // From other threads. Blocks while the queue is full; does nothing once the loop has stopped.
+  // From any thread. Blocks other threads while the queue is full; does nothing once the loop has
+  // stopped.
   void Post(work task);
   // Returns false without queueing the work when the queue is full.
   bool TryPost(work task);
@@ -71,6 +73,8 @@
   std::chrono::milliseconds TimeToNextTimer() const;
 
   bounded_ring<work> posted_;
+  std::vector<work> posted_by_loop_;  // by work on the loop's thread, without a lock
+  std::atomic<std::thread::id> loop_thread_{};
   std::priority_queue<timed_work> timers_;
   uint64_t next_order_ = 0;
   recent_delay delay_;
--- a/src/process/site/http_status.h
+++ b/src/process/site/http_status.h
@@ -9,6 +9,7 @@
 inline constexpr int kUnauthorized = 401;
 inline constexpr int kNotFound = 404;
 inline constexpr int kMethodNotAllowed = 405;
+inline constexpr int kConflict = 409;
 inline constexpr int kGone = 410;
 inline constexpr int kTooLarge = 413;
 inline constexpr int kUnavailable = 503;
--- a/src/process/site/owner_budget.h
+++ b/src/process/site/owner_budget.h
@@ -41,6 +41,19 @@
     last_total_ = total;
     updated_ = now;
   }
+  // `total`: the calls to instances that this entry has decided on since its start, whoever makes
+  // them.
+  void OnInstanceCalls(uint64_t total, monotonic_time now) {
+    if (instance_calls_updated_ != monotonic_time{}) {
+      const std::chrono::duration<double> passed = now - instance_calls_updated_;
+      instance_call_rate_ = instance_call_rate_ * std::exp(-passed / kRateWindow) +
+                            static_cast<double>(total - last_instance_calls_) / kRateWindow.count();
+    }
+    last_instance_calls_ = total;
+    instance_calls_updated_ = now;
+    const double pressure = PressureOf(instance_call_rate_);
+    relays_wanted_ = pressure > (relays_wanted_ ? kRelayEndPressure : 1);
+  }
   // A start of `bytes` was sent over this link.
   void OnStart(size_t bytes) {
     start_bytes_ += kSmoothing * (static_cast<double>(bytes) - start_bytes_);
@@ -48,13 +61,12 @@
 
   // Use of the link, in its busier direction, or of the processor, relative to the level that
   // leaves capacity for a burst.
-  double Pressure() const {
-    const double link = std::max(sent_rate_, received_rate_) / bytes_per_second_;
-    const double processor = call_rate_ * kCpuPerCall.count() / cpu_share_;
-    return std::max(link / kBusyLink, processor / kBusyProcessor);
-  }
+  double Pressure() const { return std::max(LinkPressure(), PressureOf(call_rate_)); }
   // Other entries should forward its starts.
   bool Busy() const { return Pressure() > 1; }
+  bool LinkBusy() const { return LinkPressure() > 1; }
+  // Calls to instances would make the processor busy if this entry made them all itself.
+  bool RelaysWanted() const { return relays_wanted_; }
   // Its answers may be late.
   bool Overloaded() const { return Pressure() > kOverloadPressure; }
 
@@ -96,6 +108,12 @@
   }
 
  private:
+  double LinkPressure() const {
+    return std::max(sent_rate_, received_rate_) / bytes_per_second_ / kBusyLink;
+  }
+  double PressureOf(double calls_per_second) const {
+    return calls_per_second * kCpuPerCall.count() / cpu_share_ / kBusyProcessor;
+  }
   static std::chrono::milliseconds Scaled(std::chrono::milliseconds usual, double times) {
     return std::chrono::milliseconds(
         static_cast<int64_t>(times * static_cast<double>(usual.count())));
@@ -106,6 +124,8 @@
   static constexpr double kBusyLink = 0.25;
   static constexpr double kBusyProcessor = 0.25;
   static constexpr double kOverloadPressure = 2;
+  // Hysteresis: relays cost each call a few milliseconds, and a change of ways a connection.
+  static constexpr double kRelayEndPressure = 0.5;
   // Processor time for a call and for the decisions and writes that it causes.
   static constexpr std::chrono::duration<double> kCpuPerCall{0.00015};
   // Limit for the data queued on the link, since urgent messages wait behind it.
@@ -132,6 +152,10 @@
   double received_rate_ = 0;               // bytes a second, smoothed
   double call_rate_ = 0;                   // calls a second, smoothed
   double start_bytes_ = kFirstStartBytes;  // smoothed
+  uint64_t last_instance_calls_ = 0;
+  monotonic_time instance_calls_updated_{};
+  double instance_call_rate_ = 0;  // calls a second, smoothed
+  bool relays_wanted_ = false;
 };
 
 }  // namespace catkinford
--- a/src/process/site/site_log.cc
+++ b/src/process/site/site_log.cc
@@ -120,6 +120,10 @@
                     "The configuration here is, or was moments ago, known to be the newest."},
     site_event_info{kLinkUse, kSummary, "link_use",
                     "Bytes and faults of the calls of the last second, by kind of call."},
+    site_event_info{kRelayUsed, kInfo, "relay_used",
+                    "This entry makes the owner's calls to instances of its failure domain."},
+    site_event_info{kRelayLost, kWarning, "relay_lost",
+                    "A relay did not answer: its calls= are repeated through another one."},
 };
 
 }  // namespace
--- a/src/process/site/site_log.h
+++ b/src/process/site/site_log.h
@@ -86,6 +86,9 @@
   kVersionUnconfirmed = 660,
   kVersionConfirmed = 661,
   kLinkUse = 662,
+  // 66x: relays of an owner's calls
+  kRelayUsed = 663,
+  kRelayLost = 664,
 };
 
 // When the limit of lines per second is reached, details are dropped first, then infos. Warnings
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -25,6 +25,8 @@
 #include "process/site/owner_budget.h"
 #include "process/site/owner_failure_detector.h"
 #include "process/site/peer_messages.h"
+#include "process/site/relay_client.h"
+#include "process/site/relay_server.h"
 #include "process/site/shutdown_schedule.h"
 #include "process/site/site_log.h"
 #include "process/site/site_membership.h"
@@ -50,10 +52,11 @@
 template <site_platform Platform>
 class site_node {
  public:
-  // `peer_client` makes the calls to other entries, `start_client` those that forward starts, so
-  // that neither delays the other; `link` counts the bytes of all calls.
+  // `peer_client` makes the calls to other entries, `start_client` those that forward starts and
+  // calls, so that neither delays the other; `instance_client` those that this entry relays for the
+  // owner. `link` counts the bytes of all calls.
   site_node(site_settings settings, Platform& platform, http_client& peer_client,
-            http_client& start_client, traffic_counter& link);
+            http_client& start_client, http_client& instance_client, traffic_counter& link);
   ~site_node() { Stop(); }
   site_node(const site_node&) = delete;
   site_node& operator=(const site_node&) = delete;
@@ -159,6 +162,8 @@
   owner_budget budget_;
   start_dispatcher<Platform> start_dispatcher_;  // for this entry's starts, while it owns the site
   start_forwarder<Platform> start_forwarder_;    // for starts of another entry that owns the site
+  relay_client relay_client_;                    // for this entry's calls, while it owns the site
+  relay_server relay_server_;                    // for calls of another entry that owns the site
   advice_dispatcher advice_;
   scheduler_handover handover_;  // of this process's last ownership
   uint64_t handover_epoch_ = 0;
@@ -186,7 +191,8 @@
 
 template <site_platform Platform>
 site_node<Platform>::site_node(site_settings settings, Platform& platform, http_client& peer_client,
-                               http_client& start_client, traffic_counter& link)
+                               http_client& start_client, http_client& instance_client,
+                               traffic_counter& link)
     : settings_(std::move(settings)),
       platform_(platform),
       peer_client_(peer_client),
@@ -209,7 +215,14 @@
                         DispatcherHooks()),
       start_forwarder_(platform, start_client, loop_, log_,
                        [this] { return membership_.View().epoch; }),
-      text_limiter_(settings_.machine.link_mbps) {}
+      relay_client_(start_client, loop_, log_),
+      relay_server_(instance_client, loop_, membership_.Self().nonce,
+                    [this] { return membership_.View().epoch; }),
+      text_limiter_(settings_.machine.link_mbps) {
+  platform_.Instances().SetRoute([this](http_call& call, http_client::callback& done) {
+    return relay_client_.TryTake(call, done, BootNow());
+  });
+}
 
 template <site_platform Platform>
 frontend_hooks site_node<Platform>::FrontendHooks() {
@@ -250,6 +263,7 @@
   hooks.may_send = [this](uint64_t epoch, monotonic_time now) {
     return owner_ != nullptr && membership_.Epoch() == epoch && membership_.MayAct(now);
   };
+  hooks.relays_calls = [this] { return relay_client_.Enabled(); };
   return hooks;
 }
 
@@ -452,6 +466,11 @@
     return start_forwarder_.Forward(request.body, [this, token](http_response answer) {
       peer_server_->Respond(token, std::move(answer));
     });
+  } else if (request.path == kPeerCallsPath) {
+    return relay_server_.Exchange(
+        request.body,
+        [this, token](http_response answer) { peer_server_->Respond(token, std::move(answer)); },
+        BootNow());
   } else if (request.path == kPeerStartedPath) {
     start_dispatcher_.OnStarted(request.body);
   } else {
@@ -705,6 +724,9 @@
                               command_callback done) {
     start_dispatcher_.Send(std::move(order), accepted_by, epoch, std::move(done));
   };
+  hooks.registry_read = [this](const std::vector<instance_report>& reports) {
+    relay_client_.Choice().SetInstances(reports);
+  };
   hooks.budget = [this](monotonic_time now) -> const owner_budget& { return Budget(now); };
   return hooks;
 }
@@ -712,12 +734,15 @@
 template <site_platform Platform>
 const owner_budget& site_node<Platform>::Budget(monotonic_time now) {
   budget_.OnTraffic(link_.Total(), now);
+  budget_.OnInstanceCalls(relay_client_.Offered(), now);
+  relay_client_.Enable(budget_.RelaysWanted());
   overloaded_ = budget_.Overloaded();
   return budget_;
 }
 
 template <site_platform Platform>
 void site_node<Platform>::OnOwnershipWon() {
+  relay_client_.Begin(membership_.Epoch());
   owner_ = std::make_shared<site_owner<Platform>>(
       platform_, loop_, log_, metrics_, settings_, membership_.Epoch(), membership_.OwnerRevision(),
       membership_.ClaimedEarly() || membership_.EarlierOwnersMayAct(), OwnerHooks());
@@ -794,6 +819,7 @@
   metrics_.owns_site.Set(0);
   overloaded_ = false;
   start_dispatcher_.Clear();
+  relay_client_.End();
   if (owner_ == nullptr) return;
   handover_ = owner_->HandOver();
   handover_epoch_ = membership_.Epoch();
@@ -814,6 +840,7 @@
     if (name != settings_.name) names.push_back(name);
   }
   start_dispatcher_.SetEntries(names);
+  relay_client_.Choice().SetEntries(membership_.View().entries, membership_.Self());
   names.insert(names.begin(), settings_.name);
   advice_.SetEntries(names);
   SendAdviceRequests();
@@ -981,27 +1008,27 @@
 
 template <site_platform Platform>
 void site_node<Platform>::RequestAdvice(const dispatched_query& next) {
-  const advice_query& order = next.query;
+  const auto order = std::make_shared<const advice_query>(next.query);
   const std::string& entry = next.entry;
-  const auto timeout = order.expected + kAdviceSlack;
+  const auto timeout = order->expected + kAdviceSlack;
   const monotonic_time asked = BootNow();
   const auto finish = [this, order, entry, queued = next.queued,
                        asked](const advice_answer& answer) {
     const monotonic_time now = BootNow();
-    log_.Write(
-        site_event::kAdviceAsked, now,
-        absl::StrCat("id=", order.job, " step=", order.occurrence, ".", order.step, " by=", entry,
-                     " instances=", order.instances.size(), " answered=", answer.answered,
-                     " queued_ms=", queued.count(), " expected_ms=", order.expected.count(), " ms=",
-                     std::chrono::duration_cast<std::chrono::milliseconds>(now - asked).count(),
-                     " waiting=", advice_.Waiting()));
+    log_.Write(site_event::kAdviceAsked, now,
+               absl::StrCat(
+                   "id=", order->job, " step=", order->occurrence, ".", order->step, " by=", entry,
+                   " instances=", order->instances.size(), " answered=", answer.answered,
+                   " queued_ms=", queued.count(), " expected_ms=", order->expected.count(), " ms=",
+                   std::chrono::duration_cast<std::chrono::milliseconds>(now - asked).count(),
+                   " waiting=", advice_.Waiting()));
     advice_.OnAnswered(entry);
-    if (owner_ != nullptr) owner_->OnAdvice(order, answer);
+    if (owner_ != nullptr) owner_->OnAdvice(*order, answer);
     SendAdviceRequests();
   };
   const auto found = membership_.View().entries.find(entry);
   if (entry == settings_.name || found == membership_.View().entries.end()) {
-    platform_.Advisor().QueryAdvice(order, timeout, [this, finish](advice_answer answer) {
+    platform_.Advisor().QueryAdvice(*order, timeout, [this, finish](advice_answer answer) {
       loop_.Post([finish, answer = std::move(answer)] { finish(answer); });
     });
     return;
@@ -1009,7 +1036,7 @@
   http_call call;
   call.method = "POST";
   call.url = absl::StrCat("http://", found->second.address, kPeerAdvisePath);
-  call.body = PeerAdviceRequestToText({order, timeout});
+  call.body = PeerAdviceRequestToText({*order, timeout});
   call.timeout = timeout + kPeerTimeout;
   peer_client_.Send(std::move(call), [this, finish](http_result result) {
     loop_.Post([finish, result = std::move(result)] {
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -50,6 +50,8 @@
   std::function<void(advice_query)> request_advice;
   // Sends a start to its instance, directly or through the entry that accepted the job.
   std::function<void(start_command, const std::string& accepted_by, command_callback)> start;
+  // The registry was read.
+  std::function<void(const std::vector<instance_report>&)> registry_read;
   // The load that this entry can still take, as of `now`.
   std::function<const owner_budget&(monotonic_time now)> budget;
 };
@@ -473,6 +475,7 @@
         },
         [reports, done](self_type& self) {
           self.registry_ = std::move(*reports);
+          self.hooks_.registry_read(self.registry_);
           done(self);
         });
   }
--- a/src/process/site/site_platform.h
+++ b/src/process/site/site_platform.h
@@ -48,19 +48,20 @@
     };
 
 template <typename Endpoints>
-concept instance_endpoints =
-    requires(Endpoints to, start_command start, stop_command stop, speed_command pace,
-             list_command list, uint64_t epoch, command_callback done, listing_callback listed) {
-      to.Start(start, epoch, done);
-      to.ForwardStart(start, epoch, done);
-      to.Stop(stop, epoch, done);
-      to.SetSpeed(pace, epoch, done);
-      to.List(list, epoch, listed);
-      { to.Delay() } -> std::same_as<std::chrono::milliseconds>;
-      { to.CpuTime() } -> std::same_as<std::chrono::microseconds>;
-      { to.Connections() } -> std::same_as<connection_counts>;
-      to.CloseIdleConnections();
-    };
+concept instance_endpoints = requires(
+    Endpoints to, start_command start, stop_command stop, speed_command pace, list_command list,
+    uint64_t epoch, command_callback done, listing_callback listed, call_route route) {
+  to.SetRoute(route);
+  to.Start(start, epoch, done);
+  to.ForwardStart(start, epoch, done);
+  to.Stop(stop, epoch, done);
+  to.SetSpeed(pace, epoch, done);
+  to.List(list, epoch, listed);
+  { to.Delay() } -> std::same_as<std::chrono::milliseconds>;
+  { to.CpuTime() } -> std::same_as<std::chrono::microseconds>;
+  { to.Connections() } -> std::same_as<connection_counts>;
+  to.CloseIdleConnections();
+};
 
 template <typename Advisor>
 concept queue_advisor =
--- a/src/process/site/start_dispatcher.h
+++ b/src/process/site/start_dispatcher.h
@@ -33,6 +33,9 @@
   std::function<std::string(const std::string& entry)> address;
   // False once this entry no longer owns the site with this epoch.
   std::function<bool(uint64_t epoch, monotonic_time now)> may_send;
+  // True while relays make this entry's calls to instances: then a start is forwarded only to keep
+  // its payload off a busy link.
+  std::function<bool()> relays_calls;
 };
 
 template <site_platform Platform>
@@ -61,8 +64,8 @@
     const monotonic_time now = BootNow();
     const uint32_t group =
         command.key.index / budget_.StartsPerGroup(command.payload.size() + kStartOverheadBytes);
-    const auto forwarder =
-        router_.ForwarderFor(command.key.job, accepted_by, group, budget_.Busy(), now);
+    const bool busy = hooks_.relays_calls() ? budget_.LinkBusy() : budget_.Busy();
+    const auto forwarder = router_.ForwarderFor(command.key.job, accepted_by, group, busy, now);
     if (!forwarder) return SendDirect(command, epoch, std::move(done));
     budget_.OnStart(kForwardedBytes);
     const uint64_t number = ++last_number_;
--- a/test/relayed_calls_fleet_test.cc
+++ b/test/relayed_calls_fleet_test.cc
@@ -76,6 +76,14 @@
     }
     return sum;
   }
+  // The entry that makes the owner's calls: the one with open connections to instances.
+  int Relay() {
+    for (size_t i = 0; i < kEntries; ++i) {
+      if (static_cast<int>(i) == Owner()) continue;
+      if (Metric(i, "catkinford_site_instance_connections") > 0) return static_cast<int>(i);
+    }
+    return -1;
+  }
 };
 
 // Guards against an owner whose processor is used up by one call for each instance and command.
@@ -97,5 +105,33 @@
   CHECK(instances_.DuplicateRuns().empty());
 }
 
+// Guards against work that stands still, or runs twice, as the relay of its calls has died.
+TEST_CASE_METHOD(weak_site_fixture, "site, relay killed, its calls are repeated through another") {
+  KeepBusy();
+  const auto owner = static_cast<size_t>(Owner());
+  REQUIRE(Eventually([&] { return Relay() >= 0; }));
+  SubmitAll(0);
+  entries_[static_cast<size_t>(Relay())]->process.Kill();
+  CHECK(Eventually([&] { return AllCompleted(owner, 0); }));
+  CHECK(instances_.DuplicateRuns().empty());
+  CHECK(instances_.StartsAfterDone().empty());
+}
+
+// Guards against a paused relay that carries out, once it runs again, what was given up.
+TEST_CASE_METHOD(weak_site_fixture, "site, relay paused, begins no call that the owner gave up") {
+  KeepBusy();
+  const auto owner = static_cast<size_t>(Owner());
+  REQUIRE(Eventually([&] { return Relay() >= 0; }));
+  const auto relay = static_cast<size_t>(Relay());
+  SubmitAll(0);
+  entries_[relay]->process.Signal(SIGSTOP);
+  CHECK(Eventually([&] { return AllCompleted(owner, 0); }));
+  entries_[relay]->process.Signal(SIGCONT);
+  SubmitAll(kJobs);
+  CHECK(Eventually([&] { return AllCompleted(owner, kJobs); }));
+  CHECK(instances_.DuplicateRuns().empty());
+  CHECK(instances_.StartsAfterDone().empty());
+}
+
 }  // namespace
 }  // namespace catkinford
