A round of decisions looks at a bounded number of waiting steps

What callers saw: the longer the backlog, the later everything was; a slow second became a lost minute.

Cause: each round sorted all waiting steps, tried to place them all and walked all jobs three more times, while the first 64 steps of a service alone are queried for.

Change: ready_queue keeps the waiting steps in order, by service and workspace. A step moves when its job changes, or when its rank does by the passing of time. Steps for copies and of queries ahead are looked for among running jobs only; occurrences are opened when due; steps that no instance could hold wait outside until a larger one joins; a query that waited is adapted with the free capacity of the last 50 ms in place of a new sort of all instances.

--- a/src/process/scheduling/graph_state.h
+++ b/src/process/scheduling/graph_state.h
@@ -3,14 +3,17 @@
 #define CATKINFORD_PROCESS_SCHEDULING_GRAPH_STATE_H_
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "process/scheduling/job_order.h"
 #include "process/scheduling/job_stages.h"
 #include "request/job_request.h"
 #include "request/step_graph.h"
@@ -91,6 +94,28 @@
   monotonic_time from{};
 };
 
+// The order in which waiting steps get instances.
+struct ready_order {
+  // False first: service tasks that ran before and are down. There are few of them, and while the
+  // number of starts is the bottleneck they would wait behind every burst.
+  bool service_up = true;
+  bool beyond_share = false;
+  int priority = 0;
+  job_order_key rank;
+  uint64_t sequence = 0;  // of becoming ready
+
+  auto operator<=>(const ready_order&) const = default;
+};
+
+// Of a step in the ready queue.
+struct queue_position {
+  uint32_t lane = 0;
+  ready_order order;
+  monotonic_time until{};  // when the rank changes by itself
+
+  bool operator==(const queue_position&) const = default;
+};
+
 struct step_progress {
   std::vector<graph_task_state> tasks;
   uint32_t waiting = 0;
@@ -99,6 +124,8 @@
   std::vector<uint32_t> gang_failed_runs;  // like failed_runs of a task
   bool ready = false;                      // all steps before it are done and the occurrence is due
   monotonic_time ready_at{};
+  std::optional<queue_position> queued;
+  uint64_t looked_at_round = 0;  // by the ready queue
   step_advice advice;
   // Actual run times of the step's tasks, which are alike.
   std::chrono::milliseconds run_time_sum{0};
@@ -121,6 +148,8 @@
 
 struct job_entry {
   graph_job job;
+  uint64_t number = 0;  // in the order of arrival at this owner
+  uint32_t active_tasks = 0;
   // Queue in the version in effect, cached as each decision needs it many times.
   const queue_config* queue = nullptr;
   uint32_t service = 0;  // ordinal of the service whose instances run it
--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -15,6 +15,11 @@
 constexpr double kSpeedDecay = 0.8;   // weight of the past in an instance's learned speed
 constexpr size_t kMaxEvents = 20000;  // between two calls of TakeEvents(); further ones are dropped
 
+// When the next occurrence that is not open is due.
+wall_time NextDue(const job_entry& entry) {
+  return entry.job.first_run + entry.job.interval * entry.next_occurrence;
+}
+
 }  // namespace
 
 job_scheduler::job_scheduler(const scheduler_options& options, uint64_t epoch,
@@ -26,6 +31,7 @@
 void job_scheduler::SetVersion(std::shared_ptr<const site_configuration> version) {
   version_ = std::move(version);
   for (auto& [id, entry] : jobs_) LookUpTerms(*entry);
+  for (job_entry* entry : active_) UpdateReady(*entry, decided_at_);
 }
 
 void job_scheduler::LookUpTerms(job_entry& entry) {
@@ -53,6 +59,7 @@
   auto made = std::make_unique<job_entry>();
   job_entry& entry = *made;
   entry.job = std::move(job);
+  entry.number = ++last_job_number_;
   LookUpTerms(entry);
   entry.arrived = now;
   if (!progress.empty()) ApplyProgress(entry, progress, now);
@@ -74,7 +81,6 @@
            absl::StrCat("queue=", entry.job.queue, " workspace=", entry.job.workspace,
                         " steps=", entry.job.steps.size(), " inherited=", entry.inherited,
                         " recorded_runs=", restored));
-  SetObjective(entry);
   IdentifyWork(entry, now);
 }
 
@@ -141,9 +147,9 @@
 void job_scheduler::OpenOccurrences(job_entry& entry, wall_time wall, monotonic_time now) {
   while (entry.next_occurrence < entry.job.Occurrences()) {
     const uint32_t number = entry.next_occurrence;
-    if (entry.job.repeats > 0) {
-      const wall_time due = entry.job.first_run + entry.job.interval * number;
-      if (wall < due) break;
+    if (entry.job.repeats > 0 && wall < NextDue(entry)) {
+      due_.emplace(std::pair(NextDue(entry), entry.number), &entry);
+      break;
     }
     ++entry.next_occurrence;
     const bool finished =
@@ -157,6 +163,14 @@
   RefreshReady(entry, now);
 }
 
+void job_scheduler::OpenDue(wall_time wall, monotonic_time now) {
+  while (!due_.empty() && due_.begin()->first.first <= wall) {
+    job_entry* const entry = due_.begin()->second;
+    due_.erase(due_.begin());
+    OpenOccurrences(*entry, wall, now);
+  }
+}
+
 void job_scheduler::RefreshReady(job_entry& entry, monotonic_time now) {
   for (auto& [number, occurrence] : entry.occurrences) {
     for (size_t i = 0; i < occurrence->steps.size(); ++i) {
@@ -172,6 +186,29 @@
     }
   }
   SetObjective(entry);
+  UpdateReady(entry, now);
+}
+
+void job_scheduler::MoveTask(job_entry& entry, const task_key& key, graph_task_phase to,
+                             monotonic_time now) {
+  occurrence_state& occurrence = *entry.occurrences.at(key.occurrence);
+  step_progress& step = occurrence.steps[key.step];
+  graph_task_state& task = step.tasks[key.index];
+  const auto count = [&step](graph_task_phase phase) -> uint32_t& {
+    if (phase == graph_task_phase::kWaiting) return step.waiting;
+    return phase == graph_task_phase::kActive ? step.active : step.done;
+  };
+  const graph_task_phase from = std::exchange(task.phase, to);
+  if (from == to) return;
+  --count(from);
+  ++count(to);
+  if (to == graph_task_phase::kWaiting) task.waiting_since = now;
+  if (from == graph_task_phase::kActive && --entry.active_tasks == 0) running_.erase(entry.number);
+  if (to == graph_task_phase::kActive && ++entry.active_tasks == 1 && !IsFinal(entry.phase)) {
+    running_.emplace(entry.number, &entry);
+  }
+  const bool waits = step.waiting > 0;
+  if (waits != step.queued.has_value()) UpdateReady(entry, occurrence, key.step, now);
 }
 
 void job_scheduler::MarkChanged(job_entry& entry) {
@@ -208,6 +245,10 @@
   MarkChanged(entry);
   entry.final_change = entry.change;
   active_.erase(std::remove(active_.begin(), active_.end(), &entry), active_.end());
+  running_.erase(entry.number);
+  oversized_.erase(entry.number);
+  due_.erase(std::pair(NextDue(entry), entry.number));
+  for (const auto& [number, occurrence] : entry.occurrences) RemoveReady(entry, *occurrence);
   final_.push_back(entry.job.id);
   if (phase != graph_phase::kCompleted) {
     const stop_cause cause =
@@ -305,13 +346,12 @@
 
 scheduler_commands job_scheduler::Decide(wall_time wall, monotonic_time now) {
   scheduler_commands commands;
-  for (job_entry* entry : active_) {
-    if (entry->job.repeats > 0) OpenOccurrences(*entry, wall, now);
-  }
+  decided_at_ = now;
+  OpenDue(wall, now);
   DropExpired(now);
   UpdateTimeoutFactor(now);
   CheckRuns(commands, now);
-  const std::vector<ready_step> ready = ReadySteps(now);
+  const std::vector<ready_step> ready = NextSteps(now);
   if (!starts_paused_) Place(ready, now);
   commands.starts = TakeStarts(now);
   PlanAdvice(ready, commands, now);
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -26,6 +26,7 @@
 #include "process/scheduling/job_order.h"
 #include "process/scheduling/job_stages.h"
 #include "process/scheduling/listing_wait.h"
+#include "process/scheduling/ready_queue.h"
 #include "process/scheduling/run_times.h"
 #include "process/scheduling/scheduler_messages.h"
 #include "process/scheduling/timeout_factor.h"
@@ -170,14 +171,6 @@
   size_t RunCount() const;
 
  private:
-  struct ready_step {
-    job_entry* entry;
-    occurrence_state* occurrence;
-    uint32_t index;
-    job_order_key rank;
-    bool service_down = false;  // has a task that ran before and is down
-  };
-
   // job_scheduler.cc
   void MarkChanged(job_entry& entry);
   bool BeyondShare(const graph_job& job);
@@ -193,7 +186,16 @@
   bool HoldsRuns(const job_entry& entry) const;
   void LogEvent(scheduler_event::kind what, std::string subject, std::string detail);
   void OpenOccurrences(job_entry& entry, wall_time wall, monotonic_time now);
+  // Opens the occurrences that are due by now.
+  void OpenDue(wall_time wall, monotonic_time now);
   void RefreshReady(job_entry& entry, monotonic_time now);
+  // Queues the step at its place among those that wait for an instance, or removes it.
+  void UpdateReady(job_entry& entry, occurrence_state& occurrence, uint32_t index,
+                   monotonic_time now);
+  void UpdateReady(job_entry& entry, monotonic_time now);
+  void RemoveReady(job_entry& entry, occurrence_state& occurrence);
+  // Changes the phase of a task, with all that is counted by it.
+  void MoveTask(job_entry& entry, const task_key& key, graph_task_phase to, monotonic_time now);
   void Finish(job_entry& entry, graph_phase phase, monotonic_time now);
   // All runs of a task, or of all tasks of an occurrence, that may exist.
   void StopRuns(const task_key& key, stop_cause cause, monotonic_time now);
@@ -242,7 +244,7 @@
   // Records a run of a known job that this owner did not start. It holds its task or is stopped.
   void ClaimOrStop(graph_run& run, monotonic_time now);
   // False if another run holds the task or none is wanted.
-  static bool ClaimTask(graph_run& run);
+  bool ClaimTask(graph_run& run, monotonic_time now);
   // Some task of the job is known to have begun.
   static void MarkStarted(job_entry& entry);
   // The start was rejected since the instance has seen this run or a later one.
@@ -297,7 +299,8 @@
   // An earlier owner may have started tasks of a job accepted at that time without recording them.
   bool EarlierOwnerMayStart(monotonic_time accepted) const;
   void CountPossibleRuns();
-  std::vector<ready_step> ReadySteps(monotonic_time now);
+  // The steps that this round looks at, in the order in which they get instances.
+  std::vector<ready_step> NextSteps(monotonic_time now);
   void PlaceStep(const ready_step& ready, monotonic_time now);
   void PlaceGang(const ready_step& ready, monotonic_time now);
   fleet_instance* ChooseInstance(const ready_step& ready, const graph_task_state& task,
@@ -373,6 +376,8 @@
     bool ticket_good;
   };
   advice_round BeginAdvice(monotonic_time now) const;
+  // The latest one, without claims, or a new one if that is too old.
+  advice_round LatestAdviceRound(monotonic_time now);
   void PlanStepAdvice(const ready_step& ready, advice_round& round, scheduler_commands& commands,
                       monotonic_time now);
   void ClaimCapacity(const ready_step& ready, advice_round& round,
@@ -411,6 +416,14 @@
   absl::flat_hash_map<std::string, resources> usage_of_workspace_;
   absl::flat_hash_map<std::string, arrival_rate_limit> arrival_limits_;  // by workspace
   std::vector<job_entry*> active_;                                       // not final
+  absl::btree_map<uint64_t, job_entry*> running_;  // those with active tasks, by number
+  // Those with occurrences that are not due yet, by the time of the next one.
+  absl::btree_map<std::pair<wall_time, uint64_t>, job_entry*> due_;
+  uint64_t last_job_number_ = 0;
+  ready_queue ready_;
+  // Those with a step that no instance seen so far could hold, by number: not queued.
+  absl::btree_map<uint64_t, job_entry*> oversized_;
+  monotonic_time decided_at_{};  // the latest round
   // Jobs that are not known and of which a run or an end was listed, those with a run, and those
   // that TakeUnknownJobs() has not returned yet.
   absl::flat_hash_set<std::string> lookups_;
@@ -436,6 +449,9 @@
   std::chrono::milliseconds local_delay_{0};
   monotonic_time next_timeout_factor_update_{};
   listing_wait listing_wait_;
+  // As it began. Its instances exist: it is dropped when one is forgotten.
+  advice_round latest_round_;
+  monotonic_time latest_round_at_{};
   run_times run_times_;
   bool unrecorded_starts_ = false;
   bool starts_paused_ = false;
--- /dev/null
+++ b/src/process/scheduling/ready_queue.h
@@ -0,0 +1,73 @@
+// The steps that wait for an instance, in the order in which they get one.
+//
+// A round of decisions looks at the first ones of each service and, in turn, at a few of the
+// others, so that its cost does not grow with the backlog.
+#ifndef CATKINFORD_PROCESS_SCHEDULING_READY_QUEUE_H_
+#define CATKINFORD_PROCESS_SCHEDULING_READY_QUEUE_H_
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/container/btree_map.h"
+#include "absl/container/btree_set.h"
+#include "absl/container/flat_hash_map.h"
+#include "process/scheduling/graph_state.h"
+#include "process/scheduling/job_order.h"
+
+namespace catkinford {
+
+struct ready_step {
+  job_entry* entry;
+  occurrence_state* occurrence;
+  uint32_t index;
+};
+
+class ready_queue {
+ public:
+  // Adds the step, or moves it to its new place. `until`: when its rank changes by itself.
+  void Put(const ready_step& ready, ready_order order, monotonic_time until);
+  // Does nothing if the step is not queued.
+  void Remove(const ready_step& ready);
+  // The steps whose rank has changed by `now`; each must be put again or removed.
+  std::vector<ready_step> TakeRankChanges(monotonic_time now);
+
+  // The steps that a round looks at: of each service the first ones for which `eligible` holds,
+  // then some of the others in turn, so that none waits forever behind steps that cannot start.
+  std::vector<ready_step> Next(const std::function<bool(const ready_step&)>& eligible);
+  size_t Size() const { return size_; }
+
+ private:
+  // Steps of one service and one workspace: while the workspace is at its limit, none of them
+  // starts.
+  struct lane {
+    uint32_t service = 0;
+    absl::btree_map<ready_order, ready_step> steps;
+  };
+  using steps_iterator = absl::btree_map<ready_order, ready_step>::iterator;
+
+  uint32_t LaneOf(const job_entry& entry);
+  void AppendFirst(const std::function<bool(const ready_step&)>& eligible,
+                   std::vector<ready_step>& out);
+  void AppendOthers(const std::function<bool(const ready_step&)>& eligible,
+                    std::vector<ready_step>& out);
+
+  std::vector<lane> lanes_;
+  absl::flat_hash_map<std::pair<uint32_t, std::string>, uint32_t> lane_of_;
+  absl::btree_map<std::pair<monotonic_time, uint64_t>, ready_step> rank_changes_;
+  size_t size_ = 0;
+  uint64_t last_sequence_ = 0;
+  uint64_t round_ = 0;
+  // Where the turn of the other steps goes on: after this one.
+  uint32_t turn_lane_ = 0;
+  std::optional<ready_order> turn_after_;
+};
+
+}  // namespace catkinford
+
+#endif  // CATKINFORD_PROCESS_SCHEDULING_READY_QUEUE_H_
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -24,6 +24,8 @@
 // Limit on the steps of one service per round, most urgent first: each step scans all its
 // instances, and steps further back have no chance of getting capacity.
 constexpr size_t kMaxStepsPerService = 64;
+// How long free capacity counts as current when a waiting query is adapted.
+constexpr milliseconds kRoundUsable{50};
 constexpr double kMinSpeed = 0.1;  // a lower learned speed is not meaningful
 
 uint32_t TasksThatFit(const resources& free, const resources& capacity, uint32_t most) {
@@ -106,6 +108,15 @@
   return round;
 }
 
+// Queries are refreshed one by one, and to sort all instances for each takes longer than the rest.
+job_scheduler::advice_round job_scheduler::LatestAdviceRound(monotonic_time now) {
+  if (now - latest_round_at_ > kRoundUsable) {
+    latest_round_ = BeginAdvice(now);
+    latest_round_at_ = now;
+  }
+  return latest_round_;
+}
+
 // Number of further tasks of the step that the instance may run, by the step's limit per instance.
 uint32_t job_scheduler::MaxTasksAt(const ready_step& ready, const fleet_instance& instance,
                                    uint32_t wanted) const {
@@ -258,9 +269,9 @@
 
 // Steps that will become ready at about the time an answer would arrive: queried ahead, they start
 // at once.
-std::vector<job_scheduler::ready_step> job_scheduler::UpcomingSteps(monotonic_time now) {
+std::vector<ready_step> job_scheduler::UpcomingSteps(monotonic_time now) {
   std::vector<ready_step> out;
-  for (job_entry* entry : active_) {
+  for (const auto& [arrival, entry] : running_) {
     if (!TermsOf(*entry).needs_advice || entry->job.steps.size() < 2) continue;
     const queue_config* queue = entry->queue;
     if (queue == nullptr || !queue->advice) continue;
@@ -275,7 +286,7 @@
         // Queried ahead only once: instances that join later are queried when the step is ready.
         if (!occurrence->steps[i].advice.verdicts.empty()) continue;
         if (ReadyWithin(*entry, *occurrence, i, ahead, now)) {
-          out.push_back({entry, occurrence.get(), i, {}});
+          out.push_back({entry, occurrence.get(), i});
         }
       }
     }
@@ -304,7 +315,7 @@
 // even if all capacity were free do not count: those whose workspace is at its limit, and those too
 // large for any instance of their service. With a single queue, jobs of a full service or of a
 // workspace at its limit would fill it, and no step behind them would ever be queried.
-std::vector<job_scheduler::ready_step> job_scheduler::StepsToQuery(
+std::vector<ready_step> job_scheduler::StepsToQuery(
     const std::vector<ready_step>& ready_steps) const {
   std::vector<ready_step> out;
   std::vector<size_t> taken(services_.size() + 1);
@@ -327,6 +338,8 @@
   for (const ready_step& copies : CopySteps(now)) steps.push_back(copies);
   if (steps.empty()) return;
   advice_round round = BeginAdvice(now);
+  latest_round_ = round;
+  latest_round_at_ = now;
   for (const ready_step& ready : steps) {
     if (!TermsOf(*ready.entry).needs_advice) continue;
     const step_spec& terms = ready.entry->job.steps[ready.index];
@@ -343,14 +356,14 @@
   job_entry& entry = *found->second;
   const auto occurrence = entry.occurrences.find(query.occurrence);
   if (occurrence == entry.occurrences.end() || query.step >= entry.job.steps.size()) return false;
-  const ready_step ready{&entry, occurrence->second.get(), query.step, {}};
+  const ready_step ready{&entry, occurrence->second.get(), query.step};
   step_advice& advice = ready.occurrence->steps[query.step].advice;
   const uint32_t wanted = IsFinal(entry.phase) ? 0 : TasksToPlace(ready, now);
   if (wanted == 0 || !WithinLimit(entry, entry.job.steps[query.step].need)) {
     advice.in_flight = false;
     return false;
   }
-  advice_round round = BeginAdvice(now);
+  advice_round round = LatestAdviceRound(now);
   const std::vector<advice_option> known = KnownOptions(ready, round, wanted, now);
   const advice_timing cost = AdviceTimingOf(entry);
   std::vector<std::string> earlier = std::move(query.instances);
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -85,10 +85,8 @@
   if (step == nullptr) return;
   graph_task_state& task = step->tasks[start.key.index];
   if (task.phase != graph_task_phase::kWaiting) return;
-  task.phase = graph_task_phase::kActive;
   task.run = &run;
-  --step->waiting;
-  ++step->active;
+  MoveTask(*entry, start.key, graph_task_phase::kActive, now);
 }
 
 fleet_instance& job_scheduler::MakeInstance(const instance_report& report, monotonic_time now) {
@@ -98,6 +96,7 @@
   slot->ordinal = ++last_ordinal_;
   slot->service = ServiceOrdinal(report.service);
   slot->next_listing = now;
+  latest_round_at_ = {};
   by_ordinal_.resize(last_ordinal_ + 1);
   by_ordinal_[slot->ordinal] = slot.get();
   return *slot;
@@ -134,6 +133,7 @@
   std::vector<resources>& largest = largest_seen_[report.service];
   if (std::find(largest.begin(), largest.end(), report.capacity) == largest.end()) {
     largest.push_back(report.capacity);
+    for (const auto& [number, entry] : std::exchange(oversized_, {})) UpdateReady(*entry, now);
   }
 }
 
@@ -256,6 +256,7 @@
       forgotten.push_back(id);
     }
   }
+  if (!forgotten.empty()) latest_round_at_ = {};
   for (const std::string& id : forgotten) {
     by_ordinal_[instances_.at(id)->ordinal] = nullptr;
     instances_.erase(id);
--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -53,40 +53,49 @@
          !Exceeds(with.accelerators, workspace->maximum.accelerators);
 }
 
-std::vector<job_scheduler::ready_step> job_scheduler::ReadySteps(monotonic_time now) {
-  std::vector<ready_step> out;
-  for (job_entry* entry : active_) {
-    for (auto& [number, occurrence] : entry->occurrences) {
-      job_order_key rank;
-      for (uint32_t i = 0; i < occurrence->steps.size(); ++i) {
-        ++steps_seen_;
-        const step_progress& step = occurrence->steps[i];
-        if (!step.ready || step.waiting == 0) continue;
-        if (entry->job.steps[i].long_running) {
-          // A service task is useful from the moment when it runs again: it can always be in time.
-          out.push_back(
-              {entry, occurrence.get(), i, {job_rank::kInTime, step.ready_at}, RanBefore(step)});
-          continue;
-        }
-        if (rank.deadline == monotonic_time{}) {
-          const milliseconds remaining = RemainingChain(*entry, *occurrence);
-          rank = OrderKeyOf({entry->accepted_at, entry->objective, remaining}, now);
-        }
-        out.push_back({entry, occurrence.get(), i, rank});
-      }
+void job_scheduler::UpdateReady(job_entry& entry, occurrence_state& occurrence, uint32_t index,
+                                monotonic_time now) {
+  const step_progress& step = occurrence.steps[index];
+  const ready_step ready{&entry, &occurrence, index};
+  if (!step.ready || step.waiting == 0 || IsFinal(entry.phase)) return ready_.Remove(ready);
+  if (!AnyCouldHold(TermsOf(entry).service, entry.job.steps[index])) {
+    oversized_.emplace(entry.number, &entry);
+    return ready_.Remove(ready);
+  }
+  ready_order order;
+  order.beyond_share = entry.beyond_share;
+  order.priority = TermsOf(entry).priority;
+  if (entry.job.steps[index].long_running) {
+    // A service task is useful from the moment when it runs again: it can always be in time.
+    order.service_up = !RanBefore(step);
+    order.rank = {job_rank::kInTime, step.ready_at};
+    return ready_.Put(ready, order, monotonic_time::max());
+  }
+  const job_timing timing{entry.accepted_at, entry.objective, RemainingChain(entry, occurrence)};
+  order.rank = OrderKeyOf(timing, now);
+  ready_.Put(ready, order, KeyChangesAt(timing, now));
+}
+
+void job_scheduler::UpdateReady(job_entry& entry, monotonic_time now) {
+  for (auto& [number, occurrence] : entry.occurrences) {
+    for (uint32_t i = 0; i < occurrence->steps.size(); ++i) {
+      UpdateReady(entry, *occurrence, i, now);
     }
   }
-  std::stable_sort(out.begin(), out.end(), [this](const ready_step& a, const ready_step& b) {
-    // There are few of these, and while the number of starts is the bottleneck they would wait
-    // behind every burst.
-    if (a.service_down != b.service_down) return a.service_down;
-    if (a.entry->beyond_share != b.entry->beyond_share) return b.entry->beyond_share;
-    const int first = TermsOf(*a.entry).priority;
-    const int second = TermsOf(*b.entry).priority;
-    if (first != second) return first < second;
-    return a.rank < b.rank;
+}
+
+void job_scheduler::RemoveReady(job_entry& entry, occurrence_state& occurrence) {
+  for (uint32_t i = 0; i < occurrence.steps.size(); ++i) ready_.Remove({&entry, &occurrence, i});
+}
+
+std::vector<ready_step> job_scheduler::NextSteps(monotonic_time now) {
+  for (const ready_step& ready : ready_.TakeRankChanges(now)) {
+    UpdateReady(*ready.entry, *ready.occurrence, ready.index, now);
+  }
+  return ready_.Next([this](const ready_step& ready) {
+    ++steps_seen_;
+    return WithinLimit(*ready.entry, ready.entry->job.steps[ready.index].need);
   });
-  return out;
 }
 
 bool job_scheduler::AcceptsWork(const fleet_instance& instance, monotonic_time now) {
@@ -249,9 +258,9 @@
   }
 }
 
-std::vector<job_scheduler::ready_step> job_scheduler::CopySteps(monotonic_time now) {
+std::vector<ready_step> job_scheduler::CopySteps(monotonic_time now) {
   std::vector<ready_step> out;
-  for (job_entry* entry : active_) {
+  for (const auto& [arrival, entry] : running_) {
     for (auto& [number, occurrence] : entry->occurrences) {
       for (uint32_t i = 0; i < occurrence->steps.size(); ++i) {
         ++steps_seen_;
@@ -262,7 +271,7 @@
         const bool wanted = std::any_of(
             step.tasks.begin(), step.tasks.end(),
             [&](const graph_task_state& task) { return WantsCopy(task, terms, expected, now); });
-        if (wanted) out.push_back({entry, occurrence.get(), i, {}});
+        if (wanted) out.push_back({entry, occurrence.get(), i});
       }
     }
   }
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -158,10 +158,7 @@
           if (!others.empty()) task.run = others.front();
         }
         if (task.run == nullptr && task.phase == graph_task_phase::kActive) {
-          task.phase = graph_task_phase::kWaiting;
-          task.waiting_since = now;
-          --step->active;
-          ++step->waiting;
+          MoveTask(*run.job, run.key, graph_task_phase::kWaiting, now);
         }
       }
     }
@@ -211,23 +208,24 @@
   for (uint32_t i = 0; i < step->tasks.size(); ++i) {
     // One member of a gang that ends as done completes all members.
     if (!gang && i != key.index) continue;
-    graph_task_state& task = step->tasks[i];
-    if (task.phase == graph_task_phase::kDone) continue;
-    if (task.phase == graph_task_phase::kWaiting) --step->waiting;
-    if (task.phase == graph_task_phase::kActive) --step->active;
-    task.phase = graph_task_phase::kDone;
-    ++step->done;
+    if (step->tasks[i].phase == graph_task_phase::kDone) continue;
+    MoveTask(entry, {{}, key.occurrence, key.step, i}, graph_task_phase::kDone, now);
     if (!gang) StopRuns(key, stop_cause::kCopyLost, now);
   }
   MarkChanged(entry);
-  if (!step->Done()) return;
   const auto occurrence = entry.occurrences.find(key.occurrence);
+  if (!step->Done()) {
+    // Run times of the step's other tasks are known better now.
+    if (step->queued) UpdateReady(entry, *occurrence->second, key.step, now);
+    return;
+  }
   EndStep(entry, *occurrence->second, key.step, times);
   RefreshReady(entry, now);
   if (!occurrence->second->Done()) return;
   // Runs that still exist refer to the occurrence: they are stopped as stray runs.
   StopRuns(entry, *occurrence->second, stop_cause::kCopyLost, now);
   const job_stage_times stages = step->stages;
+  RemoveReady(entry, *occurrence->second);
   FinishOccurrence(entry, key.occurrence);
   if (!entry.AllDone()) return;
   entry.stages = stages;
@@ -361,14 +359,14 @@
       run.job->unrecorded = run.job->change;
     }
   }
-  if (!ClaimTask(run)) return StopStray(run, now);
+  if (!ClaimTask(run, now)) return StopStray(run, now);
   LogEvent(scheduler_event::kind::kRunAdopted, NameOf(run.key),
            absl::StrCat("run=", run.number, " instance=", run.instance->report.id));
 }
 
 // A run at work holds its task, unless another run that is at work does. One that is only recorded
 // may not exist.
-bool job_scheduler::ClaimTask(graph_run& run) {
+bool job_scheduler::ClaimTask(graph_run& run, monotonic_time now) {
   step_progress* step = run.job == nullptr ? nullptr : run.job->Find(run.key);
   if (step == nullptr || IsFinal(run.job->phase)) return false;
   const step_spec& terms = run.job->job.steps[run.key.step];
@@ -386,10 +384,7 @@
     }
   }
   task.run = &run;
-  if (task.phase == graph_task_phase::kActive) return true;
-  task.phase = graph_task_phase::kActive;
-  --step->waiting;
-  ++step->active;
+  MoveTask(*run.job, run.key, graph_task_phase::kActive, now);
   return true;
 }
 
@@ -418,7 +413,7 @@
     run->phase = run_phase::kRunning;
     run->confirmed = now;
     run->progressed = now;
-    if (inherited && ClaimTask(*run)) {
+    if (inherited && ClaimTask(*run, now)) {
       LogEvent(scheduler_event::kind::kRunAdopted, NameOf(row.key),
                absl::StrCat("run=", row.run, " instance=", instance.report.id));
     } else if (inherited) {
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -87,10 +87,8 @@
     task.copy = &run;
   } else {
     task.run = &run;
-    task.phase = graph_task_phase::kActive;
     ++task.starts;
-    --step.waiting;
-    ++step.active;
+    MoveTask(entry, key, graph_task_phase::kActive, now);
   }
 
   start_command request;
@@ -213,9 +211,7 @@
         if (!open.empty()) task.run = open.front();
         if (open.size() > 1 && entry.job.steps[i].speculative) task.copy = open[1];
         if (task.run == nullptr) continue;
-        task.phase = graph_task_phase::kActive;
-        --step.waiting;
-        ++step.active;
+        MoveTask(entry, {{}, number, i, k}, graph_task_phase::kActive, now);
       }
     }
   }
