An idle client's last delay expires

What callers saw: nothing by itself.

Cause: the sliding maximum moved on only when something was recorded, and a client without calls records nothing.

Change: the reader passes the time, and a window that is over counts as no delay.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -698,7 +698,7 @@
   if (first) impl_->WakeThread();
 }
 
-milliseconds http_client::Delay() const { return impl_->delay.Max(); }
+milliseconds http_client::Delay() const { return impl_->delay.Max(steady_clock::now()); }
 
 std::chrono::microseconds http_client::CpuTime() const { return impl_->cpu_clock.Used(); }
 
--- a/src/process/site/event_loop.h
+++ b/src/process/site/event_loop.h
@@ -45,7 +45,7 @@
   void After(std::chrono::milliseconds delay, work task);
   // On the loop's thread. The maximum recent delay of timers; work posted meanwhile was delayed as
   // much.
-  std::chrono::milliseconds Delay() const { return delay_.Max(); }
+  std::chrono::milliseconds Delay() const { return delay_.Max(BootNow()); }
   // Processor time of the loop's thread.
   std::chrono::microseconds CpuTime() const { return cpu_clock_.Used(); }
   // From any thread but the loop's own; queued work is dropped.
