--- a/src/process/scheduling/graph_state.cc
+++ b/src/process/scheduling/graph_state.cc
@@ -6,16 +6,13 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "request/json_text.h"
 
 namespace catkinford {
 namespace {
 
 using nlohmann::json;
 
-std::string Quoted(const std::string& text) {
-  return json(text).dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 // Done tasks as ranges, [first, count, ...]: most steps are done from the front.
 void AppendDoneRanges(const step_progress& step, std::string& out) {
   out += '[';
@@ -45,11 +42,11 @@
     }
     if (!task.checkpoint.empty()) {
       absl::StrAppend(&checkpoints, checkpoints.empty() ? "" : ",", "[", i, ",",
-                      Quoted(task.checkpoint), "]");
+                      JsonText(task.checkpoint), "]");
     }
     for (const open_run& run : task.open_runs) {
       absl::StrAppend(&runs, runs.empty() ? "" : ",", "[", i, ",", run.number, ",",
-                      Quoted(run.instance), "]");
+                      JsonText(run.instance), "]");
     }
   }
   if (!failures.empty()) absl::StrAppend(&out, R"(,"fail":[)", failures, "]");
--- a/src/process/site/peer_messages.cc
+++ b/src/process/site/peer_messages.cc
@@ -34,11 +34,26 @@
   return out;
 }
 
-// Messages with lists of instances are long and are sent compressed.
+// Messages with lists of instances are long: MessagePack, compressed for a busy link.
+std::string ToPackedBytes(const json& message, bool compressed) {
+  std::string out;
+  json::to_msgpack(message, out);
+  return compressed ? CompressText(out) : out;
+}
+
 template <typename T, typename Read>
 std::optional<T> ParsePacked(std::string_view bytes, Read read) {
-  const auto text = DecompressText(bytes);
-  return text ? Parse<T>(*text, read) : std::nullopt;
+  const auto plain = DecompressText(bytes);
+  if (!plain) return std::nullopt;
+  json in = json::from_msgpack(*plain, true, false);
+  if (!in.is_array()) return std::nullopt;
+  T out;
+  try {
+    read(in, out);
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+  return out;
 }
 
 }  // namespace
@@ -146,38 +161,44 @@
 
 std::string PeerAdviceRequestToText(const peer_advice_request& request) {
   const advice_query& order = request.order;
-  const json out{{"job", order.job},
-                 {"occurrence", order.occurrence},
-                 {"step", order.step},
-                 {"instances", order.instances},
-                 {"timeout_ms", request.timeout.count()}};
-  return CompressText(out.dump());
+  return ToPackedBytes(json::array({order.job, order.occurrence, order.step, order.instances,
+                                    request.timeout.count(), request.compressed}),
+                       request.compressed);
 }
 
 std::optional<peer_advice_request> PeerAdviceRequestFromText(std::string_view text) {
-  return ParsePacked<peer_advice_request>(text, [](const json& in, peer_advice_request& out) {
-    out.order.job = in.at("job").get<std::string>();
-    out.order.occurrence = in.at("occurrence").get<uint32_t>();
-    out.order.step = in.at("step").get<uint32_t>();
-    out.order.instances = in.at("instances").get<std::vector<std::string>>();
-    out.timeout = milliseconds(in.at("timeout_ms").get<int64_t>());
+  return ParsePacked<peer_advice_request>(text, [](json& in, peer_advice_request& out) {
+    out.order.job = in.at(0).get<std::string>();
+    out.order.occurrence = in.at(1).get<uint32_t>();
+    out.order.step = in.at(2).get<uint32_t>();
+    out.order.instances = in.at(3).get<std::vector<std::string>>();
+    out.timeout = milliseconds(in.at(4).get<int64_t>());
+    out.compressed = in.at(5).get<bool>();
   });
 }
 
-std::string PeerAdviceReplyToText(const advice_answer& answer) {
-  const json out{{"answered", answer.answered},
-                 {"overloaded", answer.overloaded},
-                 {"allowed", answer.allowed},
-                 {"valid_ms", answer.valid.count()}};
-  return CompressText(out.dump());
+std::string PeerAdviceReplyToText(const advice_answer& answer, bool compressed) {
+  json allowed = json::array();
+  for (const auto& [instance, ticket] : answer.allowed) {
+    allowed.push_back(instance);
+    allowed.push_back(ticket);
+  }
+  return ToPackedBytes(
+      json::array({answer.answered, answer.overloaded, answer.valid.count(), std::move(allowed)}),
+      compressed);
 }
 
 std::optional<advice_answer> PeerAdviceReplyFromText(std::string_view text) {
-  return ParsePacked<advice_answer>(text, [](const json& in, advice_answer& out) {
-    out.answered = in.at("answered").get<bool>();
-    out.overloaded = in.at("overloaded").get<bool>();
-    out.allowed = in.at("allowed").get<std::vector<std::pair<std::string, std::string>>>();
-    out.valid = milliseconds(in.at("valid_ms").get<int64_t>());
+  return ParsePacked<advice_answer>(text, [](json& in, advice_answer& out) {
+    out.answered = in.at(0).get<bool>();
+    out.overloaded = in.at(1).get<bool>();
+    out.valid = milliseconds(in.at(2).get<int64_t>());
+    json& allowed = in.at(3);
+    out.allowed.reserve(allowed.size() / 2);
+    for (size_t i = 0; i + 1 < allowed.size(); i += 2) {
+      out.allowed.emplace_back(std::move(allowed.at(i).get_ref<std::string&>()),
+                               std::move(allowed.at(i + 1).get_ref<std::string&>()));
+    }
   });
 }
 
--- a/src/process/site/peer_messages.h
+++ b/src/process/site/peer_messages.h
@@ -77,6 +77,7 @@
 struct peer_advice_request {
   advice_query order;
   std::chrono::milliseconds timeout{0};
+  bool compressed = false;  // as the reply should be: the sender's link is busy
 };
 
 // The ...FromText functions return nothing for malformed text.
@@ -99,7 +100,7 @@
 bool RulesOutUnrecordedStarts(const outage_report& report);
 std::string PeerAdviceRequestToText(const peer_advice_request& request);
 std::optional<peer_advice_request> PeerAdviceRequestFromText(std::string_view text);
-std::string PeerAdviceReplyToText(const advice_answer& answer);
+std::string PeerAdviceReplyToText(const advice_answer& answer, bool compressed = false);
 std::optional<advice_answer> PeerAdviceReplyFromText(std::string_view text);
 
 }  // namespace catkinford
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -484,8 +484,9 @@
   const auto query = PeerAdviceRequestFromText(request.body);
   if (!query) return peer_server_->Respond(token, {.status = http_status::kBadRequest});
   platform_.Advisor().QueryAdvice(
-      query->order, query->timeout, [this, token](const advice_answer& answer) {
-        peer_server_->Respond(token, {.body = PeerAdviceReplyToText(answer)});
+      query->order, query->timeout,
+      [this, token, compressed = query->compressed](const advice_answer& answer) {
+        peer_server_->Respond(token, {.body = PeerAdviceReplyToText(answer, compressed)});
       });
 }
 
@@ -1036,7 +1037,7 @@
   http_call call;
   call.method = "POST";
   call.url = absl::StrCat("http://", found->second.address, kPeerAdvisePath);
-  call.body = PeerAdviceRequestToText({*order, timeout});
+  call.body = PeerAdviceRequestToText({*order, timeout, budget_.LinkBusy()});
   call.timeout = timeout + kPeerTimeout;
   peer_client_.Send(std::move(call), [this, finish](http_result result) {
     loop_.Post([finish, result = std::move(result)] {
