What a command costs an owner beside its call is done once, and not for nothing

Cause, each counted by the calls of a usual second of the large site (some 1,400 starts and as many ends): the text of about 4,000 log lines was made, of which 400 are written; the planned starts, up to 160, were walked at each answer to a start; the list of 1,100 instances was copied ten times a second to be compared; each registration was decoded at each read, changed or not; a job's record was parsed at its notification and again by the watch; counters were looked up by their labels for each command; a listing's ends were copied to be sorted and its runs searched twice; a start was copied with its payload, an answer with its command; the entries free for a query were counted by walking them all; verdicts were inserted one by one; instances were found by comparing names along a tree.

Change: details are described only if the log has room, and the others counted; answers that are handled together lead to one look at the planned starts; instances in use are compared in place; registrations are decoded by revision; a known job's record is not parsed; counters are kept by number; look-ups of instances are by hash. Lines that are dropped use up no room of the log, so that details do not crowd out the others.

Tests: "decision round, no room in the log, makes no text of details"; those of the fleet record pass its instances by pointer.

--- a/src/process/scheduling/graph_state.cc
+++ b/src/process/scheduling/graph_state.cc
@@ -1,6 +1,7 @@
 #include "process/scheduling/graph_state.h"
 
 #include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -162,6 +163,19 @@
   return *verdicts.insert(found, std::move(made));
 }
 
+void step_advice::Apply(std::vector<advice_verdict> latest) {
+  const auto before = [](const advice_verdict& a, const advice_verdict& b) {
+    return a.instance < b.instance;
+  };
+  std::sort(latest.begin(), latest.end(), before);
+  std::vector<advice_verdict> earlier = std::exchange(verdicts, {});
+  verdicts.reserve(earlier.size() + latest.size());
+  // Of equal elements, set_union() takes those of the first range.
+  std::set_union(std::make_move_iterator(latest.begin()), std::make_move_iterator(latest.end()),
+                 std::make_move_iterator(earlier.begin()), std::make_move_iterator(earlier.end()),
+                 std::back_inserter(verdicts), before);
+}
+
 void step_advice::RemoveVerdict(uint32_t instance) {
   const auto found = VerdictPosition(verdicts, instance);
   if (found != verdicts.end() && found->instance == instance) verdicts.erase(found);
--- a/src/process/scheduling/graph_state.h
+++ b/src/process/scheduling/graph_state.h
@@ -85,6 +85,8 @@
   // Returns null if the policy was never asked about the instance.
   const advice_verdict* FindVerdict(uint32_t instance) const;
   advice_verdict& MakeVerdict(uint32_t instance);
+  // Takes over these verdicts, in any order, in place of earlier ones on the same instances.
+  void Apply(std::vector<advice_verdict> latest);
   void RemoveVerdict(uint32_t instance);
 };
 
--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -291,8 +291,6 @@
     if (found == jobs_.end()) continue;
     found->second->stored = std::max(found->second->stored, write.change);
   }
-  // The next listing of each instance acknowledges them.
-  for (auto& [id, instance] : instances_) AdvanceAcks(*instance);
 }
 
 void job_scheduler::OnNotStored(const std::vector<job_progress_write>& writes) {
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -153,6 +153,11 @@
   // Returns the commands that are due.
   scheduler_commands Decide(wall_time wall, monotonic_time now);
   std::vector<scheduler_event> TakeEvents();
+  // Details of tasks and queries: no more than `most` are noted until the next call, since making
+  // their text costs as much as the decision.
+  void SetDetailLimit(size_t most) { details_left_ = most; }
+  // The details that were not noted since the last call.
+  size_t TakeSkippedDetails() { return std::exchange(skipped_details_, 0); }
 
   // Queries.
   const job_entry* Find(const std::string& job) const;
@@ -164,6 +169,8 @@
   // The instances that may run work of this or an earlier owner. They must be stored before they
   // are used; OnFleetStored() reports the list that was stored.
   std::vector<instance_report> Fleet() const;
+  // The same, without copies; valid until the next call that changes an instance.
+  std::vector<const instance_report*> InUse() const;
   void OnFleetStored(const std::vector<instance_report>& fleet);
   size_t JobCount() const { return jobs_.size(); }
   // Waiting or running steps that rounds of decisions have looked at so far.
@@ -185,6 +192,17 @@
   void LearnRun(job_entry& entry, step_progress& step, const graph_run& run, monotonic_time now);
   bool HoldsRuns(const job_entry& entry) const;
   void LogEvent(scheduler_event::kind what, std::string subject, std::string detail);
+  // `describe` returns subject and detail; it is called only if the event is noted.
+  template <typename Describe>
+  void LogDetail(scheduler_event::kind what, Describe describe) {
+    if (details_left_ == 0) {
+      ++skipped_details_;
+      return;
+    }
+    --details_left_;
+    auto [subject, detail] = describe();
+    LogEvent(what, std::move(subject), std::move(detail));
+  }
   void OpenOccurrences(job_entry& entry, wall_time wall, monotonic_time now);
   // Opens the occurrences that are due by now.
   void OpenDue(wall_time wall, monotonic_time now);
@@ -233,14 +251,17 @@
                   monotonic_time now);
   void OnTaskFailed(job_entry& entry, const task_key& key, uint32_t run, fleet_instance& at,
                     monotonic_time now);
+  // In any order.
+  void HandleEnds(fleet_instance& instance, const std::vector<ended_row>& ends, monotonic_time now);
   void HandleEnd(fleet_instance& instance, const ended_row& row, monotonic_time now);
   // `run`: the one that ended; null if it was released before.
   void ApplyEnd(job_entry& entry, fleet_instance& instance, const ended_row& row, graph_run* run,
                 monotonic_time now);
-  void HandleRunning(fleet_instance& instance, const running_row& row, monotonic_time now);
+  // Returns the run.
+  graph_run& HandleRunning(fleet_instance& instance, const running_row& row, monotonic_time now);
   void HandleMissing(fleet_instance& instance, const std::vector<const graph_run*>& seen,
                      monotonic_time sent, monotonic_time now);
-  void Adopt(fleet_instance& instance, const running_row& row, monotonic_time now);
+  graph_run& Adopt(fleet_instance& instance, const running_row& row, monotonic_time now);
   // Records a run of a known job that this owner did not start. It holds its task or is stopped.
   void ClaimOrStop(graph_run& run, monotonic_time now);
   // False if another run holds the task or none is wanted.
@@ -410,6 +431,7 @@
   absl::flat_hash_map<std::string, std::unique_ptr<job_entry>> jobs_;
   // Ordered, so that ties are broken alike in every process.
   absl::btree_map<std::string, std::unique_ptr<fleet_instance>> instances_;
+  absl::flat_hash_map<std::string, fleet_instance*> by_id_;
   std::vector<fleet_instance*> by_ordinal_;  // null: unused or forgotten
   uint32_t last_ordinal_ = 0;
   absl::flat_hash_map<std::string, uint32_t> services_;  // ordinals, from 1
@@ -458,6 +480,8 @@
   bool records_complete_ = false;
   monotonic_time earlier_owner_dead_at_ = monotonic_time::max();
   std::vector<scheduler_event> events_;
+  size_t details_left_ = SIZE_MAX;
+  size_t skipped_details_ = 0;
   absl::flat_hash_map<std::string, std::vector<resources>> largest_seen_;  // by service
   bool inheritance_settled_ = false;
   // Until it is settled: resources of tasks of inherited jobs that may run on instances not yet
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -370,8 +370,8 @@
   query.instances = InstancesToQuery(ready, round, known, wanted, cost);
   AddReserved(ready, cost, query, now);
   for (std::string& id : earlier) {
-    const auto instance = instances_.find(id);
-    if (instance == instances_.end() || !MayRun(*instance->second, ready, now)) continue;
+    const auto instance = by_id_.find(id);
+    if (instance == by_id_.end() || !MayRun(*instance->second, ready, now)) continue;
     const advice_verdict* verdict = advice.FindVerdict(instance->second->ordinal);
     if (verdict != nullptr && (!verdict->allowed || verdict->expires > now + kTicketMargin))
       continue;
@@ -404,14 +404,18 @@
   if (valid.count() == 0) {
     valid = queue != nullptr && queue->advice ? queue->advice->valid : kDefaultValid;
   }
+  std::vector<advice_verdict> verdicts;
+  verdicts.reserve(request.instances.size());
   for (const std::string& id : request.instances) {
-    const auto instance = instances_.find(id);
-    if (instance != instances_.end())
-      step->advice.MakeVerdict(instance->second->ordinal).allowed = false;
+    const auto instance = by_id_.find(id);
+    if (instance == by_id_.end()) continue;
+    verdicts.emplace_back();
+    verdicts.back().instance = instance->second->ordinal;
   }
+  step->advice.Apply(std::move(verdicts));
   for (const auto& [id, ticket] : answer.allowed) {
-    const auto found_instance = instances_.find(id);
-    if (found_instance == instances_.end()) continue;
+    const auto found_instance = by_id_.find(id);
+    if (found_instance == by_id_.end()) continue;
     const fleet_instance& instance = *found_instance->second;
     advice_verdict& verdict = step->advice.MakeVerdict(instance.ordinal);
     verdict.allowed = true;
@@ -420,10 +424,11 @@
     verdict.incarnation = instance.report.incarnation;
     verdict.expires = now + valid;
   }
-  LogEvent(scheduler_event::kind::kAdvice, request.job,
-           absl::StrCat("step=", request.occurrence, ".", request.step,
-                        " asked=", request.instances.size(), " allowed=", answer.allowed.size(),
-                        " waiting=", step->waiting));
+  LogDetail(scheduler_event::kind::kAdvice, [&] {
+    return std::pair(request.job, absl::StrCat("step=", request.occurrence, ".", request.step,
+                                               " asked=", request.instances.size(), " allowed=",
+                                               answer.allowed.size(), " waiting=", step->waiting));
+  });
 }
 
 }  // namespace catkinford
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -92,6 +92,7 @@
 fleet_instance& job_scheduler::MakeInstance(const instance_report& report, monotonic_time now) {
   std::unique_ptr<fleet_instance>& slot = instances_[report.id];
   slot = std::make_unique<fleet_instance>();
+  by_id_[report.id] = slot.get();
   slot->report = report;
   slot->ordinal = ++last_ordinal_;
   slot->service = ServiceOrdinal(report.service);
@@ -103,8 +104,8 @@
 }
 
 void job_scheduler::OnReport(const instance_report& report, monotonic_time now) {
-  const auto known = instances_.find(report.id);
-  if (known == instances_.end()) {
+  const auto known = by_id_.find(report.id);
+  if (known == by_id_.end()) {
     MakeInstance(report, now);
     LogEvent(scheduler_event::kind::kInstanceJoined, report.id,
              absl::StrCat("address=", report.address, " domain=", report.failure_domain,
@@ -155,8 +156,8 @@
 
 void job_scheduler::OnInherited(const std::vector<instance_report>& reports, monotonic_time now) {
   for (const instance_report& report : reports) {
-    const auto known = instances_.find(report.id);
-    const bool is_new = known == instances_.end();
+    const auto known = by_id_.find(report.id);
+    const bool is_new = known == by_id_.end();
     fleet_instance& instance = is_new ? MakeInstance(report, now) : *known->second;
     if (is_new) {
       instance.present = false;
@@ -167,19 +168,26 @@
   }
 }
 
-std::vector<instance_report> job_scheduler::Fleet() const {
-  std::vector<instance_report> out;
+std::vector<const instance_report*> job_scheduler::InUse() const {
+  std::vector<const instance_report*> out;
+  out.reserve(instances_.size());
   for (const auto& [id, instance] : instances_) {
-    if (instance->InUse() || instance->lease_unknown) out.push_back(instance->report);
+    if (instance->InUse() || instance->lease_unknown) out.push_back(&instance->report);
   }
   return out;
 }
 
+std::vector<instance_report> job_scheduler::Fleet() const {
+  std::vector<instance_report> out;
+  for (const instance_report* report : InUse()) out.push_back(*report);
+  return out;
+}
+
 void job_scheduler::OnFleetStored(const std::vector<instance_report>& fleet) {
   for (auto& [id, instance] : instances_) instance->registered = false;
   for (const instance_report& report : fleet) {
-    const auto found = instances_.find(report.id);
-    if (found != instances_.end()) found->second->registered = true;
+    const auto found = by_id_.find(report.id);
+    if (found != by_id_.end()) found->second->registered = true;
   }
 }
 
@@ -259,6 +267,7 @@
   if (!forgotten.empty()) latest_round_at_ = {};
   for (const std::string& id : forgotten) {
     by_ordinal_[instances_.at(id)->ordinal] = nullptr;
+    by_id_.erase(id);
     instances_.erase(id);
   }
 }
@@ -403,10 +412,22 @@
   }
 }
 
+void job_scheduler::HandleEnds(fleet_instance& instance, const std::vector<ended_row>& ends,
+                               monotonic_time now) {
+  const auto earlier = [](const ended_row& a, const ended_row& b) { return a.number < b.number; };
+  if (std::is_sorted(ends.begin(), ends.end(), earlier)) {
+    for (const ended_row& row : ends) HandleEnd(instance, row, now);
+    return;
+  }
+  std::vector<ended_row> sorted = ends;
+  std::sort(sorted.begin(), sorted.end(), earlier);
+  for (const ended_row& row : sorted) HandleEnd(instance, row, now);
+}
+
 void job_scheduler::OnListing(const list_command& request, const instance_listing& listing,
                               monotonic_time sent, monotonic_time now) {
-  const auto found = instances_.find(request.to.instance);
-  if (found == instances_.end()) return;
+  const auto found = by_id_.find(request.to.instance);
+  if (found == by_id_.end()) return;
   fleet_instance& instance = *found->second;
   if (request.check) instance.check_in_flight = false;
   if (!request.check && request.number == instance.listing_number) {
@@ -436,19 +457,16 @@
   ClearSuspect(instance, sent);
   instance.acks_sent = std::max(instance.acks_sent, request.ends_seen);
   UpdateClock(instance, listing.clock_ms, now);
-  std::vector<ended_row> ends = listing.ended;
-  std::sort(ends.begin(), ends.end(),
-            [](const ended_row& a, const ended_row& b) { return a.number < b.number; });
-  for (const ended_row& row : ends) HandleEnd(instance, row, now);
+  HandleEnds(instance, listing.ended, now);
   // Two listings may be in flight and be answered out of order. Of the older one only the ends are
   // used; its running runs may have ended since.
   if (listing.clock_ms < instance.listed_at_ms) return;
   instance.listed_at_ms = listing.clock_ms;
   instance.listing_sent = std::max(instance.listing_sent, sent);
   std::vector<const graph_run*> seen;
+  seen.reserve(listing.running.size());
   for (const running_row& row : listing.running) {
-    HandleRunning(instance, row, now);
-    seen.push_back(FindRun(instance, row.key, row.run));
+    seen.push_back(&HandleRunning(instance, row, now));
   }
   // The number of ends in a listing is limited: the end of a run that is not listed may be on the
   // next page.
@@ -472,8 +490,8 @@
 
 void job_scheduler::OnNoListing(const list_command& request, command_result result,
                                 monotonic_time now) {
-  const auto found = instances_.find(request.to.instance);
-  if (found == instances_.end()) return;
+  const auto found = by_id_.find(request.to.instance);
+  if (found == by_id_.end()) return;
   fleet_instance& instance = *found->second;
   // Only the waiting listing determines whether the instance is silent.
   if (request.check) {
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -262,14 +262,16 @@
   job_entry* entry = found == jobs_.end() ? nullptr : found->second.get();
   graph_run* run = FindRun(instance, row.key, row.run);
   const stop_cause cause = run == nullptr ? stop_cause::kNone : run->stopping;
-  LogEvent(
-      scheduler_event::kind::kTaskEnd, NameOf(row.key),
-      absl::StrCat(
-          "run=", row.run, " instance=", instance.report.id, " end=", std::string(ToText(row.how)),
-          " held=", run != nullptr, " stop=", std::string(ToText(cause)),
-          run == nullptr
-              ? std::string()
-              : absl::StrCat(" ran_ms=", duration_cast<milliseconds>(now - run->started).count())));
+  LogDetail(scheduler_event::kind::kTaskEnd, [&] {
+    const std::string ran =
+        run == nullptr
+            ? std::string()
+            : absl::StrCat(" ran_ms=", duration_cast<milliseconds>(now - run->started).count());
+    return std::pair(NameOf(row.key),
+                     absl::StrCat("run=", row.run, " instance=", instance.report.id,
+                                  " end=", std::string(ToText(row.how)), " held=", run != nullptr,
+                                  " stop=", std::string(ToText(cause)), ran));
+  });
   // A run of an unknown job is stopped as a stray once the job's record is known to be absent; such
   // an end has no effect.
   const bool job_absent = row.key.job.empty() || cause == stop_cause::kStray;
@@ -328,7 +330,8 @@
   }
 }
 
-void job_scheduler::Adopt(fleet_instance& instance, const running_row& row, monotonic_time now) {
+graph_run& job_scheduler::Adopt(fleet_instance& instance, const running_row& row,
+                                monotonic_time now) {
   const auto found = jobs_.find(row.key.job);
   const bool known = found != jobs_.end();
   const bool has_step = known && row.key.step < found->second->job.steps.size();
@@ -338,12 +341,17 @@
   run.started = now;
   run.confirmed = now;
   run.progressed = now;
-  if (has_step) return ClaimOrStop(run, now);
-  if (known) return StopStray(run, now);
-  LogEvent(scheduler_event::kind::kRunUnidentified, NameOf(row.key),
-           absl::StrCat("run=", row.run, " instance=", instance.report.id));
-  unidentified_jobs_.insert(row.key.job);
-  RequestLookup(row.key.job);
+  if (has_step) {
+    ClaimOrStop(run, now);
+  } else if (known) {
+    StopStray(run, now);
+  } else {
+    LogEvent(scheduler_event::kind::kRunUnidentified, NameOf(row.key),
+             absl::StrCat("run=", row.run, " instance=", instance.report.id));
+    unidentified_jobs_.insert(row.key.job);
+    RequestLookup(row.key.job);
+  }
+  return run;
 }
 
 void job_scheduler::ClaimOrStop(graph_run& run, monotonic_time now) {
@@ -401,8 +409,8 @@
   RequestStop(run, stop_cause::kStray, now);
 }
 
-void job_scheduler::HandleRunning(fleet_instance& instance, const running_row& row,
-                                  monotonic_time now) {
+graph_run& job_scheduler::HandleRunning(fleet_instance& instance, const running_row& row,
+                                        monotonic_time now) {
   graph_run* run = FindRun(instance, row.key, row.run);
   if (run == nullptr) return Adopt(instance, row, now);
   run->seen = true;
@@ -425,11 +433,11 @@
     run->progressed = now;
   }
   run->load = row.load;
-  if (run->job == nullptr) return;
-  step_progress* step = run->job->Find(row.key);
-  if (step != nullptr && !row.checkpoint.empty()) {
+  if (run->job == nullptr || row.checkpoint.empty()) return *run;
+  if (step_progress* step = run->job->Find(row.key)) {
     step->tasks[row.key.index].checkpoint = row.checkpoint;
   }
+  return *run;
 }
 
 void job_scheduler::HandleMissing(fleet_instance& instance,
@@ -521,8 +529,8 @@
 void job_scheduler::OnStartAnswer(const start_command& request, const command_answer& answer,
                                   monotonic_time now) {
   if (starts_in_flight_ > 0) --starts_in_flight_;
-  const auto found = instances_.find(request.to.instance);
-  if (found == instances_.end()) return;
+  const auto found = by_id_.find(request.to.instance);
+  if (found == by_id_.end()) return;
   fleet_instance& instance = *found->second;
   if (instance.starts_in_flight > 0) --instance.starts_in_flight;
   const bool same_incarnation = request.to.incarnation == instance.report.incarnation;
@@ -587,8 +595,8 @@
 
 void job_scheduler::OnStopAnswer(const stop_command& request, const command_answer& answer,
                                  monotonic_time now) {
-  const auto found = instances_.find(request.to.instance);
-  if (found == instances_.end()) return;
+  const auto found = by_id_.find(request.to.instance);
+  if (found == by_id_.end()) return;
   if (request.to.incarnation != found->second->report.incarnation) return;
   if (answer.clock_ms) UpdateClock(*found->second, *answer.clock_ms, now);
   graph_run* run = FindRun(*found->second, request.key, request.run);
@@ -609,8 +617,8 @@
 
 void job_scheduler::OnSpeedAnswer(const speed_command& request, const command_answer& answer,
                                   monotonic_time now) {
-  const auto found = instances_.find(request.to.instance);
-  if (found == instances_.end()) return;
+  const auto found = by_id_.find(request.to.instance);
+  if (found == by_id_.end()) return;
   const bool same_incarnation = request.to.incarnation == found->second->report.incarnation;
   if (answer.clock_ms && same_incarnation) UpdateClock(*found->second, *answer.clock_ms, now);
   graph_run* run = FindRun(*found->second, request.key, request.run);
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -101,11 +101,14 @@
   if (verdict != nullptr) request.ticket = verdict->ticket;
   MarkChanged(entry);
   planned_.push_back({std::move(request), entry.change});
-  LogEvent(scheduler_event::kind::kTaskStart, entry.job.id,
-           absl::StrCat("task=", key.occurrence, ".", key.step, ".", key.index, " run=", number,
-                        " instance=", instance.report.id, " free_cpu=", instance.Free().cpu_milli,
-                        " waited_ms=",
-                        std::chrono::duration_cast<milliseconds>(now - step.ready_at).count()));
+  LogDetail(scheduler_event::kind::kTaskStart, [&] {
+    return std::pair(
+        entry.job.id,
+        absl::StrCat(
+            "task=", key.occurrence, ".", key.step, ".", key.index, " run=", number,
+            " instance=", instance.report.id, " free_cpu=", instance.Free().cpu_milli,
+            " waited_ms=", std::chrono::duration_cast<milliseconds>(now - step.ready_at).count()));
+  });
 }
 
 // The conditions may have changed since the start was decided on, while its record was stored.
@@ -147,8 +150,8 @@
       continue;
     }
     start_command& request = planned.request;
-    const auto found = instances_.find(request.to.instance);
-    if (found == instances_.end()) continue;
+    const auto found = by_id_.find(request.to.instance);
+    if (found == by_id_.end()) continue;
     fleet_instance& instance = *found->second;
     graph_run* run = FindRun(instance, request.key, request.run);
     if (run == nullptr || run->phase != run_phase::kPlanned) continue;
@@ -192,7 +195,7 @@
       for (uint32_t k = 0; k < step.tasks.size(); ++k) {
         graph_task_state& task = step.tasks[k];
         std::erase_if(task.open_runs, [&](const open_run& open) {
-          return !instances_.contains(open.instance) || instances_.at(open.instance)->listed;
+          return !by_id_.contains(open.instance) || instances_.at(open.instance)->listed;
         });
         if (task.phase == graph_task_phase::kDone) task.open_runs.clear();
         for (const open_run& open : task.open_runs) {
@@ -277,8 +280,8 @@
   step_progress* step = found == jobs_.end() ? nullptr : found->second->Find(key);
   if (step == nullptr) return out;
   for (const open_run& open : step->tasks[key.index].open_runs) {
-    const auto instance = instances_.find(open.instance);
-    if (instance == instances_.end()) continue;
+    const auto instance = by_id_.find(open.instance);
+    if (instance == by_id_.end()) continue;
     if (graph_run* run = FindRun(*instance->second, key, open.number)) out.push_back(run);
   }
   std::sort(out.begin(), out.end(),
--- a/src/process/site/advice_dispatcher.cc
+++ b/src/process/site/advice_dispatcher.cc
@@ -1,6 +1,6 @@
 #include "process/site/advice_dispatcher.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace catkinford {
 namespace {
@@ -17,10 +17,15 @@
 }  // namespace
 
 void advice_dispatcher::SetEntries(const std::vector<std::string>& names) {
-  entries_.clear();
-  for (const std::string& name : names) {
-    entries_[name] = true;
-    busy_.try_emplace(name, false);
+  for (auto& [name, state] : entries_) state.listed = false;
+  for (const std::string& name : names) entries_[name].listed = true;
+  std::erase_if(entries_,
+                [](const auto& item) { return !item.second.listed && !item.second.busy; });
+  listed_ = 0;
+  free_ = 0;
+  for (const auto& [name, state] : entries_) {
+    listed_ += state.listed ? 1 : 0;
+    free_ += state.listed && !state.busy ? 1 : 0;
   }
 }
 
@@ -29,22 +34,13 @@
   (query.urgent ? urgent_ : slow_).push_back({std::move(query), now});
 }
 
-size_t advice_dispatcher::FreeEntries() const {
-  return static_cast<size_t>(std::count_if(entries_.begin(), entries_.end(), [&](const auto& item) {
-    const auto busy = busy_.find(item.first);
-    return busy != busy_.end() && !busy->second;
-  }));
-}
-
 std::optional<dispatched_query> advice_dispatcher::Next(monotonic_time now) {
-  const size_t free_entries = FreeEntries();
-  if (free_entries == 0) return std::nullopt;
+  if (free_ == 0 || Waiting() == 0) return std::nullopt;
   const bool overdue = !slow_.empty() && now - slow_.front().since >= kOverdue;
   const bool reserve = !overdue || now - last_urgent_ < kUrgentPause;
-  const size_t reserved = reserve ? entries_.size() / kEntriesPerReserved : 0;
+  const size_t reserved = reserve ? listed_ / kEntriesPerReserved : 0;
   const bool slow_turn = overdue && now - last_slow_ >= kMaxSlowInterval;
-  const bool slow_next =
-      slow_turn || (!slow_.empty() && urgent_.empty() && free_entries > reserved);
+  const bool slow_next = slow_turn || (!slow_.empty() && urgent_.empty() && free_ > reserved);
   if (!slow_next && urgent_.empty()) return std::nullopt;
   if (slow_next) last_slow_ = now;
   std::deque<waiting_query>& queue = slow_next ? slow_ : urgent_;
@@ -53,9 +49,10 @@
   for (size_t i = 0; i < entries_.size(); ++i, ++at) {
     if (at == entries_.end()) at = entries_.begin();
     const std::string& name = at->first;
-    bool& busy = busy_[name];
-    if (busy) continue;
-    busy = true;
+    entry_state& state = at->second;
+    if (state.busy || !state.listed) continue;
+    state.busy = true;
+    --free_;
     last_entry_ = name;
     waiting_query& first = queue.front();
     dispatched_query out{std::move(first.query), name,
@@ -67,8 +64,9 @@
 }
 
 void advice_dispatcher::OnAnswered(const std::string& entry) {
-  const auto found = busy_.find(entry);
-  if (found != busy_.end()) found->second = false;
+  const auto found = entries_.find(entry);
+  if (found == entries_.end() || !std::exchange(found->second.busy, false)) return;
+  if (found->second.listed) ++free_;
 }
 
 }  // namespace catkinford
--- a/src/process/site/advice_dispatcher.h
+++ b/src/process/site/advice_dispatcher.h
@@ -42,10 +42,14 @@
     monotonic_time since{};
   };
 
-  size_t FreeEntries() const;
+  struct entry_state {
+    bool busy = false;    // a query is in flight
+    bool listed = false;  // by the latest SetEntries()
+  };
 
-  std::map<std::string, bool> busy_;  // by entry: a query is in flight
-  std::map<std::string, bool> entries_;
+  std::map<std::string, entry_state> entries_;
+  size_t listed_ = 0;
+  size_t free_ = 0;         // listed and not busy
   std::string last_entry_;  // that got a query
   std::deque<waiting_query> urgent_;
   std::deque<waiting_query> slow_;
--- a/src/process/site/fleet_record.h
+++ b/src/process/site/fleet_record.h
@@ -10,12 +10,12 @@
 
 #include <algorithm>
 #include <chrono>
-#include <map>
 #include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "process/scheduling/fleet_state.h"
 
 namespace catkinford {
@@ -24,24 +24,28 @@
  public:
   // `in_use`: the instances that may run work now. Returns the list to write, or nothing if no
   // write is due.
-  std::optional<std::vector<instance_report>> Update(std::vector<instance_report> in_use,
-                                                     monotonic_time now) {
-    for (instance_report& report : in_use) {
-      const auto [at, added] = listed_.try_emplace(report.id);
-      changed_ = changed_ || added || !SameRecord(at->second.report, report);
-      at->second = {std::move(report), now};
+  std::optional<std::vector<instance_report>> Update(
+      const std::vector<const instance_report*>& in_use, monotonic_time now) {
+    for (const instance_report* report : in_use) {
+      const auto [at, added] = listed_.try_emplace(report->id);
+      at->second.in_use = now;
+      if (!added && SameRecord(at->second.report, *report)) continue;
+      changed_ = true;
+      at->second.report = *report;
     }
     const auto expired = [now](const auto& item) { return now - item.second.in_use > kRetention; };
     const bool any_expired = std::any_of(listed_.begin(), listed_.end(), expired);
     const bool due =
         changed_ ? now >= last_write_ + kMinWriteInterval : now >= last_write_ + kRetention;
     if (!due || (!changed_ && !any_expired)) return std::nullopt;
-    std::erase_if(listed_, expired);
+    absl::erase_if(listed_, expired);
     last_write_ = now;
     changed_ = false;
     std::vector<instance_report> out;
     out.reserve(listed_.size());
     for (const auto& [id, item] : listed_) out.push_back(item.report);
+    std::sort(out.begin(), out.end(),
+              [](const instance_report& a, const instance_report& b) { return a.id < b.id; });
     return out;
   }
 
@@ -57,7 +61,7 @@
   static constexpr std::chrono::milliseconds kMinWriteInterval{300};
   static constexpr std::chrono::milliseconds kRetention{3000};
 
-  std::map<std::string, listed_instance> listed_;
+  absl::flat_hash_map<std::string, listed_instance> listed_;
   monotonic_time last_write_{};
   bool changed_ = false;  // since the last write
 };
--- a/src/process/site/site_log.cc
+++ b/src/process/site/site_log.cc
@@ -159,25 +159,39 @@
   writer_.join();
 }
 
+int64_t site_log::SecondOf(monotonic_time now) {
+  return std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
+}
+
+uint32_t site_log::LimitOf(site_log_level level) const {
+  const double share = level == kDetail ? kDetailShare : 1.0;
+  return static_cast<uint32_t>(share * lines_per_second_);
+}
+
 bool site_log::Admit(site_log_level level, monotonic_time now) {
-  const int64_t second =
-      std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
+  const int64_t second = SecondOf(now);
   if (second_.exchange(second, std::memory_order_relaxed) != second) {
     lines_in_second_.store(0, std::memory_order_relaxed);
   }
-  const uint32_t used = lines_in_second_.fetch_add(1, std::memory_order_relaxed);
-  if (level == kWarning || level == kSummary) return true;
-  const double share = level == kDetail ? kDetailShare : 1.0;
-  return used < static_cast<uint32_t>(share * lines_per_second_);
+  const bool limited = level != kWarning && level != kSummary;
+  // Lines that are dropped use up no room: details must not crowd out the others.
+  if (limited && lines_in_second_.load(std::memory_order_relaxed) >= LimitOf(level)) return false;
+  lines_in_second_.fetch_add(1, std::memory_order_relaxed);
+  return true;
+}
+
+size_t site_log::RoomForDetails(monotonic_time now) const {
+  const uint32_t limit = LimitOf(kDetail);
+  if (second_.load(std::memory_order_relaxed) != SecondOf(now)) return limit;
+  return limit - std::min(limit, lines_in_second_.load(std::memory_order_relaxed));
 }
 
 void site_log::Write(site_event event, monotonic_time now, const std::string& fields) {
   const site_event_info& info = InfoOf(event);
+  if (!Admit(info.level, now)) return CountDropped(1);
   std::string line = absl::StrCat(static_cast<int>(event), " ", std::string(info.name),
                                   " entry=", entry_, " ", fields);
-  if (!Admit(info.level, now) || !ring_.TryPush(line)) {
-    dropped_lines_.fetch_add(1, std::memory_order_relaxed);
-  }
+  if (!ring_.TryPush(line)) CountDropped(1);
 }
 
 void site_log::Run() {
--- a/src/process/site/site_log.h
+++ b/src/process/site/site_log.h
@@ -114,11 +114,17 @@
 
   // Thread-safe; never blocks. `fields`: "name=value name=value".
   void Write(site_event event, monotonic_time now, const std::string& fields);
+  // How many more detail lines of this second would be written.
+  size_t RoomForDetails(monotonic_time now) const;
+  // Counts lines that were not made since there was no room for them.
+  void CountDropped(size_t lines) { dropped_lines_.fetch_add(lines, std::memory_order_relaxed); }
   uint64_t DroppedLines() const { return dropped_lines_.load(std::memory_order_relaxed); }
 
  private:
   void Run();
   bool Admit(site_log_level level, monotonic_time now);
+  uint32_t LimitOf(site_log_level level) const;
+  static int64_t SecondOf(monotonic_time now);
 
   std::string entry_;
   const uint32_t lines_per_second_;
--- a/src/process/site/site_metrics.cc
+++ b/src/process/site/site_metrics.cc
@@ -104,12 +104,20 @@
   store_calls_.Add({{"call", call}, {"outcome", outcome}}).Increment();
 }
 
-void site_metrics::CountCommand(const std::string& command, const std::string& outcome) {
-  commands_.Add({{"order", command}, {"outcome", outcome}}).Increment();
+void site_metrics::CountCommand(site_command command, command_result outcome) {
+  constexpr std::array<const char*, kSiteCommands> kNames = {"start", "stop", "pace", "list"};
+  const auto row = static_cast<size_t>(command);
+  Counter*& counter = command_counters_[row][static_cast<size_t>(outcome)];
+  if (counter == nullptr) {
+    counter = &commands_.Add({{"order", kNames[row]}, {"outcome", std::string(ToText(outcome))}});
+  }
+  counter->Increment();
 }
 
-void site_metrics::CountRunEnd(const std::string& how) {
-  run_ends_.Add({{"how", how}}).Increment();
+void site_metrics::CountRunEnd(run_end how) {
+  Counter*& counter = run_end_counters_[static_cast<size_t>(how)];
+  if (counter == nullptr) counter = &run_ends_.Add({{"how", std::string(ToText(how))}});
+  counter->Increment();
 }
 
 void site_metrics::CountCompletedJob(const completed_job& job) {
--- a/src/process/site/site_metrics.h
+++ b/src/process/site/site_metrics.h
@@ -10,14 +10,19 @@
 
 #include <array>
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 
 #include "connection/traffic_counter.h"
 #include "process/scheduling/job_stages.h"
+#include "process/scheduling/scheduler_messages.h"
 
 namespace catkinford {
 
+enum class site_command : uint8_t { kStart, kStop, kPace, kList };
+
 class site_metrics {
  public:
   site_metrics();
@@ -27,8 +32,8 @@
   // `call`: submit, cancel, state or pending; `status`: the HTTP status of the answer.
   void CountAnswer(const std::string& call, int status, std::chrono::microseconds took);
   void CountStoreCall(const std::string& call, const std::string& outcome);
-  void CountCommand(const std::string& command, const std::string& outcome);
-  void CountRunEnd(const std::string& how);
+  void CountCommand(site_command command, command_result outcome);
+  void CountRunEnd(run_end how);
   void CountCompletedJob(const completed_job& job);
   // `source`: store, watch or peer; `outcome`: done, refused, absent, history_gone or
   // broken_off.
@@ -40,6 +45,10 @@
   std::string Text();
 
  private:
+  static constexpr size_t kSiteCommands = static_cast<size_t>(site_command::kList) + 1;
+  static constexpr size_t kCommandResults = static_cast<size_t>(command_result::kUnknown) + 1;
+  static constexpr size_t kRunEnds = static_cast<size_t>(run_end::kUnknown) + 1;
+
   prometheus::Registry registry_;
   prometheus::Family<prometheus::Counter>& answers_;
   prometheus::Family<prometheus::Counter>& store_calls_;
@@ -51,6 +60,10 @@
   prometheus::Family<prometheus::Gauge>& cpu_seconds_;
   prometheus::Family<prometheus::Histogram>& answer_seconds_;
   prometheus::Family<prometheus::Histogram>& stage_seconds_;
+  // A look-up by labels compares and copies strings, for each command and each end. Null: not used
+  // yet.
+  std::array<std::array<prometheus::Counter*, kCommandResults>, kSiteCommands> command_counters_{};
+  std::array<prometheus::Counter*, kRunEnds> run_end_counters_{};
   // By priority. A look-up by labels compares and copies strings, for each stage of each job.
   std::map<int, std::array<prometheus::Histogram*, kJobStages>> stages_of_priority_;
 
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -17,6 +17,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 #include "connection/thread_cpu_clock.h"
 #include "process/scheduling/job_scheduler.h"
@@ -222,8 +223,9 @@
   std::function<void(Args...)> OnLoop(std::function<void(self_type&, Args...)> done) {
     std::weak_ptr<self_type> weak = this->weak_from_this();
     event_loop& loop = loop_;
-    return [weak, &loop, done = std::move(done)](Args... args) {
-      loop.Post([weak, done, ... held = std::move(args)]() mutable {
+    // Called once, so that `done` and what it holds need no copy.
+    return [weak, &loop, done = std::move(done)](Args... args) mutable {
+      loop.Post([weak, done = std::move(done), ... held = std::move(args)]() mutable {
         const std::shared_ptr<self_type> self = weak.lock();
         if (self != nullptr && !self->ownership_ended_) done(*self, std::move(held)...);
       });
@@ -379,6 +381,8 @@
     if (!item.key.starts_with(jobs)) return;
     const std::string id = item.key.substr(jobs.size());
     if (deleting_.contains(id)) return;
+    // Each job is reported at least twice, and its record is long.
+    if (scheduler_.Find(id) != nullptr) return;
     leaf::try_handle_all(
         [&]() -> leaf::result<void> {
           BOOST_LEAF_AUTO(job, JobFromText(item.value));
@@ -464,22 +468,37 @@
   void ReadRegistry(std::function<void(self_type&)> done) {
     auto reports = std::make_shared<std::vector<instance_report>>();
     registry_bytes_ = 0;
+    ++registry_reads_;
     ReadPages(
         Platform::kInstanceKeyPrefix, "",
         [reports](self_type& self, const store_reply& reply) {
           for (const store_item& item : reply.items) {
             self.registry_bytes_ += item.key.size() + item.value.size() + kItemOverheadBytes;
-            auto report = Platform::DecodeRegistration(item.key, item.value);
-            if (report) reports->push_back(std::move(*report));
+            const auto& report = self.Registration(item);
+            if (report) reports->push_back(*report);
           }
         },
         [reports, done](self_type& self) {
           self.registry_ = std::move(*reports);
+          absl::erase_if(self.registrations_, [&self](const auto& known) {
+            return known.second.read != self.registry_reads_;
+          });
           self.hooks_.registry_read(self.registry_);
           done(self);
         });
   }
 
+  // Most registrations are as they were when the registry was last read.
+  const std::optional<instance_report>& Registration(const store_item& item) {
+    decoded_registration& known = registrations_[item.key];
+    known.read = registry_reads_;
+    if (known.revision != item.revision || item.revision == 0) {
+      known.revision = item.revision;
+      known.report = Platform::DecodeRegistration(item.key, item.value);
+    }
+    return known.report;
+  }
+
   void PollRegistry() {
     ReadRegistry([](self_type& self) {
       self.scheduler_.OnRegistry(self.registry_, BootNow());
@@ -495,7 +514,7 @@
   void UpdateFleetRecord(monotonic_time now) {
     if (now < next_fleet_check_) return;
     next_fleet_check_ = now + kFleetCheckInterval;
-    auto fleet = fleet_record_.Update(scheduler_.Fleet(), now);
+    auto fleet = fleet_record_.Update(scheduler_.InUse(), now);
     if (!fleet) return;
     fleet_text_ = FleetToText(*fleet);
     fleet_ = std::move(*fleet);
@@ -538,7 +557,7 @@
     const auto plan_from = CpuTimeOf(RUSAGE_THREAD);
     scheduler_commands requests = scheduler_.Decide(WallNow(), now);
     const auto send_from = CpuTimeOf(RUSAGE_THREAD);
-    for (const start_command& request : requests.starts) SendStart(request);
+    for (start_command& request : requests.starts) SendStart(std::move(request));
     for (const stop_command& request : requests.stops) SendStop(request);
     for (const speed_command& request : requests.speeds) SendSpeed(request);
     for (const list_command& request : requests.listings) SendListing(request);
@@ -546,6 +565,8 @@
     for (advice_query& request : requests.advice) hooks_.request_advice(std::move(request));
     const auto notes_from = CpuTimeOf(RUSAGE_THREAD);
     WriteNotes(scheduler_.TakeEvents(), log_, now);
+    log_.CountDropped(scheduler_.TakeSkippedDetails());
+    scheduler_.SetDetailLimit(log_.RoomForDetails(now));
     const auto notes_until = CpuTimeOf(RUSAGE_THREAD);
     const auto spent = BootNow() - now;
     // A round takes longer the more jobs wait. Without a pause after it a backlog would take the
@@ -574,38 +595,39 @@
     return true;
   }
 
-  void SendStart(const start_command& request) {
-    start_command without_payload = request;
-    without_payload.payload.clear();
+  void SendStart(start_command request) {
+    start_command without_payload{
+        request.to,         request.key,   request.run, {}, request.lease_until_ms,
+        request.checkpoint, request.ticket};
     ++work_.starts;
     const job_entry* entry = scheduler_.Find(request.key.job);
     hooks_.start(
-        request, entry == nullptr ? std::string() : entry->job.accepted_by,
+        std::move(request), entry == nullptr ? std::string() : entry->job.accepted_by,
         OnAnswer([request = std::move(without_payload)](self_type& self, command_answer answer) {
-          self.metrics_.CountCommand("start", std::string(ToText(answer.result)));
+          self.metrics_.CountCommand(site_command::kStart, answer.result);
           if (self.CheckFenced(answer.result, request.to)) return;
           self.scheduler_.OnStartAnswer(request, answer, BootNow());
-          if (self.scheduler_.StartsPlanned()) self.SendRecordedStarts(BootNow());
+          self.ScheduleStarts();
           if (answer.result != command_result::kDone) self.ScheduleDecision();
         }));
   }
 
   void SendStop(const stop_command& request) {
-    platform_.Instances().Stop(
-        request, epoch_, OnAnswer([request](self_type& self, command_answer answer) {
-          self.metrics_.CountCommand("stop", std::string(ToText(answer.result)));
-          if (self.CheckFenced(answer.result, request.to)) return;
-          self.scheduler_.OnStopAnswer(request, answer, BootNow());
-        }));
+    platform_.Instances().Stop(request, epoch_,
+                               OnAnswer([request](self_type& self, command_answer answer) {
+                                 self.metrics_.CountCommand(site_command::kStop, answer.result);
+                                 if (self.CheckFenced(answer.result, request.to)) return;
+                                 self.scheduler_.OnStopAnswer(request, answer, BootNow());
+                               }));
   }
 
   void SendSpeed(const speed_command& request) {
-    platform_.Instances().SetSpeed(
-        request, epoch_, OnAnswer([request](self_type& self, command_answer answer) {
-          self.metrics_.CountCommand("pace", std::string(ToText(answer.result)));
-          if (self.CheckFenced(answer.result, request.to)) return;
-          self.scheduler_.OnSpeedAnswer(request, answer, BootNow());
-        }));
+    platform_.Instances().SetSpeed(request, epoch_,
+                                   OnAnswer([request](self_type& self, command_answer answer) {
+                                     self.metrics_.CountCommand(site_command::kPace, answer.result);
+                                     if (self.CheckFenced(answer.result, request.to)) return;
+                                     self.scheduler_.OnSpeedAnswer(request, answer, BootNow());
+                                   }));
   }
 
   void SendListing(const list_command& request) {
@@ -613,7 +635,7 @@
     std::function<void(self_type&, std::optional<instance_listing>, command_result)> done =
         [request, sent](self_type& self, std::optional<instance_listing> listing,
                         command_result result) {
-          self.metrics_.CountCommand("list", std::string(ToText(result)));
+          self.metrics_.CountCommand(site_command::kList, result);
           if (self.CheckFenced(result, request.to)) return;
           if (!listing) {
             self.scheduler_.OnNoListing(request, result, BootNow());
@@ -621,9 +643,7 @@
           }
           ++self.work_.listings;
           self.work_.ends += listing->ended.size();
-          for (const ended_row& row : listing->ended) {
-            self.metrics_.CountRunEnd(std::string(ToText(row.how)));
-          }
+          for (const ended_row& row : listing->ended) self.metrics_.CountRunEnd(row.how);
           const monotonic_time now = BootNow();
           const auto age = self.listing_age_.Age(request.to.instance, listing->clock_ms, now);
           self.longest_listing_age_ = std::max(self.longest_listing_age_, age);
@@ -659,7 +679,7 @@
         scheduler_.TakeUnstored(most, budget.RecordBytesPerCommit());
     const bool declare_async = record_mode_.ShouldDeclareAsync();
     const bool withdraw_async =
-        !declare_async && record_mode_.ShouldWithdrawAsync(scheduler_.RecordsKnown());
+        !declare_async && record_mode_.ShouldWithdrawAsync(true) && scheduler_.RecordsKnown();
     if (writes.empty() && !fleet_unstored_ && expired_.empty() && !declare_async && !withdraw_async)
       return;
     store_write change = GuardedWrite();
@@ -793,9 +813,22 @@
     }
   }
 
+  // An answer makes room for another start. All that are handled by then count, as each look at
+  // the planned starts takes time.
+  void ScheduleStarts() {
+    if (!scheduler_.StartsPlanned() || std::exchange(starts_scheduled_, true)) return;
+    std::weak_ptr<self_type> weak = this->weak_from_this();
+    loop_.Post([weak] {
+      const std::shared_ptr<self_type> self = weak.lock();
+      if (self == nullptr || self->ownership_ended_) return;
+      self->starts_scheduled_ = false;
+      self->SendRecordedStarts(BootNow());
+    });
+  }
+
   void SendRecordedStarts(monotonic_time now) {
     if (!hooks_.may_act(now)) return;
-    for (const start_command& request : scheduler_.TakeStarts(now)) SendStart(request);
+    for (start_command& request : scheduler_.TakeStarts(now)) SendStart(std::move(request));
   }
 
   void CollectExpired() {
@@ -820,6 +853,7 @@
   bool ownership_ended_ = false;
   bool loaded_ = false;
   bool decision_scheduled_ = false;
+  bool starts_scheduled_ = false;
   monotonic_time load_started_{};
   monotonic_time next_decision_at_{};
   monotonic_time::duration decide_time_{0};
@@ -836,7 +870,14 @@
   uint64_t inbox_revision_ = 0;
 
   std::vector<instance_report> registry_;
-  size_t registry_bytes_ = 0;        // size at the last read
+  size_t registry_bytes_ = 0;  // size at the last read
+  struct decoded_registration {
+    uint64_t revision = 0;
+    uint64_t read = 0;  // the latest read that found it
+    std::optional<instance_report> report;
+  };
+  absl::flat_hash_map<std::string, decoded_registration> registrations_;  // by key
+  uint64_t registry_reads_ = 0;
   std::set<std::string> cancelled_;  // until their jobs have expired
   uint64_t commit_revision_ = 0;
   record_mode record_mode_;
--- a/test/decision_cost_test.cc
+++ b/test/decision_cost_test.cc
@@ -1,4 +1,5 @@
 // What a round of decisions looks at, counted, with more and more work waiting.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <memory>
@@ -108,5 +109,30 @@
   CHECK(started);
 }
 
+// Guards against an owner that spends more time on the text of its log than on decisions.
+TEST_CASE_METHOD(full_site_fixture,
+                 "decision round, no room in the log, makes no text of details") {
+  Begin();
+  owner->TakeEvents();
+  const auto details = [&] {
+    const auto events = owner->TakeEvents();
+    return std::count_if(events.begin(), events.end(), [](const scheduler_event& event) {
+      return event.what == scheduler_event::kind::kTaskStart;
+    });
+  };
+  step_spec small = Tasks(10, 0, seconds(1));
+  const auto start_some = [&] {
+    owner->OnJob(Job(++jobs, {small}), "", false, wall_time{}, now);
+    Decide();
+  };
+  start_some();
+  CHECK(details() == 10);
+  CHECK(owner->TakeSkippedDetails() == 0);
+  owner->SetDetailLimit(3);
+  start_some();
+  CHECK(details() == 3);
+  CHECK(owner->TakeSkippedDetails() == 7);
+}
+
 }  // namespace
 }  // namespace catkinford
--- a/test/fleet_record_test.cc
+++ b/test/fleet_record_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,12 @@
     return out;
   }
 
+  std::optional<std::vector<instance_report>> Update(const std::vector<instance_report>& in_use) {
+    std::vector<const instance_report*> reports;
+    for (const instance_report& report : in_use) reports.push_back(&report);
+    return record.Update(reports, now);
+  }
+
   fleet_record record;
   monotonic_time now{seconds(100)};
 };
@@ -38,28 +45,28 @@
 TEST_CASE_METHOD(fleet_record_fixture,
                  "fleet record, hundreds of instances flapping, is written once") {
   constexpr int kInstances = 300;
-  REQUIRE(record.Update(Fleet(kInstances), now));
+  REQUIRE(Update(Fleet(kInstances)));
   int writes = 0;
   for (int round = 0; round < 200; ++round) {
     now += milliseconds{50};
-    if (record.Update(Fleet(kInstances, round % kInstances), now)) ++writes;
+    if (Update(Fleet(kInstances, round % kInstances))) ++writes;
   }
   CHECK(writes == 0);
 }
 
 // Guards against instances that get work before the next owner would look for runs there.
 TEST_CASE_METHOD(fleet_record_fixture, "fleet record, instances join, are written soon") {
-  REQUIRE(record.Update(Fleet(3), now));
+  REQUIRE(Update(Fleet(3)));
   now += milliseconds{100};
-  CHECK_FALSE(record.Update(Fleet(4), now));
+  CHECK_FALSE(Update(Fleet(4)));
   now += milliseconds{300};
-  const auto written = record.Update(Fleet(4), now);
+  const auto written = Update(Fleet(4));
   REQUIRE(written);
   CHECK(written->size() == 4);
   std::vector<instance_report> restarted = Fleet(4);
   restarted[2].incarnation = 2;
   now += milliseconds{300};
-  const auto again = record.Update(restarted, now);
+  const auto again = Update(restarted);
   REQUIRE(again);
   CHECK(again->at(2).incarnation == 2);
 }
@@ -67,11 +74,11 @@
 // Guards against a next owner that waits for an instance that left for good.
 TEST_CASE_METHOD(fleet_record_fixture,
                  "fleet record, instance gone for good, is removed from the list") {
-  REQUIRE(record.Update(Fleet(3), now));
+  REQUIRE(Update(Fleet(3)));
   bool left = false;
   for (int round = 0; round < 100 && !left; ++round) {
     now += milliseconds{100};
-    const auto written = record.Update(Fleet(3, 1), now);
+    const auto written = Update(Fleet(3, 1));
     left = written && written->size() == 2;
   }
   CHECK(left);
--- a/test/pages_test.cc
+++ b/test/pages_test.cc
@@ -122,8 +122,8 @@
   site_metrics exported_metrics;
   exported_metrics.CountAnswer("submit", 200, std::chrono::microseconds(1));
   exported_metrics.CountStoreCall("commit", "done");
-  exported_metrics.CountCommand("start", "done");
-  exported_metrics.CountRunEnd("done");
+  exported_metrics.CountCommand(site_command::kStart, command_result::kDone);
+  exported_metrics.CountRunEnd(run_end::kDone);
   exported_metrics.CountVersionRead("store", "done");
   exported_metrics.CountCompletedJob({});
   exported_metrics.SetCpuTime("loop", std::chrono::seconds(1));
