Records of planned starts are stored before others

Cause: one queue for the records of all changed jobs, at most 27 in a change, in which starts waited behind ends that nothing waits for.

Change: a job with a planned start goes into a queue of its own, which is taken first; a job that is in both is taken once, and is not forgotten while it is in one.

Test: "records, many ends are not stored yet, those of starts come first".

--- a/src/process/scheduling/graph_state.h
+++ b/src/process/scheduling/graph_state.h
@@ -166,9 +166,10 @@
   uint64_t change = 0;             // counts changes of the durable state
   uint64_t stored = 0;             // the last change that the store has
   uint64_t unrecorded = 0;  // the last change whose starts may have been sent before it was stored
-  uint64_t being_stored = 0;   // the change that is being written
-  uint64_t final_change = 0;   // the change that ended the job
-  monotonic_time objective{};  // counts as late after this; an estimate
+  uint64_t being_stored = 0;     // the change that is being written
+  uint32_t queued_to_store = 0;  // times in the queues of changed jobs
+  uint64_t final_change = 0;     // the change that ended the job
+  monotonic_time objective{};    // counts as late after this; an estimate
   monotonic_time accepted_at{};
   monotonic_time arrived{};
   monotonic_time finished_at{};
--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -214,10 +214,30 @@
 void job_scheduler::MarkChanged(job_entry& entry) {
   if (entry.change == entry.stored || entry.change == entry.being_stored) {
     unstored_.push_back(&entry);
+    ++entry.queued_to_store;
   }
   ++entry.change;
 }
 
+void job_scheduler::HurryRecord(job_entry& entry) {
+  if (!unstored_starts_.empty() && unstored_starts_.back() == &entry) return;
+  unstored_starts_.push_back(&entry);
+  ++entry.queued_to_store;
+}
+
+job_entry* job_scheduler::NextUnstored() {
+  for (std::deque<job_entry*>* queue : {&unstored_starts_, &unstored_}) {
+    while (!queue->empty()) {
+      job_entry* const entry = queue->front();
+      queue->pop_front();
+      --entry->queued_to_store;
+      // It may have been taken from the other queue.
+      if (entry->change != entry->stored && entry->change != entry->being_stored) return entry;
+    }
+  }
+  return nullptr;
+}
+
 void job_scheduler::RequestStop(graph_run& run, stop_cause cause, monotonic_time now) {
   if (run.stopping != stop_cause::kNone) return;
   run.stopping = cause;
@@ -275,9 +295,10 @@
 std::vector<job_progress_write> job_scheduler::TakeUnstored(size_t most, size_t bytes) {
   std::vector<job_progress_write> out;
   size_t taken = 0;
-  while (!unstored_.empty() && out.size() < most && taken < bytes) {
-    job_entry& entry = *unstored_.front();
-    unstored_.pop_front();
+  while (out.size() < most && taken < bytes) {
+    job_entry* const next = NextUnstored();
+    if (next == nullptr) break;
+    job_entry& entry = *next;
     entry.being_stored = entry.change;
     out.push_back({entry.job.id, ProgressToText(entry), entry.change});
     taken += out.back().text.size();
@@ -299,7 +320,10 @@
     if (found == jobs_.end()) continue;
     job_entry& entry = *found->second;
     // Still the newest change: queue it again. A newer one has queued itself.
-    if (entry.change == write.change) unstored_.push_back(&entry);
+    if (entry.change == write.change) {
+      unstored_starts_.push_back(&entry);
+      ++entry.queued_to_store;
+    }
     entry.being_stored = entry.stored;
   }
 }
@@ -332,7 +356,7 @@
     if (now - entry.finished_at < options_.keep_final) break;
     final_.pop_front();
     // Jobs that are not settled yet are checked again after the others.
-    if (entry.stored < entry.change || HoldsRuns(entry)) {
+    if (entry.stored < entry.change || entry.queued_to_store > 0 || HoldsRuns(entry)) {
       final_.push_back(id);
       break;
     }
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -180,6 +180,10 @@
  private:
   // job_scheduler.cc
   void MarkChanged(job_entry& entry);
+  // A start waits until the job's record is stored.
+  void HurryRecord(job_entry& entry);
+  // The next job whose record is to be stored; null if there is none.
+  job_entry* NextUnstored();
   bool BeyondShare(const graph_job& job);
   // Expected run time of a task of the step on a sound instance: from its own tasks that have ended
   // or, before that, from the learned run times of its queue.
@@ -451,8 +455,11 @@
   absl::flat_hash_set<std::string> lookups_;
   absl::flat_hash_set<std::string> unidentified_jobs_;
   std::vector<std::string> lookups_to_send_;
-  std::deque<std::string> final_;    // in the order in which they ended
-  std::deque<job_entry*> unstored_;  // changed since they were last taken, oldest first
+  std::deque<std::string> final_;  // in the order in which they ended
+  // Changed since they were last taken, oldest first. Those with planned starts are in the first
+  // queue, possibly in both.
+  std::deque<job_entry*> unstored_starts_;
+  std::deque<job_entry*> unstored_;
   std::deque<planned_start> planned_;
   // Records of starts that may still arrive, in the order in which they were given up.
   struct expiring_record {
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -100,6 +100,7 @@
   const advice_verdict* verdict = step.advice.FindVerdict(instance.ordinal);
   if (verdict != nullptr) request.ticket = verdict->ticket;
   MarkChanged(entry);
+  HurryRecord(entry);
   planned_.push_back({std::move(request), entry.change});
   LogDetail(scheduler_event::kind::kTaskStart, [&] {
     return std::pair(
--- a/test/decision_cost_test.cc
+++ b/test/decision_cost_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -109,6 +110,33 @@
   CHECK(started);
 }
 
+// Guards against starts that wait behind the records of ends, which nothing waits for.
+TEST_CASE_METHOD(full_site_fixture,
+                 "records, many ends are not stored yet, those of starts come first") {
+  Begin();
+  constexpr uint32_t kEnded = 30;
+  const auto submit_small = [&] {
+    owner->OnJob(Job(++jobs, {Tasks(1, 0, seconds(1))}), "", false, wall_time{}, now);
+    return JobId(jobs);
+  };
+  const std::string ended = submit_small();
+  Decide();
+  for (uint32_t i = 0; i < kEnded; ++i) owner->OnCancel(submit_small(), now);
+  const std::string started = submit_small();
+  owner->Decide(wall_time{}, now);
+  const auto writes = owner->TakeUnstored(1);
+  REQUIRE(writes.size() == 1);
+  CHECK(writes[0].job == started);
+  // Each job is taken once.
+  owner->OnStored(writes);
+  std::set<std::string> taken;
+  for (const job_progress_write& write : owner->TakeUnstored(1000)) {
+    CHECK(taken.insert(write.job).second);
+  }
+  CHECK(taken.size() == kEnded);
+  CHECK_FALSE(taken.contains(ended));
+}
+
 // Guards against an owner that spends more time on the text of its log than on decisions.
 TEST_CASE_METHOD(full_site_fixture,
                  "decision round, no room in the log, makes no text of details") {
