--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -595,7 +595,7 @@
     return true;
   }
 
-  void SendStart(start_command request) {
+  void SendStart(start_command&& request) {
     start_command without_payload{
         request.to,         request.key,   request.run, {}, request.lease_until_ms,
         request.checkpoint, request.ticket};
--- a/test/fleet_record_test.cc
+++ b/test/fleet_record_test.cc
@@ -33,6 +33,7 @@
 
   std::optional<std::vector<instance_report>> Update(const std::vector<instance_report>& in_use) {
     std::vector<const instance_report*> reports;
+    reports.reserve(in_use.size());
     for (const instance_report& report : in_use) reports.push_back(&report);
     return record.Update(reports, now);
   }
--- a/test/relayed_calls_fleet_test.cc
+++ b/test/relayed_calls_fleet_test.cc
@@ -100,7 +100,7 @@
     SubmitAll(batch * kJobs);
     REQUIRE(Eventually([&] { return AllCompleted(owner, batch * kJobs); }));
   }
-  REQUIRE(Eventually([&] { return Sum(owner, "listings") - listings >= 2 * kBatches; }));
+  REQUIRE(Eventually([&] { return Sum(owner, "listings") - listings >= uint64_t{2} * kBatches; }));
   CHECK(5 * (Sum(owner, "v1/hold") - calls) < Sum(owner, "listings") - listings);
   CHECK(instances_.DuplicateRuns().empty());
 }
