--- a/src/process/scheduling/ready_queue.h
+++ b/src/process/scheduling/ready_queue.h
@@ -5,7 +5,6 @@
 #ifndef CATKINFORD_PROCESS_SCHEDULING_READY_QUEUE_H_
 #define CATKINFORD_PROCESS_SCHEDULING_READY_QUEUE_H_
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -15,7 +14,6 @@
 #include <vector>
 
 #include "absl/container/btree_map.h"
-#include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
 #include "process/scheduling/graph_state.h"
 #include "process/scheduling/job_order.h"
@@ -40,7 +38,6 @@
   // The steps that a round looks at: of each service the first ones for which `eligible` holds,
   // then some of the others in turn, so that none waits forever behind steps that cannot start.
   std::vector<ready_step> Next(const std::function<bool(const ready_step&)>& eligible);
-  size_t Size() const { return size_; }
 
  private:
   // Steps of one service and one workspace: while the workspace is at its limit, none of them
