An evacuated failure domain gets no new work

The keys that operators write for it were read by nobody.

Change: the list of evacuated failure domains is followed together with the configuration: one read and one watch of all that operators write, so that what confirms one confirms the other, and an owner whose list may be out of date starts nothing, as before with an outdated configuration. Entries tell each other the list with its revision while the store does not answer. The scheduler takes no instance of such a domain, for whatever start, and withdraws starts that were decided on before.

--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -116,6 +116,7 @@
   bool registered = false;
   // A start timed out there: no further starts until the instance answers.
   bool suspect = false;
+  bool domain_evacuated = false;  // operators have closed its failure domain to new work
   // Restarted, and the registry does not show this incarnation yet: `report` is of an earlier one.
   bool report_outdated = false;
   bool check_in_flight = false;  // a second listing, to settle an unknown start
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -81,6 +82,8 @@
 
   // Configuration and instances.
   void SetVersion(std::shared_ptr<const site_configuration> version);
+  // The failure domains whose instances get no new work.
+  void SetEvacuated(const std::set<std::string>& domains);
   // The complete registry.
   void OnRegistry(const std::vector<instance_report>& reports, monotonic_time now);
   // Instances known to an earlier owner: they may run its tasks even if the registry has lost them.
@@ -432,6 +435,7 @@
   uint64_t epoch_;
   monotonic_time took_over_;
   std::shared_ptr<const site_configuration> version_;
+  std::set<std::string> evacuated_;  // failure domains
   absl::flat_hash_map<std::string, std::unique_ptr<job_entry>> jobs_;
   // Ordered, so that ties are broken alike in every process.
   absl::btree_map<std::string, std::unique_ptr<fleet_instance>> instances_;
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -96,6 +96,7 @@
   slot->report = report;
   slot->ordinal = ++last_ordinal_;
   slot->service = ServiceOrdinal(report.service);
+  slot->domain_evacuated = evacuated_.contains(report.failure_domain);
   slot->next_listing = now;
   latest_round_at_ = {};
   by_ordinal_.resize(last_ordinal_ + 1);
@@ -130,6 +131,7 @@
   instance.present = true;
   instance.report = report;
   instance.report_outdated = false;
+  instance.domain_evacuated = evacuated_.contains(report.failure_domain);
   instance.service = ServiceOrdinal(report.service);
   std::vector<resources>& largest = largest_seen_[report.service];
   if (std::find(largest.begin(), largest.end(), report.capacity) == largest.end()) {
@@ -138,6 +140,32 @@
   }
 }
 
+void job_scheduler::SetEvacuated(const std::set<std::string>& domains) {
+  if (domains == evacuated_) return;
+  const std::set<std::string> before = std::exchange(evacuated_, domains);
+  for (auto& [id, instance] : instances_) {
+    instance->domain_evacuated = evacuated_.contains(instance->report.failure_domain);
+  }
+  latest_round_at_ = {};
+  const auto note = [this](const std::string& domain, bool evacuated) {
+    size_t instances = 0;
+    size_t runs = 0;
+    for (const auto& [id, instance] : instances_) {
+      if (instance->report.failure_domain != domain) continue;
+      ++instances;
+      runs += instance->runs.size();
+    }
+    LogEvent(scheduler_event::kind::kDomainEvacuated, domain,
+             absl::StrCat("evacuated=", evacuated, " instances=", instances, " runs=", runs));
+  };
+  for (const std::string& domain : evacuated_) {
+    if (!before.contains(domain)) note(domain, true);
+  }
+  for (const std::string& domain : before) {
+    if (!evacuated_.contains(domain)) note(domain, false);
+  }
+}
+
 void job_scheduler::OnRegistry(const std::vector<instance_report>& reports, monotonic_time now) {
   absl::flat_hash_map<std::string, bool> present;
   for (const instance_report& report : reports) {
--- a/src/process/scheduling/scheduler_messages.h
+++ b/src/process/scheduling/scheduler_messages.h
@@ -149,6 +149,7 @@
     kInstanceDraining,
     kInstanceShunned,
     kInstanceDoubted,
+    kDomainEvacuated,
     kRunAdopted,
     kRunUnidentified,
     kAdvice,
--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -101,6 +101,7 @@
 bool job_scheduler::AcceptsWork(const fleet_instance& instance, monotonic_time now) {
   if (!instance.present || !instance.listed || !instance.registered) return false;
   if (instance.unidentified_runs > 0 || instance.report_outdated) return false;
+  if (instance.domain_evacuated) return false;
   if (instance.report.draining || instance.suspect || instance.replaced) return false;
   if (!instance.Reachable() || now < instance.quarantined_until) return false;
   return now - instance.clock_at <= kMaxClockAge;
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -118,6 +118,7 @@
   const instance_report& report = instance.report;
   if (report.incarnation != request.to.incarnation || !instance.listed) return false;
   if (instance.unidentified_runs > 0 || instance.report_outdated) return false;
+  if (instance.domain_evacuated) return false;
   if (!instance.present || report.draining || !instance.Reachable()) return false;
   if (instance.suspect) return false;
   if (request.ticket.empty()) return true;
--- a/src/process/site/peer_messages.cc
+++ b/src/process/site/peer_messages.cc
@@ -90,7 +90,9 @@
 std::string PeerVersionReplyToText(const peer_version_reply& reply) {
   return json{{"number", reply.version.number},
               {"revision", reply.version.revision},
-              {"age_ms", reply.version.age.count()}}
+              {"age_ms", reply.version.age.count()},
+              {"evacuated", reply.evacuated.Names()},
+              {"evacuated_revision", reply.evacuated.Revision()}}
              .dump() +
          "\n" + reply.text;
 }
@@ -103,6 +105,8 @@
         read.version.number = in.at("number").get<uint64_t>();
         read.version.revision = in.at("revision").get<uint64_t>();
         read.version.age = milliseconds(in.at("age_ms").get<int64_t>());
+        read.evacuated.Replace(in.at("evacuated").get<std::set<std::string>>(),
+                               in.at("evacuated_revision").get<uint64_t>());
       });
   if (out) out->text = text.substr(end + 1);
   return out;
--- a/src/process/site/peer_messages.h
+++ b/src/process/site/peer_messages.h
@@ -10,7 +10,8 @@
 //   GET  /peer/look          whether the owner's process is alive, as seen by the entry asked
 //   GET  /peer/version?have=&text=
 //                            the configuration's number and when it was last confirmed; with text=1
-//                            also its text, if it is newer than `have` and the link has capacity
+//                            also its text, if it is newer than `have` and the link has capacity;
+//                            the evacuated failure domains
 //   POST /peer/advise        queries a queue's policy on behalf of the owner
 //   POST /peer/job           a job record that was just stored; spares the owner its watch delay
 //   POST /peer/cancel?id=    a cancellation that was just stored
@@ -33,6 +34,7 @@
 #include "process/scheduling/scheduler_messages.h"
 #include "process/site/owner_failure_detector.h"
 #include "process/site/version_refresh.h"
+#include "version/evacuated_domains.h"
 
 namespace catkinford {
 
@@ -73,6 +75,7 @@
 struct peer_version_reply {
   peer_version version;
   std::string text;  // empty: not newer than requested, not requested, or over the rate limit
+  evacuated_domains evacuated;  // as of `version.revision` or later
 };
 struct peer_advice_request {
   advice_query order;
--- a/src/process/site/site_log.cc
+++ b/src/process/site/site_log.cc
@@ -82,6 +82,8 @@
     site_event_info{
         kRunUnidentified, kInfo, "run_unidentified",
         "An instance lists a run of an unknown job: it gets no work until the job is known."},
+    site_event_info{kDomainEvacuated, kInfo, "domain_evacuated",
+                    "The owner starts nothing in the failure domain, or starts work there again."},
     site_event_info{kOwnerSeen, kInfo, "owner_seen", "The store names an owner of the site."},
     site_event_info{kOwnershipWon, kInfo, "ownership_won", "This entry owns the site."},
     site_event_info{kOwnershipLost, kWarning, "ownership_lost",
@@ -124,6 +126,8 @@
                     "This entry makes the owner's calls to instances of its failure domain."},
     site_event_info{kRelayLost, kWarning, "relay_lost",
                     "A relay did not answer: its calls= are repeated through another one."},
+    site_event_info{kEvacuationsTaken, kInfo, "evacuations_taken",
+                    "The list of failure domains that operators have closed to new work changed."},
 };
 
 }  // namespace
--- a/src/process/site/site_log.h
+++ b/src/process/site/site_log.h
@@ -61,6 +61,7 @@
   kInstanceShunned = 636,
   kInstanceDoubted = 637,
   kRunUnidentified = 638,
+  kDomainEvacuated = 639,
   // 64x: ownership of the site and its entries
   kOwnerSeen = 640,
   kOwnershipWon = 641,
@@ -89,6 +90,8 @@
   // 66x: relays of an owner's calls
   kRelayUsed = 663,
   kRelayLost = 664,
+  // 66x: failure domains closed by operators, at each entry
+  kEvacuationsTaken = 665,
 };
 
 // When the limit of lines per second is reached, details are dropped first, then infos. Warnings
--- a/src/process/site/site_metrics.cc
+++ b/src/process/site/site_metrics.cc
@@ -78,6 +78,8 @@
                                  "Time since the store last answered this entry.")),
       version_age_seconds(OneGauge(registry_, "catkinford_site_version_age_seconds",
                                    "Time since the configuration was last confirmed.")),
+      evacuated_domains(OneGauge(registry_, "catkinford_site_evacuated_domains",
+                                 "Failure domains that are closed to new work.")),
       version_bytes(OneGauge(registry_, "catkinford_site_version_bytes",
                              "Size of the configuration's text.")),
       version_texts_sent(Counters(registry_, "catkinford_site_version_texts_total",
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -113,6 +113,7 @@
   void AnswerPeer(http_server::token token, const http_request& request);
   void AdviseForPeer(http_server::token token, const http_request& request);
   void OnVersion();
+  void OnEvacuations();
   void OnOwnershipWon();
   void OnOwnershipLost();
   void OnViewChanged();
@@ -283,6 +284,7 @@
 version_hooks site_node<Platform>::VersionHooks() {
   version_hooks hooks;
   hooks.changed = [this] { OnVersion(); };
+  hooks.evacuations_changed = [this] { OnEvacuations(); };
   hooks.store_up = [this] { return store_health_.State(BootNow()) == store_state::kUp; };
   hooks.ask_peer = [this](uint64_t have, bool text, byte_counter received_bytes,
                           const std::function<void(std::optional<peer_version_reply>)>& done) {
@@ -497,6 +499,11 @@
   if (owner_ != nullptr) owner_->SetVersion(versions_.Version());
 }
 
+template <site_platform Platform>
+void site_node<Platform>::OnEvacuations() {
+  if (owner_ != nullptr) owner_->SetEvacuated(versions_.Evacuated().Names());
+}
+
 template <site_platform Platform>
 void site_node<Platform>::UpdateReadiness() {
   // An entry that cannot reach the store sends its callers to another one.
@@ -751,6 +758,7 @@
   metrics_.takeovers.Increment();
   // Epochs that follow each other directly: no other process owned the site in between.
   const bool own = handover_epoch_ + 1 == membership_.Epoch();
+  owner_->SetEvacuated(versions_.Evacuated().Names());
   owner_->Start(versions_.Version(), own ? std::move(handover_) : scheduler_handover{});
   handover_ = {};
   SeekConfirmation();
@@ -926,6 +934,7 @@
   const monotonic_time now = BootNow();
   peer_version_reply reported;
   reported.version = versions_.PeerVersion(now);
+  reported.evacuated = versions_.Evacuated();
   uint64_t have = 0;
   const bool newer =
       absl::SimpleAtoi(request.Query("have"), &have) && reported.version.number > have;
--- a/src/process/site/site_owner.cc
+++ b/src/process/site/site_owner.cc
@@ -38,6 +38,8 @@
       return site_event::kInstanceDoubted;
     case kind::kRunAdopted:
       return site_event::kRunAdopted;
+    case kind::kDomainEvacuated:
+      return site_event::kDomainEvacuated;
     case kind::kRunUnidentified:
       return site_event::kRunUnidentified;
     case kind::kAdvice:
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -112,6 +112,10 @@
     scheduler_.SetVersion(std::move(version));
     ScheduleDecision();
   }
+  void SetEvacuated(const std::set<std::string>& domains) {
+    scheduler_.SetEvacuated(domains);
+    ScheduleDecision();
+  }
   // Direct notifications of inbox changes, ahead of the watch.
   void OnJobStored(const std::string& id, const std::string& record) {
     if (!loaded_) return;
--- a/src/process/site/site_platform.h
+++ b/src/process/site/site_platform.h
@@ -77,13 +77,15 @@
   requires instance_endpoints<std::remove_reference_t<decltype(platform.Instances())>>;
   requires queue_advisor<std::remove_reference_t<decltype(platform.Advisor())>>;
   { Platform::kVersionKeyName } -> std::convertible_to<std::string>;
-  { Platform::kVersionKeyPrefix } -> std::convertible_to<std::string>;
+  // Of all that operators write: the configuration and the evacuations.
+  { Platform::kOperatorKeyPrefix } -> std::convertible_to<std::string>;
   { Platform::kInstanceKeyPrefix } -> std::convertible_to<std::string>;
   { Platform::kMaxEntriesPerChange } -> std::convertible_to<size_t>;
   {
     Platform::DecodeVersion(view)
   } -> std::same_as<leaf::result<std::shared_ptr<const site_configuration>>>;
   { Platform::DecodeRegistration(view, view) } -> std::same_as<std::optional<instance_report>>;
+  { Platform::DecodeEvacuation(view) } -> std::same_as<std::optional<std::string>>;
   { Platform::DecodeSubmission(text, view) } -> std::same_as<leaf::result<graph_job>>;
   { Platform::EncodePhase(phase) } -> std::same_as<std::string>;
   { Platform::EncodePending(count) } -> std::same_as<std::string>;
--- a/src/process/site/version_follower.h
+++ b/src/process/site/version_follower.h
@@ -1,5 +1,6 @@
-// Keeps the configuration of this entry up to date: reads and watches it in the store, and gets it
-// from other entries while the store does not answer. Never returns to a lower version.
+// Keeps what operators have decided up to date at this entry: the configuration and the evacuated
+// failure domains. Reads and watches both in the store, and gets them from other entries while the
+// store does not answer. Never returns to a lower version.
 // version_refresh decides when to query and how far the configuration may be trusted; this class
 // does the I/O.
 #ifndef CATKINFORD_PROCESS_SITE_VERSION_FOLLOWER_H_
@@ -12,23 +13,27 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "process/site/event_loop.h"
 #include "process/site/peer_messages.h"
 #include "process/site/site_log.h"
 #include "process/site/site_metrics.h"
 #include "process/site/site_platform.h"
 #include "process/site/version_refresh.h"
+#include "version/evacuated_domains.h"
 
 namespace catkinford {
 
 using byte_counter = std::shared_ptr<std::atomic<uint64_t>>;
 
 struct version_hooks {
-  std::function<void()> changed;  // another configuration is in effect
+  std::function<void()> changed;              // another configuration is in effect
+  std::function<void()> evacuations_changed;  // other failure domains are evacuated
   // The store answers this entry's other calls.
   std::function<bool()> store_up;
   // Queries another entry for a version newer than `have`, with its text if `text` is set. The
@@ -56,6 +61,8 @@
   // Null until the first configuration is read.
   const std::shared_ptr<const site_configuration>& Version() const { return version_; }
   const std::string& Text() const { return text_; }
+  // As current as the configuration: what confirms one confirms the other.
+  const evacuated_domains& Evacuated() const { return evacuated_; }
   version_trust Trust(monotonic_time now) const { return refresh_.Trust(now); }
   // The time as of which the configuration held here was the newest.
   monotonic_time AsOf() const { return refresh_.AsOf(); }
@@ -135,12 +142,32 @@
       });
     };
     if (query.call == version_call::kRead) {
-      platform_.Store().Get(Platform::kVersionKeyName, done, options);
+      ReadPages({}, options, done);
     } else {
-      platform_.Store().Watch(Platform::kVersionKeyPrefix, query.after, query.wait, done, options);
+      platform_.Store().Watch(Platform::kOperatorKeyPrefix, query.after, query.wait, done, options);
     }
   }
 
+  // Reads all keys of the operators. `before`: the pages read so far.
+  void ReadPages(store_reply before, const read_options& options, const store_callback& done) {
+    const std::string after = before.items.empty() ? std::string() : before.items.back().key;
+    platform_.Store().Range(
+        Platform::kOperatorKeyPrefix, after,
+        [this, before = std::move(before), options, done](store_reply page) mutable {
+          if (page.status != store_status::kDone) return done(std::move(page));
+          // Pages are no snapshot. As of the first one nothing later is missed: the watch that
+          // follows repeats it.
+          if (before.revision != 0) page.revision = before.revision;
+          const bool more = page.more && !page.items.empty();
+          page.items.insert(page.items.begin(), std::make_move_iterator(before.items.begin()),
+                            std::make_move_iterator(before.items.end()));
+          if (!more) return done(std::move(page));
+          loop_.Post(
+              [this, page = std::move(page), options, done] { ReadPages(page, options, done); });
+        },
+        options);
+  }
+
   void OnReply(const version_query& query, const store_reply& reply) {
     LogRead(query, reply);
     version_reply summary;
@@ -153,12 +180,41 @@
       newest = &item;
       ++summary.versions;
     }
+    if (reply.status == store_status::kDone) ApplyEvacuations(query, reply);
     if (reply.status == store_status::kDone && newest != nullptr) {
       Apply(newest->value, NameOf(query.call));
     }
     refresh_.OnStoreReply(query, summary, BootNow());
   }
 
+  void ApplyEvacuations(const version_query& query, const store_reply& reply) {
+    bool changed = false;
+    if (query.call == version_call::kRead) {
+      std::set<std::string> names;
+      for (const store_item& item : reply.items) {
+        if (auto name = Platform::DecodeEvacuation(item.key)) names.insert(std::move(*name));
+      }
+      changed = evacuated_.Replace(std::move(names), reply.revision);
+    } else {
+      for (const store_item& item : reply.items) {
+        const auto name = Platform::DecodeEvacuation(item.key);
+        if (name && evacuated_.Apply(*name, !item.deleted, item.revision)) changed = true;
+      }
+      evacuated_.Replace(evacuated_.Names(), reply.revision);
+    }
+    if (changed) OnEvacuationsChanged(NameOf(query.call));
+  }
+
+  void OnEvacuationsChanged(const char* source) {
+    const monotonic_time now = BootNow();
+    log_.Write(site_event::kEvacuationsTaken, now,
+               absl::StrCat("domains=", LogField(absl::StrJoin(evacuated_.Names(), ",")),
+                            " revision=", evacuated_.Revision(), " source=", source, " ",
+                            VersionFields(now)));
+    metrics_.evacuated_domains.Set(static_cast<double>(evacuated_.Names().size()));
+    hooks_.evacuations_changed();
+  }
+
   void AskPeer() {
     const uint64_t have = version_ == nullptr ? 0 : version_->Number();
     const bool text = !Arriving();
@@ -167,6 +223,12 @@
           received_.erase(kPeerCall);
           metrics_.CountVersionRead("peer", peer_reply ? "done" : "unanswered");
           if (peer_reply && !peer_reply->text.empty()) Apply(peer_reply->text, "peer");
+          // Before the configuration is confirmed as of the peer's revision: the next watch begins
+          // there.
+          if (peer_reply &&
+              evacuated_.Replace(peer_reply->evacuated.Names(), peer_reply->evacuated.Revision())) {
+            OnEvacuationsChanged("peer");
+          }
           refresh_.OnPeerReply(peer_reply ? std::optional(peer_reply->version) : std::nullopt,
                                BootNow());
         });
@@ -231,6 +293,7 @@
   std::map<uint64_t, byte_counter> received_;  // bytes received, by call in flight
   std::shared_ptr<const site_configuration> version_;
   std::string text_;
+  evacuated_domains evacuated_;
   bool confirmed_ = false;
 };
 
--- a/test/scheduling_world.cc
+++ b/test/scheduling_world.cc
@@ -47,12 +47,12 @@
 }
 
 void scheduling_world::AddInstance(const std::string& id, resources capacity,
-                                   const std::string& rack) {
+                                   const std::string& rack, const std::string& domain) {
   live_instance& made = instances_[id];
   made.report.id = id;
   made.report.service = "service";
   made.report.address = id;
-  made.report.failure_domain = "domain";
+  made.report.failure_domain = domain;
   made.report.rack = rack;
   made.report.labels = {"kind", rack};
   made.report.capacity = capacity;
@@ -61,6 +61,11 @@
   if (faults_.slow_clocks) made.clock_rate = 1 - static_cast<double>(Between(0, 20).count()) / 1000;
 }
 
+void scheduling_world::SetEvacuated(std::set<std::string> domains) {
+  evacuated_ = std::move(domains);
+  if (owner_ != nullptr) owner_->SetEvacuated(evacuated_);
+}
+
 void scheduling_world::Submit(graph_job job) {
   job.accepted = Wall();
   const std::string id = job.id;
@@ -491,6 +496,7 @@
       1, std::vector<queue_config>{}, std::move(workspaces), std::vector<service_config>{},
       caller_limits{}));
   owner_->SetUnrecordedStarts(!recorded_);
+  owner_->SetEvacuated(evacuated_);
   const scheduler_handover handover = std::exchange(handover_, {});
   if (recorded_ || handover.complete) owner_->SetRecordsComplete();
   owner_->OnInherited(fleet_, Mono());
--- a/test/scheduling_world.h
+++ b/test/scheduling_world.h
@@ -43,7 +43,10 @@
  public:
   explicit scheduling_world(uint64_t seed, scheduling_faults faults = {});
 
-  void AddInstance(const std::string& id, resources capacity, const std::string& rack = "r1");
+  void AddInstance(const std::string& id, resources capacity, const std::string& rack = "r1",
+                   const std::string& domain = "domain");
+  // Known to each owner from then on, at once.
+  void SetEvacuated(std::set<std::string> domains);
   // Accepts a job, which is durable from then on.
   void Submit(graph_job job);
   void Cancel(const std::string& job);
@@ -194,6 +197,7 @@
   uint64_t owner_incarnation_ = 0;  // answers to an earlier owner are dropped
   bool committing_ = false;
   std::vector<std::pair<graph_job, std::chrono::milliseconds>> unknown_;
+  std::set<std::string> evacuated_;
   std::vector<instance_report> fleet_;  // as stored
   size_t stored_fleet_size_ = 0;        // size of the fleet that the owner knows to be stored
   bool store_cut_ = false;
