Runs and ends of an occurrence that is not due here have their effect

Callers could get a second run of a task: an earlier owner whose time of day was ahead had started an occurrence; the next owner did not know the occurrence yet, acknowledged the end without effect and started the task again when it became due. A listed run or end of an occurrence now opens it; nothing starts there before it is due.

--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -163,6 +163,14 @@
   RefreshReady(entry, now);
 }
 
+void job_scheduler::OpenSeen(job_entry& entry, uint32_t number, monotonic_time now) {
+  const bool later = number >= entry.next_occurrence && number < entry.job.Occurrences();
+  const auto& finished = entry.finished;
+  const bool done = std::find(finished.begin(), finished.end(), number) != finished.end();
+  if (IsFinal(entry.phase) || !later || done || entry.occurrences.contains(number)) return;
+  entry.occurrences[number] = MakeOccurrence(entry.job, number, now);
+}
+
 void job_scheduler::OpenDue(wall_time wall, monotonic_time now) {
   while (!due_.empty() && due_.begin()->first.first <= wall) {
     job_entry* const entry = due_.begin()->second;
@@ -173,6 +181,7 @@
 
 void job_scheduler::RefreshReady(job_entry& entry, monotonic_time now) {
   for (auto& [number, occurrence] : entry.occurrences) {
+    if (number >= entry.next_occurrence) continue;  // not due: an earlier owner began it
     for (size_t i = 0; i < occurrence->steps.size(); ++i) {
       step_progress& step = occurrence->steps[i];
       if (step.ready) continue;
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -211,6 +211,9 @@
     LogEvent(what, std::move(subject), std::move(detail));
   }
   void OpenOccurrences(job_entry& entry, wall_time wall, monotonic_time now);
+  // Opens an occurrence that is not due by this owner's clock and of which a run or an end was
+  // listed: the earlier owner's clock was ahead. Nothing starts there before it is due.
+  static void OpenSeen(job_entry& entry, uint32_t number, monotonic_time now);
   // Opens the occurrences that are due by now.
   void OpenDue(wall_time wall, monotonic_time now);
   void RefreshReady(job_entry& entry, monotonic_time now);
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -292,6 +292,7 @@
 void job_scheduler::ApplyEnd(job_entry& entry, fleet_instance& instance, const ended_row& row,
                              graph_run* run, monotonic_time now) {
   MarkStarted(entry);
+  OpenSeen(entry, row.key.occurrence, now);
   step_progress* step = entry.Find(row.key);
   if (step == nullptr) {
     if (run != nullptr) Release(*run, now);
@@ -356,6 +357,7 @@
 
 void job_scheduler::ClaimOrStop(graph_run& run, monotonic_time now) {
   if (run.seen) MarkStarted(*run.job);
+  OpenSeen(*run.job, run.key.occurrence, now);
   if (step_progress* step = run.job->Find(run.key)) {
     graph_task_state& task = step->tasks[run.key.index];
     task.last_run = std::max(task.last_run, run.number);
