Tasks listed by an incarnation that has ended start again at once

Callers waited up to 16 s for a task whose instance had restarted and was then cut off: all its runs were kept for as long as a late start may reach the next incarnation. A run that the earlier incarnation had listed cannot: its start has arrived there, and a start names its incarnation. Such runs are released when the restart is known.

--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -62,6 +62,7 @@
   bool inherited = false;       // its start time is unknown
   bool resumed = false;         // from a checkpoint
   bool seen = false;            // shown by an answer or a listing
+  bool listed = false;          // shown by a listing of this incarnation of its instance
   bool stop_confirmed = false;  // the instance answered the stop
   bool stop_in_flight = false;
   bool speed_in_flight = false;
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -296,6 +296,8 @@
   // scheduler_instances.cc
   void OnReport(const instance_report& report, monotonic_time now);
   void OnRestart(fleet_instance& instance, const instance_report& report, monotonic_time now);
+  // Releases the runs that have ended with an earlier incarnation: those that it listed.
+  void ReleaseEnded(fleet_instance& instance, monotonic_time now);
   void ExpectLateStart(fleet_instance& instance, const undelivered_start& start,
                        monotonic_time now);
   void DropExpired(monotonic_time now);
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -39,6 +39,7 @@
   for (const undelivered_start& start : std::exchange(instance.undelivered, {})) {
     if (now - start.sent <= kMaxCommandDelay) ExpectLateStart(instance, start, now);
   }
+  ReleaseEnded(instance, now);
   if (!instance.runs.empty()) {
     instance.earlier_commands_until = now + kMaxCommandDelay + options_.run_lease;
   }
@@ -70,6 +71,25 @@
   instance.next_listing = now;
 }
 
+// A start names the incarnation that it is meant for, and one that is listed has arrived there. The
+// task of such a run need not wait until the next incarnation is listed.
+void job_scheduler::ReleaseEnded(fleet_instance& instance, monotonic_time now) {
+  std::vector<graph_run*> ended;
+  for (const auto& run : instance.runs) {
+    if (run->listed && run->job != nullptr) ended.push_back(run.get());
+  }
+  for (graph_run* run : ended) {
+    job_entry& job = *run->job;
+    const task_key key = run->key;
+    const uint32_t number = run->number;
+    LogEvent(scheduler_event::kind::kRunVanished, key.job,
+             absl::StrCat("step=", key.step, " index=", key.index, " run=", number,
+                          " instance=", instance.report.id, " restarted"));
+    Release(*run, now);
+    if (!IsFinal(job.phase) && job.job.steps[key.step].gang) BreakGang(job, key, number, now);
+  }
+}
+
 // Adds a run for a start that may still arrive: its task starts nowhere else until it is stopped.
 void job_scheduler::ExpectLateStart(fleet_instance& instance, const undelivered_start& start,
                                     monotonic_time now) {
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -339,6 +339,7 @@
   graph_run& run = AddRun(instance, has_step ? found->second.get() : nullptr, row.key, row.run);
   run.phase = run_phase::kRunning;
   run.seen = true;
+  run.listed = true;
   run.started = now;
   run.confirmed = now;
   run.progressed = now;
@@ -416,6 +417,7 @@
   graph_run* run = FindRun(instance, row.key, row.run);
   if (run == nullptr) return Adopt(instance, row, now);
   run->seen = true;
+  run->listed = true;
   if (run->job != nullptr) MarkStarted(*run->job);
   if (run->phase == run_phase::kSent || run->phase == run_phase::kUnknown ||
       run->phase == run_phase::kInherited) {
--- a/test/scheduling_world.cc
+++ b/test/scheduling_world.cc
@@ -94,9 +94,8 @@
   failing_[job] = first_runs;
 }
 
-void scheduling_world::Crash(const std::string& id, bool same_id_again) {
-  live_instance& instance = instances_[id];
-  instance.up = false;
+// What an incarnation holds and knows ends with it.
+void scheduling_world::ForgetAll(live_instance& instance) {
   instance.runs.clear();
   instance.ended.clear();
   instance.end_records.clear();
@@ -104,12 +103,20 @@
   instance.last_end = 0;
   instance.fence = 0;
   instance.lease_until = 0;
+}
+
+void scheduling_world::Crash(const std::string& id, bool same_id_again) {
+  live_instance& instance = instances_[id];
+  instance.up = false;
+  ForgetAll(instance);
   if (!same_id_again) {
     At(now_ + kRegistryExpiry, [this, id] { instances_[id].registered = false; });
     return;
   }
   At(now_ + milliseconds{1500}, [this, id] {
     live_instance& again = instances_[id];
+    // It may have crashed a second time and returned from the first crash meanwhile.
+    ForgetAll(again);
     again.up = true;
     again.report.incarnation = 1 + now_.count();
     again.clock_rate = 1;
--- a/test/scheduling_world.h
+++ b/test/scheduling_world.h
@@ -145,6 +145,7 @@
   std::chrono::milliseconds Between(int64_t low, int64_t high);
   void At(std::chrono::milliseconds time, std::function<void()> task);
   void Step();
+  static void ForgetAll(live_instance& instance);
   void EndRun(live_instance& instance, size_t index, run_end how);
   // How the run ends now, or nothing if it continues.
   std::optional<run_end> EndOf(live_instance& instance, live_run& run);
