What an earlier owner may run counts all steps of a job

A workspace could get beyond its maximum after a change of owner: the next owner counted the waiting tasks of the ready steps only, though the earlier one may have heard of their ends and begun the next step. Steps that depend on each other never run at once, so the bound is the largest step of each chain.

--- a/src/process/scheduling/graph_state.cc
+++ b/src/process/scheduling/graph_state.cc
@@ -228,6 +228,38 @@
                        entry.finished.begin() + static_cast<std::ptrdiff_t>(used));
 }
 
+bool HasOpenRuns(const job_entry& entry) {
+  return std::any_of(entry.occurrences.begin(), entry.occurrences.end(),
+                     [](const auto& item) { return HasOpenRuns(*item.second); });
+}
+
+resources LargestUsage(const graph_job& job, const occurrence_state& occurrence) {
+  // Steps that depend on each other never run at the same time. A chain of them uses no more than
+  // its largest step; steps of different chains may run side by side.
+  std::vector<resources> chains;
+  std::vector<size_t> chain_of;
+  std::vector<size_t> last_of;  // by chain: its latest step
+  for (size_t i = 0; i < job.steps.size(); ++i) {
+    const auto& after = job.steps[i].after;
+    const auto before = std::find_if(
+        after.begin(), after.end(), [&](uint32_t step) { return last_of[chain_of[step]] == step; });
+    const size_t chain = before == after.end() ? chains.size() : chain_of[*before];
+    chains.resize(std::max(chains.size(), chain + 1));
+    last_of.resize(chains.size());
+    chain_of.push_back(chain);
+    last_of[chain] = i;
+    resources use;
+    for (uint32_t k = 0; k < occurrence.steps[i].waiting; ++k) use += job.steps[i].need;
+    resources& largest = chains[chain];
+    largest.cpu_milli = std::max(largest.cpu_milli, use.cpu_milli);
+    largest.memory_mb = std::max(largest.memory_mb, use.memory_mb);
+    largest.accelerators = std::max(largest.accelerators, use.accelerators);
+  }
+  resources sum;
+  for (const resources& chain : chains) sum += chain;
+  return sum;
+}
+
 std::string ProgressToText(const job_entry& entry) {
   std::string out = absl::StrCat(R"({"phase":")", std::string(ToText(entry.phase)), R"(","below":)",
                                  entry.done_below);
--- a/src/process/scheduling/graph_state.h
+++ b/src/process/scheduling/graph_state.h
@@ -187,6 +187,12 @@
 // Marks an occurrence as done and drops its tasks.
 void FinishOccurrence(job_entry& entry, uint32_t number);
 
+// True if a run of the job may still exist.
+bool HasOpenRuns(const job_entry& entry);
+// Upper bound on what the tasks of the occurrence that are not done, nor known to run, can use at
+// the same time, whichever of them another owner has started.
+resources LargestUsage(const graph_job& job, const occurrence_state& occurrence);
+
 // Serializes the durable progress: final phase, done tasks, failures, checkpoints, open runs.
 std::string ProgressToText(const job_entry& entry);
 // Applies stored progress to a fresh entry. Returns false and leaves the entry unchanged if `text`
--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -303,12 +303,7 @@
     if (!entry->inherited) continue;
     resources& sum = possible_usage_of_workspace_[entry->job.workspace];
     for (const auto& [number, occurrence] : entry->occurrences) {
-      for (size_t i = 0; i < occurrence->steps.size(); ++i) {
-        if (!occurrence->steps[i].ready) continue;
-        for (uint32_t k = 0; k < occurrence->steps[i].waiting; ++k) {
-          sum += entry->job.steps[i].need;
-        }
-      }
+      sum += LargestUsage(entry->job, *occurrence);
     }
   }
 }
