Records of cancelled and failed jobs name the runs that they leave

A workspace could get beyond its maximum: a job's final record named no runs, so the next owner did not count those that were still being stopped at an instance out of its reach. The final record now names them; it is written once more, without them, when they have ended. A job's final phase is shown once that phase is stored, whatever else is written later.

--- a/src/process/scheduling/graph_state.cc
+++ b/src/process/scheduling/graph_state.cc
@@ -140,6 +140,14 @@
 
 namespace {
 
+bool HasOpenRuns(const occurrence_state& occurrence) {
+  return std::any_of(
+      occurrence.steps.begin(), occurrence.steps.end(), [](const step_progress& step) {
+        return std::any_of(step.tasks.begin(), step.tasks.end(),
+                           [](const graph_task_state& task) { return !task.open_runs.empty(); });
+      });
+}
+
 auto VerdictPosition(const std::vector<advice_verdict>& verdicts, uint32_t instance) {
   return std::lower_bound(
       verdicts.begin(), verdicts.end(), instance,
@@ -190,7 +198,7 @@
 
 graph_phase job_entry::VisiblePhase() const {
   // A final phase that is not stored would be lost if this process died now.
-  if (IsFinal(phase) && stored < change) return graph_phase::kRunning;
+  if (IsFinal(phase) && stored < final_change) return graph_phase::kRunning;
   return phase;
 }
 
@@ -266,9 +274,11 @@
   if (!entry.finished.empty()) {
     absl::StrAppend(&out, R"(,"finished":[)", absl::StrJoin(entry.finished, ","), "]");
   }
-  if (!IsFinal(entry.phase)) {
+  const bool final = IsFinal(entry.phase);
+  if (!final || HasOpenRuns(entry)) {
     out += R"(,"open":[)";
     for (const auto& [number, occurrence] : entry.occurrences) {
+      if (final && !HasOpenRuns(*occurrence)) continue;
       absl::StrAppend(&out, out.back() == '[' ? "" : ",", R"({"k":)", number, R"(,"steps":[)");
       for (const step_progress& step : occurrence->steps) {
         if (out.back() != '[') out += ',';
--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -72,6 +72,9 @@
   if (IsFinal(entry.phase)) {
     entry.finished_at = now;
     final_.push_back(id);
+    // Runs that an earlier owner could not stop use capacity until they have ended.
+    RestoreRecordedRuns(entry, now);
+    StopAllRuns(entry, now);
     return IdentifyWork(entry, now);
   }
   active_.push_back(&entry);
@@ -267,6 +270,14 @@
   }
 }
 
+void job_scheduler::StopAllRuns(const job_entry& entry, monotonic_time now) {
+  const stop_cause cause =
+      entry.phase == graph_phase::kCancelled ? stop_cause::kCancelled : stop_cause::kJobFailed;
+  for (const auto& [number, occurrence] : entry.occurrences) {
+    StopRuns(entry, *occurrence, cause, now);
+  }
+}
+
 void job_scheduler::Finish(job_entry& entry, graph_phase phase, monotonic_time now) {
   if (IsFinal(entry.phase)) return;
   entry.phase = phase;
@@ -279,13 +290,7 @@
   due_.erase(std::pair(NextDue(entry), entry.number));
   for (const auto& [number, occurrence] : entry.occurrences) RemoveReady(entry, *occurrence);
   final_.push_back(entry.job.id);
-  if (phase != graph_phase::kCompleted) {
-    const stop_cause cause =
-        phase == graph_phase::kCancelled ? stop_cause::kCancelled : stop_cause::kJobFailed;
-    for (const auto& [number, occurrence] : entry.occurrences) {
-      StopRuns(entry, *occurrence, cause, now);
-    }
-  }
+  if (phase != graph_phase::kCompleted) StopAllRuns(entry, now);
   const bool completed = phase == graph_phase::kCompleted;
   LogEvent(scheduler_event::kind::kJobFinal, entry.job.id,
            absl::StrCat("phase=", std::string(ToText(phase)),
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -229,6 +229,8 @@
   void StopRuns(const task_key& key, stop_cause cause, monotonic_time now);
   void StopRuns(const job_entry& entry, const occurrence_state& occurrence, stop_cause cause,
                 monotonic_time now);
+  // Of a job that is cancelled or has failed.
+  void StopAllRuns(const job_entry& entry, monotonic_time now);
   void RequestStop(graph_run& run, stop_cause cause, monotonic_time now);
   const job_terms& TermsOf(const job_entry& entry) const;
   // True if some instance of the service that was ever seen is large enough for a task of the step,
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -271,6 +271,8 @@
     return;
   }
   open.erase(found);
+  // Its record names the runs that its end has left; without them the next owner looks for none.
+  if (IsFinal(run.job->phase) && !HasOpenRuns(*run.job)) MarkChanged(*run.job);
 }
 
 // The runs of the task that are not yet proved to have ended, the latest first. There may be more
