Jobs wait for an isolated owner only if it may have been told of them

Two runs of a task were possible: an owner that continues while the store is down for all may hear of a job from the entry that accepted it, up to 3.5 s after the next owner began; the next one waited for 0.7 s only. The record of a job now says which owners its entry could still notify, so that only jobs of entries that did not know the present owner wait. And an owner that has just got an answer from the store no longer takes it for down, whatever the other entries have said before.

--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -64,8 +64,8 @@
   entry.arrived = now;
   if (!progress.empty()) ApplyProgress(entry, progress, now);
   entry.accepted_at = now - std::max(milliseconds{0}, wall - entry.job.accepted);
-  entry.inherited =
-      inherited || lookups_.contains(entry.job.id) || EarlierOwnerMayStart(entry.accepted_at);
+  entry.inherited = inherited || lookups_.contains(entry.job.id) ||
+                    EarlierOwnerMayStart(entry.job, entry.accepted_at);
   entry.beyond_share = BeyondShare(entry.job);
   const std::string id = entry.job.id;
   jobs_[id] = std::move(made);
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -331,8 +331,9 @@
   // scheduler_placement.cc
   void Place(const std::vector<ready_step>& ready, monotonic_time now);
   bool MustWaitForInheritance(const job_entry& entry, const resources& need) const;
-  // An earlier owner may have started tasks of a job accepted at that time without recording them.
-  bool EarlierOwnerMayStart(monotonic_time accepted) const;
+  // An earlier owner may have started tasks of the job, which was accepted at that time, without
+  // recording them.
+  bool EarlierOwnerMayStart(const graph_job& job, monotonic_time accepted) const;
   void CountPossibleRuns();
   // The steps that this round looks at, in the order in which they get instances.
   std::vector<ready_step> NextSteps(monotonic_time now);
--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -289,10 +289,12 @@
   return !WithinLimit(entry, need + possible->second);
 }
 
-bool job_scheduler::EarlierOwnerMayStart(monotonic_time accepted) const {
-  // One that continues while the store is down, the unconfirmed owner, cannot learn of a job that
-  // was accepted since: the entry that stored it reaches the store and would end that owner.
-  const monotonic_time until = took_over_ + options_.earlier_owner;
+bool job_scheduler::EarlierOwnerMayStart(const graph_job& job, monotonic_time accepted) const {
+  // One that continues while the store is down, the unconfirmed owner, learns of a job only from
+  // the entry that accepted it, which tells the latest owner that it knows of.
+  const bool told_earlier_owner = job.known_epoch < epoch_;
+  const monotonic_time until =
+      told_earlier_owner ? EarlierOwnerUntil() : took_over_ + options_.earlier_owner;
   return !records_complete_ && !inheritance_settled_ &&
          accepted < std::min(until, earlier_owner_dead_at_);
 }
--- a/src/process/site/caller_frontend.h
+++ b/src/process/site/caller_frontend.h
@@ -29,6 +29,8 @@
 
 struct frontend_hooks {
   std::string entry;  // name of this entry
+  // The lowest epoch of an owner that this entry may still notify.
+  std::function<uint64_t()> known_epoch;
   std::function<std::shared_ptr<const site_configuration>()> version;
   std::function<version_trust(monotonic_time now)> trust;
   // Asks the owner, this entry or another; empty when the owner does not answer or does not know.
@@ -241,6 +243,7 @@
           job.terms = current->queue->jobs;
           job.accepted = WallNow();
           job.accepted_by = hooks_.entry;
+          job.known_epoch = hooks_.known_epoch();
           hooks_.cache_payload(job.id, job.payload);
           StoreWhenUp(current, std::make_shared<const std::string>(JobToText(job)));
           return {};
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -229,6 +229,10 @@
 frontend_hooks site_node<Platform>::FrontendHooks() {
   frontend_hooks hooks;
   hooks.entry = settings_.name;
+  hooks.known_epoch = [this] {
+    const site_view& view = membership_.View();
+    return view.owner ? view.owner->epoch : view.epoch + 1;
+  };
   hooks.version = [this] { return versions_.Version(); };
   hooks.trust = [this](monotonic_time now) { return versions_.Trust(now); };
   hooks.phase = [this](const std::string& job,
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -199,6 +199,9 @@
   // The local delay is added to the time limits for other processes, up to this value.
   static constexpr std::chrono::milliseconds kMaxLocalDelay{1500};
   static constexpr std::chrono::milliseconds kMinLocalDelay{40};
+  // The store is not down for all if it has answered this owner within this time, whatever the
+  // other entries have reported before: its answer may hold jobs that a next owner has started.
+  static constexpr std::chrono::milliseconds kStoreSilence{700};
   static constexpr std::chrono::milliseconds kIdleWatchPause{50};
   static constexpr size_t kItemOverheadBytes =
       150;  // per item on the wire, besides its key and value
@@ -236,7 +239,12 @@
     };
   }
   store_callback OnReply(std::function<void(self_type&, store_reply)> done) {
-    return OnLoop<store_reply>(std::move(done));
+    std::function<void(self_type&, store_reply)> noted = [done = std::move(done)](
+                                                             self_type& self, store_reply reply) {
+      if (IsAnswer(reply)) self.store_answered_ = BootNow();
+      done(self, std::move(reply));
+    };
+    return OnLoop<store_reply>(std::move(noted));
   }
   command_callback OnAnswer(std::function<void(self_type&, command_answer)> done) {
     return OnLoop<command_answer>(std::move(done));
@@ -797,7 +805,8 @@
   }
 
   void ApplyRecordMode(monotonic_time now) {
-    const bool store_down = hooks_.store_down_for_all(now);
+    const bool answered = now - store_answered_ < kStoreSilence;
+    const bool store_down = hooks_.store_down_for_all(now) && !answered;
     scheduler_.SetUnrecordedStarts(!record_mode_.StartsAwaitRecords() || store_down);
     // While the store is down for all, no newer configuration can have been acknowledged.
     scheduler_.PauseStarts(!hooks_.version_confirmed(now) && !store_down);
@@ -884,6 +893,7 @@
   uint64_t registry_reads_ = 0;
   std::set<std::string> cancelled_;  // until their jobs have expired
   uint64_t commit_revision_ = 0;
+  monotonic_time store_answered_{};
   record_mode record_mode_;
   bool inherited_async_ = false;  // an earlier owner declared asynchronous records
   std::optional<monotonic_time> earlier_owner_dead_at_;  // when its process was found ended
--- a/src/request/step_graph.cc
+++ b/src/request/step_graph.cc
@@ -158,6 +158,7 @@
   if (!job.workspace.empty()) out["workspace"] = job.workspace;
   out["payload"] = job.payload;
   if (!job.accepted_by.empty()) out["by"] = job.accepted_by;
+  if (job.known_epoch != 0) out["epoch"] = job.known_epoch;
   out["terms"] = TermsToJson(job.terms);
   out["accepted"] = Millis(job.accepted);
   if (job.repeats > 0) {
@@ -184,6 +185,7 @@
     job.workspace = in.value("workspace", std::string());
     job.payload = in.at("payload").get<std::string>();
     job.accepted_by = in.value("by", std::string());
+    job.known_epoch = in.value("epoch", uint64_t{0});
     job.terms = TermsFromJson(in.at("terms"));
     job.accepted = FromMillis(in.at("accepted").get<int64_t>());
     job.first_run = FromMillis(in.value("first", int64_t{0}));
--- a/src/request/step_graph.h
+++ b/src/request/step_graph.h
@@ -52,6 +52,8 @@
   std::string workspace;    // empty: the queue takes anonymous jobs
   std::string payload;      // opaque; passed to the instances
   std::string accepted_by;  // the entry that accepted it; empty in records of earlier programs
+  // That entry has notified no owner of a lower epoch of this job; 0 if it is not known.
+  uint64_t known_epoch = 0;
   std::vector<step_spec> steps;
   job_terms terms;
   wall_time accepted{};
--- a/test/late_jobs_test.cc
+++ b/test/late_jobs_test.cc
@@ -45,11 +45,13 @@
     owner.OnListing({{"a", "", 1}, {}, 0, {}}, {clock.count(), 1, {}, {}}, now, now);
   }
   // Hears at `heard` of a job that was accepted at `accepted`, both after the takeover.
-  void Hear(milliseconds accepted, milliseconds heard) {
+  // `known_epoch`: of the latest owner that the accepting entry knew of.
+  void Hear(milliseconds accepted, milliseconds heard, uint64_t known_epoch = 1) {
     now = took_over + heard;
     List();
     graph_job job = Job(1, {Tasks(1, 1000, seconds(60))});
     job.accepted = wall + accepted;
+    job.known_epoch = known_epoch;
     owner.OnJob(std::move(job), "", false, wall + heard, now);
     owner.Decide(wall + heard, now);
   }
@@ -73,6 +75,14 @@
   CHECK_FALSE(owner.StartsPlanned());
 }
 
+// Guards against new jobs that wait for instances out of reach: the entry that accepted this one
+// told only the present owner.
+TEST_CASE_METHOD(unreached_instance_fixture,
+                 "job scheduler, job accepted under the present owner, starts at once") {
+  Hear(seconds(1), seconds(1), 2);
+  CHECK(owner.StartsPlanned());
+}
+
 // Guards against new jobs that wait for instances which cannot run them.
 TEST_CASE_METHOD(unreached_instance_fixture,
                  "job scheduler, job accepted after the earlier owner ended, starts at once") {
