Callers are told where they are served soonest while the store does not answer

While the store answered nobody, they were rejected at once, with times to return that could lie beyond their timeout.

An entry that gets no answer asks a few others when the store answered them last. If entries of its failure domain are answered, its callers are sent back at once (Retry-After: 0), as are those of an entry that stops; if only its domain is cut off, they return after a second, when the balancer avoids it; if the store answers nobody, a submission waits for it for half of what its caller's timeout leaves, and is admitted anew by the configuration in effect then.

--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -60,9 +60,9 @@
   MHD_Response* response = MHD_create_response_from_buffer(
       answer.body.size(), const_cast<char*>(answer.body.data()), MHD_RESPMEM_MUST_COPY);
   MHD_add_response_header(response, "Content-Type", answer.content_type.c_str());
-  if (answer.retry_after.count() > 0) {
+  if (answer.retry_after) {
     MHD_add_response_header(response, "Retry-After",
-                            absl::StrCat(answer.retry_after.count()).c_str());
+                            absl::StrCat(answer.retry_after->count()).c_str());
   }
   if (answer.close) MHD_add_response_header(response, "Connection", "close");
   const MHD_Result queued =
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -36,8 +37,8 @@
   int status = 200;
   std::string body;
   std::string content_type = "application/json";
-  std::chrono::seconds retry_after{0};  // sent as Retry-After when greater than zero
-  bool close = false;                   // close the connection after this response
+  std::optional<std::chrono::seconds> retry_after;  // sent as Retry-After
+  bool close = false;                               // close the connection after this response
 };
 
 struct http_server_options {
--- a/src/process/site/caller_frontend.h
+++ b/src/process/site/caller_frontend.h
@@ -12,10 +12,12 @@
 #include <unordered_map>
 #include <utility>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "connection/http_server.h"
 #include "process/site/event_loop.h"
 #include "process/site/http_status.h"
+#include "process/site/outage_scope.h"
 #include "process/site/peer_messages.h"
 #include "process/site/site_log.h"
 #include "process/site/site_metrics.h"
@@ -33,6 +35,8 @@
   std::function<uint64_t()> known_epoch;
   std::function<std::shared_ptr<const site_configuration>()> version;
   std::function<version_trust(monotonic_time now)> trust;
+  // Where the store does not answer; asks the other entries if that is not known.
+  std::function<outage_scope(monotonic_time now)> outage;
   // Asks the owner, this entry or another; empty when the owner does not answer or does not know.
   std::function<void(const std::string& job, std::function<void(std::optional<graph_phase>)>)>
       phase;
@@ -64,23 +68,7 @@
 
   // On the loop's thread.
   void Handle(http_request request, responder respond) {
-    call now{std::move(request), std::move(respond), BootNow(), {}, {}, {}};
-    if (all_settled_) return Reject(now, http_status::kUnavailable, kStopping);
-    now.version = hooks_.version();
-    if (now.version == nullptr) {
-      return Reject(now, http_status::kUnavailable, "no_configuration_yet");
-    }
-    const queue_config* queue = now.version->QueueFor(now.request.host, now.request.path);
-    if (queue == nullptr) return RejectAbsent(now, http_status::kNotFound, "no_such_queue");
-    now.queue = queue;
-    now.id = now.request.path.substr(queue->prefix.size());
-    const workspace_config* holder = now.version->WorkspaceOfKey(now.request.bearer);
-    if (!queue->anonymous && holder == nullptr) {
-      return RejectAbsent(now, http_status::kUnauthorized, "unknown_key");
-    }
-    if (!MayServe(now)) return Reject(now, http_status::kUnavailable, kVersionUnconfirmed);
-    if (holder != nullptr && !queue->anonymous) now.workspace = holder->name;
-    Route(std::move(now));
+    Admit({std::move(request), std::move(respond), BootNow(), {}, {}, {}});
   }
 
   // Answers every call in flight with what is known of it, and rejects those that follow: the
@@ -94,10 +82,17 @@
  private:
   static constexpr std::chrono::milliseconds kStoreRetry{100};
   static constexpr std::chrono::milliseconds kSuspectStorePause{40};
+  // A submission waits for a store that answers nobody, rather than be rejected, for as long as its
+  // caller can still return once and wait as long again. Callers that state no timeout have this
+  // one.
+  static constexpr std::chrono::milliseconds kDefaultCallerTimeout{3000};
+  static constexpr std::chrono::milliseconds kReturnPause{1000};  // the shortest Retry-After
+  static constexpr std::chrono::milliseconds kAnswerMargin{200};
+  static constexpr std::chrono::milliseconds kMaxHold{1000};
   static constexpr char kVersionUnconfirmed[] = "version_unconfirmed";
   static constexpr char kStopping[] = "stopping";
 
-  // State of one call. The version is the one in effect when the call arrived.
+  // State of one call. The version is the one in effect when the call was admitted.
   struct call {
     http_request request;
     responder respond;
@@ -111,6 +106,28 @@
   };
   using shared_call = std::shared_ptr<call>;
 
+  void Admit(call now) {
+    if (all_settled_) return Reject(now, http_status::kUnavailable, kStopping);
+    now.version = hooks_.version();
+    if (now.version == nullptr) {
+      return Reject(now, http_status::kUnavailable, "no_configuration_yet");
+    }
+    const queue_config* queue = now.version->QueueFor(now.request.host, now.request.path);
+    if (queue == nullptr) return RejectAbsent(now, http_status::kNotFound, "no_such_queue");
+    now.queue = queue;
+    now.id = now.request.path.substr(queue->prefix.size());
+    const workspace_config* holder = now.version->WorkspaceOfKey(now.request.bearer);
+    if (!queue->anonymous && holder == nullptr) {
+      return RejectAbsent(now, http_status::kUnauthorized, "unknown_key");
+    }
+    if (!MayServe(now)) {
+      if (MayHold(now)) return Hold(Open(std::move(now)));
+      return Reject(now, http_status::kUnavailable, kVersionUnconfirmed);
+    }
+    if (holder != nullptr && !queue->anonymous) now.workspace = holder->name;
+    Route(std::move(now));
+  }
+
   // What follows for a call does not happen once the call is answered: a rejected submission must
   // not be sent.
   store_callback OnLoop(const shared_call& current, std::function<void(const store_reply&)> done) {
@@ -130,6 +147,48 @@
     });
   }
 
+  std::chrono::milliseconds CallerTimeout(const call& current) const {
+    int64_t millis = 0;
+    const std::string text = current.request.Header(Platform::kCallerTimeoutHeader);
+    if (!absl::SimpleAtoi(text, &millis) || millis <= 0) return kDefaultCallerTimeout;
+    return std::chrono::milliseconds(millis);
+  }
+
+  // Some other entry reaches the store.
+  bool OnlyHere(monotonic_time now) const {
+    const outage_scope scope = hooks_.outage(now);
+    return scope == outage_scope::kThisEntry || scope == outage_scope::kThisDomain;
+  }
+
+  // True while waiting here is better for the caller than a rejection.
+  bool MayHold(const call& current) const {
+    const monotonic_time now = BootNow();
+    if (current.request.method != "POST" || hooks_.stopping()) return false;
+    if (OnlyHere(now)) return false;
+    const auto limit = (CallerTimeout(current) - kReturnPause - kAnswerMargin) / 2;
+    return now - current.arrived < std::min<std::chrono::milliseconds>(limit, kMaxHold);
+  }
+
+  // The call is admitted anew after a pause, by the configuration that is in effect then.
+  void Hold(const shared_call& current) {
+    After(kSuspectStorePause, current, [this, current] {
+      current->answered = true;
+      open_.erase(current.get());
+      Admit(
+          {std::move(current->request), std::move(current->respond), current->arrived, {}, {}, {}});
+    });
+  }
+
+  // When a rejected caller should return. Another entry serves it at once if only this one cannot.
+  std::chrono::seconds RetryAfter(const call& current) const {
+    const monotonic_time now = BootNow();
+    const bool elsewhere = hooks_.stopping() || hooks_.outage(now) == outage_scope::kThisEntry;
+    if (elsewhere) return std::chrono::seconds{0};
+    // Short enough to return within its timeout.
+    const auto most = std::chrono::floor<std::chrono::seconds>(CallerTimeout(current) / 3);
+    return std::max(std::chrono::seconds{1}, std::min(most, health_.RetryAfter(now)));
+  }
+
   shared_call Open(call now) {
     auto opened = std::make_shared<call>(std::move(now));
     open_.emplace(opened.get(), opened);
@@ -169,7 +228,7 @@
     response.body = std::move(body);
     response.close = hooks_.stopping();
     if (status == http_status::kUnavailable) {
-      response.retry_after = health_.RetryAfter(BootNow());
+      response.retry_after = RetryAfter(current);
     }
     metrics_.CountAnswer(
         NameOf(current), status,
@@ -262,9 +321,13 @@
       case store_state::kUp:
         return Store(current, text, false);
       case store_state::kSuspect:
-        After(kSuspectStorePause, current, [this, current, text] { StoreWhenUp(current, text); });
-        return;
+        if (!OnlyHere(BootNow())) {
+          After(kSuspectStorePause, current, [this, current, text] { StoreWhenUp(current, text); });
+          return;
+        }
+        [[fallthrough]];
       case store_state::kDown:
+        if (MayHold(*current)) return Hold(current);
         Log(site_event::kJobRefused, *current, "why=store_down sent=0");
         return Answer(*current, http_status::kUnavailable,
                       Platform::EncodeError("store_unavailable"));
--- a/src/process/site/peer_messages.h
+++ b/src/process/site/peer_messages.h
@@ -4,6 +4,7 @@
 //   GET  /peer/pending?queue=
 //                            number of pending jobs of a queue, from the owner
 //   GET  /peer/health        time since the store last answered, highest epoch seen
+//   GET  /peer/store         the same; the entry that asks does not own the site
 //   GET  /peer/witness       whether an owner may have continued while the store was down
 //   GET  /peer/alive         the process's nonce and whether it is overloaded; answered outside
 //                            the event loop
@@ -41,6 +42,7 @@
 inline constexpr char kPeerStatePath[] = "/peer/state";
 inline constexpr char kPeerPendingPath[] = "/peer/pending";
 inline constexpr char kPeerHealthPath[] = "/peer/health";
+inline constexpr char kPeerStorePath[] = "/peer/store";
 inline constexpr char kPeerAlivePath[] = "/peer/alive";
 inline constexpr char kPeerLookPath[] = "/peer/look";
 inline constexpr char kPeerWitnessPath[] = "/peer/witness";
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -22,6 +22,7 @@
 #include "process/site/advice_dispatcher.h"
 #include "process/site/caller_frontend.h"
 #include "process/site/event_loop.h"
+#include "process/site/outage_scope.h"
 #include "process/site/owner_budget.h"
 #include "process/site/owner_failure_detector.h"
 #include "process/site/peer_messages.h"
@@ -127,6 +128,9 @@
   void VersionFromPeer(uint64_t have, bool text, byte_counter received_bytes,
                        const std::function<void(std::optional<peer_version_reply>)>& done);
   void PollPeersOnOutage(const std::function<void(outage_verdict)>& done);
+  // Asks other entries about the store if it does not answer this one.
+  void AskAboutOutage(monotonic_time now);
+  std::vector<site_entry> PeersOfAllDomains(size_t most, bool with_owner) const;
   // Failure detection for the owner's process.
   void WatchOwner();
   void CheckAlive(const site_entry& process, const std::function<void(liveness)>& done);
@@ -157,6 +161,7 @@
   site_log log_;
   event_loop loop_;
   store_health store_health_;
+  outage_tracker outage_;
   site_membership<std::remove_reference_t<decltype(std::declval<Platform>().Store())>> membership_;
   version_follower<Platform> versions_;
   caller_frontend<Platform> frontend_;
@@ -235,6 +240,10 @@
   };
   hooks.version = [this] { return versions_.Version(); };
   hooks.trust = [this](monotonic_time now) { return versions_.Trust(now); };
+  hooks.outage = [this](monotonic_time now) {
+    AskAboutOutage(now);
+    return outage_.Scope(now);
+  };
   hooks.phase = [this](const std::string& job,
                        std::function<void(std::optional<graph_phase>)> done) {
     PhaseFromOwner(job, std::move(done));
@@ -326,8 +335,10 @@
   if (!SplitAddress(settings_.listen.callers, address, port)) {
     return site_start_fault::kCallerAddress;
   }
+  http_server_options caller_options = OptionsFor(address, port);
+  caller_options.captured_headers = {Platform::kCallerTimeoutHeader};
   caller_server_ = std::make_unique<http_server>(
-      OptionsFor(address, port), [this](http_server::token token, http_request request) {
+      caller_options, [this](http_server::token token, http_request request) {
         OnCaller(token, std::move(request));
       });
   if (!caller_server_->Start()) return site_start_fault::kCallerAddress;
@@ -448,11 +459,12 @@
   } else if (request.path == kPeerPendingPath) {
     response.body =
         PeerPendingReplyToText({owns, owns ? owner_->Pending(request.Query("queue")) : size_t{0}});
-  } else if (request.path == kPeerHealthPath) {
+  } else if (request.path == kPeerHealthPath || request.path == kPeerStorePath) {
     const monotonic_time now = BootNow();
     const auto age =
         std::chrono::duration_cast<std::chrono::milliseconds>(now - membership_.StoreAnswered());
-    if (age >= kMaxReachableStoreAge) outage_confirmed_at_ = now;
+    const bool owner_asks = request.path == kPeerHealthPath;
+    if (owner_asks && age >= kMaxReachableStoreAge) outage_confirmed_at_ = now;
     response.body = PeerHealthToText({age, membership_.View().epoch});
   } else if (request.path == kPeerWitnessPath) {
     response.body = OutageReportToText(LocalOutageReport());
@@ -523,6 +535,7 @@
 template <site_platform Platform>
 void site_node<Platform>::PollReadiness() {
   loop_.After(kReadinessInterval, [this] { PollReadiness(); });
+  AskAboutOutage(BootNow());
   UpdateReadiness();
 }
 
@@ -679,21 +692,48 @@
   ConfirmSuspicion(epoch);
 }
 
-// This entry may be the one that is cut off, so others are asked whether they reach the owner.
+// Entries of different failure domains where possible.
 template <site_platform Platform>
-void site_node<Platform>::ConfirmSuspicion(uint64_t epoch) {
-  if (std::exchange(confirming_suspicion_, true)) return;
-  log_.Write(site_event::kOwnerSuspected, BootNow(),
-             absl::StrCat("epoch=", epoch, " only_silent=", owner_detector_.OnlyTimeouts()));
-  std::vector<site_entry> others;
+std::vector<site_entry> site_node<Platform>::PeersOfAllDomains(size_t most, bool with_owner) const {
+  std::vector<site_entry> out;
   std::set<std::string> domains;
   for (const bool new_domain : {true, false}) {
     for (const auto& [name, entry] : membership_.View().entries) {
       const bool owner = Owner() != nullptr && name == Owner()->name;
-      if (name == settings_.name || owner || others.size() >= kMaxPeersQueried) continue;
-      if (domains.insert(entry.failure_domain).second == new_domain) others.push_back(entry);
+      if (name == settings_.name || (owner && !with_owner) || out.size() >= most) continue;
+      if (domains.insert(entry.failure_domain).second == new_domain) out.push_back(entry);
     }
   }
+  return out;
+}
+
+template <site_platform Platform>
+void site_node<Platform>::AskAboutOutage(monotonic_time now) {
+  if (!outage_.ShouldAsk(store_health_.TroubleSince(now), now)) return;
+  const std::vector<site_entry> others = PeersOfAllDomains(kMaxPeersQueried, true);
+  if (others.empty()) return outage_.OnAnswers({}, now);
+  auto answers = std::make_shared<std::vector<outage_answer>>();
+  for (const site_entry& other : others) {
+    const bool other_domain = other.failure_domain != settings_.failure_domain;
+    QueryPeer(other, kPeerStorePath,
+              [this, answers, other_domain,
+               count = others.size()](const std::optional<std::string>& text) {
+                const monotonic_time answered = BootNow();
+                const auto health = text ? PeerHealthFromText(*text) : std::nullopt;
+                answers->push_back({other_domain, std::nullopt});
+                if (health) answers->back().store_answered = answered - health->store_age;
+                if (answers->size() == count) outage_.OnAnswers(*answers, answered);
+              });
+  }
+}
+
+// This entry may be the one that is cut off, so others are asked whether they reach the owner.
+template <site_platform Platform>
+void site_node<Platform>::ConfirmSuspicion(uint64_t epoch) {
+  if (std::exchange(confirming_suspicion_, true)) return;
+  log_.Write(site_event::kOwnerSuspected, BootNow(),
+             absl::StrCat("epoch=", epoch, " only_silent=", owner_detector_.OnlyTimeouts()));
+  const std::vector<site_entry> others = PeersOfAllDomains(kMaxPeersQueried, false);
   if (others.empty()) {
     confirming_suspicion_ = false;
     return;
--- a/src/process/site/site_platform.h
+++ b/src/process/site/site_platform.h
@@ -80,6 +80,8 @@
   // Of all that operators write: the configuration and the evacuations.
   { Platform::kOperatorKeyPrefix } -> std::convertible_to<std::string>;
   { Platform::kInstanceKeyPrefix } -> std::convertible_to<std::string>;
+  // Header of callers' calls: how long, in milliseconds, they wait for a response.
+  { Platform::kCallerTimeoutHeader } -> std::convertible_to<std::string>;
   { Platform::kMaxEntriesPerChange } -> std::convertible_to<size_t>;
   {
     Platform::DecodeVersion(view)
--- a/src/process/site/store_health.cc
+++ b/src/process/site/store_health.cc
@@ -31,9 +31,10 @@
   const auto found = pending_.find(call);
   if (found == pending_.end()) return;
   const std::chrono::duration<double, std::milli> took = now - found->second;
+  const monotonic_time sent = found->second;
   pending_.erase(found);
   if (!success) {
-    ++consecutive_failures_;
+    if (++consecutive_failures_ == 1) first_failure_sent_ = sent;
     return;
   }
   consecutive_failures_ = 0;
@@ -54,6 +55,13 @@
   return store_state::kUp;
 }
 
+std::optional<monotonic_time> store_health::TroubleSince(monotonic_time now) const {
+  if (State(now) == store_state::kUp) return std::nullopt;
+  if (consecutive_failures_ > 0) return first_failure_sent_;
+  const auto oldest = pending_.upper_bound(last_success_);
+  return oldest == pending_.end() ? std::nullopt : std::optional(oldest->second);
+}
+
 std::chrono::seconds store_health::RetryAfter(monotonic_time now) const {
   if (last_success_at_ == monotonic_time::max()) return kMinRetryAfter;
   return std::clamp(std::chrono::round<std::chrono::seconds>(now - last_success_at_),
--- a/src/process/site/store_health.h
+++ b/src/process/site/store_health.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include "process/site/event_loop.h"
 
@@ -32,6 +33,9 @@
   void Answered(uint64_t call, bool success, monotonic_time now);
 
   store_state State(monotonic_time now) const;
+  // When the call was sent that has been without success longest, if it waits for longer than usual
+  // or has failed.
+  std::optional<monotonic_time> TroubleSince(monotonic_time now) const;
   // Retry-After for callers that are rejected now. Grows with the duration of the outage, which is
   // expected to last about as long again: callers have few retries, and with a fixed second they
   // would use all of them in an outage of four seconds.
@@ -44,8 +48,9 @@
   uint64_t last_call_ = 0;
   uint64_t last_success_ = 0;  // the newest call that succeeded
   monotonic_time last_success_at_ =
-      monotonic_time::max();           // time of the last successful reply; max(): none
-  uint32_t consecutive_failures_ = 0;  // failed calls since the last success
+      monotonic_time::max();             // time of the last successful reply; max(): none
+  uint32_t consecutive_failures_ = 0;    // failed calls since the last success
+  monotonic_time first_failure_sent_{};  // the first of them
   std::chrono::duration<double, std::milli> latency_{0};
 };
 
