Records of jobs that have ended are stored before those of jobs that go on

While the store was slow, callers of completed jobs waited for several changes: a change holds 27 records, a hundred jobs change in the meantime, and theirs came in the order of the changes. Those that completed or failed by themselves come first now, those with planned starts second.

--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -232,13 +232,15 @@
 }
 
 void job_scheduler::HurryRecord(job_entry& entry) {
-  if (!unstored_starts_.empty() && unstored_starts_.back() == &entry) return;
-  unstored_starts_.push_back(&entry);
+  const bool awaited = IsFinal(entry.phase) && entry.phase != graph_phase::kCancelled;
+  std::deque<job_entry*>& queue = awaited ? unstored_final_ : unstored_starts_;
+  if (!queue.empty() && queue.back() == &entry) return;
+  queue.push_back(&entry);
   ++entry.queued_to_store;
 }
 
 job_entry* job_scheduler::NextUnstored() {
-  for (std::deque<job_entry*>* queue : {&unstored_starts_, &unstored_}) {
+  for (std::deque<job_entry*>* queue : {&unstored_final_, &unstored_starts_, &unstored_}) {
     while (!queue->empty()) {
       job_entry* const entry = queue->front();
       queue->pop_front();
@@ -284,6 +286,7 @@
   entry.finished_at = now;
   MarkChanged(entry);
   entry.final_change = entry.change;
+  if (phase != graph_phase::kCancelled) HurryRecord(entry);
   active_.erase(std::remove(active_.begin(), active_.end(), &entry), active_.end());
   running_.erase(entry.number);
   oversized_.erase(entry.number);
@@ -334,10 +337,7 @@
     if (found == jobs_.end()) continue;
     job_entry& entry = *found->second;
     // Still the newest change: queue it again. A newer one has queued itself.
-    if (entry.change == write.change) {
-      unstored_starts_.push_back(&entry);
-      ++entry.queued_to_store;
-    }
+    if (entry.change == write.change) HurryRecord(entry);
     entry.being_stored = entry.stored;
   }
 }
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -183,7 +183,7 @@
  private:
   // job_scheduler.cc
   void MarkChanged(job_entry& entry);
-  // A start waits until the job's record is stored.
+  // A caller waits until the job's final phase is stored, or a start until its record is.
   void HurryRecord(job_entry& entry);
   // The next job whose record is to be stored; null if there is none.
   job_entry* NextUnstored();
@@ -468,8 +468,9 @@
   absl::flat_hash_set<std::string> unidentified_jobs_;
   std::vector<std::string> lookups_to_send_;
   std::deque<std::string> final_;  // in the order in which they ended
-  // Changed since they were last taken, oldest first. Those with planned starts are in the first
-  // queue, possibly in both.
+  // Changed since they were last taken, oldest first. Those that ended by themselves are in the
+  // first queue, those with planned starts in the second; each may be in several.
+  std::deque<job_entry*> unstored_final_;
   std::deque<job_entry*> unstored_starts_;
   std::deque<job_entry*> unstored_;
   std::deque<planned_start> planned_;
