--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -79,6 +79,9 @@
   static constexpr std::chrono::milliseconds kPeerStall{1000};
   // An advice request may take this much longer than the time that its policy states.
   static constexpr std::chrono::milliseconds kAdviceSlack{900};
+  // An urgent one is asked again through another entry before that.
+  static constexpr std::chrono::milliseconds kUrgentAdviceSlack{150};
+  static constexpr std::chrono::milliseconds kUrgentPeerTimeout{100};
   // The store counts as reachable at a peer that got an answer from it within this time.
   static constexpr std::chrono::milliseconds kMaxReachableStoreAge{900};
 
@@ -1064,7 +1067,7 @@
 void site_node<Platform>::RequestAdvice(const dispatched_query& next) {
   const auto order = std::make_shared<const advice_query>(next.query);
   const std::string& entry = next.entry;
-  const auto timeout = order->expected + kAdviceSlack;
+  const auto timeout = order->expected + (order->urgent ? kUrgentAdviceSlack : kAdviceSlack);
   const monotonic_time asked = BootNow();
   const auto finish = [this, order, entry, queued = next.queued,
                        asked](const advice_answer& answer) {
@@ -1091,7 +1094,7 @@
   call.method = "POST";
   call.url = absl::StrCat("http://", found->second.address, kPeerAdvisePath);
   call.body = PeerAdviceRequestToText({*order, timeout, budget_.LinkBusy()});
-  call.timeout = timeout + kPeerTimeout;
+  call.timeout = timeout + (order->urgent ? kUrgentPeerTimeout : kPeerTimeout);
   peer_client_.Send(std::move(call), [this, finish](http_result result) {
     loop_.Post([finish, result = std::move(result)] {
       const bool good = result.status == transfer_status::kDone && result.code == http_status::kOk;
