catkinford explain: where the time of late jobs went

Reads the log of a site's entries: a table of the stages of late jobs by two seconds and priority, worst first, or the events of one job in order.

--- a/src/process/command_line.cc
+++ b/src/process/command_line.cc
@@ -22,7 +22,7 @@
   const char* example;
 };
 
-constexpr std::array<command_info, 21> kCommands = {{
+constexpr std::array<command_info, 22> kCommands = {{
     {"submit", "KIND | FILE", 1, 1, &RunSubmit,
      "Submits one job of a kind (interactive, service, batch, gang) with the flags --tasks, "
      "--cpu_milli,\n"
@@ -114,6 +114,15 @@
      "file in the Chrome trace format. --id keeps the events of one request.",
      "catkinford timeline --entry http://10.0.0.1:8080,http://10.0.0.2:8080 --out trace.json\n"
      "catkinford timeline --id 0123456789abcdef0123456789abcdef"},
+    {"explain", "LOG [ID]", 1, 2, &RunExplain,
+     "Shows where the time of late jobs went, from the log of the entries of a site (- is standard "
+     "input):\n"
+     "a row for each two seconds and priority with the mean time in each stage, those with most "
+     "late "
+     "jobs\n"
+     "first. With the id of a job, the events of that job in order.",
+     "catkinford explain site.log\n"
+     "catkinford explain site.log e2f13fd7b17cd0e7"},
     {"check-config", "settings FILE | contracts FILE", 2, 2, &RunCheckConfig,
      "Checks a settings file of the daemon, or a contracts file. Each kind of settings error has "
      "an "
--- a/src/process/commands.h
+++ b/src/process/commands.h
@@ -70,6 +70,7 @@
 int RunDomainEvacuate(command_context& context, const command_arguments& arguments);
 int RunMembers(command_context& context, const command_arguments& arguments);
 int RunTimeline(command_context& context, const command_arguments& arguments);
+int RunExplain(command_context& context, const command_arguments& arguments);
 int RunCheckConfig(command_context& context, const command_arguments& arguments);
 
 }  // namespace catkinford
--- a/src/process/operator_commands.cc
+++ b/src/process/operator_commands.cc
@@ -1,9 +1,13 @@
+#include <chrono>
 #include <fstream>
+#include <map>
 #include <string>
+#include <string_view>
 
 #include "absl/strings/str_cat.h"
 #include "process/config_change.h"
 #include "process/settings.h"
+#include "process/stage_report.h"
 #include "process/timeline_merge.h"
 
 namespace catkinford {
@@ -223,4 +227,27 @@
       [] { return static_cast<int>(exit_code::kUsage); });
 }
 
+int RunExplain(command_context& context, const command_arguments& arguments) {
+  const auto text = ReadFile(context, arguments[0]);
+  if (!text) return static_cast<int>(exit_code::kNotFound);
+  constexpr std::chrono::milliseconds kPeriod{2000};
+  stage_report report(kPeriod);
+  std::multimap<std::chrono::milliseconds, std::string_view> story;
+  for (const std::string_view line : SplitNonEmpty(*text, '\n')) {
+    const auto event = ParseLogEvent(line);
+    if (!event) continue;
+    if (arguments.size() == 1) {
+      report.Add(*event);
+    } else if (event->Field("id").starts_with(arguments[1])) {
+      story.emplace(event->time, line);
+    }
+  }
+  if (arguments.size() == 1) {
+    context.out << report.ToText();
+    return static_cast<int>(report.Rows().empty() ? exit_code::kNotFound : exit_code::kDone);
+  }
+  for (const auto& [time, line] : story) context.out << line << "\n";
+  return static_cast<int>(story.empty() ? exit_code::kNotFound : exit_code::kDone);
+}
+
 }  // namespace catkinford
