A finished occurrence is not opened again by what is listed of it

Found by reading the change: what opens an occurrence of which a run or an end is listed checked whether it is finished by a copy of the check that opens due ones, and the copy left out the occurrences below the lowest open one. An occurrence that ended before it was due here, and of which another end was listed, was made anew and its tasks started a second time when it became due. Both places ask IsFinished() now.

Test: "takeover, finished occurrence that is not due, another end, does not run again" started a task before, and starts none now.

--- a/src/process/scheduling/graph_state.cc
+++ b/src/process/scheduling/graph_state.cc
@@ -236,6 +236,11 @@
                        entry.finished.begin() + static_cast<std::ptrdiff_t>(used));
 }
 
+bool IsFinished(const job_entry& entry, uint32_t number) {
+  return number < entry.done_below ||
+         std::find(entry.finished.begin(), entry.finished.end(), number) != entry.finished.end();
+}
+
 bool HasOpenRuns(const job_entry& entry) {
   return std::any_of(entry.occurrences.begin(), entry.occurrences.end(),
                      [](const auto& item) { return HasOpenRuns(*item.second); });
--- a/src/process/scheduling/graph_state.h
+++ b/src/process/scheduling/graph_state.h
@@ -186,6 +186,7 @@
                                                  monotonic_time now);
 // Marks an occurrence as done and drops its tasks.
 void FinishOccurrence(job_entry& entry, uint32_t number);
+bool IsFinished(const job_entry& entry, uint32_t number);
 
 // True if a run of the job may still exist.
 bool HasOpenRuns(const job_entry& entry);
--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -155,22 +155,16 @@
       break;
     }
     ++entry.next_occurrence;
-    const bool finished =
-        number < entry.done_below ||
-        std::find(entry.finished.begin(), entry.finished.end(), number) != entry.finished.end();
-    if (finished) continue;
-    if (!entry.occurrences.contains(number)) {
-      entry.occurrences[number] = MakeOccurrence(entry.job, number, now);
-    }
+    if (IsFinished(entry, number) || entry.occurrences.contains(number)) continue;
+    entry.occurrences[number] = MakeOccurrence(entry.job, number, now);
   }
   RefreshReady(entry, now);
 }
 
 void job_scheduler::OpenSeen(job_entry& entry, uint32_t number, monotonic_time now) {
   const bool later = number >= entry.next_occurrence && number < entry.job.Occurrences();
-  const auto& finished = entry.finished;
-  const bool done = std::find(finished.begin(), finished.end(), number) != finished.end();
-  if (IsFinal(entry.phase) || !later || done || entry.occurrences.contains(number)) return;
+  if (IsFinal(entry.phase) || !later) return;
+  if (IsFinished(entry, number) || entry.occurrences.contains(number)) return;
   entry.occurrences[number] = MakeOccurrence(entry.job, number, now);
 }
 
--- a/test/takeover_knowledge_test.cc
+++ b/test/takeover_knowledge_test.cc
@@ -157,6 +157,24 @@
   CHECK(Started().empty());
 }
 
+// Guards against a second run after an end `done`: the occurrence was finished before it is due here,
+// and a late end of another run of it is listed.
+TEST_CASE_METHOD(takeover_fixture,
+                 "takeover, finished occurrence that is not due, another end, does not run again") {
+  List("silent", {});
+  graph_job job = Job(1, {Tasks(1, 1000, seconds(60))});
+  job.repeats = 2;
+  job.interval = seconds(100);
+  job.first_run = Wall() + seconds(1);
+  Inherit(job);
+  ended_row second = Ended(1, run_end::kStopped);
+  second.number = 2;
+  second.run = 2;
+  List("listed", {}, {Ended(1, run_end::kDone), second});
+  now += seconds(2);
+  CHECK(Started().empty());
+}
+
 // Guards against occurrences that wait until the last one of their job is due.
 TEST_CASE_METHOD(takeover_fixture, "takeover, first of two occurrences due, starts") {
   List("silent", {});
