--- a/src/process/operator_commands.cc
+++ b/src/process/operator_commands.cc
@@ -1,8 +1,8 @@
 #include <chrono>
 #include <fstream>
 #include <map>
+#include <sstream>
 #include <string>
-#include <string_view>
 
 #include "absl/strings/str_cat.h"
 #include "process/config_change.h"
@@ -232,8 +232,9 @@
   if (!text) return static_cast<int>(exit_code::kNotFound);
   constexpr std::chrono::milliseconds kPeriod{2000};
   stage_report report(kPeriod);
-  std::multimap<std::chrono::milliseconds, std::string_view> story;
-  for (const std::string_view line : SplitNonEmpty(*text, '\n')) {
+  std::multimap<std::chrono::milliseconds, std::string> story;
+  std::istringstream lines(*text);
+  for (std::string line; std::getline(lines, line);) {
     const auto event = ParseLogEvent(line);
     if (!event) continue;
     if (arguments.size() == 1) {
--- a/src/process/stage_report.h
+++ b/src/process/stage_report.h
@@ -17,19 +17,17 @@
 
 namespace catkinford {
 
-// One event of the log. Views point into the line.
+// One event of the log.
 struct log_event {
   std::chrono::milliseconds time{0};  // of the day
   uint32_t number = 0;
-  std::vector<std::pair<std::string_view, std::string_view>> fields;
+  std::vector<std::pair<std::string, std::string>> fields;
 
-  std::string_view Field(std::string_view name) const;  // empty if absent
-  int64_t Number(std::string_view name) const;          // 0 if absent or no number
+  std::string Field(std::string_view name) const;  // empty if absent
+  int64_t Number(std::string_view name) const;     // 0 if absent or no number
 };
-// The parts between separators, without empty ones. Views point into `text`.
-std::vector<std::string_view> SplitNonEmpty(std::string_view text, char separator);
 // Nothing for a line that holds no event.
-std::optional<log_event> ParseLogEvent(std::string_view line);
+std::optional<log_event> ParseLogEvent(const std::string& line);
 
 // The stages of a job in the order in which it passes them; names as in event 621.
 inline constexpr std::array<std::string_view, 7> kStageFields = {
