--- a/src/process/site/version_follower.h
+++ b/src/process/site/version_follower.h
@@ -200,7 +200,7 @@
         const auto name = Platform::DecodeEvacuation(item.key);
         if (name && evacuated_.Apply(*name, !item.deleted, item.revision)) changed = true;
       }
-      evacuated_.Replace(evacuated_.Names(), reply.revision);
+      evacuated_.Advance(reply.revision);
     }
     if (changed) OnEvacuationsChanged(NameOf(query.call));
   }
--- a/src/version/evacuated_domains.cc
+++ b/src/version/evacuated_domains.cc
@@ -1,5 +1,6 @@
 #include "version/evacuated_domains.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace catkinford {
@@ -19,4 +20,6 @@
   return names_.erase(name) > 0;
 }
 
+void evacuated_domains::Advance(uint64_t revision) { revision_ = std::max(revision_, revision); }
+
 }  // namespace catkinford
--- a/src/version/evacuated_domains.h
+++ b/src/version/evacuated_domains.h
@@ -18,6 +18,9 @@
   // The domain was closed, or opened again, at `revision`. Returns true if the list has changed.
   bool Apply(const std::string& name, bool evacuated, uint64_t revision);
 
+  // Nothing else has changed up to `revision`.
+  void Advance(uint64_t revision);
+
   const std::set<std::string>& Names() const { return names_; }
   uint64_t Revision() const { return revision_; }  // of the store, as of which the list is complete
 
