One piece of code asks several entries and waits for all of them

The check of a silent owner, the owner's poll about the store and the question where the store does not answer each counted their answers by themselves. No behaviour changes.

--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -123,6 +123,14 @@
   void OnViewChanged();
   void QueryPeer(const site_entry& peer, const std::string& path_and_query, peer_callback done,
                  byte_counter received_bytes = nullptr);
+  struct peer_answer {
+    site_entry peer;
+    std::optional<std::string> text;  // none: it did not answer
+    monotonic_time at{};
+  };
+  // Queries several entries; `done` runs when each has answered or timed out.
+  void QueryPeers(const std::vector<site_entry>& peers, const std::string& path_and_query,
+                  std::function<void(const std::vector<peer_answer>&)> done);
   void NotifyOwner(const std::string& path_and_query, const std::string& body);
   const site_entry* Owner() const;
   void PhaseFromOwner(const std::string& job, std::function<void(std::optional<graph_phase>)> done);
@@ -713,21 +721,17 @@
 template <site_platform Platform>
 void site_node<Platform>::AskAboutOutage(monotonic_time now) {
   if (!outage_.ShouldAsk(store_health_.TroubleSince(now), now)) return;
-  const std::vector<site_entry> others = PeersOfAllDomains(kMaxPeersQueried, true);
-  if (others.empty()) return outage_.OnAnswers({}, now);
-  auto answers = std::make_shared<std::vector<outage_answer>>();
-  for (const site_entry& other : others) {
-    const bool other_domain = other.failure_domain != settings_.failure_domain;
-    QueryPeer(other, kPeerStorePath,
-              [this, answers, other_domain,
-               count = others.size()](const std::optional<std::string>& text) {
-                const monotonic_time answered = BootNow();
-                const auto health = text ? PeerHealthFromText(*text) : std::nullopt;
-                answers->push_back({other_domain, std::nullopt});
-                if (health) answers->back().store_answered = answered - health->store_age;
-                if (answers->size() == count) outage_.OnAnswers(*answers, answered);
-              });
-  }
+  const auto judge = [this](const std::vector<peer_answer>& answers) {
+    std::vector<outage_answer> reports;
+    for (const peer_answer& answer : answers) {
+      const bool other_domain = answer.peer.failure_domain != settings_.failure_domain;
+      const auto health = answer.text ? PeerHealthFromText(*answer.text) : std::nullopt;
+      reports.push_back({other_domain, std::nullopt});
+      if (health) reports.back().store_answered = answer.at - health->store_age;
+    }
+    outage_.OnAnswers(reports, BootNow());
+  };
+  QueryPeers(PeersOfAllDomains(kMaxPeersQueried, true), kPeerStorePath, judge);
 }
 
 // This entry may be the one that is cut off, so others are asked whether they reach the owner.
@@ -741,22 +745,18 @@
     confirming_suspicion_ = false;
     return;
   }
-  auto answers = std::make_shared<std::vector<liveness>>();
-  auto remaining = std::make_shared<size_t>(others.size());
-  for (const site_entry& other : others) {
-    QueryPeer(other, kPeerLookPath,
-              [this, answers, remaining, epoch](const std::optional<std::string>& text) {
-                const auto seen = text ? OwnerLivenessFromText(*text) : std::nullopt;
-                if (seen) answers->push_back(*seen);
-                if (--*remaining > 0) return;
-                confirming_suspicion_ = false;
-                const bool shared = SuspicionConfirmed(*answers);
-                log_.Write(site_event::kOwnerSuspected, BootNow(),
-                           absl::StrCat("epoch=", epoch, " answers=", answers->size(),
-                                        " shared=", shared));
-                if (shared && !stopping_) membership_.ClaimFrom(epoch);
-              });
-  }
+  QueryPeers(others, kPeerLookPath, [this, epoch](const std::vector<peer_answer>& answers) {
+    std::vector<liveness> seen;
+    for (const peer_answer& answer : answers) {
+      const auto owner = answer.text ? OwnerLivenessFromText(*answer.text) : std::nullopt;
+      if (owner) seen.push_back(*owner);
+    }
+    confirming_suspicion_ = false;
+    const bool shared = SuspicionConfirmed(seen);
+    log_.Write(site_event::kOwnerSuspected, BootNow(),
+               absl::StrCat("epoch=", epoch, " answers=", seen.size(), " shared=", shared));
+    if (shared && !stopping_) membership_.ClaimFrom(epoch);
+  });
 }
 
 template <site_platform Platform>
@@ -929,6 +929,21 @@
   });
 }
 
+template <site_platform Platform>
+void site_node<Platform>::QueryPeers(const std::vector<site_entry>& peers,
+                                     const std::string& path_and_query,
+                                     std::function<void(const std::vector<peer_answer>&)> done) {
+  if (peers.empty()) return done({});
+  auto answers = std::make_shared<std::vector<peer_answer>>();
+  for (const site_entry& peer : peers) {
+    QueryPeer(peer, path_and_query,
+              [answers, peer, done, count = peers.size()](const std::optional<std::string>& text) {
+                answers->push_back({peer, text, BootNow()});
+                if (answers->size() == count) done(*answers);
+              });
+  }
+}
+
 template <site_platform Platform>
 void site_node<Platform>::NotifyOwner(const std::string& path_and_query, const std::string& body) {
   const site_entry* owner = Owner();
@@ -1016,40 +1031,31 @@
 
 template <site_platform Platform>
 void site_node<Platform>::PollPeersOnOutage(const std::function<void(outage_verdict)>& done) {
-  struct poll {
-    size_t remaining = 0;
-    size_t answered = 0;
-    size_t asked = 0;
-    bool up_elsewhere = false;
-    bool other_owner = false;
-  };
-  auto asked = std::make_shared<poll>();
   const uint64_t epoch = membership_.Epoch();
+  std::vector<site_entry> others;
   for (const auto& [name, entry] : membership_.View().entries) {
-    if (name != settings_.name) ++asked->remaining;
-  }
-  asked->asked = asked->remaining;
-  if (asked->remaining == 0) return done(outage_verdict::kSomeSilent);
-  for (const auto& [name, entry] : membership_.View().entries) {
-    if (name == settings_.name) continue;
-    QueryPeer(
-        entry, kPeerHealthPath, [this, asked, epoch, done](const std::optional<std::string>& text) {
-          const auto health = text ? PeerHealthFromText(*text) : std::nullopt;
-          if (health) {
-            ++asked->answered;
-            asked->up_elsewhere = asked->up_elsewhere || health->store_age < kMaxReachableStoreAge;
-            asked->other_owner = asked->other_owner || health->epoch > epoch;
-          }
-          if (--asked->remaining > 0) return;
-          if (asked->other_owner) return done(outage_verdict::kOtherOwner);
-          if (asked->up_elsewhere) return done(outage_verdict::kUpElsewhere);
-          // A silent peer may reach the store. A failure domain that is cut off reaches only its
-          // own entries, and all of those are cut off from the store too.
-          if (asked->answered < asked->asked) return done(outage_verdict::kSomeSilent);
-          outage_confirmed_at_ = BootNow();
-          done(outage_verdict::kDownForAll);
-        });
+    if (name != settings_.name) others.push_back(entry);
   }
+  if (others.empty()) return done(outage_verdict::kSomeSilent);
+  QueryPeers(others, kPeerHealthPath, [this, epoch, done](const std::vector<peer_answer>& answers) {
+    size_t answered = 0;
+    bool up_elsewhere = false;
+    bool other_owner = false;
+    for (const peer_answer& answer : answers) {
+      const auto health = answer.text ? PeerHealthFromText(*answer.text) : std::nullopt;
+      if (!health) continue;
+      ++answered;
+      up_elsewhere = up_elsewhere || health->store_age < kMaxReachableStoreAge;
+      other_owner = other_owner || health->epoch > epoch;
+    }
+    if (other_owner) return done(outage_verdict::kOtherOwner);
+    if (up_elsewhere) return done(outage_verdict::kUpElsewhere);
+    // A silent peer may reach the store. A failure domain that is cut off reaches only its own
+    // entries, and all of those are cut off from the store too.
+    if (answered < answers.size()) return done(outage_verdict::kSomeSilent);
+    outage_confirmed_at_ = BootNow();
+    done(outage_verdict::kDownForAll);
+  });
 }
 
 template <site_platform Platform>
