Shared checks of where starts may go and of runs that vanished; no work twice in a round

- what closes an instance to starts stood in two lists, to each of which the evacuation had added its line;
- a run that ended unheard of was logged, released and its gang broken in two loops;
- an instance's closed domain was looked up when it was made and again by its first report;
- what an earlier owner may use is counted only while records are incomplete: nothing reads it after;

--- a/src/process/scheduling/fleet_state.cc
+++ b/src/process/scheduling/fleet_state.cc
@@ -35,6 +35,11 @@
   return "none";
 }
 
+bool fleet_instance::OpenToStarts() const {
+  if (!present || !listed || unidentified_runs > 0 || report_outdated) return false;
+  return !domain_evacuated && !report.draining && !suspect && Reachable();
+}
+
 resources fleet_instance::Free() const {
   resources out;
   out.cpu_milli = Remaining(report.capacity.cpu_milli, used.cpu_milli);
--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -157,6 +157,9 @@
   uint32_t faults = 0;  // consecutive failed runs
 
   bool Reachable() const { return silent == 0; }
+  // True if starts may be sent there: it is known and answers, and neither the instance itself nor
+  // operators have closed it to new work.
+  bool OpenToStarts() const;
   // True if the instance runs or may get work: all except those that do not answer and have no runs
   // left, and those that left the registry and have no runs. If an instance that has left for good
   // counted as in use, the next owner would wait for its leases before it starts inherited work.
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -303,6 +303,8 @@
   void ExpectLateStart(fleet_instance& instance, const undelivered_start& start,
                        monotonic_time now);
   void DropExpired(monotonic_time now);
+  // The run has ended unheard of: releases it and stops the rest of its gang.
+  void ReleaseVanished(graph_run& run, const char* reason, monotonic_time now);
   // Releases all runs of the instance; none is left there.
   void DropRuns(fleet_instance& instance, const char* reason, monotonic_time now);
   static void RememberUndelivered(const graph_run& run, monotonic_time now);
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -78,16 +78,7 @@
   for (const auto& run : instance.runs) {
     if (run->listed && run->job != nullptr) ended.push_back(run.get());
   }
-  for (graph_run* run : ended) {
-    job_entry& job = *run->job;
-    const task_key key = run->key;
-    const uint32_t number = run->number;
-    LogEvent(scheduler_event::kind::kRunVanished, key.job,
-             absl::StrCat("step=", key.step, " index=", key.index, " run=", number,
-                          " instance=", instance.report.id, " restarted"));
-    Release(*run, now);
-    if (!IsFinal(job.phase) && job.job.steps[key.step].gang) BreakGang(job, key, number, now);
-  }
+  for (graph_run* run : ended) ReleaseVanished(*run, "restarted", now);
 }
 
 // Adds a run for a start that may still arrive: its task starts nowhere else until it is stopped.
@@ -116,7 +107,6 @@
   slot->report = report;
   slot->ordinal = ++last_ordinal_;
   slot->service = ServiceOrdinal(report.service);
-  slot->domain_evacuated = evacuated_.contains(report.failure_domain);
   slot->next_listing = now;
   latest_round_at_ = {};
   by_ordinal_.resize(last_ordinal_ + 1);
@@ -259,19 +249,20 @@
 
 void job_scheduler::DropRuns(fleet_instance& instance, const char* reason, monotonic_time now) {
   instance.lease_unknown = false;
-  while (!instance.runs.empty()) {
-    graph_run& run = *instance.runs.front();
-    job_entry* job = run.job;
-    const task_key key = run.key;
-    const uint32_t number = run.number;
-    LogEvent(scheduler_event::kind::kRunVanished, key.job,
-             absl::StrCat("step=", key.step, " index=", key.index, " run=", run.number,
-                          " instance=", instance.report.id, " ", reason));
-    if (!run.seen && run.phase != run_phase::kPlanned) RememberUndelivered(run, now);
-    Release(run, now);
-    if (job != nullptr && !IsFinal(job->phase) && job->job.steps[key.step].gang) {
-      BreakGang(*job, key, number, now);
-    }
+  while (!instance.runs.empty()) ReleaseVanished(*instance.runs.front(), reason, now);
+}
+
+void job_scheduler::ReleaseVanished(graph_run& run, const char* reason, monotonic_time now) {
+  job_entry* job = run.job;
+  const task_key key = run.key;
+  const uint32_t number = run.number;
+  LogEvent(scheduler_event::kind::kRunVanished, key.job,
+           absl::StrCat("step=", key.step, " index=", key.index, " run=", number,
+                        " instance=", run.instance->report.id, " ", reason));
+  if (!run.seen && run.phase != run_phase::kPlanned) RememberUndelivered(run, now);
+  Release(run, now);
+  if (job != nullptr && !IsFinal(job->phase) && job->job.steps[key.step].gang) {
+    BreakGang(*job, key, number, now);
   }
 }
 
--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -99,11 +99,8 @@
 }
 
 bool job_scheduler::AcceptsWork(const fleet_instance& instance, monotonic_time now) {
-  if (!instance.present || !instance.listed || !instance.registered) return false;
-  if (instance.unidentified_runs > 0 || instance.report_outdated) return false;
-  if (instance.domain_evacuated) return false;
-  if (instance.report.draining || instance.suspect || instance.replaced) return false;
-  if (!instance.Reachable() || now < instance.quarantined_until) return false;
+  if (!instance.OpenToStarts() || !instance.registered || instance.replaced) return false;
+  if (now < instance.quarantined_until) return false;
   return now - instance.clock_at <= kMaxClockAge;
 }
 
@@ -313,7 +310,7 @@
 void job_scheduler::Place(const std::vector<ready_step>& steps, monotonic_time now) {
   if (!inheritance_settled_) {
     inheritance_settled_ = InheritanceSettled(now);
-    CountPossibleRuns();
+    if (!records_complete_) CountPossibleRuns();
   }
   ResetReservations();
   for (const ready_step& ready : steps) {
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -115,12 +115,8 @@
 // The conditions may have changed since the start was decided on, while its record was stored.
 bool job_scheduler::StillValid(const start_command& request, const fleet_instance& instance,
                                monotonic_time now) const {
-  const instance_report& report = instance.report;
-  if (report.incarnation != request.to.incarnation || !instance.listed) return false;
-  if (instance.unidentified_runs > 0 || instance.report_outdated) return false;
-  if (instance.domain_evacuated) return false;
-  if (!instance.present || report.draining || !instance.Reachable()) return false;
-  if (instance.suspect) return false;
+  if (instance.report.incarnation != request.to.incarnation) return false;
+  if (!instance.OpenToStarts()) return false;
   if (request.ticket.empty()) return true;
   const auto found = jobs_.find(request.key.job);
   if (found == jobs_.end()) return false;
