--- a/test/takeover_knowledge_test.cc
+++ b/test/takeover_knowledge_test.cc
@@ -157,8 +157,8 @@
   CHECK(Started().empty());
 }
 
-// Guards against a second run after an end `done`: the occurrence was finished before it is due here,
-// and a late end of another run of it is listed.
+// Guards against a second run after an end `done`: the occurrence was finished before it is due
+// here, and a late end of another run of it is listed.
 TEST_CASE_METHOD(takeover_fixture,
                  "takeover, finished occurrence that is not due, another end, does not run again") {
   List("silent", {});
