--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -312,10 +312,9 @@
 }
 
 // Steps that wait for an instance, at most a fixed number per service. Steps that could not start
-// even if all capacity were free do not count: those whose workspace is at its limit. (Those too
-// large for any instance of their service are not among the ready steps.) With a single queue, jobs
-// of a full service or of a workspace at its limit would fill it, and no step behind them would
-// ever be queried.
+// even if all capacity were free do not count: those whose workspace is at its limit, and those too
+// large for any instance of their service. With a single queue, jobs of a full service or of a
+// workspace at its limit would fill it, and no step behind them would ever be queried.
 std::vector<ready_step> job_scheduler::StepsToQuery(
     const std::vector<ready_step>& ready_steps) const {
   std::vector<ready_step> out;
@@ -325,7 +324,7 @@
     const step_spec& terms = entry.job.steps[ready.index];
     if (ready.occurrence->steps[ready.index].waiting == 0) continue;
     if (!TermsOf(entry).needs_advice || taken[entry.service] >= kMaxStepsPerService) continue;
-    if (!WithinLimit(entry, terms.need)) continue;
+    if (!WithinLimit(entry, terms.need) || !AnyCouldHold(TermsOf(entry).service, terms)) continue;
     ++taken[entry.service];
     out.push_back(ready);
   }
