--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -153,7 +153,6 @@
   monotonic_time listing_sent{};  // when that listing was requested
   uint64_t listing_number = 0;    // of the latest listing; an earlier one may have timed out
 
-  double speed = 1;     // learned: expected over actual run time
   uint32_t faults = 0;  // consecutive failed runs
 
   bool Reachable() const { return silent == 0; }
--- a/src/process/scheduling/graph_state.h
+++ b/src/process/scheduling/graph_state.h
@@ -15,6 +15,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "process/scheduling/job_order.h"
 #include "process/scheduling/job_stages.h"
+#include "process/speed/instance_speed.h"
 #include "request/job_request.h"
 #include "request/step_graph.h"
 
@@ -129,9 +130,10 @@
   std::optional<queue_position> queued;
   uint64_t looked_at_round = 0;  // by the ready queue
   step_advice advice;
-  // Actual run times of the step's tasks, which are alike.
+  // Run times of the step's tasks, which are alike, at the usual speed.
   std::chrono::milliseconds run_time_sum{0};
   uint32_t run_time_count = 0;
+  std::vector<task_run_time> run_times;  // of undisturbed runs, until the step is done
   // Reservations for the step's waiting tasks; valid in the round `reserved_round` only.
   std::vector<capacity_reservation> reserved;
   uint64_t reserved_round = 0;
--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -1,8 +1,10 @@
 #include "process/scheduling/job_scheduler.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 
 namespace catkinford {
 namespace {
@@ -12,7 +14,6 @@
 
 // Objectives allow for one policy query a step, about this many instances.
 constexpr int64_t kTypicalQueryInstances = 30;
-constexpr double kSpeedDecay = 0.8;   // weight of the past in an instance's learned speed
 constexpr size_t kMaxEvents = 20000;  // between two calls of TakeEvents(); further ones are dropped
 
 // When the next occurrence that is not open is due.
@@ -93,6 +94,14 @@
   return run_times_.Expected(entry.job.queue, entry.job.steps[index].estimate);
 }
 
+milliseconds job_scheduler::ExpectedRunOn(const fleet_instance& instance, const job_entry& entry,
+                                          const step_progress& step, uint32_t index) const {
+  const double slowness = speeds_.Slowness(instance.ordinal);
+  const milliseconds usual = ExpectedRun(entry, step, index);
+  if (slowness == 1) return usual;
+  return milliseconds(std::llround(static_cast<double>(usual.count()) * slowness));
+}
+
 // The objective depends on actual run times, which become known step by step.
 void job_scheduler::SetObjective(job_entry& entry) {
   const queue_config* queue = entry.queue;
@@ -130,13 +139,16 @@
   if (run.inherited || run.resumed || run.speed_percent != 100) return;
   const step_spec& terms = entry.job.steps[run.key.step];
   const auto took = std::max(milliseconds{1}, duration_cast<milliseconds>(now - run.started));
-  const auto expected = ExpectedRun(entry, step, run.key.step);
-  double& speed = run.instance->speed;
-  speed = kSpeedDecay * speed + (1 - kSpeedDecay) * static_cast<double>(expected.count()) /
-                                    static_cast<double>(took.count());
-  run_times_.OnRun(entry.job.queue, terms.estimate, took, 1.0 / terms.count);
-  step.run_time_sum += took;
+  const double slowness = speeds_.Slowness(run.instance->ordinal);
+  const auto usual = std::max(
+      milliseconds{1}, milliseconds(std::llround(static_cast<double>(took.count()) / slowness)));
+  run_times_.OnRun(entry.job.queue, terms.estimate, usual, 1.0 / terms.count);
+  step.run_time_sum += usual;
   ++step.run_time_count;
+  // Members of a gang end together, whatever the speed of each.
+  if (options_.instance_speed && !terms.gang && !terms.fills) {
+    step.run_times.push_back({run.instance->ordinal, took});
+  }
 }
 
 // Uses the time at which the job was accepted, so that the next owner computes the same.
@@ -387,9 +399,28 @@
   PlanAdvice(ready, commands, now);
   PlanSpeeds(commands, now);
   PlanListings(commands, now);
+  LogSpeedChanges(now);
   return commands;
 }
 
+void job_scheduler::LogSpeedChanges(monotonic_time now) {
+  for (const uint32_t ordinal : speeds_.TakeClassChanges()) {
+    const fleet_instance* instance = InstanceAt(ordinal);
+    if (instance == nullptr) continue;
+    LogDetail(scheduler_event::kind::kInstanceSpeed, [&] {
+      const speed_estimate known = speeds_.Estimate(ordinal);
+      const auto age = known.observations == 0 ? milliseconds{0}
+                                               : duration_cast<milliseconds>(now - known.updated);
+      return std::pair(
+          instance->report.id,
+          absl::StrCat("class=", std::string(ToText(speeds_.Class(ordinal))), " slowness=",
+                       absl::StrFormat("%.2f deviation=%.2f", known.slowness, known.deviation),
+                       " kind=", speeds_.Kind(ordinal), " runs=", known.observations,
+                       " age_ms=", age.count()));
+    });
+  }
+}
+
 const job_entry* job_scheduler::Find(const std::string& job) const {
   const auto found = jobs_.find(job);
   return found == jobs_.end() ? nullptr : found->second.get();
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -31,6 +31,8 @@
 #include "process/scheduling/run_times.h"
 #include "process/scheduling/scheduler_messages.h"
 #include "process/scheduling/timeout_factor.h"
+#include "process/speed/instance_speed.h"
+#include "process/speed/speed_match.h"
 #include "version/site_configuration.h"
 
 namespace catkinford {
@@ -56,6 +58,7 @@
   uint32_t stops_at_instance = 2;
   uint32_t fences_in_flight = 128;  // first listings of instances, limited for the same reason
   std::chrono::milliseconds listing_pause{120};  // pause after a listing of an instance
+  bool instance_speed = true;                    // learned speeds of instances guide placement
 };
 
 struct job_progress_write {
@@ -188,10 +191,13 @@
   // The next job whose record is to be stored; null if there is none.
   job_entry* NextUnstored();
   bool BeyondShare(const graph_job& job);
-  // Expected run time of a task of the step on a sound instance: from its own tasks that have ended
-  // or, before that, from the learned run times of its queue.
+  // Expected run time of a task of the step on a sound instance of the usual speed: from its own
+  // tasks that have ended or, before that, from the learned run times of its queue.
   std::chrono::milliseconds ExpectedRun(const job_entry& entry, const step_progress& step,
                                         uint32_t index) const;
+  // The same on this instance.
+  std::chrono::milliseconds ExpectedRunOn(const fleet_instance& instance, const job_entry& entry,
+                                          const step_progress& step, uint32_t index) const;
   void SetObjective(job_entry& entry);
   // Longest chain of steps of the occurrence that are not done.
   std::chrono::milliseconds RemainingChain(const job_entry& entry,
@@ -345,6 +351,8 @@
                                  monotonic_time now, const std::string* rack);
   bool MayRun(const fleet_instance& instance, const ready_step& ready, monotonic_time now) const;
   static bool HasLabel(const fleet_instance& instance, const ready_step& ready);
+  // How the step's job bears slow instances.
+  speed_need SpeedNeedOf(const ready_step& ready, monotonic_time now) const;
   static bool AcceptsWork(const fleet_instance& instance, monotonic_time now);
   bool WithinLimit(const job_entry& entry, const resources& need) const;
   // `expected`: run time of a task of the step.
@@ -412,6 +420,7 @@
     unclaimed_capacity* capacity;
     uint32_t tasks;  // number that fit now
     bool ticket_good;
+    bool preferred;  // of a speed that suits the step
   };
   advice_round BeginAdvice(monotonic_time now) const;
   // The latest one, without claims, or a new one if that is too old.
@@ -419,7 +428,8 @@
   void PlanStepAdvice(const ready_step& ready, advice_round& round, scheduler_commands& commands,
                       monotonic_time now);
   void ClaimCapacity(const ready_step& ready, advice_round& round,
-                     const std::vector<advice_option>& known, uint32_t wanted) const;
+                     const std::vector<advice_option>& known, uint32_t wanted,
+                     monotonic_time now) const;
   // Adds the instances that are reserved for the step, if an answer would arrive when they have the
   // capacity.
   void AddReserved(const ready_step& ready, const advice_timing& cost, advice_query& request,
@@ -430,13 +440,16 @@
                                           uint32_t wanted, monotonic_time now) const;
   std::vector<std::string> InstancesToQuery(const ready_step& ready, const advice_round& round,
                                             const std::vector<advice_option>& known,
-                                            uint32_t wanted, const advice_timing& cost) const;
+                                            uint32_t wanted, const advice_timing& cost,
+                                            monotonic_time now) const;
   uint32_t TasksToPlace(const ready_step& ready, monotonic_time now) const;
   std::vector<ready_step> StepsToQuery(const std::vector<ready_step>& ready_steps) const;
   std::vector<ready_step> UpcomingSteps(monotonic_time now);
   bool ReadyWithin(const job_entry& entry, const occurrence_state& occurrence, uint32_t index,
                    std::chrono::milliseconds ahead, monotonic_time now) const;
 
+  void LogSpeedChanges(monotonic_time now);
+
   // scheduler_speed.cc
   void PlanSpeeds(scheduler_commands& commands, monotonic_time now);
   void AdjustSpeeds(fleet_instance& instance, scheduler_commands& commands, monotonic_time now);
@@ -497,6 +510,7 @@
   advice_round latest_round_;
   monotonic_time latest_round_at_{};
   run_times run_times_;
+  instance_speeds speeds_;
   bool unrecorded_starts_ = false;
   bool starts_paused_ = false;
   bool records_complete_ = false;
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -26,7 +26,6 @@
 constexpr size_t kMaxStepsPerService = 64;
 // How long free capacity counts as current when a waiting query is adapted.
 constexpr milliseconds kRoundUsable{50};
-constexpr double kMinSpeed = 0.1;  // a lower learned speed is not meaningful
 
 uint32_t TasksThatFit(const resources& free, const resources& capacity, uint32_t most) {
   uint32_t tasks = most;
@@ -64,6 +63,27 @@
   query.urgent = query.expected < kCheapQuery;
 }
 
+// Visits the capacities, which are sorted by free processors, until `visit` returns false: first
+// those with the processors and of a speed that suits the step.
+template <typename Capacities, typename Visit>
+void InPreferredOrder(Capacities& capacities, const resources& demand, const speed_need& need,
+                      const instance_speeds& speeds, Visit visit) {
+  if (need.what == speed_need::kind::kNone) {
+    for (auto& each : capacities) {
+      if (!visit(each)) return;
+    }
+    return;
+  }
+  for (const bool first : {true, false}) {
+    for (auto& each : capacities) {
+      const bool has_processors = each.free_cpu_milli >= demand.cpu_milli;
+      if (first && !has_processors) break;
+      if ((has_processors && Suits(need, speeds.Slowness(each.ordinal))) != first) continue;
+      if (!visit(each)) return;
+    }
+  }
+}
+
 // Unless it is named already or the query is full.
 void AddInstance(advice_query& query, std::string id) {
   std::vector<std::string>& named = query.instances;
@@ -134,6 +154,7 @@
                                                                       uint32_t wanted,
                                                                       monotonic_time now) const {
   const resources capacity = CapacityOf(ready.entry->job.steps[ready.index]);
+  const speed_need speed = SpeedNeedOf(ready, now);
   std::vector<advice_option> options;
   ++round.step;
   for (const advice_verdict& verdict : ready.occurrence->steps[ready.index].advice.verdicts) {
@@ -147,9 +168,12 @@
     const uint32_t most = MaxTasksAt(ready, *candidate.instance, wanted);
     const bool good = verdict.expires > now + kTicketMargin &&
                       verdict.incarnation == candidate.instance->report.incarnation;
-    options.push_back({&candidate, TasksThatFit(candidate.unclaimed, capacity, most), good});
+    const uint32_t tasks = TasksThatFit(candidate.unclaimed, capacity, most);
+    options.push_back(
+        {&candidate, tasks, good, tasks > 0 && Suits(speed, speeds_.Slowness(candidate.ordinal))});
   }
   std::sort(options.begin(), options.end(), [](const advice_option& a, const advice_option& b) {
+    if (a.preferred != b.preferred) return a.preferred;
     if (a.tasks != b.tasks) return a.tasks > b.tasks;
     return a.capacity->instance->ordinal < b.capacity->instance->ordinal;
   });
@@ -162,18 +186,18 @@
 std::vector<std::string> job_scheduler::InstancesToQuery(const ready_step& ready,
                                                          const advice_round& round,
                                                          const std::vector<advice_option>& known,
-                                                         uint32_t wanted,
-                                                         const advice_timing& cost) const {
+                                                         uint32_t wanted, const advice_timing& cost,
+                                                         monotonic_time now) const {
   std::vector<std::string> out;
   uint32_t found = 0;
   size_t spare = kSpareInstances;
   for (const advice_option& option : known) {
-    if (option.tasks == 0) break;
+    if (option.tasks == 0) continue;
     if (found >= wanted && (option.ticket_good || spare-- == 0)) break;
     found += option.tasks;
     if (!option.ticket_good) out.push_back(option.capacity->instance->report.id);
   }
-  if (found >= wanted) return out;
+  if (found >= wanted && (known.empty() || known.front().preferred)) return out;
   // As many as cost no more than the query itself.
   const size_t cheap =
       cost.per_instance.count() <= 0
@@ -183,20 +207,22 @@
   const resources capacity = CapacityOf(ready.entry->job.steps[ready.index]);
   std::vector<const fleet_instance*> unknown;
   bool free_at_unknown = false;
-  for (const unclaimed_capacity& candidate : round.capacities) {
+  const auto consider = [&](const unclaimed_capacity& candidate) {
     const bool full = out.size() + unknown.size() >= most;
-    if (full && (free_at_unknown || unknown.empty())) break;
+    if (full && (free_at_unknown || unknown.empty())) return false;
     // Nor has any later one the processors.
-    if (!free_at_unknown && candidate.free_cpu_milli < capacity.cpu_milli) break;
-    if (candidate.service != ready.entry->service || round.Judged(candidate.ordinal)) continue;
-    if (!HasLabel(*candidate.instance, ready)) continue;
+    if (!free_at_unknown && candidate.free_cpu_milli < capacity.cpu_milli) return false;
+    if (candidate.service != ready.entry->service || round.Judged(candidate.ordinal)) return true;
+    if (!HasLabel(*candidate.instance, ready)) return true;
     const bool fits = Covers(candidate.unclaimed, capacity);
-    if (full && !fits) continue;
+    if (full && !fits) return true;
     // Instances that lack another resource must not take all places of the query.
     if (full) unknown.pop_back();
     free_at_unknown = free_at_unknown || fits;
     unknown.push_back(candidate.instance);
-  }
+    return true;
+  };
+  InPreferredOrder(round.capacities, capacity, SpeedNeedOf(ready, now), speeds_, consider);
   if (!free_at_unknown) return out;
   for (const fleet_instance* instance : unknown) out.push_back(instance->report.id);
   return out;
@@ -230,10 +256,10 @@
   const advice_timing cost = AdviceTimingOf(*ready.entry);
   advice_query request;
   if (!step.advice.in_flight && now >= step.advice.next_query) {
-    request.instances = InstancesToQuery(ready, round, known, wanted, cost);
+    request.instances = InstancesToQuery(ready, round, known, wanted, cost, now);
     AddReserved(ready, cost, request, now);
   }
-  ClaimCapacity(ready, round, known, wanted);
+  ClaimCapacity(ready, round, known, wanted, now);
   if (request.instances.empty()) return;
   request.job = ready.entry->job.id;
   request.occurrence = ready.occurrence->number;
@@ -246,25 +272,28 @@
 // Capacity that this step will use is not queried for by later steps: their tickets would expire
 // before they could be used.
 void job_scheduler::ClaimCapacity(const ready_step& ready, advice_round& round,
-                                  const std::vector<advice_option>& known, uint32_t wanted) const {
+                                  const std::vector<advice_option>& known, uint32_t wanted,
+                                  monotonic_time now) const {
   const resources capacity = CapacityOf(ready.entry->job.steps[ready.index]);
   for (const advice_option& option : known) {
     const uint32_t tasks = std::min(wanted, option.tasks);
-    if (tasks == 0) break;
+    if (wanted == 0) break;
     Claim(option.capacity->unclaimed, capacity, tasks);
     wanted -= tasks;
   }
-  for (unclaimed_capacity& candidate : round.capacities) {
+  const auto claim = [&](unclaimed_capacity& candidate) {
     // Nor has any later one the processors.
-    if (wanted == 0 || candidate.free_cpu_milli < capacity.cpu_milli) return;
-    if (!Covers(candidate.unclaimed, capacity)) continue;
-    if (candidate.service != ready.entry->service || round.Judged(candidate.ordinal)) continue;
-    if (!HasLabel(*candidate.instance, ready)) continue;
+    if (wanted == 0 || candidate.free_cpu_milli < capacity.cpu_milli) return false;
+    if (!Covers(candidate.unclaimed, capacity)) return true;
+    if (candidate.service != ready.entry->service || round.Judged(candidate.ordinal)) return true;
+    if (!HasLabel(*candidate.instance, ready)) return true;
     const uint32_t most = MaxTasksAt(ready, *candidate.instance, wanted);
     const uint32_t tasks = TasksThatFit(candidate.unclaimed, capacity, most);
     Claim(candidate.unclaimed, capacity, tasks);
     wanted -= tasks;
-  }
+    return true;
+  };
+  InPreferredOrder(round.capacities, capacity, SpeedNeedOf(ready, now), speeds_, claim);
 }
 
 // Steps that will become ready at about the time an answer would arrive: queried ahead, they start
@@ -300,11 +329,9 @@
     const step_progress& step = occurrence.steps[earlier];
     if (step.Done()) continue;
     if (step.waiting > 0) return false;
-    const auto takes = static_cast<double>(ExpectedRun(entry, step, earlier).count());
     for (const graph_task_state& task : step.tasks) {
       if (task.phase != graph_task_phase::kActive || task.run == nullptr) continue;
-      const double speed = std::max(kMinSpeed, task.run->instance->speed);
-      const auto expected = milliseconds(static_cast<int64_t>(takes / speed));
+      const milliseconds expected = ExpectedRunOn(*task.run->instance, entry, step, earlier);
       if (task.run->started + expected > now + ahead) return false;
     }
   }
@@ -367,7 +394,7 @@
   const std::vector<advice_option> known = KnownOptions(ready, round, wanted, now);
   const advice_timing cost = AdviceTimingOf(entry);
   std::vector<std::string> earlier = std::move(query.instances);
-  query.instances = InstancesToQuery(ready, round, known, wanted, cost);
+  query.instances = InstancesToQuery(ready, round, known, wanted, cost, now);
   AddReserved(ready, cost, query, now);
   for (std::string& id : earlier) {
     const auto instance = by_id_.find(id);
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -21,6 +21,11 @@
 constexpr milliseconds kEvacuationMargin{250};
 constexpr size_t kMaxEndsPerListing = 500;  // defined by the platform
 
+// Instances of one service with the same first label are machines of the same kind.
+std::string KindOf(const instance_report& report) {
+  return absl::StrCat(report.service, "/", report.labels.empty() ? "" : report.labels.front());
+}
+
 }  // namespace
 
 void job_scheduler::UpdateClock(fleet_instance& instance, int64_t clock_ms, monotonic_time now) {
@@ -67,7 +72,8 @@
   instance.unidentified_ends.clear();
   instance.silent = 0;
   instance.faults = 0;
-  instance.speed = 1;
+  speeds_.Add(instance.ordinal, KindOf(report));
+  speeds_.OnRestart(instance.ordinal);
   instance.next_listing = now;
 }
 
@@ -111,6 +117,7 @@
   latest_round_at_ = {};
   by_ordinal_.resize(last_ordinal_ + 1);
   by_ordinal_[slot->ordinal] = slot.get();
+  speeds_.Add(slot->ordinal, KindOf(report));
   return *slot;
 }
 
@@ -306,6 +313,7 @@
   if (!forgotten.empty()) latest_round_at_ = {};
   for (const std::string& id : forgotten) {
     by_ordinal_[instances_.at(id)->ordinal] = nullptr;
+    speeds_.Remove(instances_.at(id)->ordinal);
     by_id_.erase(id);
     instances_.erase(id);
   }
@@ -326,7 +334,7 @@
     const auto ran = duration_cast<milliseconds>(now - run->started);
     const step_progress* step = run->job->Find(run->key);
     const auto takes =
-        step == nullptr ? terms.estimate : ExpectedRun(*run->job, *step, run->key.step);
+        step == nullptr ? terms.estimate : ExpectedRunOn(instance, *run->job, *step, run->key.step);
     const auto left = std::max(takes - ran, milliseconds{0});
     const bool ends_in_time = left + kEvacuationMargin < instance.report.remaining;
     if (!ends_in_time && terms.checkpointing) RequestStop(*run, stop_cause::kEvacuated, now);
--- a/src/process/scheduling/scheduler_messages.h
+++ b/src/process/scheduling/scheduler_messages.h
@@ -153,6 +153,8 @@
     kRunAdopted,
     kRunUnidentified,
     kAdvice,
+    kInstanceSpeed,
+    kCopyDecided,
   };
   kind what = kind::kJobAdded;
   std::string subject;  // job or instance
--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -29,6 +29,11 @@
                    Fraction(used.accelerators + demand.accelerators, capacity.accelerators)});
 }
 
+monotonic_time::duration Scaled(monotonic_time::duration time, double factor) {
+  if (factor == 1) return time;
+  return std::chrono::duration_cast<monotonic_time::duration>(time * factor);
+}
+
 bool RanBefore(const step_progress& step) {
   return std::any_of(step.tasks.begin(), step.tasks.end(), [](const graph_task_state& task) {
     return task.phase == graph_task_phase::kWaiting && task.last_run > 0;
@@ -117,6 +122,16 @@
   return std::find(labels.begin(), labels.end(), step.required_label) != labels.end();
 }
 
+speed_need job_scheduler::SpeedNeedOf(const ready_step& ready, monotonic_time now) const {
+  if (!options_.instance_speed || !speeds_.Uneven()) return {};
+  const job_entry& entry = *ready.entry;
+  const step_spec& terms = entry.job.steps[ready.index];
+  if (terms.long_running || terms.fills) return {speed_need::kind::kSlow};
+  const milliseconds run = ExpectedRun(entry, ready.occurrence->steps[ready.index], ready.index);
+  const milliseconds chain = std::max(run, RemainingChain(entry, *ready.occurrence));
+  return DeadlineNeed(std::chrono::duration_cast<milliseconds>(entry.objective - now), chain, run);
+}
+
 fleet_instance* job_scheduler::ChooseInstance(const ready_step& ready, const graph_task_state& task,
                                               monotonic_time now, const std::string* rack) {
   const step_spec& terms = ready.entry->job.steps[ready.index];
@@ -124,14 +139,16 @@
   const bool advised = TermsOf(*ready.entry).needs_advice;
   resources demand = terms.need;
   if (terms.fills) demand.cpu_milli = 0;
-  const monotonic_time until = ExpectedRelease(ready, now);
+  const monotonic_time::duration run = ExpectedRelease(ready, now) - now;
+  const speed_need speed = SpeedNeedOf(ready, now);
   fleet_instance* best = nullptr;
   double best_score = -std::numeric_limits<double>::infinity();
   const auto consider = [&](fleet_instance& instance) {
     if (rack != nullptr && instance.report.rack != *rack) return;
     if (task.run != nullptr && task.run->instance == &instance) return;
     if (!instance.Fits(demand) || !MayRun(instance, ready, now)) return;
-    if (!RespectsReservations(instance, demand, until)) return;
+    const double slowness = speeds_.Slowness(instance.ordinal);
+    if (!RespectsReservations(instance, demand, now + Scaled(run, slowness))) return;
     const auto placed = step.placed.find(&instance);
     const uint32_t here = placed == step.placed.end() ? 0 : placed->second;
     if (terms.max_per_instance > 0 && here >= terms.max_per_instance) return;
@@ -139,6 +156,7 @@
     // Long-running tasks are spread, so that the loss of one instance affects few of them.
     if (terms.long_running) score = -score - here;
     if (terms.fills) score = -score;
+    score += SpeedScore(speed, slowness);
     if (!terms.data_rack.empty() && instance.report.rack == terms.data_rack) score += 2;
     if (!task.failed_runs.empty() && instance.faults > 0) score -= 1;
     if (score <= best_score) return;
@@ -234,9 +252,8 @@
   if (task.phase != graph_task_phase::kActive || task.run == nullptr || task.copy != nullptr)
     return false;
   if (task.run->stopping != stop_cause::kNone) return false;
-  const auto timeout =
-      milliseconds(static_cast<int64_t>(kCopyFactor * static_cast<double>(expected.count()))) +
-      kCopySlack;
+  const double slowness = speeds_.Slowness(task.run->instance->ordinal);
+  const auto timeout = Scaled(expected, kCopyFactor * slowness) + kCopySlack;
   return !task.run->instance->Reachable() || now - task.run->started > timeout;
 }
 
--- a/src/process/scheduling/scheduler_reservations.cc
+++ b/src/process/scheduling/scheduler_reservations.cc
@@ -43,7 +43,7 @@
   const step_spec& terms = run.job->job.steps[run.key.step];
   const step_progress* step = run.job->Find(run.key);
   if (terms.long_running || step == nullptr) return std::nullopt;
-  const milliseconds takes = ExpectedRun(*run.job, *step, run.key.step);
+  const milliseconds takes = ExpectedRunOn(*run.instance, *run.job, *step, run.key.step);
   const monotonic_time ends =
       run.percent > 0 ? run.progressed + takes * (100 - std::min(100U, run.percent)) / 100
                       : run.started + takes;
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -219,6 +219,11 @@
     if (step->queued) UpdateReady(entry, *occurrence->second, key.step, now);
     return;
   }
+  if (!step->run_times.empty()) {
+    const milliseconds expected =
+        run_times_.Expected(entry.job.queue, entry.job.steps[key.step].estimate);
+    speeds_.OnStep(std::exchange(step->run_times, {}), expected, now);
+  }
   EndStep(entry, *occurrence->second, key.step, times);
   RefreshReady(entry, now);
   if (!occurrence->second->Done()) return;
@@ -504,8 +509,9 @@
   if (works && progress_overdue && !run.job->job.steps[run.key.step].long_running &&
       run.instance->Reachable()) {
     const step_progress* step = run.job->Find(run.key);
-    const auto expected =
-        step == nullptr ? kMinStallTime : ExpectedRun(*run.job, *step, run.key.step);
+    const auto expected = step == nullptr
+                              ? kMinStallTime
+                              : ExpectedRunOn(*run.instance, *run.job, *step, run.key.step);
     const auto timeout =
         std::max(kMinStallTime, milliseconds(static_cast<int64_t>(
                                     kStallFactor * static_cast<double>(expected.count()) / 100)));
--- a/src/process/site/site_log.cc
+++ b/src/process/site/site_log.cc
@@ -128,6 +128,17 @@
                     "A relay did not answer: its calls= are repeated through another one."},
     site_event_info{kEvacuationsTaken, kInfo, "evacuations_taken",
                     "The list of failure domains that operators have closed to new work changed."},
+    site_event_info{
+        kInstanceSpeed, kInfo, "instance_speed",
+        "Runs on the instance take longer or shorter than elsewhere, or as long again."},
+    site_event_info{kJobShed, kInfo, "job_shed",
+                    "The job was rejected: it would have waited until its result is of no use."},
+    site_event_info{kCopyDecided, kInfo, "copy_decided",
+                    "A task gets a second run beside its first, with the reason."},
+    site_event_info{kHandover, kInfo, "handover",
+                    "The former owner's process told what it knew, or did not answer."},
+    site_event_info{kLearnedLoaded, kInfo, "learned_loaded",
+                    "Run times and speeds that an earlier owner had learned were read."},
 };
 
 }  // namespace
--- a/src/process/site/site_log.h
+++ b/src/process/site/site_log.h
@@ -92,6 +92,12 @@
   kRelayLost = 664,
   // 66x: failure domains closed by operators, at each entry
   kEvacuationsTaken = 665,
+  // 66x, 67x: decisions under load, and what is learned
+  kInstanceSpeed = 666,
+  kJobShed = 667,
+  kCopyDecided = 668,
+  kHandover = 669,
+  kLearnedLoaded = 670,
 };
 
 // When the limit of lines per second is reached, details are dropped first, then infos. Warnings
--- a/src/process/site/site_owner.cc
+++ b/src/process/site/site_owner.cc
@@ -44,6 +44,10 @@
       return site_event::kRunUnidentified;
     case kind::kAdvice:
       return site_event::kAdvice;
+    case kind::kInstanceSpeed:
+      return site_event::kInstanceSpeed;
+    case kind::kCopyDecided:
+      return site_event::kCopyDecided;
   }
   return site_event::kTaskEnd;
 }
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -222,6 +222,7 @@
     out.unconfirmed_owner = kIsolatedOwnerLimit;
     out.early_limit = settings.bounds.early_limit;
     out.remote_factor = settings.bounds.remote_factor;
+    out.instance_speed = settings.instance_speed.enabled;
     return out;
   }
 
--- a/src/process/site/site_settings.cc
+++ b/src/process/site/site_settings.cc
@@ -65,6 +65,16 @@
           "a number above 0, or null"};
 }
 
+template <typename Pick>
+field_rule Switch(Pick pick) {
+  return {[pick](const json& in, site_settings& out) {
+            if (!in.is_boolean()) return false;
+            pick(out) = in.get<bool>();
+            return true;
+          },
+          "true or false"};
+}
+
 template <typename Pick>
 field_rule Port(Pick pick, bool required) {
   return {[pick](const json& in, site_settings& out) {
@@ -116,6 +126,15 @@
       {"timing.registry_poll_ms",
        Time([](s& o) -> milliseconds& { return o.timing.registry_poll; }, 1)},
       {"timing.watch_wait_ms", Time([](s& o) -> milliseconds& { return o.timing.watch_wait; }, 1)},
+      {"instance_speed.enabled", Switch([](s& o) -> bool& { return o.instance_speed.enabled; })},
+      {"overload.enabled", Switch([](s& o) -> bool& { return o.overload.enabled; })},
+      {"overload.figures_valid_ms",
+       Time([](s& o) -> milliseconds& { return o.overload.figures_valid; }, 1)},
+      {"overload.max_retry_after_s",
+       Time([](s& o) -> milliseconds& { return o.overload.max_retry_after; }, kMillisPerSecond)},
+      {"copies.enabled", Switch([](s& o) -> bool& { return o.copies.enabled; })},
+      {"copies.max_share", Number([](s& o) -> double& { return o.copies.max_share; })},
+      {"learning.persist", Switch([](s& o) -> bool& { return o.learning.persist; })},
       {"logs.lines_per_second",
        {[](const json& in, s& o) {
           if (!in.is_number_unsigned()) return false;
--- a/src/process/site/site_settings.h
+++ b/src/process/site/site_settings.h
@@ -65,6 +65,28 @@
     std::chrono::milliseconds watch_wait{2500};  // a dead connection is detected after this
   } timing;
 
+  // Learned speeds of instances guide where work starts.
+  struct {
+    bool enabled = true;
+  } instance_speed;
+
+  // Jobs that could not be of use any more are rejected while there is no capacity for them.
+  struct {
+    bool enabled = true;
+    std::chrono::milliseconds figures_valid{2000};  // what the owner states holds for this time
+    std::chrono::milliseconds max_retry_after{3000};
+  } overload;
+
+  // Second runs of tasks whose step allows them.
+  struct {
+    bool enabled = true;
+    double max_share = 0.05;  // of a service's capacity, held by copies
+  } copies;
+
+  struct {
+    bool persist = true;  // what an owner has learned is stored for the next one
+  } learning;
+
   struct {
     uint32_t lines_per_second = 400;  // lines above this are counted and dropped
   } logs;
--- a/src/process/speed/instance_speed.cc
+++ b/src/process/speed/instance_speed.cc
@@ -220,6 +220,11 @@
           known->updated};
 }
 
+std::string instance_speeds::Kind(uint32_t ordinal) const {
+  const state* known = Find(ordinal);
+  return known == nullptr ? std::string() : known->kind;
+}
+
 std::vector<uint32_t> instance_speeds::TakeClassChanges() {
   return std::exchange(class_changes_, {});
 }
--- a/src/process/speed/instance_speed.h
+++ b/src/process/speed/instance_speed.h
@@ -64,6 +64,7 @@
   double Slowness(uint32_t ordinal) const;
   speed_class Class(uint32_t ordinal) const;
   speed_estimate Estimate(uint32_t ordinal) const;
+  std::string Kind(uint32_t ordinal) const;
   // True if some instance is not of the usual class. On an even fleet nothing needs to weigh speed.
   bool Uneven() const { return uneven_ > 0; }
 
