--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -32,6 +32,7 @@
 #include "process/scheduling/scheduler_messages.h"
 #include "process/scheduling/timeout_factor.h"
 #include "process/speed/instance_speed.h"
+#include "process/speed/kept_capacity.h"
 #include "process/speed/speed_match.h"
 #include "version/site_configuration.h"
 
@@ -353,6 +354,10 @@
   static bool HasLabel(const fleet_instance& instance, const ready_step& ready);
   // How the step's job bears slow instances.
   speed_need SpeedNeedOf(const ready_step& ready, monotonic_time now) const;
+  void CountFreeFast(monotonic_time now);
+  // True if the step may use instances that are not slow: enough of their capacity stays free for
+  // more urgent steps.
+  bool MayUseFast(const ready_step& ready, const resources& demand, monotonic_time now) const;
   static bool AcceptsWork(const fleet_instance& instance, monotonic_time now);
   bool WithinLimit(const job_entry& entry, const resources& need) const;
   // `expected`: run time of a task of the step.
@@ -511,6 +516,9 @@
   monotonic_time latest_round_at_{};
   run_times run_times_;
   instance_speeds speeds_;
+  kept_capacity kept_;
+  // Free processors of the instances that are not slow, by service; of the current round.
+  std::vector<uint64_t> free_fast_milli_;
   bool unrecorded_starts_ = false;
   bool starts_paused_ = false;
   bool records_complete_ = false;
--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -132,6 +132,25 @@
   return DeadlineNeed(std::chrono::duration_cast<milliseconds>(entry.objective - now), chain, run);
 }
 
+void job_scheduler::CountFreeFast(monotonic_time now) {
+  free_fast_milli_.assign(services_.size() + 1, 0);
+  if (!options_.instance_speed || !speeds_.Uneven()) return;
+  for (const auto& [id, instance] : instances_) {
+    if (speeds_.Class(instance->ordinal) == speed_class::kSlow || !AcceptsWork(*instance, now)) {
+      continue;
+    }
+    free_fast_milli_[instance->service] += instance->Free().cpu_milli;
+  }
+}
+
+bool job_scheduler::MayUseFast(const ready_step& ready, const resources& demand,
+                               monotonic_time now) const {
+  if (!options_.instance_speed || !speeds_.Uneven()) return true;
+  if (ready.entry->job.steps[ready.index].long_running) return true;
+  const uint64_t kept = kept_.For(TermsOf(*ready.entry).priority, now);
+  return kept == 0 || free_fast_milli_[ready.entry->service] >= kept + demand.cpu_milli;
+}
+
 fleet_instance* job_scheduler::ChooseInstance(const ready_step& ready, const graph_task_state& task,
                                               monotonic_time now, const std::string* rack) {
   const step_spec& terms = ready.entry->job.steps[ready.index];
@@ -141,12 +160,14 @@
   if (terms.fills) demand.cpu_milli = 0;
   const monotonic_time::duration run = ExpectedRelease(ready, now) - now;
   const speed_need speed = SpeedNeedOf(ready, now);
+  const bool may_use_fast = MayUseFast(ready, demand, now);
   fleet_instance* best = nullptr;
   double best_score = -std::numeric_limits<double>::infinity();
   const auto consider = [&](fleet_instance& instance) {
     if (rack != nullptr && instance.report.rack != *rack) return;
     if (task.run != nullptr && task.run->instance == &instance) return;
     if (!instance.Fits(demand) || !MayRun(instance, ready, now)) return;
+    if (!may_use_fast && speeds_.Class(instance.ordinal) != speed_class::kSlow) return;
     const double slowness = speeds_.Slowness(instance.ordinal);
     if (!RespectsReservations(instance, demand, now + Scaled(run, slowness))) return;
     const auto placed = step.placed.find(&instance);
@@ -330,6 +351,7 @@
     if (!records_complete_) CountPossibleRuns();
   }
   ResetReservations();
+  CountFreeFast(now);
   for (const ready_step& ready : steps) {
     if (!MayPlanMore()) break;
     const step_spec& terms = ready.entry->job.steps[ready.index];
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -77,6 +77,10 @@
   if (instance.ordinal < forecasts_.size() && forecasts_[instance.ordinal] != nullptr) {
     forecasts_[instance.ordinal]->Start(run.capacity, ExpectedRelease(ready, now));
   }
+  if (speeds_.Uneven() && speeds_.Class(instance.ordinal) != speed_class::kSlow) {
+    uint64_t& free = free_fast_milli_[instance.service];
+    free -= std::min<uint64_t>(free, run.capacity.cpu_milli);
+  }
   run.decided = now;
   run.started = now;
   run.progressed = now;
--- a/src/process/speed/speed_match.cc
+++ b/src/process/speed/speed_match.cc
@@ -7,11 +7,13 @@
 namespace {
 
 // Expected run times are off by this factor, and a run has to be started and its end heard of.
-constexpr double kMargin = 1.15;
+constexpr double kMargin = 1.4;
 // The fastest instances are about this much faster than the usual ones: a job that is late even
 // there gains nothing from them.
 constexpr double kFastest = 0.6;
 constexpr double kSlowest = 100;
+// Even the slowest instances seen are well below this.
+constexpr double kAmple = 2;
 // Above the whole range of the other terms of a score.
 constexpr double kInTime = 2;
 
@@ -32,7 +34,7 @@
     case speed_need::kind::kNone:
       return true;
     case speed_need::kind::kDeadline:
-      return need.most >= 2 * kMargin ? slowness > 1 : slowness <= std::max(need.most, 1.0);
+      return need.most >= kAmple ? slowness > 1 : slowness <= std::max(need.most, 1.0);
     case speed_need::kind::kSlow:
       return slowness > 1;
   }
