An owner whose lease the store dropped in an outage claims the site again first

Callers saw 5 s without starts after a store outage that dropped all leases: another entry claimed the site 235 ms after the store was back and had to wait for instances that it could not list, while the former owner's process was alive and knew every run. The lease is also renewed by one timer: each lease that had ended added another one, and with it 2.7 calls a second.

--- a/src/process/site/site_membership.h
+++ b/src/process/site/site_membership.h
@@ -95,7 +95,7 @@
         hooks_(std::move(hooks)) {}
 
   void Start() {
-    RenewLease();
+    KeepLease();
     ReadView();
     CheckOwnership();
   }
@@ -164,6 +164,10 @@
   // Pause before the next watch when one returned at once without changes.
   static constexpr std::chrono::milliseconds kIdleWatchPause{200};
   static constexpr int kRenewalsPerLease = 4;
+  // After an outage a store may have lost all leases. For this long after its return the other
+  // entries let the process claim first that owned the site last.
+  static constexpr std::chrono::milliseconds kStoreBackPeriod{1000};
+  static constexpr std::chrono::milliseconds kFormerOwnerHeadStart{150};
   // A weak owner continues for this long beside a strong entry: an entry that just started may end
   // again.
   static constexpr std::chrono::milliseconds kYieldDelay{2000};
@@ -193,13 +197,22 @@
     if (answered) store_answered_ = BootNow();
     if (answered == store_up_) return;
     store_up_ = answered;
+    if (answered) store_back_at_ = BootNow();
+    // The store may have dropped this entry's lease meanwhile, which the owner must know at once:
+    // other entries claim the site as soon as they see it without an owner.
+    if (answered && owns_) ConfirmOwnership();
     log_.Write(answered ? site_event::kStoreBack : site_event::kStoreLost, BootNow(),
                absl::StrCat("lease=", lease_, " owns=", owns_));
   }
 
+  void KeepLease() {
+    if (resigning_) return;
+    loop_.After(ttl_ / kRenewalsPerLease, [this] { KeepLease(); });
+    RenewLease();
+  }
+
   void RenewLease() {
     if (resigning_) return;
-    loop_.After(ttl_ / kRenewalsPerLease, [this] { RenewLease(); });
     const monotonic_time sent = BootNow();
     if (renewal_in_flight_ && sent < renewal_sent_ + ttl_) return;
     renewal_in_flight_ = true;
@@ -228,7 +241,7 @@
     log_.Write(site_event::kLeaseLost, BootNow(), absl::StrCat("lease=", lease_, " owns=", owns_));
     lease_.clear();
     registered_since_ = monotonic_time::max();
-    if (owns_) EndOwnership("the lease ended at the store");
+    if (owns_) EndLapsedOwnership("the lease ended at the store");
     renewal_in_flight_ = false;
     RenewLease();
   }
@@ -319,18 +332,25 @@
     if (resigning_ || !view_read_) return;
     if (owns_) {
       const bool unchanged = OwnerIsSelf() && view_.owner->epoch == epoch_;
-      if (!unchanged && view_.epoch >= epoch_) EndOwnership("the store names another owner");
-      return;
+      if (unchanged || view_.epoch < epoch_) return;
+      if (view_.owner) return EndOwnership("the store names another owner");
+      EndLapsedOwnership("the store names no owner");
+      // Only a registered entry may claim, and the lease has probably ended too.
+      ConfirmOwnership();
     }
     // An owner record of this entry is from an earlier process, or from a claim whose answer was
     // lost. The site is claimed again, since the epoch of that record may have been used.
     const bool claimable = !view_.owner || view_.owner->entry.name == self_.name;
     if (!claimable || claim_pending_) return;
     claim_pending_ = true;
-    loop_.After(ClaimDelay(view_, self_.name), [this] {
-      claim_pending_ = false;
-      Claim(false);
-    });
+    const bool reclaims = MayReclaim();
+    const bool leave_to_former = !reclaims && BootNow() - store_back_at_ < kStoreBackPeriod;
+    const auto delay = reclaims ? std::chrono::milliseconds{0} : ClaimDelay(view_, self_.name);
+    loop_.After(delay + (leave_to_former ? kFormerOwnerHeadStart : std::chrono::milliseconds{0}),
+                [this] {
+                  claim_pending_ = false;
+                  Claim(false);
+                });
   }
 
   void Claim(bool early) {
@@ -368,8 +388,25 @@
                   }));
   }
 
+  // The store dropped the ownership although this process lives, as a store that comes back without
+  // its leases does. No other process knows all that runs: this one claims the site again at once.
+  void EndLapsedOwnership(const std::string& why) {
+    EndOwnership(why);
+    lapsed_epoch_ = epoch_;
+  }
+  void ConfirmOwnership() {
+    renewal_in_flight_ = false;
+    RenewLease();
+    ReadView();
+  }
+  // True while no other process owned the site since this one did.
+  bool MayReclaim() const {
+    return lapsed_epoch_ != 0 && !view_.owner && view_.epoch == lapsed_epoch_;
+  }
+
   void EndOwnership(const std::string& why) {
     owns_ = false;
+    lapsed_epoch_ = 0;
     log_.Write(site_event::kOwnershipLost, BootNow(),
                absl::StrCat("epoch=", epoch_, " why=", LogField(why)));
     hooks_.ownership_lost(why);
@@ -451,6 +488,8 @@
   bool resigning_ = false;
   bool store_up_ = true;
   monotonic_time store_answered_{};
+  monotonic_time store_back_at_{};  // the latest end of an outage
+  uint64_t lapsed_epoch_ = 0;       // of this process's ownership, if the store dropped it; or 0
   monotonic_time registered_since_ = monotonic_time::max();  // when the registration was stored
   monotonic_time outage_last_confirmed_{};                   // by all entries
   monotonic_time outage_confirmed_until_{};
