--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -146,7 +146,11 @@
     }
   }
   instance.present = true;
+  // An instance that was taken over from an earlier owner's record shows its labels only now.
+  const bool kind_known =
+      instance.report.labels == report.labels && instance.report.service == report.service;
   instance.report = report;
+  if (!kind_known) speeds_.Add(instance.ordinal, KindOf(report));
   instance.report_outdated = false;
   instance.domain_evacuated = evacuated_.contains(report.failure_domain);
   instance.service = ServiceOrdinal(report.service);
--- a/src/process/speed/instance_speed.cc
+++ b/src/process/speed/instance_speed.cc
@@ -78,12 +78,17 @@
 }
 
 void instance_speeds::Add(uint32_t ordinal, const std::string& kind) {
+  state added;
   if (const state* known = Find(ordinal)) {
     if (known->kind == kind) return;
+    added = *known;
+    added.speed = speed_class::kUsual;
     Remove(ordinal);
   }
+  added.kind = kind;
   if (ordinal >= states_.size()) states_.resize(ordinal + 1);
-  states_[ordinal].emplace().kind = kind;
+  states_[ordinal] = added;
+  Count(kinds_[kind], added, 1);
   kinds_[kind].members.push_back(ordinal);
   Refresh(kind);
 }
--- a/src/process/speed/instance_speed.h
+++ b/src/process/speed/instance_speed.h
@@ -46,9 +46,9 @@
  public:
   instance_speeds();
 
-  // Adds an instance, or replaces one that has another kind now; what was known of the latter is
-  // forgotten. `ordinal`: small, unique among all instances ever seen. `kind`: instances of the
-  // same kind are expected to be equally fast.
+  // Adds an instance, or changes the kind of a known one, whose own runs still count. `ordinal`:
+  // small, unique among all instances ever seen. `kind`: instances of the same kind are expected to
+  // be equally fast.
   void Add(uint32_t ordinal, const std::string& kind);
   void Remove(uint32_t ordinal);
   // The instance restarted: its new life may be faster or slower.
