--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -203,13 +203,7 @@
       step.ready_at = now;
       const step_spec& terms = entry.job.steps[i];
       if (!terms.long_running && !terms.fills && !entry.beyond_share) {
-        const int priority = TermsOf(entry).priority;
-        kept_.OnReady(priority, uint64_t{terms.need.cpu_milli} * step.waiting, now);
-        if (!entry.job.workspace.empty()) {
-          resources all;
-          for (uint32_t k = 0; k < step.waiting; ++k) all += terms.need;
-          headroom_[entry.job.workspace].OnReady(priority, all, now);
-        }
+        kept_.OnReady(TermsOf(entry).priority, uint64_t{terms.need.cpu_milli} * step.waiting, now);
       }
     }
   }
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -26,7 +26,6 @@
 #include "process/scheduling/graph_state.h"
 #include "process/scheduling/job_order.h"
 #include "process/scheduling/job_stages.h"
-#include "process/scheduling/limit_headroom.h"
 #include "process/scheduling/listing_wait.h"
 #include "process/scheduling/ready_queue.h"
 #include "process/scheduling/run_times.h"
@@ -474,7 +473,6 @@
   absl::flat_hash_map<std::string, uint32_t> services_;  // ordinals, from 1
   absl::flat_hash_map<std::string, resources> usage_of_workspace_;
   absl::flat_hash_map<std::string, arrival_rate_limit> arrival_limits_;  // by workspace
-  absl::flat_hash_map<std::string, limit_headroom> headroom_;            // by workspace
   std::vector<job_entry*> active_;                                       // not final
   absl::btree_map<uint64_t, job_entry*> running_;  // those with active tasks, by number
   // Those with occurrences that are not due yet, by the time of the next one.
--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -52,14 +52,7 @@
   if (!unidentified_jobs_.empty()) return false;
   const auto found = usage_of_workspace_.find(entry.job.workspace);
   resources with = need;
-  if (found != usage_of_workspace_.end()) {
-    with += found->second;
-    const auto headroom = headroom_.find(entry.job.workspace);
-    if (headroom != headroom_.end()) {
-      with += headroom->second.For(TermsOf(entry).priority, found->second, workspace->maximum,
-                                   decided_at_);
-    }
-  }
+  if (found != usage_of_workspace_.end()) with += found->second;
   return !Exceeds(with.cpu_milli, workspace->maximum.cpu_milli) &&
          !Exceeds(with.memory_mb, workspace->maximum.memory_mb) &&
          !Exceeds(with.accelerators, workspace->maximum.accelerators);
