Weak entries claim a site without stronger ones at once again

Takes back the wait of 600 ms: a site of weak machines alone would wait at each restart, which a test forbids. A weak owner for 2 s after a restart of all machines stays open.

--- a/src/process/site/site_membership.cc
+++ b/src/process/site/site_membership.cc
@@ -13,9 +13,6 @@
 constexpr std::chrono::milliseconds kClaimInterval{60};
 // Delay of weaker entries: all strong ones have claimed by then.
 constexpr std::chrono::milliseconds kWeakEntryDelay{600};
-// An entry below this strength takes seconds to load the records of a large site. After all machines
-// have restarted it waits for stronger ones that may register a little later.
-constexpr double kWeakStrength = 0.1;
 constexpr double kMuchStronger = 2;
 // Commands and listings of 350 instances took up to 20 Mbit/s: a link above this is not the
 // bottleneck.
@@ -96,7 +93,7 @@
   // Each epoch starts with a different entry of the same strength, so that the site does not always
   // go to the same one.
   std::vector<std::string> equals;
-  bool weak = mine->second.strength < kWeakStrength;
+  bool weak = false;
   for (const auto& [name, entry] : view.entries) {
     if (entry.strength == mine->second.strength) equals.push_back(name);
     weak = weak || entry.strength > mine->second.strength;
