--- a/src/process/site/site_membership.h
+++ b/src/process/site/site_membership.h
@@ -217,9 +217,12 @@
     if (renewal_in_flight_ && sent < renewal_sent_ + ttl_) return;
     renewal_in_flight_ = true;
     renewal_sent_ = sent;
+    const uint64_t renewal = ++last_renewal_;
     if (lease_.empty()) {
-      store_.GrantLease(ttl_, OnLoop([this, sent](const store_reply& reply) {
-                          renewal_in_flight_ = false;
+      store_.GrantLease(ttl_, OnLoop([this, sent, renewal](const store_reply& reply) {
+                          if (renewal == last_renewal_) renewal_in_flight_ = false;
+                          // A second lease would replace the one that the owner key is bound to.
+                          if (!lease_.empty()) return;
                           if (reply.status != store_status::kDone || resigning_) return;
                           lease_ = reply.lease;
                           renewed_ = sent;
@@ -227,23 +230,27 @@
                         }));
       return;
     }
-    store_.RenewLease(lease_,
-                      OnLoop([this, sent, renewed_lease = lease_](const store_reply& reply) {
-                        renewal_in_flight_ = false;
-                        if (renewed_lease != lease_) return;
-                        if (reply.status == store_status::kDone)
-                          renewed_ = std::max(renewed_, sent);
-                        if (reply.status == store_status::kAbsent) OnLeaseEnded();
-                      }));
+    store_.RenewLease(
+        lease_, OnLoop([this, sent, renewal, renewed_lease = lease_](const store_reply& reply) {
+          if (renewal == last_renewal_) renewal_in_flight_ = false;
+          if (renewed_lease != lease_) return;
+          if (reply.status == store_status::kAbsent) return OnLeaseEnded();
+          if (reply.status != store_status::kDone) return;
+          renewed_ = std::max(renewed_, sent);
+          if (lapsed_epoch_ != 0) ConsiderClaim();
+        }));
   }
 
   void OnLeaseEnded() {
     log_.Write(site_event::kLeaseLost, BootNow(), absl::StrCat("lease=", lease_, " owns=", owns_));
     lease_.clear();
     registered_since_ = monotonic_time::max();
-    if (owns_) EndLapsedOwnership("the lease ended at the store");
+    const bool owned = owns_;
+    if (owned) EndLapsedOwnership("the lease ended at the store");
     renewal_in_flight_ = false;
     RenewLease();
+    // The owner key ended with the lease, which the watch may not have reported yet.
+    if (owned) ReadView();
   }
 
   void Register() {
@@ -335,8 +342,8 @@
       if (unchanged || view_.epoch < epoch_) return;
       if (view_.owner) return EndOwnership("the store names another owner");
       EndLapsedOwnership("the store names no owner");
-      // Only a registered entry may claim, and the lease has probably ended too.
-      ConfirmOwnership();
+      // The lease has probably ended too, and a claim under it would fail.
+      return ConfirmOwnership();
     }
     // An owner record of this entry is from an earlier process, or from a claim whose answer was
     // lost. The site is claimed again, since the epoch of that record may have been used.
@@ -356,6 +363,7 @@
   void Claim(bool early) {
     const bool claimable = early || !view_.owner || view_.owner->entry.name == self_.name;
     if (resigning_ || owns_ || !claimable || !LeaseValid(BootNow())) return;
+    if (MayReclaim() && renewed_ < lapsed_at_) return;  // the lease may be gone at the store
     const owner_record record{self_, view_.epoch + 1, early};
     const bool earlier_owners_may_act = history_.EarlierOwnerMayAct(ttl_, BootNow());
     store_write write;
@@ -393,15 +401,17 @@
   void EndLapsedOwnership(const std::string& why) {
     EndOwnership(why);
     lapsed_epoch_ = epoch_;
+    lapsed_at_ = BootNow();
   }
   void ConfirmOwnership() {
     renewal_in_flight_ = false;
     RenewLease();
     ReadView();
   }
-  // True while no other process owned the site since this one did.
+  // True while no other process owned the site since this one did. The view may still name this
+  // one.
   bool MayReclaim() const {
-    return lapsed_epoch_ != 0 && !view_.owner && view_.epoch == lapsed_epoch_;
+    return lapsed_epoch_ != 0 && (!view_.owner || OwnerIsSelf()) && view_.epoch == lapsed_epoch_;
   }
 
   void EndOwnership(const std::string& why) {
@@ -477,6 +487,7 @@
   monotonic_time renewed_{};  // the lease is valid for at least its length from here
   monotonic_time renewal_sent_{};
   bool renewal_in_flight_ = false;
+  uint64_t last_renewal_ = 0;
   bool claim_pending_ = false;
   bool owns_ = false;
   bool claimed_early_ = false;
@@ -490,6 +501,7 @@
   monotonic_time store_answered_{};
   monotonic_time store_back_at_{};  // the latest end of an outage
   uint64_t lapsed_epoch_ = 0;       // of this process's ownership, if the store dropped it; or 0
+  monotonic_time lapsed_at_{};
   monotonic_time registered_since_ = monotonic_time::max();  // when the registration was stored
   monotonic_time outage_last_confirmed_{};                   // by all entries
   monotonic_time outage_confirmed_until_{};
