--- a/test/job_scheduler_test.cc
+++ b/test/job_scheduler_test.cc
@@ -432,10 +432,13 @@
 
   // `returning`: the process of an owner that loses the site may own it again next.
   // `unknown`: earlier owners start jobs that the next one does not know yet.
-  random_faults_run(uint64_t seed, bool recorded, bool returning = false, bool unknown = false)
+  // `passing`: another process may take the site and ask the former owner.
+  random_faults_run(uint64_t seed, bool recorded, bool returning = false, bool unknown = false,
+                    bool passing = false)
       : random_(seed * 977),
         returning_(returning),
         unknown_(unknown),
+        passing_(passing),
         world_(seed, RandomFaults()),
         cancelled_(kJobs),
         always_failing_(kJobs) {
@@ -521,6 +524,7 @@
         return world_.Cut(instance, false);
       case 3:
         if (unknown_) SubmitUnknown();
+        if (passing_ && Pick(0, 2) != 0) return world_.PassSite(milliseconds(Pick(0, 600)));
         if (returning_ && Pick(0, 1) == 0) return world_.LoseSite(milliseconds(Pick(50, 3000)));
         return world_.KillOwner(milliseconds(Pick(50, 3000)));
       case 4:
@@ -533,6 +537,7 @@
   std::mt19937_64 random_;
   const bool returning_;
   const bool unknown_;
+  const bool passing_;
   uint32_t unknown_jobs_ = 0;
   scheduling_world world_;
   std::vector<bool> cancelled_;
@@ -575,6 +580,19 @@
   }
 }
 
+// The same with another process that takes the site and trusts what the former owner tells. That
+// one acts for up to 600 ms beside it.
+TEST_CASE("job scheduler, random faults and handover to others, violates no guarantee",
+          "[property]") {
+  constexpr uint64_t kSeeds = 600;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    random_faults_run scenario(seed, false, true, false, true);
+    scenario.Run();
+    scenario.Check();
+  }
+}
+
 // Guards against runs over capacity, two runs of a task at once and lost attempts where an earlier
 // owner started jobs that the next one does not know yet.
 TEST_CASE("job scheduler, random faults and jobs known late, violates no guarantee", "[property]") {
--- a/test/scheduling_world.cc
+++ b/test/scheduling_world.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "process/site/handover_exchange.h"
 
 namespace catkinford {
 namespace {
@@ -146,6 +147,23 @@
   handover_ = std::move(handover);
 }
 
+void scheduling_world::PassSite(milliseconds overlap) {
+  store_cut_ = true;
+  At(now_ + overlap, [this, overlap] {
+    store_cut_ = false;
+    if (owner_ == nullptr) return;
+    constexpr uint64_t kNonce = 1;
+    kept_handover former;
+    former.Keep(epoch_, owner_->HandOver(), Mono());
+    const handover_request request(epoch_ + 1, kNonce, Mono() - overlap);
+    scheduler_handover taken;
+    request.Judge(PeerHandoverToText(former.AnswerTo(epoch_, kNonce, Mono())), Mono(), taken);
+    KillOwner(milliseconds{0});
+    handover_ = std::move(taken);
+    overlap_ = overlap;
+  });
+}
+
 graph_phase scheduling_world::Phase(const std::string& job) const {
   const durable& kept = store_.at(job);
   job_entry entry;
@@ -495,7 +513,8 @@
   ++epoch_;
   const uint64_t owner_incarnation = ++owner_incarnation_;
   scheduler_options options;
-  owner_ = std::make_unique<job_scheduler>(options, epoch_, Mono());
+  owner_ = std::make_unique<job_scheduler>(options, epoch_,
+                                           Mono() - std::exchange(overlap_, milliseconds{0}));
   std::vector<workspace_config> workspaces;
   workspaces.reserve(maximum_.size());
   for (const auto& [name, maximum] : maximum_) workspaces.push_back({name, {}, 1, maximum});
--- a/test/scheduling_world.h
+++ b/test/scheduling_world.h
@@ -66,6 +66,9 @@
   void KillOwner(std::chrono::milliseconds until_next);
   // The owner loses the site, and the same process owns it again next.
   void LoseSite(std::chrono::milliseconds until_next);
+  // Another process takes the site. The owner acts for `overlap` more, without changes in the
+  // store, then tells the next one what it knows.
+  void PassSite(std::chrono::milliseconds overlap);
   // Counts attempts as the platform's rules do: an end counts from the moment when it occurred,
   // also if it is acknowledged later, unless the instance's lease expired in between.
   void SetStrictAttempts() { strict_attempts_ = true; }
@@ -193,7 +196,8 @@
   bool strict_attempts_ = false;
   std::map<task_key, attempt_record> attempts_;
   std::unique_ptr<job_scheduler> owner_;
-  scheduler_handover handover_;  // to the next owner
+  scheduler_handover handover_;           // to the next owner
+  std::chrono::milliseconds overlap_{0};  // for which the last owner acted beside the next one
   uint64_t epoch_ = 0;
   uint64_t owner_incarnation_ = 0;  // answers to an earlier owner are dropped
   bool committing_ = false;
