An owner that the store answers no more, while it answers others, gives up the site

Cause: such an owner kept the site until its lease ended, up to 1.5 s in which nothing was stored.

Change: cut_off_resignation decides, after 0.7 s without an answer and at most once in 10 s; the process reports to its watchers as if it had ended, so that they claim early and ask it for what it knows. It claims again after 3 s if no other entry has. The store being away for all entries or for its failure domain changes nothing.

--- a/src/process/site/site_membership.h
+++ b/src/process/site/site_membership.h
@@ -124,6 +124,14 @@
     ReadView();
   }
 
+  // Ends the ownership of an owner that the store does not answer, while it answers others. Its
+  // lease can't be revoked; another entry claims before it ends, or this one claims again later.
+  void LeaveToOthers(const std::string& why) {
+    if (!owns_) return;
+    claims_again_at_ = BootNow() + kLeavePause;
+    EndOwnership(why);
+  }
+
   const site_view& View() const { return view_; }
   const site_entry& Self() const { return self_; }
   // The owner that this one superseded.
@@ -168,6 +176,8 @@
   // entries let the process claim first that owned the site last.
   static constexpr std::chrono::milliseconds kStoreBackPeriod{1000};
   static constexpr std::chrono::milliseconds kFormerOwnerHeadStart{150};
+  // Longer than a takeover after the end of the lease.
+  static constexpr std::chrono::milliseconds kLeavePause{3000};
   // A weak owner continues for this long beside a strong entry: an entry that just started may end
   // again.
   static constexpr std::chrono::milliseconds kYieldDelay{2000};
@@ -363,6 +373,7 @@
   void Claim(bool early) {
     const bool claimable = early || !view_.owner || view_.owner->entry.name == self_.name;
     if (resigning_ || owns_ || !claimable || !LeaseValid(BootNow())) return;
+    if (!early && BootNow() < claims_again_at_) return;
     if (MayReclaim() && renewed_ < lapsed_at_) return;  // the lease may be gone at the store
     const owner_record record{self_, view_.epoch + 1, early};
     const bool earlier_owners_may_act = history_.EarlierOwnerMayAct(ttl_, BootNow());
@@ -502,6 +513,7 @@
   monotonic_time store_back_at_{};  // the latest end of an outage
   uint64_t lapsed_epoch_ = 0;       // of this process's ownership, if the store dropped it; or 0
   monotonic_time lapsed_at_{};
+  monotonic_time claims_again_at_{};
   monotonic_time registered_since_ = monotonic_time::max();  // when the registration was stored
   monotonic_time outage_last_confirmed_{};                   // by all entries
   monotonic_time outage_confirmed_until_{};
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -21,6 +21,7 @@
 #include "connection/thread_cpu_clock.h"
 #include "process/site/advice_dispatcher.h"
 #include "process/site/caller_frontend.h"
+#include "process/site/cut_off_resignation.h"
 #include "process/site/event_loop.h"
 #include "process/site/handover_exchange.h"
 #include "process/site/outage_scope.h"
@@ -86,6 +87,8 @@
   // The store counts as reachable at a peer that got an answer from it within this time.
   static constexpr std::chrono::milliseconds kMaxReachableStoreAge{900};
 
+  // Instead of the nonce, by a process that gave up the site: to its watchers it is as if ended.
+  static constexpr uint64_t kNoProcess = 0;
   static constexpr std::chrono::milliseconds kReadinessInterval{100};
   static constexpr std::chrono::milliseconds kAliveTimeout{250};
   // A call that failed within this time was rejected by the host; an address that does not answer
@@ -142,6 +145,7 @@
   void PollPeersOnOutage(const std::function<void(outage_verdict)>& done);
   // Asks other entries about the store if it does not answer this one.
   void AskAboutOutage(monotonic_time now);
+  void LeaveIfCutOff(monotonic_time now);
   std::vector<site_entry> PeersOfAllDomains(size_t most, bool with_owner) const;
   // Failure detection for the owner's process.
   void WatchOwner();
@@ -176,6 +180,7 @@
   event_loop loop_;
   store_health store_health_;
   outage_tracker outage_;
+  cut_off_resignation resignation_;
   site_membership<std::remove_reference_t<decltype(std::declval<Platform>().Store())>> membership_;
   version_follower<Platform> versions_;
   caller_frontend<Platform> frontend_;
@@ -200,6 +205,7 @@
   std::optional<monotonic_time> outage_confirmed_at_;  // last outage confirmed to an owner
   std::atomic<bool> ready_{false};
   std::atomic<bool> overloaded_{false};
+  std::atomic<bool> left_site_{false};  // gave up the site and has not owned it since
   std::atomic<bool> stopping_{false};
   bool stopped_ = false;
   std::unique_ptr<http_server> caller_server_;
@@ -454,7 +460,8 @@
 void site_node<Platform>::OnPeer(http_server::token token, http_request request) {
   if (request.path == kPeerAlivePath) {
     return peer_server_->Respond(
-        token, {.body = PeerLivenessToText({membership_.Self().nonce, overloaded_.load()})});
+        token, {.body = PeerLivenessToText(
+                    {left_site_ ? kNoProcess : membership_.Self().nonce, overloaded_.load()})});
   }
   const bool accepted =
       loop_.TryPost([this, token, request = std::move(request)] { AnswerPeer(token, request); });
@@ -551,6 +558,7 @@
 void site_node<Platform>::PollReadiness() {
   loop_.After(kReadinessInterval, [this] { PollReadiness(); });
   AskAboutOutage(BootNow());
+  LeaveIfCutOff(BootNow());
   UpdateReadiness();
 }
 
@@ -738,6 +746,14 @@
   QueryPeers(PeersOfAllDomains(kMaxPeersQueried, true), kPeerStorePath, judge);
 }
 
+template <site_platform Platform>
+void site_node<Platform>::LeaveIfCutOff(monotonic_time now) {
+  if (!membership_.Owns()) return;
+  if (!resignation_.ShouldResign(outage_.Scope(now), membership_.StoreAnswered(), now)) return;
+  membership_.LeaveToOthers("the store answers others and not this entry");
+  left_site_ = true;
+}
+
 // This entry may be the one that is cut off, so others are asked whether they reach the owner.
 template <site_platform Platform>
 void site_node<Platform>::ConfirmSuspicion(uint64_t epoch) {
@@ -801,6 +817,7 @@
 
 template <site_platform Platform>
 void site_node<Platform>::OnOwnershipWon() {
+  left_site_ = false;
   relay_client_.Begin(membership_.Epoch());
   owner_ = std::make_shared<site_owner<Platform>>(
       platform_, loop_, log_, metrics_, settings_, membership_.Epoch(), membership_.OwnerRevision(),
--- a/test/handover_fleet_test.cc
+++ b/test/handover_fleet_test.cc
@@ -6,10 +6,12 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <thread>
 
 #include "absl/strings/str_cat.h"
 #include "process/site/handover_exchange.h"
 #include "site_fixture.h"
+#include "standin/fault_proxy.h"
 
 namespace catkinford {
 namespace {
@@ -102,5 +104,54 @@
   CheckJobs(0);
 }
 
+// Three entries of a failure domain, each with its own path to the store.
+class store_paths_fixture : public site_fixture {
+ protected:
+  store_paths_fixture() : site_fixture(no_entries{}) {
+    for (size_t i = 0; i < 3; ++i) {
+      const link_index link = proxy_.AddLink(store_.Port());
+      AddEntry(absl::StrCat("entry-", i), absl::StrCat("127.0.0.1:", proxy_.PortOf(link)));
+    }
+    proxy_.Start();
+    for (auto& entry : entries_) Start(*entry);
+    REQUIRE(Eventually([this] { return Ready(0) && Ready(1) && Ready(2) && Owner() >= 0; }));
+  }
+  ~store_paths_fixture() {
+    for (auto& entry : entries_) entry->process.Kill();
+    proxy_.Stop();
+  }
+
+  fault_proxy proxy_;
+};
+
+// Guards against an owner that holds the site until its lease ends, while the others reach the
+// store and it does not.
+TEST_CASE_METHOD(store_paths_fixture,
+                 "site, owner alone cut off from store, resigns and hands over") {
+  const auto owner = static_cast<size_t>(Owner());
+  REQUIRE(Call(owner, "POST", "/keyed/" + JobId(1), TwoSteps()).code == 200);
+  proxy_.SetRule(owner, {.state = link_state::kCut});
+  CHECK(Eventually([&] { return Owner() >= 0 && Owner() != static_cast<int>(owner); }));
+  const auto next = static_cast<size_t>(Owner());
+  CHECK(Log(owner).find("why=the?store?answers?others") != std::string::npos);
+  CHECK(Eventually(
+      [&] { return Metric(next, "catkinford_site_handovers_total{outcome=\"taken\"}") == 1; }));
+  CHECK(Log(next).find("early=1") != std::string::npos);
+  CHECK(Eventually([&] { return StateOf(next, "/keyed/" + JobId(1)) == "completed"; }));
+  CHECK(instances_.DuplicateRuns().empty());
+  proxy_.SetRule(owner, {});
+}
+
+// Guards against owners that give up the site while the store answers nobody.
+TEST_CASE_METHOD(store_paths_fixture, "site, all cut off from store, owner keeps the site") {
+  const auto owner = static_cast<size_t>(Owner());
+  for (size_t i = 0; i < 3; ++i) proxy_.SetRule(i, {.state = link_state::kCut});
+  std::this_thread::sleep_for(std::chrono::milliseconds(1300));
+  CHECK(Log(owner).find("ownership_lost") == std::string::npos);
+  for (size_t i = 0; i < 3; ++i) proxy_.SetRule(i, {});
+  CHECK(Eventually([&] { return Ready(owner); }));
+  CHECK(Log(owner).find("why=the?store?answers?others") == std::string::npos);
+}
+
 }  // namespace
 }  // namespace catkinford
