--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -21,7 +21,9 @@
 #include "connection/thread_cpu_clock.h"
 #include "process/site/advice_dispatcher.h"
 #include "process/site/caller_frontend.h"
+#include "process/site/cut_off_resignation.h"
 #include "process/site/event_loop.h"
+#include "process/site/handover_exchange.h"
 #include "process/site/outage_scope.h"
 #include "process/site/owner_budget.h"
 #include "process/site/owner_failure_detector.h"
@@ -85,6 +87,8 @@
   // The store counts as reachable at a peer that got an answer from it within this time.
   static constexpr std::chrono::milliseconds kMaxReachableStoreAge{900};
 
+  // Instead of the nonce, by a process that gave up the site: to its watchers it is as if ended.
+  static constexpr uint64_t kNoProcess = 0;
   static constexpr std::chrono::milliseconds kReadinessInterval{100};
   static constexpr std::chrono::milliseconds kAliveTimeout{250};
   // A call that failed within this time was rejected by the host; an address that does not answer
@@ -141,11 +145,14 @@
   void PollPeersOnOutage(const std::function<void(outage_verdict)>& done);
   // Asks other entries about the store if it does not answer this one.
   void AskAboutOutage(monotonic_time now);
+  void LeaveIfCutOff(monotonic_time now);
   std::vector<site_entry> PeersOfAllDomains(size_t most, bool with_owner) const;
   // Failure detection for the owner's process.
   void WatchOwner();
   void CheckAlive(const site_entry& process, const std::function<void(liveness)>& done);
   void CheckPreviousOwner(int tries);
+  peer_handover HandoverForPeer(const http_request& request);
+  void RequestHandover();
   void CheckOwnerAlive(const std::function<void(liveness)>& done);
   void ReadOwnerCommit(uint64_t epoch);
   void EvaluateSuspicion(uint64_t epoch);
@@ -173,6 +180,7 @@
   event_loop loop_;
   store_health store_health_;
   outage_tracker outage_;
+  cut_off_resignation resignation_;
   site_membership<std::remove_reference_t<decltype(std::declval<Platform>().Store())>> membership_;
   version_follower<Platform> versions_;
   caller_frontend<Platform> frontend_;
@@ -182,8 +190,7 @@
   relay_client relay_client_;                    // for this entry's calls, while it owns the site
   relay_server relay_server_;                    // for calls of another entry that owns the site
   advice_dispatcher advice_;
-  scheduler_handover handover_;  // of this process's last ownership
-  uint64_t handover_epoch_ = 0;
+  kept_handover handover_;  // of this process's last ownership
   std::shared_ptr<site_owner<Platform>> owner_;
   std::map<std::string, bool> peer_silent_;
   std::map<std::string, std::chrono::microseconds> cpu_time_;  // by thread, at the last report
@@ -198,6 +205,7 @@
   std::optional<monotonic_time> outage_confirmed_at_;  // last outage confirmed to an owner
   std::atomic<bool> ready_{false};
   std::atomic<bool> overloaded_{false};
+  std::atomic<bool> left_site_{false};  // gave up the site and has not owned it since
   std::atomic<bool> stopping_{false};
   bool stopped_ = false;
   std::unique_ptr<http_server> caller_server_;
@@ -452,7 +460,8 @@
 void site_node<Platform>::OnPeer(http_server::token token, http_request request) {
   if (request.path == kPeerAlivePath) {
     return peer_server_->Respond(
-        token, {.body = PeerLivenessToText({membership_.Self().nonce, overloaded_.load()})});
+        token, {.body = PeerLivenessToText(
+                    {left_site_ ? kNoProcess : membership_.Self().nonce, overloaded_.load()})});
   }
   const bool accepted =
       loop_.TryPost([this, token, request = std::move(request)] { AnswerPeer(token, request); });
@@ -485,6 +494,8 @@
     });
   } else if (request.path == kPeerVersionPath) {
     response.body = PeerVersionReplyToText(VersionForPeer(request));
+  } else if (request.path == kPeerHandoverPath) {
+    response.body = PeerHandoverToText(HandoverForPeer(request));
   } else if (request.path == kPeerJobPath) {
     if (owner_ != nullptr) owner_->OnJobStored(request.Query("id"), request.body);
   } else if (request.path == kPeerCancelPath) {
@@ -547,6 +558,7 @@
 void site_node<Platform>::PollReadiness() {
   loop_.After(kReadinessInterval, [this] { PollReadiness(); });
   AskAboutOutage(BootNow());
+  LeaveIfCutOff(BootNow());
   UpdateReadiness();
 }
 
@@ -734,6 +746,14 @@
   QueryPeers(PeersOfAllDomains(kMaxPeersQueried, true), kPeerStorePath, judge);
 }
 
+template <site_platform Platform>
+void site_node<Platform>::LeaveIfCutOff(monotonic_time now) {
+  if (!membership_.Owns()) return;
+  if (!resignation_.ShouldResign(outage_.Scope(now), membership_.StoreAnswered(), now)) return;
+  membership_.LeaveToOthers("the store answers others and not this entry");
+  left_site_ = true;
+}
+
 // This entry may be the one that is cut off, so others are asked whether they reach the owner.
 template <site_platform Platform>
 void site_node<Platform>::ConfirmSuspicion(uint64_t epoch) {
@@ -797,21 +817,66 @@
 
 template <site_platform Platform>
 void site_node<Platform>::OnOwnershipWon() {
+  left_site_ = false;
   relay_client_.Begin(membership_.Epoch());
   owner_ = std::make_shared<site_owner<Platform>>(
       platform_, loop_, log_, metrics_, settings_, membership_.Epoch(), membership_.OwnerRevision(),
       membership_.ClaimedEarly() || membership_.EarlierOwnersMayAct(), OwnerHooks());
   metrics_.owns_site.Set(1);
   metrics_.takeovers.Increment();
-  // Epochs that follow each other directly: no other process owned the site in between.
-  const bool own = handover_epoch_ + 1 == membership_.Epoch();
   owner_->SetEvacuated(versions_.Evacuated().Names());
-  owner_->Start(versions_.Version(), own ? std::move(handover_) : scheduler_handover{});
-  handover_ = {};
+  RequestHandover();
+  owner_->Start(versions_.Version(), handover_.Begin(membership_.Epoch()));
   SeekConfirmation();
   CheckPreviousOwner(kPreviousOwnerChecks);
 }
 
+template <site_platform Platform>
+peer_handover site_node<Platform>::HandoverForPeer(const http_request& request) {
+  uint64_t epoch = 0;
+  if (!absl::SimpleAtoi(request.Query("epoch"), &epoch)) epoch = 0;
+  // Only the owner of the next epoch asks. It may know of its ownership before this entry does.
+  if (membership_.Owns() && membership_.Epoch() == epoch) {
+    membership_.OnSuperseded("the next owner asks for the handover");
+  }
+  return handover_.AnswerTo(epoch, membership_.Self().nonce, BootNow());
+}
+
+// Asks the previous owner's process once, while the records are read.
+template <site_platform Platform>
+void site_node<Platform>::RequestHandover() {
+  const auto& previous = membership_.PreviousOwner();
+  if (!previous || previous->name == settings_.name) return;
+  // An owner before the previous one, of which the previous one may not know all, may still act.
+  if (membership_.EarlierOwnersMayAct()) return;
+  owner_->AwaitHandover();
+  const monotonic_time asked = BootNow();
+  const handover_request judge(membership_.Epoch(), previous->nonce, asked);
+  const std::weak_ptr<site_owner<Platform>> weak_owner = owner_;
+  QueryPeer(
+      *previous, absl::StrCat(kPeerHandoverPath, "?epoch=", judge.FormerEpoch()),
+      [this, weak_owner, judge, asked, from = previous->name,
+       epoch = membership_.Epoch()](const std::optional<std::string>& bytes) {
+        const monotonic_time now = BootNow();
+        scheduler_handover handover;
+        handover_outcome outcome = judge.Judge(bytes, now, handover);
+        const bool taken = outcome == handover_outcome::kTaken;
+        const size_t jobs = handover.progress.size();
+        const auto owner = weak_owner.lock();
+        if (owner == nullptr || owner != owner_) return;
+        const bool in_time = owner->OnHandover(
+            taken ? std::optional<scheduler_handover>(std::move(handover)) : std::nullopt);
+        if (!in_time) outcome = handover_outcome::kLate;
+        metrics_.CountHandover(std::string(ToText(outcome)));
+        log_.Write(
+            site_event::kHandover, now,
+            absl::StrCat("epoch=", epoch, " from=", from, " complete=", taken, " jobs=", jobs,
+                         " bytes=", bytes ? bytes->size() : size_t{0}, " ms=",
+                         std::chrono::duration_cast<std::chrono::milliseconds>(now - asked).count(),
+                         " outcome=", std::string(ToText(outcome))));
+      });
+}
+
 // An owner whose process has ended sends no more commands. Its machine may restart only after this
 // entry took over, so it is checked until it answers or no earlier owner can act any more.
 template <site_platform Platform>
@@ -877,8 +942,7 @@
   start_dispatcher_.Clear();
   relay_client_.End();
   if (owner_ == nullptr) return;
-  handover_ = owner_->HandOver();
-  handover_epoch_ = membership_.Epoch();
+  handover_.Keep(membership_.Epoch(), owner_->HandOver(), BootNow());
   owner_->End();
   owner_.reset();
   // Instances serve a limited number of connections, which the next owner needs.
