--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -140,6 +140,11 @@
   const step_spec& terms = entry.job.steps[run.key.step];
   const auto took = std::max(milliseconds{1}, duration_cast<milliseconds>(now - run.started));
   const double slowness = speeds_.Slowness(run.instance->ordinal);
+  const milliseconds expected = ExpectedRunOn(*run.instance, entry, step, run.key.step);
+  if (expected.count() > 0 && run_time_ratios_.size() < kMaxEvents) {
+    run_time_ratios_.push_back(static_cast<double>(took.count()) /
+                               static_cast<double>(expected.count()));
+  }
   const auto usual = std::max(
       milliseconds{1}, milliseconds(std::llround(static_cast<double>(took.count()) / slowness)));
   run_times_.OnRun(entry.job.queue, terms.estimate, usual, 1.0 / terms.count);
@@ -203,7 +208,8 @@
       step.ready_at = now;
       const step_spec& terms = entry.job.steps[i];
       if (!terms.long_running && !terms.fills && !entry.beyond_share) {
-        kept_.OnReady(TermsOf(entry).priority, uint64_t{terms.need.cpu_milli} * step.waiting, now);
+        kept_.OnReady(entry.service, TermsOf(entry).priority,
+                      uint64_t{terms.need.cpu_milli} * step.waiting, now);
       }
     }
   }
@@ -396,6 +402,7 @@
   OpenDue(wall, now);
   DropExpired(now);
   UpdateTimeoutFactor(now);
+  if (options_.instance_speed) speeds_.Refresh(now);
   CheckRuns(commands, now);
   const std::vector<ready_step> ready = NextSteps(now);
   if (!starts_paused_) Place(ready, now);
@@ -411,17 +418,14 @@
   for (const uint32_t ordinal : speeds_.TakeClassChanges()) {
     const fleet_instance* instance = InstanceAt(ordinal);
     if (instance == nullptr) continue;
-    LogDetail(scheduler_event::kind::kInstanceSpeed, [&] {
-      const speed_estimate known = speeds_.Estimate(ordinal);
-      const auto age = known.observations == 0 ? milliseconds{0}
-                                               : duration_cast<milliseconds>(now - known.updated);
-      return std::pair(
-          instance->report.id,
-          absl::StrCat("class=", std::string(ToText(speeds_.Class(ordinal))), " slowness=",
-                       absl::StrFormat("%.2f deviation=%.2f", known.slowness, known.deviation),
-                       " kind=", speeds_.Kind(ordinal), " runs=", known.observations,
-                       " age_ms=", age.count()));
-    });
+    const speed_estimate known = speeds_.Estimate(ordinal);
+    const auto age = known.observations == 0 ? milliseconds{0}
+                                             : duration_cast<milliseconds>(now - known.updated);
+    LogEvent(scheduler_event::kind::kInstanceSpeed, instance->report.id,
+             absl::StrCat("class=", std::string(ToText(speeds_.Class(ordinal))), " slowness=",
+                          absl::StrFormat("%.2f deviation=%.2f", known.slowness, known.deviation),
+                          " kind=", speeds_.Kind(ordinal), " runs=", known.observations,
+                          " age_ms=", age.count()));
   }
 }
 
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -183,6 +183,9 @@
   // Waiting or running steps that rounds of decisions have looked at so far.
   uint64_t StepsSeen() const { return steps_seen_; }
   size_t RunCount() const;
+  size_t InstancesOf(speed_class speed) const { return speeds_.Count(speed); }
+  // Actual over expected run times of the undisturbed runs that ended since the last call.
+  std::vector<double> TakeRunTimeRatios() { return std::exchange(run_time_ratios_, {}); }
 
  private:
   // job_scheduler.cc
@@ -517,8 +520,11 @@
   run_times run_times_;
   instance_speeds speeds_;
   kept_capacity kept_;
-  // Free processors of the instances that are not slow, by service; of the current round.
+  // By service, of the current round: free processors of the instances that are not slow, and
+  // whether any is slow.
   std::vector<uint64_t> free_fast_milli_;
+  std::vector<bool> any_slow_;
+  std::vector<double> run_time_ratios_;
   bool unrecorded_starts_ = false;
   bool starts_paused_ = false;
   bool records_complete_ = false;
--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -134,9 +134,12 @@
 
 void job_scheduler::CountFreeFast(monotonic_time now) {
   free_fast_milli_.assign(services_.size() + 1, 0);
+  any_slow_.assign(services_.size() + 1, false);
   if (!options_.instance_speed || !speeds_.Uneven()) return;
   for (const auto& [id, instance] : instances_) {
-    if (speeds_.Class(instance->ordinal) == speed_class::kSlow || !AcceptsWork(*instance, now)) {
+    if (!AcceptsWork(*instance, now)) continue;
+    if (speeds_.Class(instance->ordinal) == speed_class::kSlow) {
+      any_slow_[instance->service] = true;
       continue;
     }
     free_fast_milli_[instance->service] += instance->Free().cpu_milli;
@@ -146,9 +149,13 @@
 bool job_scheduler::MayUseFast(const ready_step& ready, const resources& demand,
                                monotonic_time now) const {
   if (!options_.instance_speed || !speeds_.Uneven()) return true;
-  if (ready.entry->job.steps[ready.index].long_running) return true;
-  const uint64_t kept = kept_.For(TermsOf(*ready.entry).priority, now);
-  return kept == 0 || free_fast_milli_[ready.entry->service] >= kept + demand.cpu_milli;
+  const step_spec& terms = ready.entry->job.steps[ready.index];
+  const uint32_t service = ready.entry->service;
+  // Nothing is kept from steps that could use nothing else: where no instance of the service is
+  // slow, or perhaps none with the label.
+  if (terms.long_running || !any_slow_[service] || !terms.required_label.empty()) return true;
+  const uint64_t kept = kept_.For(service, TermsOf(*ready.entry).priority, now);
+  return kept == 0 || free_fast_milli_[service] >= kept + demand.cpu_milli;
 }
 
 fleet_instance* job_scheduler::ChooseInstance(const ready_step& ready, const graph_task_state& task,
--- a/src/process/site/site_metrics.cc
+++ b/src/process/site/site_metrics.cc
@@ -16,6 +16,7 @@
                                                    0.25,  0.5,   1,    2,    5};
 const Histogram::BucketBoundaries kStageBounds = {0.01, 0.03, 0.1, 0.25, 0.5, 1, 2, 5, 15};
 const Histogram::BucketBoundaries kAgeBounds = {0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5};
+const Histogram::BucketBoundaries kRatioBounds = {0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.5, 2, 4, 8};
 const Histogram::BucketBoundaries kDecideBounds = {0.0001, 0.0005, 0.001, 0.002, 0.005, 0.02, 0.1};
 
 prometheus::Family<Counter>& Counters(prometheus::Registry& registry, const char* name,
@@ -48,6 +49,10 @@
                        .Name("catkinford_site_cpu_seconds")
                        .Help("Processor time since the start of the process, by thread.")
                        .Register(registry_)),
+      instances_(prometheus::BuildGauge()
+                     .Name("catkinford_site_instances")
+                     .Help("Instances known to the owner, by class of speed.")
+                     .Register(registry_)),
       answer_seconds_(prometheus::BuildHistogram()
                           .Name("catkinford_site_answer_seconds")
                           .Help("Time from the arrival of a call to its answer.")
@@ -66,6 +71,11 @@
                               .Help("Age of an instance's listing when the owner handled it.")
                               .Register(registry_)
                               .Add({}, kAgeBounds)),
+      run_time_ratio(prometheus::BuildHistogram()
+                         .Name("catkinford_site_run_time_ratio")
+                         .Help("Actual over expected run time of tasks that ran undisturbed.")
+                         .Register(registry_)
+                         .Add({}, kRatioBounds)),
       takeovers(Counters(registry_, "catkinford_site_takeovers_total",
                          "Times that this entry became the owner of the site.")
                     .Add({})),
@@ -136,6 +146,12 @@
   }
 }
 
+void site_metrics::SetInstances(speed_class speed, size_t count) {
+  prometheus::Gauge*& gauge = instance_gauges_[static_cast<size_t>(speed)];
+  if (gauge == nullptr) gauge = &instances_.Add({{"speed", std::string(ToText(speed))}});
+  gauge->Set(static_cast<double>(count));
+}
+
 void site_metrics::CountVersionRead(const std::string& source, const std::string& outcome) {
   version_reads_.Add({{"source", source}, {"outcome", outcome}}).Increment();
 }
--- a/src/process/site/site_metrics.h
+++ b/src/process/site/site_metrics.h
@@ -18,6 +18,7 @@
 #include "connection/traffic_counter.h"
 #include "process/scheduling/job_stages.h"
 #include "process/scheduling/scheduler_messages.h"
+#include "process/speed/instance_speed.h"
 
 namespace catkinford {
 
@@ -35,6 +36,7 @@
   void CountCommand(site_command command, command_result outcome);
   void CountRunEnd(run_end how);
   void CountCompletedJob(const completed_job& job);
+  void SetInstances(speed_class speed, size_t count);
   // `source`: store, watch or peer; `outcome`: done, refused, absent, history_gone or
   // broken_off.
   void CountVersionRead(const std::string& source, const std::string& outcome);
@@ -58,18 +60,21 @@
   prometheus::Family<prometheus::Counter>& link_bytes_;
   prometheus::Family<prometheus::Counter>& call_faults_;
   prometheus::Family<prometheus::Gauge>& cpu_seconds_;
+  prometheus::Family<prometheus::Gauge>& instances_;
   prometheus::Family<prometheus::Histogram>& answer_seconds_;
   prometheus::Family<prometheus::Histogram>& stage_seconds_;
   // A look-up by labels compares and copies strings, for each command and each end. Null: not used
   // yet.
   std::array<std::array<prometheus::Counter*, kCommandResults>, kSiteCommands> command_counters_{};
   std::array<prometheus::Counter*, kRunEnds> run_end_counters_{};
+  std::array<prometheus::Gauge*, 3> instance_gauges_{};  // by class of speed
   // By priority. A look-up by labels compares and copies strings, for each stage of each job.
   std::map<int, std::array<prometheus::Histogram*, kJobStages>> stages_of_priority_;
 
  public:
   prometheus::Histogram& decide_seconds;       // one decision round of the owner
   prometheus::Histogram& listing_age_seconds;  // of an instance's listing when it was handled
+  prometheus::Histogram& run_time_ratio;       // actual over expected run time, of sound runs
   prometheus::Counter& takeovers;              // times that this entry became owner
   prometheus::Gauge& owns_site;                // 1 or 0
   prometheus::Gauge& jobs;                     // known to the owner
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -589,6 +589,11 @@
     metrics_.decide_seconds.Observe(std::chrono::duration<double>(spent).count());
     metrics_.jobs.Set(static_cast<double>(scheduler_.JobCount()));
     metrics_.runs.Set(static_cast<double>(scheduler_.RunCount()));
+    for (const speed_class speed : {speed_class::kFast, speed_class::kUsual, speed_class::kSlow}) {
+      metrics_.SetInstances(speed, scheduler_.InstancesOf(speed));
+    }
+    for (const double ratio : scheduler_.TakeRunTimeRatios())
+      metrics_.run_time_ratio.Observe(ratio);
     decision_costs_.plan += send_from - plan_from;
     decision_costs_.send += notes_from - send_from;
     decision_costs_.notes += notes_until - notes_from;
--- a/src/process/speed/instance_speed.h
+++ b/src/process/speed/instance_speed.h
@@ -11,6 +11,7 @@
 #ifndef CATKINFORD_PROCESS_SPEED_INSTANCE_SPEED_H_
 #define CATKINFORD_PROCESS_SPEED_INSTANCE_SPEED_H_
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -42,6 +43,23 @@
   monotonic_time updated{};  // the latest observation; not set: none
 };
 
+// What lasts beyond one owner; see learned/learned_record.h.
+struct kind_speed {
+  std::string kind;
+  double mean = 0;    // of the logarithm of the slowness
+  double spread = 0;  // variance among its instances
+  double weight = 0;  // of what is known: inverse of a variance
+};
+struct own_speed {
+  uint32_t ordinal = 0;
+  double mean = 0;
+  double weight = 0;
+};
+struct learned_speeds {
+  std::vector<kind_speed> kinds;
+  std::vector<own_speed> instances;  // those of which their kinds say too little
+};
+
 class instance_speeds {
  public:
   instance_speeds();
@@ -66,7 +84,18 @@
   speed_estimate Estimate(uint32_t ordinal) const;
   std::string Kind(uint32_t ordinal) const;
   // True if some instance is not of the usual class. On an even fleet nothing needs to weigh speed.
-  bool Uneven() const { return uneven_ > 0; }
+  bool Uneven() const { return Count(speed_class::kFast) + Count(speed_class::kSlow) > 0; }
+
+  // Instances of the class.
+  size_t Count(speed_class speed) const { return by_class_[static_cast<size_t>(speed)]; }
+
+  // Updates what kinds say of their instances, and lets old observations fade. Called in each round
+  // of decisions; a kind is updated at most every 50 ms, or more rarely if it has many instances.
+  void Refresh(monotonic_time now);
+
+  learned_speeds Save() const;
+  // Counts like a few runs of each instance. What is already known of a kind or an instance stays.
+  void Load(const learned_speeds& learned, monotonic_time now);
 
   // The instances whose class changed since the last call.
   std::vector<uint32_t> TakeClassChanges();
@@ -76,40 +105,55 @@
     double mean = 0;  // of the logarithm of the slowness
     double variance = 0;
   };
+  // Weighted sums over instances.
+  struct evidence {
+    double weight = 0;
+    double sum = 0;
+    double squares = 0;  // less the share of the squares that comes from the spread of runs
+
+    evidence Without(const evidence& other) const;
+  };
   struct state {
     std::string kind;
-    // From the instance's own runs: sum of their weights, and of weight times logarithm.
+    // From the instance's own runs, as of `updated`: sum of weights, and of weight times logarithm.
     double weight = 0;
     double sum = 0;
     uint32_t observations = 0;
+    bool loaded = false;  // known from an earlier owner alone, which was confident of it
     monotonic_time updated{};
-    belief now;  // with what its kind says, as of the latest step
+    // Outliers in succession on one side: their number, negative if fast, and their sum.
+    int surprises = 0;
+    double surprise_sum = 0;
+    belief prior;  // what the other instances of its kind say
+    belief now;    // with its own runs
     speed_class speed = speed_class::kUsual;
-
-    double OwnMean() const { return weight > 0 ? sum / weight : 0; }
   };
-  // Sums over the instances of a kind that have runs, each weighted by how well it is known.
   struct kind_state {
-    double weight = 0;
-    double sum = 0;
-    double squares = 0;  // less the share of the squares that comes from the spread of runs
     std::vector<uint32_t> members;
+    evidence known;   // from the members that have runs, as of `refreshed`
+    evidence loaded;  // from an earlier owner, as of `loaded_at`
+    monotonic_time loaded_at{};
+    monotonic_time refreshed{};
+    bool changed = false;  // a member had runs since
   };
 
   state* Find(uint32_t ordinal);
   const state* Find(uint32_t ordinal) const;
-  // What is expected of an instance of the kind without runs.
-  static belief PriorOf(const kind_state& kind);
-  static void Count(kind_state& kind, const state& of, int sign);
-  void Observe(state& of, double log_slowness, double variance, monotonic_time now);
-  // Updates the beliefs on all instances of the kind, and their classes.
-  void Refresh(const std::string& kind);
+  static belief PriorOf(const evidence& known);
+  static evidence EvidenceOf(const state& of, monotonic_time now);
+  void Observe(uint32_t ordinal, double log_slowness, double variance, size_t runs,
+               monotonic_time now);
+  void Refresh(kind_state& kind, monotonic_time now);
+  // Derives the belief on the instance from its prior and its own runs, and its class from that.
+  void Update(uint32_t ordinal, state& of, monotonic_time now);
   void Classify(uint32_t ordinal, state& of);
+  void SetClass(uint32_t ordinal, state& of, speed_class speed);
 
   std::vector<std::optional<state>> states_;  // by ordinal
+  std::vector<double> factors_;               // by ordinal: what Slowness() returns
   absl::flat_hash_map<std::string, kind_state> kinds_;
   std::vector<uint32_t> class_changes_;
-  size_t uneven_ = 0;    // instances that are not of the usual class
+  std::array<size_t, 3> by_class_{};
   double run_variance_;  // learned: of the logarithm of the run times of tasks that are alike
 };
 
--- a/src/process/speed/kept_capacity.h
+++ b/src/process/speed/kept_capacity.h
@@ -7,8 +7,10 @@
 #define CATKINFORD_PROCESS_SPEED_KEPT_CAPACITY_H_
 
 #include <chrono>
+#include <climits>
 #include <cmath>
 #include <cstdint>
+#include <utility>
 
 #include "absl/container/btree_map.h"
 #include "request/job_request.h"
@@ -17,18 +19,20 @@
 
 class kept_capacity {
  public:
-  // A step of this priority, lower first, became ready; its tasks need `cpu_milli` together.
-  void OnReady(int priority, uint64_t cpu_milli, monotonic_time now) {
-    demand& of = demands_[priority];
+  // A step of this service and priority, lower first, became ready; its tasks need `cpu_milli`
+  // together.
+  void OnReady(uint32_t service, int priority, uint64_t cpu_milli, monotonic_time now) {
+    demand& of = demands_[{service, priority}];
     of.rate = Decayed(of, now) + static_cast<double>(cpu_milli) / kWindow.count();
     of.updated = now;
   }
-  // Thousandths of a processor that steps of this priority leave free for more urgent ones.
-  uint64_t For(int priority, monotonic_time now) const {
+  // Thousandths of a processor that steps of this priority leave free for more urgent ones of the
+  // same service.
+  uint64_t For(uint32_t service, int priority, monotonic_time now) const {
     double kept = 0;
-    for (const auto& [other, of] : demands_) {
-      if (other >= priority) break;
-      kept += Decayed(of, now) * kAhead.count();
+    for (auto at = demands_.lower_bound({service, INT_MIN}); at != demands_.end(); ++at) {
+      if (at->first.first != service || at->first.second >= priority) break;
+      kept += Decayed(at->second, now) * kAhead.count();
     }
     return static_cast<uint64_t>(kept);
   }
@@ -48,7 +52,7 @@
     return of.rate * std::exp(-passed / kWindow);
   }
 
-  absl::btree_map<int, demand> demands_;  // by priority
+  absl::btree_map<std::pair<uint32_t, int>, demand> demands_;  // by service and priority
 };
 
 }  // namespace catkinford
--- a/test/pages_test.cc
+++ b/test/pages_test.cc
@@ -124,6 +124,7 @@
   exported_metrics.CountStoreCall("commit", "done");
   exported_metrics.CountCommand(site_command::kStart, command_result::kDone);
   exported_metrics.CountRunEnd(run_end::kDone);
+  exported_metrics.SetInstances(speed_class::kSlow, 1);
   exported_metrics.CountVersionRead("store", "done");
   exported_metrics.CountCompletedJob({});
   exported_metrics.SetCpuTime("loop", std::chrono::seconds(1));
