What an owner has learned is stored for the next one

The next owner reads it with its other records. A torn, too long, too old record or one of another version is logged (657) and ignored. What is loaded counts like six runs of an instance or eight steps of a queue, and moves preferences only. A process that owns the site again uses its own memory instead. Setting learning.persist.

speed_placement_test.cc: the next owner places urgent work on fast instances in its first round; without the record it does not.

--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -461,4 +461,39 @@
   return count;
 }
 
+learned_record job_scheduler::Learned(wall_time wall) const {
+  learned_record out;
+  out.epoch = epoch_;
+  out.written = wall;
+  out.queues = run_times_.Save();
+  learned_speeds speeds = speeds_.Save();
+  out.kinds = std::move(speeds.kinds);
+  for (const own_speed& each : speeds.instances) {
+    const fleet_instance* instance = InstanceAt(each.ordinal);
+    if (instance == nullptr) continue;
+    out.instances.push_back({instance->report.id, each.mean, each.weight});
+  }
+  return out;
+}
+
+learned_record job_scheduler::LoadLearned(const learned_record& record, monotonic_time now) {
+  learned_record used = record;
+  used.instances.clear();
+  run_times_.Load(record.queues);
+  if (!options_.instance_speed) {
+    used.kinds.clear();
+    return used;
+  }
+  learned_speeds speeds;
+  speeds.kinds = record.kinds;
+  for (const learned_instance& each : record.instances) {
+    const auto found = by_id_.find(each.id);
+    if (found == by_id_.end()) continue;
+    speeds.instances.push_back({found->second->ordinal, each.mean, each.weight});
+    used.instances.push_back(each);
+  }
+  speeds_.Load(speeds, now);
+  return used;
+}
+
 }  // namespace catkinford
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -19,6 +19,7 @@
 #include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
+#include "process/learned/learned_record.h"
 #include "process/scheduling/answer_timeout.h"
 #include "process/scheduling/arrival_rate_limit.h"
 #include "process/scheduling/capacity_forecast.h"
@@ -73,6 +74,7 @@
 struct scheduler_handover {
   bool complete = false;                        // with it, the records name all runs that may exist
   std::map<std::string, std::string> progress;  // by job, newer than what is stored
+  std::optional<learned_record> learned;        // newer than what is stored
 };
 
 class job_scheduler {
@@ -184,6 +186,11 @@
   uint64_t StepsSeen() const { return steps_seen_; }
   size_t RunCount() const;
   size_t InstancesOf(speed_class speed) const { return speeds_.Count(speed); }
+  // Run times and speeds that were learned, for a next owner.
+  learned_record Learned(wall_time wall) const;
+  // Loads what an earlier owner had learned; returns what was known of instances that exist here.
+  // It changes preferences only. Speeds are ignored if they guide nothing.
+  learned_record LoadLearned(const learned_record& record, monotonic_time now);
   // Actual over expected run times of the undisturbed runs that ended since the last call.
   std::vector<double> TakeRunTimeRatios() { return std::exchange(run_time_ratios_, {}); }
 
--- a/src/process/scheduling/run_times.cc
+++ b/src/process/scheduling/run_times.cc
@@ -15,6 +15,9 @@
 constexpr double kPriorWeight = 2;
 // Factor on the weight of earlier steps when one is added: about the last hundred count.
 constexpr double kDecay = 0.99;
+constexpr double kMaxLoadedWeight = 8;
+// Logarithm of the longest run time in milliseconds that is believed of a loaded queue: 11 days.
+constexpr double kMaxLoadedLog = 20.7;
 constexpr milliseconds kShortest{1};
 
 double Log(milliseconds time) {
@@ -67,4 +70,25 @@
   return milliseconds(static_cast<int64_t>(std::exp(mean_y + slope * (Log(declared) - mean_x))));
 }
 
+std::vector<queue_run_times> run_times::Save() const {
+  std::vector<queue_run_times> out;
+  out.reserve(regressions_.size());
+  for (const auto& [queue, of] : regressions_) {
+    out.push_back({queue, of.w, of.x, of.y, of.xx, of.xy});
+  }
+  return out;
+}
+
+void run_times::Load(const std::vector<queue_run_times>& queues) {
+  for (const queue_run_times& each : queues) {
+    const bool valid = each.w > 0 && each.x >= 0 && each.x <= kMaxLoadedLog * each.w &&
+                       each.y >= 0 && each.y <= kMaxLoadedLog * each.w;
+    if (!valid) continue;
+    const auto [found, added] = regressions_.try_emplace(each.queue);
+    if (!added) continue;
+    found->second = {each.w, each.x, each.y, each.xx, each.xy};
+    if (each.w > kMaxLoadedWeight) found->second.Decay(kMaxLoadedWeight / each.w);
+  }
+}
+
 }  // namespace catkinford
--- a/src/process/scheduling/run_times.h
+++ b/src/process/scheduling/run_times.h
@@ -13,11 +13,23 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 
 namespace catkinford {
 
+// Of one queue, as stored for a next owner: weighted sums over the logarithms of declared (x) and
+// actual (y) run times.
+struct queue_run_times {
+  std::string queue;
+  double w = 0;
+  double x = 0;
+  double y = 0;
+  double xx = 0;
+  double xy = 0;
+};
+
 class run_times {
  public:
   // A task of the queue ran undisturbed from beginning to end. `weight`: 1 per step, divided among
@@ -29,6 +41,11 @@
   std::chrono::milliseconds Expected(const std::string& queue,
                                      std::chrono::milliseconds declared) const;
 
+  std::vector<queue_run_times> Save() const;
+  // Counts like a few steps. A queue of which runs are known already is left as it is, and so is
+  // one whose sums belong to no run times.
+  void Load(const std::vector<queue_run_times>& queues);
+
  private:
   // Weighted sums over the logarithms of declared (x) and actual (y) run times.
   struct regression {
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -20,6 +20,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 #include "connection/thread_cpu_clock.h"
+#include "process/learned/learned_record.h"
 #include "process/scheduling/job_scheduler.h"
 #include "process/site/event_loop.h"
 #include "process/site/fleet_record.h"
@@ -105,7 +106,10 @@
   // Ends the ownership: no more commands are sent, and pending answers are dropped.
   void End() { ownership_ended_ = true; }
   scheduler_handover HandOver() const {
-    return loaded_ ? scheduler_.HandOver() : scheduler_handover{};
+    if (!loaded_) return {};
+    scheduler_handover out = scheduler_.HandOver();
+    if (settings_.learning.persist) out.learned = scheduler_.Learned(WallNow());
+    return out;
   }
 
   void SetVersion(std::shared_ptr<const site_configuration> version) {
@@ -208,8 +212,9 @@
   // A read that was answered before a change may reach this process this much later.
   static constexpr std::chrono::milliseconds kReadsInFlight{10000};
   static constexpr size_t kMaxExpiredPerCommit = 8;  // jobs; three keys each
-  // The owner's own conditions and keys in each change.
-  static constexpr size_t kReservedEntries = 5;
+  // The owner's own conditions and keys in each change: two conditions, and the keys of the
+  // commit, the fleet, asynchronous records and what was learned.
+  static constexpr size_t kReservedEntries = 6;
 
   // `earlier_owner_may_act`: the earlier owner's lease had not ended, so it may act until it does.
   static scheduler_options OptionsOf(const site_settings& settings, bool earlier_owner_may_act) {
@@ -327,11 +332,37 @@
               if (text) self.loaded_fleet_ = FleetFromText(*text);
             }
             if (item.key == kAsyncRecordsKey) self.inherited_async_ = true;
+            if (item.key == kLearnedKey) self.ReadLearned(item);
           }
         },
         [](self_type& self) { self.LoadRegistry(); });
   }
 
+  void ReadLearned(const store_item& item) {
+    if (!settings_.learning.persist) return;
+    const auto text = Unpacked(item);
+    if (!text) return;
+    loaded_learned_ = LearnedFromText(*text, WallNow());
+    if (loaded_learned_) return;
+    log_.Write(site_event::kRecordUnreadable, BootNow(),
+               absl::StrCat("key=", kLearnedKey, " bytes=", text->size()));
+  }
+
+  // What this process learned as the previous owner is newer than the record.
+  void LoadLearned(monotonic_time now) {
+    if (handover_.learned && !handover_.learned->Empty()) loaded_learned_ = handover_.learned;
+    if (!loaded_learned_) return;
+    const learned_record used = scheduler_.LoadLearned(*loaded_learned_, now);
+    log_.Write(
+        site_event::kLearnedLoaded, now,
+        absl::StrCat(
+            "epoch=", used.epoch, " queues=", used.queues.size(), " kinds=", used.kinds.size(),
+            " instances=", used.instances.size(), " age_ms=",
+            std::chrono::duration_cast<std::chrono::milliseconds>(WallNow() - used.written).count(),
+            " own=", handover_.learned.has_value()));
+    loaded_learned_.reset();
+  }
+
   void LoadRegistry() {
     ReadRegistry([](self_type& self) { self.BeginScheduling(); });
   }
@@ -348,6 +379,7 @@
     for (auto& [id, progress] : handover_.progress) loaded_progress_[id] = std::move(progress);
     scheduler_.OnInherited(loaded_fleet_, now);
     scheduler_.OnRegistry(registry_, now);
+    LoadLearned(now);
     // In the order of acceptance, which the accounting of shares depends on.
     std::sort(loaded_inbox_.begin(), loaded_inbox_.end(),
               [](const store_item& a, const store_item& b) { return a.revision < b.revision; });
@@ -534,6 +566,15 @@
     fleet_unstored_ = true;
   }
 
+  // Put into a change that is sent for another reason: it is worth no change of its own.
+  void AddLearned(store_write& change, monotonic_time now) {
+    if (!settings_.learning.persist || !learned_writer_.Due(now)) return;
+    learned_record record = scheduler_.Learned(WallNow());
+    if (!learned_writer_.Differs(record, now)) return;
+    change.puts.push_back({kLearnedKey, CompressText(LearnedToText(record)), {}});
+    in_flight_learned_ = std::move(record);
+  }
+
   // --- decisions ---------------------------------------------------------------------------------
 
   void Tick() {
@@ -726,6 +767,7 @@
         change.deletes.push_back(kProgressPrefix + id);
       }
     }
+    AddLearned(change, now);
     commit_in_flight_ = true;
     last_commit_sent_ = now;
     in_flight_writes_ = std::move(writes);
@@ -764,6 +806,7 @@
     const std::vector<job_progress_write> writes = std::move(in_flight_writes_);
     const std::vector<std::string> expired = std::move(in_flight_expired_);
     const std::optional<std::vector<instance_report>> fleet = std::move(in_flight_fleet_);
+    std::optional<learned_record> learned = std::exchange(in_flight_learned_, std::nullopt);
     const monotonic_time sent = last_commit_sent_;
     const monotonic_time now = BootNow();
     metrics_.CountStoreCall("commit", reply.status == store_status::kDone ? "done" : "not_done");
@@ -777,6 +820,7 @@
       for (const completed_job& job : completed) metrics_.CountCompletedJob(job);
       scheduler_.OnStored(writes);
       if (fleet) scheduler_.OnFleetStored(*fleet);
+      if (learned) learned_writer_.OnWritten(std::move(*learned), now);
       log_.Write(
           site_event::kProgressStored, now,
           absl::StrCat("jobs=", writes.size(), " revision=", reply.revision, " ms=",
@@ -885,6 +929,7 @@
   std::vector<store_item> loaded_inbox_;
   std::map<std::string, std::string> loaded_progress_;
   std::vector<instance_report> loaded_fleet_;
+  std::optional<learned_record> loaded_learned_;
   scheduler_handover handover_;
   uint64_t inbox_revision_ = 0;
 
@@ -914,6 +959,8 @@
   std::vector<job_progress_write> in_flight_writes_;
   std::vector<std::string> in_flight_expired_;
   std::optional<std::vector<instance_report>> in_flight_fleet_;
+  std::optional<learned_record> in_flight_learned_;
+  learned_writer learned_writer_;
   fleet_record fleet_record_;
   monotonic_time next_fleet_check_{};
   std::string fleet_text_;
--- a/src/process/site/site_records.h
+++ b/src/process/site/site_records.h
@@ -10,6 +10,7 @@
 //                       late finds it changed and does nothing
 //   owner/fleet         the instances that may run work of the owner
 //   owner/behind        present while starts are sent before their records are stored
+//   owner/learned       run times and speeds that the owner has learned, for the next one
 #ifndef CATKINFORD_PROCESS_SITE_SITE_RECORDS_H_
 #define CATKINFORD_PROCESS_SITE_SITE_RECORDS_H_
 
@@ -34,6 +35,7 @@
 inline constexpr char kCommitKey[] = "owner/commit";
 inline constexpr char kFleetKey[] = "owner/fleet";
 inline constexpr char kAsyncRecordsKey[] = "owner/behind";
+inline constexpr char kLearnedKey[] = "owner/learned";
 
 struct site_entry {
   std::string name;
--- a/test/speed_placement_test.cc
+++ b/test/speed_placement_test.cc
@@ -247,5 +247,34 @@
   CHECK(with == starts(false));
 }
 
+// Guards against an owner that begins with urgent work on slow instances, as each new one did.
+TEST_CASE_METHOD(speed_placement_fixture,
+                 "speed placement, next owner with the record, knows fast instances at once") {
+  Learn();
+  const learned_record record = owner_->Learned(Wall());
+  const auto urgent_on_slow = [this](const learned_record* loaded) {
+    Begin(scheduler_options{});
+    if (loaded != nullptr) owner_->LoadLearned(*loaded, now_);
+    Submit("large", 1, 6000, seconds(60), seconds(1000));
+    Round();
+    Submit("urgent", 3, 2000, milliseconds{400}, milliseconds{700});
+    return OnSlow(Round());
+  };
+  CHECK(urgent_on_slow(&record) == 0);
+  // Without it, they are packed onto the first instances, which are slow.
+  CHECK(urgent_on_slow(nullptr) > 0);
+}
+
+// Guards against instances of a former fleet that a record names.
+TEST_CASE_METHOD(speed_placement_fixture,
+                 "speed placement, record of a former fleet, changes nothing") {
+  learned_record record;
+  record.instances = {{"gone-1", 1.2, 500}, {"gone-2", -1.2, 500}};
+  record.kinds = {{"service/gone", 1.2, 0.02, 500}};
+  CHECK(owner_->LoadLearned(record, now_).instances.empty());
+  Round();
+  CHECK(owner_->InstancesOf(speed_class::kUsual) == kInstances);
+}
+
 }  // namespace
 }  // namespace catkinford
