--- a/src/main/catkinford.cc
+++ b/src/main/catkinford.cc
@@ -20,6 +20,7 @@
 ABSL_FLAG(std::string, output, "text", "text or json");
 ABSL_FLAG(absl::Duration, timeout, absl::Seconds(30), "timeout of one call to one entry");
 ABSL_FLAG(std::string, ca_file, "", "PEM file of the trusted authorities for https");
+ABSL_FLAG(bool, by_speed, false, "explain: late jobs by the speed of their last instance");
 ABSL_FLAG(bool, dry_run, false, "show what would change, and change nothing");
 ABSL_FLAG(uint64_t, expect, 0,
           "contract: the version that the change is based on; 0: the current one");
@@ -68,6 +69,7 @@
   options.json = absl::GetFlag(FLAGS_output) == "json";
   options.terminal = isatty(STDERR_FILENO) != 0;
   options.dry_run = absl::GetFlag(FLAGS_dry_run);
+  options.by_speed = absl::GetFlag(FLAGS_by_speed);
   if (absl::GetFlag(FLAGS_expect) != 0) options.expect = absl::GetFlag(FLAGS_expect);
   options.is_operator = absl::GetFlag(FLAGS_operator);
   options.wait_limit = absl::ToChronoMilliseconds(absl::GetFlag(FLAGS_wait_limit));
--- a/src/process/command_line.cc
+++ b/src/process/command_line.cc
@@ -120,8 +120,11 @@
      "a row for each two seconds and priority with the mean time in each stage, those with most "
      "late "
      "jobs\n"
-     "first. With the id of a job, the events of that job in order.",
+     "first. With the id of a job, the events of that job in order. With --by_speed, the late jobs "
+     "by\n"
+     "the speed of the instance on which their last task ended.",
      "catkinford explain site.log\n"
+     "catkinford explain site.log --by_speed\n"
      "catkinford explain site.log e2f13fd7b17cd0e7"},
     {"check-config", "settings FILE | contracts FILE", 2, 2, &RunCheckConfig,
      "Checks a settings file of the daemon, or a contracts file. Each kind of settings error has "
--- a/src/process/command_line.h
+++ b/src/process/command_line.h
@@ -51,8 +51,9 @@
   std::optional<uint64_t> expect;  // version that a change is based on
   bool is_operator = false;        // key commands: an operator key instead of a team key
   std::chrono::milliseconds wait_limit{600000};
-  std::string id;        // timeline: only this request
-  std::string out_file;  // timeline: file for the trace
+  std::string id;         // timeline: only this request
+  std::string out_file;   // timeline: file for the trace
+  bool by_speed = false;  // explain: late jobs by the speed of the instance of their last task
   job_options job;
 };
 
--- a/src/process/operator_commands.cc
+++ b/src/process/operator_commands.cc
@@ -232,17 +232,24 @@
   if (!text) return static_cast<int>(exit_code::kNotFound);
   constexpr std::chrono::milliseconds kPeriod{2000};
   stage_report report(kPeriod);
+  speed_report speeds;
   std::multimap<std::chrono::milliseconds, std::string> story;
   std::istringstream lines(*text);
   for (std::string line; std::getline(lines, line);) {
     const auto event = ParseLogEvent(line);
     if (!event) continue;
-    if (arguments.size() == 1) {
+    if (context.options.by_speed) {
+      speeds.Add(*event);
+    } else if (arguments.size() == 1) {
       report.Add(*event);
     } else if (event->Field("id").starts_with(arguments[1])) {
       story.emplace(event->time, line);
     }
   }
+  if (context.options.by_speed) {
+    context.out << speeds.ToText();
+    return static_cast<int>(speeds.Rows().empty() ? exit_code::kNotFound : exit_code::kDone);
+  }
   if (arguments.size() == 1) {
     context.out << report.ToText();
     return static_cast<int>(report.Rows().empty() ? exit_code::kNotFound : exit_code::kDone);
--- a/src/process/stage_report.cc
+++ b/src/process/stage_report.cc
@@ -15,6 +15,8 @@
 constexpr uint32_t kJobRefused = 611;
 constexpr uint32_t kJobUnsettled = 612;
 constexpr uint32_t kJobEnded = 621;
+constexpr uint32_t kTaskEnd = 624;
+constexpr uint32_t kInstanceSpeed = 666;
 
 // "2026-04-11T01:47:08.331"; nothing for other text.
 std::optional<milliseconds> TimeOfDay(const std::string& text) {
@@ -105,4 +107,53 @@
   return out;
 }
 
+void speed_report::Add(const log_event& event) {
+  if (event.number != kJobEnded && event.number != kTaskEnd && event.number != kInstanceSpeed) {
+    return;
+  }
+  events_.emplace(event.time, event);
+}
+
+std::map<std::pair<int64_t, std::string>, speed_report::row> speed_report::Rows() const {
+  std::map<std::pair<int64_t, std::string>, row> out;
+  std::map<std::string, std::string> class_of;       // by instance
+  std::map<std::string, std::string> last_instance;  // by job
+  for (const auto& [time, event] : events_) {
+    const std::string id = event.Field("id");
+    if (event.number == kInstanceSpeed) {
+      class_of[id] = event.Field("class");
+      continue;
+    }
+    const std::string job = id.substr(0, id.find('.'));
+    if (event.number == kTaskEnd) {
+      if (event.Field("end") == "done") last_instance[job] = event.Field("instance");
+      continue;
+    }
+    if (event.Field("phase") != "completed") continue;
+    const auto instance = last_instance.find(job);
+    std::string speed = "unknown";
+    if (instance != last_instance.end()) {
+      const auto known = class_of.find(instance->second);
+      speed = known == class_of.end() ? "usual" : known->second;
+    }
+    row& sums = out[{event.Number("priority"), speed}];
+    ++sums.completed;
+    const int64_t late_ms = event.Number("late_ms");
+    if (late_ms <= 0) continue;
+    ++sums.late;
+    sums.late_ms += late_ms;
+  }
+  return out;
+}
+
+std::string speed_report::ToText() const {
+  std::string out =
+      absl::StrFormat("%8s %8s %6s %6s %9s\n", "priority", "speed", "ended", "late", "late_ms");
+  for (const auto& [key, sums] : Rows()) {
+    out += absl::StrFormat("%8d %8s %6d %6d %9d\n", key.first, key.second, sums.completed,
+                           sums.late, sums.late_ms / std::max<int64_t>(1, sums.late));
+  }
+  return out;
+}
+
 }  // namespace catkinford
--- a/src/process/stage_report.h
+++ b/src/process/stage_report.h
@@ -65,6 +65,25 @@
   std::map<std::chrono::milliseconds, rejections> rejections_;
 };
 
+// Late jobs by the speed of the instance on which their last task ended (events 621, 624 and 666).
+class speed_report {
+ public:
+  void Add(const log_event& event);
+
+  struct row {
+    uint32_t completed = 0;
+    uint32_t late = 0;
+    int64_t late_ms = 0;  // sum, of the late jobs
+  };
+  // By priority and class; "unknown" if the end of the last task is not in the log.
+  std::map<std::pair<int64_t, std::string>, row> Rows() const;
+  std::string ToText() const;
+
+ private:
+  // Lines of several entries come in any order.
+  std::multimap<std::chrono::milliseconds, log_event> events_;
+};
+
 }  // namespace catkinford
 
 #endif  // CATKINFORD_PROCESS_STAGE_REPORT_H_
--- a/test/stage_report_test.cc
+++ b/test/stage_report_test.cc
@@ -58,5 +58,29 @@
   CHECK(report.ToText().find("01:47:08.000") != std::string::npos);
 }
 
+// Guards against late jobs whose common cause, slow instances, is in the log and not to be seen.
+TEST_CASE("speed report, late job on a slow instance, is counted there") {
+  speed_report report;
+  const auto add = [&report](const std::string& line) {
+    const auto event = ParseLogEvent(line);
+    REQUIRE(event);
+    report.Add(*event);
+  };
+  // In the order of the files of two entries, not of time.
+  add(kEnded);
+  add("2026-04-11T01:47:08.330 INFO 624 task_end id=e2f13fd7b17cd0e7.0.0.0 run=1 instance=i-1 "
+      "end=done");
+  add("2026-04-11T01:47:08.329 INFO 624 task_end id=e2f13fd7b17cd0e7.0.0.1 run=1 instance=i-2 "
+      "end=done");
+  add("2026-04-11T01:47:01.000 INFO 666 instance_speed id=i-1 class=slow slowness=1.80");
+  add("2026-04-11T01:47:09.000 INFO 621 job_ended id=0 phase=completed late_ms=-5 priority=0");
+  const auto rows = report.Rows();
+  REQUIRE(rows.size() == 2);
+  CHECK(rows.at({0, "slow"}).late == 1);
+  CHECK(rows.at({0, "slow"}).late_ms == 300);
+  CHECK(rows.at({0, "unknown"}).late == 0);
+  CHECK(report.ToText().find("slow") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace catkinford
