--- a/src/process/site/cut_off_resignation.h
+++ b/src/process/site/cut_off_resignation.h
@@ -1,8 +1,8 @@
 // Whether an owner gives up the site because the store answers others and not it.
 //
-// Its lease ends only up to 0.8 s later at the store, and no progress is stored until then. While the
-// store answers no entry, or none of the failure domain, another owner is not surely better off:
-// then only the end of the lease decides.
+// Its lease ends only up to 0.8 s later at the store, and no progress is stored until then. While
+// the store answers no entry, or none of the failure domain, another owner is not surely better
+// off: then only the end of the lease decides.
 //
 // A path to the store that fails now and then would move the site each time, and each takeover
 // interrupts the decisions. Therefore there is at most one such resignation in 10 s;
