Test of kept capacity: fails if nothing is kept

The urgent tasks were smaller than what large ones left on each instance, so that they found room either way.

--- a/test/speed_placement_test.cc
+++ b/test/speed_placement_test.cc
@@ -71,8 +71,8 @@
   }
 
   // `estimate`: of each task; `allowed`: time to the objective.
-  std::string Submit(const std::string& queue, uint32_t tasks, uint32_t cpu_milli,
-                     milliseconds estimate, milliseconds allowed, bool long_running = false) {
+  void Submit(const std::string& queue, uint32_t tasks, uint32_t cpu_milli, milliseconds estimate,
+              milliseconds allowed, bool long_running = false) {
     step_spec step = Tasks(tasks, cpu_milli, estimate);
     step.long_running = long_running;
     graph_job job = Job(++jobs_, {step});
@@ -81,9 +81,7 @@
     job.terms.target_latency = allowed;
     job.terms.stretch = 0;
     job.accepted = Wall();
-    const std::string id = job.id;
     owner_->OnJob(std::move(job), {}, false, Wall(), now_);
-    return id;
   }
 
   milliseconds Varied(milliseconds time) {
@@ -186,17 +184,21 @@
                  "speed placement, urgent steps arrive, fast capacity is kept for them") {
   Learn();
   for (int i = 0; i < 60; ++i) {
-    Submit("urgent", 4, 2000, milliseconds{200}, milliseconds{350});
+    Submit("urgent", 2, 4000, milliseconds{200}, milliseconds{350});
     Run(milliseconds{100});
   }
+  Run(milliseconds{300});
+  REQUIRE(running_.empty());
   Submit("large", 24, 4000, seconds(2), seconds(4));
-  Round();
-  Submit("urgent", 2, 2000, milliseconds{200}, milliseconds{350});
+  CHECK(OnSlow(Round()) == 6);
+  CHECK(running_.size() == 6);
+  Submit("urgent", 2, 4000, milliseconds{200}, milliseconds{350});
   const std::vector<std::string> urgent = Run(milliseconds{50});
-  CHECK(urgent.size() >= 2);
+  CHECK(urgent.size() == 2);
   CHECK(OnSlow(urgent) == 0);
   // No more urgent work arrives: the large tasks get the fast instances too.
-  CHECK(Run(seconds(20)).size() > 6);
+  const std::vector<std::string> later = Run(seconds(20));
+  CHECK(later.size() > OnSlow(later));
   CHECK(owner_->RunCount() == 0);
 }
 
