--- a/src/process/scheduling/answer_timeout.h
+++ b/src/process/scheduling/answer_timeout.h
@@ -22,6 +22,11 @@
     mean_ += kMeanGain * (sample - mean_);
   }
 
+  // Smoothed time of recent answers.
+  std::chrono::milliseconds Usual() const {
+    return std::chrono::milliseconds(static_cast<int64_t>(std::ceil(mean_)));
+  }
+
   std::chrono::milliseconds Timeout() const {
     const auto limit =
         std::chrono::milliseconds(static_cast<int64_t>(mean_ + kDeviations * deviation_));
--- a/src/process/scheduling/job_order.cc
+++ b/src/process/scheduling/job_order.cc
@@ -2,14 +2,10 @@
 
 namespace catkinford {
 
-namespace {
-
 monotonic_time UsefulUntil(const job_timing& job) {
   return job.accepted + (job.objective - job.accepted) * kUsefulFactor;
 }
 
-}  // namespace
-
 job_order_key OrderKeyOf(const job_timing& job, monotonic_time now) {
   const monotonic_time useful_until = UsefulUntil(job);
   if (now + job.remaining <= job.objective) return {job_rank::kInTime, job.objective};
--- a/src/process/scheduling/job_order.h
+++ b/src/process/scheduling/job_order.h
@@ -37,6 +37,7 @@
 
   auto operator<=>(const job_order_key&) const = default;
 };
+monotonic_time UsefulUntil(const job_timing& job);
 job_order_key OrderKeyOf(const job_timing& job, monotonic_time now);
 // When that key changes if nothing else does; max() if it does not.
 monotonic_time KeyChangesAt(const job_timing& job, monotonic_time now);
--- a/src/process/scheduling/run_times.cc
+++ b/src/process/scheduling/run_times.cc
@@ -16,6 +16,17 @@
 // Factor on the weight of earlier steps when one is added: about the last hundred count.
 constexpr double kDecay = 0.99;
 constexpr milliseconds kShortest{1};
+// Prior spread, with the weight of a step: declared times are off by half, and the tasks of a step
+// are alike.
+constexpr std::array<double, 2> kPriorDeviation = {0.5, 0.2};
+constexpr double kSpreadPriorWeight = 1;
+// A run that takes more than this many times the expected time is exceptionally long.
+constexpr double kLongFactor = 4;
+// Assumed of long runs before any was seen: they are rare, and a run that exceeds all others is
+// more likely one of them than a usual one.
+constexpr double kPriorLongShare = 0.002;
+constexpr double kPriorLongFactor = 5;
+constexpr double kLeastLongWeight = 1e-6;
 
 double Log(milliseconds time) {
   return std::log(static_cast<double>(std::max(time, kShortest).count()));
@@ -67,4 +78,67 @@
   return milliseconds(static_cast<int64_t>(std::exp(mean_y + slope * (Log(declared) - mean_x))));
 }
 
+run_times::queue_spread run_times::SpreadPrior() {
+  queue_spread out;
+  for (size_t i = 0; i < out.of_basis.size(); ++i) {
+    spread_sums& sums = out.of_basis[i];
+    sums.w = kSpreadPriorWeight;
+    sums.squares = kSpreadPriorWeight * kPriorDeviation[i] * kPriorDeviation[i];
+    sums.long_w = kSpreadPriorWeight * kPriorLongShare;
+    sums.long_logs = sums.long_w * std::log(kPriorLongFactor);
+  }
+  return out;
+}
+
+run_times::spread_sums& run_times::SpreadSums(const std::string& queue, basis from) {
+  queue_spread& of_queue = spreads_.try_emplace(queue, SpreadPrior()).first->second;
+  return of_queue.of_basis[static_cast<size_t>(from)];
+}
+
+void run_times::OnSpread(const std::string& queue, basis from, milliseconds expected,
+                         milliseconds took, double weight) {
+  if (expected.count() <= 0) return;
+  spread_sums& sums = SpreadSums(queue, from);
+  const double decay = std::pow(kDecay, weight);
+  sums.w *= decay;
+  sums.squares *= decay;
+  sums.long_w *= decay;
+  sums.long_logs *= decay;
+  if (sums.long_w < kLeastLongWeight) {
+    sums.long_w = kLeastLongWeight;
+    sums.long_logs = kLeastLongWeight * std::log(kPriorLongFactor);
+  }
+  const double most = std::log(kLongFactor);
+  const double log_ratio = Log(took) - Log(expected);
+  if (log_ratio > most) {
+    sums.long_w += weight;
+    sums.long_logs += weight * log_ratio;
+    return;
+  }
+  const double bounded = std::max(log_ratio, -most);
+  sums.w += weight;
+  sums.squares += weight * bounded * bounded;
+}
+
+void run_times::OnBeaten(const std::string& queue, basis from, double weight) {
+  spread_sums& sums = SpreadSums(queue, from);
+  sums.long_logs += weight * sums.long_logs / sums.long_w;
+  sums.long_w += weight;
+}
+
+run_time_spread run_times::SpreadOf(const spread_sums& sums, basis from) {
+  run_time_spread out;
+  out.deviation = std::sqrt(sums.squares / sums.w);
+  out.long_share = std::max(kPriorLongShare, sums.long_w / (sums.w + sums.long_w));
+  out.long_factor = std::exp(sums.long_logs / sums.long_w);
+  out.of_tasks = from == basis::kQueue;
+  return out;
+}
+
+run_time_spread run_times::Spread(const std::string& queue, basis from) const {
+  const auto found = spreads_.find(queue);
+  const queue_spread of_queue = found == spreads_.end() ? SpreadPrior() : found->second;
+  return SpreadOf(of_queue.of_basis[static_cast<size_t>(from)], from);
+}
+
 }  // namespace catkinford
--- a/src/process/scheduling/run_times.h
+++ b/src/process/scheduling/run_times.h
@@ -11,15 +11,30 @@
 #ifndef CATKINFORD_PROCESS_SCHEDULING_RUN_TIMES_H_
 #define CATKINFORD_PROCESS_SCHEDULING_RUN_TIMES_H_
 
+#include <array>
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 #include "absl/container/flat_hash_map.h"
 
 namespace catkinford {
 
+// How far run times are from the expected ones.
+struct run_time_spread {
+  double deviation = 0;    // standard deviation of the logarithm of actual over expected time
+  double long_share = 0;   // of the runs, those that took several times the expected time
+  double long_factor = 1;  // by which these are longer
+  // The spread is one of the tasks, whose length is not known, and not of the runs of a task.
+  bool of_tasks = false;
+};
+
 class run_times {
  public:
+  // What an expected run time was derived from: runs of other steps, whose tasks may be longer or
+  // shorter, or runs of the same step, whose tasks are alike.
+  enum class basis : uint8_t { kQueue, kStep };
+
   // A task of the queue ran undisturbed from beginning to end. `weight`: 1 per step, divided among
   // its tasks, which are alike.
   void OnRun(const std::string& queue, std::chrono::milliseconds declared,
@@ -28,6 +43,13 @@
   // queue is known.
   std::chrono::milliseconds Expected(const std::string& queue,
                                      std::chrono::milliseconds declared) const;
+  // Such a run took this time where `expected` was expected.
+  void OnSpread(const std::string& queue, basis from, std::chrono::milliseconds expected,
+                std::chrono::milliseconds took, double weight);
+  // A run lost against its copy, which was made as the run was overdue. It counts as a long one:
+  // otherwise copies would hide the long runs that they are made for.
+  void OnBeaten(const std::string& queue, basis from, double weight);
+  run_time_spread Spread(const std::string& queue, basis from) const;
 
  private:
   // Weighted sums over the logarithms of declared (x) and actual (y) run times.
@@ -42,7 +64,21 @@
     void Decay(double factor);
   };
   static regression Prior();
+  // Weighted sums; runs that took several times the expected time are not part of the deviation.
+  struct spread_sums {
+    double w = 0;
+    double squares = 0;
+    double long_w = 0;
+    double long_logs = 0;
+  };
+  struct queue_spread {
+    std::array<spread_sums, 2> of_basis;
+  };
+  static queue_spread SpreadPrior();
+  static run_time_spread SpreadOf(const spread_sums& sums, basis from);
+  spread_sums& SpreadSums(const std::string& queue, basis from);
 
+  absl::flat_hash_map<std::string, queue_spread> spreads_;    // by queue
   absl::flat_hash_map<std::string, regression> regressions_;  // by queue
 };
 
