Copies of overdue runs and of starts without an answer, within a budget

Cause: an unanswered start cost its job 0.2 to 2.2 s even where copies are allowed, as its task waited for the proof that the first run had not begun. A task that failed, or whose start was lost, went back to the same instance.

Change: a task that allows copies gets one once its start is unanswered for three usual answer times. Copies hold at most copies.max_share of a service and none is started while steps of the service that can be in time wait for capacity. The end of a task stays unacknowledged at its instance while another start of the task may arrive, since that one would be a start of a task known to be done. The next run of a task avoids the instance where it failed or its start was lost.

--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "process/scheduling/copy_policy.h"
 #include "process/scheduling/scheduler_messages.h"
 #include "request/job_request.h"
 
@@ -66,8 +67,9 @@
   bool stop_confirmed = false;  // the instance answered the stop
   bool stop_in_flight = false;
   bool speed_in_flight = false;
-  uint32_t speed_percent = 100;  // percent of full speed that the run may use
-  job_entry* job = nullptr;      // null: the job is not known
+  std::optional<copy_reason> copied_for;  // set if the run was started as a copy
+  uint32_t speed_percent = 100;           // percent of full speed that the run may use
+  job_entry* job = nullptr;               // null: the job is not known
   fleet_instance* instance = nullptr;
   monotonic_time started{};     // when the start was sent
   monotonic_time progressed{};  // when `percent` last changed
@@ -91,6 +93,9 @@
   std::string job;
   uint64_t change = 0;      // of the job, which must be stored first
   bool awaits_job = false;  // its job is not known: it has no effect yet
+  // Set if another start of the task, which is done, may still arrive. Until it can not, the end
+  // stays with its instance: a start that arrives later would be one of a task known to be done.
+  std::optional<task_key> awaits_starts;
 };
 
 // A start that got no answer and was proved not to have begun. The proof holds only for that
--- a/src/process/scheduling/graph_state.h
+++ b/src/process/scheduling/graph_state.h
@@ -65,6 +65,8 @@
   monotonic_time waiting_since{};
   monotonic_time first_decided{};  // its first start by this owner
   uint32_t starts = 0;             // decided on by this owner, copies not counted
+  // Ordinal of the instance on which it failed or its start was lost last; 0: none.
+  uint32_t avoided_instance = 0;
 };
 
 // A policy's verdict on one instance for a step. The verdict never changes; the ticket expires, and
--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -142,6 +142,8 @@
   const double slowness = speeds_.Slowness(run.instance->ordinal);
   const auto usual = std::max(
       milliseconds{1}, milliseconds(std::llround(static_cast<double>(took.count()) / slowness)));
+  run_times_.OnSpread(entry.job.queue, BasisOf(step), ExpectedRun(entry, step, run.key.step), usual,
+                      1.0 / terms.count);
   run_times_.OnRun(entry.job.queue, terms.estimate, usual, 1.0 / terms.count);
   step.run_time_sum += usual;
   ++step.run_time_count;
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -22,6 +22,7 @@
 #include "process/scheduling/answer_timeout.h"
 #include "process/scheduling/arrival_rate_limit.h"
 #include "process/scheduling/capacity_forecast.h"
+#include "process/scheduling/copy_policy.h"
 #include "process/scheduling/fleet_state.h"
 #include "process/scheduling/graph_state.h"
 #include "process/scheduling/job_order.h"
@@ -60,6 +61,8 @@
   uint32_t fences_in_flight = 128;  // first listings of instances, limited for the same reason
   std::chrono::milliseconds listing_pause{120};  // pause after a listing of an instance
   bool instance_speed = true;                    // learned speeds of instances guide placement
+  bool copies = true;           // also of runs that are overdue or whose start got no answer
+  double copies_max_share = 1;  // of the processors of a service, held by copies
 };
 
 struct job_progress_write {
@@ -163,6 +166,7 @@
   // Details of tasks and queries: no more than `most` are noted until the next call, since making
   // their text costs as much as the decision.
   void SetDetailLimit(size_t most) { details_left_ = most; }
+  copy_counts TakeCopyCounts() { return std::exchange(copy_counts_, {}); }
   // The details that were not noted since the last call.
   size_t TakeSkippedDetails() { return std::exchange(skipped_details_, 0); }
 
@@ -360,11 +364,32 @@
   bool MayUseFast(const ready_step& ready, const resources& demand, monotonic_time now) const;
   static bool AcceptsWork(const fleet_instance& instance, monotonic_time now);
   bool WithinLimit(const job_entry& entry, const resources& need) const;
-  // `expected`: run time of a task of the step.
-  bool WantsCopy(const graph_task_state& task, const step_spec& terms,
-                 std::chrono::milliseconds expected, monotonic_time now) const;
+
+  // scheduler_copies.cc: second runs of tasks that allow them
+  // `expected`: run time of a task of the step. `at`: the instance of the copy; null: one of the
+  // usual speed.
+  copy_verdict VerdictOnCopy(const ready_step& ready, const graph_task_state& task,
+                             std::chrono::milliseconds expected, const fleet_instance* at,
+                             monotonic_time now) const;
+  // Number of the step's tasks that should get a copy.
+  uint32_t CopiesWanted(const ready_step& ready, monotonic_time now) const;
   std::vector<ready_step> CopySteps(monotonic_time now);
-  void PlaceCopies(monotonic_time now);
+  // `waiting`: the steps that this round has looked at.
+  void PlaceCopies(const std::vector<ready_step>& waiting, monotonic_time now);
+  // Thousandths of a processor that further copies may use at instances of the service.
+  uint64_t CopyBudget(uint32_t service) const;
+  // True if a step that can still be in time waits for capacity of the service.
+  bool CapacityShort(uint32_t service, const std::vector<ready_step>& waiting,
+                     monotonic_time now) const;
+  void NoteCopy(const ready_step& ready, uint32_t index, const copy_verdict& verdict,
+                monotonic_time now);
+  // A run of the task ended as done; to be called before it is released.
+  void NoteCopyOutcome(const job_entry& entry, const step_progress& step, const graph_run& run);
+  static run_times::basis BasisOf(const step_progress& step);
+  // Some start of the task, other than that of `run`, may still arrive.
+  bool OtherStartMayArrive(const job_entry& entry, const task_key& key, const graph_run* run);
+  // The same of any start; looks at all runs.
+  bool StartMayArrive(const task_key& key) const;
 
   // scheduler_reservations.cc: capacity for the steps that are next in order
   void ResetReservations();
@@ -524,6 +549,7 @@
   bool records_complete_ = false;
   monotonic_time earlier_owner_dead_at_ = monotonic_time::max();
   std::vector<scheduler_event> events_;
+  copy_counts copy_counts_;
   size_t details_left_ = SIZE_MAX;
   size_t skipped_details_ = 0;
   absl::flat_hash_map<std::string, std::vector<resources>> largest_seen_;  // by service
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -96,12 +96,7 @@
 // Number of the step's tasks that need an instance: waiting tasks, or copies of overdue ones.
 uint32_t job_scheduler::TasksToPlace(const ready_step& ready, monotonic_time now) const {
   const step_progress& step = ready.occurrence->steps[ready.index];
-  const step_spec& terms = ready.entry->job.steps[ready.index];
-  if (step.waiting > 0 || !terms.speculative) return step.waiting;
-  const milliseconds expected = ExpectedRun(*ready.entry, step, ready.index);
-  return static_cast<uint32_t>(std::count_if(
-      step.tasks.begin(), step.tasks.end(),
-      [&](const graph_task_state& task) { return WantsCopy(task, terms, expected, now); }));
+  return step.waiting > 0 ? step.waiting : CopiesWanted(ready, now);
 }
 
 job_scheduler::advice_round job_scheduler::BeginAdvice(monotonic_time now) const {
--- a/src/process/scheduling/scheduler_messages.h
+++ b/src/process/scheduling/scheduler_messages.h
@@ -2,6 +2,7 @@
 #ifndef CATKINFORD_PROCESS_SCHEDULING_SCHEDULER_MESSAGES_H_
 #define CATKINFORD_PROCESS_SCHEDULING_SCHEDULER_MESSAGES_H_
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -9,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "process/scheduling/copy_policy.h"
 #include "process/scheduling/graph_state.h"
 
 namespace catkinford {
@@ -131,6 +133,14 @@
   std::chrono::milliseconds valid{0};                        // 0: use the queue's validity
 };
 
+// Copies of tasks since they were last taken.
+struct copy_counts {
+  std::array<uint64_t, kCopyReasons> started{};  // by reason
+  uint64_t won = 0;
+  uint64_t lost = 0;
+  std::chrono::duration<double> wasted{0};  // processor time of runs that lost, copies or not
+};
+
 // An event for the log: a decision on a job, or a change in the view of an instance.
 struct scheduler_event {
   enum class kind : uint8_t {
--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -11,10 +11,8 @@
 
 using std::chrono::milliseconds;
 
-// A run is overdue after its expected time multiplied by this factor plus a slack: estimates are
-// off by half.
-constexpr double kCopyFactor = 1.6;
-constexpr milliseconds kCopySlack{300};
+// Above the range of all other terms of a score.
+constexpr double kAvoided = 100;
 
 double Fraction(uint32_t used, uint32_t capacity) {
   return capacity == 0 ? 0 : static_cast<double>(used) / static_cast<double>(capacity);
@@ -180,6 +178,8 @@
     score += SpeedScore(speed, slowness);
     if (!terms.data_rack.empty() && instance.report.rack == terms.data_rack) score += 2;
     if (!task.failed_runs.empty() && instance.faults > 0) score -= 1;
+    // A fault of the instance would meet the task again.
+    if (task.avoided_instance == instance.ordinal) score -= kAvoided;
     if (score <= best_score) return;
     best_score = score;
     best = &instance;
@@ -265,55 +265,6 @@
   }
 }
 
-// A speculative task gets a copy if its run is overdue or its instance does not answer: the run
-// time reveals a slow or lost instance long before its lease expires.
-bool job_scheduler::WantsCopy(const graph_task_state& task, const step_spec& terms,
-                              milliseconds expected, monotonic_time now) const {
-  if (!terms.speculative || terms.gang || terms.long_running) return false;
-  if (task.phase != graph_task_phase::kActive || task.run == nullptr || task.copy != nullptr)
-    return false;
-  if (task.run->stopping != stop_cause::kNone) return false;
-  const double slowness = speeds_.Slowness(task.run->instance->ordinal);
-  const auto timeout = Scaled(expected, kCopyFactor * slowness) + kCopySlack;
-  return !task.run->instance->Reachable() || now - task.run->started > timeout;
-}
-
-void job_scheduler::PlaceCopies(monotonic_time now) {
-  for (const ready_step& ready : CopySteps(now)) {
-    const step_spec& terms = ready.entry->job.steps[ready.index];
-    step_progress& step = ready.occurrence->steps[ready.index];
-    const milliseconds expected = ExpectedRun(*ready.entry, step, ready.index);
-    for (uint32_t i = 0; i < step.tasks.size(); ++i) {
-      graph_task_state& task = step.tasks[i];
-      if (!WantsCopy(task, terms, expected, now)) continue;
-      if (!WithinLimit(*ready.entry, terms.need)) break;
-      fleet_instance* instance = ChooseInstance(ready, task, now, nullptr);
-      if (instance == nullptr) break;
-      Start(*instance, ready, i, NextRun(task), now);
-    }
-  }
-}
-
-std::vector<ready_step> job_scheduler::CopySteps(monotonic_time now) {
-  std::vector<ready_step> out;
-  for (const auto& [arrival, entry] : running_) {
-    for (auto& [number, occurrence] : entry->occurrences) {
-      for (uint32_t i = 0; i < occurrence->steps.size(); ++i) {
-        ++steps_seen_;
-        const step_spec& terms = entry->job.steps[i];
-        const step_progress& step = occurrence->steps[i];
-        if (!terms.speculative || step.active == 0 || step.waiting > 0) continue;
-        const milliseconds expected = ExpectedRun(*entry, step, i);
-        const bool wanted = std::any_of(
-            step.tasks.begin(), step.tasks.end(),
-            [&](const graph_task_state& task) { return WantsCopy(task, terms, expected, now); });
-        if (wanted) out.push_back({entry, occurrence.get(), i});
-      }
-    }
-  }
-  return out;
-}
-
 // Until all instances that may run work of an earlier owner are listed, a task of an inherited job
 // may already run on one of them, and only an upper bound on the usage of its workspace is known.
 bool job_scheduler::MustWaitForInheritance(const job_entry& entry, const resources& need) const {
@@ -363,7 +314,7 @@
     }
     ReserveCapacity(ready, now);
   }
-  PlaceCopies(now);
+  PlaceCopies(steps, now);
 }
 
 }  // namespace catkinford
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -138,6 +138,11 @@
 void job_scheduler::Release(graph_run& run, monotonic_time now) {
   ReserveCapacity(run, -1);
   CloseRun(run, now);
+  if (run.stopping == stop_cause::kCopyLost && run.seen) {
+    copy_counts_.wasted += std::chrono::duration<double>(now - run.started) *
+                           (static_cast<double>(run.capacity.cpu_milli) / 1000);
+    if (run.copied_for) ++copy_counts_.lost;
+  }
   fleet_instance& instance = *run.instance;
   if (run.fills) --instance.filling;
   if (run.job == nullptr) --instance.unidentified_runs;
@@ -150,6 +155,8 @@
   if (run.job != nullptr) {
     if (step_progress* step = run.job->Find(run.key)) {
       graph_task_state& task = step->tasks[run.key.index];
+      const bool lost = !run.seen && run.stopping == stop_cause::kUnknownStart;
+      if (lost) task.avoided_instance = instance.ordinal;
       if (task.copy == &run) task.copy = nullptr;
       if (task.run == &run) {
         task.run = std::exchange(task.copy, nullptr);
@@ -249,6 +256,7 @@
   // Long-running tasks may fail any number of times: only the latest failure is kept.
   if (terms.long_running) failed.clear();
   failed.push_back(run);
+  task.avoided_instance = at.ordinal;
   MarkChanged(entry);
   // A task that also failed elsewhere is more likely to be the cause than the instance.
   if (failed.size() == 1 && ++at.faults >= kMaxConsecutiveFaults) {
@@ -280,7 +288,9 @@
   // A run of an unknown job is stopped as a stray once the job's record is known to be absent; such
   // an end has no effect.
   const bool job_absent = row.key.job.empty() || cause == stop_cause::kStray;
+  bool awaits_starts = false;
   if (entry != nullptr) {
+    awaits_starts = row.how == run_end::kDone && OtherStartMayArrive(*entry, row.key, run);
     ApplyEnd(*entry, instance, row, run, now);
   } else {
     if (run != nullptr) Release(*run, now);
@@ -291,7 +301,8 @@
   }
   const bool awaits_job = entry == nullptr && !job_absent;
   instance.unstored.push_back(
-      {row.number, row.key.job, entry == nullptr ? 0 : entry->change, awaits_job});
+      {row.number, row.key.job, entry == nullptr ? 0 : entry->change, awaits_job, {}});
+  if (awaits_starts) instance.unstored.back().awaits_starts = row.key;
 }
 
 void job_scheduler::ApplyEnd(job_entry& entry, fleet_instance& instance, const ended_row& row,
@@ -308,6 +319,7 @@
   if (!row.checkpoint.empty()) task.checkpoint = row.checkpoint;
   if (row.how == run_end::kDone && run != nullptr) {
     instance.faults = 0;
+    NoteCopyOutcome(entry, *step, *run);
     LearnRun(entry, *step, *run, now);
   }
   const task_times times = TimesOf(*step, row.key, run, now);
--- a/src/process/site/site_metrics.cc
+++ b/src/process/site/site_metrics.cc
@@ -27,6 +27,17 @@
   return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
 }
 
+std::array<Counter*, kCopyReasons> CopiesStarted(prometheus::Registry& registry) {
+  prometheus::Family<Counter>& family = Counters(registry, "catkinford_site_copies_total",
+                                                 "Copies of tasks that were started, by reason.");
+  std::array<Counter*, kCopyReasons> out{};
+  for (size_t i = 0; i < kCopyReasons; ++i) {
+    const auto reason = static_cast<copy_reason>(i);
+    out[i] = &family.Add({{"reason", std::string(ToText(reason))}});
+  }
+  return out;
+}
+
 }  // namespace
 
 site_metrics::site_metrics()
@@ -93,7 +104,17 @@
                                       .Add({})),
       log_lines_left_out(Counters(registry_, "catkinford_site_log_lines_left_out_total",
                                   "Log lines that were dropped.")
-                             .Add({})) {}
+                             .Add({})),
+      copies_started(CopiesStarted(registry_)),
+      copies_won(Counters(registry_, "catkinford_site_copies_won_total",
+                          "Copies of tasks that ended as done first.")
+                     .Add({})),
+      copies_lost(Counters(registry_, "catkinford_site_copies_lost_total",
+                           "Copies of tasks that were stopped since the first run had ended.")
+                      .Add({})),
+      copy_cpu_seconds(Counters(registry_, "catkinford_site_copy_cpu_seconds_total",
+                                "Processor time of runs that lost against another of their task.")
+                           .Add({})) {}
 
 void site_metrics::CountAnswer(const std::string& call, int status,
                                std::chrono::microseconds took) {
@@ -122,6 +143,15 @@
   counter->Increment();
 }
 
+void site_metrics::CountCopies(const copy_counts& counts) {
+  for (size_t i = 0; i < kCopyReasons; ++i) {
+    copies_started[i]->Increment(static_cast<double>(counts.started[i]));
+  }
+  copies_won.Increment(static_cast<double>(counts.won));
+  copies_lost.Increment(static_cast<double>(counts.lost));
+  copy_cpu_seconds.Increment(counts.wasted.count());
+}
+
 void site_metrics::CountCompletedJob(const completed_job& job) {
   const auto [found, added] = stages_of_priority_.try_emplace(job.priority);
   for (size_t i = 0; i < kJobStages; ++i) {
--- a/src/process/site/site_metrics.h
+++ b/src/process/site/site_metrics.h
@@ -34,6 +34,7 @@
   void CountStoreCall(const std::string& call, const std::string& outcome);
   void CountCommand(site_command command, command_result outcome);
   void CountRunEnd(run_end how);
+  void CountCopies(const copy_counts& counts);
   void CountCompletedJob(const completed_job& job);
   // `source`: store, watch or peer; `outcome`: done, refused, absent, history_gone or
   // broken_off.
@@ -83,6 +84,10 @@
   prometheus::Gauge& instance_connections;     // open
   prometheus::Counter& instance_connections_opened;
   prometheus::Counter& log_lines_left_out;
+  std::array<prometheus::Counter*, kCopyReasons> copies_started;  // by reason
+  prometheus::Counter& copies_won;
+  prometheus::Counter& copies_lost;
+  prometheus::Counter& copy_cpu_seconds;  // of runs that lost against another run of their task
 };
 
 }  // namespace catkinford
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -223,6 +223,8 @@
     out.early_limit = settings.bounds.early_limit;
     out.remote_factor = settings.bounds.remote_factor;
     out.instance_speed = settings.instance_speed.enabled;
+    out.copies = settings.copies.enabled;
+    out.copies_max_share = settings.copies.max_share;
     return out;
   }
 
@@ -579,6 +581,7 @@
     const auto notes_from = CpuTimeOf(RUSAGE_THREAD);
     WriteNotes(scheduler_.TakeEvents(), log_, now);
     log_.CountDropped(scheduler_.TakeSkippedDetails());
+    metrics_.CountCopies(scheduler_.TakeCopyCounts());
     scheduler_.SetDetailLimit(log_.RoomForDetails(now));
     const auto notes_until = CpuTimeOf(RUSAGE_THREAD);
     const auto spent = BootNow() - now;
--- a/test/scheduling_world.h
+++ b/test/scheduling_world.h
@@ -58,6 +58,12 @@
   // Actual run time of each task of a job, and how its runs end.
   void SetDuration(const std::string& job, std::chrono::milliseconds time);
   void SetFailing(const std::string& job, uint32_t first_runs);
+  // Of the first run of one task only.
+  void SetFirstRun(const task_key& task, std::chrono::milliseconds time);
+  // Factor on the time of runs that begin there from now on.
+  void SetSlowness(const std::string& id, double factor) { instances_[id].slowness = factor; }
+  // Of all owners from the next one on.
+  void SetOptions(const scheduler_options& options) { options_ = options; }
 
   // Faults.
   void Crash(const std::string& id, bool same_id_again);
@@ -117,6 +123,7 @@
     bool cut = false;
     bool registered = true;
     uint64_t fence = 0;
+    double slowness = 1;
     int64_t clock_offset = 0;
     double clock_rate = 1;
     int64_t clock_read_ms = 0;  // as an owner read it last, and when
@@ -184,6 +191,8 @@
   std::map<std::string, live_instance> instances_;
   std::map<std::string, durable> store_;
   std::map<std::string, std::chrono::milliseconds> durations_;
+  std::map<task_key, std::chrono::milliseconds> first_runs_;
+  scheduler_options options_;
   std::map<std::string, uint32_t> failing_;
   std::map<std::string, resources> maximum_;
   std::set<task_key> gangs_done_;          // steps (index 0) whose gang ended as done
