Ends of copied tasks stay with their instance after failures and takeovers too

Change: failed ends wait for such starts like done ones, and ends of inherited jobs that allow copies wait until inherited work is settled.

--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -93,9 +93,12 @@
   std::string job;
   uint64_t change = 0;      // of the job, which must be stored first
   bool awaits_job = false;  // its job is not known: it has no effect yet
-  // Set if another start of the task, which is done, may still arrive. Until it can not, the end
-  // stays with its instance: a start that arrives later would be one of a task known to be done.
+  // Set if the task is done or failed and another start of it may still arrive. Until it can not,
+  // the end stays with its instance: a start that arrives later would be one of a task that is
+  // known to be done, or one attempt too many.
   std::optional<task_key> awaits_starts;
+  // The same where an earlier owner may have sent such a start: until inherited work is settled.
+  bool awaits_inheritance = false;
 };
 
 // A start that got no answer and was proved not to have begun. The proof holds only for that
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -347,6 +347,7 @@
     if (end.awaits_job) return;
     const auto found = jobs_.find(end.job);
     if (found != jobs_.end() && found->second->stored < end.change) return;
+    if (end.awaits_inheritance && !inheritance_settled_) return;
     if (end.awaits_starts && StartMayArrive(*end.awaits_starts)) return;
     instance.ends_acked = end.number;
     instance.unstored.pop_front();
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -289,8 +289,13 @@
   // an end has no effect.
   const bool job_absent = row.key.job.empty() || cause == stop_cause::kStray;
   bool awaits_starts = false;
+  bool awaits_inheritance = false;
   if (entry != nullptr) {
-    awaits_starts = row.how == run_end::kDone && OtherStartMayArrive(*entry, row.key, run);
+    const bool counts = row.how == run_end::kDone || row.how == run_end::kFailed;
+    awaits_inheritance = counts && entry->inherited && !inheritance_settled_ &&
+                         row.key.step < entry->job.steps.size() &&
+                         entry->job.steps[row.key.step].speculative;
+    awaits_starts = counts && OtherStartMayArrive(*entry, row.key, run);
     ApplyEnd(*entry, instance, row, run, now);
   } else {
     if (run != nullptr) Release(*run, now);
@@ -300,8 +305,12 @@
     }
   }
   const bool awaits_job = entry == nullptr && !job_absent;
-  instance.unstored.push_back(
-      {row.number, row.key.job, entry == nullptr ? 0 : entry->change, awaits_job, {}});
+  instance.unstored.push_back({row.number,
+                               row.key.job,
+                               entry == nullptr ? 0 : entry->change,
+                               awaits_job,
+                               {},
+                               awaits_inheritance});
   if (awaits_starts) instance.unstored.back().awaits_starts = row.key;
 }
 
