Scheduler: LoadView, the load of each service

Cause: the forecast of waits needs the work ahead of a new job and the rate at which it is done; the scheduler has both.

Processors in use and work that became ready within the shares are counted as runs and steps change; the rest is summed up per call, from the active jobs and the instances. No decision reads it.

Evidence: the scheduler's tests pass unchanged.

--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -201,6 +201,7 @@
       if (!ready) continue;
       step.ready = true;
       step.ready_at = now;
+      CountReady(entry, step, static_cast<uint32_t>(i));
       const step_spec& terms = entry.job.steps[i];
       if (!terms.long_running && !terms.fills && !entry.beyond_share) {
         kept_.OnReady(TermsOf(entry).priority, uint64_t{terms.need.cpu_milli} * step.waiting, now);
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -19,6 +19,7 @@
 #include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
+#include "process/admission/load_view.h"
 #include "process/scheduling/answer_timeout.h"
 #include "process/scheduling/arrival_rate_limit.h"
 #include "process/scheduling/capacity_forecast.h"
@@ -183,6 +184,10 @@
   // Waiting or running steps that rounds of decisions have looked at so far.
   uint64_t StepsSeen() const { return steps_seen_; }
   size_t RunCount() const;
+  // scheduler_load.cc: the load of each service. Goes through the active jobs and the instances.
+  load_view LoadView(monotonic_time now) const;
+  // Processor-seconds of the job's tasks, by their expected run times.
+  double ExpectedWork(const graph_job& job) const;
 
  private:
   // job_scheduler.cc
@@ -261,6 +266,13 @@
   // The run is proved to have ended or never to begin: frees its capacity; its task may start
   // elsewhere.
   void Release(graph_run& run, monotonic_time now);
+  // Counts for LoadView(), kept up to date with each run and each step that becomes ready.
+  struct load_counts {
+    int64_t busy_milli = 0;     // processors in use by tasks that end by themselves
+    double arrived_within = 0;  // processor-seconds that became ready within the shares
+  };
+  void CountBusy(const graph_run& run, int sign);
+  void CountReady(const job_entry& entry, const step_progress& step, uint32_t index);
   static task_times TimesOf(const step_progress& step, const task_key& key, const graph_run* run,
                             monotonic_time now);
   // `times`: of the task that ended the step.
@@ -519,6 +531,7 @@
   kept_capacity kept_;
   // Free processors of the instances that are not slow, by service; of the current round.
   std::vector<uint64_t> free_fast_milli_;
+  absl::flat_hash_map<uint32_t, load_counts> load_counts_;  // by service
   bool unrecorded_starts_ = false;
   bool starts_paused_ = false;
   bool records_complete_ = false;
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -122,6 +122,7 @@
   const resources& need = run.job->job.steps[run.key.step].need;
   resources& running = usage_of_workspace_[run.job->job.workspace];
   step_progress* step = run.job->Find(run.key);
+  CountBusy(run, sign);
   if (sign > 0) {
     run.instance->used += run.capacity;
     running += need;
