Admission: entries reject jobs that would be of no use

Change: the owner updates its figures every 200 ms and sends them with the reply to POST /peer/job and to the new GET /peer/admission, which an entry calls while it has submissions and hears nothing otherwise. The callers' frontend asks one hook before the record of a job is sent to the store; a rejection is a 503 with reason no_capacity and Retry-After, after the owner has said that it does not know the job. With overload.enabled=false nothing of it acts.

--- a/src/process/site/caller_frontend.h
+++ b/src/process/site/caller_frontend.h
@@ -29,6 +29,11 @@
 
 namespace catkinford {
 
+// A submission that is rejected before its record is sent to the store.
+struct shed_submission {
+  std::chrono::seconds retry_after{1};
+};
+
 struct frontend_hooks {
   std::string entry;  // name of this entry
   // The lowest epoch of an owner that this entry may still notify.
@@ -47,6 +52,9 @@
   // Called when a job is being accepted here, since its tasks may have to be started from here.
   std::function<void(const std::string& id, const std::string& payload)> cache_payload;
   std::function<void(const std::string& id)> notify_cancel_stored;
+  // Asked before the record of a job is sent to the store; may answer later. Nothing: accept it.
+  std::function<void(const graph_job& job, std::function<void(std::optional<shed_submission>)>)>
+      admit;
   std::function<bool()> stopping;
 };
 
@@ -91,6 +99,7 @@
   static constexpr std::chrono::milliseconds kMaxHold{1000};
   static constexpr char kVersionUnconfirmed[] = "version_unconfirmed";
   static constexpr char kStopping[] = "stopping";
+  static constexpr char kNoCapacity[] = "no_capacity";
 
   // State of one call. The version is the one in effect when the call was admitted.
   struct call {
@@ -221,14 +230,16 @@
     return current.id.empty() ? "pending" : "state";
   }
 
-  void Answer(call& current, int status, std::string body) {
+  // `retry_after`: of a rejection; if none, as the state of the store suggests.
+  void Answer(call& current, int status, std::string body,
+              std::optional<std::chrono::seconds> retry_after = std::nullopt) {
     current.answered = true;
     http_response response;
     response.status = status;
     response.body = std::move(body);
     response.close = hooks_.stopping();
     if (status == http_status::kUnavailable) {
-      response.retry_after = RetryAfter(current);
+      response.retry_after = retry_after ? *retry_after : RetryAfter(current);
     }
     metrics_.CountAnswer(
         NameOf(current), status,
@@ -303,8 +314,15 @@
           job.accepted = WallNow();
           job.accepted_by = hooks_.entry;
           job.known_epoch = hooks_.known_epoch();
-          hooks_.cache_payload(job.id, job.payload);
-          StoreWhenUp(current, std::make_shared<const std::string>(JobToText(job)));
+          hooks_.admit(job, [this, current, job](std::optional<shed_submission> shed) {
+            if (current->answered) return;
+            if (shed) {
+              return Answer(*current, http_status::kUnavailable, Platform::EncodeError(kNoCapacity),
+                            shed->retry_after);
+            }
+            hooks_.cache_payload(job.id, job.payload);
+            StoreWhenUp(current, std::make_shared<const std::string>(JobToText(job)));
+          });
           return {};
         },
         [&](graph_fault fault) {
--- a/src/process/site/peer_messages.h
+++ b/src/process/site/peer_messages.h
@@ -14,7 +14,9 @@
 //                            also its text, if it is newer than `have` and the link has capacity;
 //                            the evacuated failure domains
 //   POST /peer/advise        queries a queue's policy on behalf of the owner
-//   POST /peer/job           a job record that was just stored; spares the owner its watch delay
+//   POST /peer/job?id=&by=   a job record that was just stored; spares the owner its watch delay;
+//                            the reply holds the admission figures of the entry `by`
+//   GET  /peer/admission?by= the same figures; see admission_figures.h
 //   POST /peer/cancel?id=    a cancellation that was just stored
 //   POST /peer/start, /peer/started
 //                            forwarded starts; see start_words.h
@@ -50,6 +52,7 @@
 inline constexpr char kPeerAdvisePath[] = "/peer/advise";
 inline constexpr char kPeerJobPath[] = "/peer/job";
 inline constexpr char kPeerCancelPath[] = "/peer/cancel";
+inline constexpr char kPeerAdmissionPath[] = "/peer/admission";
 
 struct peer_phase_reply {
   bool owns = false;  // only the owner of the site knows the phases of jobs
--- a/src/process/site/site_metrics.cc
+++ b/src/process/site/site_metrics.cc
@@ -16,6 +16,9 @@
                                                    0.25,  0.5,   1,    2,    5};
 const Histogram::BucketBoundaries kStageBounds = {0.01, 0.03, 0.1, 0.25, 0.5, 1, 2, 5, 15};
 const Histogram::BucketBoundaries kAgeBounds = {0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5};
+// Actual less forecast wait.
+const Histogram::BucketBoundaries kErrorBounds = {-30, -10, -5, -2, -1, -0.5, -0.2,
+                                                  0.2, 0.5, 1,  2,  5,  10,   30};
 const Histogram::BucketBoundaries kDecideBounds = {0.0001, 0.0005, 0.001, 0.002, 0.005, 0.02, 0.1};
 
 prometheus::Family<Counter>& Counters(prometheus::Registry& registry, const char* name,
@@ -44,6 +47,13 @@
                            "Bytes of this entry's calls, by kind of call and direction.")),
       call_faults_(Counters(registry_, "catkinford_site_call_faults_total",
                             "Calls without a complete response, by kind of call and reason.")),
+      shed_(Counters(registry_, "catkinford_site_shed_total",
+                     "Submissions rejected for lack of capacity, by queue.")),
+      forecast_wait_seconds_(
+          prometheus::BuildGauge()
+              .Name("catkinford_site_forecast_wait_seconds")
+              .Help("Forecast wait of a job beyond its workspace's share, by queue; at the owner.")
+              .Register(registry_)),
       cpu_seconds_(prometheus::BuildGauge()
                        .Name("catkinford_site_cpu_seconds")
                        .Help("Processor time since the start of the process, by thread.")
@@ -93,7 +103,19 @@
                                       .Add({})),
       log_lines_left_out(Counters(registry_, "catkinford_site_log_lines_left_out_total",
                                   "Log lines that were dropped.")
-                             .Add({})) {}
+                             .Add({})),
+      returns_promised(Counters(registry_, "catkinford_site_returns_promised_total",
+                                "Rejected callers that were promised a place.")
+                           .Add({})),
+      returns_kept(Counters(registry_, "catkinford_site_returns_kept_total",
+                            "Callers that returned on time to the promised place.")
+                       .Add({})),
+      forecast_error_seconds(
+          prometheus::BuildHistogram()
+              .Name("catkinford_site_forecast_error_seconds")
+              .Help("Wait of a job beyond the share until its first start, less its forecast.")
+              .Register(registry_)
+              .Add({}, kErrorBounds)) {}
 
 void site_metrics::CountAnswer(const std::string& call, int status,
                                std::chrono::microseconds took) {
@@ -151,6 +173,21 @@
   }
 }
 
+void site_metrics::CountShed(const std::string& queue) {
+  shed_.Add({{"queue", queue}}).Increment();
+}
+
+void site_metrics::SetForecastWait(const std::string& queue, std::chrono::milliseconds wait) {
+  prometheus::Gauge*& gauge = forecast_waits_[queue];
+  if (gauge == nullptr) gauge = &forecast_wait_seconds_.Add({{"queue", queue}});
+  gauge->Set(std::chrono::duration<double>(wait).count());
+}
+
+void site_metrics::ClearForecastWaits() {
+  for (const auto& [queue, gauge] : forecast_waits_) forecast_wait_seconds_.Remove(gauge);
+  forecast_waits_.clear();
+}
+
 void site_metrics::SetCpuTime(const std::string& thread, std::chrono::microseconds total) {
   cpu_seconds_.Add({{"thread", thread}}).Set(std::chrono::duration<double>(total).count());
 }
--- a/src/process/site/site_metrics.h
+++ b/src/process/site/site_metrics.h
@@ -40,6 +40,11 @@
   void CountVersionRead(const std::string& source, const std::string& outcome);
   // Adds the bytes and faults of calls of one kind since the last time.
   void CountTraffic(const std::string& kind, const traffic& use);
+  // A submission to the queue was rejected for lack of capacity.
+  void CountShed(const std::string& queue);
+  // The forecast wait of a job beyond its workspace's share, at the owner.
+  void SetForecastWait(const std::string& queue, std::chrono::milliseconds wait);
+  void ClearForecastWaits();
   // `thread`: loop, instances, starts, peers, store or other; `total` since the process began.
   void SetCpuTime(const std::string& thread, std::chrono::microseconds total);
   std::string Text();
@@ -57,6 +62,9 @@
   prometheus::Family<prometheus::Counter>& version_reads_;
   prometheus::Family<prometheus::Counter>& link_bytes_;
   prometheus::Family<prometheus::Counter>& call_faults_;
+  prometheus::Family<prometheus::Counter>& shed_;
+  prometheus::Family<prometheus::Gauge>& forecast_wait_seconds_;
+  std::map<std::string, prometheus::Gauge*> forecast_waits_;  // by queue
   prometheus::Family<prometheus::Gauge>& cpu_seconds_;
   prometheus::Family<prometheus::Histogram>& answer_seconds_;
   prometheus::Family<prometheus::Histogram>& stage_seconds_;
@@ -83,6 +91,9 @@
   prometheus::Gauge& instance_connections;     // open
   prometheus::Counter& instance_connections_opened;
   prometheus::Counter& log_lines_left_out;
+  prometheus::Counter& returns_promised;          // to rejected callers
+  prometheus::Counter& returns_kept;              // callers that came back on time and got in
+  prometheus::Histogram& forecast_error_seconds;  // of the wait until the first start
 };
 
 }  // namespace catkinford
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -19,6 +19,8 @@
 #include "connection/http_client.h"
 #include "connection/http_server.h"
 #include "connection/thread_cpu_clock.h"
+#include "process/admission/admission_gate.h"
+#include "process/admission/known_job_query.h"
 #include "process/site/advice_dispatcher.h"
 #include "process/site/caller_frontend.h"
 #include "process/site/event_loop.h"
@@ -86,6 +88,8 @@
   static constexpr std::chrono::milliseconds kMaxReachableStoreAge{900};
 
   static constexpr std::chrono::milliseconds kReadinessInterval{100};
+  // A caller waits this long for its rejection while the owner is asked about its job.
+  static constexpr std::chrono::milliseconds kKnownTimeout{100};
   static constexpr std::chrono::milliseconds kAliveTimeout{250};
   // A call that failed within this time was rejected by the host; an address that does not answer
   // uses up the whole timeout.
@@ -131,7 +135,17 @@
   // Queries several entries; `done` runs when each has answered or timed out.
   void QueryPeers(const std::vector<site_entry>& peers, const std::string& path_and_query,
                   std::function<void(const std::vector<peer_answer>&)> done);
-  void NotifyOwner(const std::string& path_and_query, const std::string& body);
+  // `done` may be null.
+  void NotifyOwner(const std::string& path_and_query, const std::string& body, peer_callback done);
+  // Admission of a submission; `done` gets nothing if it is accepted.
+  using admission_callback = std::function<void(std::optional<shed_submission>)>;
+  void AdmitJob(const graph_job& job, const admission_callback& done);
+  void Shed(const submission& job, const admission_verdict& verdict,
+            const admission_callback& done);
+  // `done` gets true if the owner certainly does not know the job.
+  void AskIfKnown(const std::string& job, std::function<void(bool)> done);
+  void FollowFigures();
+  std::string FiguresTextFor(const std::string& entry) const;
   const site_entry* Owner() const;
   void PhaseFromOwner(const std::string& job, std::function<void(std::optional<graph_phase>)> done);
   void PendingFromOwner(const std::string& queue, std::function<void(std::optional<size_t>)> done);
@@ -182,7 +196,9 @@
   relay_client relay_client_;                    // for this entry's calls, while it owns the site
   relay_server relay_server_;                    // for calls of another entry that owns the site
   advice_dispatcher advice_;
-  scheduler_handover handover_;  // of this process's last ownership
+  admission_gate gate_;
+  bool follows_figures_ = false;  // a timer for the next question to the owner is set
+  scheduler_handover handover_;   // of this process's last ownership
   uint64_t handover_epoch_ = 0;
   std::shared_ptr<site_owner<Platform>> owner_;
   std::map<std::string, bool> peer_silent_;
@@ -235,6 +251,7 @@
       relay_client_(start_client, loop_, log_),
       relay_server_(instance_client, loop_, membership_.Self().nonce,
                     [this] { return membership_.View().epoch; }),
+      gate_({settings_.name, settings_.overload.figures_valid, settings_.overload.max_retry_after}),
       text_limiter_(settings_.machine.link_mbps) {
   platform_.Instances().SetRoute([this](http_call& call, http_client::callback& done) {
     return relay_client_.TryTake(call, done, BootNow());
@@ -265,11 +282,17 @@
   };
   hooks.notify_job_stored = [this](const std::string& id, const std::string& record) {
     if (owner_ != nullptr) return owner_->OnJobStored(id, record);
-    NotifyOwner(absl::StrCat(kPeerJobPath, "?id=", id), record);
+    NotifyOwner(absl::StrCat(kPeerJobPath, "?id=", id, "&by=", settings_.name), record,
+                [this](const std::optional<std::string>& text) {
+                  if (text) gate_.OnFigures(AdmissionFiguresFromText(*text), BootNow());
+                });
+  };
+  hooks.admit = [this](const graph_job& job, admission_callback done) {
+    AdmitJob(job, std::move(done));
   };
   hooks.notify_cancel_stored = [this](const std::string& id) {
     if (owner_ != nullptr) return owner_->OnCancelStored(id);
-    NotifyOwner(absl::StrCat(kPeerCancelPath, "?id=", id), {});
+    NotifyOwner(absl::StrCat(kPeerCancelPath, "?id=", id), {}, nullptr);
   };
   hooks.cache_payload = [this](const std::string& id, const std::string& payload) {
     start_forwarder_.CachePayload(id, payload);
@@ -487,6 +510,9 @@
     response.body = PeerVersionReplyToText(VersionForPeer(request));
   } else if (request.path == kPeerJobPath) {
     if (owner_ != nullptr) owner_->OnJobStored(request.Query("id"), request.body);
+    response.body = FiguresTextFor(request.Query("by"));
+  } else if (request.path == kPeerAdmissionPath) {
+    response.body = FiguresTextFor(request.Query("by"));
   } else if (request.path == kPeerCancelPath) {
     if (owner_ != nullptr) owner_->OnCancelStored(request.Query("id"));
   } else if (request.path == kPeerAdvisePath) {
@@ -783,6 +809,7 @@
     relay_client_.Choice().SetInstances(reports);
   };
   hooks.budget = [this](monotonic_time now) -> const owner_budget& { return Budget(now); };
+  hooks.entry_count = [this] { return membership_.View().entries.size(); };
   return hooks;
 }
 
@@ -873,6 +900,7 @@
 template <site_platform Platform>
 void site_node<Platform>::OnOwnershipLost() {
   metrics_.owns_site.Set(0);
+  metrics_.ClearForecastWaits();
   overloaded_ = false;
   start_dispatcher_.Clear();
   relay_client_.End();
@@ -945,7 +973,8 @@
 }
 
 template <site_platform Platform>
-void site_node<Platform>::NotifyOwner(const std::string& path_and_query, const std::string& body) {
+void site_node<Platform>::NotifyOwner(const std::string& path_and_query, const std::string& body,
+                                      peer_callback done) {
   const site_entry* owner = Owner();
   if (owner == nullptr) return;
   http_call call;
@@ -954,7 +983,91 @@
   call.body = body;
   call.timeout = kPeerTimeout;
   // A lost notification does no harm: the owner's watch reports the same change.
-  peer_client_.Send(std::move(call), [](const http_result&) {});
+  peer_client_.Send(std::move(call), [this, done = std::move(done)](http_result result) {
+    if (!done) return;
+    loop_.Post([done, result = std::move(result)] {
+      const bool good = result.status == transfer_status::kDone && result.code == http_status::kOk;
+      done(good ? std::optional<std::string>(result.body) : std::nullopt);
+    });
+  });
+}
+
+template <site_platform Platform>
+std::string site_node<Platform>::FiguresTextFor(const std::string& entry) const {
+  const auto figures = owner_ == nullptr ? std::nullopt : owner_->FiguresFor(entry);
+  return figures ? AdmissionFiguresToText(*figures) : std::string();
+}
+
+template <site_platform Platform>
+void site_node<Platform>::AdmitJob(const graph_job& job, const admission_callback& done) {
+  if (!settings_.overload.enabled) return done(std::nullopt);
+  const monotonic_time now = BootNow();
+  if (owner_ != nullptr) gate_.OnFigures(owner_->FiguresFor(settings_.name), now);
+  const submission asked = SubmissionOf(job);
+  const auto decision = gate_.Judge(asked, membership_.View().epoch, now);
+  FollowFigures();
+  if (decision.returned) metrics_.returns_kept.Increment();
+  if (decision.verdict.accept) return done(std::nullopt);
+  AskIfKnown(job.id, [this, asked, verdict = decision.verdict, done](bool unknown) {
+    if (!unknown) return done(std::nullopt);
+    Shed(asked, verdict, done);
+  });
+}
+
+template <site_platform Platform>
+void site_node<Platform>::Shed(const submission& job, const admission_verdict& verdict,
+                               const admission_callback& done) {
+  const monotonic_time now = BootNow();
+  const auto promise = gate_.Reject(job, verdict, now);
+  metrics_.CountShed(job.queue);
+  if (promise.kept_place) metrics_.returns_promised.Increment();
+  log_.Write(
+      site_event::kJobShed, now,
+      absl::StrCat("id=", LogField(job.id), " queue=", job.queue, " workspace=", job.workspace,
+                   " forecast_ms=", verdict.wait.count(), " useful_ms=", job.useful.count(),
+                   " epoch=", verdict.epoch, " number=", verdict.number,
+                   " age_ms=", verdict.age.count(), " retry_after=", promise.retry_after.count(),
+                   " place=", promise.kept_place));
+  done(shed_submission{promise.retry_after});
+}
+
+template <site_platform Platform>
+void site_node<Platform>::AskIfKnown(const std::string& job, std::function<void(bool)> done) {
+  const auto query = std::make_shared<known_job_query>(std::move(done));
+  if (owner_ != nullptr) {
+    if (!owner_->Loaded()) return query->OnAnswer(known_job_answer::kNotOwner);
+    return query->OnAnswer(owner_->PhaseOf(job) ? known_job_answer::kKnown
+                                                : known_job_answer::kUnknown);
+  }
+  const site_entry* owner = Owner();
+  if (owner == nullptr) return query->OnAnswer(known_job_answer::kNone);
+  QueryPeer(*owner, absl::StrCat(kPeerStatePath, "?id=", job),
+            [query](const std::optional<std::string>& text) {
+              const auto state = text ? PeerPhaseReplyFromText(*text) : std::nullopt;
+              if (!state) return query->OnAnswer(known_job_answer::kNone);
+              if (!state->owns) return query->OnAnswer(known_job_answer::kNotOwner);
+              query->OnAnswer(state->phase ? known_job_answer::kKnown : known_job_answer::kUnknown);
+            });
+  loop_.After(kKnownTimeout, [query] { query->OnAnswer(known_job_answer::kNone); });
+}
+
+// Asks the owner for its figures while this entry has submissions and hears none otherwise.
+template <site_platform Platform>
+void site_node<Platform>::FollowFigures() {
+  const monotonic_time now = BootNow();
+  const site_entry* owner = Owner();
+  if (owner != nullptr && gate_.TakeQuestion(now)) {
+    QueryPeer(*owner, absl::StrCat(kPeerAdmissionPath, "?by=", settings_.name),
+              [this](const std::optional<std::string>& text) {
+                if (text) gate_.OnFigures(AdmissionFiguresFromText(*text), BootNow());
+              });
+  }
+  if (follows_figures_ || !gate_.Active(now)) return;
+  follows_figures_ = true;
+  loop_.After(admission_gate::kQuestionInterval, [this] {
+    follows_figures_ = false;
+    FollowFigures();
+  });
 }
 
 template <site_platform Platform>
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -20,6 +20,8 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 #include "connection/thread_cpu_clock.h"
+#include "process/admission/entry_admission.h"
+#include "process/admission/figures_source.h"
 #include "process/scheduling/job_scheduler.h"
 #include "process/site/event_loop.h"
 #include "process/site/fleet_record.h"
@@ -55,6 +57,8 @@
   std::function<void(const std::vector<instance_report>&)> registry_read;
   // The load that this entry can still take, as of `now`.
   std::function<const owner_budget&(monotonic_time now)> budget;
+  // The number of entries of the site.
+  std::function<size_t()> entry_count;
 };
 
 // Processor time of the loop's thread, by part of a round of decisions.
@@ -93,12 +97,14 @@
         owner_revision_(owner_revision),
         hooks_(std::move(hooks)),
         max_starts_in_flight_(OptionsOf(settings, earlier_owner_may_act).starts_in_flight),
-        scheduler_(OptionsOf(settings, earlier_owner_may_act), epoch, BootNow()) {}
+        scheduler_(OptionsOf(settings, earlier_owner_may_act), epoch, BootNow()),
+        figures_(epoch) {}
 
   // `handover`: of this process's own previous ownership, if no other owner was in between.
   void Start(std::shared_ptr<const site_configuration> version, scheduler_handover handover) {
     load_started_ = BootNow();
     handover_ = std::move(handover);
+    version_ = version;
     scheduler_.SetVersion(std::move(version));
     LoadInbox("");
   }
@@ -109,6 +115,7 @@
   }
 
   void SetVersion(std::shared_ptr<const site_configuration> version) {
+    version_ = version;
     scheduler_.SetVersion(std::move(version));
     ScheduleDecision();
   }
@@ -171,6 +178,11 @@
                         " queries=", now.queries - last.queries,
                         " steps_seen=", now.steps_seen - last.steps_seen);
   }
+  // What that entry may accept; nothing while it is not known or admission is switched off.
+  std::optional<admission_figures> FiguresFor(const std::string& entry) const {
+    if (!loaded_ || !settings_.overload.enabled) return std::nullopt;
+    return figures_.For(entry, BootNow());
+  }
   // True when no change is being stored.
   bool Settled() const { return !commit_in_flight_; }
 
@@ -193,6 +205,8 @@
   static constexpr std::chrono::milliseconds kCommitRetry{150};
   static constexpr std::chrono::milliseconds kExpiryInterval{2000};
   static constexpr std::chrono::milliseconds kFleetCheckInterval{100};
+  // Goes through the active jobs, so not per arrival; entries ask every 500 ms.
+  static constexpr std::chrono::milliseconds kFiguresInterval{200};
   // Between two listings of an instance: ends within this time are reported together, and each
   // listing has a cost.
   static constexpr std::chrono::milliseconds kListingPause{120};
@@ -368,6 +382,7 @@
     WatchInbox(inbox_revision_);
     RunAfter(settings_.timing.registry_poll, [](self_type& self) { self.PollRegistry(); });
     RunAfter(kExpiryInterval, [](self_type& self) { self.CollectExpired(); });
+    if (settings_.overload.enabled) UpdateFigures();
     Tick();
   }
 
@@ -404,6 +419,7 @@
           scheduler_.OnJob(std::move(job),
                            progress == loaded_progress_.end() ? std::string() : progress->second,
                            inherited, WallNow(), now);
+          NoteArrival(id, inherited, now);
           // A cancellation may be read before its job: items arrive in the order of their keys.
           if (cancelled_.contains(id)) scheduler_.OnCancel(id, now);
           return {};
@@ -413,6 +429,51 @@
         });
   }
 
+  // --- admission: see admission/figures_source.h
+  // ---------------------------------------------------
+
+  void NoteArrival(const std::string& id, bool inherited, monotonic_time now) {
+    const job_entry* entry = scheduler_.Find(id);
+    if (!settings_.overload.enabled || entry == nullptr || entry->queue == nullptr) return;
+    const graph_job& job = entry->job;
+    const submission asked = SubmissionOf(job);
+    if (!asked.time_bound) return;
+    accepted_job arrived;
+    arrived.id = job.id;
+    arrived.queue = job.queue;
+    arrived.service = entry->queue->jobs.service;
+    arrived.workspace = job.workspace;
+    arrived.entry = job.accepted_by;
+    arrived.priority = entry->queue->jobs.priority;
+    const workspace_config* workspace =
+        version_ == nullptr ? nullptr : version_->WorkspaceNamed(job.workspace);
+    if (workspace == nullptr || workspace->weight <= 0) return;
+    arrived.share = workspace->weight;
+    arrived.beyond = entry->beyond_share;
+    arrived.inherited = inherited || entry->inherited;
+    arrived.useful = asked.useful;
+    arrived.work = scheduler_.ExpectedWork(job);
+    arrived.step.need = asked.largest;
+    for (const step_spec& step : job.steps) {
+      arrived.step.tasks = std::max(arrived.step.tasks, step.count);
+    }
+    figures_.OnJob(arrived, now);
+  }
+
+  void UpdateFigures() {
+    const monotonic_time now = BootNow();
+    figures_.Update(scheduler_.LoadView(now), hooks_.entry_count(), now);
+    for (const auto& [queue, wait] : figures_.Waits()) metrics_.SetForecastWait(queue, wait);
+    RunAfter(kFiguresInterval, [](self_type& self) { self.UpdateFigures(); });
+  }
+
+  void NoteStart(const std::string& job) {
+    const auto waited = figures_.OnStart(job, BootNow());
+    if (!waited) return;
+    const std::chrono::duration<double> error = waited->actual - waited->forecast;
+    metrics_.forecast_error_seconds.Observe(error.count());
+  }
+
   // Reads the record of a job of which an instance lists a run or an end.
   void ReadUnknownJob(const std::string& id) {
     if (!IsGraphId(id)) return scheduler_.OnJobAbsent(id, BootNow());
@@ -614,6 +675,7 @@
         request.checkpoint, request.ticket};
     ++work_.starts;
     const job_entry* entry = scheduler_.Find(request.key.job);
+    NoteStart(request.key.job);
     hooks_.start(
         std::move(request), entry == nullptr ? std::string() : entry->job.accepted_by,
         OnAnswer([request = std::move(without_payload)](self_type& self, command_answer answer) {
@@ -862,8 +924,10 @@
   const uint64_t epoch_;
   const uint64_t owner_revision_;
   owner_hooks hooks_;
+  std::shared_ptr<const site_configuration> version_;
   const uint32_t max_starts_in_flight_;
   job_scheduler scheduler_;
+  figures_source figures_;
   bool ownership_ended_ = false;
   bool loaded_ = false;
   bool decision_scheduled_ = false;
--- a/test/admission_test.cc
+++ b/test/admission_test.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "process/admission/admission_figures.h"
 #include "process/admission/admission_gate.h"
+#include "process/admission/figures_source.h"
 #include "process/admission/known_job_query.h"
 #include "process/admission/wait_forecast.h"
 
@@ -133,6 +134,37 @@
   CHECK(forecast_.Wait(2, kStep) == seconds(6));
 }
 
+// Guards against capacity that is granted to each of several workspaces, or to each entry.
+TEST_CASE("figures source, two workspaces beyond their share, grants the spare capacity once",
+          "[admission]") {
+  figures_source source(kEpoch);
+  service_load load;
+  load.service = "service";
+  load.waiting_beyond[0] = 600;
+  load.busy = load.capacity = 100;
+  accepted_job job{"", "queue", "service", "", "", 0, 1, true, false, seconds(5), 10, kStep};
+  for (int i = 0; i < 40; ++i) {
+    job.id = absl::StrCat("job-", i);
+    job.workspace = i % 2 == 0 ? "a" : "b";
+    // Nine of ten jobs come to one entry.
+    job.entry = i % 10 < 9 ? "busy" : "quiet";
+    source.OnJob(job, kStart + milliseconds(100 * i));
+    if (i % 2 == 0) source.Update({load}, 2, kStart + milliseconds(100 * i));
+  }
+  const monotonic_time now = kStart + milliseconds(4000);
+  double granted = 0;
+  for (const char* entry : {"busy", "quiet"}) {
+    const admission_figures figures = source.For(entry, now);
+    REQUIRE(figures.rows.size() == 2);
+    CHECK(figures.rows[0].wait == seconds(6));
+    for (const admission_row& row : figures.rows) granted += row.rate;
+  }
+  // 100 processor-seconds a second are 10 jobs a second, less a fifth as the wait is a fifth too
+  // long; and the shares of 1 with their margin.
+  CHECK(granted == Approx(8 + 2 * 1.2));
+  CHECK(source.For("busy", now).rows[0].rate > 3 * source.For("quiet", now).rows[0].rate);
+}
+
 // Guards against rejections by an owner that is dead or cannot be reached.
 TEST_CASE_METHOD(gate_fixture, "entry admission, owner dies, accepts everything after two seconds",
                  "[admission]") {
