Admission: pages; the site test gives its queue a policy

Cause: operators need the way from a rejected job to its cause. The stand-in's instances reject starts without a ticket, so in the site test no job ever ran and the load was not that of a full service; it failed once in a run of the whole suite.

--- a/test/admission_fleet_test.cc
+++ b/test/admission_fleet_test.cc
@@ -21,6 +21,8 @@
     queue["anonymous"] = false;
     queue["stretch"] = 1;
     queue["target-latency-ms"] = 100;
+    // The stand-in's instances want a ticket with each start.
+    queue["advice"] = {{"decision-ms", 5}, {"per-item-ms", 0.5}, {"valid-ms", 2000}};
     PutVersion(2, {"key-1"}, {queue});
     for (size_t i = 0; i < 2; ++i) {
       AddEntry(absl::StrCat("entry-", i), store_.Address());
@@ -82,7 +84,7 @@
 // Guards against rejections where operators have switched admission off.
 TEST_CASE_METHOD(load_without_admission, "site, admission switched off, rejects nobody",
                  "[admission]") {
-  for (uint32_t number = 1; number <= 400; ++number) {
+  for (uint32_t number = 1; number <= 500; ++number) {
     REQUIRE(Submit(Other(), number).code == 200);
     std::this_thread::sleep_for(milliseconds(5));
   }
--- a/test/pages_test.cc
+++ b/test/pages_test.cc
@@ -86,7 +86,7 @@
   for (const std::string page :
        {"docs/OPERATING.md", "docs/OPERATIONS.md", "docs/EVENTS.md", "docs/PROMISES.md"}) {
     const std::string pattern =
-        "`((?:listen|platform|shards|timing|bounds|isolation|logs)\\.[a-z_]+)`";
+        "`((?:listen|platform|shards|timing|bounds|isolation|logs|overload)\\.[a-z_]+)`";
     for (const std::string& name : FindAll(ReadPage(page), pattern)) {
       INFO(page << " names " << name);
       CHECK(known.contains(name));
@@ -127,6 +127,8 @@
   exported_metrics.CountVersionRead("store", "done");
   exported_metrics.CountCompletedJob({});
   exported_metrics.SetCpuTime("loop", std::chrono::seconds(1));
+  exported_metrics.CountShed("queue");
+  exported_metrics.SetForecastWait("queue", std::chrono::seconds(1));
   exported_metrics.CountTraffic("peer/state", {1, 200, 300, {0, 1}});
   const std::string text = exported_metrics.Text();
   for (const std::string& name : FindAll(page, "`(catkinford_site_[a-z_]+)`")) {
