Frontend hook: pass the admission callback by reference

Cause: clang-tidy: a move into a const reference moves nothing. Change: the hook's parameter is a const reference.

--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -287,8 +287,8 @@
                   if (text) gate_.OnFigures(AdmissionFiguresFromText(*text), BootNow());
                 });
   };
-  hooks.admit = [this](const graph_job& job, admission_callback done) {
-    AdmitJob(job, std::move(done));
+  hooks.admit = [this](const graph_job& job, const admission_callback& done) {
+    AdmitJob(job, done);
   };
   hooks.notify_cancel_stored = [this](const std::string& id) {
     if (owner_ != nullptr) return owner_->OnCancelStored(id);
