--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -208,6 +208,7 @@
       if (!ready) continue;
       step.ready = true;
       step.ready_at = now;
+      CountReady(entry, step, static_cast<uint32_t>(i));
       const step_spec& terms = entry.job.steps[i];
       if (!terms.long_running && !terms.fills && !entry.beyond_share) {
         kept_.OnReady(entry.service, TermsOf(entry).priority,
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -19,6 +19,7 @@
 #include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
+#include "process/admission/load_view.h"
 #include "process/learned/learned_record.h"
 #include "process/scheduling/answer_timeout.h"
 #include "process/scheduling/arrival_rate_limit.h"
@@ -197,6 +198,10 @@
   learned_record LoadLearned(const learned_record& record, monotonic_time now);
   // Actual over expected run times of the undisturbed runs that ended since the last call.
   std::vector<double> TakeRunTimeRatios() { return std::exchange(run_time_ratios_, {}); }
+  // scheduler_load.cc: the load of each service. Goes through the active jobs and the instances.
+  load_view LoadView(monotonic_time now) const;
+  // Processor-seconds of the job's tasks, by their expected run times.
+  double ExpectedWork(const graph_job& job) const;
 
  private:
   // job_scheduler.cc
@@ -275,6 +280,13 @@
   // The run is proved to have ended or never to begin: frees its capacity; its task may start
   // elsewhere.
   void Release(graph_run& run, monotonic_time now);
+  // Counts for LoadView(), kept up to date with each run and each step that becomes ready.
+  struct load_counts {
+    int64_t busy_milli = 0;     // processors in use by tasks that end by themselves
+    double arrived_within = 0;  // processor-seconds that became ready within the shares
+  };
+  void CountBusy(const graph_run& run, int sign);
+  void CountReady(const job_entry& entry, const step_progress& step, uint32_t index);
   static task_times TimesOf(const step_progress& step, const task_key& key, const graph_run* run,
                             monotonic_time now);
   // `times`: of the task that ended the step.
@@ -557,6 +569,7 @@
   std::vector<uint64_t> free_fast_milli_;
   std::vector<bool> any_slow_;
   std::vector<double> run_time_ratios_;
+  absl::flat_hash_map<uint32_t, load_counts> load_counts_;  // by service
   bool unrecorded_starts_ = false;
   bool starts_paused_ = false;
   bool records_complete_ = false;
--- a/src/process/site/site_metrics.h
+++ b/src/process/site/site_metrics.h
@@ -45,6 +45,11 @@
   void CountHandover(const std::string& outcome);
   // Adds the bytes and faults of calls of one kind since the last time.
   void CountTraffic(const std::string& kind, const traffic& use);
+  // A submission to the queue was rejected for lack of capacity.
+  void CountShed(const std::string& queue);
+  // The forecast wait of a job beyond its workspace's share, at the owner.
+  void SetForecastWait(const std::string& queue, std::chrono::milliseconds wait);
+  void ClearForecastWaits();
   // `thread`: loop, instances, starts, peers, store or other; `total` since the process began.
   void SetCpuTime(const std::string& thread, std::chrono::microseconds total);
   std::string Text();
@@ -63,6 +68,9 @@
   prometheus::Family<prometheus::Counter>& handovers_;
   prometheus::Family<prometheus::Counter>& link_bytes_;
   prometheus::Family<prometheus::Counter>& call_faults_;
+  prometheus::Family<prometheus::Counter>& shed_;
+  prometheus::Family<prometheus::Gauge>& forecast_wait_seconds_;
+  std::map<std::string, prometheus::Gauge*> forecast_waits_;  // by queue
   prometheus::Family<prometheus::Gauge>& cpu_seconds_;
   prometheus::Family<prometheus::Gauge>& instances_;
   prometheus::Family<prometheus::Histogram>& answer_seconds_;
@@ -96,6 +104,9 @@
   prometheus::Counter& copies_won;
   prometheus::Counter& copies_lost;
   prometheus::Counter& copy_cpu_seconds;  // of runs that lost against another run of their task
+  prometheus::Counter& returns_promised;  // to rejected callers
+  prometheus::Counter& returns_kept;      // callers that came back on time and got in
+  prometheus::Histogram& forecast_error_seconds;  // of the wait until the first start
 };
 
 }  // namespace catkinford
