--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -323,7 +323,10 @@
 
 class store {
  public:
-  store() : server_([this](const http_request& request) { return Handle(request); }) {
+  // `items_per_page`: of a range; the pages allow about 500 at most.
+  explicit store(size_t items_per_page = 500)
+      : items_per_page_(items_per_page),
+        server_([this](const http_request& request) { return Handle(request); }) {
     expiry_ = std::thread([this] {
       while (!stopping_) {
         std::this_thread::sleep_for(milliseconds(5));
@@ -349,6 +352,21 @@
     changed_.notify_all();
     return revision_;
   }
+  // Discards the history; watches that wait are cut.
+  void DropHistory() {
+    const std::lock_guard lock(mutex_);
+    history_.clear();
+    history_from_ = revision_;
+    changed_.notify_all();
+  }
+  size_t Keys(const std::string& prefix) {
+    const std::lock_guard lock(mutex_);
+    size_t count = 0;
+    for (auto at = items_.lower_bound(prefix); at != items_.end(); ++at, ++count) {
+      if (!at->first.starts_with(prefix)) break;
+    }
+    return count;
+  }
   std::optional<std::string> Value(const std::string& key) {
     const std::lock_guard lock(mutex_);
     const auto found = items_.find(key);
@@ -356,7 +374,6 @@
   }
 
  private:
-  static constexpr size_t kItemsPerPage = 500;
   static constexpr size_t kMostEntries = 32;
 
   struct item {
@@ -446,10 +463,15 @@
       const uint64_t after = request.Number("after");
       const auto until = clock::now() + milliseconds(request.Number("wait-ms"));
       json events = EventsAfter(prefix, after);
+      const uint64_t history_from = history_from_;
       while (events.empty() && !stopping_ && clock::now() < until) {
+        if (after < history_from_ || history_from != history_from_) break;
         changed_.wait_until(lock, until);
         events = EventsAfter(prefix, after);
       }
+      if (after < history_from_ || history_from != history_from_) {
+        return Answer(410, {{"at-rev", revision_}});
+      }
       return Answer(200, {{"events", std::move(events)}, {"at-rev", revision_}});
     }
     if (request.path == "/v1/kv-txn") return Change(json::parse(request.body));
@@ -482,7 +504,7 @@
     for (auto at = items_.upper_bound(std::max(prefix, request.Query("after"))); at != items_.end();
          ++at) {
       if (!at->first.starts_with(prefix)) break;
-      more = rows.size() == kItemsPerPage;
+      more = rows.size() == items_per_page_;
       if (more) break;
       rows.push_back(ToJson(at->first, at->second));
     }
@@ -525,11 +547,13 @@
     return Answer(200, {{"revision", revision_}});
   }
 
+  size_t items_per_page_;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, item> items_;
   std::vector<change> history_;
   std::map<uint64_t, lease> leases_;
+  uint64_t history_from_ = 0;  // changes up to this revision are forgotten
   uint64_t revision_ = 1;
   uint64_t last_lease_ = 0;
   std::atomic<bool> stopping_{false};
@@ -800,13 +824,14 @@
 class entry {
  public:
   entry(std::string name, const std::string& zone, const std::string& ip,
-        const std::string& store_address, const std::filesystem::path& folder)
+        const std::string& store_address, const std::filesystem::path& folder,
+        const json& bounds = json::object())
       : name_(std::move(name)),
         settings_(folder / (name_ + ".json")),
         log_(folder / (name_ + ".log")) {
     callers_ = ip + ":" + std::to_string(FreePort(ip));
     ready_ = ip + ":" + std::to_string(FreePort(ip));
-    const json settings{
+    json settings{
         {"name", name_},
         {"failure_domain", zone},
         {"listen",
@@ -827,6 +852,7 @@
           {"keep_final_s", 120},
           {"shutdown_limit_s", 6},
           {"remote_factor", 3}}}};
+    settings["bounds"].update(bounds);
     std::ofstream(settings_) << settings.dump(1);
   }
   ~entry() { Kill(); }
