--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -570,6 +570,7 @@
   std::string rack;
   uint32_t cpu = 16000;
   uint32_t mem_mb = 32768;
+  milliseconds max_hold{6000};
 };
 
 // How a run ends by itself.
@@ -631,10 +632,16 @@
   worker(const worker&) = delete;
   worker& operator=(const worker&) = delete;
 
+  // Ends the worker's process right after its next answer to a hold, and starts it again under the
+  // same id: it holds and knows nothing of before, and its clock starts anew.
+  void RestartAfterHold(milliseconds down) { restart_ = down; }
+  bool Restarting() const { return restart_.load().count() > 0; }
+  // Cut off from all machines: nothing is answered, and what runs goes on under its lease.
+  void CutOff() { cut_off_ = true; }
+
  private:
   static constexpr milliseconds kHeartbeat{1500};
   static constexpr milliseconds kStopTakes{50};
-  static constexpr milliseconds kLongestHold{6000};
   static constexpr size_t kEndsPerListing = 500;
 
   struct run {
@@ -665,7 +672,7 @@
     auto heartbeat = clock::now();
     while (!stopping_) {
       if (clock::now() >= heartbeat) {
-        Register();
+        if (!cut_off_) Register();
         heartbeat += kHeartbeat;
       }
       {
@@ -724,7 +731,7 @@
   void ExtendLease(const json& body) {
     if (!body.contains("deadline-ms")) return;
     lease_until_ = std::max(lease_until_, std::min(body.at("deadline-ms").get<int64_t>(),
-                                                   ClockMs() + kLongestHold.count()));
+                                                   ClockMs() + terms_.max_hold.count()));
   }
 
   http_response Start(const json& body) {
@@ -765,8 +772,29 @@
     return Answer(200, {{"clock-ms", ClockMs()}});
   }
 
+  void Restart() {
+    for (const auto& [task, each] : runs_) Log(task, each.number, "ended by a crash");
+    runs_.clear();
+    highest_ended_.clear();
+    ended_.clear();
+    last_end_ = 0;
+    fence_ = 0;
+    lease_until_ = 0;
+    began_ = clock::now();
+    born_ = std::chrono::duration_cast<milliseconds>(
+                std::chrono::system_clock::now().time_since_epoch())
+                .count();
+    ++boot_;
+  }
+
   http_response Handle(const http_request& request) {
     std::unique_lock lock(mutex_);
+    while (cut_off_ && !stopping_) changed_.wait_for(lock, milliseconds(50));
+    if (clock::now() < up_at_) {
+      lock.unlock();
+      std::this_thread::sleep_until(up_at_);
+      lock.lock();
+    }
     const auto target = request.headers.find("x-catkinford-target-instance");
     if (target != request.headers.end() && target->second != terms_.id) {
       return Answer(421, json::object());
@@ -784,7 +812,12 @@
     ExtendLease(body);
     const auto until = clock::now() + milliseconds(body.value("wait-ms", int64_t{0}));
     while (ended_.empty() && !stopping_ && clock::now() < until) changed_.wait_until(lock, until);
-    return Answer(200, Listing());
+    http_response out = Answer(200, Listing());
+    const milliseconds down = restart_.exchange(milliseconds(0));
+    if (down.count() == 0) return out;
+    Restart();
+    up_at_ = clock::now() + down;
+    return out;
   }
 
   store& store_;
@@ -802,6 +835,10 @@
   uint64_t last_end_ = 0;
   uint64_t fence_ = 0;
   int64_t lease_until_ = 0;
+  uint32_t boot_ = 1;
+  clock::time_point up_at_{};
+  std::atomic<milliseconds> restart_{milliseconds(0)};
+  std::atomic<bool> cut_off_{false};
   std::atomic<bool> stopping_{false};
   std::unique_ptr<http_server> server_;
   std::thread timer_;
