--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -85,9 +85,10 @@
 struct http_response {
   int status = 200;
   std::string body = "{}";
+  bool dropped = false;  // the connection ends without an answer
 };
 
-inline http_response Answer(int status, const json& body) { return {status, body.dump()}; }
+inline http_response Answer(int status, const json& body) { return {status, body.dump(), false}; }
 
 // Reads one message; returns false at the end of the connection.
 class http_reader {
@@ -220,6 +221,7 @@
       request.method = line.substr(0, first);
       ParseTarget(line.substr(first + 1, second - first - 1), request);
       const http_response response = handle_(request);
+      if (response.dropped) break;
       const std::string head = "HTTP/1.1 " + std::to_string(response.status) +
                                " -\r\nContent-Type: application/json\r\nContent-Length: " +
                                std::to_string(response.body.size()) + "\r\n\r\n";
@@ -632,12 +634,12 @@
   worker(const worker&) = delete;
   worker& operator=(const worker&) = delete;
 
-  // Ends the worker's process right after its next answer to a hold, and starts it again under the
-  // same id: it holds and knows nothing of before, and its clock starts anew.
-  void RestartAfterHold(milliseconds down) { restart_ = down; }
+  // Crashes right after the next answer to a hold, is dark for that time, and starts again under
+  // the same id: it holds and knows nothing of before, and its clock starts anew.
+  void CrashAfterHold(milliseconds dark) { restart_ = dark; }
   bool Restarting() const { return restart_.load().count() > 0; }
   // Cut off from all machines: nothing is answered, and what runs goes on under its lease.
-  void CutOff() { cut_off_ = true; }
+  void CutOff(bool cut) { cut_off_ = cut; }
 
  private:
   static constexpr milliseconds kHeartbeat{1500};
@@ -672,7 +674,7 @@
     auto heartbeat = clock::now();
     while (!stopping_) {
       if (clock::now() >= heartbeat) {
-        if (!cut_off_) Register();
+        if (!cut_off_ && clock::now() >= up_at_) Register();
         heartbeat += kHeartbeat;
       }
       {
@@ -780,20 +782,24 @@
     last_end_ = 0;
     fence_ = 0;
     lease_until_ = 0;
-    began_ = clock::now();
+    began_ = up_at_;
     born_ = std::chrono::duration_cast<milliseconds>(
-                std::chrono::system_clock::now().time_since_epoch())
+                std::chrono::system_clock::now().time_since_epoch() + (up_at_ - clock::now()))
                 .count();
-    ++boot_;
   }
 
   http_response Handle(const http_request& request) {
     std::unique_lock lock(mutex_);
-    while (cut_off_ && !stopping_) changed_.wait_for(lock, milliseconds(50));
+    if (cut_off_) {
+      // What is sent over the cut is lost.
+      while (cut_off_ && !stopping_) changed_.wait_for(lock, milliseconds(20));
+      return {0, "", true};
+    }
     if (clock::now() < up_at_) {
+      // What reaches a dark machine is lost; its connections are reset once it is up.
       lock.unlock();
       std::this_thread::sleep_until(up_at_);
-      lock.lock();
+      return {0, "", true};
     }
     const auto target = request.headers.find("x-catkinford-target-instance");
     if (target != request.headers.end() && target->second != terms_.id) {
@@ -812,11 +818,15 @@
     ExtendLease(body);
     const auto until = clock::now() + milliseconds(body.value("wait-ms", int64_t{0}));
     while (ended_.empty() && !stopping_ && clock::now() < until) changed_.wait_until(lock, until);
+    if (cut_off_) {
+      while (cut_off_ && !stopping_) changed_.wait_for(lock, milliseconds(20));
+      return {0, "", true};
+    }
     http_response out = Answer(200, Listing());
-    const milliseconds down = restart_.exchange(milliseconds(0));
-    if (down.count() == 0) return out;
+    const milliseconds dark = restart_.exchange(milliseconds(0));
+    if (dark.count() == 0) return out;
+    up_at_ = clock::now() + dark;
     Restart();
-    up_at_ = clock::now() + down;
     return out;
   }
 
@@ -835,7 +845,6 @@
   uint64_t last_end_ = 0;
   uint64_t fence_ = 0;
   int64_t lease_until_ = 0;
-  uint32_t boot_ = 1;
   clock::time_point up_at_{};
   std::atomic<milliseconds> restart_{milliseconds(0)};
   std::atomic<bool> cut_off_{false};
