Leave registrations out that name no usable instance

What callers saw: an entry of the registry with a port out of range, without an address, or with a capacity that no machine has counted as an instance: in capacity, in forecasts, in the decision whether a job can ever run, and after a takeover as one whose leases have to be waited for. An id with a line break became a header of its own in each call to the instance. (Read in the code; the tests show it for the decoder.)

Cause: DecodeRegistration() looked at the types of the fields only, and cut 1e308 to 4,000,000,000.

Change: an address is an IP with a port from 1 to 65535, `born` is whole, amounts are at most 1,000,000,000, the id is printable, the service is named. What is not is a registration_fault. instance_registry, taken out of site_owner, keeps such entries out of all decisions, logs each change of a fault once (671, ten lines a read) and counts them (catkinford_site_unusable_registrations). An entry that turns odd is an instance that is gone; once mended it is back with the next read.

Not rejected: an instance of a service that the configuration does not name. No queue leads there, and a later configuration may name it.

Tests: test/instance_registry_test.cc; test/odd_writer_fleet_test.cc with real processes: odd bodies to each listener, and odd entries under each key that others write, as they are written, after the history was dropped, and at a start.

--- a/src/process/scheduling/fleet_state.cc
+++ b/src/process/scheduling/fleet_state.cc
@@ -9,6 +9,28 @@
 
 }  // namespace
 
+std::string_view ToText(registration_fault fault) {
+  switch (fault) {
+    case registration_fault::kNone:
+      return "none";
+    case registration_fault::kUnreadable:
+      return "unreadable";
+    case registration_fault::kId:
+      return "id";
+    case registration_fault::kField:
+      return "field";
+    case registration_fault::kNumber:
+      return "number";
+    case registration_fault::kState:
+      return "state";
+    case registration_fault::kService:
+      return "service";
+    case registration_fault::kAddress:
+      return "address";
+  }
+  return "";
+}
+
 std::string_view ToText(stop_cause cause) {
   switch (cause) {
     case stop_cause::kNone:
--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "process/scheduling/copy_policy.h"
@@ -35,6 +36,19 @@
   bool restarted = false;
 };
 
+// Why a registration names no usable instance.
+enum class registration_fault : uint8_t {
+  kNone,
+  kUnreadable,  // no JSON object, or nested too deeply
+  kId,          // its key has no name, or one with other than printable characters
+  kField,       // a field is missing or of another type
+  kNumber,      // a number that no instance has
+  kState,       // a state that is not defined
+  kService,     // no service
+  kAddress      // no IP address with a port from 1 to 65535
+};
+std::string_view ToText(registration_fault fault);
+
 enum class run_phase : uint8_t {
   kPlanned,    // decided on; its start is sent once its record is stored
   kSent,       // the start was sent, no answer yet
--- a/src/process/site/site_log.cc
+++ b/src/process/site/site_log.cc
@@ -139,6 +139,8 @@
                     "The former owner's process told what it knew, or did not answer."},
     site_event_info{kLearnedLoaded, kInfo, "learned_loaded",
                     "Run times and speeds that an earlier owner had learned were read."},
+    site_event_info{kRegistrationUnusable, kInfo, "registration_unusable",
+                    "A registration names no usable instance, with the fault, or does again."},
 };
 
 }  // namespace
--- a/src/process/site/site_log.h
+++ b/src/process/site/site_log.h
@@ -98,6 +98,8 @@
   kCopyDecided = 668,
   kHandover = 669,
   kLearnedLoaded = 670,
+  // 67x: entries of the registry
+  kRegistrationUnusable = 671,
 };
 
 // When the limit of lines per second is reached, details are dropped first, then infos. Warnings
--- a/src/process/site/site_metrics.cc
+++ b/src/process/site/site_metrics.cc
@@ -113,6 +113,9 @@
                                    "Time since the configuration was last confirmed.")),
       evacuated_domains(OneGauge(registry_, "catkinford_site_evacuated_domains",
                                  "Failure domains that are closed to new work.")),
+      unusable_registrations(
+          OneGauge(registry_, "catkinford_site_unusable_registrations",
+                   "Registrations that name no usable instance, as the owner last read them.")),
       version_bytes(OneGauge(registry_, "catkinford_site_version_bytes",
                              "Size of the configuration's text.")),
       version_texts_sent(Counters(registry_, "catkinford_site_version_texts_total",
--- a/src/process/site/site_metrics.h
+++ b/src/process/site/site_metrics.h
@@ -95,6 +95,7 @@
   prometheus::Gauge& store_age_seconds;        // since the store last answered
   prometheus::Gauge& version_age_seconds;      // since the store last confirmed the configuration
   prometheus::Gauge& evacuated_domains;        // failure domains that are closed to new work
+  prometheus::Gauge& unusable_registrations;   // that the owner read last and leaves out
   prometheus::Gauge& version_bytes;            // of the configuration's text
   prometheus::Counter& version_texts_sent;     // sent to other entries
   prometheus::Gauge& instance_connections;     // open
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -26,6 +26,7 @@
 #include "process/scheduling/job_scheduler.h"
 #include "process/site/event_loop.h"
 #include "process/site/fleet_record.h"
+#include "process/site/instance_registry.h"
 #include "process/site/listing_age.h"
 #include "process/site/owner_budget.h"
 #include "process/site/owner_options.h"
@@ -102,7 +103,8 @@
         hooks_(std::move(hooks)),
         max_starts_in_flight_(OwnerOptions(settings, earlier_owner_may_act).starts_in_flight),
         scheduler_(OwnerOptions(settings, earlier_owner_may_act), epoch, BootNow()),
-        figures_(epoch) {}
+        figures_(epoch),
+        registry_(log, metrics) {}
 
   // `handover`: of this process's own previous ownership, if no other owner was in between.
   void Start(std::shared_ptr<const site_configuration> version, scheduler_handover handover) {
@@ -238,8 +240,6 @@
   // other entries have reported before: its answer may hold jobs that a next owner has started.
   static constexpr std::chrono::milliseconds kStoreSilence{700};
   static constexpr std::chrono::milliseconds kIdleWatchPause{50};
-  static constexpr size_t kItemOverheadBytes =
-      150;  // per item on the wire, besides its key and value
   // A read that was answered before a change may reach this process this much later.
   static constexpr std::chrono::milliseconds kReadsInFlight{10000};
   static constexpr size_t kMaxExpiredPerCommit = 8;  // jobs; three keys each
@@ -410,7 +410,7 @@
     if (handover_.complete) scheduler_.SetRecordsComplete();
     for (auto& [id, progress] : handover_.progress) loaded_progress_[id] = std::move(progress);
     scheduler_.OnInherited(loaded_fleet_, now);
-    scheduler_.OnRegistry(registry_, now);
+    scheduler_.OnRegistry(registry_.Usable(), now);
     LoadLearned(now);
     // In the order of acceptance, which the accounting of shares depends on.
     std::sort(loaded_inbox_.begin(), loaded_inbox_.end(),
@@ -421,7 +421,7 @@
         site_event::kOwnerLoaded, now,
         absl::StrCat(
             "epoch=", epoch_, " jobs=", scheduler_.JobCount(), " records=", loaded_inbox_.size(),
-            " progress=", loaded_progress_.size(), " instances=", registry_.size(),
+            " progress=", loaded_progress_.size(), " instances=", registry_.Usable().size(),
             " known_before=", loaded_fleet_.size(), " handed_over=", handover_.progress.size(),
             " all_known=", handover_.complete, " ms=",
             std::chrono::duration_cast<std::chrono::milliseconds>(now - load_started_).count()));
@@ -589,45 +589,25 @@
   }
 
   void ReadRegistry(std::function<void(self_type&)> done) {
-    auto reports = std::make_shared<std::vector<instance_report>>();
-    registry_bytes_ = 0;
-    ++registry_reads_;
+    registry_.Begin();
     ReadPages(
         Platform::kInstanceKeyPrefix,
-        [reports](self_type& self, const store_reply& reply) {
-          for (const store_item& item : reply.items) {
-            self.registry_bytes_ += item.key.size() + item.value.size() + kItemOverheadBytes;
-            const auto& report = self.Registration(item);
-            if (report) reports->push_back(*report);
-          }
+        [](self_type& self, const store_reply& reply) {
+          for (const store_item& item : reply.items) self.registry_.Add(item, BootNow());
         },
-        [reports, done](self_type& self) {
-          self.registry_ = std::move(*reports);
-          absl::erase_if(self.registrations_, [&self](const auto& known) {
-            return known.second.read != self.registry_reads_;
-          });
-          self.hooks_.registry_read(self.registry_);
+        [done](self_type& self) {
+          self.registry_.End(BootNow());
+          self.hooks_.registry_read(self.registry_.Usable());
           done(self);
         });
   }
 
-  // Most registrations are as they were when the registry was last read.
-  const std::optional<instance_report>& Registration(const store_item& item) {
-    decoded_registration& known = registrations_[item.key];
-    known.read = registry_reads_;
-    if (known.revision != item.revision || item.revision == 0) {
-      known.revision = item.revision;
-      known.report = Platform::DecodeRegistration(item.key, item.value);
-    }
-    return known.report;
-  }
-
   void PollRegistry() {
     ReadRegistry([](self_type& self) {
-      self.scheduler_.OnRegistry(self.registry_, BootNow());
+      self.scheduler_.OnRegistry(self.registry_.Usable(), BootNow());
       self.ScheduleDecision();
       const auto pause = self.hooks_.budget(BootNow()).RegistryPause(
-          self.settings_.timing.registry_poll, self.registry_bytes_);
+          self.settings_.timing.registry_poll, self.registry_.Bytes());
       self.RunAfter(pause, [](self_type& again) { again.PollRegistry(); });
     });
   }
@@ -1016,15 +996,7 @@
   bool records_read_ = false;
   uint64_t inbox_revision_ = 0;
 
-  std::vector<instance_report> registry_;
-  size_t registry_bytes_ = 0;  // size at the last read
-  struct decoded_registration {
-    uint64_t revision = 0;
-    uint64_t read = 0;  // the latest read that found it
-    std::optional<instance_report> report;
-  };
-  absl::flat_hash_map<std::string, decoded_registration> registrations_;  // by key
-  uint64_t registry_reads_ = 0;
+  instance_registry<Platform> registry_;
   std::set<std::string> cancelled_;  // until their jobs have expired
   uint64_t commit_revision_ = 0;
   monotonic_time store_answered_{};
--- a/src/process/site/site_platform.h
+++ b/src/process/site/site_platform.h
@@ -86,7 +86,8 @@
   {
     Platform::DecodeVersion(view)
   } -> std::same_as<leaf::result<std::shared_ptr<const site_configuration>>>;
-  { Platform::DecodeRegistration(view, view) } -> std::same_as<std::optional<instance_report>>;
+  // Its error is a registration_fault.
+  { Platform::DecodeRegistration(view, view) } -> std::same_as<leaf::result<instance_report>>;
   { Platform::DecodeEvacuation(view) } -> std::same_as<std::optional<std::string>>;
   { Platform::DecodeSubmission(text, view) } -> std::same_as<leaf::result<graph_job>>;
   { Platform::EncodePhase(phase) } -> std::same_as<std::string>;
--- a/test/platform_standin.cc
+++ b/test/platform_standin.cc
@@ -89,6 +89,12 @@
   for (const auto& [key, value] : puts) Write(key, value, 0, std::exchange(together, true));
 }
 
+void standin_metadata_store::DropHistory() {
+  const std::lock_guard lock(mutex_);
+  history_from_ = ++revision_;
+  changes_.clear();
+}
+
 void standin_metadata_store::Remove(const std::string& key) {
   const std::lock_guard lock(mutex_);
   Write(key, std::nullopt, 0);
@@ -232,6 +238,11 @@
     lease = leases_.erase(lease);
   }
   for (size_t i = 0; i < watches_.size();) {
+    if (watches_[i].after < history_from_) {
+      server_->Respond(watches_[i].token, Answer(410, {{"at-rev", revision_}}));
+      watches_.erase(watches_.begin() + static_cast<std::ptrdiff_t>(i));
+      continue;
+    }
     const json events = EventsSince(watches_[i].prefix, watches_[i].after);
     if (events.empty() && now < watches_[i].ends && !down_) {
       ++i;
--- a/test/platform_standin.h
+++ b/test/platform_standin.h
@@ -38,6 +38,8 @@
   void PutAll(const std::vector<std::pair<std::string, std::string>>& puts);
   void Remove(const std::string& key);
   std::optional<std::string> Value(const std::string& key);
+  // Answers all watches that wait, and those from before, with 410.
+  void DropHistory();
   // While down, every call is answered 503; leases still expire.
   void SetDown(bool down) { down_ = down; }
   // Applies the next `changes` transactions without answering them, so that their callers time out.
@@ -80,6 +82,7 @@
   std::map<uint64_t, stored_lease> leases_;
   std::vector<waiting_watch> watches_;
   uint64_t revision_ = 1;
+  uint64_t history_from_ = 0;  // changes up to here are forgotten
   std::atomic<bool> down_{false};
   std::atomic<int> responses_to_drop_{0};
   std::atomic<uint64_t> calls_{0};
