Find the claim order in time in the number of entries

Cause: every 120 ms each entry asks whether it is one of the two that watch the owner. WatchesOwner() computed the claim delay of each entry, and each of these made a list of all entries' names: the square of the entries, in copied strings. One question took 6.5 ms with 300 entries, 23.7 ms with 585 and 99.6 ms with 1,170. With 300 entries on 8 cores all processors were busy with it from the registration on (43 to 55 s of processor time in each 5 s), and all that has a time-out was late: reads, renewals, answers to the owner. Each lapse of a lease is a change for all, so the site did not come back by itself. With 130 entries it was one core.

Change: claim_order makes two passes over the entries with a count for each strength; the order is the same. site_view and claim_order are files of their own.

--- a/src/process/site/site_membership.h
+++ b/src/process/site/site_membership.h
@@ -19,12 +19,14 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "process/site/claim_order.h"
 #include "process/site/event_loop.h"
 #include "process/site/owner_history.h"
 #include "process/site/range_reader.h"
 #include "process/site/site_log.h"
 #include "process/site/site_platform.h"
 #include "process/site/site_records.h"
+#include "process/site/site_view.h"
 #include "process/site/store_health.h"
 
 namespace catkinford {
@@ -44,19 +46,6 @@
 // seconds.
 inline constexpr std::chrono::milliseconds kIsolatedOwnerLimit{3500};
 
-// The current content of the keys under kSitePrefix.
-struct site_view {
-  std::optional<owner_record> owner;
-  uint64_t owner_revision = 0;  // 0: no such key
-  uint64_t owner_changed = 0;   // store revision of its last write or removal
-  uint64_t epoch = 0;           // the highest so far
-  uint64_t epoch_revision = 0;
-  std::map<std::string, site_entry> entries;
-
-  // Ignores an item older than what is already known: answers may arrive out of order.
-  void Apply(const store_item& item);
-};
-
 struct membership_hooks {
   std::function<void()> ownership_won;
   std::function<void(const std::string& why)> ownership_lost;
@@ -64,23 +53,6 @@
   std::function<void(std::function<void(outage_verdict)>)> poll_peers;
 };
 
-// Relative strength of a machine with this share of a processor and this link. An owner calls every
-// instance: with a narrow link or a small share the answers arrive too late, and the calls they
-// belong to time out.
-double Strength(double cpu_share, double link_mbps);
-
-// How long to wait before claiming a site without an owner. Entries claim one after the other, the
-// strong ones first, so that usually one claim is sent instead of one per entry.
-std::chrono::milliseconds ClaimDelay(const site_view& view, const std::string& self);
-// Whether this entry is one of those that check the owner's process.
-bool WatchesOwner(const site_view& view, const std::string& self);
-// Whether the view holds an entry that is much stronger than this one.
-bool MuchStrongerExists(const site_view& view, const site_entry& self);
-// One of the other entries, or of the strong ones among them, chosen by `random`; empty if there is
-// none. A deterministic choice would make all entries query the same one at the same time.
-std::optional<site_entry> PickPeer(const site_view& view, const std::string& self, bool strong,
-                                   uint64_t random);
-
 template <key_value_store Store>
 class site_membership {
  public:
