Move a queued service step when one of its tasks comes down or starts

What callers saw: LOST. A service task whose run lapses waits behind a batch job, if another task of its step waits already.

Cause: MoveTask() updated a step's place only when the step begins or ends to wait. Whether a waiting task ran before, which puts the step first, can change without that.

Change: MoveTask() updates the place of a service's step whenever one of its tasks moves and some task of it waits. The place of steps of other kinds does not depend on which tasks wait. ApplyEnd() keeps its update for ends of runs that the owner does not hold: there no task moves.

--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -239,7 +239,11 @@
     running_.emplace(entry.number, &entry);
   }
   const bool waits = step.waiting > 0;
-  if (waits != step.queued.has_value()) UpdateReady(entry, occurrence, key.step, now);
+  // Whether a waiting task ran before orders the steps of services.
+  const bool reordered = waits && entry.job.steps[key.step].long_running;
+  if (reordered || waits != step.queued.has_value()) {
+    UpdateReady(entry, occurrence, key.step, now);
+  }
 }
 
 void job_scheduler::MarkChanged(job_entry& entry) {
