Pace what all entries of a site read together

After the store dropped its history, or was down, all entries read all keys of the site at once and again 250 ms after each failure.

Cause: a broken watch was answered by a read of all keys, whatever the reason; a read that was given up was sent anew while the store still worked on the first; renewals waited behind; each lease that lapsed was a change for all.

Change: a watch that breaks off once goes on from its revision. After an outage all keys are read, after a random wait within a period that grows with the entries and the failures (read_pause). If the history is dropped, an entry reads the owner's key alone and watches from there; all keys follow at a random time of a period of 10 ms for each entry. The owner and the eight entries that claim first do not wait. An outage is not taken for confirmed by all entries while changes of the entries may have been missed. On sites of 100 entries and more, changes of other entries are taken together. A refused claim no longer reads all keys: the refusal has those it needs. The operators' keys are read with the same pauses. An entry that does not own the site no longer makes the lists that only an owner needs.

site_membership takes its loop as a template argument, so that test/site_simulation runs it, unchanged, for each entry in virtual time.

--- a/src/process/site/event_loop.h
+++ b/src/process/site/event_loop.h
@@ -36,6 +36,7 @@
   event_loop& operator=(const event_loop&) = delete;
 
   void Start();
+  static monotonic_time Now() { return BootNow(); }
   // From any thread. Blocks other threads while the queue is full; does nothing once the loop has
   // stopped.
   void Post(work task);
--- a/src/process/site/site_membership.h
+++ b/src/process/site/site_membership.h
@@ -9,20 +9,24 @@
 
 #include <algorithm>
 #include <chrono>
+#include <concepts>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "absl/random/random.h"
 #include "absl/strings/str_cat.h"
 #include "process/site/claim_order.h"
 #include "process/site/event_loop.h"
 #include "process/site/owner_history.h"
 #include "process/site/range_reader.h"
+#include "process/site/read_pause.h"
 #include "process/site/site_log.h"
 #include "process/site/site_platform.h"
 #include "process/site/site_records.h"
@@ -53,12 +57,21 @@
   std::function<void(std::function<void(outage_verdict)>)> poll_peers;
 };
 
-template <key_value_store Store>
+// Runs work that other threads post, and timers, one after the other.
+template <typename Loop>
+concept work_loop =
+    requires(Loop loop, std::function<void()> work, std::chrono::milliseconds delay) {
+      loop.Post(work);
+      loop.After(delay, work);
+      { loop.Now() } -> std::same_as<monotonic_time>;
+    };
+
+template <key_value_store Store, work_loop Loop = event_loop>
 class site_membership {
  public:
-  site_membership(Store& store, store_health& health, event_loop& loop, site_log& log,
-                  site_entry self, std::chrono::milliseconds ttl,
-                  std::chrono::milliseconds watch_wait, membership_hooks hooks)
+  site_membership(Store& store, store_health& health, Loop& loop, site_log& log, site_entry self,
+                  std::chrono::milliseconds ttl, std::chrono::milliseconds watch_wait,
+                  membership_hooks hooks)
       : store_(store),
         health_(health),
         loop_(loop),
@@ -66,11 +79,12 @@
         self_(std::move(self)),
         ttl_(ttl),
         watch_wait_(watch_wait),
-        hooks_(std::move(hooks)) {}
+        hooks_(std::move(hooks)),
+        random_(self_.nonce) {}
 
   void Start() {
     KeepLease();
-    ReadView();
+    ReadAll();
     CheckOwnership();
   }
 
@@ -95,14 +109,14 @@
   // An instance or the store has reported a higher epoch.
   void OnSuperseded(const std::string& why) {
     if (owns_) EndOwnership(why);
-    ReadView();
+    ReadOwner();
   }
 
   // Ends the ownership of an owner that the store does not answer, while it answers others. Its
   // lease can't be revoked; another entry claims before it ends, or this one claims again later.
   void LeaveToOthers(const std::string& why) {
     if (!owns_) return;
-    claims_again_at_ = BootNow() + kLeavePause;
+    claims_again_at_ = loop_.Now() + kLeavePause;
     EndOwnership(why);
   }
 
@@ -111,6 +125,9 @@
   // The owner that this one superseded.
   const std::optional<site_entry>& PreviousOwner() const { return previous_owner_; }
   bool Owns() const { return owns_; }
+  site_place Place() const {
+    return {view_.entries.size(), owns_ || ClaimsAmongFirst(view_, self_.name)};
+  }
   // The earlier owner's lease had not ended, so it may act until it does.
   bool ClaimedEarly() const { return claimed_early_; }
   // An owner before the earlier one may still act too.
@@ -135,7 +152,6 @@
   }
 
  private:
-  static constexpr std::chrono::milliseconds kRetry{250};
   static constexpr std::chrono::milliseconds kCheckInterval{200};
   // Longer than one poll of the peers and the pause before it.
   static constexpr std::chrono::milliseconds kOutageValidFor{650};
@@ -157,10 +173,10 @@
   static constexpr std::chrono::milliseconds kYieldDelay{2000};
 
   store_callback OnLoop(std::function<void(const store_reply&)> done) {
-    const uint64_t call = health_.Sent(BootNow());
+    const uint64_t call = health_.Sent(loop_.Now());
     return [this, call, done = std::move(done)](store_reply reply) {
       loop_.Post([this, call, done, reply = std::move(reply)] {
-        health_.Answered(call, IsAnswer(reply), BootNow());
+        health_.Answered(call, IsAnswer(reply), loop_.Now());
         OnStoreReply(reply);
         done(reply);
       });
@@ -178,14 +194,14 @@
 
   void OnStoreReply(const store_reply& reply) {
     const bool answered = IsAnswer(reply);
-    if (answered) store_answered_ = BootNow();
+    if (answered) store_answered_ = loop_.Now();
     if (answered == store_up_) return;
     store_up_ = answered;
-    if (answered) store_back_at_ = BootNow();
+    if (answered) store_back_at_ = loop_.Now();
     // The store may have dropped this entry's lease meanwhile, which the owner must know at once:
     // other entries claim the site as soon as they see it without an owner.
     if (answered && owns_) ConfirmOwnership();
-    log_.Write(answered ? site_event::kStoreBack : site_event::kStoreLost, BootNow(),
+    log_.Write(answered ? site_event::kStoreBack : site_event::kStoreLost, loop_.Now(),
                absl::StrCat("lease=", lease_, " owns=", owns_));
   }
 
@@ -197,7 +213,7 @@
 
   void RenewLease() {
     if (resigning_) return;
-    const monotonic_time sent = BootNow();
+    const monotonic_time sent = loop_.Now();
     if (renewal_in_flight_ && sent < renewal_sent_ + ttl_) return;
     renewal_in_flight_ = true;
     renewal_sent_ = sent;
@@ -226,7 +242,8 @@
   }
 
   void OnLeaseEnded() {
-    log_.Write(site_event::kLeaseLost, BootNow(), absl::StrCat("lease=", lease_, " owns=", owns_));
+    log_.Write(site_event::kLeaseLost, loop_.Now(),
+               absl::StrCat("lease=", lease_, " owns=", owns_));
     lease_.clear();
     registered_since_ = monotonic_time::max();
     const bool owned = owns_;
@@ -234,7 +251,7 @@
     renewal_in_flight_ = false;
     RenewLease();
     // The owner key ended with the lease, which the watch may not have reported yet.
-    if (owned) ReadView();
+    if (owned) ReadOwner();
   }
 
   void Register() {
@@ -243,21 +260,23 @@
     store_.Commit(write, OnLoop([this, lease = lease_](const store_reply& reply) {
                     if (reply.status == store_status::kDone || lease != lease_ || resigning_) {
                       if (reply.status == store_status::kDone && lease == lease_) {
-                        registered_since_ = BootNow();
+                        registered_since_ = loop_.Now();
                       }
                       if (reply.status == store_status::kDone) ConsiderClaim();
                       return;
                     }
-                    loop_.After(kRetry, [this, lease] {
+                    loop_.After(read_pause::kRetry, [this, lease] {
                       if (lease == lease_ && !resigning_) Register();
                     });
                   }));
   }
 
-  void ReadView() {
-    if (reading_) return;
-    reading_ = true;
-    const uint64_t watch = ++watch_id_;
+  double Random() { return absl::Uniform<double>(random_, 0, 1); }
+
+  // Reads all keys of the site. The view stays in use, and the watch goes on, meanwhile.
+  void ReadAll() {
+    if (reading_all_) return;
+    reading_all_ = true;
     const auto updated = std::make_shared<site_view>();
     ReadRange(
         "",
@@ -267,53 +286,122 @@
         [updated](const store_reply& page) {
           for (const store_item& item : page.items) updated->Apply(item);
         },
-        [this, watch, updated](const store_reply& last) {
-          reading_ = false;
-          if (watch != watch_id_) return;
+        [this, updated](const store_reply& last) {
+          reading_all_ = false;
           const bool outdated = last.revision < view_.owner_changed;  // read before its claim
           if (last.status != store_status::kDone || outdated) {
-            loop_.After(kRetry, [this, watch] {
-              if (watch == watch_id_) ReadView();
+            loop_.After(reads_.AfterFailure(Place(), Random()), [this] {
+              if (!watching_ || misses_changes_) ReadAll();
             });
             return;
           }
+          reads_.OnSuccess();
+          watches_.OnSuccess();
           view_ = std::move(*updated);
           view_read_ = true;
+          misses_changes_ = false;
           OnView();
-          WatchView(last.revision, watch);
+          WatchView(last.revision, ++watch_id_);
         });
   }
 
-  void WatchView(uint64_t after, uint64_t watch) {
-    const monotonic_time sent = BootNow();
+  // Reads the owner alone. Without a watch, one begins there.
+  void ReadOwner() {
+    if (!view_read_) return ReadAll();
+    if (reading_owner_) return;
+    reading_owner_ = true;
+    store_.Range(kOwnerRange, "", OnLoop([this](const store_reply& reply) {
+                   reading_owner_ = false;
+                   if (reply.status != store_status::kDone) {
+                     loop_.After(owner_reads_.AfterFailure(Place(), Random()),
+                                 [this] { ReadOwner(); });
+                     return;
+                   }
+                   owner_reads_.OnSuccess();
+                   const bool absent = reply.items.empty();
+                   view_.ApplyOwner(absent ? nullptr : &reply.items.front(), reply.revision);
+                   OnView();
+                   if (!watching_ && misses_changes_) WatchView(reply.revision, ++watch_id_);
+                 }));
+  }
+
+  void WatchView(uint64_t after, uint64_t watch, bool fresh_connection = false) {
+    watching_ = true;
+    watched_after_ = after;
+    const monotonic_time sent = loop_.Now();
     read_options way;
     way.limit_total_time =
         true;  // what a next owner may conclude depends on the maximum age of a view
+    way.fresh_connection = fresh_connection;
     store_.Watch(kSitePrefix, after, watch_wait_,
                  OnLoopUntimed([this, after, watch, sent](const store_reply& reply) {
                    if (watch != watch_id_) return;
-                   if (reply.status != store_status::kDone) return ReadView();
+                   if (reply.status != store_status::kDone) {
+                     return OnWatchFailed(reply.status, after, watch);
+                   }
+                   watches_.OnSuccess();
+                   const uint64_t owner_changed = view_.owner_changed;
                    for (const store_item& item : reply.items) view_.Apply(item);
                    if (!reply.items.empty()) OnView();
                    const uint64_t next = std::max(after, reply.revision);
-                   const bool idle = reply.items.empty() && BootNow() - sent < kIdleWatchPause;
-                   if (!idle) return WatchView(next, watch);
-                   loop_.After(kIdleWatchPause, [this, next, watch] {
-                     if (watch == watch_id_) WatchView(next, watch);
-                   });
+                   const bool idle = reply.items.empty() && loop_.Now() - sent < kIdleWatchPause;
+                   std::chrono::milliseconds pause{0};
+                   if (idle) pause = kIdleWatchPause;
+                   if (!reply.items.empty() && owner_changed == view_.owner_changed) {
+                     pause = read_pause::BetweenWatches(Place());
+                   }
+                   WatchAfter(pause, next, watch, false);
                  }),
                  way);
   }
 
+  void WatchAfter(std::chrono::milliseconds pause, uint64_t after, uint64_t watch,
+                  bool fresh_connection) {
+    if (pause.count() == 0) return WatchView(after, watch, fresh_connection);
+    loop_.After(pause, [this, after, watch, fresh_connection] {
+      if (watch == watch_id_) WatchView(after, watch, fresh_connection);
+    });
+  }
+
+  // A watch that broke off once goes on where it was: the store tells what has changed since.
+  void OnWatchFailed(store_status status, uint64_t after, uint64_t watch) {
+    const site_place place = Place();
+    if (status != store_status::kHistoryCompacted) {
+      const bool again = watches_.Failing();
+      const auto pause = watches_.AfterFailure(place, Random());
+      if (!again) {
+        const bool unanswered = status == store_status::kUnknown;
+        return WatchAfter(place.first ? std::chrono::milliseconds{0} : pause, after, watch,
+                          unanswered);
+      }
+      // After an outage most keys have changed, many more than once: their content is shorter.
+      watching_ = false;
+      return loop_.After(pause, [this, watch] {
+        if (watch == watch_id_) ReadAll();
+      });
+    }
+    misses_changes_ = true;
+    watching_ = false;
+    loop_.After(read_pause::BeforeReread(place, Random()), [this] {
+      if (misses_changes_) ReadAll();
+    });
+    if (!place.first) ReadOwner();
+  }
+
+  // The present watch may wait on a connection that is dead.
+  void RestartWatch() {
+    if (watching_) WatchView(watched_after_, ++watch_id_, true);
+  }
+
   void OnView() {
     if (view_.owner) {
       last_owner_seen_ = view_.owner->entry;
-      history_.OnOwner(*view_.owner, BootNow());
+      history_.OnOwner(*view_.owner, loop_.Now());
     }
     const uint64_t current_epoch = view_.owner ? view_.owner->epoch : 0;
     if (current_epoch != logged_epoch_) {
       logged_epoch_ = current_epoch;
-      log_.Write(site_event::kOwnerSeen, BootNow(),
+      log_.Write(site_event::kOwnerSeen, loop_.Now(),
                  view_.owner
                      ? absl::StrCat("owner=", view_.owner->entry.name, " epoch=", current_epoch,
                                     " revision=", view_.owner_revision)
@@ -341,7 +429,7 @@
     if (!claimable || claim_pending_) return;
     claim_pending_ = true;
     const bool reclaims = MayReclaim();
-    const bool leave_to_former = !reclaims && BootNow() - store_back_at_ < kStoreBackPeriod;
+    const bool leave_to_former = !reclaims && loop_.Now() - store_back_at_ < kStoreBackPeriod;
     const auto delay = reclaims ? std::chrono::milliseconds{0} : ClaimDelay(view_, self_.name);
     loop_.After(delay + (leave_to_former ? kFormerOwnerHeadStart : std::chrono::milliseconds{0}),
                 [this] {
@@ -352,11 +440,11 @@
 
   void Claim(bool early) {
     const bool claimable = early || !view_.owner || view_.owner->entry.name == self_.name;
-    if (resigning_ || owns_ || !claimable || !LeaseValid(BootNow())) return;
-    if (!early && BootNow() < claims_again_at_) return;
+    if (resigning_ || owns_ || !claimable || !LeaseValid(loop_.Now())) return;
+    if (!early && loop_.Now() < claims_again_at_) return;
     if (MayReclaim() && renewed_ < lapsed_at_) return;  // the lease may be gone at the store
     const owner_record record{self_, view_.epoch + 1, early};
-    const bool earlier_owners_may_act = history_.EarlierOwnerMayAct(ttl_, BootNow());
+    const bool earlier_owners_may_act = history_.EarlierOwnerMayAct(ttl_, loop_.Now());
     store_write write;
     write.expected = {{kOwnerKey, view_.owner_revision}, {kEpochKey, view_.epoch_revision}};
     write.puts.push_back({kOwnerKey, OwnerToText(record), lease_});
@@ -367,7 +455,8 @@
                     claim_pending_ = false;
                     if (reply.status == store_status::kConflict) OnClaimRefused(reply);
                     if (reply.status != store_status::kDone || resigning_) {
-                      loop_.After(kRetry, [this] { ReadView(); });
+                      // A claim without an answer may have been carried out.
+                      loop_.After(read_pause::kRetry, [this] { ReadOwner(); });
                       return;
                     }
                     view_.owner = record;
@@ -381,7 +470,9 @@
                     earlier_owners_may_act_ = earlier_owners_may_act;
                     epoch_ = record.epoch;
                     owner_revision_ = reply.revision;
-                    log_.Write(site_event::kOwnershipWon, BootNow(),
+                    // Peers that this entry does not know could not be asked.
+                    if (misses_changes_) ReadAll();
+                    log_.Write(site_event::kOwnershipWon, loop_.Now(),
                                absl::StrCat("epoch=", epoch_, " early=", early,
                                             " others_may_act=", earlier_owners_may_act_));
                     hooks_.ownership_won();
@@ -396,7 +487,7 @@
     for (const store_item& item : reply.items) {
       if (item.revision > 0) view_.Apply(item);
     }
-    log_.Write(site_event::kStoreRefusal, BootNow(),
+    log_.Write(site_event::kStoreRefusal, loop_.Now(),
                absl::StrCat("call=claim epoch=", view_.epoch + 1, " owner_revision=", owner_before,
                             " owner_revision_now=", view_.owner_revision, " epoch_revision=",
                             epoch_before, " epoch_revision_now=", view_.epoch_revision));
@@ -407,12 +498,13 @@
   void EndLapsedOwnership(const std::string& why) {
     EndOwnership(why);
     lapsed_epoch_ = epoch_;
-    lapsed_at_ = BootNow();
+    lapsed_at_ = loop_.Now();
   }
   void ConfirmOwnership() {
     renewal_in_flight_ = false;
     RenewLease();
-    ReadView();
+    ReadOwner();
+    RestartWatch();
   }
   // True while no other process owned the site since this one did. The view may still name this
   // one.
@@ -423,7 +515,7 @@
   void EndOwnership(const std::string& why) {
     owns_ = false;
     lapsed_epoch_ = 0;
-    log_.Write(site_event::kOwnershipLost, BootNow(),
+    log_.Write(site_event::kOwnershipLost, loop_.Now(),
                absl::StrCat("epoch=", epoch_, " why=", LogField(why)));
     hooks_.ownership_lost(why);
   }
@@ -431,7 +523,7 @@
   // Hands the site to a much stronger entry: the lease ends and the owner key with it, and the
   // other entries claim before this one does.
   void YieldToStronger() {
-    const monotonic_time now = BootNow();
+    const monotonic_time now = loop_.Now();
     if (!MuchStrongerExists(view_, self_)) {
       stronger_since_ = monotonic_time::max();
       return;
@@ -454,13 +546,17 @@
     if (!owns_) return ConsiderClaim();
     YieldToStronger();
     if (!owns_) return;
-    const bool no_answer = BootNow() - store_answered_ > kStoreSilenceLimit;
-    if ((LeaseValid(BootNow()) && !no_answer) || polling_peers_) return;
+    const bool no_answer = loop_.Now() - store_answered_ > kStoreSilenceLimit;
+    if ((LeaseValid(loop_.Now()) && !no_answer) || polling_peers_) return;
     polling_peers_ = true;
     hooks_.poll_peers([this, epoch = epoch_](outage_verdict verdict) {
       polling_peers_ = false;
       if (!owns_ || epoch != epoch_) return;
-      const monotonic_time now = BootNow();
+      const monotonic_time now = loop_.Now();
+      // An entry that registered meanwhile was not asked.
+      if (verdict == outage_verdict::kDownForAll && misses_changes_) {
+        verdict = outage_verdict::kSomeSilent;
+      }
       if (verdict == outage_verdict::kDownForAll) outage_last_confirmed_ = now;
       const bool still_valid = verdict == outage_verdict::kSomeSilent &&
                                now < outage_last_confirmed_ + kPartialOutageValidFor;
@@ -468,7 +564,7 @@
         outage_confirmed_until_ = now + kOutageValidFor;
         return;
       }
-      if (LeaseValid(BootNow())) return;
+      if (LeaseValid(loop_.Now())) return;
       EndOwnership(verdict == outage_verdict::kOtherOwner ? "a peer has seen a higher epoch"
                    : verdict == outage_verdict::kUpElsewhere
                        ? "cut off from the store"
@@ -478,7 +574,7 @@
 
   Store& store_;
   store_health& health_;
-  event_loop& loop_;
+  Loop& loop_;
   site_log& log_;
   site_entry self_;
   std::chrono::milliseconds ttl_;
@@ -486,8 +582,16 @@
   membership_hooks hooks_;
   site_view view_;
   bool view_read_ = false;
-  bool reading_ = false;
+  bool reading_all_ = false;
+  bool reading_owner_ = false;
+  bool watching_ = false;        // or about to: the watch of `watch_id_`; if not, all keys are read
+  uint64_t watched_after_ = 0;   // revision
+  bool misses_changes_ = false;  // of entries: the store dropped them from its history
   uint64_t watch_id_ = 0;
+  read_pause reads_;
+  read_pause owner_reads_;
+  read_pause watches_;
+  std::mt19937_64 random_;
   uint64_t logged_epoch_ = 0;
   std::string lease_;
   monotonic_time renewed_{};  // the lease is valid for at least its length from here
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -340,6 +340,7 @@
   version_hooks hooks;
   hooks.changed = [this] { OnVersion(); };
   hooks.evacuations_changed = [this] { OnEvacuations(); };
+  hooks.place = [this] { return membership_.Place(); };
   hooks.store_up = [this] { return store_health_.State(BootNow()) == store_state::kUp; };
   hooks.ask_peer = [this](uint64_t have, bool text, byte_counter received_bytes,
                           const std::function<void(std::optional<peer_version_reply>)>& done) {
@@ -851,6 +852,7 @@
       membership_.ClaimedEarly() || membership_.EarlierOwnersMayAct(), OwnerHooks());
   metrics_.owns_site.Set(1);
   metrics_.takeovers.Increment();
+  OnViewChanged();
   owner_->SetEvacuated(versions_.Evacuated().Names());
   RequestHandover();
   owner_->Start(versions_.Version(), handover_.Begin(membership_.Epoch()));
@@ -983,6 +985,7 @@
 void site_node<Platform>::OnViewChanged() {
   if (const auto& owner = membership_.View().owner)
     takeover_backoff_.OnOwner(owner->epoch, BootNow());
+  if (owner_ == nullptr) return;  // only an owner needs more of the entries than the view itself
   std::vector<std::string> names;
   for (const auto& [name, entry] : membership_.View().entries) {
     if (name != settings_.name) names.push_back(name);
--- a/src/process/site/site_records.h
+++ b/src/process/site/site_records.h
@@ -26,6 +26,8 @@
 
 inline constexpr char kSitePrefix[] = "site/";
 inline constexpr char kOwnerKey[] = "site/owner";
+// A range that holds kOwnerKey alone. Not every store includes the key that equals a prefix.
+inline constexpr char kOwnerRange[] = "site/o";
 inline constexpr char kEpochKey[] = "site/epoch";
 inline constexpr char kEntryPrefix[] = "site/entry/";
 inline constexpr char kInboxPrefix[] = "inbox/";
--- a/src/process/site/version_follower.h
+++ b/src/process/site/version_follower.h
@@ -19,11 +19,13 @@
 #include <utility>
 #include <vector>
 
+#include "absl/random/random.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "process/site/event_loop.h"
 #include "process/site/peer_messages.h"
 #include "process/site/range_reader.h"
+#include "process/site/read_pause.h"
 #include "process/site/site_log.h"
 #include "process/site/site_metrics.h"
 #include "process/site/site_platform.h"
@@ -39,6 +41,7 @@
   std::function<void()> evacuations_changed;  // other failure domains are evacuated
   // The store answers this entry's other calls.
   std::function<bool()> store_up;
+  std::function<site_place()> place;
   // Queries another entry for a version newer than `have`, with its text if `text` is set. The
   // callback runs once, with nothing if there is no answer. `arrived` counts bytes received.
   std::function<void(uint64_t have, bool text, byte_counter received_bytes,
@@ -57,6 +60,7 @@
         log_(log),
         metrics_(metrics),
         hooks_(std::move(hooks)),
+        longest_pause_(propagation_limit / kPausesInLimit),
         refresh_(propagation_limit, BootNow()) {}
 
   void Start() { Tick(); }
@@ -80,6 +84,7 @@
 
  private:
   static constexpr std::chrono::milliseconds kTickInterval{100};
+  static constexpr int kPausesInLimit = 5;  // a pause leaves time for peers to confirm the version
 
   static const char* NameOf(version_call call) {
     switch (call) {
@@ -185,7 +190,18 @@
     if (reply.status == store_status::kDone && newest != nullptr) {
       Apply(newest->value, NameOf(query.call));
     }
-    refresh_.OnStoreReply(query, summary, BootNow());
+    refresh_.OnStoreReply(query, summary, BootNow(), PauseAfter(reply.status));
+  }
+
+  std::chrono::milliseconds PauseAfter(store_status status) {
+    if (status == store_status::kDone) pauses_.OnSuccess();
+    if (status == store_status::kDone) return std::chrono::milliseconds{0};
+    const double random = absl::Uniform<double>(random_, 0, 1);
+    const site_place place = hooks_.place();
+    const auto pause = status == store_status::kHistoryCompacted
+                           ? read_pause::BeforeReread(place, random)
+                           : pauses_.AfterFailure(place, random);
+    return std::min(pause, longest_pause_);
   }
 
   void ApplyEvacuations(const version_query& query, const store_reply& reply) {
@@ -290,7 +306,10 @@
   site_log& log_;
   site_metrics& metrics_;
   version_hooks hooks_;
+  std::chrono::milliseconds longest_pause_;
   version_refresh refresh_;
+  read_pause pauses_;
+  absl::BitGen random_;
   std::map<uint64_t, byte_counter> received_;  // bytes received, by call in flight
   std::shared_ptr<const site_configuration> version_;
   std::string text_;
--- a/src/process/site/version_refresh.cc
+++ b/src/process/site/version_refresh.cc
@@ -19,7 +19,6 @@
 // Between two reads beside a late watch: a read whose connection is dead from the start must not
 // delay the next one.
 constexpr milliseconds kExtraReadInterval{400};
-constexpr milliseconds kRetryInterval{250};
 // Minimum time between two watches if the first returned early without changes.
 constexpr milliseconds kIdleInterval{200};
 constexpr milliseconds kPeerQueryInterval{250};
@@ -78,7 +77,7 @@
 }
 
 void version_refresh::OnStoreReply(const version_query& query, const version_reply& reply,
-                                   monotonic_time now) {
+                                   monotonic_time now, milliseconds pause) {
   const bool is_main = main_call_ == query.id;
   if (is_main) main_call_.reset();
   if (reply.status == store_status::kDone) {
@@ -98,7 +97,7 @@
   next_is_read_ = revision_ == 0 || behind || reply.status == store_status::kHistoryCompacted;
   const bool no_reply = reply.status == store_status::kUnknown;
   next_is_fresh_ = no_reply;
-  next_call_at_ = no_reply ? std::max(now, query.sent + kRetryInterval) : now + kRetryInterval;
+  next_call_at_ = no_reply ? std::max(now, query.sent + pause) : now + pause;
 }
 
 bool version_refresh::ShouldQueryPeer(monotonic_time now) {
--- a/src/process/site/version_refresh.h
+++ b/src/process/site/version_refresh.h
@@ -58,13 +58,17 @@
 
 class version_refresh {
  public:
+  static constexpr std::chrono::milliseconds kRetryInterval{250};
+
   // `propagation_limit`: how long after its acknowledgement a change must be in effect everywhere.
   version_refresh(std::chrono::milliseconds propagation_limit, monotonic_time now);
 
   // The next call to the store, if one is due. `store_up`: the store answers this entry's other
   // calls; `arriving`: a reply with a configuration is being received.
   std::optional<version_query> NextStoreCall(bool store_up, bool arriving, monotonic_time now);
-  void OnStoreReply(const version_query& query, const version_reply& reply, monotonic_time now);
+  // `pause`: before the next call, if this one failed.
+  void OnStoreReply(const version_query& query, const version_reply& reply, monotonic_time now,
+                    std::chrono::milliseconds pause = kRetryInterval);
 
   // True if another entry is to be queried now; one query at a time.
   bool ShouldQueryPeer(monotonic_time now);
--- a/test/claim_order_test.cc
+++ b/test/claim_order_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "absl/strings/str_cat.h"
+#include "process/site/read_pause.h"
 
 namespace catkinford {
 namespace {
@@ -66,5 +67,42 @@
   CHECK_FALSE(ClaimsAmongFirst(view, view.entries.rbegin()->first));
 }
 
+TEST_CASE("read pause, entry that others depend on, is as short on a large site") {
+  read_pause pause;
+  const site_place place{1000, true};
+  for (int i = 0; i < 5; ++i) CHECK(pause.AfterFailure(place, 0.9) == read_pause::kRetry);
+  CHECK(read_pause::BeforeReread(place, 0.9).count() == 0);
+  CHECK(read_pause::BetweenWatches(place).count() == 0);
+}
+
+// Guards against a site whose entries read in step: the waits of one entry in ten fall into a tenth
+// of the time.
+TEST_CASE("read pause, other entries, grows with the site and with failures up to a limit") {
+  const site_place small{20, false};
+  const site_place large{1000, false};
+  read_pause pause;
+  for (int i = 0; i < 5; ++i) CHECK(pause.AfterFailure(small, 0.99) <= read_pause::kRetry);
+  pause.OnSuccess();
+  milliseconds last{0};
+  for (int i = 0; i < 8; ++i) {
+    const milliseconds next = pause.AfterFailure(large, 0.5);
+    CHECK(next >= last);
+    last = next;
+  }
+  CHECK(last == milliseconds(6000));
+  pause.OnSuccess();
+  CHECK(pause.AfterFailure(large, 0) == read_pause::kRetry / 2);
+  CHECK(read_pause::BeforeReread(large, 0.25) == milliseconds(2500));
+  CHECK(read_pause::BeforeReread(small, 0.99) < milliseconds(200));
+  CHECK(read_pause::BetweenWatches(small).count() == 0);
+  CHECK(read_pause::BetweenWatches(large) == milliseconds(500));
+}
+
+// Guards against a process that starts while the store fails and waits long for its first read.
+TEST_CASE("read pause, nothing read yet, has a limit of its own") {
+  read_pause pause;
+  for (int i = 0; i < 10; ++i) CHECK(pause.AfterFailure({0, true}, 0.999) <= milliseconds(1000));
+}
+
 }  // namespace
 }  // namespace catkinford
