Let the time-out of advice queries follow the answers

Cause: an urgent query was given up 150 ms after the time that its policy states, whatever the link, and made again, which filled the link further.

--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -22,6 +22,7 @@
 #include "process/admission/admission_gate.h"
 #include "process/admission/known_job_query.h"
 #include "process/site/advice_dispatcher.h"
+#include "process/site/advice_timeout.h"
 #include "process/site/caller_frontend.h"
 #include "process/site/cut_off_resignation.h"
 #include "process/site/event_loop.h"
@@ -81,10 +82,6 @@
   static constexpr std::chrono::milliseconds kPeerTimeout{400};
   // Between two bytes of a peer's answer: a configuration takes a second and more on a narrow link.
   static constexpr std::chrono::milliseconds kPeerStall{1000};
-  // An advice request may take this much longer than the time that its policy states.
-  static constexpr std::chrono::milliseconds kAdviceSlack{900};
-  // An urgent one is asked again through another entry before that.
-  static constexpr std::chrono::milliseconds kUrgentAdviceSlack{150};
   static constexpr std::chrono::milliseconds kUrgentPeerTimeout{100};
   // The store counts as reachable at a peer that got an answer from it within this time.
   static constexpr std::chrono::milliseconds kMaxReachableStoreAge{900};
@@ -204,6 +201,7 @@
   relay_client relay_client_;                    // for this entry's calls, while it owns the site
   relay_server relay_server_;                    // for calls of another entry that owns the site
   advice_dispatcher advice_;
+  advice_timeout advice_timeout_;
   admission_gate gate_;
   bool follows_figures_ = false;  // a timer for the next question to the owner is set
   kept_handover handover_;        // of this process's last ownership
@@ -1253,18 +1251,19 @@
 void site_node<Platform>::RequestAdvice(const dispatched_query& next) {
   const auto order = std::make_shared<const advice_query>(next.query);
   const std::string& entry = next.entry;
-  const auto timeout = order->expected + (order->urgent ? kUrgentAdviceSlack : kAdviceSlack);
+  const auto timeout = advice_timeout_.Of(*order);
   const monotonic_time asked = BootNow();
-  const auto finish = [this, order, entry, queued = next.queued,
+  const auto finish = [this, order, entry, timeout, queued = next.queued,
                        asked](const advice_answer& answer) {
     const monotonic_time now = BootNow();
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - asked);
+    if (answer.answered || took >= timeout) advice_timeout_.OnEnd(*order, took);
     log_.Write(site_event::kAdviceAsked, now,
-               absl::StrCat(
-                   "id=", order->job, " step=", order->occurrence, ".", order->step, " by=", entry,
-                   " instances=", order->instances.size(), " answered=", answer.answered,
-                   " queued_ms=", queued.count(), " expected_ms=", order->expected.count(), " ms=",
-                   std::chrono::duration_cast<std::chrono::milliseconds>(now - asked).count(),
-                   " waiting=", advice_.Waiting()));
+               absl::StrCat("id=", order->job, " step=", order->occurrence, ".", order->step,
+                            " by=", entry, " instances=", order->instances.size(),
+                            " answered=", answer.answered, " queued_ms=", queued.count(),
+                            " expected_ms=", order->expected.count(), " ms=", took.count(),
+                            " timeout_ms=", timeout.count(), " waiting=", advice_.Waiting()));
     advice_.OnAnswered(entry);
     if (owner_ != nullptr) owner_->OnAdvice(*order, answer);
     SendAdviceRequests();
