Keep the JSON parser's buffer, and the reader of contracts

Reading JSON by bounded_json took 8 to 12 % longer than by the library: texts were moved out of the buffer into which the parser reads the next one, so that it grew again for each. They are copied now; MessagePack has a new buffer for each text and is moved.

Contracts of catkinfordd are read by the library again: "contract, one mistake, is rejected with the path of the field" asks for the path of a value that is nested 200,000 times, which a bound on the depth takes away. It failed since the decoders were changed; the library's parser does not use the stack for each level, and excerpts are short.

--- a/src/request/bounded_json.cc
+++ b/src/request/bounded_json.cc
@@ -12,24 +12,33 @@
 
 // Builds a value from the parser's events, and ends the parse at the level that is too deep: the
 // MessagePack parser calls itself for each level.
-class bounded_builder {
+class bounded_builder final : public nlohmann::json_sax<json> {
  public:
-  bool null() { return Add(nullptr); }
-  bool boolean(bool value) { return Add(value); }
-  bool number_integer(json::number_integer_t value) { return Add(value); }
-  bool number_unsigned(json::number_unsigned_t value) { return Add(value); }
-  bool number_float(json::number_float_t value, const json::string_t&) { return Add(value); }
-  bool string(json::string_t& value) { return Add(std::move(value)); }
-  bool binary(json::binary_t& value) { return Add(json::binary(std::move(value))); }
-  bool start_object(size_t) { return Open(json::value_t::object); }
-  bool key(json::string_t& name) {
-    member_ = &open_.back()->get_ref<json::object_t&>()[std::move(name)];
+  // `reuses_buffer`: the parser reads each text into the same buffer, which it would have to grow
+  // again if the text were moved from it.
+  explicit bounded_builder(bool reuses_buffer) : reuses_buffer_(reuses_buffer) {}
+
+  bool null() override { return Add(nullptr); }
+  bool boolean(bool value) override { return Add(value); }
+  bool number_integer(json::number_integer_t value) override { return Add(value); }
+  bool number_unsigned(json::number_unsigned_t value) override { return Add(value); }
+  bool number_float(json::number_float_t value, const json::string_t&) override {
+    return Add(value);
+  }
+  bool string(json::string_t& value) override {
+    return reuses_buffer_ ? Add(value) : Add(std::move(value));
+  }
+  bool binary(json::binary_t& value) override { return Add(json::binary(std::move(value))); }
+  bool start_object(size_t) override { return Open(json::value_t::object); }
+  bool key(json::string_t& name) override {
+    auto& members = open_.back()->get_ref<json::object_t&>();
+    member_ = reuses_buffer_ ? &members[name] : &members[std::move(name)];
     return true;
   }
-  bool end_object() { return Close(); }
-  bool start_array(size_t) { return Open(json::value_t::array); }
-  bool end_array() { return Close(); }
-  bool parse_error(size_t, const std::string&, const json::exception&) { return false; }
+  bool end_object() override { return Close(); }
+  bool start_array(size_t) override { return Open(json::value_t::array); }
+  bool end_array() override { return Close(); }
+  bool parse_error(size_t, const std::string&, const json::exception&) override { return false; }
 
   json Take() { return std::move(root_); }
 
@@ -63,13 +72,14 @@
     return true;
   }
 
+  bool reuses_buffer_;
   json root_;
   std::vector<json*> open_;  // the arrays and objects that have begun and not ended
   json* member_ = nullptr;   // of the innermost object, named by the last key
 };
 
 json Parse(std::string_view bytes, json::input_format_t format, bool comments) {
-  bounded_builder builder;
+  bounded_builder builder(format == json::input_format_t::json);
   if (!json::sax_parse(bytes.begin(), bytes.end(), &builder, format, true, comments)) {
     return json(json::value_t::discarded);
   }
--- a/src/version/contract.cc
+++ b/src/version/contract.cc
@@ -8,7 +8,6 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 #include "nlohmann/json.hpp"
-#include "request/bounded_json.h"
 #include "version/json_reader.h"
 
 namespace catkinford {
@@ -239,7 +238,7 @@
 }  // namespace
 
 std::variant<configuration, contract_error> ParseConfiguration(std::string_view text) {
-  const json document = ParseJson(text, true);
+  const json document = json::parse(text, nullptr, false, true);
   if (document.is_discarded()) return contract_error{contract_fault::kNotJson, "", ""};
   if (std::optional<std::string> repeated = FindDuplicateName(text)) {
     return contract_error{contract_fault::kDuplicateName, *repeated, ""};
