--- a/src/process/site/advice_timeout.h
+++ b/src/process/site/advice_timeout.h
@@ -20,6 +20,11 @@
     return query.expected + std::clamp(beyond_.Timeout(), kShortest, kLongest);
   }
 
+  // In addition, of the call to the entry that makes the query.
+  static std::chrono::milliseconds OfCall(const advice_query& query) {
+    return query.urgent ? kUrgentCall : kCall;
+  }
+
   // `took`: until the answer, or until the query was given up.
   void OnEnd(const advice_query& query, std::chrono::milliseconds took) {
     beyond_.OnAnswer(std::clamp(took - query.expected, std::chrono::milliseconds{0}, kLongest));
@@ -28,6 +33,8 @@
  private:
   static constexpr std::chrono::milliseconds kShortest{150};
   static constexpr std::chrono::milliseconds kLongest{900};
+  static constexpr std::chrono::milliseconds kCall{400};
+  static constexpr std::chrono::milliseconds kUrgentCall{100};
 
   answer_timeout beyond_;
 };
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -82,7 +82,6 @@
   static constexpr std::chrono::milliseconds kPeerTimeout{400};
   // Between two bytes of a peer's answer: a configuration takes a second and more on a narrow link.
   static constexpr std::chrono::milliseconds kPeerStall{1000};
-  static constexpr std::chrono::milliseconds kUrgentPeerTimeout{100};
   // The store counts as reachable at a peer that got an answer from it within this time.
   static constexpr std::chrono::milliseconds kMaxReachableStoreAge{900};
 
@@ -983,7 +982,7 @@
 void site_node<Platform>::OnViewChanged() {
   if (const auto& owner = membership_.View().owner)
     takeover_backoff_.OnOwner(owner->epoch, BootNow());
-  if (owner_ == nullptr) return;  // only an owner needs more of the entries than the view itself
+  if (owner_ == nullptr) return;  // the rest is for an owner
   std::vector<std::string> names;
   for (const auto& [name, entry] : membership_.View().entries) {
     if (name != settings_.name) names.push_back(name);
@@ -1250,10 +1249,9 @@
 template <site_platform Platform>
 void site_node<Platform>::RequestAdvice(const dispatched_query& next) {
   const auto order = std::make_shared<const advice_query>(next.query);
-  const std::string& entry = next.entry;
   const auto timeout = advice_timeout_.Of(*order);
   const monotonic_time asked = BootNow();
-  const auto finish = [this, order, entry, timeout, queued = next.queued,
+  const auto finish = [this, order, entry = next.entry, timeout, queued = next.queued,
                        asked](const advice_answer& answer) {
     const monotonic_time now = BootNow();
     const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - asked);
@@ -1268,8 +1266,8 @@
     if (owner_ != nullptr) owner_->OnAdvice(*order, answer);
     SendAdviceRequests();
   };
-  const auto found = membership_.View().entries.find(entry);
-  if (entry == settings_.name || found == membership_.View().entries.end()) {
+  const auto found = membership_.View().entries.find(next.entry);
+  if (next.entry == settings_.name || found == membership_.View().entries.end()) {
     platform_.Advisor().QueryAdvice(*order, timeout, [this, finish](advice_answer answer) {
       loop_.Post([finish, answer = std::move(answer)] { finish(answer); });
     });
@@ -1279,7 +1277,7 @@
   call.method = "POST";
   call.url = absl::StrCat("http://", found->second.address, kPeerAdvisePath);
   call.body = PeerAdviceRequestToText({*order, timeout, budget_.LinkBusy()});
-  call.timeout = timeout + (order->urgent ? kUrgentPeerTimeout : kPeerTimeout);
+  call.timeout = timeout + advice_timeout::OfCall(*order);
   peer_client_.Send(std::move(call), [this, finish](http_result result) {
     loop_.Post([finish, result = std::move(result)] {
       const bool good = result.status == transfer_status::kDone && result.code == http_status::kOk;
--- a/test/instance_registry_test.cc
+++ b/test/instance_registry_test.cc
@@ -129,6 +129,7 @@
 TEST_CASE_METHOD(instance_registry_fixture,
                  "registry, thousands of odd entries, all are counted and few are logged") {
   std::vector<store_item> items;
+  items.reserve(5001);
   for (int i = 0; i < 5000; ++i) items.push_back(Item(absl::StrCat("odd-", i), "no json"));
   items.push_back(Item("sound", Sound().dump()));
   Read(items);
