--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,7 +10,7 @@
   g++ -std=c++20 -O1 -Wall -Wextra -c "review/standins-2/$part.cc" -o "$out/$part.o"
   objects+=("$out/$part.o")
 done
-for case in hopeless_gang kind_lost cancel_wave; do
+for case in hopeless_gang past_schedule kind_lost cancel_wave; do
   g++ -std=c++20 -O1 -Wall -Wextra "review/standins-2/$case.cc" "${objects[@]}" \
     -o "$out/$case" -pthread
 done
