--- a/review/standins-2/net.cc
+++ b/review/standins-2/net.cc
@@ -240,15 +240,20 @@
   return out;
 }
 
+// Below the range from which the system takes ports for outgoing connections, so that none of these
+// gets it while a process is down.
 uint16_t FreePort() {
-  static std::set<uint16_t> given;
+  constexpr uint32_t kFirst = 15000;
+  constexpr uint32_t kCount = 16000;
+  constexpr uint32_t kStride = 61;
+  static uint32_t next = static_cast<uint32_t>(getpid()) * kStride;
   while (true) {
+    const auto port = static_cast<uint16_t>(kFirst + next++ % kCount);
     const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in any = Loopback(0);
-    const bool bound = bind(probe, reinterpret_cast<const sockaddr*>(&any), sizeof any) == 0;
-    const uint16_t port = bound ? PortOf(probe) : 0;
+    const sockaddr_in at = Loopback(port);
+    const bool bound = bind(probe, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
     close(probe);
-    if (port != 0 && given.insert(port).second) return port;
+    if (bound) return port;
   }
 }
 
