--- a/review/standins-2/platform.cc
+++ b/review/standins-2/platform.cc
@@ -324,32 +324,6 @@
   server_->Stop();
 }
 
-void worker::StartAgain(const std::string& kind) {
-  const uint16_t port = server_->Port();
-  if (Up()) Crash();
-  {
-    const std::lock_guard lock(mutex_);
-    options_.kind = kind;
-    up_ = true;
-    booted_ = steady::now();
-    born_ = std::max(born_ + 1,
-                     static_cast<int64_t>(std::chrono::duration_cast<milliseconds>(
-                                              std::chrono::system_clock::now().time_since_epoch())
-                                              .count()));
-    lease_until_ = 0;
-    fence_ = 0;
-    last_end_ = 0;
-    beats_ = 0;
-    runs_.clear();
-    over_.clear();
-    ends_.clear();
-  }
-  log_.Line("worker " + options_.id + " starts again, kind " + kind + ", born " +
-            std::to_string(born_));
-  server_ = std::make_unique<server>([this](const request& asked) { return Handle(asked); }, port);
-  Register();
-}
-
 bool worker::Up() {
   const std::lock_guard lock(mutex_);
   return up_;
--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -102,9 +102,6 @@
   ~worker();
 
   const worker_options& Options() const { return options_; }
-  // Begins a new boot at the same address and under the same id, which has nothing of the earlier
-  // one, and is of this kind.
-  void StartAgain(const std::string& kind);
   // The process is gone: connections end and nothing answers.
   void Crash();
   bool Up();
