Set steps aside that the present instances cannot hold; gangs reserve and claim as a whole

A gang wider than the floor keeps all other jobs from starting, on an idle floor: 30 of 30 accepted jobs had nothing running 14 s after the last. It lasts until the gang is cancelled.

Cause: whether a step can be placed at all was asked of one task and the largest instance ever seen.

Of test/unplaceable_step_test.cc two cases failed on: "gang wider than the floor" and "gang beyond its workspace's maximum"; the others guard related paths and a gang's own start. Ruled out: the places in the queue alone (one gang takes one of 128).

A gang reserves for all members from the time at which the last one has capacity, or not at all, and claims all or nothing. Workspace limits ask for the gang as a whole. Sums of needs no longer wrap around. catkinford_site_unplaceable_steps counts the steps set aside.

Why it works: nothing that is kept for a step outlives the possibility that the step uses it, and until a gang's start others may use what is kept for it.

A test changed: "advice query, gang, capacity freed while it waits" needs a query that names some instances only. A gang that has all members reserved soon is asked for all of them now, so that its query named all eight. The test lets the other runs go on for longer first, so that nothing is reserved soon; what it requires is the same.

--- a/src/process/scheduling/fleet_state.cc
+++ b/src/process/scheduling/fleet_state.cc
@@ -7,6 +7,14 @@
   return used >= capacity ? 0 : capacity - used;
 }
 
+resources Remaining(const resources& capacity, const resources& used) {
+  resources out;
+  out.cpu_milli = Remaining(capacity.cpu_milli, used.cpu_milli);
+  out.memory_mb = Remaining(capacity.memory_mb, used.memory_mb);
+  out.accelerators = Remaining(capacity.accelerators, used.accelerators);
+  return out;
+}
+
 }  // namespace
 
 std::string_view ToText(registration_fault fault) {
@@ -62,12 +70,10 @@
   return !domain_evacuated && !report.draining && !suspect && Reachable();
 }
 
-resources fleet_instance::Free() const {
-  resources out;
-  out.cpu_milli = Remaining(report.capacity.cpu_milli, used.cpu_milli);
-  out.memory_mb = Remaining(report.capacity.memory_mb, used.memory_mb);
-  out.accelerators = Remaining(report.capacity.accelerators, used.accelerators);
-  return out;
+resources fleet_instance::Free() const { return Remaining(report.capacity, used); }
+
+resources fleet_instance::WithoutEndlessRuns() const {
+  return Remaining(report.capacity, used_endlessly);
 }
 
 bool fleet_instance::Fits(const resources& capacity) const {
--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -160,6 +160,7 @@
   monotonic_time listing_due{};  // latest time at which the instance should answer
   monotonic_time next_listing{};
   resources used;
+  resources used_endlessly;  // by runs that do not end by themselves
 
   instance_report report;
   monotonic_time absent_since{};
@@ -198,6 +199,8 @@
   // counted as in use, the next owner would wait for its leases before it starts inherited work.
   bool InUse() const { return listed && !replaced && (!runs.empty() || (present && Reachable())); }
   resources Free() const;
+  // The capacity once all runs that end by themselves have ended.
+  resources WithoutEndlessRuns() const;
   bool Fits(const resources& capacity) const;
   int64_t ClockAt(monotonic_time now) const;
   // True once every lease ever sent has expired on the instance's own clock, allowing for drift.
--- a/src/process/scheduling/graph_state.h
+++ b/src/process/scheduling/graph_state.h
@@ -120,6 +120,7 @@
   uint32_t lane = 0;
   ready_order order;
   monotonic_time until{};  // when the rank changes by itself
+  bool set_aside = false;  // no present instances can hold it
 
   bool operator==(const queue_position&) const = default;
 };
--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -312,7 +312,6 @@
   if (phase != graph_phase::kCancelled) HurryRecord(entry);
   active_.erase(std::remove(active_.begin(), active_.end(), &entry), active_.end());
   running_.erase(entry.number);
-  oversized_.erase(entry.number);
   due_.erase(std::pair(NextDue(entry), entry.number));
   for (const auto& [number, occurrence] : entry.occurrences) RemoveReady(entry, *occurrence);
   final_.push_back(entry.job.id);
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -32,6 +32,7 @@
 #include "process/scheduling/listing_wait.h"
 #include "process/scheduling/ready_queue.h"
 #include "process/scheduling/run_times.h"
+#include "process/scheduling/schedulable_capacity.h"
 #include "process/scheduling/scheduler_messages.h"
 #include "process/scheduling/timeout_factor.h"
 #include "process/speed/instance_speed.h"
@@ -191,6 +192,8 @@
   // Waiting or running steps that rounds of decisions have looked at so far.
   uint64_t StepsSeen() const { return steps_seen_; }
   size_t RunCount() const;
+  // Waiting steps that the present instances cannot hold.
+  size_t UnplaceableSteps() const { return ready_.SetAsideCount(); }
   size_t InstancesOf(speed_class speed) const { return speeds_.Count(speed); }
   // Run times and speeds that were learned, for a next owner.
   learned_record Learned(wall_time wall) const;
@@ -408,6 +411,10 @@
   bool MayUseFast(const ready_step& ready, const resources& demand, monotonic_time now) const;
   static bool AcceptsWork(const fleet_instance& instance, monotonic_time now);
   bool WithinLimit(const job_entry& entry, const resources& need) const;
+  // With nothing else of its workspace running. Requires a version.
+  bool WithinMaximum(const job_entry& entry, const resources& need) const;
+  void CountSchedulable(monotonic_time now);
+  step_standing StandingOf(const ready_step& ready);
 
   // scheduler_copies.cc: second runs of tasks that allow them
   // `expected`: run time of a task of the step. `at`: the instance of the copy; null: one of the
@@ -439,6 +446,18 @@
   void ResetReservations();
   // Reserves capacity for the step's tasks that found none.
   void ReserveCapacity(const ready_step& ready, monotonic_time now);
+  // A reservation changes the forecast of its own instance only.
+  struct reservation_candidate {
+    const fleet_instance* instance;
+    capacity_forecast* forecast;
+    monotonic_time ticket_at;
+    monotonic_time from;
+  };
+  // The instances that will have capacity for a task of the step.
+  std::vector<reservation_candidate> ReservationCandidates(const ready_step& ready,
+                                                           monotonic_time now);
+  void ReserveForGang(const ready_step& ready, std::vector<reservation_candidate> candidates,
+                      monotonic_time now);
   capacity_forecast& ForecastOf(const fleet_instance& instance, monotonic_time now);
   std::optional<monotonic_time> ExpectedEnd(const graph_run& run, monotonic_time now) const;
   // When a task of the step that starts now is expected to release its capacity.
@@ -548,8 +567,8 @@
   absl::btree_map<std::pair<wall_time, uint64_t>, job_entry*> due_;
   uint64_t last_job_number_ = 0;
   ready_queue ready_;
-  // Those with a step that no instance seen so far could hold, by number: not queued.
-  absl::btree_map<uint64_t, job_entry*> oversized_;
+  // Of the latest round. Its instances exist: it is cleared when one is forgotten.
+  schedulable_capacity schedulable_;
   monotonic_time decided_at_{};  // the latest round
   // Jobs that are not known and of which a run or an end was listed, those with a run, and those
   // that TakeUnknownJobs() has not returned yet.
@@ -575,8 +594,8 @@
   uint64_t round_ = 0;                     // of decisions
   uint64_t steps_seen_ = 0;
   uint32_t starts_in_flight_ = 0;
-  answer_timeout answer_timeout_;  // of starts, and of listings that waited for their full time
-  double timeout_factor_ = 1;      // multiplies the time-out while this process itself may be late
+  answer_timeout answer_timeout_;     // of starts, and of listings that waited for their full time
+  double timeout_factor_ = 1;  // multiplies the time-out while this process itself may be late
   std::chrono::milliseconds local_delay_{0};
   monotonic_time next_timeout_factor_update_{};
   listing_wait listing_wait_;
--- /dev/null
+++ b/src/process/scheduling/schedulable_capacity.cc
@@ -0,0 +1,84 @@
+#include "process/scheduling/schedulable_capacity.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace catkinford {
+namespace {
+
+uint32_t Saturated(uint64_t amount) {
+  return static_cast<uint32_t>(std::min<uint64_t>(amount, std::numeric_limits<uint32_t>::max()));
+}
+
+resources AtInstance(const step_spec& step) {
+  resources need = step.need;
+  if (step.fills) need.cpu_milli = 0;
+  return need;
+}
+
+bool Covers(const resources& capacity, const resources& need) {
+  return need.cpu_milli <= capacity.cpu_milli && need.memory_mb <= capacity.memory_mb &&
+         need.accelerators <= capacity.accelerators;
+}
+
+// Tasks with these needs that fit into the capacity, at most `most`.
+uint32_t TasksThatFit(const resources& capacity, const resources& need, uint32_t most) {
+  if (need.cpu_milli > 0) most = std::min(most, capacity.cpu_milli / need.cpu_milli);
+  if (need.memory_mb > 0) most = std::min(most, capacity.memory_mb / need.memory_mb);
+  if (need.accelerators > 0) most = std::min(most, capacity.accelerators / need.accelerators);
+  return most;
+}
+
+}  // namespace
+
+uint32_t TasksAtOnce(const step_spec& step) { return step.gang ? step.count : 1; }
+
+resources NeedAtOnce(const step_spec& step) {
+  const uint64_t tasks = TasksAtOnce(step);
+  resources need;
+  need.cpu_milli = Saturated(tasks * step.need.cpu_milli);
+  need.memory_mb = Saturated(tasks * step.need.memory_mb);
+  need.accelerators = Saturated(tasks * step.need.accelerators);
+  return need;
+}
+
+void schedulable_capacity::Clear(size_t services) {
+  services_.resize(services + 1);
+  for (service_instances& each : services_) {
+    each.all.clear();
+    each.largest = {};
+  }
+}
+
+void schedulable_capacity::Add(const fleet_instance& instance) {
+  service_instances& of = services_[instance.service];
+  of.all.push_back(&instance);
+  const resources capacity = instance.WithoutEndlessRuns();
+  of.largest.cpu_milli = std::max(of.largest.cpu_milli, capacity.cpu_milli);
+  of.largest.memory_mb = std::max(of.largest.memory_mb, capacity.memory_mb);
+  of.largest.accelerators = std::max(of.largest.accelerators, capacity.accelerators);
+}
+
+bool schedulable_capacity::Empty(uint32_t service) const {
+  return service >= services_.size() || services_[service].all.empty();
+}
+
+bool schedulable_capacity::CanHold(uint32_t service, const step_spec& step,
+                                   const step_advice& advice) const {
+  if (Empty(service)) return false;
+  const service_instances& of = services_[service];
+  const resources need = AtInstance(step);
+  if (!Covers(of.largest, need)) return false;
+  uint32_t missing = TasksAtOnce(step);
+  for (const fleet_instance* instance : of.all) {
+    const advice_verdict* verdict = advice.FindVerdict(instance->ordinal);
+    if (verdict != nullptr && !verdict->allowed) continue;
+    const uint32_t most =
+        step.max_per_instance == 0 ? missing : std::min(missing, step.max_per_instance);
+    missing -= TasksThatFit(instance->WithoutEndlessRuns(), need, most);
+    if (missing == 0) return true;
+  }
+  return false;
+}
+
+}  // namespace catkinford
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -244,8 +244,7 @@
 void job_scheduler::PlanStepAdvice(const ready_step& ready, advice_round& round,
                                    scheduler_commands& commands, monotonic_time now) {
   step_progress& step = ready.occurrence->steps[ready.index];
-  const step_spec& terms = ready.entry->job.steps[ready.index];
-  if (!WithinLimit(*ready.entry, terms.need)) return;
+  if (!WithinLimit(*ready.entry, NeedAtOnce(ready.entry->job.steps[ready.index]))) return;
   const uint32_t wanted = TasksToPlace(ready, now);
   const std::vector<advice_option> known = KnownOptions(ready, round, wanted, now);
   const advice_timing cost = AdviceTimingOf(*ready.entry);
@@ -269,11 +268,17 @@
 void job_scheduler::ClaimCapacity(const ready_step& ready, advice_round& round,
                                   const std::vector<advice_option>& known, uint32_t wanted,
                                   monotonic_time now) const {
-  const resources capacity = CapacityOf(ready.entry->job.steps[ready.index]);
+  const step_spec& terms = ready.entry->job.steps[ready.index];
+  const resources capacity = CapacityOf(terms);
+  struct claim_of {
+    resources* from;
+    uint32_t tasks;
+  };
+  std::vector<claim_of> claims;
   for (const advice_option& option : known) {
     const uint32_t tasks = std::min(wanted, option.tasks);
     if (wanted == 0) break;
-    Claim(option.capacity->unclaimed, capacity, tasks);
+    claims.push_back({&option.capacity->unclaimed, tasks});
     wanted -= tasks;
   }
   const auto claim = [&](unclaimed_capacity& candidate) {
@@ -284,11 +289,14 @@
     if (!HasLabel(*candidate.instance, ready)) return true;
     const uint32_t most = MaxTasksAt(ready, *candidate.instance, wanted);
     const uint32_t tasks = TasksThatFit(candidate.unclaimed, capacity, most);
-    Claim(candidate.unclaimed, capacity, tasks);
+    claims.push_back({&candidate.unclaimed, tasks});
     wanted -= tasks;
     return true;
   };
   InPreferredOrder(round.capacities, capacity, SpeedNeedOf(ready, now), speeds_, claim);
+  // A gang that does not start now uses none of it.
+  if (terms.gang && wanted > 0) return;
+  for (const claim_of& each : claims) Claim(*each.from, capacity, each.tasks);
 }
 
 // Steps that will become ready at about the time an answer would arrive: queried ahead, they start
@@ -333,20 +341,17 @@
   return true;
 }
 
-// Steps that wait for an instance, at most a fixed number per service. Steps that could not start
-// even if all capacity were free do not count: those whose workspace is at its limit, and those too
-// large for any instance of their service. With a single queue, jobs of a full service or of a
-// workspace at its limit would fill it, and no step behind them would ever be queried.
+// Steps that wait for an instance, at most a fixed number per service. Those whose workspace is at
+// its limit do not count: they would fill it, and no step behind them would ever be queried.
 std::vector<ready_step> job_scheduler::StepsToQuery(
     const std::vector<ready_step>& ready_steps) const {
   std::vector<ready_step> out;
   std::vector<size_t> taken(services_.size() + 1);
   for (const ready_step& ready : ready_steps) {
     const job_entry& entry = *ready.entry;
-    const step_spec& terms = entry.job.steps[ready.index];
     if (ready.occurrence->steps[ready.index].waiting == 0) continue;
     if (!TermsOf(entry).needs_advice || taken[entry.service] >= kMaxStepsPerService) continue;
-    if (!WithinLimit(entry, terms.need) || !AnyCouldHold(TermsOf(entry).service, terms)) continue;
+    if (!WithinLimit(entry, NeedAtOnce(entry.job.steps[ready.index]))) continue;
     ++taken[entry.service];
     out.push_back(ready);
   }
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -163,7 +163,6 @@
   std::vector<resources>& largest = largest_seen_[report.service];
   if (std::find(largest.begin(), largest.end(), report.capacity) == largest.end()) {
     largest.push_back(report.capacity);
-    for (const auto& [number, entry] : std::exchange(oversized_, {})) UpdateReady(*entry, now);
   }
 }
 
@@ -316,7 +315,10 @@
       forgotten.push_back(id);
     }
   }
-  if (!forgotten.empty()) latest_round_at_ = {};
+  if (!forgotten.empty()) {
+    latest_round_at_ = {};
+    schedulable_.Clear(services_.size());
+  }
   for (const std::string& id : forgotten) {
     by_ordinal_[instances_.at(id)->ordinal] = nullptr;
     speeds_.Remove(instances_.at(id)->ordinal);
--- a/src/process/scheduling/scheduler_load.cc
+++ b/src/process/scheduling/scheduler_load.cc
@@ -59,7 +59,8 @@
     for (const auto& [number, occurrence] : entry->occurrences) {
       for (uint32_t i = 0; i < occurrence->steps.size(); ++i) {
         const step_progress& step = occurrence->steps[i];
-        if (!step.queued) continue;
+        // Work that cannot be placed delays no other.
+        if (!step.queued || step.queued->set_aside) continue;
         const ready_order& order = step.queued->order;
         const bool beyond = order.beyond_share;
         // Those come after each job that arrives now.
--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -38,7 +38,13 @@
   });
 }
 
-bool Exceeds(uint32_t amount, uint32_t limit) { return limit > 0 && amount > limit; }
+bool Exceeds(uint64_t amount, uint32_t limit) { return limit > 0 && amount > limit; }
+
+bool Exceeds(const resources& used, const resources& need, const resources& limit) {
+  return Exceeds(uint64_t{used.cpu_milli} + need.cpu_milli, limit.cpu_milli) ||
+         Exceeds(uint64_t{used.memory_mb} + need.memory_mb, limit.memory_mb) ||
+         Exceeds(uint64_t{used.accelerators} + need.accelerators, limit.accelerators);
+}
 
 }  // namespace
 
@@ -49,11 +55,34 @@
   // Runs of unknown jobs may belong to any workspace.
   if (!unidentified_jobs_.empty()) return false;
   const auto found = usage_of_workspace_.find(entry.job.workspace);
-  resources with = need;
-  if (found != usage_of_workspace_.end()) with += found->second;
-  return !Exceeds(with.cpu_milli, workspace->maximum.cpu_milli) &&
-         !Exceeds(with.memory_mb, workspace->maximum.memory_mb) &&
-         !Exceeds(with.accelerators, workspace->maximum.accelerators);
+  const resources used = found == usage_of_workspace_.end() ? resources{} : found->second;
+  return !Exceeds(used, need, workspace->maximum);
+}
+
+bool job_scheduler::WithinMaximum(const job_entry& entry, const resources& need) const {
+  const workspace_config* workspace = version_->WorkspaceNamed(entry.job.workspace);
+  return workspace == nullptr || !Exceeds({}, need, workspace->maximum);
+}
+
+void job_scheduler::CountSchedulable(monotonic_time now) {
+  schedulable_.Clear(services_.size());
+  for (const auto& [id, instance] : instances_) {
+    if (AcceptsWork(*instance, now)) schedulable_.Add(*instance);
+  }
+}
+
+step_standing job_scheduler::StandingOf(const ready_step& ready) {
+  const job_entry& entry = *ready.entry;
+  const step_spec& step = entry.job.steps[ready.index];
+  const step_advice& advice = ready.occurrence->steps[ready.index].advice;
+  // While no instance of the service accepts work, nothing is known of what could be placed.
+  const bool known = !schedulable_.Empty(entry.service);
+  if (known && !schedulable_.CanHold(entry.service, step, advice)) {
+    return step_standing::kUnplaceable;
+  }
+  const resources need = NeedAtOnce(step);
+  if (WithinLimit(entry, need)) return step_standing::kEligible;
+  return WithinMaximum(entry, need) ? step_standing::kOverLimit : step_standing::kUnplaceable;
 }
 
 // Without complete records a service that an earlier owner ran looks like one that never ran.
@@ -66,10 +95,6 @@
   const step_progress& step = occurrence.steps[index];
   const ready_step ready{&entry, &occurrence, index};
   if (!step.ready || step.waiting == 0 || IsFinal(entry.phase)) return ready_.Remove(ready);
-  if (!AnyCouldHold(TermsOf(entry).service, entry.job.steps[index])) {
-    oversized_.emplace(entry.number, &entry);
-    return ready_.Remove(ready);
-  }
   ready_order order;
   order.beyond_share = entry.beyond_share;
   order.priority = TermsOf(entry).priority;
@@ -100,9 +125,10 @@
   for (const ready_step& ready : ready_.TakeRankChanges(now)) {
     UpdateReady(*ready.entry, *ready.occurrence, ready.index, now);
   }
+  CountSchedulable(now);
   return ready_.Next([this](const ready_step& ready) {
     ++steps_seen_;
-    return WithinLimit(*ready.entry, ready.entry->job.steps[ready.index].need);
+    return StandingOf(ready);
   });
 }
 
@@ -228,9 +254,7 @@
   step_progress& step = ready.occurrence->steps[ready.index];
   // If not all members wait, an earlier attempt of the gang is still being stopped.
   if (step.waiting != step.tasks.size()) return;
-  resources all;
-  for (size_t i = 0; i < step.tasks.size(); ++i) all += terms.need;
-  if (!WithinLimit(*ready.entry, all)) return;
+  if (!WithinLimit(*ready.entry, NeedAtOnce(terms))) return;
 
   resources demand = terms.need;
   if (terms.fills) demand.cpu_milli = 0;
--- a/src/process/scheduling/scheduler_reservations.cc
+++ b/src/process/scheduling/scheduler_reservations.cc
@@ -1,5 +1,6 @@
 // Capacity reservations for the steps that are next in order, rebuilt in each round.
 #include <algorithm>
+#include <utility>
 
 #include "process/scheduling/job_scheduler.h"
 
@@ -27,6 +28,18 @@
          need.accelerators <= kNarrowShare * capacity.accelerators;
 }
 
+// Moves the candidate to the time at which it has capacity for one more task; false if there is
+// none.
+template <typename Candidate>
+bool Advance(Candidate& candidate, const resources& need, monotonic_time now) {
+  const auto free_at = candidate.forecast->EarliestFor(need, now);
+  if (free_at) candidate.from = std::max(*free_at, candidate.ticket_at);
+  return free_at.has_value();
+}
+
+constexpr auto kBeginsEarlier = [](const auto& a, const auto& b) { return a.from < b.from; };
+constexpr auto kBeginsLater = [](const auto& a, const auto& b) { return b.from < a.from; };
+
 }  // namespace
 
 void job_scheduler::ResetReservations() {
@@ -82,31 +95,22 @@
   return now + queue->advice->base + duration_cast<milliseconds>(queue->advice->per_instance);
 }
 
-void job_scheduler::ReserveCapacity(const ready_step& ready, monotonic_time now) {
-  step_progress& step = ready.occurrence->steps[ready.index];
+std::vector<job_scheduler::reservation_candidate> job_scheduler::ReservationCandidates(
+    const ready_step& ready, monotonic_time now) {
+  const step_progress& step = ready.occurrence->steps[ready.index];
   const step_spec& terms = ready.entry->job.steps[ready.index];
-  if (step.waiting == 0 || terms.fills || terms.long_running) return;
-  if (reserving_steps_[ready.entry->service] >= kMaxReservingSteps) return;
-  if (!WithinLimit(*ready.entry, terms.need)) return;
-  const bool advised = TermsOf(*ready.entry).needs_advice;
-  step.reserved.clear();
-  // A reservation changes the forecast of its own instance only.
-  struct candidate {
-    const fleet_instance* instance;
-    capacity_forecast* forecast;
-    monotonic_time ticket_at;
-    monotonic_time from;
-  };
-  std::vector<candidate> candidates;
+  std::vector<reservation_candidate> candidates;
   const auto consider = [&](const fleet_instance& instance) {
-    if (!MayRun(instance, ready, now) || IsNarrow(terms.need, instance.report.capacity)) return;
+    if (!MayRun(instance, ready, now)) return;
+    // Any end frees enough for a narrow task, but not for all members of a gang at once.
+    if (!terms.gang && IsNarrow(terms.need, instance.report.capacity)) return;
     capacity_forecast& forecast = ForecastOf(instance, now);
     const auto free_at = forecast.EarliestFor(terms.need, now);
     if (!free_at) return;
     const monotonic_time ticket_at = TicketAvailableAt(ready, instance.ordinal, now);
     candidates.push_back({&instance, &forecast, ticket_at, std::max(*free_at, ticket_at)});
   };
-  if (advised) {
+  if (TermsOf(*ready.entry).needs_advice) {
     for (const advice_verdict& verdict : step.advice.verdicts) {
       if (!verdict.allowed) continue;
       const fleet_instance* instance = InstanceAt(verdict.instance);
@@ -115,18 +119,26 @@
   } else {
     for (const auto& [id, instance] : instances_) consider(*instance);
   }
-  const uint32_t wanted = std::min(step.waiting, kMaxReservationsPerStep);
-  while (step.reserved.size() < wanted && !candidates.empty()) {
-    const auto best =
-        std::min_element(candidates.begin(), candidates.end(),
-                         [](const candidate& a, const candidate& b) { return a.from < b.from; });
-    best->forecast->Reserve(terms.need, best->from);
-    step.reserved.push_back({best->instance->ordinal, best->from});
-    const auto free_at = best->forecast->EarliestFor(terms.need, now);
-    if (free_at) {
-      best->from = std::max(*free_at, best->ticket_at);
-    } else {
-      candidates.erase(best);
+  return candidates;
+}
+
+void job_scheduler::ReserveCapacity(const ready_step& ready, monotonic_time now) {
+  step_progress& step = ready.occurrence->steps[ready.index];
+  const step_spec& terms = ready.entry->job.steps[ready.index];
+  if (step.waiting == 0 || terms.fills || terms.long_running) return;
+  if (reserving_steps_[ready.entry->service] >= kMaxReservingSteps) return;
+  if (!WithinLimit(*ready.entry, NeedAtOnce(terms))) return;
+  step.reserved.clear();
+  std::vector<reservation_candidate> candidates = ReservationCandidates(ready, now);
+  if (terms.gang) {
+    ReserveForGang(ready, std::move(candidates), now);
+  } else {
+    const uint32_t wanted = std::min(step.waiting, kMaxReservationsPerStep);
+    while (step.reserved.size() < wanted && !candidates.empty()) {
+      const auto best = std::min_element(candidates.begin(), candidates.end(), kBeginsEarlier);
+      best->forecast->Reserve(terms.need, best->from);
+      step.reserved.push_back({best->instance->ordinal, best->from});
+      if (!Advance(*best, terms.need, now)) candidates.erase(best);
     }
   }
   if (step.reserved.empty()) return;
@@ -134,4 +146,39 @@
   ++reserving_steps_[ready.entry->service];
 }
 
+// All members start when the last of them has capacity, so that nothing is reserved from an earlier
+// time on, and nothing at all for a gang that is not known to fit.
+void job_scheduler::ReserveForGang(const ready_step& ready,
+                                   std::vector<reservation_candidate> candidates,
+                                   monotonic_time now) {
+  step_progress& step = ready.occurrence->steps[ready.index];
+  const resources& need = ready.entry->job.steps[ready.index].need;
+  std::vector<capacity_forecast> trials;
+  trials.reserve(candidates.size());
+  std::vector<capacity_forecast*> forecasts(by_ordinal_.size());
+  for (reservation_candidate& each : candidates) {
+    forecasts[each.instance->ordinal] =
+        std::exchange(each.forecast, &trials.emplace_back(*each.forecast));
+  }
+  std::make_heap(candidates.begin(), candidates.end(), kBeginsLater);
+  monotonic_time start = now;
+  while (step.reserved.size() < step.waiting && !candidates.empty()) {
+    std::pop_heap(candidates.begin(), candidates.end(), kBeginsLater);
+    reservation_candidate& best = candidates.back();
+    best.forecast->Reserve(need, best.from);
+    step.reserved.push_back({best.instance->ordinal, best.from});
+    start = std::max(start, best.from);
+    if (Advance(best, need, now)) {
+      std::push_heap(candidates.begin(), candidates.end(), kBeginsLater);
+    } else {
+      candidates.pop_back();
+    }
+  }
+  if (step.reserved.size() < step.waiting) return step.reserved.clear();
+  for (capacity_reservation& member : step.reserved) {
+    member.from = start;
+    forecasts[member.instance]->Reserve(need, start);
+  }
+}
+
 }  // namespace catkinford
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -119,13 +119,16 @@
   resources& running = usage_of_workspace_[run.job->job.workspace];
   step_progress* step = run.job->Find(run.key);
   CountBusy(run, sign);
+  const bool endless = run.job->job.steps[run.key.step].long_running;
   if (sign > 0) {
     run.instance->used += run.capacity;
+    if (endless) run.instance->used_endlessly += run.capacity;
     running += need;
     if (step != nullptr) ++step->placed[run.instance];
     return;
   }
   run.instance->used -= run.capacity;
+  if (endless) run.instance->used_endlessly -= run.capacity;
   running -= need;
   if (step == nullptr) return;
   const auto placed = step->placed.find(run.instance);
--- a/src/process/site/site_metrics.cc
+++ b/src/process/site/site_metrics.cc
@@ -105,6 +105,8 @@
       owns_site(OneGauge(registry_, "catkinford_site_owns", "1 while this entry owns the site.")),
       jobs(OneGauge(registry_, "catkinford_site_jobs", "Jobs known to the owner.")),
       runs(OneGauge(registry_, "catkinford_site_runs", "Runs that occupy capacity.")),
+      unplaceable_steps(OneGauge(registry_, "catkinford_site_unplaceable_steps",
+                                 "Waiting steps that the present instances cannot hold.")),
       version(OneGauge(registry_, "catkinford_site_version",
                        "Version of the configuration in effect.")),
       store_age_seconds(OneGauge(registry_, "catkinford_site_store_age_seconds",
--- a/src/process/site/site_metrics.h
+++ b/src/process/site/site_metrics.h
@@ -91,6 +91,7 @@
   prometheus::Gauge& owns_site;                // 1 or 0
   prometheus::Gauge& jobs;                     // known to the owner
   prometheus::Gauge& runs;                     // that occupy capacity
+  prometheus::Gauge& unplaceable_steps;        // which the present instances cannot hold
   prometheus::Gauge& version;                  // number of the configuration in effect
   prometheus::Gauge& store_age_seconds;        // since the store last answered
   prometheus::Gauge& version_age_seconds;      // since the store last confirmed the configuration
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -689,6 +689,7 @@
     metrics_.decide_seconds.Observe(std::chrono::duration<double>(spent).count());
     metrics_.jobs.Set(static_cast<double>(scheduler_.JobCount()));
     metrics_.runs.Set(static_cast<double>(scheduler_.RunCount()));
+    metrics_.unplaceable_steps.Set(static_cast<double>(scheduler_.UnplaceableSteps()));
     for (const speed_class speed : {speed_class::kFast, speed_class::kUsual, speed_class::kSlow}) {
       metrics_.SetInstances(speed, scheduler_.InstancesOf(speed));
     }
--- a/test/advice_queue_test.cc
+++ b/test/advice_queue_test.cc
@@ -178,6 +178,8 @@
                  "advice query, gang, capacity freed while it waits, lets all members start") {
   step_spec gang = Tasks(kInstances, kSmallInstance.cpu_milli, seconds(1));
   gang.gang = true;
+  // The other runs are expected to go on, so that the gang has nothing reserved that is free soon.
+  Run(seconds(20));
   advice_query query = WaitingQuery(gang);
   REQUIRE(query.instances.size() < kInstances);
   EndLongTasks(kInstances);
--- /dev/null
+++ b/test/unplaceable_step_test.cc
@@ -0,0 +1,157 @@
+// Steps that cannot start: they wait, and take nothing from those that can.
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdint>
+
+#include "advised_floor.h"
+#include "process/scheduling/job_scheduler.h"
+#include "scheduling_jobs.h"
+
+namespace catkinford {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr resources kInstance{16000, 65536, 0, 0};
+constexpr uint32_t kGang = 1;
+constexpr uint32_t kLong = 2;
+constexpr uint32_t kShort = 3;
+
+step_spec Gang(uint32_t count, uint32_t cpu_milli, milliseconds estimate) {
+  step_spec step = Tasks(count, cpu_milli, estimate);
+  step.gang = true;
+  return step;
+}
+
+step_spec ServiceTasks(uint32_t count, uint32_t cpu_milli) {
+  step_spec step = Tasks(count, cpu_milli, seconds(1));
+  step.long_running = true;
+  return step;
+}
+
+class six_instances_fixture {
+ protected:
+  six_instances_fixture() { floor.AddInstances(6, kInstance); }
+
+  bool ShortJobStarts(milliseconds within = seconds(2)) {
+    floor.SubmitPatient(kShort, Tasks(2, 2700, milliseconds(400)), milliseconds(400));
+    floor.Run(within);
+    return floor.Started(kShort);
+  }
+
+  advised_floor floor;
+};
+
+// Guards against idle instances that are reserved and claimed for a gang that is wider than all.
+TEST_CASE_METHOD(six_instances_fixture,
+                 "unplaceable step, gang wider than the floor, less urgent job starts") {
+  floor.SubmitUrgent(kGang, Gang(40, 7000, seconds(2)), seconds(2));
+  floor.Run(seconds(1));
+  CHECK(ShortJobStarts());
+  CHECK_FALSE(floor.Started(kGang));
+}
+
+// The same for many of them, ahead in the same queue.
+TEST_CASE_METHOD(
+    six_instances_fixture,
+    "unplaceable step, hundreds of gangs wider than the floor, job behind them starts") {
+  for (uint32_t i = 0; i < 300; ++i) {
+    floor.SubmitPatient(100 + i, Gang(40, 7000, seconds(2)), seconds(2));
+  }
+  floor.Run(seconds(1));
+  CHECK(ShortJobStarts());
+}
+
+// The same where service tasks, which do not end by themselves, leave too little for it.
+TEST_CASE_METHOD(six_instances_fixture,
+                 "unplaceable step, gang wider than what services leave, less urgent job starts") {
+  floor.SubmitPatient(kLong, ServiceTasks(6, 4000), seconds(600));
+  floor.Run(seconds(1));
+  REQUIRE(floor.RunsOf(kLong) == 6);
+  floor.SubmitUrgent(kGang, Gang(12, 7000, seconds(2)), seconds(2));
+  floor.Run(seconds(1));
+  CHECK(ShortJobStarts());
+  CHECK_FALSE(floor.Started(kGang));
+}
+
+// The same where only few instances are left to it by its limit for one instance.
+TEST_CASE_METHOD(six_instances_fixture,
+                 "unplaceable step, gang beyond its limit per instance, less urgent job starts") {
+  step_spec gang = Gang(7, 7000, seconds(2));
+  gang.max_per_instance = 1;
+  floor.SubmitUrgent(kGang, gang, seconds(2));
+  floor.Run(seconds(1));
+  CHECK(ShortJobStarts());
+}
+
+// Guards against a gang that is never started although the floor has grown.
+TEST_CASE_METHOD(six_instances_fixture, "unplaceable step, floor grows, gang starts") {
+  floor.SubmitUrgent(kGang, Gang(14, 7000, seconds(2)), seconds(2));
+  floor.Run(seconds(1));
+  REQUIRE_FALSE(floor.Started(kGang));
+  floor.AddInstances(1, kInstance);
+  floor.Run(seconds(1));
+  CHECK(floor.RunsOf(kGang) == 14);
+}
+
+// Guards against a gang that starves behind a stream of short tasks.
+TEST_CASE_METHOD(six_instances_fixture,
+                 "waiting gang, short jobs go on coming on a full floor, starts") {
+  for (uint32_t i = 0; i < 40; ++i) {
+    floor.SubmitPatient(100 + i, Tasks(12, 2700, milliseconds(400)), milliseconds(400));
+  }
+  floor.Run(milliseconds(200));
+  floor.SubmitUrgent(kGang, Gang(12, 7000, seconds(2)), seconds(2));
+  for (uint32_t i = 0; i < 40; ++i) {
+    floor.SubmitPatient(200 + i, Tasks(12, 2700, milliseconds(400)), milliseconds(400));
+    floor.Run(milliseconds(100));
+  }
+  CHECK(floor.Started(kGang));
+}
+
+// Guards against idle instances that are kept for a gang which must wait for one long run.
+TEST_CASE_METHOD(six_instances_fixture,
+                 "waiting gang, one run holds it up for a minute, short jobs start beside it") {
+  floor.SubmitPatient(kLong, Tasks(1, 12000, seconds(60)), seconds(60));
+  floor.Run(seconds(1));
+  REQUIRE(floor.Started(kLong));
+  floor.SubmitUrgent(kGang, Gang(12, 7000, seconds(2)), seconds(2));
+  floor.Run(seconds(1));
+  CHECK(ShortJobStarts());
+  CHECK_FALSE(floor.Started(kGang));
+}
+
+class workspace_maximum_fixture {
+ protected:
+  workspace_maximum_fixture() { floor.AddInstances(6, kInstance); }
+
+  advised_floor floor{resources{40000, 0, 0, 0}};
+};
+
+// Guards against idle instances that are kept for a gang beyond its workspace's maximum.
+TEST_CASE_METHOD(workspace_maximum_fixture,
+                 "unplaceable step, gang beyond its workspace's maximum, less urgent job starts") {
+  floor.SubmitUrgent(kGang, Gang(12, 7000, seconds(2)), seconds(2));
+  floor.Run(seconds(1));
+  floor.SubmitPatient(kShort, Tasks(2, 2700, milliseconds(400)), milliseconds(400));
+  floor.Run(seconds(2));
+  CHECK(floor.Started(kShort));
+  CHECK_FALSE(floor.Started(kGang));
+}
+
+// The same while the workspace has too much running for it.
+TEST_CASE_METHOD(workspace_maximum_fixture,
+                 "waiting gang, its workspace is nearly at its maximum, less urgent job starts") {
+  floor.SubmitUrgent(kLong, Tasks(1, 12000, seconds(60)), seconds(60));
+  floor.Run(seconds(1));
+  floor.SubmitUrgent(kGang, Gang(10, 4000, seconds(2)), seconds(2));
+  floor.Run(seconds(1));
+  floor.SubmitPatient(kShort, Tasks(2, 2700, milliseconds(400)), milliseconds(400));
+  floor.Run(seconds(2));
+  CHECK(floor.Started(kShort));
+  CHECK_FALSE(floor.Started(kGang));
+}
+
+}  // namespace
+}  // namespace catkinford
