Open due occurrences of a repeated job within a window

One job with 43,200 runs that are due at once ends each process that owns the site, as it exceeds 260 MB; nothing else is done.

Cause: the state of all tasks of each due occurrence was made at once.

Ruled out: records of occurrences that have not begun (small, but written for each; left out now).

Change: occurrence_window limits the tasks of a job that are not at work, and shares that limit among repeated jobs; one occurrence is always open, and the next ones follow in order as tasks start or occurrences end. Many occurrences that end before an earlier one are recorded as ranges. The end of a step looks at its own occurrence only.

Why it works: memory follows what is at work and a fixed window, not the number of runs that were announced. Nothing is dropped: the number of the next occurrence says what is still to be opened, also to the next owner.

--- a/src/process/scheduling/graph_state.cc
+++ b/src/process/scheduling/graph_state.cc
@@ -27,6 +27,23 @@
   out += ']';
 }
 
+// Occurrences that are done beside an earlier one that is not are listed one by one up to this
+// number, as earlier programs read them, and as ranges beyond it: one run that lasts may have tens
+// of thousands of others end before it.
+constexpr size_t kMaxListedOccurrences = 64;
+
+// [first, count, ...] of ascending numbers, without the brackets.
+std::string Spans(const std::vector<uint32_t>& numbers) {
+  std::string out;
+  for (size_t i = 0; i < numbers.size();) {
+    size_t end = i + 1;
+    while (end < numbers.size() && numbers[end] == numbers[end - 1] + 1) ++end;
+    absl::StrAppend(&out, out.empty() ? "" : ",", numbers[i], ",", end - i);
+    i = end;
+  }
+  return out;
+}
+
 // Serialized without a JSON tree: some hundred records are written a second, and building a tree
 // for each would take most of the time.
 void AppendStep(const step_progress& step, const run_numbers& numbers, std::string& out) {
@@ -116,17 +133,28 @@
                       const run_numbers& numbers) {
   entry.done_below = WholeFrom<uint32_t>(in, "below", 0);
   entry.finished = WholesFrom<uint32_t>(in, "finished");
+  const json spans = in.value("spans", json::array());
+  for (size_t i = 0; i + 1 < spans.size(); i += 2) {
+    const auto first = WholeFrom<uint32_t>(spans[i]);
+    const uint64_t end = uint64_t{first} + WholeFrom<uint32_t>(spans[i + 1]);
+    for (uint64_t k = first; k < std::min<uint64_t>(end, entry.job.Occurrences()); ++k) {
+      entry.finished.push_back(static_cast<uint32_t>(k));
+    }
+  }
+  std::sort(entry.finished.begin(), entry.finished.end());
   entry.next_occurrence = entry.done_below;
   for (const json& one : in.value("open", json::array())) {
     const auto number = WholeFrom<uint32_t>(one.at("k"));
     if (number >= entry.job.Occurrences()) continue;
-    auto state = MakeOccurrence(entry.job, number, now);
+    if (entry.occurrences.contains(number)) continue;
+    occurrence_state& state = AddOccurrence(entry, number, now);
     const json& steps = one.at("steps");
-    for (size_t i = 0; i < steps.size() && i < state->steps.size(); ++i) {
-      ApplyStep(state->steps[i], steps[i], numbers);
+    for (size_t i = 0; i < steps.size() && i < state.steps.size(); ++i) {
+      ApplyStep(state.steps[i], steps[i], numbers);
+      entry.waiting_tasks -= state.steps[i].done;
+      entry.done_tasks += state.steps[i].done;
     }
-    state->started = true;
-    entry.occurrences[number] = std::move(state);
+    state.started = true;
   }
 }
 
@@ -155,6 +183,20 @@
 
 namespace {
 
+// Without it, an occurrence that is opened anew is the same.
+bool HasProgress(const step_progress& step) {
+  return step.waiting < step.tasks.size() || !step.gang_failed_runs.empty() ||
+         std::any_of(step.tasks.begin(), step.tasks.end(), [](const graph_task_state& task) {
+           return task.last_run > 0 || !task.open_runs.empty() || !task.failed_runs.empty() ||
+                  !task.checkpoint.empty();
+         });
+}
+
+bool HasProgress(const occurrence_state& occurrence) {
+  return std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
+                     [](const step_progress& step) { return HasProgress(step); });
+}
+
 bool HasOpenRuns(const occurrence_state& occurrence) {
   return std::any_of(
       occurrence.steps.begin(), occurrence.steps.end(), [](const step_progress& step) {
@@ -238,10 +280,22 @@
   return out;
 }
 
+occurrence_state& AddOccurrence(job_entry& entry, uint32_t number, monotonic_time now) {
+  std::unique_ptr<occurrence_state>& slot = entry.occurrences[number];
+  slot = MakeOccurrence(entry.job, number, now);
+  for (const step_progress& step : slot->steps) entry.waiting_tasks += step.waiting;
+  return *slot;
+}
+
 void FinishOccurrence(job_entry& entry, uint32_t number) {
-  entry.occurrences.erase(number);
-  entry.finished.push_back(number);
-  std::sort(entry.finished.begin(), entry.finished.end());
+  const auto open = entry.occurrences.find(number);
+  for (const step_progress& step : open->second->steps) {
+    entry.waiting_tasks -= step.waiting;
+    entry.done_tasks -= step.done;
+  }
+  entry.occurrences.erase(open);
+  entry.finished.insert(std::upper_bound(entry.finished.begin(), entry.finished.end(), number),
+                        number);
   size_t used = 0;
   while (used < entry.finished.size() && entry.finished[used] == entry.done_below) {
     ++entry.done_below;
@@ -253,7 +307,7 @@
 
 bool IsFinished(const job_entry& entry, uint32_t number) {
   return number < entry.done_below ||
-         std::find(entry.finished.begin(), entry.finished.end(), number) != entry.finished.end();
+         std::binary_search(entry.finished.begin(), entry.finished.end(), number);
 }
 
 bool HasOpenRuns(const job_entry& entry) {
@@ -291,14 +345,16 @@
 std::string ProgressToText(const job_entry& entry, const run_numbers& numbers) {
   std::string out = absl::StrCat(R"({"phase":")", std::string(ToText(entry.phase)), R"(","below":)",
                                  entry.done_below);
-  if (!entry.finished.empty()) {
+  if (entry.finished.size() > kMaxListedOccurrences) {
+    absl::StrAppend(&out, R"(,"spans":[)", Spans(entry.finished), "]");
+  } else if (!entry.finished.empty()) {
     absl::StrAppend(&out, R"(,"finished":[)", absl::StrJoin(entry.finished, ","), "]");
   }
   const bool final = IsFinal(entry.phase);
   if (!final || HasOpenRuns(entry)) {
     out += R"(,"open":[)";
     for (const auto& [number, occurrence] : entry.occurrences) {
-      if (final && !HasOpenRuns(*occurrence)) continue;
+      if (final ? !HasOpenRuns(*occurrence) : !HasProgress(*occurrence)) continue;
       absl::StrAppend(&out, out.back() == '[' ? "" : ",", R"({"k":)", number, R"(,"steps":[)");
       for (const step_progress& step : occurrence->steps) {
         if (out.back() != '[') out += ',';
@@ -330,6 +386,8 @@
   entry.finished = std::move(fresh.finished);
   entry.done_below = fresh.done_below;
   entry.next_occurrence = fresh.next_occurrence;
+  entry.waiting_tasks = fresh.waiting_tasks;
+  entry.done_tasks = fresh.done_tasks;
   return true;
 }
 
--- a/src/process/scheduling/graph_state.h
+++ b/src/process/scheduling/graph_state.h
@@ -164,9 +164,13 @@
   const queue_config* queue = nullptr;
   uint32_t service = 0;  // ordinal of the service whose instances run it
   graph_phase phase = graph_phase::kQueued;
-  std::map<uint32_t, std::unique_ptr<occurrence_state>> occurrences;  // due and not done
-  uint32_t next_occurrence = 0;    // first occurrence that is not due yet
-  std::vector<uint32_t> finished;  // done occurrences at or above `done_below`
+  std::map<uint32_t, std::unique_ptr<occurrence_state>> occurrences;  // open and not done
+  // First occurrence that is not open yet: it is not due, or due and beyond the window.
+  uint32_t next_occurrence = 0;
+  bool awaits_window = false;      // the next occurrence is due and beyond the window
+  uint64_t waiting_tasks = 0;      // of all `occurrences`
+  uint64_t done_tasks = 0;         // the same
+  std::vector<uint32_t> finished;  // done occurrences at or above `done_below`, ascending
   uint32_t done_below = 0;         // all occurrences below are done
   bool started = false;            // some task is known to have begun
   bool beyond_share = false;       // exceeded the workspace's share on arrival
@@ -192,6 +196,8 @@
 // Creates the occurrence's tasks, all waiting.
 std::unique_ptr<occurrence_state> MakeOccurrence(const graph_job& job, uint32_t number,
                                                  monotonic_time now);
+// Adds the occurrence, which must not be there.
+occurrence_state& AddOccurrence(job_entry& entry, uint32_t number, monotonic_time now);
 // Marks an occurrence as done and drops its tasks.
 void FinishOccurrence(job_entry& entry, uint32_t number);
 bool IsFinished(const job_entry& entry, uint32_t number);
--- a/src/process/scheduling/job_scheduler.cc
+++ b/src/process/scheduling/job_scheduler.cc
@@ -79,6 +79,7 @@
     return IdentifyWork(entry, now);
   }
   active_.push_back(&entry);
+  window_.Join(entry.job);
   OpenOccurrences(entry, wall, now);
   const size_t restored = RestoreRecordedRuns(entry, now);
   LogEvent(scheduler_event::kind::kJobAdded, id,
@@ -167,24 +168,41 @@
 }
 
 void job_scheduler::OpenOccurrences(job_entry& entry, wall_time wall, monotonic_time now) {
+  std::vector<occurrence_state*> opened;
   while (entry.next_occurrence < entry.job.Occurrences()) {
     const uint32_t number = entry.next_occurrence;
     if (entry.job.repeats > 0 && wall < NextDue(entry)) {
       due_.emplace(std::pair(NextDue(entry), entry.number), &entry);
       break;
     }
+    const auto seen = entry.occurrences.find(number);
+    const bool made = seen == entry.occurrences.end() && !IsFinished(entry, number);
+    if (made && !window_.MayOpenNext(entry)) {
+      entry.awaits_window = true;
+      break;
+    }
     ++entry.next_occurrence;
-    if (IsFinished(entry, number) || entry.occurrences.contains(number)) continue;
-    entry.occurrences[number] = MakeOccurrence(entry.job, number, now);
+    if (made) {
+      opened.push_back(&AddOccurrence(entry, number, now));
+    } else if (seen != entry.occurrences.end()) {
+      opened.push_back(seen->second.get());
+    }
   }
-  RefreshReady(entry, now);
+  if (opened.empty()) SetObjective(entry);
+  for (occurrence_state* occurrence : opened) RefreshReady(entry, *occurrence, now);
+}
+
+void job_scheduler::ResumeOpening(job_entry& entry) {
+  if (!entry.awaits_window || IsFinal(entry.phase) || !window_.MayOpenNext(entry)) return;
+  entry.awaits_window = false;
+  due_.emplace(std::pair(NextDue(entry), entry.number), &entry);
 }
 
 void job_scheduler::OpenSeen(job_entry& entry, uint32_t number, monotonic_time now) {
   const bool later = number >= entry.next_occurrence && number < entry.job.Occurrences();
   if (IsFinal(entry.phase) || !later) return;
   if (IsFinished(entry, number) || entry.occurrences.contains(number)) return;
-  entry.occurrences[number] = MakeOccurrence(entry.job, number, now);
+  AddOccurrence(entry, number, now);
 }
 
 void job_scheduler::OpenDue(wall_time wall, monotonic_time now) {
@@ -195,29 +213,31 @@
   }
 }
 
-void job_scheduler::RefreshReady(job_entry& entry, monotonic_time now) {
-  for (auto& [number, occurrence] : entry.occurrences) {
-    if (number >= entry.next_occurrence) continue;  // not due: an earlier owner began it
-    for (size_t i = 0; i < occurrence->steps.size(); ++i) {
-      step_progress& step = occurrence->steps[i];
-      if (step.ready) continue;
-      const auto& after = entry.job.steps[i].after;
-      const bool ready = std::all_of(after.begin(), after.end(), [&](uint32_t earlier) {
-        return occurrence->steps[earlier].Done();
-      });
-      if (!ready) continue;
-      step.ready = true;
-      step.ready_at = now;
-      CountReady(entry, step, static_cast<uint32_t>(i));
-      const step_spec& terms = entry.job.steps[i];
-      if (!terms.long_running && !terms.fills && !entry.beyond_share) {
-        kept_.OnReady(entry.service, TermsOf(entry).priority,
-                      uint64_t{terms.need.cpu_milli} * step.waiting, now);
-      }
+void job_scheduler::RefreshReady(job_entry& entry, occurrence_state& occurrence,
+                                 monotonic_time now) {
+  // Not open: an earlier owner began it.
+  if (occurrence.number >= entry.next_occurrence) return;
+  for (size_t i = 0; i < occurrence.steps.size(); ++i) {
+    step_progress& step = occurrence.steps[i];
+    if (step.ready) continue;
+    const auto& after = entry.job.steps[i].after;
+    const bool ready = std::all_of(after.begin(), after.end(), [&](uint32_t earlier) {
+      return occurrence.steps[earlier].Done();
+    });
+    if (!ready) continue;
+    step.ready = true;
+    step.ready_at = now;
+    CountReady(entry, step, static_cast<uint32_t>(i));
+    const step_spec& terms = entry.job.steps[i];
+    const bool counts = !terms.long_running && !terms.fills && !entry.beyond_share;
+    const ready_step made{&entry, &occurrence, static_cast<uint32_t>(i)};
+    if (counts && StandingOf(made) != step_standing::kUnplaceable) {
+      kept_.OnReady(entry.service, TermsOf(entry).priority,
+                    uint64_t{terms.need.cpu_milli} * step.waiting, now);
     }
   }
   SetObjective(entry);
-  UpdateReady(entry, now);
+  for (uint32_t i = 0; i < occurrence.steps.size(); ++i) UpdateReady(entry, occurrence, i, now);
 }
 
 void job_scheduler::MoveTask(job_entry& entry, const task_key& key, graph_task_phase to,
@@ -233,6 +253,11 @@
   if (from == to) return;
   --count(from);
   ++count(to);
+  if (from == graph_task_phase::kWaiting) --entry.waiting_tasks;
+  if (to == graph_task_phase::kWaiting) ++entry.waiting_tasks;
+  if (from == graph_task_phase::kDone) --entry.done_tasks;
+  if (to == graph_task_phase::kDone) ++entry.done_tasks;
+  ResumeOpening(entry);
   if (to == graph_task_phase::kWaiting) task.waiting_since = now;
   if (from == graph_task_phase::kActive && --entry.active_tasks == 0) running_.erase(entry.number);
   if (to == graph_task_phase::kActive && ++entry.active_tasks == 1 && !IsFinal(entry.phase)) {
@@ -313,6 +338,7 @@
   active_.erase(std::remove(active_.begin(), active_.end(), &entry), active_.end());
   running_.erase(entry.number);
   due_.erase(std::pair(NextDue(entry), entry.number));
+  window_.Leave(entry.job);
   for (const auto& [number, occurrence] : entry.occurrences) RemoveReady(entry, *occurrence);
   final_.push_back(entry.job.id);
   if (phase != graph_phase::kCompleted) StopAllRuns(entry, now);
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -30,6 +30,7 @@
 #include "process/scheduling/job_order.h"
 #include "process/scheduling/job_stages.h"
 #include "process/scheduling/listing_wait.h"
+#include "process/scheduling/occurrence_window.h"
 #include "process/scheduling/ready_queue.h"
 #include "process/scheduling/run_times.h"
 #include "process/scheduling/schedulable_capacity.h"
@@ -240,13 +241,17 @@
     auto [subject, detail] = describe();
     LogEvent(what, std::move(subject), std::move(detail));
   }
+  // Opens the occurrences that are due, as far as the window allows.
   void OpenOccurrences(job_entry& entry, wall_time wall, monotonic_time now);
+  // The next round opens further ones if the window has room for them by now.
+  void ResumeOpening(job_entry& entry);
   // Opens an occurrence that is not due by this owner's clock and of which a run or an end was
   // listed: the earlier owner's clock was ahead. Nothing starts there before it is due.
   static void OpenSeen(job_entry& entry, uint32_t number, monotonic_time now);
   // Opens the occurrences that are due by now.
   void OpenDue(wall_time wall, monotonic_time now);
-  void RefreshReady(job_entry& entry, monotonic_time now);
+  // Queues the steps of the occurrence that have become ready.
+  void RefreshReady(job_entry& entry, occurrence_state& occurrence, monotonic_time now);
   // Queues the step at its place among those that wait for an instance, or removes it.
   void UpdateReady(job_entry& entry, occurrence_state& occurrence, uint32_t index,
                    monotonic_time now);
@@ -563,8 +568,9 @@
   absl::flat_hash_map<std::string, arrival_rate_limit> arrival_limits_;  // by workspace
   std::vector<job_entry*> active_;                                       // not final
   absl::btree_map<uint64_t, job_entry*> running_;  // those with active tasks, by number
-  // Those with occurrences that are not due yet, by the time of the next one.
+  // Those with occurrences that are not open and not beyond the window, by the time of the next.
   absl::btree_map<std::pair<wall_time, uint64_t>, job_entry*> due_;
+  occurrence_window window_;
   uint64_t last_job_number_ = 0;
   ready_queue ready_;
   // Of the latest round. Its instances exist: it is cleared when one is forgotten.
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -232,13 +232,14 @@
     speeds_.OnStep(std::exchange(step->run_times, {}), expected, now);
   }
   EndStep(entry, *occurrence->second, key.step, times);
-  RefreshReady(entry, now);
+  RefreshReady(entry, *occurrence->second, now);
   if (!occurrence->second->Done()) return;
   // Runs that still exist refer to the occurrence: they are stopped as stray runs.
   StopRuns(entry, *occurrence->second, stop_cause::kCopyLost, now);
   const job_stage_times stages = step->stages;
   RemoveReady(entry, *occurrence->second);
   FinishOccurrence(entry, key.occurrence);
+  ResumeOpening(entry);
   if (!entry.AllDone()) return;
   entry.stages = stages;
   Finish(entry, graph_phase::kCompleted, now);
