Ask of labels and verdicts too whether a step can be placed; no step is shut out of policy queries

Behind it a second one: the limit of 64 assumed that steps further back have no chance, which does not hold where those in front need another kind or size.

Change: schedulable_capacity asks for the step's label, and leaves out instances that a verdict excludes. Steps beyond the first 64 are queried in turn, each within four rounds of being looked at.

--- a/src/process/scheduling/ready_queue.cc
+++ b/src/process/scheduling/ready_queue.cc
@@ -157,7 +157,10 @@
       turn_after_ = at->first;
       if (StepOf(at->second).looked_at_round == round_) continue;
       const step_standing standing = standing_of(at->second);
-      if (standing == step_standing::kEligible) out.push_back(at->second);
+      if (standing == step_standing::kEligible) {
+        out.push_back(at->second);
+        out.back().in_turn = true;
+      }
       if (standing == step_standing::kUnplaceable) unplaceable.push_back(at->second);
     }
     if (at != steps.end()) break;
--- a/src/process/scheduling/ready_queue.h
+++ b/src/process/scheduling/ready_queue.h
@@ -26,6 +26,7 @@
   job_entry* entry;
   occurrence_state* occurrence;
   uint32_t index;
+  bool in_turn = false;  // not one of the first of its service
 };
 
 enum class step_standing : uint8_t {
--- a/src/process/scheduling/schedulable_capacity.cc
+++ b/src/process/scheduling/schedulable_capacity.cc
@@ -44,33 +44,51 @@
 
 void schedulable_capacity::Clear(size_t services) {
   services_.resize(services + 1);
-  for (service_instances& each : services_) {
-    each.all.clear();
+  for (instance_group& each : services_) {
+    each.members.clear();
     each.largest = {};
   }
+  labelled_.clear();
 }
 
-void schedulable_capacity::Add(const fleet_instance& instance) {
-  service_instances& of = services_[instance.service];
-  of.all.push_back(&instance);
+void schedulable_capacity::instance_group::Add(const fleet_instance& instance) {
+  members.push_back(&instance);
   const resources capacity = instance.WithoutEndlessRuns();
-  of.largest.cpu_milli = std::max(of.largest.cpu_milli, capacity.cpu_milli);
-  of.largest.memory_mb = std::max(of.largest.memory_mb, capacity.memory_mb);
-  of.largest.accelerators = std::max(of.largest.accelerators, capacity.accelerators);
+  largest.cpu_milli = std::max(largest.cpu_milli, capacity.cpu_milli);
+  largest.memory_mb = std::max(largest.memory_mb, capacity.memory_mb);
+  largest.accelerators = std::max(largest.accelerators, capacity.accelerators);
+}
+
+void schedulable_capacity::Add(const fleet_instance& instance) {
+  services_[instance.service].Add(instance);
+}
+
+const schedulable_capacity::instance_group& schedulable_capacity::GroupOf(
+    uint32_t service, const std::string& label) {
+  if (label.empty()) return services_[service];
+  const auto [found, is_new] = labelled_.try_emplace(std::pair(service, label));
+  if (!is_new) return found->second;
+  for (const fleet_instance* instance : services_[service].members) {
+    const std::vector<std::string>& labels = instance->report.labels;
+    if (std::find(labels.begin(), labels.end(), label) != labels.end()) {
+      found->second.Add(*instance);
+    }
+  }
+  return found->second;
 }
 
 bool schedulable_capacity::Empty(uint32_t service) const {
-  return service >= services_.size() || services_[service].all.empty();
+  return service >= services_.size() || services_[service].members.empty();
 }
 
 bool schedulable_capacity::CanHold(uint32_t service, const step_spec& step,
-                                   const step_advice& advice) const {
+                                   const step_advice& advice) {
   if (Empty(service)) return false;
-  const service_instances& of = services_[service];
+  const instance_group& of = GroupOf(service, step.required_label);
   const resources need = AtInstance(step);
   if (!Covers(of.largest, need)) return false;
   uint32_t missing = TasksAtOnce(step);
-  for (const fleet_instance* instance : of.all) {
+  for (const fleet_instance* instance : of.members) {
     const advice_verdict* verdict = advice.FindVerdict(instance->ordinal);
     if (verdict != nullptr && !verdict->allowed) continue;
     const uint32_t most =
--- a/src/process/scheduling/schedulable_capacity.h
+++ b/src/process/scheduling/schedulable_capacity.h
@@ -7,8 +7,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
+#include <utility>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "process/scheduling/fleet_state.h"
 #include "process/scheduling/graph_state.h"
 #include "request/step_graph.h"
@@ -30,16 +33,22 @@
   // No instance of the service accepts work.
   bool Empty(uint32_t service) const;
   // True if the instances of the service can run as many of the step's tasks at once as it needs to
-  // start. Instances that a verdict excludes do not count.
-  bool CanHold(uint32_t service, const step_spec& step, const step_advice& advice) const;
+  // start. Instances without its label, and those that a verdict excludes, do not count.
+  bool CanHold(uint32_t service, const step_spec& step, const step_advice& advice);
 
  private:
-  struct service_instances {
-    std::vector<const fleet_instance*> all;
+  struct instance_group {
+    std::vector<const fleet_instance*> members;
     resources largest;  // of each resource, the most at one instance
+
+    void Add(const fleet_instance& instance);
   };
+  // The instances of the service with the label; empty: all.
+  const instance_group& GroupOf(uint32_t service, const std::string& label);
 
-  std::vector<service_instances> services_;  // by ordinal
+  std::vector<instance_group> services_;  // by ordinal
+  // Those that were asked for since the last Clear().
+  absl::flat_hash_map<std::pair<uint32_t, std::string>, instance_group> labelled_;
 };
 
 }  // namespace catkinford
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -21,9 +21,11 @@
 constexpr milliseconds kDefaultValid{2000};
 // A step is queried ahead if it will be ready within the duration of a query plus this.
 constexpr milliseconds kLookaheadSlack{150};
-// Limit on the steps of one service per round, most urgent first: each step scans all its
-// instances, and steps further back have no chance of getting capacity.
+// Limit on the first steps of one service per round, since each step scans all its instances. Of
+// those further back, which may fit where the first ones do not, each is queried in one round of so
+// many.
 constexpr size_t kMaxStepsPerService = 64;
+constexpr size_t kTurnsOfOthers = 4;
 // How long free capacity counts as current when a waiting query is adapted.
 constexpr milliseconds kRoundUsable{50};
 
@@ -341,8 +343,8 @@
   return true;
 }
 
-// Steps that wait for an instance, at most a fixed number per service. Those whose workspace is at
-// its limit do not count: they would fill it, and no step behind them would ever be queried.
+// Steps that wait for an instance: of each service the first ones, and the others in turn. Those
+// whose workspace is at its limit do not count: they would take all places.
 std::vector<ready_step> job_scheduler::StepsToQuery(
     const std::vector<ready_step>& ready_steps) const {
   std::vector<ready_step> out;
@@ -350,9 +352,10 @@
   for (const ready_step& ready : ready_steps) {
     const job_entry& entry = *ready.entry;
     if (ready.occurrence->steps[ready.index].waiting == 0) continue;
-    if (!TermsOf(entry).needs_advice || taken[entry.service] >= kMaxStepsPerService) continue;
+    if (!TermsOf(entry).needs_advice) continue;
     if (!WithinLimit(entry, NeedAtOnce(entry.job.steps[ready.index]))) continue;
-    ++taken[entry.service];
+    const size_t place = ready.in_turn ? 0 : taken[entry.service]++;
+    if (place >= kMaxStepsPerService && (place + round_) % kTurnsOfOthers != 0) continue;
     out.push_back(ready);
   }
   return out;
--- a/test/unplaceable_step_test.cc
+++ b/test/unplaceable_step_test.cc
@@ -153,5 +153,83 @@
   CHECK_FALSE(floor.Started(kGang));
 }
 
+// Four instances of a kind that all jobs may use, and one of a kind that some need.
+class two_kinds_fixture {
+ protected:
+  two_kinds_fixture() {
+    floor.AddInstances(4, kInstance, "plain");
+    floor.AddInstances(1, kInstance, "rare");
+    floor.Run(seconds(1));
+  }
+
+  static step_spec RareTasks(uint32_t count) {
+    step_spec step = Tasks(count, 2700, milliseconds(400));
+    step.required_label = "rare";
+    return step;
+  }
+  bool ShortJobStarts() {
+    floor.SubmitPatient(kShort, Tasks(2, 2700, milliseconds(400)), milliseconds(400));
+    floor.Run(seconds(2));
+    return floor.Started(kShort);
+  }
+
+  advised_floor floor;
+};
+
+// Guards against jobs for a lost kind of instance that take all places in the policy's queries.
+TEST_CASE_METHOD(two_kinds_fixture,
+                 "unplaceable step, hundreds of jobs for a lost kind, less urgent job starts") {
+  floor.RemoveInstances("rare");
+  for (uint32_t i = 0; i < 300; ++i) floor.SubmitUrgent(100 + i, RareTasks(2), milliseconds(400));
+  floor.Run(seconds(1));
+  CHECK(ShortJobStarts());
+}
+
+// The same where they are of the same workspace and queue, and come first.
+TEST_CASE_METHOD(two_kinds_fixture,
+                 "unplaceable step, hundreds of jobs for a lost kind, job behind them starts") {
+  floor.RemoveInstances("rare");
+  for (uint32_t i = 0; i < 300; ++i) floor.SubmitPatient(100 + i, RareTasks(2), milliseconds(400));
+  floor.Run(seconds(1));
+  CHECK(ShortJobStarts());
+}
+
+// Guards against jobs that are forgotten once their kind of instance is back.
+TEST_CASE_METHOD(two_kinds_fixture, "unplaceable step, lost kind is back, all its jobs start") {
+  floor.RemoveInstances("rare");
+  for (uint32_t i = 0; i < 300; ++i) floor.SubmitUrgent(100 + i, RareTasks(1), milliseconds(100));
+  floor.Run(seconds(5));
+  floor.AddInstances(1, kInstance, "rare");
+  floor.Run(seconds(30));
+  for (uint32_t i = 0; i < 300; ++i) CHECK(floor.Started(100 + i));
+}
+
+// Guards against a job that takes a place for good though its policy allows no instance to it.
+TEST_CASE_METHOD(two_kinds_fixture,
+                 "unplaceable step, policy excludes all instances, job behind them starts") {
+  for (const instance_report& report : floor.reports) floor.excluded.insert(report.id);
+  for (uint32_t i = 0; i < 300; ++i) {
+    floor.SubmitPatient(100 + i, Tasks(1, 2700, milliseconds(400)), milliseconds(400));
+    floor.Run(milliseconds(20));
+  }
+  floor.Run(seconds(2));
+  floor.excluded.clear();
+  CHECK(ShortJobStarts());
+}
+
+// Guards against steps that wait for wide capacity and take all places in the policy's queries from
+// those that fit beside what runs.
+TEST_CASE_METHOD(two_kinds_fixture,
+                 "waiting step, hundreds of wide ones wait for long runs, narrow one starts") {
+  floor.SubmitPatient(kLong, Tasks(5, 9000, seconds(60)), seconds(60));
+  floor.Run(seconds(1));
+  REQUIRE(floor.RunsOf(kLong) == 5);
+  for (uint32_t i = 0; i < 300; ++i) {
+    floor.SubmitUrgent(100 + i, Tasks(1, 10000, seconds(1)), seconds(1));
+  }
+  floor.Run(seconds(1));
+  CHECK(ShortJobStarts());
+}
+
 }  // namespace
 }  // namespace catkinford
