Ask for the limit per instance too when capacity is reserved

Cause: ReserveCapacity asked for free resources only; placement and the claims of policy queries ask for the limit.

Change: a candidate for a reservation counts the tasks that the step may still have there.

--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -470,6 +470,7 @@
     capacity_forecast* forecast;
     monotonic_time ticket_at;
     monotonic_time from;
+    uint32_t tasks_left;  // of the step, by its limit for one instance
   };
   // The instances that will have capacity for a task of the step.
   std::vector<reservation_candidate> ReservationCandidates(const ready_step& ready,
--- a/src/process/scheduling/scheduler_reservations.cc
+++ b/src/process/scheduling/scheduler_reservations.cc
@@ -32,6 +32,7 @@
 // none.
 template <typename Candidate>
 bool Advance(Candidate& candidate, const resources& need, monotonic_time now) {
+  if (--candidate.tasks_left == 0) return false;
   const auto free_at = candidate.forecast->EarliestFor(need, now);
   if (free_at) candidate.from = std::max(*free_at, candidate.ticket_at);
   return free_at.has_value();
@@ -104,11 +105,14 @@
     if (!MayRun(instance, ready, now)) return;
     // Any end frees enough for a narrow task, but not for all members of a gang at once.
     if (!terms.gang && IsNarrow(terms.need, instance.report.capacity)) return;
+    const uint32_t tasks_left = MaxTasksAt(ready, instance, step.waiting);
+    if (tasks_left == 0) return;
     capacity_forecast& forecast = ForecastOf(instance, now);
     const auto free_at = forecast.EarliestFor(terms.need, now);
     if (!free_at) return;
     const monotonic_time ticket_at = TicketAvailableAt(ready, instance.ordinal, now);
-    candidates.push_back({&instance, &forecast, ticket_at, std::max(*free_at, ticket_at)});
+    candidates.push_back(
+        {&instance, &forecast, ticket_at, std::max(*free_at, ticket_at), tasks_left});
   };
   if (TermsOf(*ready.entry).needs_advice) {
     for (const advice_verdict& verdict : step.advice.verdicts) {
--- a/test/unplaceable_step_test.cc
+++ b/test/unplaceable_step_test.cc
@@ -122,6 +122,20 @@
   CHECK_FALSE(floor.Started(kGang));
 }
 
+// Guards against idle instances that are kept for a step whose tasks wait for each other, by their
+// limit per instance.
+TEST_CASE_METHOD(six_instances_fixture,
+                 "waiting step, at its limit on all instances, less urgent job starts") {
+  step_spec apart = Tasks(24, 7000, seconds(40));
+  apart.max_per_instance = 1;
+  floor.SubmitUrgent(kLong, apart, seconds(40));
+  floor.Run(seconds(1));
+  REQUIRE(floor.RunsOf(kLong) == 6);
+  floor.SubmitPatient(kShort, Tasks(2, 5000, seconds(2)), seconds(2));
+  floor.Run(seconds(1));
+  CHECK(floor.Started(kShort));
+}
+
 class workspace_maximum_fixture {
  protected:
   workspace_maximum_fixture() { floor.AddInstances(6, kInstance); }
