Limit how long a mostly idle service is reserved

What callers would see: LOST. Found by a property over random floors: a gang waits for one run that is overdue; as that run is expected to end in 100 ms in each round anew, the whole floor is kept for the gang until it ends.

Ruled out: claims of policy queries.

Change: where under half of a service's processors are in use, its steps reserve for 2 s and then not for 2 s. On a busier floor nothing changes.

Test: "waiting gang, the run that it waits for is overdue, other job starts in 3 s" fails with the limit switched off.

--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -27,6 +27,7 @@
 #include "process/scheduling/copy_policy.h"
 #include "process/scheduling/fleet_state.h"
 #include "process/scheduling/graph_state.h"
+#include "process/scheduling/idle_hold.h"
 #include "process/scheduling/job_order.h"
 #include "process/scheduling/job_stages.h"
 #include "process/scheduling/listing_wait.h"
@@ -461,7 +462,7 @@
   bool StartMayArrive(const task_key& key) const;
 
   // scheduler_reservations.cc: capacity for the steps that are next in order
-  void ResetReservations();
+  void ResetReservations(monotonic_time now);
   // Reserves capacity for the step's tasks that found none.
   void ReserveCapacity(const ready_step& ready, monotonic_time now);
   // A reservation changes the forecast of its own instance only.
@@ -611,6 +612,8 @@
   // Of the current round, by ordinal of the instance; null where nothing is reserved.
   std::vector<std::unique_ptr<capacity_forecast>> forecasts_;
   std::vector<uint32_t> reserving_steps_;  // by service
+  std::vector<idle_hold> idle_holds_;      // by service
+  std::vector<bool> may_reserve_;          // by service
   uint64_t round_ = 0;                     // of decisions
   uint64_t steps_seen_ = 0;
   uint32_t starts_in_flight_ = 0;
--- a/src/process/scheduling/schedulable_capacity.cc
+++ b/src/process/scheduling/schedulable_capacity.cc
@@ -45,8 +45,10 @@
 void schedulable_capacity::Clear(size_t services) {
   services_.resize(services + 1);
   for (instance_group& each : services_) {
-    each.members.clear();
-    each.largest = {};
+    std::vector<const fleet_instance*> members = std::move(each.members);
+    members.clear();
+    each = {};
+    each.members = std::move(members);  // with its memory
   }
   labelled_.clear();
 }
@@ -57,6 +59,8 @@
   largest.cpu_milli = std::max(largest.cpu_milli, capacity.cpu_milli);
   largest.memory_mb = std::max(largest.memory_mb, capacity.memory_mb);
   largest.accelerators = std::max(largest.accelerators, capacity.accelerators);
+  cpu_milli += instance.report.capacity.cpu_milli;
+  used_cpu_milli += instance.used.cpu_milli;
 }
 
 void schedulable_capacity::Add(const fleet_instance& instance) {
@@ -77,6 +81,11 @@
   return found->second;
 }
 
+bool schedulable_capacity::MostlyIdle(uint32_t service) const {
+  if (Empty(service)) return false;
+  return services_[service].used_cpu_milli * 2 < services_[service].cpu_milli;
+}
+
 bool schedulable_capacity::Empty(uint32_t service) const {
   return service >= services_.size() || services_[service].members.empty();
 }
--- a/src/process/scheduling/schedulable_capacity.h
+++ b/src/process/scheduling/schedulable_capacity.h
@@ -30,6 +30,8 @@
   void Clear(size_t services);
   // The instance must exist until the next Clear().
   void Add(const fleet_instance& instance);
+  // Under half of the processors of the service are in use.
+  bool MostlyIdle(uint32_t service) const;
   // No instance of the service accepts work.
   bool Empty(uint32_t service) const;
   // True if the instances of the service can run as many of the step's tasks at once as it needs to
@@ -40,6 +42,8 @@
   struct instance_group {
     std::vector<const fleet_instance*> members;
     resources largest;  // of each resource, the most at one instance
+    uint64_t cpu_milli = 0;
+    uint64_t used_cpu_milli = 0;
 
     void Add(const fleet_instance& instance);
   };
--- a/src/process/scheduling/scheduler_placement.cc
+++ b/src/process/scheduling/scheduler_placement.cc
@@ -337,7 +337,7 @@
     inheritance_settled_ = InheritanceSettled(now);
     if (!records_complete_) CountPossibleRuns();
   }
-  ResetReservations();
+  ResetReservations(now);
   CountFreeFast(now);
   for (const ready_step& ready : steps) {
     if (!MayPlanMore()) break;
--- a/src/process/scheduling/scheduler_reservations.cc
+++ b/src/process/scheduling/scheduler_reservations.cc
@@ -43,10 +43,15 @@
 
 }  // namespace
 
-void job_scheduler::ResetReservations() {
+void job_scheduler::ResetReservations(monotonic_time now) {
   forecasts_.clear();
   forecasts_.resize(last_ordinal_ + 1);
   reserving_steps_.assign(services_.size() + 1, 0);
+  idle_holds_.resize(services_.size() + 1);
+  may_reserve_.resize(services_.size() + 1);
+  for (uint32_t service = 0; service <= services_.size(); ++service) {
+    may_reserve_[service] = idle_holds_[service].MayReserve(schedulable_.MostlyIdle(service), now);
+  }
   ++round_;
 }
 
@@ -130,6 +135,7 @@
   step_progress& step = ready.occurrence->steps[ready.index];
   const step_spec& terms = ready.entry->job.steps[ready.index];
   if (step.waiting == 0 || terms.fills || terms.long_running) return;
+  if (!may_reserve_[ready.entry->service]) return;
   if (reserving_steps_[ready.entry->service] >= kMaxReservingSteps) return;
   if (!WithinLimit(*ready.entry, NeedAtOnce(terms))) return;
   step.reserved.clear();
--- a/test/unplaceable_step_test.cc
+++ b/test/unplaceable_step_test.cc
@@ -136,6 +136,21 @@
   CHECK(floor.Started(kShort));
 }
 
+// Guards against a mostly idle floor that is kept for a gang while the run that it waits for lasts
+// much longer than expected.
+TEST_CASE_METHOD(six_instances_fixture,
+                 "waiting gang, the run that it waits for is overdue, other job starts in 3 s") {
+  floor.SubmitPatient(kLong, Tasks(1, 12000, seconds(2)), seconds(30));
+  floor.Run(seconds(1));
+  REQUIRE(floor.Started(kLong));
+  floor.SubmitUrgent(kGang, Gang(12, 8000, seconds(2)), seconds(2));
+  floor.Run(seconds(5));
+  floor.SubmitPatient(kShort, Tasks(3, 4000, seconds(2)), seconds(2));
+  floor.Run(seconds(3));
+  CHECK(floor.Started(kShort));
+  CHECK_FALSE(floor.Started(kGang));
+}
+
 class workspace_maximum_fixture {
  protected:
   workspace_maximum_fixture() { floor.AddInstances(6, kInstance); }
