Hand over how long runs may go on at instances out of reach

Instances are lost and all processes killed; while owners that last 2 s each follow, the service tasks of the lost instances are not started again.

Cause: an owner without complete records waits some 8 s for instances that it can't list, and what it has waited was lost with it: an incomplete handover was not used at all.

Change: a handover names, for each instance that the former owner could not reach, its incarnation and how long runs may go on there. The next owner waits for the rest only, whether the handover is complete or not. Runs at an instance that this owner never reached are given up when its leases have ended, without a listing that times out first.

Why it is safe: the former owner has ended when it answers, and names the time after which it would have started the work itself; an instance that it reached is not named, and the incarnation must be the same.

--- a/src/process/scheduling/fleet_state.cc
+++ b/src/process/scheduling/fleet_state.cc
@@ -1,5 +1,7 @@
 #include "process/scheduling/fleet_state.h"
 
+#include <algorithm>
+
 namespace catkinford {
 namespace {
 
@@ -89,6 +91,12 @@
   return clock_ms + static_cast<int64_t>(kSlowestClock * static_cast<double>(passed.count()));
 }
 
+monotonic_time fleet_instance::LeaseSurelyExpiresAt() const {
+  const int64_t left_ms = std::max<int64_t>(lease_until_ms - clock_ms, 0);
+  return clock_at + std::chrono::milliseconds(
+                        static_cast<int64_t>(static_cast<double>(left_ms) / kSlowestClock) + 1);
+}
+
 bool fleet_instance::LeaseSurelyExpired(monotonic_time now) const {
   if (lease_until_ms == 0) return !lease_unknown;
   const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(now - clock_at);
--- a/src/process/scheduling/fleet_state.h
+++ b/src/process/scheduling/fleet_state.h
@@ -181,6 +181,9 @@
   // the leases that such commands gave.
   monotonic_time earlier_commands_until{};
   monotonic_time restart_matters_until{};  // to the next owner
+  // While `lease_unknown`: the leases of earlier owners have ended by then, as the last of them
+  // told.
+  std::optional<monotonic_time> earlier_leases_until;
 
   uint32_t starts_in_flight = 0;
   uint32_t stops_in_flight = 0;
@@ -207,6 +210,8 @@
   int64_t ClockAt(monotonic_time now) const;
   // True once every lease ever sent has expired on the instance's own clock, allowing for drift.
   bool LeaseSurelyExpired(monotonic_time now) const;
+  // When it is.
+  monotonic_time LeaseSurelyExpiresAt() const;
 };
 
 // Commands that got no answer may still be executed up to this much later.
--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -81,12 +81,19 @@
   uint64_t change = 0;
 };
 
-// What an owner knows and the store may not, for the same process if it owns the site again and no
-// other did in between.
+// How long a run that this owner has no proof of may go on at an instance that does not answer. The
+// owner sends no command there any more.
+struct lease_wait {
+  int64_t incarnation = 0;  // of the instance
+  std::chrono::milliseconds left{0};
+};
+
+// What an owner knows and the store may not, for its successor: the same process or another one.
 struct scheduler_handover {
   bool complete = false;                        // with it, the records name all runs that may exist
   std::map<std::string, std::string> progress;  // by job, newer than what is stored
   std::optional<learned_record> learned;        // newer than what is stored
+  std::map<std::string, lease_wait> waits;      // by instance; valid also if not complete
 };
 
 class job_scheduler {
@@ -144,7 +151,10 @@
   // All starts that an earlier owner may have sent are in its records: other work need not wait for
   // instances that cannot be listed.
   void SetRecordsComplete();
-  scheduler_handover HandOver() const;
+  scheduler_handover HandOver(monotonic_time now) const;
+  // What the owner directly before told of the instances that it could not reach, as of `since`. To
+  // be called after OnInherited().
+  void OnLeaseWaits(const std::map<std::string, lease_wait>& waits, monotonic_time since);
   // The job, which is known by now, was added with progress that the store does not have.
   void OnUnstoredProgress(const std::string& job);
   // The earlier owner's process has ended by `now`, possibly long after this owner began.
@@ -396,6 +406,8 @@
   void SetRestarted(fleet_instance& instance, monotonic_time now) const;
   // True if no run can be left at the instance unless it is renewed from now on.
   bool LeaseExpired(const fleet_instance& instance, monotonic_time now) const;
+  // When all runs at an instance that does not answer have ended, as far as this owner knows.
+  monotonic_time LeaseEnd(const fleet_instance& instance, monotonic_time now) const;
   // The longest lease that the instance may have from an earlier owner.
   std::chrono::milliseconds EarlierOwnerLease(const fleet_instance& instance,
                                               monotonic_time now) const;
--- a/src/process/scheduling/scheduler_instances.cc
+++ b/src/process/scheduling/scheduler_instances.cc
@@ -65,6 +65,7 @@
   SetRestarted(instance, now);
   instance.listed = false;
   // `lease_unknown` stays: an earlier owner may have known this incarnation and renewed there.
+  instance.earlier_leases_until.reset();
   instance.replaced = false;
   instance.clock_ms = 0;
   instance.listed_at_ms = 0;
@@ -305,7 +306,9 @@
     if (!instance->lease_unknown && now >= instance->restart_matters_until) {
       instance->report.restarted = false;
     }
-    if (instance->silent > 0 && LeaseExpired(*instance, now)) {
+    // This owner has sent no lease there, and has begun to listen too late to call it silent.
+    const bool never_reached = !instance->listed && instance->lease_unknown;
+    if ((instance->silent > 0 || never_reached) && LeaseExpired(*instance, now)) {
       // Unreachable for longer than any lease: the instance itself has killed its runs.
       DropRuns(*instance, "lease over", now);
     }
--- a/src/process/scheduling/scheduler_leases.cc
+++ b/src/process/scheduling/scheduler_leases.cc
@@ -18,11 +18,36 @@
   const int64_t incarnation = instance.report.incarnation;
   if (now < instance.leases.EndOfMisdirected(incarnation, options_.longest_lease)) return false;
   if (!instance.lease_unknown) return instance.LeaseSurelyExpired(now);
+  if (instance.earlier_leases_until) return now > *instance.earlier_leases_until;
   // An earlier owner's commands are refused only once this owner has listed the instance.
   const milliseconds arrives = instance.report.restarted ? kMaxCommandDelay : milliseconds{0};
   return now > EarlierOwnerUntil() + arrives + OnOwnClock(EarlierOwnerLease(instance, now));
 }
 
+monotonic_time job_scheduler::LeaseEnd(const fleet_instance& instance, monotonic_time now) const {
+  if (LeaseExpired(instance, now)) return now;
+  monotonic_time end = std::max(
+      instance.earlier_commands_until,
+      instance.leases.EndOfMisdirected(instance.report.incarnation, options_.longest_lease));
+  if (!instance.lease_unknown) return std::max(end, instance.LeaseSurelyExpiresAt());
+  if (instance.earlier_leases_until) return std::max(end, *instance.earlier_leases_until);
+  const milliseconds arrives = instance.report.restarted ? kMaxCommandDelay : milliseconds{0};
+  return std::max(end, EarlierOwnerUntil() + arrives +
+                           OnOwnClock(EarlierOwnerLease(instance, EarlierOwnerUntil())));
+}
+
+void job_scheduler::OnLeaseWaits(const std::map<std::string, lease_wait>& waits,
+                                 monotonic_time since) {
+  for (const auto& [id, wait] : waits) {
+    const auto found = by_id_.find(id);
+    if (found == by_id_.end()) continue;
+    fleet_instance& instance = *found->second;
+    // Of another incarnation the earlier owner may have known nothing.
+    if (!instance.lease_unknown || instance.report.incarnation != wait.incarnation) continue;
+    instance.earlier_leases_until = since + wait.left;
+  }
+}
+
 milliseconds job_scheduler::EarlierOwnerLease(const fleet_instance& instance,
                                               monotonic_time now) const {
   const bool commands_arrive = epoch_ > 1 && now <= EarlierOwnerUntil() + kMaxCommandDelay;
--- a/src/process/scheduling/scheduler_starts.cc
+++ b/src/process/scheduling/scheduler_starts.cc
@@ -14,8 +14,13 @@
 
 void job_scheduler::SetRecordsComplete() { records_complete_ = true; }
 
-scheduler_handover job_scheduler::HandOver() const {
+scheduler_handover job_scheduler::HandOver(monotonic_time now) const {
   scheduler_handover out;
+  for (const auto& [id, instance] : instances_) {
+    if (instance->listed && instance->Reachable()) continue;
+    const milliseconds left = std::chrono::ceil<milliseconds>(LeaseEnd(*instance, now) - now);
+    out.waits[id] = {instance->report.incarnation, left};
+  }
   out.complete = (records_complete_ || inheritance_settled_) && lookups_.empty();
   for (const auto& [id, entry] : jobs_) {
     if (entry->stored < entry->change) out.progress[id] = ProgressToText(*entry, numbers_);
--- a/src/process/site/handover_exchange.cc
+++ b/src/process/site/handover_exchange.cc
@@ -1,5 +1,6 @@
 #include "process/site/handover_exchange.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -16,9 +17,13 @@
 }  // namespace
 
 std::string PeerHandoverToText(const peer_handover& handover) {
-  return CompressText(
-      PackMessage(json::array({handover.nonce, handover.epoch, handover.ended_age.count(),
-                               handover.knowledge.complete, json(handover.knowledge.progress)})));
+  json waits = json::object();
+  for (const auto& [id, wait] : handover.knowledge.waits) {
+    waits[id] = json::array({wait.incarnation, wait.left.count()});
+  }
+  return CompressText(PackMessage(
+      json::array({handover.nonce, handover.epoch, handover.ended_age.count(),
+                   handover.knowledge.complete, json(handover.knowledge.progress), waits})));
 }
 
 std::optional<peer_handover> PeerHandoverFromText(std::string_view bytes) {
@@ -30,6 +35,10 @@
     read.ended_age = DurationFrom(in.at(2));
     read.knowledge.complete = in.at(3).get<bool>();
     read.knowledge.progress = in.at(4).get<std::map<std::string, std::string>>();
+    if (in.size() <= 5) return;  // of an earlier program
+    for (const auto& [id, wait] : in.at(5).items()) {
+      read.knowledge.waits[id] = {WholeFrom<int64_t>(wait.at(0)), DurationFrom(wait.at(1))};
+    }
   });
   if (out && out->ended_age < milliseconds{0}) return std::nullopt;
   return out;
@@ -70,7 +79,11 @@
 
 peer_handover kept_handover::AnswerTo(uint64_t epoch, uint64_t nonce, monotonic_time now) const {
   if (epoch_ == 0 || epoch != epoch_) return {nonce, 0, milliseconds{0}, {}};
-  return peer_handover{nonce, epoch_, std::chrono::floor<milliseconds>(now - ended_), knowledge_};
+  peer_handover out{nonce, epoch_, std::chrono::floor<milliseconds>(now - ended_), knowledge_};
+  for (auto& [id, wait] : out.knowledge.waits) {
+    wait.left = std::max(wait.left - out.ended_age, milliseconds{0});
+  }
+  return out;
 }
 
 handover_outcome handover_request::Judge(const std::optional<std::string>& bytes,
@@ -80,9 +93,12 @@
   if (!answer) return handover_outcome::kUnreadable;
   if (answer->nonce != nonce_) return handover_outcome::kNoAnswer;
   if (answer->epoch != former_epoch_) return handover_outcome::kOtherEpoch;
-  if (!answer->knowledge.complete) return handover_outcome::kIncomplete;
   // The time that the answer took counts as time for which the former owner acted.
   if (now - answer->ended_age > began_ + kMaxOverlap) return handover_outcome::kOverlap;
+  if (!answer->knowledge.complete) {
+    out.waits = std::move(answer->knowledge.waits);
+    return handover_outcome::kIncomplete;
+  }
   out = std::move(answer->knowledge);
   return handover_outcome::kTaken;
 }
--- a/src/process/site/handover_exchange.h
+++ b/src/process/site/handover_exchange.h
@@ -1,6 +1,9 @@
 // What a process that owned the site tells its successor: the progress that the store may lack and
 // whether, with it, the records name all runs that may exist.
 //
+// It also tells how long runs may go on at the instances that it could not reach, so that the time
+// that it has waited for them counts.
+//
 // All runs of the former owner are in it or in the store: a start is in the progress of its job
 // before it is sent, also while the store is down. A command that is delivered late belongs to such
 // a run. Nothing is started any more once the ownership ended, which is why nothing is told before.
@@ -67,7 +70,8 @@
       : former_epoch_(epoch - 1), nonce_(nonce), began_(began) {}
 
   uint64_t FormerEpoch() const { return former_epoch_; }
-  // `bytes`: the answer, nothing if there was none. `out` is set for kTaken only.
+  // `bytes`: the answer, nothing if there was none. `out` is set for kTaken, and for kIncomplete
+  // without progress.
   handover_outcome Judge(const std::optional<std::string>& bytes, monotonic_time now,
                          scheduler_handover& out) const;
 
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -890,8 +890,9 @@
         const size_t jobs = handover.progress.size();
         const auto owner = weak_owner.lock();
         if (owner == nullptr || owner != owner_) return;
+        const bool usable = taken || outcome == handover_outcome::kIncomplete;
         const bool in_time = owner->OnHandover(
-            taken ? std::optional<scheduler_handover>(std::move(handover)) : std::nullopt);
+            usable ? std::optional<scheduler_handover>(std::move(handover)) : std::nullopt);
         if (!in_time) outcome = handover_outcome::kLate;
         metrics_.CountHandover(std::string(ToText(outcome)));
         log_.Write(
--- a/src/process/site/site_owner.h
+++ b/src/process/site/site_owner.h
@@ -22,13 +22,13 @@
 #include "connection/thread_cpu_clock.h"
 #include "process/admission/entry_admission.h"
 #include "process/admission/figures_source.h"
-#include "process/learned/learned_record.h"
 #include "process/scheduling/job_scheduler.h"
 #include "process/site/event_loop.h"
 #include "process/site/fleet_record.h"
 #include "process/site/instance_registry.h"
 #include "process/site/listing_age.h"
 #include "process/site/owner_budget.h"
+#include "process/site/owner_learning.h"
 #include "process/site/owner_options.h"
 #include "process/site/range_reader.h"
 #include "process/site/record_mode.h"
@@ -104,12 +104,14 @@
         max_starts_in_flight_(OwnerOptions(settings, earlier_owner_may_act).starts_in_flight),
         scheduler_(OwnerOptions(settings, earlier_owner_may_act), epoch, BootNow()),
         figures_(epoch),
-        registry_(log, metrics) {}
+        registry_(log, metrics),
+        learning_(settings.learning.persist, log) {}
 
   // `handover`: of this process's own previous ownership, if no other owner was in between.
   void Start(std::shared_ptr<const site_configuration> version, scheduler_handover handover) {
     load_started_ = BootNow();
     handover_ = std::move(handover);
+    handover_at_ = load_started_;
     version_ = version;
     scheduler_.SetVersion(std::move(version));
     LoadInbox();
@@ -120,17 +122,22 @@
   // The answer of the former owner's process; nothing if there is none to use. Returns false if it
   // came too late.
   bool OnHandover(std::optional<scheduler_handover> handover) {
+    if (handover) {
+      if (loaded_) scheduler_.OnLeaseWaits(handover->waits, BootNow());
+      if (!loaded_) handover_ = std::move(*handover);
+      handover_at_ = BootNow();
+    }
     if (!std::exchange(handover_awaited_, false)) return false;
-    if (handover) handover_ = std::move(*handover);
     if (records_read_) BeginScheduling();
     return true;
   }
   // Ends the ownership: no more commands are sent, and pending answers are dropped.
   void End() { ownership_ended_ = true; }
   scheduler_handover HandOver() const {
-    if (!loaded_) return {};
-    scheduler_handover out = scheduler_.HandOver();
-    if (settings_.learning.persist) out.learned = scheduler_.Learned(WallNow());
+    // An owner that has sent no command leaves what it was told.
+    if (!loaded_) return {false, {}, {}, handover_.waits};
+    scheduler_handover out = scheduler_.HandOver(BootNow());
+    out.learned = learning_.Learned(scheduler_, WallNow());
     return out;
   }
 
@@ -352,37 +359,15 @@
               if (text) self.loaded_fleet_ = FleetFromText(*text);
             }
             if (item.key == kAsyncRecordsKey) self.inherited_async_ = true;
-            if (item.key == kLearnedKey) self.ReadLearned(item);
+            if (item.key == kLearnedKey) {
+              const auto text = self.Unpacked(item);
+              if (text) self.learning_.OnRecord(*text, WallNow(), BootNow());
+            }
           }
         },
         [](self_type& self) { self.LoadRegistry(); });
   }
 
-  void ReadLearned(const store_item& item) {
-    if (!settings_.learning.persist) return;
-    const auto text = Unpacked(item);
-    if (!text) return;
-    loaded_learned_ = LearnedFromText(*text, WallNow());
-    if (loaded_learned_) return;
-    log_.Write(site_event::kRecordUnreadable, BootNow(),
-               absl::StrCat("key=", kLearnedKey, " bytes=", text->size()));
-  }
-
-  // What this process learned as the previous owner is newer than the record.
-  void LoadLearned(monotonic_time now) {
-    if (handover_.learned && !handover_.learned->Empty()) loaded_learned_ = handover_.learned;
-    if (!loaded_learned_) return;
-    const learned_record used = scheduler_.LoadLearned(*loaded_learned_, now);
-    log_.Write(
-        site_event::kLearnedLoaded, now,
-        absl::StrCat(
-            "epoch=", used.epoch, " queues=", used.queues.size(), " kinds=", used.kinds.size(),
-            " instances=", used.instances.size(), " age_ms=",
-            std::chrono::duration_cast<std::chrono::milliseconds>(WallNow() - used.written).count(),
-            " own=", handover_.learned.has_value()));
-    loaded_learned_.reset();
-  }
-
   void LoadRegistry() {
     ReadRegistry([](self_type& self) {
       self.records_read_ = true;
@@ -410,8 +395,9 @@
     if (handover_.complete) scheduler_.SetRecordsComplete();
     for (auto& [id, progress] : handover_.progress) loaded_progress_[id] = std::move(progress);
     scheduler_.OnInherited(loaded_fleet_, now);
+    scheduler_.OnLeaseWaits(handover_.waits, handover_at_);
     scheduler_.OnRegistry(registry_.Usable(), now);
-    LoadLearned(now);
+    learning_.Load(handover_.learned, scheduler_, WallNow(), now);
     // In the order of acceptance, which the accounting of shares depends on.
     std::sort(loaded_inbox_.begin(), loaded_inbox_.end(),
               [](const store_item& a, const store_item& b) { return a.revision < b.revision; });
@@ -624,15 +610,6 @@
     fleet_unstored_ = true;
   }
 
-  // Put into a change that is sent for another reason: it is worth no change of its own.
-  void AddLearned(store_write& change, monotonic_time now) {
-    if (!settings_.learning.persist || !learned_writer_.Due(now)) return;
-    learned_record record = scheduler_.Learned(WallNow());
-    if (!learned_writer_.Differs(record, now)) return;
-    change.puts.push_back({kLearnedKey, CompressText(LearnedToText(record)), {}});
-    in_flight_learned_ = std::move(record);
-  }
-
   // --- decisions ---------------------------------------------------------------------------------
 
   void Tick() {
@@ -827,7 +804,7 @@
         change.deletes.push_back(kProgressPrefix + id);
       }
     }
-    AddLearned(change, now);
+    learning_.AddTo(change, scheduler_, WallNow(), now);
     commit_in_flight_ = true;
     last_commit_sent_ = now;
     in_flight_writes_ = std::move(writes);
@@ -866,10 +843,10 @@
     const std::vector<job_progress_write> writes = std::move(in_flight_writes_);
     const std::vector<std::string> expired = std::move(in_flight_expired_);
     const std::optional<std::vector<instance_report>> fleet = std::move(in_flight_fleet_);
-    std::optional<learned_record> learned = std::exchange(in_flight_learned_, std::nullopt);
     const monotonic_time sent = last_commit_sent_;
     const monotonic_time now = BootNow();
     metrics_.CountStoreCall("commit", reply.status == store_status::kDone ? "done" : "not_done");
+    learning_.OnCommitted(reply.status == store_status::kDone, now);
     if (reply.status == store_status::kDone) {
       commit_revision_ = reply.revision;
       for (const std::string& id : expired) {
@@ -880,7 +857,6 @@
       for (const completed_job& job : completed) metrics_.CountCompletedJob(job);
       scheduler_.OnStored(writes);
       if (fleet) scheduler_.OnFleetStored(*fleet);
-      if (learned) learned_writer_.OnWritten(std::move(*learned), now);
       log_.Write(
           site_event::kProgressStored, now,
           absl::StrCat("jobs=", writes.size(), " revision=", reply.revision, " ms=",
@@ -998,8 +974,8 @@
   std::vector<store_item> loaded_inbox_;
   std::map<std::string, std::string> loaded_progress_;
   std::vector<instance_report> loaded_fleet_;
-  std::optional<learned_record> loaded_learned_;
   scheduler_handover handover_;
+  monotonic_time handover_at_{};
   bool handover_awaited_ = false;  // of another process
   bool records_read_ = false;
   uint64_t inbox_revision_ = 0;
@@ -1022,8 +998,7 @@
   std::vector<job_progress_write> in_flight_writes_;
   std::vector<std::string> in_flight_expired_;
   std::optional<std::vector<instance_report>> in_flight_fleet_;
-  std::optional<learned_record> in_flight_learned_;
-  learned_writer learned_writer_;
+  owner_learning learning_;
   fleet_record fleet_record_;
   monotonic_time next_fleet_check_{};
   std::string fleet_text_;
--- a/test/adopted_records_test.cc
+++ b/test/adopted_records_test.cc
@@ -57,7 +57,7 @@
 TEST_CASE_METHOD(unrecorded_run_fixture,
                  "job scheduler, run of unknown job listed, hands over incomplete records") {
   ListRun();
-  CHECK_FALSE(owner.HandOver().complete);
+  CHECK_FALSE(owner.HandOver(now).complete);
 }
 
 }  // namespace
--- a/test/handover_exchange_test.cc
+++ b/test/handover_exchange_test.cc
@@ -4,12 +4,14 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "process/scheduling/job_scheduler.h"
+#include "process/site/packed_message.h"
 #include "scheduling_jobs.h"
 
 namespace catkinford {
@@ -64,6 +66,25 @@
   CHECK(taken_.progress.empty());
 }
 
+// Guards against a wait that each owner of a series begins anew.
+TEST_CASE_METHOD(handover_fixture, "handover, incomplete, tells what is left of the waits") {
+  scheduler_handover knowledge = Knowledge(false);
+  knowledge.waits["instance"] = {17, milliseconds(4000)};
+  former_.Keep(kFormerEpoch, knowledge, lost_);
+  CHECK(Ask() == handover_outcome::kIncomplete);
+  REQUIRE(taken_.waits.contains("instance"));
+  CHECK(taken_.waits["instance"].incarnation == 17);
+  CHECK(taken_.waits["instance"].left == milliseconds(4000) - (now_ - lost_));
+}
+
+// Guards against a handover that is given up since an earlier program tells no waits.
+TEST_CASE_METHOD(handover_fixture, "handover, without waits, taken") {
+  const std::string text =
+      PackMessage(nlohmann::json::array({kNonce, kFormerEpoch, 5, true, nlohmann::json::object()}));
+  CHECK(request_.Judge(text, now_, taken_) == handover_outcome::kTaken);
+  CHECK(taken_.waits.empty());
+}
+
 // Guards against tasks that run twice: another owner was in between, and its runs are not named.
 TEST_CASE_METHOD(handover_fixture, "handover, of an earlier epoch, not taken") {
   former_.Keep(kFormerEpoch - 1, Knowledge(true), lost_);
@@ -175,7 +196,7 @@
   // The second owner, with the first one's answer if `asked`.
   void BeginSecond(bool asked) {
     kept_handover kept;
-    kept.Keep(1, first_.HandOver(), now_);
+    kept.Keep(1, first_.HandOver(now_), now_);
     scheduler_handover handover;
     if (asked) {
       const handover_request request(2, kNonce, now_);
--- a/test/returning_owner_test.cc
+++ b/test/returning_owner_test.cc
@@ -51,7 +51,7 @@
   }
 
   void BeginSecond() {
-    const scheduler_handover handover = first_.HandOver();
+    const scheduler_handover handover = first_.HandOver(now_);
     took_over_ = now_;
     second_ = std::make_unique<job_scheduler>(Options(), 2, now_);
     if (handover.complete) second_->SetRecordsComplete();
--- a/test/scheduling_world.cc
+++ b/test/scheduling_world.cc
@@ -148,7 +148,7 @@
 }
 
 void scheduling_world::LoseSite(milliseconds until_next) {
-  scheduler_handover handover = owner_ == nullptr ? std::move(handover_) : owner_->HandOver();
+  scheduler_handover handover = owner_ == nullptr ? std::move(handover_) : owner_->HandOver(Mono());
   KillOwner(until_next);
   handover_ = std::move(handover);
 }
@@ -160,7 +160,7 @@
     if (owner_ == nullptr) return;
     constexpr uint64_t kNonce = 1;
     kept_handover former;
-    former.Keep(epoch_, owner_->HandOver(), Mono());
+    former.Keep(epoch_, owner_->HandOver(Mono()), Mono());
     const handover_request request(epoch_ + 1, kNonce, Mono() - overlap);
     scheduler_handover taken;
     request.Judge(PeerHandoverToText(former.AnswerTo(epoch_, kNonce, Mono())), Mono(), taken);
@@ -556,6 +556,7 @@
   const scheduler_handover handover = std::exchange(handover_, {});
   if (recorded_ || handover.complete) owner_->SetRecordsComplete();
   owner_->OnInherited(fleet_, Mono());
+  owner_->OnLeaseWaits(handover.waits, Mono());
   ReadRegistry();
   for (auto& [id, kept] : store_) {
     const auto handed = handover.progress.find(id);
