One place for how many tasks fit into an amount of capacity

schedulable_capacity wrote Covers() and TasksThatFit() again, which scheduler_advice has, and scheduler_copies had a third copy (Slots); what a filler occupies stood in each of them. task_fit.h serves all three. TakeStops() alone asks how many stops an instance may have in flight; SendStop() asked again for each. No change of behaviour is meant.

--- a/src/process/scheduling/job_scheduler.h
+++ b/src/process/scheduling/job_scheduler.h
@@ -353,7 +353,6 @@
   static bool StopDue(const graph_run& run, monotonic_time now);
   uint32_t MaxStopsAt(const fleet_instance& instance) const;
   void SetStopInFlight(graph_run& run, bool in_flight);
-  // Unless as many as allowed are in flight.
   void SendStop(graph_run& run, std::vector<stop_command>& out, monotonic_time now);
 
   // scheduler_unidentified.cc: runs and ends of jobs that are not known
--- a/src/process/scheduling/schedulable_capacity.cc
+++ b/src/process/scheduling/schedulable_capacity.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "process/scheduling/task_fit.h"
+
 namespace catkinford {
 namespace {
 
@@ -10,25 +12,6 @@
   return static_cast<uint32_t>(std::min<uint64_t>(amount, std::numeric_limits<uint32_t>::max()));
 }
 
-resources AtInstance(const step_spec& step) {
-  resources need = step.need;
-  if (step.fills) need.cpu_milli = 0;
-  return need;
-}
-
-bool Covers(const resources& capacity, const resources& need) {
-  return need.cpu_milli <= capacity.cpu_milli && need.memory_mb <= capacity.memory_mb &&
-         need.accelerators <= capacity.accelerators;
-}
-
-// Tasks with these needs that fit into the capacity, at most `most`.
-uint32_t TasksThatFit(const resources& capacity, const resources& need, uint32_t most) {
-  if (need.cpu_milli > 0) most = std::min(most, capacity.cpu_milli / need.cpu_milli);
-  if (need.memory_mb > 0) most = std::min(most, capacity.memory_mb / need.memory_mb);
-  if (need.accelerators > 0) most = std::min(most, capacity.accelerators / need.accelerators);
-  return most;
-}
-
 }  // namespace
 
 uint32_t TasksAtOnce(const step_spec& step) { return step.gang ? step.count : 1; }
@@ -94,7 +77,7 @@
                                    const step_advice& advice) {
   if (Empty(service)) return false;
   const instance_group& of = GroupOf(service, step.required_label);
-  const resources need = AtInstance(step);
+  const resources need = CapacityOf(step);
   if (!Covers(of.largest, need)) return false;
   uint32_t missing = TasksAtOnce(step);
   for (const fleet_instance* instance : of.members) {
--- a/src/process/scheduling/scheduler_advice.cc
+++ b/src/process/scheduling/scheduler_advice.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "process/scheduling/job_scheduler.h"
+#include "process/scheduling/task_fit.h"
 
 namespace catkinford {
 namespace {
@@ -29,25 +30,6 @@
 // How long free capacity counts as current when a waiting query is adapted.
 constexpr milliseconds kRoundUsable{50};
 
-uint32_t TasksThatFit(const resources& free, const resources& capacity, uint32_t most) {
-  uint32_t tasks = most;
-  if (capacity.cpu_milli > 0) tasks = std::min(tasks, free.cpu_milli / capacity.cpu_milli);
-  if (capacity.memory_mb > 0) tasks = std::min(tasks, free.memory_mb / capacity.memory_mb);
-  if (capacity.accelerators > 0) tasks = std::min(tasks, free.accelerators / capacity.accelerators);
-  return tasks;
-}
-
-bool Covers(const resources& free, const resources& capacity) {
-  return capacity.cpu_milli <= free.cpu_milli && capacity.memory_mb <= free.memory_mb &&
-         capacity.accelerators <= free.accelerators;
-}
-
-resources CapacityOf(const step_spec& terms) {
-  resources capacity = terms.need;
-  if (terms.fills) capacity.cpu_milli = 0;
-  return capacity;
-}
-
 void Claim(resources& from, const resources& capacity, uint32_t tasks) {
   from.cpu_milli -= std::min(from.cpu_milli, capacity.cpu_milli * tasks);
   from.memory_mb -= std::min(from.memory_mb, capacity.memory_mb * tasks);
--- a/src/process/scheduling/scheduler_copies.cc
+++ b/src/process/scheduling/scheduler_copies.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "process/scheduling/job_scheduler.h"
+#include "process/scheduling/task_fit.h"
 
 namespace catkinford {
 namespace {
@@ -37,15 +38,6 @@
       [](const open_run& open) { return open.may_arrive_until == monotonic_time{}; }));
 }
 
-// The number of tasks with these needs that fit into the capacity, at most `most`.
-uint32_t Slots(const resources& free, const resources& need, uint32_t most) {
-  uint32_t slots = most;
-  if (need.cpu_milli > 0) slots = std::min(slots, free.cpu_milli / need.cpu_milli);
-  if (need.memory_mb > 0) slots = std::min(slots, free.memory_mb / need.memory_mb);
-  if (need.accelerators > 0) slots = std::min(slots, free.accelerators / need.accelerators);
-  return slots;
-}
-
 }  // namespace
 
 run_times::basis job_scheduler::BasisOf(const step_progress& step) {
@@ -140,15 +132,15 @@
     if (ready.entry->service != service || step.waiting == 0 || !step.queued) return false;
     const ready_order& order = step.queued->order;
     if (order.beyond_share || order.rank.rank != job_rank::kInTime) return false;
-    resources need = ready.entry->job.steps[ready.index].need;
-    if (!WithinLimit(*ready.entry, need)) return false;
-    if (ready.entry->job.steps[ready.index].fills) need.cpu_milli = 0;
+    const step_spec& terms = ready.entry->job.steps[ready.index];
+    if (!WithinLimit(*ready.entry, terms.need)) return false;
+    const resources capacity = CapacityOf(terms);
     uint32_t slots = 0;
     for (const auto& [id, instance] : instances_) {
       if (!MayRun(*instance, ready, now)) continue;
       const advice_verdict* verdict = step.advice.FindVerdict(instance->ordinal);
       if (verdict != nullptr && !verdict->allowed) continue;
-      slots += Slots(instance->Free(), need, step.waiting);
+      slots += TasksThatFit(instance->Free(), capacity, step.waiting);
       if (slots > step.waiting) return false;
     }
     return true;
--- a/src/process/scheduling/scheduler_runs.cc
+++ b/src/process/scheduling/scheduler_runs.cc
@@ -536,7 +536,6 @@
 
 void job_scheduler::SendStop(graph_run& run, std::vector<stop_command>& out, monotonic_time now) {
   fleet_instance& instance = *run.instance;
-  if (instance.stops_in_flight >= MaxStopsAt(instance)) return;
   SetStopInFlight(run, true);
   if (instance.stops_due > 0) --instance.stops_due;
   run.next_stop = now + kStopRetryInterval;
