Bound what a parsed value and a decoded job hold

What callers saw: an entry on a machine of 260 MB ended, out of memory, although each body was of legal size.

Cause: the length of a text was limited, what it describes was not. 1 MiB of {"steps":[{},{}, ...]} becomes 350,000 steps before they are counted; one byte of MessagePack can be an object of some 100 bytes, and a peer's message may be compressed a thousandfold. An accepted job kept names (image, label, rack) and dependencies as long as the body.

Change: the builder of values counts their memory and ends the parse at a limit (64 MiB; 8 MiB or 16 times its text for a request). A submission is decoded up to one step more than it may have, which still says that there are too many.

Why it works: each path from a request's bytes to memory now has a factor that a test compares with the heap.

--- a/src/process/site/call_messages.cc
+++ b/src/process/site/call_messages.cc
@@ -60,11 +60,12 @@
 }
 
 std::optional<relayed_calls> RelayedCallsFromBytes(std::string_view bytes) {
-  return UnpackMessage<relayed_calls>(bytes, [](json& in, relayed_calls& out) {
+  const auto read = [](json& in, relayed_calls& out) {
     out.epoch = WholeFrom<uint64_t>(in.at(0));
     out.not_after_ms = WholeFrom<int64_t>(in.at(1));
     for (json& row : in.at(2)) out.calls.push_back(CallFrom(row));
-  });
+  };
+  return UnpackMessage<relayed_calls>(bytes, read, kMaxRequestJsonBytes);
 }
 
 std::string RelayedResultsToBytes(relayed_results message) {
--- a/src/process/site/packed_message.h
+++ b/src/process/site/packed_message.h
@@ -17,11 +17,12 @@
   return out;
 }
 
-// Applies `read` to the message, which it may move from; returns nothing if the bytes are no array,
-// or if a field is missing or has a wrong type.
+// Applies `read` to the message, which it may move from; returns nothing if the bytes are no array
+// or describe more than `max_bytes`, or if a field is missing or has a wrong type.
 template <typename T, typename Read>
-std::optional<T> UnpackMessage(std::string_view bytes, Read read) {
-  nlohmann::json in = ParseMessagePack(bytes);
+std::optional<T> UnpackMessage(std::string_view bytes, Read read,
+                               size_t max_bytes = kMaxJsonBytes) {
+  nlohmann::json in = ParseMessagePack(bytes, max_bytes);
   if (!in.is_array()) return std::nullopt;
   T out;
   try {
--- a/src/process/site/peer_messages.cc
+++ b/src/process/site/peer_messages.cc
@@ -45,7 +45,7 @@
 template <typename T, typename Read>
 std::optional<T> ParsePacked(std::string_view bytes, Read read) {
   const auto plain = DecompressText(bytes);
-  return plain ? UnpackMessage<T>(*plain, read) : std::nullopt;
+  return plain ? UnpackMessage<T>(*plain, read, kMaxRequestJsonBytes) : std::nullopt;
 }
 
 }  // namespace
--- a/src/process/site/start_messages.cc
+++ b/src/process/site/start_messages.cc
@@ -69,7 +69,7 @@
 }
 
 std::optional<forwarded_starts> ForwardedStartsFromText(std::string_view text) {
-  const json in = ParseJson(text);
+  const json in = ParseRequestJson(text);
   if (!in.is_object()) return std::nullopt;
   forwarded_starts out;
   try {
@@ -93,7 +93,7 @@
 }
 
 std::optional<std::vector<start_result>> StartResultsFromText(std::string_view text) {
-  const json in = ParseJson(text);
+  const json in = ParseRequestJson(text);
   if (!in.is_array()) return std::nullopt;
   constexpr size_t kWithClock = 4;
   std::vector<start_result> out;
--- a/src/request/bounded_json.h
+++ b/src/request/bounded_json.h
@@ -1,5 +1,5 @@
-// Reads JSON and MessagePack that another process wrote. No stack grows with the input, and numbers
-// are read within a range.
+// Reads JSON and MessagePack that another process wrote. No stack grows with the input, the memory
+// that a value takes is bounded, and numbers are read within a range.
 //
 // The parsed value may be copied, compared, written and destroyed, all of which descend into it:
 // its depth is bounded while it is read. A number out of range throws json::out_of_range, which
@@ -24,10 +24,22 @@
 // Longest duration, and latest time since 1970, that is read: 100 years. Sums stay in range.
 inline constexpr std::chrono::milliseconds kMaxDuration = std::chrono::hours(24 * 36500);
 
-// Return a discarded value (is_discarded()) if the bytes can't be read or are nested more deeply.
-// `comments`: as in C++, are ignored.
-nlohmann::json ParseJson(std::string_view text, bool comments = false);
-nlohmann::json ParseMessagePack(std::string_view bytes);
+// Memory of a value, and of one that a request describes. One byte of MessagePack can describe an
+// object, which takes a hundred.
+inline constexpr size_t kMaxJsonBytes = size_t{64} << 20;
+inline constexpr size_t kMaxRequestJsonBytes = size_t{8} << 20;
+
+// Return a discarded value (is_discarded()) if the bytes can't be read, are nested more deeply or
+// describe a value that takes more than `max_bytes`. `comments`: as in C++, are ignored.
+nlohmann::json ParseJson(std::string_view text, bool comments = false,
+                         size_t max_bytes = kMaxJsonBytes);
+nlohmann::json ParseMessagePack(std::string_view bytes, size_t max_bytes = kMaxJsonBytes);
+// Of a value that a request's text describes.
+nlohmann::json ParseRequestJson(std::string_view text);
+// The most that ParseRequestJson() takes for a text of this length.
+size_t RequestJsonBytes(size_t text_bytes);
+// Whether the text is JSON of at most `most` values, keys included.
+bool HasFewValues(std::string_view text, size_t most);
 
 [[noreturn]] void ThrowOutOfRange(const nlohmann::json& value);
 // Whether `error` is of ThrowOutOfRange().
--- a/src/request/caller_call.cc
+++ b/src/request/caller_call.cc
@@ -255,7 +255,7 @@
   if (request.method != "POST" && request.method != "PUT") {
     return leaf::new_error(call_error{405, "wrong_method", "", request.method});
   }
-  const json body = ParseJson(request.body.empty() ? std::string_view("{}") : request.body);
+  const json body = ParseRequestJson(request.body.empty() ? std::string_view("{}") : request.body);
   if (!body.is_object())
     return leaf::new_error(call_error{400, "bad_json", "", "the body must be a JSON object"});
   if (request.method == "POST") return ReadPost(request, body, limits);
--- a/src/request/step_graph.cc
+++ b/src/request/step_graph.cc
@@ -176,7 +176,7 @@
 leaf::result<graph_job> JobFromText(std::string_view bytes) {
   const auto text = DecompressText(bytes);
   if (!text) return leaf::new_error(record_parse_error{});
-  const json in = ParseJson(*text);
+  const json in = ParseJson(*text, false, kMaxRequestJsonBytes);
   if (!in.is_object()) return leaf::new_error(record_parse_error{});
   graph_job job;
   try {
--- a/src/request/text_compression.cc
+++ b/src/request/text_compression.cc
@@ -2,6 +2,7 @@
 
 #include <zlib.h>
 
+#include <algorithm>
 #include <array>
 
 namespace catkinford {
@@ -12,6 +13,7 @@
 constexpr size_t kMaxText =
     8 << 20;  // a compressed record is below the 1 MB limit of a stored value
 constexpr size_t kChunkBytes = 16384;
+constexpr size_t kMaxRatio = 1032;  // of the compression
 // Texts have some thousand bytes: larger tables would take longer to clear than to fill.
 constexpr int kMemoryLevel = 5;
 
@@ -75,6 +77,11 @@
   return out;
 }
 
+size_t MaxDecompressedBytes(std::string_view bytes) {
+  if (bytes.empty() || bytes.front() != kZlibHeaderByte) return bytes.size();
+  return std::min(bytes.size() * kMaxRatio, kMaxText + kChunkBytes);
+}
+
 std::optional<std::string> DecompressText(std::string_view bytes) {
   if (bytes.empty() || bytes.front() != kZlibHeaderByte) return std::string(bytes);
   thread_local inflate_stream reused;
--- a/test/bounded_json_test.cc
+++ b/test/bounded_json_test.cc
@@ -1,6 +1,8 @@
 // Bytes of another process: their depth and their numbers.
 #include "request/bounded_json.h"
 
+#include <malloc.h>
+
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <cstdint>
@@ -34,6 +36,46 @@
   CHECK(ParseMessagePack(packed).is_discarded());
 }
 
+// Of the heap, for the value that a text of `size` bytes describes.
+size_t HeapOfValue(const std::string& element, size_t size) {
+  std::string text = "[" + element;
+  while (text.size() + element.size() + 2 <= size) text += "," + element;
+  text += "]";
+  const size_t before = mallinfo2().uordblks + mallinfo2().hblkhd;
+  const json value = ParseRequestJson(text);
+  CHECK(value.is_array());
+  return mallinfo2().uordblks + mallinfo2().hblkhd - before;
+}
+
+// Guards against a request that takes more memory than was set aside for it.
+TEST_CASE("bounded json, request of small values, takes what is stated for its length") {
+  constexpr size_t kText = 100'000;
+  for (const char* element : {"{}", "[]", "0", "\"\"", "{\"\":0}", "[[]]", "\"sixteen letters!\"",
+                              R"({"a":{"b":1,"c":[]}})"}) {
+    INFO(element);
+    CHECK(HeapOfValue(element, kText) <= RequestJsonBytes(kText));
+  }
+}
+
+// Guards against a short message that describes more than the machine's memory holds.
+TEST_CASE("bounded json, value above its limit, is discarded") {
+  const std::string packed = std::string("\xdd\x00\x01\x00\x00", 5) + std::string(0x10000, '\x80');
+  CHECK_FALSE(ParseMessagePack(packed).is_discarded());
+  CHECK(ParseMessagePack(packed, size_t{4} << 20).is_discarded());
+  std::string text = "[{}";
+  for (int i = 0; i < 10000; ++i) text += ",{}";
+  text += "]";
+  CHECK_FALSE(ParseJson(text).is_discarded());
+  CHECK(ParseJson(text, false, 100'000).is_discarded());
+}
+
+TEST_CASE("bounded json, values counted, are few or too many") {
+  CHECK(HasFewValues(R"({"a":{"b":"c"},"d":1})", 8));
+  CHECK_FALSE(HasFewValues(R"({"a":{"b":"c"},"d":1})", 6));
+  CHECK_FALSE(HasFewValues(R"({"a")", 8));
+  CHECK_FALSE(HasFewValues(std::string(300'000, '['), 8));
+}
+
 TEST_CASE("bounded json, nested to the limit, is read") {
   CHECK(ParseJson(NestedJson(kMaxJsonDepth)) == json::parse(NestedJson(kMaxJsonDepth)));
   CHECK_FALSE(ParseMessagePack(NestedMessagePack(kMaxJsonDepth)).is_discarded());
--- a/test/platform_codec_test.cc
+++ b/test/platform_codec_test.cc
@@ -12,6 +12,7 @@
 #include "process/site/site_membership.h"
 #include "process/site/site_records.h"
 #include "process/site/site_settings.h"
+#include "request/bounded_name.h"
 
 namespace catkinford {
 namespace {
@@ -139,6 +140,39 @@
         "payload_too_long");
 }
 
+// Guards against a submission that is decoded whole although it has too many steps, and against a
+// job that holds as much as its text is long.
+TEST_CASE_METHOD(platform_wire_fixture, "submission, as large as its text allows, holds little") {
+  std::string steps = "{}";
+  for (int i = 0; i < 10'000; ++i) steps += ",{}";
+  CHECK(RejectionOf(R"({"steps":[)" + steps + "]}") == "too_many_steps");
+  std::string after = "0";
+  for (int i = 0; i < 10'000; ++i) after += ",0";
+  REQUIRE(RejectionOf(R"({"steps":[{"count":1},{"count":1,"after":[)" + after + "]}]}").empty());
+  CHECK(last_job.steps[1].after == std::vector<uint32_t>{0});
+  const std::string name(10'000, 'x');
+  REQUIRE(RejectionOf(R"({"steps":[{"count":1,"image":")" + name + R"(","affinity":")" + name +
+                      R"(","constraints":")" + name + R"("}]})")
+              .empty());
+  const step_spec& step = last_job.steps[0];
+  CHECK(step.image.size() + step.data_rack.size() + step.required_label.size() <=
+        3 * kMaxNameBytes);
+}
+
+// Guards against a long label that a step requires, and that its instance no longer has.
+TEST_CASE_METHOD(platform_wire_fixture, "names, long, are equal where they were equal") {
+  const std::string name(1000, 'x');
+  const std::string entry = R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready",
+      "capacity":{"cpu":1,"mem-mb":1},"labels":["a",")" +
+                            name + R"("]})";
+  const auto report = platform::DecodeRegistration("servers/i-1", entry);
+  REQUIRE(report);
+  REQUIRE(RejectionOf(R"({"steps":[{"count":1,"affinity":")" + name + R"("}]})").empty());
+  CHECK(last_job.steps[0].data_rack == report->rack);
+  CHECK(BoundedName(name) != BoundedName(name + "x"));
+  CHECK(BoundedName("r1-3") == "r1-3");
+}
+
 TEST_CASE_METHOD(platform_wire_fixture, "job record, written and read, is the same") {
   REQUIRE(RejectionOf(R"({"task-spec":"x","steps":[{"count":2,"cpu":5,"gang":true}]})").empty());
   const std::string text = JobToText(last_job);
