One budget for what the connections of an entry hold

What callers saw: an entry on a machine of 260 MB and 4,100 descriptors ended, out of memory, or answered nobody, while many clients kept bodies open just short of their end, sent bodies far over the limit, did not read answers, or only held connections.

Cause: each of four listeners had limits of its own, and limits multiply: 4,096 connections of 1 MiB. The configuration's limit was compared with a body that was whole in memory; the time-out ended only silence; callers could take every descriptor.

Change: bytes are charged to one budget as they come, and given back on each way out: a body, the request that was received whole with what is parsed and copied of it, the answer. When it is short, the connection with the most bytes times the time for which it held them is closed; a request that was received whole is never given up, but answered, or rejected with 503 before anything was done. A listener at its limit of connections closes one for the next. Sending a request and reading an answer have 30 s each. The configuration's limit holds for what is announced and as it arrives. Budget and limits follow from the machine's memory and descriptors, both new settings.

Why it works: no sum of limits is above the machine's; and the weight makes a crowd pay for itself, as an ordinary request holds little, for milliseconds.

--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "connection/connection_budget.h"
 #include "connection/tls_certificate.h"
 
 namespace catkinford {
@@ -26,6 +27,8 @@
   // Those named in http_server_options::captured_headers that were present: name and value.
   std::vector<std::pair<std::string, std::string>> headers;
   std::vector<std::pair<std::string, std::string>> query;
+  // What the request holds is counted for as long as a copy of this exists.
+  request_memory memory;
 
   // The value of a query argument, or empty if absent.
   std::string Query(const std::string& name) const;
@@ -47,7 +50,10 @@
   int threads = 1;
   size_t body_limit = size_t{1} << 20;
   std::chrono::seconds idle_timeout{30};  // closes slow senders and half-closed connections
-  unsigned connection_limit = 4096;
+  unsigned connection_limit = 4096;       // with a budget, one is closed for the next
+  // None: what requests hold has no limit.
+  std::shared_ptr<connection_budget> budget;
+  int socket_buffer_bytes = 0;                // of the system, in each direction; 0: its default
   std::vector<std::string> captured_headers;  // headers to copy into requests
   bool tls = false;             // requires tls_certificate or SetCertificate() before Start()
   std::string tls_certificate;  // PEM text
@@ -76,6 +82,8 @@
   // The bound port; 0 before Start().
   uint16_t Port() const;
   void Respond(token request, http_response response);
+  // For requests that begin from now on.
+  void SetBodyLimit(size_t bytes);
   // Requests without a response, or whose response is not fully sent: Stop() may abort them.
   size_t Waiting() const;
   // Answers requests that arrive from now on with 503, without passing them to the handler, and
--- a/src/process/site/caller_frontend.h
+++ b/src/process/site/caller_frontend.h
@@ -25,10 +25,14 @@
 #include "process/site/site_records.h"
 #include "process/site/store_health.h"
 #include "process/site/version_refresh.h"
+#include "request/bounded_json.h"
 #include "request/text_compression.h"
 
 namespace catkinford {
 
+// The requests of this process hold too much for another one to be read.
+struct memory_shortage {};
+
 // A submission that is rejected before its record is sent to the store.
 struct shed_submission {
   std::chrono::seconds retry_after{1};
@@ -97,6 +101,8 @@
   static constexpr std::chrono::milliseconds kReturnPause{1000};  // the shortest Retry-After
   static constexpr std::chrono::milliseconds kAnswerMargin{200};
   static constexpr std::chrono::milliseconds kMaxHold{1000};
+  // Of a submission's text: the job, its record and the call to the store.
+  static constexpr size_t kCopiesOfJob = 6;
   static constexpr char kVersionUnconfirmed[] = "version_unconfirmed";
   static constexpr char kStopping[] = "stopping";
   static constexpr char kNoCapacity[] = "no_capacity";
@@ -110,6 +116,7 @@
     std::string workspace;
     std::shared_ptr<const site_configuration> version;
     const queue_config* queue = nullptr;  // points into `version`
+    request_memory copies;                // of a submission, on its way to the store
     bool may_be_stored = false;           // a submission that was sent to the store
     bool answered = false;
   };
@@ -305,7 +312,11 @@
     }
     leaf::try_handle_all(
         [&]() -> leaf::result<void> {
-          BOOST_LEAF_AUTO(job, Platform::DecodeSubmission(current->id, current->request.body));
+          BOOST_LEAF_AUTO(job, Decode(*current));
+          const auto copies =
+              current->request.memory.Reserve(kCopiesOfJob * current->request.body.size());
+          if (!copies) return leaf::new_error(memory_shortage{});
+          current->copies = *copies;
           leaf::result<void> sound = CheckGraph(job);
           if (!sound) return sound.error();
           job.queue = current->queue->name;
@@ -329,9 +340,18 @@
           const std::string reason(ToText(fault));
           Reject(*current, http_status::kBadRequest, reason.c_str());
         },
+        [&](memory_shortage) { Reject(*current, http_status::kUnavailable, "overloaded"); },
         [&] { Reject(*current, http_status::kBadRequest, "malformed"); });
   }
 
+  // Fails with a memory_shortage if the requests of this process hold too much.
+  leaf::result<graph_job> Decode(const call& current) const {
+    const std::string& body = current.request.body;
+    const auto parsed = current.request.memory.Reserve(RequestJsonBytes(body.size()));
+    if (!parsed) return leaf::new_error(memory_shortage{});
+    return Platform::DecodeSubmission(current.id, body);
+  }
+
   // A job that was never sent to the store certainly never runs. Sent to a store that does not
   // answer, it may be stored or not, and neither answer to its caller would be safe.
   void StoreWhenUp(const shared_call& current, const std::shared_ptr<const std::string>& text) {
--- a/src/process/site/site_log.cc
+++ b/src/process/site/site_log.cc
@@ -141,6 +141,9 @@
                     "Run times and speeds that an earlier owner had learned were read."},
     site_event_info{kRegistrationUnusable, kInfo, "registration_unusable",
                     "A registration names no usable instance, with the fault, or does again."},
+    site_event_info{kConnectionsClosed, kSummary, "connections_closed",
+                    "Connections were closed, or requests rejected, for what others held; the "
+                    "numbers since the start."},
 };
 
 }  // namespace
--- a/src/process/site/site_log.h
+++ b/src/process/site/site_log.h
@@ -100,6 +100,8 @@
   kLearnedLoaded = 670,
   // 67x: entries of the registry
   kRegistrationUnusable = 671,
+  // 67x: connections
+  kConnectionsClosed = 672,
 };
 
 // When the limit of lines per second is reached, details are dropped first, then infos. Warnings
--- a/src/process/site/site_metrics.cc
+++ b/src/process/site/site_metrics.cc
@@ -132,6 +132,16 @@
       log_lines_left_out(Counters(registry_, "catkinford_site_log_lines_left_out_total",
                                   "Log lines that were dropped.")
                              .Add({})),
+      request_bytes(OneGauge(registry_, "catkinford_site_request_bytes",
+                             "Bytes held by requests and their answers.")),
+      connections_closed(
+          Counters(registry_, "catkinford_site_connections_closed_total",
+                   "Connections closed because they held too much, or took too long.")
+              .Add({})),
+      requests_without_room(
+          Counters(registry_, "catkinford_site_requests_without_room_total",
+                   "Requests and connections rejected because others held too much.")
+              .Add({})),
       copies_started(CopiesStarted(registry_)),
       copies_won(Counters(registry_, "catkinford_site_copies_won_total",
                           "Copies of tasks that ended as done first.")
@@ -249,6 +259,14 @@
   cpu_seconds_.Add({{"thread", thread}}).Set(std::chrono::duration<double>(total).count());
 }
 
+void site_metrics::SetConnections(const budget_counts& counts) {
+  request_bytes.Set(static_cast<double>(counts.bytes));
+  const auto closed = static_cast<double>(counts.closed_for_room + counts.closed_late);
+  connections_closed.Increment(closed - connections_closed.Value());
+  const auto rejected = static_cast<double>(counts.rejected);
+  requests_without_room.Increment(rejected - requests_without_room.Value());
+}
+
 std::string site_metrics::Text() {
   std::ostringstream out;
   prometheus::TextSerializer().Serialize(out, registry_.Collect());
--- a/src/process/site/site_metrics.h
+++ b/src/process/site/site_metrics.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <string>
 
+#include "connection/connection_budget.h"
 #include "connection/traffic_counter.h"
 #include "process/scheduling/job_stages.h"
 #include "process/scheduling/scheduler_messages.h"
@@ -51,6 +52,7 @@
   void SetForecastWait(const std::string& queue, std::chrono::milliseconds wait);
   void ClearForecastWaits();
   // `thread`: loop, instances, starts, peers, store or other; `total` since the process began.
+  void SetConnections(const budget_counts& counts);
   void SetCpuTime(const std::string& thread, std::chrono::microseconds total);
   std::string Text();
 
@@ -102,6 +104,9 @@
   prometheus::Gauge& instance_connections;     // open
   prometheus::Counter& instance_connections_opened;
   prometheus::Counter& log_lines_left_out;
+  prometheus::Gauge& request_bytes;  // held by requests and their answers
+  prometheus::Counter& connections_closed;
+  prometheus::Counter& requests_without_room;
   std::array<prometheus::Counter*, kCopyReasons> copies_started;  // by reason
   prometheus::Counter& copies_won;
   prometheus::Counter& copies_lost;
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -14,7 +14,6 @@
 #include <vector>
 
 #include "absl/random/random.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "connection/http_client.h"
 #include "connection/http_server.h"
@@ -34,6 +33,7 @@
 #include "process/site/relay_client.h"
 #include "process/site/relay_server.h"
 #include "process/site/shutdown_schedule.h"
+#include "process/site/site_listeners.h"
 #include "process/site/site_log.h"
 #include "process/site/site_membership.h"
 #include "process/site/site_metrics.h"
@@ -49,10 +49,6 @@
 
 namespace catkinford {
 
-enum class site_start_fault : uint8_t { kNone, kCallerAddress, kReadyAddress, kPeerAddress };
-
-// `text` is "ip:port"; returns false for other text.
-bool SplitAddress(const std::string& text, std::string& address, uint16_t& port);
 uint64_t GenerateNonce();
 
 template <site_platform Platform>
@@ -102,7 +98,7 @@
 
   using peer_callback = std::function<void(const std::optional<std::string>&)>;
 
-  http_server_options OptionsFor(const std::string& address, uint16_t port) const;
+  listener_handlers ListenerHandlers();
   frontend_hooks FrontendHooks();
   membership_hooks MembershipHooks();
   version_hooks VersionHooks();
@@ -174,6 +170,7 @@
   void UpdateReadiness();
   void PollReadiness();
   void UpdateMetrics();
+  void ReportConnections(monotonic_time now);
   void ReportLinkUse();
   // Processor time since the last call, as log fields.
   std::string TakeCpuFields();
@@ -207,6 +204,7 @@
   std::shared_ptr<site_owner<Platform>> owner_;
   std::map<std::string, bool> peer_silent_;
   std::map<std::string, std::chrono::microseconds> cpu_time_;  // by thread, at the last report
+  uint64_t connections_ended_ = 0;                             // at the last report
   uint64_t waits_ = 0;                                         // at the last report
   text_rate_limiter text_limiter_;  // limits how often the configuration's text is sent to peers
   absl::BitGen random_;
@@ -221,10 +219,7 @@
   std::atomic<bool> left_site_{false};  // gave up the site and has not owned it since
   std::atomic<bool> stopping_{false};
   bool stopped_ = false;
-  std::unique_ptr<http_server> caller_server_;
-  std::unique_ptr<http_server> readiness_server_;
-  std::unique_ptr<http_server> peer_server_;
-  std::unique_ptr<http_server> metrics_server_;
+  site_listeners listeners_;
 };
 
 template <site_platform Platform>
@@ -257,7 +252,8 @@
       relay_server_(instance_client, loop_, membership_.Self().nonce,
                     [this] { return membership_.View().epoch; }),
       gate_({settings_.name, settings_.overload.figures_valid, settings_.overload.max_retry_after}),
-      text_limiter_(settings_.machine.link_mbps) {
+      text_limiter_(settings_.machine.link_mbps),
+      listeners_(settings_, {Platform::kCallerTimeoutHeader}, ListenerHandlers()) {
   platform_.Instances().SetRoute([this](http_call& call, http_client::callback& done) {
     return relay_client_.TryTake(call, done, BootNow());
   });
@@ -347,53 +343,27 @@
 }
 
 template <site_platform Platform>
-http_server_options site_node<Platform>::OptionsFor(const std::string& address,
-                                                    uint16_t port) const {
-  http_server_options options;
-  options.address = address;
-  options.port = port;
-  return options;
+listener_handlers site_node<Platform>::ListenerHandlers() {
+  listener_handlers handlers;
+  handlers.callers = [this](http_server::token token, http_request request) {
+    OnCaller(token, std::move(request));
+  };
+  handlers.readiness = [this](http_server::token token, const http_request&) { OnReady(token); };
+  handlers.peers = [this](http_server::token token, http_request request) {
+    OnPeer(token, std::move(request));
+  };
+  handlers.metrics = [this](http_server::token token, const http_request&) { OnMetrics(token); };
+  return handlers;
 }
 
 template <site_platform Platform>
 site_start_fault site_node<Platform>::Start() {
-  std::string address;
-  uint16_t port = 0;
-  if (!SplitAddress(settings_.listen.ready, address, port)) return site_start_fault::kReadyAddress;
-  readiness_server_ = std::make_unique<http_server>(
-      OptionsFor(address, port),
-      [this](http_server::token token, const http_request&) { OnReady(token); });
-  if (!readiness_server_->Start()) return site_start_fault::kReadyAddress;
-
-  peer_server_ = std::make_unique<http_server>(
-      OptionsFor(settings_.listen.address, settings_.listen.peer_port),
-      [this](http_server::token token, http_request request) {
-        OnPeer(token, std::move(request));
-      });
-  if (!peer_server_->Start()) return site_start_fault::kPeerAddress;
-
-  if (!SplitAddress(settings_.listen.callers, address, port)) {
-    return site_start_fault::kCallerAddress;
-  }
-  http_server_options caller_options = OptionsFor(address, port);
-  caller_options.captured_headers = {Platform::kCallerTimeoutHeader};
-  caller_server_ = std::make_unique<http_server>(
-      caller_options, [this](http_server::token token, http_request request) {
-        OnCaller(token, std::move(request));
-      });
-  if (!caller_server_->Start()) return site_start_fault::kCallerAddress;
-
-  if (settings_.listen.metrics_port != 0) {
-    metrics_server_ = std::make_unique<http_server>(
-        OptionsFor(settings_.listen.address, settings_.listen.metrics_port),
-        [this](http_server::token token, const http_request&) { OnMetrics(token); });
-    // Metrics are optional: without them the entry still serves.
-    if (!metrics_server_->Start()) metrics_server_.reset();
-  }
+  const site_start_fault fault = listeners_.Start();
+  if (fault != site_start_fault::kNone) return fault;
   log_.Write(
       site_event::kStarted, BootNow(),
       absl::StrCat("domain=", settings_.failure_domain, " callers=", settings_.listen.callers,
-                   " store=", settings_.platform.store, " metrics=", metrics_server_ != nullptr));
+                   " store=", settings_.platform.store, " metrics=", listeners_.HasMetrics()));
   loop_.Start();
   loop_.Post([this] {
     membership_.Start();
@@ -413,7 +383,8 @@
 template <site_platform Platform>
 void site_node<Platform>::Shutdown() {
   const monotonic_time begun = BootNow();
-  log_.Write(site_event::kStopping, begun, absl::StrCat("waiting=", caller_server_->Waiting()));
+  log_.Write(site_event::kStopping, begun,
+             absl::StrCat("waiting=", listeners_.Callers().Waiting()));
   stopping_ = true;
   ready_ = false;
   std::atomic<bool> resigned{false};
@@ -424,13 +395,14 @@
   shutdown_phase phase = shutdown_phase::kServing;
   while (phase != shutdown_phase::kEnded) {
     std::this_thread::sleep_for(kPollInterval);
-    const bool idle = caller_server_->Waiting() == 0;
+    const bool idle = listeners_.Callers().Waiting() == 0;
     const shutdown_phase next = schedule.Advance(idle, resigned, BootNow());
     if (next == std::exchange(phase, next)) continue;
-    if (phase == shutdown_phase::kRejecting) caller_server_->RejectNew();
+    if (phase == shutdown_phase::kRejecting) listeners_.Callers().RejectNew();
     if (phase == shutdown_phase::kSettling) loop_.Post([this] { frontend_.SettleAll(); });
   }
-  log_.Write(site_event::kStopped, BootNow(), absl::StrCat("waiting=", caller_server_->Waiting()));
+  log_.Write(site_event::kStopped, BootNow(),
+             absl::StrCat("waiting=", listeners_.Callers().Waiting()));
   // `resigned` is on this stack: no callback may run after this function returns.
   Stop();
 }
@@ -438,10 +410,7 @@
 template <site_platform Platform>
 void site_node<Platform>::Stop() {
   if (std::exchange(stopped_, true)) return;
-  for (http_server* server :
-       {caller_server_.get(), readiness_server_.get(), peer_server_.get(), metrics_server_.get()}) {
-    if (server != nullptr) server->Stop();
-  }
+  listeners_.Stop();
   loop_.Stop();
 }
 
@@ -449,7 +418,7 @@
 void site_node<Platform>::OnCaller(http_server::token token, http_request request) {
   const bool accepted = loop_.TryPost([this, token, request = std::move(request)]() mutable {
     frontend_.Handle(std::move(request), [this, token](http_response response) {
-      caller_server_->Respond(token, std::move(response));
+      listeners_.Callers().Respond(token, std::move(response));
     });
   });
   if (accepted) return;
@@ -458,7 +427,7 @@
   busy.body = Platform::EncodeError("overloaded");
   busy.retry_after = std::chrono::seconds(1);
   busy.close = stopping_;
-  caller_server_->Respond(token, std::move(busy));
+  listeners_.Callers().Respond(token, std::move(busy));
 }
 
 template <site_platform Platform>
@@ -466,7 +435,7 @@
   http_response response;
   response.status = ready_ ? http_status::kOk : http_status::kUnavailable;
   response.body = "{}";
-  readiness_server_->Respond(token, std::move(response));
+  listeners_.Readiness().Respond(token, std::move(response));
 }
 
 template <site_platform Platform>
@@ -474,23 +443,28 @@
   http_response response;
   response.content_type = "text/plain; version=0.0.4";
   response.body = metrics_.Text();
-  metrics_server_->Respond(token, std::move(response));
+  listeners_.Metrics().Respond(token, std::move(response));
 }
 
 template <site_platform Platform>
 void site_node<Platform>::OnPeer(http_server::token token, http_request request) {
   if (request.path == kPeerAlivePath) {
-    return peer_server_->Respond(
+    return listeners_.Peers().Respond(
         token, {.body = PeerLivenessToText(
                     {left_site_ ? kNoProcess : membership_.Self().nonce, overloaded_.load()})});
   }
   const bool accepted =
       loop_.TryPost([this, token, request = std::move(request)] { AnswerPeer(token, request); });
-  if (!accepted) peer_server_->Respond(token, {.status = http_status::kUnavailable});
+  if (!accepted) listeners_.Peers().Respond(token, {.status = http_status::kUnavailable});
 }
 
 template <site_platform Platform>
 void site_node<Platform>::AnswerPeer(http_server::token token, const http_request& request) {
+  const auto parsed = request.memory.Reserve(PeerRequestBytes(request.body));
+  if (!parsed) return listeners_.Peers().Respond(token, {.status = http_status::kUnavailable});
+  const auto respond = [this, token, held = request.memory](http_response answer) {
+    listeners_.Peers().Respond(token, std::move(answer));
+  };
   http_response response;
   const bool owns = owner_ != nullptr && owner_->Loaded();
   if (request.path == kPeerStatePath) {
@@ -511,7 +485,7 @@
     response.body = OutageReportToText(LocalOutageReport());
   } else if (request.path == kPeerLookPath) {
     return CheckOwnerAlive([this, token](liveness answer) {
-      peer_server_->Respond(token, {.body = OwnerLivenessToText(answer)});
+      listeners_.Peers().Respond(token, {.body = OwnerLivenessToText(answer)});
     });
   } else if (request.path == kPeerVersionPath) {
     response.body = PeerVersionReplyToText(VersionForPeer(request));
@@ -527,36 +501,33 @@
   } else if (request.path == kPeerAdvisePath) {
     return AdviseForPeer(token, request);
   } else if (request.path == kPeerStartPath) {
-    return start_forwarder_.Forward(request.body, [this, token](http_response answer) {
-      peer_server_->Respond(token, std::move(answer));
-    });
+    return start_forwarder_.Forward(request.body, respond);
   } else if (request.path == kPeerCallsPath) {
-    return relay_server_.Exchange(
-        request.body,
-        [this, token](http_response answer) { peer_server_->Respond(token, std::move(answer)); },
-        BootNow());
+    return relay_server_.Exchange(request.body, respond, BootNow());
   } else if (request.path == kPeerStartedPath) {
     start_dispatcher_.OnStarted(request.body);
   } else {
     response.status = http_status::kNotFound;
   }
-  peer_server_->Respond(token, std::move(response));
+  listeners_.Peers().Respond(token, std::move(response));
 }
 
 template <site_platform Platform>
 void site_node<Platform>::AdviseForPeer(http_server::token token, const http_request& request) {
   const auto query = PeerAdviceRequestFromText(request.body);
-  if (!query) return peer_server_->Respond(token, {.status = http_status::kBadRequest});
-  platform_.Advisor().QueryAdvice(
-      query->order, query->timeout,
-      [this, token, compressed = query->compressed](const advice_answer& answer) {
-        peer_server_->Respond(token, {.body = PeerAdviceReplyToText(answer, compressed)});
-      });
+  if (!query) return listeners_.Peers().Respond(token, {.status = http_status::kBadRequest});
+  platform_.Advisor().QueryAdvice(query->order, query->timeout,
+                                  [this, token, held = request.memory,
+                                   compressed = query->compressed](const advice_answer& answer) {
+                                    listeners_.Peers().Respond(
+                                        token, {.body = PeerAdviceReplyToText(answer, compressed)});
+                                  });
 }
 
 template <site_platform Platform>
 void site_node<Platform>::OnVersion() {
   metrics_.version.Set(static_cast<double>(versions_.Version()->Number()));
+  listeners_.SetCallerBodyLimit(versions_.Version()->Limits().body_bytes);
   UpdateReadiness();
   if (owner_ != nullptr) owner_->SetVersion(versions_.Version());
 }
@@ -597,9 +568,20 @@
   metrics_.version_age_seconds.Set(seconds(versions_.AsOf()));
   const double left_out = static_cast<double>(log_.DroppedLines());
   metrics_.log_lines_left_out.Increment(left_out - metrics_.log_lines_left_out.Value());
+  ReportConnections(now);
   ReportLinkUse();
 }
 
+template <site_platform Platform>
+void site_node<Platform>::ReportConnections(monotonic_time now) {
+  const budget_counts counts = listeners_.Counts();
+  metrics_.SetConnections(counts);
+  if (counts.Ended() == std::exchange(connections_ended_, counts.Ended())) return;
+  log_.Write(site_event::kConnectionsClosed, now,
+             absl::StrCat("for_room=", counts.closed_for_room, " late=", counts.closed_late,
+                          " rejected=", counts.rejected, " bytes=", counts.bytes));
+}
+
 template <site_platform Platform>
 std::string site_node<Platform>::TakeCpuFields() {
   std::map<std::string, std::chrono::microseconds> now{
--- a/src/process/site/site_settings.cc
+++ b/src/process/site/site_settings.cc
@@ -121,6 +121,8 @@
       {"bounds.remote_factor", Number([](s& o) -> double& { return o.bounds.remote_factor; })},
       {"machine.cpu_share", Number([](s& o) -> double& { return o.machine.cpu_share; })},
       {"machine.link_mbps", Number([](s& o) -> double& { return o.machine.link_mbps; })},
+      {"machine.memory_mb", Number([](s& o) -> double& { return o.machine.memory_mb; })},
+      {"machine.descriptors", Number([](s& o) -> double& { return o.machine.descriptors; })},
       {"timing.owner_lease_ms",
        Time([](s& o) -> milliseconds& { return o.timing.owner_lease; }, 1)},
       {"timing.run_lease_ms", Time([](s& o) -> milliseconds& { return o.timing.run_lease; }, 1)},
--- a/src/process/site/site_settings.h
+++ b/src/process/site/site_settings.h
@@ -30,6 +30,10 @@
   struct {
     double cpu_share = 1;  // of one CPU
     double link_mbps = 1000;
+    // Limits of the process. What requests hold and how many connections are accepted follow from
+    // them; of descriptors, a lower limit of the system holds.
+    double memory_mb = 256;
+    double descriptors = 4096;
   } machine;
 
   struct {
