The same budget for catkinfordd's callers and peers

What callers saw: the daemon of a fleet grows in the same ways as an entry of a site; through its listener of peers by one client.

Cause: that listener was the JSON-RPC library's own server. It takes in a body of any length, and its parser builds every value of it. The callers' listener accepted waiting_requests + 256 connections, whatever the number of descriptors.

Change: peers are received by our own server within the budget; the library only decodes calls whose values were counted before. A batch is split where its text would be longer than a receiver reads. Both listeners have a part of the descriptors. New setting bounds.request_bytes (64 MiB; 64 times bounds.body_bytes are always allowed).

Ruled out: a limit in the library's server, which has none.

Why it works: nothing is read beside the budget.

--- a/bench/rpc_cost.cc
+++ b/bench/rpc_cost.cc
@@ -21,6 +21,7 @@
 #include "connection/http_server.h"
 #include "connection/peer_auth.h"
 #include "connection/peer_rpc.h"
+#include "connection/rpc_server.h"
 
 namespace catkinford {
 namespace {
@@ -31,8 +32,16 @@
 
 std::string Url(uint16_t port) { return "http://127.0.0.1:" + std::to_string(port); }
 
+http_server_options RpcOptions(uint16_t port) {
+  http_server_options options;
+  options.port = port;
+  options.threads = kServerThreads;
+  options.body_limit = size_t{64} << 20;
+  return options;
+}
+
 void ServeRpc(uint16_t port, const std::function<void()>& wait) {
-  rpc_server server(port, kServerThreads, [](const std::string& /*text*/) { return "ok"; });
+  rpc_server server(RpcOptions(port), [](const std::string& /*text*/) { return "ok"; });
   server.Start();
   wait();
   server.Stop();
@@ -43,7 +52,7 @@
 void ServeSigned(uint16_t port, const std::function<void()>& wait) {
   peer_auth auth;
   auth.Set(BenchSecrets());
-  rpc_server server(port, kServerThreads, [&auth](const std::string& text) {
+  rpc_server server(RpcOptions(port), [&auth](const std::string& text) {
     return auth.Verify(kReceiver, text) ? "ok" : "refused";
   });
   server.Start();
--- a/bench/slopes_message.cc
+++ b/bench/slopes_message.cc
@@ -9,6 +9,7 @@
 #include "bench/forked_server.h"
 #include "bench/slope.h"
 #include "connection/peer_rpc.h"
+#include "connection/rpc_server.h"
 #include "process/message.h"
 #include "process/peer_mailbox.h"
 
@@ -23,7 +24,10 @@
 const char* const kSender = "asahikawa-2";
 
 void ServeRpc(uint16_t port, const std::function<void()>& wait) {
-  rpc_server server(port, 1, [](const std::string& /*text*/) { return "ok"; });
+  http_server_options options;
+  options.port = port;
+  options.body_limit = size_t{64} << 20;
+  rpc_server server(options, [](const std::string& /*text*/) { return "ok"; });
   server.Start();
   wait();
   server.Stop();
@@ -140,7 +144,7 @@
   peer_auth unsigned_calls;
   return HeapOf([&] {
     auto mailbox = std::make_unique<peer_mailbox>(
-        kSender, 0, milliseconds{100}, unsigned_calls,
+        kSender, http_server_options{}, milliseconds{100}, unsigned_calls,
         [](const std::vector<peer_message>& /*messages*/) {},
         [](const std::string& /*peer*/, transfer_status /*status*/,
            const std::vector<message_body>& /*lost*/) {},
--- a/src/connection/peer_rpc.cc
+++ b/src/connection/peer_rpc.cc
@@ -2,7 +2,6 @@
 
 #include <jsonrpccpp/client.h>
 #include <jsonrpccpp/server.h>
-#include <jsonrpccpp/server/connectors/httpserver.h>
 
 #include <utility>
 
@@ -29,9 +28,20 @@
   std::string request_;
 };
 
+// Returns each response to the caller of OnRequest().
+class direct_connector : public jsonrpc::AbstractServerConnector {
+ public:
+  bool StartListening() override { return true; }
+  bool StopListening() override { return true; }
+  bool SendResponse(const std::string& response, void* out) override {
+    *static_cast<std::string*>(out) = response;
+    return true;
+  }
+};
+
 class deliver_server : public jsonrpc::AbstractServer<deliver_server> {
  public:
-  deliver_server(jsonrpc::AbstractServerConnector& connector, rpc_server::handler on_deliver)
+  deliver_server(jsonrpc::AbstractServerConnector& connector, rpc_dispatcher::handler on_deliver)
       : AbstractServer<deliver_server>(connector), on_deliver_(std::move(on_deliver)) {
     bindAndAddMethod(jsonrpc::Procedure("deliver", jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_STRING,
                                         "text", jsonrpc::JSON_STRING, NULL),
@@ -43,7 +53,7 @@
     response = on_deliver_(request["text"].asString());
   }
 
-  rpc_server::handler on_deliver_;
+  rpc_dispatcher::handler on_deliver_;
 };
 
 }  // namespace
@@ -71,21 +81,21 @@
   }
 }
 
-struct rpc_server::impl {
-  impl(int port, int threads, handler on_deliver)
-      : http(port, "", "", threads), server(http, std::move(on_deliver)) {}
+struct rpc_dispatcher::impl {
+  explicit impl(handler on_deliver) : server(connector, std::move(on_deliver)) {}
 
-  jsonrpc::HttpServer http;
+  direct_connector connector;
   deliver_server server;
 };
 
-rpc_server::rpc_server(int port, int threads, handler on_deliver)
-    : impl_(new impl(port, threads, std::move(on_deliver))) {}
-
-rpc_server::~rpc_server() { Stop(); }
+rpc_dispatcher::rpc_dispatcher(handler on_deliver) : impl_(new impl(std::move(on_deliver))) {}
 
-bool rpc_server::Start() { return impl_->server.StartListening(); }
+rpc_dispatcher::~rpc_dispatcher() = default;
 
-void rpc_server::Stop() { impl_->server.StopListening(); }
+std::string rpc_dispatcher::Dispatch(const std::string& request) {
+  std::string response;
+  impl_->connector.OnRequest(request, &response);
+  return response;
+}
 
 }  // namespace catkinford
--- a/src/connection/peer_rpc.h
+++ b/src/connection/peer_rpc.h
@@ -1,5 +1,5 @@
-// JSON-RPC between entries, with libjsonrpccpp's codec and server. Calls are sent by http_client,
-// so that one thread can have calls to many peers in flight.
+// JSON-RPC between entries, with libjsonrpccpp's codec. Calls are sent by http_client and received
+// by http_server.
 //
 // The headers of libjsonrpccpp 0.7 use dynamic exception specifications and do not compile above
 // C++14, so peer_rpc is a separate library built as C++14, and this header uses only standard
@@ -20,18 +20,18 @@
 bool DecodeRpcResponse(const std::string& response, std::string& answer);
 
 // Serves the single method "deliver", which synchronously maps a text to a text.
-class rpc_server {
+class rpc_dispatcher {
  public:
   using handler = std::function<std::string(const std::string& text)>;
 
-  rpc_server(int port, int threads, handler on_deliver);
-  ~rpc_server();
-  rpc_server(const rpc_server&) = delete;
-  rpc_server& operator=(const rpc_server&) = delete;
+  explicit rpc_dispatcher(handler on_deliver);
+  ~rpc_dispatcher();
+  rpc_dispatcher(const rpc_dispatcher&) = delete;
+  rpc_dispatcher& operator=(const rpc_dispatcher&) = delete;
 
-  // False when the port cannot be bound.
-  bool Start();
-  void Stop();
+  // The response to a request, also to one that can't be read. The library builds all values of a
+  // request: their number must have been checked.
+  std::string Dispatch(const std::string& request);
 
  private:
   struct impl;
--- a/src/process/events.cc
+++ b/src/process/events.cc
@@ -37,6 +37,9 @@
     case kPeerSecretsRefused:
       return {code, kError, "peer_secrets_refused",
               "The peer secret file cannot be used; the previous secrets, if any, stay in use."};
+    case kConnectionsClosed:
+      return {code, kWarning, "connections_closed",
+              "Connections were closed, or requests rejected, for what others held."};
     case kRequestReceived:
       return {code, kDebug, "request_received", "A caller's request passed its key check."};
     case kRequestForwarded:
--- a/src/process/events.h
+++ b/src/process/events.h
@@ -20,6 +20,7 @@
   kCertificateRefused = 105,
   kPeerSecretsTaken = 106,
   kPeerSecretsRefused = 107,
+  kConnectionsClosed = 108,
   // 2xx: requests
   kRequestReceived = 200,
   kRequestForwarded = 201,
--- a/src/process/message.cc
+++ b/src/process/message.cc
@@ -12,6 +12,9 @@
 using json = nlohmann::json;
 using std::chrono::milliseconds;
 
+// Of a batch's value, beyond its texts.
+constexpr size_t kMaxBatchJsonBytes = size_t{16} << 20;
+
 // Fields are read with a default: a peer of another version may leave one out.
 template <typename T>
 T Read(const json& from, const char* name, T fallback = {}) {
@@ -459,7 +462,7 @@
 
 std::vector<peer_message> DecodeBatch(const std::string& text) {
   std::vector<peer_message> messages;
-  const json batch = ParseJson(text);
+  const json batch = ParseJson(text, false, kMaxBatchJsonBytes + 2 * text.size());
   if (!batch.is_object()) return messages;
   const std::string from = Read<std::string>(batch, "from");
   const auto list = batch.find("messages");
--- a/src/process/metrics.cc
+++ b/src/process/metrics.cc
@@ -90,6 +90,14 @@
                                "Changes of the grant ledger by shards owned here.")),
       log_lines_dropped_(MakeCounter(registry_, "catkinford_log_lines_dropped_total",
                                      "Log lines dropped because the log thread's ring was full.")),
+      request_bytes_(MakeGauge(registry_, "catkinford_request_bytes",
+                               "Bytes held by requests and their answers.")),
+      connections_closed_(
+          MakeCounter(registry_, "catkinford_connections_closed_total",
+                      "Connections closed because they held too much, or took too long.")),
+      requests_without_room_(
+          MakeCounter(registry_, "catkinford_requests_without_room_total",
+                      "Requests and connections rejected because others held too much.")),
       placement_(MakeHistogram(registry_, "catkinford_placement_seconds",
                                "Time from a job's arrival at its owner to its first start.",
                                kLatencyBounds)),
@@ -179,6 +187,12 @@
 
 void metrics::SetLogLinesDropped(uint64_t lines) { AdvanceTo(log_lines_dropped_, lines); }
 
+void metrics::SetConnections(const budget_counts& counts) {
+  request_bytes_.Set(static_cast<double>(counts.bytes));
+  AdvanceTo(connections_closed_, counts.closed_for_room + counts.closed_late);
+  AdvanceTo(requests_without_room_, counts.rejected);
+}
+
 void metrics::SetGrantMoves(uint64_t moves) { AdvanceTo(grant_moves_, moves); }
 
 std::vector<metric_info> metrics::List() const {
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -17,6 +17,7 @@
 #include <string_view>
 #include <vector>
 
+#include "connection/connection_budget.h"
 #include "process/decision_core.h"
 #include "request/job_request.h"
 #include "request/outcome.h"
@@ -62,6 +63,7 @@
   // Totals counted elsewhere; set from one thread.
   void SetPeerTotals(const peer_totals& totals);
   void SetLogLinesDropped(uint64_t lines);
+  void SetConnections(const budget_counts& counts);
   // Changes of the grant ledger by the shards owned here.
   void SetGrantMoves(uint64_t moves);
 
@@ -82,6 +84,9 @@
   prometheus::Counter& peer_refused_;
   prometheus::Counter& grant_moves_;
   prometheus::Counter& log_lines_dropped_;
+  prometheus::Gauge& request_bytes_;
+  prometheus::Counter& connections_closed_;
+  prometheus::Counter& requests_without_room_;
   prometheus::Histogram& placement_;
   prometheus::Histogram& answer_;
   prometheus::Histogram& decision_;
--- a/src/process/node.cc
+++ b/src/process/node.cc
@@ -1,6 +1,7 @@
 #include "process/node.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -23,13 +24,47 @@
       std::chrono::duration_cast<std::chrono::microseconds>(since).count());
 }
 
-http_server_options FrontOptions(const settings& config) {
+// Of a body: itself, the value that it describes, and copies on its way through the process.
+constexpr size_t kBytesPerBodyByte = 64;
+
+std::shared_ptr<connection_budget> BudgetOf(const settings& config) {
+  const size_t least = kBytesPerBodyByte * config.bounds.body_bytes;
+  return std::make_shared<connection_budget>(
+      budget_options{std::max<size_t>(config.bounds.request_bytes, least)}, ShutSocket);
+}
+
+listener_shares Shares() {
+  constexpr size_t kNoLimit = std::numeric_limits<size_t>::max();
+  return SharesOf(DescriptorLimit().value_or(kNoLimit), kNoLimit);
+}
+
+unsigned ConnectionLimit(size_t share) {
+  constexpr size_t kMostConnections = 1000000;
+  return static_cast<unsigned>(std::min(share, kMostConnections));
+}
+
+http_server_options FrontOptions(const settings& config,
+                                 const std::shared_ptr<connection_budget>& budget) {
   http_server_options options;
   options.port = config.listen.caller_port;
   options.address = config.listen.address;
   options.tls = !config.listen.tls_certificate_file.empty();
   options.body_limit = config.bounds.body_bytes;
-  options.connection_limit = config.bounds.waiting_requests + 256;
+  options.connection_limit =
+      std::min(config.bounds.waiting_requests + 256, ConnectionLimit(Shares().callers));
+  options.budget = budget;
+  return options;
+}
+
+http_server_options PeerOptions(const settings& config,
+                                const std::shared_ptr<connection_budget>& budget) {
+  http_server_options options;
+  options.port = config.listen.peer_port;
+  options.address = config.listen.address;
+  // JSON within JSON: each byte of a text may become four.
+  options.body_limit = 4 * (config.bounds.body_bytes + peer_mailbox::kMaxBatchBytes);
+  options.connection_limit = ConnectionLimit(Shares().peers);
+  options.budget = budget;
   return options;
 }
 
@@ -103,14 +138,15 @@
       store_(platform_http_, config_.platform.store_url, config_.timing.call_timeout),
       endpoints_(endpoint_http_, config_.timing.call_timeout),
       instances_(platform_http_, config_.platform.instances_url, config_.timing.call_timeout),
+      budget_(BudgetOf(config_)),
       mailbox_(
-          config_.name, config_.listen.peer_port, kPeerCallTimeout, peer_auth_,
+          config_.name, PeerOptions(config_, budget_), kPeerCallTimeout, peer_auth_,
           [this](std::vector<peer_message> messages) { OnMessages(std::move(messages)); },
           [this](const std::string& peer, transfer_status status, std::vector<message_body> lost) {
             OnSendFailed(peer, status, std::move(lost));
           },
           [this] { return HeartbeatReply(); }),
-      front_(FrontOptions(config_),
+      front_(FrontOptions(config_, budget_),
              [this](http_server::token token, http_request request) {
                OnHttp(token, std::move(request));
              }),
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -238,7 +238,7 @@
 
   // node_calls.cc: calls of callers and operators.
   void OnHttp(http_server::token token, http_request request);
-  void PostCall(http_server::token token, std::string key, caller_call call);
+  void PostCall(http_server::token token, std::string key, caller_call call, request_memory memory);
   void OnCall(http_server::token token, const std::string& key, caller_call call,
               monotonic_time now);
   void Handle(http_server::token token, const std::string& key, submit_call call,
@@ -293,6 +293,7 @@
   endpoint_adapter endpoints_;
   instance_adapter instances_;
   peer_auth peer_auth_;
+  std::shared_ptr<connection_budget> budget_;  // of callers and peers
   peer_mailbox mailbox_;
   http_server front_;
 
@@ -335,9 +336,10 @@
   monotonic_time shutdown_deadline_{};
   bool store_was_up_ = false;  // no event before the first answer of the store
   bool was_ready_ = false;
-  uint64_t grant_moves_ = 0;       // last value reported in an event
-  uint64_t rejected_batches_ = 0;  // last value reported in an event
-  uint64_t rejected_version_ = 0;  // last value reported in an event
+  uint64_t grant_moves_ = 0;        // last value reported in an event
+  uint64_t connections_ended_ = 0;  // by the budget; last value reported in an event
+  uint64_t rejected_batches_ = 0;   // last value reported in an event
+  uint64_t rejected_version_ = 0;   // last value reported in an event
   bool shutting_down_ = false;
   bool done_ = false;
   std::thread core_;
--- a/src/process/node_calls.cc
+++ b/src/process/node_calls.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "process/node.h"
+#include "request/bounded_json.h"
 
 namespace catkinford {
 namespace {
@@ -36,6 +37,12 @@
   return nullptr;
 }
 
+http_response BusyResponse() {
+  http_response busy = ErrorResponse(503, "busy", "the request was not processed");
+  busy.retry_after = std::chrono::seconds{1};
+  return busy;
+}
+
 bool Contains(const std::vector<workload_kind>& kinds, workload_kind kind) {
   return std::find(kinds.begin(), kinds.end(), kind) != kinds.end();
 }
@@ -44,10 +51,12 @@
 
 // Runs on the HTTP thread and parses the call, so that the core thread never sees a malformed one.
 void node::OnHttp(http_server::token token, http_request request) {
+  const auto parsed = request.memory.Reserve(RequestJsonBytes(request.body.size()));
+  if (!parsed) return front_.Respond(token, BusyResponse());
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(call, ReadCall(request, {config_.bounds.batch_jobs}));
-        PostCall(token, std::move(request.bearer), std::move(call));
+        PostCall(token, std::move(request.bearer), std::move(call), request.memory);
         return {};
       },
       [&](const call_error& error) { front_.Respond(token, ToResponse(error)); },
@@ -55,13 +64,14 @@
 }
 
 // The only producer that must not block: a full ring means overload and is answered at once.
-void node::PostCall(http_server::token token, std::string key, caller_call call) {
-  core_task task = [this, token, key = std::move(key), call = std::move(call)](
-                       monotonic_time now) mutable { OnCall(token, key, std::move(call), now); };
-  if (ring_.TryPush(task)) return;
-  http_response busy = ErrorResponse(503, "busy", "the request was not processed");
-  busy.retry_after = std::chrono::seconds{1};
-  front_.Respond(token, std::move(busy));
+void node::PostCall(http_server::token token, std::string key, caller_call call,
+                    request_memory memory) {
+  if (auto* submit = std::get_if<submit_call>(&call)) submit->memory = memory;
+  core_task task = [this, token, key = std::move(key), call = std::move(call),
+                    held = std::move(memory)](monotonic_time now) mutable {
+    OnCall(token, key, std::move(call), now);
+  };
+  if (!ring_.TryPush(task)) front_.Respond(token, BusyResponse());
 }
 
 void node::OnCall(http_server::token token, const std::string& key, caller_call call,
@@ -90,7 +100,7 @@
   std::vector<workload_kind> kinds;
   kinds.reserve(call.jobs.size());
   for (const job_spec& job : call.jobs) kinds.push_back(job.kind);
-  table_.BeginCall(token, call.is_batch, std::move(kinds), now);
+  table_.BeginCall(token, call.is_batch, std::move(kinds), now, call.memory);
   if (!holder || holder->is_operator) {
     table_actions rejected;
     for (size_t slot = 0; slot < call.jobs.size(); ++slot) {
--- a/src/process/node_metrics.cc
+++ b/src/process/node_metrics.cc
@@ -1,4 +1,6 @@
 // Counters of a node other than its gauges, and the events they cause.
+#include <utility>
+
 #include "absl/strings/str_cat.h"
 #include "process/node.h"
 
@@ -33,6 +35,14 @@
     rejected_batches_ += more;
     log_.Emit(event_code::kPeerRefused, now, {}, 0, config_.name, absl::StrCat(more, " calls"));
   }
+  const budget_counts connections = budget_->Counts();
+  metrics_.SetConnections(connections);
+  if (const uint64_t before = std::exchange(connections_ended_, connections.Ended());
+      before != connections_ended_) {
+    log_.Emit(
+        event_code::kConnectionsClosed, now, {}, 0, config_.name,
+        absl::StrCat(connections_ended_ - before, " ended, ", connections.bytes, " bytes held"));
+  }
   if (grants_.Moves() != grant_moves_) {
     grant_moves_ = grants_.Moves();
     log_.Emit(event_code::kGrantsMoved, now, {}, 0, config_.name);
--- a/src/process/peer_mailbox.cc
+++ b/src/process/peer_mailbox.cc
@@ -12,7 +12,6 @@
 using std::chrono::steady_clock;
 
 constexpr size_t kMaxQueued = 8192;  // messages queued for one peer
-constexpr int kServerThreads = 4;
 constexpr size_t kMaxBatchSize = 1000;
 // With a long round trip, a batch leaves this often, so a message waits about half of this time.
 // Measured in docs/design/021-peers-far-away.md.
@@ -30,16 +29,16 @@
 
 }  // namespace
 
-peer_mailbox::peer_mailbox(std::string own_name, int port, std::chrono::milliseconds call_timeout,
-                           peer_auth& auth, on_messages received, on_failure failed,
-                           reply_maker reply)
+peer_mailbox::peer_mailbox(std::string own_name, http_server_options listen,
+                           std::chrono::milliseconds call_timeout, peer_auth& auth,
+                           on_messages received, on_failure failed, reply_maker reply)
     : own_name_(std::move(own_name)),
       call_timeout_(call_timeout),
       auth_(auth),
       received_(std::move(received)),
       failed_(std::move(failed)),
       reply_(std::move(reply)),
-      server_(port, kServerThreads, [this](const std::string& text) { return Receive(text); }),
+      server_(std::move(listen), [this](const std::string& text) { return Receive(text); }),
       client_(kMaxBatchesInFlight) {}
 
 peer_mailbox::~peer_mailbox() { Stop(); }
@@ -152,8 +151,23 @@
   return next;
 }
 
+// Puts the second half of the batch back to the front of the queue.
+void peer_mailbox::Requeue(delivery& next) {
+  const auto middle = next.batch.begin() + static_cast<ptrdiff_t>(next.batch.size() / 2);
+  const std::lock_guard lock(mutex_);
+  std::vector<message_body>& queued = next.to->queued;
+  queued.insert(queued.begin(), std::make_move_iterator(middle),
+                std::make_move_iterator(next.batch.end()));
+  next.batch.erase(middle, next.batch.end());
+}
+
 void peer_mailbox::Deliver(const delivery_ptr& next) {
-  next->text = auth_.Sign(next->name, EncodeBatch(own_name_, next->batch));
+  std::string text = EncodeBatch(own_name_, next->batch);
+  while (text.size() > kMaxBatchBytes && next->batch.size() > 1) {
+    Requeue(*next);
+    text = EncodeBatch(own_name_, next->batch);
+  }
+  next->text = auth_.Sign(next->name, text);
   ++counters_.batches_sent;
   counters_.messages_sent += next->batch.size();
   Try(next);
--- a/src/process/peer_mailbox.h
+++ b/src/process/peer_mailbox.h
@@ -20,8 +20,10 @@
 #include <vector>
 
 #include "connection/http_client.h"
+#include "connection/http_server.h"
 #include "connection/peer_auth.h"
 #include "connection/peer_rpc.h"
+#include "connection/rpc_server.h"
 #include "process/message.h"
 #include "request/job_request.h"
 
@@ -42,10 +44,16 @@
   using on_failure = std::function<void(const std::string& peer, transfer_status status,
                                         std::vector<message_body>)>;
   // The reply to a call with a heartbeat that wants one; none: no reply.
+  // Of the text of a batch with more than one message.
+  static constexpr size_t kMaxBatchBytes = size_t{1} << 20;
+
   using reply_maker = std::function<std::optional<heartbeat_message>()>;
 
-  peer_mailbox(std::string own_name, int port, std::chrono::milliseconds call_timeout,
-               peer_auth& auth, on_messages received, on_failure failed, reply_maker reply);
+  // A batch that is longer than its receiver reads is lost: `listen` has a limit of bodies of at
+  // least kMaxBatchBytes and the longest message, both as JSON texts within JSON.
+  peer_mailbox(std::string own_name, http_server_options listen,
+               std::chrono::milliseconds call_timeout, peer_auth& auth, on_messages received,
+               on_failure failed, reply_maker reply);
   ~peer_mailbox();
   peer_mailbox(const peer_mailbox&) = delete;
   peer_mailbox& operator=(const peer_mailbox&) = delete;
@@ -94,6 +102,7 @@
   static size_t MaxInFlight(const peer& to);
   // The next batch for a peer, or null when nothing is queued. Requires the lock.
   delivery_ptr NextBatch(const std::string& name, const peer_ptr& to);
+  void Requeue(delivery& next);
   void Deliver(const delivery_ptr& next);
   void Try(const delivery_ptr& next);
   void OnResult(const delivery_ptr& done, const http_result& result);
--- a/src/process/request_table.cc
+++ b/src/process/request_table.cc
@@ -33,9 +33,11 @@
     : options_(options), routes_(routes), next_ask_(options.first_ask) {}
 
 void request_table::BeginCall(http_server::token token, bool is_batch,
-                              std::vector<workload_kind> kinds, monotonic_time now) {
+                              std::vector<workload_kind> kinds, monotonic_time now,
+                              request_memory memory) {
   const size_t jobs = kinds.size();
-  calls_[token] = {is_batch, jobs, std::vector<outcome>(jobs), std::move(kinds), now};
+  calls_[token] = {is_batch,         jobs, std::vector<outcome>(jobs),
+                   std::move(kinds), now,  std::move(memory)};
 }
 
 void request_table::Settle(http_server::token token, size_t slot, outcome result,
--- a/src/process/request_table.h
+++ b/src/process/request_table.h
@@ -57,8 +57,9 @@
  public:
   request_table(table_options options, router& routes);
 
+  // `memory` is held until the call is answered.
   void BeginCall(http_server::token token, bool is_batch, std::vector<workload_kind> kinds,
-                 monotonic_time now);
+                 monotonic_time now, request_memory memory = {});
   // Adds one job of the call; several callers may wait for one identity.
   void Add(http_server::token token, size_t slot, table_entry entry, monotonic_time now,
            table_actions& out);
@@ -100,6 +101,7 @@
     std::vector<outcome> outcomes;
     std::vector<workload_kind> kinds;
     monotonic_time begun{};
+    request_memory memory;
   };
 
   void Step(const request_id& id, pending_request& request, monotonic_time now, table_actions& out);
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -56,6 +56,7 @@
   struct {
     uint32_t waiting_requests = 20000;  // in this entry
     uint32_t body_bytes = 1 << 20;
+    uint32_t request_bytes = 64 << 20;  // held by all requests
     uint32_t batch_jobs = 1000;
     uint32_t peer_bytes = 7800;       // per second, heartbeats sent and received
     uint32_t history_versions = 200;  // past configurations kept in the store
--- a/src/process/settings_table.cc
+++ b/src/process/settings_table.cc
@@ -106,6 +106,10 @@
      1, 1000000, "Requests that may wait in this entry; more are rejected at once."},
     {"bounds.body_bytes", [](settings& s) { return setting_slot(&s.bounds.body_bytes); }, false,
      text_form::kAny, 1024, 64 << 20, "Maximum body size of a caller's request, in bytes."},
+    {"bounds.request_bytes", [](settings& s) { return setting_slot(&s.bounds.request_bytes); },
+     false, text_form::kAny, 1 << 20, int64_t{2} << 30,
+     "Bytes that all requests may hold in this entry; 64 times `bounds.body_bytes` are always "
+     "allowed."},
     {"bounds.batch_jobs", [](settings& s) { return setting_slot(&s.bounds.batch_jobs); }, false,
      text_form::kAny, 1, 100000, "Maximum number of jobs in one call of /v1/batch."},
     {"bounds.peer_bytes", [](settings& s) { return setting_slot(&s.bounds.peer_bytes); }, false,
--- a/src/request/caller_call.h
+++ b/src/request/caller_call.h
@@ -36,6 +36,7 @@
 struct submit_call {
   std::vector<job_spec> jobs;
   bool is_batch = false;
+  request_memory memory;
 };
 struct status_call {
   request_id id;
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -9,6 +9,7 @@
 #include "connection/http_client.h"
 #include "connection/http_server.h"
 #include "connection/peer_rpc.h"
+#include "connection/rpc_server.h"
 #include "standin/fault_proxy.h"
 
 namespace catkinford {
@@ -226,7 +227,9 @@
 TEST_CASE_METHOD(http_echo_fixture, "peer call, both ends alive, returns the peer's text",
                  "[rpc]") {
   const uint16_t port = FreePort();
-  rpc_server server(port, 2, [](const std::string& text) { return "<" + text + ">"; });
+  http_server_options options;
+  options.port = port;
+  rpc_server server(options, [](const std::string& text) { return "<" + text + ">"; });
   REQUIRE(server.Start());
   const http_call call{"POST", "http://127.0.0.1:" + std::to_string(port),
                        EncodeRpcRequest("deliver", "a\"b")};
--- a/test/misbehaving_clients_fleet_test.cc
+++ b/test/misbehaving_clients_fleet_test.cc
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "bench/fleet.h"
 #include "client_crowd.h"
 #include "request/text_compression.h"
 #include "site_fixture.h"
@@ -277,5 +278,84 @@
   CheckServes();
 }
 
+fleet_options OneEntry() {
+  fleet_options options;
+  options.domains = {"otaru"};
+  options.entries_per_domain = 1;
+  options.endpoints_per_domain = 2;
+  options.teams = 1;
+  return options;
+}
+
+class crowded_daemon_fixture {
+ protected:
+  crowded_daemon_fixture() { http_.Start(); }
+
+  void StartFleet() {
+    REQUIRE(fleet_.Start(std::chrono::duration_cast<std::chrono::milliseconds>(kGenerousLimit)));
+  }
+
+  void CheckServes(size_t descriptors = 4100) {
+    CheckWithinMachine(fleet_.Entry(0).process, descriptors);
+    CHECK(Eventually([this] {
+      http_call call{"POST", fleet_.UrlOf(0) + "/v1/jobs",
+                     R"({"kind":"interactive","cpu_milli":100,"memory_mb":64,
+                         "payload":"{\"run_ms\":20}"})",
+                     fleet_.Contract().teams[0].secret};
+      call.timeout = std::chrono::milliseconds(5000);
+      return http_.SendAndWait(call).code == 200;
+    }));
+    CheckWithinMachine(fleet_.Entry(0).process, descriptors);
+  }
+
+  // Whole bodies, bodies in pieces and bodies in chunks, at one listener.
+  void CheckCrowd(uint16_t port, const std::string& path) {
+    const std::string values = SmallValues(R"({"jobs":[)", "{}", "]}", kBody);
+    client_crowd whole(port, kCrowd);
+    whole.Send(RequestHead("POST", path, static_cast<int64_t>(values.size())) + values, kBody);
+    client_crowd pieces(port, kCrowd);
+    pieces.Send(RequestHead("POST", path, kBody) + Text(kBody - 1), kPiece);
+    client_crowd chunks(port, kCrowd);
+    std::string bytes = RequestHead("POST", path, -1) + InChunks(Text(kBody), 4096);
+    chunks.Send(bytes.substr(0, bytes.size() - 3), kPiece);
+    CheckServes();
+  }
+
+  fleet fleet_{OneEntry()};
+  http_client http_{0};
+};
+
+// Guards against a daemon of another fleet without the same bounds.
+TEST_CASE_METHOD(crowded_daemon_fixture, "daemon, crowd at the listener of callers, serves",
+                 "[crowd]") {
+  StartFleet();
+  CheckCrowd(fleet_.Entry(0).caller_port, "/v1/batch");
+}
+
+TEST_CASE_METHOD(crowded_daemon_fixture, "daemon, crowd at the listener of peers, serves",
+                 "[crowd]") {
+  StartFleet();
+  CheckCrowd(fleet_.Entry(0).peer_port, "/");
+}
+
+// Guards against a listener that takes in a body of any size.
+TEST_CASE_METHOD(crowded_daemon_fixture, "daemon, endless body at the listener of peers, serves",
+                 "[crowd]") {
+  StartFleet();
+  client_crowd crowd(fleet_.Entry(0).peer_port, 1);
+  crowd.Send(RequestHead("POST", "/", -1) + InChunks(Text(kCrowd * kBody), kBody), kBody);
+  CheckServes();
+}
+
+TEST_CASE_METHOD(crowded_daemon_fixture, "daemon, crowd of silent connections, serves", "[crowd]") {
+  {
+    const descriptor_limit lowered(kFewDescriptors);
+    StartFleet();
+  }
+  const client_crowd callers(fleet_.Entry(0).caller_port, kCrowd);
+  const client_crowd peers(fleet_.Entry(0).peer_port, kCrowd);
+  CheckServes(kFewDescriptors);
+}
+
 }  // namespace
 }  // namespace catkinford
--- a/test/peer_mailbox_test.cc
+++ b/test/peer_mailbox_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <condition_variable>
 #include <mutex>
+#include <numeric>
 #include <optional>
 #include <thread>
 #include <utility>
@@ -28,7 +29,8 @@
  protected:
   explicit mailbox_fixture(milliseconds call_timeout = kCallTimeout)
       : from_(
-            "from", 0, call_timeout, auth_, [](const std::vector<peer_message>&) {},
+            "from", http_server_options{}, call_timeout, auth_,
+            [](const std::vector<peer_message>&) {},
             [this](const std::string&, transfer_status status,
                    const std::vector<message_body>& lost) { Lose(status, lost.size()); },
             [] { return std::optional<heartbeat_message>(); }) {
@@ -121,6 +123,24 @@
   CHECK(batches_[1] == 2);
 }
 
+// Guards against a batch that its receiver rejects for its size: all its messages would be lost.
+TEST_CASE_METHOD(mailbox_fixture, "mailbox, many large messages, are sent in several batches",
+                 "[mailbox]") {
+  constexpr uint32_t kMessages = 100;
+  Serve();
+  from_.SetPeer("to", UrlOfPeer());
+  place_message large;
+  large.payload = std::string(30'000, 'x');
+  for (uint32_t i = 0; i < kMessages; ++i) REQUIRE(from_.Send("to", large));
+  from_.Flush();
+  REQUIRE(WaitFor([this] {
+    return std::accumulate(batches_.begin(), batches_.end(), size_t{0}) == kMessages;
+  }));
+  CHECK(lost_ == 0);
+  const size_t largest = *std::max_element(batches_.begin(), batches_.end());
+  CHECK(largest * large.payload.size() <= peer_mailbox::kMaxBatchBytes);
+}
+
 // With a round trip of 80 ms and one batch at a time, a message waits for the answers to earlier
 // ones, and a caller sees 230 ms instead of 80.
 TEST_CASE_METHOD(mailbox_fixture, "mailbox, peer far away, has many batches in flight",
