Leave a part of the requests' memory to small ones

What callers would see: a few large requests that are whole and wait for long (in catkinfordd as long as their callers like) hold all that whole requests may, and every other request, however small, is rejected with 503.

Change: a request above a sixty-fourth of the part for whole requests may use three quarters of it. The smallest budget of a site's entry is 64 MiB, so that one body of the largest size still fits.

--- a/src/connection/connection_budget.cc
+++ b/src/connection/connection_budget.cc
@@ -14,6 +14,8 @@
 constexpr milliseconds kCheckInterval{1000};
 // Of a connection without a request: mostly the HTTP library's buffers.
 constexpr size_t kConnectionBytes = size_t{34} << 10;
+// A request is small if so many of its size may be held.
+constexpr size_t kSmallRequests = 64;
 
 }  // namespace
 
@@ -199,7 +201,10 @@
 }
 
 std::optional<request_memory> connection_budget::Charged(size_t bytes) {
-  if (taken_ + bytes > taken_limit_) {
+  // Large requests leave a part to small ones.
+  const bool large = bytes > taken_limit_ / kSmallRequests;
+  const size_t limit = large ? taken_limit_ - taken_limit_ / 4 : taken_limit_;
+  if (taken_ + bytes > limit) {
     ++counts_.rejected;
     return std::nullopt;
   }
--- a/src/process/site/site_listeners.cc
+++ b/src/process/site/site_listeners.cc
@@ -13,7 +13,7 @@
 
 constexpr size_t kMegabyte = size_t{1} << 20;
 // One body of the largest size, and what it describes, always fits.
-constexpr size_t kMinBudget = 48 * kMegabyte;
+constexpr size_t kMinBudget = 64 * kMegabyte;
 // A stored value is not larger, whatever the configuration allows.
 constexpr size_t kMaxBody = kMegabyte;
 // A window for one round trip, even to an entry in another region.
