Connections that are being closed count at their listener's limit

Cause: a connection that is closed for another one has its descriptor until its listener's thread comes to it. Only those that stay open were counted, so that many clients at once took more descriptors than their listener's part.

Change: an eighth of a listener's connections is for those that are being closed; one is closed as soon as the others are used up, and a connection beyond the limit is rejected.

Why it works: the number of descriptors is bounded at each moment, not only once all is quiet.

--- a/src/connection/connection_budget.cc
+++ b/src/connection/connection_budget.cc
@@ -14,6 +14,8 @@
 constexpr milliseconds kCheckInterval{1000};
 // Of a connection without a request: mostly the HTTP library's buffers.
 constexpr size_t kConnectionBytes = size_t{34} << 10;
+// Of a listener's connections, for those that are being closed.
+constexpr size_t kClosingPart = 8;
 // A request is small if so many of its size may be held.
 constexpr size_t kSmallRequests = 64;
 
@@ -54,16 +56,20 @@
 bool connection_budget::Admit(listener_id at, monotonic_time now) {
   const std::lock_guard lock(mutex_);
   CloseLate(now);
-  if (listeners_[at].open < listeners_[at].limit) return true;
-  connection* const victim =
-      Largest(kConnectionBytes, now, [at](const connection& each) { return each.at == at; });
-  if (victim == nullptr) {
-    ++counts_.rejected;
-    return false;
+  const listener& own = listeners_[at];
+  const size_t spare = std::max<size_t>(own.limit / kClosingPart, 1);
+  const bool below_limit = own.open + own.closing < own.limit;
+  if (own.open >= own.limit - spare) {
+    connection* const victim =
+        Largest(kConnectionBytes, now, [at](const connection& each) { return each.at == at; });
+    if (victim != nullptr) {
+      Close(*victim);
+      ++counts_.closed_for_room;
+    }
   }
-  Close(*victim);
-  ++counts_.closed_for_room;
-  return true;
+  if (below_limit) return true;
+  ++counts_.rejected;
+  return false;
 }
 
 connection_budget::connection_id connection_budget::Open(listener_id at, int socket,
@@ -83,7 +89,7 @@
   connection* const ended = Find(id);
   if (ended == nullptr) return;
   SetBytes(*ended, 0);
-  if (!ended->closing) --listeners_[ended->at].open;
+  --(ended->closing ? listeners_[ended->at].closing : listeners_[ended->at].open);
   connections_.erase(id);
 }
 
@@ -168,6 +174,7 @@
   closing_ += target.bytes;
   target.closing = true;
   --listeners_[target.at].open;
+  ++listeners_[target.at].closing;
   shut_(target.socket);
 }
 
@@ -225,7 +232,7 @@
 
 listener_shares SharesOf(size_t descriptors, size_t memory_bytes) {
   const auto share = [](size_t by_descriptors, size_t by_memory) {
-    return std::max<size_t>(std::min(by_descriptors, by_memory / kConnectionBytes), 1);
+    return std::max<size_t>(std::min(by_descriptors, by_memory / kConnectionBytes), 2);
   };
   // Of the descriptors seven tenths, of the memory less than a quarter.
   return {share(descriptors / 2, memory_bytes / 32 * 5), share(descriptors / 8, memory_bytes / 16),
--- a/src/connection/connection_budget.h
+++ b/src/connection/connection_budget.h
@@ -72,7 +72,7 @@
   connection_budget(budget_options options, socket_closer shut);
 
   listener_id AddListener(size_t connection_limit);
-  // Whether the listener may accept a connection. If it has as many as it may, one is closed.
+  // Whether the listener may accept a connection. Near its limit one is closed for it.
   bool Admit(listener_id at, monotonic_time now);
   connection_id Open(listener_id at, int socket, monotonic_time now);
   // Its descriptor is about to be closed.
@@ -96,7 +96,8 @@
 
   struct listener {
     size_t limit = 0;
-    size_t open = 0;  // without those that are being closed
+    size_t open = 0;     // without those that are being closed
+    size_t closing = 0;  // they have their descriptors still
   };
   struct connection {
     listener_id at = 0;
