At a listener's limit clients wait for a descriptor instead of being turned away

Cause: a connection that is closed for the next one keeps its descriptor until the listener's thread comes to it. While the eighth kept for such connections was used up, a new connection was accepted and closed at once, whoever it came from.

Change: the library's own limit of connections is the listener's, without the 256 more that it had. At the limit the listener accepts nothing, and clients wait in the system's backlog until a descriptor is free. As no new connection then calls for a check, two paths are added: a connection that falls idle while the spare part is used is closed, so that a listener whose connections all waited for answers comes back below its limit; and late connections are looked for every second, not only when something arrives.

Why it works: at the limit either some connections are being closed, and their descriptors come back as soon as the thread has read their end, or all wait for answers, which free them. The bound of descriptors stays: connections never exceed the listener's limit.

Ruled out: an ordinary client whose own connection is closed for others; it was rejected, as the counter of rejections says.

The condition that a connection may be closed, and closing with its count, stood twice; they are one each.

--- a/src/connection/connection_budget.cc
+++ b/src/connection/connection_budget.cc
@@ -57,15 +57,11 @@
   const std::lock_guard lock(mutex_);
   CloseLate(now);
   const listener& own = listeners_[at];
-  const size_t spare = std::max<size_t>(own.limit / kClosingPart, 1);
   const bool below_limit = own.open + own.closing < own.limit;
-  if (own.open >= own.limit - spare) {
+  if (own.open >= own.OpenLimit()) {
     connection* const victim =
         Largest(kConnectionBytes, now, [at](const connection& each) { return each.at == at; });
-    if (victim != nullptr) {
-      Close(*victim);
-      ++counts_.closed_for_room;
-    }
+    if (victim != nullptr) Close(*victim, counts_.closed_for_room);
   }
   if (below_limit) return true;
   ++counts_.rejected;
@@ -100,6 +96,11 @@
   if (found == nullptr) return;
   found->phase = phase;
   found->since = now;
+  // If all others waited, none of them was closed for the next one.
+  const listener& own = listeners_[found->at];
+  if (phase == connection_phase::kIdle && found->MayClose() && own.open > own.OpenLimit()) {
+    Close(*found, counts_.closed_for_room);
+  }
 }
 
 bool connection_budget::Hold(connection_id id, size_t bytes, monotonic_time now) {
@@ -139,6 +140,11 @@
   return Charged(bytes);
 }
 
+void connection_budget::Update(monotonic_time now) {
+  const std::lock_guard lock(mutex_);
+  CloseLate(now);
+}
+
 budget_counts connection_budget::Counts() const {
   const std::lock_guard lock(mutex_);
   budget_counts out = counts_;
@@ -146,6 +152,10 @@
   return out;
 }
 
+size_t connection_budget::listener::OpenLimit() const {
+  return limit - std::max<size_t>(limit / kClosingPart, 1);
+}
+
 connection_budget::connection* connection_budget::Find(connection_id id) {
   const auto found = connections_.find(id);
   return found == connections_.end() ? nullptr : &found->second;
@@ -157,7 +167,7 @@
   connection* largest = nullptr;
   double most = 0;
   for (auto& [id, each] : connections_) {
-    if (each.closing || each.phase == connection_phase::kWaiting || !may_close(each)) continue;
+    if (!each.MayClose() || !may_close(each)) continue;
     // A connection that has just entered its phase counts by its bytes.
     const std::chrono::duration<double, std::milli> since = now - each.since;
     const double weight =
@@ -169,7 +179,8 @@
   return largest;
 }
 
-void connection_budget::Close(connection& target) {
+void connection_budget::Close(connection& target, uint64_t& count) {
+  ++count;
   held_ -= target.bytes;
   closing_ += target.bytes;
   target.closing = true;
@@ -189,8 +200,7 @@
     connection* const victim =
         Largest(0, now, [](const connection& each) { return each.bytes > 0; });
     if (victim == nullptr) return false;
-    Close(*victim);
-    ++counts_.closed_for_room;
+    Close(*victim, counts_.closed_for_room);
     if (victim == &requester) return false;
   }
   return Used() + bytes <= options_.bytes;
@@ -200,10 +210,9 @@
   if (now < next_check_) return;
   next_check_ = now + kCheckInterval;
   for (auto& [id, each] : connections_) {
-    if (each.closing || each.phase == connection_phase::kWaiting) continue;
-    if (now - each.since <= options_.phase_timeout) continue;
-    Close(each);
-    ++counts_.closed_late;
+    if (each.MayClose() && now - each.since > options_.phase_timeout) {
+      Close(each, counts_.closed_late);
+    }
   }
 }
 
--- a/src/connection/connection_budget.h
+++ b/src/connection/connection_budget.h
@@ -89,6 +89,8 @@
   std::optional<request_memory> Take(connection_id connection);
   std::optional<request_memory> Reserve(size_t bytes);
 
+  // Closes connections whose phase takes too long. To be called about once a second.
+  void Update(monotonic_time now);
   budget_counts Counts() const;
 
  private:
@@ -98,6 +100,9 @@
     size_t limit = 0;
     size_t open = 0;     // without those that are being closed
     size_t closing = 0;  // they have their descriptors still
+
+    // Of `open`; beyond it one is closed for the next.
+    size_t OpenLimit() const;
   };
   struct connection {
     listener_id at = 0;
@@ -106,6 +111,8 @@
     bool closing = false;
     size_t bytes = 0;
     monotonic_time since{};  // in this phase
+
+    bool MayClose() const { return !closing && phase != connection_phase::kWaiting; }
   };
 
   // These require the lock.
@@ -114,7 +121,8 @@
   // The one to be closed first, of those that `may_close` allows; null if there is none.
   template <typename Predicate>
   connection* Largest(size_t own_bytes, monotonic_time now, Predicate may_close);
-  void Close(connection& target);
+  // `count`: the one of counts_ that it adds to.
+  void Close(connection& target, uint64_t& count);
   void SetBytes(connection& target, size_t bytes);
   // Closes connections until `bytes` more fit, `requester` among them if it is the largest.
   // Whether they fit now.
--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -27,8 +27,6 @@
 constexpr unsigned kBodyDrainFactor = 4;
 // A body of this size is given its whole buffer at once.
 constexpr size_t kSmallBody = 16384;
-// Connections that are closed for others still count at the library.
-constexpr unsigned kClosingConnections = 256;
 
 // Per-request state, owned through libmicrohttpd's request closure.
 struct exchange {
@@ -356,12 +354,10 @@
   if (tls && !impl_->certificates.HasCertificate()) return false;
   unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
   if (tls) flags |= MHD_USE_TLS;
-  const bool closes_for_others = options.budget != nullptr;
-  const unsigned connections =
-      options.connection_limit + (closes_for_others ? kClosingConnections : 0);
   std::vector<MHD_OptionItem> items = {
       {MHD_OPTION_SOCK_ADDR, 0, &address},
-      {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(connections), nullptr},
+      // At the limit the next clients wait in the system's backlog.
+      {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(options.connection_limit), nullptr},
       {MHD_OPTION_CONNECTION_TIMEOUT, static_cast<intptr_t>(options.idle_timeout.count()), nullptr},
       {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, nullptr},
   };
--- a/src/process/node_metrics.cc
+++ b/src/process/node_metrics.cc
@@ -35,6 +35,7 @@
     rejected_batches_ += more;
     log_.Emit(event_code::kPeerRefused, now, {}, 0, config_.name, absl::StrCat(more, " calls"));
   }
+  budget_->Update(now);
   const budget_counts connections = budget_->Counts();
   metrics_.SetConnections(connections);
   if (const uint64_t before = std::exchange(connections_ended_, connections.Ended());
--- a/src/process/site/site_listeners.cc
+++ b/src/process/site/site_listeners.cc
@@ -1,6 +1,7 @@
 #include "process/site/site_listeners.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "absl/strings/numbers.h"
@@ -85,6 +86,11 @@
   callers_->SetBodyLimit(std::min(bytes, kMaxBody));
 }
 
+budget_counts site_listeners::UpdateCounts() {
+  budget_->Update(std::chrono::steady_clock::now());
+  return budget_->Counts();
+}
+
 http_server_options site_listeners::OptionsFor(size_t connections) const {
   http_server_options options;
   options.body_limit = kMaxBody;
--- a/src/process/site/site_listeners.h
+++ b/src/process/site/site_listeners.h
@@ -45,7 +45,8 @@
   bool HasMetrics() const { return metrics_ != nullptr; }
   // `bytes`: as the configuration in effect states.
   void SetCallerBodyLimit(size_t bytes);
-  budget_counts Counts() const { return budget_->Counts(); }
+  // To be called about once a second.
+  budget_counts UpdateCounts();
 
  private:
   http_server_options OptionsFor(size_t connections) const;
--- a/src/process/site/site_node.h
+++ b/src/process/site/site_node.h
@@ -574,7 +574,7 @@
 
 template <site_platform Platform>
 void site_node<Platform>::ReportConnections(monotonic_time now) {
-  const budget_counts counts = listeners_.Counts();
+  const budget_counts counts = listeners_.UpdateCounts();
   metrics_.SetConnections(counts);
   if (counts.Ended() == std::exchange(connections_ended_, counts.Ended())) return;
   log_.Write(site_event::kConnectionsClosed, now,
--- a/test/connection_budget_test.cc
+++ b/test/connection_budget_test.cc
@@ -180,6 +180,23 @@
   CHECK(budget_->Admit(listener_, now_));
 }
 
+// Guards against a listener that stays full of idle connections once all of them have waited.
+TEST_CASE_METHOD(connection_budget_fixture,
+                 "connection budget, all waited and one is idle again, closes it for the next",
+                 "[budget]") {
+  std::vector<connection_budget::connection_id> open;
+  for (int socket = 0; socket < static_cast<int>(kConnections); ++socket) {
+    open.push_back(Receiving(socket));
+    budget_->Enter(open.back(), connection_phase::kWaiting, now_);
+  }
+  budget_->BeginAnswer(open[2], 10, now_);
+  CHECK(closed_.empty());
+  budget_->Enter(open[2], connection_phase::kIdle, now_);
+  CHECK(closed_ == std::vector<int>{2});
+  budget_->Enter(open[1], connection_phase::kIdle, now_);
+  CHECK(closed_ == std::vector<int>{2});
+}
+
 // Guards against descriptors that count as free before they are closed.
 TEST_CASE_METHOD(connection_budget_fixture,
                  "connection budget, many connections closed and not yet gone, rejects",
@@ -210,6 +227,18 @@
   CHECK(budget_->Counts().closed_late == 2);
 }
 
+// Guards against late connections that fill a listener, so that no new one shows that they are
+// late.
+TEST_CASE_METHOD(connection_budget_fixture, "connection budget, nothing new comes, closes the late",
+                 "[budget]") {
+  const auto reading = Receiving(1);
+  budget_->BeginAnswer(reading, 10, now_);
+  budget_->Update(now_ + seconds(30));
+  CHECK(closed_.empty());
+  budget_->Update(now_ + seconds(32));
+  CHECK(closed_ == std::vector<int>{1});
+}
+
 // Guards against an answer that is withheld because of its size.
 TEST_CASE_METHOD(connection_budget_fixture, "connection budget, large answer, is sent",
                  "[budget]") {
--- a/test/http_budget_test.cc
+++ b/test/http_budget_test.cc
@@ -2,9 +2,13 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <future>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include "client_crowd.h"
 #include "connection/http_client.h"
@@ -55,8 +59,20 @@
     return budget_->Counts().bytes == 0;
   }
 
+  std::vector<int> TakeUnclosed() {
+    const std::lock_guard lock(mutex_);
+    return std::exchange(unclosed_, {});
+  }
+
+  std::atomic<bool> closes_{true};  // false: connections to be closed are kept in `unclosed_`
+  std::mutex mutex_;
+  std::vector<int> unclosed_;
   std::shared_ptr<connection_budget> budget_ =
-      std::make_shared<connection_budget>(budget_options{kBudget}, ShutSocket);
+      std::make_shared<connection_budget>(budget_options{kBudget}, [this](int socket) {
+        if (closes_) return ShutSocket(socket);
+        const std::lock_guard lock(mutex_);
+        unclosed_.push_back(socket);
+      });
   std::unique_ptr<http_server> server_;
   http_client client_{1};
 };
@@ -122,4 +138,17 @@
   CHECK(budget_->Counts().Ended() >= kCrowd);
 }
 
+// Guards against a client that is turned away because a connection closed for it is not yet gone.
+TEST_CASE_METHOD(http_budget_fixture, "http server, closed for the next and not gone, lets it wait",
+                 "[http]") {
+  closes_ = false;
+  const client_crowd crowd(server_->Port(), kCrowd * 2);
+  auto result = std::async(std::launch::async, [this] { return Call("POST", "abc"); });
+  CHECK(result.wait_for(milliseconds(200)) == std::future_status::timeout);
+  closes_ = true;
+  for (const int socket : TakeUnclosed()) ShutSocket(socket);
+  CHECK(result.get().body == "3");
+  CHECK(budget_->Counts().rejected == 0);
+}
+
 }  // namespace catkinford
