--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -50,7 +50,8 @@
   int threads = 1;
   size_t body_limit = size_t{1} << 20;
   std::chrono::seconds idle_timeout{30};  // closes slow senders and half-closed connections
-  unsigned connection_limit = 4096;       // further clients wait; with a budget, one is closed
+  // At the limit, further clients wait; with a budget, connections are closed for them.
+  unsigned connection_limit = 4096;
   // None: what requests hold has no limit.
   std::shared_ptr<connection_budget> budget;
   int socket_buffer_bytes = 0;                // of the system, in each direction; 0: its default
--- a/src/request/text_compression.h
+++ b/src/request/text_compression.h
@@ -12,10 +12,10 @@
 namespace catkinford {
 
 std::string CompressText(std::string_view text);
-// Text that was never compressed is returned unchanged: no record begins like a zlib stream.
-// Nullopt for compressed bytes that are damaged or that expand to more than any record.
 // The most that DecompressText() returns for these bytes.
 size_t MaxDecompressedBytes(std::string_view bytes);
+// Text that was never compressed is returned unchanged: no record begins like a zlib stream.
+// Nullopt for compressed bytes that are damaged or that expand to more than any record.
 std::optional<std::string> DecompressText(std::string_view bytes);
 
 }  // namespace catkinford
